--- /dev/null
+++ b/packages/bench/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Replays traces in virtual time against baselines.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/capacity/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Measures slopes for the capacity page.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The endivebend command.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/commitments/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Decides which non-idempotent calls may be dispatched, replayed or refused.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Folds templates, teams, keys and drains from the log.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/demo/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Runs the README's demonstration.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/faults/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Failure scenarios over real processes.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/limits/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Charges, lends and borrows a team's rate and burst.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/membership/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Keeps the view of entry VMs and backend servers.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/orders/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Fences orders to engines and bounds concurrent weight loads.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/queueing/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Orders waiting work in front of an engine fairly over teams.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/router/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The daemon: tasks that own sockets, timers and state.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/routing/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Chooses a backend server for a prompt.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Parses and checks the daemon's settings.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Small platform, engine, cache store and plain service for tests and the demo.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/streams/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Keeps a stream complete and in order over several attempts.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/telemetry/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs, counters and traces.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/scripts/check_repository.ts
@@ -0,0 +1,61 @@
+/**
+ * Checks rules of the repository that formatter, linter and compiler don't:
+ * product packages start no process and share no memory, packages import each
+ * other only through their public module, every package has a README and a
+ * change log, and no file names a registry host or a machine's own path.
+ *
+ * @module
+ */
+
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+
+/** Test tools that may start processes. */
+const PROCESS_STARTING_PACKAGES = new Set(["faults", "demo", "bench"]);
+const FORBIDDEN_IN_PRODUCT =
+  /node:child_process|node:cluster|SharedArrayBuffer|node:worker_threads/;
+const DEEP_IMPORT = /from "@endivebend\/[a-z-]+\//;
+const NOTICE = /copyright|licensed under|SPDX-/i;
+
+function listFiles(directory: string): string[] {
+  return readdirSync(directory, { recursive: true, withFileTypes: true })
+    .filter((entry) => entry.isFile() && entry.name.endsWith(".ts"))
+    .map((entry) => join(entry.parentPath, entry.name));
+}
+
+function checkSource(file: string, packageName: string): string[] {
+  const text = readFileSync(file, "utf8");
+  const faults: string[] = [];
+  const isTest = file.endsWith("_test.ts");
+  const mayStart = isTest || PROCESS_STARTING_PACKAGES.has(packageName);
+  if (!mayStart && FORBIDDEN_IN_PRODUCT.test(text)) {
+    faults.push(`${file}: product packages start no process or thread`);
+  }
+  if (DEEP_IMPORT.test(text)) {
+    faults.push(`${file}: import other packages by their name only`);
+  }
+  if (NOTICE.test(text)) faults.push(`${file}: remove the notice`);
+  return faults;
+}
+
+function checkPackage(packageName: string): string[] {
+  const directory = join("packages", packageName);
+  const faults = ["README.md", "CHANGELOG.md", join("src", "mod.ts")]
+    .filter((name) => !existsSync(join(directory, name)))
+    .map((name) => `${directory}: add ${name}`);
+  const sources = listFiles(join(directory, "src"));
+  return [
+    ...faults,
+    ...sources.flatMap((file) => checkSource(file, packageName)),
+  ];
+}
+
+const lockFile = readFileSync("package-lock.json", "utf8");
+const faults = readdirSync("packages").flatMap(checkPackage);
+if (lockFile.includes('"resolved": "http')) {
+  faults.push(
+    "package-lock.json: install with omit-lockfile-registry-resolved",
+  );
+}
+for (const fault of faults) console.error(fault);
+process.exit(faults.length > 0 ? 1 : 0);
