Follow log streams and keep a membership view

A follower reads a stream in offset order, falls back to peers while the platform is silent, never goes back, and settles appends whose answer was lost by reading back; after a lost answer it never claims not_appended. The membership view orders reports by their time, so a late report of a dead incarnation or an older list changes nothing.

--- /dev/null
+++ b/packages/membership/src/membership_test.ts
@@ -0,0 +1,98 @@
+import test from "ava";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type IncarnationId,
+  type ServiceName,
+  type VmEntry,
+  type VmId,
+  type WeightsVersion,
+} from "@endivebend/types";
+import { Membership } from "./mod.ts";
+
+const domain = brandId<FailureDomainId>("fd-a");
+const service = brandId<ServiceName>("chime-llm");
+
+function entryVm(id: string): VmEntry {
+  return {
+    vmId: brandId<VmId>(id),
+    role: "entry",
+    state: "live",
+    address: "127.0.0.1:1",
+    failureDomain: domain,
+  };
+}
+
+function engine(id: string, state: VmEntry["state"] = "live"): VmEntry {
+  return { ...entryVm(id), role: "engine", state, service };
+}
+
+const engineId = brandId<BackendServerId>("e1");
+
+function createMembership(vms: VmEntry[], asOfMs = 1000): Membership {
+  const membership = new Membership({ self: entryVm("self"), seeds: [] });
+  membership.applyList({ asOfMs, vms });
+  return membership;
+}
+
+test("an older list does not bring a leaving server back", (t) => {
+  const membership = createMembership([engine("e1", "leaving")], 2000);
+  membership.applyList({ asOfMs: 1000, vms: [engine("e1")] });
+  t.false(membership.backendServers(service, 0)[0]?.takesNewWork);
+});
+
+test("a server that says it is leaving gets no work though the list lags", (t) => {
+  const membership = createMembership([engine("e1")]);
+  membership.noteServerLeaving(engineId);
+  t.false(membership.backendServer(engineId, 0)?.takesNewWork);
+});
+
+test("a failed server is left out, then tried again", (t) => {
+  const membership = createMembership([engine("e1")]);
+  membership.noteServerFailure(engineId, 100);
+  t.false(membership.backendServer(engineId, 200)?.takesNewWork);
+  t.true(membership.backendServer(engineId, 400)?.takesNewWork);
+});
+
+test("a late report of a dead incarnation does not replace a newer one", (t) => {
+  const membership = createMembership([engine("e1")]);
+  const weightsVersion = brandId<WeightsVersion>("v1");
+  membership.noteServerAnswer(engineId, {
+    incarnation: "new",
+    weightsVersion,
+    asOfMs: 50,
+  });
+  membership.noteServerAnswer(engineId, {
+    incarnation: "old",
+    weightsVersion,
+    asOfMs: 40,
+  });
+  t.is(membership.backendServer(engineId, 60)?.incarnation, "new");
+});
+
+test("a silent or draining peer owns no soft state", (t) => {
+  const membership = createMembership([entryVm("p1"), entryVm("p2")]);
+  const note = {
+    incarnation: brandId<IncarnationId>("i"),
+    failureDomain: domain,
+  };
+  const p1 = brandId<VmId>("p1");
+  const p2 = brandId<VmId>("p2");
+  membership.notePeer({ ...note, vmId: p1, draining: false }, 0);
+  membership.notePeer({ ...note, vmId: p2, draining: true }, 0);
+  const idsAt = (nowMs: number) =>
+    membership.entryVms(nowMs).map((entry) => String(entry.vmId));
+  t.deepEqual(idsAt(1000), ["p1", "self"]);
+  t.deepEqual(idsAt(6000), ["self"]);
+});
+
+test("a VM has ended only when a late enough list lacks it", (t) => {
+  const membership = createMembership([entryVm("p1")], 1000);
+  const p1 = brandId<VmId>("p1");
+  t.false(membership.hasEnded(brandId<VmId>("never-listed"), 0));
+  membership.applyList({ asOfMs: 5000, vms: [] });
+  t.false(membership.hasEnded(p1, 1000));
+  membership.applyList({ asOfMs: 40_000, vms: [] });
+  t.true(membership.hasEnded(p1, 1000));
+});
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,7 +1,14 @@
 /**
- * Keeps the view of entry VMs and backend servers.
+ * Keeps the view of entry VMs and backend servers from the platform's list,
+ * from peers and from answers of the servers themselves.
  *
  * @module
  */
 
-export {};
+export { Membership } from "./membership.ts";
+export type {
+  MembershipOptions,
+  PeerNote,
+  ServerAnswer,
+  ServerView,
+} from "./membership.ts";
--- /dev/null
+++ b/packages/router/src/log/append.ts
@@ -0,0 +1,105 @@
+/**
+ * Appends a batch and settles lost answers.
+ *
+ * @module
+ */
+
+import { brandId, type LogOffset } from "@endivebend/types";
+import type { AppendRecord, AppendResult, Clock, Scheduler } from "../ports.ts";
+import type { AppendAnswer } from "./log_client.ts";
+
+const RETRY_DELAY_MS = 100;
+
+/** What the settling of one batch needs. */
+export interface AppendOptions {
+  readonly deadlineElapsedMs: number;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly append: (
+    records: readonly AppendRecord[],
+  ) => Promise<AppendAnswer>;
+  /** Resolves with the offset when the follower reads the record. */
+  readonly whenSeen: (
+    recordId: string,
+  ) => { readonly seen: Promise<LogOffset>; readonly forget: () => void };
+}
+
+/**
+ * Appends until the records are seen in the log, are certainly not there, or
+ * the deadline passes. After a lost answer the batch is appended again under
+ * the same record ids: folds apply a record id once, and the first offset
+ * counts. Once an answer was lost, "not appended" is never claimed, because
+ * a delayed append may still take effect.
+ */
+export async function appendUntilSettled(
+  records: readonly AppendRecord[],
+  options: AppendOptions,
+): Promise<AppendResult> {
+  const first = records[0];
+  if (first === undefined) throw new RangeError("Append at least one record");
+  const { seen, forget } = options.whenSeen(first.recordId);
+  const readBack = seen.then((offset): AppendResult => ({
+    kind: "appended",
+    offset,
+  }));
+  try {
+    return await Promise.race([readBack, tryAppend(records, options)]);
+  } finally {
+    forget();
+  }
+}
+
+async function tryAppend(
+  records: readonly AppendRecord[],
+  options: AppendOptions,
+): Promise<AppendResult> {
+  let lostReason: string | undefined;
+  while (options.clock.elapsedMs() < options.deadlineElapsedMs) {
+    const answer = await raceDeadline(options.append(records), options);
+    if (answer.kind === "appended") {
+      const offset = brandId<LogOffset>(answer.firstOffset);
+      return { kind: "appended", offset };
+    }
+    if (answer.kind === "lost") lostReason = answer.reason;
+    const isRateLimited = answer.kind === "refused" &&
+      answer.retryAfterMs !== undefined;
+    if (lostReason === undefined && !isRateLimited) {
+      return { kind: "not_appended", reason: answer.reason };
+    }
+    await delay(retryDelayMs(answer), options.scheduler);
+  }
+  if (lostReason !== undefined) return { kind: "unknown", reason: lostReason };
+  return { kind: "not_appended", reason: "The append rate is exhausted" };
+}
+
+function retryDelayMs(answer: AppendAnswer): number {
+  const hintMs = answer.kind === "refused" ? answer.retryAfterMs : undefined;
+  return hintMs ?? RETRY_DELAY_MS;
+}
+
+function raceDeadline(
+  append: Promise<AppendAnswer>,
+  options: AppendOptions,
+): Promise<AppendAnswer> {
+  const leftMs = options.deadlineElapsedMs - options.clock.elapsedMs();
+  return new Promise((resolve) => {
+    const cancel = options.scheduler.after(Math.max(0, leftMs), () => {
+      resolve({ kind: "lost", reason: "The log did not answer in time" });
+    });
+    append
+      .catch((caught): AppendAnswer => ({
+        kind: "lost",
+        reason: String(caught),
+      }))
+      .then((answer) => {
+        cancel();
+        resolve(answer);
+      });
+  });
+}
+
+function delay(delayMs: number, scheduler: Scheduler): Promise<void> {
+  return new Promise((resolve) => {
+    scheduler.after(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/router/src/log/follower.ts
@@ -0,0 +1,265 @@
+/**
+ * Follows one stream of the platform's log: reads it in offset order, feeds a
+ * fold, takes records from peers while the platform does not answer, and
+ * appends records whose lost answers are settled by reading back.
+ *
+ * @module
+ */
+
+import {
+  brandId,
+  type LogOffset,
+  type LogRecord,
+  type LogStream,
+} from "@endivebend/types";
+import type {
+  AppendRecord,
+  AppendResult,
+  Clock,
+  FollowedStream,
+  Logger,
+  Scheduler,
+  StreamFold,
+} from "../ports.ts";
+import { appendUntilSettled } from "./append.ts";
+import type { LogClient, PeerRecordSource } from "./log_client.ts";
+import { RecentRecords } from "./recent_records.ts";
+
+const READ_LIMIT = 1000;
+const FIRST_BACKOFF_MS = 50;
+const LARGEST_BACKOFF_MS = 1000;
+
+/** Settings and neighbours of a follower. */
+export interface FollowerOptions {
+  readonly stream: LogStream;
+  readonly fold: StreamFold;
+  readonly log: LogClient;
+  readonly peers: PeerRecordSource;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly logger: Logger;
+  readonly pollWaitMs: number;
+}
+
+interface OffsetWaiter {
+  readonly offset: number;
+  readonly resolve: (applied: boolean) => void;
+}
+
+/** One followed stream. Start it once; stop it when the daemon ends. */
+export class LogFollower implements FollowedStream {
+  readonly stream: LogStream;
+  readonly #options: FollowerOptions;
+  readonly #recent = new RecentRecords();
+  readonly #recordWaiters = new Map<string, (offset: LogOffset) => void>();
+  #offsetWaiters: OffsetWaiter[] = [];
+  #nextOffset = 0;
+  #isCaughtUp = false;
+  #lastAnswerMs: number;
+  #isPlatformSilent = false;
+  #stopped = false;
+  #backoffMs = FIRST_BACKOFF_MS;
+
+  constructor(options: FollowerOptions) {
+    this.stream = options.stream;
+    this.#options = options;
+    this.#lastAnswerMs = options.clock.elapsedMs();
+  }
+
+  /** Follows the stream until {@link stop}. */
+  async start(): Promise<void> {
+    while (!this.#stopped) await this.#step();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    for (const waiter of this.#offsetWaiters) waiter.resolve(false);
+    this.#offsetWaiters = [];
+  }
+
+  nextOffset(): number {
+    return this.#nextOffset;
+  }
+
+  isCaughtUp(): boolean {
+    return this.#isCaughtUp;
+  }
+
+  silenceMs(): number {
+    return this.#options.clock.elapsedMs() - this.#lastAnswerMs;
+  }
+
+  append(
+    record: AppendRecord,
+    options: { readonly deadlineElapsedMs: number },
+  ): Promise<AppendResult> {
+    return this.appendBatch([record], options);
+  }
+
+  appendBatch(
+    records: readonly AppendRecord[],
+    options: { readonly deadlineElapsedMs: number },
+  ): Promise<AppendResult> {
+    return appendUntilSettled(records, {
+      deadlineElapsedMs: options.deadlineElapsedMs,
+      clock: this.#options.clock,
+      scheduler: this.#options.scheduler,
+      append: (batch) => this.#options.log.append(this.stream, batch),
+      whenSeen: (recordId) => this.#whenRecordSeen(recordId),
+    });
+  }
+
+  whenApplied(
+    offset: LogOffset,
+    options: { readonly deadlineElapsedMs: number },
+  ): Promise<boolean> {
+    if (offset < this.#nextOffset) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const leftMs = options.deadlineElapsedMs -
+        this.#options.clock.elapsedMs();
+      const cancel = this.#options.scheduler.after(Math.max(0, leftMs), () => {
+        this.#offsetWaiters = this.#offsetWaiters.filter((waiter) =>
+          waiter.resolve !== settle
+        );
+        resolve(false);
+      });
+      const settle = (applied: boolean) => {
+        cancel();
+        resolve(applied);
+      };
+      this.#offsetWaiters.push({ offset, resolve: settle });
+    });
+  }
+
+  /** Records after an offset for a peer, or undefined when they are too old. */
+  recordsFrom(
+    fromOffset: number,
+    limit: number,
+  ): readonly LogRecord[] | undefined {
+    return this.#recent.from(fromOffset, {
+      nextOffset: this.#nextOffset,
+      limit,
+    });
+  }
+
+  #whenRecordSeen(recordId: string) {
+    const known = this.#recent.offsetOf(recordId);
+    let forget = () => {};
+    const seen = new Promise<LogOffset>((resolve) => {
+      if (known !== undefined) return resolve(known);
+      this.#recordWaiters.set(recordId, resolve);
+      forget = () => this.#recordWaiters.delete(recordId);
+    });
+    return { seen, forget };
+  }
+
+  async #step(): Promise<void> {
+    try {
+      await this.#readFromPlatform();
+      this.#backoffMs = FIRST_BACKOFF_MS;
+    } catch (caught) {
+      this.#notePlatformSilence(caught);
+      await this.#readFromPeers();
+      await this.#pause();
+    }
+  }
+
+  async #readFromPlatform(): Promise<void> {
+    const result = await this.#options.log.read(this.stream, {
+      fromOffset: this.#nextOffset,
+      // A follower that is behind must not wait for the next record.
+      waitMs: this.#isCaughtUp ? this.#options.pollWaitMs : 0,
+      limit: READ_LIMIT,
+    });
+    this.#notePlatformAnswer();
+    if (result.kind === "truncated") {
+      this.#skipTo(result.firstOffset);
+      return;
+    }
+    for (const record of result.records) this.#apply(record);
+    if (this.#nextOffset >= result.nextOffset) this.#isCaughtUp = true;
+    this.#settleOffsets();
+  }
+
+  #skipTo(firstOffset: number): void {
+    if (firstOffset <= this.#nextOffset) return;
+    this.#options.fold.onGap?.(brandId<LogOffset>(firstOffset));
+    this.#nextOffset = firstOffset;
+  }
+
+  async #readFromPeers(): Promise<void> {
+    const answer = await this.#options.peers
+      .fetch(this.stream, this.#nextOffset)
+      .catch(() => undefined);
+    if (answer === undefined || this.#stopped) return;
+    this.#restoreSnapshot(answer.snapshot);
+    for (const record of answer.records) this.#apply(record);
+    if (this.#nextOffset >= answer.nextOffset) this.#isCaughtUp = true;
+    this.#settleOffsets();
+  }
+
+  #restoreSnapshot(
+    snapshot: { readonly json: string; readonly offset: number } | undefined,
+  ): void {
+    if (snapshot === undefined) return;
+    // A state never goes back: only a snapshot ahead of ours is taken.
+    if (snapshot.offset < this.#nextOffset) return;
+    const offset = brandId<LogOffset>(snapshot.offset);
+    this.#options.fold.restore?.(snapshot.json, offset);
+    this.#nextOffset = snapshot.offset + 1;
+    this.#recent.clear();
+  }
+
+  #apply(record: LogRecord): void {
+    if (record.offset < this.#nextOffset) return;
+    this.#nextOffset = record.offset + 1;
+    this.#recent.add(record);
+    this.#options.fold.apply(record);
+    const recordId = readRecordId(record.value);
+    if (recordId === undefined) return;
+    this.#recordWaiters.get(recordId)?.(record.offset);
+    this.#recordWaiters.delete(recordId);
+  }
+
+  #settleOffsets(): void {
+    const waiting: OffsetWaiter[] = [];
+    for (const waiter of this.#offsetWaiters) {
+      if (waiter.offset < this.#nextOffset) waiter.resolve(true);
+      else waiting.push(waiter);
+    }
+    this.#offsetWaiters = waiting;
+  }
+
+  #notePlatformAnswer(): void {
+    this.#lastAnswerMs = this.#options.clock.elapsedMs();
+    if (!this.#isPlatformSilent) return;
+    this.#isPlatformSilent = false;
+    this.#options.logger.info(
+      { stream: this.stream, nextOffset: this.#nextOffset },
+      "The platform's log answers again",
+    );
+  }
+
+  #notePlatformSilence(caught: unknown): void {
+    if (this.#isPlatformSilent) return;
+    this.#isPlatformSilent = true;
+    this.#options.logger.warn(
+      { stream: this.stream, cause: String(caught) },
+      "The platform's log does not answer; peers are asked for records",
+    );
+  }
+
+  #pause(): Promise<void> {
+    const delayMs = this.#backoffMs;
+    this.#backoffMs = Math.min(delayMs * 2, LARGEST_BACKOFF_MS);
+    return new Promise((resolve) => {
+      this.#options.scheduler.after(delayMs, resolve);
+    });
+  }
+}
+
+function readRecordId(value: unknown): string | undefined {
+  if (typeof value !== "object" || value === null) return undefined;
+  const { recordId } = value as { readonly recordId?: unknown };
+  return typeof recordId === "string" ? recordId : undefined;
+}
--- /dev/null
+++ b/packages/router/src/log/log_client.ts
@@ -0,0 +1,61 @@
+/**
+ * What a follower needs from the platform's log and from peers.
+ *
+ * @module
+ */
+
+import type { LogRecord, LogStream } from "@endivebend/types";
+import type { AppendRecord } from "../ports.ts";
+
+/** The result of one append call. */
+export type AppendAnswer =
+  | { readonly kind: "appended"; readonly firstOffset: number }
+  /** The platform certainly did not take the records. */
+  | {
+    readonly kind: "refused";
+    readonly reason: string;
+    /** Set when the append rate was exceeded. */
+    readonly retryAfterMs?: number;
+  }
+  /** The answer was lost; the records may be in the log. */
+  | { readonly kind: "lost"; readonly reason: string };
+
+/** The result of one read call. */
+export type ReadAnswer =
+  | {
+    readonly kind: "records";
+    readonly records: readonly LogRecord[];
+    readonly nextOffset: number;
+  }
+  | { readonly kind: "truncated"; readonly firstOffset: number };
+
+/** Access to the log; reads throw when the platform does not answer. */
+export interface LogClient {
+  append(
+    stream: LogStream,
+    records: readonly AppendRecord[],
+  ): Promise<AppendAnswer>;
+  read(
+    stream: LogStream,
+    options: {
+      readonly fromOffset: number;
+      readonly waitMs: number;
+      readonly limit: number;
+    },
+  ): Promise<ReadAnswer>;
+}
+
+/** Records that a peer has and this daemon lacks. */
+export interface PeerRecords {
+  readonly records: readonly LogRecord[];
+  readonly nextOffset: number;
+  readonly snapshot?: { readonly json: string; readonly offset: number };
+}
+
+/** Asks the most advanced peer; undefined when none is ahead or answers. */
+export interface PeerRecordSource {
+  fetch(
+    stream: LogStream,
+    fromOffset: number,
+  ): Promise<PeerRecords | undefined>;
+}
--- /dev/null
+++ b/packages/router/src/log/recent_records.ts
@@ -0,0 +1,61 @@
+/**
+ * The latest records of a stream, kept for peers and for reading back.
+ *
+ * @module
+ */
+
+import type { LogOffset, LogRecord } from "@endivebend/types";
+
+/** How many records are kept; a peer further behind gets a snapshot. */
+const KEPT_RECORDS = 4096;
+
+/** A bounded run of consecutive records. */
+export class RecentRecords {
+  #records: LogRecord[] = [];
+  readonly #offsets = new Map<string, LogOffset>();
+
+  add(record: LogRecord): void {
+    this.#records.push(record);
+    const recordId = recordIdOf(record);
+    if (recordId !== undefined && !this.#offsets.has(recordId)) {
+      this.#offsets.set(recordId, record.offset);
+    }
+    if (this.#records.length > 2 * KEPT_RECORDS) this.#trim();
+  }
+
+  clear(): void {
+    this.#records = [];
+    this.#offsets.clear();
+  }
+
+  offsetOf(recordId: string): LogOffset | undefined {
+    return this.#offsets.get(recordId);
+  }
+
+  /** Consecutive records from an offset, or undefined when some are gone. */
+  from(
+    fromOffset: number,
+    options: { readonly nextOffset: number; readonly limit: number },
+  ): readonly LogRecord[] | undefined {
+    if (fromOffset >= options.nextOffset) return [];
+    const first = this.#records[0];
+    if (first === undefined || first.offset > fromOffset) return undefined;
+    const start = this.#records.findIndex((record) =>
+      record.offset >= fromOffset
+    );
+    return this.#records.slice(start, start + options.limit);
+  }
+
+  #trim(): void {
+    const dropped = this.#records.splice(0, KEPT_RECORDS);
+    for (const record of dropped) {
+      const recordId = recordIdOf(record);
+      if (recordId !== undefined) this.#offsets.delete(recordId);
+    }
+  }
+}
+
+function recordIdOf(record: LogRecord): string | undefined {
+  const value = record.value as { readonly recordId?: unknown } | null;
+  return typeof value?.recordId === "string" ? value.recordId : undefined;
+}
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -31,6 +31,12 @@
   elapsedMs(): number;
 }
 
+/** Timers, injected so that tests use virtual time. */
+export interface Scheduler {
+  /** Runs `task` once after `delayMs`; returns a function that cancels it. */
+  after(delayMs: number, task: () => void): () => void;
+}
+
 /** Who this daemon is. */
 export interface Identity {
   readonly vmId: VmId;
@@ -67,6 +73,15 @@
     record: AppendRecord,
     options: { readonly deadlineElapsedMs: number },
   ): Promise<AppendResult>;
+  /**
+   * Appends several records as one contiguous batch; the offset of the result
+   * is that of the first record. Folds ignore a `recordId` they have applied,
+   * so a batch whose answer was lost may be appended again.
+   */
+  appendBatch(
+    records: readonly AppendRecord[],
+    options: { readonly deadlineElapsedMs: number },
+  ): Promise<AppendResult>;
   /** Resolves when all records up to and including `offset` are applied. */
   whenApplied(
     offset: LogOffset,
