Parse and check the daemon's settings

The daemon, the command line and the demo need one checked form of the settings. A strict schema reports unknown fields; jsonc-parser gives the place of each fault in the text. Cross-field checks run on the raw value, because the schema library skips refinements of an object that has other faults, and operators should see all faults in one run.

--- /dev/null
+++ b/packages/settings/src/document.ts
@@ -0,0 +1,156 @@
+/**
+ * Reads a JSON document with comments against a schema and reports every
+ * fault with its place in the text.
+ *
+ * @module
+ */
+
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  type JSONPath,
+  type Node,
+  type ParseError,
+  parseTree,
+  printParseErrorCode,
+} from "jsonc-parser";
+import type { z } from "zod";
+import { describeIssue } from "./issues.ts";
+
+/** One fault of a document. */
+export interface Fault {
+  /** Line of the fault, from 1. */
+  readonly line: number;
+  /** Column of the fault, from 1. */
+  readonly column: number;
+  /** Such as `peers.addresses[0].address`; empty for the whole document. */
+  readonly field: string;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+/** A fault before its place in the text is known. */
+export interface LocatedFault {
+  readonly path: JSONPath;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+/** A checked document, or everything that is wrong with it. */
+export type Checked<Value> =
+  | { readonly ok: true; readonly value: Value }
+  | { readonly ok: false; readonly faults: readonly Fault[] };
+
+/** Options of {@link checkDocument}. */
+export interface CheckOptions {
+  /** Finds faults that concern several fields; must accept any value. */
+  readonly crossCheck?: (value: unknown) => readonly LocatedFault[];
+}
+
+/** Writes a path as `peers.addresses[0].address`. */
+export function formatField(path: JSONPath): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === "number") return `${text}[${part}]`;
+    return text === "" ? part : `${text}.${part}`;
+  }, "");
+}
+
+function placeOf(text: string, offset: number) {
+  const before = text.slice(0, offset);
+  const line = before.split("\n").length;
+  return { line, column: offset - before.lastIndexOf("\n") };
+}
+
+/** Offset of the field, or of the nearest enclosing one that is present. */
+function offsetOf(root: Node | undefined, path: JSONPath): number {
+  if (root === undefined) return 0;
+  for (let depth = path.length; depth >= 0; depth--) {
+    const node = findNodeAtLocation(root, path.slice(0, depth));
+    if (node === undefined) continue;
+    const isProperty = node.parent?.type === "property";
+    return isProperty ? node.parent!.offset : node.offset;
+  }
+  return root.offset;
+}
+
+function toSyntaxFault(text: string, error: ParseError): Fault {
+  return {
+    ...placeOf(text, error.offset),
+    field: "",
+    message: `The text is not valid JSON with comments: ${
+      printParseErrorCode(error.error)
+    }`,
+    remedy: "Correct the punctuation at this place",
+  };
+}
+
+function findDuplicates(node: Node, path: JSONPath): LocatedFault[] {
+  const children = node.children ?? [];
+  if (node.type === "array") {
+    return children.flatMap((child, index) =>
+      findDuplicates(child, [...path, index])
+    );
+  }
+  if (node.type !== "object") return [];
+  const seen = new Set<string>();
+  return children.flatMap((property) => {
+    const [nameNode, valueNode] = property.children ?? [];
+    const name = String(nameNode?.value);
+    const here = [...path, name];
+    const inner = valueNode === undefined
+      ? []
+      : findDuplicates(valueNode, here);
+    if (!seen.has(name)) {
+      seen.add(name);
+      return inner;
+    }
+    const message = "The field stands more than once";
+    return [...inner, { path: here, message, remedy: "Keep one of them" }];
+  });
+}
+
+function byPlace(left: Fault, right: Fault): number {
+  return left.line - right.line || left.column - right.column;
+}
+
+/**
+ * Parses the text as JSON with comments and trailing commas, checks it, and
+ * reports every fault in the order of the text.
+ *
+ * @example
+ * ```ts
+ * const checked = checkDocument(text, z.strictObject({ name: z.string() }));
+ * if (!checked.ok) console.error(checked.faults[0].line);
+ * ```
+ */
+export function checkDocument<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+  options: CheckOptions = {},
+): Checked<z.output<Schema>> {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  if (errors.length > 0 || root === undefined) {
+    const syntax = errors.map((error) => toSyntaxFault(text, error));
+    return { ok: false, faults: syntax };
+  }
+  const value: unknown = getNodeValue(root);
+  const parsed = schema.safeParse(value);
+  const located = [
+    ...(parsed.error?.issues ?? []).flatMap((issue) =>
+      describeIssue(issue, { schema, value })
+    ),
+    ...findDuplicates(root, []),
+    ...(options.crossCheck?.(value) ?? []),
+  ];
+  if (parsed.success && located.length === 0) {
+    return { ok: true, value: parsed.data };
+  }
+  const faults = located.map(({ path, message, remedy }) => ({
+    ...placeOf(text, offsetOf(root, path)),
+    field: formatField(path),
+    message,
+    remedy,
+  }));
+  return { ok: false, faults: faults.toSorted(byPlace) };
+}
--- /dev/null
+++ b/packages/settings/src/issues.ts
@@ -0,0 +1,136 @@
+/**
+ * Turns schema issues into messages with a remedy.
+ *
+ * @module
+ */
+
+import type { z } from "zod";
+import type { LocatedFault } from "./document.ts";
+
+type Issue = z.core.$ZodIssue;
+type IssueOf<Code extends Issue["code"]> = Extract<Issue, { code: Code }>;
+
+interface IssueContext {
+  readonly schema: z.ZodType;
+  readonly value: unknown;
+}
+
+interface Internals {
+  readonly type: string;
+  readonly innerType?: z.ZodType;
+  readonly element?: z.ZodType;
+  readonly in?: z.ZodType;
+  readonly shape?: Readonly<Record<string, z.ZodType>>;
+}
+
+function internalsOf(schema: z.ZodType): Internals {
+  const definition = schema.def as unknown as Internals;
+  const inner = definition.innerType ?? definition.in;
+  return inner === undefined ? definition : internalsOf(inner);
+}
+
+function schemaAt(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): Internals | undefined {
+  let current: Internals | undefined = internalsOf(schema);
+  for (const part of path) {
+    const next: z.ZodType | undefined = typeof part === "number"
+      ? current?.element
+      : current?.shape?.[String(part)];
+    if (next === undefined) return undefined;
+    current = internalsOf(next);
+  }
+  return current;
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (current, part) =>
+      typeof current === "object" && current !== null
+        ? (current as Record<PropertyKey, unknown>)[part]
+        : undefined,
+    value,
+  );
+}
+
+function describeUnknownFields(
+  issue: IssueOf<"unrecognized_keys">,
+  context: IssueContext,
+): LocatedFault[] {
+  const shape = schemaAt(context.schema, issue.path)?.shape ?? {};
+  const known = Object.keys(shape).join(", ");
+  return issue.keys.map((key) => ({
+    path: [...(issue.path as (string | number)[]), key],
+    message: `The field "${key}" is not known here`,
+    remedy: `Remove it; the fields known here are ${known}`,
+  }));
+}
+
+function describeType(issue: IssueOf<"invalid_type">, value: unknown) {
+  const kind = issue.expected === "int" ? "whole number" : issue.expected;
+  if (value === undefined) {
+    return { message: "The field is missing", remedy: `Add it as ${kind}` };
+  }
+  const given = value === null
+    ? "null"
+    : Array.isArray(value)
+    ? "array"
+    : typeof value;
+  return {
+    message: `The value is of type ${given}, not ${kind}`,
+    remedy: `Give a value of type ${kind}`,
+  };
+}
+
+function unitOf(origin: string): string {
+  if (origin === "string") return " characters";
+  return origin === "array" ? " entries" : "";
+}
+
+function describeOne(issue: Issue, value: unknown) {
+  switch (issue.code) {
+    case "invalid_type":
+      return describeType(issue, value);
+    case "too_small":
+      return {
+        message: `The value is below its minimum of ${issue.minimum}${
+          unitOf(issue.origin)
+        }`,
+        remedy: `Give at least ${issue.minimum}${unitOf(issue.origin)}`,
+      };
+    case "too_big":
+      return {
+        message: `The value is above its maximum of ${issue.maximum}${
+          unitOf(issue.origin)
+        }`,
+        remedy: `Give at most ${issue.maximum}${unitOf(issue.origin)}`,
+      };
+    case "invalid_value": {
+      const values = issue.values.join(", ");
+      return {
+        message: "The value is none of those allowed",
+        remedy: `Give one of ${values}`,
+      };
+    }
+    // Schemas of this repository describe the wanted form as the message of
+    // their patterns and refinements.
+    default:
+      return {
+        message: "The value does not have the wanted form",
+        remedy: `Give ${issue.message}`,
+      };
+  }
+}
+
+/** Describes one issue; an issue about several unknown fields gives several. */
+export function describeIssue(
+  issue: Issue,
+  context: IssueContext,
+): LocatedFault[] {
+  if (issue.code === "unrecognized_keys") {
+    return describeUnknownFields(issue, context);
+  }
+  const path = issue.path as (string | number)[];
+  return [{ path, ...describeOne(issue, valueAt(context.value, path)) }];
+}
--- /dev/null
+++ b/packages/settings/src/parse.ts
@@ -0,0 +1,46 @@
+/**
+ * Parses the text of a settings file.
+ *
+ * @module
+ */
+
+import { checkDocument, type Fault } from "./document.ts";
+import { findCrossFaults } from "./cross_checks.ts";
+import { type Settings, settingsSchema } from "./schema.ts";
+
+/** The settings, or every fault in the order of the text. */
+export type SettingsResult =
+  | { readonly ok: true; readonly settings: Settings }
+  | { readonly ok: false; readonly faults: readonly Fault[] };
+
+/**
+ * Parses the daemon's settings: JSON with comments and trailing commas.
+ * Unknown fields are faults. Does not read the files that the settings name.
+ *
+ * @example
+ * ```ts
+ * const result = parseSettings(await readFile("endivebend.jsonc", "utf8"));
+ * if (result.ok) serveDaemon(result.settings);
+ * else result.faults.forEach((fault) => console.error(formatFault(fault)));
+ * ```
+ */
+export function parseSettings(text: string): SettingsResult {
+  const checked = checkDocument(text, settingsSchema, {
+    crossCheck: findCrossFaults,
+  });
+  return checked.ok ? { ok: true, settings: checked.value } : checked;
+}
+
+/**
+ * Writes a fault as one line.
+ *
+ * @example
+ * ```ts
+ * formatFault(fault); // "3:5 vmId: The field is missing. Add it as string"
+ * ```
+ */
+export function formatFault(fault: Fault): string {
+  const field = fault.field === "" ? "" : ` ${fault.field}`;
+  const place = `${fault.line}:${fault.column}${field}`;
+  return `${place}: ${fault.message}. ${fault.remedy}`;
+}
