--- a/packages/telemetry/src/mod.ts
+++ b/packages/telemetry/src/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export { createLogger } from "./logger.ts";
+export type { LogOptions, StructuredLogger } from "./logger.ts";
+export { createMetrics } from "./metrics.ts";
+export type { MetricsOptions, MetricsSink } from "./metrics.ts";
+export { createTracing } from "./tracing.ts";
+export type { Hop, HopOptions, Tracing, TracingOptions } from "./tracing.ts";
--- /dev/null
+++ b/packages/telemetry/src/tracing_test.ts
@@ -0,0 +1,49 @@
+import { createServer } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { createTracing } from "./mod.ts";
+
+test("a trace carries a span for each hop and its context to the next", async (t) => {
+  const names: string[] = [];
+  const collector = createServer(async (request, response) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    for (const resource of body.resourceSpans) {
+      for (const scope of resource.scopeSpans) {
+        for (const span of scope.spans) names.push(span.name);
+      }
+    }
+    response.setHeader("content-type", "application/json").end("{}");
+  });
+  collector.listen(0, "127.0.0.1");
+  await once(collector, "listening");
+  const { port } = collector.address() as AddressInfo;
+  const tracing = createTracing({
+    otlpAddress: `127.0.0.1:${port}`,
+    sampleRatio: 1,
+    attributes: {},
+  });
+  const caller = tracing.startHop("caller", { kind: "server" });
+  const engine = tracing.startHop("engine", { parent: caller });
+  t.regex(engine.headers["traceparent"] ?? "", /^00-[0-9a-f]{32}-/);
+  t.is(
+    engine.headers["traceparent"]?.split("-")[1],
+    caller.headers["traceparent"]?.split("-")[1],
+  );
+  engine.end();
+  caller.end();
+  await tracing.shutdown();
+  collector.close();
+  t.deepEqual(names.sort(), ["caller", "engine"]);
+});
+
+test("without a collector no context is passed on", (t) => {
+  const tracing = createTracing({
+    otlpAddress: undefined,
+    sampleRatio: 1,
+    attributes: {},
+  });
+  t.deepEqual(tracing.startHop("caller").headers, {});
+});
