--- /dev/null
+++ b/packages/streams/src/sse.ts
@@ -0,0 +1,143 @@
+/**
+ * An incremental parser of server-sent events.
+ *
+ * @module
+ */
+
+import { fail } from "@endivebend/errors";
+
+/** One event of a server-sent event stream. */
+export interface SseEvent {
+  /** `message` unless the stream named another type. */
+  readonly type: string;
+  readonly data: string;
+  readonly id: string | undefined;
+}
+
+/** Settings of {@link SseParser}. */
+export interface SseParserOptions {
+  /** Bound on the bytes of one event, its field names included. */
+  readonly maxEventBytes: number;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const BYTE_ORDER_MARK = "\ufeff";
+
+/**
+ * Turns bytes into events, whatever the boundaries of the byte chunks are.
+ * Lines are cut at the byte level and decoded whole, so that a character that
+ * is split over two chunks is never decoded in halves.
+ *
+ * @example
+ * ```ts
+ * const parser = new SseParser({ maxEventBytes: 1 << 20 });
+ * parser.push(Buffer.from("data: a\n\n")); // [{ type: "message", data: "a" }]
+ * ```
+ */
+export class SseParser {
+  readonly #maxEventBytes: number;
+  #pending: Uint8Array[] = [];
+  #pendingBytes = 0;
+  #eventBytes = 0;
+  #skipLineFeed = false;
+  #firstLine = true;
+  #data: string[] = [];
+  #type = "";
+  #id: string | undefined;
+
+  constructor(options: SseParserOptions) {
+    this.#maxEventBytes = options.maxEventBytes;
+  }
+
+  /** Whether bytes of an unfinished event are held. */
+  get hasPartialEvent(): boolean {
+    return this.#pendingBytes > 0 || this.#data.length > 0;
+  }
+
+  /**
+   * Takes the next bytes and returns the events that they complete. Throws
+   * `backend_server_failed` when an event exceeds its bound.
+   */
+  push(bytes: Uint8Array): SseEvent[] {
+    const events: SseEvent[] = [];
+    let start = 0;
+    for (let index = 0; index < bytes.length; index++) {
+      const byte = bytes[index];
+      if (byte === LINE_FEED && this.#skipLineFeed) {
+        this.#skipLineFeed = false;
+        start = index + 1;
+        continue;
+      }
+      this.#skipLineFeed = false;
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
+      this.#skipLineFeed = byte === CARRIAGE_RETURN;
+      const event = this.#takeLine(bytes.subarray(start, index));
+      if (event !== undefined) events.push(event);
+      start = index + 1;
+    }
+    this.#keep(bytes.subarray(start));
+    return events;
+  }
+
+  #keep(bytes: Uint8Array): void {
+    if (bytes.length === 0) return;
+    this.#count(bytes.length);
+    // A copy, since the reader may reuse the memory behind the chunk.
+    this.#pending.push(Uint8Array.from(bytes));
+    this.#pendingBytes += bytes.length;
+  }
+
+  #count(byteCount: number): void {
+    this.#eventBytes += byteCount;
+    if (this.#eventBytes <= this.#maxEventBytes) return;
+    throw fail(
+      "backend_server_failed",
+      `An event of the stream exceeds ${this.#maxEventBytes} bytes`,
+    );
+  }
+
+  #takeLine(tail: Uint8Array): SseEvent | undefined {
+    this.#count(tail.length + 1);
+    const line = this.#decodeLine(tail);
+    if (line === "") return this.#takeEvent();
+    this.#takeField(line);
+    return undefined;
+  }
+
+  #decodeLine(tail: Uint8Array): string {
+    const bytes = this.#pendingBytes === 0
+      ? Buffer.from(tail.buffer, tail.byteOffset, tail.byteLength)
+      : Buffer.concat([...this.#pending, tail]);
+    this.#pending = [];
+    this.#pendingBytes = 0;
+    const line = bytes.toString("utf8");
+    const first = this.#firstLine;
+    this.#firstLine = false;
+    return first && line.startsWith(BYTE_ORDER_MARK) ? line.slice(1) : line;
+  }
+
+  #takeField(line: string): void {
+    const colon = line.indexOf(":");
+    if (colon === 0) return;
+    const name = colon < 0 ? line : line.slice(0, colon);
+    const rest = colon < 0 ? "" : line.slice(colon + 1);
+    const value = rest.startsWith(" ") ? rest.slice(1) : rest;
+    if (name === "data") this.#data.push(value);
+    if (name === "event") this.#type = value;
+    if (name === "id" && !value.includes("\0")) this.#id = value;
+  }
+
+  #takeEvent(): SseEvent | undefined {
+    const event = {
+      type: this.#type === "" ? "message" : this.#type,
+      data: this.#data.join("\n"),
+      id: this.#id,
+    };
+    const hasData = this.#data.length > 0;
+    this.#data = [];
+    this.#type = "";
+    this.#eventBytes = 0;
+    return hasData ? event : undefined;
+  }
+}
--- /dev/null
+++ b/packages/streams/src/state.ts
@@ -0,0 +1,302 @@
+/**
+ * The state of one stream over its attempts.
+ *
+ * @module
+ */
+
+import type { ErrorCode } from "@endivebend/errors";
+import type { AttemptId, RanState, WeightsVersion } from "@endivebend/types";
+import { Attempt, classifyChunk } from "./attempt.ts";
+import { type Failure, refuseRetry } from "./retry.ts";
+import type { EngineChunk, EngineUsage } from "./engine_message.ts";
+import type {
+  IgnoredChunks,
+  StreamEffect,
+  StreamEvent,
+  StreamOptions,
+} from "./events.ts";
+
+type EventOf<Kind extends StreamEvent["kind"]> = Extract<
+  StreamEvent,
+  { kind: Kind }
+>;
+
+/**
+ * Keeps one stream complete and in order: it accepts exactly the next token of
+ * the current attempt, resumes after a failure, and ends in one `finish` or one
+ * `fail`. Events come in; effects for the owner of the sockets come out.
+ */
+export class StreamState {
+  readonly #options: StreamOptions;
+  #attempt: Attempt | undefined;
+  #attemptCount = 0;
+  #anyStarted = false;
+  #text = "";
+  #nextIndex = 0;
+  #forwarded = false;
+  #pinned: WeightsVersion | undefined;
+  #finishReason: string | undefined;
+  #usage: EngineUsage | undefined;
+  #callerBlocked = false;
+  #ended = false;
+  #effects: StreamEffect[] = [];
+  readonly #ignored = {
+    foreign: 0,
+    staleAttempt: 0,
+    duplicate: 0,
+    afterEnd: 0,
+  };
+
+  constructor(options: StreamOptions) {
+    this.#options = options;
+  }
+
+  /** Whether `finish` or `fail` was returned, or the caller has gone. */
+  get hasEnded(): boolean {
+    return this.#ended;
+  }
+
+  /** Index of the next token to forward. */
+  get nextTokenIndex(): number {
+    return this.#nextIndex;
+  }
+
+  /** Chunks left aside so far. */
+  get ignoredChunks(): IgnoredChunks {
+    return { ...this.#ignored };
+  }
+
+  /** When a `tick` is due, or undefined after the end. */
+  nextDeadlineMs(): number | undefined {
+    if (this.#ended) return undefined;
+    const progress = this.#attempt?.progressDeadlineMs ?? Infinity;
+    return Math.min(progress, this.#options.deadlineMs);
+  }
+
+  /** Applies one event and returns what to do, in order. */
+  handle(event: StreamEvent): readonly StreamEffect[] {
+    if (this.#ended) {
+      if (event.kind === "chunk") this.#ignored.afterEnd++;
+      return [];
+    }
+    this.#effects = [];
+    // Events reach a lookup table that is typed per kind.
+    const handler = this.#handlers[event.kind] as (event: StreamEvent) => void;
+    handler(event);
+    return this.#effects;
+  }
+
+  readonly #handlers: {
+    readonly [Kind in StreamEvent["kind"]]: (event: EventOf<Kind>) => void;
+  } = {
+    start: () => this.#startAttempt(undefined),
+    attempt_started: (event) => this.#onStarted(event),
+    attempt_headers: (event) => this.#onHeaders(event),
+    chunk: (event) => this.#onMessage(event),
+    attempt_failed: (event) => {
+      if (!this.#isCurrent(event.attemptId)) return;
+      this.#onAttemptOver(event, event.nowMs);
+    },
+    attempt_ended: (event) => {
+      if (!this.#isCurrent(event.attemptId)) return;
+      const reason = "The engine ended the stream without a finish reason";
+      this.#onAttemptOver({ reason }, event.nowMs);
+    },
+    caller_backpressure: (event) => {
+      this.#callerBlocked = true;
+      this.#moveDeadline(event.nowMs);
+    },
+    caller_ready: (event) => {
+      this.#callerBlocked = false;
+      this.#moveDeadline(event.nowMs);
+    },
+    caller_gone: () => {
+      this.#ended = true;
+      this.#cancel("The caller has disconnected");
+    },
+    tick: (event) => this.#onTick(event.nowMs),
+  };
+
+  #isCurrent(attemptId: AttemptId): boolean {
+    return this.#attempt?.id === attemptId;
+  }
+
+  #onStarted(event: EventOf<"attempt_started">): void {
+    if (!this.#isCurrent(event.attemptId) || !this.#attempt) return;
+    this.#attempt.start();
+    this.#anyStarted = true;
+    this.#moveDeadline(event.nowMs);
+  }
+
+  #onHeaders(event: EventOf<"attempt_headers">): void {
+    if (!this.#isCurrent(event.attemptId) || !this.#attempt) return;
+    this.#attempt.weightsVersion = event.weightsVersion;
+    if (!this.#forwarded || this.#pinned === event.weightsVersion) return;
+    this.#drop("The engine has other weights than the stream", event.nowMs);
+  }
+
+  #onMessage(event: EventOf<"chunk">): void {
+    const { message } = event;
+    if (message.kind === "chunk") return this.#onChunk(message, event.nowMs);
+    if (!this.#isCurrent(event.attemptId)) return;
+    if (message.kind === "done") {
+      const reason = "The engine ended the stream without a finish reason";
+      return this.#onAttemptOver({ reason }, event.nowMs);
+    }
+    const reason = message.kind === "error" ? message.message : message.reason;
+    this.#drop(reason, event.nowMs);
+  }
+
+  #onChunk(chunk: EngineChunk, nowMs: number): void {
+    const attempt = this.#attempt;
+    const found = classifyChunk(chunk, {
+      requestId: this.#options.requestId,
+      attemptId: attempt?.id,
+    });
+    if (found !== "own") {
+      this.#ignored[found]++;
+      return;
+    }
+    if (chunk.usage) this.#usage = chunk.usage;
+    if (chunk.tokenIndex === undefined || this.#finishReason !== undefined) {
+      return;
+    }
+    if (attempt?.advanceTo(chunk.tokenIndex)) this.#moveDeadline(nowMs);
+    if (chunk.tokenIndex < this.#nextIndex) {
+      this.#ignored.duplicate++;
+      return;
+    }
+    if (chunk.tokenIndex > this.#nextIndex) {
+      return this.#drop(
+        `The engine skipped token ${this.#nextIndex}`,
+        nowMs,
+      );
+    }
+    this.#accept(chunk, nowMs);
+  }
+
+  #accept(chunk: EngineChunk, nowMs: number): void {
+    const isEnd = chunk.text === "" && chunk.finishReason !== undefined;
+    if (!isEnd) {
+      if (this.#nextIndex >= this.#options.maxTokens) {
+        return this.#drop("The engine went past the token limit", nowMs);
+      }
+      this.#forward(chunk.text);
+    }
+    this.#finishReason = chunk.finishReason;
+  }
+
+  #forward(text: string): void {
+    this.#effects.push({ kind: "forward", tokenIndex: this.#nextIndex, text });
+    this.#nextIndex++;
+    this.#text += text;
+    this.#forwarded = true;
+    this.#pinned ??= this.#attempt?.weightsVersion;
+  }
+
+  #onTick(nowMs: number): void {
+    if (nowMs >= this.#options.deadlineMs) {
+      if (this.#finishReason !== undefined) return this.#finish();
+      this.#cancel("The request's deadline has passed");
+      return this.#fail("deadline_exceeded", "The deadline has passed");
+    }
+    const attempt = this.#attempt;
+    if (!attempt || nowMs < attempt.progressDeadlineMs) return;
+    this.#drop("The engine made no progress before its deadline", nowMs);
+  }
+
+  /** Cancels the current attempt and goes on with the next one. */
+  #drop(reason: string, nowMs: number): void {
+    this.#cancel(reason);
+    this.#onAttemptOver({ reason }, nowMs);
+  }
+
+  #cancel(reason: string): void {
+    if (!this.#attempt) return;
+    const attemptId = this.#attempt.id;
+    this.#attempt = undefined;
+    this.#effects.push({ kind: "cancel_attempt", attemptId, reason });
+  }
+
+  #onAttemptOver(failure: Failure, nowMs: number): void {
+    this.#attempt = undefined;
+    if (this.#finishReason !== undefined) return this.#finish();
+    if (this.#nextIndex >= this.#options.maxTokens) {
+      // Every permitted token was forwarded; only the end marker is missing.
+      this.#finishReason = "length";
+      return this.#finish();
+    }
+    this.#retry(failure, nowMs);
+  }
+
+  #retry(failure: Failure, nowMs: number): void {
+    const attemptCount = this.#attemptCount;
+    const refusal = refuseRetry(failure, this.#options, {
+      attemptCount,
+      nowMs,
+    });
+    if (!refusal) return this.#startAttempt(failure.reason);
+    this.#fail(refusal.code ?? this.#failureCode(), refusal.message);
+  }
+
+  #failureCode(): ErrorCode {
+    return this.#anyStarted ? "backend_server_failed" : "no_backend_server";
+  }
+
+  #startAttempt(reason: string | undefined): void {
+    this.#attemptCount++;
+    this.#attempt = new Attempt(this.#options, this.#attemptCount);
+    this.#effects.push({
+      kind: "start_attempt",
+      attemptId: this.#attempt.id,
+      attemptNumber: this.#attemptCount,
+      resumeFrom: this.#nextIndex,
+      generatedText: this.#text,
+      weightsVersion: this.#pinned,
+      reason,
+    });
+  }
+
+  #moveDeadline(nowMs: number): void {
+    this.#attempt?.moveDeadline(nowMs, this.#callerBlocked);
+  }
+
+  #finish(): void {
+    this.#ended = true;
+    this.#effects.push({
+      kind: "finish",
+      finishReason: this.#finishReason ?? "length",
+      completionTokens: this.#nextIndex,
+      usage: this.#usage,
+    });
+  }
+
+  #fail(code: ErrorCode, message: string): void {
+    this.#ended = true;
+    const effect = { kind: "fail" as const, message };
+    if (this.#forwarded) {
+      this.#effects.push({ ...effect, code: "stream_incomplete", ran: "ran" });
+      return;
+    }
+    const ran: RanState = this.#anyStarted ? "unknown" : "not_run";
+    this.#effects.push({ ...effect, code, ran });
+  }
+}
+
+/**
+ * Makes the state of one stream; give it `start` first.
+ *
+ * @example
+ * ```ts
+ * const stream = createStreamState({
+ *   requestId,
+ *   maxTokens: 256,
+ *   progressTimeoutMs: 2000,
+ *   deadlineMs: nowMs + 60_000,
+ * });
+ * stream.handle({ kind: "start", nowMs }); // [{ kind: "start_attempt", ... }]
+ * ```
+ */
+export function createStreamState(options: StreamOptions): StreamState {
+  return new StreamState(options);
+}
