Add the platform client

Appends must separate a certain refusal from a lost answer, because only the first allows a later 'not_run'. Connection errors before sending and any 4xx count as refused; time limits, broken connections, other statuses and malformed answers count as lost. Throwing for both was weighed and dropped: a union keeps the two apart in the types. Reads define nextOffset as the end of the log.

--- a/packages/platform-client/src/mod.ts
+++ b/packages/platform-client/src/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export { createPlatformClient } from "./platform_client.ts";
+export type {
+  AppendAnswer,
+  PlatformClient,
+  PlatformClientOptions,
+  ReadAnswer,
+  ReadOptions,
+} from "./platform_client.ts";
