--- /dev/null
+++ b/packages/routing/src/rendezvous.ts
@@ -0,0 +1,98 @@
+/**
+ * Rendezvous hashing: every VM ranks the members of a set in the same order
+ * for a key, and a change of one member moves only that member's keys.
+ *
+ * @module
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/**
+ * Members in rendezvous order for `key`, best first. Members must be distinct.
+ *
+ * @example
+ * ```ts
+ * const [watcher] = rankByRendezvous(engineId, vmIds);
+ * ```
+ */
+export function rankByRendezvous<Member extends string>(
+  key: string,
+  members: readonly Member[],
+): Member[] {
+  const weighted = members.map((member) => ({
+    member,
+    weight: rendezvousWeight(key, member),
+  }));
+  weighted.sort((a, b) =>
+    b.weight - a.weight || compareIds(a.member, b.member)
+  );
+  return weighted.map((entry) => entry.member);
+}
+
+/**
+ * The first member in rendezvous order, without sorting the others;
+ * `undefined` when there is none.
+ *
+ * @example
+ * ```ts
+ * const home = firstByRendezvous(homeKeyOf(block), vmIds);
+ * ```
+ */
+export function firstByRendezvous<Member extends string>(
+  key: string,
+  members: readonly Member[],
+): Member | undefined {
+  let best: Member | undefined;
+  let bestWeight = -1;
+  for (const member of members) {
+    const weight = rendezvousWeight(key, member);
+    const isBetter = weight > bestWeight ||
+      (weight === bestWeight && best !== undefined && member < best);
+    if (isBetter) {
+      best = member;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+/**
+ * The weight of a member for a key, an unsigned 32-bit integer.
+ *
+ * @example
+ * ```ts
+ * const weight = rendezvousWeight("a3f", "vm-1");
+ * ```
+ */
+export function rendezvousWeight(key: string, member: string): number {
+  let hash = mixText(FNV_OFFSET, key);
+  hash = Math.imul(hash ^ 0xff, FNV_PRIME);
+  return finalize(mixText(hash, member));
+}
+
+function mixText(start: number, text: string): number {
+  let hash = start;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash;
+}
+
+// The finalizer of MurmurHash3. FNV-1a alone leaves the high bits of keys that
+// differ only at their end too alike, and the weights are compared by them.
+function finalize(value: number): number {
+  let hash = value ^ (value >>> 16);
+  hash = Math.imul(hash, 0x85ebca6b);
+  hash ^= hash >>> 13;
+  hash = Math.imul(hash, 0xc2b2ae35);
+  hash ^= hash >>> 16;
+  return hash >>> 0;
+}
+
+function compareIds(a: string, b: string): number {
+  if (a === b) {
+    return 0;
+  }
+  return a < b ? -1 : 1;
+}
--- /dev/null
+++ b/packages/routing/src/retry_budget.ts
@@ -0,0 +1,107 @@
+/**
+ * Limits retries to a share of requests, so retries cannot multiply an outage.
+ *
+ * @module
+ */
+
+import type { BackendServerId, TeamId } from "@endivebend/types";
+
+/** Settings of a `RetryBudget`. */
+export interface RetryBudgetOptions {
+  /** Retries per request; 0.1 when absent. */
+  readonly share?: number;
+  /** Retries that are available without earlier requests; 3 when absent. */
+  readonly reserve?: number;
+}
+
+const DEFAULT_SHARE = 0.1;
+const DEFAULT_RESERVE = 3;
+/** The most that a budget saves up, in multiples of the reserve. */
+const MAX_SAVED_RESERVES = 10;
+/** Regains one retry of the reserve in this time without any request. */
+const RESERVE_REFILL_MS = 10_000;
+/** Full budgets say nothing; they are dropped above this many. */
+const MAX_BUDGETS = 10_000;
+
+interface Budget {
+  tokens: number;
+  refilledAtMs: number;
+}
+
+/**
+ * One budget per pair of team and backend server.
+ *
+ * @example
+ * ```ts
+ * budget.recordRequest({ team, server, nowMs });
+ * if (budget.tryRetry({ team, server, nowMs })) sendAgain();
+ * ```
+ */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #reserve: number;
+  readonly #budgets = new Map<string, Budget>();
+
+  constructor(options: RetryBudgetOptions = {}) {
+    this.#share = options.share ?? DEFAULT_SHARE;
+    this.#reserve = options.reserve ?? DEFAULT_RESERVE;
+  }
+
+  /** Counts a first attempt, which earns a share of a retry. */
+  recordRequest(use: RetryBudgetUse): void {
+    const budget = this.#budgetOf(use);
+    const most = this.#reserve * MAX_SAVED_RESERVES;
+    budget.tokens = Math.min(most, budget.tokens + this.#share);
+  }
+
+  /** Takes one retry from the budget; false when there is none left. */
+  tryRetry(use: RetryBudgetUse): boolean {
+    const budget = this.#budgetOf(use);
+    // Shares such as 0.1 do not sum to exactly 1 in binary fractions.
+    if (budget.tokens < 1 - 1e-9) {
+      return false;
+    }
+    budget.tokens -= 1;
+    return true;
+  }
+
+  #budgetOf(use: RetryBudgetUse): Budget {
+    const key = JSON.stringify([use.team, use.server]);
+    const known = this.#budgets.get(key);
+    if (known !== undefined) {
+      this.#refill(known, use.nowMs);
+      return known;
+    }
+    if (this.#budgets.size >= MAX_BUDGETS) {
+      this.#dropOldest();
+    }
+    const fresh = { tokens: this.#reserve, refilledAtMs: use.nowMs };
+    this.#budgets.set(key, fresh);
+    return fresh;
+  }
+
+  #refill(budget: Budget, nowMs: number): void {
+    const earned = (nowMs - budget.refilledAtMs) / RESERVE_REFILL_MS;
+    if (earned <= 0) {
+      return;
+    }
+    budget.refilledAtMs = nowMs;
+    if (budget.tokens < this.#reserve) {
+      budget.tokens = Math.min(this.#reserve, budget.tokens + earned);
+    }
+  }
+
+  #dropOldest(): void {
+    const [oldest] = this.#budgets.keys();
+    if (oldest !== undefined) {
+      this.#budgets.delete(oldest);
+    }
+  }
+}
+
+/** Whose budget a request or retry counts against. */
+export interface RetryBudgetUse {
+  readonly team: TeamId;
+  readonly server: BackendServerId;
+  readonly nowMs: number;
+}
