queueing: add the fair queue in front of an engine

One team at ten times its rate must not move another team's wait, and a short prompt must not wait behind long prefills.

Tests: npx ava 'packages/queueing/src/**/*_test.ts'

--- a/packages/queueing/src/mod.ts
+++ b/packages/queueing/src/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
-export {};
+export * from "./fair_queue.ts";
+export * from "./queue_types.ts";
