Fold templates, teams, keys and drains from the log

Every VM must reach the same verdict on a change, also a fresh VM whose log no longer starts at offset 0. The fold is a function of the records in the order of offsets.

--- /dev/null
+++ b/packages/configuration/src/apply.ts
@@ -0,0 +1,177 @@
+/**
+ * Applies the records of the `configuration` stream in the order of offsets.
+ *
+ * @module
+ */
+
+import type { LogRecord } from "@endivebend/types";
+import { cancelDrain, requestDrain } from "./drain_changes.ts";
+import { fingerprintOf, rememberVerdict } from "./judged_records.ts";
+import {
+  CHANGE_SCHEMAS,
+  type ChangeKind,
+  type ChangeOf,
+  isChangeKind,
+  MAX_RECORD_ID_CHARS,
+} from "./records.ts";
+import { deserializeState } from "./snapshot.ts";
+import { collectSnapshotPart } from "./snapshot_parts.ts";
+import type { ConfigurationState } from "./state.ts";
+import {
+  createTeam,
+  grantKey,
+  removeTeam,
+  withdrawKey,
+} from "./team_changes.ts";
+import { amendTemplate, publishTemplate } from "./template_changes.ts";
+import {
+  type ApplyResult,
+  refuse,
+  refuseIssue,
+  type Verdict,
+} from "./verdicts.ts";
+
+type Handlers = {
+  readonly [Kind in ChangeKind]: (
+    state: ConfigurationState,
+    change: ChangeOf<Kind>,
+  ) => Verdict;
+};
+
+const HANDLERS: Handlers = {
+  template_published: publishTemplate,
+  template_amended: amendTemplate,
+  team_created: createTeam,
+  team_removed: removeTeam,
+  key_granted: grantKey,
+  key_withdrawn: withdrawKey,
+  vm_drain_requested: requestDrain,
+  vm_drain_cancelled: cancelDrain,
+};
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function fieldsOf(value: unknown): Fields {
+  const isObject = typeof value === "object" && value !== null;
+  return isObject ? value as Fields : {};
+}
+
+function judge(state: ConfigurationState, value: Fields): Verdict {
+  const { kind } = value;
+  if (!isChangeKind(kind)) {
+    return refuse("kind", "The kind of the change is not known", {
+      remedy: `Give one of ${Object.keys(CHANGE_SCHEMAS).join(", ")}`,
+    });
+  }
+  const parsed = CHANGE_SCHEMAS[kind].safeParse(value);
+  if (!parsed.success) return refuseIssue(parsed.error.issues[0]!);
+  const handle = HANDLERS[kind] as (
+    state: ConfigurationState,
+    change: unknown,
+  ) => Verdict;
+  return handle(state, parsed.data);
+}
+
+function isRecordId(value: unknown): value is string {
+  if (typeof value !== "string") return false;
+  return value !== "" && value.length <= MAX_RECORD_ID_CHARS;
+}
+
+function applyChange(state: ConfigurationState, value: Fields): Verdict {
+  const { recordId } = value;
+  if (!isRecordId(recordId)) {
+    return refuse("recordId", "The record has no valid id", {
+      remedy:
+        `Give each record a unique recordId of at most ${MAX_RECORD_ID_CHARS} characters`,
+    });
+  }
+  const known = state.judged.get(recordId);
+  if (known !== undefined) return known.verdict;
+  const verdict = judge(state, value);
+  const fingerprint = fingerprintOf(value);
+  rememberVerdict(state, { recordId, fingerprint, verdict });
+  return verdict;
+}
+
+function applyInOrder(
+  state: ConfigurationState,
+  record: LogRecord,
+): ApplyResult {
+  if (record.offset <= state.appliedOffset) return { kind: "ignored" };
+  state.appliedOffset = record.offset;
+  state.appliedAppendedAtMs = record.appendedAtMs;
+  const value = fieldsOf(record.value);
+  if (value.kind === "snapshot_part") return { kind: "ignored" };
+  return applyChange(state, value);
+}
+
+function replayAwaited(
+  state: ConfigurationState,
+  records: readonly LogRecord[],
+): void {
+  for (const record of records) applyInOrder(state, record);
+}
+
+/**
+ * Applies one record. Never throws: a malformed record is refused. A record
+ * with an id that was judged before keeps the first verdict and changes
+ * nothing. While the state waits for a snapshot, records are kept aside.
+ *
+ * @example
+ * ```ts
+ * const result = applyRecord(state, record);
+ * if (result.kind === "refused") console.error(result.field, result.remedy);
+ * ```
+ */
+export function applyRecord(
+  state: ConfigurationState,
+  record: LogRecord,
+): ApplyResult {
+  state.oldestAppendedAtMs ??= record.appendedAtMs;
+  const awaited = collectSnapshotPart(state, record.value);
+  if (awaited !== undefined) replayAwaited(state, awaited);
+  if (state.awaiting === undefined) return applyInOrder(state, record);
+  state.awaiting.records.push(record);
+  return { kind: "deferred" };
+}
+
+/**
+ * Tells the state that the log no longer holds the records between its own
+ * offset and `firstOffset`. The state stays in force as it is until a whole
+ * snapshot has been read; then it moves forward to it.
+ */
+export function beginAfterGap(
+  state: ConfigurationState,
+  firstOffset: number,
+): void {
+  if (firstOffset <= state.appliedOffset + 1) return;
+  state.pendingSnapshots.clear();
+  state.awaiting = { firstOffset, records: [] };
+}
+
+/**
+ * Replaces the state by one that a peer wrote with {@link serializeState}.
+ * Gives false, and changes nothing, when the text is malformed, not ahead of
+ * the state, or too old for the records that wait.
+ *
+ * @example
+ * ```ts
+ * restoreState(state, { json: answer.snapshotJson, offset: answer.offset });
+ * ```
+ */
+export function restoreState(
+  state: ConfigurationState,
+  source: { readonly json: string; readonly offset: number },
+): boolean {
+  if (source.offset <= state.appliedOffset) return false;
+  const { awaiting } = state;
+  if (awaiting !== undefined && source.offset + 1 < awaiting.firstOffset) {
+    return false;
+  }
+  const restored = deserializeState(source.json);
+  if (restored === undefined) return false;
+  restored.appliedOffset = source.offset;
+  Object.assign(state, restored);
+  replayAwaited(state, awaiting?.records ?? []);
+  return true;
+}
--- /dev/null
+++ b/packages/configuration/src/judged_records.ts
@@ -0,0 +1,73 @@
+/**
+ * Memory of the records that were judged lately, by which a repeated append
+ * keeps its first verdict.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { ConfigurationState, JudgedRecord } from "./state.ts";
+import type { Verdict } from "./verdicts.ts";
+
+/**
+ * How many records are remembered: about five hours at 42,000 changes a day,
+ * while an append is repeated within minutes.
+ */
+export const JUDGED_RECORDS_KEPT = 8_192;
+
+const FINGERPRINT_DIGITS = 16;
+/** Fields that two proposals of the same change may differ in. */
+const LEFT_OUT = new Set(["recordId", "by", "digest"]);
+
+/** Deeper parts are left out, so that a hostile record cannot end the stack. */
+const MAX_DEPTH = 32;
+
+function canonical(value: unknown, depth: number): unknown {
+  if (typeof value !== "object" || value === null) return value;
+  if (depth === MAX_DEPTH) return null;
+  if (Array.isArray(value)) {
+    return value.map((inner) => canonical(inner, depth + 1));
+  }
+  const entries = Object.entries(value).toSorted(([left], [right]) =>
+    left < right ? -1 : 1
+  );
+  return entries.map(([name, inner]) => [name, canonical(inner, depth + 1)]);
+}
+
+/**
+ * A digest of what a change asks for. The record id, the operator and the
+ * digest of a generated key are left out, as a repeated proposal may differ
+ * in them.
+ */
+export function fingerprintOf(change: Readonly<Record<string, unknown>>) {
+  const relevant = Object.entries(change).filter(([name]) =>
+    !LEFT_OUT.has(name)
+  );
+  const text = JSON.stringify(canonical(Object.fromEntries(relevant), 0));
+  const digest = createHash("sha256").update(text).digest("hex");
+  return digest.slice(0, FINGERPRINT_DIGITS);
+}
+
+/** Remembers a verdict and forgets the oldest beyond the bound. */
+export function rememberVerdict(
+  state: ConfigurationState,
+  options: {
+    readonly recordId: string;
+    readonly fingerprint: string;
+    readonly verdict: Verdict;
+  },
+): void {
+  const { recordId, fingerprint, verdict } = options;
+  state.judged.set(recordId, { fingerprint, verdict });
+  if (state.judged.size <= JUDGED_RECORDS_KEPT) return;
+  const oldest = state.judged.keys().next().value;
+  if (oldest !== undefined) state.judged.delete(oldest);
+}
+
+/** The first verdict on a record, as long as it is remembered. */
+export function findVerdict(
+  state: ConfigurationState,
+  recordId: string,
+): JudgedRecord | undefined {
+  return state.judged.get(recordId);
+}
--- /dev/null
+++ b/packages/configuration/src/limits_of_team.ts
@@ -0,0 +1,79 @@
+/**
+ * The limits that a team gets from its template and its own values.
+ *
+ * @module
+ */
+
+import type { TeamLimits } from "./rules.ts";
+import {
+  PARAMETER_NAMES,
+  type ParameterName,
+  type ParameterValues,
+  type TemplateBody,
+} from "./template_schema.ts";
+
+/** Why a team does not fit a body. */
+export interface TeamMisfit {
+  /** The parameter that is at fault. */
+  readonly parameter: ParameterName;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+/** Computes rate and burst; values that the team leaves out take the default. */
+export function computeLimits(
+  body: TemplateBody,
+  values: ParameterValues,
+): TeamLimits {
+  const { tokenRatePerSecond, burstTokens } = body.parameters;
+  return {
+    rateTokensPerSecond: values.tokenRatePerSecond ??
+      tokenRatePerSecond.default,
+    burstTokens: values.burstTokens ?? burstTokens.default,
+  };
+}
+
+function findOutOfRange(
+  body: TemplateBody,
+  values: ParameterValues,
+): TeamMisfit | undefined {
+  for (const parameter of PARAMETER_NAMES) {
+    const value = values[parameter];
+    const { minimum, maximum } = body.parameters[parameter];
+    if (value === undefined) continue;
+    if (minimum !== undefined && value < minimum) {
+      const message = `The value ${value} is below the template's minimum`;
+      return { parameter, message, remedy: `Give at least ${minimum}` };
+    }
+    if (maximum !== undefined && value > maximum) {
+      const message = `The value ${value} is above the template's maximum`;
+      return { parameter, message, remedy: `Give at most ${maximum}` };
+    }
+  }
+  return undefined;
+}
+
+/** The largest cost of a route; a smaller burst could never pay for it. */
+export function largestRouteCost(body: TemplateBody): number {
+  return body.routes.reduce(
+    (largest, { costTokens }) => Math.max(largest, costTokens),
+    0,
+  );
+}
+
+/** Finds why a team with these values cannot follow the body. */
+export function findMisfit(
+  body: TemplateBody,
+  values: ParameterValues,
+): TeamMisfit | undefined {
+  const outOfRange = findOutOfRange(body, values);
+  if (outOfRange !== undefined) return outOfRange;
+  const cost = largestRouteCost(body);
+  const { burstTokens } = computeLimits(body, values);
+  if (burstTokens >= cost) return undefined;
+  return {
+    parameter: "burstTokens",
+    message: `The burst of ${burstTokens} cannot pay for a route of ${cost}`,
+    remedy: `Give a burst of at least ${cost}, or lower the route's costTokens`,
+  };
+}
--- /dev/null
+++ b/packages/configuration/src/measure.ts
@@ -0,0 +1,134 @@
+/**
+ * Measures the fold's time per change and its memory per team, for
+ * docs/CAPACITY.md. A tool, not part of the package's surface.
+ *
+ *     node --expose-gc --import=tsx packages/configuration/src/measure.ts 29000
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import { brandId, type Sha256Digest } from "@endivebend/types";
+import {
+  applyRecord,
+  type ConfigurationState,
+  createConfigurationState,
+  createSnapshotParts,
+  keyIdOf,
+  restoreState,
+  serializeState,
+} from "./mod.ts";
+import { makeBody, makeRecord } from "./testing_log.ts";
+
+const KEYS_PER_TEAM = 2;
+const TEMPLATES = 10;
+const WITHDRAWALS = 20_000;
+const MICROSECONDS = 1000;
+
+function digestOf(text: string) {
+  const hex = createHash("sha256").update(text).digest("hex");
+  return brandId<Sha256Digest>(hex);
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Applies the values and gives the mean microseconds per record. */
+function run(state: ConfigurationState, values: Iterable<unknown>): number {
+  let count = 0;
+  const startMs = performance.now();
+  for (const value of values) {
+    // A record arrives as JSON text, so that nothing of it is shared.
+    const read = JSON.parse(JSON.stringify(value));
+    const result = applyRecord(
+      state,
+      makeRecord(state.appliedOffset + 1, read),
+    );
+    if (result.kind !== "accepted") throw new Error(JSON.stringify(result));
+    count += 1;
+  }
+  return ((performance.now() - startMs) * MICROSECONDS) / count;
+}
+
+function* makeTemplates() {
+  for (let index = 0; index < TEMPLATES; index++) {
+    const kind = "template_published";
+    const template = `template-${index}`;
+    yield { recordId: template, kind, template, body: makeBody() };
+  }
+}
+
+function* makeTeams(teams: number) {
+  for (let index = 0; index < teams; index++) {
+    const team = `team-${index}`;
+    const template = `template-${index % TEMPLATES}`;
+    const parameters = { tokenRatePerSecond: 500 };
+    const kind = "team_created";
+    yield { recordId: team, kind, team, template, parameters };
+    for (let key = 0; key < KEYS_PER_TEAM; key++) {
+      const recordId = `${team}-key-${key}`;
+      yield { recordId, kind: "key_granted", team, digest: digestOf(recordId) };
+    }
+  }
+}
+
+function* makeRotations(teams: number) {
+  for (let index = 0; index < WITHDRAWALS; index++) {
+    const team = `team-${index % teams}`;
+    const secret = `rotated-${index}`;
+    const digest = digestOf(secret);
+    yield { recordId: secret, kind: "key_granted", team, digest };
+    const recordId = `withdraw-${index}`;
+    yield { recordId, kind: "key_withdrawn", keyId: keyIdOf(digest) };
+  }
+}
+
+function timeMs(action: () => unknown): number {
+  const startMs = performance.now();
+  action();
+  return performance.now() - startMs;
+}
+
+function measure(teams: number) {
+  const state = createConfigurationState();
+  run(state, makeTemplates());
+  const emptyBytes = heapBytes();
+  const teamMicroseconds = run(state, makeTeams(teams));
+  const filledBytes = heapBytes();
+  const rotationMicroseconds = run(state, makeRotations(teams));
+  const rotatedBytes = heapBytes();
+  const amendment = {
+    recordId: "amendment",
+    kind: "template_amended",
+    template: "template-0",
+    amendsRevision: 1,
+    body: makeBody(),
+  };
+  const amendMs = timeMs(() => run(state, [amendment]));
+  const json = serializeState(state);
+  const parts = createSnapshotParts(state, { snapshotId: "measured" });
+  const restored = createConfigurationState();
+  const offset = state.appliedOffset;
+  return {
+    teams,
+    keysPerTeam: KEYS_PER_TEAM,
+    microsecondsPerChange: teamMicroseconds,
+    microsecondsPerKeyRotationRecord: rotationMicroseconds,
+    bytesPerTeamWithKeys: (filledBytes - emptyBytes) / teams,
+    bytesPerWithdrawnKey: (rotatedBytes - filledBytes) / WITHDRAWALS,
+    amendMs,
+    snapshotBytes: json.length,
+    snapshotParts: parts.length,
+    snapshotMs: timeMs(() =>
+      createSnapshotParts(state, { snapshotId: "measured" })
+    ),
+    restoreMs: timeMs(() => restoreState(restored, { json, offset })),
+  };
+}
+
+console.log(
+  JSON.stringify(measure(Number(process.argv[2] ?? 29_000)), null, 2),
+);
--- /dev/null
+++ b/packages/configuration/src/queries.ts
@@ -0,0 +1,127 @@
+/**
+ * Questions to the state.
+ *
+ * @module
+ */
+
+import type {
+  KeyId,
+  Sha256Digest,
+  TeamId,
+  TemplateName,
+  VmId,
+} from "@endivebend/types";
+import { computeLimits } from "./limits_of_team.ts";
+import { findRoute } from "./routes.ts";
+import type { RouteRule, TeamView } from "./rules.ts";
+import {
+  type ConfigurationState,
+  keyIdOf,
+  type Team,
+  type Template,
+} from "./state.ts";
+
+/** What the state says of a key. */
+export type KeyStatus =
+  | { readonly kind: "valid"; readonly team: TeamId; readonly keyId: KeyId }
+  | {
+    readonly kind: "refused";
+    readonly code: "unknown_key" | "key_withdrawn";
+  };
+
+/** Looks a key up by the digest of its secret, in constant time of the size. */
+export function checkKey(
+  state: ConfigurationState,
+  digest: Sha256Digest,
+): KeyStatus {
+  const keyId = keyIdOf(digest);
+  const key = state.keys.get(keyId);
+  if (key?.digest === digest) {
+    return { kind: "valid", team: key.team.team, keyId };
+  }
+  const isWithdrawn = state.withdrawn.has(digest);
+  return {
+    kind: "refused",
+    code: isWithdrawn ? "key_withdrawn" : "unknown_key",
+  };
+}
+
+function computeView(template: Template, team: Team): TeamView {
+  const { services, models, routes } = template.body;
+  const limits = computeLimits(template.body, team.parameters);
+  return { team: team.team, limits, services, models, routes };
+}
+
+/** What a team may use; the same object until its template is amended. */
+export function findTeamView(
+  state: ConfigurationState,
+  name: TeamId,
+): TeamView | undefined {
+  const team = state.teams.get(name);
+  if (team === undefined) return undefined;
+  const template = state.templates.get(team.template);
+  if (template === undefined) return undefined;
+  team.view ??= computeView(template, team);
+  return team.view;
+}
+
+/** The open route that covers the path, over all templates. */
+export function findOpenRoute(
+  state: ConfigurationState,
+  request: { readonly method: string; readonly path: string },
+): RouteRule | undefined {
+  state.openRoutes ??= [...state.templates.values()]
+    .flatMap(({ body }) => body.routes)
+    .filter(({ open }) => open);
+  return findRoute(state.openRoutes, request);
+}
+
+/** Tells whether an operator asked for the VM's drain. */
+export function isDrainRequested(
+  state: ConfigurationState,
+  vmId: VmId,
+): boolean {
+  return state.drains.has(vmId);
+}
+
+/** A team as operators see it. */
+export interface TeamSummary extends TeamView {
+  readonly template: TemplateName;
+  readonly templateRevision: number;
+  readonly keyIds: readonly KeyId[];
+}
+
+/** Summarizes one team. */
+export function summarizeTeam(
+  state: ConfigurationState,
+  name: TeamId,
+): TeamSummary | undefined {
+  const team = state.teams.get(name);
+  const view = findTeamView(state, name);
+  if (team === undefined || view === undefined) return undefined;
+  return {
+    ...view,
+    template: team.template,
+    templateRevision: state.templates.get(team.template)!.revision,
+    keyIds: team.keyDigests.map(keyIdOf),
+  };
+}
+
+/** A key as operators see it; never its secret. */
+export interface KeySummary {
+  readonly keyId: KeyId;
+  readonly team: TeamId;
+}
+
+/** Lists the keys in force, of one team or of all. */
+export function listKeys(
+  state: ConfigurationState,
+  options: { readonly team?: TeamId } = {},
+): KeySummary[] {
+  const keys = [...state.keys].map(([keyId, { team }]) => ({
+    keyId,
+    team: team.team,
+  }));
+  const { team } = options;
+  return team === undefined ? keys : keys.filter((key) => key.team === team);
+}
--- /dev/null
+++ b/packages/configuration/src/snapshot_parts.ts
@@ -0,0 +1,90 @@
+/**
+ * Snapshots as records: collects the parts that are read back, and replaces
+ * the state when it waits for a snapshot.
+ *
+ * @module
+ */
+
+import type { LogRecord } from "@endivebend/types";
+import { type SnapshotPart, snapshotPartSchema } from "./records.ts";
+import { restoreEntries } from "./snapshot_entries.ts";
+import type { ConfigurationState, PendingSnapshot } from "./state.ts";
+
+/** Snapshots whose parts are collected at once; the oldest is given up first. */
+const MAX_PENDING = 8;
+
+function pendingOf(
+  state: ConfigurationState,
+  part: SnapshotPart,
+): PendingSnapshot | undefined {
+  const known = state.pendingSnapshots.get(part.snapshotId);
+  if (known !== undefined) {
+    const isSame = known.count === part.count &&
+      known.asOfOffset === part.asOfOffset;
+    return isSame ? known : undefined;
+  }
+  const created: PendingSnapshot = {
+    asOfOffset: part.asOfOffset,
+    asOfAppendedAtMs: part.asOfAppendedAtMs,
+    count: part.count,
+    seen: new Set(),
+    entries: new Map(),
+  };
+  state.pendingSnapshots.set(part.snapshotId, created);
+  if (state.pendingSnapshots.size > MAX_PENDING) {
+    const [oldest] = state.pendingSnapshots.keys();
+    state.pendingSnapshots.delete(oldest!);
+  }
+  return created;
+}
+
+function* entriesInOrder(pending: PendingSnapshot): Generator<unknown> {
+  for (let index = 0; index < pending.count; index++) {
+    yield* pending.entries.get(index) ?? [];
+  }
+}
+
+function restoreFrom(
+  state: ConfigurationState,
+  pending: PendingSnapshot,
+): readonly LogRecord[] | undefined {
+  const { awaiting } = state;
+  if (awaiting === undefined) return undefined;
+  if (pending.asOfOffset + 1 < awaiting.firstOffset) return undefined;
+  const restored = restoreEntries(entriesInOrder(pending));
+  if (restored === undefined) return undefined;
+  restored.appliedOffset = pending.asOfOffset;
+  restored.appliedAppendedAtMs = pending.asOfAppendedAtMs;
+  const { oldestAppendedAtMs, lastSnapshot } = state;
+  Object.assign(state, restored, { oldestAppendedAtMs, lastSnapshot });
+  return awaiting.records;
+}
+
+/**
+ * Collects the part when the value is one. Gives the records that waited when
+ * the part completes the snapshot that the state waits for.
+ */
+export function collectSnapshotPart(
+  state: ConfigurationState,
+  value: unknown,
+): readonly LogRecord[] | undefined {
+  const isPart = typeof value === "object" && value !== null &&
+    (value as { readonly kind?: unknown }).kind === "snapshot_part";
+  if (!isPart) return undefined;
+  const { data: part } = snapshotPartSchema.safeParse(value);
+  if (part === undefined || part.index >= part.count) return undefined;
+  const pending = pendingOf(state, part);
+  if (pending === undefined) return undefined;
+  pending.seen.add(part.index);
+  if (state.awaiting !== undefined) {
+    pending.entries.set(part.index, part.entries);
+  }
+  if (pending.seen.size < pending.count) return undefined;
+  state.pendingSnapshots.delete(part.snapshotId);
+  const { snapshotId, asOfOffset, asOfAppendedAtMs } = part;
+  const newest = state.lastSnapshot?.asOfOffset ?? -1;
+  if (asOfOffset > newest) {
+    state.lastSnapshot = { snapshotId, asOfOffset, asOfAppendedAtMs };
+  }
+  return restoreFrom(state, pending);
+}
--- /dev/null
+++ b/packages/configuration/src/snapshot_test.ts
@@ -0,0 +1,175 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+  applyRecord,
+  beginAfterGap,
+  createConfigurationState,
+  createSnapshotParts,
+  keyIdOf,
+  listSnapshotEntries,
+  MAX_PART_BYTES,
+  planSnapshot,
+  restoreState,
+  serializeState,
+} from "./mod.ts";
+import type { ConfigurationState } from "./mod.ts";
+import { brandId, type Sha256Digest } from "@endivebend/types";
+import { fold, makeBody, makeDigest, makeRecord } from "./testing_log.ts";
+
+const SEED = Number(process.env.ENDIVEBEND_SEED ?? 20_260_101);
+
+const name = fc.constantFrom("t1", "t2", "t3");
+const number = fc.integer({ min: 1, max: 4 });
+const digest = number.map(makeDigest);
+const body = fc.record({ rate: number, cost: number }).map(({ rate, cost }) =>
+  makeBody({
+    parameters: {
+      tokenRatePerSecond: { default: rate, maximum: rate + 1 },
+      burstTokens: { default: 3 },
+    },
+    routes: [{ ...makeBody().routes[0], costTokens: cost }],
+  })
+);
+const change = fc.oneof(
+  fc.record({ kind: fc.constant("template_published"), template: name, body }),
+  fc.record({
+    kind: fc.constant("template_amended"),
+    template: name,
+    amendsRevision: number,
+    body,
+  }),
+  fc.record({
+    kind: fc.constant("team_created"),
+    team: name,
+    template: name,
+    parameters: fc.record({ tokenRatePerSecond: number }, { requiredKeys: [] }),
+  }),
+  fc.record({ kind: fc.constant("team_removed"), team: name }),
+  fc.record({ kind: fc.constant("key_granted"), team: name, digest }),
+  fc.record({
+    kind: fc.constant("key_withdrawn"),
+    keyId: digest.map((text) => keyIdOf(brandId<Sha256Digest>(text))),
+  }),
+  fc.record({ kind: fc.constant("vm_drain_requested"), vmId: name }),
+  fc.record({ kind: fc.constant("vm_drain_cancelled"), vmId: name }),
+  fc.jsonValue(),
+);
+const values = fc.array(
+  fc.tuple(change, fc.integer({ min: 0, max: 40 })).map(([value, id]) =>
+    typeof value === "object" && value !== null && !Array.isArray(value)
+      ? { ...value, recordId: `r-${id}` }
+      : value
+  ),
+  { minLength: 1, maxLength: 40 },
+);
+const START = [
+  {
+    recordId: "s0",
+    kind: "template_published",
+    template: "t1",
+    body: makeBody(),
+  },
+  { recordId: "s1", kind: "team_created", team: "t1", template: "t1" },
+];
+
+function entriesOf(state: ConfigurationState) {
+  return JSON.stringify([state.appliedOffset, ...listSnapshotEntries(state)]);
+}
+
+/** A log in which a snapshot as of `cut` was written after `late` more records. */
+function withSnapshot(
+  all: readonly unknown[],
+  options: { readonly cut: number; readonly late: number },
+) {
+  const before = all.slice(0, options.cut + 1);
+  const parts = createSnapshotParts(fold(before).state, {
+    snapshotId: "snap",
+    maxPartBytes: 1_400,
+  });
+  const at = options.cut + 1 + options.late;
+  return [...all.slice(0, at), ...parts, ...all.slice(at)];
+}
+
+// Guards against a fresh VM that judges later changes otherwise than one that
+// read the whole log, whatever part of the log is still retained.
+test("a fold from a snapshot equals the fold of the whole log", (t) => {
+  const fraction = fc.double({ min: 0, max: 1, noNaN: true });
+  const property = fc.property(
+    fc.tuple(values, fraction, fraction, fraction),
+    ([random, cutAt, lateAt, firstAt]) => {
+      const all = [...START, ...random];
+      const cut = Math.floor(cutAt * (all.length - 1));
+      const late = Math.floor(lateAt * (all.length - 1 - cut));
+      const log = withSnapshot(all, { cut, late });
+      const first = Math.floor(firstAt * (cut + 1));
+      const reader = createConfigurationState();
+      beginAfterGap(reader, first);
+      log.forEach((value, offset) => {
+        if (offset >= first) applyRecord(reader, makeRecord(offset, value));
+      });
+      return entriesOf(reader) === entriesOf(fold(log).state);
+    },
+  );
+  t.notThrows(() => fc.assert(property, { seed: SEED, numRuns: 300 }));
+});
+
+// Guards against a peer's snapshot that loses or reverts records.
+test("a state restored from a peer equals the peer's and never reverts", (t) => {
+  const property = fc.property(values, (random) => {
+    const peer = fold([...START, ...random]).state;
+    const reader = fold(START).state;
+    const json = serializeState(peer);
+    const restored = restoreState(reader, { json, offset: peer.appliedOffset });
+    const again = restoreState(reader, { json, offset: peer.appliedOffset });
+    return restored && !again && entriesOf(reader) === entriesOf(peer);
+  });
+  t.notThrows(() => fc.assert(property, { seed: SEED, numRuns: 100 }));
+  const reader = fold(START).state;
+  t.false(restoreState(reader, { json: '{"entries":[["x"]]}', offset: 99 }));
+  t.is(reader.teams.size, 1);
+});
+
+// Guards against a snapshot whose writer died, taken for a whole one.
+test("an incomplete snapshot leaves the state as it was", (t) => {
+  const log = withSnapshot([...START, {}, {}], { cut: 3, late: 0 });
+  const reader = fold(START.slice(0, 1)).state;
+  beginAfterGap(reader, 3);
+  const kinds = log.slice(3, -1).map((value, index) =>
+    applyRecord(reader, makeRecord(index + 3, value)).kind
+  );
+  t.deepEqual([...new Set(kinds)], ["deferred"]);
+  t.is(reader.appliedOffset, 0);
+  t.is(reader.templates.size, 1);
+});
+
+// Guards against parts that the platform refuses for their size.
+test("parts stay under their bound at 3,000 teams", (t) => {
+  const { state } = fold([
+    START[0],
+    ...Array.from({ length: 3_000 }, (_, index) => ({
+      recordId: `team-${index}`,
+      kind: "team_created",
+      team: `team-${index}`,
+      template: "t1",
+    })),
+  ]);
+  const parts = createSnapshotParts(state, { snapshotId: "snap" });
+  t.true(parts.length > 1);
+  for (const part of parts) {
+    t.true(Buffer.byteLength(JSON.stringify(part)) <= MAX_PART_BYTES);
+  }
+});
+
+// Guards against a retention that ends before the next snapshot is written.
+test("a snapshot is due at half of the retention, counted from the last one", (t) => {
+  const { state } = fold(START);
+  const retentionMs = 1000;
+  t.false(planSnapshot(state, { retentionMs, nowMs: 499 }).due);
+  t.true(planSnapshot(state, { retentionMs, nowMs: 500 }).due);
+  const parts = createSnapshotParts(state, { snapshotId: "snap" });
+  parts.forEach((part, index) =>
+    applyRecord(state, makeRecord(400 + index, part))
+  );
+  t.false(planSnapshot(state, { retentionMs, nowMs: 500 }).due);
+  t.true(planSnapshot(state, { retentionMs, nowMs: 501 }).due);
+});
--- /dev/null
+++ b/packages/configuration/src/testing_log.ts
@@ -0,0 +1,48 @@
+/**
+ * Builds logs for tests.
+ *
+ * @module
+ */
+
+import { brandId, type LogOffset, type LogRecord } from "@endivebend/types";
+import { applyRecord } from "./apply.ts";
+import { createConfigurationState } from "./state.ts";
+
+/** A body that offers one service; overrides replace whole fields. */
+export function makeBody(overrides: Readonly<Record<string, unknown>> = {}) {
+  return {
+    parameters: {
+      tokenRatePerSecond: { default: 100, maximum: 1000 },
+      burstTokens: { default: 500 },
+    },
+    services: ["chime-llm", "bookings"],
+    routes: [{
+      path: "/bookings",
+      methods: ["GET"],
+      service: "bookings",
+      repeatable: true,
+      open: true,
+    }],
+    models: ["chime-9"],
+    ...overrides,
+  };
+}
+
+/** Makes a log record; a record is appended each millisecond. */
+export function makeRecord(offset: number, value: unknown): LogRecord {
+  return { offset: brandId<LogOffset>(offset), appendedAtMs: offset, value };
+}
+
+/** A 64-digit digest whose first digits are the number. */
+export function makeDigest(number: number): string {
+  return number.toString(16).padStart(8, "0").padEnd(64, "7");
+}
+
+/** Folds values from offset 0 and gives the state and the results. */
+export function fold(values: readonly unknown[]) {
+  const state = createConfigurationState();
+  const results = values.map((value, offset) =>
+    applyRecord(state, makeRecord(offset, value))
+  );
+  return { state, results };
+}
