stand-ins: split the engine's cache routes and the platform's controls

Both files had grown past one job. A new test keeps a silenced stream from holding its batch slot after its reader has left.

--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -4,13 +4,7 @@
  * @module
  */
 
-import {
-  HttpFailure,
-  queryNumber,
-  readBody,
-  readJsonObject,
-  sendJson,
-} from "../http_messages.ts";
+import { HttpFailure, readJsonObject, sendJson } from "../http_messages.ts";
 import { RequestRecord } from "../request_record.ts";
 import {
   type Call,
@@ -18,6 +12,7 @@
   type StandIn,
   StandInServer,
 } from "../stand_in_server.ts";
+import { cacheRoutes } from "./cache_routes.ts";
 import { ChunkFaults } from "./chunk_faults.ts";
 import { Completion } from "./completion.ts";
 import { CompletionOutput } from "./completion_output.ts";
@@ -33,7 +28,7 @@
   tuningOf,
 } from "./engine_options.ts";
 import { Incarnation } from "./incarnation.ts";
-import { decodeBlock, encodeBlock, fetchBlocks } from "./kv_transfer.ts";
+import { fetchBlocks } from "./kv_transfer.ts";
 
 /** A running engine stand-in. */
 export interface EngineStandIn extends StandIn {
@@ -89,6 +84,7 @@
     );
     this.present = this.#startIncarnation();
     this.server = new StandInServer({
+      ...cacheRoutes(this),
       "POST /v1/completions": (call) => this.#complete(call, false),
       "POST /v1/chat/completions": (call) => this.#complete(call, true),
       "POST /v1/requests/:id/cancel": (call) => this.#cancel(call),
@@ -98,10 +94,6 @@
         }),
       "GET /v1/load": ({ response }) =>
         sendJson(response, 200, { body: this.present.loadReport() }),
-      "GET /v1/cache/events": (call) => this.#readEvents(call),
-      "GET /v1/cache/blocks": (call) => this.#readBlocks(call),
-      "GET /v1/kv/:block": (call) => this.#exportBlock(call),
-      "PUT /v1/kv/:block": (call) => this.#importBlock(call),
       "POST /v1/orders": (call) => this.#order(call),
       "GET /v1/orders": ({ response }) =>
         sendJson(response, 200, {
@@ -219,45 +211,6 @@
     sendJson(response, 200, { body: { cancelled } });
   }
 
-  async #readEvents({ query, response }: Call): Promise<void> {
-    const after = queryNumber(query, "after", { fallback: 0 });
-    const waitMs = queryNumber(query, "waitMs", { fallback: 0 });
-    const { present } = this;
-    if (waitMs > 0) await present.events.waitFor(after, waitMs);
-    const { id: incarnation, weightsVersion } = present;
-    const body = { incarnation, weightsVersion, ...present.events.read(after) };
-    sendJson(response, 200, { body });
-  }
-
-  #readBlocks({ response }: Call): void {
-    const { id: incarnation, weightsVersion, cache, events } = this.present;
-    const body = {
-      incarnation,
-      weightsVersion,
-      seq: events.lastSeq,
-      blocks: cache.blocks(),
-    };
-    sendJson(response, 200, { body });
-  }
-
-  #exportBlock({ params, response }: Call): void {
-    const block = params.block ?? "";
-    const salt = this.present.cache.saltOf(block);
-    if (salt === undefined) throw new HttpFailure(404, "No such block");
-    const bytes = this.tuning.kvBytesPerBlock;
-    response.end(encodeBlock(block, { salt, bytes }));
-  }
-
-  async #importBlock({ request, params, response }: Call): Promise<void> {
-    const decoded = decodeBlock(await readBody(request));
-    if (decoded === undefined || decoded.block !== params.block) {
-      throw new HttpFailure(400, "Send the bytes of an exported block");
-    }
-    await delay(this.tuning.importMsPerBlock);
-    this.present.storePrefix([decoded.block], decoded.salt);
-    sendJson(response, 200, { body: { stored: true } });
-  }
-
   async #order({ request, response }: Call): Promise<void> {
     const order = parseOrder(await readJsonObject(request));
     this.present.order(order);
--- a/packages/stand-ins/src/engine/engine_test.ts
+++ b/packages/stand-ins/src/engine/engine_test.ts
@@ -213,3 +213,19 @@
   await failed;
   t.is((await complete(engine, {})).usage.completion_tokens, 6);
 });
+
+test("a silenced stream gives its slot back when its reader leaves", async (t) => {
+  const engine = await start(t, { decodeMsPerToken: 5, maxBatch: 1 });
+  const abort = new AbortController();
+  const body = JSON.stringify({ model, prompt, stream: true });
+  const answer = await request(`http://${engine.address}/v1/completions`, {
+    method: "POST",
+    body,
+    signal: abort.signal,
+  });
+  const failed = t.throwsAsync(answer.body.text(), { message: "given up" });
+  await engine.control({ silence: true });
+  abort.abort(new Error("given up"));
+  await failed;
+  t.is((await complete(engine, {})).usage.completion_tokens, 6);
+});
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { VmEntry, VmList, VmState } from "@endivebend/types";
+import type { VmEntry, VmList } from "@endivebend/types";
 import {
   HttpFailure,
   queryNumber,
@@ -21,7 +21,7 @@
 import { LaggingValue } from "../lagging_value.ts";
 import { AppendRate } from "./append_rate.ts";
 import { LogStreams } from "./log_streams.ts";
-import { withoutVm, withVm, withVmState } from "./vm_changes.ts";
+import { PLATFORM_CONTROLS } from "./platform_controls.ts";
 import { WeightStore } from "./weight_store.ts";
 
 /** Settings of the platform stand-in. */
@@ -64,7 +64,8 @@
 const DEFAULT_WEIGHTS_BYTES = 256 * 1024;
 const DEFAULT_WEIGHTS_BYTES_PER_SECOND = 1024 * 1024;
 
-class Platform {
+/** The platform behind the interface. */
+export class Platform {
   readonly faults: PlatformFaults = {
     down: false,
     slowMs: 0,
@@ -126,7 +127,7 @@
 
   async applyControl(fields: Record<string, unknown>): Promise<void> {
     for (const [name, value] of Object.entries(fields)) {
-      const apply = CONTROLS[name];
+      const apply = PLATFORM_CONTROLS[name];
       if (apply === undefined) {
         throw new HttpFailure(400, `Unknown control field ${name}`);
       }
@@ -189,58 +190,6 @@
   }
 }
 
-type Control = (platform: Platform, value: unknown) => Promise<void> | void;
-
-const CONTROLS: Readonly<Record<string, Control>> = {
-  down: async ({ faults, server }, value) => {
-    faults.down = value === true ? "refuse" : value as PlatformFaults["down"];
-    server.setHangs(faults.down === "hang");
-    if (faults.down === "refuse") {
-      server.stopListening();
-      server.destroyConnections();
-    } else {
-      await server.listenAgain();
-    }
-    // Calls that hung are not answered later: their connections end.
-    if (faults.down === false) server.destroyConnections();
-  },
-  slowMs: ({ faults }, value) => {
-    faults.slowMs = Number(value);
-  },
-  loseAppendAnswers: ({ faults }, value) => {
-    faults.loseAppendAnswers = Number(value);
-  },
-  refuseAppends: ({ faults }, value) => {
-    faults.refuseAppends = value === true;
-  },
-  vmListLagMs: ({ vms }, value) => {
-    vms.lagMs = Number(value);
-  },
-  retentionRecords: ({ retention }, value) => {
-    retention.records = Number(value);
-  },
-  retentionMs: ({ retention }, value) => {
-    retention.ms = Number(value);
-  },
-  appendsPerSecond: ({ appendRate }, value) => {
-    appendRate.perSecond = Number(value);
-  },
-  weightsBytesPerSecond: ({ weightSpeed }, value) => {
-    weightSpeed.bytesPerSecond = Number(value);
-  },
-  set_vms: (platform, value) => platform.changeVms(() => value as VmEntry[]),
-  add_vm: (platform, value) =>
-    platform.changeVms((vms) => withVm(vms, value as VmEntry)),
-  remove_vm: (platform, value) =>
-    platform.changeVms((vms) =>
-      withoutVm(vms, (value as { vmId: string }).vmId)
-    ),
-  set_vm_state: (platform, value) =>
-    platform.changeVms((vms) =>
-      withVmState(vms, value as { vmId: string; state: VmState })
-    ),
-};
-
 /**
  * Starts a platform stand-in.
  *
