Own the configuration in force and the list of blocked keys

The daemon needs the fold of the configuration as a task: a key that an operator withdraws is blocked at once, shown to peers, and appended when the log answers. Peers stand in for the VM that took the withdrawal, later by their rank, because that VM may end first; the record id is the same on every VM, so a second append changes nothing.

They are now due by the append time of their own first part. Settings gain platform.logRetentionMs, on which that depends.

--- a/packages/configuration/src/apply.ts
+++ b/packages/configuration/src/apply.ts
@@ -89,7 +89,8 @@
   if (known !== undefined) return known.verdict;
   const verdict = judge(state, value);
   const fingerprint = fingerprintOf(value);
-  rememberVerdict(state, { recordId, fingerprint, verdict });
+  const offset = state.appliedOffset;
+  rememberVerdict(state, recordId, { fingerprint, offset, verdict });
   return verdict;
 }
 
@@ -99,7 +100,6 @@
 ): ApplyResult {
   if (record.offset <= state.appliedOffset) return { kind: "ignored" };
   state.appliedOffset = record.offset;
-  state.appliedAppendedAtMs = record.appendedAtMs;
   const value = fieldsOf(record.value);
   if (value.kind === "snapshot_part") return { kind: "ignored" };
   return applyChange(state, value);
@@ -128,7 +128,7 @@
   record: LogRecord,
 ): ApplyResult {
   state.oldestAppendedAtMs ??= record.appendedAtMs;
-  const awaited = collectSnapshotPart(state, record.value);
+  const awaited = collectSnapshotPart(state, record);
   if (awaited !== undefined) replayAwaited(state, awaited);
   if (state.awaiting === undefined) return applyInOrder(state, record);
   state.awaiting.records.push(record);
--- a/packages/configuration/src/apply_test.ts
+++ b/packages/configuration/src/apply_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { brandId, type Sha256Digest, type TeamId } from "@endivebend/types";
 import { checkKey, findOpenRoute, findTeamView, keyIdOf } from "./mod.ts";
-import { fold, makeBody, makeDigest } from "./testing_log.ts";
+import { fold, makeBody, makeDigest } from "./test_support.ts";
 
 const digest = brandId<Sha256Digest>(makeDigest(1));
 const team = brandId<TeamId>("st-mary");
--- a/packages/configuration/src/measure.ts
+++ b/packages/configuration/src/measure.ts
@@ -18,7 +18,7 @@
   restoreState,
   serializeState,
 } from "./mod.ts";
-import { makeBody, makeRecord } from "./testing_log.ts";
+import { makeBody, makeRecord } from "./test_support.ts";
 
 const KEYS_PER_TEAM = 2;
 const TEMPLATES = 10;
--- a/packages/configuration/src/records.ts
+++ b/packages/configuration/src/records.ts
@@ -110,8 +110,6 @@
   snapshotId: z.string().min(1).max(MAX_RECORD_ID_CHARS),
   /** The snapshot holds the state after the record at this offset. */
   asOfOffset: z.int().min(0),
-  /** When that record was appended. */
-  asOfAppendedAtMs: z.number(),
   index: z.int().min(0),
   count: z.int().min(1).max(MAX_PARTS),
   entries: z.array(z.unknown()),
--- a/packages/configuration/src/snapshot.ts
+++ b/packages/configuration/src/snapshot.ts
@@ -51,7 +51,6 @@
     kind: "snapshot_part",
     snapshotId,
     asOfOffset: Math.max(state.appliedOffset, 0),
-    asOfAppendedAtMs: state.appliedAppendedAtMs,
     index,
     count: parts.length,
     entries,
@@ -66,7 +65,7 @@
 
 /**
  * Says whether a snapshot is due: when half of the retention has passed since
- * the newest whole snapshot, or since the oldest record when there is none.
+ * the newest whole snapshot was begun, or since the oldest record when there is none.
  *
  * @example
  * ```ts
@@ -75,27 +74,32 @@
  */
 export function planSnapshot(
   state: ConfigurationState,
-  options: { readonly retentionMs: number; readonly nowMs: number },
+  options: {
+    readonly retentionMs: number;
+    readonly nowMs: number;
+    /** Larger for VMs that only stand in for the first writer. */
+    readonly dueFraction?: number;
+  },
 ): SnapshotPlan {
   if (state.awaiting !== undefined) {
     return { due: false, reason: "The state itself waits for a snapshot" };
   }
-  const sinceMs = state.lastSnapshot?.asOfAppendedAtMs ??
+  const sinceMs = state.lastSnapshot?.firstPartAtMs ??
     state.oldestAppendedAtMs;
   if (sinceMs === undefined || state.appliedOffset < 0) {
     return { due: false, reason: "The log holds no record" };
   }
   const ageMs = options.nowMs - sinceMs;
-  const due = ageMs >= options.retentionMs * DUE_FRACTION;
+  const { retentionMs, dueFraction = DUE_FRACTION } = options;
+  const due = ageMs >= retentionMs * dueFraction;
   return { due, reason: `The records needed reach back ${ageMs} ms` };
 }
 
 /** Writes the whole state as one JSON text, for a peer. */
 export function serializeState(state: ConfigurationState): string {
-  const { appliedAppendedAtMs, oldestAppendedAtMs, lastSnapshot } = state;
+  const { oldestAppendedAtMs, lastSnapshot } = state;
   const entries = [...listSnapshotEntries(state)];
   return JSON.stringify({
-    appliedAppendedAtMs,
     oldestAppendedAtMs,
     lastSnapshot,
     entries,
@@ -103,12 +107,11 @@
 }
 
 const serializedSchema = z.strictObject({
-  appliedAppendedAtMs: z.number(),
   oldestAppendedAtMs: z.number().optional(),
   lastSnapshot: z.strictObject({
     snapshotId: z.string(),
     asOfOffset: z.number(),
-    asOfAppendedAtMs: z.number(),
+    firstPartAtMs: z.number(),
   }).optional(),
   entries: z.array(z.unknown()),
 });
--- a/packages/configuration/src/snapshot_entries.ts
+++ b/packages/configuration/src/snapshot_entries.ts
@@ -54,7 +54,13 @@
   ]),
   z.tuple([z.literal("withdrawn"), z.string().regex(/^[0-9a-f]*$/)]),
   z.tuple([z.literal("drain"), z.string(), z.number()]),
-  z.tuple([z.literal("judged"), z.string(), z.string(), verdictSchema]),
+  z.tuple([
+    z.literal("judged"),
+    z.string(),
+    z.string(),
+    z.number(),
+    verdictSchema,
+  ]),
 ]);
 
 /** One entry of a snapshot. */
@@ -85,8 +91,9 @@
   }
   yield* chunkWithdrawn(state);
   for (const [vmId, revision] of state.drains) yield ["drain", vmId, revision];
-  for (const [recordId, { fingerprint, verdict }] of state.judged) {
-    yield ["judged", recordId, fingerprint, verdict];
+  for (const [recordId, judged] of state.judged) {
+    const { fingerprint, offset, verdict } = judged;
+    yield ["judged", recordId, fingerprint, offset, verdict];
   }
 }
 
@@ -128,8 +135,8 @@
       state.drains.set(brandId<VmId>(entry[1]), entry[2]);
       return;
     case "judged": {
-      const [, recordId, fingerprint, verdict] = entry;
-      state.judged.set(recordId, { fingerprint, verdict });
+      const [, recordId, fingerprint, offset, verdict] = entry;
+      state.judged.set(recordId, { fingerprint, offset, verdict });
       return;
     }
   }
--- a/packages/configuration/src/snapshot_parts.ts
+++ b/packages/configuration/src/snapshot_parts.ts
@@ -15,8 +15,9 @@
 
 function pendingOf(
   state: ConfigurationState,
-  part: SnapshotPart,
+  source: { readonly part: SnapshotPart; readonly appendedAtMs: number },
 ): PendingSnapshot | undefined {
+  const { part, appendedAtMs } = source;
   const known = state.pendingSnapshots.get(part.snapshotId);
   if (known !== undefined) {
     const isSame = known.count === part.count &&
@@ -25,7 +26,7 @@
   }
   const created: PendingSnapshot = {
     asOfOffset: part.asOfOffset,
-    asOfAppendedAtMs: part.asOfAppendedAtMs,
+    firstPartAtMs: appendedAtMs,
     count: part.count,
     seen: new Set(),
     entries: new Map(),
@@ -54,26 +55,25 @@
   const restored = restoreEntries(entriesInOrder(pending));
   if (restored === undefined) return undefined;
   restored.appliedOffset = pending.asOfOffset;
-  restored.appliedAppendedAtMs = pending.asOfAppendedAtMs;
   const { oldestAppendedAtMs, lastSnapshot } = state;
   Object.assign(state, restored, { oldestAppendedAtMs, lastSnapshot });
   return awaiting.records;
 }
 
 /**
- * Collects the part when the value is one. Gives the records that waited when
+ * Collects the part when the record is one. Gives the records that waited when
  * the part completes the snapshot that the state waits for.
  */
 export function collectSnapshotPart(
   state: ConfigurationState,
-  value: unknown,
+  { value, appendedAtMs }: LogRecord,
 ): readonly LogRecord[] | undefined {
   const isPart = typeof value === "object" && value !== null &&
     (value as { readonly kind?: unknown }).kind === "snapshot_part";
   if (!isPart) return undefined;
   const { data: part } = snapshotPartSchema.safeParse(value);
   if (part === undefined || part.index >= part.count) return undefined;
-  const pending = pendingOf(state, part);
+  const pending = pendingOf(state, { part, appendedAtMs });
   if (pending === undefined) return undefined;
   pending.seen.add(part.index);
   if (state.awaiting !== undefined) {
@@ -81,10 +81,11 @@
   }
   if (pending.seen.size < pending.count) return undefined;
   state.pendingSnapshots.delete(part.snapshotId);
-  const { snapshotId, asOfOffset, asOfAppendedAtMs } = part;
+  const { asOfOffset, firstPartAtMs } = pending;
   const newest = state.lastSnapshot?.asOfOffset ?? -1;
   if (asOfOffset > newest) {
-    state.lastSnapshot = { snapshotId, asOfOffset, asOfAppendedAtMs };
+    const { snapshotId } = part;
+    state.lastSnapshot = { snapshotId, asOfOffset, firstPartAtMs };
   }
   return restoreFrom(state, pending);
 }
--- a/packages/configuration/src/state.ts
+++ b/packages/configuration/src/state.ts
@@ -46,6 +46,8 @@
 export interface JudgedRecord {
   /** Tells a repeated proposal from another one under the same id. */
   readonly fingerprint: string;
+  /** Where the record stood first. */
+  readonly offset: number;
   readonly verdict: Verdict;
 }
 
@@ -53,13 +55,14 @@
 export interface CompleteSnapshot {
   readonly snapshotId: string;
   readonly asOfOffset: number;
-  readonly asOfAppendedAtMs: number;
+  /** When its first part was appended; it is whole only while that is kept. */
+  readonly firstPartAtMs: number;
 }
 
 /** A snapshot of which parts are still missing. */
 export interface PendingSnapshot {
   readonly asOfOffset: number;
-  readonly asOfAppendedAtMs: number;
+  readonly firstPartAtMs: number;
   readonly count: number;
   readonly seen: Set<number>;
   /** Entries by part; empty unless the state waits for a snapshot. */
@@ -76,7 +79,6 @@
 export interface ConfigurationState {
   /** Offset of the last record in force; -1 at the start. */
   appliedOffset: number;
-  appliedAppendedAtMs: number;
   readonly templates: Map<TemplateName, Template>;
   readonly teams: Map<TeamId, Team>;
   /** Keys in force, by key id. */
@@ -118,7 +120,6 @@
 export function createConfigurationState(): ConfigurationState {
   return {
     appliedOffset: -1,
-    appliedAppendedAtMs: 0,
     templates: new Map(),
     teams: new Map(),
     keys: new Map(),
--- /dev/null
+++ b/packages/router/src/configuration/configuration_task_test.ts
@@ -0,0 +1,119 @@
+import test from "ava";
+import {
+  brandId,
+  type KeyId,
+  type LogOffset,
+  type Sha256Digest,
+} from "@endivebend/types";
+import { FakeLog, START_RECORDS, startTask } from "./test_support.ts";
+
+const digest = brandId<Sha256Digest>("1".repeat(64));
+const keyId = brandId<KeyId>(`key-${"1".repeat(24)}`);
+const withdrawal = { recordId: "w-1", kind: "key_withdrawn", keyId };
+const options = { deadlineElapsedMs: 1_000 };
+const refused = { kind: "refused", code: "key_withdrawn" };
+
+function startTwo() {
+  const log = new FakeLog();
+  const first = startTask(log, "vm-1");
+  const second = startTask(log, "vm-2");
+  log.records.push(...START_RECORDS);
+  log.deliver();
+  return { log, time: log.time, first: first.task, second: second.task };
+}
+
+// Guards against a withdrawn key that works on while the log is away.
+test("a key is blocked at once here and at peers while the log is away", async (t) => {
+  const { log, time, first, second } = startTwo();
+  log.mode = "down";
+  let changes = 0;
+  first.onChange(() => changes++);
+  t.is(first.checkKey(digest).kind, "valid");
+  const result = await first.propose(withdrawal, options);
+  t.is(result.kind, "not_appended");
+  t.is(changes, 1);
+  t.deepEqual(first.checkKey(digest) as unknown, refused);
+  second.mergeBlockedDigests([...first.blockedDigests(), "no digest"]);
+  t.deepEqual(second.checkKey(digest) as unknown, refused);
+
+  time.nowMs = 5_000;
+  await first.runUpkeep();
+  t.is(log.records.length, 3);
+  log.mode = "up";
+  await first.runUpkeep();
+  t.is(log.records.length, 4);
+  for (const task of [first, second]) {
+    t.deepEqual(task.blockedDigests(), []);
+    t.deepEqual(task.checkKey(digest) as unknown, refused);
+  }
+});
+
+// Guards against a withdrawal that is lost with the VM that took it.
+test("a peer appends the withdrawal when its origin has ended", async (t) => {
+  const { log, time, first, second } = startTwo();
+  log.mode = "down";
+  await first.propose(withdrawal, options);
+  second.mergeBlockedDigests(first.blockedDigests());
+  log.mode = "up";
+  await second.runUpkeep();
+  t.is(log.records.length, 3, "the origin goes first");
+  time.nowMs = 60_000;
+  await second.runUpkeep();
+  t.is(log.records.at(-1)?.kind, "key_withdrawn");
+});
+
+// Guards against a change that is doubled by asking again after a lost answer.
+test("asking again with the record id gives the first verdict", async (t) => {
+  const { log, first } = startTwo();
+  const change = {
+    recordId: "c-1",
+    kind: "team_created",
+    team: "st-anne",
+    template: "chime",
+  };
+  log.mode = "answers_lost";
+  t.is((await first.propose(change, options)).kind, "unknown");
+  log.mode = "up";
+  log.deliver();
+  const again = await first.propose(change, options);
+  t.like(again, { kind: "accepted", offset: 3, revision: 1, isNew: false });
+  t.is(log.records.length, 4);
+  const other = await first.propose({ ...change, team: "st-john" }, options);
+  t.like(other, { kind: "refused", field: "recordId" });
+});
+
+// Guards against many writers of one snapshot, and against none when the first
+// VM in rendezvous order cannot reach the platform.
+test("one VM writes the snapshot when it is due, another one when it is late", async (t) => {
+  const { log, time, first, second } = startTwo();
+  const count = () =>
+    log.records.filter(({ kind }) => kind === "snapshot_part").length;
+  time.nowMs = 499_000;
+  await Promise.all([first.runUpkeep(), second.runUpkeep()]);
+  t.is(count(), 0);
+  time.nowMs = 550_000;
+  await Promise.all([first.runUpkeep(), second.runUpkeep()]);
+  t.is(count(), 1);
+
+  const late = startTwo();
+  late.time.nowMs = 700_000;
+  await late.first.runUpkeep();
+  await late.second.runUpkeep();
+  t.is(
+    late.log.records.filter(({ kind }) => kind === "snapshot_part").length,
+    1,
+  );
+});
+
+// Guards against a VM that serves from half a configuration after a gap.
+test("a task whose log is cut off is ready only with a snapshot", (t) => {
+  const { first } = startTwo();
+  const fresh = startTask(new FakeLog(), "vm-2").task;
+  fresh.onGap(brandId<LogOffset>(2));
+  t.false(fresh.isReady());
+  const { json, offset } = first.snapshot();
+  fresh.restore(json, offset);
+  t.true(fresh.isReady());
+  t.is(fresh.appliedOffset(), 2);
+  t.is(fresh.checkKey(digest).kind, "valid");
+});
--- a/packages/settings/src/example.ts
+++ b/packages/settings/src/example.ts
@@ -28,6 +28,8 @@
     // Time for one call, the wait of a long poll not counted.
     "timeoutMs": 2000,
     "pollWaitMs": 5000,
+    // How long the platform's log keeps a record; snapshots are due at half.
+    "logRetentionMs": 86400000,
   },
   "peers": {
     // At least 32 characters, the same on every VM of the fleet.
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -83,8 +83,11 @@
   }).prefault({}),
   platform: z.strictObject({
     address: addressSchema,
+    /** Time for one call, the wait of a long poll not counted. */
     timeoutMs: positive(2_000),
     pollWaitMs: positive(5_000),
+    /** How long the platform's log keeps a record. */
+    logRetentionMs: positive(86_400_000),
   }),
   peers: z.strictObject({
     sharedKey: z.string().min(MIN_SHARED_KEY_CHARS),
