stand-ins: take the prompt text of chats from the shared types

The engine had its own rendering of messages. The router hashes the rendering of @endivebend/types, and both must be the same text or no block hash and no expected completion would match. One function is kept, the shared one.

--- a/packages/stand-ins/src/engine/completion_request.ts
+++ b/packages/stand-ins/src/engine/completion_request.ts
@@ -5,8 +5,8 @@
  */
 
 import { randomUUID } from "node:crypto";
+import { type ChatMessage, chatPrompt } from "@endivebend/types";
 import { HttpFailure } from "../http_messages.ts";
-import { type ChatMessage, chatPrompt } from "./chat_prompt.ts";
 
 /** Where to import cached blocks from. */
 export interface KvImport {
--- a/packages/stand-ins/src/mod.ts
+++ b/packages/stand-ins/src/mod.ts
@@ -20,8 +20,6 @@
   EngineTuning,
 } from "./engine/engine_options.ts";
 export { expectedCompletion } from "./engine/generated_text.ts";
-export { chatPrompt } from "./engine/chat_prompt.ts";
-export type { ChatMessage } from "./engine/chat_prompt.ts";
 export { startService } from "./service/bookings.ts";
 export type {
   RanCall,
