Decide by log order which calls may be dispatched

A call that is not idempotent must run at most once over the fleet. The fold of the commitments stream lets the first intent of a key hold it, keeps other intents dead for good, also when a lost answer puts a second copy into the log, and frees a key only by its writer's abort.

The error code answer_not_kept says that a call ran whose answer is not kept.

--- /dev/null
+++ b/packages/commitments/src/batcher.ts
@@ -0,0 +1,87 @@
+/**
+ * Groups records into few appends.
+ *
+ * @module
+ */
+
+/** Bounds of a batch. */
+export interface BatcherSettings {
+  readonly maxRecords: number;
+  readonly maxBytes: number;
+  /** How long the first record of a batch waits for others. */
+  readonly maxWaitMs: number;
+  /** Appends that may run at once; a slow one must not hold up all others. */
+  readonly maxInFlight: number;
+}
+
+interface Waiting<Item> {
+  readonly item: Item;
+  readonly bytes: number;
+  readonly addedAtMs: number;
+}
+
+/**
+ * Collects items until a batch is full or its first item has waited long
+ * enough. The log takes several hundred appends per second from the whole
+ * fleet, so a loaded daemon must put many records into one.
+ */
+export class Batcher<Item> {
+  readonly #settings: BatcherSettings;
+  #waiting: Waiting<Item>[] = [];
+  #inFlight = 0;
+
+  constructor(settings: BatcherSettings) {
+    this.#settings = settings;
+  }
+
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
+  add(
+    item: Item,
+    options: { readonly bytes: number; readonly nowMs: number },
+  ): void {
+    const { bytes, nowMs } = options;
+    this.#waiting.push({ item, bytes, addedAtMs: nowMs });
+  }
+
+  /** Takes the next batch when one is due; call {@link appendEnded} after it. */
+  take(nowMs: number): readonly Item[] | undefined {
+    if (this.#inFlight >= this.#settings.maxInFlight) return undefined;
+    const count = this.#fittingCount();
+    const isFull = count === this.#settings.maxRecords ||
+      count < this.#waiting.length;
+    const first = this.#waiting[0];
+    if (first === undefined) return undefined;
+    if (!isFull && nowMs < first.addedAtMs + this.#settings.maxWaitMs) {
+      return undefined;
+    }
+    this.#inFlight++;
+    return this.#waiting.splice(0, count).map((waiting) => waiting.item);
+  }
+
+  appendEnded(): void {
+    this.#inFlight--;
+  }
+
+  /** When {@link take} is due by time, or undefined when it is not. */
+  nextDueMs(): number | undefined {
+    const first = this.#waiting[0];
+    if (first === undefined) return undefined;
+    if (this.#inFlight >= this.#settings.maxInFlight) return undefined;
+    return first.addedAtMs + this.#settings.maxWaitMs;
+  }
+
+  #fittingCount(): number {
+    let bytes = 0;
+    let count = 0;
+    for (const waiting of this.#waiting) {
+      bytes += waiting.bytes;
+      if (count > 0 && bytes > this.#settings.maxBytes) break;
+      count++;
+      if (count === this.#settings.maxRecords) break;
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/commitments/src/decide_test.ts
@@ -0,0 +1,141 @@
+import test from "ava";
+import { decideCall, digestCall, digestKey } from "./mod.ts";
+import {
+  callOf,
+  contextOf,
+  HOUR_MS,
+  keyDigest,
+  START_MS,
+  TestLog,
+} from "./test_support.ts";
+import type { TeamId } from "@endivebend/types";
+
+const fresh = `${START_MS / 1000}-abcdef`;
+
+test("the same key of two teams names two calls", (t) => {
+  t.not(digestKey("a" as TeamId, "bk"), digestKey("ab" as TeamId, "k"));
+  const body = Buffer.from("x");
+  t.not(
+    digestCall({ method: "POST", path: "/a", body }),
+    digestCall({ method: "POST", path: "/b", body }),
+  );
+});
+
+test("a new key is announced in the log before anything is dispatched", (t) => {
+  const { state } = new TestLog();
+  const plan = decideCall(state, callOf(fresh), contextOf());
+  t.deepEqual(plan, { kind: "append_intent", attempt: 1 });
+});
+
+test("a key older than half the retention or from the future is refused", (t) => {
+  const { state } = new TestLog();
+  const late = contextOf({ nowMs: START_MS + HOUR_MS });
+  t.like(decideCall(state, callOf(fresh), late), {
+    code: "idempotency_key_expired",
+    ran: "not_run",
+  });
+  const early = contextOf({ nowMs: START_MS - HOUR_MS });
+  t.like(decideCall(state, callOf(fresh), early), {
+    code: "malformed_request",
+  });
+});
+
+test("a wall clock that is behind does not make an old key look new", (t) => {
+  const log = new TestLog();
+  log.nowMs += HOUR_MS;
+  log.intent("other", "other");
+  t.like(decideCall(log.state, callOf(fresh), contextOf()), {
+    code: "idempotency_key_expired",
+  });
+});
+
+test("an old key whose call is known is not refused as not run", (t) => {
+  const log = new TestLog();
+  log.intent("i1", fresh);
+  log.outcome("i1", fresh, {});
+  const late = contextOf({ nowMs: START_MS + HOUR_MS });
+  t.is(decideCall(log.state, callOf(fresh), late).kind, "replay");
+});
+
+test("behind the horizon no key of unknown age is taken for new", (t) => {
+  const log = new TestLog({ maxKeys: 1 });
+  log.intent("a", "a");
+  log.nowMs += 60_000;
+  log.intent("b", "b");
+  const context = contextOf({ nowMs: START_MS + 60_000 });
+  const later = contextOf({ nowMs: START_MS + 400_000 });
+  const expired = { code: "idempotency_key_expired" };
+  t.like(decideCall(log.state, callOf("free form"), context), expired);
+  t.like(decideCall(log.state, callOf(fresh), context), expired);
+  const newKey = `${START_MS / 1000 + 400}-abcdef`;
+  t.is(decideCall(log.state, callOf(newKey), later).kind, "append_intent");
+});
+
+test("a missing, malformed or untimed key is refused where one is needed", (t) => {
+  const { state } = new TestLog();
+  const code = (key: string | undefined, more = {}) =>
+    decideCall(state, callOf(key, more), contextOf());
+  t.like(code(undefined), { code: "idempotency_key_required" });
+  t.like(code(""), { code: "malformed_request" });
+  t.like(code("x".repeat(300)), { code: "malformed_request" });
+  t.like(code("free", { requireTimedKeys: true }), {
+    code: "idempotency_key_required",
+  });
+  t.like(code(undefined, { unkeyed: true }), { kind: "dispatch" });
+});
+
+test("a repeat with another body is refused, whether the first still runs or not", (t) => {
+  const log = new TestLog();
+  const other = callOf(fresh, { bodyDigest: keyDigest("other body") });
+  log.intent("i1", fresh);
+  t.like(decideCall(log.state, other, contextOf()), {
+    code: "idempotency_key_reused",
+  });
+  log.outcome("i1", fresh, {});
+  t.like(decideCall(log.state, other, contextOf()), {
+    code: "idempotency_key_reused",
+  });
+});
+
+test("a running call is waited for, and is unknown once its writer has ended", (t) => {
+  const log = new TestLog();
+  log.intent("i1", fresh);
+  t.deepEqual(decideCall(log.state, callOf(fresh), contextOf()), {
+    kind: "wait_for_outcome",
+    intentId: "i1",
+  });
+  const ended = contextOf({ hasEnded: (writer) => writer.vmId === "vm-1" });
+  t.is(decideCall(log.state, callOf(fresh), ended).kind, "unknown");
+});
+
+test("an answer that was too large is never claimed as not run", (t) => {
+  const log = new TestLog();
+  log.intent("i1", fresh);
+  log.outcome("i1", fresh, {
+    outcome: { result: "answer_not_kept", status: 201 },
+  });
+  t.like(decideCall(log.state, callOf(fresh), contextOf()), {
+    code: "answer_not_kept",
+    ran: "ran",
+  });
+});
+
+test("without the log only declared routes are served, and known answers", (t) => {
+  const log = new TestLog();
+  const away = contextOf({ log: "away" });
+  t.like(decideCall(log.state, callOf(fresh), away), {
+    code: "platform_unavailable",
+    ran: "not_run",
+    retryAfterMs: 2000,
+  });
+  const catchingUp = contextOf({ log: "catching_up" });
+  t.like(decideCall(log.state, callOf(fresh), catchingUp), {
+    code: "not_ready",
+  });
+  t.like(decideCall(log.state, callOf(fresh, { deduplicates: true }), away), {
+    kind: "dispatch",
+  });
+  log.intent("i1", fresh);
+  log.outcome("i1", fresh, {});
+  t.is(decideCall(log.state, callOf(fresh), away).kind, "replay");
+});
--- /dev/null
+++ b/packages/commitments/src/snapshot.ts
@@ -0,0 +1,59 @@
+/**
+ * Snapshots of the state, for a VM that starts while the log is away.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { outcomeBytes } from "./answers.ts";
+import { entrySchema } from "./records.ts";
+import { type CommitmentSettings, CommitmentState } from "./state.ts";
+
+const snapshotSchema = z.object({
+  entries: z.array(entrySchema),
+  logTimeMs: z.number(),
+  horizonMs: z.number().optional(),
+});
+
+/**
+ * Writes the state as JSON. The newest answers are kept up to `maxAnswersBytes`;
+ * of older ones only that the call ran.
+ *
+ * @example
+ * ```ts
+ * const json = writeSnapshot(state, { maxAnswersBytes: 1 << 20 });
+ * ```
+ */
+export function writeSnapshot(
+  state: CommitmentState,
+  options: { readonly maxAnswersBytes: number },
+): string {
+  let bytes = 0;
+  const entries = [...state.entries()].reverse().map((entry) => {
+    bytes += outcomeBytes(entry.outcome);
+    if (entry.outcome?.result !== "answered") return entry;
+    if (bytes <= options.maxAnswersBytes) return entry;
+    const { status } = entry.outcome;
+    return { ...entry, outcome: { result: "answer_not_kept", status } };
+  });
+  const { logTimeMs, horizonMs } = state;
+  return JSON.stringify({ entries: entries.reverse(), logTimeMs, horizonMs });
+}
+
+/**
+ * Reads a state that {@link writeSnapshot} wrote; throws when it is malformed.
+ *
+ * @example
+ * ```ts
+ * const state = readSnapshot(json, settings);
+ * ```
+ */
+export function readSnapshot(
+  json: string,
+  settings: CommitmentSettings,
+): CommitmentState {
+  const snapshot = snapshotSchema.parse(JSON.parse(json));
+  const state = new CommitmentState(settings);
+  state.adopt({ horizonMs: undefined, ...snapshot });
+  return state;
+}
--- /dev/null
+++ b/packages/commitments/src/state_test.ts
@@ -0,0 +1,207 @@
+import test from "ava";
+import fc from "fast-check";
+import type { LogRecord } from "@endivebend/types";
+import { CommitmentState, readSnapshot, writeSnapshot } from "./mod.ts";
+import {
+  answered,
+  HOUR_MS,
+  keyDigest,
+  settings,
+  START_MS,
+  TestLog,
+} from "./test_support.ts";
+
+const seed = Number(process.env["SEED"] ?? 20260703);
+
+test("the first intent holds the key and a later one is dead for good", (t) => {
+  const log = new TestLog();
+  log.intent("i1", "k");
+  log.intent("i2", "k", "vm-2/a");
+  t.like(log.state.get(keyDigest("k")), { status: "open", intentId: "i1" });
+  log.aborted("i1", "k");
+  t.is(log.state.get(keyDigest("k"))?.status, "free");
+  // A delayed second copy of either record must not hold the key.
+  log.intent("i2", "k", "vm-2/a");
+  log.intent("i1", "k");
+  t.is(log.state.get(keyDigest("k"))?.status, "free");
+  log.intent("i3", "k", "vm-2/a");
+  t.like(log.state.get(keyDigest("k")), { intentId: "i3", attempts: 2 });
+});
+
+test("an intent that arrives after its own abort never holds the key", (t) => {
+  const log = new TestLog();
+  log.aborted("i1", "k");
+  log.intent("i1", "k");
+  t.is(log.state.get(keyDigest("k"))?.status, "free");
+});
+
+test("only the writer aborts, and never after the outcome", (t) => {
+  const log = new TestLog();
+  log.intent("i1", "k");
+  log.aborted("i1", "k", "vm-1/b");
+  t.is(log.state.get(keyDigest("k"))?.status, "open");
+  log.outcome("i1", "k", {});
+  log.aborted("i1", "k");
+  t.is(log.state.get(keyDigest("k"))?.status, "settled");
+});
+
+test("a restarted VM may settle its predecessor's intent only as unknown", (t) => {
+  const log = new TestLog();
+  log.intent("i1", "k");
+  log.outcome("i1", "k", { writer: "vm-1/b" });
+  log.outcome("i1", "k", {
+    writer: "vm-2/a",
+    outcome: { result: "unknown" },
+  });
+  t.is(log.state.get(keyDigest("k"))?.status, "open");
+  log.outcome("i1", "k", {
+    writer: "vm-1/b",
+    outcome: { result: "unknown" },
+  });
+  log.outcome("i1", "k", {});
+  t.deepEqual(log.state.get(keyDigest("k"))?.outcome, { result: "unknown" });
+});
+
+test("an outcome whose intent is out of the log still takes the key", (t) => {
+  const log = new TestLog();
+  log.outcome("i1", "k", {});
+  t.is(log.state.get(keyDigest("k"))?.status, "settled");
+});
+
+test("old answers give way at the bound, but never the fact that a call ran", (t) => {
+  const log = new TestLog({ maxAnswersBytes: 20 });
+  for (const key of ["a", "b", "c"]) {
+    log.intent(key, key);
+    log.outcome(key, key, { outcome: answered("0123456") });
+  }
+  t.deepEqual(log.state.get(keyDigest("a"))?.outcome, {
+    result: "answer_not_kept",
+    status: 201,
+  });
+  t.is(log.state.get(keyDigest("c"))?.outcome?.result, "answered");
+  t.true(log.state.answersBytes <= 20);
+});
+
+test("keys leave after the retention, or earlier behind a horizon", (t) => {
+  const log = new TestLog({ maxKeys: 2 });
+  for (const key of ["a", "b", "c"]) log.intent(key, key);
+  t.is(log.state.keyCount, 2);
+  t.is(log.state.horizonMs, log.nowMs);
+  log.nowMs += 2 * HOUR_MS + 1;
+  log.intent("d", "d");
+  t.is(log.state.keyCount, 1);
+  t.is(log.state.horizonMs, undefined);
+});
+
+test("a record that cannot be read changes nothing", (t) => {
+  const log = new TestLog();
+  log.append({ kind: "intent", recordId: "x" });
+  log.append("intent");
+  t.is(log.state.keyCount, 0);
+  t.is(log.state.malformedRecords, 2);
+});
+
+interface Step {
+  readonly kind: "intent" | "aborted" | "outcome" | "unknown";
+  readonly intent: number;
+  readonly key: number;
+  readonly restarted: boolean;
+  readonly waitMs: number;
+}
+
+const steps = fc.array(
+  fc.record<Step>({
+    kind: fc.constantFrom("intent", "aborted", "outcome", "unknown"),
+    intent: fc.nat(7),
+    key: fc.nat(1),
+    restarted: fc.boolean(),
+    // Races take seconds; a key may be used again hours later.
+    waitMs: fc.constantFrom(0, 0, 1000, 1000, 2 * HOUR_MS - 5000, 3 * HOUR_MS),
+  }),
+  { maxLength: 40 },
+);
+
+/**
+ * An append is settled within seconds, so an intent that is hours old gets
+ * neither a second copy nor any other record.
+ */
+function writeSteps(log: TestLog, input: readonly Step[]): void {
+  for (const step of input) {
+    log.nowMs += step.waitMs;
+    const key = `k${step.key}`;
+    const hour = Math.floor((log.nowMs - START_MS) / HOUR_MS);
+    const id = `${key}-i${step.intent}-${hour}`;
+    const vm = `vm-${step.intent % 3}`;
+    const writer = `${vm}/${step.restarted ? "b" : "a"}`;
+    if (step.kind === "intent") log.intent(id, key, `${vm}/a`);
+    if (step.kind === "aborted") log.aborted(id, key, writer);
+    if (step.kind === "outcome") log.outcome(id, key, { writer });
+    if (step.kind === "unknown") {
+      log.outcome(id, key, { writer, outcome: { result: "unknown" } });
+    }
+  }
+}
+
+function fold(records: readonly LogRecord[]): CommitmentState {
+  const state = new CommitmentState(settings);
+  for (const record of records) state.apply(record);
+  return state;
+}
+
+test("a VM that starts from the retained part or a snapshot gives the same verdicts", (t) => {
+  t.log(`seed ${seed}`);
+  fc.assert(
+    fc.property(steps, steps, (early, late) => {
+      const log = new TestLog();
+      writeSteps(log, early);
+      const snapshot = writeSnapshot(log.state, { maxAnswersBytes: 1 << 20 });
+      const restored = readSnapshot(snapshot, settings);
+      const cut = log.records.length;
+      writeSteps(log, late);
+      for (const record of log.records.slice(cut)) restored.apply(record);
+      t.deepEqual([...restored.entries()], [...log.state.entries()]);
+      const firstMs = log.nowMs - settings.retentionMs;
+      const retained = log.records.filter((r) => r.appendedAtMs >= firstMs);
+      const starter = fold(retained);
+      for (const entry of log.state.entries()) {
+        if (entry.status !== "free") t.truthy(starter.get(entry.keyDigest));
+      }
+    }),
+    { seed, numRuns: 2000 },
+  );
+});
+
+/** Intents of the records that held their key when they were applied. */
+function holders(
+  state: CommitmentState,
+  records: readonly LogRecord[],
+): readonly string[] {
+  const held: string[] = [];
+  for (const record of records) {
+    const [keyDigest] = state.apply(record);
+    const { kind, recordId } = record.value as Record<string, string>;
+    const entry = state.get(keyDigest ?? "");
+    if (kind !== "intent" || entry?.intentId !== recordId) continue;
+    if (entry?.status === "open") held.push(`${record.offset} ${recordId}`);
+  }
+  return held;
+}
+
+test("a VM that starts late lets no intent hold a key that other VMs refuse", (t) => {
+  t.log(`seed ${seed}`);
+  fc.assert(
+    fc.property(steps, steps, (early, late) => {
+      const log = new TestLog();
+      writeSteps(log, early);
+      const firstMs = log.nowMs - settings.retentionMs;
+      const before = [...log.records];
+      writeSteps(log, late);
+      const after = log.records.slice(before.length);
+      const starter = fold(before.filter((r) => r.appendedAtMs >= firstMs));
+      const fromStarter = holders(starter, after);
+      const fromAll = new Set(holders(fold(before), after));
+      t.deepEqual(fromStarter.filter((id) => !fromAll.has(id)), []);
+    }),
+    { seed, numRuns: 3000 },
+  );
+});
--- a/packages/errors/src/details.ts
+++ b/packages/errors/src/details.ts
@@ -145,6 +145,12 @@
     ran: "not_run",
     remedy: "Send the request to another entry VM",
   },
+  answer_not_kept: {
+    status: 409,
+    type: "conflict_error",
+    ran: "ran",
+    remedy: "Look up the result at the service; do not send the call again",
+  },
   outcome_unknown: {
     status: 502,
     type: "api_error",
