--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -7,6 +7,7 @@
  */
 
 export { applyRecord, beginAfterGap, restoreState } from "./apply.ts";
+export { checkChange } from "./check_change.ts";
 export { createConfigurationState, keyIdOf } from "./state.ts";
 export type { ConfigurationState, Team, Template } from "./state.ts";
 export type { Accepted, ApplyResult, Refused, Verdict } from "./verdicts.ts";
--- /dev/null
+++ b/packages/router/src/operators/explain_fleet.ts
@@ -0,0 +1,97 @@
+/**
+ * Collects what every daemon recorded about a request.
+ *
+ * @module
+ */
+
+import type { PeerClients } from "@endivebend/peers";
+import type { RequestId, VmEntry, VmId } from "@endivebend/types";
+import type { ExplainEntry, Explainer, MembershipView } from "../ports.ts";
+
+/** Peers asked at once, so that a large fleet is not asked in one burst. */
+const PEERS_AT_ONCE = 16;
+
+/** What one daemon recorded. */
+export interface VmExplanation {
+  readonly vmId: VmId;
+  readonly entries: readonly ExplainEntry[];
+}
+
+/** What the fleet recorded. */
+export interface Explanation {
+  readonly requestId: RequestId;
+  readonly vms: readonly VmExplanation[];
+  /** Entry VMs that did not answer; they may know more. */
+  readonly silentVms: readonly VmId[];
+}
+
+/** What the collection needs. */
+export interface ExplainOptions {
+  readonly vmId: VmId;
+  readonly explainer: Explainer;
+  readonly membership: MembershipView;
+  readonly peers: PeerClients;
+}
+
+interface PeerAnswer {
+  readonly vmId: VmId;
+  readonly entries: readonly ExplainEntry[] | undefined;
+}
+
+async function askPeer(
+  entry: VmEntry,
+  options: { readonly peers: PeerClients; readonly requestId: RequestId },
+): Promise<PeerAnswer> {
+  const { vmId, address } = entry;
+  const { peers, requestId } = options;
+  try {
+    const { recordJson } = await peers.at(address).explain({ requestId });
+    const record: unknown = recordJson === "" ? [] : JSON.parse(recordJson);
+    return { vmId, entries: Array.isArray(record) ? record : [] };
+  } catch {
+    return { vmId, entries: undefined };
+  }
+}
+
+async function askPeers(
+  requestId: RequestId,
+  options: ExplainOptions,
+): Promise<PeerAnswer[]> {
+  const others = options.membership.entryVms()
+    .filter(({ vmId }) => vmId !== options.vmId);
+  const answers: PeerAnswer[] = [];
+  for (let at = 0; at < others.length; at += PEERS_AT_ONCE) {
+    const round = others.slice(at, at + PEERS_AT_ONCE);
+    const asked = round.map((entry) =>
+      askPeer(entry, { peers: options.peers, requestId })
+    );
+    answers.push(...await Promise.all(asked));
+  }
+  return answers;
+}
+
+/**
+ * Asks this daemon and its peers about a request.
+ *
+ * @example
+ * ```ts
+ * const { vms } = await explainRequest(requestId, { vmId, explainer, membership, peers });
+ * ```
+ */
+export async function explainRequest(
+  requestId: RequestId,
+  options: ExplainOptions,
+): Promise<Explanation> {
+  const own = {
+    vmId: options.vmId,
+    entries: options.explainer.explain(requestId) ?? [],
+  };
+  const answers = await askPeers(requestId, options);
+  const vms = [own, ...answers].flatMap(({ vmId, entries }) =>
+    entries === undefined || entries.length === 0 ? [] : [{ vmId, entries }]
+  );
+  const silentVms = answers
+    .filter(({ entries }) => entries === undefined)
+    .map(({ vmId }) => vmId);
+  return { requestId, vms, silentVms };
+}
--- /dev/null
+++ b/packages/router/src/operators/operator_handler.ts
@@ -0,0 +1,148 @@
+/**
+ * The operators' HTTP interface.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
+import findMyWay, { type HTTPMethod } from "find-my-way";
+import { fail } from "@endivebend/errors";
+import type { PeerClients } from "@endivebend/peers";
+import { brandId, type RequestId } from "@endivebend/types";
+import { parseJsonObject, readBody } from "../http/body.ts";
+import { writeJson, writeRefusal } from "../http/respond.ts";
+import type { Explainer } from "../ports.ts";
+import {
+  ChangeHandler,
+  type ChangeHandlerOptions,
+  type OperatorAnswer,
+} from "./change_handler.ts";
+import { drainVm } from "./drain.ts";
+import { explainRequest } from "./explain_fleet.ts";
+import { authenticateOperator, type OperatorKey } from "./operator_auth.ts";
+import {
+  type Query,
+  readKeys,
+  readTeam,
+  readTeams,
+  readTemplate,
+  readTemplates,
+  readVms,
+} from "./read_handlers.ts";
+import { readStatus, type StatusOptions } from "./status.ts";
+
+/** A change holds at most one template, whose parts are bounded. */
+const MAX_CHANGE_BYTES = 262_144;
+
+/** What the interface needs. */
+export interface OperatorHandlerOptions
+  extends ChangeHandlerOptions, StatusOptions {
+  readonly keys: readonly OperatorKey[];
+  readonly explainer: Explainer;
+  readonly peers: PeerClients;
+  /** Starts the drain of this VM when the log cannot be told. */
+  readonly drainSelf: () => void;
+}
+
+interface Call {
+  readonly request: IncomingMessage;
+  readonly params: Readonly<Record<string, string | undefined>>;
+  readonly query: Query;
+  readonly operator: string;
+}
+
+type Handler = (call: Call) => OperatorAnswer | Promise<OperatorAnswer>;
+type Routes = Readonly<Record<string, Handler>>;
+
+function found(body: unknown): OperatorAnswer {
+  return { status: 200, body };
+}
+
+async function readJson(request: IncomingMessage) {
+  const body = await readBody(request, { maxBytes: MAX_CHANGE_BYTES });
+  return parseJsonObject(body);
+}
+
+function createRoutes(options: OperatorHandlerOptions): Routes {
+  const { configuration, membership } = options;
+  const state = configuration.state();
+  const changes = new ChangeHandler(options);
+  return {
+    "POST /operator/v1/changes": async ({ request, operator }) =>
+      changes.propose(await readJson(request), operator),
+    "GET /operator/v1/changes/:id": ({ params }) =>
+      changes.verdict(params.id ?? ""),
+    "POST /operator/v1/drain": async ({ request, operator }) =>
+      drainVm(await readJson(request), { ...options, changes, operator }),
+    "GET /operator/v1/templates": () => found(readTemplates(state)),
+    "GET /operator/v1/templates/:name": ({ params }) =>
+      found(readTemplate(state, params.name ?? "")),
+    "GET /operator/v1/teams": ({ query }) => found(readTeams(state, query)),
+    "GET /operator/v1/teams/:name": ({ params }) =>
+      found(readTeam(state, params.name ?? "")),
+    "GET /operator/v1/keys": ({ query }) => found(readKeys(state, query)),
+    "GET /operator/v1/vms": () => found(readVms(state, membership)),
+    "GET /operator/v1/status": () => found(readStatus(options)),
+    "GET /operator/v1/explain/:id": async ({ params }) => {
+      const requestId = brandId<RequestId>(params.id ?? "");
+      const { vmId } = options.identity;
+      return found(await explainRequest(requestId, { ...options, vmId }));
+    },
+  };
+}
+
+function refuseUnknownPath(): never {
+  throw fail("unknown_route", "The operators' interface has no such path", {
+    remedy: "Use the endivebend command, or a path of docs/operators.md",
+  });
+}
+
+/**
+ * Makes the listener's handler; the caller opens and closes the listener.
+ *
+ * @example
+ * ```ts
+ * const handle = createOperatorHandler({ keys: settings.operators.keys, ...tasks });
+ * const listener = await openListener(settings.listen.operators, { limits, handle });
+ * ```
+ */
+export function createOperatorHandler(
+  options: OperatorHandlerOptions,
+): RequestListener {
+  const router = findMyWay();
+  for (const [place, handle] of Object.entries(createRoutes(options))) {
+    const [method, path] = place.split(" ") as [HTTPMethod, string];
+    router.on(method, path, () => {}, handle);
+  }
+
+  async function answer(request: IncomingMessage): Promise<OperatorAnswer> {
+    const operator = authenticateOperator(request, options.keys);
+    const method = request.method as HTTPMethod;
+    const route = router.find(method, request.url ?? "/");
+    if (route === null) return refuseUnknownPath();
+    const handle = route.store as Handler;
+    const query = route.searchParams as Query;
+    return await handle({ request, params: route.params, query, operator });
+  }
+
+  async function respond(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestId = brandId<RequestId>(`op-${randomUUID()}`);
+    try {
+      const { status, body } = await answer(request);
+      const headers = { "x-request-id": requestId };
+      writeJson(response, { status, body, headers });
+    } catch (caught) {
+      writeRefusal(response, { caught, requestId });
+    }
+  }
+
+  return (request, response) => void respond(request, response);
+}
