Charge teams' limits at holders decided by the log

Cause: the daemon needs a Charger whose grants never exceed a team's rate and burst over the whole fleet. Weighed: leases renewed through the log (expire in long outages), an equal split over VMs (smaller than one request), one global holder (a partitioned domain serves nothing).

--- /dev/null
+++ b/packages/limits/src/demand.ts
@@ -0,0 +1,53 @@
+/**
+ * Recent demand of a team at one holder: decides what to keep, lend and
+ * borrow. It never decides whether a charge is granted.
+ *
+ * @module
+ */
+
+/** Time after which a past demand counts for 37%. */
+const DEMAND_MEMORY_MS = 2000;
+
+/** A decaying measure of what was asked for. */
+export interface Demand {
+  asOfMs: number;
+  /** Tokens asked for, decayed. */
+  tokens: number;
+  /** The largest recent cost, decayed. */
+  largestTokens: number;
+}
+
+/** Makes the measure of a team that asked for nothing. */
+export function createDemand(nowMs: number): Demand {
+  return { asOfMs: nowMs, tokens: 0, largestTokens: 0 };
+}
+
+function decay(demand: Demand, nowMs: number): void {
+  if (nowMs <= demand.asOfMs) return;
+  const factor = Math.exp((demand.asOfMs - nowMs) / DEMAND_MEMORY_MS);
+  demand.tokens *= factor;
+  demand.largestTokens *= factor;
+  demand.asOfMs = nowMs;
+}
+
+/** Counts a cost that was asked for, granted or not. */
+export function noteDemand(
+  demand: Demand,
+  options: { readonly costTokens: number; readonly nowMs: number },
+): void {
+  decay(demand, options.nowMs);
+  demand.tokens += options.costTokens;
+  demand.largestTokens = Math.max(demand.largestTokens, options.costTokens);
+}
+
+/** Demand in thousandths of a token per second. */
+export function demandRateMilli(demand: Demand, nowMs: number): number {
+  decay(demand, nowMs);
+  return demand.tokens * 1000 * 1000 / DEMAND_MEMORY_MS;
+}
+
+/** The largest recent cost in tokens. */
+export function largestRecentCost(demand: Demand, nowMs: number): number {
+  decay(demand, nowMs);
+  return demand.largestTokens;
+}
--- /dev/null
+++ b/packages/limits/src/step.ts
@@ -0,0 +1,217 @@
+/**
+ * Applies events to a team's state at its holder.
+ *
+ * @module
+ */
+
+import {
+  nextBorrowMs,
+  noteLenderFailure,
+  planBorrowing,
+  receiveLoan,
+} from "./borrow.ts";
+import { demandRateMilli, noteDemand } from "./demand.ts";
+import type { LimitsEffect, LimitsEvent } from "./events.ts";
+import { GRAINS_PER_TOKEN } from "./grains.ts";
+import { lend } from "./lend.ts";
+import { advance, assertLevel, heldAmount } from "./level.ts";
+import { type Amount, type TeamState } from "./state.ts";
+import {
+  enqueue,
+  grantWaiting,
+  MAX_WAITING_CHARGES,
+  nextQueueMs,
+  refuseHopeless,
+  refuseNewestIfHopeless,
+  removeWaiting,
+  timeUntilGranted,
+} from "./waiting.ts";
+
+type Handler<Kind extends LimitsEvent["kind"]> = (
+  state: TeamState,
+  event: Extract<LimitsEvent, { kind: Kind }>,
+  nowMs: number,
+) => LimitsEffect[];
+
+/**
+ * The largest cost that this holder can ever grant: its own capacity and what
+ * the other domains may lend. With a floor that is never lent this is less than
+ * the burst.
+ */
+export function reachableCapacityTokens(state: TeamState): number {
+  const { limit, share, lenders } = state.terms;
+  if (lenders.length === 0) return share.capacityTokens;
+  const others = limit.capacityTokens - share.capacityTokens;
+  const { floorFraction } = state.terms;
+  const lendable = Math.floor(others * (1 - floorFraction));
+  // Each lender rounds its own lendable part down.
+  const rounding = floorFraction === 0 ? 0 : lenders.length;
+  return share.capacityTokens + Math.max(0, lendable - rounding);
+}
+
+function refuseAtOnce(
+  state: TeamState,
+  event: Extract<LimitsEvent, { kind: "charge" }>,
+  options: {
+    readonly code: "rate_limited" | "cost_exceeds_burst";
+    readonly nowMs: number;
+  },
+): LimitsEffect {
+  const retryAfterMs = timeUntilGranted(state, {
+    costTokens: event.costTokens,
+    aheadTokens: state.waitingTokens,
+    nowMs: options.nowMs,
+  });
+  return {
+    kind: "refused",
+    id: event.id,
+    code: options.code,
+    retryAfterMs: Math.max(1, retryAfterMs),
+  };
+}
+
+function applyCharge(
+  state: TeamState,
+  event: Extract<LimitsEvent, { kind: "charge" }>,
+  nowMs: number,
+): LimitsEffect[] {
+  const cost = event.costTokens;
+  // A negative or fractional cost would create tokens or lose exactness.
+  if (!Number.isSafeInteger(cost) || cost < 0) {
+    throw new Error("Give a charge a whole number of tokens as its cost");
+  }
+  if (cost > reachableCapacityTokens(state)) {
+    return [refuseAtOnce(state, event, { code: "cost_exceeds_burst", nowMs })];
+  }
+  noteDemand(state.demand, { costTokens: cost, nowMs });
+  const costGrains = cost * GRAINS_PER_TOKEN;
+  if (state.waiting.length === 0 && state.levelGrains >= costGrains) {
+    state.levelGrains -= costGrains;
+    return [{ kind: "granted", id: event.id }];
+  }
+  if (state.waiting.length >= MAX_WAITING_CHARGES) {
+    return [refuseAtOnce(state, event, { code: "rate_limited", nowMs })];
+  }
+  enqueue(state, {
+    id: event.id,
+    costTokens: cost,
+    deadlineMs: event.deadlineMs,
+  });
+  return [];
+}
+
+const HANDLERS: { [Kind in LimitsEvent["kind"]]: Handler<Kind> } = {
+  charge: applyCharge,
+  charge_cancelled: (state, event) => {
+    removeWaiting(state, event.id);
+    return [];
+  },
+  borrow_requested: (state, event, nowMs) => {
+    const decision = lend(state, event, nowMs);
+    const { leaseMs } = state.terms;
+    return [{ kind: "lent", borrower: event.borrower, ...decision, leaseMs }];
+  },
+  loan_received: (state, event, nowMs) => {
+    receiveLoan(state, event, nowMs);
+    return [];
+  },
+  loan_failed: (state, event, nowMs) => {
+    noteLenderFailure(state, event.lender, nowMs);
+    return [];
+  },
+  terms_changed: (state, event, nowMs) => {
+    state.terms = event.terms;
+    advance(state, nowMs);
+    return [];
+  },
+  time_missed: () => [],
+  drain_started: (state) => {
+    state.draining = true;
+    return [];
+  },
+  drain_ended: (state) => {
+    state.draining = false;
+    return [];
+  },
+  wake: () => [],
+};
+
+function smaller(a: Amount, b: Amount): Amount {
+  return {
+    rateMilli: Math.min(a.rateMilli, b.rateMilli),
+    capacityTokens: Math.min(a.capacityTokens, b.capacityTokens),
+  };
+}
+
+/** What has to hold already for the time before the event. */
+function prepare(state: TeamState, event: LimitsEvent): void {
+  if (event.kind === "terms_changed") {
+    // The change took force at some time since the last event.
+    const share = smaller(state.terms.share, event.terms.share);
+    state.terms = { ...state.terms, share };
+  }
+  if (event.kind === "time_missed") {
+    state.loansIn = state.loansIn.map((loan) => ({
+      ...loan,
+      untilMs: loan.untilMs - event.missedMs,
+    }));
+  }
+}
+
+/**
+ * Applies one event at a moment and gives what has to be done. `nowMs` is a
+ * whole number of milliseconds on a clock that never goes back.
+ *
+ * @example
+ * ```ts
+ * const state = createTeamState(terms, start);
+ * step(state, { kind: "charge", id, costTokens: 40, deadlineMs }, nowMs);
+ * // [{ kind: "granted", id }]
+ * ```
+ */
+export function step(
+  state: TeamState,
+  event: LimitsEvent,
+  nowMs: number,
+): LimitsEffect[] {
+  prepare(state, event);
+  advance(state, nowMs);
+  const handler = HANDLERS[event.kind] as Handler<typeof event.kind>;
+  const effects = handler(state, event, nowMs);
+  if (state.waiting.length > 0) {
+    effects.push(...grantWaiting(state));
+  }
+  if (state.terms.lenders.length > 0) {
+    effects.push(...planBorrowing(state, nowMs));
+  }
+  if (state.waiting.length > 0) {
+    const refuse = event.kind === "charge"
+      ? refuseNewestIfHopeless
+      : refuseHopeless;
+    effects.push(...refuse(state, nowMs), ...grantWaiting(state));
+  }
+  assertLevel(state);
+  return effects;
+}
+
+/** When `step` has to be called with `wake`; infinity when nothing is due. */
+export function nextWakeMs(state: TeamState, nowMs: number): number {
+  const due = Math.min(nextQueueMs(state, nowMs), nextBorrowMs(state));
+  return Math.max(nowMs + 1, due);
+}
+
+/** True when the state equals one that was never used, so it can be dropped. */
+export function isIdle(state: TeamState, nowMs: number): boolean {
+  advance(state, nowMs);
+  const held = heldAmount(state);
+  const isFull = state.levelGrains >= held.capacityTokens * GRAINS_PER_TOKEN;
+  return isFull && state.waiting.length === 0 && state.loansOut.length === 0 &&
+    state.loansIn.length === 0 && state.round.pending.size === 0 &&
+    demandRateMilli(state.demand, nowMs) < 1;
+}
+
+/** True when nothing is lent, so that the group can be given up. */
+export function hasNothingLent(state: TeamState, nowMs: number): boolean {
+  advance(state, nowMs);
+  return state.loansOut.length === 0;
+}
--- a/packages/rights/src/mod.ts
+++ b/packages/rights/src/mod.ts
@@ -4,4 +4,32 @@
  * @module
  */
 
-export {};
+export { decodeGroups, encodeGroups, groupOfTeam, hashText } from "./groups.ts";
+export { parseRightsRecord } from "./records.ts";
+export type { RightsRecord, RightsRecordOf } from "./records.ts";
+export {
+  createRightsState,
+  currentSplit,
+  decodeRightsState,
+  encodeRightsState,
+  holderOf,
+} from "./state.ts";
+export type {
+  DomainGroups,
+  DomainSplit,
+  FreedBy,
+  HolderVm,
+  RightsState,
+} from "./state.ts";
+export { applyRightsRecord, rebuildFromSnapshot } from "./fold.ts";
+export type { HolderChange } from "./fold.ts";
+export { confirmedRevision, shareOfLimit, splitsInUse } from "./shares.ts";
+export {
+  HANDOVER_BATCH_GROUPS,
+  planClaims,
+  planEnded,
+  planHandovers,
+  rendezvousOwner,
+  shouldWriteSnapshot,
+} from "./plans.ts";
+export type { EndedVm, PlanInput, PlannedVm } from "./plans.ts";
--- /dev/null
+++ b/packages/rights/src/state.ts
@@ -0,0 +1,170 @@
+/**
+ * The state that the `rights` stream folds to.
+ *
+ * @module
+ */
+
+import {
+  type FailureDomainId,
+  TEAM_GROUP_COUNT,
+  type TeamGroup,
+  type VmId,
+} from "@endivebend/types";
+import { decodeGroups, encodeGroups } from "./groups.ts";
+
+/** A set of failure domains that share every limit equally. */
+export interface DomainSplit {
+  readonly revision: number;
+  readonly domains: readonly FailureDomainId[];
+}
+
+/** What is known of a VM that holds groups. */
+export interface HolderVm {
+  /** Offset of its newest claim or of the newest transfer to it. */
+  lastClaimOffset: number;
+  /** Wall-clock time of that record, as the log gives it. */
+  lastClaimWallMs: number;
+  /** Every group of this VM is spent under this revision of the domains or a later one. */
+  confirmedRevision: number;
+}
+
+/** How a group lost its previous holder; decides how a new holder starts. */
+export type FreedBy = "never_held" | "released" | "vm_ended";
+
+/** The groups of one failure domain, indexed by group. */
+export interface DomainGroups {
+  readonly holders: (VmId | undefined)[];
+  readonly freedBy: FreedBy[];
+}
+
+/** The folded state. */
+export interface RightsState {
+  /** Offset of the next record to apply. */
+  nextOffset: number;
+  /** Splits from the oldest that a holder may still use to the current one. */
+  splits: DomainSplit[];
+  readonly domains: Map<FailureDomainId, DomainGroups>;
+  readonly vms: Map<VmId, HolderVm>;
+  lastSnapshotOffset: number;
+  lastSnapshotWallMs: number;
+}
+
+/** Makes the state before any record. */
+export function createRightsState(): RightsState {
+  return {
+    nextOffset: 0,
+    splits: [],
+    domains: new Map(),
+    vms: new Map(),
+    lastSnapshotOffset: 0,
+    lastSnapshotWallMs: 0,
+  };
+}
+
+/** The current split; undefined before the first `domains_set`. */
+export function currentSplit(state: RightsState): DomainSplit | undefined {
+  return state.splits.at(-1);
+}
+
+/** The groups of a domain; makes the entry of a domain that has none. */
+export function groupsOfDomain(
+  state: RightsState,
+  domain: FailureDomainId,
+): DomainGroups {
+  const known = state.domains.get(domain);
+  if (known !== undefined) return known;
+  const fresh: DomainGroups = {
+    holders: new Array(TEAM_GROUP_COUNT).fill(undefined),
+    freedBy: new Array(TEAM_GROUP_COUNT).fill("never_held"),
+  };
+  state.domains.set(domain, fresh);
+  return fresh;
+}
+
+/**
+ * The VM that holds a group in a domain.
+ *
+ * @example
+ * ```ts
+ * holderOf(state, { domain, group: groupOfTeam(team) });
+ * ```
+ */
+export function holderOf(
+  state: RightsState,
+  place: { readonly domain: FailureDomainId; readonly group: TeamGroup },
+): VmId | undefined {
+  return state.domains.get(place.domain)?.holders[place.group];
+}
+
+function encodeDomain(domain: DomainGroups): unknown {
+  const byVm = new Map<VmId, number[]>();
+  domain.holders.forEach((vmId, group) => {
+    if (vmId === undefined) return;
+    const groups = byVm.get(vmId) ?? [];
+    groups.push(group);
+    byVm.set(vmId, groups);
+  });
+  const freed = (by: FreedBy) =>
+    encodeGroups(
+      domain.freedBy.flatMap((value, group) => value === by ? [group] : []),
+    );
+  return {
+    holders: [...byVm].map(([vmId, groups]) => [vmId, encodeGroups(groups)]),
+    neverHeld: freed("never_held"),
+    released: freed("released"),
+  };
+}
+
+/** Writes a state as JSON, small enough for one record. */
+export function encodeRightsState(state: RightsState): string {
+  return JSON.stringify({
+    nextOffset: state.nextOffset,
+    splits: state.splits,
+    domains: [...state.domains].map(([id, domain]) => [
+      id,
+      encodeDomain(domain),
+    ]),
+    vms: [...state.vms],
+  });
+}
+
+interface EncodedDomain {
+  readonly holders: readonly (readonly [VmId, string])[];
+  readonly neverHeld: string;
+  readonly released: string;
+}
+
+function decodeDomain(encoded: EncodedDomain): DomainGroups {
+  const holders = new Array<VmId | undefined>(TEAM_GROUP_COUNT).fill(undefined);
+  const freedBy = new Array<FreedBy>(TEAM_GROUP_COUNT).fill("vm_ended");
+  for (const [vmId, groups] of encoded.holders) {
+    for (const group of decodeGroups(groups)) holders[group] = vmId;
+  }
+  for (const group of decodeGroups(encoded.neverHeld)) {
+    freedBy[group] = "never_held";
+  }
+  for (const group of decodeGroups(encoded.released)) {
+    freedBy[group] = "released";
+  }
+  return { holders, freedBy };
+}
+
+/** Reads what {@link encodeRightsState} wrote; throws on other text. */
+export function decodeRightsState(json: string): RightsState {
+  const value = JSON.parse(json) as {
+    readonly nextOffset: number;
+    readonly splits: DomainSplit[];
+    readonly domains: readonly (readonly [FailureDomainId, EncodedDomain])[];
+    readonly vms: readonly (readonly [VmId, HolderVm])[];
+  };
+  return {
+    nextOffset: value.nextOffset,
+    splits: [...value.splits],
+    domains: new Map(
+      value.domains.map(([id, domain]) => [id, decodeDomain(domain)]),
+    ),
+    vms: new Map(value.vms.map(([vmId, vm]) => [vmId, { ...vm }])),
+    lastSnapshotOffset: value.nextOffset,
+    lastSnapshotWallMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/router/src/limits/limits_task.ts
@@ -0,0 +1,316 @@
+/**
+ * Charges teams' rates and bursts: here when this VM holds the team's group,
+ * else at the holder, and answers the same calls of other VMs.
+ *
+ * @module
+ */
+
+import { levelTokens } from "@endivebend/limits";
+import type { PeerClients, PeerHandlers } from "@endivebend/peers";
+import { groupOfTeam } from "@endivebend/rights";
+import {
+  brandId,
+  type RequestId,
+  type TeamGroup,
+  type TeamId,
+  type VmId,
+} from "@endivebend/types";
+import type {
+  ChargeInput,
+  Charger,
+  ChargeResult,
+  Clock,
+  ConfigurationView,
+  Explainer,
+  Identity,
+  MembershipView,
+  Metrics,
+  Scheduler,
+} from "../ports.ts";
+import { LoanRequests } from "./loan_requests.ts";
+import {
+  LocalHolder,
+  type LocalOutcome,
+  type TeamEntry,
+} from "./local_holder.ts";
+import { PeerCharges } from "./peer_charges.ts";
+import type { RightsTask } from "./rights_task.ts";
+
+/** Settings and neighbours of the task. */
+export interface LimitsTaskOptions {
+  readonly identity: Identity;
+  readonly rights: RightsTask;
+  readonly membership: MembershipView;
+  readonly configuration: ConfigurationView;
+  readonly peers: PeerClients;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly metrics: Metrics;
+  readonly explainer: Explainer;
+  readonly settings: {
+    readonly loanLeaseMs: number;
+    readonly floorFraction: number;
+    /** How long a peer's answer may take beyond the time a charge may wait. */
+    readonly chargeTimeoutMs: number;
+  };
+}
+
+/** The calls of other daemons that this task answers. */
+export type LimitsHandlers = Pick<
+  PeerHandlers,
+  "charge" | "borrow" | "handover"
+>;
+
+/** The largest value that the peer protocol carries. */
+const MAX_RESET_MS = 0xffffffff;
+
+const NOT_READY: ChargeResult = {
+  granted: false,
+  code: "not_ready",
+  retryAfterMs: 1000,
+  limitTokens: 0,
+  remainingTokens: 0,
+  resetMs: 0,
+};
+
+/** The task; make it with {@link createLimitsTask}. */
+export class LimitsTask implements Charger {
+  readonly #options: LimitsTaskOptions;
+  readonly #holder: LocalHolder;
+  readonly #peerCharges: PeerCharges;
+  readonly handlers: LimitsHandlers;
+
+  constructor(options: LimitsTaskOptions) {
+    this.#options = options;
+    const loans = new LoanRequests({
+      ...options,
+      apply: (entry, event) => this.#holder.apply(entry, event),
+    });
+    this.#holder = new LocalHolder({
+      ...options,
+      lending: options.settings,
+      borrow: (entry, effect) => void loans.borrow(entry, effect),
+    });
+    this.#peerCharges = new PeerCharges({
+      ...options,
+      chargeTimeoutMs: options.settings.chargeTimeoutMs,
+      chargeHere: (input) => this.#chargeHere(input),
+    });
+    options.rights.setReleaser({
+      prepare: (groups) => this.#holder.drain(groups),
+      resume: (groups) => this.#holder.resume(groups),
+    });
+    this.handlers = this.#createHandlers();
+  }
+
+  /** Starts the timers. */
+  start(): void {
+    this.#holder.start();
+  }
+
+  stop(): void {
+    this.#holder.stop();
+  }
+
+  /**
+   * Charges a team. Waits for tokens until the deadline; a refusal's
+   * `retryAfterMs` is when the same charge would be granted if nothing else
+   * were asked.
+   *
+   * @example
+   * ```ts
+   * const result = await limits.charge({
+   *   team,
+   *   costTokens: 300,
+   *   requestId,
+   *   deadlineElapsedMs: clock.elapsedMs() + 10_000,
+   * });
+   * if (!result.granted) throw fail(result.code ?? "rate_limited", "...");
+   * ```
+   */
+  charge(input: ChargeInput): Promise<ChargeResult> {
+    const { rights, configuration } = this.#options;
+    const isKnown = configuration.team(input.team) !== undefined;
+    if (!isKnown || !rights.isReady()) {
+      return Promise.resolve(this.#note(input, NOT_READY));
+    }
+    const here = this.#chargeHere(input);
+    if (here !== undefined) {
+      return here.then((result) => result ?? this.#chargeAtPeers(input));
+    }
+    return this.#chargeAtPeers(input);
+  }
+
+  /**
+   * Ends lending and waits until no loan of this VM is out. With `release` the
+   * groups are also given up; use that only when this VM will not come back
+   * under its id, because a restarted VM takes its groups up again at once.
+   */
+  async drain(options: { readonly release: boolean }): Promise<void> {
+    await this.#holder.drain();
+    if (options.release) await this.#options.rights.releaseAll();
+  }
+
+  /** Teams with a state on this VM, for metrics and status. */
+  teamCount(): number {
+    return this.#holder.teamCount;
+  }
+
+  #chargeHere(
+    input: ChargeInput,
+  ): Promise<ChargeResult | undefined> | undefined {
+    const entry = this.#holder.entry(input.team);
+    if (entry === undefined) return undefined;
+    const { clock } = this.#options;
+    const waitMs = input.deadlineElapsedMs - clock.elapsedMs();
+    const outcome = this.#holder.charge(entry, {
+      costTokens: input.costTokens,
+      waitMs,
+    });
+    if (!(outcome instanceof Promise)) {
+      return Promise.resolve(this.#finish(input, entry, outcome));
+    }
+    this.#options.metrics.increment("limits.waits");
+    return outcome.then((settled) => this.#finish(input, entry, settled));
+  }
+
+  async #chargeAtPeers(input: ChargeInput): Promise<ChargeResult> {
+    const group = groupOfTeam(input.team);
+    const result = await this.#peerCharges.charge(input, group);
+    return this.#note(input, this.#withLimit(input.team, result));
+  }
+
+  #withLimit(team: TeamId, result: ChargeResult): ChargeResult {
+    if (result.limitTokens > 0) return result;
+    const limits = this.#options.configuration.team(team)?.limits;
+    return { ...result, limitTokens: limits?.burstTokens ?? 0 };
+  }
+
+  #finish(
+    input: ChargeInput,
+    entry: TeamEntry,
+    outcome: LocalOutcome,
+  ): ChargeResult | undefined {
+    const result = toResult(entry, outcome);
+    return result === undefined ? undefined : this.#note(input, result);
+  }
+
+  #note(input: ChargeInput, result: ChargeResult): ChargeResult {
+    const outcome = result.granted ? "granted" : result.code ?? "rate_limited";
+    this.#options.metrics.increment("limits.charges", { outcome });
+    this.#options.explainer.record(input.requestId, {
+      step: "charge",
+      known: {
+        costTokens: input.costTokens,
+        remainingTokens: result.remainingTokens,
+      },
+      chosen: { outcome, retryAfterMs: result.retryAfterMs },
+    });
+    return result;
+  }
+
+  #createHandlers(): LimitsHandlers {
+    return {
+      charge: (request, context) =>
+        this.#answerCharge({
+          team: brandId<TeamId>(request.team),
+          costTokens: Number(request.costTokens),
+          waitMs: request.waitMs,
+          requestId: brandId<RequestId>(request.requestId),
+          signal: context.signal,
+        }),
+      borrow: (request) => {
+        const entry = this.#holder.entry(brandId<TeamId>(request.team));
+        if (entry === undefined) return { notHolder: true };
+        return this.#answerBorrow(entry, {
+          borrower: request.borrowerVmId,
+          wantTokens: Number(request.wantTokens),
+          want: {
+            rateMilli: Math.round(request.wantRateTokensPerSecond * 1000),
+            capacityTokens: Number(request.wantCapacityTokens),
+          },
+        });
+      },
+      handover: (request) => {
+        const groups = request.groups.map((group) => group as TeamGroup);
+        const to = brandId<VmId>(request.toVmId);
+        const acceptedGroups = this.#options.rights
+          .acceptHandover(groups, to);
+        return { acceptedGroups: [...acceptedGroups] };
+      },
+    };
+  }
+
+  async #answerCharge(request: {
+    readonly team: TeamId;
+    readonly costTokens: number;
+    readonly waitMs: number;
+    readonly requestId: RequestId;
+    readonly signal: AbortSignal;
+  }) {
+    const entry = this.#holder.entry(request.team);
+    if (entry === undefined) return { notHolder: true };
+    const outcome = await this.#holder.charge(entry, request);
+    const result = toResult(entry, outcome);
+    if (result === undefined) return { notHolder: true };
+    return {
+      granted: result.granted,
+      code: result.code ?? "",
+      retryAfterMs: Math.ceil(result.retryAfterMs ?? 0),
+      limitTokens: BigInt(result.limitTokens),
+      remainingTokens: BigInt(result.remainingTokens),
+      resetMs: result.resetMs,
+    };
+  }
+
+  #answerBorrow(
+    entry: TeamEntry,
+    request: {
+      readonly borrower: string;
+      readonly wantTokens: number;
+      readonly want: {
+        readonly rateMilli: number;
+        readonly capacityTokens: number;
+      };
+    },
+  ) {
+    const lent = this.#holder.apply(entry, {
+      kind: "borrow_requested",
+      ...request,
+    });
+    if (lent === undefined) return { notHolder: true };
+    return {
+      tokens: BigInt(lent.tokens),
+      rateTokensPerSecond: lent.loan.rateMilli / 1000,
+      capacityTokens: BigInt(lent.loan.capacityTokens),
+      leaseMs: lent.leaseMs,
+    };
+  }
+}
+
+/** The numbers that go into rate-limit headers, and the outcome. */
+function toResult(
+  entry: TeamEntry,
+  outcome: LocalOutcome,
+): ChargeResult | undefined {
+  if (outcome.kind === "not_holder") return undefined;
+  const { limit, share } = entry.state.terms;
+  const remainingTokens = levelTokens(entry.state);
+  const missing = Math.max(0, share.capacityTokens - remainingTokens);
+  const resetMs = share.rateMilli === 0
+    ? 0
+    : Math.ceil(missing * 1_000_000 / share.rateMilli);
+  const numbers = {
+    limitTokens: limit.capacityTokens,
+    remainingTokens,
+    resetMs: Math.min(resetMs, MAX_RESET_MS),
+  };
+  if (outcome.kind === "granted") return { granted: true, ...numbers };
+  const { code, retryAfterMs } = outcome;
+  return { granted: false, code, retryAfterMs, ...numbers };
+}
+
+/** Makes the task. */
+export function createLimitsTask(options: LimitsTaskOptions): LimitsTask {
+  return new LimitsTask(options);
+}
--- /dev/null
+++ b/packages/router/src/limits/loan_requests.ts
@@ -0,0 +1,83 @@
+/**
+ * Asks other domains' holders for loans.
+ *
+ * @module
+ */
+
+import type { LimitsEvent } from "@endivebend/limits";
+import type { PeerClients } from "@endivebend/peers";
+import { brandId, type FailureDomainId } from "@endivebend/types";
+import type { Clock, Identity, MembershipView, Metrics } from "../ports.ts";
+import type { BorrowEffect, TeamEntry } from "./local_holder.ts";
+import type { RightsView } from "./rights_task.ts";
+import { steadyNowMs } from "./steady.ts";
+
+/** A lender that takes longer is not waited for. */
+const BORROW_TIMEOUT_MS = 400;
+
+/** Settings and neighbours. */
+export interface LoanRequestsOptions {
+  readonly identity: Identity;
+  readonly rights: RightsView;
+  readonly membership: MembershipView;
+  readonly peers: PeerClients;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly apply: (entry: TeamEntry, event: LimitsEvent) => void;
+}
+
+/** Sends the requests and turns answers into events. */
+export class LoanRequests {
+  readonly #options: LoanRequestsOptions;
+
+  constructor(options: LoanRequestsOptions) {
+    this.#options = options;
+  }
+
+  /** Ends with exactly one loan event for the entry. */
+  async borrow(entry: TeamEntry, effect: BorrowEffect): Promise<void> {
+    const event = await this.#ask(entry, effect).catch(() => undefined);
+    this.#options.metrics.increment("limits.borrows", {
+      result: event === undefined ? "failed" : "answered",
+    });
+    const failed = { kind: "loan_failed", lender: effect.lender } as const;
+    this.#options.apply(entry, event ?? failed);
+  }
+
+  async #ask(
+    entry: TeamEntry,
+    effect: BorrowEffect,
+  ): Promise<LimitsEvent | undefined> {
+    const address = this.#addressOf(entry, effect.lender);
+    // Always after the caller's step, which must end before the next event.
+    await Promise.resolve();
+    if (address === undefined) return undefined;
+    const requestedAtMs = steadyNowMs(this.#options.clock);
+    const answer = await this.#options.peers.at(address).borrow({
+      team: entry.team,
+      borrowerVmId: this.#options.identity.vmId,
+      wantTokens: BigInt(effect.wantTokens),
+      wantRateTokensPerSecond: effect.want.rateMilli / 1000,
+      wantCapacityTokens: BigInt(effect.want.capacityTokens),
+    }, { timeoutMs: BORROW_TIMEOUT_MS });
+    if (answer.notHolder) return undefined;
+    return {
+      kind: "loan_received",
+      lender: effect.lender,
+      loan: {
+        rateMilli: Math.round(answer.rateTokensPerSecond * 1000),
+        capacityTokens: Number(answer.capacityTokens),
+      },
+      tokens: Number(answer.tokens),
+      leaseMs: answer.leaseMs,
+      requestedAtMs,
+    };
+  }
+
+  #addressOf(entry: TeamEntry, lender: string): string | undefined {
+    const domain = brandId<FailureDomainId>(lender);
+    const vmId = this.#options.rights.holder(domain, entry.group);
+    if (vmId === undefined) return undefined;
+    return this.#options.membership.entryVm(vmId)?.address;
+  }
+}
--- /dev/null
+++ b/packages/router/src/limits/local_holder.ts
@@ -0,0 +1,358 @@
+/**
+ * The teams of the groups that this VM holds: their states, timers and
+ * waiting charges.
+ *
+ * @module
+ */
+
+import {
+  createTeamState,
+  hasNothingLent,
+  isIdle,
+  type LimitsEffect,
+  type LimitsEvent,
+  nextWakeMs,
+  step,
+  type TeamState,
+} from "@endivebend/limits";
+import { groupOfTeam } from "@endivebend/rights";
+import type { TeamGroup, TeamId } from "@endivebend/types";
+import type {
+  Clock,
+  ConfigurationView,
+  Identity,
+  Metrics,
+  Scheduler,
+} from "../ports.ts";
+import type { RightsView } from "./rights_task.ts";
+import { missedTimeMs, steadyNowMs } from "./steady.ts";
+import { computeTerms, type LendingSettings } from "./terms.ts";
+
+const SWEEP_INTERVAL_MS = 5000;
+/** Longer than the set-off between two clock readings. */
+const MISSED_TIME_MS = 2;
+const MAX_TIMER_MS = 60_000;
+
+/** How a charge at the holder ended. */
+export type LocalOutcome =
+  | { readonly kind: "granted" }
+  | {
+    readonly kind: "refused";
+    readonly code: "rate_limited" | "cost_exceeds_burst";
+    readonly retryAfterMs: number;
+  }
+  /** The group went to another VM while the charge waited. */
+  | { readonly kind: "not_holder" };
+
+/** One team at this holder. */
+export interface TeamEntry {
+  readonly team: TeamId;
+  readonly group: TeamGroup;
+  readonly state: TeamState;
+  readonly resolvers: Map<string, (outcome: LocalOutcome) => void>;
+  termsVersion: number;
+  wakeAtMs: number;
+  cancelWake: () => void;
+}
+
+/** A loan to ask for. */
+export type BorrowEffect = Extract<LimitsEffect, { kind: "borrow" }>;
+/** A loan that was decided on. */
+export type LentEffect = Extract<LimitsEffect, { kind: "lent" }>;
+
+/** Settings and neighbours. */
+export interface LocalHolderOptions {
+  readonly identity: Identity;
+  readonly rights: RightsView;
+  readonly configuration: ConfigurationView;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly metrics: Metrics;
+  readonly lending: LendingSettings;
+  /** Asks another domain's holder; ends with a loan event for the entry. */
+  readonly borrow: (entry: TeamEntry, effect: BorrowEffect) => void;
+}
+
+const GRANTED: LocalOutcome = { kind: "granted" };
+
+/** The holder's side of the limits. */
+export class LocalHolder {
+  readonly #options: LocalHolderOptions;
+  readonly #entries = new Map<TeamId, TeamEntry>();
+  readonly #drainingGroups = new Set<TeamGroup>();
+  #isDraining = false;
+  #configurationVersion = 0;
+  #rightsVersion = -1;
+  #chargeCount = 0;
+  #missedMs: number;
+  #stopped = false;
+
+  constructor(options: LocalHolderOptions) {
+    this.#options = options;
+    this.#missedMs = missedTimeMs(options.clock);
+    options.configuration.onChange(() => this.#configurationVersion++);
+    options.rights.onChange(() => this.#noteRights());
+  }
+
+  /** Starts dropping the states of idle teams. */
+  start(): void {
+    this.#options.scheduler.after(SWEEP_INTERVAL_MS, () => {
+      if (this.#stopped) return;
+      this.#sweep();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    for (const entry of this.#entries.values()) this.#drop(entry);
+  }
+
+  /** How many teams have a state here. */
+  get teamCount(): number {
+    return this.#entries.size;
+  }
+
+  /** The team's state, made on first use; undefined when not held here. */
+  entry(team: TeamId): TeamEntry | undefined {
+    const known = this.#entries.get(team);
+    const group = known?.group ?? groupOfTeam(team);
+    const start = this.#options.rights.holding(group);
+    if (start === undefined) return undefined;
+    if (known !== undefined) return this.#refreshed(known);
+    const terms = this.#terms(team, group);
+    if (terms === undefined) return undefined;
+    const entry: TeamEntry = {
+      team,
+      group,
+      state: createTeamState(terms, start),
+      resolvers: new Map(),
+      termsVersion: this.#configurationVersion,
+      wakeAtMs: Infinity,
+      cancelWake: () => {},
+    };
+    this.#entries.set(team, entry);
+    if (this.#isDraining || this.#drainingGroups.has(group)) {
+      entry.state.draining = true;
+    }
+    return entry;
+  }
+
+  /** Charges; the outcome is there at once or when the charge has waited. */
+  charge(
+    entry: TeamEntry,
+    input: {
+      readonly costTokens: number;
+      readonly waitMs: number;
+      readonly signal?: AbortSignal;
+    },
+  ): LocalOutcome | Promise<LocalOutcome> {
+    const nowMs = this.#nowMs();
+    const id = String(this.#chargeCount++);
+    const effects = step(entry.state, {
+      kind: "charge",
+      id,
+      costTokens: input.costTokens,
+      deadlineMs: nowMs + Math.floor(input.waitMs),
+    }, nowMs);
+    const outcome = takeOutcome(effects, id);
+    if (outcome !== undefined) {
+      this.#perform(entry, effects, nowMs);
+      return outcome;
+    }
+    return new Promise((resolve) => {
+      entry.resolvers.set(id, resolve);
+      this.#perform(entry, effects, nowMs);
+      input.signal?.addEventListener("abort", () => {
+        if (!entry.resolvers.delete(id)) return;
+        this.apply(entry, { kind: "charge_cancelled", id });
+      }, { once: true });
+    });
+  }
+
+  /** Applies an event that is no charge; gives the loan when one was decided. */
+  apply(entry: TeamEntry, event: LimitsEvent): LentEffect | undefined {
+    if (this.#entries.get(entry.team) !== entry) return undefined;
+    const nowMs = this.#nowMs();
+    const effects = step(entry.state, event, nowMs);
+    this.#perform(entry, effects, nowMs);
+    return effects.find((effect) => effect.kind === "lent");
+  }
+
+  /** Lends nothing from now on; resolves when nothing is lent. */
+  async drain(groups?: readonly TeamGroup[]): Promise<void> {
+    if (groups === undefined) this.#isDraining = true;
+    for (const group of groups ?? []) this.#drainingGroups.add(group);
+    const isMeant = (entry: TeamEntry) =>
+      groups === undefined || groups.includes(entry.group);
+    for (const entry of [...this.#entries.values()].filter(isMeant)) {
+      this.apply(entry, { kind: "drain_started" });
+    }
+    // A team without a state has lent nothing since this VM got the group,
+    // but a previous holder may have: its loans end with the quarantine.
+    await this.#untilMs(this.#quarantineEndMs(groups));
+    const lending = () =>
+      [...this.#entries.values()].filter((entry) =>
+        isMeant(entry) && !hasNothingLent(entry.state, this.#nowMs())
+      );
+    for (let left = lending(); left.length > 0; left = lending()) {
+      await this.#untilMs(Math.min(...left.map(lastLoanEndMs)));
+    }
+  }
+
+  /** Takes back a drain of groups. */
+  resume(groups: readonly TeamGroup[]): void {
+    for (const group of groups) this.#drainingGroups.delete(group);
+    for (const entry of this.#entries.values()) {
+      if (!groups.includes(entry.group) || this.#isDraining) continue;
+      this.apply(entry, { kind: "drain_ended" });
+    }
+  }
+
+  #quarantineEndMs(groups: readonly TeamGroup[] | undefined): number {
+    const { rights } = this.#options;
+    const meant = groups ?? rights.heldGroups();
+    return Math.max(
+      0,
+      ...meant.map((group) => rights.holding(group)?.quarantineUntilMs ?? 0),
+    );
+  }
+
+  #untilMs(moment: number): Promise<void> {
+    const delayMs = moment - this.#nowMs();
+    if (delayMs <= 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#options.scheduler.after(delayMs, resolve);
+    });
+  }
+
+  #nowMs(): number {
+    const { clock } = this.#options;
+    const missedMs = missedTimeMs(clock);
+    const jumpMs = missedMs - this.#missedMs;
+    if (jumpMs >= MISSED_TIME_MS) {
+      this.#missedMs = missedMs;
+      this.#noteMissedTime(jumpMs, steadyNowMs(clock));
+    }
+    return steadyNowMs(clock);
+  }
+
+  /** Ends borrowed time by what a suspension took, before anything is spent. */
+  #noteMissedTime(missedMs: number, nowMs: number): void {
+    for (const entry of this.#entries.values()) {
+      if (entry.state.loansIn.length === 0) continue;
+      // One millisecond more, because both readings were rounded down.
+      const event = { kind: "time_missed", missedMs: missedMs + 1 } as const;
+      this.#perform(entry, step(entry.state, event, nowMs), nowMs);
+    }
+  }
+
+  #terms(team: TeamId, group: TeamGroup) {
+    const view = this.#options.configuration.team(team);
+    if (view === undefined) return undefined;
+    return computeTerms(view.limits, {
+      rights: this.#options.rights,
+      domain: this.#options.identity.failureDomain,
+      group,
+      lending: this.#options.lending,
+    });
+  }
+
+  #refreshed(entry: TeamEntry): TeamEntry | undefined {
+    if (entry.termsVersion === this.#configurationVersion) return entry;
+    return this.#renewTerms(entry);
+  }
+
+  #renewTerms(entry: TeamEntry): TeamEntry | undefined {
+    const terms = this.#terms(entry.team, entry.group);
+    if (terms === undefined) {
+      this.#drop(entry);
+      return undefined;
+    }
+    entry.termsVersion = this.#configurationVersion;
+    this.apply(entry, { kind: "terms_changed", terms });
+    return entry;
+  }
+
+  /** Shares must change at once on a change of the domains, not on next use. */
+  #noteRights(): void {
+    const { rights } = this.#options;
+    const version = rights.version();
+    const isNewState = version !== this.#rightsVersion;
+    this.#rightsVersion = version;
+    for (const entry of [...this.#entries.values()]) {
+      if (rights.holding(entry.group) === undefined) this.#drop(entry);
+      else if (isNewState) this.#renewTerms(entry);
+    }
+  }
+
+  #drop(entry: TeamEntry): void {
+    entry.cancelWake();
+    this.#entries.delete(entry.team);
+    for (const resolve of entry.resolvers.values()) {
+      resolve({ kind: "not_holder" });
+    }
+    entry.resolvers.clear();
+  }
+
+  #perform(
+    entry: TeamEntry,
+    effects: readonly LimitsEffect[],
+    nowMs: number,
+  ): void {
+    for (const effect of effects) {
+      if (effect.kind === "borrow") this.#options.borrow(entry, effect);
+      else if (effect.kind !== "lent") settle(entry, effect);
+    }
+    this.#armWake(entry, nowMs);
+  }
+
+  #armWake(entry: TeamEntry, nowMs: number): void {
+    const wakeAtMs = nextWakeMs(entry.state, nowMs);
+    if (wakeAtMs >= entry.wakeAtMs || wakeAtMs === Infinity) return;
+    entry.cancelWake();
+    entry.wakeAtMs = wakeAtMs;
+    const delayMs = Math.min(wakeAtMs - nowMs, MAX_TIMER_MS);
+    entry.cancelWake = this.#options.scheduler.after(delayMs, () => {
+      entry.wakeAtMs = Infinity;
+      this.apply(entry, { kind: "wake" });
+    });
+  }
+
+  #sweep(): void {
+    const nowMs = this.#nowMs();
+    for (const entry of [...this.#entries.values()]) {
+      if (isIdle(entry.state, nowMs)) this.#drop(entry);
+    }
+    this.#options.metrics.gauge("limits.teams_with_state", this.teamCount);
+  }
+}
+
+function lastLoanEndMs(entry: TeamEntry): number {
+  return Math.max(...entry.state.loansOut.map((loan) => loan.untilMs));
+}
+
+function toOutcome(effect: LimitsEffect): LocalOutcome | undefined {
+  if (effect.kind === "granted") return GRANTED;
+  if (effect.kind !== "refused") return undefined;
+  const { code, retryAfterMs } = effect;
+  return { kind: "refused", code, retryAfterMs };
+}
+
+function takeOutcome(
+  effects: readonly LimitsEffect[],
+  id: string,
+): LocalOutcome | undefined {
+  for (const effect of effects) {
+    if ("id" in effect && effect.id === id) return toOutcome(effect);
+  }
+  return undefined;
+}
+
+function settle(entry: TeamEntry, effect: LimitsEffect): void {
+  const outcome = toOutcome(effect);
+  if (outcome === undefined || !("id" in effect)) return;
+  const resolve = entry.resolvers.get(effect.id);
+  entry.resolvers.delete(effect.id);
+  resolve?.(outcome);
+}
--- /dev/null
+++ b/packages/router/src/limits/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * The fleet-wide rate and burst limits of the daemon.
+ *
+ * @module
+ */
+
+export { createLimitsTask } from "./limits_task.ts";
+export type {
+  LimitsHandlers,
+  LimitsTask,
+  LimitsTaskOptions,
+} from "./limits_task.ts";
+export { RightsFold } from "./rights_fold.ts";
+export { createRightsTask } from "./rights_task.ts";
+export type {
+  RightsTask,
+  RightsTaskOptions,
+  RightsView,
+} from "./rights_task.ts";
--- /dev/null
+++ b/packages/router/src/limits/rights_fold.ts
@@ -0,0 +1,98 @@
+/**
+ * Feeds the `rights` stream to the fold, and copes with a stream whose
+ * beginning the log no longer holds.
+ *
+ * @module
+ */
+
+import {
+  applyRightsRecord,
+  createRightsState,
+  decodeRightsState,
+  encodeRightsState,
+  type HolderChange,
+  rebuildFromSnapshot,
+  type RightsState,
+} from "@endivebend/rights";
+import { brandId, type LogOffset, type LogRecord } from "@endivebend/types";
+import type { StreamFold } from "../ports.ts";
+
+/** Called with the changes of one record; none when the state was replaced. */
+export type RightsListener = (changes: readonly HolderChange[]) => void;
+
+/**
+ * The folded rights of this VM.
+ *
+ * @example
+ * ```ts
+ * const fold = new RightsFold();
+ * const stream = new LogFollower({ stream: "rights", fold, ...rest });
+ * const rights = createRightsTask({ fold, stream, ...others });
+ * ```
+ */
+export class RightsFold implements StreamFold {
+  #state = createRightsState();
+  /** Records since a gap; undefined while the state is complete. */
+  #sinceGap: LogRecord[] | undefined;
+  #version = 0;
+  #listener: RightsListener = () => {};
+
+  /** The state; empty while {@link isComplete} is false. */
+  get state(): RightsState {
+    return this.#state;
+  }
+
+  /** Counts the applied records and replaced states. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** False after a gap, until a snapshot that covers it was read. */
+  isComplete(): boolean {
+    return this.#sinceGap === undefined;
+  }
+
+  /** Sets the one listener. */
+  listen(listener: RightsListener): void {
+    this.#listener = listener;
+  }
+
+  apply(record: LogRecord): void {
+    if (this.#sinceGap !== undefined) return this.#applySinceGap(record);
+    const changes = applyRightsRecord(this.#state, record);
+    this.#version++;
+    this.#listener(changes);
+  }
+
+  snapshot(): { readonly json: string; readonly offset: LogOffset } {
+    const offset = brandId<LogOffset>(this.#state.nextOffset - 1);
+    return { json: encodeRightsState(this.#state), offset };
+  }
+
+  restore(json: string, _offset: LogOffset): void {
+    this.#replace(decodeRightsState(json));
+  }
+
+  onGap(_firstOffset: LogOffset): void {
+    this.#sinceGap = [];
+    this.#replaceState(createRightsState());
+  }
+
+  #applySinceGap(record: LogRecord): void {
+    const records = this.#sinceGap ?? [];
+    records.push(record);
+    const rebuilt = rebuildFromSnapshot(records);
+    if (rebuilt !== undefined) this.#replace(rebuilt);
+  }
+
+  #replace(state: RightsState): void {
+    this.#sinceGap = undefined;
+    this.#replaceState(state);
+  }
+
+  #replaceState(state: RightsState): void {
+    this.#state = state;
+    this.#version++;
+    this.#listener([]);
+  }
+}
--- /dev/null
+++ b/packages/router/src/limits/rights_upkeep.ts
@@ -0,0 +1,133 @@
+/**
+ * Chooses the next record that this VM should append to the `rights` stream.
+ *
+ * @module
+ */
+
+import {
+  currentSplit,
+  encodeGroups,
+  encodeRightsState,
+  planClaims,
+  planEnded,
+  type PlanInput,
+  type RightsState,
+  shouldWriteSnapshot,
+} from "@endivebend/rights";
+import { lenderWaitMs } from "@endivebend/limits";
+import type { FailureDomainId, VmId } from "@endivebend/types";
+import type { Identity } from "../ports.ts";
+import { mustConfirm } from "./holdings.ts";
+
+const DEFAULT_SNAPSHOT_EVERY_MS = 6 * 3_600_000;
+
+/** A record without its id. */
+export interface UpkeepRecord {
+  readonly kind: string;
+  readonly [field: string]: unknown;
+}
+
+/** What the choice depends on. */
+export interface UpkeepInput extends PlanInput {
+  readonly self: Identity;
+  readonly isDraining: boolean;
+  readonly proposedDomains: readonly FailureDomainId[];
+  readonly hasEnded: (vmId: VmId, sinceWallMs: number) => boolean;
+  readonly nowWallMs: number;
+  readonly nowMs: number;
+  /** When this VM applied the newest split. */
+  readonly appliedSplitMs: number;
+  readonly loanLeaseMs: number;
+  readonly snapshotEveryMs: number | undefined;
+}
+
+type Choice = (
+  state: RightsState,
+  input: UpkeepInput,
+) => UpkeepRecord | undefined;
+
+function proposeDomains(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  if (currentSplit(state) !== undefined) return undefined;
+  return {
+    kind: "domains_set",
+    domains: input.proposedDomains,
+    amendsRevision: 0,
+  };
+}
+
+function confirmDomains(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  if (!mustConfirm(state, input.self)) return undefined;
+  // Loans given under the old split must have ended.
+  const readyMs = input.appliedSplitMs + lenderWaitMs(input.loanLeaseMs);
+  if (input.nowMs < readyMs) return undefined;
+  return {
+    kind: "domains_confirmed",
+    vmId: input.self.vmId,
+    revision: currentSplit(state)?.revision ?? 0,
+  };
+}
+
+function claimGroups(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  if (input.isDraining) return undefined;
+  const groups = planClaims(state, input);
+  if (groups.length === 0) return undefined;
+  return {
+    kind: "claimed",
+    vmId: input.self.vmId,
+    incarnation: input.self.incarnation,
+    failureDomain: input.self.failureDomain,
+    groups: encodeGroups(groups),
+    revision: currentSplit(state)?.revision ?? 0,
+  };
+}
+
+function declareEnded(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  const [ended] = planEnded(state, input);
+  return ended === undefined ? undefined : { kind: "vm_ended", ...ended };
+}
+
+function writeSnapshot(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  const everyMs = input.snapshotEveryMs ?? DEFAULT_SNAPSHOT_EVERY_MS;
+  if (!shouldWriteSnapshot(state, { ...input, everyMs })) return undefined;
+  return {
+    kind: "snapshot",
+    asOfOffset: state.nextOffset,
+    stateJson: encodeRightsState(state),
+  };
+}
+
+/** In the order of urgency. */
+const CHOICES: readonly Choice[] = [
+  proposeDomains,
+  confirmDomains,
+  claimGroups,
+  declareEnded,
+  writeSnapshot,
+];
+
+/** The next record; undefined when nothing is due. */
+export function planUpkeep(
+  state: RightsState,
+  input: UpkeepInput,
+): UpkeepRecord | undefined {
+  for (const choose of CHOICES) {
+    const record = choose(state, input);
+    if (record !== undefined) return record;
+  }
+  return undefined;
+}
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -29,6 +29,11 @@
   wallMs(): number;
   /** Monotonic milliseconds since an arbitrary start, sleep included. */
   elapsedMs(): number;
+  /**
+   * Monotonic milliseconds that no step of the wall clock moves forward; sleep
+   * may be missing. Tokens accrue by it. Defaults to `elapsedMs`.
+   */
+  steadyMs?(): number;
 }
 
 /** Timers, injected so that tests use virtual time. */
@@ -94,7 +99,9 @@
   /** Applies one record; called in offset order, each offset once. */
   apply(record: LogRecord): void;
   /** A snapshot for a peer, when this fold supports one. */
-  snapshot?(): { readonly json: string; readonly offset: LogOffset };
+  snapshot?():
+    | { readonly json: string; readonly offset: LogOffset }
+    | undefined;
   /** Replaces the state; called only with an offset ahead of the state's. */
   restore?(json: string, offset: LogOffset): void;
   /** Called when the log no longer holds records between the state and its start. */
