Add the endivebend command

Operators need to change and read the configuration from a shell and from scripts. Exit codes tell a refusal from an unreachable daemon and from an unknown outcome. The client chooses each change's record id, so that a broken connection can be settled by repeating the command with it.

The serve command needs serveDaemon of the router, which does not exist yet, and was not run.

--- /dev/null
+++ b/packages/cli/src/cli_test.ts
@@ -0,0 +1,227 @@
+import test from "ava";
+import { once } from "node:events";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { PassThrough } from "node:stream";
+import { SETTINGS_EXAMPLE } from "@endivebend/settings";
+import { EXIT_CODES, runCli } from "./mod.ts";
+
+interface Sent {
+  readonly path: string;
+  readonly key: string | undefined;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+type Answer = (response: ServerResponse, sent: Sent) => void;
+
+function reply(status: number, body: unknown): Answer {
+  return (response) => {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+  };
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
+
+/** A daemon's operators' interface that gives one answer. */
+async function startDaemon(answer: Answer) {
+  const calls: Sent[] = [];
+  const server = createServer(async (request, response) => {
+    const text = await readText(request);
+    const sent = {
+      path: request.url ?? "",
+      key: request.headers.authorization,
+      body: text === "" ? {} : JSON.parse(text),
+    };
+    calls.push(sent);
+    answer(response, sent);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const env = {
+    ENDIVEBEND_OPERATOR_ADDRESS: `127.0.0.1:${port}`,
+    ENDIVEBEND_OPERATOR_KEY: "operator-key",
+  };
+  return { calls, env, close: () => server.close() };
+}
+
+async function run(
+  input: readonly string[],
+  env: Readonly<Record<string, string>> = {},
+) {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const exitCode = await runCli(input, { stdout, stderr, env });
+  const read = (stream: PassThrough) => String(stream.read() ?? "");
+  return { exitCode, stdout: read(stdout), stderr: read(stderr) };
+}
+
+async function writeTemporary(text: string) {
+  const directory = await mkdtemp(join(tmpdir(), "endivebend-cli-"));
+  const file = join(directory, "file.jsonc");
+  await writeFile(file, text);
+  const remove = () => rm(directory, { recursive: true });
+  return { file, remove };
+}
+
+// Guards against a command that a reader of the help cannot find or use.
+test("every command and group has help with an example", async (t) => {
+  const overview = await run(["--help"]);
+  t.is(overview.exitCode, EXIT_CODES.ok);
+  const paths = [...overview.stdout.matchAll(/^ {2}endivebend (.+?) {2}/gm)]
+    .map(([, path]) => path!.split(" "));
+  t.is(paths.length, 22);
+  const groups = new Set(
+    paths.filter(({ length }) => length > 1)
+      .map(([group]) => group!),
+  );
+  for (const path of [...paths, ...[...groups].map((group) => [group])]) {
+    const { exitCode, stdout } = await run([...path, "--help"]);
+    t.is(exitCode, EXIT_CODES.ok, path.join(" "));
+    t.regex(stdout, /Examples/, path.join(" "));
+  }
+});
+
+// Guards against wrong usage that a script takes for a refusal.
+test("wrong usage ends with code 2 and names the remedy", async (t) => {
+  const inputs = [
+    [],
+    ["nothing"],
+    ["template"],
+    ["serve"],
+    ["template", "amend", "a", "b", "--revision", "x"],
+    ["team", "list"],
+    ["team", "list", "--operator-address", "localhost:1"],
+    ["settings", "check", "/nonexistent/file"],
+  ];
+  for (const input of inputs) {
+    const { exitCode, stderr } = await run(input);
+    t.is(exitCode, EXIT_CODES.wrongUsage, input.join(" "));
+    t.regex(stderr, /Remedy: /, input.join(" "));
+  }
+});
+
+// Guards against a check that shows one fault at a time, or without its place.
+test("settings check reports every fault with its line", async (t) => {
+  const text = SETTINGS_EXAMPLE.replace('"entry-1"', "7")
+    .replace('"region"', '"regoin"');
+  const { file, remove } = await writeTemporary(text);
+  t.teardown(remove);
+  const { exitCode, stderr } = await run(["settings", "check", file]);
+  t.is(exitCode, EXIT_CODES.wrongUsage);
+  t.regex(stderr, /3:3 vmId: /);
+  t.regex(stderr, /8:5 fleet\.regoin: /);
+});
+
+// Guards against a malformed template that is sent to the daemon.
+test("a template file is checked with line and field before it is sent", async (t) => {
+  const { file, remove } = await writeTemporary(`{
+    // A comment.
+    "parameters": {
+      "tokenRatePerSecond": { "default": 100 },
+      "burstTokens": { "default": 500 },
+    },
+    "services": ["bookings"],
+    "routes": [
+      { "path": "/bookings/", "methods": ["GET"], "service": "bokings", "repeatable": true },
+    ],
+  }`);
+  t.teardown(remove);
+  const daemon = await startDaemon(reply(200, {}));
+  t.teardown(daemon.close);
+  const input = ["template", "publish", "parish", file, "--json"];
+  const { exitCode, stderr } = await run(input, daemon.env);
+  t.is(exitCode, EXIT_CODES.wrongUsage);
+  const { error } = JSON.parse(stderr);
+  t.deepEqual(
+    error.faults.map(({ line, field }: { line: number; field: string }) =>
+      `${line} ${field}`
+    ),
+    ["9 routes[0].path", "9 routes[0].service"],
+  );
+  t.is(daemon.calls.length, 0);
+});
+
+// Guards against a granted key that is not shown, or a key sent in the clear
+// where the caller did not ask for it.
+test("an accepted change prints its result and sends a record id", async (t) => {
+  const daemon = await startDaemon((response, { body: { recordId } }) =>
+    reply(200, {
+      verdict: "accepted",
+      recordId,
+      offset: 7,
+      keyId: "key-1",
+      secret: "ebk_x",
+    })(response, {} as Sent)
+  );
+  t.teardown(daemon.close);
+  const { exitCode, stdout } = await run(["key", "grant", "a"], daemon.env);
+  t.is(exitCode, EXIT_CODES.ok);
+  t.regex(stdout, /key-1 of team a is in force \(offset 7\)/);
+  t.regex(stdout, /ebk_x/);
+  const [sent] = daemon.calls;
+  t.is(sent?.key, "Bearer operator-key");
+  t.like(sent?.body, { kind: "key_granted", team: "a" });
+  t.is(typeof sent?.body.recordId, "string");
+});
+
+// Guards against scripts that go on after a change that is not in force.
+test("each kind of failure has its exit code and remedy", async (t) => {
+  const remedy = "Do this";
+  const refused = { verdict: "refused", field: "team", message: "No", remedy };
+  const error = { message: "Not now", remedy, ran: "not_run" };
+  const cases: readonly (readonly [Answer, number, RegExp])[] = [
+    [reply(409, { ...refused, currentRevision: 3 }), 1, /revision is 3/],
+    [reply(401, { error }), 1, /Do this/],
+    [reply(503, { error }), 1, /Do this/],
+    [reply(500, { error: { ...error, ran: "unknown" } }), 4, /Record id: r-1/],
+    [reply(202, { verdict: "unknown", message: "?", remedy }), 4, /r-1/],
+    [(response) => void response.destroy(), 4, /--record-id r-1/],
+  ];
+  for (const [answer, exitCode, pattern] of cases) {
+    const daemon = await startDaemon(answer);
+    const input = ["team", "remove", "a", "--record-id", "r-1"];
+    const result = await run(input, daemon.env);
+    daemon.close();
+    t.is(result.exitCode, exitCode, result.stderr);
+    t.regex(result.stderr, pattern);
+    t.regex(result.stderr, /Remedy: /);
+  }
+  const gone = await startDaemon(reply(200, {}));
+  gone.close();
+  const result = await run(["team", "remove", "a"], gone.env);
+  t.is(result.exitCode, EXIT_CODES.unreachable);
+});
+
+// Guards against a list that ends after its first page.
+test("lists are read to their last page", async (t) => {
+  const team = (name: string) => ({
+    team: name,
+    template: "parish",
+    limits: { rateTokensPerSecond: 1, burstTokens: 2 },
+    keyCount: 0,
+  });
+  const daemon = await startDaemon((response, sent) => {
+    const isSecond = sent.path.endsWith("?after=a");
+    const page = isSecond
+      ? { teams: [team("b")] }
+      : { teams: [team("a")], next: "a" };
+    reply(200, page)(response, sent);
+  });
+  t.teardown(daemon.close);
+  const { stdout } = await run(["team", "list", "--json"], daemon.env);
+  const { teams } = JSON.parse(stdout);
+  t.deepEqual(teams.map((entry: { team: string }) => entry.team), ["a", "b"]);
+});
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,7 +1,9 @@
 /**
- * The endivebend command.
+ * The `endivebend` command.
  *
  * @module
  */
 
-export {};
+export { runCli } from "./cli.ts";
+export { EXIT_CODES } from "./exit_codes.ts";
+export type { ExitCode } from "./exit_codes.ts";
