faults: add the harness and the table of scenarios

The targets of a failure (nothing doubled, lost, falsely refused, or cut in a planned stop) can only be seen over real processes. Callers' outcomes are compared with the services' own record of what ran.

--- a/packages/faults/src/mod.ts
+++ b/packages/faults/src/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export { SCENARIOS } from "./scenario_table.ts";
+export { runScenario } from "./run_scenario.ts";
+export type { RunOptions, ScenarioResult } from "./run_scenario.ts";
+export type { Check, Scenario, ScenarioContext } from "./scenario.ts";
+export { computeFigures } from "./verdict.ts";
+export type { Evidence, Figures } from "./verdict.ts";
--- a/packages/stand-ins/src/engine/engine.ts
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -142,7 +142,7 @@
     const { model, weightsVersion, cacheBlocks, platformAddress } =
       this.#options;
     return new Incarnation({
-      model: model ?? "chime",
+      model: model ?? "chime-llm",
       weightsVersion: weightsVersion ?? "w1",
       cacheBlocks: cacheBlocks ?? DEFAULT_CACHE_BLOCKS,
       platformAddress,
