Compose the daemon: a request runs end to end

A daemon opens its three listeners, follows the log, swaps views with peers, places prompts and drains without cutting a request.

npx ava packages/router/src/daemon/daemon_test.ts: 8 passed (client library, crash resume, crossed chunks, withdrawn key in a stream, planned stop, no key at backend servers, refusals, leaving engine).

--- a/packages/router/src/callers/context.ts
+++ b/packages/router/src/callers/context.ts
@@ -16,6 +16,7 @@
   Explainer,
   MembershipView,
   Metrics,
+  Scheduler,
   ServiceDispatcher,
 } from "../ports.ts";
 import type { ActiveRequests } from "./active_requests.ts";
@@ -39,6 +40,7 @@
   readonly active: ActiveRequests;
   readonly tracing: Tracing;
   readonly clock: Clock;
+  readonly scheduler: Scheduler;
   readonly metrics: Metrics;
   readonly explainer: Explainer;
   readonly limits: CallerLimits;
--- a/packages/router/src/callers/model_handler.ts
+++ b/packages/router/src/callers/model_handler.ts
@@ -54,7 +54,7 @@
   });
   requireModel(request, caller.team);
   const costTokens = request.promptTokens + request.maxTokens;
-  const { headers, refusal } = await chargeRequest(context.charger, {
+  const { headers, refusal } = await chargeRequest(context, {
     team: caller.team.team,
     costTokens,
     requestId: exchange.requestId,
--- a/packages/router/src/callers/server.ts
+++ b/packages/router/src/callers/server.ts
@@ -11,7 +11,7 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
-import { isEndivebendError } from "@endivebend/errors";
+import { fail, isEndivebendError } from "@endivebend/errors";
 import { brandId, type RequestId } from "@endivebend/types";
 import findMyWay from "find-my-way";
 import { writeJson, writeRefusal } from "../http/respond.ts";
@@ -20,6 +20,8 @@
 import { handleModelRequest } from "./model_handler.ts";
 import { handleServiceCall } from "./service_handler.ts";
 
+const NOT_READY_RETRY_MS = 1000;
+
 type Handler = (
   context: CallerContext,
   exchange: Exchange,
@@ -43,10 +45,22 @@
       handleModelRequest(context, { exchange, shape: "text" }),
   },
   { method: "GET", path: "/v1/models", handle: listModels },
-  { method: "GET", path: "/healthz", handle: answerHealth },
-  { method: "GET", path: "/readyz", handle: answerReadiness },
 ];
 
+/** Paths that answer before the configuration is known. */
+const PROBES: Readonly<Record<string, Handler>> = {
+  "/healthz": answerHealth,
+  "/readyz": answerReadiness,
+};
+
+/** Without a configuration every key would look unknown, which is not true. */
+function requireConfiguration(context: CallerContext): void {
+  if (context.configuration.isReady()) return;
+  throw fail("not_ready", "This VM has no configuration yet", {
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
 function listModels(context: CallerContext, exchange: Exchange): void {
   const { headers } = exchange.request;
   const { team } = authenticate(headers, context.configuration);
@@ -94,11 +108,16 @@
 
 async function serve(
   context: CallerContext,
-  options: { readonly exchange: Exchange; readonly handle: Handler },
+  options: {
+    readonly exchange: Exchange;
+    readonly handle: Handler;
+    readonly isProbe: boolean;
+  },
 ): Promise<void> {
-  const { exchange, handle } = options;
+  const { exchange, handle, isProbe } = options;
   const { requestId, response } = exchange;
   try {
+    if (!isProbe) requireConfiguration(context);
     await handle(context, exchange);
     exchange.hop.end();
   } catch (caught) {
@@ -131,6 +150,8 @@
     const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
     const method = request.method as "GET";
     const found = router.find(method, path)?.store as Handler | undefined;
-    void serve(context, { exchange, handle: found ?? handleServiceCall });
+    const handle = PROBES[path] ?? found ?? handleServiceCall;
+    const isProbe = PROBES[path] !== undefined;
+    void serve(context, { exchange, handle, isProbe });
   };
 }
--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -114,7 +114,7 @@
 ): Promise<Readonly<Record<string, string>> | undefined> {
   const { exchange, route, caller } = options;
   if (caller === undefined) return {};
-  const { headers, refusal } = await chargeRequest(context.charger, {
+  const { headers, refusal } = await chargeRequest(context, {
     team: caller.team.team,
     costTokens: route.costTokens,
     requestId: exchange.requestId,
--- /dev/null
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -0,0 +1,210 @@
+import test from "ava";
+import OpenAI from "openai";
+import { expectedCompletion } from "@endivebend/stand-ins";
+import { TestDeployment, timedKey } from "../testing_deployment.ts";
+
+const PROMPT = "Ring six bells. ".repeat(1200);
+const slowEngine = { decodeMsPerToken: 10 };
+
+function completion(maxTokens: number, stream: boolean) {
+  return {
+    model: "chime-llm",
+    prompt: PROMPT,
+    max_tokens: maxTokens,
+    stream,
+  };
+}
+
+function streamedText(answer: string): string {
+  return answer.split("\n")
+    .filter((line) => line.startsWith("data: {"))
+    .map((line) => JSON.parse(line.slice("data: ".length)))
+    .map((chunk) => chunk.choices?.[0]?.text ?? "")
+    .join("");
+}
+
+function expected(maxTokens: number): string {
+  return expectedCompletion(PROMPT, "chime-llm", "v1", maxTokens);
+}
+
+test("a client library's plain and streamed calls get the whole answer", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam();
+  const baseURL = `http://${deployment.daemons[0]!.addresses.callers}/v1`;
+  const client = new OpenAI({ apiKey: key, baseURL, maxRetries: 0 });
+  const models = await client.models.list();
+  t.deepEqual(models.data.map((model) => model.id), ["chime-llm"]);
+  const plain = await client.chat.completions.create({
+    model: "chime-llm",
+    max_tokens: 5,
+    messages: [{ role: "user", content: "Which bells ring?" }],
+  });
+  const streamed = await client.chat.completions.create({
+    model: "chime-llm",
+    max_tokens: 5,
+    stream: true,
+    messages: [{ role: "user", content: "Which bells ring?" }],
+  });
+  let text = "";
+  for await (const chunk of streamed) {
+    text += chunk.choices[0]?.delta.content ?? "";
+  }
+  const whole = expectedCompletion(
+    "user: Which bells ring?\nassistant:",
+    "chime-llm",
+    "v1",
+    5,
+  );
+  t.is(text, whole);
+  t.is(plain.choices[0]?.message.content, whole);
+  t.is(plain.usage?.completion_tokens, 5);
+  await deployment.close();
+});
+
+test("a crash in mid-stream resumes at another engine without a gap", async (t) => {
+  const deployment = await TestDeployment.start({
+    engines: [slowEngine, slowEngine],
+  });
+  const { key } = await deployment.createTeam();
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(40, true),
+  });
+  const running = await deployment.whenStreaming();
+  await running.control({ crash: { downMs: 60_000 } });
+  const answer = await call;
+  t.is(streamedText(answer.text), expected(40));
+  t.true(answer.text.endsWith("data: [DONE]\n\n"));
+  await deployment.close();
+});
+
+test("crossed, doubled and lost chunks never reach the caller", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [slowEngine] });
+  const { key } = await deployment.createTeam();
+  const calls = [1, 2].map(() =>
+    deployment.call({
+      path: "/v1/completions",
+      key,
+      body: completion(30, true),
+    })
+  );
+  const running = await deployment.whenStreaming();
+  await running.control({ crossAnswers: 2, duplicateChunk: 3, dropChunk: 1 });
+  for (const answer of await Promise.all(calls)) {
+    t.is(streamedText(answer.text), expected(30));
+  }
+  await deployment.close();
+});
+
+test("a withdrawn key ends its running stream with an error, not with its end", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [slowEngine] });
+  const { key, keyId } = await deployment.createTeam();
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(2000, true),
+  });
+  await deployment.whenStreaming();
+  await deployment.change({ kind: "key_withdrawn", keyId });
+  const answer = await call;
+  t.false(answer.text.includes("[DONE]"));
+  t.regex(answer.text, /event: error\ndata: .*"code":"key_withdrawn"/);
+  const next = await deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(1, false),
+  });
+  t.is(next.status, 401);
+  t.is(JSON.parse(next.text).error.ran, "not_run");
+  await deployment.close();
+});
+
+test("a planned stop lets a running stream finish", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [slowEngine] });
+  const { key } = await deployment.createTeam();
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(40, true),
+  });
+  await deployment.whenStreaming();
+  const stopped = deployment.daemons[0]!.drain();
+  t.is(streamedText((await call).text), expected(40));
+  await stopped;
+  await deployment.close();
+});
+
+test("no backend server sees a caller's key", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam();
+  const headers = { "idempotency-key": timedKey(), cookie: `key=${key}` };
+  await deployment.call({
+    path: "/v1/completions",
+    key,
+    headers,
+    body: completion(1, false),
+  });
+  const booking = await deployment.call({
+    path: "/bookings",
+    key,
+    headers,
+    body: { tower: "St Mary" },
+  });
+  t.is(booking.status, 201);
+  const seen = JSON.stringify([
+    await deployment.recordOf(deployment.engines[0]!),
+    deployment.service.seen(),
+    deployment.service.ranCalls(),
+  ]);
+  t.true(seen.includes("St Mary"));
+  t.false(seen.includes(key));
+  await deployment.close();
+});
+
+test("malformed, foreign and oversized requests are refused before they run", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam();
+  const refusals: readonly [object, number, string][] = [
+    [{ key, body: "{" }, 400, "malformed_request"],
+    [{ key, body: { model: "chime-llm" } }, 400, "malformed_request"],
+    [
+      { key, body: { ...completion(1, false), model: "x" } },
+      404,
+      "unknown_model",
+    ],
+    [{ body: completion(1, false) }, 401, "missing_key"],
+    [{ key: "ebk_x", body: completion(1, false) }, 401, "unknown_key"],
+    [{ key, body: completion(1_000_000, false) }, 400, "cost_exceeds_burst"],
+    [{ key, body: "x".repeat(9_000_000) }, 413, "body_too_large"],
+  ];
+  for (const [input, status, code] of refusals) {
+    const answer = await deployment.call({
+      path: "/v1/completions",
+      ...input,
+    });
+    t.is(answer.status, status, code);
+    const { error } = JSON.parse(answer.text);
+    t.is(error.code, code);
+    t.is(error.ran, "not_run");
+    t.truthy(error.remedy);
+  }
+  const open = await deployment.call({ path: "/open/info", method: "GET" });
+  t.is(open.status, 200);
+  await deployment.close();
+});
+
+test("a leaving engine gets no new work", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [{}, {}] });
+  const { key } = await deployment.createTeam();
+  await deployment.engines[0]!.control({ drainingRefusal: true });
+  for (let count = 0; count < 6; count++) {
+    const answer = await deployment.call({
+      path: "/v1/completions",
+      key,
+      body: completion(2, false),
+    });
+    t.is(answer.status, 200);
+  }
+  await deployment.close();
+});
--- /dev/null
+++ b/packages/router/src/daemon/engine_tasks.ts
@@ -0,0 +1,64 @@
+/**
+ * The tasks that place model requests on engines.
+ *
+ * @module
+ */
+
+import { RetryBudget } from "@endivebend/routing";
+import { EngineConnections } from "../engines/attempt_client.ts";
+import { EngineDirectory } from "../engines/engine_directory.ts";
+import { EngineSelector } from "../engines/engine_selector.ts";
+import type { RunContext } from "../engines/model_run.ts";
+import { PrefixTask } from "../engines/prefix_task.ts";
+import { SlotClient } from "../engines/slot_client.ts";
+import { SlotsTask } from "../engines/slots_task.ts";
+import { WatcherTask } from "../engines/watcher_task.ts";
+import type { MembershipTask } from "../membership/membership_task.ts";
+import type { Foundation } from "./foundation.ts";
+
+/** The engine tasks of a daemon. */
+export interface EngineTasks {
+  readonly connections: EngineConnections;
+  readonly directory: EngineDirectory;
+  readonly prefixes: PrefixTask;
+  readonly slots: SlotsTask;
+  readonly watcher: WatcherTask;
+  readonly runs: RunContext;
+}
+
+/** Makes the tasks; the watcher starts later. */
+export function createEngineTasks(
+  foundation: Foundation,
+  options: {
+    readonly membership: MembershipTask;
+    readonly directory: EngineDirectory;
+  },
+): EngineTasks {
+  const { membership, directory } = options;
+  const { settings } = foundation;
+  const entryVms = () => membership.entryVms();
+  const shared = { ...foundation, membership, directory, entryVms };
+  const connections = new EngineConnections();
+  const prefixes = new PrefixTask(shared);
+  const slots = new SlotsTask({
+    ...foundation,
+    takesNewWork: (engine) =>
+      membership.backendServer(engine)?.takesNewWork ?? false,
+  });
+  const watcher = new WatcherTask({ ...shared, prefixes, connections });
+  const runs: RunContext = {
+    ...foundation,
+    selector: new EngineSelector({
+      ...shared,
+      prefixes,
+      saltSecret: settings.peers.sharedKey,
+    }),
+    slots: new SlotClient({ ...shared, slots }),
+    connections,
+    directory,
+    notes: membership,
+    retries: new RetryBudget(),
+    progressTimeoutMs: settings.limits.streamProgressMs,
+  };
+  return { connections, directory, prefixes, slots, watcher, runs };
+}
--- /dev/null
+++ b/packages/router/src/daemon/foundation.ts
@@ -0,0 +1,92 @@
+/**
+ * What all tasks of a daemon share: time, identity, telemetry and clients.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { createPeerClients, type PeerClients } from "@endivebend/peers";
+import {
+  createPlatformClient,
+  type PlatformClient,
+} from "@endivebend/platform-client";
+import type { Settings } from "@endivebend/settings";
+import {
+  createLogger,
+  createMetrics,
+  createTracing,
+  type MetricsSink,
+  type StructuredLogger,
+  type Tracing,
+} from "@endivebend/telemetry";
+import { brandId, type IncarnationId } from "@endivebend/types";
+import { ExplainLog } from "../explain.ts";
+import { readTlsMaterial } from "../http/listener.ts";
+import type { Clock, Identity, Scheduler } from "../ports.ts";
+import { createClock, createScheduler } from "../time.ts";
+
+/** The shared parts of one daemon. */
+export interface Foundation {
+  readonly settings: Settings;
+  readonly identity: Identity;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly logger: StructuredLogger;
+  readonly metrics: MetricsSink;
+  readonly tracing: Tracing;
+  readonly explainer: ExplainLog;
+  readonly platform: PlatformClient;
+  readonly peers: PeerClients;
+}
+
+function peerTls(settings: Settings) {
+  const { tls } = settings.listen.peers;
+  if (tls === undefined) return {};
+  const { cert, key, ca } = readTlsMaterial(tls);
+  return { tls: { cert, key, ca: ca ?? cert } };
+}
+
+function createTelemetry(settings: Settings) {
+  const { vmId, failureDomain, metrics, traces } = settings;
+  const fields = { vmId, failureDomain };
+  return {
+    logger: createLogger({ level: settings.log.level, fields }),
+    metrics: createMetrics({
+      address: metrics?.address,
+      prefix: `${metrics?.prefix ?? "endivebend"}.`,
+      tags: { vm: vmId, domain: failureDomain },
+    }),
+    tracing: createTracing({
+      otlpAddress: traces?.otlpAddress,
+      sampleRatio: traces?.sampleRatio ?? 0,
+      attributes: { "service.instance.id": vmId },
+    }),
+  };
+}
+
+/** Makes the shared parts; nothing is sent before a task uses them. */
+export function createFoundation(settings: Settings): Foundation {
+  const clock = createClock();
+  const { peers, platform, vmId, failureDomain } = settings;
+  return {
+    settings,
+    identity: {
+      vmId,
+      failureDomain,
+      incarnation: brandId<IncarnationId>(randomUUID()),
+    },
+    clock,
+    scheduler: createScheduler(),
+    ...createTelemetry(settings),
+    explainer: new ExplainLog(clock),
+    platform: createPlatformClient({
+      baseUrl: `http://${platform.address}`,
+      timeoutMs: platform.timeoutMs,
+    }),
+    peers: createPeerClients({
+      sharedKey: peers.sharedKey,
+      timeoutMs: peers.timeoutMs,
+      ...peerTls(settings),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/router/src/daemon/streams.ts
@@ -0,0 +1,51 @@
+/**
+ * The followed streams of a daemon.
+ *
+ * @module
+ */
+
+import type { LogStream } from "@endivebend/types";
+import { DeferredFold } from "../log/deferred_fold.ts";
+import { LogFollower } from "../log/follower.ts";
+import type { PeerRecordSource } from "../log/log_client.ts";
+import type { Foundation } from "./foundation.ts";
+
+/** A stream whose fold is attached before it starts. */
+export interface FollowedParts {
+  readonly fold: DeferredFold;
+  readonly follower: LogFollower;
+}
+
+const STREAMS: readonly LogStream[] = [
+  "configuration",
+  "rights",
+  "commitments",
+  "orders",
+];
+
+/** One follower per stream. */
+export type DaemonStreams = Readonly<Record<LogStream, FollowedParts>>;
+
+/** Makes the followers; they read nothing before they are started. */
+export function createStreams(
+  foundation: Foundation,
+  peers: PeerRecordSource,
+): DaemonStreams {
+  const { clock, scheduler, logger, platform, settings } = foundation;
+  const { pollWaitMs } = settings.platform;
+  const parts = STREAMS.map((stream) => {
+    const fold = new DeferredFold();
+    const follower = new LogFollower({
+      stream,
+      fold,
+      log: platform,
+      peers,
+      clock,
+      scheduler,
+      logger,
+      pollWaitMs,
+    });
+    return [stream, { fold, follower }] as const;
+  });
+  return Object.fromEntries(parts) as unknown as DaemonStreams;
+}
--- /dev/null
+++ b/packages/router/src/log/deferred_fold.ts
@@ -0,0 +1,44 @@
+/**
+ * A fold whose task is made after its follower.
+ *
+ * @module
+ */
+
+import type { LogOffset, LogRecord } from "@endivebend/types";
+import type { StreamFold } from "../ports.ts";
+
+/**
+ * Follower and task need each other: the follower feeds the task's fold, and
+ * the task appends through the follower. This stands between until both exist.
+ */
+export class DeferredFold implements StreamFold {
+  #target: StreamFold | undefined;
+
+  /** Sets the fold; call it before the follower starts. */
+  attach(target: StreamFold): void {
+    this.#target = target;
+  }
+
+  apply(record: LogRecord): void {
+    this.#require().apply(record);
+  }
+
+  snapshot():
+    | { readonly json: string; readonly offset: LogOffset }
+    | undefined {
+    return this.#require().snapshot?.();
+  }
+
+  restore(json: string, offset: LogOffset): void {
+    this.#require().restore?.(json, offset);
+  }
+
+  onGap(firstOffset: LogOffset): void {
+    this.#require().onGap?.(firstOffset);
+  }
+
+  #require(): StreamFold {
+    if (this.#target !== undefined) return this.#target;
+    throw new Error("Attach the fold before the follower starts");
+  }
+}
--- a/packages/router/src/log/follower.ts
+++ b/packages/router/src/log/follower.ts
@@ -158,6 +158,7 @@
       await this.#readFromPlatform();
       this.#backoffMs = FIRST_BACKOFF_MS;
     } catch (caught) {
+      if (this.#stopped) return;
       this.#notePlatformSilence(caught);
       await this.#readFromPeers();
       await this.#pause();
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
-export {};
+export { Daemon, serveDaemon, startDaemon } from "./daemon/daemon.ts";
+export type { DaemonAddresses } from "./daemon/daemon.ts";
--- /dev/null
+++ b/packages/router/src/peering/peer_view.ts
@@ -0,0 +1,83 @@
+/**
+ * The view that a daemon gives of itself, and what it takes from others'.
+ *
+ * @module
+ */
+
+import { create } from "@bufbuild/protobuf";
+import { type PeerView, PeerViewSchema } from "@endivebend/peers";
+import {
+  type BackendServerId,
+  brandId,
+  type EngineLoad,
+  type WeightsVersion,
+} from "@endivebend/types";
+import type { EngineDirectory } from "../engines/engine_directory.ts";
+import type { LogFollower } from "../log/follower.ts";
+import type { Clock, Identity } from "../ports.ts";
+
+/** What a view is made of. */
+export interface PeerViewSources {
+  readonly identity: Identity;
+  readonly followers: readonly LogFollower[];
+  readonly directory: EngineDirectory;
+  readonly watchedEngines: () => readonly BackendServerId[];
+  readonly blockedDigests: () => readonly string[];
+  readonly isDraining: () => boolean;
+  readonly clock: Clock;
+}
+
+/** Makes this daemon's view. */
+export function createPeerView(sources: PeerViewSources): PeerView {
+  // A daemon that has not read a stream to its end vouches for nothing of it.
+  const caughtUp = sources.followers.filter((one) => one.isCaughtUp());
+  const silences = sources.followers.map((one) => one.silenceMs());
+  return create(PeerViewSchema, {
+    vmId: sources.identity.vmId,
+    incarnation: sources.identity.incarnation,
+    failureDomain: sources.identity.failureDomain,
+    draining: sources.isDraining(),
+    appliedOffsets: Object.fromEntries(
+      caughtUp.map((one) => [one.stream, BigInt(one.nextOffset())]),
+    ),
+    loads: sources.watchedEngines().flatMap((id) => loadOf(id, sources)),
+    blockedKeyDigests: [...sources.blockedDigests()],
+    platformSilenceMs: BigInt(Math.round(Math.min(...silences))),
+  });
+}
+
+function loadOf(id: BackendServerId, sources: PeerViewSources) {
+  const known = sources.directory.load(id);
+  if (known === undefined) return [];
+  const { load, asOfElapsedMs } = known;
+  const ageMs = sources.clock.elapsedMs() - asOfElapsedMs;
+  return [{
+    backendServerId: load.backendServerId,
+    incarnation: load.incarnation,
+    weightsVersion: load.weightsVersion,
+    runningRequests: load.runningRequests,
+    queuedRequests: load.queuedRequests,
+    queuedTokens: Math.ceil(load.queuedTokens),
+    freeBlocks: load.freeBlocks,
+    ageMs: Math.max(0, Math.round(ageMs)),
+  }];
+}
+
+/** The engine loads of a peer's view, with their age in milliseconds. */
+export function loadsOfView(
+  view: PeerView,
+): readonly { readonly load: EngineLoad; readonly ageMs: number }[] {
+  return view.loads.map((load) => ({
+    ageMs: load.ageMs,
+    load: {
+      backendServerId: brandId<BackendServerId>(load.backendServerId),
+      incarnation: load.incarnation,
+      weightsVersion: brandId<WeightsVersion>(load.weightsVersion),
+      runningRequests: load.runningRequests,
+      queuedRequests: load.queuedRequests,
+      queuedTokens: load.queuedTokens,
+      freeBlocks: load.freeBlocks,
+      asOfMs: 0,
+    },
+  }));
+}
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -238,6 +238,8 @@
   /** Entry VMs that answer, this one included, sorted by id. */
   entryVms(): readonly VmEntry[];
   entryVm(vmId: VmId): VmEntry | undefined;
+  /** Entry VMs that the settings or the list name, this one left out. */
+  knownPeers?(): readonly VmEntry[];
   /** Incarnation that an entry VM last told us. */
   incarnationOf(vmId: VmId): IncarnationId | undefined;
   /**
--- /dev/null
+++ b/packages/router/src/testing_deployment.ts
@@ -0,0 +1,249 @@
+/**
+ * A deployment in one process for tests: a platform, engines, a plain service
+ * and daemons on loopback.
+ *
+ * @module
+ */
+
+import { createHash, randomBytes } from "node:crypto";
+import { parseSettings, type Settings } from "@endivebend/settings";
+import {
+  type EngineOptions,
+  type EngineStandIn,
+  type PlatformStandIn,
+  type ServiceStandIn,
+  startEngine,
+  startPlatform,
+  startService,
+} from "@endivebend/stand-ins";
+import { type Daemon, startDaemon } from "./daemon/daemon.ts";
+
+const OPERATOR_KEY = "test-operator-key";
+const SHARED_KEY = "0123456789abcdef0123456789abcdef";
+
+/** The template that teams of a test deployment follow. */
+export const TEST_TEMPLATE = {
+  parameters: {
+    tokenRatePerSecond: { default: 1_000_000 },
+    burstTokens: { default: 1_000_000 },
+  },
+  services: ["chime-llm", "belfry-app"],
+  models: ["chime-llm"],
+  routes: [
+    {
+      path: "/bookings",
+      methods: ["POST"],
+      service: "belfry-app",
+      repeatable: false,
+    },
+    {
+      path: "/bookings",
+      methods: ["GET"],
+      service: "belfry-app",
+      repeatable: true,
+    },
+    {
+      path: "/open/info",
+      methods: ["GET"],
+      service: "belfry-app",
+      repeatable: true,
+      open: true,
+    },
+  ],
+};
+
+/** An answer that was read whole. */
+export interface ReadAnswer {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly text: string;
+}
+
+/** A caller's request. */
+export interface CallInput {
+  readonly path: string;
+  readonly method?: string;
+  readonly key?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: unknown;
+}
+
+/** A running deployment; close it at the end of the test. */
+export class TestDeployment {
+  readonly platform: PlatformStandIn;
+  readonly engines: EngineStandIn[] = [];
+  readonly service: ServiceStandIn;
+  readonly daemons: Daemon[] = [];
+
+  private constructor(platform: PlatformStandIn, service: ServiceStandIn) {
+    this.platform = platform;
+    this.service = service;
+  }
+
+  static async start(options: {
+    readonly engines?: readonly EngineOptions[];
+    readonly daemons?: number;
+  } = {}): Promise<TestDeployment> {
+    const platform = await startPlatform({});
+    const deployment = new TestDeployment(platform, await startService({}));
+    for (const engine of options.engines ?? [{}]) {
+      deployment.engines.push(
+        await startEngine({
+          model: "chime-llm",
+          weightsVersion: "v1",
+          cacheBlocks: 100,
+          ...engine,
+        }),
+      );
+    }
+    await deployment.publishVms();
+    for (let count = 0; count < (options.daemons ?? 1); count++) {
+      await deployment.addDaemon();
+    }
+    return deployment;
+  }
+
+  /** Publishes the list of backend servers, with the engines' states. */
+  async publishVms(
+    states: Readonly<Record<string, "live" | "leaving">> = {},
+  ): Promise<void> {
+    const engines = this.engines.map(({ address }, index) => ({
+      vmId: `engine-${index + 1}`,
+      role: "engine",
+      state: states[`engine-${index + 1}`] ?? "live",
+      address,
+      failureDomain: "a",
+      service: "chime-llm",
+    }));
+    const service = {
+      vmId: "bookings-1",
+      role: "service",
+      state: "live",
+      address: this.service.address,
+      failureDomain: "a",
+      service: "belfry-app",
+    };
+    await this.platform.control({ set_vms: [...engines, service] });
+  }
+
+  async addDaemon(
+    limits: Readonly<Record<string, unknown>> = {},
+  ): Promise<Daemon> {
+    const settings = this.#settings(`vm-${this.daemons.length + 1}`, limits);
+    const daemon = await startDaemon(settings);
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Proposes a change and gives the verdict. */
+  async change(
+    body: Readonly<Record<string, unknown>>,
+  ): Promise<Record<string, unknown>> {
+    const answer = await this.operate("/operator/v1/changes", body);
+    return JSON.parse(answer.text) as Record<string, unknown>;
+  }
+
+  /** Calls the operators' interface of the first daemon. */
+  operate(path: string, body?: unknown): Promise<ReadAnswer> {
+    const address = this.daemons[0]!.addresses.operators;
+    const method = body === undefined ? "GET" : "POST";
+    return call(address, { path, method, body, key: OPERATOR_KEY });
+  }
+
+  /** Publishes the template and creates a team with a key. */
+  async createTeam(
+    team = "st-mary",
+    parameters: Readonly<Record<string, number>> = {},
+  ): Promise<{ readonly key: string; readonly keyId: string }> {
+    const body = TEST_TEMPLATE;
+    await this.change({ kind: "template_published", template: "chime", body });
+    await this.change({
+      kind: "team_created",
+      team,
+      template: "chime",
+      parameters,
+    });
+    const granted = await this.change({ kind: "key_granted", team });
+    return { key: String(granted.secret), keyId: String(granted.keyId) };
+  }
+
+  /** Resolves with the first engine that runs a request. */
+  async whenStreaming(): Promise<EngineStandIn> {
+    while (true) {
+      for (const engine of this.engines) {
+        const load = await call(engine.address, {
+          path: "/v1/load",
+          method: "GET",
+        });
+        if (JSON.parse(load.text).runningRequests > 0) return engine;
+      }
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  /** What a stand-in recorded of the calls that reached it. */
+  async recordOf(standIn: { readonly controlAddress: string }) {
+    const path = "/record";
+    return (await call(standIn.controlAddress, { path, method: "GET" })).text;
+  }
+
+  /** Calls a daemon as a caller does. */
+  call(input: CallInput, daemon = 0): Promise<ReadAnswer> {
+    return call(this.daemons[daemon]!.addresses.callers, input);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.drain()));
+    await Promise.all(this.engines.map((engine) => engine.close()));
+    await this.service.close();
+    await this.platform.close();
+  }
+
+  #settings(vmId: string, limits: Readonly<Record<string, unknown>>): Settings {
+    const listener = { host: "127.0.0.1", port: 0 };
+    const sha256 = createHash("sha256").update(OPERATOR_KEY).digest("hex");
+    const text = JSON.stringify({
+      vmId,
+      failureDomain: "a",
+      fleet: { failureDomains: ["a"], region: "qld-east" },
+      listen: { callers: listener, operators: listener, peers: listener },
+      platform: { address: this.platform.address, pollWaitMs: 500 },
+      peers: {
+        sharedKey: SHARED_KEY,
+        addresses: this.daemons.map((daemon, index) => ({
+          vmId: `vm-${index + 1}`,
+          address: daemon.addresses.peers,
+          failureDomain: "a",
+        })),
+      },
+      operators: { keys: [{ name: "test", sha256 }] },
+      log: { level: "silent" },
+      limits: { drainGraceMs: 0, loanLeaseMs: 100, ...limits },
+    });
+    const parsed = parseSettings(text);
+    if (parsed.ok) return parsed.settings;
+    throw new Error(JSON.stringify(parsed.faults));
+  }
+}
+
+async function call(address: string, input: CallInput): Promise<ReadAnswer> {
+  const { path, method = "POST", key, headers = {}, body } = input;
+  const authorization: Record<string, string> = key === undefined
+    ? {}
+    : { authorization: `Bearer ${key}` };
+  const response = await fetch(`http://${address}${path}`, {
+    method,
+    headers: { ...authorization, ...headers },
+    ...(body === undefined
+      ? {}
+      : { body: typeof body === "string" ? body : JSON.stringify(body) }),
+  });
+  const { status } = response;
+  return { status, headers: response.headers, text: await response.text() };
+}
+
+/** An idempotency key that carries its time. */
+export function timedKey(): string {
+  const random = randomBytes(8).toString("hex");
+  return `${Math.floor(Date.now() / 1000)}-${random}`;
+}
--- a/packages/routing/src/recent_placements.ts
+++ b/packages/routing/src/recent_placements.ts
@@ -19,9 +19,56 @@
   readonly deadlineMs: number;
 }
 
-interface Entry {
-  readonly placement: Placement;
-  isPrefilling: boolean;
+/** Blocks remembered per engine; the oldest are forgotten first. */
+const MAX_BLOCKS_PER_ENGINE = 4_096;
+
+/** Placements on one run of one engine. */
+class EnginePlacements {
+  readonly tag: EngineTag;
+  /** Requests whose prefill is not known to be done. */
+  readonly prefilling = new Map<RequestId, Placement>();
+  /** Placed blocks with the time until which they count. */
+  readonly #blocks = new Map<BlockHash, number>();
+
+  constructor(tag: EngineTag) {
+    this.tag = tag;
+  }
+
+  rememberBlocks(placement: Placement): void {
+    for (const block of placement.blocks) {
+      // Deleting first moves the block to the young end of the map.
+      this.#blocks.delete(block);
+      this.#blocks.set(block, placement.deadlineMs);
+    }
+    for (const block of this.#blocks.keys()) {
+      if (this.#blocks.size <= MAX_BLOCKS_PER_ENGINE) break;
+      this.#blocks.delete(block);
+    }
+  }
+
+  forgetBlocks(placement: Placement): void {
+    for (const block of placement.blocks) {
+      // A later placement of the same block has moved its deadline.
+      if (this.#blocks.get(block) === placement.deadlineMs) {
+        this.#blocks.delete(block);
+      }
+    }
+  }
+
+  depth(blocks: readonly BlockHash[], nowMs: number): number {
+    // Hashes are chained: a placed block means that all above it were placed.
+    for (let depth = blocks.length; depth > 0; depth--) {
+      const deadlineMs = this.#blocks.get(blocks[depth - 1]!);
+      if (deadlineMs !== undefined && deadlineMs > nowMs) return depth;
+    }
+    return 0;
+  }
+
+  dropExpired(nowMs: number): void {
+    for (const [requestId, placement] of this.prefilling) {
+      if (placement.deadlineMs <= nowMs) this.prefilling.delete(requestId);
+    }
+  }
 }
 
 /**
@@ -34,34 +81,36 @@
  * ```
  */
 export class RecentPlacements {
-  readonly #byEngine = new Map<BackendServerId, Map<RequestId, Entry>>();
+  readonly #byEngine = new Map<BackendServerId, EnginePlacements>();
 
   add(placement: Placement): void {
-    let entries = this.#byEngine.get(placement.engine);
-    if (entries === undefined) {
-      entries = new Map();
-      this.#byEngine.set(placement.engine, entries);
-    }
-    entries.set(placement.requestId, { placement, isPrefilling: true });
+    const placements = this.#of(placement) ?? this.#start(placement);
+    placements.prefilling.set(placement.requestId, placement);
+    placements.rememberBlocks(placement);
   }
 
   /** The first token came: the prefill is done, the blocks are cached. */
   markPrefilled(engine: BackendServerId, requestId: RequestId): void {
-    const entry = this.#byEngine.get(engine)?.get(requestId);
-    if (entry !== undefined) {
-      entry.isPrefilling = false;
-    }
+    this.#byEngine.get(engine)?.prefilling.delete(requestId);
   }
 
   /** The request failed or was cancelled: it neither waits nor left blocks. */
   remove(engine: BackendServerId, requestId: RequestId): void {
-    this.#byEngine.get(engine)?.delete(requestId);
+    const placements = this.#byEngine.get(engine);
+    const placement = placements?.prefilling.get(requestId);
+    if (placements === undefined || placement === undefined) return;
+    placements.prefilling.delete(requestId);
+    placements.forgetBlocks(placement);
   }
 
   dropEngine(engine: BackendServerId): void {
     this.#byEngine.delete(engine);
   }
 
+  clear(): void {
+    this.#byEngine.clear();
+  }
+
   /**
    * Prefill tokens placed after `sinceMs`, the time of the load report, and
    * not known to be done.
@@ -71,12 +120,8 @@
     options: { readonly sinceMs: number; readonly nowMs: number },
   ): number {
     let tokens = 0;
-    for (
-      const { placement, isPrefilling } of this.#entries(tag, options.nowMs)
-    ) {
-      if (isPrefilling && placement.placedAtMs > options.sinceMs) {
-        tokens += placement.prefillTokens;
-      }
+    for (const placement of this.#prefillingSince(tag, options)) {
+      tokens += placement.prefillTokens;
     }
     return tokens;
   }
@@ -86,15 +131,7 @@
     tag: EngineTag,
     options: { readonly sinceMs: number; readonly nowMs: number },
   ): number {
-    let count = 0;
-    for (
-      const { placement, isPrefilling } of this.#entries(tag, options.nowMs)
-    ) {
-      if (isPrefilling && placement.placedAtMs > options.sinceMs) {
-        count++;
-      }
-    }
-    return count;
+    return this.#prefillingSince(tag, options).length;
   }
 
   /** Deepest common start of the chain with what was placed on the engine. */
@@ -102,30 +139,37 @@
     tag: EngineTag,
     options: { readonly blocks: readonly BlockHash[]; readonly nowMs: number },
   ): number {
-    let deepest = 0;
-    for (const { placement } of this.#entries(tag, options.nowMs)) {
-      deepest = Math.max(
-        deepest,
-        sharedDepth(placement.blocks, options.blocks),
-      );
-    }
-    return deepest;
+    return this.#of(tag)?.depth(options.blocks, options.nowMs) ?? 0;
   }
 
-  *#entries(tag: EngineTag, nowMs: number): Iterable<Entry> {
-    const entries = this.#byEngine.get(tag.engine);
-    if (entries === undefined) {
-      return;
-    }
-    for (const [requestId, entry] of entries) {
-      const isOver = entry.placement.deadlineMs <= nowMs ||
-        !isSameTag(entry.placement, tag);
-      if (isOver) {
-        entries.delete(requestId);
-      } else {
-        yield entry;
-      }
-    }
+  #prefillingSince(
+    tag: EngineTag,
+    options: { readonly sinceMs: number; readonly nowMs: number },
+  ): Placement[] {
+    const placements = this.#of(tag);
+    if (placements === undefined) return [];
+    placements.dropExpired(options.nowMs);
+    return [...placements.prefilling.values()].filter((placement) =>
+      placement.placedAtMs > options.sinceMs
+    );
+  }
+
+  /** Knowledge of another incarnation or other weights is never used. */
+  #of(tag: EngineTag): EnginePlacements | undefined {
+    const placements = this.#byEngine.get(tag.engine);
+    if (placements === undefined) return undefined;
+    return isSameTag(placements.tag, tag) ? placements : undefined;
+  }
+
+  #start(tag: EngineTag): EnginePlacements {
+    const { engine, incarnation, weightsVersion } = tag;
+    const placements = new EnginePlacements({
+      engine,
+      incarnation,
+      weightsVersion,
+    });
+    this.#byEngine.set(engine, placements);
+    return placements;
   }
 }
 
