faults: start the load when every daemon serves

A fleet that starts for the first time must first agree who charges which teams. Refusals of that moment were counted as harm of the scenario.

--- a/packages/faults/src/harness/fleet.ts
+++ b/packages/faults/src/harness/fleet.ts
@@ -26,6 +26,7 @@
 import type { Team } from "./operator.ts";
 import { PortFinder } from "./ports.ts";
 import { StandInProcess } from "./stand_in_process.ts";
+import { whenServing } from "./when_serving.ts";
 
 /** A backend server and its entry in the VM list. */
 export interface BackendServer {
@@ -67,15 +68,19 @@
     return this.#team;
   }
 
-  /** Starts everything; resolves when every daemon is ready. */
+  /** Starts everything; resolves when every daemon serves. */
   async start(): Promise<void> {
     await this.#startBackends();
     await this.#createDaemons();
     const { address } = this.platform;
     await publishTemplate(address, this.shape.rate);
-    this.#team = await createTeam(address, { name: "st-mary" });
+    const team = await createTeam(address, { name: "st-mary" });
+    this.#team = team;
     for (const daemon of this.daemons) daemon.start();
-    await Promise.all(this.daemons.map((daemon) => daemon.whenReady()));
+    await Promise.all(this.daemons.map(async (daemon) => {
+      await daemon.whenReady();
+      await whenServing(daemon, team);
+    }));
   }
 
   /** Creates a further team. */
