--- a/packages/router/src/daemon/daemon.ts
+++ b/packages/router/src/daemon/daemon.ts
@@ -11,6 +11,11 @@
 import { ActiveRequests } from "../callers/active_requests.ts";
 import type { CallerContext } from "../callers/context.ts";
 import { createCallerHandler } from "../callers/server.ts";
+import { defaultCommitmentSettings } from "../commitments/settings.ts";
+import {
+  type CommitmentTask,
+  createCommitmentTask,
+} from "../commitments/task.ts";
 import {
   type ConfigurationTask,
   createConfigurationTask,
@@ -37,10 +42,10 @@
 import { openPeerListener, type PeerListener } from "./peer_listener.ts";
 import { createStreams, type DaemonStreams } from "./streams.ts";
 
-/** How long the platform's log is taken to keep a record. */
-const LOG_RETENTION_MS = 24 * 60 * 60 * 1000;
 const CHANGE_TIMEOUT_MS = 5000;
 const PEER_CHARGE_MARGIN_MS = 300;
+/** How long a stop waits for the outcomes of its calls to be in the log. */
+const SETTLE_TIMEOUT_MS = 30_000;
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -70,6 +75,7 @@
   #rights!: RightsTask;
   #limits!: LimitsTask;
   #dispatcher!: HttpServiceDispatcher;
+  #commitments!: CommitmentTask;
 
   constructor(settings: Settings) {
     this.#foundation = createFoundation(settings);
@@ -113,7 +119,7 @@
   async drain(): Promise<void> {
     if (this.#isDraining) return this.#stopped;
     this.#isDraining = true;
-    const { logger, scheduler, settings } = this.#foundation;
+    const { clock, logger, scheduler, settings } = this.#foundation;
     logger.info({ active: this.#active.count }, "The daemon drains");
     // The balancer needs this long to see that /readyz fails.
     await new Promise<void>((resolve) => {
@@ -123,6 +129,8 @@
     this.#callerListener.closeIdleConnections();
     await this.#active.idle();
     await Promise.race([closed, this.#active.idle()]);
+    const deadlineElapsedMs = clock.elapsedMs() + SETTLE_TIMEOUT_MS;
+    await this.#commitments.drain({ deadlineElapsedMs });
     await this.#limits.drain({ release: true });
     await this.#stop();
     logger.info({}, "The daemon has stopped");
@@ -147,7 +155,7 @@
       ...foundation,
       membership,
       stream: () => this.#streams.configuration.follower,
-      logRetentionMs: LOG_RETENTION_MS,
+      logRetentionMs: settings.platform.logRetentionMs,
     });
     this.#streams.configuration.fold.attach(this.#configuration);
     this.#engines = createEngineTasks(foundation, {
@@ -155,11 +163,31 @@
       directory: this.#directory,
     });
     this.#createLimits();
+    this.#createCommitments();
+  }
+
+  #createCommitments(): void {
+    const foundation = this.#foundation;
+    const { platform } = foundation.settings;
+    const membership = this.#membership;
+    const notes = membership;
     this.#dispatcher = new HttpServiceDispatcher({
       ...foundation,
       membership,
-      notes: membership,
+      notes,
+    });
+    this.#commitments = createCommitmentTask({
+      ...foundation,
+      membership,
+      stream: this.#streams.commitments.follower,
+      dispatcher: this.#dispatcher,
+      settings: {
+        ...defaultCommitmentSettings({ retentionMs: platform.logRetentionMs }),
+        // An idle stream is silent for as long as its long poll waits.
+        logAwayAfterMs: platform.pollWaitMs + platform.timeoutMs,
+      },
     });
+    this.#streams.commitments.fold.attach(this.#commitments);
   }
 
   #createLimits(): void {
@@ -191,22 +219,12 @@
   #fillHandlers(): void {
     const { explainer, clock } = this.#foundation;
     const { slots, prefixes } = this.#engines;
-    const served = new Map([
-      ["configuration", {
-        follower: this.#streams.configuration.follower,
-        fold: this.#configuration,
-      }],
-      ["rights", {
-        follower: this.#streams.rights.follower,
-        fold: this.#rightsFold,
-      }],
-    ]);
     Object.assign(
       this.#handlers,
       this.#limits.handlers,
       prefixes.handlers(),
       createSlotHandlers({ slots, clock }),
-      createRecordHandlers(served),
+      createRecordHandlers(this.#servedStreams()),
       {
         exchange: (request) => {
           if (request.view !== undefined) {
@@ -226,6 +244,7 @@
   #startTasks(): void {
     void this.#streams.configuration.follower.start();
     void this.#streams.rights.follower.start();
+    void this.#streams.commitments.follower.start();
     void this.#membership.start();
     this.#configuration.start();
     this.#configuration.onChange(() => this.#onConfiguration());
@@ -276,7 +295,7 @@
       membership: this.#membership,
       runs: this.#engines.runs,
       dispatcher: this.#dispatcher,
-      commitments: { run: (call) => this.#dispatcher.dispatchOnce(call) },
+      commitments: this.#commitments,
       active: this.#active,
       limits: this.#foundation.settings.limits,
       isReady: () => !this.#isDraining && this.#configuration.isReady(),
@@ -297,11 +316,16 @@
     };
   }
 
+  #servedStreams() {
+    const { configuration, rights, commitments } = this.#streams;
+    return new Map([configuration, rights, commitments].map((parts) => [
+      parts.follower.stream,
+      parts,
+    ]));
+  }
+
   #followers() {
-    return [
-      this.#streams.configuration.follower,
-      this.#streams.rights.follower,
-    ];
+    return [...this.#servedStreams().values()].map(({ follower }) => follower);
   }
 
   #ownView() {
@@ -319,6 +343,7 @@
   async #stop(): Promise<void> {
     const { platform, metrics, tracing } = this.#foundation;
     this.#engines.watcher.stop();
+    this.#commitments.stop();
     this.#limits.stop();
     this.#rights.stop();
     this.#configuration.stop();
