bench: replay traces in virtual time against baselines and an oracle

A step-wise engine model was preferred to processor sharing, because chunked prefill is what makes short prompts wait.

Tests: npx ava 'packages/{bench,routing,queueing}/src/**/*_test.ts'

--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export * from "./deployments.ts";
+export * from "./generate_trace.ts";
+export * from "./metrics.ts";
+export * from "./policies.ts";
+export * from "./run_trace.ts";
+export * from "./trace.ts";
--- a/packages/queueing/src/engine_window.ts
+++ b/packages/queueing/src/engine_window.ts
@@ -78,6 +78,12 @@
     return tokens;
   }
 
+  /** Prefill tokens handed over, less what should be done by now. */
+  remainingTokens(nowMs: number): number {
+    const longs = this.#remainingTokens(this.#longPrefills(), nowMs);
+    return longs + this.prefillTokens("short");
+  }
+
   /** Tells whether one more request of the lane may be handed over. */
   hasRoom(at: { lane: Lane; nowMs: number; foreignTokens: number }): boolean {
     if (this.#running.size >= this.#options.maxRunningRequests) {
--- a/packages/queueing/src/fair_queue.ts
+++ b/packages/queueing/src/fair_queue.ts
@@ -72,6 +72,11 @@
     return this.#window.prefillTokens();
   }
 
+  /** As `outstandingPrefillTokens`, less what should be done by now. */
+  remainingPrefillTokens(nowMs: number): number {
+    return this.#window.remainingTokens(nowMs);
+  }
+
   get prefillTokensPerMs(): number {
     return this.#window.tokensPerMs;
   }
