--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -5,17 +5,11 @@
  */
 
 import { Command, Option } from "clipanion";
-import type { Settings } from "@endivebend/settings";
 import { BaseCommand } from "../base_command.ts";
 import { failCommand } from "../command_error.ts";
 import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import { readSettings } from "../files.ts";
 
-interface Daemon {
-  /** Resolves when the daemon has stopped. */
-  serveDaemon(settings: Settings): Promise<void>;
-}
-
 /** `serve --settings FILE`. */
 export class ServeCommand extends BaseCommand {
   static override paths = [["serve"]];
@@ -36,9 +30,9 @@
   async perform(): Promise<ExitCode> {
     const settings = await readSettings(this.settings);
     // Loaded only here, so that the other commands start without the daemon.
-    const daemon = await import("@endivebend/router") as unknown as Daemon;
+    const { serveDaemon } = await import("@endivebend/router");
     try {
-      await daemon.serveDaemon(settings);
+      await serveDaemon(settings);
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
       throw failCommand(`The daemon ended: ${reason}`, {
