faults: end relays whose connection already sent its end

A reset of a socket after its end fails and leaves the handle open, so the harness did not exit after a fleet was closed. Seen with the handles that were left: destroyed sockets of relays.

--- a/packages/faults/src/harness/relay.ts
+++ b/packages/faults/src/harness/relay.ts
@@ -76,6 +76,12 @@
   }
 
   #destroyAll(): void {
-    for (const socket of [...this.#sockets]) socket.resetAndDestroy();
+    for (const socket of [...this.#sockets]) reset(socket);
   }
 }
+
+function reset(socket: Socket): void {
+  // A reset of a socket that already sent its end fails and leaves it open.
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
