Simulate fleets of holders and fix a bucket that refilled on a failed give-up

Cause: a holder that gave groups up, but whose record was refused by the log, made its teams' states anew from the start of the holding, which refilled spent buckets. Groups that stay now restart from empty, a record with a lost answer is never taken as absent, and groups that change hands between running VMs are used only after 2 s.

--- a/packages/limits/src/borrow.ts
+++ b/packages/limits/src/borrow.ts
@@ -198,6 +198,8 @@
   event: Extract<LimitsEvent, { kind: "loan_received" }>,
   nowMs: number,
 ): void {
+  // An answer that was not waited for would add its tokens a second time.
+  if (!state.round.pending.has(event.lender)) return;
   const present = state.loansIn.find((loan) => loan.lender === event.lender);
   const untilMs = event.requestedAtMs + borrowerUseMs(event.leaseMs);
   const isNewer = (present?.requestedAtMs ?? -Infinity) < event.requestedAtMs;
--- a/packages/router/src/limits/holdings.ts
+++ b/packages/limits/src/holdings.ts
@@ -10,13 +10,27 @@
   shareOfLimit,
   splitsInUse,
 } from "@endivebend/rights";
-import { type HoldingStart, lenderWaitMs } from "@endivebend/limits";
-import type { TeamGroup } from "@endivebend/types";
-import type { Identity } from "../ports.ts";
+import type { FailureDomainId, TeamGroup, VmId } from "@endivebend/types";
+import { lenderWaitMs } from "./grains.ts";
+import type { HoldingStart } from "./state.ts";
 
 /** A limit that is large enough to show any change of a domain's part. */
 const PROBE_LIMIT = 1_000_000_000;
 const FIRST_REVISION = 1;
+/**
+ * A group that changed hands between two running VMs is used after this time.
+ * The VM that gave it up may have restarted without the log, and may know only
+ * a copy of the rights from before; within this time it hears of the change
+ * from the VMs of its own domain.
+ */
+const CHANGED_HANDS_PAUSE_MS = 2000;
+
+/** The VM that holds, and its run. */
+export interface HolderIdentity {
+  readonly vmId: VmId;
+  readonly incarnation: string;
+  readonly failureDomain: FailureDomainId;
+}
 
 interface Holding {
   readonly start: HoldingStart;
@@ -26,17 +40,20 @@
 
 /** Keeps the holdings of one VM in step with the folded state. */
 export class Holdings {
-  readonly #identity: Identity;
+  readonly #identity: HolderIdentity;
   readonly #leaseMs: number;
   readonly #byGroup = new Map<TeamGroup, Holding>();
   #splitKey = "";
 
-  constructor(identity: Identity, leaseMs: number) {
+  constructor(identity: HolderIdentity, leaseMs: number) {
     this.#identity = identity;
     this.#leaseMs = leaseMs;
   }
 
-  /** How the bucket of a group started; undefined when not held. */
+  /**
+   * How the bucket of a group starts; undefined when not held. A start that
+   * lies ahead means that the group may not be used yet.
+   */
   startOf(group: TeamGroup): HoldingStart | undefined {
     return this.#byGroup.get(group)?.start;
   }
@@ -45,12 +62,32 @@
     return [...this.#byGroup.keys()];
   }
 
+  /**
+   * Starts groups again from empty that were given up in vain, when their
+   * teams' states are gone and nothing of them is lent.
+   */
+  restart(groups: Iterable<TeamGroup>, nowMs: number): void {
+    const start = {
+      sinceMs: nowMs,
+      quarantineUntilMs: nowMs,
+      startsFull: false,
+    };
+    for (const group of groups) {
+      const holding = this.#byGroup.get(group);
+      if (holding !== undefined) {
+        this.#byGroup.set(group, { ...holding, start });
+      }
+    }
+  }
+
   /** Takes the changes of a record, or the whole state when it was replaced. */
   update(
     state: RightsState,
     options: {
       readonly changes: readonly HolderChange[];
       readonly nowMs: number;
+      /** False while the state of an earlier incarnation is read back. */
+      readonly isLive: boolean;
     },
   ): void {
     if (options.changes.length === 0) this.#compare(state, options.nowMs);
@@ -59,7 +96,7 @@
         this.#byGroup.delete(change.group);
       }
       if (change.to !== this.#identity.vmId) continue;
-      const start = this.#startOfChange(change, options.nowMs);
+      const start = this.#startOfChange(change, options);
       this.#add(state, change.group, start);
     }
     this.#restartGrownShares(state, options.nowMs);
@@ -71,14 +108,22 @@
     return { sinceMs: nowMs, quarantineUntilMs, startsFull: false };
   }
 
-  #startOfChange(change: HolderChange, nowMs: number): HoldingStart {
+  #startOfChange(
+    change: HolderChange,
+    options: { readonly nowMs: number; readonly isLive: boolean },
+  ): HoldingStart {
+    const { nowMs } = options;
+    const isTransfer = change.from !== undefined;
+    const hasChangedHands = isTransfer || change.freedBy === "released";
+    if (hasChangedHands && options.isLive) {
+      return this.#unknownStart(nowMs + CHANGED_HANDS_PAUSE_MS);
+    }
     const isOwnClaim = change.incarnation === this.#identity.incarnation;
-    if (!isOwnClaim || change.freedBy === "vm_ended") {
+    if (!isOwnClaim || change.freedBy !== "never_held") {
       return this.#unknownStart(nowMs);
     }
     // Under a later revision another domain may have spent this part before.
-    const startsFull = change.freedBy === "never_held" &&
-      change.revision === FIRST_REVISION;
+    const startsFull = change.revision === FIRST_REVISION;
     return { sinceMs: nowMs, quarantineUntilMs: nowMs, startsFull };
   }
 
@@ -119,7 +164,11 @@
       const probeShare = this.#probe(state, group);
       const hasGrown = probeShare > holding.probeShare;
       const start = hasGrown
-        ? { ...holding.start, sinceMs: nowMs, startsFull: false }
+        ? {
+          ...holding.start,
+          sinceMs: Math.max(nowMs, holding.start.sinceMs),
+          startsFull: false,
+        }
         : holding.start;
       this.#byGroup.set(group, { start, probeShare });
     }
@@ -127,7 +176,10 @@
 }
 
 /** True when this VM must still confirm the newest split. */
-export function mustConfirm(state: RightsState, identity: Identity): boolean {
+export function mustConfirm(
+  state: RightsState,
+  identity: HolderIdentity,
+): boolean {
   const current = state.splits.at(-1);
   const vm = state.vms.get(identity.vmId);
   if (current === undefined || vm === undefined) return false;
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -14,6 +14,12 @@
   MAX_BURST_TOKENS,
   toRateMilli,
 } from "./grains.ts";
+export { Holdings, mustConfirm } from "./holdings.ts";
+export type { HolderIdentity } from "./holdings.ts";
+export { planUpkeep } from "./rights_upkeep.ts";
+export type { UpkeepInput, UpkeepRecord } from "./rights_upkeep.ts";
+export { computeTerms, otherDomains } from "./terms.ts";
+export type { LendingSettings } from "./terms.ts";
 export { heldAmount, levelTokens } from "./level.ts";
 export { createTeamState } from "./state.ts";
 export type {
--- a/packages/router/src/limits/rights_upkeep.ts
+++ b/packages/limits/src/rights_upkeep.ts
@@ -14,10 +14,9 @@
   type RightsState,
   shouldWriteSnapshot,
 } from "@endivebend/rights";
-import { lenderWaitMs } from "@endivebend/limits";
 import type { FailureDomainId, VmId } from "@endivebend/types";
-import type { Identity } from "../ports.ts";
-import { mustConfirm } from "./holdings.ts";
+import { lenderWaitMs } from "./grains.ts";
+import { type HolderIdentity, mustConfirm } from "./holdings.ts";
 
 const DEFAULT_SNAPSHOT_EVERY_MS = 6 * 3_600_000;
 
@@ -29,7 +28,7 @@
 
 /** What the choice depends on. */
 export interface UpkeepInput extends PlanInput {
-  readonly self: Identity;
+  readonly self: HolderIdentity;
   readonly isDraining: boolean;
   readonly proposedDomains: readonly FailureDomainId[];
   readonly hasEnded: (vmId: VmId, sinceWallMs: number) => boolean;
--- /dev/null
+++ b/packages/limits/src/simulation/log.ts
@@ -0,0 +1,71 @@
+/**
+ * The `rights` stream of a simulated platform.
+ *
+ * @module
+ */
+
+import { brandId, type LogOffset, type LogRecord } from "@endivebend/types";
+import type { EventQueue } from "./event_queue.ts";
+import type { Random } from "./random.ts";
+
+/** How an append looks to its writer. */
+export type AppendOutcome = "appended" | "not_appended" | "unknown";
+
+const APPEND_US = 3000;
+const ANSWER_LOST_US = 300_000;
+
+/** A log whose answers may be lost and whose appends may come late, or twice. */
+export class SimulatedLog {
+  readonly records: LogRecord[] = [];
+  readonly #queue: EventQueue;
+  readonly #random: Random;
+  readonly #faultProbability: number;
+  #downCount = 0;
+
+  constructor(queue: EventQueue, random: Random, faultProbability: number) {
+    this.#queue = queue;
+    this.#random = random;
+    this.#faultProbability = faultProbability;
+  }
+
+  get isDown(): boolean {
+    return this.#downCount > 0;
+  }
+
+  /** Takes the log down for a time. */
+  takeDown(durationUs: number): void {
+    this.#downCount++;
+    this.#queue.after(durationUs, () => this.#downCount--);
+  }
+
+  append(value: unknown, done: (outcome: AppendOutcome) => void): void {
+    if (this.isDown) {
+      this.#queue.after(APPEND_US, () => done("not_appended"));
+      return;
+    }
+    if (this.#random.chance(this.#faultProbability)) {
+      this.#appendBadly(value, done);
+      return;
+    }
+    this.#queue.after(APPEND_US, () => {
+      this.#store(value);
+      this.#queue.after(APPEND_US, () => done("appended"));
+    });
+  }
+
+  /** The answer is lost; the record lands not at all, late, or twice. */
+  #appendBadly(value: unknown, done: (outcome: AppendOutcome) => void): void {
+    this.#queue.after(ANSWER_LOST_US, () => done("unknown"));
+    const times = this.#random.int(0, 2);
+    for (let index = 0; index < times; index++) {
+      const delayUs = this.#random.int(APPEND_US, 3_000_000);
+      this.#queue.after(delayUs, () => this.#store(value));
+    }
+  }
+
+  #store(value: unknown): void {
+    const offset = brandId<LogOffset>(this.records.length);
+    const appendedAtMs = Math.floor(this.#queue.nowUs / 1000);
+    this.records.push({ offset, appendedAtMs, value });
+  }
+}
--- /dev/null
+++ b/packages/limits/src/simulation/run.ts
@@ -0,0 +1,165 @@
+/**
+ * One random run of a simulated fleet under faults.
+ *
+ * @module
+ */
+
+import { FleetSimulation } from "./fleet.ts";
+import type { SimulatedVm } from "./vm.ts";
+
+/** A fault at a moment; `pick` chooses the VM or domain. */
+export interface Fault {
+  readonly kind:
+    | "pause"
+    | "restart"
+    | "restart_domain"
+    | "replace"
+    | "partition"
+    | "log_down"
+    | "release"
+    | "transfer"
+    | "set_domains";
+  readonly atMs: number;
+  readonly durationMs: number;
+  readonly pick: number;
+}
+
+/** A run to make. */
+export interface RunPlan {
+  readonly seed: number;
+  readonly domains: number;
+  readonly vmsPerDomain: number;
+  readonly loanLeaseMs: number;
+  readonly floorFraction: number;
+  readonly rateTokensPerSecond: number;
+  readonly burstTokens: number;
+  /** Offered load as a multiple of the rate. */
+  readonly load: number;
+  /** Part of the load that goes to the first domain. */
+  readonly skew: number;
+  readonly lossProbability: number;
+  readonly faults: readonly Fault[];
+  readonly durationMs: number;
+}
+
+/** What came of a run. */
+export interface RunResult {
+  readonly excessTokens: number;
+  readonly grantedTokens: number;
+  readonly granted: number;
+  readonly refused: number;
+}
+
+const TEAMS = ["st-mary", "st-paul"];
+const START_MS = 1500;
+const WAIT_MS = 3000;
+/** Keeps runs with a large rate and a small burst short. */
+const SHORTEST_MEAN_GAP_US = 4000;
+
+function pickOf<Item>(items: readonly Item[], pick: number): Item {
+  return items[pick % items.length] as Item;
+}
+
+function transfer(fleet: FleetSimulation, vm: SimulatedVm): void {
+  const others = [...fleet.world.vms.values()].filter((other) =>
+    other !== vm && other.domain === vm.domain && other.isUp
+  );
+  vm.giveUp(fleet.random.pick(others)?.vmId);
+}
+
+function setDomains(fleet: FleetSimulation, vm: SimulatedVm): void {
+  const current = vm.state.splits.at(-1);
+  if (current === undefined) return;
+  const all = fleet.world.domains;
+  const isWhole = current.domains.length === all.length;
+  const domains = isWhole && all.length > 1 ? all.slice(0, -1) : all;
+  const record = {
+    kind: "domains_set",
+    domains,
+    amendsRevision: current.revision,
+  };
+  vm.append(record, () => {});
+}
+
+type Effect = (
+  fleet: FleetSimulation,
+  vm: SimulatedVm,
+  durationUs: number,
+) => void;
+
+const EFFECTS: Readonly<Record<Fault["kind"], Effect>> = {
+  pause: (_, vm, durationUs) => vm.pause(durationUs),
+  restart: (fleet, vm, durationUs) => fleet.restart(vm, durationUs / 10),
+  restart_domain: (fleet, vm, durationUs) => {
+    for (const other of fleet.world.vms.values()) {
+      if (other.domain === vm.domain) fleet.restart(other, durationUs / 10);
+    }
+  },
+  replace: (fleet, vm) => fleet.replace(vm),
+  partition: (fleet, vm, durationUs) =>
+    fleet.world.network.cut(vm.domain, durationUs),
+  log_down: (fleet, _, durationUs) => fleet.world.log.takeDown(durationUs),
+  release: (_, vm) => vm.giveUp(undefined),
+  transfer,
+  set_domains: setDomains,
+};
+
+function scheduleFault(fleet: FleetSimulation, fault: Fault): void {
+  fleet.queue.after(fault.atMs * 1000, () => {
+    const present = [...fleet.world.vms.values()]
+      .filter((vm) => !fleet.world.ended.has(vm.name));
+    const vm = pickOf(present, fault.pick);
+    EFFECTS[fault.kind](fleet, vm, fault.durationMs * 1000);
+  });
+}
+
+function offerLoad(fleet: FleetSimulation, plan: RunPlan): void {
+  const meanCost = Math.max(2, Math.floor(plan.burstTokens / 20));
+  const tokensPerUs = plan.rateTokensPerSecond * plan.load / 1_000_000;
+  const next = () => {
+    const team = fleet.random.pick(TEAMS) ?? "";
+    const isSkewed = fleet.random.chance(plan.skew);
+    const vms = [...fleet.world.vms.values()]
+      .filter((vm) => vm.isUp && (!isSkewed || vm.domain === "d0"));
+    const vm = fleet.random.pick(vms);
+    const costTokens = fleet.random.int(1, 2 * meanCost);
+    if (vm !== undefined) {
+      fleet.request(vm, { team, costTokens, waitMs: WAIT_MS });
+    }
+    const meanUs = Math.max(
+      SHORTEST_MEAN_GAP_US,
+      meanCost / tokensPerUs / TEAMS.length,
+    );
+    fleet.queue.after(fleet.random.exponential(meanUs), next);
+  };
+  fleet.queue.after(START_MS * 1000, next);
+}
+
+/** Makes a run and compares every window of every team with its limit. */
+export function runFleet(plan: RunPlan): RunResult {
+  const limit = {
+    rateTokensPerSecond: plan.rateTokensPerSecond,
+    burstTokens: plan.burstTokens,
+  };
+  const fleet = new FleetSimulation({
+    ...plan,
+    limits: new Map(TEAMS.map((team) => [team, limit])),
+    network: {
+      lossProbability: plan.lossProbability,
+      duplicateProbability: 0.05,
+      largestDelayUs: 5000,
+    },
+    logFaultProbability: 0.1,
+  });
+  for (const fault of plan.faults) scheduleFault(fleet, fault);
+  offerLoad(fleet, plan);
+  fleet.runUntil({ ms: plan.durationMs });
+  const ledgers = [...fleet.world.ledgers.values()];
+  return {
+    excessTokens: fleet.excessTokens(),
+    grantedTokens: ledgers
+      .reduce((sum, ledger) => sum + ledger.grantedTokens, 0),
+    granted: fleet.counts.granted,
+    refused: fleet.counts.refused,
+  };
+}
--- /dev/null
+++ b/packages/limits/src/terms.ts
@@ -0,0 +1,65 @@
+/**
+ * Computes a team's terms from its limit and the rights.
+ *
+ * @module
+ */
+
+import { type DomainSplit, shareOfLimit } from "@endivebend/rights";
+import type { FailureDomainId } from "@endivebend/types";
+import { MAX_BURST_TOKENS, toRateMilli } from "./grains.ts";
+import type { TeamTerms } from "./state.ts";
+
+/** Settings of lending. */
+export interface LendingSettings {
+  readonly loanLeaseMs: number;
+  /** The part of a share that is never lent, from 0 to 1. */
+  readonly floorFraction: number;
+}
+
+/** The other domains of the newest split, beginning after the own one. */
+export function otherDomains(
+  splits: readonly DomainSplit[],
+  domain: FailureDomainId,
+): FailureDomainId[] {
+  const domains = splits.at(-1)?.domains ?? [];
+  const start = domains.indexOf(domain) + 1;
+  return [...domains.slice(start), ...domains.slice(0, start)]
+    .filter((other) => other !== domain);
+}
+
+/**
+ * Computes the terms of a team at the holder of a domain.
+ *
+ * @example
+ * ```ts
+ * const splits = splitsInUse(state, groupOfTeam(team));
+ * computeTerms(limits, { splits, domain, lending });
+ * ```
+ */
+export function computeTerms(
+  limits: {
+    readonly rateTokensPerSecond: number;
+    readonly burstTokens: number;
+  },
+  options: {
+    readonly splits: readonly DomainSplit[];
+    readonly domain: FailureDomainId;
+    readonly lending: LendingSettings;
+  },
+): TeamTerms {
+  const { splits, domain, lending } = options;
+  const rateMilli = toRateMilli(limits.rateTokensPerSecond);
+  const burst = Math.max(0, Math.floor(limits.burstTokens));
+  const capacityTokens = Math.min(burst, MAX_BURST_TOKENS);
+  const isAlone = splits.every((split) => split.domains.length === 1);
+  return {
+    limit: { rateMilli, capacityTokens },
+    share: {
+      rateMilli: shareOfLimit(splits, { domain, limit: rateMilli }),
+      capacityTokens: shareOfLimit(splits, { domain, limit: capacityTokens }),
+    },
+    floorFraction: isAlone ? 1 : lending.floorFraction,
+    leaseMs: lending.loanLeaseMs,
+    lenders: otherDomains(splits, domain),
+  };
+}
--- a/packages/router/src/limits/local_holder.ts
+++ b/packages/router/src/limits/local_holder.ts
@@ -6,9 +6,11 @@
  */
 
 import {
+  computeTerms,
   createTeamState,
   hasNothingLent,
   isIdle,
+  type LendingSettings,
   type LimitsEffect,
   type LimitsEvent,
   nextWakeMs,
@@ -26,7 +28,6 @@
 } from "../ports.ts";
 import type { RightsView } from "./rights_task.ts";
 import { missedTimeMs, steadyNowMs } from "./steady.ts";
-import { computeTerms, type LendingSettings } from "./terms.ts";
 
 const SWEEP_INTERVAL_MS = 5000;
 /** Longer than the set-off between two clock readings. */
@@ -251,9 +252,8 @@
     const view = this.#options.configuration.team(team);
     if (view === undefined) return undefined;
     return computeTerms(view.limits, {
-      rights: this.#options.rights,
+      splits: this.#options.rights.splits(group),
       domain: this.#options.identity.failureDomain,
-      group,
       lending: this.#options.lending,
     });
   }
@@ -265,10 +265,9 @@
 
   #renewTerms(entry: TeamEntry): TeamEntry | undefined {
     const terms = this.#terms(entry.team, entry.group);
-    if (terms === undefined) {
-      this.#drop(entry);
-      return undefined;
-    }
+    // The state of a removed team stays until it is idle: were the team
+    // created again at once, it would otherwise start with a full bucket.
+    if (terms === undefined) return undefined;
     entry.termsVersion = this.#configurationVersion;
     this.apply(entry, { kind: "terms_changed", terms });
     return entry;
--- a/packages/router/src/limits/peer_charges.ts
+++ b/packages/router/src/limits/peer_charges.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { otherDomains } from "@endivebend/limits";
 import type { PeerClients } from "@endivebend/peers";
 import type { TeamGroup, VmId } from "@endivebend/types";
 import type {
@@ -16,7 +17,6 @@
   Scheduler,
 } from "../ports.ts";
 import type { RightsView } from "./rights_task.ts";
-import { otherDomains } from "./terms.ts";
 
 /** A VM that did not answer is left alone for this time, if there are others. */
 const FAILURE_PAUSE_MS = 500;
@@ -93,7 +93,7 @@
   #targets(group: TeamGroup): VmId[] {
     const { rights, identity, clock } = this.#options;
     const domain = identity.failureDomain;
-    const holders = [domain, ...otherDomains(rights, { domain, group })]
+    const holders = [domain, ...otherDomains(rights.splits(group), domain)]
       .map((each) => rights.holder(each, group))
       .filter((vmId) => vmId !== undefined && vmId !== identity.vmId);
     const nowMs = clock.elapsedMs();
--- a/packages/router/src/limits/rights_task.ts
+++ b/packages/router/src/limits/rights_task.ts
@@ -14,7 +14,12 @@
   type PlannedVm,
   splitsInUse,
 } from "@endivebend/rights";
-import type { HoldingStart } from "@endivebend/limits";
+import {
+  Holdings,
+  type HoldingStart,
+  planUpkeep,
+  type UpkeepRecord,
+} from "@endivebend/limits";
 import type { FailureDomainId, TeamGroup, VmId } from "@endivebend/types";
 import type {
   Clock,
@@ -25,9 +30,7 @@
   Metrics,
   Scheduler,
 } from "../ports.ts";
-import { Holdings } from "./holdings.ts";
 import type { RightsFold } from "./rights_fold.ts";
-import { planUpkeep, type UpkeepRecord } from "./rights_upkeep.ts";
 import { steadyNowMs } from "./steady.ts";
 
 /** How often the task looks for records to append. */
@@ -44,6 +47,9 @@
  */
 const PEER_STATE_SETTLE_MS = 2000;
 
+/** A VM of the domain that is silent for so long is taken to be down. */
+const SILENT_PEER_MS = 10_000;
+
 /** What the limits task reads of the rights. */
 export interface RightsView {
   /** True once the stream, or a peer's copy of it, was read. */
@@ -95,6 +101,8 @@
   /** Groups given up by a record that may not be in the log yet. */
   readonly #givenUp = new Set<TeamGroup>();
   readonly #createdMs: number;
+  /** Groups whose record may be in the log or still land there. */
+  readonly #uncertain = new Set<TeamGroup>();
   #releaser: Releaser = NO_RELEASER;
   #appliedSplitMs = 0;
   #appliedRevision = 0;
@@ -111,7 +119,8 @@
     this.#nextHandoverMs = this.#createdMs;
     options.fold.listen((changes) => {
       const nowMs = steadyNowMs(options.clock);
-      this.#holdings.update(options.fold.state, { changes, nowMs });
+      const isLive = this.#settledMs !== undefined;
+      this.#holdings.update(options.fold.state, { changes, nowMs, isLive });
       this.#noteSplit(nowMs);
       this.#forgetGivenUp();
       this.#notify();
@@ -141,7 +150,10 @@
 
   holding(group: TeamGroup): HoldingStart | undefined {
     if (!this.#isSettled() || this.#givenUp.has(group)) return undefined;
-    return this.#holdings.startOf(group);
+    const start = this.#holdings.startOf(group);
+    if (start === undefined) return undefined;
+    const isUsable = start.sinceMs <= steadyNowMs(this.#options.clock);
+    return isUsable ? start : undefined;
   }
 
   holder(domain: FailureDomainId, group: TeamGroup): VmId | undefined {
@@ -182,12 +194,13 @@
     for (const group of held) this.#givenUp.add(group);
     this.#notify();
     const outcome = await this.#append(this.#giveUpRecord(held, to));
-    // After a lost answer the record may still land: the groups stay unused.
-    if (outcome === "unknown") return [];
-    for (const group of held) this.#givenUp.delete(group);
-    if (outcome === "not_appended") this.#releaser.resume(held);
-    this.#notify();
-    return outcome === "appended" ? held : [];
+    if (outcome === "appended") return held;
+    // After a lost answer the record may still land: the groups stay unused
+    // until the upkeep has released them for certain.
+    if (outcome === "unknown") {
+      for (const group of held) this.#uncertain.add(group);
+    } else this.#stayHolder(held);
+    return [];
   }
 
   /**
@@ -214,6 +227,15 @@
     return accepted;
   }
 
+  #stayHolder(groups: readonly TeamGroup[]): void {
+    const kept = groups.filter((group) => !this.#uncertain.has(group));
+    // The states of their teams were dropped, so what they held is forgotten.
+    this.#holdings.restart(kept, steadyNowMs(this.#options.clock));
+    for (const group of kept) this.#givenUp.delete(group);
+    this.#releaser.resume(kept);
+    this.#notify();
+  }
+
   #giveUpRecord(groups: readonly TeamGroup[], to?: VmId): UpkeepRecord {
     const { vmId } = this.#options.identity;
     const vm = this.#options.fold.state.vms.get(vmId);
@@ -232,7 +254,18 @@
     this.#settledMs ??= nowMs + PEER_STATE_SETTLE_MS;
     const age = nowMs - this.#createdMs;
     const hasPlatformAnswered = this.#options.stream.silenceMs() < age;
-    return hasPlatformAnswered || nowMs >= this.#settledMs;
+    if (hasPlatformAnswered) return true;
+    return nowMs >= this.#settledMs && this.#haveDomainPeersAnswered(nowMs);
+  }
+
+  #haveDomainPeersAnswered(nowMs: number): boolean {
+    const { membership, identity } = this.#options;
+    if (nowMs - this.#createdMs >= SILENT_PEER_MS) return true;
+    const known = membership.knownPeers?.() ?? [];
+    return known.every((peer) =>
+      peer.failureDomain !== identity.failureDomain ||
+      membership.incarnationOf(peer.vmId) !== undefined
+    );
   }
 
   #noteSplit(nowMs: number): void {
@@ -244,9 +277,10 @@
 
   #forgetGivenUp(): void {
     for (const group of this.#givenUp) {
-      if (this.#holdings.startOf(group) === undefined) {
-        this.#givenUp.delete(group);
-      }
+      if (this.#holdings.startOf(group) !== undefined) continue;
+      this.#givenUp.delete(group);
+      this.#uncertain.delete(group);
+      this.#releaser.resume([group]);
     }
   }
 
@@ -287,6 +321,9 @@
   }
 
   #planRecord(): UpkeepRecord | undefined {
+    if (this.#uncertain.size > 0) {
+      return this.#giveUpRecord([...this.#uncertain]);
+    }
     const { identity, membership, clock } = this.#options;
     const liveVms = this.#liveVms();
     return planUpkeep(this.#options.fold.state, {
