Answer peer calls after a late start, and learn peers from their calls

The peer listener bound its handlers before the tasks had made them, so every call between daemons was answered as unimplemented: charges at another VM were refused not_ready and explain found nothing. Handlers are now looked up at each call. A daemon that the settings and the lagging list don't name yet is known from its own calls, which carry its address.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -17,6 +17,8 @@
 
 /** A peer that did not answer for this long owns no soft state. */
 export const PEER_ABSENT_AFTER_MS = 5000;
+/** A silent peer that is not listed is forgotten after this time. */
+const PEER_FORGOTTEN_AFTER_MS = 10 * 60_000;
 /** How long a failed backend server is left out before it is tried again. */
 export const FIRST_SUSPICION_MS = 250;
 const LARGEST_SUSPICION_MS = 4000;
@@ -36,6 +38,8 @@
   readonly incarnation: IncarnationId;
   readonly failureDomain: FailureDomainId;
   readonly draining: boolean;
+  /** Where the peer listens for other daemons. */
+  readonly address: string;
 }
 
 /** What a backend server's answer showed. */
@@ -101,13 +105,23 @@
   /** Notes that a peer answered. */
   notePeer(note: PeerNote, nowMs: number): void {
     this.#peers.set(note.vmId, { note, lastAnswerMs: nowMs });
+    this.#forgetEndedPeers(nowMs);
   }
 
-  /** Entry VMs known from settings and list, whether they answer or not. */
+  /**
+   * Entry VMs known from settings, from the list, or because they called while
+   * the list lagged, whether they answer or not.
+   */
   knownPeers(): readonly VmEntry[] {
-    return [...this.#entries.values()].filter((entry) =>
-      entry.role === "entry" && entry.vmId !== this.#options.self.vmId
-    );
+    const known = new Map<VmId, VmEntry>();
+    for (const { note } of this.#peers.values()) {
+      known.set(note.vmId, entryOf(note));
+    }
+    for (const entry of this.#entries.values()) {
+      if (entry.role === "entry") known.set(entry.vmId, entry);
+    }
+    known.delete(this.#options.self.vmId);
+    return [...known.values()];
   }
 
   /** Entry VMs that answer and don't drain, this one included, sorted by id. */
@@ -121,7 +135,9 @@
   entryVm(vmId: VmId): VmEntry | undefined {
     if (vmId === this.#options.self.vmId) return this.#options.self;
     const entry = this.#entries.get(vmId);
-    return entry?.role === "entry" ? entry : undefined;
+    if (entry?.role === "entry") return entry;
+    const peer = this.#peers.get(vmId);
+    return peer === undefined ? undefined : entryOf(peer.note);
   }
 
   incarnationOf(vmId: VmId): IncarnationId | undefined {
@@ -219,6 +235,14 @@
     return state;
   }
 
+  /** VMs get new ids when they are replaced, so silent ones would pile up. */
+  #forgetEndedPeers(nowMs: number): void {
+    for (const [vmId, peer] of this.#peers) {
+      const isSilent = nowMs - peer.lastAnswerMs > PEER_FORGOTTEN_AFTER_MS;
+      if (isSilent && !this.#entries.has(vmId)) this.#peers.delete(vmId);
+    }
+  }
+
   #isPeerPresent(vmId: VmId, nowMs: number): boolean {
     const peer = this.#peers.get(vmId);
     if (peer === undefined || peer.note.draining) return false;
@@ -226,6 +250,11 @@
   }
 }
 
+function entryOf(note: PeerNote): VmEntry {
+  const { vmId, failureDomain, address } = note;
+  return { vmId, role: "entry", state: "live", address, failureDomain };
+}
+
 function byVmId(left: VmEntry, right: VmEntry): number {
   return left.vmId < right.vmId ? -1 : 1;
 }
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -76,6 +76,7 @@
   const note = {
     incarnation: brandId<IncarnationId>("i"),
     failureDomain: domain,
+    address: "127.0.0.1:1",
   };
   const p1 = brandId<VmId>("p1");
   const p2 = brandId<VmId>("p2");
--- a/packages/peers/src/server.ts
+++ b/packages/peers/src/server.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import { createServer, type Http2Server } from "node:http2";
-import { createSecureServer } from "node:http2";
+import { createSecureServer, createServer, type Http2Server } from "node:http2";
 import {
   Code,
   ConnectError,
+  type HandlerContext,
   type Interceptor,
   type ServiceImpl,
 } from "@connectrpc/connect";
@@ -45,6 +45,23 @@
   };
 }
 
+type AnyHandler = (request: unknown, context: HandlerContext) => unknown;
+
+/** Looks each handler up when its call comes, as it may be set later. */
+function lateHandlers(handlers: Partial<PeerHandlers>): PeerHandlers {
+  const late = PeerService.methods.map(({ localName }) => {
+    const handle: AnyHandler = (request, context) => {
+      const name = localName as keyof PeerHandlers;
+      const handler = handlers[name] as AnyHandler | undefined;
+      if (handler !== undefined) return handler(request, context);
+      const message = "The daemon is starting; call again";
+      throw new ConnectError(message, Code.Unavailable);
+    };
+    return [localName, handle];
+  });
+  return Object.fromEntries(late) as PeerHandlers;
+}
+
 /**
  * Makes the HTTP/2 server; the caller listens on it and closes it.
  *
@@ -59,7 +76,7 @@
   options: PeerServerOptions,
 ): Http2Server {
   const adapter = connectNodeAdapter({
-    routes: (router) => router.service(PeerService, handlers),
+    routes: (router) => router.service(PeerService, lateHandlers(handlers)),
     interceptors: [requireCredential(options.sharedKey)],
     readMaxBytes: options.maxMessageBytes,
     grpc: false,
--- a/packages/router/src/configuration/blocked_keys.ts
+++ b/packages/router/src/configuration/blocked_keys.ts
@@ -4,11 +4,13 @@
  * @module
  */
 
-import type { Sha256Digest } from "@endivebend/types";
+import { brandId, type Sha256Digest } from "@endivebend/types";
 
 /** More digests than this are not taken from peers. */
 export const MAX_BLOCKED_KEYS = 10_000;
 
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
+
 /** One blocked key. */
 export interface BlockedKey {
   readonly digest: Sha256Digest;
@@ -41,10 +43,26 @@
     return known === undefined;
   }
 
-  /** Takes a digest from a peer; gives false when it is known or over the bound. */
-  merge(digest: Sha256Digest, sinceElapsedMs: number): boolean {
-    if (this.#keys.size >= MAX_BLOCKED_KEYS) return false;
-    return this.block({ digest, sinceElapsedMs, isOrigin: false });
+  /**
+   * Blocks the digests that a peer blocks, and gives those that are new. What
+   * is no digest, or is decided in the log, is left out.
+   */
+  merge(
+    texts: readonly string[],
+    options: {
+      readonly sinceElapsedMs: number;
+      readonly isDecided: (digest: Sha256Digest) => boolean;
+    },
+  ): readonly Sha256Digest[] {
+    const { sinceElapsedMs, isDecided } = options;
+    return texts
+      .filter((text) => DIGEST_PATTERN.test(text))
+      .map((text) => brandId<Sha256Digest>(text))
+      .filter((digest) => {
+        if (this.#keys.size >= MAX_BLOCKED_KEYS) return false;
+        if (isDecided(digest)) return false;
+        return this.block({ digest, sinceElapsedMs, isOrigin: false });
+      });
   }
 
   /** Drops the keys whose withdrawal the log has decided. */
--- a/packages/router/src/configuration/configuration_task.ts
+++ b/packages/router/src/configuration/configuration_task.ts
@@ -49,7 +49,6 @@
 
 /** How often due snapshots and pending withdrawals are looked for. */
 const TICK_MS = 1_000;
-const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
 
 /** Settings and neighbours of the task. */
 export interface ConfigurationTaskOptions {
@@ -230,14 +229,12 @@
   /** Blocks the keys that a peer blocks. */
   mergeBlockedDigests(digests: readonly string[]): void {
     const sinceElapsedMs = this.#options.clock.elapsedMs();
-    const added = digests.filter((text) => {
-      if (!DIGEST_PATTERN.test(text)) return false;
-      const digest = brandId<Sha256Digest>(text);
-      if (this.#isDecided(digest)) return false;
-      return this.#blocked.merge(digest, sinceElapsedMs);
+    const added = this.#blocked.merge(digests, {
+      sinceElapsedMs,
+      isDecided: (digest) => this.#isDecided(digest),
     });
     if (added.length === 0) return;
-    const keyIds = added.map((text) => keyIdOf(brandId<Sha256Digest>(text)));
+    const keyIds = added.map(keyIdOf);
     this.#options.logger.info({ keyIds }, "Keys blocked at a peer's word");
     this.#notify();
   }
--- a/packages/router/src/daemon/daemon.ts
+++ b/packages/router/src/daemon/daemon.ts
@@ -141,7 +141,7 @@
     const foundation = this.#foundation;
     const { settings } = foundation;
     this.#membership = createMembership(foundation, {
-      peerAddress: settings.advertise.peers ?? this.#peerListener.address,
+      peerAddress: this.#peerAddress(),
       directory: this.#directory,
       receivers: {
         ownView: () => this.#ownView(),
@@ -328,9 +328,15 @@
     return [...this.#servedStreams().values()].map(({ follower }) => follower);
   }
 
+  #peerAddress(): string {
+    const { advertise } = this.#foundation.settings;
+    return advertise.peers ?? this.#peerListener.address;
+  }
+
   #ownView() {
     return createPeerView({
       identity: this.#foundation.identity,
+      address: this.#peerAddress(),
       clock: this.#foundation.clock,
       directory: this.#directory,
       followers: this.#followers(),
--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -208,3 +208,21 @@
   }
   await deployment.close();
 });
+
+test("a request at one VM is charged at the holder and explained at another", async (t) => {
+  const deployment = await TestDeployment.start({ daemons: 2 });
+  const { key } = await deployment.createTeam();
+  const body = completion(1, false);
+  const path = "/v1/completions";
+  const answers = await Promise.all([
+    deployment.call({ path, key, body }, 0),
+    deployment.call({ path, key, body }, 1),
+  ]);
+  t.deepEqual(answers.map(({ status }) => status), [200, 200]);
+  const requestId = answers[1]!.headers.get("x-request-id");
+  const explained = await deployment.operate(
+    `/operator/v1/explain/${requestId}`,
+  );
+  t.regex(explained.text, /"vmId":"vm-2".*"step":"route"/);
+  await deployment.close();
+});
--- a/packages/router/src/membership/membership_task.ts
+++ b/packages/router/src/membership/membership_task.ts
@@ -140,6 +140,7 @@
       incarnation: brandId<IncarnationId>(view.incarnation),
       failureDomain: brandId<FailureDomainId>(view.failureDomain),
       draining: view.draining,
+      address: view.address,
     }, this.#nowMs());
     this.#options.onPeerView(view);
     this.#noteChangeOfPeers();
--- /dev/null
+++ b/packages/router/src/orders/order_run.ts
@@ -0,0 +1,274 @@
+/**
+ * One order, from its append to its end.
+ *
+ * @module
+ */
+
+import {
+  checkReadBack,
+  type OrderKind,
+  type OrderPlan,
+  type OrdersState,
+  planOrder,
+  type ReadBackVerdict,
+} from "@endivebend/orders";
+import { type EndivebendError, fail } from "@endivebend/errors";
+import type { BackendServerId } from "@endivebend/types";
+import type {
+  AppendRecord,
+  Clock,
+  FollowedStream,
+  Identity,
+  MembershipView,
+  Scheduler,
+} from "../ports.ts";
+import type { EngineOrderClient, SendAnswer } from "./engine_order_client.ts";
+import type { OrdersTaskSettings } from "./settings.ts";
+
+/** An order as an operator or a task asks for it. */
+export interface OrderRequest {
+  readonly engineId: BackendServerId;
+  readonly kind: OrderKind;
+  readonly model: string;
+  readonly weightsVersion: string;
+  /** The open order of an ended writer that this one replaces. */
+  readonly takesOver?: string;
+}
+
+/** How an order ended. */
+export type OrderResult =
+  | { readonly kind: "finished"; readonly fence: number }
+  /** A newer order for the engine took its place. */
+  | { readonly kind: "superseded" }
+  | { readonly kind: "abandoned"; readonly reason: string };
+
+/** What a run works with. */
+export interface OrderRunOptions {
+  readonly identity: Identity;
+  readonly stream: FollowedStream;
+  readonly membership: MembershipView;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly client: EngineOrderClient;
+  readonly settings: OrdersTaskSettings;
+  readonly state: OrdersState;
+  /** Whether the engine is known to reject stale fencing tokens. */
+  readonly checksFence: (engineId: BackendServerId) => boolean;
+  readonly nextRecordId: (kind: string) => string;
+  /** Resolves on the next applied record, or after a time. */
+  readonly whenChanged: (waitMs: number) => Promise<void>;
+  readonly deadlineElapsedMs: number;
+}
+
+type PlanOf<Kind extends OrderPlan["kind"]> = Extract<
+  OrderPlan,
+  { kind: Kind }
+>;
+
+/** A result, or undefined when the next step must be planned. */
+type Step = Promise<OrderResult | undefined>;
+
+/** Carries out one order. */
+export class OrderRun {
+  readonly #order: OrderRequest;
+  readonly #options: OrderRunOptions;
+  #orderId = "";
+  #ownLeaseUntilMs = 0;
+  /** An engine that was sent a load may carry it out until then. */
+  #placeHeldUntilMs = 0;
+
+  constructor(order: OrderRequest, options: OrderRunOptions) {
+    this.#order = order;
+    this.#options = options;
+  }
+
+  async run(): Promise<OrderResult> {
+    await this.#append(this.#order.takesOver);
+    while (this.#leftMs() > 0) {
+      const plan = this.#plan();
+      // The table is typed per kind; the plan's kind selects the handler.
+      const handler = this.#handlers[plan.kind] as (plan: OrderPlan) => Step;
+      const result = await handler(plan);
+      if (result !== undefined) return result;
+    }
+    return this.#abandon("The order's deadline has passed");
+  }
+
+  readonly #handlers: {
+    readonly [Kind in OrderPlan["kind"]]: (plan: PlanOf<Kind>) => Step;
+  } = {
+    wait_for_log: () => this.#wait(this.#leftMs()),
+    wait_until: ({ atMs }) => {
+      return this.#wait(atMs - this.#options.clock.elapsedMs());
+    },
+    renew: async () => {
+      await this.#append(this.#orderId);
+      return undefined;
+    },
+    send: (plan) => this.#send(plan),
+    stop: ({ verdict }) => {
+      return Promise.resolve(
+        verdict === "superseded" || verdict === "refused"
+          ? { kind: "superseded" }
+          : { kind: "abandoned", reason: `The order is ${verdict} already` },
+      );
+    },
+  };
+
+  #plan(): OrderPlan {
+    const { clock, identity, settings, state, checksFence } = this.#options;
+    const { engineId } = this.#order;
+    return planOrder(state, this.#orderId, {
+      writer: identity,
+      engineId,
+      nowMs: clock.elapsedMs(),
+      ownLeaseUntilMs: this.#ownLeaseUntilMs,
+      minSendMs: settings.minSendMs,
+      checksFence: checksFence(engineId),
+    });
+  }
+
+  #leftMs(): number {
+    return this.#options.deadlineElapsedMs - this.#options.clock.elapsedMs();
+  }
+
+  async #wait(waitMs: number): Step {
+    const boundMs = Math.min(waitMs, this.#leftMs());
+    await this.#options.whenChanged(Math.max(0, boundMs));
+    return undefined;
+  }
+
+  /** Appends the order; its lease is counted from before the append. */
+  async #append(takesOver: string | undefined): Promise<void> {
+    const { clock, settings, stream } = this.#options;
+    const { engineId, kind, model, weightsVersion } = this.#order;
+    const nowMs = clock.elapsedMs();
+    const before = this.#orderId;
+    this.#orderId = this.#options.nextRecordId("order");
+    this.#ownLeaseUntilMs = nowMs + settings.leaseMs;
+    const result = await stream.append({
+      ...this.#writerFields(),
+      kind: "order_issued",
+      recordId: this.#orderId,
+      engineId,
+      orderKind: kind,
+      model,
+      weightsVersion,
+      leaseMs: settings.leaseMs,
+      ...(takesOver === undefined ? {} : { takesOver }),
+    }, { deadlineElapsedMs: nowMs + settings.appendTimeoutMs });
+    if (result.kind === "appended") return;
+    this.#abandonUnsettled(this.#orderId);
+    if (takesOver === before) this.#abandonUnsettled(before);
+    throw this.#logAway(result.reason);
+  }
+
+  /** An order that may still reach the log must not hold a load's place. */
+  #abandonUnsettled(orderId: string): void {
+    const reason = "The order's append was not settled";
+    void this.#persistEnd("order_abandoned", { orderId, reason });
+  }
+
+  #logAway(reason: string): EndivebendError {
+    return fail("platform_unavailable", `The order was not sent: ${reason}`, {
+      ran: "not_run",
+      retryAfterMs: this.#options.settings.appendTimeoutMs,
+    });
+  }
+
+  /** The plan was made in this turn of the event loop, so it still holds. */
+  async #send(plan: PlanOf<"send">): Step {
+    const { client, clock, membership, settings } = this.#options;
+    const { engineId, kind, model, weightsVersion } = this.#order;
+    const address = membership.backendServer(engineId)?.entry.address;
+    if (address === undefined) {
+      return this.#abandon("The platform's list does not have the engine");
+    }
+    const order = { kind, model, weightsVersion, fence: plan.fence };
+    const nowMs = clock.elapsedMs();
+    this.#placeHeldUntilMs = nowMs + settings.leaseMs;
+    const timeoutMs = plan.untilMs - nowMs;
+    const answer = await client.send(address, order, { timeoutMs });
+    return this.#afterSend(answer, { address, fence: plan.fence });
+  }
+
+  #afterSend(
+    answer: SendAnswer,
+    sent: { readonly address: string; readonly fence: number },
+  ): Step {
+    if (answer.kind === "rejected") return this.#abandon(answer.reason);
+    // The newer order that the engine knows will be in the log.
+    if (answer.kind === "stale") return this.#pause();
+    return this.#readBack(sent);
+  }
+
+  async #readBack(
+    { address, fence }: { readonly address: string; readonly fence: number },
+  ): Step {
+    const { client } = this.#options;
+    const { kind, model, weightsVersion } = this.#order;
+    const order = { fence, weightsVersion, loadsModel: kind !== "change_role" };
+    let verdict: ReadBackVerdict = "loading";
+    while (verdict === "loading" && this.#leftMs() > 0) {
+      const engine = await client.readBack(address, model);
+      verdict = engine ? checkReadBack(engine, order) : "send_again";
+      if (verdict === "done") return this.#finish(fence);
+      await this.#pause();
+    }
+    return undefined;
+  }
+
+  #pause(): Step {
+    return this.#wait(this.#options.settings.retryMs);
+  }
+
+  #finish(fence: number): Promise<OrderResult> {
+    void this.#persistEnd("order_finished", { orderId: this.#orderId });
+    return Promise.resolve({ kind: "finished", fence });
+  }
+
+  #abandon(reason: string): Promise<OrderResult> {
+    const { clock } = this.#options;
+    const holdMs = this.#placeHeldUntilMs - clock.elapsedMs();
+    const orderId = this.#orderId;
+    void this.#delay(holdMs).then(() =>
+      this.#persistEnd("order_abandoned", { orderId, reason })
+    );
+    return Promise.resolve({ kind: "abandoned", reason });
+  }
+
+  #persistEnd(
+    kind: "order_finished" | "order_abandoned",
+    fields: { readonly orderId: string; readonly reason?: string },
+  ): Promise<void> {
+    return this.#appendPersistently({
+      ...this.#writerFields(),
+      ...fields,
+      kind,
+      recordId: this.#options.nextRecordId("end"),
+      engineId: this.#order.engineId,
+    });
+  }
+
+  /** The load's place is held until the log has its end, however long. */
+  async #appendPersistently(record: AppendRecord): Promise<void> {
+    const { clock, settings, stream } = this.#options;
+    for (;;) {
+      const deadlineElapsedMs = clock.elapsedMs() + settings.appendTimeoutMs;
+      const result = await stream.append(record, { deadlineElapsedMs });
+      if (result.kind === "appended") return;
+      await this.#delay(settings.retryMs);
+    }
+  }
+
+  #delay(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.scheduler.after(Math.max(0, delayMs), resolve);
+    });
+  }
+
+  #writerFields() {
+    const { vmId, incarnation } = this.#options.identity;
+    return { vmId, incarnation };
+  }
+}
--- /dev/null
+++ b/packages/router/src/orders/orders_task.ts
@@ -0,0 +1,222 @@
+/**
+ * The task that gives orders to engines.
+ *
+ * @module
+ */
+
+import { type EngineOrderEntry, OrdersState } from "@endivebend/orders";
+import { firstByRendezvous } from "@endivebend/routing";
+import { fail } from "@endivebend/errors";
+import type {
+  BackendServerId,
+  IncarnationId,
+  LogRecord,
+  VmId,
+} from "@endivebend/types";
+import type {
+  Clock,
+  FollowedStream,
+  Identity,
+  Logger,
+  MembershipView,
+  Metrics,
+  Scheduler,
+  StreamFold,
+} from "../ports.ts";
+import type { EngineOrderClient } from "./engine_order_client.ts";
+import { type OrderRequest, type OrderResult, OrderRun } from "./order_run.ts";
+import type { OrdersTaskSettings } from "./settings.ts";
+
+/** What the task works with. */
+export interface OrdersTaskOptions {
+  readonly identity: Identity;
+  readonly stream: FollowedStream;
+  readonly membership: MembershipView;
+  readonly client: EngineOrderClient;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly settings: OrdersTaskSettings;
+  /** Engines known to reject stale fencing tokens; none when left out. */
+  readonly checksFence?: (engineId: BackendServerId) => boolean;
+}
+
+/** Gives orders and folds the `orders` stream in one daemon. */
+export class OrdersTask implements StreamFold {
+  readonly #options: OrdersTaskOptions;
+  readonly #state = new OrdersState();
+  readonly #waiting = new Set<() => void>();
+  readonly #takingOver = new Set<string>();
+  #sequence = 0;
+  #running = 0;
+  #cancelTimer: () => void = () => {};
+
+  constructor(options: OrdersTaskOptions) {
+    this.#options = options;
+    this.#scheduleTakeovers();
+  }
+
+  /** Orders of this daemon that have not ended; a planned stop waits for 0. */
+  get runningOrders(): number {
+    return this.#running;
+  }
+
+  /** The newest order of each engine that has not ended, for operators. */
+  openOrders(): readonly EngineOrderEntry[] {
+    return this.#state.openOrders();
+  }
+
+  stop(): void {
+    this.#cancelTimer();
+  }
+
+  apply(record: LogRecord): void {
+    this.#state.apply(record, this.#options.clock.elapsedMs());
+    for (const wake of [...this.#waiting]) wake();
+  }
+
+  /**
+   * Issues an order and resolves when the engine has carried it out, when a
+   * newer order took its place, or at the deadline. Throws
+   * `platform_unavailable` when the log did not take the order; it is not sent
+   * then, also when it reaches the log later.
+   */
+  async issue(
+    order: OrderRequest,
+    options: { readonly deadlineElapsedMs: number },
+  ): Promise<OrderResult> {
+    const { membership } = this.#options;
+    const isListed = membership.backendServer(order.engineId) !== undefined;
+    // An order that an ended VM left is taken over to be abandoned.
+    if (!isListed && order.takesOver === undefined) {
+      throw fail("no_backend_server", `No engine is named ${order.engineId}`);
+    }
+    this.#running++;
+    try {
+      const result = await this.#newRun(order, options).run();
+      this.#report(order, result);
+      return result;
+    } finally {
+      this.#running--;
+    }
+  }
+
+  #newRun(
+    order: OrderRequest,
+    options: { readonly deadlineElapsedMs: number },
+  ): OrderRun {
+    return new OrderRun(order, {
+      ...this.#options,
+      ...options,
+      state: this.#state,
+      checksFence: this.#options.checksFence ?? (() => false),
+      nextRecordId: (kind) => this.#nextRecordId(kind),
+      whenChanged: (waitMs) => this.#whenChanged(waitMs),
+    });
+  }
+
+  #nextRecordId(kind: string): string {
+    const { vmId, incarnation } = this.#options.identity;
+    this.#sequence++;
+    return `${vmId}/${incarnation}/${kind}/${this.#sequence}`;
+  }
+
+  #whenChanged(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        cancel();
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const cancel = this.#options.scheduler.after(waitMs, wake);
+      this.#waiting.add(wake);
+    });
+  }
+
+  #scheduleTakeovers(): void {
+    const { scheduler, settings } = this.#options;
+    this.#cancelTimer = scheduler.after(settings.takeoverCheckMs, () => {
+      this.#takeOverLeftOrders();
+      this.#scheduleTakeovers();
+    });
+  }
+
+  /** Issues open orders again whose writer has ended. */
+  #takeOverLeftOrders(): void {
+    if (!this.#options.stream.isCaughtUp()) return;
+    for (const entry of this.#state.openOrders()) {
+      if (!this.#hasEnded(entry) || !this.#isFirstFor(entry.engineId)) continue;
+      void this.#takeOver(entry);
+    }
+  }
+
+  /** Two VMs may think so for a moment; the log lets one of them win. */
+  #isFirstFor(engineId: string): boolean {
+    const { identity, membership } = this.#options;
+    const vmIds = membership.entryVms().map((vm) => vm.vmId);
+    return firstByRendezvous(engineId, vmIds) === identity.vmId;
+  }
+
+  #hasEnded(entry: EngineOrderEntry): boolean {
+    const { identity, membership } = this.#options;
+    if (entry.vmId === identity.vmId) {
+      return entry.incarnation !== identity.incarnation;
+    }
+    const vmId = entry.vmId as VmId;
+    const incarnation = membership.incarnationOf(vmId);
+    const hasRestarted = incarnation !== undefined &&
+      incarnation !== entry.incarnation as IncarnationId;
+    return hasRestarted || membership.hasEnded(vmId, entry.issuedAtMs);
+  }
+
+  async #takeOver(entry: EngineOrderEntry): Promise<void> {
+    if (this.#takingOver.has(entry.recordId)) return;
+    this.#takingOver.add(entry.recordId);
+    const { clock, logger, settings } = this.#options;
+    const { engineId, vmId, fence } = entry;
+    logger.info({ engineId, vmId, fence }, "Taking over an order");
+    try {
+      await this.issue({
+        engineId: engineId as BackendServerId,
+        kind: entry.orderKind,
+        model: entry.model,
+        weightsVersion: entry.weightsVersion,
+        takesOver: entry.recordId,
+      }, {
+        deadlineElapsedMs: clock.elapsedMs() + settings.takeoverTimeoutMs,
+      });
+    } catch (caught) {
+      logger.warn(
+        { engineId, cause: String(caught) },
+        "The order was not taken over; it is tried again",
+      );
+    } finally {
+      this.#takingOver.delete(entry.recordId);
+    }
+  }
+
+  #report(order: OrderRequest, result: OrderResult): void {
+    const { logger, metrics } = this.#options;
+    metrics.increment("orders.ended", { result: result.kind });
+    logger.info({ ...order, result }, "An order has ended");
+  }
+}
+
+/**
+ * Makes the task. Give it to the follower of the `orders` stream as its fold.
+ *
+ * @example
+ * ```ts
+ * const orders = createOrdersTask(options);
+ * const result = await orders.issue({
+ *   engineId,
+ *   kind: "load_model",
+ *   model: "chime-llm",
+ *   weightsVersion: "w2",
+ * }, { deadlineElapsedMs: clock.elapsedMs() + 30_000 });
+ * ```
+ */
+export function createOrdersTask(options: OrdersTaskOptions): OrdersTask {
+  return new OrdersTask(options);
+}
--- /dev/null
+++ b/packages/router/src/orders/testing/order_fleet.ts
@@ -0,0 +1,209 @@
+/**
+ * Orders tasks over one log and a few engines, in virtual time.
+ *
+ * @module
+ */
+
+import type { EngineReadBack } from "@endivebend/orders";
+import type {
+  BackendServerId,
+  IncarnationId,
+  VmEntry,
+  VmId,
+} from "@endivebend/types";
+import { FakeFollower, FakeLog } from "../../commitments/testing/fake_log.ts";
+import {
+  ProcessTime,
+  VirtualTime,
+} from "../../commitments/testing/virtual_time.ts";
+import type { MembershipView } from "../../ports.ts";
+import type { OrderBody, SendAnswer } from "../engine_order_client.ts";
+import type { OrderRequest, OrderResult } from "../order_run.ts";
+import { createOrdersTask, type OrdersTask } from "../orders_task.ts";
+import { DEFAULT_ORDERS_SETTINGS } from "../settings.ts";
+
+const LOAD_MS = 400;
+
+/** What happens to one order on its way to an engine. */
+export interface SendFault {
+  readonly kind: "none" | "lost_request" | "lost_answer";
+  readonly delayMs: number;
+}
+
+/** An engine that loads weights and may ignore fencing tokens. */
+export class FakeEngine {
+  readonly accepted: OrderBody[] = [];
+  readonly checksFence: boolean;
+  weightsVersion = "w1";
+  isLoading = false;
+  readonly #time: VirtualTime;
+
+  constructor(time: VirtualTime, checksFence: boolean) {
+    this.#time = time;
+    this.checksFence = checksFence;
+  }
+
+  accept(order: OrderBody): SendAnswer {
+    const lastFence = this.accepted.at(-1)?.fence ?? -1;
+    if (this.checksFence && order.fence < lastFence) return { kind: "stale" };
+    this.accepted.push(order);
+    this.isLoading = true;
+    this.#time.after(LOAD_MS, () => {
+      if (this.accepted.at(-1) !== order) return;
+      this.isLoading = false;
+      this.weightsVersion = order.weightsVersion;
+    });
+    return { kind: "accepted" };
+  }
+
+  readBack(): EngineReadBack {
+    const lastFence = this.accepted.at(-1)?.fence;
+    return { lastFence, weightsVersion: this.weightsVersion };
+  }
+}
+
+/** One process that runs the task. */
+export interface OrderVm {
+  readonly vmId: VmId;
+  readonly incarnation: IncarnationId;
+  readonly time: ProcessTime;
+  readonly task: OrdersTask;
+}
+
+/** VMs and engines. */
+export class OrderFleet {
+  readonly time = new VirtualTime();
+  readonly log = new FakeLog(this.time);
+  readonly engines = new Map<string, FakeEngine>();
+  readonly vms: OrderVm[] = [];
+  readonly results: (OrderResult | { readonly kind: "threw" })[] = [];
+  readonly sendFaults: SendFault[] = [];
+  mostLoads = 0;
+  #incarnations = 0;
+
+  constructor(
+    options: {
+      readonly vmCount: number;
+      readonly engineCount: number;
+      readonly checksFence: boolean;
+    },
+  ) {
+    for (let n = 0; n < options.engineCount; n++) {
+      this.engines.set(`e${n}`, new FakeEngine(this.time, options.checksFence));
+    }
+    for (let n = 0; n < options.vmCount; n++) this.#startVm(n);
+  }
+
+  vm(index: number): OrderVm {
+    const vm = this.vms[index];
+    if (vm === undefined) throw new RangeError(`No VM ${index}`);
+    return vm;
+  }
+
+  engine(id: string): FakeEngine {
+    const engine = this.engines.get(id);
+    if (engine === undefined) throw new RangeError(`No engine ${id}`);
+    return engine;
+  }
+
+  restart(index: number): void {
+    const vm = this.vm(index);
+    vm.time.end();
+    vm.task.stop();
+    this.#startVm(index);
+  }
+
+  async issue(
+    index: number,
+    engineId: string,
+    weightsVersion: string,
+  ): Promise<void> {
+    const order: OrderRequest = {
+      engineId: engineId as BackendServerId,
+      kind: "load_model",
+      model: "m",
+      weightsVersion,
+    };
+    const deadlineElapsedMs = this.time.elapsedMs() + 30_000;
+    const result = await this.vm(index).task
+      .issue(order, { deadlineElapsedMs })
+      .catch(() => ({ kind: "threw" as const }));
+    this.results.push(result);
+  }
+
+  #startVm(index: number): void {
+    const vmId = `vm-${index}` as VmId;
+    this.#incarnations++;
+    const incarnation = `i${this.#incarnations}` as IncarnationId;
+    const time = new ProcessTime(this.time);
+    const stream = new FakeFollower(this.log, time, {
+      fold: () => ({ apply: (record) => task?.apply(record) }),
+      lagMs: 1,
+    });
+    const task: OrdersTask = createOrdersTask({
+      identity: { vmId, incarnation, failureDomain: "d1" as never },
+      stream,
+      membership: this.#membership(),
+      client: {
+        send: (address, order) => this.#send(address, order, time),
+        readBack: (address) => this.#readBack(address, time),
+      },
+      clock: time,
+      scheduler: time,
+      metrics: { increment() {}, gauge() {}, timing() {} },
+      logger: { info() {}, warn() {}, error() {} },
+      settings: DEFAULT_ORDERS_SETTINGS,
+      checksFence: (engineId) => this.engine(engineId).checksFence,
+    });
+    this.vms[index] = { vmId, incarnation, time, task };
+  }
+
+  #membership(): MembershipView {
+    const entryOf = (vmId: string) => ({ vmId, address: vmId } as VmEntry);
+    return {
+      entryVms: () => this.vms.map((vm) => entryOf(vm.vmId)),
+      entryVm: () => undefined,
+      incarnationOf: (vmId) =>
+        this.vms.find((vm) => vm.vmId === vmId)?.incarnation,
+      hasEnded: () => false,
+      backendServers: () => [],
+      backendServer: (id) =>
+        this.engines.has(id)
+          ? {
+            id,
+            entry: entryOf(id),
+            incarnation: undefined,
+            weightsVersion: undefined,
+            takesNewWork: true,
+          }
+          : undefined,
+      onChange: () => () => {},
+    };
+  }
+
+  #send(
+    address: string,
+    order: OrderBody,
+    sender: ProcessTime,
+  ): Promise<SendAnswer> {
+    const { kind, delayMs } = this.sendFaults.shift() ??
+      { kind: "none", delayMs: 2 };
+    return new Promise((resolve) => {
+      const lost: SendAnswer = { kind: "unknown", reason: "No answer" };
+      sender.after(1000, () => resolve(lost));
+      if (kind === "lost_request") return;
+      this.time.after(delayMs, () => {
+        const answer = this.engine(address).accept(order);
+        const loads = [...this.engines.values()].filter((e) => e.isLoading);
+        this.mostLoads = Math.max(this.mostLoads, loads.length);
+        if (kind === "none") sender.after(1, () => resolve(answer));
+      });
+    });
+  }
+
+  #readBack(address: string, time: ProcessTime): Promise<EngineReadBack> {
+    return new Promise((resolve) => {
+      time.after(1, () => resolve(this.engine(address).readBack()));
+    });
+  }
+}
--- a/packages/router/src/peering/peer_view.ts
+++ b/packages/router/src/peering/peer_view.ts
@@ -19,6 +19,8 @@
 /** What a view is made of. */
 export interface PeerViewSources {
   readonly identity: Identity;
+  /** IP number and port of this daemon's peer listener. */
+  readonly address: string;
   readonly followers: readonly LogFollower[];
   readonly directory: EngineDirectory;
   readonly watchedEngines: () => readonly BackendServerId[];
@@ -36,6 +38,7 @@
     vmId: sources.identity.vmId,
     incarnation: sources.identity.incarnation,
     failureDomain: sources.identity.failureDomain,
+    address: sources.address,
     draining: sources.isDraining(),
     appliedOffsets: Object.fromEntries(
       caughtUp.map((one) => [one.stream, BigInt(one.nextOffset())]),
