settings: refuse timeouts that the runtime would not take

The HTTP server throws at its start when headersTimeoutMs is larger than requestTimeoutMs, and a timer longer than 2,147,483,647 ms fires at once. Both are now faults of the settings with a remedy.

--- a/packages/settings/src/cross_checks.ts
+++ b/packages/settings/src/cross_checks.ts
@@ -98,6 +98,20 @@
   });
 }
 
+/** The HTTP server does not start when headers may take longer than requests. */
+function checkTimeouts(settings: Fields): LocatedFault[] {
+  const { headersTimeoutMs, requestTimeoutMs } = fieldsOf(settings.limits);
+  const isLonger = typeof headersTimeoutMs === "number" &&
+    typeof requestTimeoutMs === "number" &&
+    headersTimeoutMs > requestTimeoutMs;
+  if (!isLonger) return [];
+  return [{
+    path: ["limits", "headersTimeoutMs"],
+    message: "Headers may take longer than the whole request",
+    remedy: `Give at most requestTimeoutMs, ${requestTimeoutMs}`,
+  }];
+}
+
 /** Finds the faults that no single field shows; accepts any value. */
 export function findCrossFaults(value: unknown): readonly LocatedFault[] {
   const settings = fieldsOf(value);
@@ -105,5 +119,6 @@
     ...checkDomains(settings),
     ...checkPeers(settings),
     ...checkListeners(settings),
+    ...checkTimeouts(settings),
   ];
 }
--- a/packages/settings/src/parse_test.ts
+++ b/packages/settings/src/parse_test.ts
@@ -64,3 +64,14 @@
     "peers.sharedKey",
   ]);
 });
+
+// Guards against settings with which the HTTP server does not start.
+test("timeouts that contradict each other or exceed a timer are faults", (t) => {
+  const text = SETTINGS_EXAMPLE
+    .replace('"headersTimeoutMs": 10000', '"headersTimeoutMs": 400000')
+    .replace('"queueWaitMs": 10000', '"queueWaitMs": 3000000000');
+  t.deepEqual(faultsOf(text).map(({ field }) => field), [
+    "limits.headersTimeoutMs",
+    "limits.queueWaitMs",
+  ]);
+});
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -33,10 +33,17 @@
 });
 const fileSchema = z.string().min(1);
 
+/** The longest delay that the runtime's timers take, about 24 days. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 function positive(fallback: number) {
   return z.int().min(1).default(fallback);
 }
 
+function timerMs(fallback: number) {
+  return z.int().min(1).max(MAX_TIMER_MS).default(fallback);
+}
+
 const tlsSchema = z.strictObject({
   certFile: fileSchema,
   keyFile: fileSchema,
@@ -53,13 +60,13 @@
   maxHeaderBytes: positive(16_384),
   maxBodyBytes: positive(8_388_608),
   maxConnections: positive(10_000),
-  requestTimeoutMs: positive(300_000),
-  headersTimeoutMs: positive(10_000),
-  queueWaitMs: positive(10_000),
+  requestTimeoutMs: timerMs(300_000),
+  headersTimeoutMs: timerMs(10_000),
+  queueWaitMs: timerMs(10_000),
   defaultMaxTokens: positive(256),
-  streamProgressMs: positive(5_000),
-  drainGraceMs: z.int().min(0).default(5_000),
-  loanLeaseMs: positive(2_000),
+  streamProgressMs: timerMs(5_000),
+  drainGraceMs: z.int().min(0).max(MAX_TIMER_MS).default(5_000),
+  loanLeaseMs: timerMs(2_000),
   floorFraction: z.number().min(0).max(1).default(0.25),
 });
 
@@ -84,8 +91,8 @@
   platform: z.strictObject({
     address: addressSchema,
     /** Time for one call, the wait of a long poll not counted. */
-    timeoutMs: positive(2_000),
-    pollWaitMs: positive(5_000),
+    timeoutMs: timerMs(2_000),
+    pollWaitMs: timerMs(5_000),
     /** How long the platform's log keeps a record. */
     logRetentionMs: positive(86_400_000),
   }),
@@ -96,8 +103,8 @@
       address: addressSchema,
       failureDomain: failureDomainSchema,
     })).default([]),
-    exchangeIntervalMs: positive(500),
-    timeoutMs: positive(1_000),
+    exchangeIntervalMs: timerMs(500),
+    timeoutMs: timerMs(1_000),
   }),
   operators: z.strictObject({
     keys: z.array(z.strictObject({
