router: split the upkeep of the configuration from its task

No change of behaviour.

'npx ava packages/router/src/{configuration,operators}/*_test.ts': 12 tests passed.

--- a/packages/router/src/configuration/configuration_task.ts
+++ b/packages/router/src/configuration/configuration_task.ts
@@ -18,7 +18,6 @@
   restoreState,
   serializeState,
 } from "@endivebend/configuration";
-import { rankByRendezvous } from "@endivebend/routing";
 import {
   brandId,
   type KeyId,
@@ -44,11 +43,7 @@
 } from "../ports.ts";
 import { BlockedKeys } from "./blocked_keys.ts";
 import { type ProposalResult, proposeChange } from "./proposals.ts";
-import { SnapshotWriter } from "./snapshot_writer.ts";
-import { WithdrawalAppender } from "./withdrawal_appender.ts";
-
-/** How often due snapshots and pending withdrawals are looked for. */
-const TICK_MS = 1_000;
+import { Upkeep } from "./upkeep.ts";
 
 /** Settings and neighbours of the task. */
 export interface ConfigurationTaskOptions {
@@ -69,51 +64,30 @@
   readonly #state = createConfigurationState();
   readonly #blocked = new BlockedKeys();
   readonly #listeners = new Set<() => void>();
-  readonly #snapshots: SnapshotWriter;
-  readonly #withdrawals: WithdrawalAppender;
+  readonly #upkeep: Upkeep;
   #isReady = false;
-  #cancelTick = () => {};
 
   constructor(options: ConfigurationTaskOptions) {
     this.#options = options;
-    this.#snapshots = new SnapshotWriter({
+    this.#upkeep = new Upkeep({
       ...options,
-      retentionMs: options.logRetentionMs,
       state: this.#state,
-      rank: () => this.#rank("configuration-snapshot"),
-    });
-    this.#withdrawals = new WithdrawalAppender({
-      ...options,
       blocked: this.#blocked,
-      isInForce: (digest) => checkKey(this.#state, digest).kind === "valid",
-      rank: (digest) => this.#rank(digest),
     });
   }
 
   /** Starts the upkeep; {@link stop} ends it. */
   start(): void {
-    const { scheduler } = this.#options;
-    const tick = () => {
-      this.#cancelTick = scheduler.after(TICK_MS, tick);
-      this.runUpkeep().catch((cause) => {
-        const fields = { cause: String(cause) };
-        this.#options.logger.error(
-          fields,
-          "Upkeep of the configuration failed",
-        );
-      });
-    };
-    this.#cancelTick = scheduler.after(TICK_MS, tick);
+    this.#upkeep.start();
   }
 
   stop(): void {
-    this.#cancelTick();
+    this.#upkeep.stop();
   }
 
   /** Appends withdrawals that wait for the log, and a snapshot when due. */
-  async runUpkeep(): Promise<void> {
-    await this.#withdrawals.appendPending();
-    await this.#snapshots.writeWhenDue();
+  runUpkeep(): Promise<void> {
+    return this.#upkeep.run();
   }
 
   apply(record: LogRecord): void {
@@ -244,13 +218,6 @@
     return status.kind === "refused" && status.code === "key_withdrawn";
   }
 
-  #rank(key: string): number {
-    const { membership, identity } = this.#options;
-    const vmIds = membership.entryVms().map(({ vmId }) => vmId);
-    const place = rankByRendezvous(key, vmIds).indexOf(identity.vmId);
-    return place < 0 ? vmIds.length : place;
-  }
-
   #noteChange(): void {
     this.#blocked.prune((digest) => this.#isDecided(digest));
     this.#notify();
