router: drop recent records at a gap of the log

A follower whose log was cut off kept the records before the gap and gave them to peers together with those after it, as one run. A peer that was behind would have applied the later records to a state without those in between, and its configuration would have differed from the others' for good.

'npx ava packages/router/src/log/follower_gap_test.ts' failed before the change and passes with it.

--- a/packages/router/src/log/follower.ts
+++ b/packages/router/src/log/follower.ts
@@ -186,6 +186,8 @@
     if (firstOffset <= this.#nextOffset) return;
     this.#options.fold.onGap?.(brandId<LogOffset>(firstOffset));
     this.#nextOffset = firstOffset;
+    // Peers must not get the records around the gap as one run.
+    this.#recent.clear();
   }
 
   async #readFromPeers(): Promise<void> {
