Keep an engine's connection open after a whole answer

Cause: the router cancelled the attempt as soon as it had read the end marker, which closed the socket, so each request opened a new connection and paid for an aborted one. Seen in a CPU profile: close, internalConnect and HTTPParserError above all code of the router.

--- a/packages/router/src/engines/attempt_client.ts
+++ b/packages/router/src/engines/attempt_client.ts
@@ -17,6 +17,8 @@
 const MAX_EVENT_BYTES = 1 << 20;
 const MAX_ERROR_BYTES = 16_384;
 const CONNECT_TIMEOUT_MS = 1000;
+/** How long the end of a response may take after its last event. */
+const RESPONSE_END_TIMEOUT_MS = 1000;
 
 /** What an attempt tells its owner, in order. */
 export interface AttemptSink {
@@ -49,6 +51,11 @@
   resume(): void;
   /** Closes the connection; the sink hears nothing more. */
   cancel(): void;
+  /**
+   * The answer is whole: lets the rest of the response come, so that the
+   * connection can be used again. The sink hears nothing more.
+   */
+  finish(): void;
 }
 
 /** What to send. */
@@ -70,6 +77,7 @@
   #errorText = "";
   #isOver = false;
   #isPaused = false;
+  #endTimer: NodeJS.Timeout | undefined;
 
   constructor(sink: AttemptSink) {
     this.#sink = sink;
@@ -117,6 +125,7 @@
   }
 
   onResponseEnd(): void {
+    clearTimeout(this.#endTimer);
     if (this.#isOver) return;
     this.#isOver = true;
     if (this.#status === 200) return this.#sink.ended();
@@ -127,6 +136,7 @@
   }
 
   onResponseError(_controller: Controller, error: Error): void {
+    clearTimeout(this.#endTimer);
     if (this.#isOver) return;
     this.#isOver = true;
     this.#sink.failed({
@@ -147,6 +157,15 @@
     this.#controller?.resume();
   }
 
+  finish(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#controller?.resume();
+    const abort = () =>
+      this.#controller?.abort(new Error("The response did not end"));
+    this.#endTimer = setTimeout(abort, RESPONSE_END_TIMEOUT_MS).unref();
+  }
+
   cancel(): void {
     if (this.#isOver) return;
     this.#isOver = true;
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -174,6 +174,7 @@
       this.#endAttempt();
     },
     finish: ({ finishReason, usage, completionTokens }) => {
+      this.#attempt?.running?.finish();
       this.#input.sink.finish({
         finishReason,
         usage: {
