--- a/packages/bench/src/engine_model.ts
+++ b/packages/bench/src/engine_model.ts
@@ -202,19 +202,19 @@
     }
     const wanted = running.job.blocks.slice(0, plan.toBlock);
     const from = this.#cache.depth(wanted);
-    const to = Math.min(plan.toBlock, plan.source.depth(wanted));
-    if (to <= from) {
+    if (from === wanted.length) {
       return;
     }
+    const to = Math.max(from, plan.source.depth(wanted));
     running.isImporting = true;
     const count = to - from;
     const transferMs = count * this.#network.importMsPerBlock;
     const startMs = Math.max(this.#time.nowMs, this.#importFreeAtMs);
-    const endMs = Math.max(
+    const endMs = count === 0 ? this.#time.nowMs : Math.max(
       startMs + transferMs,
       plan.source.reserveExport(count),
     );
-    this.#importFreeAtMs = endMs;
+    this.#importFreeAtMs = Math.max(this.#importFreeAtMs, endMs);
     const incarnation = this.incarnation;
     this.#time.at(endMs + this.#network.importSetupMs, () => {
       if (this.isUp && incarnation === this.incarnation) {
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -6,7 +6,8 @@
 
 import type { BlockHash } from "@endivebend/types";
 import { firstByRendezvous, homeKeyOf } from "@endivebend/routing";
-import type { BlockReport } from "@endivebend/routing";
+import type { BlockReport, ChooseOptions } from "@endivebend/routing";
+import type { FairQueueOptions } from "@endivebend/queueing";
 import type { Policy } from "./policy.ts";
 import { RouterNode } from "./router_node.ts";
 import { filterReport, WatcherRole } from "./watcher_role.ts";
@@ -18,24 +19,31 @@
   readonly exchangeMs: number;
   /** Additional age of loads when they arrive; for the measured curve. */
   readonly extraLoadLagMs: number;
+  /** False leaves out what caches hold; for the measured curve. */
+  readonly usesCacheKnowledge: boolean;
+  readonly choose: Pick<ChooseOptions, "workWeight" | "tieMs">;
+  readonly queue: Partial<FairQueueOptions>;
 }
 
 /** Values of the design. */
 export const DEFAULT_FLEET_OPTIONS: FleetOptions = {
   exchangeMs: 500,
   extraLoadLagMs: 0,
+  usesCacheKnowledge: true,
+  choose: {},
+  queue: {},
 };
 
 /** Entry VMs of one run. */
 export class Fleet implements Policy {
   readonly #world: World;
-  readonly #options: FleetOptions;
+  readonly options: FleetOptions;
   readonly #nodes = new Map<string, RouterNode>();
   readonly #watchers = new Map<string, { nodeId: string; role: WatcherRole }>();
 
   constructor(world: World, options: Partial<FleetOptions> = {}) {
     this.#world = world;
-    this.#options = { ...DEFAULT_FLEET_OPTIONS, ...options };
+    this.options = { ...DEFAULT_FLEET_OPTIONS, ...options };
     this.onRoutersUp(world.header.routers.map(({ id }) => id));
     this.#exchange();
   }
@@ -99,6 +107,7 @@
     current?.role.stop();
     const role = new WatcherRole(engineId, {
       world: this.#world,
+      queueOptions: this.options.queue,
       report: (report) => this.#sendReport(nodeId, report),
     });
     node.watched.set(engineId, role);
@@ -133,7 +142,7 @@
     for (const engine of this.#world.engines.keys()) {
       this.#publish(engine);
     }
-    this.#world.time.after(this.#options.exchangeMs, () => this.#exchange());
+    this.#world.time.after(this.options.exchangeMs, () => this.#exchange());
   }
 
   #publish(engine: string): void {
@@ -143,7 +152,7 @@
     }
     const load = role.load();
     for (const id of this.#upIds()) {
-      this.#world.time.after(this.#options.extraLoadLagMs, () => {
+      this.#world.time.after(this.options.extraLoadLagMs, () => {
         this.#world.send(
           nodeId,
           id,
--- a/packages/bench/src/product_settings.ts
+++ b/packages/bench/src/product_settings.ts
@@ -39,12 +39,11 @@
   world: World,
   plan: RoutePlan,
 ): { source: BlockSource; toBlock: number } | undefined {
-  const { importFrom } = plan;
-  if (importFrom === undefined) {
-    return undefined;
+  const { importFrom, fallbackStore } = plan;
+  if (importFrom !== undefined && importFrom.source !== world.store.id) {
+    const source = world.engines.get(importFrom.source)!;
+    return { source, toBlock: importFrom.toBlock };
   }
-  const source = importFrom.source === world.store.id
-    ? world.store
-    : world.engines.get(importFrom.source)!;
-  return { source, toBlock: importFrom.toBlock };
+  const usesStore = importFrom !== undefined || fallbackStore !== undefined;
+  return usesStore ? { source: world.store, toBlock: Infinity } : undefined;
 }
--- a/packages/bench/src/router_node.ts
+++ b/packages/bench/src/router_node.ts
@@ -30,6 +30,10 @@
 const NO_ENGINE_RETRY_MS = 100;
 /** A server whose connection broke gets nothing from this router so long. */
 const SUSPECT_MS = 500;
+/** A request is planned anew at most this often for a queue's length. */
+const MAX_MOVES = 2;
+/** Moving costs messages and the place in the queue. */
+const WAIT_SLACK_MS = 50;
 /** Hash input that all requests of the bench share. */
 const BENCH_SALT = "bench";
 
@@ -44,6 +48,8 @@
   readonly #loads = new Map<string, WatcherLoad>();
   readonly #placements = new RecentPlacements();
   readonly #budget = new RetryBudget();
+  /** How often a waiting request was sent to another engine. */
+  readonly #moves = new Map<RequestId, number>();
   readonly #suspectUntilMs = new Map<string, number>();
 
   constructor(id: string, world: World, fleet: Fleet) {
@@ -62,7 +68,8 @@
 
   route(request: SimRequest): void {
     const home = this.#fleet.homeOf(request.blocks);
-    if (home === undefined) {
+    const { usesCacheKnowledge } = this.#fleet.options;
+    if (home === undefined || !usesCacheKnowledge) {
       this.#place(request, []);
       return;
     }
@@ -97,6 +104,8 @@
     });
     const watcher = this.#fleet.watcherOf(plan.engine);
     const attempts = request.attempts;
+    const canMove = (this.#moves.get(requestId) ?? 0) < MAX_MOVES;
+    const maxWaitMs = canMove ? plan.maxWaitMs + WAIT_SLACK_MS : Infinity;
     const entry = {
       requestId,
       team,
@@ -104,7 +113,7 @@
       deadlineMs: request.deadlineMs,
     };
     this.#world.send(this.id, watcher.nodeId, () => {
-      watcher.role.acquire(entry, (answer) => {
+      watcher.role.acquire({ entry, maxWaitMs }, (answer) => {
         this.#world.send(watcher.nodeId, this.id, () => {
           const isCurrent = this.isUp && !request.isOver &&
             request.attempts === attempts;
@@ -132,6 +141,7 @@
     }
     this.learnLoad(plan.engine, answer.load);
     if (answer.kind === "moved") {
+      this.#moves.set(requestId, (this.#moves.get(requestId) ?? 0) + 1);
       this.#placements.remove(plan.engine, requestId);
       this.#again(request, 0);
       return;
@@ -154,6 +164,7 @@
   }
 
   #dispatch(request: SimRequest, slot: Slot): void {
+    this.#moves.delete(brandId<RequestId>(request.id));
     const { plan, answer, watcher } = slot;
     const requestId = brandId<RequestId>(request.id);
     const engine = this.#world.engines.get(plan.engine)!;
@@ -212,10 +223,11 @@
       this.#candidate(request, { engine, locations })
     );
     const { store } = this.#world;
-    const stores = locations
-      .filter((location) => location.engine === store.id)
-      .map(({ engine, depth }) => ({ id: engine, depth }));
-    return chooseEngine(request, candidates, { stores });
+    const known = locations.find(({ engine }) => engine === store.id);
+    const id = brandId<BackendServerId>(store.id);
+    const stores = [{ id, depth: known?.depth ?? 0 }];
+    const { choose } = this.#fleet.options;
+    return chooseEngine(request, candidates, { stores, ...choose });
   }
 
   #candidate(
--- a/packages/bench/src/watcher_role.ts
+++ b/packages/bench/src/watcher_role.ts
@@ -8,7 +8,11 @@
 import { brandId } from "@endivebend/types";
 import type { BackendServerId, BlockHash, RequestId } from "@endivebend/types";
 import { FairQueue } from "@endivebend/queueing";
-import type { Permit, QueueEntry } from "@endivebend/queueing";
+import type {
+  FairQueueOptions,
+  Permit,
+  QueueEntry,
+} from "@endivebend/queueing";
 import { EngineCacheView } from "@endivebend/routing";
 import type { BlockReport, CacheChange, EngineTag } from "@endivebend/routing";
 import type { EventFeed } from "./event_feed.ts";
@@ -37,6 +41,13 @@
   | { readonly kind: "refused"; readonly code: string }
   | { readonly kind: "moved"; readonly load: WatcherLoad };
 
+/** A request for a slot. */
+export interface SlotRequest {
+  readonly entry: QueueEntry;
+  /** Above this expected wait the router would rather choose again. */
+  readonly maxWaitMs: number;
+}
+
 /** One engine's watcher. */
 export class WatcherRole {
   readonly engineId: string;
@@ -47,16 +58,19 @@
   #wakeAtMs = Infinity;
   readonly #answers = new Map<RequestId, (answer: SlotAnswer) => void>();
   readonly #world: World;
+  readonly #queueOptions: Partial<FairQueueOptions>;
   readonly #feed: EventFeed;
   readonly #report: (report: BlockReport) => void;
 
   constructor(engineId: string, options: {
     readonly world: World;
+    readonly queueOptions: Partial<FairQueueOptions>;
     readonly report: (report: BlockReport) => void;
   }) {
     this.engineId = engineId;
     this.view = new EngineCacheView(brandId<BackendServerId>(engineId));
     this.#world = options.world;
+    this.#queueOptions = options.queueOptions;
     this.#report = options.report;
     this.#feed = options.world.feeds.get(engineId)!;
     this.#resetQueue();
@@ -84,8 +98,11 @@
     };
   }
 
-  acquire(entry: QueueEntry, answer: (answer: SlotAnswer) => void): void {
-    if (!this.#takesNewWork) {
+  acquire(slot: SlotRequest, answer: (answer: SlotAnswer) => void): void {
+    const { entry, maxWaitMs } = slot;
+    const { nowMs } = this.#world.time;
+    const waitMs = this.#queue!.expectedWaitMs(entry, nowMs);
+    if (!this.#takesNewWork || waitMs > maxWaitMs) {
       answer({ kind: "moved", load: this.load() });
       return;
     }
@@ -159,7 +176,10 @@
 
   #resetQueue(): void {
     if (this.#world.engines.has(this.engineId)) {
-      this.#queue = new FairQueue(queueOptionsOf(this.#world, this.engineId));
+      this.#queue = new FairQueue({
+        ...queueOptionsOf(this.#world, this.engineId),
+        ...this.#queueOptions,
+      });
     }
   }
 
--- a/packages/queueing/src/engine_window.ts
+++ b/packages/queueing/src/engine_window.ts
@@ -80,8 +80,15 @@
 
   /** Prefill tokens handed over, less what should be done by now. */
   remainingTokens(nowMs: number): number {
-    const longs = this.#remainingTokens(this.#longPrefills(), nowMs);
-    return longs + this.prefillTokens("short");
+    return this.laneRemainingTokens("long", nowMs);
+  }
+
+  /** What delays a request of the lane; short ones overtake long ones. */
+  laneRemainingTokens(lane: Lane, nowMs: number): number {
+    const shorts = this.prefillTokens("short");
+    return lane === "short"
+      ? shorts
+      : shorts + this.#remainingTokens(this.#longPrefills(), nowMs);
   }
 
   /** Tells whether one more request of the lane may be handed over. */
--- a/packages/queueing/src/fair_queue.ts
+++ b/packages/queueing/src/fair_queue.ts
@@ -151,15 +151,22 @@
   }
 
   /**
-   * Expected wait of one more request of the team until it gets a permit:
-   * every backlogged team is served equally, so other teams delay it at most
-   * by as much as it has itself ahead of it.
+   * Expected wait until the request would get a permit, if it were enqueued
+   * now. Teams are served by their virtual time, so of another team only the
+   * work that comes before this request in that order counts.
    */
-  expectedWaitMs(team: TeamId): number {
-    const own = this.#teams.get(team)?.tokens ?? 0;
-    let ahead = this.#window.prefillTokens();
+  expectedWaitMs(entry: QueueEntry, nowMs: number): number {
+    const lane = this.laneOf(entry);
+    const own = this.#teams.get(entry.team);
+    const ownTokens = own?.laneTokens(lane) ?? 0;
+    const start = Math.max(own?.virtualTime ?? 0, this.#virtualTime) +
+      ownTokens;
+    let ahead = ownTokens + this.#window.laneRemainingTokens(lane, nowMs);
     for (const backlog of this.#teams.values()) {
-      ahead += Math.min(backlog.tokens, own);
+      if (backlog !== own) {
+        const sooner = Math.max(0, start - backlog.virtualTime);
+        ahead += Math.min(backlog.laneTokens(lane), sooner);
+      }
     }
     return ahead / this.#window.tokensPerMs;
   }
--- a/packages/queueing/src/fair_queue_test.ts
+++ b/packages/queueing/src/fair_queue_test.ts
@@ -188,3 +188,17 @@
   t.is(queue.runningCount, 0);
   t.is(queue.waitingCount, 0);
 });
+
+// Guards against an estimate that ignores the fair order: a team with nothing
+// waiting does not wait for another team's backlog.
+test("the expected wait counts what comes first in the fair order", (t) => {
+  const queue = new FairQueue({ prefillTokensPerMs: 10 });
+  for (let count = 0; count < 8; count++) {
+    queue.enqueue(entry("heavy"), 0);
+  }
+  queue.dispatchable(0, OPEN);
+  t.is(queue.expectedWaitMs(entry("light"), 0), 1_000);
+  t.is(queue.expectedWaitMs(entry("light"), 400), 600);
+  t.is(queue.expectedWaitMs(entry("heavy"), 0), 8_000);
+  t.is(queue.expectedWaitMs(entry("light", { costTokens: 100 }), 0), 0);
+});
--- a/packages/queueing/src/team_backlog.ts
+++ b/packages/queueing/src/team_backlog.ts
@@ -7,6 +7,8 @@
 import type { RequestId, TeamId } from "@endivebend/types";
 import type { Lane, QueueEntry } from "./queue_types.ts";
 
+const LANES: readonly Lane[] = ["short", "long"];
+
 /**
  * Two lanes of one team with its virtual time.
  *
@@ -20,7 +22,7 @@
   readonly team: TeamId;
   /** Tokens served to the team, on the queue's virtual clock. */
   virtualTime = 0;
-  #tokens = 0;
+  readonly #tokens: Record<Lane, number> = { short: 0, long: 0 };
   readonly #lanes: Record<Lane, Map<RequestId, QueueEntry>> = {
     short: new Map(),
     long: new Map(),
@@ -36,12 +38,16 @@
 
   /** Sum of `costTokens` of the waiting requests. */
   get tokens(): number {
-    return this.#tokens;
+    return this.#tokens.short + this.#tokens.long;
+  }
+
+  laneTokens(lane: Lane): number {
+    return this.#tokens[lane];
   }
 
   add(entry: QueueEntry, lane: Lane): void {
     this.#lanes[lane].set(entry.requestId, entry);
-    this.#tokens += entry.costTokens;
+    this.#tokens[lane] += entry.costTokens;
   }
 
   hasWaiting(lane: Lane): boolean {
@@ -66,11 +72,11 @@
   }
 
   remove(requestId: RequestId): QueueEntry | undefined {
-    for (const lane of Object.values(this.#lanes)) {
-      const entry = lane.get(requestId);
+    for (const lane of LANES) {
+      const entry = this.#lanes[lane].get(requestId);
       if (entry !== undefined) {
-        lane.delete(requestId);
-        this.#tokens -= entry.costTokens;
+        this.#lanes[lane].delete(requestId);
+        this.#tokens[lane] -= entry.costTokens;
         return entry;
       }
     }
--- a/packages/routing/src/choose_engine.ts
+++ b/packages/routing/src/choose_engine.ts
@@ -32,6 +32,7 @@
 /** A cache store that may hold a part of the chain. */
 export interface CacheStoreSource {
   readonly id: BackendServerId;
+  /** Blocks of the request that the store is known to hold; 0 when unknown. */
   readonly depth: number;
 }
 
@@ -47,12 +48,15 @@
   readonly tieMs?: number;
 }
 
-/** Blocks to fetch before the prefill. */
+/**
+ * Blocks that the engine fetches before the prefill, as far as it lacks them
+ * and the source holds them.
+ */
 export interface ImportPlan {
   readonly source: BackendServerId;
-  /** Index of the first block to import. */
+  /** Index of the first block that the engine is thought to lack. */
   readonly fromBlock: number;
-  /** Index after the last block to import. */
+  /** Index after the last block that the source is thought to hold. */
   readonly toBlock: number;
 }
 
@@ -77,7 +81,18 @@
   /** Tokens left to prefill after hits and import. */
   readonly prefillTokens: number;
   readonly importFrom?: ImportPlan;
+  /**
+   * The store to ask for every block that the engine lacks when it starts,
+   * in a plan without `importFrom`. Between choice and start the engine may
+   * have evicted a block; fetching it costs far less than computing it.
+   */
+  readonly fallbackStore?: BackendServerId;
   readonly expectedTtftMs: number;
+  /**
+   * The wait at the engine's queue above which another engine was expected to
+   * be better; `Infinity` when there is no other.
+   */
+  readonly maxWaitMs: number;
   readonly weighed: readonly WeighedEngine[];
 }
 
@@ -109,6 +124,7 @@
   if (chosen === undefined) {
     return undefined;
   }
+  const [store] = options.stores ?? [];
   const { engine, incarnation, weightsVersion } = live.find((candidate) =>
     candidate.engine === chosen.engine
   )!;
@@ -119,7 +135,9 @@
     expectedHitBlocks: chosen.hitBlocks,
     prefillTokens: tokensAfter(request, depth),
     ...(chosen.importFrom && { importFrom: chosen.importFrom }),
+    ...(store && !chosen.importFrom && { fallbackStore: store.id }),
     expectedTtftMs: chosen.expectedTtftMs,
+    maxWaitMs: chosen.waitMs + leadOver(weighed, chosen),
     weighed,
   };
 }
@@ -217,6 +235,15 @@
   return request.blocks[Math.min(depth, last)] ?? "";
 }
 
+function leadOver(
+  weighed: readonly WeighedEngine[],
+  chosen: WeighedEngine,
+): number {
+  const others = weighed.filter((entry) => entry !== chosen);
+  const next = Math.min(...others.map((entry) => entry.scoreMs));
+  return Math.max(0, next - chosen.scoreMs);
+}
+
 function pickBest(
   weighed: readonly WeighedEngine[],
   tie: { readonly key: string; readonly tieMs: number },
--- a/packages/routing/src/routing_test.ts
+++ b/packages/routing/src/routing_test.ts
@@ -281,6 +281,22 @@
   );
 });
 
+// Guards against blocks that were evicted after the choice and are computed
+// although the store has them, and against a wait that nothing bounds.
+test("a plan names the store as a fallback and the wait that it allows", (t) => {
+  const request = { blocks: chain(4), promptTokens: 8_500 };
+  const stores = [{ id: brandId<BackendServerId>("store"), depth: 0 }];
+  const plan = chooseEngine(request, [
+    candidate("a", { hitBlocks: 4, queuedPrefillTokens: 100 }),
+    candidate("b", { hitBlocks: 4, queuedPrefillTokens: 600 }),
+  ], { stores });
+  t.is(plan?.engine, brandId<BackendServerId>("a"));
+  t.is(plan?.fallbackStore, brandId<BackendServerId>("store"));
+  t.is(plan?.maxWaitMs, 60);
+  const only = chooseEngine(request, [candidate("a")], { stores });
+  t.is(only?.maxWaitMs, Infinity);
+});
+
 // Guards against new work for a server that is leaving or suspect, and
 // against an import from one that may not answer.
 test("leaving and suspect engines get no work and suspect ones no export", (t) => {
