--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -121,7 +121,7 @@
       return failCommand(`No daemon answers at ${address}: ${code}`, {
         exitCode: EXIT_CODES.unreachable,
         remedy:
-          "Check that the daemon runs, and give the address of its operators' listener",
+          "Check that the daemon runs, that this is its operators' listener, and give --operator-ca if that uses TLS",
       });
     }
     return failCommand(`The connection to ${address} broke off: ${code}`, {
--- a/packages/configuration/src/snapshot_test.ts
+++ b/packages/configuration/src/snapshot_test.ts
@@ -16,7 +16,7 @@
 import { brandId, type Sha256Digest } from "@endivebend/types";
 import { fold, makeBody, makeDigest, makeRecord } from "./test_support.ts";
 
-const SEED = Number(process.env.ENDIVEBEND_SEED ?? 20_260_101);
+const SEED = Number(process.env.SEED ?? 20_260_101);
 
 const name = fc.constantFrom("t1", "t2", "t3");
 const number = fc.integer({ min: 1, max: 4 });
@@ -104,7 +104,7 @@
 // Guards against a fresh VM that judges later changes otherwise than one that
 // read the whole log, whatever part of the log is still retained.
 test("a fold from a snapshot equals the fold of the whole log", (t) => {
-  t.log(`ENDIVEBEND_SEED=${SEED}`);
+  t.log(`seed ${SEED}; set SEED for another`);
   const fraction = fc.double({ min: 0, max: 1, noNaN: true });
   const property = fc.property(
     fc.tuple(values, fraction, fraction, fraction),
@@ -127,7 +127,7 @@
 
 // Guards against a peer's snapshot that loses or reverts records.
 test("a state restored from a peer equals the peer's and never reverts", (t) => {
-  t.log(`ENDIVEBEND_SEED=${SEED}`);
+  t.log(`seed ${SEED}; set SEED for another`);
   const property = fc.property(values, (random) => {
     const peer = fold([...START, ...random]).state;
     const reader = fold(START).state;
