Split the daemon into tasks, listeners and its planned stop

Tasks, listeners and the life cycle now stand apart; the orders task joins the daemon. A draining daemon tells callers to give up their connections, because a request sent on a kept one just before the end would be lost.

--- a/packages/router/src/callers/context.ts
+++ b/packages/router/src/callers/context.ts
@@ -46,6 +46,8 @@
   readonly limits: CallerLimits;
   /** Whether the balancer should send requests here. */
   readonly isReady: () => boolean;
+  /** Whether connections are to be given up after their answer. */
+  readonly isDraining: () => boolean;
 }
 
 /** One request of a caller. */
--- a/packages/router/src/callers/server.ts
+++ b/packages/router/src/callers/server.ts
@@ -88,6 +88,24 @@
   writeJson(exchange.response, { status, body });
 }
 
+/**
+ * A caller that keeps its connection would send its next request to a daemon
+ * that stops, and lose it.
+ */
+function giveUpConnectionWhenDraining(
+  context: CallerContext,
+  options: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+  },
+): void {
+  const { request, response } = options;
+  if (context.isDraining()) response.setHeader("connection", "close");
+  response.once("finish", () => {
+    if (context.isDraining()) request.socket.end();
+  });
+}
+
 function startExchange(
   context: CallerContext,
   options: {
@@ -103,6 +121,7 @@
     attributes: { "request.id": requestId, "url.path": request.url ?? "" },
   });
   const receivedAtMs = context.clock.elapsedMs();
+  giveUpConnectionWhenDraining(context, { request, response });
   return { request, response, requestId, hop, receivedAtMs };
 }
 
--- /dev/null
+++ b/packages/router/src/daemon/tasks.ts
@@ -0,0 +1,235 @@
+/**
+ * Makes the tasks of one daemon and ties them to each other.
+ *
+ * @module
+ */
+
+import type { PeerView } from "@endivebend/peers";
+import { brandId, type VmId } from "@endivebend/types";
+import { defaultCommitmentSettings } from "../commitments/settings.ts";
+import {
+  type CommitmentTask,
+  createCommitmentTask,
+} from "../commitments/task.ts";
+import {
+  type ConfigurationTask,
+  createConfigurationTask,
+} from "../configuration/configuration_task.ts";
+import { EngineDirectory } from "../engines/engine_directory.ts";
+import {
+  createLimitsTask,
+  createRightsTask,
+  type LimitsTask,
+  RightsFold,
+  type RightsTask,
+} from "../limits/mod.ts";
+import type { LogFollower } from "../log/follower.ts";
+import type { MembershipTask } from "../membership/membership_task.ts";
+import { HttpEngineOrderClient } from "../orders/engine_order_client.ts";
+import { createOrdersTask, type OrdersTask } from "../orders/orders_task.ts";
+import { DEFAULT_ORDERS_SETTINGS } from "../orders/settings.ts";
+import { createPeerView } from "../peering/peer_view.ts";
+import { PeerRecordFetcher } from "../peering/record_source.ts";
+import { HttpServiceDispatcher } from "../services/dispatcher.ts";
+import { createEngineTasks, type EngineTasks } from "./engine_tasks.ts";
+import type { Foundation } from "./foundation.ts";
+import { createMembership } from "./membership_parts.ts";
+import { createStreams, type DaemonStreams } from "./streams.ts";
+
+/** How long a holder's answer may take beyond the time a charge may wait. */
+const PEER_CHARGE_MARGIN_MS = 300;
+
+/** What the tasks need to know of the daemon around them. */
+export interface DaemonState {
+  /** Where other daemons reach this one. */
+  readonly peerAddress: string;
+  readonly isDraining: () => boolean;
+}
+
+/** The tasks of one daemon. */
+export interface DaemonTasks {
+  readonly streams: DaemonStreams;
+  readonly membership: MembershipTask;
+  readonly configuration: ConfigurationTask;
+  readonly engines: EngineTasks;
+  readonly rights: RightsTask;
+  readonly limits: LimitsTask;
+  readonly dispatcher: HttpServiceDispatcher;
+  readonly commitments: CommitmentTask;
+  readonly orders: OrdersTask;
+  /** The view that this daemon gives to others. */
+  readonly ownView: () => PeerView;
+}
+
+/** The followers, in the order of their streams. */
+export function followersOf(tasks: DaemonTasks): readonly LogFollower[] {
+  return Object.values(tasks.streams).map(({ follower }) => follower);
+}
+
+function createRights(
+  foundation: Foundation,
+  options: {
+    readonly streams: DaemonStreams;
+    readonly membership: MembershipTask;
+  },
+): RightsTask {
+  const { limits, fleet } = foundation.settings;
+  const { streams, membership } = options;
+  const fold = new RightsFold();
+  streams.rights.fold.attach(fold);
+  return createRightsTask({
+    ...foundation,
+    membership,
+    fold,
+    stream: streams.rights.follower,
+    failureDomains: fleet.failureDomains,
+    loanLeaseMs: limits.loanLeaseMs,
+  });
+}
+
+function createCommitments(
+  foundation: Foundation,
+  options: {
+    readonly streams: DaemonStreams;
+    readonly membership: MembershipTask;
+    readonly dispatcher: HttpServiceDispatcher;
+  },
+): CommitmentTask {
+  const { platform } = foundation.settings;
+  const { streams, membership, dispatcher } = options;
+  const task = createCommitmentTask({
+    ...foundation,
+    membership,
+    dispatcher,
+    stream: streams.commitments.follower,
+    settings: {
+      ...defaultCommitmentSettings({ retentionMs: platform.logRetentionMs }),
+      // An idle stream is silent for as long as its long poll waits.
+      logAwayAfterMs: platform.pollWaitMs + platform.timeoutMs,
+    },
+  });
+  streams.commitments.fold.attach(task);
+  return task;
+}
+
+function createOrders(
+  foundation: Foundation,
+  options: {
+    readonly streams: DaemonStreams;
+    readonly membership: MembershipTask;
+  },
+): OrdersTask {
+  const { streams, membership } = options;
+  const task = createOrdersTask({
+    ...foundation,
+    membership,
+    stream: streams.orders.follower,
+    client: new HttpEngineOrderClient(),
+    settings: DEFAULT_ORDERS_SETTINGS,
+  });
+  streams.orders.fold.attach(task);
+  return task;
+}
+
+/** Makes all tasks; nothing runs before {@link startTasks}. */
+export function createTasks(
+  foundation: Foundation,
+  daemon: DaemonState,
+): DaemonTasks {
+  const { identity, clock, settings, peers } = foundation;
+  const directory = new EngineDirectory(clock);
+  const records = new PeerRecordFetcher({
+    peers,
+    entryOf: (vmId) => membership.entryVm(brandId<VmId>(vmId)),
+  });
+  const streams = createStreams(foundation, records);
+  const ownView = () =>
+    createPeerView({
+      identity,
+      clock,
+      directory,
+      address: daemon.peerAddress,
+      followers: Object.values(streams).map(({ follower }) => follower),
+      watchedEngines: () => engines.watcher.watchedEngines(),
+      blockedDigests: () => configuration.blockedDigests(),
+      isDraining: daemon.isDraining,
+    });
+  const membership = createMembership(foundation, {
+    peerAddress: daemon.peerAddress,
+    directory,
+    receivers: {
+      ownView,
+      noteProgress: (view) => records.noteView(view),
+      blockKeys: (digests) => configuration.mergeBlockedDigests(digests),
+    },
+  });
+  const configuration = createConfigurationTask({
+    ...foundation,
+    membership,
+    stream: () => streams.configuration.follower,
+    logRetentionMs: settings.platform.logRetentionMs,
+  });
+  streams.configuration.fold.attach(configuration);
+  const engines = createEngineTasks(foundation, { membership, directory });
+  const rights = createRights(foundation, { streams, membership });
+  const limits = createLimitsTask({
+    ...foundation,
+    membership,
+    rights,
+    configuration,
+    settings: {
+      loanLeaseMs: settings.limits.loanLeaseMs,
+      floorFraction: settings.limits.floorFraction,
+      chargeTimeoutMs: PEER_CHARGE_MARGIN_MS,
+    },
+  });
+  const dispatcher = new HttpServiceDispatcher({
+    ...foundation,
+    membership,
+    notes: membership,
+  });
+  const commitments = createCommitments(foundation, {
+    streams,
+    membership,
+    dispatcher,
+  });
+  const orders = createOrders(foundation, { streams, membership });
+  return {
+    orders,
+    streams,
+    membership,
+    configuration,
+    engines,
+    rights,
+    limits,
+    dispatcher,
+    commitments,
+    ownView,
+  };
+}
+
+/** Starts the followers and the timers of all tasks. */
+export function startTasks(tasks: DaemonTasks): void {
+  for (const follower of followersOf(tasks)) void follower.start();
+  void tasks.membership.start();
+  tasks.configuration.start();
+  tasks.rights.start();
+  tasks.limits.start();
+  tasks.engines.watcher.start();
+}
+
+/** Stops all tasks and closes their connections. */
+export async function stopTasks(tasks: DaemonTasks): Promise<void> {
+  tasks.engines.watcher.stop();
+  tasks.orders.stop();
+  tasks.commitments.stop();
+  tasks.limits.stop();
+  tasks.rights.stop();
+  tasks.configuration.stop();
+  tasks.membership.stop();
+  for (const follower of followersOf(tasks)) follower.stop();
+  await Promise.all([
+    tasks.engines.connections.close(),
+    tasks.dispatcher.close(),
+  ]);
+}
