Take a peer's records while the own long poll hangs

Cause: a long poll on a connection that has gone silent ends only after its wait and its time limit, 7 s by default, and a withdrawn key worked that long. Views that peers swap every 500 ms now tell how far they are, and a follower that is behind fetches from them at once. A reader whose next record the log has dropped asks its peers before it skips. Ruled out: a shorter poll, which multiplies the platform's reads and still leaves the time limit.

--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import { findRoute } from "@endivebend/configuration";
 import { fail, isEndivebendError } from "@endivebend/errors";
 import type {
   RouteRule,
@@ -20,28 +21,23 @@
 import type { CallerContext, Exchange } from "./context.ts";
 
 const MAX_REPEATED_DISPATCHES = 3;
+const ROUTE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 
-/** Tells whether a route covers a path: the same segments or more below. */
-export function coversPath(route: RouteRule, path: string): boolean {
-  if (!path.startsWith(route.path)) return false;
-  const next = path[route.path.length];
-  return next === undefined || next === "/" || route.path.endsWith("/");
-}
-
-function findRoute(
+function requireRoute(
   team: TeamView,
-  call: { readonly method: string; readonly pathname: string },
+  call: { readonly method: string; readonly path: string },
 ): RouteRule {
-  const covering = team.routes
-    .filter((route) => coversPath(route, call.pathname))
-    .sort((left, right) => right.path.length - left.path.length);
-  if (covering.length === 0) {
-    throw fail("unknown_route", `No route of the team covers ${call.pathname}`);
-  }
-  const route = covering.find(({ methods }) => methods.includes(call.method));
+  const route = findRoute(team.routes, call);
   if (route !== undefined) return route;
-  const message = `${call.method} is not offered on ${call.pathname}`;
-  throw fail("method_not_allowed", message);
+  const methods = ROUTE_METHODS.filter((method) =>
+    findRoute(team.routes, { ...call, method }) !== undefined
+  );
+  if (methods.length === 0) {
+    throw fail("unknown_route", `No route of the team covers ${call.path}`);
+  }
+  const message = `${call.method} is not offered on ${call.path}`;
+  const remedy = `Use one of ${methods.join(", ")}`;
+  throw fail("method_not_allowed", message, { remedy });
 }
 
 function flattenHeaders(headers: IncomingHttpHeaders): Record<string, string> {
@@ -60,15 +56,15 @@
 
 function resolveRoute(
   context: CallerContext,
-  options: { readonly exchange: Exchange; readonly pathname: string },
+  options: { readonly exchange: Exchange; readonly path: string },
 ): ResolvedRoute {
-  const { exchange, pathname } = options;
+  const { exchange, path } = options;
   const method = exchange.request.method ?? "GET";
-  const open = context.configuration.openRoute(method, pathname);
+  const open = context.configuration.openRoute(method, path);
   if (open !== undefined) return { route: open, caller: undefined };
   const { headers } = exchange.request;
   const caller = authenticate(headers, context.configuration);
-  const route = findRoute(caller.team, { method, pathname });
+  const route = requireRoute(caller.team, { method, path });
   if (caller.team.services.includes(route.service)) return { route, caller };
   const message = `The team may not reach the service ${route.service}`;
   throw fail("not_permitted", message);
@@ -80,8 +76,7 @@
   exchange: Exchange,
 ): Promise<void> {
   const path = exchange.request.url ?? "/";
-  const pathname = path.split("?", 1)[0] ?? "/";
-  const { route, caller } = resolveRoute(context, { exchange, pathname });
+  const { route, caller } = resolveRoute(context, { exchange, path });
   const body = await readBody(exchange.request, {
     maxBytes: context.limits.maxBodyBytes,
   });
--- a/packages/router/src/daemon/tasks.ts
+++ b/packages/router/src/daemon/tasks.ts
@@ -66,6 +66,14 @@
   return Object.values(tasks.streams).map(({ follower }) => follower);
 }
 
+function noteStreams(streams: DaemonStreams, view: PeerView): void {
+  for (const { follower } of Object.values(streams)) {
+    const nextOffset = view.appliedOffsets[follower.stream];
+    if (nextOffset === undefined) continue;
+    follower.notePeerProgress(Number(nextOffset));
+  }
+}
+
 function createRights(
   foundation: Foundation,
   options: {
@@ -159,7 +167,10 @@
     directory,
     receivers: {
       ownView,
-      noteProgress: (view) => records.noteView(view),
+      noteProgress(view) {
+        records.noteView(view);
+        noteStreams(streams, view);
+      },
       blockKeys: (digests) => configuration.mergeBlockedDigests(digests),
     },
   });
--- a/packages/router/src/log/follower.ts
+++ b/packages/router/src/log/follower.ts
@@ -57,6 +57,7 @@
   #isCaughtUp = false;
   #lastAnswerMs: number;
   #isPlatformSilent = false;
+  #isAskingPeers = false;
   #stopped = false;
   #backoffMs = FIRST_BACKOFF_MS;
 
@@ -131,6 +132,16 @@
     });
   }
 
+  /**
+   * Tells the follower how far a peer is. When that is further than this
+   * stream, the records come from the peer: the long poll may hang on a
+   * connection that has gone silent, and a change must not wait for that.
+   */
+  notePeerProgress(peerNextOffset: number): void {
+    const isBehind = peerNextOffset > this.#nextOffset;
+    if (isBehind && !this.#stopped) void this.#readFromPeers();
+  }
+
   /** Records after an offset for a peer, or undefined when they are too old. */
   recordsFrom(
     fromOffset: number,
@@ -174,6 +185,8 @@
     });
     this.#notePlatformAnswer();
     if (result.kind === "truncated") {
+      // A peer may hold what the log has dropped.
+      await this.#readFromPeers();
       this.#skipTo(result.firstOffset);
       return;
     }
@@ -191,6 +204,16 @@
   }
 
   async #readFromPeers(): Promise<void> {
+    if (this.#isAskingPeers) return;
+    this.#isAskingPeers = true;
+    try {
+      await this.#takePeerRecords();
+    } finally {
+      this.#isAskingPeers = false;
+    }
+  }
+
+  async #takePeerRecords(): Promise<void> {
     const answer = await this.#options.peers
       .fetch(this.stream, this.#nextOffset)
       .catch(() => undefined);
--- /dev/null
+++ b/packages/router/src/log/follower_test.ts
@@ -0,0 +1,166 @@
+import test from "ava";
+import { brandId, type LogOffset, type LogRecord } from "@endivebend/types";
+import type { Clock, Scheduler } from "../ports.ts";
+import { LogFollower } from "./follower.ts";
+import type {
+  AppendAnswer,
+  LogClient,
+  PeerRecords,
+  ReadAnswer,
+} from "./log_client.ts";
+
+const never = new Promise<never>(() => {});
+
+function makeRecord(offset: number, recordId = `r-${offset}`): LogRecord {
+  const value = { recordId };
+  return { offset: brandId<LogOffset>(offset), appendedAtMs: 0, value };
+}
+
+/** Time that moves only when a timer is run. */
+class VirtualTime implements Clock, Scheduler {
+  #nowMs = 0;
+  #timers: { readonly atMs: number; readonly task: () => void }[] = [];
+
+  wallMs(): number {
+    return this.#nowMs;
+  }
+
+  elapsedMs(): number {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, task: () => void): () => void {
+    const timer = { atMs: this.#nowMs + delayMs, task };
+    this.#timers.push(timer);
+    return () => {
+      this.#timers = this.#timers.filter((other) => other !== timer);
+    };
+  }
+
+  /** Runs timers in order until the promise has settled. */
+  async until<Value>(promise: Promise<Value>): Promise<Value> {
+    let isSettled = false;
+    void promise.finally(() => {
+      isSettled = true;
+    });
+    while (true) {
+      await new Promise((resolve) => setImmediate(resolve));
+      if (isSettled) return promise;
+      const [next] = this.#timers.sort((a, b) => a.atMs - b.atMs);
+      if (next === undefined) continue;
+      this.#timers = this.#timers.filter((other) => other !== next);
+      this.#nowMs = next.atMs;
+      next.task();
+    }
+  }
+}
+
+function createFollower(options: {
+  readonly time: VirtualTime;
+  readonly log?: Partial<LogClient>;
+  readonly peer?: () => PeerRecords | undefined;
+  readonly applied?: number[];
+  readonly restored?: string[];
+}): LogFollower {
+  const { time, applied = [], restored = [] } = options;
+  return new LogFollower({
+    stream: "configuration",
+    fold: {
+      apply: ({ offset }) => applied.push(offset),
+      restore: (json) => restored.push(json),
+    },
+    log: { append: () => never, read: () => never, ...options.log },
+    peers: { fetch: () => Promise.resolve(options.peer?.()) },
+    clock: time,
+    scheduler: time,
+    logger: { info() {}, warn() {}, error() {} },
+    pollWaitMs: 1000,
+  });
+}
+
+// Guards against a change that waits for the time limit of a silent connection.
+test("a record reaches a follower whose long poll hangs by way of a peer", async (t) => {
+  const time = new VirtualTime();
+  const follower = createFollower({
+    time,
+    peer: () => ({ records: [makeRecord(0), makeRecord(1)], nextOffset: 2 }),
+  });
+  void follower.start();
+  const offset = brandId<LogOffset>(1);
+  const applied = follower.whenApplied(offset, { deadlineElapsedMs: 10 });
+  follower.notePeerProgress(2);
+  t.true(await applied);
+  t.is(time.elapsedMs(), 0);
+  follower.stop();
+});
+
+// Guards against a configuration that reverts to a peer's older state.
+test("a snapshot behind the state is not taken", async (t) => {
+  const time = new VirtualTime();
+  const restored: string[] = [];
+  const answers: PeerRecords[] = [
+    { records: [makeRecord(0), makeRecord(1)], nextOffset: 2 },
+    { records: [], nextOffset: 9, snapshot: { json: "old", offset: 0 } },
+  ];
+  const follower = createFollower({
+    time,
+    restored,
+    peer: () => answers.shift(),
+  });
+  follower.notePeerProgress(2);
+  const offset = brandId<LogOffset>(1);
+  t.true(await follower.whenApplied(offset, { deadlineElapsedMs: 10 }));
+  follower.notePeerProgress(9);
+  await new Promise((resolve) => setImmediate(resolve));
+  t.deepEqual(restored, []);
+  t.is(follower.nextOffset(), 2);
+});
+
+// Guards against a change that is reported as failed although it is in force.
+test("an append whose answer was lost is found by reading back", async (t) => {
+  const time = new VirtualTime();
+  const pages: ReadAnswer[] = [];
+  const follower = createFollower({
+    time,
+    log: {
+      append() {
+        const records = [makeRecord(0, "mine")];
+        pages.push({ kind: "records", records, nextOffset: 1 });
+        return Promise.resolve<AppendAnswer>({ kind: "lost", reason: "reset" });
+      },
+      read() {
+        const page = pages.shift();
+        return page === undefined
+          ? Promise.reject(new Error("nothing new"))
+          : Promise.resolve(page);
+      },
+    },
+  });
+  void follower.start();
+  const record = { recordId: "mine", kind: "key_granted" };
+  const result = await time.until(
+    follower.append(record, { deadlineElapsedMs: 5000 }),
+  );
+  t.deepEqual(result, { kind: "appended", offset: brandId<LogOffset>(0) });
+  follower.stop();
+});
+
+// Guards against a "not run" for a record that a slow platform still takes.
+test("after a lost answer an append is never reported as not appended", async (t) => {
+  const time = new VirtualTime();
+  const answers: AppendAnswer[] = [{ kind: "lost", reason: "timeout" }];
+  const refused: AppendAnswer = { kind: "refused", reason: "unreachable" };
+  const follower = createFollower({
+    time,
+    log: { append: () => Promise.resolve(answers.shift() ?? refused) },
+  });
+  const record = { recordId: "mine", kind: "intent" };
+  const lost = await time.until(
+    follower.append(record, { deadlineElapsedMs: 2000 }),
+  );
+  t.is(lost.kind, "unknown");
+  const unreachable = await time.until(
+    follower.append(record, { deadlineElapsedMs: 4000 }),
+  );
+  t.is(unreachable.kind, "not_appended");
+});
--- a/packages/router/src/orders/order_run.ts
+++ b/packages/router/src/orders/order_run.ts
@@ -72,10 +72,14 @@
 export class OrderRun {
   readonly #order: OrderRequest;
   readonly #options: OrderRunOptions;
+  /** The order as it was issued first, and its renewals. */
+  readonly #orderIds = new Set<string>();
   #orderId = "";
   #ownLeaseUntilMs = 0;
-  /** An engine that was sent a load may carry it out until then. */
-  #placeHeldUntilMs = 0;
+  /** A send may reach the engine, or a load run there, until then. */
+  #sendsReachUntilMs = 0;
+  #hasUnansweredSend = false;
+  #isAccepted = false;
 
   constructor(order: OrderRequest, options: OrderRunOptions) {
     this.#order = order;
@@ -106,20 +110,24 @@
       return undefined;
     },
     send: (plan) => this.#send(plan),
-    stop: ({ verdict }) => {
-      return Promise.resolve(
-        verdict === "superseded" || verdict === "refused"
-          ? { kind: "superseded" }
-          : { kind: "abandoned", reason: `The order is ${verdict} already` },
-      );
-    },
+    stop: ({ verdict }) => this.#onStop(verdict),
   };
 
+  #onStop(verdict: PlanOf<"stop">["verdict"]): Step {
+    if (verdict === "finished" || verdict === "abandoned") {
+      const reason = `The order is ${verdict} already`;
+      return Promise.resolve({ kind: "abandoned", reason });
+    }
+    // Ends the lease, which the newer order may be waiting for.
+    this.#end("order_abandoned", { reason: `The order is ${verdict}` });
+    return Promise.resolve({ kind: "superseded" });
+  }
+
   #plan(): OrderPlan {
-    const { clock, identity, settings, state, checksFence } = this.#options;
+    const { clock, settings, state, checksFence } = this.#options;
     const { engineId } = this.#order;
     return planOrder(state, this.#orderId, {
-      writer: identity,
+      ownOrderIds: this.#orderIds,
       engineId,
       nowMs: clock.elapsedMs(),
       ownLeaseUntilMs: this.#ownLeaseUntilMs,
@@ -145,6 +153,7 @@
     const nowMs = clock.elapsedMs();
     const before = this.#orderId;
     this.#orderId = this.#options.nextRecordId("order");
+    this.#orderIds.add(this.#orderId);
     this.#ownLeaseUntilMs = nowMs + settings.leaseMs;
     const result = await stream.append({
       ...this.#writerFields(),
@@ -186,7 +195,7 @@
     }
     const order = { kind, model, weightsVersion, fence: plan.fence };
     const nowMs = clock.elapsedMs();
-    this.#placeHeldUntilMs = nowMs + settings.leaseMs;
+    this.#sendsReachUntilMs = nowMs + settings.leaseMs;
     const timeoutMs = plan.untilMs - nowMs;
     const answer = await client.send(address, order, { timeoutMs });
     return this.#afterSend(answer, { address, fence: plan.fence });
@@ -196,6 +205,8 @@
     answer: SendAnswer,
     sent: { readonly address: string; readonly fence: number },
   ): Step {
+    if (answer.kind === "unknown") this.#hasUnansweredSend = true;
+    if (answer.kind === "accepted") this.#isAccepted = true;
     if (answer.kind === "rejected") return this.#abandon(answer.reason);
     // The newer order that the engine knows will be in the log.
     if (answer.kind === "stale") return this.#pause();
@@ -223,20 +234,31 @@
   }
 
   #finish(fence: number): Promise<OrderResult> {
-    void this.#persistEnd("order_finished", { orderId: this.#orderId });
+    this.#end("order_finished", {});
     return Promise.resolve({ kind: "finished", fence });
   }
 
   #abandon(reason: string): Promise<OrderResult> {
-    const { clock } = this.#options;
-    const holdMs = this.#placeHeldUntilMs - clock.elapsedMs();
-    const orderId = this.#orderId;
-    void this.#delay(holdMs).then(() =>
-      this.#persistEnd("order_abandoned", { orderId, reason })
-    );
+    this.#end("order_abandoned", { reason, isLoading: this.#isAccepted });
     return Promise.resolve({ kind: "abandoned", reason });
   }
 
+  /**
+   * Ends the order in the log. While a send without an answer may still reach
+   * the engine, or the engine may carry out a load, the end is held back.
+   */
+  #end(
+    kind: "order_finished" | "order_abandoned",
+    options: { readonly reason?: string; readonly isLoading?: boolean },
+  ): void {
+    const { reason, isLoading } = options;
+    const isQuiet = !this.#hasUnansweredSend && isLoading !== true;
+    const nowMs = this.#options.clock.elapsedMs();
+    const holdMs = isQuiet ? 0 : this.#sendsReachUntilMs - nowMs;
+    const fields = { orderId: this.#orderId, ...(reason ? { reason } : {}) };
+    void this.#delay(holdMs).then(() => this.#persistEnd(kind, fields));
+  }
+
   #persistEnd(
     kind: "order_finished" | "order_abandoned",
     fields: { readonly orderId: string; readonly reason?: string },
--- a/packages/router/src/orders/testing/order_fleet.ts
+++ b/packages/router/src/orders/testing/order_fleet.ts
@@ -34,8 +34,9 @@
 export class FakeEngine {
   readonly accepted: OrderBody[] = [];
   readonly checksFence: boolean;
-  weightsVersion = "w1";
+  weightsVersion = "first";
   isLoading = false;
+  #loading: string | undefined;
   readonly #time: VirtualTime;
 
   constructor(time: VirtualTime, checksFence: boolean) {
@@ -47,13 +48,21 @@
     const lastFence = this.accepted.at(-1)?.fence ?? -1;
     if (this.checksFence && order.fence < lastFence) return { kind: "stale" };
     this.accepted.push(order);
+    this.#load(order.weightsVersion);
+    return { kind: "accepted" };
+  }
+
+  /** A version that is served or being loaded is not loaded again. */
+  #load(version: string): void {
+    if (version === (this.#loading ?? this.weightsVersion)) return;
+    this.#loading = version;
     this.isLoading = true;
     this.#time.after(LOAD_MS, () => {
-      if (this.accepted.at(-1) !== order) return;
+      if (this.#loading !== version) return;
+      this.#loading = undefined;
       this.isLoading = false;
-      this.weightsVersion = order.weightsVersion;
+      this.weightsVersion = version;
     });
-    return { kind: "accepted" };
   }
 
   readBack(): EngineReadBack {
