Give orders to engines by log order

Only the writer of an engine's newest order sends it, at most two weight loads run at once, and an order of an ended writer is taken over. Not all engines check fencing tokens, so a new order waits until the lease of each earlier order has passed or its writer has ended it.

--- a/packages/orders/src/mod.ts
+++ b/packages/orders/src/mod.ts
@@ -4,4 +4,20 @@
  * @module
  */
 
-export {};
+export { CLOCK_DRIFT, OrderLeases } from "./leases.ts";
+export { checkReadBack, planOrder } from "./plan.ts";
+export type {
+  EngineReadBack,
+  OrderContext,
+  OrderPlan,
+  ReadBackVerdict,
+} from "./plan.ts";
+export { loadsWeights, orderRecordSchema } from "./records.ts";
+export type {
+  OrderEnded,
+  OrderIssued,
+  OrderKind,
+  OrderRecord,
+} from "./records.ts";
+export { MAX_WEIGHT_LOADS, OrdersState } from "./state.ts";
+export type { EngineOrderEntry, OrderVerdict } from "./state.ts";
--- /dev/null
+++ b/packages/orders/src/records.ts
@@ -0,0 +1,59 @@
+/**
+ * The records of the `orders` stream.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+const name = z.string().min(1);
+
+const writer = { vmId: name, incarnation: name };
+
+const issuedSchema = z.object({
+  ...writer,
+  kind: z.literal("order_issued"),
+  /** Unique id of the order; the copy with the lowest offset counts. */
+  recordId: name,
+  engineId: name,
+  orderKind: z.enum(["load_model", "load_adapter", "change_role"]),
+  model: z.string(),
+  weightsVersion: z.string(),
+  /** How long the writer may send, from before its append, by its clock. */
+  leaseMs: z.number().positive(),
+  /** The open order that this one replaces; void unless that is the newest. */
+  takesOver: name.optional(),
+});
+
+const endedFields = {
+  ...writer,
+  recordId: name,
+  engineId: name,
+  /** `recordId` of the order. */
+  orderId: name,
+};
+
+/** Any record of the `orders` stream. */
+export const orderRecordSchema = z.discriminatedUnion("kind", [
+  issuedSchema,
+  z.object({ ...endedFields, kind: z.literal("order_finished") }),
+  z.object({
+    ...endedFields,
+    kind: z.literal("order_abandoned"),
+    reason: z.string(),
+  }),
+]);
+
+/** A record of the `orders` stream. */
+export type OrderRecord = z.infer<typeof orderRecordSchema>;
+/** An `order_issued` record. */
+export type OrderIssued = z.infer<typeof issuedSchema>;
+/** A record that ends an order. */
+export type OrderEnded = Exclude<OrderRecord, OrderIssued>;
+/** What an engine is told to do. */
+export type OrderKind = OrderIssued["orderKind"];
+
+/** Whether carrying out the order reads from the weight store. */
+export function loadsWeights(kind: OrderKind): boolean {
+  return kind !== "change_role";
+}
--- /dev/null
+++ b/packages/orders/src/state.ts
@@ -0,0 +1,171 @@
+/**
+ * The fold of the `orders` stream.
+ *
+ * @module
+ */
+
+import type { LogRecord } from "@endivebend/types";
+import { OrderLeases } from "./leases.ts";
+import {
+  loadsWeights,
+  type OrderEnded,
+  type OrderIssued,
+  orderRecordSchema,
+} from "./records.ts";
+
+/** Weight loads at once over the fleet; more slow each other down. */
+export const MAX_WEIGHT_LOADS = 2;
+
+/** Orders whose ids are remembered, to recognize second copies. */
+const REMEMBERED_ORDERS = 4096;
+
+/** The newest order of an engine. */
+export interface EngineOrderEntry extends OrderIssued {
+  /** Offset of the order; its fencing token. */
+  readonly fence: number;
+  /** When the platform took the record, by its clock. */
+  readonly issuedAtMs: number;
+  readonly status: "open" | "finished" | "abandoned";
+  /** Position among the weight loads; unset for other orders. */
+  readonly loadPlace: number | undefined;
+}
+
+/** What the log says about one order. */
+export type OrderVerdict =
+  /** Not read yet, or forgotten. */
+  | "unseen"
+  /** It named an order to take over that was not the newest. */
+  | "refused"
+  | "superseded"
+  | "finished"
+  | "abandoned"
+  /** It loads weights, and the permitted number of loads runs. */
+  | "waits_for_load_place"
+  | "may_be_sent";
+
+/** The newest order of each engine, and who may send it. */
+export class OrdersState {
+  readonly #newest = new Map<string, EngineOrderEntry>();
+  /** Engine of each remembered order, or undefined for a refused one. */
+  readonly #seen = new Map<string, string | undefined>();
+  readonly #leases = new OrderLeases();
+  #malformedRecords = 0;
+
+  get malformedRecords(): number {
+    return this.#malformedRecords;
+  }
+
+  newestOf(engineId: string): EngineOrderEntry | undefined {
+    return this.#newest.get(engineId);
+  }
+
+  /** Orders that are neither finished nor abandoned, oldest first. */
+  openOrders(): readonly EngineOrderEntry[] {
+    return [...this.#newest.values()]
+      .filter((entry) => entry.status === "open")
+      .sort((a, b) => a.fence - b.fence);
+  }
+
+  /** Applies one record; `nowMs` is on the clock that leases are counted on. */
+  apply(record: LogRecord, nowMs: number): void {
+    const parsed = orderRecordSchema.safeParse(record.value);
+    if (!parsed.success) {
+      this.#malformedRecords++;
+      return;
+    }
+    const value = parsed.data;
+    if (value.kind !== "order_issued") return this.#applyEnd(value);
+    this.#applyIssued(value, record, nowMs);
+  }
+
+  verdict(orderId: string): OrderVerdict {
+    if (!this.#seen.has(orderId)) return "unseen";
+    const engineId = this.#seen.get(orderId);
+    if (engineId === undefined) return "refused";
+    const newest = this.#newest.get(engineId);
+    if (newest?.recordId !== orderId) return "superseded";
+    if (newest.status !== "open") return newest.status;
+    return this.#hasLoadPlace(newest) ? "may_be_sent" : "waits_for_load_place";
+  }
+
+  /** When no order but the given ones may be sent to the engine any more. */
+  othersMaySendUntilMs(
+    engineId: string,
+    ownOrderIds: ReadonlySet<string>,
+  ): number {
+    return this.#leases.othersUntilMs(engineId, ownOrderIds);
+  }
+
+  #applyIssued(
+    value: OrderIssued,
+    record: LogRecord,
+    nowMs: number,
+  ): void {
+    if (this.#seen.has(value.recordId)) return;
+    const { engineId, leaseMs, takesOver } = value;
+    const before = this.#newest.get(engineId);
+    const isStale = takesOver !== undefined &&
+      (before?.recordId !== takesOver || before.status !== "open");
+    this.#remember(value.recordId, isStale ? undefined : engineId);
+    if (isStale) return;
+    this.#leases.note(engineId, value.recordId, { leaseMs, nowMs });
+    this.#newest.set(engineId, {
+      ...value,
+      fence: record.offset,
+      issuedAtMs: record.appendedAtMs,
+      status: "open",
+      loadPlace: loadPlaceOf(value, { before, fence: record.offset }),
+    });
+  }
+
+  #applyEnd(value: OrderEnded): void {
+    if (!this.#seen.has(value.orderId)) {
+      // An order whose append was not settled is abandoned by its id, and may
+      // still reach the log; it must not become the engine's newest then.
+      this.#remember(value.orderId, undefined);
+      return;
+    }
+    // Only the writer of an order knows its id while it is open.
+    this.#leases.end(value.engineId, value.orderId);
+    const entry = this.#newest.get(value.engineId);
+    if (entry?.recordId !== value.orderId || entry.status !== "open") return;
+    const isWriter = entry.vmId === value.vmId &&
+      entry.incarnation === value.incarnation;
+    if (!isWriter) return;
+    const status = value.kind === "order_finished" ? "finished" : "abandoned";
+    this.#newest.set(entry.engineId, { ...entry, status });
+  }
+
+  #hasLoadPlace(entry: EngineOrderEntry): boolean {
+    const place = entry.loadPlace;
+    if (place === undefined) return true;
+    const before = this.openOrders().filter((other) =>
+      other.loadPlace !== undefined && other.loadPlace < place
+    );
+    return before.length < MAX_WEIGHT_LOADS;
+  }
+
+  #remember(orderId: string, engineId: string | undefined): void {
+    this.#seen.set(orderId, engineId);
+    for (const oldest of this.#seen.keys()) {
+      if (this.#seen.size <= REMEMBERED_ORDERS) return;
+      this.#seen.delete(oldest);
+    }
+  }
+}
+
+/**
+ * An order that replaces an open load keeps its place: the engine may already
+ * be loading, and must not count as free meanwhile.
+ */
+function loadPlaceOf(
+  value: OrderIssued,
+  options: {
+    readonly before: EngineOrderEntry | undefined;
+    readonly fence: number;
+  },
+): number | undefined {
+  const { before, fence } = options;
+  const inherited = before?.status === "open" ? before.loadPlace : undefined;
+  return inherited ?? (loadsWeights(value.orderKind) ? fence : undefined);
+}
