Import prefixes from the cache store, and pin requests to weights

A router took no notice of the cache store, so a prefix that engines had evicted was computed again. Watchers now follow a store's events as they do an engine's, prefix homes name it, and the choice weighs an import from it.

A router that had not heard of new weights sent blocks under the salt of the old ones; an engine would have stored and exported what the new weights computed under that salt. Requests now carry the weights version that they were hashed for, an engine with other weights refuses them, and prompts for engines of unknown weights carry no blocks at all.

--- a/packages/router/src/commitments/record_writer.ts
+++ b/packages/router/src/commitments/record_writer.ts
@@ -57,7 +57,10 @@
    */
   append(
     record: AppendRecord,
-    options: { readonly deadlineElapsedMs: number },
+    options: {
+      readonly deadlineElapsedMs: number;
+      readonly maxWaitMs?: number;
+    },
   ): Promise<AppendResult> {
     const { clock, scheduler } = this.#options;
     return new Promise((resolve) => {
@@ -76,7 +79,9 @@
         },
       };
       const bytes = JSON.stringify(record).length;
-      this.#batcher.add(pending, { bytes, nowMs: clock.elapsedMs() });
+      const { maxWaitMs } = options;
+      const wait = maxWaitMs === undefined ? {} : { maxWaitMs };
+      this.#batcher.add(pending, { bytes, nowMs: clock.elapsedMs(), ...wait });
       this.#pump();
     });
   }
@@ -86,7 +91,10 @@
     const { clock, settings } = this.#options;
     while (!this.#stopped) {
       const deadlineElapsedMs = clock.elapsedMs() + settings.appendTimeoutMs;
-      const result = await this.append(record, { deadlineElapsedMs });
+      const result = await this.append(record, {
+        deadlineElapsedMs,
+        maxWaitMs: settings.outcomeWaitMs,
+      });
       if (result.kind === "appended") return true;
       await this.#delay(settings.appendRetryMs);
     }
--- a/packages/router/src/commitments/settings.ts
+++ b/packages/router/src/commitments/settings.ts
@@ -15,6 +15,8 @@
   readonly batch: BatcherSettings;
   /** Longest time that an append is tried before it counts as failed. */
   readonly appendTimeoutMs: number;
+  /** How long an outcome or abort waits to ride along with an intent. */
+  readonly outcomeWaitMs: number;
   /** Pause before an outcome or abort is appended again. */
   readonly appendRetryMs: number;
   /** Silence of the log after which new calls are refused at once. */
@@ -32,7 +34,7 @@
 /**
  * The settings of a daemon, apart from the log's retention.
  *
- * The batch waits 5 ms, well under the log's own response time. The silence
+ * 50,000 keys take about 50 MB. The batch waits 5 ms, well under the log's own response time. The silence
  * bound lies above the follower's long poll, which is silent on an idle stream.
  *
  * @example
@@ -46,8 +48,8 @@
   return {
     state: {
       retentionMs: options.retentionMs,
-      maxKeys: 100_000,
-      maxAnswersBytes: 32 * 1024 * 1024,
+      maxKeys: 50_000,
+      maxAnswersBytes: 16 * 1024 * 1024,
     },
     batch: {
       maxRecords: 100,
@@ -56,6 +58,7 @@
       maxInFlight: 4,
     },
     appendTimeoutMs: 3000,
+    outcomeWaitMs: 25,
     appendRetryMs: 250,
     logAwayAfterMs: 6000,
     retryAfterMs: 2000,
--- a/packages/router/src/commitments/testing/fleet.ts
+++ b/packages/router/src/commitments/testing/fleet.ts
@@ -114,7 +114,7 @@
       readonly body?: string;
       readonly route?: Partial<RouteRule>;
     } = {},
-  ): Promise<void> {
+  ): Promise<CallResult> {
     this.#requests++;
     const requestId = `r-${this.#requests}`;
     const call: ServiceCall = {
@@ -128,12 +128,17 @@
       idempotencyKey: key,
       deadlineElapsedMs: this.time.elapsedMs() + (options.timeoutMs ?? 2000),
     };
-    const result = await this.vm(index).task.run(call).then(
+    const vm = this.vm(index);
+    const isGated = !call.route.repeatable && !call.route.open;
+    const running = isGated ? vm.task.run(call) : this.#dispatch(call, vm.time);
+    const ending = await running.then(
       (answer) => ({ answer: answer.body.toString() }),
       ({ ran, code }) => ({ ran, code }),
     );
     const atMs = this.time.elapsedMs();
-    this.results.push({ requestId, key, ...result, atMs });
+    const result = { requestId, key, ...ending, atMs };
+    this.results.push(result);
+    return result;
   }
 
   #startVm(index: number): void {
--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -226,3 +226,54 @@
   t.regex(explained.text, /"vmId":"vm-2".*"step":"route"/);
   await deployment.close();
 });
+
+/** Asks until an engine finds part of the prompt cached. */
+async function cachedTokens(
+  deployment: TestDeployment,
+  key: string,
+): Promise<number> {
+  const answer = await deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(1, false),
+  });
+  const { usage } = JSON.parse(answer.text);
+  return usage?.prompt_tokens_details.cached_tokens ?? 0;
+}
+
+test("a prefix that only the cache store holds is imported, not computed", async (t) => {
+  const deployment = await TestDeployment.start({
+    engines: [{}],
+    withStore: true,
+  });
+  const { key } = await deployment.createTeam();
+  t.is(await cachedTokens(deployment, key), 0);
+  await deployment.whenStored(2);
+  const [engine] = deployment.engines;
+  const before = engine!.incarnation();
+  await engine!.control({ crash: { downMs: 0 } });
+  await deployment.whenKnown("engine-1", (present) => present !== before);
+  t.true(await cachedTokens(deployment, key) >= 4000);
+  await deployment.close();
+});
+
+test("blocks of older weights are never relied on", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [{}] });
+  const { key } = await deployment.createTeam();
+  await deployment.whenKnown("engine-1", () => true);
+  await cachedTokens(deployment, key);
+  t.true(await cachedTokens(deployment, key) >= 4000);
+  await deployment.loadWeights(deployment.engines[0]!, "v2");
+  const answer = await deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(3, false),
+  });
+  const { choices, usage } = JSON.parse(answer.text);
+  t.is(
+    choices[0].text,
+    expectedCompletion(PROMPT, "chime-llm", "v2", 3),
+  );
+  t.is(usage.prompt_tokens_details.cached_tokens, 0);
+  await deployment.close();
+});
--- a/packages/router/src/engines/attempt_body.ts
+++ b/packages/router/src/engines/attempt_body.ts
@@ -38,11 +38,18 @@
     cache_salt: selection.salt,
     block_hashes: selection.blocks,
     priority: input.priority,
+    ...weightsField(selection),
     ...importField(selection),
     ...resume,
   });
 }
 
+/** An engine whose weights have changed meanwhile refuses the request. */
+function weightsField(selection: Selection) {
+  const { weightsVersion } = selection.plan.tag;
+  return weightsVersion === "" ? {} : { weights_version: weightsVersion };
+}
+
 function importField(selection: Selection) {
   const { importFrom } = selection.plan;
   if (importFrom === undefined || selection.importAddress === undefined) {
--- a/packages/router/src/engines/attempt_client.ts
+++ b/packages/router/src/engines/attempt_client.ts
@@ -24,10 +24,7 @@
 export interface AttemptSink {
   /** The first byte is about to be written to the engine. */
   started(): void;
-  headers(answer: {
-    readonly incarnation: string;
-    readonly weightsVersion: WeightsVersion;
-  }): void;
+  headers(answer: EngineHeaders): void;
   message(message: EngineMessage): void;
   ended(): void;
   failed(failure: AttemptFailure): void;
@@ -43,6 +40,14 @@
   /** The connection could not be made or broke. */
   readonly isConnectionLost: boolean;
   readonly code?: ErrorCode;
+  /** What the engine's answer said of itself. */
+  readonly engine?: EngineHeaders;
+}
+
+/** What every answer of an engine says of it. */
+export interface EngineHeaders {
+  readonly incarnation: string;
+  readonly weightsVersion: WeightsVersion;
 }
 
 /** A running attempt. */
@@ -75,6 +80,7 @@
   #status = 0;
   #isLeaving = false;
   #errorText = "";
+  #engine: EngineHeaders | undefined;
   #isOver = false;
   #isPaused = false;
   #endTimer: NodeJS.Timeout | undefined;
@@ -100,13 +106,9 @@
     if (this.#isOver) return;
     this.#status = statusCode;
     this.#isLeaving = headers["x-leaving"] === "1";
+    this.#engine = readEngineHeaders(headers);
     if (statusCode !== 200) return;
-    this.#sink.headers({
-      incarnation: String(headers["x-incarnation"] ?? ""),
-      weightsVersion: brandId<WeightsVersion>(
-        String(headers["x-weights-version"] ?? ""),
-      ),
-    });
+    this.#sink.headers(this.#engine);
     if (this.#isPaused) this.#controller?.pause();
   }
 
@@ -129,10 +131,12 @@
     if (this.#isOver) return;
     this.#isOver = true;
     if (this.#status === 200) return this.#sink.ended();
-    this.#sink.failed(describeStatus(this.#status, {
+    const failure = describeStatus(this.#status, {
       isLeaving: this.#isLeaving,
       text: this.#errorText,
-    }));
+    });
+    const engine = this.#engine === undefined ? {} : { engine: this.#engine };
+    this.#sink.failed({ ...failure, ...engine });
   }
 
   onResponseError(_controller: Controller, error: Error): void {
@@ -173,11 +177,22 @@
   }
 }
 
+function readEngineHeaders(headers: IncomingHttpHeaders): EngineHeaders {
+  const version = String(headers["x-weights-version"] ?? "");
+  return {
+    incarnation: String(headers["x-incarnation"] ?? ""),
+    weightsVersion: brandId<WeightsVersion>(version),
+  };
+}
+
+/** 409 says that the engine's weights have changed since it was chosen. */
+const RETRYABLE_STATUSES = new Set([408, 409, 429]);
+
 function describeStatus(
   status: number,
   answer: { readonly isLeaving: boolean; readonly text: string },
 ): AttemptFailure {
-  const retryable = status >= 500 || status === 429 || status === 408;
+  const retryable = status >= 500 || RETRYABLE_STATUSES.has(status);
   return {
     reason: `The engine answered with status ${status}`,
     retryable,
--- a/packages/router/src/engines/engine_selector.ts
+++ b/packages/router/src/engines/engine_selector.ts
@@ -9,6 +9,7 @@
 import {
   assertHitIsCurrent,
   cacheSalt,
+  type CacheStoreSource,
   chooseEngine,
   type EngineCandidate,
   type EngineTag,
@@ -129,7 +130,10 @@
     version: WeightsVersion,
   ): Promise<HashedPrompt> {
     const salt = this.#saltOf(input.team, { model: input.model, version });
-    const blocks = hashBlocksWithSalt(input.promptText, salt);
+    // Blocks of unknown weights must not be found under any later ones.
+    const blocks = version === ""
+      ? []
+      : hashBlocksWithSalt(input.promptText, salt);
     const locations = blocks.length === 0
       ? []
       : await this.#options.prefixes.locate(blocks);
@@ -210,7 +214,11 @@
       blocks: first?.blocks ?? [],
       promptTokens: input.promptTokens,
     };
-    const plan = chooseEngine(request, found.candidates);
+    // While two weights versions are in use a store's depth fits only one.
+    const stores = found.prompts.size === 1 && first !== undefined
+      ? this.#storesOf(first)
+      : [];
+    const plan = chooseEngine(request, found.candidates, { stores });
     const server = found.servers.find(({ id }) => id === plan?.engine);
     if (plan === undefined || server === undefined) {
       throw fail("no_backend_server", "No engine is live");
@@ -232,6 +240,21 @@
     };
   }
 
+  /**
+   * Cache stores that hold a part of the chain. The hashes carry the weights
+   * version, so a store's own tag is its incarnation only.
+   */
+  #storesOf(prompt: HashedPrompt): CacheStoreSource[] {
+    return prompt.locations.flatMap(({ engine, incarnation, depth }) => {
+      const server = this.#options.membership.backendServer(engine);
+      // Only the watcher hears from a store; an import that fails costs time.
+      const known = server?.incarnation ?? incarnation;
+      const isStore = server?.entry.role === "cache_store" &&
+        server.takesNewWork && known === incarnation;
+      return isStore ? [{ id: engine, depth }] : [];
+    });
+  }
+
   #assertCurrent(plan: RoutePlan, prompt: HashedPrompt): void {
     if (plan.expectedHitBlocks === 0) return;
     const server = this.#options.membership.backendServer(plan.engine);
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -27,6 +27,7 @@
   AttemptFailure,
   AttemptSink,
   EngineConnections,
+  EngineHeaders,
   RunningAttempt,
 } from "./attempt_client.ts";
 import { attemptBody } from "./attempt_body.ts";
@@ -52,6 +53,10 @@
 
 /** What membership is told about engines. */
 export interface EngineNotes {
+  noteServerAnswer(
+    id: BackendServerId,
+    answer: EngineHeaders & { readonly asOfMs: number },
+  ): void;
   noteServerFailure(id: BackendServerId): void;
   noteServerLeaving(id: BackendServerId): void;
 }
@@ -337,16 +342,27 @@
     const attemptId = attempt.id;
     return {
       started: () => this.#handle({ kind: "attempt_started", attemptId }),
-      headers: ({ weightsVersion }) =>
-        this.#handle({ kind: "attempt_headers", attemptId, weightsVersion }),
+      headers: (engine) => {
+        this.#noteEngine(attempt, engine);
+        const { weightsVersion } = engine;
+        this.#handle({ kind: "attempt_headers", attemptId, weightsVersion });
+      },
       message: (message) => this.#handle({ kind: "chunk", attemptId, message }),
       ended: () => this.#handle({ kind: "attempt_ended", attemptId }),
       failed: (failure) => this.#onFailed(attempt, failure),
     };
   }
 
+  /** The engine itself knows best which run and weights it is. */
+  #noteEngine(attempt: CurrentAttempt, engine: EngineHeaders): void {
+    if (attempt.engine === undefined || engine.incarnation === "") return;
+    const asOfMs = this.#context.clock.elapsedMs();
+    this.#context.notes.noteServerAnswer(attempt.engine, { ...engine, asOfMs });
+  }
+
   #onFailed(attempt: CurrentAttempt, failure: AttemptFailure): void {
     const { engine } = attempt;
+    if (failure.engine !== undefined) this.#noteEngine(attempt, failure.engine);
     if (engine !== undefined) {
       this.#avoid.add(engine);
       if (failure.isLeaving) this.#context.notes.noteServerLeaving(engine);
--- a/packages/router/src/engines/watcher_task.ts
+++ b/packages/router/src/engines/watcher_task.ts
@@ -88,8 +88,12 @@
     if (this.#stopped) return;
     const { membership, identity, scheduler } = this.#options;
     const entryVms = membership.entryVms();
-    const owned = membership.serversOfRole("engine").filter((engine) =>
-      watcherOf(engine.entry, entryVms)?.vmId === identity.vmId
+    const watched = [
+      ...membership.serversOfRole("engine"),
+      ...membership.serversOfRole("cache_store"),
+    ];
+    const owned = watched.filter((server) =>
+      watcherOf(server.entry, entryVms)?.vmId === identity.vmId
     );
     const ownedIds = new Set(owned.map((engine) => engine.id));
     this.#stopUnowned(ownedIds);
@@ -137,7 +141,9 @@
   }
 
   start(): void {
-    this.#loop(() => this.#readLoad(), LOAD_INTERVAL_MS);
+    if (this.#engine.entry.role === "engine") {
+      this.#loop(() => this.#readLoad(), LOAD_INTERVAL_MS);
+    }
     this.#loop(() => this.#readEvents(), 0);
   }
 
@@ -187,12 +193,23 @@
       EVENT_WAIT_MS + CALL_TIMEOUT_MS,
     );
     if (this.#stopped) return;
+    if (this.#engine.entry.role === "cache_store") this.#noteStore(batch);
     const change = this.#view.applyEvents(batch);
     this.#report(change);
     // A watch that starts, or lost events, needs the whole set once.
     if (change.needsSnapshot || this.#isFresh) await this.#readBlocks();
   }
 
+  /** Stores report no load, so their events tell which run they are. */
+  #noteStore({ incarnation, weightsVersion }: CacheEventBatch): void {
+    const asOfMs = this.#options.clock.elapsedMs();
+    this.#options.membership.noteServerAnswer(this.#engine.id, {
+      incarnation,
+      weightsVersion,
+      asOfMs,
+    });
+  }
+
   async #readBlocks(): Promise<void> {
     const blocks = await this.#get<CacheSnapshot>(
       "/v1/cache/blocks",
--- a/packages/router/src/http/body.ts
+++ b/packages/router/src/http/body.ts
@@ -4,8 +4,13 @@
  * @module
  */
 
+import { isUtf8 } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { fail } from "@endivebend/errors";
+import { isNestedDeeper } from "./json_depth.ts";
+
+/** Far more than any request or change needs. */
+const MAX_JSON_DEPTH = 64;
 
 /**
  * Reads a whole body. Throws `body_too_large` once the bound is exceeded, and
@@ -25,17 +30,18 @@
     return Promise.reject(bodyTooLarge(options.maxBytes));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let receivedBytes = 0;
-    request.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       receivedBytes += chunk.length;
-      if (receivedBytes > options.maxBytes) {
-        request.pause();
-        reject(bodyTooLarge(options.maxBytes));
-        return;
-      }
       chunks.push(chunk);
-    });
+      if (receivedBytes <= options.maxBytes) return;
+      chunks = [];
+      request.off("data", onData);
+      request.pause();
+      reject(bodyTooLarge(options.maxBytes));
+    };
+    request.on("data", onData);
     request.on("end", () => resolve(Buffer.concat(chunks)));
     const onBroken = () => {
       const message = "The body ended before its declared length";
@@ -51,18 +57,26 @@
   return fail("body_too_large", message, { field: "body" });
 }
 
+function malformedBody(message: string, cause?: unknown) {
+  return fail("malformed_request", message, { field: "body", cause });
+}
+
 /** Parses a JSON object. Throws `malformed_request`. */
 export function parseJsonObject(body: Buffer): Record<string, unknown> {
+  // Replaced bytes would make two different bodies equal.
+  if (!isUtf8(body)) throw malformedBody("The body is not valid UTF-8");
+  if (isNestedDeeper(body, MAX_JSON_DEPTH)) {
+    const message = `The body is nested deeper than ${MAX_JSON_DEPTH} levels`;
+    throw malformedBody(message);
+  }
   let value: unknown;
   try {
     value = JSON.parse(body.toString("utf8"));
   } catch (cause) {
-    const message = "The body is not valid JSON";
-    throw fail("malformed_request", message, { field: "body", cause });
+    throw malformedBody("The body is not valid JSON", cause);
   }
   if (typeof value !== "object" || value === null || Array.isArray(value)) {
-    const message = "The body is not a JSON object";
-    throw fail("malformed_request", message, { field: "body" });
+    throw malformedBody("The body is not a JSON object");
   }
   return value as Record<string, unknown>;
 }
--- /dev/null
+++ b/packages/router/src/http/client_errors.ts
@@ -0,0 +1,105 @@
+/**
+ * Answers what the HTTP parser refuses: malformed, oversized and slow requests.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import { type ErrorCode, fail, toRefusal } from "@endivebend/errors";
+import { brandId, type RequestId } from "@endivebend/types";
+import { connectionOf, type OpenRequest } from "./connections.ts";
+
+interface Fault {
+  readonly code: ErrorCode;
+  readonly message: string;
+}
+
+const MALFORMED: Fault = {
+  code: "malformed_request",
+  message: "The request is not valid HTTP/1.1",
+};
+
+const FAULTS: Readonly<Record<string, Fault>> = {
+  HPE_HEADER_OVERFLOW: {
+    code: "headers_too_large",
+    message: "The header is too large",
+  },
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: {
+    code: "body_too_large",
+    message: "The chunk extensions of the body are too large",
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    code: "request_timeout",
+    message: "The request did not arrive in time",
+  },
+};
+
+/** Writes a refusal where there is no response object, and ends the socket. */
+export function writeRawRefusal(socket: Socket, fault: Fault): void {
+  const requestId = brandId<RequestId>(randomUUID());
+  const caught = fail(fault.code, fault.message);
+  const { status, headers, body } = toRefusal(caught, requestId);
+  const text = JSON.stringify(body);
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    "content-type: application/json",
+    `content-length: ${Buffer.byteLength(text)}`,
+    "connection: close",
+  ];
+  socket.end(`${lines.join("\r\n")}\r\n\r\n${text}`, () => socket.destroy());
+}
+
+function hasBegun({ response }: OpenRequest): boolean {
+  return response.headersSent;
+}
+
+function refuse(socket: Socket, fault: Fault): void {
+  const { open } = connectionOf(socket);
+  // The rest of an answer must not be followed by bytes that are not its own.
+  const canWrite = socket.writable && ![...open].some(hasBegun);
+  if (canWrite) writeRawRefusal(socket, fault);
+  else socket.destroy();
+}
+
+/**
+ * Refuses what the parser met an error in. Requests before it on the same
+ * connection are answered first: the refusal would be taken for their answer
+ * and say falsely that they did not run.
+ *
+ * @example
+ * ```ts
+ * server.on("clientError", (error, socket) => answerClientError(error, { socket }));
+ * ```
+ */
+export function answerClientError(
+  error: Error & { readonly code?: string },
+  options: {
+    readonly socket: Socket;
+    readonly onRefusal?: ((reason: ErrorCode) => void) | undefined;
+  },
+): void {
+  const { socket, onRefusal } = options;
+  const connection = connectionOf(socket);
+  if (connection.hasFailed) return;
+  connection.hasFailed = true;
+  connection.isGivenUp = true;
+  if (error.code === "ECONNRESET" || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const fault = FAULTS[error.code ?? ""] ?? MALFORMED;
+  onRefusal?.(fault.code);
+  const before = [...connection.open].filter(({ request }) => request.complete);
+  if (before.length === 0) return refuse(socket, fault);
+  socket.pause();
+  let left = before.length;
+  for (const request of before) {
+    request.onOver(() => {
+      left--;
+      if (left === 0) refuse(socket, fault);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/http/connections.ts
@@ -0,0 +1,106 @@
+/**
+ * The requests that are open on each connection of a caller or operator.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** A request whose answer has not been handed to the system in full. */
+export class OpenRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly #gone = new AbortController();
+  #whenOver: (() => void)[] = [];
+  #isOver = false;
+
+  constructor(request: IncomingMessage, response: ServerResponse) {
+    this.request = request;
+    this.response = response;
+  }
+
+  /** Aborted when the caller has left before its answer was whole. */
+  get gone(): AbortSignal {
+    return this.#gone.signal;
+  }
+
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  /** Calls the listener once the answer is out or the caller has left. */
+  onOver(listener: () => void): void {
+    if (this.#isOver) return listener();
+    this.#whenOver.push(listener);
+  }
+
+  /** Ends the request; only its connection calls this. */
+  end(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    if (!this.response.writableFinished) this.#gone.abort();
+    for (const listener of this.#whenOver) listener();
+    this.#whenOver = [];
+  }
+}
+
+/** What is known of one connection. */
+export class Connection {
+  readonly open = new Set<OpenRequest>();
+  /** Set when the connection ends after the answers that are open. */
+  isGivenUp = false;
+  /** Set when the parser has met an error, after which it reads nothing more. */
+  hasFailed = false;
+
+  constructor(socket: Socket) {
+    // The answers behind the first of a pipeline get no event of their own.
+    socket.once("close", () => {
+      for (const request of [...this.open]) this.#end(request);
+    });
+  }
+
+  begin(request: IncomingMessage, response: ServerResponse): OpenRequest {
+    const opened = new OpenRequest(request, response);
+    this.open.add(opened);
+    response.once("close", () => this.#end(opened));
+    return opened;
+  }
+
+  #end(request: OpenRequest): void {
+    this.open.delete(request);
+    request.end();
+  }
+}
+
+const connections = new WeakMap<Socket, Connection>();
+const openRequests = new WeakMap<ServerResponse, OpenRequest>();
+
+/** The connection of a socket. */
+export function connectionOf(socket: Socket): Connection {
+  const known = connections.get(socket);
+  if (known !== undefined) return known;
+  const connection = new Connection(socket);
+  connections.set(socket, connection);
+  return connection;
+}
+
+/**
+ * The open request of an exchange; it is registered on the first call.
+ *
+ * @example
+ * ```ts
+ * const { gone } = openRequestOf(request, response);
+ * await charger.charge({ ...input, signal: gone });
+ * ```
+ */
+export function openRequestOf(
+  request: IncomingMessage,
+  response: ServerResponse,
+): OpenRequest {
+  const known = openRequests.get(response);
+  if (known !== undefined) return known;
+  const opened = connectionOf(request.socket).begin(request, response);
+  openRequests.set(response, opened);
+  return opened;
+}
--- a/packages/router/src/http/listener.ts
+++ b/packages/router/src/http/listener.ts
@@ -5,17 +5,25 @@
  * @module
  */
 
+import { randomUUID } from "node:crypto";
 import { once } from "node:events";
-import { readFileSync, unwatchFile, watchFile } from "node:fs";
 import { createServer, type RequestListener, type Server } from "node:http";
 import {
   createServer as createTlsServer,
   type Server as TlsServer,
 } from "node:https";
-import type { AddressInfo } from "node:net";
-import type { ListenerSettings, TlsSettings } from "@endivebend/settings";
+import type { AddressInfo, Socket } from "node:net";
+import { type ErrorCode, fail } from "@endivebend/errors";
+import type { ListenerSettings } from "@endivebend/settings";
+import { brandId, type RequestId } from "@endivebend/types";
+import { answerClientError, writeRawRefusal } from "./client_errors.ts";
+import { connectionOf, openRequestOf } from "./connections.ts";
+import { writeRefusal } from "./respond.ts";
+import { readTlsMaterial, watchTlsFiles } from "./tls.ts";
 
-const CERTIFICATE_CHECK_INTERVAL_MS = 1000;
+/** Requests of one connection that may run at once. */
+const MAX_PIPELINED_REQUESTS = 32;
+const PIPELINE_RETRY_MS = 1000;
 
 /** Limits of one listener. */
 export interface ListenerLimits {
@@ -25,6 +33,22 @@
   readonly headersTimeoutMs: number;
 }
 
+/** Why a listener turned a connection or request away by itself. */
+export type ListenerRefusal =
+  | ErrorCode
+  | "too_many_connections"
+  | "tls_handshake";
+
+/** What a listener serves. */
+export interface ListenerOptions {
+  readonly limits: ListenerLimits;
+  readonly handle: RequestListener;
+  /** Told of what never reaches the handler. */
+  readonly onRefusal?: (reason: ListenerRefusal) => void;
+  /** Told of certificates that were read again, or could not be. */
+  readonly onReload?: (failure: unknown) => void;
+}
+
 /** An open listener. */
 export interface Listener {
   /** IP number and port that it listens on. */
@@ -36,63 +60,89 @@
   closeAllConnections(): void;
 }
 
-/** TLS material as text. */
-export interface TlsMaterial {
-  readonly cert: string;
-  readonly key: string;
-  readonly ca?: string;
-}
-
-/** Reads the files that TLS settings name. */
-export function readTlsMaterial(tls: TlsSettings): TlsMaterial {
-  const cert = readFileSync(tls.certFile, "utf8");
-  const key = readFileSync(tls.keyFile, "utf8");
-  if (tls.caFile === undefined) return { cert, key };
-  return { cert, key, ca: readFileSync(tls.caFile, "utf8") };
-}
-
 function serverOptions(limits: ListenerLimits) {
+  const { headersTimeoutMs, requestTimeoutMs } = limits;
   return {
     maxHeaderSize: limits.maxHeaderBytes,
-    requestTimeout: limits.requestTimeoutMs,
-    headersTimeout: limits.headersTimeoutMs,
-    connectionsCheckingInterval: Math.min(1000, limits.headersTimeoutMs),
+    requestTimeout: requestTimeoutMs,
+    // The runtime refuses a header timeout above that of the request.
+    headersTimeout: Math.min(headersTimeoutMs, requestTimeoutMs),
+    connectionsCheckingInterval: Math.min(1000, headersTimeoutMs),
     noDelay: true,
+    // Checked here instead, because the runtime answers without a body.
+    requireHostHeader: false,
   };
 }
 
-/** Loads changed certificate files into a running server. */
-export function reloadCertificates(
-  server: { setSecureContext(material: TlsMaterial): void },
-  tls: TlsSettings,
-): () => void {
-  const reload = () => {
-    try {
-      server.setSecureContext(readTlsMaterial(tls));
-    } catch {
-      // A half-written pair stays out; the next change is read again.
-    }
-  };
-  const files = [tls.certFile, tls.keyFile];
-  for (const file of files) {
-    const interval = CERTIFICATE_CHECK_INTERVAL_MS;
-    watchFile(file, { interval, persistent: false }, reload);
-  }
-  return () => files.forEach((file) => unwatchFile(file, reload));
-}
-
 function createHttpServer(
   settings: ListenerSettings,
-  options: {
-    readonly limits: ListenerLimits;
-    readonly handle: RequestListener;
-  },
+  options: ListenerOptions,
 ): Server | TlsServer {
-  const base = serverOptions(options.limits);
-  if (settings.tls === undefined) return createServer(base, options.handle);
+  const { limits, handle } = options;
+  const base = serverOptions(limits);
+  if (settings.tls === undefined) return createServer(base, handle);
   const material = readTlsMaterial(settings.tls);
-  const tls = { ...material, requestCert: material.ca !== undefined };
-  return createTlsServer({ ...base, ...tls }, options.handle);
+  const tls = {
+    ...material,
+    requestCert: material.ca !== undefined,
+    rejectUnauthorized: material.ca !== undefined,
+    handshakeTimeout: limits.headersTimeoutMs,
+  };
+  return createTlsServer({ ...base, ...tls }, handle);
+}
+
+/** Turns away what no handler may see. */
+function guard(options: ListenerOptions): RequestListener {
+  return (request, response) => {
+    const connection = connectionOf(request.socket);
+    // Its answer could not be sent, so the request may not run.
+    if (connection.isGivenUp) return void request.resume();
+    const { isOver } = openRequestOf(request, response);
+    if (isOver) return;
+    const refuse = (caught: ReturnType<typeof fail>) => {
+      const requestId = brandId<RequestId>(randomUUID());
+      options.onRefusal?.(caught.code);
+      connection.isGivenUp = true;
+      response.setHeader("connection", "close");
+      writeRefusal(response, { caught, requestId });
+    };
+    if (connection.open.size > MAX_PIPELINED_REQUESTS) {
+      const message =
+        `The connection carries more than ${MAX_PIPELINED_REQUESTS} requests at once`;
+      const retryAfterMs = PIPELINE_RETRY_MS;
+      return refuse(fail("queue_full", message, { retryAfterMs }));
+    }
+    const needsHost = request.httpVersion === "1.1";
+    if (needsHost && request.headers.host === undefined) {
+      const message = "The request names no host";
+      return refuse(fail("malformed_request", message, { field: "host" }));
+    }
+    options.handle(request, response);
+  };
+}
+
+function answerFaults(
+  server: Server | TlsServer,
+  options: ListenerOptions,
+): void {
+  const { onRefusal } = options;
+  server.on("clientError", (error, socket) => {
+    answerClientError(error, { socket: socket as Socket, onRefusal });
+  });
+  server.on("drop", () => onRefusal?.("too_many_connections"));
+  server.on("tlsClientError", () => onRefusal?.("tls_handshake"));
+  server.on("connect", (_request, socket) => {
+    onRefusal?.("method_not_allowed");
+    const message = "CONNECT is not offered";
+    writeRawRefusal(socket as Socket, { code: "method_not_allowed", message });
+  });
+  server.on("checkExpectation", (_request, response) => {
+    const message = "The only expectation that is met is 100-continue";
+    const caught = fail("malformed_request", message, { field: "expect" });
+    const requestId = brandId<RequestId>(randomUUID());
+    onRefusal?.(caught.code);
+    writeRefusal(response, { caught, requestId });
+  });
 }
 
 /**
@@ -105,16 +155,19 @@
  */
 export async function openListener(
   settings: ListenerSettings,
-  options: {
-    readonly limits: ListenerLimits;
-    readonly handle: RequestListener;
-  },
+  options: ListenerOptions,
 ): Promise<Listener> {
-  const server = createHttpServer(settings, options);
+  const { tls } = settings;
+  const handle = guard(options);
+  const server = createHttpServer(settings, { ...options, handle });
   server.maxConnections = options.limits.maxConnections;
-  const stopReload = settings.tls === undefined
-    ? () => {}
-    : reloadCertificates(server as TlsServer, settings.tls);
+  // The bound on bytes is enough; the runtime would drop headers in silence.
+  server.maxHeadersCount = 0;
+  answerFaults(server, options);
+  const stopReload = tls === undefined ? () => {} : watchTlsFiles(tls, {
+    apply: () => (server as TlsServer).setSecureContext(readTlsMaterial(tls)),
+    onReload: options.onReload,
+  });
   server.listen(settings.port, settings.host);
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
--- a/packages/router/src/http/respond.ts
+++ b/packages/router/src/http/respond.ts
@@ -5,8 +5,16 @@
  */
 
 import type { ServerResponse } from "node:http";
-import { toRefusal } from "@endivebend/errors";
+import { type Refusal, toRefusal } from "@endivebend/errors";
 import type { RequestId } from "@endivebend/types";
+import { connectionOf } from "./connections.ts";
+
+/**
+ * How long the rest of a body is read and dropped after its refusal. A
+ * connection that is closed with unread bytes is reset, and the caller could
+ * lose the refusal.
+ */
+const DISCARD_TIMEOUT_MS = 1000;
 
 /** Writes a JSON answer. */
 export function writeJson(
@@ -43,10 +51,36 @@
     return;
   }
   const refusal = toRefusal(options.caught, options.requestId);
-  // The rest of an unread body would be taken for the next request.
-  const closing: Record<string, string> = response.req.complete
-    ? {}
-    : { connection: "close" };
-  const headers = { ...options.headers, ...refusal.headers, ...closing };
-  writeJson(response, { status: refusal.status, body: refusal.body, headers });
+  const headers = { ...options.headers, ...refusal.headers };
+  if (response.req.complete) {
+    const { status, body } = refusal;
+    writeJson(response, { status, body, headers });
+    return;
+  }
+  writeEarlyRefusal(response, { ...refusal, headers });
+}
+
+/** Refuses a request whose body has not been read, and ends the connection. */
+function writeEarlyRefusal(response: ServerResponse, refusal: Refusal): void {
+  const { req: request } = response;
+  // Requests behind this one would get no answer, so they may not run.
+  connectionOf(request.socket).isGivenUp = true;
+  const text = JSON.stringify(refusal.body);
+  response.writeHead(refusal.status, {
+    ...refusal.headers,
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    connection: "close",
+  });
+  response.write(text);
+  const timer = setTimeout(() => response.end(), DISCARD_TIMEOUT_MS);
+  timer.unref();
+  const end = () => {
+    clearTimeout(timer);
+    response.end();
+  };
+  request.once("end", end);
+  request.once("close", end);
+  request.on("error", end);
+  request.resume();
 }
--- a/packages/router/src/limits/limits_task.ts
+++ b/packages/router/src/limits/limits_task.ts
@@ -225,10 +225,7 @@
         return this.#answerBorrow(entry, {
           borrower: request.borrowerVmId,
           wantTokens: Number(request.wantTokens),
-          want: {
-            rateMilli: Math.round(request.wantRateTokensPerSecond * 1000),
-            capacityTokens: Number(request.wantCapacityTokens),
-          },
+          wantCapacityTokens: Number(request.wantCapacityTokens),
         });
       },
       handover: (request) => {
@@ -268,10 +265,7 @@
     request: {
       readonly borrower: string;
       readonly wantTokens: number;
-      readonly want: {
-        readonly rateMilli: number;
-        readonly capacityTokens: number;
-      };
+      readonly wantCapacityTokens: number;
     },
   ) {
     const lent = this.#holder.apply(entry, {
@@ -281,8 +275,7 @@
     if (lent === undefined) return { notHolder: true };
     return {
       tokens: BigInt(lent.tokens),
-      rateTokensPerSecond: lent.loan.rateMilli / 1000,
-      capacityTokens: BigInt(lent.loan.capacityTokens),
+      capacityTokens: BigInt(lent.capacityTokens),
       leaseMs: lent.leaseMs,
     };
   }
--- a/packages/router/src/limits/loan_requests.ts
+++ b/packages/router/src/limits/loan_requests.ts
@@ -57,17 +57,13 @@
       team: entry.team,
       borrowerVmId: this.#options.identity.vmId,
       wantTokens: BigInt(effect.wantTokens),
-      wantRateTokensPerSecond: effect.want.rateMilli / 1000,
-      wantCapacityTokens: BigInt(effect.want.capacityTokens),
+      wantCapacityTokens: BigInt(effect.wantCapacityTokens),
     }, { timeoutMs: BORROW_TIMEOUT_MS });
     if (answer.notHolder) return undefined;
     return {
       kind: "loan_received",
       lender: effect.lender,
-      loan: {
-        rateMilli: Math.round(answer.rateTokensPerSecond * 1000),
-        capacityTokens: Number(answer.capacityTokens),
-      },
+      capacityTokens: Number(answer.capacityTokens),
       tokens: Number(answer.tokens),
       leaseMs: answer.leaseMs,
       requestedAtMs,
--- a/packages/router/src/testing_deployment.ts
+++ b/packages/router/src/testing_deployment.ts
@@ -12,6 +12,8 @@
   type EngineStandIn,
   type PlatformStandIn,
   type ServiceStandIn,
+  type StandIn,
+  startCacheStore,
   startEngine,
   startPlatform,
   startService,
@@ -74,6 +76,7 @@
   readonly engines: EngineStandIn[] = [];
   readonly service: ServiceStandIn;
   readonly daemons: Daemon[] = [];
+  store: StandIn | undefined;
 
   private constructor(platform: PlatformStandIn, service: ServiceStandIn) {
     this.platform = platform;
@@ -83,15 +86,20 @@
   static async start(options: {
     readonly engines?: readonly EngineOptions[];
     readonly daemons?: number;
+    /** Engines write the blocks that they compute to a cache store. */
+    readonly withStore?: boolean;
   } = {}): Promise<TestDeployment> {
     const platform = await startPlatform({});
     const deployment = new TestDeployment(platform, await startService({}));
+    if (options.withStore) deployment.store = await startCacheStore({});
+    const storeAddress = deployment.store?.address ?? "";
     for (const engine of options.engines ?? [{}]) {
       deployment.engines.push(
         await startEngine({
           model: "chime-llm",
           weightsVersion: "v1",
           cacheBlocks: 100,
+          storeAddress,
           ...engine,
         }),
       );
@@ -123,7 +131,16 @@
       failureDomain: "a",
       service: "belfry-app",
     };
-    await this.platform.control({ set_vms: [...engines, service] });
+    const stores = this.store === undefined ? [] : [{
+      vmId: "store-1",
+      role: "cache_store",
+      state: "live",
+      address: this.store.address,
+      failureDomain: "a",
+      service: "rulebook-cache",
+    }];
+    const set_vms = [...engines, ...stores, service];
+    await this.platform.control({ set_vms });
   }
 
   async addDaemon(
@@ -169,16 +186,57 @@
 
   /** Resolves with the first engine that runs a request. */
   async whenStreaming(): Promise<EngineStandIn> {
-    while (true) {
+    let running: EngineStandIn | undefined;
+    await until(async () => {
       for (const engine of this.engines) {
         const load = await call(engine.address, {
           path: "/v1/load",
           method: "GET",
         });
-        if (JSON.parse(load.text).runningRequests > 0) return engine;
+        if (JSON.parse(load.text).runningRequests > 0) running = engine;
       }
-      await new Promise((resolve) => setImmediate(resolve));
-    }
+      return running !== undefined;
+    });
+    return running!;
+  }
+
+  /** Resolves when the cache store holds so many blocks. */
+  async whenStored(count: number): Promise<void> {
+    const address = this.store?.address ?? "";
+    await until(async () => {
+      const answer = await call(address, { path: "/v1/kv", method: "GET" });
+      return JSON.parse(answer.text).blocks.length >= count;
+    });
+  }
+
+  /** Resolves when the first daemon knows an engine's incarnation as wanted. */
+  async whenKnown(
+    id: string,
+    isWanted: (incarnation: string) => boolean,
+  ): Promise<void> {
+    await until(async () => {
+      const { text } = await this.operate("/operator/v1/status");
+      const { engines } = JSON.parse(text) as {
+        readonly engines: readonly {
+          readonly id: string;
+          readonly incarnation?: string;
+        }[];
+      };
+      const found = engines.find((engine) => engine.id === id)?.incarnation;
+      return found !== undefined && isWanted(found);
+    });
+  }
+
+  /** Gives an engine an order that no router knows of, and waits for it. */
+  async loadWeights(engine: EngineStandIn, version: string): Promise<void> {
+    const body = {
+      kind: "load_model",
+      model: "chime-llm",
+      weightsVersion: version,
+      fence: 1,
+    };
+    await call(engine.address, { path: "/v1/orders", body });
+    await until(() => Promise.resolve(engine.weightsVersion() === version));
   }
 
   /** What a stand-in recorded of the calls that reached it. */
@@ -195,6 +253,7 @@
   async close(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.drain()));
     await Promise.all(this.engines.map((engine) => engine.close()));
+    await this.store?.close();
     await this.service.close();
     await this.platform.close();
   }
@@ -226,6 +285,12 @@
   }
 }
 
+async function until(isTrue: () => Promise<boolean>): Promise<void> {
+  while (!await isTrue()) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 async function call(address: string, input: CallInput): Promise<ReadAnswer> {
   const { path, method = "POST", key, headers = {}, body } = input;
   const authorization: Record<string, string> = key === undefined
--- a/packages/stand-ins/src/cache_store/cache_store.ts
+++ b/packages/stand-ins/src/cache_store/cache_store.ts
@@ -4,7 +4,14 @@
  * @module
  */
 
-import { HttpFailure, readBody, sendJson } from "../http_messages.ts";
+import { randomUUID } from "node:crypto";
+import { CacheEvents } from "../engine/cache_events.ts";
+import {
+  HttpFailure,
+  queryNumber,
+  readBody,
+  sendJson,
+} from "../http_messages.ts";
 import {
   type Call,
   type ListenOptions,
@@ -26,6 +33,8 @@
   readonly #maxBytes: number;
   #bytes = 0;
   #refuse = false;
+  readonly #events = new CacheEvents({ eventDelayMs: 0, dropEventEvery: 0 });
+  readonly #incarnation = randomUUID();
   readonly #counts = { stored: 0, served: 0, missed: 0 };
 
   constructor(options: CacheStoreOptions) {
@@ -35,6 +44,15 @@
       "GET /v1/kv/:block": (call) => this.#get(call),
       "GET /v1/kv": ({ response }) =>
         sendJson(response, 200, { body: { blocks: [...this.#blocks.keys()] } }),
+      "GET /v1/cache/events": (call) => this.#readEvents(call),
+      "GET /v1/cache/blocks": ({ response }) =>
+        sendJson(response, 200, {
+          body: {
+            ...this.#tag(),
+            seq: this.#events.lastSeq,
+            blocks: [...this.#blocks.keys()],
+          },
+        }),
     }, this);
   }
 
@@ -56,6 +74,19 @@
     else await this.server.listenAgain();
   }
 
+  /** Blocks of all weights lie here; their hashes tell them apart. */
+  #tag() {
+    return { incarnation: this.#incarnation, weightsVersion: "" };
+  }
+
+  async #readEvents({ query, response }: Call): Promise<void> {
+    const after = queryNumber(query, "after", { fallback: 0 });
+    const waitMs = queryNumber(query, "waitMs", { fallback: 0 });
+    if (waitMs > 0) await this.#events.waitFor(after, waitMs);
+    const body = { ...this.#tag(), ...this.#events.read(after) };
+    sendJson(response, 200, { body });
+  }
+
   async #put({ request, response, params }: Call): Promise<void> {
     const bytes = await readBody(request);
     if (bytes.length > this.#maxBytes) {
@@ -70,9 +101,11 @@
     this.#blocks.set(block, bytes);
     this.#bytes += bytes.length;
     this.#counts.stored++;
+    this.#events.add("stored", [block]);
     for (const oldest of this.#blocks.keys()) {
       if (this.#bytes <= this.#maxBytes) break;
       this.#remove(oldest);
+      this.#events.add("evicted", [oldest]);
     }
   }
 
--- a/packages/stand-ins/src/engine/completion.ts
+++ b/packages/stand-ins/src/engine/completion.ts
@@ -36,6 +36,7 @@
   #next: number;
   #cachedTokens = 0;
   #isPrefixStored = false;
+  #isGivenUp = false;
 
   constructor(
     request: CompletionRequest,
@@ -57,9 +58,10 @@
     const { prompt, model, blockHashes, cacheSalt } = this.#request;
     const weightsVersion = this.#host.weightsVersionOf(model);
     // The weights may have changed while the sequence waited.
-    if (weightsVersion === undefined) {
-      this.abort();
-      return 0;
+    if (weightsVersion === undefined) return this.#giveUp(() => this.abort());
+    const wanted = this.#request.weightsVersion;
+    if (wanted !== undefined && wanted !== weightsVersion) {
+      return this.#giveUp(() => this.#output.refuseWeights(weightsVersion));
     }
     this.#seed = textSeed({ prompt, model, weightsVersion });
     this.#checkResumedText();
@@ -75,6 +77,7 @@
   }
 
   emitToken(): boolean {
+    if (this.#isGivenUp) return true;
     this.#storePrefix();
     const isWhole = !this.#request.isStreamed && this.#host.isInstant();
     do {
@@ -89,6 +92,13 @@
     this.#output.abort();
   }
 
+  /** Ends the sequence without running it; it costs no prefill. */
+  #giveUp(end: () => void): number {
+    this.#isGivenUp = true;
+    end();
+    return 0;
+  }
+
   #storePrefix(): void {
     if (this.#isPrefixStored) return;
     this.#isPrefixStored = true;
--- a/packages/stand-ins/src/engine/completion_output.ts
+++ b/packages/stand-ins/src/engine/completion_output.ts
@@ -55,6 +55,14 @@
     this.#response.flushHeaders();
   }
 
+  /** Refuses a request that asked for other weights than those in place. */
+  refuseWeights(weightsVersion: string): void {
+    this.#response.setHeader("x-weights-version", weightsVersion);
+    sendJson(this.#response, 409, {
+      body: { error: { message: "Other weights are loaded", code: "weights" } },
+    });
+  }
+
   token(index: number, text: string): void {
     if (!this.#request.isStreamed) {
       this.#text += text;
--- a/packages/stand-ins/src/engine/completion_request.ts
+++ b/packages/stand-ins/src/engine/completion_request.ts
@@ -32,6 +32,8 @@
   readonly resumeFrom: number;
   readonly generatedText: string;
   readonly kvImport: KvImport | undefined;
+  /** Only these weights may run the request; any when undefined. */
+  readonly weightsVersion: string | undefined;
 }
 
 const DEFAULT_MAX_TOKENS = 256;
@@ -60,6 +62,9 @@
     resumeFrom: count(body.resume_from, 0),
     generatedText: text(body.generated_text, ""),
     kvImport: readKvImport(body.kv_import),
+    weightsVersion: typeof body.weights_version === "string"
+      ? body.weights_version
+      : undefined,
   };
 }
 
--- a/packages/stand-ins/src/engine/engine_options.ts
+++ b/packages/stand-ins/src/engine/engine_options.ts
@@ -25,6 +25,8 @@
   importMsPerBlock: number;
   /** Size of an exported block. */
   kvBytesPerBlock: number;
+  /** Cache store that computed blocks are written to; none when empty. */
+  storeAddress: string;
   /** Orders with a stale fencing token are refused 409. */
   checksFence: boolean;
 }
@@ -66,6 +68,7 @@
   loadLagMs: 0,
   importMsPerBlock: 0,
   kvBytesPerBlock: 1024,
+  storeAddress: "",
   checksFence: true,
 };
 
--- a/packages/stand-ins/src/engine/incarnation.ts
+++ b/packages/stand-ins/src/engine/incarnation.ts
@@ -13,6 +13,7 @@
 import type { CompletionHost } from "./completion.ts";
 import { type EngineOrder, OrderBook } from "./engine_orders.ts";
 import type { EngineTuning } from "./engine_options.ts";
+import { encodeBlock, putBlock } from "./kv_transfer.ts";
 
 /** Settings of one incarnation. */
 export interface IncarnationOptions {
@@ -87,7 +88,20 @@
   }
 
   storePrefix(blocks: readonly string[], salt: string): void {
-    this.#publish(this.cache.store(blocks, salt));
+    const change = this.cache.store(blocks, salt);
+    this.#publish(change);
+    void this.#exportBlocks(change.stored, salt);
+  }
+
+  async #exportBlocks(blocks: readonly string[], salt: string): Promise<void> {
+    const { storeAddress, kvBytesPerBlock: bytes } = this.#options.tuning;
+    if (storeAddress === "") return;
+    for (const block of blocks) {
+      await putBlock(storeAddress, {
+        block,
+        bytes: encodeBlock(block, { salt, bytes }),
+      });
+    }
   }
 
   loadReport() {
--- a/packages/stand-ins/src/engine/kv_transfer.ts
+++ b/packages/stand-ins/src/engine/kv_transfer.ts
@@ -48,6 +48,20 @@
   return fetched;
 }
 
+/** Writes a block to a cache store; a store that fails costs speed only. */
+export async function putBlock(
+  to: string,
+  options: { readonly block: string; readonly bytes: Buffer },
+): Promise<void> {
+  try {
+    const url = `http://${to}/v1/kv/${encodeURIComponent(options.block)}`;
+    const { body } = await request(url, { method: "PUT", body: options.bytes });
+    await body.dump();
+  } catch {
+    // The block stays in the engine's own cache.
+  }
+}
+
 async function fetchBlock(from: string, block: string) {
   try {
     const url = `http://${from}/v1/kv/${encodeURIComponent(block)}`;
