--- a/packages/commitments/src/batcher.ts
+++ b/packages/commitments/src/batcher.ts
@@ -8,7 +8,7 @@
 export interface BatcherSettings {
   readonly maxRecords: number;
   readonly maxBytes: number;
-  /** How long the first record of a batch waits for others. */
+  /** How long a record waits for others, unless it says otherwise. */
   readonly maxWaitMs: number;
   /** Appends that may run at once; a slow one must not hold up all others. */
   readonly maxInFlight: number;
@@ -17,11 +17,11 @@
 interface Waiting<Item> {
   readonly item: Item;
   readonly bytes: number;
-  readonly addedAtMs: number;
+  readonly dueMs: number;
 }
 
 /**
- * Collects items until a batch is full or its first item has waited long
+ * Collects items until a batch is full or one of its items has waited long
  * enough. The log takes several hundred appends per second from the whole
  * fleet, so a loaded daemon must put many records into one.
  */
@@ -40,10 +40,15 @@
 
   add(
     item: Item,
-    options: { readonly bytes: number; readonly nowMs: number },
+    options: {
+      readonly bytes: number;
+      readonly nowMs: number;
+      /** Longer for items that nobody waits for; they ride along. */
+      readonly maxWaitMs?: number;
+    },
   ): void {
-    const { bytes, nowMs } = options;
-    this.#waiting.push({ item, bytes, addedAtMs: nowMs });
+    const { bytes, nowMs, maxWaitMs = this.#settings.maxWaitMs } = options;
+    this.#waiting.push({ item, bytes, dueMs: nowMs + maxWaitMs });
   }
 
   /** Takes the next batch when one is due; call {@link appendEnded} after it. */
@@ -52,11 +57,8 @@
     const count = this.#fittingCount();
     const isFull = count === this.#settings.maxRecords ||
       count < this.#waiting.length;
-    const first = this.#waiting[0];
-    if (first === undefined) return undefined;
-    if (!isFull && nowMs < first.addedAtMs + this.#settings.maxWaitMs) {
-      return undefined;
-    }
+    if (count === 0) return undefined;
+    if (!isFull && nowMs < this.#earliestDueMs()) return undefined;
     this.#inFlight++;
     return this.#waiting.splice(0, count).map((waiting) => waiting.item);
   }
@@ -67,10 +69,17 @@
 
   /** When {@link take} is due by time, or undefined when it is not. */
   nextDueMs(): number | undefined {
-    const first = this.#waiting[0];
-    if (first === undefined) return undefined;
+    if (this.#waiting.length === 0) return undefined;
     if (this.#inFlight >= this.#settings.maxInFlight) return undefined;
-    return first.addedAtMs + this.#settings.maxWaitMs;
+    return this.#earliestDueMs();
+  }
+
+  #earliestDueMs(): number {
+    let earliestMs = Infinity;
+    for (const { dueMs } of this.#waiting) {
+      earliestMs = Math.min(earliestMs, dueMs);
+    }
+    return earliestMs;
   }
 
   #fittingCount(): number {
--- a/packages/commitments/src/batcher_test.ts
+++ b/packages/commitments/src/batcher_test.ts
@@ -22,6 +22,15 @@
   t.is(batcher.waitingCount, 1);
 });
 
+test("a record that nobody waits for rides along with one that is due", (t) => {
+  const batcher = new Batcher<string>(settings);
+  batcher.add("outcome", { bytes: 1, nowMs: 0, maxWaitMs: 50 });
+  t.is(batcher.nextDueMs(), 50);
+  batcher.add("intent", { bytes: 1, nowMs: 10 });
+  t.is(batcher.nextDueMs(), 15);
+  t.deepEqual(batcher.take(15), ["outcome", "intent"]);
+});
+
 test("a batch stays within its bytes, but a single large record still goes out", (t) => {
   const batcher = new Batcher<string>(settings);
   batcher.add("large", { bytes: 500, nowMs: 0 });
--- a/packages/commitments/src/records.ts
+++ b/packages/commitments/src/records.ts
@@ -49,7 +49,7 @@
   incarnation: z.string(),
   atMs: z.number(),
   attempts: z.number().int(),
-  deadIntentIds: z.array(z.string()),
+  deadIntentIds: z.array(z.string()).readonly(),
   outcome: outcomeSchema.optional(),
 });
 
--- a/packages/commitments/src/state.ts
+++ b/packages/commitments/src/state.ts
@@ -6,6 +6,7 @@
 
 import type { LogRecord } from "@endivebend/types";
 import { AnswerStore } from "./answers.ts";
+import { addDeadIntent, maySettle, NameTable, NO_INTENTS } from "./entries.ts";
 import {
   type CommitmentEntry,
   type CommitmentRecord,
@@ -48,6 +49,7 @@
   /** In the order of their last record. */
   readonly #entries = new Map<string, CommitmentEntry>();
   readonly #answers: AnswerStore;
+  readonly #names = new NameTable();
   #logTimeMs = 0;
   #horizonMs: number | undefined;
   #malformedRecords = 0;
@@ -152,15 +154,15 @@
     if (entry?.intentId === intentId) return;
     if (entry?.deadIntentIds.includes(intentId)) return;
     if (entry !== undefined && entry.status !== "free") {
-      entry.deadIntentIds.push(intentId);
+      addDeadIntent(entry, intentId);
       return;
     }
     this.#store({
-      ...holderOf(value, intentId),
+      ...this.#names.holderOf(value, intentId),
       status: "open",
       atMs: this.#logTimeMs,
       attempts: (entry?.attempts ?? 0) + 1,
-      deadIntentIds: entry?.deadIntentIds ?? [],
+      deadIntentIds: entry?.deadIntentIds ?? NO_INTENTS,
     });
   }
 
@@ -178,11 +180,11 @@
     const isDead = entry?.deadIntentIds.includes(value.intentId) ?? false;
     if (isDead && value.outcome.result === "unknown") return;
     this.#store({
-      ...holderOf(value, value.intentId),
+      ...this.#names.holderOf(value, value.intentId),
       status: "settled",
       atMs: this.#logTimeMs,
       attempts: Math.max(entry?.attempts ?? 0, 1),
-      deadIntentIds: entry?.deadIntentIds ?? [],
+      deadIntentIds: entry?.deadIntentIds ?? NO_INTENTS,
       outcome: value.outcome,
     });
   }
@@ -209,11 +211,11 @@
     entry: CommitmentEntry | undefined,
   ): void {
     if (entry !== undefined) {
-      entry.deadIntentIds.push(value.intentId);
+      addDeadIntent(entry, value.intentId);
       return;
     }
     this.#store({
-      ...holderOf(value, ""),
+      ...this.#names.holderOf(value, ""),
       status: "free",
       atMs: this.#logTimeMs,
       attempts: 0,
@@ -253,25 +255,3 @@
     this.#answers.drop(entry.keyDigest);
   }
 }
-
-function holderOf(value: Omit<HolderFields, "intentId">, intentId: string) {
-  const { keyDigest, bodyDigest, vmId, incarnation } = value;
-  return { keyDigest, bodyDigest, vmId, incarnation, intentId };
-}
-
-type HolderFields = Pick<
-  CommitmentEntry,
-  "keyDigest" | "bodyDigest" | "vmId" | "incarnation" | "intentId"
->;
-
-/**
- * The writer settles its intent. A later incarnation on the same VM may only
- * say `unknown`, since it cannot know what its predecessor did.
- */
-function maySettle(
-  entry: CommitmentEntry,
-  value: CommitmentRecordOf<"outcome">,
-): boolean {
-  if (isSameWriter(entry, value)) return true;
-  return entry.vmId === value.vmId && value.outcome.result === "unknown";
-}
--- a/packages/router/src/commitments/task_test.ts
+++ b/packages/router/src/commitments/task_test.ts
@@ -30,15 +30,11 @@
 test("many calls under load go into few appends", async (t) => {
   const fleet = new Fleet({ lagsMs: [1] });
   await fleet.time.runUntil(100);
-  let appends = 0;
-  const write = fleet.log.write.bind(fleet.log);
-  fleet.log.write = (values) => {
-    appends++;
-    return write(values);
-  };
   for (let n = 0; n < 300; n++) void fleet.call(0, `k${n}`);
   await fleet.time.runUntil(1000);
   t.is(fleet.runs.length, 300);
+  const { appends, records } = fleet.log;
+  t.is(records.length, 600);
   t.true(appends <= 12, `${appends} appends for 600 records`);
 });
 
--- a/packages/router/src/commitments/testing/fake_log.ts
+++ b/packages/router/src/commitments/testing/fake_log.ts
@@ -31,6 +31,8 @@
   readonly faults: AppendFault[] = [];
   readonly outages: { readonly fromMs: number; readonly untilMs: number }[] =
     [];
+  /** Appends that took effect. */
+  appends = 0;
   readonly #followers = new Set<FakeFollower>();
 
   constructor(time: VirtualTime) {
@@ -52,6 +54,7 @@
 
   write(values: readonly AppendRecord[]): number {
     const first = this.records.length;
+    this.appends++;
     const appendedAtMs = this.time.wallMs();
     for (const value of values) {
       const offset = this.records.length as LogOffset;
--- a/packages/router/src/commitments/testing/measure_refusals.ts
+++ b/packages/router/src/commitments/testing/measure_refusals.ts
@@ -112,7 +112,7 @@
 }
 
 /** Sends all calls and counts their results by phase and kind. */
-async function run(): Promise<Map<string, Count>> {
+async function run() {
   const fleet = new Fleet({ lagsMs: Array(VM_COUNT).fill(2) });
   fleet.log.outages.push({ fromMs: OUTAGE_FROM_MS, untilMs: OUTAGE_UNTIL_MS });
   const stepMs = 1000 / CALLS_PER_SECOND;
@@ -137,7 +137,7 @@
   }
   await fleet.time.runUntil(END_MS + 20_000);
   await Promise.all(calls);
-  return counts;
+  return { counts, log: fleet.log };
 }
 
 function print(counts: ReadonlyMap<string, Count>, phase: Phase): void {
@@ -164,6 +164,7 @@
   console.log(`| ${name} | ${calls} | ${answered} | ${notRun} | ${unknown} |`);
 }
 
-const counts = await run();
+const { counts, log } = await run();
 console.log(`seed ${seed}, ${VM_COUNT} VMs, ${CALLS_PER_SECOND} calls/s`);
 for (const phase of ["before", "away", "after"] as const) print(counts, phase);
+console.log(`\n${log.records.length} records in ${log.appends} appends`);
