Refuse keys whose records the log dropped before they were read

A daemon that restarts on a log that kept less than its retention, or that was paused for longer, folds a stream with a hole and would take the key of a call that ran for a new one. The first record after a hole is now a horizon: keys that may be as old are refused, and the horizon is checked again after the read-back of an intent, since a waking daemon learns of the hole only then. Weighed: refusing every key after a hole (nothing would be served for most of the retention); keys that carry a later time are safe and go on.

--- a/packages/commitments/src/decide.ts
+++ b/packages/commitments/src/decide.ts
@@ -87,7 +87,7 @@
   if (entry && entry.status !== "free") {
     return decideKnown(entry, call, context);
   }
-  const ageRefusal = refuseAge(key, state, context);
+  const ageRefusal = refuseAge(key, state, context.nowMs);
   if (ageRefusal) return ageRefusal;
   if (context.log !== "ready") return decideWithoutLog(call, context);
   return decideNew(entry);
@@ -146,13 +146,26 @@
   };
 }
 
+/**
+ * Refuses a key that may be older than what the state knows; undefined when the
+ * key is new enough. Asked again after the read-back of an intent, since the
+ * state may have learned in between that records are missing.
+ */
+export function refuseOldKey(
+  state: CommitmentState,
+  key: string,
+  nowMs: number,
+): Extract<CommitmentPlan, { kind: "refuse" }> | undefined {
+  return refuseAge(parseKey(key), state, nowMs);
+}
+
 function refuseAge(
   key: ParsedKey,
   state: CommitmentState,
-  context: DecisionContext,
-): CommitmentPlan | undefined {
+  wallMs: number,
+): Extract<CommitmentPlan, { kind: "refuse" }> | undefined {
   // A wall clock that is behind must not make an old key look new.
-  const nowMs = Math.max(context.nowMs, state.logTimeMs);
+  const nowMs = Math.max(wallMs, state.logTimeMs);
   if (key.kind !== "timed") {
     if (state.horizonMs === undefined) return undefined;
     return refuse(
--- a/packages/commitments/src/mod.ts
+++ b/packages/commitments/src/mod.ts
@@ -11,6 +11,7 @@
   MAX_ATTEMPTS_PER_KEY,
   MAX_KEY_CLOCK_SKEW_MS,
   planForOutcome,
+  refuseOldKey,
 } from "./decide.ts";
 export type {
   CommitmentCall,
--- a/packages/commitments/src/state.ts
+++ b/packages/commitments/src/state.ts
@@ -65,8 +65,9 @@
   }
 
   /**
-   * Time of the newest record that the bound on keys pushed out. A key that may
-   * be as old as this is not known to be new.
+   * Time up to which records may be missing: pushed out by the bound on keys, or
+   * dropped by the log before they were read. A key that may be as old as this
+   * is not known to be new.
    */
   get horizonMs(): number | undefined {
     return this.#horizonMs;
@@ -94,6 +95,11 @@
     return this.#entries.values();
   }
 
+  /** Notes that records up to a time, by the platform's clock, are missing. */
+  raiseHorizon(untilMs: number): void {
+    this.#horizonMs = Math.max(this.#horizonMs ?? 0, untilMs);
+  }
+
   /** Applies one record; returns the key digests that it touched. */
   apply(record: LogRecord): readonly string[] {
     this.#logTimeMs = Math.max(this.#logTimeMs, record.appendedAtMs);
@@ -121,9 +127,7 @@
   adopt(snapshot: CommitmentSnapshot): void {
     const { horizonMs, logTimeMs } = snapshot;
     this.#logTimeMs = Math.max(this.#logTimeMs, logTimeMs);
-    if (horizonMs !== undefined) {
-      this.#horizonMs = Math.max(this.#horizonMs ?? 0, horizonMs);
-    }
+    if (horizonMs !== undefined) this.raiseHorizon(horizonMs);
     const fresh = snapshot.entries.filter((entry) =>
       !this.#entries.has(entry.keyDigest)
     );
@@ -234,7 +238,7 @@
     for (const entry of this.#entries.values()) {
       if (this.#entries.size <= this.settings.maxKeys) return;
       this.#remove(entry);
-      this.#horizonMs = Math.max(this.#horizonMs ?? 0, entry.atMs);
+      this.raiseHorizon(entry.atMs);
     }
   }
 
--- /dev/null
+++ b/packages/router/src/commitments/call_planner.ts
@@ -0,0 +1,104 @@
+/**
+ * Decides what to do with a call, from the log and from what only this daemon
+ * run knows.
+ *
+ * @module
+ */
+
+import {
+  type CommitmentEntry,
+  type CommitmentPlan,
+  type CommitmentState,
+  decideCall,
+} from "@endivebend/commitments";
+import type { IncarnationId, VmId } from "@endivebend/types";
+import type {
+  Clock,
+  Explainer,
+  FollowedStream,
+  Identity,
+  MembershipView,
+} from "../ports.ts";
+import type { DescribedCall } from "./described_call.ts";
+import { type LocalIntents, planFromLocal } from "./local_intents.ts";
+import type { CommitmentTaskSettings } from "./settings.ts";
+
+/** What the planner looks at. */
+export interface CallPlannerOptions {
+  readonly identity: Identity;
+  readonly stream: FollowedStream;
+  readonly membership: MembershipView;
+  readonly clock: Clock;
+  readonly explainer: Explainer;
+  readonly settings: CommitmentTaskSettings;
+  readonly intents: LocalIntents;
+  /** The fold's present state. */
+  readonly state: () => CommitmentState;
+}
+
+/** Plans calls; it changes nothing. */
+export class CallPlanner {
+  readonly #options: CallPlannerOptions;
+
+  constructor(options: CallPlannerOptions) {
+    this.#options = options;
+  }
+
+  /** Decides what to do with a call, and explains it. */
+  plan(described: DescribedCall): CommitmentPlan {
+    const plan = this.#decide(described);
+    this.#explain(described, plan);
+    return plan;
+  }
+
+  #decide({ decision }: DescribedCall): CommitmentPlan {
+    const { keyDigest } = decision;
+    const log = this.#logStatus();
+    const local = keyDigest === undefined
+      ? undefined
+      : this.#options.intents.get(keyDigest);
+    if (local) {
+      return planFromLocal(local, decision, { isLogAway: log === "away" });
+    }
+    const { clock, settings } = this.#options;
+    return decideCall(this.#options.state(), decision, {
+      nowMs: clock.wallMs(),
+      log,
+      hasEnded: (holder) => this.#hasEnded(holder),
+      retryAfterMs: settings.retryAfterMs,
+    });
+  }
+
+  #logStatus(): "ready" | "catching_up" | "away" {
+    const { stream, settings } = this.#options;
+    if (stream.silenceMs() > settings.logAwayAfterMs) return "away";
+    return stream.isCaughtUp() ? "ready" : "catching_up";
+  }
+
+  #hasEnded(holder: Readonly<CommitmentEntry>): boolean {
+    const { identity, membership } = this.#options;
+    if (holder.vmId === identity.vmId) {
+      return holder.incarnation !== identity.incarnation;
+    }
+    const vmId = holder.vmId as VmId;
+    const incarnation = membership.incarnationOf(vmId);
+    const hasRestarted = incarnation !== undefined &&
+      incarnation !== holder.incarnation as IncarnationId;
+    return hasRestarted || membership.hasEnded(vmId, holder.atMs);
+  }
+
+  #explain({ call, decision }: DescribedCall, plan: CommitmentPlan): void {
+    const { keyDigest } = decision;
+    const entry = keyDigest ? this.#options.state().get(keyDigest) : undefined;
+    this.#options.explainer.record(call.requestId, {
+      step: "commitment",
+      known: {
+        keyDigest,
+        log: this.#logStatus(),
+        status: entry?.status ?? "none",
+        holder: entry && `${entry.vmId}/${entry.incarnation}`,
+      },
+      chosen: plan.kind === "replay" ? { kind: plan.kind } : plan,
+    });
+  }
+}
--- a/packages/router/src/commitments/call_runner.ts
+++ b/packages/router/src/commitments/call_runner.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-import type {
-  CommitmentOutcome,
-  CommitmentState,
+import {
+  type CommitmentOutcome,
+  type CommitmentState,
+  refuseOldKey,
 } from "@endivebend/commitments";
 import {
   type EndivebendError,
@@ -84,8 +85,8 @@
     const verdict = await this.#announce(intent, described, attempt);
     if (verdict.kind === "holds_key") return this.#dispatch(intent, described);
     if (verdict.kind === "lost") return this.#release(intent);
-    const isLate = verdict.error.code === "deadline_exceeded";
-    if (isLate || !described.call.route.deduplicates) throw verdict.error;
+    const isLogAway = verdict.error.code === "platform_unavailable";
+    if (!isLogAway || !described.call.route.deduplicates) throw verdict.error;
     // The service recognizes the key, so that running it twice is harmless.
     return this.#options.dispatcher.dispatchOnce(described.call);
   }
@@ -133,13 +134,14 @@
   /** Reads the verdict of the log on an intent that was appended. */
   async #readBack(
     intent: LocalIntent,
-    { call }: DescribedCall,
+    { call, decision }: DescribedCall,
     { offset }: Extract<AppendResult, { kind: "appended" }>,
   ): Promise<Verdict> {
     const { stream, clock } = this.#options;
     const { deadlineElapsedMs } = call;
     await stream.whenApplied(offset, { deadlineElapsedMs });
-    const entry = this.#options.state().get(intent.keyDigest);
+    const state = this.#options.state();
+    const entry = state.get(intent.keyDigest);
     if (entry?.deadIntentIds.includes(intent.intentId)) return { kind: "lost" };
     const holdsKey = entry?.intentId === intent.intentId &&
       entry.status === "open";
@@ -147,6 +149,11 @@
       this.#giveUp(intent);
       return this.#givenUp("The call's intent was not read back in time");
     }
+    const old = refuseOldKey(state, decision.key ?? "", clock.wallMs());
+    if (old !== undefined) {
+      this.#giveUp(intent);
+      return { kind: "given_up", error: fail(old.code, old.message) };
+    }
     // The daemon may have been paused since the record was applied.
     if (clock.elapsedMs() < deadlineElapsedMs) return { kind: "holds_key" };
     this.#giveUp(intent);
--- a/packages/router/src/commitments/task.ts
+++ b/packages/router/src/commitments/task.ts
@@ -8,12 +8,11 @@
   type CommitmentEntry,
   type CommitmentPlan,
   CommitmentState,
-  decideCall,
   readSnapshot,
   writeSnapshot,
 } from "@endivebend/commitments";
 import { type ErrorCode, fail } from "@endivebend/errors";
-import type { IncarnationId, LogRecord, VmId } from "@endivebend/types";
+import type { LogRecord } from "@endivebend/types";
 import type {
   Clock,
   CommitmentGate,
@@ -29,10 +28,11 @@
   StreamFold,
 } from "../ports.ts";
 import { readAnswer } from "./answers.ts";
+import { CallPlanner } from "./call_planner.ts";
 import { CallRunner } from "./call_runner.ts";
 import { describeCall, type DescribedCall } from "./described_call.ts";
 import { KeyWaiters } from "./key_waiters.ts";
-import { LocalIntents, planFromLocal } from "./local_intents.ts";
+import { LocalIntents } from "./local_intents.ts";
 import { Predecessors } from "./predecessors.ts";
 import { RecordWriter } from "./record_writer.ts";
 import type { CommitmentTaskSettings } from "./settings.ts";
@@ -69,9 +69,11 @@
   readonly #waiters: KeyWaiters;
   readonly #writer: RecordWriter;
   readonly #runner: CallRunner;
+  readonly #planner: CallPlanner;
   readonly #predecessors: Predecessors;
   readonly #unsubscribe: () => void;
   #state: CommitmentState;
+  #gap: { readonly wasCaughtUp: boolean } | undefined;
   #cancelReport: () => void = () => {};
 
   constructor(options: CommitmentTaskOptions) {
@@ -87,6 +89,11 @@
       state: () => this.#state,
       onChange: (keyDigest) => this.#waiters.wake(keyDigest),
     });
+    this.#planner = new CallPlanner({
+      ...options,
+      intents: this.#intents,
+      state: () => this.#state,
+    });
     this.#unsubscribe = options.membership.onChange(() => {
       this.#waiters.wakeAll();
     });
@@ -123,8 +130,7 @@
   async run(call: ServiceCall): Promise<ServiceAnswer> {
     const described = describeCall(call);
     for (;;) {
-      const plan = this.#plan(described);
-      this.#explain(described, plan);
+      const plan = this.#planner.plan(described);
       this.#options.metrics.increment("commitments.plans", { kind: plan.kind });
       // The table is typed per kind; the plan's kind selects the handler.
       const handler = this.#handlers[plan.kind] as (
@@ -137,6 +143,7 @@
   }
 
   apply(record: LogRecord): void {
+    this.#closeGap(record);
     for (const keyDigest of this.#state.apply(record)) {
       const entry = this.#state.get(keyDigest);
       if (entry) this.#noteEntry(entry);
@@ -146,6 +153,23 @@
     if (this.#intents.size === 0) this.#waiters.wake(ALL_SETTLED);
   }
 
+  /** The log dropped records before this daemon read them. */
+  onGap(): void {
+    this.#gap = { wasCaughtUp: this.#options.stream.isCaughtUp() };
+  }
+
+  /**
+   * The first record after a gap tells how new the dropped records may be. When
+   * a fresh daemon found the log empty, they had left by age.
+   */
+  #closeGap(record: LogRecord): void {
+    if (this.#gap === undefined) return;
+    const wasEmpty = !this.#gap.wasCaughtUp &&
+      this.#options.stream.isCaughtUp();
+    this.#gap = undefined;
+    if (!wasEmpty) this.#state.raiseHorizon(record.appendedAtMs);
+  }
+
   snapshot(): { readonly json: string; readonly offset: LogRecord["offset"] } {
     const { stream, settings } = this.#options;
     const offset = stream.nextOffset() - 1;
@@ -183,42 +207,6 @@
     },
   };
 
-  #plan({ decision }: DescribedCall): CommitmentPlan {
-    const { keyDigest } = decision;
-    const log = this.#logStatus();
-    const local = keyDigest === undefined
-      ? undefined
-      : this.#intents.get(keyDigest);
-    if (local) {
-      return planFromLocal(local, decision, { isLogAway: log === "away" });
-    }
-    const { clock, settings } = this.#options;
-    return decideCall(this.#state, decision, {
-      nowMs: clock.wallMs(),
-      log,
-      hasEnded: (holder) => this.#hasEnded(holder),
-      retryAfterMs: settings.retryAfterMs,
-    });
-  }
-
-  #logStatus(): "ready" | "catching_up" | "away" {
-    const { stream, settings } = this.#options;
-    if (stream.silenceMs() > settings.logAwayAfterMs) return "away";
-    return stream.isCaughtUp() ? "ready" : "catching_up";
-  }
-
-  #hasEnded(holder: Readonly<CommitmentEntry>): boolean {
-    const { identity, membership } = this.#options;
-    if (holder.vmId === identity.vmId) {
-      return holder.incarnation !== identity.incarnation;
-    }
-    const vmId = holder.vmId as VmId;
-    const incarnation = membership.incarnationOf(vmId);
-    const hasRestarted = incarnation !== undefined &&
-      incarnation !== holder.incarnation as IncarnationId;
-    return hasRestarted || membership.hasEnded(vmId, holder.atMs);
-  }
-
   #retryAfterMs(code: ErrorCode): number | undefined {
     if (code !== "platform_unavailable") return undefined;
     return this.#options.settings.retryAfterMs;
@@ -254,21 +242,6 @@
       () => this.#report(),
     );
   }
-
-  #explain({ call, decision }: DescribedCall, plan: CommitmentPlan): void {
-    const { keyDigest } = decision;
-    const entry = keyDigest ? this.#state.get(keyDigest) : undefined;
-    this.#options.explainer.record(call.requestId, {
-      step: "commitment",
-      known: {
-        keyDigest,
-        log: this.#logStatus(),
-        status: entry?.status ?? "none",
-        holder: entry && `${entry.vmId}/${entry.incarnation}`,
-      },
-      chosen: plan.kind === "replay" ? { kind: plan.kind } : plan,
-    });
-  }
 }
 
 /**
--- a/packages/router/src/commitments/task_property_test.ts
+++ b/packages/router/src/commitments/task_property_test.ts
@@ -19,6 +19,7 @@
     | { readonly kind: "restart" }
     | { readonly kind: "pause"; readonly forMs: number }
     | { readonly kind: "outage"; readonly forMs: number }
+    | { readonly kind: "truncate"; readonly keep: number }
   );
 
 const times = { atMs: fc.nat(12_000), vm: fc.nat(VM_COUNT - 1) };
@@ -104,6 +105,10 @@
   if (step.kind === "outage") {
     fleet.log.outages.push({ fromMs: nowMs, untilMs: nowMs + step.forMs });
   }
+  if (step.kind === "truncate") {
+    const { log } = fleet;
+    log.firstOffset = Math.max(log.firstOffset, log.records.length - step.keep);
+  }
   if (step.kind !== "call") return;
   const { timeoutMs } = step;
   void fleet.call(step.vm, `key-${step.key}`, { timeoutMs });
@@ -189,3 +194,23 @@
   t.log(JSON.stringify(totals));
   t.true(totals.answered > 0 && totals.notRun > 0 && totals.unknown > 0);
 });
+
+const truncation: fc.Arbitrary<Step> = fc.record({
+  ...times,
+  kind: fc.constant("truncate" as const),
+  keep: fc.integer({ min: 1, max: 4 }),
+});
+
+test("over a log that drops records too early a key still runs once", async (t) => {
+  t.log(`seed ${seed}, ${numRuns} runs; set SEED and RUNS for others`);
+  const truncations = fc.array(truncation, { minLength: 1, maxLength: 5 });
+  await fc.assert(
+    fc.asyncProperty(scripts, truncations, async (script, more) => {
+      const steps = [...script.steps, ...more];
+      const faults = findFaults(await runScript({ ...script, steps }));
+      if (faults.length > 0) throw new Error(faults.join("; "));
+      t.pass();
+    }),
+    { seed, numRuns },
+  );
+});
--- a/packages/router/src/commitments/task_test.ts
+++ b/packages/router/src/commitments/task_test.ts
@@ -170,3 +170,47 @@
   t.true(await drained);
   t.is(fleet.log.records.length, 2);
 });
+
+test("a key whose records the log dropped before they were read is not run again", async (t) => {
+  const fleet = new Fleet({ lagsMs });
+  await fleet.time.runUntil(100);
+  for (const key of ["k", "other"]) {
+    void fleet.call(1, key);
+    await fleet.time.runUntil(fleet.time.elapsedMs() + 500);
+  }
+  fleet.log.firstOffset = 3;
+  fleet.restart(0);
+  await fleet.time.runUntil(2000);
+  void fleet.call(0, "k");
+  await fleet.time.runUntil(3000);
+  t.like(lastResult(fleet), { code: "idempotency_key_expired" });
+  t.is(fleet.runs.length, 2);
+});
+
+test("a daemon that wakes behind a gap finds it before it dispatches", async (t) => {
+  const fleet = new Fleet({ lagsMs });
+  await fleet.time.runUntil(100);
+  fleet.vm(0).time.pauseUntil(1500);
+  void fleet.call(1, "k");
+  await fleet.time.runUntil(600);
+  fleet.log.firstOffset = 2;
+  void fleet.call(0, "k", { timeoutMs: 5000 });
+  await fleet.time.runUntil(4000);
+  t.like(lastResult(fleet), { code: "idempotency_key_expired" });
+  t.is(fleet.runs.length, 1);
+});
+
+test("records that left the log by age do not keep a fresh daemon from serving", async (t) => {
+  const fleet = new Fleet({ lagsMs });
+  await fleet.time.runUntil(100);
+  void fleet.call(1, "k");
+  await fleet.time.runUntil(600);
+  fleet.log.firstOffset = 2;
+  fleet.restart(0);
+  await fleet.time.runUntil(1000);
+  for (const key of ["a", "b"]) {
+    void fleet.call(0, key);
+    await fleet.time.runUntil(fleet.time.elapsedMs() + 500);
+    t.truthy(lastResult(fleet)?.answer);
+  }
+});
--- a/packages/router/src/commitments/testing/fake_log.ts
+++ b/packages/router/src/commitments/testing/fake_log.ts
@@ -31,6 +31,8 @@
   readonly faults: AppendFault[] = [];
   readonly outages: { readonly fromMs: number; readonly untilMs: number }[] =
     [];
+  /** Records before this offset are gone. */
+  firstOffset = 0;
   /** Appends that took effect. */
   appends = 0;
   readonly #followers = new Set<FakeFollower>();
@@ -173,6 +175,10 @@
   #read(): void {
     if (this.#log.isAway) return;
     this.#lastAnswerMs = this.#time.elapsedMs();
+    if (this.#nextOffset < this.#log.firstOffset) {
+      this.#nextOffset = this.#log.firstOffset;
+      this.#fold().onGap?.(this.#nextOffset as LogOffset);
+    }
     for (const record of this.#log.records.slice(this.#nextOffset)) {
       this.#nextOffset = record.offset + 1;
       this.#fold().apply(record);
--- a/packages/router/src/commitments/testing/fleet.ts
+++ b/packages/router/src/commitments/testing/fleet.ts
@@ -148,7 +148,7 @@
     const time = new ProcessTime(this.time);
     const lagMs = this.#lagsMs[index] ?? 1;
     const stream = new FakeFollower(this.log, time, {
-      fold: () => ({ apply: (record) => task?.apply(record) }),
+      fold: () => task,
       lagMs,
     });
     const task: CommitmentTask = createCommitmentTask({
