Bind the fleet credential to its call and check it before the body

The credential covered the method and the time, so a recorded one could be used again for 60 s, and it was checked in an interceptor, after up to 64 MB of body had been read. It now also covers the VM id, a random client id and the number of the call; each number is taken once per daemon, and the check runs on the request's header.

TLS files of peers, the authorities among them, are read again for the listener and for the own clients. A reload without caFile dropped the own certificate from the trusted ones before.

--- a/packages/errors/src/details.ts
+++ b/packages/errors/src/details.ts
@@ -84,6 +84,12 @@
     ran: "not_run",
     remedy: "Send a smaller body",
   },
+  headers_too_large: {
+    status: 431,
+    type: "invalid_request_error",
+    ran: "not_run",
+    remedy: "Send a shorter header",
+  },
   idempotency_key_required: {
     status: 400,
     type: "invalid_request_error",
--- a/packages/peers/src/server.ts
+++ b/packages/peers/src/server.ts
@@ -4,17 +4,24 @@
  * @module
  */
 
-import { createSecureServer, createServer, type Http2Server } from "node:http2";
+import {
+  createSecureServer,
+  createServer,
+  type Http2Server,
+  type Http2ServerRequest,
+  type Http2ServerResponse,
+} from "node:http2";
 import {
   Code,
   ConnectError,
   type HandlerContext,
-  type Interceptor,
   type ServiceImpl,
 } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type { PeerTls } from "./clients.ts";
 import { verifyCall } from "./credential.ts";
 import { PeerService } from "./generated/endivebend/peers/v1/peers_pb.ts";
+import { ReplayGuard } from "./replay_guard.ts";
 
 /** One handler per call. */
 export type PeerHandlers = ServiceImpl<typeof PeerService>;
@@ -23,28 +30,60 @@
 export interface PeerServerOptions {
   readonly sharedKey: string;
   readonly maxMessageBytes: number;
-  readonly tls?: {
-    readonly ca: string;
-    readonly cert: string;
-    readonly key: string;
-  };
+  /** Time for a TLS handshake. */
+  readonly handshakeTimeoutMs?: number;
+  /** Told of each call that is refused for its credential. */
+  readonly onRefusal?: () => void;
+  readonly tls?: PeerTls;
+}
+
+/** A connection without any traffic ends; daemons exchange views all the time. */
+const SESSION_IDLE_TIMEOUT_MS = 60_000;
+/** Calls of one connection that may run at once; charges and slots wait. */
+const MAX_CONCURRENT_CALLS = 4096;
+
+type Listener = (
+  request: Http2ServerRequest,
+  response: Http2ServerResponse,
+) => void;
+
+function refuse(response: Http2ServerResponse): void {
+  const body = JSON.stringify({
+    code: "unauthenticated",
+    message: "Set the same peers.sharedKey on every VM of the fleet",
+  });
+  response.writeHead(401, { "content-type": "application/json" });
+  response.end(body);
 }
 
-function requireCredential(sharedKey: string): Interceptor {
-  return (next) => (request) => {
-    const valid = verifyCall(sharedKey, {
-      method: request.method.name,
-      nowMs: Date.now(),
-      credential: request.header.get("x-fleet-credential"),
+/** Checks the credential before a byte of the body is read. */
+function requireCredential(
+  options: PeerServerOptions,
+  handle: Listener,
+): Listener {
+  const guard = new ReplayGuard();
+  return (request, response) => {
+    const nowMs = Date.now();
+    const header = request.headers["x-fleet-credential"];
+    const call = verifyCall(options.sharedKey, {
+      method: request.url.split("/").at(-1) ?? "",
+      nowMs,
+      credential: Array.isArray(header) ? undefined : header,
     });
-    if (valid) return next(request);
-    throw new ConnectError(
-      "Set the same peers.sharedKey on every VM of the fleet",
-      Code.Unauthenticated,
-    );
+    if (call !== undefined && guard.take(call, nowMs)) {
+      return handle(request, response);
+    }
+    options.onRefusal?.();
+    refuse(response);
   };
 }
 
+function endIdleSessions(server: Http2Server): void {
+  server.on("session", (session) => {
+    session.setTimeout(SESSION_IDLE_TIMEOUT_MS, () => session.destroy());
+  });
+}
+
 type AnyHandler = (request: unknown, context: HandlerContext) => unknown;
 
 /** Looks each handler up when its call comes, as it may be set later. */
@@ -77,12 +116,31 @@
 ): Http2Server {
   const adapter = connectNodeAdapter({
     routes: (router) => router.service(PeerService, lateHandlers(handlers)),
-    interceptors: [requireCredential(options.sharedKey)],
     readMaxBytes: options.maxMessageBytes,
     grpc: false,
     grpcWeb: false,
   });
-  if (options.tls === undefined) return createServer(adapter);
-  const secure = { ...options.tls, requestCert: true };
-  return createSecureServer(secure, adapter);
+  const server = createHttp2Server(
+    options,
+    requireCredential(options, adapter),
+  );
+  endIdleSessions(server);
+  return server;
+}
+
+function createHttp2Server(
+  options: PeerServerOptions,
+  handle: Listener,
+): Http2Server {
+  const settings = { maxConcurrentStreams: MAX_CONCURRENT_CALLS };
+  if (options.tls === undefined) return createServer({ settings }, handle);
+  const { handshakeTimeoutMs: handshakeTimeout } = options;
+  const secure = {
+    ...options.tls,
+    settings,
+    requestCert: true,
+    rejectUnauthorized: true,
+    ...(handshakeTimeout === undefined ? {} : { handshakeTimeout }),
+  };
+  return createSecureServer(secure, handle) as unknown as Http2Server;
 }
--- a/packages/router/src/daemon/daemon.ts
+++ b/packages/router/src/daemon/daemon.ts
@@ -12,6 +12,7 @@
 import { createFoundation, type Foundation } from "./foundation.ts";
 import {
   createPeerHandlers,
+  listenerNotes,
   openCallerListener,
   openOperatorListener,
 } from "./listeners.ts";
@@ -71,7 +72,10 @@
     const { settings, identity, logger } = this.#foundation;
     const handlers: Partial<PeerHandlers> = {};
     // The port may be chosen by the system, so the tasks come after it.
-    const peers = await openPeerListener(settings, handlers);
+    const peers = await openPeerListener(settings, handlers, {
+      onTls: (tls) => this.#foundation.peers.setTls(tls),
+      ...listenerNotes(this.#foundation, "peers"),
+    });
     const isDraining = () => this.#isDraining;
     const tasks = createTasks(this.#foundation, {
       peerAddress: settings.advertise.peers ?? peers.address,
--- a/packages/router/src/daemon/foundation.ts
+++ b/packages/router/src/daemon/foundation.ts
@@ -21,7 +21,7 @@
 } from "@endivebend/telemetry";
 import { brandId, type IncarnationId } from "@endivebend/types";
 import { ExplainLog } from "../explain.ts";
-import { readTlsMaterial } from "../http/listener.ts";
+import { readPeerTlsMaterial } from "../http/tls.ts";
 import type { Clock, Identity, Scheduler } from "../ports.ts";
 import { createClock, createScheduler } from "../time.ts";
 
@@ -41,9 +41,7 @@
 
 function peerTls(settings: Settings) {
   const { tls } = settings.listen.peers;
-  if (tls === undefined) return {};
-  const { cert, key, ca } = readTlsMaterial(tls);
-  return { tls: { cert, key, ca: ca ?? cert } };
+  return tls === undefined ? {} : { tls: readPeerTlsMaterial(tls) };
 }
 
 function createTelemetry(settings: Settings) {
@@ -84,6 +82,7 @@
       timeoutMs: platform.timeoutMs,
     }),
     peers: createPeerClients({
+      vmId,
       sharedKey: peers.sharedKey,
       timeoutMs: peers.timeoutMs,
       ...peerTls(settings),
--- a/packages/router/src/daemon/listeners.ts
+++ b/packages/router/src/daemon/listeners.ts
@@ -72,6 +72,31 @@
   };
 }
 
+/** Counts what a listener turns away, and logs reloads of certificates. */
+export function listenerNotes(
+  { metrics, logger }: Pick<Foundation, "metrics" | "logger">,
+  listener: "callers" | "operators" | "peers",
+) {
+  return {
+    onRefusal(reason: string = "peer_unauthorized") {
+      metrics.increment("listeners.refused", { listener, reason });
+    },
+    onReload(failure: unknown) {
+      const fields = { listener };
+      if (failure === undefined) {
+        logger.info(fields, "The certificates were read again");
+        return;
+      }
+      metrics.increment("listeners.reload_failures", { listener });
+      const cause = String(failure);
+      logger.warn(
+        { ...fields, cause },
+        "The certificates were not read again; write a pair that fits",
+      );
+    },
+  };
+}
+
 /** Opens the listener for callers. */
 export function openCallerListener(
   foundation: Foundation,
@@ -81,6 +106,7 @@
   return openListener(settings.listen.callers, {
     limits: settings.limits,
     handle: createCallerHandler(callerContext(foundation, options)),
+    ...listenerNotes(foundation, "callers"),
   });
 }
 
@@ -121,5 +147,6 @@
       drainSelf: options.daemon.drain,
       sections: statusSections(foundation, options),
     }),
+    ...listenerNotes(foundation, "operators"),
   });
 }
--- a/packages/router/src/daemon/peer_listener.ts
+++ b/packages/router/src/daemon/peer_listener.ts
@@ -6,14 +6,15 @@
 
 import { once } from "node:events";
 import type { Http2SecureServer, Http2Server } from "node:http2";
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
 import { createPeerServer, type PeerHandlers } from "@endivebend/peers";
-import type { Settings } from "@endivebend/settings";
+import type { Settings, TlsSettings } from "@endivebend/settings";
+import { formatAddress, trackSockets } from "../http/listener.ts";
 import {
-  formatAddress,
-  readTlsMaterial,
-  reloadCertificates,
-} from "../http/listener.ts";
+  type PeerTlsMaterial,
+  readPeerTlsMaterial,
+  watchTlsFiles,
+} from "../http/tls.ts";
 
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
@@ -23,6 +24,29 @@
   close(): Promise<void>;
 }
 
+/** Neighbours of the listener. */
+export interface PeerListenerOptions {
+  /** Told of the files that were read again, for the own calls of others. */
+  readonly onTls?: (tls: PeerTlsMaterial) => void;
+  readonly onReload?: (failure: unknown) => void;
+  /** Told of each call that is refused for its credential. */
+  readonly onRefusal?: () => void;
+}
+
+function watchTls(
+  server: Http2Server,
+  options: PeerListenerOptions & { readonly tls: TlsSettings | undefined },
+): () => void {
+  const { tls, onTls, onReload } = options;
+  if (tls === undefined) return () => {};
+  const apply = () => {
+    const material = readPeerTlsMaterial(tls);
+    (server as unknown as Http2SecureServer).setSecureContext(material);
+    onTls?.(material);
+  };
+  return watchTlsFiles(tls, { apply, onReload });
+}
+
 /**
  * Opens the listener. The handlers may be filled in later: a call without one
  * is answered as unimplemented.
@@ -30,19 +54,21 @@
 export async function openPeerListener(
   settings: Settings,
   handlers: Partial<PeerHandlers>,
+  options: PeerListenerOptions = {},
 ): Promise<PeerListener> {
   const { host, port, tls } = settings.listen.peers;
-  const material = tls === undefined ? undefined : readTlsMaterial(tls);
+  const { limits } = settings;
   const server = createPeerServer(handlers, {
     sharedKey: settings.peers.sharedKey,
     maxMessageBytes: MAX_MESSAGE_BYTES,
-    ...(material === undefined
+    handshakeTimeoutMs: limits.headersTimeoutMs,
+    ...(options.onRefusal === undefined
       ? {}
-      : { tls: { ...material, ca: material.ca ?? material.cert } }),
+      : { onRefusal: options.onRefusal }),
+    ...(tls === undefined ? {} : { tls: readPeerTlsMaterial(tls) }),
   });
-  const stopReload = tls === undefined
-    ? () => {}
-    : reloadCertificates(server as Http2SecureServer, tls);
+  server.maxConnections = limits.maxConnections;
+  const stopReload = watchTls(server, { ...options, tls });
   const sockets = trackSockets(server);
   server.listen(port, host);
   await once(server, "listening");
@@ -56,12 +82,3 @@
     },
   };
 }
-
-function trackSockets(server: Http2Server): ReadonlySet<Socket> {
-  const sockets = new Set<Socket>();
-  server.on("connection", (socket: Socket) => {
-    sockets.add(socket);
-    socket.on("close", () => sockets.delete(socket));
-  });
-  return sockets;
-}
--- a/packages/router/src/http/listener.ts
+++ b/packages/router/src/http/listener.ts
@@ -168,13 +168,17 @@
     apply: () => (server as TlsServer).setSecureContext(readTlsMaterial(tls)),
     onReload: options.onReload,
   });
+  const sockets = trackSockets(server);
   server.listen(settings.port, settings.host);
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   return {
     address: formatAddress(settings.host, port),
     closeIdleConnections: () => server.closeIdleConnections(),
-    closeAllConnections: () => server.closeAllConnections(),
+    closeAllConnections() {
+      // The runtime leaves out connections in the middle of a TLS handshake.
+      for (const socket of sockets) socket.destroy();
+    },
     close() {
       stopReload();
       return new Promise((resolve) => server.close(() => resolve()));
@@ -182,6 +186,18 @@
   };
 }
 
+/** The open sockets of a server, those in a TLS handshake among them. */
+export function trackSockets(
+  server: { on(event: "connection", listener: (socket: Socket) => void): void },
+): ReadonlySet<Socket> {
+  const sockets = new Set<Socket>();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  return sockets;
+}
+
 /** Joins an IP number and a port. */
 export function formatAddress(host: string, port: number): string {
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
--- /dev/null
+++ b/packages/router/src/http/testing_certificates.ts
@@ -0,0 +1,123 @@
+/**
+ * Makes short-lived certificates for tests, as DER by hand: the runtime can
+ * make keys and signatures, but no certificates.
+ *
+ * @module
+ */
+
+import {
+  generateKeyPairSync,
+  type KeyObject,
+  randomBytes,
+  sign,
+} from "node:crypto";
+
+const TAG = {
+  boolean: 0x01,
+  integer: 0x02,
+  bitString: 0x03,
+  octetString: 0x04,
+  oid: 0x06,
+  utf8: 0x0c,
+  utcTime: 0x17,
+  sequence: 0x30,
+  set: 0x31,
+};
+const VERSION_TAG = 0xa0;
+const EXTENSIONS_TAG = 0xa3;
+const IP_ADDRESS_TAG = 0x87;
+
+/** Object identifiers in DER. */
+const OID = {
+  ecdsaWithSha256: "2a8648ce3d040302",
+  commonName: "550403",
+  basicConstraints: "551d13",
+  subjectAltName: "551d11",
+};
+const LIFE_MS = 3_600_000;
+
+function der(tag: number, ...contents: Buffer[]): Buffer {
+  const content = Buffer.concat(contents);
+  const length = content.length < 0x80
+    ? Buffer.from([content.length])
+    : Buffer.from([0x82, content.length >> 8, content.length & 0xff]);
+  return Buffer.concat([Buffer.from([tag]), length, content]);
+}
+
+const sequence = (...contents: Buffer[]) => der(TAG.sequence, ...contents);
+const oid = (hex: string) => der(TAG.oid, Buffer.from(hex, "hex"));
+
+function name(commonName: string): Buffer {
+  const text = der(TAG.utf8, Buffer.from(commonName));
+  return sequence(der(TAG.set, sequence(oid(OID.commonName), text)));
+}
+
+function time(atMs: number): Buffer {
+  const digits = new Date(atMs).toISOString().replaceAll(/[-:T]/g, "");
+  return der(TAG.utcTime, Buffer.from(`${digits.slice(2, 14)}Z`));
+}
+
+function extension(id: string, content: Buffer): Buffer {
+  return sequence(oid(id), der(TAG.octetString, content));
+}
+
+/** A certificate with its private key, both as PEM. */
+export interface TestCertificate {
+  readonly cert: string;
+  readonly key: string;
+  readonly commonName: string;
+  readonly privateKey: KeyObject;
+}
+
+/**
+ * Makes a certificate for 127.0.0.1, signed by the issuer or by itself.
+ *
+ * @example
+ * ```ts
+ * const authority = createTestCertificate("authority");
+ * const { cert, key } = createTestCertificate("daemon", authority);
+ * ```
+ */
+export function createTestCertificate(
+  commonName: string,
+  issuer?: TestCertificate,
+): TestCertificate {
+  const { privateKey, publicKey } = generateKeyPairSync("ec", {
+    namedCurve: "P-256",
+  });
+  const algorithm = sequence(oid(OID.ecdsaWithSha256));
+  const isAuthority = der(TAG.boolean, Buffer.from([0xff]));
+  const address = der(IP_ADDRESS_TAG, Buffer.from([127, 0, 0, 1]));
+  const nowMs = Date.now();
+  const body = sequence(
+    der(VERSION_TAG, der(TAG.integer, Buffer.from([2]))),
+    der(TAG.integer, Buffer.concat([Buffer.from([1]), randomBytes(8)])),
+    algorithm,
+    name(issuer?.commonName ?? commonName),
+    sequence(time(nowMs - LIFE_MS), time(nowMs + LIFE_MS)),
+    name(commonName),
+    publicKey.export({ type: "spki", format: "der" }),
+    der(
+      EXTENSIONS_TAG,
+      sequence(
+        extension(OID.basicConstraints, sequence(isAuthority)),
+        extension(OID.subjectAltName, sequence(address)),
+      ),
+    ),
+  );
+  const signature = sign("sha256", body, issuer?.privateKey ?? privateKey);
+  const certificate = sequence(
+    body,
+    algorithm,
+    der(TAG.bitString, Buffer.from([0]), signature),
+  );
+  const lines = certificate.toString("base64").match(/.{1,64}/g) ?? [];
+  return {
+    commonName,
+    privateKey,
+    key: String(privateKey.export({ type: "pkcs8", format: "pem" })),
+    cert: `-----BEGIN CERTIFICATE-----\n${
+      lines.join("\n")
+    }\n-----END CERTIFICATE-----\n`,
+  };
+}
