--- /dev/null
+++ b/packages/router/src/http/testing_socket.ts
@@ -0,0 +1,113 @@
+/**
+ * A connection over which tests send bytes that no HTTP client would send.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+
+/** An answer as it came over the connection. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  /** The body as JSON. */
+  // deno-lint-ignore no-explicit-any
+  readonly json: any;
+}
+
+/** An open connection. */
+export class RawConnection {
+  readonly socket: Socket;
+  #received = "";
+  #isClosed = false;
+  #whenChanged: (() => void)[] = [];
+
+  private constructor(socket: Socket) {
+    this.socket = socket;
+    const wake = () => {
+      for (const resolve of this.#whenChanged) resolve();
+      this.#whenChanged = [];
+    };
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      this.#received += chunk.toString("latin1");
+      wake();
+    });
+    socket.on("close", () => {
+      this.#isClosed = true;
+      wake();
+    });
+  }
+
+  static async open(address: string): Promise<RawConnection> {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    await once(socket, "connect");
+    return new RawConnection(socket);
+  }
+
+  get received(): string {
+    return this.#received;
+  }
+
+  send(bytes: string | Buffer): void {
+    this.socket.write(bytes);
+  }
+
+  /** Resolves when the text has come, or the connection has ended. */
+  async until(text: string): Promise<string> {
+    while (!this.#received.includes(text) && !this.#isClosed) {
+      await new Promise<void>((resolve) => this.#whenChanged.push(resolve));
+    }
+    return this.#received;
+  }
+
+  /** Resolves with all that came until the other side ended the connection. */
+  async closed(): Promise<string> {
+    if (!this.#isClosed) await once(this.socket, "close");
+    return this.#received;
+  }
+
+  /** Reads one answer that has a content length, and removes it. */
+  async answer(): Promise<RawAnswer> {
+    await this.until("\r\n\r\n");
+    const [head = ""] = this.#received.split("\r\n\r\n", 1);
+    const [first = "", ...lines] = head.split("\r\n");
+    const headers = Object.fromEntries(lines.map((line) => {
+      const at = line.indexOf(":");
+      return [line.slice(0, at).toLowerCase(), line.slice(at + 1).trim()];
+    }));
+    const bodyStart = head.length + "\r\n\r\n".length;
+    const end = bodyStart + Number(headers["content-length"] ?? 0);
+    while (this.#received.length < end && !this.#isClosed) {
+      await new Promise<void>((resolve) => this.#whenChanged.push(resolve));
+    }
+    const body = this.#received.slice(bodyStart, end);
+    this.#received = this.#received.slice(end);
+    const status = Number(first.split(" ")[1]);
+    const isJson = headers["content-type"] === "application/json";
+    return { status, headers, body, json: isJson ? JSON.parse(body) : null };
+  }
+
+  destroy(): void {
+    this.socket.destroy();
+  }
+}
+
+/** Writes a request by hand. */
+export function rawRequest(
+  line: string,
+  options: {
+    readonly headers?: readonly string[];
+    readonly body?: string;
+  } = {},
+): string {
+  const { headers = [], body = "" } = options;
+  const length = body === ""
+    ? []
+    : [`content-length: ${Buffer.byteLength(body)}`];
+  const lines = [`${line} HTTP/1.1`, "host: h", ...headers, ...length];
+  return `${lines.join("\r\n")}\r\n\r\n${body}`;
+}
