--- a/packages/router/src/callers/active_requests.ts
+++ b/packages/router/src/callers/active_requests.ts
@@ -17,13 +17,28 @@
   stop(error: Error): void;
 }
 
-/** The set of requests that run at this router. */
+/**
+ * The set of requests that run at this router. A request is open from its
+ * header until its answer is out or its caller has left; a call of a service
+ * may run on after that.
+ */
 export class ActiveRequests {
   readonly #active = new Set<ActiveRequest>();
+  #openCount = 0;
   #whenIdle: (() => void)[] = [];
 
+  /** Requests whose callers wait for an answer. */
   get count(): number {
-    return this.#active.size;
+    return this.#openCount;
+  }
+
+  /** Counts a request as open; returns the function that ends this. */
+  open(): () => void {
+    this.#openCount++;
+    return () => {
+      this.#openCount--;
+      this.#noteEnd();
+    };
   }
 
   add(request: ActiveRequest): void {
@@ -32,14 +47,12 @@
 
   remove(request: ActiveRequest): void {
     this.#active.delete(request);
-    if (this.#active.size > 0) return;
-    for (const resolve of this.#whenIdle) resolve();
-    this.#whenIdle = [];
+    this.#noteEnd();
   }
 
-  /** Resolves once no request runs. */
+  /** Resolves once no request is open or runs. */
   idle(): Promise<void> {
-    if (this.#active.size === 0) return Promise.resolve();
+    if (this.#isIdle()) return Promise.resolve();
     return new Promise((resolve) => this.#whenIdle.push(resolve));
   }
 
@@ -58,4 +71,14 @@
     }
     return stopped;
   }
+
+  #isIdle(): boolean {
+    return this.#active.size === 0 && this.#openCount === 0;
+  }
+
+  #noteEnd(): void {
+    if (!this.#isIdle()) return;
+    for (const resolve of this.#whenIdle) resolve();
+    this.#whenIdle = [];
+  }
 }
--- a/packages/router/src/callers/authenticate.ts
+++ b/packages/router/src/callers/authenticate.ts
@@ -48,6 +48,11 @@
   return team;
 }
 
+/** The key in the headers, valid or not. */
+export function presentedKey(headers: IncomingHttpHeaders): string | undefined {
+  return BEARER.exec(headers.authorization ?? "")?.[1];
+}
+
 /**
  * Throws `missing_key`, `unknown_key` or `key_withdrawn`.
  *
@@ -60,10 +65,10 @@
   headers: IncomingHttpHeaders,
   configuration: ConfigurationView,
 ): Caller {
-  const match = BEARER.exec(headers.authorization ?? "");
-  if (match?.[1] === undefined) {
+  const key = presentedKey(headers);
+  if (key === undefined) {
     throw fail("missing_key", "The request carries no key");
   }
-  const digest = digestOf(match[1]);
+  const digest = digestOf(key);
   return { digest, team: checkDigest(digest, configuration) };
 }
--- a/packages/router/src/callers/charge.ts
+++ b/packages/router/src/callers/charge.ts
@@ -27,8 +27,12 @@
 export interface ChargeOutcome {
   readonly headers: Readonly<Record<string, string>>;
   readonly refusal: Error | undefined;
+  /** The caller has left while the charge waited; nobody reads an answer. */
+  readonly isGone: boolean;
 }
 
+const GONE: ChargeOutcome = { headers: {}, refusal: undefined, isGone: true };
+
 function rateHeaders(result: ChargeResult): Record<string, string> {
   return {
     "x-ratelimit-limit-tokens": String(Math.floor(result.limitTokens)),
@@ -52,30 +56,45 @@
  */
 async function chargeWhenReady(
   context: ChargeContext,
-  input: ChargeInput,
+  input: ChargeInput & { readonly signal: AbortSignal },
 ): Promise<ChargeResult> {
   const { charger, clock, scheduler } = context;
   while (true) {
     const result = await charger.charge(input);
     const leftMs = input.deadlineElapsedMs - clock.elapsedMs();
-    if (result.code !== "not_ready" || leftMs < HOLDER_POLL_MS) return result;
+    const isOver = leftMs < HOLDER_POLL_MS || input.signal.aborted;
+    if (result.code !== "not_ready" || isOver) return result;
     await new Promise<void>((resolve) => {
       scheduler.after(HOLDER_POLL_MS, resolve);
     });
   }
 }
 
-/** Charges; never throws for a refusal, which comes back with its headers. */
+function whenAborted(signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => resolve(undefined), { once: true });
+  });
+}
+
+/**
+ * Charges; never throws for a refusal, which comes back with its headers. A
+ * charge that waits ends when the caller leaves.
+ */
 export async function chargeRequest(
   context: ChargeContext,
-  input: ChargeInput,
+  input: ChargeInput & { readonly signal: AbortSignal },
 ): Promise<ChargeOutcome> {
-  const result = await chargeWhenReady(context, input);
+  const { signal } = input;
+  if (signal.aborted) return GONE;
+  const charged = chargeWhenReady(context, input);
+  const result = await Promise.race([charged, whenAborted(signal)]);
+  if (result === undefined || signal.aborted) return GONE;
   const headers = rateHeaders(result);
-  if (result.granted) return { headers, refusal: undefined };
+  if (result.granted) return { headers, refusal: undefined, isGone: false };
   const code = result.code ?? "rate_limited";
   const retryAfterMs = result.retryAfterMs ??
     (code === "not_ready" ? NOT_READY_RETRY_MS : undefined);
   const hint = retryAfterMs === undefined ? {} : { retryAfterMs };
-  return { headers, refusal: fail(code, CHARGE_MESSAGES[code], hint) };
+  const refusal = fail(code, CHARGE_MESSAGES[code], hint);
+  return { headers, refusal, isGone: false };
 }
--- a/packages/router/src/callers/context.ts
+++ b/packages/router/src/callers/context.ts
@@ -50,6 +50,15 @@
   readonly isDraining: () => boolean;
 }
 
+/** Records that a caller left before it had its answer. */
+export function noteAbandoned(
+  context: Pick<CallerContext, "metrics" | "explainer">,
+  exchange: Pick<Exchange, "requestId">,
+): void {
+  context.metrics.increment("requests.abandoned");
+  context.explainer.record(exchange.requestId, { step: "abandon" });
+}
+
 /** One request of a caller. */
 export interface Exchange {
   readonly request: IncomingMessage;
@@ -57,4 +66,6 @@
   readonly requestId: RequestId;
   readonly hop: Hop;
   readonly receivedAtMs: number;
+  /** Aborted when the caller has left before its answer was whole. */
+  readonly gone: AbortSignal;
 }
--- /dev/null
+++ b/packages/router/src/callers/leaving_test.ts
@@ -0,0 +1,165 @@
+import test from "ava";
+import { rawRequest } from "../http/testing_socket.ts";
+import { TestDeployment, timedKey } from "../testing_deployment.ts";
+import {
+  connectCaller,
+  rawCompletion,
+  readStatus,
+  runningRequests,
+  waitUntil,
+} from "./testing_callers.ts";
+
+const slowEngine = { decodeMsPerToken: 20 };
+
+// Guards against engines that go on working for callers that have left.
+test("a caller that leaves in mid-stream or in mid-wait leaves no load behind", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [slowEngine] });
+  const { key } = await deployment.createTeam();
+  for (const stream of [true, false]) {
+    const connection = await connectCaller(deployment);
+    connection.send(rawCompletion(key, { stream, max_tokens: 5000 }));
+    await waitUntil(async () => await runningRequests(deployment) === 1);
+    if (stream) await connection.until("data: ");
+    connection.destroy();
+    await waitUntil(async () => await runningRequests(deployment) === 0);
+  }
+  const { activeRequests, counters } = await readStatus(deployment);
+  t.is(activeRequests, 0);
+  t.is(counters["requests.abandoned"], 2);
+  await deployment.close();
+});
+
+// Guards against a body that holds memory or counts as running for ever.
+test("a caller that leaves in mid-body is forgotten, and others are served", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam();
+  const connection = await connectCaller(deployment);
+  const whole = rawCompletion(key, { prompt: "x".repeat(100_000) });
+  connection.send(whole.slice(0, 50_000));
+  await waitUntil(async () => (await readStatus(deployment)).activeRequests);
+  connection.destroy();
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === 0
+  );
+  const other = await connectCaller(deployment);
+  other.send(rawCompletion(key, { max_tokens: 1 }));
+  t.is((await other.answer()).status, 200);
+  await deployment.close();
+});
+
+// Guards against tokens that are spent for callers that nobody answers any
+// more, while those that still wait go without.
+test("a caller that leaves while it waits for tokens spends none", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam("st-mary", {
+    tokenRatePerSecond: 100,
+    burstTokens: 200,
+  });
+  const spend = (maxTokens: number) =>
+    rawCompletion(key, { prompt: "", max_tokens: maxTokens });
+  const first = await connectCaller(deployment);
+  first.send(spend(200));
+  t.is((await first.answer()).status, 200);
+  // Each would take the whole of the next second's tokens.
+  const leaving = await Promise.all(
+    Array.from({ length: 8 }, () => connectCaller(deployment)),
+  );
+  for (const connection of leaving) connection.send(spend(100));
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === leaving.length
+  );
+  for (const connection of leaving) connection.destroy();
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === 0
+  );
+  const last = await connectCaller(deployment);
+  last.send(spend(100));
+  const answer = await last.answer();
+  t.is(answer.status, 200);
+  const { counters } = await readStatus(deployment);
+  t.is(counters["requests.abandoned"], leaving.length);
+  t.is(counters["limits.charges"], 2, "only those that were answered");
+  await deployment.close();
+});
+
+// Guards against a call that runs although its caller left before it was sent.
+test("a booking whose caller left while it waited for tokens does not run", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam("st-mary", {
+    tokenRatePerSecond: 1,
+    burstTokens: 1,
+  });
+  const book = () =>
+    rawRequest("POST /bookings", {
+      headers: [
+        `authorization: Bearer ${key}`,
+        `idempotency-key: ${timedKey()}`,
+      ],
+      body: "{}",
+    });
+  const first = await connectCaller(deployment);
+  first.send(book());
+  t.is((await first.answer()).status, 201);
+  const leaving = await connectCaller(deployment);
+  leaving.send(book());
+  await waitUntil(async () => (await readStatus(deployment)).activeRequests);
+  leaving.destroy();
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === 0
+  );
+  const last = await connectCaller(deployment);
+  last.send(book());
+  t.is((await last.answer()).status, 201);
+  t.is(deployment.service.ranCalls().length, 2);
+  await deployment.close();
+});
+
+// Guards against memory that a caller fills by not reading: the engine must
+// feel that the caller is slow.
+test("a caller that does not read stops its engine's stream", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam();
+  const connection = await connectCaller(deployment);
+  connection.socket.pause();
+  // 200 MB as events, far more than the system's buffers hold.
+  connection.send(rawCompletion(key, { stream: true, max_tokens: 900_000 }));
+  await waitUntil(async () => await runningRequests(deployment) === 1);
+  const before = process.memoryUsage().rss;
+  // The stall lasts for as long as other requests take.
+  for (let count = 0; count < 50; count++) {
+    const other = await connectCaller(deployment);
+    other.send(rawCompletion(key, { max_tokens: 50 }));
+    t.is((await other.answer()).status, 200);
+    other.destroy();
+  }
+  t.is(await runningRequests(deployment), 1);
+  const grown = process.memoryUsage().rss - before;
+  t.true(grown < 128 * 1024 * 1024, `grew by ${grown} bytes`);
+  connection.destroy();
+  await waitUntil(async () => await runningRequests(deployment) === 0);
+  await deployment.close();
+});
+
+// Guards against a planned stop that cuts what has not reached an engine yet,
+// or what its caller has not read yet.
+test("a planned stop waits for a request that waits for tokens", async (t) => {
+  const deployment = await TestDeployment.start();
+  const { key } = await deployment.createTeam("st-mary", {
+    tokenRatePerSecond: 100,
+    burstTokens: 100,
+  });
+  const send = async () => {
+    const connection = await connectCaller(deployment);
+    connection.send(rawCompletion(key, { prompt: "", max_tokens: 100 }));
+    return connection;
+  };
+  t.is((await (await send()).answer()).status, 200);
+  const waiting = await send();
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === 1
+  );
+  const stopped = deployment.daemons[0]!.drain();
+  t.is((await waiting.answer()).status, 200);
+  await stopped;
+  await deployment.close();
+});
--- a/packages/router/src/callers/model_handler.ts
+++ b/packages/router/src/callers/model_handler.ts
@@ -5,8 +5,9 @@
  */
 
 import type { ServerResponse } from "node:http";
-import { fail, toRefusal } from "@endivebend/errors";
+import { fail, isEndivebendError, toRefusal } from "@endivebend/errors";
 import type { EngineUsage } from "@endivebend/streams";
+import type { RanState } from "@endivebend/types";
 import type { TeamView } from "../ports.ts";
 import { ModelRun, type RunSink } from "../engines/model_run.ts";
 import { parseJsonObject, readBody } from "../http/body.ts";
@@ -14,7 +15,7 @@
 import type { ActiveRequest } from "./active_requests.ts";
 import { authenticate, type Caller, checkDigest } from "./authenticate.ts";
 import { chargeRequest } from "./charge.ts";
-import type { CallerContext, Exchange } from "./context.ts";
+import { type CallerContext, type Exchange, noteAbandoned } from "./context.ts";
 import {
   type AnswerFrame,
   endChunks,
@@ -54,12 +55,14 @@
   });
   requireModel(request, caller.team);
   const costTokens = request.promptTokens + request.maxTokens;
-  const { headers, refusal } = await chargeRequest(context, {
+  const { headers, refusal, isGone } = await chargeRequest(context, {
     team: caller.team.team,
     costTokens,
     requestId: exchange.requestId,
     deadlineElapsedMs: exchange.receivedAtMs + limits.queueWaitMs,
+    signal: exchange.gone,
   });
+  if (isGone) return noteAbandoned(context, exchange);
   if (refusal !== undefined) {
     const { response, requestId } = exchange;
     context.metrics.increment("requests.refused", { reason: "charge" });
@@ -108,22 +111,29 @@
     const active: ActiveRequest = {
       digest: caller.digest,
       stop(error) {
+        const ran = run.wasSent ? "unknown" : "not_run";
         run.abandon();
-        writer.fail(error);
+        writer.fail(withRan(error, ran));
         end();
       },
     };
     context.active.add(active);
     exchange.response.on("drain", () => run.callerReady());
-    exchange.response.on("close", () => {
-      if (exchange.response.writableFinished) return;
+    exchange.gone.addEventListener("abort", () => {
+      noteAbandoned(context, exchange);
       run.abandon();
       end();
-    });
+    }, { once: true });
     run.start();
   });
 }
 
+/** A request that an engine has seen may not be said not to have run. */
+function withRan(error: Error, ran: RanState): Error {
+  if (!isEndivebendError(error)) return error;
+  return fail(error.code, error.message, { ran });
+}
+
 function endingSink(writer: RunSink, end: () => void): RunSink {
   return {
     text: (text) => writer.text(text),
--- a/packages/router/src/callers/server.ts
+++ b/packages/router/src/callers/server.ts
@@ -6,14 +6,15 @@
  */
 
 import { randomUUID } from "node:crypto";
-import type {
-  IncomingMessage,
-  RequestListener,
-  ServerResponse,
-} from "node:http";
+import type { RequestListener } from "node:http";
 import { fail, isEndivebendError } from "@endivebend/errors";
 import { brandId, type RequestId } from "@endivebend/types";
 import findMyWay from "find-my-way";
+import {
+  connectionOf,
+  type OpenRequest,
+  openRequestOf,
+} from "../http/connections.ts";
 import { writeJson, writeRefusal } from "../http/respond.ts";
 import { authenticate } from "./authenticate.ts";
 import type { CallerContext, Exchange } from "./context.ts";
@@ -21,6 +22,8 @@
 import { handleServiceCall } from "./service_handler.ts";
 
 const NOT_READY_RETRY_MS = 1000;
+/** Time beyond the request's own that reading its answer may take. */
+const ANSWER_GRACE_MS = 10_000;
 
 type Handler = (
   context: CallerContext,
@@ -90,39 +93,57 @@
 
 /**
  * A caller that keeps its connection would send its next request to a daemon
- * that stops, and lose it.
+ * that stops, and lose it. Requests that are open on the connection already are
+ * answered first; one that comes behind the last answer is not run.
  */
 function giveUpConnectionWhenDraining(
   context: CallerContext,
-  options: {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-  },
+  opened: OpenRequest,
 ): void {
-  const { request, response } = options;
-  if (context.isDraining()) response.setHeader("connection", "close");
-  response.once("finish", () => {
-    if (context.isDraining()) request.socket.end();
+  const { request, response } = opened;
+  const connection = connectionOf(request.socket);
+  if (context.isDraining()) {
+    response.setHeader("connection", "close");
+    connection.isGivenUp = true;
+  }
+  opened.onOver(() => {
+    if (!context.isDraining() || connection.open.size > 0) return;
+    connection.isGivenUp = true;
+    request.socket.end();
   });
 }
 
+/** A caller that does not read its answer must not hold it for ever. */
+function boundAnswer(context: CallerContext, opened: OpenRequest): void {
+  const { limits, scheduler } = context;
+  const longestMs = limits.requestTimeoutMs + ANSWER_GRACE_MS;
+  const { socket } = opened.request;
+  const cancel = scheduler.after(longestMs, () => socket.destroy());
+  opened.onOver(cancel);
+}
+
 function startExchange(
   context: CallerContext,
   options: {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly opened: OpenRequest;
+    readonly path: string;
+    readonly isProbe: boolean;
   },
 ): Exchange {
-  const { request, response } = options;
+  const { opened, path, isProbe } = options;
+  const { request, response, gone } = opened;
   const requestId = brandId<RequestId>(randomUUID());
   const hop = context.tracing.startHop("caller", {
     headers: request.headers,
     kind: "server",
-    attributes: { "request.id": requestId, "url.path": request.url ?? "" },
+    // The query stays out, because callers put secrets into it.
+    attributes: { "request.id": requestId, "url.path": path },
   });
   const receivedAtMs = context.clock.elapsedMs();
-  giveUpConnectionWhenDraining(context, { request, response });
-  return { request, response, requestId, hop, receivedAtMs };
+  if (!isProbe) opened.onOver(context.active.open());
+  giveUpConnectionWhenDraining(context, opened);
+  boundAnswer(context, opened);
+  return { request, response, requestId, hop, receivedAtMs, gone };
 }
 
 async function serve(
@@ -165,12 +186,14 @@
   }
   return (request, response) => {
     context.metrics.increment("requests");
-    const exchange = startExchange(context, { request, response });
     const path = (request.url ?? "/").split("?", 1)[0] ?? "/";
     const method = request.method as "GET";
     const found = router.find(method, path)?.store as Handler | undefined;
-    const handle = PROBES[path] ?? found ?? handleServiceCall;
-    const isProbe = PROBES[path] !== undefined;
+    const isProbe = Object.hasOwn(PROBES, path);
+    const probe = isProbe ? PROBES[path] : undefined;
+    const handle = probe ?? found ?? handleServiceCall;
+    const opened = openRequestOf(request, response);
+    const exchange = startExchange(context, { opened, path, isProbe });
     void serve(context, { exchange, handle, isProbe });
   };
 }
--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -15,12 +15,17 @@
 } from "../ports.ts";
 import { readBody } from "../http/body.ts";
 import { writeRefusal } from "../http/respond.ts";
+import { dispatchRepeatable } from "../services/repeat.ts";
 import type { ActiveRequest } from "./active_requests.ts";
-import { authenticate, type Caller, checkDigest } from "./authenticate.ts";
+import {
+  authenticate,
+  type Caller,
+  checkDigest,
+  presentedKey,
+} from "./authenticate.ts";
 import { chargeRequest } from "./charge.ts";
-import type { CallerContext, Exchange } from "./context.ts";
+import { type CallerContext, type Exchange, noteAbandoned } from "./context.ts";
 
-const MAX_REPEATED_DISPATCHES = 3;
 const ROUTE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 
 function requireRoute(
@@ -40,15 +45,35 @@
   throw fail("method_not_allowed", message, { remedy });
 }
 
+/** Headers that only the router may set; a caller could pose as a team. */
+const OWN_HEADER_PREFIX = "x-endivebend-";
+
 function flattenHeaders(headers: IncomingHttpHeaders): Record<string, string> {
   const flat: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined) continue;
+    if (value === undefined || name.startsWith(OWN_HEADER_PREFIX)) continue;
     flat[name] = Array.isArray(value) ? value.join(", ") : value;
   }
   return flat;
 }
 
+/** No backend server may see a key, wherever a caller put it beside its place. */
+function dropCopiesOfKey(
+  headers: Record<string, string>,
+  options: { readonly key: string; readonly path: string },
+): Record<string, string> {
+  const { key, path } = options;
+  if (path.includes(key)) {
+    const message = "The path or its query carries the key";
+    const remedy = "Send the key in the header Authorization only";
+    throw fail("malformed_request", message, { field: "path", remedy });
+  }
+  const entries = Object.entries(headers);
+  return Object.fromEntries(
+    entries.filter(([, value]) => !value.includes(key)),
+  );
+}
+
 interface ResolvedRoute {
   readonly route: RouteRule;
   readonly caller: Caller | undefined;
@@ -70,6 +95,13 @@
   throw fail("not_permitted", message);
 }
 
+function passedHeaders(exchange: Exchange, path: string) {
+  const { headers } = exchange.request;
+  const flat = flattenHeaders(headers);
+  const key = presentedKey(headers);
+  return key === undefined ? flat : dropCopiesOfKey(flat, { key, path });
+}
+
 /** Handles one call of a plain service. */
 export async function handleServiceCall(
   context: CallerContext,
@@ -77,13 +109,13 @@
 ): Promise<void> {
   const path = exchange.request.url ?? "/";
   const { route, caller } = resolveRoute(context, { exchange, path });
+  const passed = passedHeaders(exchange, path);
   const body = await readBody(exchange.request, {
     maxBytes: context.limits.maxBodyBytes,
   });
   const headers = await charge(context, { exchange, route, caller });
   if (headers === undefined) return;
   if (caller !== undefined) checkDigest(caller.digest, context.configuration);
-  const flat = flattenHeaders(exchange.request.headers);
   await answerCall(context, {
     exchange,
     caller,
@@ -94,9 +126,9 @@
       route,
       method: exchange.request.method ?? "GET",
       path,
-      headers: { ...flat, ...exchange.hop.headers },
+      headers: { ...passed, ...exchange.hop.headers },
       body,
-      idempotencyKey: flat["idempotency-key"],
+      idempotencyKey: passed["idempotency-key"],
       deadlineElapsedMs: exchange.receivedAtMs +
         context.limits.requestTimeoutMs,
     },
@@ -109,12 +141,17 @@
 ): Promise<Readonly<Record<string, string>> | undefined> {
   const { exchange, route, caller } = options;
   if (caller === undefined) return {};
-  const { headers, refusal } = await chargeRequest(context, {
+  const { headers, refusal, isGone } = await chargeRequest(context, {
     team: caller.team.team,
     costTokens: route.costTokens,
     requestId: exchange.requestId,
     deadlineElapsedMs: exchange.receivedAtMs + context.limits.queueWaitMs,
+    signal: exchange.gone,
   });
+  if (isGone) {
+    noteAbandoned(context, exchange);
+    return undefined;
+  }
   if (refusal === undefined) return headers;
   const { response, requestId } = exchange;
   context.metrics.increment("requests.refused", { reason: "charge" });
@@ -166,26 +203,8 @@
 ): Promise<ServiceAnswer> {
   const isRepeatable = call.route.repeatable || call.route.open;
   if (!isRepeatable) return context.commitments.run(call);
-  return dispatchRepeatable(context, call);
-}
-
-/** A repeatable call may be sent again after any failure of a connection. */
-async function dispatchRepeatable(
-  context: CallerContext,
-  call: ServiceCall,
-): Promise<ServiceAnswer> {
-  let lastFailure: unknown;
-  for (let count = 0; count < MAX_REPEATED_DISPATCHES; count++) {
-    const leftMs = call.deadlineElapsedMs - context.clock.elapsedMs();
-    if (leftMs <= 0) break;
-    try {
-      return await context.dispatcher.dispatchOnce(call);
-    } catch (caught) {
-      lastFailure = caught;
-      context.metrics.increment("services.repeated");
-    }
-  }
-  throw lastFailure;
+  const { retries } = context.runs;
+  return dispatchRepeatable(call, { ...context, retries });
 }
 
 function writeAnswer(
--- /dev/null
+++ b/packages/router/src/callers/testing_callers.ts
@@ -0,0 +1,62 @@
+/**
+ * Helpers for tests that talk to a deployment over raw connections.
+ *
+ * @module
+ */
+
+import { RawConnection, rawRequest } from "../http/testing_socket.ts";
+import type { TestDeployment } from "../testing_deployment.ts";
+
+/** Resolves once the condition holds; the test's time limit ends a wait. */
+export async function waitUntil(
+  holds: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!(await holds())) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+/** Opens a connection to the callers' listener of a daemon. */
+export function connectCaller(
+  deployment: TestDeployment,
+  daemon = 0,
+): Promise<RawConnection> {
+  const { callers } = deployment.daemons[daemon]!.addresses;
+  return RawConnection.open(callers);
+}
+
+/** A completion request by hand. */
+export function rawCompletion(
+  key: string,
+  fields: Readonly<Record<string, unknown>>,
+): string {
+  return rawRequest("POST /v1/completions", {
+    headers: [`authorization: Bearer ${key}`],
+    body: JSON.stringify({ model: "chime-llm", prompt: "Ring", ...fields }),
+  });
+}
+
+// deno-lint-ignore no-explicit-any
+async function readJson(address: string, path: string): Promise<any> {
+  const answer = await fetch(`http://${address}${path}`);
+  return await answer.json();
+}
+
+/** Requests that run at the engines of a deployment. */
+export async function runningRequests(
+  deployment: TestDeployment,
+): Promise<number> {
+  const loads = await Promise.all(
+    deployment.engines.map(({ address }) => readJson(address, "/v1/load")),
+  );
+  return loads.reduce((sum, { runningRequests }) => sum + runningRequests, 0);
+}
+
+/** One part of a daemon's status. */
+export async function readStatus(
+  deployment: TestDeployment,
+  // deno-lint-ignore no-explicit-any
+): Promise<any> {
+  const { text } = await deployment.operate("/operator/v1/status");
+  return JSON.parse(text);
+}
--- a/packages/router/src/engines/attempt_client.ts
+++ b/packages/router/src/engines/attempt_client.ts
@@ -39,6 +39,8 @@
   readonly isLeaving: boolean;
   /** The connection could not be made or broke. */
   readonly isConnectionLost: boolean;
+  /** The engine's weights have changed since it was chosen. */
+  readonly isStaleChoice: boolean;
   readonly code?: ErrorCode;
   /** What the engine's answer said of itself. */
   readonly engine?: EngineHeaders;
@@ -148,6 +150,7 @@
       retryable: true,
       isLeaving: false,
       isConnectionLost: true,
+      isStaleChoice: false,
     });
   }
 
@@ -185,8 +188,9 @@
   };
 }
 
-/** 409 says that the engine's weights have changed since it was chosen. */
-const RETRYABLE_STATUSES = new Set([408, 409, 429]);
+/** The engine's weights have changed since it was chosen. */
+const STALE_CHOICE_STATUS = 409;
+const RETRYABLE_STATUSES = new Set([408, STALE_CHOICE_STATUS, 429]);
 
 function describeStatus(
   status: number,
@@ -198,6 +202,7 @@
     retryable,
     isLeaving: answer.isLeaving,
     isConnectionLost: false,
+    isStaleChoice: status === STALE_CHOICE_STATUS,
     ...(retryable ? {} : { code: "malformed_request" as const }),
   };
 }
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -114,6 +114,8 @@
   #lastFailure: Error | undefined;
   #lastEngine: BackendServerId | undefined;
   #isBlocked = false;
+  /** Whether the last attempt failed in a way that overload explains. */
+  #isLoadFailure = false;
   #cancelTick = () => {};
   #tickAtMs = Infinity;
 
@@ -135,6 +137,11 @@
     this.#handle({ kind: "start" });
   }
 
+  /** Whether an engine may have seen the request. */
+  get wasSent(): boolean {
+    return this.#lastEngine !== undefined;
+  }
+
   /** The caller reads again. */
   callerReady(): void {
     if (!this.#isBlocked) return;
@@ -300,6 +307,9 @@
     const { clock, connections, directory, tracing } = this.#context;
     const nowMs = clock.elapsedMs();
     this.#lastEngine = selection.plan.engine;
+    if (effect.attemptNumber === 1) {
+      this.#context.retries.recordRequest(this.#retryUse());
+    }
     directory.placements.add({
       ...selection.plan.tag,
       requestId,
@@ -370,6 +380,8 @@
         this.#context.notes.noteServerFailure(engine);
       }
     }
+    this.#isLoadFailure = !failure.isConnectionLost && !failure.isLeaving &&
+      !failure.isStaleChoice;
     attempt.hop?.end(failure.reason);
     this.#explain("attempt_failed", { engine, reason: failure.reason });
     this.#releaseAttempt(attempt);
@@ -400,21 +412,32 @@
   #noteLostProgress(reason: string): void {
     const engine = this.#attempt?.engine;
     if (engine === undefined || this.#state.hasEnded) return;
+    this.#isLoadFailure = true;
     this.#context.metrics.increment("attempts.dropped", { reason });
     this.#avoid.add(engine);
   }
 
+  /**
+   * The budget keeps retries from multiplying an overload. An attempt whose
+   * engine is gone leaves no load behind, and a stream that has begun must be
+   * completed; both are bounded by the number of attempts alone.
+   */
   #allowRetry(): boolean {
-    if (this.#lastEngine === undefined) return true;
-    const allowed = this.#context.retries.tryRetry({
-      team: this.#input.team,
-      server: this.#lastEngine,
-      nowMs: this.#context.clock.elapsedMs(),
-    });
+    const isFree = !this.#isLoadFailure || this.#state.nextTokenIndex > 0;
+    if (isFree || this.#lastEngine === undefined) return true;
+    const allowed = this.#context.retries.tryRetry(this.#retryUse());
     if (!allowed) this.#context.metrics.increment("retries.refused");
     return allowed;
   }
 
+  #retryUse() {
+    return {
+      team: this.#input.team,
+      server: this.#lastEngine!,
+      nowMs: this.#context.clock.elapsedMs(),
+    };
+  }
+
   #endAttempt(): void {
     const attempt = this.#attempt;
     if (attempt === undefined) return;
--- a/packages/router/src/limits/testing_fleet.ts
+++ b/packages/router/src/limits/testing_fleet.ts
@@ -346,7 +346,7 @@
         get: (_, method) => (request: unknown) =>
           call(to, String(method), request),
       }) as PeerClient;
-    return { at };
+    return { at, setTls: () => {} };
   }
 }
 
--- /dev/null
+++ b/packages/router/src/services/repeat_test.ts
@@ -0,0 +1,73 @@
+import test from "ava";
+import { fail, isEndivebendError } from "@endivebend/errors";
+import { RetryBudget } from "@endivebend/routing";
+import { brandId, type RequestId, type ServiceName } from "@endivebend/types";
+import type { ServiceCall } from "../ports.ts";
+import { dispatchRepeatable } from "./repeat.ts";
+
+const call: ServiceCall = {
+  requestId: brandId<RequestId>("r-1"),
+  team: undefined,
+  route: {
+    path: "/bookings",
+    methods: ["GET"],
+    service: brandId<ServiceName>("belfry-app"),
+    repeatable: true,
+    open: false,
+    costTokens: 1,
+    deduplicates: false,
+    unkeyed: false,
+    requireTimedKeys: false,
+  },
+  method: "GET",
+  path: "/bookings",
+  headers: {},
+  body: Buffer.alloc(0),
+  idempotencyKey: undefined,
+  deadlineElapsedMs: 1000,
+};
+const notRun = fail("no_backend_server", "No server takes new work");
+const unknown = fail("backend_server_failed", "The connection broke");
+
+function dispatchWith(failures: readonly Error[], retries: RetryBudget) {
+  const left = [...failures];
+  let attempts = 0;
+  const result = dispatchRepeatable(call, {
+    dispatcher: {
+      dispatchOnce() {
+        attempts++;
+        const failure = left.shift();
+        return failure === undefined
+          ? Promise.resolve({ status: 200, headers: {}, body: call.body })
+          : Promise.reject(failure);
+      },
+    },
+    retries,
+    clock: { wallMs: () => 0, elapsedMs: () => 0 },
+    metrics: { increment() {}, gauge() {}, timing() {} },
+  });
+  return { result, attempts: () => attempts };
+}
+
+// Guards against "not run" for a call whose first attempt reached a server.
+test("a failure after an attempt that may have run never says not run", async (t) => {
+  const retries = new RetryBudget();
+  const { result } = dispatchWith([unknown, notRun, notRun], retries);
+  const caught = await t.throwsAsync(result);
+  t.true(isEndivebendError(caught) && caught.ran === "unknown");
+});
+
+test("attempts that never reached a server are reported as not run", async (t) => {
+  const retries = new RetryBudget();
+  const { result } = dispatchWith([notRun, notRun, notRun], retries);
+  const caught = await t.throwsAsync(result);
+  t.true(isEndivebendError(caught) && caught.ran === "not_run");
+});
+
+// Guards against repetitions that multiply an overload.
+test("repetitions end with the retry budget", async (t) => {
+  const retries = new RetryBudget({ reserve: 0, share: 0 });
+  const { result, attempts } = dispatchWith([unknown], retries);
+  await t.throwsAsync(result);
+  t.is(attempts(), 1);
+});
