End what a caller waits for when it leaves

A request whose caller left while it waited for tokens was charged and then run for nobody, because the handler listened for the end of the connection only after the charge. The whole exchange now has a signal; a charge that waits here or at another VM's holder ends with it, and a holder is not taken for silent because a caller left.

--- a/packages/router/src/callers/testing_callers.ts
+++ b/packages/router/src/callers/testing_callers.ts
@@ -5,7 +5,10 @@
  */
 
 import { RawConnection, rawRequest } from "../http/testing_socket.ts";
-import type { TestDeployment } from "../testing_deployment.ts";
+import {
+  TEST_OPERATOR_KEY,
+  type TestDeployment,
+} from "../testing_deployment.ts";
 
 /** Resolves once the condition holds; the test's time limit ends a wait. */
 export async function waitUntil(
@@ -55,8 +58,11 @@
 /** One part of a daemon's status. */
 export async function readStatus(
   deployment: TestDeployment,
+  daemon = 0,
   // deno-lint-ignore no-explicit-any
 ): Promise<any> {
-  const { text } = await deployment.operate("/operator/v1/status");
-  return JSON.parse(text);
+  const { operators } = deployment.daemons[daemon]!.addresses;
+  const headers = { authorization: `Bearer ${TEST_OPERATOR_KEY}` };
+  const url = `http://${operators}/operator/v1/status`;
+  return await (await fetch(url, { headers })).json();
 }
--- a/packages/router/src/limits/limits_task.ts
+++ b/packages/router/src/limits/limits_task.ts
@@ -177,9 +177,11 @@
   ): Promise<ChargeResult | undefined> {
     const { clock } = this.#options;
     const waitMs = input.deadlineElapsedMs - clock.elapsedMs();
+    const { costTokens, signal } = input;
     const outcome = this.#holder.charge(entry, {
-      costTokens: input.costTokens,
+      costTokens,
       waitMs,
+      ...(signal === undefined ? {} : { signal }),
     });
     if (!(outcome instanceof Promise)) {
       return Promise.resolve(toResult(entry, outcome));
--- a/packages/router/src/limits/peer_charges.ts
+++ b/packages/router/src/limits/peer_charges.ts
@@ -74,6 +74,7 @@
       }
       if (refusal !== undefined) return refusal;
       await this.#pause();
+      if (input.signal?.aborted) break;
     } while (clock.elapsedMs() < input.deadlineElapsedMs);
     return {
       granted: false,
@@ -128,7 +129,10 @@
         costTokens: BigInt(input.costTokens),
         waitMs: Math.max(0, waitMs),
         requestId: input.requestId,
-      }, { timeoutMs: Math.max(0, waitMs) + this.#options.chargeTimeoutMs });
+      }, {
+        timeoutMs: Math.max(0, waitMs) + this.#options.chargeTimeoutMs,
+        ...(input.signal === undefined ? {} : { signal: input.signal }),
+      });
       if (answer.notHolder) return undefined;
       const numbers = {
         limitTokens: Number(answer.limitTokens),
@@ -140,6 +144,8 @@
       const { retryAfterMs } = answer;
       return { granted: false, code, retryAfterMs, ...numbers };
     } catch {
+      // The caller has left; that says nothing about the holder.
+      if (input.signal?.aborted) return undefined;
       // The charge may have taken effect there; then its tokens are lost.
       metrics.increment("limits.charge_failures");
       const untilMs = clock.elapsedMs() + FAILURE_PAUSE_MS;
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -115,6 +115,8 @@
   readonly requestId: RequestId;
   /** On the clock of `Clock.elapsedMs`. */
   readonly deadlineElapsedMs: number;
+  /** Aborted when the caller has left: a charge that still waits ends then. */
+  readonly signal?: AbortSignal;
 }
 
 /** The answer to a charge; the three numbers go into rate-limit headers. */
--- a/packages/router/src/testing_deployment.ts
+++ b/packages/router/src/testing_deployment.ts
@@ -20,7 +20,8 @@
 } from "@endivebend/stand-ins";
 import { type Daemon, startDaemon } from "./daemon/daemon.ts";
 
-const OPERATOR_KEY = "test-operator-key";
+/** The operator key of every daemon of a test deployment. */
+export const TEST_OPERATOR_KEY = "test-operator-key";
 const SHARED_KEY = "0123456789abcdef0123456789abcdef";
 
 /** The template that teams of a test deployment follow. */
@@ -164,7 +165,7 @@
   operate(path: string, body?: unknown): Promise<ReadAnswer> {
     const address = this.daemons[0]!.addresses.operators;
     const method = body === undefined ? "GET" : "POST";
-    return call(address, { path, method, body, key: OPERATOR_KEY });
+    return call(address, { path, method, body, key: TEST_OPERATOR_KEY });
   }
 
   /** Publishes the template and creates a team with a key. */
@@ -260,7 +261,7 @@
 
   #settings(vmId: string, limits: Readonly<Record<string, unknown>>): Settings {
     const listener = { host: "127.0.0.1", port: 0 };
-    const sha256 = createHash("sha256").update(OPERATOR_KEY).digest("hex");
+    const sha256 = createHash("sha256").update(TEST_OPERATOR_KEY).digest("hex");
     const text = JSON.stringify({
       vmId,
       failureDomain: "a",
