--- a/packages/limits/src/print_refusals.ts
+++ b/packages/limits/src/print_refusals.ts
@@ -14,7 +14,7 @@
   "restart_log_down",
 ];
 const FLOORS = [0, 0.25, 0.5];
-const LEASES_MS = [1000, 2000, 5000];
+const LEASES_MS = [500, 1000, 2000, 5000];
 
 function percentile(values: readonly number[], part: number): number {
   const sorted = [...values].sort((a, b) => a - b);
