Correct a stale choice at the engine's queue, and wait for engines

Two faults found on the way, each with a test that failed before. A stream that had run for longer than queueWaitMs could not resume after a crash, because the wait for a slot was counted from the request's arrival. A request that met no engine that takes work was refused at once instead of waiting for one that comes back, which takes 250 ms after a broken connection.

--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -79,6 +79,41 @@
   await deployment.close();
 });
 
+test("a stream that has run for longer than a request may wait still resumes", async (t) => {
+  const deployment = await TestDeployment.start({
+    engines: [slowEngine, slowEngine],
+    limits: { queueWaitMs: 100 },
+  });
+  const { key } = await deployment.createTeam();
+  // The holder of the limits is known a moment after the start.
+  await deployment.whenServing(key);
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(60, true),
+  });
+  const running = await deployment.whenStreaming();
+  await deployment.whenElapsed(200);
+  await running.control({ crash: { downMs: 60_000 } });
+  t.is(streamedText((await call).text), expected(60));
+  await deployment.close();
+});
+
+test("a request waits for engines that come back", async (t) => {
+  const deployment = await TestDeployment.start({ engines: [{}] });
+  const { key } = await deployment.createTeam();
+  await deployment.engines[0]!.control({ refuse: true });
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(2, false),
+  });
+  await deployment.whenElapsed(400);
+  await deployment.engines[0]!.control({ refuse: false });
+  t.is((await call).status, 200);
+  await deployment.close();
+});
+
 test("crossed, doubled and lost chunks never reach the caller", async (t) => {
   const deployment = await TestDeployment.start({ engines: [slowEngine] });
   const { key } = await deployment.createTeam();
--- a/packages/router/src/daemon/engine_tasks.ts
+++ b/packages/router/src/daemon/engine_tasks.ts
@@ -46,6 +46,9 @@
       membership.backendServer(engine)?.takesNewWork ?? false,
   });
   const watcher = new WatcherTask({ ...shared, prefixes, connections });
+  directory.readQueuesFrom((engine) =>
+    watcher.isWatching(engine) ? slots.queuedPrefillTokens(engine) : undefined
+  );
   const runs: RunContext = {
     ...foundation,
     selector: new EngineSelector({
--- a/packages/router/src/daemon/listeners.ts
+++ b/packages/router/src/daemon/listeners.ts
@@ -37,7 +37,7 @@
   return {
     ...tasks.limits.handlers,
     ...prefixes.handlers(),
-    ...createSlotHandlers({ slots, clock }),
+    ...createSlotHandlers({ slots, clock, directory: tasks.engines.directory }),
     ...createRecordHandlers(new Map(served)),
     exchange({ view }) {
       if (view !== undefined) tasks.membership.takePeerView(view);
--- a/packages/router/src/engines/attempt_body.ts
+++ b/packages/router/src/engines/attempt_body.ts
@@ -50,12 +50,14 @@
   return weightsVersion === "" ? {} : { weights_version: weightsVersion };
 }
 
+/**
+ * Where the engine gets blocks that it lacks when it begins: the source of the
+ * plan, or the store, as it may evict a block before it begins.
+ */
 function importField(selection: Selection) {
   const { importFrom } = selection.plan;
-  if (importFrom === undefined || selection.importAddress === undefined) {
-    return {};
-  }
-  const { fromBlock, toBlock } = importFrom;
-  const blocks = selection.blocks.slice(fromBlock, toBlock);
-  return { kv_import: { from: selection.importAddress, blocks } };
+  const { importAddress: from } = selection;
+  if (from === undefined) return {};
+  const blocks = selection.blocks.slice(0, importFrom?.toBlock);
+  return blocks.length === 0 ? {} : { kv_import: { from, blocks } };
 }
--- a/packages/router/src/engines/engine_directory.ts
+++ b/packages/router/src/engines/engine_directory.ts
@@ -26,6 +26,8 @@
 export class EngineDirectory {
   readonly placements = new RecentPlacements();
   readonly #clock: Clock;
+  #queuedHere: (engine: BackendServerId) => number | undefined = () =>
+    undefined;
   readonly #loads = new Map<BackendServerId, KnownLoad>();
   readonly #costs = new Map<BackendServerId, LearnedCosts>();
 
@@ -44,11 +46,26 @@
     return true;
   }
 
+  /**
+   * Sets where the queue of an engine that this VM watches is read. The queue
+   * holds back what the engine does not need yet, so the engine's own report
+   * shows only a part of the work ahead.
+   */
+  readQueuesFrom(
+    queuedHere: (engine: BackendServerId) => number | undefined,
+  ): void {
+    this.#queuedHere = queuedHere;
+  }
+
   load(engine: BackendServerId): KnownLoad | undefined {
     const known = this.#loads.get(engine);
     if (known === undefined) return undefined;
-    const ageMs = this.#clock.elapsedMs() - known.asOfElapsedMs;
-    return ageMs < LOAD_EXPIRES_AFTER_MS ? known : undefined;
+    const nowMs = this.#clock.elapsedMs();
+    if (nowMs - known.asOfElapsedMs >= LOAD_EXPIRES_AFTER_MS) return undefined;
+    const queuedHere = this.#queuedHere(engine);
+    if (queuedHere === undefined) return known;
+    const queuedTokens = Math.max(queuedHere, known.load.queuedTokens);
+    return { load: { ...known.load, queuedTokens }, asOfElapsedMs: nowMs };
   }
 
   costsOf(engine: BackendServerId): EngineCosts {
--- a/packages/router/src/engines/slot_client.ts
+++ b/packages/router/src/engines/slot_client.ts
@@ -6,7 +6,11 @@
  */
 
 import { ERROR_DETAILS, type ErrorCode, fail } from "@endivebend/errors";
-import type { PeerClients, PeerHandlers } from "@endivebend/peers";
+import type {
+  EngineLoad as EngineLoadMessage,
+  PeerClients,
+  PeerHandlers,
+} from "@endivebend/peers";
 import {
   type BackendServerId,
   brandId,
@@ -15,6 +19,8 @@
   type VmEntry,
 } from "@endivebend/types";
 import type { Clock, Identity, Metrics } from "../ports.ts";
+import { readEngineLoad, writeEngineLoad } from "../peering/engine_loads.ts";
+import type { EngineDirectory } from "./engine_directory.ts";
 import { watcherOf } from "./ownership.ts";
 import type { SlotRequest, SlotsTask } from "./slots_task.ts";
 
@@ -25,16 +31,21 @@
 
 /** A slot with the way to end it. */
 export interface HeldSlot {
+  readonly kind: "granted";
   readonly enginePriority: number;
   markPrefilled(): void;
   release(): void;
 }
 
+/** A slot, or the word to choose again with the load that was learned. */
+export type AcquiredSlot = HeldSlot | { readonly kind: "moved" };
+
 /** What the client needs of its neighbours. */
 export interface SlotClientOptions {
   readonly identity: Identity;
   readonly entryVms: () => readonly VmEntry[];
   readonly slots: SlotsTask;
+  readonly directory: EngineDirectory;
   readonly peers: PeerClients;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -49,7 +60,10 @@
   }
 
   /** Throws `queue_full` or `deadline_exceeded`; neither ran. */
-  async acquire(engine: VmEntry, request: SlotRequest): Promise<HeldSlot> {
+  async acquire(
+    engine: VmEntry,
+    request: SlotRequest,
+  ): Promise<AcquiredSlot> {
     const watcher = watcherOf(engine, this.#options.entryVms());
     const isLocal = watcher === undefined ||
       watcher.vmId === this.#options.identity.vmId;
@@ -58,21 +72,27 @@
     return remote ?? await this.#acquireHere(request);
   }
 
-  async #acquireHere(request: SlotRequest): Promise<HeldSlot> {
+  async #acquireHere(request: SlotRequest): Promise<AcquiredSlot> {
     const { slots } = this.#options;
-    const { enginePriority } = await slots.acquire(request);
+    const answer = await slots.acquire(request);
+    if (answer.kind === "moved") return answer;
     return {
-      enginePriority,
+      ...answer,
       markPrefilled: () =>
         slots.markPrefilled(request.engine, request.requestId),
       release: () => slots.release(request.engine, request.requestId),
     };
   }
 
+  #noteLoad(message: EngineLoadMessage): void {
+    const { load, ageMs } = readEngineLoad(message);
+    this.#options.directory.noteLoad(load, ageMs);
+  }
+
   async #acquireAt(
     watcher: VmEntry,
     request: SlotRequest,
-  ): Promise<HeldSlot | undefined> {
+  ): Promise<AcquiredSlot | undefined> {
     const { clock, metrics, peers } = this.#options;
     const client = peers.at(watcher.address);
     const leftMs = request.deadlineElapsedMs - clock.elapsedMs();
@@ -91,11 +111,15 @@
         prefillTokens: BigInt(Math.ceil(request.prefillTokens)),
         waitMs: Math.round(waitMs),
         requestId: request.requestId,
+        ...queueLimit(request),
       }, { timeoutMs: waitMs + ANSWER_MARGIN_MS });
       if (answer.notWatcher) return undefined;
+      if (answer.load !== undefined) this.#noteLoad(answer.load);
+      if (answer.moved) return { kind: "moved" };
       if (answer.permit === "") throw refusalOf(answer);
       const { enginePriority } = answer;
       return {
+        kind: "granted",
         enginePriority,
         markPrefilled: () => release(true),
         release: () => release(false),
@@ -109,6 +133,11 @@
   }
 }
 
+function queueLimit(request: SlotRequest): { readonly maxQueueMs?: number } {
+  if (request.maxQueueMs === Infinity) return {};
+  return { maxQueueMs: Math.ceil(request.maxQueueMs) };
+}
+
 function refusalOf(
   answer: { readonly code: string; readonly retryAfterMs: number },
 ) {
@@ -126,9 +155,10 @@
 /** The peer calls that the watcher answers. */
 export function createSlotHandlers(options: {
   readonly slots: SlotsTask;
+  readonly directory: EngineDirectory;
   readonly clock: Clock;
 }): Pick<PeerHandlers, "acquireSlot" | "releaseSlot"> {
-  const { slots, clock } = options;
+  const { slots, clock, directory } = options;
   return {
     async acquireSlot(request, context) {
       const engine = brandId<BackendServerId>(request.backendServerId);
@@ -139,15 +169,20 @@
         }
       });
       try {
-        const { enginePriority } = await slots.acquire({
+        const answer = await slots.acquire({
           engine,
           requestId,
           team: brandId<TeamId>(request.team),
           costTokens: Number(request.costTokens),
           prefillTokens: Number(request.prefillTokens),
           deadlineElapsedMs: clock.elapsedMs() + request.waitMs,
+          maxQueueMs: request.maxQueueMs ?? Infinity,
         });
-        return { permit: requestId, enginePriority };
+        const load = writeEngineLoad(engine, { directory, clock });
+        const known = load === undefined ? {} : { load };
+        if (answer.kind === "moved") return { moved: true, ...known };
+        const { enginePriority } = answer;
+        return { permit: requestId, enginePriority, ...known };
       } catch (caught) {
         const { code, retryAfterMs } = caught as {
           readonly code?: string;
--- a/packages/router/src/engines/slots_task.ts
+++ b/packages/router/src/engines/slots_task.ts
@@ -18,15 +18,17 @@
   readonly costTokens: number;
   readonly prefillTokens: number;
   readonly deadlineElapsedMs: number;
+  /** Above this expected wait the request would rather go elsewhere. */
+  readonly maxQueueMs: number;
 }
 
-/** A slot that was given. */
-export interface Slot {
-  readonly enginePriority: number;
-}
+/** A slot that was given, or the word to choose again. */
+export type SlotAnswer =
+  | { readonly kind: "granted"; readonly enginePriority: number }
+  | { readonly kind: "moved" };
 
 interface Waiter {
-  readonly resolve: (slot: Slot) => void;
+  readonly resolve: (answer: SlotAnswer) => void;
   readonly reject: (error: Error) => void;
 }
 
@@ -57,16 +59,24 @@
    * Waits in the engine's queue. Throws `queue_full` at once, or
    * `deadline_exceeded` when the deadline passes; neither ran.
    */
-  acquire(request: SlotRequest): Promise<Slot> {
+  acquire(request: SlotRequest): Promise<SlotAnswer> {
     const engine = this.#engine(request.engine);
     const nowMs = this.#options.clock.elapsedMs();
-    const result = engine.queue.enqueue({
+    const entry = {
       requestId: request.requestId,
       team: request.team,
       costTokens: request.costTokens,
       prefillTokens: request.prefillTokens,
       deadlineMs: request.deadlineElapsedMs,
-    }, nowMs);
+    };
+    const waitMs = engine.queue.expectedWaitMs(entry, nowMs);
+    const canMove = request.maxQueueMs !== Infinity;
+    const takesNewWork = this.#options.takesNewWork(request.engine);
+    if (canMove && (waitMs > request.maxQueueMs || !takesNewWork)) {
+      this.#options.metrics.increment("queue.moved");
+      return Promise.resolve({ kind: "moved" });
+    }
+    const result = engine.queue.enqueue(entry, nowMs);
     if (result.kind === "refused") {
       this.#options.metrics.increment("queue.refused", { code: result.code });
       const message = "The engine's queue has no room for the team in time";
@@ -96,6 +106,14 @@
     this.#pump(engineId);
   }
 
+  /** Tokens that wait or are being prefilled; undefined without a queue. */
+  queuedPrefillTokens(engineId: BackendServerId): number | undefined {
+    const queue = this.#engines.get(engineId)?.queue;
+    if (queue === undefined) return undefined;
+    const nowMs = this.#options.clock.elapsedMs();
+    return queue.waitingTokens + queue.remainingPrefillTokens(nowMs);
+  }
+
   /** Requests that wait, for `status`. */
   waitingCounts(): Readonly<Record<string, number>> {
     const counts = [...this.#engines].map(([id, { queue }]) =>
@@ -130,7 +148,8 @@
   #grant(engine: EngineQueue, permit: Permit): void {
     const waiter = engine.waiters.get(permit.requestId);
     engine.waiters.delete(permit.requestId);
-    waiter?.resolve({ enginePriority: permit.enginePriority });
+    const { enginePriority } = permit;
+    waiter?.resolve({ kind: "granted", enginePriority });
   }
 
   #expire(engine: EngineQueue, requestId: RequestId): void {
--- a/packages/router/src/engines/watcher_task.ts
+++ b/packages/router/src/engines/watcher_task.ts
@@ -79,6 +79,10 @@
     this.#watched.clear();
   }
 
+  isWatching(engine: BackendServerId): boolean {
+    return this.#watched.has(engine);
+  }
+
   /** Engines that this VM watches at present. */
   watchedEngines(): readonly BackendServerId[] {
     return [...this.#watched.keys()];
--- a/packages/router/src/peering/peer_view.ts
+++ b/packages/router/src/peering/peer_view.ts
@@ -6,15 +6,15 @@
 
 import { create } from "@bufbuild/protobuf";
 import { type PeerView, PeerViewSchema } from "@endivebend/peers";
-import {
-  type BackendServerId,
-  brandId,
-  type EngineLoad,
-  type WeightsVersion,
-} from "@endivebend/types";
+import type { BackendServerId } from "@endivebend/types";
 import type { EngineDirectory } from "../engines/engine_directory.ts";
 import type { LogFollower } from "../log/follower.ts";
 import type { Clock, Identity } from "../ports.ts";
+import {
+  type AgedLoad,
+  readEngineLoad,
+  writeEngineLoad,
+} from "./engine_loads.ts";
 
 /** What a view is made of. */
 export interface PeerViewSources {
@@ -43,44 +43,16 @@
     appliedOffsets: Object.fromEntries(
       caughtUp.map((one) => [one.stream, BigInt(one.nextOffset())]),
     ),
-    loads: sources.watchedEngines().flatMap((id) => loadOf(id, sources)),
+    loads: sources.watchedEngines().flatMap((id) => {
+      const load = writeEngineLoad(id, sources);
+      return load === undefined ? [] : [load];
+    }),
     blockedKeyDigests: [...sources.blockedDigests()],
     platformSilenceMs: BigInt(Math.round(Math.min(...silences))),
   });
 }
 
-function loadOf(id: BackendServerId, sources: PeerViewSources) {
-  const known = sources.directory.load(id);
-  if (known === undefined) return [];
-  const { load, asOfElapsedMs } = known;
-  const ageMs = sources.clock.elapsedMs() - asOfElapsedMs;
-  return [{
-    backendServerId: load.backendServerId,
-    incarnation: load.incarnation,
-    weightsVersion: load.weightsVersion,
-    runningRequests: load.runningRequests,
-    queuedRequests: load.queuedRequests,
-    queuedTokens: Math.ceil(load.queuedTokens),
-    freeBlocks: load.freeBlocks,
-    ageMs: Math.max(0, Math.round(ageMs)),
-  }];
-}
-
-/** The engine loads of a peer's view, with their age in milliseconds. */
-export function loadsOfView(
-  view: PeerView,
-): readonly { readonly load: EngineLoad; readonly ageMs: number }[] {
-  return view.loads.map((load) => ({
-    ageMs: load.ageMs,
-    load: {
-      backendServerId: brandId<BackendServerId>(load.backendServerId),
-      incarnation: load.incarnation,
-      weightsVersion: brandId<WeightsVersion>(load.weightsVersion),
-      runningRequests: load.runningRequests,
-      queuedRequests: load.queuedRequests,
-      queuedTokens: load.queuedTokens,
-      freeBlocks: load.freeBlocks,
-      asOfMs: 0,
-    },
-  }));
+/** The engine loads of a peer's view. */
+export function loadsOfView(view: PeerView): readonly AgedLoad[] {
+  return view.loads.map(readEngineLoad);
 }
--- a/packages/router/src/testing_deployment.ts
+++ b/packages/router/src/testing_deployment.ts
@@ -89,6 +89,8 @@
     readonly daemons?: number;
     /** Engines write the blocks that they compute to a cache store. */
     readonly withStore?: boolean;
+    /** Limits of the daemons that differ from their defaults. */
+    readonly limits?: Readonly<Record<string, unknown>>;
   } = {}): Promise<TestDeployment> {
     const platform = await startPlatform({});
     const deployment = new TestDeployment(platform, await startService({}));
@@ -107,7 +109,7 @@
     }
     await deployment.publishVms();
     for (let count = 0; count < (options.daemons ?? 1); count++) {
-      await deployment.addDaemon();
+      await deployment.addDaemon(options.limits);
     }
     return deployment;
   }
@@ -201,6 +203,21 @@
     return running!;
   }
 
+  /** Resolves when a model request of the key is answered. */
+  async whenServing(key: string): Promise<void> {
+    const body = { model: "chime-llm", prompt: "Ring", max_tokens: 1 };
+    await until(async () => {
+      const path = "/v1/completions";
+      return (await this.call({ path, key, body })).status === 200;
+    });
+  }
+
+  /** Lets real time pass where the length of a failure is what is tested. */
+  async whenElapsed(durationMs: number): Promise<void> {
+    const endMs = performance.now() + durationMs;
+    await until(() => Promise.resolve(performance.now() >= endMs));
+  }
+
   /** Resolves when the cache store holds so many blocks. */
   async whenStored(count: number): Promise<void> {
     const address = this.store?.address ?? "";
