--- a/packages/router/src/callers/model_handler.ts
+++ b/packages/router/src/callers/model_handler.ts
@@ -105,6 +105,7 @@
       request,
       deadlineElapsedMs: exchange.receivedAtMs + limits.requestTimeoutMs,
       queueDeadlineElapsedMs: exchange.receivedAtMs + limits.queueWaitMs,
+      queueWaitMs: limits.queueWaitMs,
       hop: exchange.hop,
       sink: endingSink(writer, end),
     });
