--- a/packages/routing/src/choose_engine.ts
+++ b/packages/routing/src/choose_engine.ts
@@ -41,7 +41,7 @@
   readonly stores?: readonly CacheStoreSource[];
   /**
    * Weight of the engine time that the request takes from others, in addition
-   * to its own time to first token; 1 when absent.
+   * to its own time to first token; 4 when absent.
    */
   readonly workWeight?: number;
   /** Scores closer than this count as equal; 2 ms when absent. */
@@ -96,7 +96,13 @@
   readonly weighed: readonly WeighedEngine[];
 }
 
-const DEFAULT_WORK_WEIGHT = 1;
+/**
+ * With 1 a request computed a prefix that another engine was just computing
+ * rather than wait for it, which delayed the requests behind it. Over 16 seeds
+ * 4 gave the least tails of the worst-served teams; docs/MEASUREMENTS.md has
+ * the figures.
+ */
+const DEFAULT_WORK_WEIGHT = 4;
 const DEFAULT_TIE_MS = 2;
 
 /**
