capacity: measure orders, and how well daemons see each other

The exchange asks 16 peers a round in turn, twice a second, and a peer that was not heard for 5 s owns no soft state. Above 161 daemons a turn takes longer than that.

The series for orders complete the list of followed streams.

--- a/packages/capacity/src/budget/follower_lines.ts
+++ b/packages/capacity/src/budget/follower_lines.ts
@@ -9,6 +9,7 @@
 
 const CLIENT = times(ASSUMED.clientPart, "client's part");
 const MEMBERS = GIVEN.daemons;
+const BOTH_RECORDS = times(2, "records each");
 
 /** The lines of this module. */
 export function followerLines(slopes: Slopes): Line[] {
@@ -19,6 +20,7 @@
     SHARE.entryVmChangesPerS * ASSUMED.rightsRecordsPerVmChange,
     "rights records/s",
   );
+  const orders = times(ASSUMED.ordersPerS, "orders/s in the fleet");
   const idle = times(PRESENT.streams / PRESENT.idlePollS, "idle reads/s");
   const read = slopes.per("http.log_read_us");
   const readBytes = slopes.per("http.log_read_bytes");
@@ -81,6 +83,22 @@
         slopes.per("rights.group_bytes"),
       ]],
     },
+    {
+      name: "Orders followed and held",
+      kind: "background",
+      trafficBytes: [
+        [orders, BOTH_RECORDS, readBytes],
+        [orders, slopes.per("orders.order_bytes")],
+      ],
+      cpuUs: [
+        [orders, BOTH_RECORDS, CLIENT, read],
+        [orders, slopes.per("orders.fold_us")],
+      ],
+      memoryBytes: [[
+        times(1, ""),
+        slopes.at("orders.engine_bytes", GIVEN.engines),
+      ]],
+    },
     {
       name: "Commitments followed and held",
       kind: "background",
--- a/packages/capacity/src/budget/two_year.ts
+++ b/packages/capacity/src/budget/two_year.ts
@@ -35,6 +35,8 @@
   keysPerTeam: 2,
   /** Calls per second that run at most once: 1% of the requests. */
   commitmentsPerS: 89,
+  /** One order per engine and day. */
+  ordersPerS: 12_000 / DAY_S,
   /** Full blocks of a prompt. */
   blocksPerPrompt: 8,
   /** Charges that lead to a loan. */
--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -3,10 +3,11 @@
  *
  *     npm run capacity -- [--only NAME] [--json FILE]
  *     npm run capacity -- --budget FILE
+ *     npm run capacity -- --coverage
  *
  * `--only` takes the start of a series' name, such as `prefix_index`.
  * `--budget` prints the control budget from the slopes in a file that `--json`
- * wrote.
+ * wrote. `--coverage` prints how well daemons see each other.
  *
  * @module
  */
@@ -19,15 +20,19 @@
 import { presentLines } from "./budget/lines.ts";
 import { formatArithmetic, formatTable } from "./budget/print.ts";
 import { Slopes } from "./budget/slopes.ts";
+import { measureCoverage } from "./coverage.ts";
 import { type MeasuredSeries, runSeries } from "./measure.ts";
 import { formatHeader, formatSeries } from "./report.ts";
 import { ALL_SERIES } from "./series/mod.ts";
 
+const COVERAGE_SIZES = [20, 100, 161, 200, 300, 410];
+
 const { values } = parseArgs({
   options: {
     json: { type: "string" },
     only: { type: "string" },
     budget: { type: "string" },
+    coverage: { type: "boolean" },
   },
 });
 
@@ -44,6 +49,15 @@
   }
 }
 
+function printCoverage(): void {
+  console.log("daemons  absent, % of the time  scans with changed members, %");
+  for (const daemons of COVERAGE_SIZES) {
+    const { absentPart, changedScans } = measureCoverage(daemons);
+    const cells = [daemons, absentPart * 100, changedScans * 100];
+    console.log(cells.map((cell) => cell.toFixed(1).padStart(8)).join("  "));
+  }
+}
+
 async function measureAll(): Promise<void> {
   const chosen = ALL_SERIES.filter(({ name }) =>
     values.only === undefined || name.startsWith(values.only)
@@ -67,7 +81,8 @@
   writeFileSync(values.json, JSON.stringify({ machine, measured }, null, 2));
 }
 
-if (values.budget === undefined) await measureAll();
+if (values.coverage === true) printCoverage();
+else if (values.budget === undefined) await measureAll();
 else printBudget(values.budget);
 // Clients keep their connections open for later calls.
 process.exit();
--- a/packages/capacity/src/samples.ts
+++ b/packages/capacity/src/samples.ts
@@ -24,7 +24,8 @@
 /** Multiplier of a permutation of 32 bits: well spread and repeatable. */
 const SPREAD = 2_654_435_761;
 
-function spread(index: number): number {
+/** Spreads an index over 32 bits; the same index gives the same number. */
+export function spread(index: number): number {
   return Math.imul(index + 1, SPREAD) >>> 0;
 }
 
--- a/packages/capacity/src/series/mod.ts
+++ b/packages/capacity/src/series/mod.ts
@@ -12,6 +12,7 @@
 import { httpCallSeries } from "./http_calls.ts";
 import { limitsSeries } from "./limits.ts";
 import { membershipSeries } from "./membership.ts";
+import { orderSeries } from "./orders.ts";
 import { peerCallSeries } from "./peer_calls.ts";
 import { requestSeries } from "./requests.ts";
 import { rightsSeries } from "./rights.ts";
@@ -25,6 +26,7 @@
   ...limitsSeries,
   ...rightsSeries,
   ...commitmentSeries,
+  ...orderSeries,
   ...requestSeries,
   ...peerCallSeries,
   ...httpCallSeries,
