Test the limits and rights under random faults

Guards the escrow of rate and burst: fast-check generates fleets and faults (pauses, restarts, replacements, partitions, log outages, handovers, changes of the domains), each window of each team is compared with its limit exactly, and the capacity held is summed every 10 ms. The daemon's own tasks run under the same check in virtual time.

--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -21,6 +21,16 @@
 export { chargingDomain, computeTerms, otherDomains } from "./terms.ts";
 export type { LendingSettings } from "./terms.ts";
 export { heldTokens, levelTokens } from "./level.ts";
+export { measureRefusals } from "./measure_refusals.ts";
+export type {
+  RefusalCounts,
+  RefusalOptions,
+  RefusalScenario,
+} from "./measure_refusals.ts";
+export { Ledger } from "./simulation/ledger.ts";
+export type { LedgerLimit } from "./simulation/ledger.ts";
+export { runLimitsSeed, runLimitsSoak } from "./soak.ts";
+export type { LimitsSoakReport } from "./soak.ts";
 export { createTeamState } from "./state.ts";
 export type {
   Amount,
--- /dev/null
+++ b/packages/rights/src/fold_test.ts
@@ -0,0 +1,245 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+  brandId,
+  type FailureDomainId,
+  type LogOffset,
+  type LogRecord,
+  type TeamGroup,
+  type VmId,
+} from "@endivebend/types";
+import {
+  applyRightsRecord,
+  createRightsState,
+  decodeGroups,
+  decodeRightsState,
+  encodeGroups,
+  encodeRightsState,
+  holderOf,
+  planClaims,
+  planHandovers,
+  rebuildFromSnapshot,
+  type RightsState,
+  shareOfLimit,
+  splitsInUse,
+} from "./mod.ts";
+
+const SEED = Number(process.env.SEED ?? 20_261_204);
+const GROUP = 3 as TeamGroup;
+const VMS = ["a1", "a2", "b1", "c1"];
+const groups = encodeGroups([GROUP]);
+const domainOf = (vmId: string) => brandId<FailureDomainId>(vmId.slice(0, 1));
+
+function toRecords(values: readonly unknown[]): LogRecord[] {
+  return values.map((value, index) => ({
+    offset: brandId<LogOffset>(index),
+    appendedAtMs: index,
+    value,
+  }));
+}
+
+function fold(values: readonly unknown[]): RightsState {
+  const state = createRightsState();
+  for (const record of toRecords(values)) applyRightsRecord(state, record);
+  return state;
+}
+
+function claim(vmId: string, revision = 1) {
+  const failureDomain = domainOf(vmId);
+  return {
+    kind: "claimed",
+    vmId,
+    incarnation: "i",
+    failureDomain,
+    groups,
+    revision,
+  };
+}
+
+function setDomains(domains: string, amendsRevision = 0) {
+  return { kind: "domains_set", domains: [...domains], amendsRevision };
+}
+
+function holderIn(state: RightsState, domain: string): VmId | undefined {
+  const id = brandId<FailureDomainId>(domain);
+  return holderOf(state, { domain: id, group: GROUP });
+}
+
+const anyRecord = fc.oneof(
+  fc.constantFrom(...VMS).map((vmId) => claim(vmId)),
+  fc.record({
+    kind: fc.constant("released"),
+    vmId: fc.constantFrom(...VMS),
+    claimOffset: fc.nat(20),
+    groups: fc.constant(groups),
+  }),
+  fc.record({
+    kind: fc.constant("transferred"),
+    fromVmId: fc.constantFrom(...VMS),
+    toVmId: fc.constantFrom(...VMS),
+    claimOffset: fc.nat(20),
+    groups: fc.constant(groups),
+  }),
+  fc.record({
+    kind: fc.constant("vm_ended"),
+    vmId: fc.constantFrom(...VMS),
+    claimedBefore: fc.nat(20),
+  }),
+  fc.record({
+    kind: fc.constant("domains_set"),
+    domains: fc.subarray(["a", "b", "c"], { minLength: 1 }),
+    amendsRevision: fc.nat(3),
+  }),
+  fc.record({
+    kind: fc.constant("domains_confirmed"),
+    vmId: fc.constantFrom(...VMS),
+    revision: fc.nat(4),
+  }),
+  fc.constantFrom({ kind: "unknown" }, null, 7),
+);
+
+test("the first claim in log order holds, later claims change nothing", (t) => {
+  const state = fold([setDomains("ab"), claim("a2"), claim("a1")]);
+  t.is(holderIn(state, "a"), brandId<VmId>("a2"));
+});
+
+test("a claim made under older domains is void", (t) => {
+  const state = fold([setDomains("ab"), setDomains("abc", 1), claim("a1", 1)]);
+  t.is(holderIn(state, "a"), undefined);
+});
+
+test("a second copy of a release cannot take a newer claim away", (t) => {
+  const released = { kind: "released", vmId: "a1", claimOffset: 1, groups };
+  const state = fold([
+    setDomains("ab"),
+    claim("a1"),
+    released,
+    claim("a1"),
+    released,
+  ]);
+  t.is(holderIn(state, "a"), brandId<VmId>("a1"));
+});
+
+test("evidence from before a VM's newest claim does not end it", (t) => {
+  const ended = { kind: "vm_ended", vmId: "a1", claimedBefore: 0 };
+  const state = fold([setDomains("ab"), claim("a1"), ended]);
+  t.is(holderIn(state, "a"), brandId<VmId>("a1"));
+});
+
+test("only the holder can give a group up, and only within its domain", (t) => {
+  const transfer = (fromVmId: string, toVmId: string) => ({
+    kind: "transferred",
+    fromVmId,
+    toVmId,
+    claimOffset: 1,
+    groups,
+  });
+  const state = fold([
+    setDomains("ab"),
+    claim("a1"),
+    claim("b1"),
+    transfer("a2", "a1"),
+    transfer("a1", "b1"),
+  ]);
+  t.is(holderIn(state, "a"), brandId<VmId>("a1"));
+});
+
+test("snapshots restore the same state at every offset", (t) => {
+  t.log(`SEED=${SEED}`);
+  const records = fc.array(anyRecord, { minLength: 1, maxLength: 20 });
+  fc.assert(
+    fc.property(records, fc.nat(20), (values, cut) => {
+      const all = [setDomains("abc"), ...values];
+      const whole = fold(all);
+      const state = decodeRightsState(
+        encodeRightsState(fold(all.slice(0, cut))),
+      );
+      for (const record of toRecords(all)) applyRightsRecord(state, record);
+      return encodeRightsState(state) === encodeRightsState(whole);
+    }),
+    { seed: SEED },
+  );
+  t.pass();
+});
+
+test("a log whose beginning is gone is read from its snapshot", (t) => {
+  const values = [setDomains("ab"), claim("a1")];
+  const stateJson = encodeRightsState(fold(values));
+  const snapshot = { kind: "snapshot", asOfOffset: 2, stateJson };
+  // A record that came between the snapshot's state and its append.
+  const records = toRecords([...values, claim("b1"), snapshot]).slice(2);
+  const state = rebuildFromSnapshot(records);
+  t.is(state && holderIn(state, "a"), brandId<VmId>("a1"));
+  t.is(state && holderIn(state, "b"), brandId<VmId>("b1"));
+  t.is(rebuildFromSnapshot(records.slice(1)), undefined);
+});
+
+test("shares never sum to more than the limit on any mix of views", (t) => {
+  t.log(`SEED=${SEED}`);
+  const records = fc.array(anyRecord, { maxLength: 20 });
+  const offsets = fc.array(fc.nat(21), { minLength: 3, maxLength: 3 });
+  fc.assert(
+    fc.property(records, offsets, fc.nat(1000), (values, views, limit) => {
+      const all = [setDomains("abc"), ...values];
+      const newest = fold(all);
+      let sum = 0;
+      for (const [index, name] of ["a", "b", "c"].entries()) {
+        const domain = brandId<FailureDomainId>(name);
+        const holder = holderIn(newest, name);
+        if (holder === undefined) continue;
+        // A VM confirms only what it has applied, and knows its own claims.
+        const own = newest.vms.get(holder);
+        const lastOwn = all.findLastIndex((value) =>
+          value !== null && typeof value === "object" &&
+          "vmId" in value && value.vmId === holder
+        );
+        const least = Math.max(own?.lastClaimOffset ?? 0, lastOwn) + 1;
+        const view = fold(all.slice(0, Math.max(views[index] ?? 0, least)));
+        sum += shareOfLimit(splitsInUse(view, GROUP), { domain, limit });
+      }
+      return sum <= limit;
+    }),
+    { seed: SEED, numRuns: 2000 },
+  );
+  t.pass();
+});
+
+test("shares of a settled split use the whole limit", (t) => {
+  const state = fold([setDomains("abc")]);
+  const shares = ["a", "b", "c"].map((name) =>
+    shareOfLimit(splitsInUse(state, GROUP), {
+      domain: brandId<FailureDomainId>(name),
+      limit: 1000,
+    })
+  );
+  t.deepEqual(shares, [334, 333, 333]);
+});
+
+test("VMs claim free groups without overlap, and pass on a newcomer's", (t) => {
+  const vms = ["a1", "a2"].map((vmId) => ({
+    vmId: brandId<VmId>(vmId),
+    failureDomain: domainOf(vmId),
+  }));
+  const state = fold([setDomains("ab")]);
+  const plans = vms.map((self) => planClaims(state, { self, liveVms: vms }));
+  t.is(new Set(plans.flat()).size, 1024);
+  t.is(plans.flat().length, 1024);
+  const [first] = vms;
+  if (first === undefined) return t.fail();
+  const whole = { ...claim("a1"), groups: encodeGroups(plans.flat()) };
+  const held = fold([setDomains("ab"), whole]);
+  const handovers = planHandovers(held, { self: first, liveVms: vms });
+  const offered = [...handovers.values()].flat();
+  t.is(offered.length, 32);
+  t.true(offered.every((group) => plans[1]?.includes(group)));
+});
+
+test("a bitmap of groups survives, other text gives no groups", (t) => {
+  t.deepEqual(
+    decodeGroups(encodeGroups([0, 1023])),
+    [0, 1023].map(
+      (group) => group as TeamGroup,
+    ),
+  );
+  t.deepEqual(decodeGroups("AAAA"), []);
+});
--- a/packages/router/src/limits/rights_fold.ts
+++ b/packages/router/src/limits/rights_fold.ts
@@ -11,6 +11,7 @@
   decodeRightsState,
   encodeRightsState,
   type HolderChange,
+  parseRightsRecord,
   rebuildFromSnapshot,
   type RightsState,
 } from "@endivebend/rights";
@@ -81,6 +82,7 @@
   #applySinceGap(record: LogRecord): void {
     const records = this.#sinceGap ?? [];
     records.push(record);
+    if (parseRightsRecord(record.value)?.kind !== "snapshot") return;
     const rebuilt = rebuildFromSnapshot(records);
     if (rebuilt !== undefined) this.#replace(rebuilt);
   }
--- a/packages/router/src/limits/testing_fleet.ts
+++ b/packages/router/src/limits/testing_fleet.ts
@@ -254,6 +254,14 @@
     return vm;
   }
 
+  /** Stops all VMs. */
+  stop(): void {
+    for (const vm of this.vms.values()) {
+      vm.rights.stop();
+      vm.limits.stop();
+    }
+  }
+
   /** Charges at a VM; the promise ends when virtual time has moved on. */
   charge(
     name: string,
