--- a/packages/router/src/limits/local_holder.ts
+++ b/packages/router/src/limits/local_holder.ts
@@ -116,6 +116,7 @@
 
   /** The team's state, made on first use; undefined when not held here. */
   entry(team: TeamId): TeamEntry | undefined {
+    if (this.#stopped) return undefined;
     const known = this.#entries.get(team);
     const group = known?.group ?? groupOfTeam(team);
     const start = this.#options.rights.holding(group);
--- a/packages/router/src/limits/rights_task.ts
+++ b/packages/router/src/limits/rights_task.ts
@@ -47,6 +47,11 @@
  */
 const PEER_STATE_SETTLE_MS = 2000;
 
+/**
+ * A VM that starts waits this long for the others of its domain before it
+ * claims, so that VMs that start together need no handovers.
+ */
+const CLAIM_SETTLE_MS = 2000;
 /** A VM of the domain that is silent for so long is taken to be down. */
 const SILENT_PEER_MS = 10_000;
 
@@ -329,7 +334,7 @@
     return planUpkeep(this.#options.fold.state, {
       self: identity,
       liveVms,
-      isDraining: this.#isDraining,
+      isDraining: this.#isDraining || !this.#mayClaim(),
       proposedDomains: this.#options.failureDomains,
       hasEnded: (vmId, sinceWallMs) => membership.hasEnded(vmId, sinceWallMs),
       nowWallMs: clock.wallMs(),
@@ -340,6 +345,16 @@
     });
   }
 
+  #mayClaim(): boolean {
+    const { clock, identity, membership } = this.#options;
+    if (clock.elapsedMs() - this.#createdMs >= CLAIM_SETTLE_MS) return true;
+    const present = new Set(membership.entryVms().map((vm) => vm.vmId));
+    const known = membership.knownPeers?.() ?? [];
+    return known.every((peer) =>
+      peer.failureDomain !== identity.failureDomain || present.has(peer.vmId)
+    );
+  }
+
   async #handOver(): Promise<number> {
     const { clock, fold, identity } = this.#options;
     if (this.#isDraining || clock.elapsedMs() < this.#nextHandoverMs) {
--- a/packages/router/src/limits/testing_fleet.ts
+++ b/packages/router/src/limits/testing_fleet.ts
@@ -81,11 +81,18 @@
   }
 }
 
-/** Lets promise callbacks run until none is left. */
-export function settle(): Promise<void> {
+/** Turns of the event loop that the longest chain of calls takes. */
+const SETTLE_TURNS = 12;
+
+function nextTurn(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
 
+/** Lets promise callbacks run, so that virtual time stands still meanwhile. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < SETTLE_TURNS; turn++) await nextTurn();
+}
+
 /** The `rights` stream in memory. */
 export class MemoryLog {
   readonly records: LogRecord[] = [];
@@ -337,7 +344,7 @@
 
   #peers(from: string): PeerClients {
     const call = async (to: string, method: string, request: unknown) => {
-      await settle();
+      await nextTurn();
       const target = this.vms.get(to);
       const isCut = !target?.isReachable || !this.vms.get(from)?.isReachable;
       if (target === undefined || isCut) throw new Error("unreachable");
--- a/packages/router/src/time.ts
+++ b/packages/router/src/time.ts
@@ -29,6 +29,8 @@
       latestMs = Math.max(latestMs, monotonicMs, wallMs);
       return latestMs;
     },
+    // Tokens accrue by this: a wall clock set forward must not create any.
+    steadyMs: () => performance.now() - monotonicStartMs,
   };
 }
 
