Hold the slot of another daemon's request until it is released

The watcher released a slot when the signal of the call was aborted, and the RPC library also aborts that signal after each answer: every slot of a request that came over another daemon was given back at once, so that the engine's queue held back only the requests of the watcher itself. The signal now ends only the wait. A request whose caller has left leaves the queue, here and at the watcher; it stayed until its turn or its deadline.

Run: npx ava packages/router/src/engines/slot_handlers_test.ts (2 passed; both time out with the handler as it was)

--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -104,6 +104,8 @@
 
 interface CurrentAttempt {
   readonly id: AttemptId;
+  /** Ends the wait for a slot. */
+  readonly waiting: AbortController;
   engine: BackendServerId | undefined;
   slot: HeldSlot | undefined;
   running: RunningAttempt | undefined;
@@ -250,6 +252,7 @@
   async #startAttempt(effect: StartAttempt): Promise<void> {
     const attempt: CurrentAttempt = {
       id: effect.attemptId,
+      waiting: new AbortController(),
       engine: undefined,
       slot: undefined,
       running: undefined,
@@ -374,6 +377,7 @@
         costTokens: Math.max(1, selection.plan.prefillTokens),
         prefillTokens: selection.plan.prefillTokens,
         deadlineElapsedMs,
+        signal: attempt.waiting.signal,
         maxQueueMs: moves < MAX_MOVES
           ? selection.plan.maxWaitMs + WAIT_SLACK_MS
           : Infinity,
@@ -531,6 +535,7 @@
     const attempt = this.#attempt;
     if (attempt === undefined) return;
     this.#attempt = undefined;
+    attempt.waiting.abort();
     attempt.running?.cancel();
     attempt.hop?.end();
     this.#releaseAttempt(attempt);
--- a/packages/router/src/engines/slot_client.ts
+++ b/packages/router/src/engines/slot_client.ts
@@ -112,7 +112,10 @@
         waitMs: Math.round(waitMs),
         requestId: request.requestId,
         ...queueLimit(request),
-      }, { timeoutMs: waitMs + ANSWER_MARGIN_MS });
+      }, {
+        timeoutMs: waitMs + ANSWER_MARGIN_MS,
+        ...(request.signal === undefined ? {} : { signal: request.signal }),
+      });
       if (answer.notWatcher) return undefined;
       if (answer.load !== undefined) this.#noteLoad(answer.load);
       if (answer.moved) return { kind: "moved" };
@@ -126,8 +129,10 @@
       };
     } catch (caught) {
       if (isRefusal(caught)) throw caught;
-      metrics.increment("slot.watcher_failures");
       release(false);
+      // Nobody waits any more; that says nothing about the watcher.
+      if (request.signal?.aborted) throw caught;
+      metrics.increment("slot.watcher_failures");
       return undefined;
     }
   }
@@ -163,11 +168,6 @@
     async acquireSlot(request, context) {
       const engine = brandId<BackendServerId>(request.backendServerId);
       const requestId = brandId<RequestId>(request.requestId);
-      context.signal.addEventListener("abort", () => {
-        if (context.signal.reason !== undefined) {
-          slots.release(engine, requestId);
-        }
-      });
       try {
         const answer = await slots.acquire({
           engine,
@@ -177,6 +177,8 @@
           prefillTokens: Number(request.prefillTokens),
           deadlineElapsedMs: clock.elapsedMs() + request.waitMs,
           maxQueueMs: request.maxQueueMs ?? Infinity,
+          // It is also aborted after the answer, when the slot is in use.
+          signal: context.signal,
         });
         const load = writeEngineLoad(engine, { directory, clock });
         const known = load === undefined ? {} : { load };
--- /dev/null
+++ b/packages/router/src/engines/slot_handlers_test.ts
@@ -0,0 +1,79 @@
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import { createPeerClients, createPeerServer } from "@endivebend/peers";
+import { type BackendServerId, brandId } from "@endivebend/types";
+import { createClock, createScheduler } from "../time.ts";
+import { EngineDirectory } from "./engine_directory.ts";
+import { createSlotHandlers } from "./slot_client.ts";
+import { SlotsTask } from "./slots_task.ts";
+
+const SHARED_KEY = "0123456789abcdef0123456789abcdef";
+const engine = brandId<BackendServerId>("engine-1");
+
+/** A watcher behind a real socket, with a client of another daemon. */
+async function startWatcher(t: ExecutionContext) {
+  const clock = createClock();
+  const slots = new SlotsTask({
+    takesNewWork: () => true,
+    clock,
+    scheduler: createScheduler(),
+    metrics: { increment() {}, gauge() {}, timing() {} },
+  });
+  const directory = new EngineDirectory(clock);
+  const handlers = createSlotHandlers({ slots, directory, clock });
+  const server = createPeerServer(handlers, {
+    sharedKey: SHARED_KEY,
+    maxMessageBytes: 1 << 20,
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const clients = createPeerClients({
+    vmId: "vm-1",
+    sharedKey: SHARED_KEY,
+    timeoutMs: 60_000,
+  });
+  const client = clients.at(`127.0.0.1:${port}`);
+  const acquire = (requestId: string, signal?: AbortSignal) =>
+    client.acquireSlot({
+      backendServerId: engine,
+      team: "st-mary",
+      // So long that one of them fills the engine.
+      costTokens: 1_000_000n,
+      prefillTokens: 1_000_000n,
+      waitMs: 60_000,
+      requestId,
+    }, signal === undefined ? {} : { signal });
+  const waiting = () => slots.waitingCounts()[engine] ?? 0;
+  const untilWaiting = async (count: number) => {
+    while (waiting() !== count) await new Promise((r) => setImmediate(r));
+  };
+  const release = (permit: string) =>
+    client.releaseSlot({ permit, backendServerId: engine });
+  return { acquire, untilWaiting, release };
+}
+
+// Guards against an engine's queue that holds back nobody: the slot of another
+// daemon's request was given back as soon as the watcher had answered.
+test("a slot of another daemon is held until it is released", async (t) => {
+  const { acquire, untilWaiting, release } = await startWatcher(t);
+  t.is((await acquire("a")).permit, "a");
+  const second = acquire("b");
+  await untilWaiting(1);
+  await release("a");
+  t.is((await second).permit, "b");
+});
+
+// Guards against a queue that fills with requests whose callers have left.
+test("a wait ends when the other daemon gives it up", async (t) => {
+  const { acquire, untilWaiting } = await startWatcher(t);
+  await acquire("a");
+  const leaving = new AbortController();
+  const given = t.throwsAsync(acquire("b", leaving.signal));
+  await untilWaiting(1);
+  leaving.abort();
+  await untilWaiting(0);
+  await given;
+});
--- a/packages/router/src/engines/slots_task.ts
+++ b/packages/router/src/engines/slots_task.ts
@@ -20,6 +20,8 @@
   readonly deadlineElapsedMs: number;
   /** Above this expected wait the request would rather go elsewhere. */
   readonly maxQueueMs: number;
+  /** Aborted when nobody waits for the slot any more. */
+  readonly signal?: AbortSignal;
 }
 
 /** A slot that was given, or the word to choose again. */
@@ -60,6 +62,8 @@
    * `deadline_exceeded` when the deadline passes; neither ran.
    */
   acquire(request: SlotRequest): Promise<SlotAnswer> {
+    const { signal } = request;
+    if (signal?.aborted) return Promise.reject(signal.reason);
     const engine = this.#engine(request.engine);
     const nowMs = this.#options.clock.elapsedMs();
     const entry = {
@@ -83,8 +87,19 @@
       const { retryAfterMs } = result;
       return Promise.reject(fail(result.code, message, { retryAfterMs }));
     }
+    return this.#wait(engine, request);
+  }
+
+  #wait(engine: EngineQueue, request: SlotRequest): Promise<SlotAnswer> {
+    const { requestId, signal } = request;
     return new Promise((resolve, reject) => {
-      engine.waiters.set(request.requestId, { resolve, reject });
+      const onAbort = () => {
+        if (!engine.waiters.has(requestId)) return;
+        this.release(request.engine, requestId);
+        reject(signal?.reason);
+      };
+      engine.waiters.set(requestId, { resolve, reject });
+      signal?.addEventListener("abort", onAbort, { once: true });
       this.#pump(request.engine);
     });
   }
