--- a/packages/router/src/http/client_errors.ts
+++ b/packages/router/src/http/client_errors.ts
@@ -16,6 +16,9 @@
   readonly message: string;
 }
 
+/** Codes of the HTTP parser and of the limits on time. */
+const HTTP_ERROR_PATTERN = /^(?:HPE_|ERR_HTTP_)/;
+
 const MALFORMED: Fault = {
   code: "malformed_request",
   message: "The request is not valid HTTP/1.1",
@@ -86,7 +89,9 @@
   if (connection.hasFailed) return;
   connection.hasFailed = true;
   connection.isGivenUp = true;
-  if (error.code === "ECONNRESET" || !socket.writable) {
+  // Other errors are those of the connection, such as a failed handshake.
+  const isOfHttp = HTTP_ERROR_PATTERN.test(error.code ?? "");
+  if (!isOfHttp || !socket.writable) {
     socket.destroy();
     return;
   }
