Call peers over HTTP/1.1, one connection per call in flight

Cause: the library's HTTP/2 session manager drops its error listeners before an old session has ended, and a session that was reset or timed out then ended the process. With one HTTP/2 connection per peer a silent connection also held up every call to that peer until a ping failed.

Ruled out: catching the error on each session, which the manager creates out of reach; a process-wide handler, which would hide other faults.

npx ava packages/peers: 6 passed; the new test for broken and silent connections failed before with the uncaught error.

--- a/packages/peers/src/clients.ts
+++ b/packages/peers/src/clients.ts
@@ -5,6 +5,8 @@
  */
 
 import { randomUUID } from "node:crypto";
+import { Agent as HttpAgent } from "node:http";
+import { Agent as HttpsAgent } from "node:https";
 import {
   type Client,
   createClient,
@@ -14,8 +16,12 @@
 import { signCall } from "./credential.ts";
 import { PeerService } from "./generated/endivebend/peers/v1/peers_pb.ts";
 
-/** A connection that no call uses, such as one with old certificates, ends. */
-const IDLE_CONNECTION_TIMEOUT_MS = 30_000;
+/**
+ * A connection that no call uses, such as one with old certificates, ends. The
+ * server keeps idle connections for longer, so that a call never meets one
+ * that is being closed.
+ */
+const IDLE_CONNECTION_TIMEOUT_MS = 20_000;
 
 /** A client of one daemon. */
 export type PeerClient = Client<typeof PeerService>;
@@ -70,19 +76,24 @@
 ): PeerClient {
   const transport = createConnectTransport({
     baseUrl: `${options.tls === undefined ? "http" : "https"}://${address}`,
-    httpVersion: "2",
+    // One connection per call in flight: a connection that has gone silent
+    // holds up one call, which gives it up at its time limit. HTTP/2 would
+    // send all calls over that connection.
+    httpVersion: "1.1",
     useBinaryFormat: true,
     defaultTimeoutMs: options.timeoutMs,
-    // A connection that went silent is found by pings and replaced.
-    pingIntervalMs: options.timeoutMs,
-    pingTimeoutMs: options.timeoutMs,
-    idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
     interceptors: [options.interceptor],
-    ...(options.tls === undefined ? {} : { nodeOptions: options.tls }),
+    nodeOptions: { agent: createAgent(options.tls) },
   });
   return createClient(PeerService, transport);
 }
 
+function createAgent(tls: PeerTls | undefined): HttpAgent {
+  const settings = { keepAlive: true, timeout: IDLE_CONNECTION_TIMEOUT_MS };
+  if (tls === undefined) return new HttpAgent(settings);
+  return new HttpsAgent({ ...settings, ...tls });
+}
+
 /**
  * Makes the clients of a fleet's daemons.
  *
--- a/packages/peers/src/peers_test.ts
+++ b/packages/peers/src/peers_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { once } from "node:events";
-import { connect, constants } from "node:http2";
-import type { AddressInfo } from "node:net";
+import { request } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { Code, ConnectError } from "@connectrpc/connect";
 import {
   createPeerClients,
@@ -37,24 +37,26 @@
   };
 }
 
-/** Sends one call with a credential; gives the status and the bytes accepted. */
+/** Sends one call with a credential; gives the status. */
 async function sendRaw(address: string, options: {
   readonly credential: string;
   readonly body?: Buffer;
 }) {
-  const session = connect(`http://${address}`);
-  const stream = session.request({
-    ":method": "POST",
-    ":path": "/endivebend.peers.v1.PeerService/Charge",
-    "content-type": "application/proto",
-    "x-fleet-credential": options.credential,
+  const path = "/endivebend.peers.v1.PeerService/Charge";
+  const call = request(`http://${address}${path}`, {
+    method: "POST",
+    headers: {
+      "content-type": "application/proto",
+      "x-fleet-credential": options.credential,
+    },
   });
-  stream.on("error", () => {});
-  stream.end(options.body ?? Buffer.alloc(0));
-  const [headers] = await once(stream, "response");
-  const status = headers[constants.HTTP2_HEADER_STATUS];
-  session.destroy();
-  return status;
+  // The server may close the connection before it has read the whole body.
+  call.on("error", () => {});
+  call.end(options.body ?? Buffer.alloc(0));
+  const [response] = await once(call, "response");
+  response.resume();
+  call.destroy();
+  return response.statusCode;
 }
 
 // Guards against a credential that serves for another method, VM, time or key.
@@ -120,6 +122,34 @@
   server.close();
 });
 
+// Guards against a connection whose failure ends the whole daemon, and against
+// one that has gone silent and holds up every later call.
+test("broken and silent connections fail their own call only", async (t) => {
+  const server = await startServer();
+  const sockets: Socket[] = [];
+  let mode: "break" | "silence" = "break";
+  const relay = createServer((socket) => {
+    sockets.push(socket);
+    if (mode === "break") socket.destroy();
+  });
+  relay.listen(0, "127.0.0.1");
+  await once(relay, "listening");
+  const { port } = relay.address() as AddressInfo;
+  const options = { vmId: "vm-1", sharedKey: KEY, timeoutMs: 100 };
+  const client = createPeerClients(options).at(`127.0.0.1:${port}`);
+  await t.throwsAsync(client.charge({}));
+  mode = "silence";
+  const [one, other] = await Promise.allSettled([
+    client.charge({}),
+    client.charge({}),
+  ]);
+  t.deepEqual([one.status, other.status], ["rejected", "rejected"]);
+  t.is(sockets.length, 3, "each call has a connection of its own");
+  relay.close();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
 test("clients with another fleet key are refused, with the remedy", async (t) => {
   const server = await startServer();
   const options = { vmId: "vm-1", timeoutMs: 5000 };
--- a/packages/peers/src/server.ts
+++ b/packages/peers/src/server.ts
@@ -5,12 +5,12 @@
  */
 
 import {
-  createSecureServer,
   createServer,
-  type Http2Server,
-  type Http2ServerRequest,
-  type Http2ServerResponse,
-} from "node:http2";
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
 import {
   Code,
   ConnectError,
@@ -37,22 +37,21 @@
   readonly tls?: PeerTls;
 }
 
-/** A connection without any traffic ends; daemons exchange views all the time. */
-const SESSION_IDLE_TIMEOUT_MS = 60_000;
-/** Calls of one connection that may run at once; charges and slots wait. */
-const MAX_CONCURRENT_CALLS = 4096;
+/** Longer than clients keep an idle connection. */
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
 
-type Listener = (
-  request: Http2ServerRequest,
-  response: Http2ServerResponse,
-) => void;
+type Listener = (request: IncomingMessage, response: ServerResponse) => void;
 
-function refuse(response: Http2ServerResponse): void {
+function refuse(response: ServerResponse): void {
   const body = JSON.stringify({
     code: "unauthenticated",
     message: "Set the same peers.sharedKey on every VM of the fleet",
   });
-  response.writeHead(401, { "content-type": "application/json" });
+  response.writeHead(401, {
+    "content-type": "application/json",
+    // The body stays unread.
+    "connection": "close",
+  });
   response.end(body);
 }
 
@@ -66,7 +65,7 @@
     const nowMs = Date.now();
     const header = request.headers["x-fleet-credential"];
     const call = verifyCall(options.sharedKey, {
-      method: request.url.split("/").at(-1) ?? "",
+      method: request.url?.split("/").at(-1) ?? "",
       nowMs,
       credential: Array.isArray(header) ? undefined : header,
     });
@@ -78,12 +77,6 @@
   };
 }
 
-function endIdleSessions(server: Http2Server): void {
-  server.on("session", (session) => {
-    session.setTimeout(SESSION_IDLE_TIMEOUT_MS, () => session.destroy());
-  });
-}
-
 type AnyHandler = (request: unknown, context: HandlerContext) => unknown;
 
 /** Looks each handler up when its call comes, as it may be set later. */
@@ -102,7 +95,7 @@
 }
 
 /**
- * Makes the HTTP/2 server; the caller listens on it and closes it.
+ * Makes the HTTP server; the caller listens on it and closes it.
  *
  * @example
  * ```ts
@@ -113,34 +106,32 @@
 export function createPeerServer(
   handlers: Partial<PeerHandlers>,
   options: PeerServerOptions,
-): Http2Server {
+): Server {
   const adapter = connectNodeAdapter({
     routes: (router) => router.service(PeerService, lateHandlers(handlers)),
     readMaxBytes: options.maxMessageBytes,
     grpc: false,
     grpcWeb: false,
   });
-  const server = createHttp2Server(
+  const server = createHttpServer(
     options,
     requireCredential(options, adapter),
   );
-  endIdleSessions(server);
+  server.keepAliveTimeout = IDLE_CONNECTION_TIMEOUT_MS;
   return server;
 }
 
-function createHttp2Server(
+function createHttpServer(
   options: PeerServerOptions,
   handle: Listener,
-): Http2Server {
-  const settings = { maxConcurrentStreams: MAX_CONCURRENT_CALLS };
-  if (options.tls === undefined) return createServer({ settings }, handle);
+): Server {
+  if (options.tls === undefined) return createServer(handle);
   const { handshakeTimeoutMs: handshakeTimeout } = options;
   const secure = {
     ...options.tls,
-    settings,
     requestCert: true,
     rejectUnauthorized: true,
     ...(handshakeTimeout === undefined ? {} : { handshakeTimeout }),
   };
-  return createSecureServer(secure, handle) as unknown as Http2Server;
+  return createTlsServer(secure, handle);
 }
--- a/packages/router/src/daemon/peer_listener.ts
+++ b/packages/router/src/daemon/peer_listener.ts
@@ -5,7 +5,8 @@
  */
 
 import { once } from "node:events";
-import type { Http2SecureServer, Http2Server } from "node:http2";
+import type { Server } from "node:http";
+import type { Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { createPeerServer, type PeerHandlers } from "@endivebend/peers";
 import type { Settings, TlsSettings } from "@endivebend/settings";
@@ -34,14 +35,14 @@
 }
 
 function watchTls(
-  server: Http2Server,
+  server: Server,
   options: PeerListenerOptions & { readonly tls: TlsSettings | undefined },
 ): () => void {
   const { tls, onTls, onReload } = options;
   if (tls === undefined) return () => {};
   const apply = () => {
     const material = readPeerTlsMaterial(tls);
-    (server as unknown as Http2SecureServer).setSecureContext(material);
+    (server as TlsServer).setSecureContext(material);
     onTls?.(material);
   };
   return watchTlsFiles(tls, { apply, onReload });
