faults: count daemons that end by themselves and those not ready again

Daemons that crashed in a partition only showed as cut calls, which partitions are allowed. A daemon that ends without being killed, stopped or drained is now a missed target in every scenario, and so is one that is not ready 30 s after its start. The daemons' request time limit is set below the callers' 20 s, or calls on silent connections count as lost before the daemon gives up; a stop may take 60 s, as its own limits for outcomes and loans add up to 35 s.

--- a/packages/faults/src/harness/daemon.ts
+++ b/packages/faults/src/harness/daemon.ts
@@ -16,7 +16,8 @@
 );
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 50;
-const STOP_TIMEOUT_MS = 30_000;
+/** A stop may wait 30 s for outcomes to be in the log, and 5 s for loans. */
+const STOP_TIMEOUT_MS = 60_000;
 
 /** The ports of a daemon's listeners. */
 export interface DaemonPorts {
@@ -41,6 +42,7 @@
   readonly callersAddress: string;
   readonly operatorsAddress: string;
   readonly process: ManagedProcess;
+  #isWanted = false;
   /** When the harness last broke its connections on purpose. */
   brokenAtMs = -Infinity;
 
@@ -56,7 +58,13 @@
     this.process = new ManagedProcess({ name: vm.vmId, args, logDirectory });
   }
 
+  /** True when the process ended and the harness had not asked for it. */
+  get hasFailed(): boolean {
+    return this.#isWanted && !this.process.isRunning;
+  }
+
   start(): void {
+    this.#isWanted = true;
     this.process.start();
   }
 
@@ -85,18 +93,21 @@
     }
   }
 
-  /** Resolves with the exit code when the process ends by itself. */
+  /** Resolves with the exit code of an end that an operator asked for. */
   async whenEnded(timeoutMs: number): Promise<number | null | "running"> {
+    this.#isWanted = false;
     return await this.process.whenEnded(timeoutMs);
   }
 
   async kill(): Promise<void> {
+    this.#isWanted = false;
     this.brokenAtMs = performance.now();
     await this.process.kill();
   }
 
   /** SIGTERM; resolves with the exit code, or `killed` when it took too long. */
   async stop(): Promise<number | null | "killed"> {
+    this.#isWanted = false;
     return await this.process.stop(STOP_TIMEOUT_MS);
   }
 }
--- a/packages/faults/src/harness/daemon_settings.ts
+++ b/packages/faults/src/harness/daemon_settings.ts
@@ -40,6 +40,7 @@
       address: network.platformAddress(domain),
       timeoutMs: 1000,
       pollWaitMs: 1000,
+      ...shape.platformSettings,
     },
     peers: {
       sharedKey: SHARED_KEY,
--- a/packages/faults/src/harness/fleet_shape.ts
+++ b/packages/faults/src/harness/fleet_shape.ts
@@ -17,6 +17,8 @@
   readonly platform: Readonly<Record<string, unknown>>;
   /** Limits of the daemons that differ from their defaults. */
   readonly limits: Readonly<Record<string, unknown>>;
+  /** Settings of the daemons about the platform. */
+  readonly platformSettings: Readonly<Record<string, unknown>>;
   /** Rate and burst of teams that don't have their own. */
   readonly rate: TeamRate;
 }
@@ -37,6 +39,13 @@
   service: {},
   platform: { vmListLagMs: 500 },
   // Short limits, so that a scenario takes seconds; the ratios stay.
-  limits: { streamProgressMs: 1000, queueWaitMs: 5000, drainGraceMs: 1000 },
+  limits: {
+    streamProgressMs: 1000,
+    queueWaitMs: 5000,
+    drainGraceMs: 1000,
+    // Below the callers' own time limit, after which a call counts as lost.
+    requestTimeoutMs: 10_000,
+  },
+  platformSettings: {},
   rate: { tokenRatePerSecond: 1_000_000, burstTokens: 2_000_000 },
 };
--- a/packages/faults/src/harness/platform_gateway.ts
+++ b/packages/faults/src/harness/platform_gateway.ts
@@ -91,7 +91,7 @@
       });
       response.end(isVmList ? this.#rewriteList(bytes) : bytes);
     } catch {
-      if (!this.#isCut) request.socket.destroy();
+      if (!this.#isCut) response.destroy();
     }
   }
 
--- a/packages/faults/src/run_scenario.ts
+++ b/packages/faults/src/run_scenario.ts
@@ -7,6 +7,7 @@
 
 import type { EngineRecord, RanCall } from "@endivebend/stand-ins";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Daemon } from "./harness/daemon.ts";
 import { Fleet } from "./harness/fleet.ts";
 import { DEFAULT_SHAPE } from "./harness/fleet_shape.ts";
 import { DEFAULT_LOAD, Load } from "./load/load.ts";
@@ -73,6 +74,9 @@
     },
     addOutcomes: (...outcomes) => extra.push(...outcomes),
     check: (name, result) => checks.push({ name, ...result }),
+    startAgain: async (...daemons) => {
+      checks.push(...await startAgain(daemons));
+    },
     pass,
   };
   rotation.start();
@@ -82,7 +86,7 @@
   await pass(AFTERMATH_MS);
   await load.stop();
   await rotation.close();
-  checks.push(...await checkBackends(fleet));
+  checks.push(...await checkBackends(fleet), checkDaemons(fleet));
   const outcomes = [...load.outcomes, ...extra];
   const { bookings } = load;
   const ran = await collectRuns(fleet);
@@ -92,6 +96,21 @@
   return { name: scenario.name, seed, figures, checks, misses, harm };
 }
 
+async function startAgain(daemons: readonly Daemon[]): Promise<Check[]> {
+  for (const daemon of daemons) daemon.start();
+  return await Promise.all(daemons.map(async (daemon) => {
+    const name = `${daemon.vmId} ready again`;
+    const startedAtMs = performance.now();
+    try {
+      await daemon.whenReady();
+      const seconds = (performance.now() - startedAtMs) / 1000;
+      return { name, isMet: true, detail: `after ${seconds.toFixed(1)} s` };
+    } catch {
+      return { name, isMet: false, detail: "not ready in time" };
+    }
+  }));
+}
+
 function pass(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -122,6 +141,17 @@
   ];
 }
 
+/** No daemon ends but when the harness kills, stops or drains it. */
+function checkDaemons({ daemons }: Fleet): Check {
+  const failed = daemons.filter((daemon) => daemon.hasFailed);
+  const name = "daemons that ended by themselves";
+  return {
+    name,
+    isMet: failed.length === 0,
+    detail: [failed.length, ...failed.map(({ vmId }) => vmId)].join(" "),
+  };
+}
+
 /** A check that a count is zero. */
 export function mustBeZero(count: number): Omit<Check, "name"> {
   return { isMet: count === 0, detail: String(count) };
--- a/packages/faults/src/scenario.ts
+++ b/packages/faults/src/scenario.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Daemon } from "./harness/daemon.ts";
 import type { Fleet } from "./harness/fleet.ts";
 import type { FleetShape } from "./harness/fleet_shape.ts";
 import type { Load, LoadShape } from "./load/load.ts";
@@ -30,6 +31,8 @@
   addOutcomes(...outcomes: readonly Outcome[]): void;
   /** Adds a target of the scenario's own. */
   check(name: string, options: Omit<Check, "name">): void;
+  /** Starts a daemon again; not becoming ready is a missed target. */
+  startAgain(...daemons: readonly Daemon[]): Promise<void>;
   /** Lets the load run on. */
   pass(ms: number): Promise<void>;
 }
--- a/packages/faults/src/scenarios/combined.ts
+++ b/packages/faults/src/scenarios/combined.ts
@@ -9,7 +9,7 @@
 const everythingAtOnce: Scenario = {
   name: "everything_at_once",
   summary: "Log down, engine crash, lost service answers and a killed daemon",
-  async run({ fleet, faultBegins, pass }) {
+  async run({ fleet, faultBegins, pass, startAgain }) {
     const victim = fleet.daemons[2]!;
     faultBegins();
     await fleet.platform.control({ loseAppendAnswers: 5 });
@@ -20,9 +20,8 @@
     await victim.kill();
     await fleet.engines[2]!.standIn.control({ silence: true });
     await pass(2500);
-    victim.start();
     await fleet.platform.control({ down: false });
-    await victim.whenReady();
+    await startAgain(victim);
     await pass(2000);
   },
 };
--- a/packages/faults/src/scenarios/entry_vms.ts
+++ b/packages/faults/src/scenarios/entry_vms.ts
@@ -18,14 +18,13 @@
 const entryKilled: Scenario = {
   name: "entry_killed",
   summary: "A daemon is killed and started again on the same VM, twice",
-  async run({ fleet, faultBegins, pass }) {
+  async run({ fleet, faultBegins, pass, startAgain }) {
     const victim = fleet.daemons[0]!;
     faultBegins();
     for (let round = 0; round < 2; round++) {
       await victim.kill();
       await pass(800);
-      victim.start();
-      await victim.whenReady();
+      await startAgain(victim);
       await pass(1000);
     }
   },
@@ -75,12 +74,11 @@
   name: "rolling_restart",
   summary: "Every daemon in turn gets SIGTERM and is started again",
   isPlanned: true,
-  async run({ fleet, faultBegins, check, pass }) {
+  async run({ fleet, faultBegins, check, pass, startAgain }) {
     faultBegins();
     for (const daemon of fleet.daemons) {
       await stopCleanly(daemon, check);
-      daemon.start();
-      await daemon.whenReady();
+      await startAgain(daemon);
       await pass(500);
     }
   },
@@ -102,11 +100,10 @@
 const massRestart: Scenario = {
   name: "mass_restart",
   summary: "All daemons are killed at once and started again",
-  async run({ fleet, faultBegins, pass }) {
+  async run({ fleet, faultBegins, pass, startAgain }) {
     faultBegins();
     await Promise.all(fleet.daemons.map((daemon) => daemon.kill()));
-    for (const daemon of fleet.daemons) daemon.start();
-    await Promise.all(fleet.daemons.map((daemon) => daemon.whenReady()));
+    await startAgain(...fleet.daemons);
     await pass(3000);
   },
 };
@@ -114,16 +111,15 @@
 const massRestartLogDown: Scenario = {
   name: "mass_restart_log_down",
   summary: "One domain's daemons restart while the log is down",
-  async run({ fleet, faultBegins, pass }) {
+  async run({ fleet, faultBegins, pass, startAgain }) {
     const [domain] = fleet.shape.domains;
     const restarted = fleet.daemons.filter((one) => one.domain === domain);
     faultBegins();
     await fleet.platform.control({ down: "refuse" });
     await Promise.all(restarted.map((daemon) => daemon.kill()));
-    for (const daemon of restarted) daemon.start();
-    await pass(5000);
+    await startAgain(...restarted);
+    await pass(4000);
     await fleet.platform.control({ down: false });
-    await Promise.all(restarted.map((daemon) => daemon.whenReady()));
     await pass(1000);
   },
 };
@@ -131,13 +127,30 @@
 const restartAfterTruncation: Scenario = {
   name: "restart_after_truncation",
   summary: "A daemon restarts after the log dropped its oldest configuration",
-  async run({ fleet, faultBegins, pass }) {
+  async run({ fleet, faultBegins, pass, startAgain }) {
     const victim = fleet.daemons[0]!;
     faultBegins();
     await fleet.platform.control({ retentionRecords: 1 });
     await victim.kill();
-    victim.start();
-    await victim.whenReady();
+    await startAgain(victim);
+    await pass(2000);
+  },
+};
+
+const RETENTION_MS = 12_000;
+
+const restartAfterRetention: Scenario = {
+  name: "restart_after_retention",
+  summary: "All daemons restart when the log keeps nothing but snapshots",
+  shape: {
+    platform: { vmListLagMs: 500, retentionMs: RETENTION_MS },
+    platformSettings: { logRetentionMs: RETENTION_MS },
+  },
+  async run({ fleet, faultBegins, pass, startAgain }) {
+    await pass(RETENTION_MS * 1.5);
+    faultBegins();
+    await Promise.all(fleet.daemons.map((daemon) => daemon.kill()));
+    await startAgain(...fleet.daemons);
     await pass(2000);
   },
 };
@@ -153,4 +166,5 @@
   massRestart,
   massRestartLogDown,
   restartAfterTruncation,
+  restartAfterRetention,
 ];
--- a/packages/faults/src/scenarios/partitions.ts
+++ b/packages/faults/src/scenarios/partitions.ts
@@ -59,7 +59,7 @@
   name: "isolated_twice_with_kill",
   summary: "A domain is isolated, loses a daemon, and is isolated again",
   async run(context) {
-    const { fleet, faultBegins, pass } = context;
+    const { fleet, faultBegins, pass, startAgain } = context;
     const [one, other] = firstTwoDomains(context);
     const victim = fleet.daemons.find(({ domain }) => domain === one)!;
     faultBegins();
@@ -70,10 +70,9 @@
       if (round === 0) await victim.kill();
       await pass(1500);
       fleet.network.heal();
-      if (round === 0) victim.start();
+      if (round === 0) await startAgain(victim);
       await pass(1500);
     }
-    await victim.whenReady();
   },
 };
 
--- a/packages/faults/src/scenarios/rates.ts
+++ b/packages/faults/src/scenarios/rates.ts
@@ -140,12 +140,11 @@
   name: "rate_under_kills",
   summary: "A greedy team, while daemons are killed and started again",
   async run(context) {
-    const { fleet, pass } = context;
+    const { fleet, pass, startAgain } = context;
     await greedUnder(context, async () => {
       for (const daemon of fleet.daemons.slice(0, 3)) {
         await daemon.kill();
-        daemon.start();
-        await daemon.whenReady();
+        await startAgain(daemon);
         await pass(500);
       }
     });
--- a/packages/faults/src/scenarios/services.ts
+++ b/packages/faults/src/scenarios/services.ts
@@ -85,8 +85,7 @@
     await victim.kill();
     await Promise.all(atVictim);
     await repeatEverywhere(context, bookings);
-    victim.start();
-    await victim.whenReady();
+    await context.startAgain(victim);
     await repeatEverywhere(context, bookings);
     load.bookings.push(...bookings);
     context.addOutcomes(...bookings.flatMap(({ attempts }) => attempts));
