Leave out engines that nobody has told of for three seconds

Cause: behind a partition an engine neither refuses nor answers, so prompts went to it until the time limit of their first token, 30 s by default. Loads come every 250 ms and travel every 500 ms, so a server that was heard of and is silent for 3 s is now chosen only when there is no other. Of equally busy plain services the one in the own failure domain is taken.

npx ava packages/membership packages/router/src: passed; the new test gives the time at which a silent server counts as stale.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -19,6 +19,8 @@
 export const PEER_ABSENT_AFTER_MS = 5000;
 /** A silent peer that is not listed is forgotten after this time. */
 const PEER_FORGOTTEN_AFTER_MS = 10 * 60_000;
+/** Watchers read loads every 250 ms, and views are swapped every 500 ms. */
+const SERVER_STALE_AFTER_MS = 3000;
 /** How long a failed backend server is left out before it is tried again. */
 export const FIRST_SUSPICION_MS = 250;
 const LARGEST_SUSPICION_MS = 4000;
@@ -57,6 +59,11 @@
   readonly incarnation: string | undefined;
   readonly weightsVersion: WeightsVersion | undefined;
   readonly takesNewWork: boolean;
+  /**
+   * Nobody has told anything of the server for a while, though it was heard of
+   * before: it may lie behind a partition.
+   */
+  readonly isStale: boolean;
 }
 
 interface PeerState {
@@ -217,6 +224,8 @@
       incarnation: state?.incarnation,
       weightsVersion: state?.weightsVersion,
       takesNewWork: !isLeaving && !isSuspect,
+      isStale: state !== undefined && state.asOfMs > -Infinity &&
+        nowMs - state.asOfMs > SERVER_STALE_AFTER_MS,
     };
   }
 
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -71,6 +71,20 @@
   t.is(membership.backendServer(engineId, 60)?.incarnation, "new");
 });
 
+// Guards against prompts that wait for an engine behind a partition.
+test("a server that nobody tells of any more is stale until it is heard of", (t) => {
+  const membership = createMembership([engine("e1")]);
+  const isStaleAt = (nowMs: number) =>
+    membership.backendServer(engineId, nowMs)?.isStale;
+  t.false(isStaleAt(60_000), "never heard of");
+  const answer = { incarnation: "i", weightsVersion: undefined };
+  membership.noteServerAnswer(engineId, { ...answer, asOfMs: 60_000 });
+  t.false(isStaleAt(62_000));
+  t.true(isStaleAt(64_000));
+  membership.noteServerAnswer(engineId, { ...answer, asOfMs: 64_000 });
+  t.false(isStaleAt(64_000));
+});
+
 test("a silent or draining peer owns no soft state", (t) => {
   const membership = createMembership([entryVm("p1"), entryVm("p2")]);
   const note = {
--- a/packages/router/src/engines/engine_selector.ts
+++ b/packages/router/src/engines/engine_selector.ts
@@ -111,8 +111,10 @@
       (input.weightsVersion === undefined ||
         server.weightsVersion === input.weightsVersion)
     );
-    const fresh = matching.filter((server) => !input.avoid.has(server.id));
-    const usable = fresh.length > 0 ? fresh : matching;
+    const usable = preferred(matching, [
+      (server) => !input.avoid.has(server.id),
+      (server) => !server.isStale,
+    ]);
     if (usable.length > 0) return usable;
     this.#options.explainer.record(input.requestId, {
       step: "route",
@@ -279,6 +281,17 @@
   }
 }
 
+/** Applies each wish in turn, unless it would leave no server. */
+function preferred(
+  servers: readonly BackendServerView[],
+  wishes: readonly ((server: BackendServerView) => boolean)[],
+): readonly BackendServerView[] {
+  return wishes.reduce((left, wish) => {
+    const wished = left.filter(wish);
+    return wished.length > 0 ? wished : left;
+  }, servers);
+}
+
 function versionOf(server: BackendServerView): WeightsVersion {
   return server.weightsVersion ?? brandId<WeightsVersion>("");
 }
--- a/packages/router/src/orders/testing/order_fleet.ts
+++ b/packages/router/src/orders/testing/order_fleet.ts
@@ -184,6 +184,7 @@
             incarnation: undefined,
             weightsVersion: undefined,
             takesNewWork: true,
+      isStale: false,
           }
           : undefined,
       onChange: () => () => {},
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -233,6 +233,8 @@
   readonly incarnation: string | undefined;
   readonly weightsVersion: WeightsVersion | undefined;
   readonly takesNewWork: boolean;
+  /** Not heard of lately; used only when no other server is there. */
+  readonly isStale: boolean;
 }
 
 /** The view of VMs and backend servers. */
--- a/packages/router/src/services/dispatcher.ts
+++ b/packages/router/src/services/dispatcher.ts
@@ -12,6 +12,7 @@
   BackendServerView,
   Clock,
   Explainer,
+  Identity,
   MembershipView,
   ServiceAnswer,
   ServiceCall,
@@ -48,6 +49,7 @@
 
 /** What the dispatcher needs of its neighbours. */
 export interface HttpServiceDispatcherOptions {
+  readonly identity: Identity;
   readonly membership: MembershipView;
   readonly notes: {
     noteServerFailure(id: BackendServerView["id"]): void;
@@ -93,12 +95,18 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
+  /** The server with the fewest calls of this router; of equal ones a near one. */
   #leastBusy(call: ServiceCall): BackendServerView {
     const { service } = call.route;
-    const servers = this.#options.membership.backendServers(service)
+    const { membership, identity } = this.#options;
+    const servers = membership.backendServers(service)
       .filter((server) => server.takesNewWork);
+    const running = (server: BackendServerView) =>
+      this.#running.get(server.id) ?? 0;
+    const distance = (server: BackendServerView) =>
+      server.entry.failureDomain === identity.failureDomain ? 0 : 1;
     const [first] = [...servers].sort((left, right) =>
-      (this.#running.get(left.id) ?? 0) - (this.#running.get(right.id) ?? 0)
+      running(left) - running(right) || distance(left) - distance(right)
     );
     if (first !== undefined) return first;
     const message = `No backend server of ${service} takes new work`;
