--- a/packages/configuration/src/routes.ts
+++ b/packages/configuration/src/routes.ts
@@ -10,7 +10,7 @@
  * A backend server may resolve these to another path than the router sees, so
  * that a path with one of them could leave its prefix.
  */
-const DETOUR_PATTERN = /\/\.{1,2}(?:\/|$)|\/\/|\\|%2e|%2f|%5c|%00/i;
+const DETOUR_PATTERN = /\/\.{1,2}(?:[/;]|$)|\/\/|\\|%2e|%2f|%5c|%00/i;
 
 function covers(prefix: string, path: string): boolean {
   if (!path.startsWith(prefix)) return false;
--- a/packages/router/src/callers/model_request.ts
+++ b/packages/router/src/callers/model_request.ts
@@ -12,6 +12,7 @@
   countTokens,
   type ModelName,
 } from "@endivebend/types";
+import { readSampling } from "./sampling_fields.ts";
 
 /** Which of the two conventional bodies and answers is used. */
 export type ModelRequestShape = "chat" | "text";
@@ -33,16 +34,10 @@
   readonly passThrough: Readonly<Record<string, unknown>>;
 }
 
-const PASSED_FIELDS = [
-  "temperature",
-  "top_p",
-  "seed",
-  "stop",
-  "presence_penalty",
-  "frequency_penalty",
-  "user",
-];
 const MAX_TOKENS_LIMIT = 1_000_000;
+const LONE_SURROGATE = /\p{Surrogate}/u;
+/** A refusal repeats the name, so that it may not be of any length. */
+const MAX_NAME_CHARS = 256;
 
 type Json = Readonly<Record<string, unknown>>;
 
@@ -55,6 +50,10 @@
   if (typeof model !== "string" || model === "") {
     throw malformed("model", "The field model must be a non-empty string");
   }
+  if (model.length > MAX_NAME_CHARS) {
+    const message = `model must have at most ${MAX_NAME_CHARS} characters`;
+    throw malformed("model", message);
+  }
   return brandId<ModelName>(model);
 }
 
@@ -141,11 +140,6 @@
   },
 };
 
-function readPassThrough(body: Json): Json {
-  const passed = PASSED_FIELDS.filter((field) => body[field] !== undefined);
-  return Object.fromEntries(passed.map((field) => [field, body[field]]));
-}
-
 /**
  * Checks a body. Throws `malformed_request` with the field at fault.
  *
@@ -166,6 +160,12 @@
     throw malformed("n", "Only n = 1 is offered; send one request per answer");
   }
   const { promptText, engineInput } = PROMPT_READERS[options.shape](body);
+  // Halves of a surrogate pair are all the same in UTF-8, so that two different
+  // prompts would have the same cached blocks.
+  if (LONE_SURROGATE.test(promptText)) {
+    const field = options.shape === "chat" ? "messages" : "prompt";
+    throw malformed(field, `${field} holds half of a surrogate pair`);
+  }
   return {
     shape: options.shape,
     model: readModel(body),
@@ -175,6 +175,6 @@
     maxTokens: readMaxTokens(body, options.defaultMaxTokens),
     stream: readFlag(body, "stream"),
     includeUsage: readIncludeUsage(body),
-    passThrough: readPassThrough(body),
+    passThrough: readSampling(body),
   };
 }
--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -37,10 +37,12 @@
   const methods = ROUTE_METHODS.filter((method) =>
     findRoute(team.routes, { ...call, method }) !== undefined
   );
+  // Messages reach spans, and callers put secrets into queries.
+  const [path] = call.path.split("?", 1);
   if (methods.length === 0) {
-    throw fail("unknown_route", `No route of the team covers ${call.path}`);
+    throw fail("unknown_route", `No route of the team covers ${path}`);
   }
-  const message = `${call.method} is not offered on ${call.path}`;
+  const message = `${call.method} is not offered on ${path}`;
   const remedy = `Use one of ${methods.join(", ")}`;
   throw fail("method_not_allowed", message, { remedy });
 }
--- /dev/null
+++ b/packages/router/src/http/json_depth_test.ts
@@ -0,0 +1,35 @@
+import test from "ava";
+import fc from "fast-check";
+import { isNestedDeeper } from "./json_depth.ts";
+
+function depthOf(value: unknown): number {
+  if (typeof value !== "object" || value === null) return 0;
+  return 1 + Math.max(0, ...Object.values(value).map(depthOf));
+}
+
+// Guards against brackets in strings that count as nesting, and against
+// escaped quotes that hide real nesting.
+test("the depth is that of the value, whatever its strings hold", (t) => {
+  const seed = Number(process.env.SEED ?? 20261204);
+  t.log(`seed ${seed}; set SEED for another`);
+  const text = fc.stringMatching(/^["\\[\]{}a]*$/);
+  const value = fc.letrec((tie) => ({
+    tree: fc.oneof(
+      { depthSize: "small" },
+      text,
+      fc.integer(),
+      fc.array(tie("tree")),
+      fc.dictionary(text, tie("tree")),
+    ),
+  })).tree;
+  fc.assert(
+    fc.property(value, (tree) => {
+      const depth = depthOf(tree);
+      const json = Buffer.from(JSON.stringify(tree));
+      t.false(isNestedDeeper(json, depth));
+      if (depth > 0) t.true(isNestedDeeper(json, depth - 1));
+    }),
+    { seed, numRuns: 500 },
+  );
+  t.false(isNestedDeeper(Buffer.from('"no end \\"[[[['), 0));
+});
--- a/packages/router/src/testing_deployment.ts
+++ b/packages/router/src/testing_deployment.ts
@@ -148,8 +148,10 @@
 
   async addDaemon(
     limits: Readonly<Record<string, unknown>> = {},
+    others: Readonly<Record<string, unknown>> = {},
   ): Promise<Daemon> {
-    const settings = this.#settings(`vm-${this.daemons.length + 1}`, limits);
+    const vmId = `vm-${this.daemons.length + 1}`;
+    const settings = this.#settings(vmId, { limits, ...others });
     const daemon = await startDaemon(settings);
     this.daemons.push(daemon);
     return daemon;
@@ -276,7 +278,10 @@
     await this.platform.close();
   }
 
-  #settings(vmId: string, limits: Readonly<Record<string, unknown>>): Settings {
+  #settings(
+    vmId: string,
+    changed: Readonly<Record<string, unknown>> & { readonly limits: object },
+  ): Settings {
     const listener = { host: "127.0.0.1", port: 0 };
     const sha256 = createHash("sha256").update(TEST_OPERATOR_KEY).digest("hex");
     const text = JSON.stringify({
@@ -295,7 +300,8 @@
       },
       operators: { keys: [{ name: "test", sha256 }] },
       log: { level: "silent" },
-      limits: { drainGraceMs: 0, loanLeaseMs: 100, ...limits },
+      ...changed,
+      limits: { drainGraceMs: 0, loanLeaseMs: 100, ...changed.limits },
     });
     const parsed = parseSettings(text);
     if (parsed.ok) return parsed.settings;
