--- a/packages/capacity/src/series/peer_calls.ts
+++ b/packages/capacity/src/series/peer_calls.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Http2Server } from "node:http2";
+import type { Server } from "node:http";
 import {
   createPeerClients,
   createPeerServer,
@@ -26,7 +26,7 @@
 const LOADS_PER_VIEW = 29;
 const VIEW = viewWith(LOADS_PER_VIEW);
 
-function startPeer(): Http2Server {
+function startPeer(): Server {
   return createPeerServer({
     exchange: () => ({ view: VIEW }),
     charge: () => ({
