Take the router's shared types from the packages that define them

RouteRule, TeamView, TeamLimits, the backend server view, the metrics and logger interfaces and the log's answers stood twice, in ports.ts and in the package that produces them.

--- a/packages/router/src/log/follower_gap_test.ts
+++ b/packages/router/src/log/follower_gap_test.ts
@@ -27,7 +27,12 @@
       const answer = left.shift();
       if (answer !== undefined) return Promise.resolve(answer);
       onEnd();
-      return Promise.resolve({ kind: "records", records: [], nextOffset: 12 });
+      return Promise.resolve({
+        kind: "records",
+        records: [],
+        firstOffset: 0,
+        nextOffset: 12,
+      });
     },
   };
 }
@@ -40,9 +45,19 @@
     stream: "configuration",
     fold: { apply: () => {}, onGap: (offset) => gaps.push(offset) },
     log: scriptLog([
-      { kind: "records", records: [0, 1, 2].map(makeRecord), nextOffset: 3 },
+      {
+        kind: "records",
+        records: [0, 1, 2].map(makeRecord),
+        firstOffset: 0,
+        nextOffset: 3,
+      },
       { kind: "truncated", firstOffset: 10 },
-      { kind: "records", records: [10, 11].map(makeRecord), nextOffset: 12 },
+      {
+        kind: "records",
+        records: [10, 11].map(makeRecord),
+        firstOffset: 0,
+        nextOffset: 12,
+      },
     ], () => follower.stop()),
     peers: { fetch: () => Promise.resolve(undefined) },
     clock: { wallMs: () => 0, elapsedMs: () => 0 },
--- a/packages/router/src/log/follower_test.ts
+++ b/packages/router/src/log/follower_test.ts
@@ -125,7 +125,7 @@
     log: {
       append() {
         const records = [makeRecord(0, "mine")];
-        pages.push({ kind: "records", records, nextOffset: 1 });
+        pages.push({ kind: "records", records, firstOffset: 0, nextOffset: 1 });
         return Promise.resolve<AppendAnswer>({ kind: "lost", reason: "reset" });
       },
       read() {
--- a/packages/router/src/log/log_client.ts
+++ b/packages/router/src/log/log_client.ts
@@ -4,30 +4,11 @@
  * @module
  */
 
+import type { AppendAnswer, ReadAnswer } from "@endivebend/platform-client";
 import type { LogRecord, LogStream } from "@endivebend/types";
 import type { AppendRecord } from "../ports.ts";
 
-/** The result of one append call. */
-export type AppendAnswer =
-  | { readonly kind: "appended"; readonly firstOffset: number }
-  /** The platform certainly did not take the records. */
-  | {
-    readonly kind: "refused";
-    readonly reason: string;
-    /** Set when the append rate was exceeded. */
-    readonly retryAfterMs?: number;
-  }
-  /** The answer was lost; the records may be in the log. */
-  | { readonly kind: "lost"; readonly reason: string };
-
-/** The result of one read call. */
-export type ReadAnswer =
-  | {
-    readonly kind: "records";
-    readonly records: readonly LogRecord[];
-    readonly nextOffset: number;
-  }
-  | { readonly kind: "truncated"; readonly firstOffset: number };
+export type { AppendAnswer, ReadAnswer };
 
 /** Access to the log; reads throw when the platform does not answer. */
 export interface LogClient {
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -5,6 +5,13 @@
  * @module
  */
 
+import type {
+  RouteRule,
+  TeamLimits,
+  TeamView,
+} from "@endivebend/configuration";
+import type { ServerView } from "@endivebend/membership";
+import type { MetricsSink, StructuredLogger } from "@endivebend/telemetry";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -13,16 +20,16 @@
   LogOffset,
   LogRecord,
   LogStream,
-  ModelName,
   RequestId,
   ServiceName,
   Sha256Digest,
   TeamId,
   VmEntry,
   VmId,
-  WeightsVersion,
 } from "@endivebend/types";
 
+export type { RouteRule, TeamLimits, TeamView };
+
 /** The only source of time for tasks. */
 export interface Clock {
   /** Wall-clock time in milliseconds since 1970; may jump. */
@@ -135,39 +142,6 @@
   charge(input: ChargeInput): Promise<ChargeResult>;
 }
 
-/** Rate and burst of a team over the whole fleet. */
-export interface TeamLimits {
-  readonly rateTokensPerSecond: number;
-  readonly burstTokens: number;
-}
-
-/** A route to a plain service, as a team's template names it. */
-export interface RouteRule {
-  /** Path prefix such as `/bookings`; it covers the paths below it too. */
-  readonly path: string;
-  readonly methods: readonly string[];
-  readonly service: ServiceName;
-  /** False for calls that must run at most once. */
-  readonly repeatable: boolean;
-  /** Open routes need no key. */
-  readonly open: boolean;
-  readonly costTokens: number;
-  /** The service recognizes a repeated Idempotency-Key by itself. */
-  readonly deduplicates: boolean;
-  /** A non-repeatable call without a key may run once while the log is away. */
-  readonly unkeyed: boolean;
-  readonly requireTimedKeys: boolean;
-}
-
-/** What a daemon needs to know of a team for a request. */
-export interface TeamView {
-  readonly team: TeamId;
-  readonly limits: TeamLimits;
-  readonly services: readonly ServiceName[];
-  readonly models: readonly ModelName[];
-  readonly routes: readonly RouteRule[];
-}
-
 /** The result of checking a key. */
 export type KeyCheck =
   | { readonly kind: "valid"; readonly team: TeamId; readonly keyId: KeyId }
@@ -226,16 +200,7 @@
 }
 
 /** A backend server as this daemon sees it now. */
-export interface BackendServerView {
-  readonly id: BackendServerId;
-  readonly entry: VmEntry;
-  /** Undefined until the server was reached once. */
-  readonly incarnation: string | undefined;
-  readonly weightsVersion: WeightsVersion | undefined;
-  readonly takesNewWork: boolean;
-  /** Not heard of lately; used only when no other server is there. */
-  readonly isStale: boolean;
-}
+export type BackendServerView = ServerView;
 
 /** The view of VMs and backend servers. */
 export interface MembershipView {
@@ -273,23 +238,7 @@
 }
 
 /** Counters and gauges; names are listed in docs/metrics.md. */
-export interface Metrics {
-  increment(name: string, tags?: Readonly<Record<string, string>>): void;
-  gauge(
-    name: string,
-    value: number,
-    options?: { readonly tags?: Readonly<Record<string, string>> },
-  ): void;
-  timing(
-    name: string,
-    valueMs: number,
-    options?: { readonly tags?: Readonly<Record<string, string>> },
-  ): void;
-}
+export type Metrics = Pick<MetricsSink, "increment" | "gauge" | "timing">;
 
 /** Log lines for changes of state. */
-export interface Logger {
-  info(fields: Readonly<Record<string, unknown>>, message: string): void;
-  warn(fields: Readonly<Record<string, unknown>>, message: string): void;
-  error(fields: Readonly<Record<string, unknown>>, message: string): void;
-}
+export type Logger = StructuredLogger;
