Let operators list engines and give them orders

POST /operator/v1/orders checks an order before anything reaches the log and answers when it has ended. An order that did not end in time is reported as unknown, because the engine may yet carry it out; the command ends with code 4 then. A planned stop waits for operators' requests, which it cut before.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -5,6 +5,7 @@
  */
 
 import { type BaseContext, Builtins, Cli, type CommandClass } from "clipanion";
+import { EngineListCommand, EngineOrderCommand } from "./commands/engines.ts";
 import {
   KeyGrantCommand,
   KeyListCommand,
@@ -55,6 +56,8 @@
   KeyListCommand,
   VmListCommand,
   VmDrainCommand,
+  EngineListCommand,
+  EngineOrderCommand,
   StatusCommand,
   ExplainCommand,
   StandInPlatformCommand,
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -82,7 +82,7 @@
   t.is(overview.exitCode, EXIT_CODES.ok);
   const paths = [...overview.stdout.matchAll(/^ {2}endivebend (.+?) {2}/gm)]
     .map(([, path]) => path!.split(" "));
-  t.is(paths.length, 22);
+  t.is(paths.length, 24);
   const groups = new Set(
     paths.filter(({ length }) => length > 1)
       .map(([group]) => group!),
@@ -225,3 +225,48 @@
   const { teams } = JSON.parse(stdout);
   t.deepEqual(teams.map((entry: { team: string }) => entry.team), ["a", "b"]);
 });
+
+// Guards against an order whose end a script cannot tell from its refusal.
+test("an order prints its end, and each other end has its exit code", async (t) => {
+  const input = ["engine", "order", "engine-1", "--kind", "load_model"];
+  const model = ["--model", "chime-llm", "--weights-version", "v2"];
+  const remedy = "Read the list";
+  const verdict = { engineId: "engine-1", message: "It ended so", remedy };
+  const refusal = { message: "No engine", remedy, ran: "not_run" };
+  const cases: readonly (readonly [Answer, number, RegExp])[] = [
+    [reply(200, { ...verdict, verdict: "accepted", fence: 7 }), 0, /fence 7/],
+    [reply(409, { ...verdict, verdict: "refused" }), 1, /It ended so/],
+    [reply(202, { ...verdict, verdict: "unknown" }), 4, /It ended so/],
+    [reply(422, { error: refusal }), 1, /No engine/],
+    [(response) => void response.destroy(), 4, /engine list/],
+  ];
+  for (const [answer, exitCode, pattern] of cases) {
+    const daemon = await startDaemon(answer);
+    const result = await run([...input, ...model], daemon.env);
+    daemon.close();
+    t.is(result.exitCode, exitCode, result.stderr);
+    t.regex(result.stdout + result.stderr, pattern);
+    t.like(daemon.calls[0], {
+      path: "/operator/v1/orders",
+      body: { engineId: "engine-1", weightsVersion: "v2", waitMs: 30_000 },
+    });
+  }
+  const daemon = await startDaemon(reply(200, { verdict: "accepted" }));
+  t.teardown(daemon.close);
+  const { stdout } = await run([...input, ...model, "--json"], daemon.env);
+  t.is(JSON.parse(stdout).verdict, "accepted");
+  const wrong = await run([...input, ...model, "--wait-ms", "x"], daemon.env);
+  t.is(wrong.exitCode, EXIT_CODES.wrongUsage);
+  const incomplete = await run(input, daemon.env);
+  t.is(incomplete.exitCode, EXIT_CODES.wrongUsage);
+  const engine = {
+    engineId: "engine-1",
+    service: "chime-llm",
+    weightsVersion: null,
+    openOrder: { kind: "load_model", model: "chime-llm", weightsVersion: "v2" },
+  };
+  const listing = await startDaemon(reply(200, { engines: [engine] }));
+  t.teardown(listing.close);
+  const list = await run(["engine", "list"], listing.env);
+  t.regex(list.stdout, /engine-1 .* load_model chime-llm v2/);
+});
--- a/packages/cli/src/help.ts
+++ b/packages/cli/src/help.ts
@@ -16,6 +16,7 @@
   team: "customer groups with keys and limits of their own",
   key: "the keys of teams",
   vm: "entry VMs and their drains",
+  engine: "model engines and the orders to them",
   "stand-in": "stand-ins of the platform and of backend servers, for tests",
 };
 
--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -41,6 +41,15 @@
   readonly body: unknown;
 }
 
+interface CallOptions {
+  /** Unset for a call that only reads. */
+  readonly body?: Readonly<Record<string, unknown>>;
+  readonly recordId?: string;
+  /** What to do when the connection breaks off after the call was sent. */
+  readonly brokenRemedy?: string;
+  readonly timeoutMs?: number;
+}
+
 interface Refusal {
   readonly message: string;
   readonly remedy: string;
@@ -74,9 +83,9 @@
 
   /** Reads; throws unless the answer is 200. */
   async get<Body>(path: string): Promise<Body> {
-    const answer = await this.#call(path, undefined);
+    const answer = await this.#call(path, {});
     if (answer.status === 200) return answer.body as Body;
-    throw this.#toError(answer, undefined);
+    throw this.#toError(answer, {});
   }
 
   /** Changes; gives every verdict and throws on any other answer. */
@@ -84,10 +93,26 @@
     path: string,
     body: Readonly<Record<string, unknown>> & { readonly recordId: string },
   ): Promise<OperatorAnswer> {
-    const answer = await this.#call(path, body);
+    const { recordId } = body;
+    const brokenRemedy = `Repeat the command with --record-id ${recordId}`;
+    return await this.#change(path, { body, recordId, brokenRemedy });
+  }
+
+  /** Gives an order and waits for its end; gives every verdict. */
+  async order(
+    body: Readonly<Record<string, unknown>> & { readonly waitMs: number },
+  ): Promise<OperatorAnswer> {
+    const timeoutMs = body.waitMs + ANSWER_TIMEOUT_MS;
+    const brokenRemedy = "Read endivebend engine list, then order again";
+    const path = "/operator/v1/orders";
+    return await this.#change(path, { body, timeoutMs, brokenRemedy });
+  }
+
+  async #change(path: string, options: CallOptions): Promise<OperatorAnswer> {
+    const answer = await this.#call(path, options);
     const { verdict } = (answer.body ?? {}) as { readonly verdict?: unknown };
     if (typeof verdict === "string") return answer;
-    throw this.#toError(answer, body.recordId);
+    throw this.#toError(answer, options);
   }
 
   close(): Promise<void> {
@@ -96,28 +121,31 @@
 
   async #call(
     path: string,
-    body: { readonly recordId: string } | undefined,
+    options: CallOptions,
   ): Promise<OperatorAnswer> {
+    const { body, timeoutMs = ANSWER_TIMEOUT_MS } = options;
     const { address, key, tls } = this.#options;
     const scheme = tls === undefined ? "http" : "https";
     try {
       const response = await request(`${scheme}://${address}${path}`, {
         dispatcher: this.#agent,
         method: body === undefined ? "GET" : "POST",
+        headersTimeout: timeoutMs,
         headers: { authorization: `Bearer ${key}` },
         ...(body === undefined ? {} : { body: JSON.stringify(body) }),
       });
       const text = await response.body.text();
       return { status: response.statusCode, body: JSON.parse(text) };
     } catch (cause) {
-      throw this.#toBrokenCall(cause, body?.recordId);
+      throw this.#toBrokenCall(cause, options);
     }
   }
 
-  #toBrokenCall(cause: unknown, recordId: string | undefined) {
+  #toBrokenCall(cause: unknown, options: CallOptions) {
     const { address } = this.#options;
+    const { brokenRemedy, recordId } = options;
     const code = codeOf(cause);
-    if (recordId === undefined || NOT_SENT_CODES.has(code)) {
+    if (brokenRemedy === undefined || NOT_SENT_CODES.has(code)) {
       return failCommand(`No daemon answers at ${address}: ${code}`, {
         exitCode: EXIT_CODES.unreachable,
         remedy:
@@ -126,14 +154,15 @@
     }
     return failCommand(`The connection to ${address} broke off: ${code}`, {
       exitCode: EXIT_CODES.outcomeUnknown,
-      remedy: `Repeat the command with --record-id ${recordId}`,
-      recordId,
+      remedy: brokenRemedy,
+      ...(recordId === undefined ? {} : { recordId }),
     });
   }
 
-  #toError(answer: OperatorAnswer, recordId: string | undefined) {
+  #toError(answer: OperatorAnswer, options: CallOptions) {
+    const { recordId } = options;
     const refusal = readRefusal(answer.body);
-    const isUnknown = recordId !== undefined && refusal?.ran !== "not_run";
+    const isUnknown = options.body !== undefined && refusal?.ran !== "not_run";
     if (refusal === undefined) {
       const message = `The daemon gave an answer of status ${answer.status}`;
       return failCommand(message, {
--- a/packages/router/src/callers/active_requests.ts
+++ b/packages/router/src/callers/active_requests.ts
@@ -25,6 +25,7 @@
 export class ActiveRequests {
   readonly #active = new Set<ActiveRequest>();
   #openCount = 0;
+  #heldCount = 0;
   #whenIdle: (() => void)[] = [];
 
   /** Requests whose callers wait for an answer. */
@@ -41,6 +42,15 @@
     };
   }
 
+  /** Holds up a planned stop without being counted, as operators' requests. */
+  hold(): () => void {
+    this.#heldCount++;
+    return () => {
+      this.#heldCount--;
+      this.#noteEnd();
+    };
+  }
+
   add(request: ActiveRequest): void {
     this.#active.add(request);
   }
@@ -73,7 +83,8 @@
   }
 
   #isIdle(): boolean {
-    return this.#active.size === 0 && this.#openCount === 0;
+    const openCount = this.#openCount + this.#heldCount;
+    return this.#active.size === 0 && openCount === 0;
   }
 
   #noteEnd(): void {
--- a/packages/router/src/operators/operator_handler.ts
+++ b/packages/router/src/operators/operator_handler.ts
@@ -11,10 +11,11 @@
   ServerResponse,
 } from "node:http";
 import findMyWay, { type HTTPMethod } from "find-my-way";
-import { fail } from "@endivebend/errors";
+import { fail, isEndivebendError } from "@endivebend/errors";
 import type { PeerClients } from "@endivebend/peers";
 import { brandId, type RequestId } from "@endivebend/types";
 import { parseJsonObject, readBody } from "../http/body.ts";
+import { openRequestOf } from "../http/connections.ts";
 import { writeJson, writeRefusal } from "../http/respond.ts";
 import type { Explainer } from "../ports.ts";
 import {
@@ -25,6 +26,12 @@
 import { drainVm } from "./drain.ts";
 import { explainRequest } from "./explain_fleet.ts";
 import { authenticateOperator, type OperatorKey } from "./operator_auth.ts";
+import {
+  issueOrder,
+  type OrderHandlerOptions,
+  readEngines,
+  readOrders,
+} from "./order_handlers.ts";
 import {
   type Query,
   readKeys,
@@ -41,12 +48,14 @@
 
 /** What the interface needs. */
 export interface OperatorHandlerOptions
-  extends ChangeHandlerOptions, StatusOptions {
+  extends ChangeHandlerOptions, OrderHandlerOptions, StatusOptions {
   readonly keys: readonly OperatorKey[];
   readonly explainer: Explainer;
   readonly peers: PeerClients;
   /** Starts the drain of this VM when the log cannot be told. */
   readonly drainSelf: () => void;
+  /** Holds up a planned stop until the returned function is called. */
+  readonly noteRequest?: () => () => void;
 }
 
 interface Call {
@@ -79,6 +88,10 @@
       changes.verdict(params.id ?? ""),
     "POST /operator/v1/drain": async ({ request, operator }) =>
       drainVm(await readJson(request), { ...options, changes, operator }),
+    "GET /operator/v1/engines": () => found(readEngines(options)),
+    "GET /operator/v1/orders": () => found(readOrders(options)),
+    "POST /operator/v1/orders": async ({ request, operator }) =>
+      issueOrder(await readJson(request), { ...options, operator }),
     "GET /operator/v1/templates": () => found(readTemplates(state)),
     "GET /operator/v1/templates/:name": ({ params }) =>
       found(readTemplate(state, params.name ?? "")),
@@ -135,11 +148,15 @@
     response: ServerResponse,
   ): Promise<void> {
     const requestId = brandId<RequestId>(`op-${randomUUID()}`);
+    const opened = openRequestOf(request, response);
+    if (options.noteRequest !== undefined) opened.onOver(options.noteRequest());
     try {
       const { status, body } = await answer(request);
       const headers = { "x-request-id": requestId };
       writeJson(response, { status, body, headers });
     } catch (caught) {
+      const reason = isEndivebendError(caught) ? caught.code : "internal";
+      options.metrics.increment("operators.refused", { reason });
       writeRefusal(response, { caught, requestId });
     }
   }
--- a/packages/router/src/operators/operator_handler_test.ts
+++ b/packages/router/src/operators/operator_handler_test.ts
@@ -52,6 +52,11 @@
     identity: fakeIdentity("vm-1"),
     streams: [stream],
     membership: { ...membership, entryVms: () => vms },
+    engines: () => [],
+    orders: {
+      issue: () => Promise.resolve({ kind: "superseded" }),
+      openOrders: () => [],
+    },
     sections: { holders: () => ["group-1"] },
     keys: [{ name: "ada", sha256: sha256(OPERATOR_KEY) }],
     explainer: {
--- /dev/null
+++ b/packages/router/src/operators/order_handlers.ts
@@ -0,0 +1,159 @@
+/**
+ * Engines and the orders to them, for operators.
+ *
+ * @module
+ */
+
+import { fail } from "@endivebend/errors";
+import type { OrderKind } from "@endivebend/orders";
+import { type BackendServerId, brandId } from "@endivebend/types";
+import type { OrderRequest, OrderResult } from "../orders/order_run.ts";
+import type { OrdersTask } from "../orders/orders_task.ts";
+import type { BackendServerView, Clock, Logger } from "../ports.ts";
+import type { OperatorAnswer } from "./change_handler.ts";
+
+const DEFAULT_WAIT_MS = 30_000;
+const MAX_WAIT_MS = 600_000;
+const MAX_NAME_CHARS = 256;
+const ORDER_KINDS: readonly OrderKind[] = [
+  "load_model",
+  "load_adapter",
+  "change_role",
+];
+
+type Json = Readonly<Record<string, unknown>>;
+
+/** What the handlers need. */
+export interface OrderHandlerOptions {
+  readonly orders: Pick<OrdersTask, "issue" | "openOrders">;
+  /** Every engine that is known, also those that are leaving. */
+  readonly engines: () => readonly BackendServerView[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+function invalid(field: string, message: string, remedy: string) {
+  return fail("invalid_change", message, { field, remedy });
+}
+
+function readName(body: Json, field: string): string {
+  const value = body[field];
+  const isName = typeof value === "string" && value !== "" &&
+    value.length <= MAX_NAME_CHARS;
+  if (isName) return value;
+  const remedy = `Give ${field} as 1 to ${MAX_NAME_CHARS} characters`;
+  throw invalid(field, `The field ${field} is not valid`, remedy);
+}
+
+function readKind(body: Json): OrderKind {
+  const kind = ORDER_KINDS.find((known) => known === body["kind"]);
+  if (kind !== undefined) return kind;
+  const remedy = `Give one of ${ORDER_KINDS.join(", ")}`;
+  throw invalid("kind", "The kind of the order is not known", remedy);
+}
+
+function readWaitMs(body: Json): number {
+  const { waitMs = DEFAULT_WAIT_MS } = body;
+  const isValid = Number.isSafeInteger(waitMs) && (waitMs as number) >= 1 &&
+    (waitMs as number) <= MAX_WAIT_MS;
+  if (isValid) return waitMs as number;
+  const remedy = `Give a whole number of milliseconds from 1 to ${MAX_WAIT_MS}`;
+  throw invalid("waitMs", "The time to wait is not valid", remedy);
+}
+
+function readEngineId(
+  body: Json,
+  options: OrderHandlerOptions,
+): BackendServerId {
+  const engineId = brandId<BackendServerId>(readName(body, "engineId"));
+  if (options.engines().some(({ id }) => id === engineId)) return engineId;
+  const message = `No engine is named ${engineId}`;
+  throw invalid("engineId", message, "Name one of endivebend engine list");
+}
+
+function wordResult(order: OrderRequest, result: OrderResult): OperatorAnswer {
+  const { engineId } = order;
+  switch (result.kind) {
+    case "finished": {
+      const { fence } = result;
+      const body = { verdict: "accepted", result: "finished", engineId, fence };
+      return { status: 200, body };
+    }
+    case "superseded": {
+      const body = {
+        verdict: "refused",
+        result: "superseded",
+        engineId,
+        message: "A newer order for the engine took the place of this one",
+        remedy: "Read endivebend engine list before you order again",
+      };
+      return { status: 409, body };
+    }
+    case "abandoned": {
+      const body = {
+        verdict: "unknown",
+        result: "abandoned",
+        engineId,
+        message: result.reason,
+        remedy:
+          "Read endivebend engine list for the engine's weights; a new order takes the place of this one",
+      };
+      return { status: 202, body };
+    }
+  }
+}
+
+/**
+ * Issues one order and answers when it has ended, at the latest after `waitMs`.
+ * An operator that leaves meanwhile does not end it.
+ */
+export async function issueOrder(
+  body: Json,
+  options: OrderHandlerOptions & { readonly operator: string },
+): Promise<OperatorAnswer> {
+  const { clock, logger, operator, orders } = options;
+  const order = {
+    engineId: readEngineId(body, options),
+    kind: readKind(body),
+    model: readName(body, "model"),
+    weightsVersion: readName(body, "weightsVersion"),
+  };
+  const deadlineElapsedMs = clock.elapsedMs() + readWaitMs(body);
+  logger.info({ operator, ...order }, "Order issued");
+  const result = await orders.issue(order, { deadlineElapsedMs });
+  return wordResult(order, result);
+}
+
+/** Lists the newest order of each engine that has not ended. */
+export function readOrders(options: OrderHandlerOptions) {
+  return { orders: options.orders.openOrders() };
+}
+
+/** Lists the engines with their weights and open orders. */
+export function readEngines(options: OrderHandlerOptions) {
+  const open = new Map(
+    options.orders.openOrders().map((order) => [order.engineId, order]),
+  );
+  const engines = options.engines().map((engine) => {
+    const { id: engineId, entry, weightsVersion, takesNewWork } = engine;
+    const { address, failureDomain, service, state } = entry;
+    const order = open.get(engineId);
+    return {
+      engineId,
+      service,
+      failureDomain,
+      address,
+      state,
+      takesNewWork,
+      weightsVersion: weightsVersion ?? null,
+      openOrder: order === undefined ? null : {
+        kind: order.orderKind,
+        model: order.model,
+        weightsVersion: order.weightsVersion,
+        fence: order.fence,
+        issuedAtMs: order.issuedAtMs,
+      },
+    };
+  });
+  return { engines };
+}
