capacity: show how many engines are stale for a daemon

A server that nobody told of for 3 s is chosen only when there is no other. Its load travels with its watcher's view, and a turn of the exchange takes longer than 3 s above 97 daemons.

--- a/packages/capacity/src/coverage.ts
+++ b/packages/capacity/src/coverage.ts
@@ -7,7 +7,14 @@
 
 import { Membership } from "@endivebend/membership";
 import { PRESENT } from "./budget/two_year.ts";
-import { entryVm, incarnationAt, spread } from "./samples.ts";
+import {
+  engineId,
+  entryVm,
+  incarnationAt,
+  spread,
+  vmList,
+  WEIGHTS,
+} from "./samples.ts";
 
 const ROUND_MS = 1_000 / PRESENT.exchangeRoundsPerS;
 /** Until then not every daemon has been met once. */
@@ -20,6 +27,8 @@
   readonly daemons: number;
   /** Share of the time for which a live daemon is not among the present. */
   readonly absentPart: number;
+  /** Share of the time for which an engine, watched by a peer, is stale. */
+  readonly stalePart: number;
   /** Scans of the watcher that found other members than the one before. */
   readonly changedScans: number;
 }
@@ -73,10 +82,11 @@
  */
 export function measureCoverage(daemons: number): Coverage {
   const membership = new Membership({ self: entryVm(0), seeds: [] });
+  membership.applyList({ asOfMs: 1, vms: vmList(0, daemons - 1) });
   const meetings = meetingsOf(daemons);
   let next = 0;
   let before = "";
-  let [scans, present, changedScans] = [0, 0, 0];
+  let [scans, present, stale, changedScans] = [0, 0, 0, 0];
   for (let nowMs = 0; nowMs < WARM_UP_MS + OBSERVED_MS; nowMs += SCAN_MS) {
     while (next < meetings.length && meetings[next]!.atMs <= nowMs) {
       notePeer(membership, meetings[next++]!);
@@ -88,10 +98,16 @@
     if (nowMs < WARM_UP_MS) continue;
     scans++;
     present += seen.length;
+    const engines = membership.serversOfRole("engine", nowMs);
+    stale += engines.filter(({ isStale }) => isStale).length;
     if (isChanged) changedScans++;
   }
-  const absentPart = 1 - present / scans / daemons;
-  return { daemons, absentPart, changedScans: changedScans / scans };
+  return {
+    daemons,
+    absentPart: 1 - present / scans / daemons,
+    stalePart: stale / scans / (daemons - 1),
+    changedScans: changedScans / scans,
+  };
 }
 
 function notePeer(membership: Membership, { peer, atMs }: Meeting): void {
@@ -99,4 +115,10 @@
   const incarnation = incarnationAt(peer + 1);
   const note = { vmId, incarnation, failureDomain, address, draining: false };
   membership.notePeer(note, atMs);
+  // A load travels with its watcher's view only; its own age is left out.
+  membership.noteServerAnswer(engineId(peer), {
+    incarnation,
+    weightsVersion: WEIGHTS,
+    asOfMs: atMs,
+  });
 }
--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -25,7 +25,7 @@
 import { formatHeader, formatSeries } from "./report.ts";
 import { ALL_SERIES } from "./series/mod.ts";
 
-const COVERAGE_SIZES = [20, 100, 161, 200, 300, 410];
+const COVERAGE_SIZES = [20, 97, 161, 200, 300, 410];
 
 const { values } = parseArgs({
   options: {
@@ -50,11 +50,12 @@
 }
 
 function printCoverage(): void {
-  console.log("daemons  absent, % of the time  scans with changed members, %");
+  console.log("daemons, % absent, % of engines stale, % of scans changed");
   for (const daemons of COVERAGE_SIZES) {
-    const { absentPart, changedScans } = measureCoverage(daemons);
-    const cells = [daemons, absentPart * 100, changedScans * 100];
-    console.log(cells.map((cell) => cell.toFixed(1).padStart(8)).join("  "));
+    const seen = measureCoverage(daemons);
+    const parts = [seen.absentPart, seen.stalePart, seen.changedScans];
+    const cells = parts.map((part) => (part * 100).toFixed(1).padStart(8));
+    console.log(String(daemons).padStart(7) + cells.join(""));
   }
 }
 
