--- a/packages/router/src/callers/context.ts
+++ b/packages/router/src/callers/context.ts
@@ -7,7 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Hop, Tracing } from "@endivebend/telemetry";
 import type { RequestId } from "@endivebend/types";
-import type { RunContext } from "../engines/model_run.ts";
+import type { RunContext } from "../engines/run_context.ts";
 import type {
   Charger,
   Clock,
--- a/packages/router/src/daemon/engine_tasks.ts
+++ b/packages/router/src/daemon/engine_tasks.ts
@@ -8,7 +8,7 @@
 import { EngineConnections } from "../engines/attempt_client.ts";
 import { EngineDirectory } from "../engines/engine_directory.ts";
 import { EngineSelector } from "../engines/engine_selector.ts";
-import type { RunContext } from "../engines/model_run.ts";
+import type { RunContext } from "../engines/run_context.ts";
 import { PrefixTask } from "../engines/prefix_task.ts";
 import { SlotClient } from "../engines/slot_client.ts";
 import { SlotsTask } from "../engines/slots_task.ts";
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -6,7 +6,6 @@
  */
 
 import { ERROR_DETAILS, fail, isEndivebendError } from "@endivebend/errors";
-import type { RetryBudget } from "@endivebend/routing";
 import {
   createStreamState,
   type EngineUsage,
@@ -14,93 +13,30 @@
   type StreamEvent,
   type StreamState,
 } from "@endivebend/streams";
-import type { Hop, Tracing } from "@endivebend/telemetry";
-import type {
-  AttemptId,
-  BackendServerId,
-  RequestId,
-  TeamId,
-} from "@endivebend/types";
-import type { ModelRequest } from "../callers/model_request.ts";
-import type { Clock, Explainer, Metrics, Scheduler } from "../ports.ts";
+import type { Hop } from "@endivebend/telemetry";
+import type { AttemptId, BackendServerId } from "@endivebend/types";
+import { attemptBody } from "./attempt_body.ts";
 import type {
   AttemptFailure,
   AttemptSink,
-  EngineConnections,
   EngineHeaders,
   RunningAttempt,
 } from "./attempt_client.ts";
-import { attemptBody } from "./attempt_body.ts";
-import type { EngineDirectory } from "./engine_directory.ts";
-import type { EngineSelector, Selection } from "./engine_selector.ts";
-import type { AcquiredSlot, HeldSlot, SlotClient } from "./slot_client.ts";
+import { DeadlineTimer } from "./deadline_timer.ts";
+import type { Selection } from "./engine_selector.ts";
+import { placeAttempt, type PlacedAttempt } from "./place_attempt.ts";
+import type { RunContext, RunInput } from "./run_context.ts";
+import type { HeldSlot } from "./slot_client.ts";
 
 type StartAttempt = Extract<StreamEffect, { kind: "start_attempt" }>;
 type EventBody = StreamEvent extends infer Event
   ? Event extends { readonly nowMs: number } ? Omit<Event, "nowMs"> : never
   : never;
 
-/** Where the text of a run goes. */
-export interface RunSink {
-  /** Returns false while the caller is slow; `callerReady` ends that. */
-  text(text: string): boolean;
-  finish(end: {
-    readonly finishReason: string;
-    readonly usage: EngineUsage;
-  }): void;
-  fail(error: Error): void;
-}
-
-/** What membership is told about engines. */
-export interface EngineNotes {
-  noteServerAnswer(
-    id: BackendServerId,
-    answer: EngineHeaders & { readonly asOfMs: number },
-  ): void;
-  noteServerFailure(id: BackendServerId): void;
-  noteServerLeaving(id: BackendServerId): void;
-}
-
-/** What all runs of a router share. */
-export interface RunContext {
-  readonly selector: EngineSelector;
-  readonly slots: SlotClient;
-  readonly connections: EngineConnections;
-  readonly directory: EngineDirectory;
-  readonly notes: EngineNotes;
-  readonly retries: RetryBudget;
-  readonly tracing: Tracing;
-  readonly clock: Clock;
-  readonly scheduler: Scheduler;
-  readonly metrics: Metrics;
-  readonly explainer: Explainer;
-  readonly progressTimeoutMs: number;
-}
-
-/** One request to run. */
-export interface RunInput {
-  readonly requestId: RequestId;
-  readonly team: TeamId;
-  readonly request: ModelRequest;
-  readonly deadlineElapsedMs: number;
-  /** When waiting for the first engine's slot ends. */
-  readonly queueDeadlineElapsedMs: number;
-  /** How long a resumed stream may wait for another engine's slot. */
-  readonly queueWaitMs: number;
-  readonly sink: RunSink;
-  readonly hop: Hop;
-}
-
 /** Waits for the first token last longer than those between tokens. */
 const FIRST_TOKEN_FACTOR = 6;
 const MAX_ATTEMPTS = 5;
 const PLACEMENT_LIFE_MS = 30_000;
-/** A request is sent back for a queue's length at most this often. */
-const MAX_MOVES = 2;
-/** How often engines are looked for while none takes new work. */
-const ENGINE_POLL_MS = 100;
-/** Moving costs messages and the place in the queue. */
-const WAIT_SLACK_MS = 50;
 
 interface CurrentAttempt {
   readonly id: AttemptId;
@@ -127,12 +63,15 @@
   #isBlocked = false;
   /** Whether the last attempt failed in a way that overload explains. */
   #isLoadFailure = false;
-  #cancelTick = () => {};
-  #tickAtMs = Infinity;
+  readonly #timer: DeadlineTimer;
 
   constructor(context: RunContext, input: RunInput) {
     this.#context = context;
     this.#input = input;
+    this.#timer = new DeadlineTimer(
+      context.scheduler,
+      () => this.#handle({ kind: "tick" }),
+    );
     this.#state = createStreamState({
       requestId: input.requestId,
       maxTokens: input.request.maxTokens,
@@ -165,7 +104,7 @@
   abandon(): void {
     this.#handle({ kind: "caller_gone" });
     this.#endAttempt();
-    this.#stopTick();
+    this.#timer.stop();
   }
 
   #handle(event: EventBody): void {
@@ -173,7 +112,7 @@
     const effects = this.#state.handle({ ...event, nowMs } as StreamEvent);
     for (const effect of effects) this.#perform(effect);
     if (this.#state.hasEnded) this.#endAttempt();
-    this.#scheduleTick(nowMs);
+    this.#timer.set(this.#state.nextDeadlineMs(), nowMs);
   }
 
   #perform(effect: StreamEffect): void {
@@ -270,44 +209,32 @@
       });
     }
     try {
-      const placed = await this.#place(effect, attempt);
-      if (placed === undefined) return;
-      attempt.slot = placed.slot;
-      this.#send({ effect, attempt, selection: placed.selection });
+      const { selection, slot } = await this.#place(effect, attempt);
+      if (this.#attempt !== attempt) return slot.release();
+      attempt.engine = selection.plan.engine;
+      attempt.slot = slot;
+      this.#send({ effect, attempt, selection });
     } catch (caught) {
       this.#failBeforeSending(attempt, caught);
     }
   }
 
-  /**
-   * Chooses an engine and waits for its slot. What the choice was made from is
-   * late, so the engine's watcher may send the request back with the present
-   * load, and the engine may have restarted while the request waited.
-   * Undefined when the attempt ended meanwhile.
-   */
-  async #place(
+  #place(
     effect: StartAttempt,
     attempt: CurrentAttempt,
-  ): Promise<
-    { readonly selection: Selection; readonly slot: HeldSlot } | undefined
-  > {
-    const deadlineElapsedMs = this.#queueDeadline(effect);
-    for (let moves = 0;; moves++) {
-      const selection = await this.#selectUntil(effect, deadlineElapsedMs);
-      if (this.#attempt !== attempt) return undefined;
-      attempt.engine = selection.plan.engine;
-      const at = { attempt, moves, deadlineElapsedMs };
-      const slot = await this.#acquireSlot(selection, at);
-      if (this.#attempt !== attempt) {
-        if (slot.kind === "granted") slot.release();
-        return undefined;
-      }
-      if (slot.kind === "moved") continue;
-      if (this.#context.selector.isCurrent(selection)) {
-        return { selection, slot };
-      }
-      slot.release();
-    }
+  ): Promise<PlacedAttempt> {
+    const { requestId, team, request, hop } = this.#input;
+    return placeAttempt(this.#context, {
+      requestId,
+      attemptId: attempt.id,
+      team,
+      request,
+      hop,
+      weightsVersion: effect.weightsVersion,
+      avoid: this.#avoid,
+      deadlineElapsedMs: this.#queueDeadline(effect),
+      signal: attempt.waiting.signal,
+    });
   }
 
   /** A stream may have run for longer than its first wait allowed. */
@@ -319,77 +246,6 @@
     return Math.min(deadlineElapsedMs, nowMs + queueWaitMs);
   }
 
-  /** Engines that restart or are suspect come back within a moment. */
-  async #selectUntil(
-    effect: StartAttempt,
-    deadlineElapsedMs: number,
-  ): Promise<Selection> {
-    const { clock, scheduler } = this.#context;
-    while (true) {
-      try {
-        return await this.#select(effect);
-      } catch (caught) {
-        const isAbsent = isEndivebendError(caught) &&
-          caught.code === "no_backend_server";
-        const leftMs = deadlineElapsedMs - clock.elapsedMs();
-        const isOver = this.#state.hasEnded || leftMs < ENGINE_POLL_MS;
-        if (!isAbsent || isOver) throw caught;
-        await new Promise<void>((resolve) => {
-          scheduler.after(ENGINE_POLL_MS, resolve);
-        });
-      }
-    }
-  }
-
-  #select(effect: StartAttempt): Promise<Selection> {
-    const { request, requestId, team } = this.#input;
-    return this.#context.selector.select({
-      requestId,
-      team,
-      model: request.model,
-      promptText: request.promptText,
-      promptTokens: request.promptTokens,
-      weightsVersion: effect.weightsVersion,
-      avoid: this.#avoid,
-    });
-  }
-
-  async #acquireSlot(
-    selection: Selection,
-    at: {
-      readonly attempt: CurrentAttempt;
-      readonly moves: number;
-      readonly deadlineElapsedMs: number;
-    },
-  ): Promise<AcquiredSlot> {
-    const { attempt, moves, deadlineElapsedMs } = at;
-    const { requestId, team } = this.#input;
-    const hop = this.#context.tracing.startHop("queue", {
-      parent: this.#input.hop,
-      attributes: { "engine.id": selection.plan.engine },
-    });
-    try {
-      const slot = await this.#context.slots.acquire(selection.entry, {
-        engine: selection.plan.engine,
-        // A resumed attempt must not meet the slot of the one before.
-        requestId: `${requestId}/${attempt.id}` as RequestId,
-        team,
-        costTokens: Math.max(1, selection.plan.prefillTokens),
-        prefillTokens: selection.plan.prefillTokens,
-        deadlineElapsedMs,
-        signal: attempt.waiting.signal,
-        maxQueueMs: moves < MAX_MOVES
-          ? selection.plan.maxWaitMs + WAIT_SLACK_MS
-          : Infinity,
-      });
-      hop.end();
-      return slot;
-    } catch (caught) {
-      hop.end(caught);
-      throw caught;
-    }
-  }
-
   #send(at: {
     readonly effect: StartAttempt;
     readonly selection: Selection;
@@ -549,28 +405,6 @@
     placements.remove(attempt.engine, this.#input.requestId);
   }
 
-  // Progress moves the deadline with each token. A timer that is already set
-  // for an earlier time is left alone, and finds the later deadline when it
-  // fires: one timer per second of a stream instead of one per token.
-  #scheduleTick(nowMs: number): void {
-    const deadlineMs = this.#state.nextDeadlineMs();
-    if (deadlineMs === undefined) return this.#stopTick();
-    if (this.#tickAtMs <= deadlineMs) return;
-    this.#stopTick();
-    this.#tickAtMs = deadlineMs;
-    const delayMs = Math.max(1, deadlineMs - nowMs);
-    this.#cancelTick = this.#context.scheduler.after(delayMs, () => {
-      this.#tickAtMs = Infinity;
-      this.#handle({ kind: "tick" });
-    });
-  }
-
-  #stopTick(): void {
-    this.#cancelTick();
-    this.#cancelTick = () => {};
-    this.#tickAtMs = Infinity;
-  }
-
   #explain(step: string, chosen: unknown): void {
     this.#context.explainer.record(this.#input.requestId, { step, chosen });
   }
--- /dev/null
+++ b/packages/router/src/engines/run_context.ts
@@ -0,0 +1,61 @@
+/**
+ * What a model run is given, and what it works with.
+ *
+ * @module
+ */
+
+import type { RetryBudget } from "@endivebend/routing";
+import type { EngineUsage } from "@endivebend/streams";
+import type { Hop } from "@endivebend/telemetry";
+import type { BackendServerId, RequestId, TeamId } from "@endivebend/types";
+import type { ModelRequest } from "../callers/model_request.ts";
+import type { Explainer, Metrics } from "../ports.ts";
+import type { EngineConnections, EngineHeaders } from "./attempt_client.ts";
+import type { EngineDirectory } from "./engine_directory.ts";
+import type { PlacementContext } from "./place_attempt.ts";
+
+/** Where the text of a run goes. */
+export interface RunSink {
+  /** Returns false while the caller is slow; `callerReady` ends that. */
+  text(text: string): boolean;
+  finish(end: {
+    readonly finishReason: string;
+    readonly usage: EngineUsage;
+  }): void;
+  fail(error: Error): void;
+}
+
+/** What membership is told about engines. */
+export interface EngineNotes {
+  noteServerAnswer(
+    id: BackendServerId,
+    answer: EngineHeaders & { readonly asOfMs: number },
+  ): void;
+  noteServerFailure(id: BackendServerId): void;
+  noteServerLeaving(id: BackendServerId): void;
+}
+
+/** What all runs of a router share. */
+export interface RunContext extends PlacementContext {
+  readonly connections: EngineConnections;
+  readonly directory: EngineDirectory;
+  readonly notes: EngineNotes;
+  readonly retries: RetryBudget;
+  readonly metrics: Metrics;
+  readonly explainer: Explainer;
+  readonly progressTimeoutMs: number;
+}
+
+/** One request to run. */
+export interface RunInput {
+  readonly requestId: RequestId;
+  readonly team: TeamId;
+  readonly request: ModelRequest;
+  readonly deadlineElapsedMs: number;
+  /** When waiting for the first engine's slot ends. */
+  readonly queueDeadlineElapsedMs: number;
+  /** How long a resumed stream may wait for another engine's slot. */
+  readonly queueWaitMs: number;
+  readonly sink: RunSink;
+  readonly hop: Hop;
+}
