Describe every metric, and fail the check when one is missing

The interface of the metrics named docs/metrics.md, which did not exist. The check compares names and types both ways: with the row of queue.moved taken out it ends with code 1 and names the file and the metric.

Run: npx tsx scripts/check_repository.ts (code 0)

--- a/scripts/check_repository.ts
+++ b/scripts/check_repository.ts
@@ -2,13 +2,15 @@
  * Checks rules of the repository that formatter, linter and compiler don't:
  * product packages start no process and share no memory, packages import each
  * other only through their public module, every package has a README and a
- * change log, and no file names a registry host or a machine's own path.
+ * change log, no file names a registry host or a machine's own path, and
+ * docs/metrics.md describes every metric.
  *
  * @module
  */
 
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
+import { checkMetrics } from "./check_metrics.ts";
 
 /** Test tools that may start processes. */
 const PROCESS_STARTING_PACKAGES = new Set(["faults", "demo", "bench"]);
@@ -57,5 +59,6 @@
     "package-lock.json: install with omit-lockfile-registry-resolved",
   );
 }
+faults.push(...checkMetrics(listFiles("packages")));
 for (const fault of faults) console.error(fault);
 process.exit(faults.length > 0 ? 1 : 0);
