--- a/packages/settings/src/example.ts
+++ b/packages/settings/src/example.ts
@@ -66,9 +66,9 @@
     "streamProgressMs": 5000,
     // How long the listener stays open after /readyz fails in a planned stop.
     "drainGraceMs": 5000,
-    "loanLeaseMs": 2000,
+    "loanLeaseMs": 1000,
     // The part of a failure domain's share that is never lent to another domain.
-    "floorFraction": 0.25,
+    "floorFraction": 0,
   },
   // debug, info, warn, error or silent.
   "log": { "level": "info" },
--- a/packages/settings/src/parse_test.ts
+++ b/packages/settings/src/parse_test.ts
@@ -11,7 +11,7 @@
   const result = parseSettings(SETTINGS_EXAMPLE);
   t.true(result.ok, JSON.stringify(faultsOf(SETTINGS_EXAMPLE)));
   if (!result.ok) return;
-  t.is(result.settings.limits.loanLeaseMs, 2000);
+  t.is(result.settings.limits.loanLeaseMs, 1000);
   t.is(result.settings.metrics, undefined);
 });
 
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -66,8 +66,8 @@
   defaultMaxTokens: positive(256),
   streamProgressMs: timerMs(5_000),
   drainGraceMs: z.int().min(0).max(MAX_TIMER_MS).default(5_000),
-  loanLeaseMs: timerMs(2_000),
-  floorFraction: z.number().min(0).max(1).default(0.25),
+  loanLeaseMs: timerMs(1_000),
+  floorFraction: z.number().min(0).max(1).default(0),
 });
 
 /** The schema of a whole settings file. */
