--- a/packages/router/src/callers/authenticate.ts
+++ b/packages/router/src/callers/authenticate.ts
@@ -18,6 +18,8 @@
 
 const BEARER = /^Bearer +(\S+) *$/i;
 const KEPT_DIGESTS = 10_000;
+/** Longer ones are not remembered, so that strangers cannot fill the memory. */
+const MAX_REMEMBERED_CHARS = 128;
 const digests = new Map<string, Sha256Digest>();
 
 /** The SHA-256 digest of a key; the latest keys' digests are remembered. */
@@ -26,8 +28,10 @@
   if (known !== undefined) return known;
   const hex = createHash("sha256").update(key).digest("hex");
   const digest = brandId<Sha256Digest>(hex);
-  if (digests.size >= KEPT_DIGESTS) digests.clear();
-  digests.set(key, digest);
+  if (key.length <= MAX_REMEMBERED_CHARS) {
+    if (digests.size >= KEPT_DIGESTS) digests.clear();
+    digests.set(key, digest);
+  }
   return digest;
 }
 
