Cover tokens on their way between holders by capacity

Cause: since rate moves as tokens, a lender could refill while its tokens were on their way, so a window that began then held up to that much too much. A borrower now keeps room for the tokens that it asked for until the answer comes, and takes no more than that room and the capacity that came along.

A missing capacity is also asked of all lenders at once, because a lender without capacity loses what accrues.

--- a/packages/limits/src/borrow.ts
+++ b/packages/limits/src/borrow.ts
@@ -12,7 +12,7 @@
 import { demandRateMilli } from "./demand.ts";
 import type { LimitsEffect, LimitsEvent } from "./events.ts";
 import { borrowerUseMs, GRAINS_PER_TOKEN } from "./grains.ts";
-import { heldTokens, levelTokens } from "./level.ts";
+import { clipLevel, heldTokens, levelCapGrains, levelTokens } from "./level.ts";
 import type { TeamState } from "./state.ts";
 
 /** A round that was not answered in this time does not hold up the next. */
@@ -34,6 +34,8 @@
   readonly tokens: number;
 }
 
+type BorrowEffect = Extract<LimitsEffect, { kind: "borrow" }>;
+
 function largestWaiting(state: TeamState): number {
   let largest = 0;
   for (const entry of state.waiting) {
@@ -54,12 +56,18 @@
   const largest = largestWaiting(state);
   const capacityTokens = Math.max(0, largest - held);
   const wanted = state.waitingTokens + tokensAhead(state, nowMs);
-  // More would not fit, and would be lost on arrival.
-  const fitting = Math.min(wanted, Math.max(held, largest));
-  const tokens = Math.max(0, fitting - levelTokens(state));
+  const tokens = Math.max(0, wanted - levelTokens(state));
   return { capacityTokens, tokens };
 }
 
+/** Tokens that there is room for, beside what accrues during the round. */
+function roomTokens(state: TeamState): number {
+  const freeGrains = levelCapGrains(state) - Math.max(0, state.levelGrains);
+  const accruing = state.terms.share.rateMilli * ROUND_PATIENCE_MS;
+  const grains = Math.max(0, freeGrains - Math.min(accruing, freeGrains / 2));
+  return Math.floor(grains / GRAINS_PER_TOKEN);
+}
+
 function isShort(state: TeamState, nowMs: number): boolean {
   if (state.waiting.length > 0) return true;
   const ahead = tokensAhead(state, nowMs);
@@ -93,8 +101,14 @@
 }
 
 /** Lenders to ask: those of loans that need extending, then the next in turn. */
-function chooseLenders(state: TeamState, nowMs: number): string[] {
+function chooseLenders(
+  state: TeamState,
+  shortage: Shortage,
+  nowMs: number,
+): string[] {
   const askable = askableLenders(state, nowMs);
+  // A lender without capacity loses what accrues, so all lend a little.
+  if (shortage.capacityTokens > 0) return askable;
   const due = dueLenders(state, nowMs)
     .filter((lender) => askable.includes(lender));
   const others = askable.filter((lender) => !due.includes(lender));
@@ -108,17 +122,23 @@
 function wantFrom(
   state: TeamState,
   lender: string,
-  options: { readonly shortage: Shortage; readonly count: number },
-): LimitsEffect {
+  options: {
+    readonly shortage: Shortage;
+    readonly roomTokens: number;
+    readonly count: number;
+  },
+): BorrowEffect {
   const present = state.loansIn.find((loan) => loan.lender === lender);
   const part = (value: number) => Math.ceil(value / options.count);
+  // Parts are rounded down where room is kept, so that all of them fit.
+  const room = Math.floor(options.roomTokens / options.count);
   const { shortage } = options;
   return {
     kind: "borrow",
     lender,
     wantCapacityTokens: (present?.capacityTokens ?? 0) +
       part(shortage.capacityTokens),
-    wantTokens: part(shortage.tokens),
+    wantTokens: Math.min(part(shortage.tokens), room),
   };
 }
 
@@ -132,7 +152,8 @@
 ): LimitsEffect[] {
   if (state.draining || nowMs < nextRoundMs(state)) return [];
   if (!isShort(state, nowMs)) return [];
-  const lenders = chooseLenders(state, nowMs);
+  const shortage = computeShortage(state, nowMs);
+  const lenders = chooseLenders(state, shortage, nowMs);
   const { round } = state;
   round.startedAtMs = nowMs;
   if (lenders.length === 0) {
@@ -142,13 +163,18 @@
   }
   round.open.clear();
   round.gained = false;
-  const shortage = computeShortage(state, nowMs);
-  for (const lender of lenders) {
+  const effects = lenders.map((lender) =>
+    wantFrom(state, lender, {
+      shortage,
+      roomTokens: roomTokens(state),
+      count: lenders.length,
+    })
+  );
+  for (const { lender, wantTokens } of effects) {
     round.open.add(lender);
-    round.pending.add(lender);
+    round.pending.set(lender, wantTokens);
   }
-  const options = { shortage, count: lenders.length };
-  return lenders.map((lender) => wantFrom(state, lender, options));
+  return effects;
 }
 
 function endRoundWhenAnswered(
@@ -167,29 +193,41 @@
   else if (!askedAll) round.fanOut *= 2;
 }
 
-/** Takes a loan; a newer loan of the same lender replaces the older one. */
+/**
+ * Takes a loan; a newer loan of the same lender replaces the older one. Tokens
+ * beyond the room kept for them and the capacity that came with them are not
+ * taken: nobody's capacity has covered them on their way.
+ */
 export function receiveLoan(
   state: TeamState,
   event: Extract<LimitsEvent, { kind: "loan_received" }>,
   nowMs: number,
 ): void {
-  const { lender, capacityTokens, requestedAtMs } = event;
+  const { lender } = event;
+  const room = state.round.pending.get(lender);
   // An answer that was not waited for would add its tokens a second time.
-  if (!state.round.pending.has(lender)) return;
-  const untilMs = requestedAtMs + borrowerUseMs(event.leaseMs);
-  if (capacityTokens > 0 && untilMs > nowMs) {
-    state.loansIn = state.loansIn.filter((loan) => loan.lender !== lender);
-    state.loansIn.push({ lender, capacityTokens, untilMs });
-  }
-  if (event.tokens > 0) state.round.gained = true;
-  takeTokens(state, event.tokens);
+  if (room === undefined) return;
+  state.round.pending.delete(lender);
+  const before = heldTokens(state);
+  replaceLoan(state, event, nowMs);
+  const gained = Math.max(0, heldTokens(state) - before);
+  const tokens = Math.min(event.tokens, room + gained);
+  if (tokens > 0) state.round.gained = true;
+  state.levelGrains += tokens * GRAINS_PER_TOKEN;
+  clipLevel(state);
   endRoundWhenAnswered(state, lender, nowMs);
 }
 
-function takeTokens(state: TeamState, tokens: number): void {
-  const held = heldTokens(state) * GRAINS_PER_TOKEN;
-  const level = state.levelGrains + tokens * GRAINS_PER_TOKEN;
-  state.levelGrains = Math.min(level, held);
+function replaceLoan(
+  state: TeamState,
+  event: Extract<LimitsEvent, { kind: "loan_received" }>,
+  nowMs: number,
+): void {
+  const { lender, capacityTokens } = event;
+  const untilMs = event.requestedAtMs + borrowerUseMs(event.leaseMs);
+  if (capacityTokens === 0 || untilMs <= nowMs) return;
+  state.loansIn = state.loansIn.filter((loan) => loan.lender !== lender);
+  state.loansIn.push({ lender, capacityTokens, untilMs });
 }
 
 /** Notes that a lender did not answer. */
--- a/packages/limits/src/events.ts
+++ b/packages/limits/src/events.ts
@@ -22,6 +22,7 @@
     readonly kind: "borrow_requested";
     readonly borrower: string;
     readonly wantCapacityTokens: number;
+    /** What the borrower keeps room for; added capacity may bring more. */
     readonly wantTokens: number;
   }
   /** A lender answered; amounts are zero when it lends nothing. */
--- a/packages/limits/src/lend.ts
+++ b/packages/limits/src/lend.ts
@@ -7,7 +7,7 @@
 import { hashText } from "@endivebend/rights";
 import { demandRateMilli } from "./demand.ts";
 import { GRAINS_PER_TOKEN, lenderWaitMs } from "./grains.ts";
-import { heldTokens, lentTokens, levelTokens } from "./level.ts";
+import { clipLevel, lentTokens, levelTokens } from "./level.ts";
 import { lendableTokens, type TeamState } from "./state.ts";
 
 /** A holder keeps this much more than its recent demand. */
@@ -79,18 +79,22 @@
 }
 
 /**
- * Tokens to give; the borrower cuts them down to the capacity it holds. What
- * no longer fits the lender's own capacity is given rather than lost.
+ * Tokens to give: at most what the borrower has kept room for and what fits
+ * into the capacity that goes with them, because tokens on their way must be
+ * covered by somebody's capacity.
  */
 function decideTokens(
   state: TeamState,
-  request: LoanRequest,
-  nowMs: number,
+  options: {
+    readonly request: LoanRequest;
+    readonly addedTokens: number;
+    readonly nowMs: number;
+  },
 ): number {
-  const level = levelTokens(state);
-  const spare = level - keptTokens(state, request.borrower, nowMs);
-  const overflow = level - heldTokens(state);
-  return Math.max(0, overflow, Math.min(request.wantTokens, spare));
+  const { request, addedTokens, nowMs } = options;
+  const kept = keptTokens(state, request.borrower, nowMs);
+  const spare = levelTokens(state) - kept;
+  return Math.max(0, Math.min(request.wantTokens + addedTokens, spare));
 }
 
 /** Throws when loans grew beyond the share. */
@@ -137,11 +141,15 @@
   nowMs: number,
 ): LoanDecision {
   if (state.draining) return { capacityTokens: 0, tokens: 0 };
+  const { borrower } = request;
+  const beforeTokens = lentTokens(
+    state.loansOut.filter((loan) => loan.borrower === borrower),
+  );
   const capacityTokens = decideCapacity(state, request, nowMs);
-  book(state, { borrower: request.borrower, capacityTokens }, nowMs);
-  const tokens = decideTokens(state, request, nowMs);
+  const addedTokens = Math.max(0, capacityTokens - beforeTokens);
+  const tokens = decideTokens(state, { request, addedTokens, nowMs });
   state.levelGrains -= tokens * GRAINS_PER_TOKEN;
-  const held = heldTokens(state) * GRAINS_PER_TOKEN;
-  if (state.levelGrains > held) state.levelGrains = held;
+  book(state, { borrower, capacityTokens }, nowMs);
+  clipLevel(state);
   return { capacityTokens, tokens };
 }
--- a/packages/limits/src/level.ts
+++ b/packages/limits/src/level.ts
@@ -29,6 +29,13 @@
   return held;
 }
 
+/** The highest level: the capacity held without the room for tokens to come. */
+export function levelCapGrains(state: TeamState): number {
+  let room = heldTokens(state);
+  for (const reserved of state.round.pending.values()) room -= reserved;
+  return Math.max(0, room) * GRAINS_PER_TOKEN;
+}
+
 /** Whole tokens that could be spent now. */
 export function levelTokens(state: TeamState): number {
   return Math.max(0, Math.floor(state.levelGrains / GRAINS_PER_TOKEN));
@@ -36,7 +43,7 @@
 
 function accrue(state: TeamState, untilMs: number): void {
   const { rateMilli } = state.terms.share;
-  const capacityGrains = heldTokens(state) * GRAINS_PER_TOKEN;
+  const capacityGrains = levelCapGrains(state);
   if (untilMs > state.accruedUntilMs) {
     state.levelGrains += rateMilli * (untilMs - state.accruedUntilMs);
     state.accruedUntilMs = untilMs;
@@ -61,8 +68,9 @@
   return earliest;
 }
 
-function clipToCapacity(state: TeamState): void {
-  const capacityGrains = heldTokens(state) * GRAINS_PER_TOKEN;
+/** Cuts the level down to the capacity. */
+export function clipLevel(state: TeamState): void {
+  const capacityGrains = levelCapGrains(state);
   if (state.levelGrains > capacityGrains) state.levelGrains = capacityGrains;
 }
 
@@ -79,17 +87,17 @@
     accrue(state, expiry);
     state.loansOut = state.loansOut.filter((loan) => loan.untilMs > expiry);
     state.loansIn = state.loansIn.filter((loan) => loan.untilMs > expiry);
-    clipToCapacity(state);
+    clipLevel(state);
   }
   accrue(state, nowMs);
 }
 
 /** Throws when the level is above the capacity held. */
 export function assertLevel(state: TeamState): void {
-  const held = heldTokens(state);
-  if (state.levelGrains <= held * GRAINS_PER_TOKEN) return;
+  const capacityGrains = levelCapGrains(state);
+  if (state.levelGrains <= capacityGrains) return;
   throw new Error(
     `The level of ${state.levelGrains} grains is above the capacity of ` +
-      `${held} tokens; report this state to the developers`,
+      `${capacityGrains}; report this state to the developers`,
   );
 }
--- a/packages/limits/src/state.ts
+++ b/packages/limits/src/state.ts
@@ -53,8 +53,12 @@
 
 /** How far the search for tokens at other holders has got. */
 export interface BorrowRound {
-  /** Lenders that have not answered yet, from any round. */
-  readonly pending: Set<string>;
+  /**
+   * Lenders that have not answered yet, from any round, with the room that is
+   * kept free for their tokens. Tokens on their way thereby count against this
+   * holder's capacity, so that they never come on top of the burst.
+   */
+  readonly pending: Map<string, number>;
   /** Lenders of the present round that have not answered yet. */
   readonly open: Set<string>;
   /** Lenders that gave no answer, and until when not to ask them. */
@@ -142,7 +146,7 @@
     busySinceMs: 0,
     busyGrantedTokens: 0,
     round: {
-      pending: new Set(),
+      pending: new Map(),
       open: new Set(),
       failedUntilMs: new Map(),
       startedAtMs: Number.NEGATIVE_INFINITY,
