--- a/packages/peers/src/server.ts
+++ b/packages/peers/src/server.ts
@@ -40,6 +40,12 @@
 /** Longer than clients keep an idle connection. */
 const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
 
+/** Strangers may not hold connections without sending anything. */
+const TIME_LIMITS = {
+  headersTimeout: 10_000,
+  connectionsCheckingInterval: 1000,
+};
+
 type Listener = (request: IncomingMessage, response: ServerResponse) => void;
 
 function refuse(response: ServerResponse): void {
@@ -125,9 +131,10 @@
   options: PeerServerOptions,
   handle: Listener,
 ): Server {
-  if (options.tls === undefined) return createServer(handle);
+  if (options.tls === undefined) return createServer(TIME_LIMITS, handle);
   const { handshakeTimeoutMs: handshakeTimeout } = options;
   const secure = {
+    ...TIME_LIMITS,
     ...options.tls,
     requestCert: true,
     rejectUnauthorized: true,
