--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -21,6 +21,11 @@
   readonly extraLoadLagMs: number;
   /** False leaves out what caches hold; for the measured curve. */
   readonly usesCacheKnowledge: boolean;
+  /**
+   * False leaves out what makes up for late knowledge: loads with answers, the
+   * bound on the wait, and the fallback to the store.
+   */
+  readonly correctsChoices: boolean;
   readonly choose: Pick<ChooseOptions, "workWeight" | "tieMs">;
   readonly queue: Partial<FairQueueOptions>;
 }
@@ -30,6 +35,7 @@
   exchangeMs: 500,
   extraLoadLagMs: 0,
   usesCacheKnowledge: true,
+  correctsChoices: true,
   choose: {},
   queue: {},
 };
--- a/packages/bench/src/router_node.ts
+++ b/packages/bench/src/router_node.ts
@@ -107,7 +107,9 @@
     });
     const watcher = this.#fleet.watcherOf(plan.engine);
     const attempts = request.attempts;
-    const canMove = (this.#moves.get(requestId) ?? 0) < MAX_MOVES;
+    const { correctsChoices } = this.#fleet.options;
+    const canMove = correctsChoices &&
+      (this.#moves.get(requestId) ?? 0) < MAX_MOVES;
     const maxWaitMs = canMove ? plan.maxWaitMs + WAIT_SLACK_MS : Infinity;
     const entry = {
       requestId,
@@ -142,7 +144,10 @@
       this.#world.refuse(request, answer.code);
       return;
     }
-    this.learnLoad(plan.engine, answer.load);
+    // A router that is sent away must learn why, or it would come back at once.
+    if (this.#fleet.options.correctsChoices || answer.kind === "moved") {
+      this.learnLoad(plan.engine, answer.load);
+    }
     if (answer.kind === "moved") {
       this.#moves.set(requestId, (this.#moves.get(requestId) ?? 0) + 1);
       this.#placements.remove(plan.engine, requestId);
@@ -171,7 +176,11 @@
     const { plan, answer, watcher } = slot;
     const requestId = brandId<RequestId>(request.id);
     const engine = this.#world.engines.get(plan.engine)!;
-    const importFrom = sourceOf(this.#world, plan);
+    const { correctsChoices } = this.#fleet.options;
+    const isFallback = plan.importFrom === undefined;
+    const importFrom = isFallback && !correctsChoices
+      ? undefined
+      : sourceOf(this.#world, plan);
     this.#world.dispatch(request, {
       engine,
       priority: answer.kind === "permit" ? answer.permit.enginePriority : 0,
