--- /dev/null
+++ b/packages/router/src/limits/charge_results.ts
@@ -0,0 +1,34 @@
+/**
+ * What a charge at the holder means to the caller.
+ *
+ * @module
+ */
+
+import { levelTokens } from "@endivebend/limits";
+import type { ChargeResult } from "../ports.ts";
+import type { LocalOutcome, TeamEntry } from "./local_holder.ts";
+
+/** The largest value that the peer protocol carries. */
+const MAX_RESET_MS = 0xffffffff;
+
+/** The numbers that go into rate-limit headers, and the outcome. */
+export function toResult(
+  entry: TeamEntry,
+  outcome: LocalOutcome,
+): ChargeResult | undefined {
+  if (outcome.kind === "not_holder") return undefined;
+  const { limit, share } = entry.state.terms;
+  const remainingTokens = levelTokens(entry.state);
+  const missing = Math.max(0, share.capacityTokens - remainingTokens);
+  const resetMs = share.rateMilli === 0
+    ? 0
+    : Math.ceil(missing * 1_000_000 / share.rateMilli);
+  const numbers = {
+    limitTokens: limit.capacityTokens,
+    remainingTokens,
+    resetMs: Math.min(resetMs, MAX_RESET_MS),
+  };
+  if (outcome.kind === "granted") return { granted: true, ...numbers };
+  const { code, retryAfterMs } = outcome;
+  return { granted: false, code, retryAfterMs, ...numbers };
+}
--- a/packages/router/src/limits/limits_task.ts
+++ b/packages/router/src/limits/limits_task.ts
@@ -5,16 +5,9 @@
  * @module
  */
 
-import { levelTokens } from "@endivebend/limits";
-import type { PeerClients, PeerHandlers } from "@endivebend/peers";
+import type { PeerClients } from "@endivebend/peers";
 import { groupOfTeam } from "@endivebend/rights";
-import {
-  brandId,
-  type RequestId,
-  type TeamGroup,
-  type TeamId,
-  type VmId,
-} from "@endivebend/types";
+import type { TeamId } from "@endivebend/types";
 import type {
   ChargeInput,
   Charger,
@@ -28,12 +21,10 @@
   Scheduler,
 } from "../ports.ts";
 import { LoanRequests } from "./loan_requests.ts";
-import {
-  LocalHolder,
-  type LocalOutcome,
-  type TeamEntry,
-} from "./local_holder.ts";
+import { toResult } from "./charge_results.ts";
+import { LocalHolder, type TeamEntry } from "./local_holder.ts";
 import { PeerCharges } from "./peer_charges.ts";
+import { createLimitsHandlers, type LimitsHandlers } from "./peer_handlers.ts";
 import type { RightsTask } from "./rights_task.ts";
 
 /** Settings and neighbours of the task. */
@@ -55,15 +46,6 @@
   };
 }
 
-/** The calls of other daemons that this task answers. */
-export type LimitsHandlers = Pick<
-  PeerHandlers,
-  "charge" | "borrow" | "handover"
->;
-
-/** The largest value that the peer protocol carries. */
-const MAX_RESET_MS = 0xffffffff;
-
 const NOT_READY: ChargeResult = {
   granted: false,
   code: "not_ready",
@@ -102,7 +84,10 @@
       prepare: (groups) => this.#holder.drain(groups),
       resume: (groups) => this.#holder.resume(groups),
     });
-    this.handlers = this.#createHandlers();
+    this.handlers = createLimitsHandlers({
+      holder: this.#holder,
+      rights: options.rights,
+    });
   }
 
   /** Starts the timers. */
@@ -215,99 +200,6 @@
     });
     return result;
   }
-
-  #createHandlers(): LimitsHandlers {
-    return {
-      charge: (request, context) =>
-        this.#answerCharge({
-          team: brandId<TeamId>(request.team),
-          costTokens: Number(request.costTokens),
-          waitMs: request.waitMs,
-          requestId: brandId<RequestId>(request.requestId),
-          signal: context.signal,
-        }),
-      borrow: (request) => {
-        const entry = this.#holder.entry(brandId<TeamId>(request.team));
-        if (entry === undefined) return { notHolder: true };
-        return this.#answerBorrow(entry, {
-          borrower: request.borrowerVmId,
-          wantTokens: Number(request.wantTokens),
-          wantCapacityTokens: Number(request.wantCapacityTokens),
-        });
-      },
-      handover: (request) => {
-        const groups = request.groups.map((group) => group as TeamGroup);
-        const to = brandId<VmId>(request.toVmId);
-        const acceptedGroups = this.#options.rights
-          .acceptHandover(groups, to);
-        return { acceptedGroups: [...acceptedGroups] };
-      },
-    };
-  }
-
-  async #answerCharge(request: {
-    readonly team: TeamId;
-    readonly costTokens: number;
-    readonly waitMs: number;
-    readonly requestId: RequestId;
-    readonly signal: AbortSignal;
-  }) {
-    const entry = this.#holder.entry(request.team);
-    if (entry === undefined) return { notHolder: true };
-    const outcome = await this.#holder.charge(entry, request);
-    const result = toResult(entry, outcome);
-    if (result === undefined) return { notHolder: true };
-    return {
-      granted: result.granted,
-      code: result.code ?? "",
-      retryAfterMs: Math.ceil(result.retryAfterMs ?? 0),
-      limitTokens: BigInt(result.limitTokens),
-      remainingTokens: BigInt(result.remainingTokens),
-      resetMs: result.resetMs,
-    };
-  }
-
-  #answerBorrow(
-    entry: TeamEntry,
-    request: {
-      readonly borrower: string;
-      readonly wantTokens: number;
-      readonly wantCapacityTokens: number;
-    },
-  ) {
-    const lent = this.#holder.apply(entry, {
-      kind: "borrow_requested",
-      ...request,
-    });
-    if (lent === undefined) return { notHolder: true };
-    return {
-      tokens: BigInt(lent.tokens),
-      capacityTokens: BigInt(lent.capacityTokens),
-      leaseMs: lent.leaseMs,
-    };
-  }
-}
-
-/** The numbers that go into rate-limit headers, and the outcome. */
-function toResult(
-  entry: TeamEntry,
-  outcome: LocalOutcome,
-): ChargeResult | undefined {
-  if (outcome.kind === "not_holder") return undefined;
-  const { limit, share } = entry.state.terms;
-  const remainingTokens = levelTokens(entry.state);
-  const missing = Math.max(0, share.capacityTokens - remainingTokens);
-  const resetMs = share.rateMilli === 0
-    ? 0
-    : Math.ceil(missing * 1_000_000 / share.rateMilli);
-  const numbers = {
-    limitTokens: limit.capacityTokens,
-    remainingTokens,
-    resetMs: Math.min(resetMs, MAX_RESET_MS),
-  };
-  if (outcome.kind === "granted") return { granted: true, ...numbers };
-  const { code, retryAfterMs } = outcome;
-  return { granted: false, code, retryAfterMs, ...numbers };
 }
 
 /** Makes the task. */
--- a/packages/router/src/limits/mod.ts
+++ b/packages/router/src/limits/mod.ts
@@ -5,11 +5,8 @@
  */
 
 export { createLimitsTask } from "./limits_task.ts";
-export type {
-  LimitsHandlers,
-  LimitsTask,
-  LimitsTaskOptions,
-} from "./limits_task.ts";
+export type { LimitsTask, LimitsTaskOptions } from "./limits_task.ts";
+export type { LimitsHandlers } from "./peer_handlers.ts";
 export { RightsFold } from "./rights_fold.ts";
 export { createRightsTask } from "./rights_task.ts";
 export type {
