--- a/packages/router/src/callers/leaving_test.ts
+++ b/packages/router/src/callers/leaving_test.ts
@@ -81,6 +81,45 @@
   });
 }
 
+// Guards against an engine's queue that is full of requests whose callers have
+// left, here or at another VM that watches the engine.
+for (const daemon of [0, 1]) {
+  test(`a caller that leaves the engine's queue frees its place, VM ${daemon + 1}`, async (t) => {
+    const deployment = await TestDeployment.start({
+      engines: [{ prefillUsPerToken: 1000 }],
+      daemons: 2,
+    });
+    const { key } = await deployment.createTeam();
+    const send = async (index: number) => {
+      const connection = await connectCaller(deployment, daemon);
+      const prompt = `${index}`.repeat(160_000);
+      connection.send(rawCompletion(key, { prompt, max_tokens: 1 }));
+      return connection;
+    };
+    const waiting = async () => {
+      const queues = await Promise.all(
+        [0, 1].map(async (index) =>
+          Object.values((await readStatus(deployment, index)).queues)
+        ),
+      );
+      return queues.flat().reduce<number>(
+        (sum, count) => sum + Number(count),
+        0,
+      );
+    };
+    const first = await send(1);
+    await waitUntil(async () => await runningRequests(deployment) === 1);
+    const others = [await send(2), await send(3), await send(4)];
+    await waitUntil(async () => await waiting() >= 2);
+    for (const connection of others) connection.destroy();
+    await waitUntil(async () => await waiting() === 0);
+    t.is(await runningRequests(deployment), 1, "the first still runs");
+    first.destroy();
+    await waitUntil(async () => await runningRequests(deployment) === 0);
+    await deployment.close();
+  });
+}
+
 // Guards against a call that runs although its caller left before it was sent.
 test("a booking whose caller left while it waited for tokens does not run", async (t) => {
   const deployment = await TestDeployment.start();
