router: withdraw the key once the caller has its first token

The test waited for the engine to run the request, so that under load the key could be withdrawn before the first token, and the request was refused instead of its stream ending with an error.

--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import OpenAI from "openai";
 import { expectedCompletion } from "@endivebend/stand-ins";
+import { connectCaller, rawCompletion } from "../callers/testing_callers.ts";
 import { TestDeployment, timedKey } from "../testing_deployment.ts";
 
 const PROMPT = "Ring six bells. ".repeat(1200);
@@ -135,16 +136,15 @@
 test("a withdrawn key ends its running stream with an error, not with its end", async (t) => {
   const deployment = await TestDeployment.start({ engines: [slowEngine] });
   const { key, keyId } = await deployment.createTeam();
-  const call = deployment.call({
-    path: "/v1/completions",
-    key,
-    body: completion(2000, true),
-  });
-  await deployment.whenStreaming();
+  const connection = await connectCaller(deployment);
+  connection.send(rawCompletion(key, completion(2000, true)));
+  await connection.until("data: {");
   await deployment.change({ kind: "key_withdrawn", keyId });
-  const answer = await call;
-  t.false(answer.text.includes("[DONE]"));
-  t.regex(answer.text, /event: error\ndata: .*"code":"key_withdrawn"/);
+  await connection.until("event: error");
+  const answer = await connection.until("\n\n\r\n0\r\n");
+  t.regex(answer, /event: error\ndata: .*"code":"key_withdrawn"/);
+  t.false(answer.includes("[DONE]"));
+  connection.destroy();
   const next = await deployment.call({
     path: "/v1/completions",
     key,
