End a wait for tokens when the key is withdrawn

A request that waited for tokens was refused only once it had been charged, up to queueWaitMs after the withdrawal, and its team's tokens were spent. It now ends with the withdrawal; the charge is taken back from the queue.

--- /dev/null
+++ b/packages/router/src/callers/charge_caller.ts
@@ -0,0 +1,84 @@
+/**
+ * Charges a caller's request for as long as the caller and its key are there.
+ *
+ * @module
+ */
+
+import { writeRefusal } from "../http/respond.ts";
+import type { ActiveRequest } from "./active_requests.ts";
+import { type Caller, checkDigest } from "./authenticate.ts";
+import { chargeRequest } from "./charge.ts";
+import { type CallerContext, type Exchange, noteAbandoned } from "./context.ts";
+
+/** What is charged. */
+export interface CallerCharge {
+  readonly exchange: Exchange;
+  readonly caller: Caller;
+  readonly costTokens: number;
+}
+
+/**
+ * Gives the rate-limit headers of the answer, or undefined when the request has
+ * been refused or its caller has left. Throws when the key has been withdrawn,
+ * also while the request waits for tokens.
+ *
+ * @example
+ * ```ts
+ * const headers = await chargeCaller(context, { exchange, caller, costTokens });
+ * if (headers === undefined) return;
+ * ```
+ */
+export async function chargeCaller(
+  context: CallerContext,
+  charge: CallerCharge,
+): Promise<Readonly<Record<string, string>> | undefined> {
+  const { active, configuration } = context;
+  const { digest } = charge.caller;
+  checkDigest(digest, configuration);
+  const ended = new AbortController();
+  const { gone } = charge.exchange;
+  gone.addEventListener("abort", () => ended.abort(), { once: true });
+  let withdrawal: Error | undefined;
+  const waiting: ActiveRequest = {
+    digest,
+    stop(error) {
+      withdrawal = error;
+      ended.abort();
+    },
+  };
+  active.add(waiting);
+  try {
+    const headers = await chargeUntilEnded(context, {
+      ...charge,
+      signal: gone.aborted ? gone : ended.signal,
+    });
+    if (withdrawal !== undefined) throw withdrawal;
+    if (headers !== undefined) checkDigest(digest, configuration);
+    return headers;
+  } finally {
+    active.remove(waiting);
+  }
+}
+
+async function chargeUntilEnded(
+  context: CallerContext,
+  options: CallerCharge & { readonly signal: AbortSignal },
+): Promise<Readonly<Record<string, string>> | undefined> {
+  const { exchange, caller, costTokens, signal } = options;
+  const { requestId, response } = exchange;
+  const { headers, refusal, isGone } = await chargeRequest(context, {
+    team: caller.team.team,
+    costTokens,
+    requestId,
+    deadlineElapsedMs: exchange.receivedAtMs + context.limits.queueWaitMs,
+    signal,
+  });
+  if (isGone) {
+    if (exchange.gone.aborted) noteAbandoned(context, exchange);
+    return undefined;
+  }
+  if (refusal === undefined) return headers;
+  context.metrics.increment("requests.refused", { reason: "charge" });
+  writeRefusal(response, { caught: refusal, requestId, headers });
+  return undefined;
+}
--- a/packages/router/src/callers/model_handler.ts
+++ b/packages/router/src/callers/model_handler.ts
@@ -14,8 +14,8 @@
 import { parseJsonObject, readBody } from "../http/body.ts";
 import { writeJson, writeRefusal } from "../http/respond.ts";
 import type { ActiveRequest } from "./active_requests.ts";
-import { authenticate, type Caller, checkDigest } from "./authenticate.ts";
-import { chargeRequest } from "./charge.ts";
+import { authenticate, type Caller } from "./authenticate.ts";
+import { chargeCaller } from "./charge_caller.ts";
 import { type CallerContext, type Exchange, noteAbandoned } from "./context.ts";
 import {
   type AnswerFrame,
@@ -56,22 +56,8 @@
   });
   requireModel(request, caller.team);
   const costTokens = request.promptTokens + request.maxTokens;
-  const { headers, refusal, isGone } = await chargeRequest(context, {
-    team: caller.team.team,
-    costTokens,
-    requestId: exchange.requestId,
-    deadlineElapsedMs: exchange.receivedAtMs + limits.queueWaitMs,
-    signal: exchange.gone,
-  });
-  if (isGone) return noteAbandoned(context, exchange);
-  if (refusal !== undefined) {
-    const { response, requestId } = exchange;
-    context.metrics.increment("requests.refused", { reason: "charge" });
-    writeRefusal(response, { caught: refusal, requestId, headers });
-    return;
-  }
-  // The key may have been withdrawn while the request waited for tokens.
-  checkDigest(caller.digest, configuration);
+  const headers = await chargeCaller(context, { exchange, caller, costTokens });
+  if (headers === undefined) return;
   await runModel(context, { exchange, request, caller, headers });
 }
 
--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -17,14 +17,9 @@
 import { writeRefusal } from "../http/respond.ts";
 import { dispatchRepeatable } from "../services/repeat.ts";
 import type { ActiveRequest } from "./active_requests.ts";
-import {
-  authenticate,
-  type Caller,
-  checkDigest,
-  presentedKey,
-} from "./authenticate.ts";
-import { chargeRequest } from "./charge.ts";
-import { type CallerContext, type Exchange, noteAbandoned } from "./context.ts";
+import { authenticate, type Caller, presentedKey } from "./authenticate.ts";
+import { chargeCaller } from "./charge_caller.ts";
+import type { CallerContext, Exchange } from "./context.ts";
 
 const ROUTE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 
@@ -115,9 +110,11 @@
   const body = await readBody(exchange.request, {
     maxBytes: context.limits.maxBodyBytes,
   });
-  const headers = await charge(context, { exchange, route, caller });
+  const { costTokens } = route;
+  const headers = caller === undefined
+    ? {}
+    : await chargeCaller(context, { exchange, caller, costTokens });
   if (headers === undefined) return;
-  if (caller !== undefined) checkDigest(caller.digest, context.configuration);
   await answerCall(context, {
     exchange,
     caller,
@@ -137,30 +134,6 @@
   });
 }
 
-async function charge(
-  context: CallerContext,
-  options: ResolvedRoute & { readonly exchange: Exchange },
-): Promise<Readonly<Record<string, string>> | undefined> {
-  const { exchange, route, caller } = options;
-  if (caller === undefined) return {};
-  const { headers, refusal, isGone } = await chargeRequest(context, {
-    team: caller.team.team,
-    costTokens: route.costTokens,
-    requestId: exchange.requestId,
-    deadlineElapsedMs: exchange.receivedAtMs + context.limits.queueWaitMs,
-    signal: exchange.gone,
-  });
-  if (isGone) {
-    noteAbandoned(context, exchange);
-    return undefined;
-  }
-  if (refusal === undefined) return headers;
-  const { response, requestId } = exchange;
-  context.metrics.increment("requests.refused", { reason: "charge" });
-  writeRefusal(response, { caught: refusal, requestId, headers });
-  return undefined;
-}
-
 async function answerCall(
   context: CallerContext,
   options: {
--- a/packages/router/src/callers/withdrawal_test.ts
+++ b/packages/router/src/callers/withdrawal_test.ts
@@ -3,6 +3,7 @@
 import {
   connectCaller,
   rawCompletion,
+  readStatus,
   runningRequests,
   waitUntil,
 } from "./testing_callers.ts";
@@ -25,12 +26,13 @@
   await deployment.close();
 });
 
-// Guards against a request that goes on after its key was withdrawn while it
-// waited for tokens, and so ran for nobody.
-test("a key withdrawn while its request waits for tokens ends it unrun", async (t) => {
-  const deployment = await TestDeployment.start();
+// Guards against a withdrawn key that goes on waiting: the next tokens come only
+// after 100 s, far beyond the time in which a withdrawal must work.
+test("a key withdrawn while its request waits for tokens ends it at once", async (t) => {
+  const deployment = await TestDeployment.start({ daemons: 0 });
+  await deployment.addDaemon({ queueWaitMs: 200_000 });
   const { key, keyId } = await deployment.createTeam("st-mary", {
-    tokenRatePerSecond: 100,
+    tokenRatePerSecond: 1,
     burstTokens: 100,
   });
   const fields = { prompt: "", max_tokens: 100 };
@@ -39,6 +41,9 @@
   t.is((await first.answer()).status, 200);
   const waiting = await connectCaller(deployment);
   waiting.send(rawCompletion(key, fields));
+  await waitUntil(async () =>
+    (await readStatus(deployment)).activeRequests === 1
+  );
   await deployment.change({ kind: "key_withdrawn", keyId });
   const { status, json } = await waiting.answer();
   t.is(status, 401);
