Let members settle in fleets of more than 161 daemons

Cause, from docs/CAPACITY.md: 16 peers a round at 500 ms reach a peer of a fleet of 410 only every 13 s, and a peer counts as absent after 5 s, so live peers were seen absent 37% of the time. Every peer is now asked in one of four rounds. Candidates of a choice are written out instead of spread (2.6 us an object, measured there), and a record of a choice keeps the eight engines that came closest instead of all.

--- a/packages/router/src/engines/engine_selector.ts
+++ b/packages/router/src/engines/engine_selector.ts
@@ -40,6 +40,7 @@
 
 /** Retry time for callers when no engine is there. */
 const NO_ENGINE_RETRY_MS = 1000;
+const MAX_EXPLAINED_ENGINES = 8;
 
 /** What decides where an attempt goes. */
 export interface SelectionInput {
@@ -177,8 +178,11 @@
       sinceMs,
       nowMs,
     });
+    // Written out: a spread costs 2.6 us an object, for each of many engines.
     return {
-      ...tag,
+      engine: tag.engine,
+      incarnation: tag.incarnation,
+      weightsVersion: tag.weightsVersion,
       state: "live",
       hitBlocks: this.#hitBlocks(tag, prompt),
       queuedPrefillTokens: (known?.load.queuedTokens ?? 0) + placed,
@@ -229,7 +233,7 @@
     this.#options.explainer.record(input.requestId, {
       step: "route",
       known: { blocks: prompt.blocks.length, locations: prompt.locations },
-      weighed: plan.weighed,
+      weighed: bestWeighed(plan),
       chosen: plan.engine,
     });
     return {
@@ -292,6 +296,13 @@
   }, servers);
 }
 
+/** The engines that came close; a record of all would fill the memory. */
+function bestWeighed(plan: RoutePlan) {
+  return plan.weighed
+    .toSorted((left, right) => left.scoreMs - right.scoreMs)
+    .slice(0, MAX_EXPLAINED_ENGINES);
+}
+
 function versionOf(server: BackendServerView): WeightsVersion {
   return server.weightsVersion ?? brandId<WeightsVersion>("");
 }
--- a/packages/router/src/membership/membership_task.ts
+++ b/packages/router/src/membership/membership_task.ts
@@ -27,8 +27,14 @@
   Scheduler,
 } from "../ports.ts";
 
-/** Peers asked in one round; the rest follow in the next rounds. */
-const PEERS_PER_ROUND = 16;
+/** Peers asked in one round at least; the rest follow in the next rounds. */
+const MIN_PEERS_PER_ROUND = 16;
+/**
+ * Every peer is asked at least once in so many rounds, well before it would
+ * count as absent. With a fixed number a round, members of a fleet of more
+ * than 161 daemons never settled.
+ */
+const MAX_ROUNDS_PER_PEER = 4;
 
 /** Settings and neighbours of the task. */
 export interface MembershipTaskOptions {
@@ -167,9 +173,11 @@
 
   #peersOfRound(): readonly VmEntry[] {
     const peers = this.#membership.knownPeers();
-    if (peers.length <= PEERS_PER_ROUND) return peers;
-    const start = (this.#round++ * PEERS_PER_ROUND) % peers.length;
-    return [...peers, ...peers].slice(start, start + PEERS_PER_ROUND);
+    const share = Math.ceil(peers.length / MAX_ROUNDS_PER_PEER);
+    const count = Math.max(MIN_PEERS_PER_ROUND, share);
+    if (peers.length <= count) return peers;
+    const start = (this.#round++ * count) % peers.length;
+    return [...peers, ...peers].slice(start, start + count);
   }
 
   async #exchangeWith(peer: VmEntry): Promise<void> {
