--- a/packages/router/src/callers/charge_caller.ts
+++ b/packages/router/src/callers/charge_caller.ts
@@ -36,8 +36,7 @@
   const { digest } = charge.caller;
   checkDigest(digest, configuration);
   const ended = new AbortController();
-  const { gone } = charge.exchange;
-  gone.addEventListener("abort", () => ended.abort(), { once: true });
+  charge.exchange.opened.onLeft(() => ended.abort());
   let withdrawal: Error | undefined;
   const waiting: ActiveRequest = {
     digest,
@@ -50,7 +49,7 @@
   try {
     const headers = await chargeUntilEnded(context, {
       ...charge,
-      signal: gone.aborted ? gone : ended.signal,
+      signal: ended.signal,
     });
     if (withdrawal !== undefined) throw withdrawal;
     if (headers !== undefined) checkDigest(digest, configuration);
@@ -74,7 +73,7 @@
     signal,
   });
   if (isGone) {
-    if (exchange.gone.aborted) noteAbandoned(context, exchange);
+    if (exchange.opened.hasLeft) noteAbandoned(context, exchange);
     return undefined;
   }
   if (refusal === undefined) return headers;
--- a/packages/router/src/callers/context.ts
+++ b/packages/router/src/callers/context.ts
@@ -19,6 +19,7 @@
   Scheduler,
   ServiceDispatcher,
 } from "../ports.ts";
+import type { OpenRequest } from "../http/connections.ts";
 import type { ActiveRequests } from "./active_requests.ts";
 
 /** Limits that the settings name. */
@@ -66,6 +67,6 @@
   readonly requestId: RequestId;
   readonly hop: Hop;
   readonly receivedAtMs: number;
-  /** Aborted when the caller has left before its answer was whole. */
-  readonly gone: AbortSignal;
+  /** Tells when the caller leaves. */
+  readonly opened: OpenRequest;
 }
--- a/packages/router/src/callers/model_handler.ts
+++ b/packages/router/src/callers/model_handler.ts
@@ -107,11 +107,11 @@
     };
     context.active.add(active);
     exchange.response.on("drain", () => run.callerReady());
-    exchange.gone.addEventListener("abort", () => {
+    exchange.opened.onLeft(() => {
       noteAbandoned(context, exchange);
       run.abandon();
       end();
-    }, { once: true });
+    });
     run.start();
   });
 }
--- a/packages/router/src/callers/server.ts
+++ b/packages/router/src/callers/server.ts
@@ -131,7 +131,7 @@
   },
 ): Exchange {
   const { opened, path, isProbe } = options;
-  const { request, response, gone } = opened;
+  const { request, response } = opened;
   const requestId = brandId<RequestId>(randomUUID());
   const hop = context.tracing.startHop("caller", {
     headers: request.headers,
@@ -143,7 +143,7 @@
   if (!isProbe) opened.onOver(context.active.open());
   giveUpConnectionWhenDraining(context, opened);
   boundAnswer(context, opened);
-  return { request, response, requestId, hop, receivedAtMs, gone };
+  return { request, response, requestId, hop, receivedAtMs, opened };
 }
 
 async function serve(
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -391,7 +391,7 @@
     const attempt = this.#attempt;
     if (attempt === undefined) return;
     this.#attempt = undefined;
-    attempt.waiting.abort();
+    if (attempt.slot === undefined) attempt.waiting.abort();
     attempt.running?.cancel();
     attempt.hop?.end();
     this.#releaseAttempt(attempt);
--- a/packages/router/src/http/connections.ts
+++ b/packages/router/src/http/connections.ts
@@ -11,7 +11,6 @@
 export class OpenRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly #gone = new AbortController();
   #whenOver: (() => void)[] = [];
   #isOver = false;
 
@@ -20,15 +19,22 @@
     this.response = response;
   }
 
-  /** Aborted when the caller has left before its answer was whole. */
-  get gone(): AbortSignal {
-    return this.#gone.signal;
-  }
-
   get isOver(): boolean {
     return this.#isOver;
   }
 
+  /** True when the caller has left before its answer was whole. */
+  get hasLeft(): boolean {
+    return this.#isOver && !this.response.writableFinished;
+  }
+
+  /** Calls the listener when the caller leaves before its answer is whole. */
+  onLeft(listener: () => void): void {
+    this.onOver(() => {
+      if (this.hasLeft) listener();
+    });
+  }
+
   /** Calls the listener once the answer is out or the caller has left. */
   onOver(listener: () => void): void {
     if (this.#isOver) return listener();
@@ -39,7 +45,6 @@
   end(): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    if (!this.response.writableFinished) this.#gone.abort();
     for (const listener of this.#whenOver) listener();
     this.#whenOver = [];
   }
@@ -90,8 +95,7 @@
  *
  * @example
  * ```ts
- * const { gone } = openRequestOf(request, response);
- * await charger.charge({ ...input, signal: gone });
+ * openRequestOf(request, response).onLeft(() => run.abandon());
  * ```
  */
 export function openRequestOf(
