Start from peers after a gap of the log and without the VM list

It takes a peer's. - service_dies_*: about 100 look-ups refused because every service was suspect for up to 4 s; a suspect one is tried when no other is there. - service_silent: a repeatable call spent its whole time on one connection; an attempt now takes its share of what is left.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -59,6 +59,8 @@
   readonly incarnation: string | undefined;
   readonly weightsVersion: WeightsVersion | undefined;
   readonly takesNewWork: boolean;
+  /** It ends soon, by the list's or its own word. */
+  readonly isLeaving: boolean;
   /**
    * Nobody has told anything of the server for a while, though it was heard of
    * before: it may lie behind a partition.
@@ -86,7 +88,7 @@
   readonly #peers = new Map<VmId, PeerState>();
   readonly #servers = new Map<BackendServerId, ServerState>();
   #entries = new Map<VmId, VmEntry>();
-  #listAsOfMs: number | undefined;
+  #list: VmList | undefined;
   readonly #everListed = new Set<VmId>();
 
   constructor(options: MembershipOptions) {
@@ -96,10 +98,8 @@
 
   /** Takes a list; an older one than the last is ignored. */
   applyList(list: VmList): void {
-    if (this.#listAsOfMs !== undefined && list.asOfMs < this.#listAsOfMs) {
-      return;
-    }
-    this.#listAsOfMs = list.asOfMs;
+    if (this.#list !== undefined && list.asOfMs < this.#list.asOfMs) return;
+    this.#list = list;
     const entries = new Map<VmId, VmEntry>();
     for (const seed of this.#options.seeds) entries.set(seed.vmId, seed);
     for (const entry of list.vms) {
@@ -109,6 +109,11 @@
     this.#entries = entries;
   }
 
+  /** The list in force; undefined before the first. */
+  get list(): VmList | undefined {
+    return this.#list;
+  }
+
   /** Notes that a peer answered. */
   notePeer(note: PeerNote, nowMs: number): void {
     this.#peers.set(note.vmId, { note, lastAnswerMs: nowMs });
@@ -162,7 +167,7 @@
    */
   hasEnded(vmId: VmId, sinceWallMs: number): boolean {
     if (!this.#everListed.has(vmId) || this.#entries.has(vmId)) return false;
-    const asOfMs = this.#listAsOfMs;
+    const asOfMs = this.#list?.asOfMs;
     return asOfMs !== undefined && asOfMs > sinceWallMs + LIST_LAG_BOUND_MS;
   }
 
@@ -224,6 +229,7 @@
       incarnation: state?.incarnation,
       weightsVersion: state?.weightsVersion,
       takesNewWork: !isLeaving && !isSuspect,
+      isLeaving,
       isStale: state !== undefined && state.asOfMs > -Infinity &&
         nowMs - state.asOfMs > SERVER_STALE_AFTER_MS,
     };
--- a/packages/router/src/configuration/configuration_task.ts
+++ b/packages/router/src/configuration/configuration_task.ts
@@ -112,6 +112,10 @@
     this.onGap(brandId<LogOffset>(offset + 1));
   }
 
+  isComplete(): boolean {
+    return this.#state.awaiting === undefined;
+  }
+
   onGap(firstOffset: LogOffset): void {
     beginAfterGap(this.#state, firstOffset);
     this.#options.logger.warn(
--- a/packages/router/src/daemon/daemon.ts
+++ b/packages/router/src/daemon/daemon.ts
@@ -90,7 +90,8 @@
     const callers = await openCallerListener(this.#foundation, served);
     const operators = await openOperatorListener(this.#foundation, served);
     this.#started = { tasks, peers, callers, operators };
-    logger.info({ ...identity, ...this.addresses }, "The daemon has started");
+    const { incarnation } = identity;
+    logger.info({ incarnation, ...this.addresses }, "The daemon has started");
     this.#onConfiguration(tasks);
   }
 
--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -312,3 +312,21 @@
   t.is(usage.prompt_tokens_details.cached_tokens, 0);
   await deployment.close();
 });
+
+// Guards against a new VM that refuses everything until the platform is back.
+test("a daemon that starts while the platform is away serves what its peers know", async (t) => {
+  const deployment = await TestDeployment.start({ daemons: 2 });
+  const { key } = await deployment.createTeam();
+  await deployment.whenServing(key);
+  await deployment.platform.control({ down: "refuse" });
+  await deployment.addDaemon();
+  await deployment.whenReady(2);
+  const answer = await deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(2, false),
+  }, 2);
+  t.is(answer.status, 200, answer.text);
+  await deployment.platform.control({ down: false });
+  await deployment.close();
+});
--- a/packages/router/src/daemon/listeners.ts
+++ b/packages/router/src/daemon/listeners.ts
@@ -39,6 +39,11 @@
     ...prefixes.handlers(),
     ...createSlotHandlers({ slots, clock, directory: tasks.engines.directory }),
     ...createRecordHandlers(new Map(served)),
+    fetchVmList({ newerThanMs }) {
+      const list = tasks.membership.list();
+      const isNewer = list !== undefined && list.asOfMs > Number(newerThanMs);
+      return { listJson: isNewer ? JSON.stringify(list) : "" };
+    },
     exchange({ view }) {
       if (view !== undefined) tasks.membership.takePeerView(view);
       return { view: tasks.ownView() };
--- a/packages/router/src/log/deferred_fold.ts
+++ b/packages/router/src/log/deferred_fold.ts
@@ -33,6 +33,10 @@
     this.#require().restore?.(json, offset);
   }
 
+  isComplete(): boolean {
+    return this.#require().isComplete?.() ?? true;
+  }
+
   onGap(firstOffset: LogOffset): void {
     this.#require().onGap?.(firstOffset);
   }
--- a/packages/router/src/log/follower.ts
+++ b/packages/router/src/log/follower.ts
@@ -58,6 +58,10 @@
   #lastAnswerMs: number;
   #isPlatformSilent = false;
   #isAskingPeers = false;
+  /** Where the log's records began after the last gap. */
+  #gapEndOffset = 0;
+  /** Counts the snapshots that were taken. */
+  #restores = 0;
   #stopped = false;
   #backoffMs = FIRST_BACKOFF_MS;
 
@@ -83,7 +87,7 @@
   }
 
   isCaughtUp(): boolean {
-    return this.#isCaughtUp;
+    return this.#isCaughtUp && this.#isComplete();
   }
 
   silenceMs(): number {
@@ -139,7 +143,8 @@
    */
   notePeerProgress(peerNextOffset: number): void {
     const isBehind = peerNextOffset > this.#nextOffset;
-    if (isBehind && !this.#stopped) void this.#readFromPeers();
+    const isNeeded = isBehind || !this.#isComplete();
+    if (isNeeded && !this.#stopped) void this.#readFromPeers();
   }
 
   /** Records after an offset for a peer, or undefined when they are too old. */
@@ -176,7 +181,12 @@
     }
   }
 
+  #isComplete(): boolean {
+    return this.#options.fold.isComplete?.() ?? true;
+  }
+
   async #readFromPlatform(): Promise<void> {
+    const restores = this.#restores;
     const result = await this.#options.log.read(this.stream, {
       fromOffset: this.#nextOffset,
       // A follower that is behind must not wait for the next record.
@@ -184,6 +194,8 @@
       limit: READ_LIMIT,
     });
     this.#notePlatformAnswer();
+    // A snapshot has moved the state meanwhile; what was read may not fit.
+    if (restores !== this.#restores) return;
     if (result.kind === "truncated") {
       // A peer may hold what the log has dropped.
       await this.#readFromPeers();
@@ -199,6 +211,7 @@
     if (firstOffset <= this.#nextOffset) return;
     this.#options.fold.onGap?.(brandId<LogOffset>(firstOffset));
     this.#nextOffset = firstOffset;
+    this.#gapEndOffset = firstOffset;
     // Peers must not get the records around the gap as one run.
     this.#recent.clear();
   }
@@ -214,8 +227,10 @@
   }
 
   async #takePeerRecords(): Promise<void> {
+    // No peer keeps records from before the first, so this asks for a snapshot.
+    const fromOffset = this.#isComplete() ? this.#nextOffset : -1;
     const answer = await this.#options.peers
-      .fetch(this.stream, this.#nextOffset)
+      .fetch(this.stream, fromOffset)
       .catch(() => undefined);
     if (answer === undefined || this.#stopped) return;
     this.#restoreSnapshot(answer.snapshot);
@@ -228,8 +243,13 @@
     snapshot: { readonly json: string; readonly offset: number } | undefined,
   ): void {
     if (snapshot === undefined) return;
-    // A state never goes back: only a snapshot ahead of ours is taken.
-    if (snapshot.offset < this.#nextOffset) return;
+    // A state never goes back: only a snapshot ahead of ours is taken, or after
+    // a gap one that reaches over it.
+    const leastOffset = this.#isComplete()
+      ? this.#nextOffset
+      : this.#gapEndOffset - 1;
+    if (snapshot.offset < leastOffset) return;
+    this.#restores++;
     const offset = brandId<LogOffset>(snapshot.offset);
     this.#options.fold.restore?.(snapshot.json, offset);
     this.#nextOffset = snapshot.offset + 1;
--- a/packages/router/src/log/follower_test.ts
+++ b/packages/router/src/log/follower_test.ts
@@ -116,6 +116,65 @@
   t.is(follower.nextOffset(), 2);
 });
 
+// Guards against a restarted daemon that never gets ready: the log had dropped
+// its oldest records, held no snapshot, and no peer was asked once it answered.
+test("after a gap a peer's snapshot completes the state", async (t) => {
+  const time = new VirtualTime();
+  const restored: string[] = [];
+  const applied: number[] = [];
+  let isComplete = true;
+  const pages: ReadAnswer[] = [
+    { kind: "truncated", firstOffset: 5 },
+    {
+      kind: "records",
+      records: [makeRecord(5), makeRecord(6)],
+      firstOffset: 5,
+      nextOffset: 7,
+    },
+  ];
+  const asked: number[] = [];
+  const snapshot = { json: "whole", offset: 6 };
+  const follower = new LogFollower({
+    stream: "configuration",
+    fold: {
+      apply: ({ offset }) => applied.push(offset),
+      onGap: () => isComplete = false,
+      isComplete: () => isComplete,
+      restore(json) {
+        restored.push(json);
+        isComplete = true;
+      },
+    },
+    log: {
+      append: () => never,
+      read: () => Promise.resolve(pages.shift() ?? never),
+    },
+    peers: {
+      fetch(_stream, fromOffset) {
+        asked.push(fromOffset);
+        const isKnown = applied.length > 0;
+        return Promise.resolve(
+          isKnown ? { records: [], nextOffset: 7, snapshot } : undefined,
+        );
+      },
+    },
+    clock: time,
+    scheduler: time,
+    logger: { info() {}, warn() {}, error() {} },
+    pollWaitMs: 1000,
+  });
+  void follower.start();
+  while (applied.length < 2) await new Promise((go) => setImmediate(go));
+  t.false(follower.isCaughtUp());
+  follower.notePeerProgress(7);
+  while (restored.length === 0) await new Promise((go) => setImmediate(go));
+  t.deepEqual(restored, ["whole"]);
+  t.is(asked.at(-1), -1, "a snapshot was asked for");
+  t.true(follower.isCaughtUp());
+  t.is(follower.nextOffset(), 7);
+  follower.stop();
+});
+
 // Guards against a change that is reported as failed although it is in force.
 test("an append whose answer was lost is found by reading back", async (t) => {
   const time = new VirtualTime();
--- a/packages/router/src/membership/membership_task.ts
+++ b/packages/router/src/membership/membership_task.ts
@@ -63,6 +63,7 @@
   readonly #listeners = new Set<() => void>();
   #presentPeers = "";
   #round = 0;
+  #listRound = 0;
   #stopped = false;
 
   constructor(options: MembershipTaskOptions) {
@@ -138,6 +139,17 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** The VM list in force. */
+  list(): VmList | undefined {
+    return this.#membership.list;
+  }
+
+  /** Takes a VM list; an older one than that in force changes nothing. */
+  takeList(list: VmList): void {
+    this.#membership.applyList(list);
+    this.#notify();
+  }
+
   /** Takes a view that a peer sent or answered with. */
   takePeerView(view: PeerView): void {
     if (view.vmId === this.#options.identity.vmId) return;
@@ -158,10 +170,27 @@
 
   async #readList(): Promise<void> {
     try {
-      this.#membership.applyList(await this.#options.listVms());
-      this.#notify();
+      this.takeList(await this.#options.listVms());
     } catch {
       this.#options.metrics.increment("vm_list.failures");
+      await this.#readListFromPeer();
+    }
+  }
+
+  /** A daemon that starts while the platform is away knows no servers. */
+  async #readListFromPeer(): Promise<void> {
+    const peers = this.entryVms().filter(({ vmId }) =>
+      vmId !== this.#options.identity.vmId
+    );
+    const peer = peers[this.#listRound++ % Math.max(1, peers.length)];
+    if (peer === undefined) return;
+    try {
+      const newerThanMs = BigInt(this.#membership.list?.asOfMs ?? 0);
+      const client = this.#options.peers.at(peer.address);
+      const { listJson } = await client.fetchVmList({ newerThanMs });
+      if (listJson !== "") this.takeList(JSON.parse(listJson) as VmList);
+    } catch {
+      this.#options.metrics.increment("vm_list.failures", { from: "peer" });
     }
   }
 
--- a/packages/router/src/orders/testing/order_fleet.ts
+++ b/packages/router/src/orders/testing/order_fleet.ts
@@ -184,7 +184,8 @@
             incarnation: undefined,
             weightsVersion: undefined,
             takesNewWork: true,
-      isStale: false,
+            isLeaving: false,
+            isStale: false,
           }
           : undefined,
       onChange: () => () => {},
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -111,6 +111,8 @@
     | undefined;
   /** Replaces the state; called only with an offset ahead of the state's. */
   restore?(json: string, offset: LogOffset): void;
+  /** False after a gap, until a snapshot that covers it was taken. */
+  isComplete?(): boolean;
   /** Called when the log no longer holds records between the state and its start. */
   onGap?(firstOffset: LogOffset): void;
 }
--- a/packages/router/src/services/dispatcher.ts
+++ b/packages/router/src/services/dispatcher.ts
@@ -99,8 +99,11 @@
   #leastBusy(call: ServiceCall): BackendServerView {
     const { service } = call.route;
     const { membership, identity } = this.#options;
-    const servers = membership.backendServers(service)
-      .filter((server) => server.takesNewWork);
+    const staying = membership.backendServers(service)
+      .filter((server) => !server.isLeaving);
+    const ready = staying.filter((server) => server.takesNewWork);
+    // A suspect server may well answer again, which beats a sure refusal.
+    const servers = ready.length > 0 ? ready : staying;
     const running = (server: BackendServerView) =>
       this.#running.get(server.id) ?? 0;
     const distance = (server: BackendServerView) =>
--- a/packages/router/src/services/repeat.ts
+++ b/packages/router/src/services/repeat.ts
@@ -37,6 +37,17 @@
   };
 }
 
+/** A connection that has gone silent must leave time for another attempt. */
+function withAttemptDeadline(
+  call: ServiceCall,
+  options: { readonly clock: Clock; readonly attemptsLeft: number },
+): ServiceCall {
+  const nowMs = options.clock.elapsedMs();
+  const leftMs = call.deadlineElapsedMs - nowMs;
+  const deadlineElapsedMs = nowMs + leftMs / options.attemptsLeft;
+  return { ...call, deadlineElapsedMs };
+}
+
 /** Once a byte went to any server, no later failure may say "not run". */
 function combineFailures(earlier: unknown, latest: unknown): unknown {
   const mayHaveRun = isEndivebendError(earlier) && earlier.ran !== "not_run";
@@ -69,7 +80,12 @@
     if (count > 1 && !retries.tryRetry(budgetUse(call, clock))) break;
     if (count > 1) metrics.increment("services.repeated");
     try {
-      return await dispatcher.dispatchOnce(call);
+      return await dispatcher.dispatchOnce(
+        withAttemptDeadline(call, {
+          clock,
+          attemptsLeft: MAX_ATTEMPTS - count + 1,
+        }),
+      );
     } catch (caught) {
       failure = combineFailures(failure, caught);
     }
--- a/packages/router/src/testing_deployment.ts
+++ b/packages/router/src/testing_deployment.ts
@@ -205,6 +205,12 @@
     return running!;
   }
 
+  /** Resolves when the balancer may send requests to a daemon. */
+  async whenReady(daemon: number): Promise<void> {
+    const probe = { path: "/readyz", method: "GET" };
+    await until(async () => (await this.call(probe, daemon)).status === 200);
+  }
+
   /** Resolves when a model request of the key is answered. */
   async whenServing(key: string): Promise<void> {
     const body = { model: "chime-llm", prompt: "Ring", max_tokens: 1 };
