Leave earlier loans aside when a change of domains leaves one domain

Cause: a holder of a domain that was left alone counted nothing as lent after a restart, though its previous run could have lent to a removed domain a moment before.

--- a/packages/limits/src/soak_test.ts
+++ b/packages/limits/src/soak_test.ts
@@ -54,3 +54,10 @@
   t.is(result.excessTokens, 0);
   t.is(result.excessCapacityTokens, 0);
 });
+
+test("a holder left alone by a change of domains heeds earlier loans", (t) => {
+  // These seeds first showed it, on a restart just after the change.
+  for (const seed of [8_000_735, 9_000_328]) {
+    t.is(runLimitsSeed(seed).excessCapacityTokens, 0, `seed ${seed}`);
+  }
+});
--- a/packages/limits/src/terms.ts
+++ b/packages/limits/src/terms.ts
@@ -9,6 +9,8 @@
 import { MAX_BURST_TOKENS, toRateMilli } from "./grains.ts";
 import type { TeamTerms } from "./state.ts";
 
+const FIRST_REVISION = 1;
+
 /** Settings of lending. */
 export interface LendingSettings {
   readonly loanLeaseMs: number;
@@ -74,7 +76,11 @@
   const rateMilli = toRateMilli(limits.rateTokensPerSecond);
   const burst = Math.max(0, Math.floor(limits.burstTokens));
   const capacityTokens = Math.min(burst, MAX_BURST_TOKENS);
-  const isAlone = splits.every((split) => split.domains.length === 1);
+  // A fleet that had more domains before may have loans out from that time,
+  // which a restarted holder must leave aside.
+  const isAlone = splits.every((split) =>
+    split.domains.length === 1 && split.revision === FIRST_REVISION
+  );
   return {
     limit: { rateMilli, capacityTokens },
     share: {
