Keep a VM's rights over a restart, release them when it leaves

A planned stop released all groups, so a rolling restart emptied every bucket and paused each group for 2 s. SIGTERM now keeps them for the next run; a requested drain releases them.

--- a/packages/router/src/daemon/daemon.ts
+++ b/packages/router/src/daemon/daemon.ts
@@ -84,7 +84,7 @@
     Object.assign(handlers, createPeerHandlers(this.#foundation, tasks));
     startTasks(tasks);
     tasks.configuration.onChange(() => this.#onConfiguration(tasks));
-    const drain = () => void this.drain();
+    const drain = () => void this.drain({ leaves: true });
     const daemon = { active: this.#active, isDraining, drain };
     const served = { tasks, daemon };
     const callers = await openCallerListener(this.#foundation, served);
@@ -100,8 +100,12 @@
     return this.#stopped;
   }
 
-  /** Stops without cutting a request; safe to call twice. */
-  async drain(): Promise<void> {
+  /**
+   * Stops without cutting a request; safe to call twice. A VM that leaves for
+   * good releases its rights; one that restarts keeps them, as its next run
+   * starts with their groups at once.
+   */
+  async drain(options: { readonly leaves?: boolean } = {}): Promise<void> {
     if (this.#isDraining) return this.#stopped;
     this.#isDraining = true;
     const { clock, logger, settings } = this.#foundation;
@@ -114,7 +118,7 @@
     await this.#active.idle();
     const deadlineElapsedMs = clock.elapsedMs() + SETTLE_TIMEOUT_MS;
     await tasks.commitments.drain({ deadlineElapsedMs });
-    await tasks.limits.drain({ release: true });
+    await tasks.limits.drain({ release: options.leaves ?? false });
     await this.#stop();
     logger.info({}, "The daemon has stopped");
     this.#resolveStopped();
@@ -125,7 +129,8 @@
     const stopped = this.#active.stopWithdrawn(tasks.configuration);
     if (stopped > 0) metrics.increment("requests.stopped_by_withdrawal");
     const isRequested = tasks.configuration.isDrainRequested(identity.vmId);
-    if (isRequested && this.#started !== undefined) void this.drain();
+    if (!isRequested || this.#started === undefined) return;
+    void this.drain({ leaves: true });
   }
 
   async #stop(): Promise<void> {
