--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -122,13 +122,16 @@
 export function createTracing(options: TracingOptions): Tracing {
   if (options.otlpAddress === undefined) return SILENT_TRACING;
   const url = `http://${options.otlpAddress}/v1/traces`;
+  const sampler = new TraceIdRatioBasedSampler(options.sampleRatio);
   const provider = new NodeTracerProvider({
     resource: resourceFromAttributes({
       "service.name": "endivebend",
       ...options.attributes,
     }),
+    // A caller's own context must not decide how much is recorded.
     sampler: new ParentBasedSampler({
-      root: new TraceIdRatioBasedSampler(options.sampleRatio),
+      root: sampler,
+      remoteParentSampled: sampler,
     }),
     spanProcessors: [new BatchSpanProcessor(new OTLPTraceExporter({ url }))],
   });
--- a/packages/telemetry/src/tracing_test.ts
+++ b/packages/telemetry/src/tracing_test.ts
@@ -39,6 +39,19 @@
   t.deepEqual(names.sort(), ["caller", "engine"]);
 });
 
+// Guards against callers that have every request of theirs recorded.
+test("a caller's context does not force a request to be sampled", (t) => {
+  const tracing = createTracing({
+    otlpAddress: "127.0.0.1:9",
+    sampleRatio: 0,
+    attributes: {},
+  });
+  const traceparent = `00-${"a".repeat(32)}-${"b".repeat(16)}-01`;
+  const hop = tracing.startHop("caller", { headers: { traceparent } });
+  t.regex(hop.headers["traceparent"] ?? "", /-00$/);
+  hop.end();
+});
+
 test("without a collector no context is passed on", (t) => {
   const tracing = createTracing({
     otlpAddress: undefined,
