--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -100,6 +100,28 @@
   await deployment.close();
 });
 
+// Guards against a prompt that waits for its first token, for up to minutes, at
+// an engine behind a partition.
+test("a prompt at an engine that is out of reach goes to another", async (t) => {
+  const deployment = await TestDeployment.start({
+    engines: [{ prefillUsPerToken: 1_000_000 }, {}],
+    limits: { streamProgressMs: 60_000 },
+  });
+  const { key } = await deployment.createTeam();
+  await deployment.publishVms({ "engine-2": "leaving" });
+  await deployment.whenServing(key);
+  const call = deployment.call({
+    path: "/v1/completions",
+    key,
+    body: completion(2, false),
+  });
+  const running = await deployment.whenStreaming();
+  await deployment.publishVms();
+  await running.control({ refuse: true, silence: true });
+  t.is(JSON.parse((await call).text).choices[0].text, expected(2));
+  await deployment.close();
+});
+
 test("a request waits for engines that come back", async (t) => {
   const deployment = await TestDeployment.start({ engines: [{}] });
   const { key } = await deployment.createTeam();
--- a/packages/router/src/engines/engine_selector.ts
+++ b/packages/router/src/engines/engine_selector.ts
@@ -260,6 +260,11 @@
     });
   }
 
+  /** Tells whether nobody has told of the engine for a while. */
+  isStale(engine: BackendServerId): boolean {
+    return this.#options.membership.backendServer(engine)?.isStale ?? true;
+  }
+
   /**
    * Tells whether the engine is still the run that the selection relies on, and
    * asserts that its hits are of the present weights and salt.
--- a/packages/router/src/engines/model_run.ts
+++ b/packages/router/src/engines/model_run.ts
@@ -37,6 +37,14 @@
 const FIRST_TOKEN_FACTOR = 6;
 const MAX_ATTEMPTS = 5;
 const PLACEMENT_LIFE_MS = 30_000;
+const REACH_CHECK_MS = 1000;
+const OUT_OF_REACH: AttemptFailure = {
+  reason: "Nobody has told of the engine for a while",
+  retryable: true,
+  isLeaving: false,
+  isConnectionLost: true,
+  isStaleChoice: false,
+};
 
 interface CurrentAttempt {
   readonly id: AttemptId;
@@ -49,6 +57,8 @@
   sentAtMs: number;
   firstTokenAtMs: number;
   hasToken: boolean;
+  /** Ends the check for an engine that is out of reach. */
+  cancelReachCheck: () => void;
 }
 
 /** A running model request. */
@@ -199,6 +209,7 @@
       sentAtMs: 0,
       firstTokenAtMs: 0,
       hasToken: false,
+      cancelReachCheck: () => {},
     };
     this.#attempt = attempt;
     if (effect.attemptNumber > 1) {
@@ -295,6 +306,23 @@
       sink: this.#sinkOf(attempt),
     });
     if (this.#isBlocked) attempt.running.pause();
+    this.#checkReach(attempt);
+  }
+
+  /**
+   * A prefill may rightly take long, so the time limit of the first token says
+   * little about a partition. The loads that stop coming say it within seconds.
+   */
+  #checkReach(attempt: CurrentAttempt): void {
+    const { scheduler, selector } = this.#context;
+    attempt.cancelReachCheck = scheduler.after(REACH_CHECK_MS, () => {
+      if (this.#attempt !== attempt || attempt.hasToken) return;
+      const isReachable = attempt.engine !== undefined &&
+        !selector.isStale(attempt.engine);
+      if (isReachable) return this.#checkReach(attempt);
+      attempt.running?.cancel();
+      this.#onFailed(attempt, OUT_OF_REACH);
+    });
   }
 
   #sinkOf(attempt: CurrentAttempt): AttemptSink {
@@ -398,6 +426,7 @@
   }
 
   #releaseAttempt(attempt: CurrentAttempt): void {
+    attempt.cancelReachCheck();
     attempt.slot?.release();
     attempt.slot = undefined;
     if (attempt.engine === undefined || attempt.hasToken) return;
--- a/packages/stand-ins/src/engine/batch_scheduler.ts
+++ b/packages/stand-ins/src/engine/batch_scheduler.ts
@@ -150,7 +150,7 @@
     this.#dueMs = Math.max(this.#dueMs, earliestMs) + stepMs;
     const waitMs = this.#dueMs - nowMs;
     if (waitMs < SHORTEST_TIMER_MS) this.#endStep();
-    else setTimeout(() => this.#endStep(), waitMs);
+    else setTimeout(() => this.#endStep(), waitMs).unref();
   }
 
   #admit(): number {
