End the wait for a slot when its watcher falls silent

The wait now ends when the watcher has not answered an exchange for 2.5 s, and the engine is chosen again.

npx ava packages/router/src/engines packages/router/src/daemon: passed; the new test fails without the check, as the wait never ends.

--- a/packages/router/src/daemon/engine_tasks.ts
+++ b/packages/router/src/daemon/engine_tasks.ts
@@ -56,7 +56,11 @@
       prefixes,
       saltSecret: settings.peers.sharedKey,
     }),
-    slots: new SlotClient({ ...shared, slots }),
+    slots: new SlotClient({
+      ...shared,
+      slots,
+      silenceMs: (vmId) => membership.silenceMs(vmId),
+    }),
     connections,
     directory,
     notes: membership,
--- a/packages/router/src/engines/slot_client.ts
+++ b/packages/router/src/engines/slot_client.ts
@@ -17,8 +17,9 @@
   type RequestId,
   type TeamId,
   type VmEntry,
+  type VmId,
 } from "@endivebend/types";
-import type { Clock, Identity, Metrics } from "../ports.ts";
+import type { Clock, Identity, Metrics, Scheduler } from "../ports.ts";
 import { readEngineLoad, writeEngineLoad } from "../peering/engine_loads.ts";
 import type { EngineDirectory } from "./engine_directory.ts";
 import { watcherOf } from "./ownership.ts";
@@ -28,6 +29,9 @@
 const ANSWER_MARGIN_MS = 250;
 /** The whole wait is cut into calls, so a silent watcher is noticed. */
 const LONGEST_CALL_MS = 5000;
+const SILENCE_CHECK_MS = 500;
+/** Every peer is asked within 2 s, also in a large fleet. */
+const WATCHER_SILENT_AFTER_MS = 2500;
 
 /** A slot with the way to end it. */
 export interface HeldSlot {
@@ -44,6 +48,9 @@
 export interface SlotClientOptions {
   readonly identity: Identity;
   readonly entryVms: () => readonly VmEntry[];
+  /** How long an entry VM has not answered an exchange, in milliseconds. */
+  readonly silenceMs: (vmId: VmId) => number;
+  readonly scheduler: Scheduler;
   readonly slots: SlotsTask;
   readonly directory: EngineDirectory;
   readonly peers: PeerClients;
@@ -66,10 +73,51 @@
   ): Promise<AcquiredSlot> {
     const watcher = watcherOf(engine, this.#options.entryVms());
     const isLocal = watcher === undefined ||
-      watcher.vmId === this.#options.identity.vmId;
+      watcher.vmId === this.#options.identity.vmId || this.#isSilent(watcher);
     if (isLocal) return await this.#acquireHere(request);
-    const remote = await this.#acquireAt(watcher, request);
-    return remote ?? await this.#acquireHere(request);
+    const watch = this.#watchSilence(watcher, request.signal);
+    try {
+      const signal = watch.signal;
+      const remote = await this.#acquireAt(watcher, { ...request, signal });
+      return remote ?? await this.#acquireHere(request);
+    } catch (caught) {
+      // What lies behind the same partition may be a bad choice by now.
+      if (watch.isSilent()) return { kind: "moved" };
+      throw caught;
+    } finally {
+      watch.end();
+    }
+  }
+
+  #isSilent(watcher: VmEntry): boolean {
+    return this.#options.silenceMs(watcher.vmId) > WATCHER_SILENT_AFTER_MS;
+  }
+
+  /**
+   * Ends a wait whose watcher falls silent. A wait may rightly last seconds,
+   * so the time limit of the call says little about a partition.
+   */
+  #watchSilence(watcher: VmEntry, signal: AbortSignal | undefined) {
+    const controller = new AbortController();
+    let isSilent = false;
+    const abort = () => controller.abort();
+    signal?.addEventListener("abort", abort);
+    if (signal?.aborted) abort();
+    let cancel = () => {};
+    const check = () => {
+      isSilent = this.#isSilent(watcher);
+      if (isSilent) return abort();
+      cancel = this.#options.scheduler.after(SILENCE_CHECK_MS, check);
+    };
+    cancel = this.#options.scheduler.after(SILENCE_CHECK_MS, check);
+    return {
+      signal: controller.signal,
+      isSilent: () => isSilent,
+      end() {
+        cancel();
+        signal?.removeEventListener("abort", abort);
+      },
+    };
   }
 
   async #acquireHere(request: SlotRequest): Promise<AcquiredSlot> {
--- /dev/null
+++ b/packages/router/src/engines/slot_client_test.ts
@@ -0,0 +1,91 @@
+import test from "ava";
+import type { PeerClient } from "@endivebend/peers";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type IncarnationId,
+  type RequestId,
+  type TeamId,
+  type VmEntry,
+  type VmId,
+} from "@endivebend/types";
+import { EngineDirectory } from "./engine_directory.ts";
+import { SlotClient } from "./slot_client.ts";
+import { SlotsTask } from "./slots_task.ts";
+
+const clock = { wallMs: () => 0, elapsedMs: () => 0 };
+const metrics = { increment() {}, gauge() {}, timing() {} };
+const domain = brandId<FailureDomainId>("a");
+
+function makeVm(id: string, role: VmEntry["role"]): VmEntry {
+  return {
+    vmId: brandId<VmId>(id),
+    role,
+    state: "live",
+    address: "127.0.0.1:1",
+    failureDomain: domain,
+  };
+}
+
+// Guards against a prompt that waits for its whole time at a watcher behind a
+// partition: the call to it neither fails nor ends.
+test("a wait ends when its watcher falls silent, and the engine is chosen again", async (t) => {
+  const timers: (() => void)[] = [];
+  const scheduler = {
+    after(_delayMs: number, task: () => void) {
+      timers.push(task);
+      return () => {};
+    },
+  };
+  let silenceMs = 0;
+  let calls = 0;
+  const watcher = {
+    acquireSlot: (_request: unknown, { signal }: { signal: AbortSignal }) => {
+      calls++;
+      return new Promise((_resolve, reject) => {
+        signal.addEventListener("abort", () => reject(new Error("aborted")));
+      });
+    },
+    releaseSlot: () => Promise.resolve({}),
+  } as unknown as PeerClient;
+  const slots = new SlotsTask({
+    takesNewWork: () => true,
+    clock,
+    scheduler,
+    metrics,
+  });
+  const client = new SlotClient({
+    identity: {
+      vmId: brandId<VmId>("self"),
+      incarnation: brandId<IncarnationId>("i"),
+      failureDomain: domain,
+    },
+    entryVms: () => [makeVm("watcher", "entry")],
+    silenceMs: () => silenceMs,
+    peers: { at: () => watcher, setTls() {} },
+    directory: new EngineDirectory(clock),
+    slots,
+    clock,
+    scheduler,
+    metrics,
+  });
+  const request = {
+    engine: brandId<BackendServerId>("e1"),
+    requestId: brandId<RequestId>("r-1"),
+    team: brandId<TeamId>("st-mary"),
+    costTokens: 10,
+    prefillTokens: 10,
+    deadlineElapsedMs: 10_000,
+    maxQueueMs: Infinity,
+  };
+  const engine = makeVm("e1", "engine");
+  const waiting = client.acquire(engine, request);
+  timers.shift()?.();
+  silenceMs = 3000;
+  timers.shift()?.();
+  t.deepEqual(await waiting, { kind: "moved" });
+  const again = await client.acquire(engine, request);
+  t.is(again.kind, "granted", "the own queue stands in for a silent watcher");
+  t.is(calls, 1);
+});
--- a/packages/router/src/membership/membership_task.ts
+++ b/packages/router/src/membership/membership_task.ts
@@ -139,6 +139,12 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** How long a VM has not answered; Infinity when it never did. */
+  silenceMs(vmId: VmId): number {
+    const lastAnswerMs = this.#membership.lastAnswerMs(vmId);
+    return lastAnswerMs === undefined ? Infinity : this.#nowMs() - lastAnswerMs;
+  }
+
   /** The VM list in force. */
   list(): VmList | undefined {
     return this.#membership.list;
