--- a/packages/router/src/services/dispatcher.ts
+++ b/packages/router/src/services/dispatcher.ts
@@ -70,7 +70,7 @@
   }
 
   async dispatchOnce(call: ServiceCall): Promise<ServiceAnswer> {
-    const server = this.#leastBusy(call);
+    const server = this.#choose(call);
     const { explainer, notes } = this.#options;
     const chosen = server.id;
     explainer.record(call.requestId, { step: "dispatch", chosen });
@@ -95,8 +95,12 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  /** The server with the fewest calls of this router; of equal ones a near one. */
-  #leastBusy(call: ServiceCall): BackendServerView {
+  /**
+   * The server with the fewest calls of this router, and of equal ones a near
+   * one. A call that must not be repeated goes to a near server first: across
+   * a partition that begins during the call its outcome stays unknown.
+   */
+  #choose(call: ServiceCall): BackendServerView {
     const { service } = call.route;
     const { membership, identity } = this.#options;
     const staying = membership.backendServers(service)
@@ -108,8 +112,11 @@
       this.#running.get(server.id) ?? 0;
     const distance = (server: BackendServerView) =>
       server.entry.failureDomain === identity.failureDomain ? 0 : 1;
+    const [major, minor] = call.route.repeatable
+      ? [running, distance]
+      : [distance, running];
     const [first] = [...servers].sort((left, right) =>
-      running(left) - running(right) || distance(left) - distance(right)
+      major(left) - major(right) || minor(left) - minor(right)
     );
     if (first !== undefined) return first;
     const message = `No backend server of ${service} takes new work`;
