--- a/packages/capacity/src/budget/engine_lines.ts
+++ b/packages/capacity/src/budget/engine_lines.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Line, type Slopes, times } from "./slopes.ts";
-import { ASSUMED, GIVEN, PRESENT, SHARE } from "./two_year.ts";
+import { ASSUMED, GIVEN, peersPerRound, PRESENT, SHARE } from "./two_year.ts";
 
 const CLIENT = times(ASSUMED.clientPart, "client's part");
 const BOTH_WAYS = times(2, "out and in");
@@ -30,7 +30,7 @@
 
 function exchangeLine(slopes: Slopes): Line {
   const calls = times(
-    PRESENT.exchangeRoundsPerS * PRESENT.peersPerRound,
+    PRESENT.exchangeRoundsPerS * peersPerRound(GIVEN.daemons - 1),
     "calls/s",
   );
   const views = times(calls.value * 2, "views/s made and taken");
--- a/packages/capacity/src/budget/two_year.ts
+++ b/packages/capacity/src/budget/two_year.ts
@@ -53,7 +53,8 @@
 export const PRESENT = {
   listReadsPerS: 2,
   exchangeRoundsPerS: 2,
-  peersPerRound: 16,
+  minPeersPerRound: 16,
+  maxRoundsPerPeer: 4,
   peerAbsentAfterS: 5,
   scansPerS: 4,
   loadPollsPerEnginePerS: 4,
@@ -105,3 +106,9 @@
   entryVmChangesPerS: GIVEN.vmChangesPerS * GIVEN.daemons /
     (GIVEN.daemons + GIVEN.engines),
 } as const;
+
+/** How many of its peers a daemon asks in one round of the exchange. */
+export function peersPerRound(peers: number): number {
+  const share = Math.ceil(peers / PRESENT.maxRoundsPerPeer);
+  return Math.min(peers, Math.max(PRESENT.minPeersPerRound, share));
+}
--- a/packages/capacity/src/coverage.ts
+++ b/packages/capacity/src/coverage.ts
@@ -6,7 +6,7 @@
  */
 
 import { Membership } from "@endivebend/membership";
-import { PRESENT } from "./budget/two_year.ts";
+import { peersPerRound, PRESENT } from "./budget/two_year.ts";
 import {
   engineId,
   entryVm,
@@ -49,8 +49,8 @@
   const endMs = WARM_UP_MS + OBSERVED_MS;
   for (let round = 0; round * ROUND_MS < endMs; round++) {
     const atMs = round * ROUND_MS + phase % ROUND_MS;
-    const start = ((firstRound + round) * PRESENT.peersPerRound) % peers;
-    const count = Math.min(PRESENT.peersPerRound, peers);
+    const count = peersPerRound(peers);
+    const start = ((firstRound + round) * count) % peers;
     for (let index = 0; index < count; index++) {
       const peer = (start + index) % peers;
       if (place === undefined || peer === place) meetings.push({ atMs, peer });
