Send a call of an open route that is not repeatable once

Calls of open routes were repeated after a failure whatever their route said, so a booking on an open route could run up to three times.

--- a/packages/router/src/callers/service_handler.ts
+++ b/packages/router/src/callers/service_handler.ts
@@ -176,10 +176,12 @@
   context: CallerContext,
   call: ServiceCall,
 ): Promise<ServiceAnswer> {
-  const isRepeatable = call.route.repeatable || call.route.open;
-  if (!isRepeatable) return context.commitments.run(call);
+  const { open, repeatable } = call.route;
   const { retries } = context.runs;
-  return dispatchRepeatable(call, { ...context, retries });
+  if (repeatable) return dispatchRepeatable(call, { ...context, retries });
+  // Without a team an idempotency key belongs to nobody: it runs once, or not.
+  if (open) return context.dispatcher.dispatchOnce(call);
+  return context.commitments.run(call);
 }
 
 function writeAnswer(
--- a/packages/router/src/daemon/daemon_test.ts
+++ b/packages/router/src/daemon/daemon_test.ts
@@ -2,7 +2,11 @@
 import OpenAI from "openai";
 import { expectedCompletion } from "@endivebend/stand-ins";
 import { connectCaller, rawCompletion } from "../callers/testing_callers.ts";
-import { TestDeployment, timedKey } from "../testing_deployment.ts";
+import {
+  TEST_TEMPLATE,
+  TestDeployment,
+  timedKey,
+} from "../testing_deployment.ts";
 
 const PROMPT = "Ring six bells. ".repeat(1200);
 const slowEngine = { decodeMsPerToken: 10 };
@@ -352,3 +356,31 @@
   await deployment.platform.control({ down: false });
   await deployment.close();
 });
+
+// Guards against an open route whose calls must not be repeated, and are.
+test("a call of an open route that is not repeatable is sent once", async (t) => {
+  const deployment = await TestDeployment.start();
+  await deployment.change({
+    kind: "template_published",
+    template: "open-bookings",
+    body: {
+      ...TEST_TEMPLATE,
+      routes: [{
+        path: "/bookings",
+        methods: ["POST"],
+        service: "belfry-app",
+        repeatable: false,
+        open: true,
+      }],
+    },
+  });
+  await deployment.service.control({ dieAfterRun: 1 });
+  const answer = await deployment.call({
+    path: "/bookings",
+    body: { tower: "St Mary" },
+  });
+  t.is(answer.status, 502);
+  t.is(JSON.parse(answer.text).error.ran, "unknown");
+  t.is(deployment.service.ranCalls().length, 1);
+  await deployment.close();
+});
