Decide in one place whether the writer of a record has ended

The commitments and the orders task each had the same rule: the VM runs another incarnation, or is no longer listed. sharedDepth of packages/routing had no caller left since recent placements are kept by block. Behaviour is the same.

--- a/packages/router/src/commitments/call_planner.ts
+++ b/packages/router/src/commitments/call_planner.ts
@@ -11,7 +11,6 @@
   type CommitmentState,
   decideCall,
 } from "@endivebend/commitments";
-import type { IncarnationId, VmId } from "@endivebend/types";
 import type {
   Clock,
   Explainer,
@@ -19,6 +18,7 @@
   Identity,
   MembershipView,
 } from "../ports.ts";
+import { hasWriterEnded } from "../membership/writer_ended.ts";
 import type { DescribedCall } from "./described_call.ts";
 import { type LocalIntents, planFromLocal } from "./local_intents.ts";
 import type { CommitmentTaskSettings } from "./settings.ts";
@@ -76,15 +76,8 @@
   }
 
   #hasEnded(holder: Readonly<CommitmentEntry>): boolean {
-    const { identity, membership } = this.#options;
-    if (holder.vmId === identity.vmId) {
-      return holder.incarnation !== identity.incarnation;
-    }
-    const vmId = holder.vmId as VmId;
-    const incarnation = membership.incarnationOf(vmId);
-    const hasRestarted = incarnation !== undefined &&
-      incarnation !== holder.incarnation as IncarnationId;
-    return hasRestarted || membership.hasEnded(vmId, holder.atMs);
+    const { vmId, incarnation, atMs: writtenAtMs } = holder;
+    return hasWriterEnded({ vmId, incarnation, writtenAtMs }, this.#options);
   }
 
   #explain({ call, decision }: DescribedCall, plan: CommitmentPlan): void {
--- /dev/null
+++ b/packages/router/src/membership/writer_ended.ts
@@ -0,0 +1,43 @@
+/**
+ * Whether the daemon run that wrote a record has ended.
+ *
+ * @module
+ */
+
+import type { IncarnationId, VmId } from "@endivebend/types";
+import type { Identity, MembershipView } from "../ports.ts";
+
+/** The run that wrote a record, and when. */
+export interface RecordWriterRun {
+  readonly vmId: string;
+  readonly incarnation: string;
+  /** Wall-clock time in milliseconds. */
+  readonly writtenAtMs: number;
+}
+
+/**
+ * Tells whether a run has ended: its VM runs another incarnation, or is no
+ * longer listed.
+ *
+ * @example
+ * ```ts
+ * if (hasWriterEnded(run, { identity, membership })) takeOver();
+ * ```
+ */
+export function hasWriterEnded(
+  run: RecordWriterRun,
+  known: {
+    readonly identity: Identity;
+    readonly membership: MembershipView;
+  },
+): boolean {
+  const { identity, membership } = known;
+  if (run.vmId === identity.vmId) {
+    return run.incarnation !== identity.incarnation;
+  }
+  const vmId = run.vmId as VmId;
+  const incarnation = membership.incarnationOf(vmId);
+  const hasRestarted = incarnation !== undefined &&
+    incarnation !== run.incarnation as IncarnationId;
+  return hasRestarted || membership.hasEnded(vmId, run.writtenAtMs);
+}
--- a/packages/router/src/orders/orders_task.ts
+++ b/packages/router/src/orders/orders_task.ts
@@ -7,12 +7,7 @@
 import { type EngineOrderEntry, OrdersState } from "@endivebend/orders";
 import { firstByRendezvous } from "@endivebend/routing";
 import { fail } from "@endivebend/errors";
-import type {
-  BackendServerId,
-  IncarnationId,
-  LogRecord,
-  VmId,
-} from "@endivebend/types";
+import type { BackendServerId, LogRecord } from "@endivebend/types";
 import type {
   Clock,
   FollowedStream,
@@ -23,6 +18,7 @@
   Scheduler,
   StreamFold,
 } from "../ports.ts";
+import { hasWriterEnded } from "../membership/writer_ended.ts";
 import type { EngineOrderClient } from "./engine_order_client.ts";
 import { type OrderRequest, type OrderResult, OrderRun } from "./order_run.ts";
 import type { OrdersTaskSettings } from "./settings.ts";
@@ -159,15 +155,8 @@
   }
 
   #hasEnded(entry: EngineOrderEntry): boolean {
-    const { identity, membership } = this.#options;
-    if (entry.vmId === identity.vmId) {
-      return entry.incarnation !== identity.incarnation;
-    }
-    const vmId = entry.vmId as VmId;
-    const incarnation = membership.incarnationOf(vmId);
-    const hasRestarted = incarnation !== undefined &&
-      incarnation !== entry.incarnation as IncarnationId;
-    return hasRestarted || membership.hasEnded(vmId, entry.issuedAtMs);
+    const { vmId, incarnation, issuedAtMs: writtenAtMs } = entry;
+    return hasWriterEnded({ vmId, incarnation, writtenAtMs }, this.#options);
   }
 
   async #takeOver(entry: EngineOrderEntry): Promise<void> {
--- a/packages/routing/src/recent_placements.ts
+++ b/packages/routing/src/recent_placements.ts
@@ -172,29 +172,3 @@
     return placements;
   }
 }
-
-/**
- * The number of blocks that two chains have in common from their roots.
- * Chained hashes make the deepest equal block decide for all above it.
- *
- * @example
- * ```ts
- * sharedDepth(cached, wanted); // 3
- * ```
- */
-export function sharedDepth(
-  a: readonly BlockHash[],
-  b: readonly BlockHash[],
-): number {
-  let low = 0;
-  let high = Math.min(a.length, b.length);
-  while (low < high) {
-    const middle = Math.ceil((low + high) / 2);
-    if (a[middle - 1] === b[middle - 1]) {
-      low = middle;
-    } else {
-      high = middle - 1;
-    }
-  }
-  return low;
-}
