--- a/packages/router/src/time.ts
+++ b/packages/clock/src/clock.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Clock, Scheduler } from "./ports.ts";
+import type { Clock, Scheduler } from "./time_types.ts";
 
 /**
  * Makes the real clock. `elapsedMs` follows the larger of monotonic and
--- /dev/null
+++ b/packages/fleet/src/message.ts
@@ -0,0 +1,75 @@
+/**
+ * What one daemon tells the others, in one datagram.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  FailureDomainId,
+  IncarnationId,
+  ModelName,
+  TeamId,
+  VmId,
+} from "@endivebend/types";
+
+/** Requests and prompt tokens of the sender at one backend server. */
+export type WorkAtServer = readonly [running: number, prefillTokens: number];
+
+/** Weights that an order brought, or brings, to a backend server. */
+export interface WeightsNote {
+  readonly server: BackendServerId;
+  readonly model: ModelName;
+  readonly weights: number;
+  /** False while the server still takes them. */
+  readonly isDone: boolean;
+}
+
+/** What the sender says about the duty to bring engines to new weights. */
+export interface DutyNote {
+  /** The epoch under which the sender holds the duty; 0 when it doesn't. */
+  readonly epoch: number;
+}
+
+/** The state of the sender; each message replaces the one before. */
+export interface FleetMessage {
+  readonly vm: VmId;
+  readonly incarnation: IncarnationId;
+  readonly failureDomain: FailureDomainId;
+  /** Where the sender takes datagrams. */
+  readonly address: string;
+  /** Orders the messages of one incarnation. */
+  readonly sequence: number;
+  /** True when the sender ends; it says nothing more after it. */
+  readonly isLeaving: boolean;
+  /** Whether the sender has reached the store lately. */
+  readonly reachesStore: boolean;
+  /** Whether the sender reads the list of servers from the store itself. */
+  readonly isReader: boolean;
+  readonly duty: DutyNote;
+  /** Units spent by each team since the sender started. */
+  readonly spent: Readonly<Record<TeamId, number>>;
+  readonly work: Readonly<Record<BackendServerId, WorkAtServer>>;
+  readonly weights: readonly WeightsNote[];
+  /** The offset of the newest record that the sender holds, by topic. */
+  readonly records: Readonly<Record<string, number>>;
+}
+
+/** Reads a datagram; undefined when it isn't a message of this format. */
+export function parseFleetMessage(bytes: Buffer): FleetMessage | undefined {
+  try {
+    const value = JSON.parse(bytes.toString("utf8")) as Partial<FleetMessage>;
+    const isMessage = typeof value.vm === "string" &&
+      typeof value.incarnation === "string" &&
+      typeof value.address === "string" &&
+      typeof value.sequence === "number" &&
+      typeof value.spent === "object" && value.spent !== null &&
+      typeof value.work === "object" && value.work !== null &&
+      typeof value.records === "object" && value.records !== null &&
+      typeof value.duty === "object" && value.duty !== null &&
+      Array.isArray(value.weights);
+    return isMessage ? value as FleetMessage : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/record_exchange.ts
@@ -0,0 +1,124 @@
+/**
+ * Hands records to the other daemons and takes theirs, over HTTP on loopback
+ * or between VMs. One daemon of a failure domain reads the store for all, and
+ * a daemon that can't reach the store learns from the others.
+ *
+ * @module
+ */
+
+import {
+  Agent,
+  createServer,
+  get,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { KeyedRecord } from "./record_follower.ts";
+import type { RecordTable } from "./record_table.ts";
+
+/** Records of a topic as they go between daemons. */
+type WireRecord = readonly [key: string, offset: number, value: string | null];
+
+/** A peer that does not answer must not hold up the next pull. */
+const PULL_TIMEOUT_MS = 500;
+
+/** Where records are handed out and which. */
+export interface RecordExchangeOptions {
+  readonly ip: string;
+  readonly port: number;
+  readonly tables: ReadonlyMap<string, RecordTable>;
+  failed(reason: string): void;
+}
+
+/** A running exchange. */
+export class RecordExchange {
+  readonly #options: RecordExchangeOptions;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  readonly #server: Server;
+  readonly #pulling = new Set<string>();
+
+  constructor(options: RecordExchangeOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) =>
+      this.#answer(request, response)
+    );
+    this.#server.on("error", ({ message }) => options.failed(message));
+    this.#server.listen(options.port, options.ip);
+  }
+
+  /** Takes a peer's records that are newer than the table's. */
+  async pull(topic: string, address: string): Promise<void> {
+    const table = this.#options.tables.get(topic);
+    if (table === undefined || this.#pulling.has(topic)) return;
+    this.#pulling.add(topic);
+    try {
+      const since = table.highestOffset;
+      const body = await this.#fetch(address, `/${topic}?since=${since}`);
+      const records = JSON.parse(body) as readonly WireRecord[];
+      table.apply(records.map(fromWire));
+    } catch (caught) {
+      this.#options.failed(`pull from ${address}: ${String(caught)}`);
+    } finally {
+      this.#pulling.delete(topic);
+    }
+  }
+
+  close(): void {
+    this.#agent.destroy();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #answer(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? "/", "http://peer");
+    const table = this.#options.tables.get(url.pathname.slice(1));
+    if (table === undefined) {
+      response.writeHead(404).end();
+      return;
+    }
+    const records = table.since(Number(url.searchParams.get("since") ?? -1));
+    response.end(JSON.stringify(records.map(toWire)));
+  }
+
+  #fetch(address: string, path: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const [host, port] = address.split(":");
+      const request = get(
+        { agent: this.#agent, host, port, path },
+        (answer) => {
+          const chunks: Buffer[] = [];
+          answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+          answer.on("error", reject);
+          answer.on("end", () => {
+            clearTimeout(timer);
+            if (answer.statusCode === 200) {
+              resolve(String(Buffer.concat(chunks)));
+            } else {reject(
+                new Error(`The peer answered ${answer.statusCode}`),
+              );}
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        request.destroy(new Error("The peer did not answer in time"));
+      }, PULL_TIMEOUT_MS);
+      request.on("error", (error) => {
+        clearTimeout(timer);
+        reject(error);
+      });
+    });
+  }
+}
+
+function toWire({ key, offset, value }: KeyedRecord): WireRecord {
+  return [key, offset, value === undefined ? null : value.toString("base64")];
+}
+
+function fromWire([key, offset, value]: WireRecord): KeyedRecord {
+  return {
+    key,
+    offset,
+    value: value === null ? undefined : Buffer.from(value, "base64"),
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/record_follower.ts
@@ -0,0 +1,153 @@
+/**
+ * Follows keyed records that a store keeps: takes the newest of each key, then
+ * reads on, and starts over after a gap.
+ *
+ * @module
+ */
+
+import type { Clock, Scheduler } from "@endivebend/clock";
+import type { RecordTable } from "./record_table.ts";
+
+/** One record; without a value, the key has been removed. */
+export interface KeyedRecord {
+  readonly key: string;
+  readonly value: Buffer | undefined;
+  readonly offset: number;
+}
+
+/** What the follower needs of the store. */
+export interface RecordSource {
+  /** The newest record of every key, and where to read on. */
+  newest(): Promise<{
+    readonly records: readonly KeyedRecord[];
+    readonly nextOffset: number;
+  }>;
+  /** Records from the offset on; `gap` when they have been deleted. */
+  read(fromOffset: number, waitMs: number): Promise<
+    | {
+      readonly kind: "records";
+      readonly records: readonly KeyedRecord[];
+      readonly nextOffset: number;
+    }
+    | { readonly kind: "gap" }
+  >;
+}
+
+/** How records are followed and who hears of them. */
+export interface RecordFollowerOptions {
+  readonly source: RecordSource;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  /** How long the store may hold a read until a record comes. */
+  readonly waitMs: number;
+  /** Least time between the starts of two reads. */
+  readonly paceMs: number;
+  /** Whether this daemon reads now; false leaves it to another one. */
+  readonly isReader?: () => boolean;
+  readonly table: RecordTable;
+  lost(reason: string): void;
+  regained(): void;
+}
+
+const FIRST_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 800;
+
+/** A running follower. */
+export class RecordFollower {
+  readonly #options: RecordFollowerOptions;
+  #nextOffset: number | undefined;
+  /** Whether records were deleted before they were read. */
+  #hasGap = false;
+  #backoffMs = FIRST_BACKOFF_MS;
+  #isLost = false;
+  #hasStopped = false;
+  /** When the store last answered, on the steady clock. */
+  #answeredAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: RecordFollowerOptions) {
+    this.#options = options;
+  }
+
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
+  }
+
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#hasStopped = true;
+  }
+
+  async #run(): Promise<void> {
+    const { clock, paceMs, isReader } = this.#options;
+    while (!this.#hasStopped) {
+      const startedAtMs = steadyMs(clock);
+      if (isReader === undefined || isReader()) await this.#step();
+      const restMs = startedAtMs + paceMs - steadyMs(clock);
+      if (restMs > 0) await this.#pause(restMs);
+    }
+  }
+
+  async #step(): Promise<void> {
+    try {
+      await this.#advance();
+      this.#answeredAtMs = steadyMs(this.#options.clock);
+      this.#backoffMs = FIRST_BACKOFF_MS;
+      if (!this.#isLost) return;
+      this.#isLost = false;
+      this.#options.regained();
+    } catch (caught) {
+      if (!this.#isLost) this.#options.lost((caught as Error).message);
+      this.#isLost = true;
+      await this.#pause(this.#backoffMs * (0.5 + Math.random()));
+      this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
+    }
+  }
+
+  async #advance(): Promise<void> {
+    const { source, table, waitMs } = this.#options;
+    const fromOffset = this.#fromOffset();
+    if (fromOffset === undefined) {
+      const { records, nextOffset } = await source.newest();
+      table.apply(records, new Set(records.map(({ key }) => key)));
+      this.#nextOffset = nextOffset;
+      this.#hasGap = false;
+      return;
+    }
+    // After a loss, the first answer should come at once.
+    const answer = await source.read(fromOffset, this.#isLost ? 0 : waitMs);
+    if (answer.kind === "gap") {
+      this.#hasGap = true;
+      return await this.#advance();
+    }
+    this.#nextOffset = answer.nextOffset;
+    table.apply(answer.records);
+  }
+
+  /** Where to read on; undefined when everything must be read anew. */
+  #fromOffset(): number | undefined {
+    if (this.#hasGap) return undefined;
+    const { highestOffset } = this.#options.table;
+    // Peers may have handed on what came after this daemon last read.
+    const next = Math.max(this.#nextOffset ?? 0, highestOffset + 1);
+    return highestOffset < 0 && this.#nextOffset === undefined
+      ? undefined
+      : next;
+  }
+
+  #pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.scheduler.after(delayMs, resolve);
+    });
+  }
+}
+
+function steadyMs(clock: Clock): number {
+  return clock.steadyMs?.() ?? clock.elapsedMs();
+}
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -48,3 +48,5 @@
   reachableCapacityTokens,
   step,
 } from "./step.ts";
+export { SharedBucket } from "./shared_bucket.ts";
+export type { BucketTerms, BucketTolerance } from "./shared_bucket.ts";
--- a/packages/orders/src/mod.ts
+++ b/packages/orders/src/mod.ts
@@ -21,3 +21,16 @@
 } from "./records.ts";
 export { MAX_WEIGHT_LOADS, OrdersState } from "./state.ts";
 export type { EngineOrderEntry, OrderVerdict } from "./state.ts";
+export { planWeightsOrders, shouldClaim } from "./weights_duty.ts";
+export type {
+  ClaimInput,
+  ClaimResult,
+  DutyLog,
+  EngineOrders,
+  EngineReport,
+  OrderAnswer,
+  OrderedEngine,
+  WeightsOrder,
+} from "./weights_duty.ts";
+export { WeightsDutyTask } from "./weights_duty_task.ts";
+export type { WeightsDutyOptions } from "./weights_duty_task.ts";
--- /dev/null
+++ b/packages/platform/src/daemon.ts
@@ -0,0 +1,503 @@
+/**
+ * Puts the daemon together from the product's parts and the translators of the
+ * users' platform.
+ *
+ * @module
+ */
+
+import { createServer, type Server } from "node:http";
+import { type Clock, createClock, createScheduler } from "@endivebend/clock";
+import {
+  FleetChannel,
+  type FleetMessage,
+  FleetState,
+  RecordExchange,
+  RecordFollower,
+  RecordTable,
+  type WeightsNote,
+} from "@endivebend/fleet";
+import { type OrderedEngine, WeightsDutyTask } from "@endivebend/orders";
+import {
+  CallDesk,
+  type NamedWeights,
+  planLeaving,
+  ServerBook,
+} from "@endivebend/request-path";
+import { rankByRendezvous } from "@endivebend/routing";
+import {
+  type BoundedLog,
+  createDecisionLog,
+  TextMetrics,
+} from "@endivebend/telemetry";
+import {
+  type BackendServerId,
+  brandId,
+  type IncarnationId,
+  type ModelName,
+  type VmId,
+} from "@endivebend/types";
+import { createDutyLog } from "./duty_log.ts";
+import { createEngineOrders } from "./engine_orders.ts";
+import { FrontDoor } from "./front_door.ts";
+import { createServerClient } from "./server_client.ts";
+import type { PlatformSettings } from "./settings.ts";
+import { StoreClient } from "./store_client.ts";
+import {
+  applyOperatorRecords,
+  applyServerRecords,
+  MEMBER_TOPIC,
+  OPERATOR_TOPIC,
+  type RecordSinks,
+  SERVER_TOPIC,
+} from "./store_records.ts";
+import { PATHS } from "./wire_names.ts";
+
+/** The port that `deploy/system.toml` names for metrics. */
+const METRICS_PORT = 9_464;
+/** Daemons know each other's work and spending about this old. */
+const FLEET_INTERVAL_MS = 200;
+/** Daemons told in each interval; a fleet of 82 is told within 1.4 s. */
+const FLEET_FAN_OUT = 12;
+/** The operator's records come at once; a silent connection costs this long. */
+const OPERATOR_WAIT_MS = 8_000;
+/** Entries of servers change all the time; drains allow 2,000 ms. */
+const SERVER_PACE_MS = 400;
+/** Without news from the reader for this long, a daemon reads by itself. */
+const READER_SILENCE_MS = 1_200;
+const REGISTER_RETRY_MS = 1_000;
+const LEAVING_CHECK_MS = 50;
+/** How long peers are told that a server has new weights. */
+const WEIGHTS_NOTE_MS = 4_000;
+/** An engine that takes new weights is avoided no longer than this. */
+const LOADING_MS = 3_000;
+const PRUNE_MS = 5_000;
+
+/** The running daemon. */
+export class Daemon {
+  readonly #settings: PlatformSettings;
+  readonly #clock: Clock = createClock();
+  readonly #scheduler = createScheduler();
+  readonly #log: BoundedLog;
+  readonly #metrics = new TextMetrics();
+  readonly #store: StoreClient;
+  readonly #book = new ServerBook();
+  readonly #fleet: FleetState;
+  readonly #named = new Map<ModelName, NamedWeights>();
+  readonly #notes = new Map<
+    BackendServerId,
+    WeightsNote & { readonly untilMs: number }
+  >();
+  readonly #incarnation: IncarnationId;
+  readonly #desk: CallDesk;
+  readonly #tables: ReadonlyMap<string, RecordTable>;
+  readonly #followers: readonly RecordFollower[];
+  readonly #exchange: RecordExchange;
+  readonly #channel: FleetChannel;
+  readonly #duty: WeightsDutyTask;
+  readonly #door: FrontDoor;
+  readonly #servers: readonly Server[];
+  #sequence = 0;
+  #hasServers = false;
+  #serversChangedAtMs = Number.NEGATIVE_INFINITY;
+  #leavingSinceMs: number | undefined;
+
+  constructor(settings: PlatformSettings) {
+    this.#settings = settings;
+    this.#incarnation = brandId<IncarnationId>(
+      `${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`,
+    );
+    this.#log = createDecisionLog({
+      fields: { vm: settings.vm, domain: settings.failureDomain },
+      nowMs: () => this.#nowMs(),
+    });
+    this.#log.milestone("start", { incarnation: this.#incarnation });
+    this.#store = new StoreClient(settings.storeAddress);
+    this.#fleet = new FleetState(settings.vm);
+    this.#desk = this.#createDesk();
+    this.#tables = this.#createTables();
+    this.#followers = this.#createFollowers();
+    this.#exchange = new RecordExchange({
+      ip: settings.ip,
+      port: settings.firstPeerPort + 1,
+      tables: this.#tables,
+      failed: (reason) => this.#log.decision("peer_records_failed", { reason }),
+    });
+    this.#channel = this.#createChannel();
+    this.#duty = this.#createDuty();
+    this.#door = new FrontDoor({
+      endpoint: settings.callers,
+      desk: this.#desk,
+      clock: this.#clock,
+      log: this.#log,
+      isLeaving: () => this.#leavingSinceMs !== undefined,
+    });
+    this.#servers = [this.#serveReadiness(), this.#serveMetrics()];
+  }
+
+  start(): void {
+    for (const ip of this.#settings.seedIps) {
+      const vm = brandId<VmId>(`seed-${ip}`);
+      if (ip !== this.#settings.ip) this.#seeds.set(vm, this.#peerAddress(ip));
+    }
+    for (const follower of this.#followers) follower.start();
+    this.#duty.start();
+    void this.#register();
+    this.#pruneLater();
+  }
+
+  /** Begins a planned stop; the process ends by itself. */
+  stop(): void {
+    if (this.#leavingSinceMs !== undefined) return;
+    this.#leavingSinceMs = this.#nowMs();
+    this.#log.milestone("stop", { open: this.#door.openCount });
+    this.#duty.stop();
+    this.#leave();
+  }
+
+  /** The settings file has changed; everything in it needs a new process. */
+  reload(): void {
+    this.#log.milestone("reload", { outcome: "settings apply at a restart" });
+  }
+
+  /** Daemons to ask until they have been heard. */
+  readonly #seeds = new Map<VmId, string>();
+
+  #nowMs(): number {
+    return this.#clock.steadyMs?.() ?? this.#clock.elapsedMs();
+  }
+
+  #peerAddress(ip: string): string {
+    return `${ip}:${this.#settings.firstPeerPort}`;
+  }
+
+  #createDesk(): CallDesk {
+    const settings = this.#settings;
+    this.#book.usePeerWork((id) => this.#fleet.workAt(id, this.#nowMs()));
+    return new CallDesk({
+      context: {
+        book: this.#book,
+        failureDomain: settings.failureDomain,
+        namedWeights: (model) => this.#named.get(model),
+        weightsBoundMs: settings.weightsBoundMs,
+        clock: this.#clock,
+        scheduler: this.#scheduler,
+        client: createServerClient(this.#clock),
+        log: this.#log,
+        metrics: this.#metrics,
+      },
+      bounds: {
+        tolerance: {
+          overshootShare: settings.limitOvershoot,
+          slackUnits: settings.limitSlack,
+          windowMs: settings.limitWindowMs,
+        },
+        repeatShare: settings.repeatShare,
+        repeatSlack: settings.repeatSlack,
+      },
+      fleetSize: () => this.#fleet.size,
+      reachableShare: () => this.#fleet.reachableShare(this.#nowMs()),
+    });
+  }
+
+  #createTables(): ReadonlyMap<string, RecordTable> {
+    const sinks: RecordSinks = {
+      desk: this.#desk,
+      book: this.#book,
+      named: ({ model, weights }) => this.#noteNamed(model, weights),
+      configured: () => {
+        const limits = this.#desk.view?.configuration.callerLimits;
+        if (limits !== undefined) this.#door.applyLimits(limits);
+      },
+      decision: (step, fields) => this.#log.decision(step, fields),
+    };
+    return new Map([
+      [
+        OPERATOR_TOPIC,
+        new RecordTable((records) => {
+          applyOperatorRecords(records, sinks);
+          this.#channel.tellAll();
+        }),
+      ],
+      [
+        SERVER_TOPIC,
+        new RecordTable((records) => {
+          this.#hasServers = true;
+          this.#serversChangedAtMs = this.#nowMs();
+          applyServerRecords(records, { sinks, nowMs: this.#nowMs() });
+        }),
+      ],
+    ]);
+  }
+
+  #noteNamed(model: ModelName, weights: NamedWeights["weights"]): void {
+    const known = this.#named.get(model);
+    if (known !== undefined && known.weights >= weights) return;
+    this.#named.set(model, { weights, heardAtMs: this.#nowMs() });
+    this.#log.decision("weights_named", { model, weights });
+  }
+
+  #createFollowers(): RecordFollower[] {
+    const shared = { clock: this.#clock, scheduler: this.#scheduler };
+    const follow = (
+      topic: string,
+      options: {
+        readonly waitMs: number;
+        readonly paceMs: number;
+        readonly isReader?: () => boolean;
+      },
+    ) =>
+      new RecordFollower({
+        ...shared,
+        ...options,
+        source: this.#store.source(topic),
+        table: this.#tables.get(topic)!,
+        lost: (reason) => this.#log.milestone("store_lost", { topic, reason }),
+        regained: () => this.#log.milestone("store_regained", { topic }),
+      });
+    return [
+      follow(OPERATOR_TOPIC, { waitMs: OPERATOR_WAIT_MS, paceMs: 0 }),
+      follow(SERVER_TOPIC, {
+        waitMs: 0,
+        paceMs: SERVER_PACE_MS,
+        isReader: () => this.#isReader(),
+      }),
+    ];
+  }
+
+  /** One daemon of a failure domain reads the list of servers for all. */
+  #isReader(): boolean {
+    const nowMs = this.#nowMs();
+    if (nowMs - this.#serversChangedAtMs > READER_SILENCE_MS) return true;
+    const { vm, failureDomain } = this.#settings;
+    const others = this.#fleet.reachable(nowMs)
+      .filter(({ message }) =>
+        message?.failureDomain === failureDomain && message.reachesStore
+      )
+      .map((member) => member.vm);
+    const [reader] = rankByRendezvous(failureDomain, [...others, vm]);
+    return reader === vm;
+  }
+
+  #createChannel(): FleetChannel {
+    const { ip, firstPeerPort } = this.#settings;
+    return new FleetChannel({
+      ip,
+      port: firstPeerPort,
+      scheduler: this.#scheduler,
+      intervalMs: FLEET_INTERVAL_MS,
+      fanOut: FLEET_FAN_OUT,
+      compose: () => this.#compose(),
+      addresses: () => [
+        ...new Set([
+          ...this.#seeds.values(),
+          ...this.#fleet.members().map(({ address }) => address),
+        ]),
+      ],
+      hear: (message) => this.#hear(message),
+      failed: (reason) => this.#log.decision("peer_send_failed", { reason }),
+    });
+  }
+
+  #compose(): FleetMessage {
+    const work: Record<BackendServerId, [number, number]> = {};
+    for (const { listed, own } of this.#book.all()) {
+      if (own.size === 0) continue;
+      let prefillTokens = 0;
+      for (const item of own.values()) prefillTokens += item.prefillTokens;
+      work[listed.id] = [own.size, prefillTokens];
+    }
+    const records: Record<string, number> = {};
+    for (const [topic, table] of this.#tables) {
+      records[topic] = table.highestOffset;
+    }
+    return {
+      vm: this.#settings.vm,
+      incarnation: this.#incarnation,
+      failureDomain: this.#settings.failureDomain,
+      address: this.#peerAddress(this.#settings.ip),
+      sequence: ++this.#sequence,
+      isLeaving: false,
+      reachesStore: this.#reachesStore(),
+      isReader: this.#isReader(),
+      duty: { epoch: this.#duty.epoch },
+      spent: this.#desk.spent(),
+      work,
+      weights: this.#freshNotes(),
+      records,
+    };
+  }
+
+  #freshNotes(): WeightsNote[] {
+    const nowMs = this.#nowMs();
+    const fresh: WeightsNote[] = [];
+    for (const [id, { untilMs, ...note }] of this.#notes) {
+      if (untilMs < nowMs) this.#notes.delete(id);
+      else fresh.push(note);
+    }
+    return fresh;
+  }
+
+  #hear(message: FleetMessage): void {
+    const nowMs = this.#nowMs();
+    const heard = this.#fleet.hear(message, nowMs);
+    if (heard === undefined) return;
+    for (const [vm, address] of this.#seeds) {
+      if (address === message.address) this.#seeds.delete(vm);
+    }
+    for (const { team, units } of heard.spent) {
+      this.#desk.spentElsewhere(team, units);
+    }
+    for (const note of message.weights) this.#applyNote(note);
+    this.#pullNewer(message);
+  }
+
+  #applyNote(note: WeightsNote): void {
+    const weights = brandId<NamedWeights["weights"]>(note.weights);
+    if (note.isDone) {
+      this.#book.noteWeights(note.server, note.model, weights);
+      return;
+    }
+    const server = this.#book.get(note.server);
+    const known = server && this.#book.weightsOf(server, note.model);
+    if (known !== undefined && known >= weights) return;
+    this.#book.noteLoading(note.server, this.#nowMs() + LOADING_MS);
+  }
+
+  #pullNewer(message: FleetMessage): void {
+    const [ip = ""] = message.address.split(":");
+    const address = `${ip}:${this.#settings.firstPeerPort + 1}`;
+    for (const [topic, offset] of Object.entries(message.records)) {
+      const own = this.#tables.get(topic)?.highestOffset ?? offset;
+      const isNear = topic !== SERVER_TOPIC || own < 0 ||
+        message.failureDomain === this.#settings.failureDomain;
+      if (offset > own && isNear) void this.#exchange.pull(topic, address);
+    }
+  }
+
+  #reachesStore(): boolean {
+    return this.#store.isReachable;
+  }
+
+  #createDuty(): WeightsDutyTask {
+    const { vm, leaseMs } = this.#settings;
+    return new WeightsDutyTask({
+      self: vm,
+      clock: this.#clock,
+      scheduler: this.#scheduler,
+      log: createDutyLog(this.#store),
+      orders: createEngineOrders(),
+      leaseMs,
+      engines: () => this.#orderedEngines(),
+      peers: () => {
+        const reachable = this.#fleet.reachable(this.#nowMs())
+          .filter(({ message }) => message?.reachesStore);
+        const epochs = reachable.map(({ message }) => message?.duty.epoch ?? 0);
+        return {
+          candidates: reachable.map((member) => member.vm),
+          holderEpoch: Math.max(0, ...epochs),
+        };
+      },
+      rank: (members) => rankByRendezvous("weights-duty", members),
+      reachesStore: () => this.#reachesStore(),
+      changed: (note) => {
+        const nowMs = this.#nowMs();
+        this.#notes.set(note.server, {
+          ...note,
+          untilMs: nowMs + WEIGHTS_NOTE_MS,
+        });
+        this.#applyNote(note);
+        this.#channel.tellAll();
+      },
+      decision: (step, fields) => this.#log.decision(step, fields),
+    });
+  }
+
+  #orderedEngines(): OrderedEngine[] {
+    const engines: OrderedEngine[] = [];
+    for (const server of this.#book.all()) {
+      const { listed } = server;
+      if (listed.isLeaving || server.lapsedAtMs !== undefined) continue;
+      for (const model of listed.weights.keys()) {
+        const named = this.#named.get(model);
+        if (named === undefined) continue;
+        engines.push({
+          id: listed.id,
+          address: listed.address,
+          model,
+          weights: this.#book.weightsOf(server, model) ?? 0,
+          namedWeights: named.weights,
+          running: this.#book.runningAt(server),
+        });
+      }
+    }
+    return engines;
+  }
+
+  /** Makes this daemon known and learns which others there are. */
+  async #register(): Promise<void> {
+    const { vm, ip } = this.#settings;
+    try {
+      await this.#store.appendKeyed(MEMBER_TOPIC, vm, Buffer.from(ip));
+      const { records } = await this.#store.newest(MEMBER_TOPIC);
+      for (const { key, value } of records) {
+        if (value === undefined) continue;
+        const address = this.#peerAddress(value.toString("utf8"));
+        this.#fleet.list(brandId<VmId>(key), address, this.#nowMs());
+      }
+      this.#log.milestone("registered", { members: records.length });
+      this.#channel.tellAll();
+    } catch (caught) {
+      const reason = (caught as Error).message;
+      this.#log.decision("register_failed", { reason });
+      this.#scheduler.after(REGISTER_RETRY_MS, () => void this.#register());
+    }
+  }
+
+  #isReady(): boolean {
+    return this.#leavingSinceMs === undefined &&
+      this.#desk.view !== undefined && this.#hasServers;
+  }
+
+  #serveReadiness(): Server {
+    const { host, port } = this.#settings.readiness;
+    return createServer((request, response) => {
+      const isKnown = request.url === PATHS.ready;
+      response.writeHead(isKnown && this.#isReady() ? 200 : 503).end();
+    }).listen(port, host);
+  }
+
+  #serveMetrics(): Server {
+    return createServer((_request, response) => {
+      response.end(this.#metrics.text());
+    }).listen(METRICS_PORT, this.#settings.ip);
+  }
+
+  #pruneLater(): void {
+    this.#scheduler.after(PRUNE_MS, () => {
+      this.#book.prune(this.#nowMs());
+      this.#pruneLater();
+    });
+  }
+
+  #leave(): void {
+    const sinceMs = this.#nowMs() - (this.#leavingSinceMs ?? 0);
+    const step = planLeaving({
+      sinceMs,
+      openCount: this.#door.openCount,
+      graceMs: this.#settings.graceMs,
+    });
+    if (step.closesIdle) this.#door.closeIdle();
+    if (step.mayEnd) return this.#end();
+    this.#scheduler.after(LEAVING_CHECK_MS, () => this.#leave());
+  }
+
+  #end(): void {
+    this.#log.milestone("end", { open: this.#door.openCount });
+    this.#door.stopListening();
+    this.#channel.close({ ...this.#compose(), isLeaving: true });
+    for (const server of this.#servers) server.close();
+    this.#log.flush();
+    // Datagrams that tell of the end leave with the next turn of the loop.
+    setTimeout(() => process.exit(0), LEAVING_CHECK_MS);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/decode.ts
@@ -0,0 +1,228 @@
+/**
+ * Decodes the platform's records once, into the product's types.
+ *
+ * @module
+ */
+
+import type {
+  CallKind,
+  Configuration,
+  ListedServer,
+  Route,
+  RouteName,
+  ServiceRules,
+  TeamRules,
+  WeightsNumber,
+} from "@endivebend/request-path";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type ModelName,
+  type ServiceName,
+  type TeamId,
+} from "@endivebend/types";
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Weights that the operator named for a model. */
+export interface NamedModel {
+  readonly model: ModelName;
+  readonly weights: WeightsNumber;
+}
+
+/** The route kinds of the platform; `keyed` calls may run at most once too. */
+const CALL_KINDS: Readonly<Record<string, CallKind>> = {
+  safe: "repeatable",
+  unsafe: "at_most_once",
+  keyed: "at_most_once",
+  stream: "stream",
+};
+const DEFAULT_BODY_BYTES = 4_194_304;
+const DEFAULT_HEADER_BYTES = 16_384;
+const DEFAULT_HEADER_MS = 3_000;
+const DEFAULT_IDLE_MS = 15_000;
+
+/**
+ * Decodes a configuration; undefined when the record is none.
+ *
+ * @example
+ * ```ts
+ * const configuration = decodeConfiguration(record.value);
+ * ```
+ */
+export function decodeConfiguration(
+  value: Buffer,
+): Configuration | undefined {
+  const root = parseObject(value);
+  const revision = root?.["version"];
+  if (root === undefined || typeof revision !== "number") return undefined;
+  const limits = asObject(root["limits"]) ?? {};
+  const tenants = objects(root["tenants"]);
+  const teams = tenants.map(decodeTeam);
+  const teamByKey = new Map<string, TeamRules>();
+  tenants.forEach((tenant, index) => {
+    for (const key of texts(tenant["api_keys"])) {
+      teamByKey.set(key, teams[index]!);
+    }
+  });
+  return {
+    revision,
+    routes: objects(root["routes"]).flatMap(decodeRoute),
+    services: objects(root["services"]).map(decodeService),
+    teams,
+    teamByKey,
+    callerLimits: {
+      maxHeaderBytes: numberOr(
+        limits["max_header_bytes"],
+        DEFAULT_HEADER_BYTES,
+      ),
+      maxBodyBytes: numberOr(limits["max_body_bytes"], DEFAULT_BODY_BYTES),
+      headerTimeoutMs: numberOr(limits["header_timeout_ms"], DEFAULT_HEADER_MS),
+      idleTimeoutMs: numberOr(limits["idle_timeout_ms"], DEFAULT_IDLE_MS),
+    },
+  };
+}
+
+function decodeRoute(fields: Fields): Route[] {
+  const declared = CALL_KINDS[String(fields["type"])];
+  if (declared === undefined) return [];
+  const split = objects(fields["traffic_split"]);
+  const destinations = split.length > 0
+    ? split.map((part) => ({
+      service: brandId<ServiceName>(String(part["service"])),
+      weight: numberOr(part["weight"], 0),
+    }))
+    : [{ service: brandId<ServiceName>(String(fields["service"])), weight: 1 }];
+  const gapMs = fields["gap_target_ms"];
+  return [{
+    name: brandId<RouteName>(String(fields["name"])),
+    host: String(fields["hostname"]).toLowerCase(),
+    pathPrefix: String(fields["path_prefix"]),
+    kind: declared === "stream" && fields["resumable"] === true
+      ? "resumable_stream"
+      : declared,
+    timeoutMs: numberOr(fields["timeout_ms"], Number.POSITIVE_INFINITY),
+    targetMs: numberOr(fields["target_latency_ms"], 1_000),
+    maxGapMs: typeof gapMs === "number" ? gapMs : undefined,
+    maxAttempts: numberOr(fields["attempts"], 1),
+    urgency: numberOr(fields["priority"], 5),
+    isOpen: fields["anonymous"] === true,
+    destinations,
+  }];
+}
+
+function decodeService(fields: Fields): ServiceRules {
+  const engine = asObject(fields["engine"]);
+  const memory = engine?.["kv_capacity"];
+  return {
+    name: brandId<ServiceName>(String(fields["name"])),
+    maxConnections: numberOr(fields["max_conns"], 0),
+    memoryTokens: typeof memory === "number" ? memory : undefined,
+  };
+}
+
+function decodeTeam(fields: Fields): TeamRules {
+  const priority = fields["priority"];
+  return {
+    id: brandId<TeamId>(String(fields["name"])),
+    urgency: typeof priority === "number" ? priority : undefined,
+    isIsolated: fields["dedicated"] === true,
+    ratePerS: numberOr(fields["rate_per_s"], 0),
+    burst: numberOr(fields["burst"], 0),
+    unit: fields["unit"] === "tokens" ? "tokens" : "calls",
+    // The wire's name says tokens that are not cached; it is the cost of a
+    // request that states no token counts.
+    defaultTokens: numberOr(fields["uncached_tokens"], 1),
+  };
+}
+
+/**
+ * Decodes an entry of the list of backend servers. Entries of other writers
+ * name no server.
+ *
+ * @example
+ * ```ts
+ * const server = decodeServer(record.key, record.value);
+ * ```
+ */
+export function decodeServer(
+  id: string,
+  value: Buffer,
+): ListedServer | undefined {
+  const fields = parseObject(value);
+  if (fields === undefined) return undefined;
+  const { service, address, zone, slots, phase, born } = fields;
+  const isEntry = typeof service === "string" && isAddress(address) &&
+    typeof zone === "string" && isCount(slots) &&
+    (phase === "ready" || phase === "draining") &&
+    (born === undefined || isCount(born));
+  if (!isEntry) return undefined;
+  const weights = new Map<ModelName, WeightsNumber>();
+  for (const model of objects(fields["models"])) {
+    const { name, version } = model;
+    if (typeof name !== "string" || typeof version !== "number") continue;
+    weights.set(brandId<ModelName>(name), brandId<WeightsNumber>(version));
+  }
+  return {
+    id: brandId<BackendServerId>(id),
+    service: brandId<ServiceName>(service),
+    address: address as string,
+    failureDomain: brandId<FailureDomainId>(zone),
+    isLeaving: phase === "draining",
+    slots,
+    weights,
+    bornAtMs: (born as number | undefined) ?? 0,
+  };
+}
+
+/** Decodes the operator's record that names new weights of a model. */
+export function decodeNamedWeights(value: Buffer): NamedModel | undefined {
+  const fields = parseObject(value);
+  const model = fields?.["model"];
+  const version = fields?.["version"];
+  if (typeof model !== "string" || typeof version !== "number") {
+    return undefined;
+  }
+  return {
+    model: brandId<ModelName>(model),
+    weights: brandId<WeightsNumber>(version),
+  };
+}
+
+function parseObject(value: Buffer): Fields | undefined {
+  try {
+    return asObject(JSON.parse(value.toString("utf8")));
+  } catch {
+    return undefined;
+  }
+}
+
+function asObject(value: unknown): Fields | undefined {
+  const isObject = typeof value === "object" && value !== null &&
+    !Array.isArray(value);
+  return isObject ? value as Fields : undefined;
+}
+
+function objects(value: unknown): Fields[] {
+  if (!Array.isArray(value)) return [];
+  return value.map(asObject).filter((item) => item !== undefined);
+}
+
+function texts(value: unknown): string[] {
+  if (!Array.isArray(value)) return [];
+  return value.filter((item): item is string => typeof item === "string");
+}
+
+function numberOr(value: unknown, fallback: number): number {
+  return typeof value === "number" && Number.isFinite(value) ? value : fallback;
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
+}
+
+function isAddress(value: unknown): boolean {
+  return typeof value === "string" &&
+    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value);
+}
--- /dev/null
+++ b/packages/platform/src/front_door.ts
@@ -0,0 +1,357 @@
+/**
+ * Takes clients' requests and hands them to the product's request path.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Clock } from "@endivebend/clock";
+import {
+  type Admission,
+  type Call,
+  type CallDesk,
+  type CallerLimits,
+  type CallerSink,
+  type DecisionLog,
+  type DeniedReason,
+  isStream,
+  type ModelWork,
+  type PromptPart,
+  type PromptPartId,
+  type Refusal,
+} from "@endivebend/request-path";
+import { brandId, type ModelName, type RequestId } from "@endivebend/types";
+import {
+  answerHeaders,
+  type ClientMessage,
+  type ServerMessage,
+} from "./server_client.ts";
+import type { Endpoint } from "./settings.ts";
+import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
+
+/** What the front door needs of its neighbours. */
+export interface FrontDoorOptions {
+  readonly endpoint: Endpoint;
+  readonly desk: CallDesk;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Whether the daemon is about to end. */
+  isLeaving(): boolean;
+}
+
+/** Node.js fixes its limit at start; configurations ask for 16,384 bytes. */
+const MAX_HEADER_BYTES = 65_536;
+/** Clients wait this long when a request states no time. */
+const DEFAULT_TIME_LEFT_MS = 15_000;
+/** A daemon without a configuration gets one within a second. */
+const NOT_READY_RETRY_MS = 500;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+const DENIED_STATUS: Readonly<Record<DeniedReason, number>> = {
+  no_configuration: 503,
+  unknown_route: 404,
+  unknown_key: 401,
+  no_service: 503,
+};
+
+/** The running listener. */
+export class FrontDoor {
+  readonly #options: FrontDoorOptions;
+  readonly #server: Server;
+  #open = 0;
+
+  constructor(options: FrontDoorOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAlive: true,
+      noDelay: true,
+      connectionsCheckingInterval: 1_000,
+    }, (request, response) => void this.#serve(request, response));
+    this.applyLimits(DEFAULT_LIMITS);
+    // Requests may take as long as their own time limits allow.
+    this.#server.requestTimeout = 0;
+    const { host, port } = options.endpoint;
+    this.#server.listen({ host, port, backlog: 1_024 });
+  }
+
+  /** Requests that have no final answer yet. */
+  get openCount(): number {
+    return this.#open;
+  }
+
+  applyLimits(limits: CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Takes no more connections. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#open += 1;
+    response.sendDate = false;
+    response.once("close", () => {
+      this.#open -= 1;
+    });
+    request.on("error", () => {});
+    response.on("error", () => {});
+    if (this.#options.isLeaving()) response.setHeader("Connection", "close");
+    const arrivedAtMs = this.#nowMs();
+    const body = await readBody(request, this.#limits().maxBodyBytes);
+    if (body === "gone") return;
+    if (body === "too_large") return answerPlain(response, { status: 413 });
+    const admission = this.#admit(request);
+    if (admission.kind === "denied") {
+      return this.#deny(request, { response, reason: admission.reason });
+    }
+    this.#run({ request, response, body, admission, arrivedAtMs });
+  }
+
+  #admit(request: IncomingMessage): Admission {
+    const { headers, url = "/" } = request;
+    const authorization = headers[HEADERS.authorization] ?? "";
+    return this.#options.desk.admit({
+      host: (headers.host ?? "").replace(/:\d+$/, ""),
+      path: url,
+      key: authorization.startsWith(KEY_SCHEME)
+        ? authorization.slice(KEY_SCHEME.length).trim()
+        : undefined,
+      tokens: parseTokens(textHeader(request, HEADERS.tokens))?.total,
+    });
+  }
+
+  #deny(
+    request: IncomingMessage,
+    at: { readonly response: ServerResponse; readonly reason: DeniedReason },
+  ): void {
+    const status = DENIED_STATUS[at.reason];
+    this.#options.log.decision("deny", {
+      requestId: textHeader(request, HEADERS.requestId),
+      reason: at.reason,
+      revision: this.#options.desk.view?.configuration.revision,
+    });
+    const retryAfterMs = status === 503 ? NOT_READY_RETRY_MS : undefined;
+    answerPlain(at.response, { status, retryAfterMs });
+  }
+
+  #run(at: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly body: Buffer;
+    readonly admission: Admission & { readonly kind: "admitted" };
+    readonly arrivedAtMs: number;
+  }): void {
+    const { request, response, admission } = at;
+    const call = buildCall(at);
+    const sink = new ResponseSink(response, isStream(call.route.kind));
+    const opened = this.#options.desk.open(call, sink);
+    if (opened.kind === "over_limit") {
+      this.#options.log.decision("over_limit", {
+        requestId: call.requestId,
+        team: opened.team,
+        cost: admission.cost,
+        retryAfterMs: opened.retryAfterMs,
+      });
+      const { retryAfterMs } = opened;
+      return answerPlain(response, { status: 429, retryAfterMs });
+    }
+    const { run } = opened;
+    response.on("drain", () => run.callerReady());
+    response.once("close", () => {
+      if (!response.writableFinished) run.callerGone();
+    });
+    if (request.socket.destroyed) return run.callerGone();
+    run.start();
+  }
+
+  #limits(): CallerLimits {
+    return this.#options.desk.view?.configuration.callerLimits ??
+      DEFAULT_LIMITS;
+  }
+
+  #nowMs(): number {
+    const { clock } = this.#options;
+    return clock.steadyMs?.() ?? clock.elapsedMs();
+  }
+}
+
+function buildCall(at: {
+  readonly request: IncomingMessage;
+  readonly body: Buffer;
+  readonly admission: Admission & { readonly kind: "admitted" };
+  readonly arrivedAtMs: number;
+}): Call {
+  const { request, admission, arrivedAtMs } = at;
+  const message: ClientMessage = {
+    method: request.method ?? "GET",
+    target: request.url ?? "/",
+    rawHeaders: request.rawHeaders,
+    body: at.body,
+  };
+  const timeLeftMs = Number(
+    textHeader(request, HEADERS.timeLeft) ?? DEFAULT_TIME_LEFT_MS,
+  );
+  return {
+    requestId: brandId<RequestId>(
+      textHeader(request, HEADERS.requestId) ?? "",
+    ),
+    route: admission.route,
+    service: admission.service,
+    team: admission.team,
+    work: parseWork(request),
+    cost: admission.cost,
+    deadlineMs: arrivedAtMs +
+      (Number.isFinite(timeLeftMs) ? timeLeftMs : DEFAULT_TIME_LEFT_MS),
+    timeoutAtMs: arrivedAtMs + admission.route.timeoutMs,
+    resumeAfter: textHeader(request, HEADERS.resumeAfter),
+    message,
+  };
+}
+
+/** Writes what the request path says to the client's connection. */
+class ResponseSink implements CallerSink {
+  readonly #response: ServerResponse;
+  readonly #isStream: boolean;
+
+  constructor(response: ServerResponse, isStream: boolean) {
+    this.#response = response;
+    this.#isStream = isStream;
+  }
+
+  head(head: { readonly message: unknown }): void {
+    const message = head.message as ServerMessage;
+    const headers = answerHeaders(message, { isStream: this.#isStream });
+    this.#response.writeHead(message.status, message.statusText, [
+      ...headers,
+      ...(this.#response.hasHeader("connection")
+        ? ["Connection", "close"]
+        : []),
+    ]);
+  }
+
+  data(chunk: Buffer): boolean {
+    return this.#response.write(chunk);
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  refuse(refusal: Refusal): void {
+    const isLate = refusal.reason === "deadline_passed";
+    const ranStatus = isLate ? 504 : 502;
+    answerPlain(this.#response, {
+      status: refusal.isNotRun ? 503 : ranStatus,
+      retryAfterMs: refusal.retryAfterMs,
+      reason: refusal.reason,
+    });
+  }
+
+  breakOff(): void {
+    this.#response.destroy();
+  }
+}
+
+/** An answer of the system's own. */
+function answerPlain(
+  response: ServerResponse,
+  answer: {
+    readonly status: number;
+    readonly retryAfterMs?: number | undefined;
+    readonly reason?: string;
+  },
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const body = JSON.stringify({ error: answer.reason ?? answer.status });
+  const headers: string[] = [
+    "Content-Type",
+    "application/json",
+    "Content-Length",
+    String(Buffer.byteLength(body)),
+  ];
+  if (answer.retryAfterMs !== undefined) {
+    const seconds = (answer.retryAfterMs / 1_000).toFixed(3);
+    headers.push("Retry-After", seconds);
+  }
+  if (response.hasHeader("connection")) headers.push("Connection", "close");
+  response.writeHead(answer.status, headers);
+  response.end(body);
+}
+
+function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | "gone" | "too_large"> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve("too_large");
+      else chunks.push(chunk);
+    });
+    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("close", () => resolve("gone"));
+  });
+}
+
+function textHeader(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+/** Reads "prompt tokens, most output tokens". */
+function parseTokens(header: string | undefined) {
+  if (header === undefined) return undefined;
+  const [promptTokens, outputTokens] = header.split(",").map(Number);
+  const isPair = [promptTokens, outputTokens].every(Number.isFinite);
+  if (!isPair) return undefined;
+  return {
+    promptTokens: promptTokens!,
+    outputTokens: outputTokens!,
+    total: promptTokens! + outputTokens!,
+  };
+}
+
+function parseWork(request: IncomingMessage): ModelWork | undefined {
+  const model = textHeader(request, HEADERS.model);
+  const tokens = parseTokens(textHeader(request, HEADERS.tokens));
+  if (model === undefined || tokens === undefined) return undefined;
+  return {
+    model: brandId<ModelName>(model),
+    promptTokens: tokens.promptTokens,
+    outputTokens: tokens.outputTokens,
+    prompt: parsePrompt(textHeader(request, HEADERS.prompt)),
+  };
+}
+
+function parsePrompt(header: string | undefined): PromptPart[] {
+  if (header === undefined || header === "") return [];
+  return header.split(",").map((part) => {
+    const [id = "", tokens = "0"] = part.trim().split(":");
+    return { id: brandId<PromptPartId>(id), tokens: Number(tokens) || 0 };
+  });
+}
--- /dev/null
+++ b/packages/platform/src/server_client.ts
@@ -0,0 +1,284 @@
+/**
+ * Sends attempts to backend servers over HTTP.
+ *
+ * @module
+ */
+
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "@endivebend/clock";
+import type {
+  AnswerHead,
+  AttemptHandle,
+  AttemptListener,
+  AttemptOrder,
+  ServerClient,
+  ServerLoad,
+} from "@endivebend/request-path";
+import {
+  CONNECTION_HEADERS,
+  filterHeaders,
+  HEADERS,
+  SYSTEM_HEADERS,
+} from "./wire_names.ts";
+
+/** A request as the client sent it. */
+export interface ClientMessage {
+  readonly method: string;
+  /** Path and query. */
+  readonly target: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+}
+
+/** An answer's head as the server sent it. */
+export interface ServerMessage {
+  readonly status: number;
+  readonly statusText: string;
+  readonly rawHeaders: readonly string[];
+}
+
+/** Domains are some 1 ms apart; a server that is up accepts at once. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Without a hint, idle connections are closed before servers close them. */
+const DEFAULT_IDLE_MS = 4_000;
+/** A connection is no longer used this long before the server may close it. */
+const IDLE_MARGIN_MS = 600;
+const KEEP_ALIVE_HINT = /timeout=(\d+)/;
+
+/** Keeps idle connections for less time than their servers do. */
+class ServerAgent extends Agent {
+  // Node.js calls this when an answer has been read and the socket is free.
+  override keepSocketAlive(socket: Socket): boolean {
+    const hint = lastHints.get(socket) ?? DEFAULT_IDLE_MS;
+    const idleMs = hint - IDLE_MARGIN_MS;
+    if (idleMs <= 0) return false;
+    socket.setKeepAlive(true, 1_000);
+    socket.setTimeout(idleMs);
+    return true;
+  }
+}
+
+/** How long the server of a socket keeps it open, as it last said. */
+const lastHints = new WeakMap<Socket, number>();
+
+/** Makes the client. */
+export function createServerClient(clock: Clock): ServerClient {
+  const agents = new Map<string, Agent>();
+  function agentOf(address: string): Agent {
+    const known = agents.get(address);
+    if (known !== undefined) return known;
+    const agent = new ServerAgent({ keepAlive: true });
+    agents.set(address, agent);
+    return agent;
+  }
+  return {
+    start: (order, listener) =>
+      startAttempt(order, {
+        listener,
+        clock,
+        agent: agentOf(order.server.address),
+      }),
+    dropIdle(address) {
+      const agent = agents.get(address);
+      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+        for (const socket of sockets ?? []) socket.destroy();
+      }
+    },
+  };
+}
+
+function startAttempt(
+  order: AttemptOrder,
+  tools: {
+    readonly listener: AttemptListener;
+    readonly clock: Clock;
+    readonly agent: Agent;
+  },
+): AttemptHandle {
+  const { listener, clock, agent } = tools;
+  const message = order.call.message as ClientMessage;
+  const [host, port] = order.server.address.split(":");
+  let answer: IncomingMessage | undefined;
+  let wasSent = false;
+  let isOver = false;
+  let isPaused = false;
+  const fail = (reason: string) => {
+    if (isOver) return;
+    isOver = true;
+    clearTimeout(connectTimer);
+    listener.failed({ kind: wasSent ? "broken" : "unsent", reason });
+    outgoing.destroy();
+  };
+  const outgoing = request({
+    agent,
+    host,
+    port,
+    method: message.method,
+    path: message.target,
+    // Node.js takes a flat list of names and values and keeps their spelling.
+    headers: requestHeaders(order, clock) as unknown as Record<string, string>,
+  });
+  const connectTimer = setTimeout(
+    () => fail("connect timeout"),
+    CONNECT_TIMEOUT_MS,
+  );
+  outgoing.on("socket", (socket) => {
+    const noteSent = () => {
+      clearTimeout(connectTimer);
+      wasSent = true;
+      listener.sent();
+    };
+    if (socket.connecting) socket.once("connect", noteSent);
+    else noteSent();
+  });
+  outgoing.on("error", ({ message }) => fail(message));
+  outgoing.on("response", (response) => {
+    answer = response;
+    const hint = KEEP_ALIVE_HINT.exec(
+      String(response.headers["keep-alive"] ?? ""),
+    );
+    if (hint !== null) {
+      lastHints.set(response.socket, Number(hint[1]) * 1_000);
+    }
+    const head = readHead(response, order);
+    if (head === undefined) return fail("answer of another request");
+    response.on("error", ({ message }) => fail(message));
+    response.on("aborted", () => fail("answer cut off"));
+    if (isPaused) response.pause();
+    listener.head(head);
+    // The listener may have aborted the attempt.
+    if (isOver) return;
+    response.on("data", (chunk: Buffer) => {
+      if (!isOver) listener.data(chunk);
+    });
+    response.on("end", () => {
+      if (isOver) return;
+      if (!response.complete) return fail("answer cut off");
+      isOver = true;
+      listener.end();
+    });
+  });
+  outgoing.end(message.body);
+  return {
+    abort() {
+      if (isOver) return;
+      isOver = true;
+      clearTimeout(connectTimer);
+      endQuietly(outgoing, answer);
+    },
+    pause() {
+      isPaused = true;
+      answer?.pause();
+    },
+    resume() {
+      isPaused = false;
+      answer?.resume();
+    },
+  };
+}
+
+/** A short refusal is read to its end, so that its connection stays usable. */
+function endQuietly(
+  outgoing: ClientRequest,
+  answer: IncomingMessage | undefined,
+): void {
+  const length = Number(answer?.headers["content-length"] ?? Number.NaN);
+  const isShortRefusal = answer?.headers[HEADERS.notRun] !== undefined &&
+    length <= 4_096;
+  if (isShortRefusal) answer?.resume();
+  else outgoing.destroy();
+}
+
+function requestHeaders(order: AttemptOrder, clock: Clock): string[] {
+  const { call } = order;
+  const message = call.message as ClientMessage;
+  const nowMs = clock.steadyMs?.() ?? clock.elapsedMs();
+  const headers = filterHeaders(
+    message.rawHeaders,
+    (name) =>
+      SYSTEM_HEADERS.has(name) || name === "content-length" ||
+      name === HEADERS.resumeAfter,
+  );
+  const timeLeftMs = Math.max(1, Math.floor(order.deadlineMs - nowMs));
+  headers.push("Deadline-Ms", String(timeLeftMs));
+  headers.push("Expect-Instance", order.server.id);
+  if (call.team !== undefined) {
+    headers.push("Tenant", call.team.id);
+    if (call.team.isIsolated) headers.push("Cache-Salt", call.team.id);
+  }
+  if (call.work !== undefined) {
+    headers.push("Request-Priority", String(order.urgency));
+  }
+  if (order.weights !== undefined) {
+    headers.push("Expect-Version", String(order.weights));
+  }
+  if (order.resumeAfter !== undefined) {
+    headers.push("Last-Event-Id", order.resumeAfter);
+  }
+  const hasBody = message.body.length > 0 || message.method === "POST" ||
+    message.method === "PUT" || message.method === "PATCH";
+  if (hasBody) headers.push("Content-Length", String(message.body.length));
+  headers.push("Connection", "keep-alive");
+  return headers;
+}
+
+/** Undefined when the answer belongs to another request. */
+function readHead(
+  response: IncomingMessage,
+  order: AttemptOrder,
+): AnswerHead | undefined {
+  const { headers, rawHeaders } = response;
+  const status = response.statusCode ?? 0;
+  const isNotRun = headers[HEADERS.notRun] !== undefined;
+  const echoed = headers[HEADERS.requestId];
+  const isOwn = echoed === order.call.requestId ||
+    (echoed === undefined && (isNotRun || status === 421));
+  if (!isOwn) return undefined;
+  const length = Number(headers["content-length"] ?? Number.NaN);
+  const message: ServerMessage = {
+    status,
+    statusText: response.statusMessage ?? "",
+    rawHeaders,
+  };
+  return {
+    status,
+    isNotRun,
+    isMisdirected: status === 421,
+    hasProof: headers[HEADERS.proof] !== undefined,
+    load: parseLoad(headers[HEADERS.load]),
+    lengthBytes: Number.isNaN(length) ? undefined : length,
+    message,
+  };
+}
+
+/** Reads "running,waiting,slots". */
+function parseLoad(
+  header: string | string[] | undefined,
+): ServerLoad | undefined {
+  if (typeof header !== "string") return undefined;
+  const [running, waiting, slots] = header.split(",").map(Number);
+  const isLoad = [running, waiting, slots].every(Number.isFinite);
+  return isLoad
+    ? { running: running!, waiting: waiting!, slots: slots! }
+    : undefined;
+}
+
+/** Headers of an answer for the client. */
+export function answerHeaders(
+  message: ServerMessage,
+  { isStream }: { readonly isStream: boolean },
+): string[] {
+  return filterHeaders(
+    message.rawHeaders,
+    (name) =>
+      CONNECTION_HEADERS.has(name) ||
+      // A stream may go on at another server with other bytes to come.
+      (isStream && name === "content-length"),
+  );
+}
--- /dev/null
+++ b/packages/platform/src/store_client.ts
@@ -0,0 +1,223 @@
+/**
+ * The only client of the platform's metadata store.
+ *
+ * @module
+ */
+
+import { Agent, request } from "node:http";
+import type { KeyedRecord, RecordSource } from "@endivebend/fleet";
+
+/** A call that the store does not hold open answers within this time. */
+const CALL_TIMEOUT_MS = 1_000;
+const LENGTH_BYTES = 4;
+/** The end and the first retained offset stand before the records. */
+const READ_HEADER_BYTES = 16;
+
+/** An answer of the store. */
+interface StoreAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** What an append came to. */
+export type AppendResult =
+  | { readonly kind: "appended"; readonly offset: number }
+  /** The partition does not end where the append expected it to. */
+  | { readonly kind: "moved"; readonly end: number };
+
+/** Speaks the store's HTTP interface. */
+export class StoreClient {
+  readonly #host: string;
+  readonly #port: number;
+  #agent = newAgent();
+  #isReachable = true;
+
+  constructor(address: string) {
+    const [host = "", port = ""] = address.split(":");
+    this.#host = host;
+    this.#port = Number(port);
+  }
+
+  /** Whether the store served the last call. */
+  get isReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  /** Appends a record; with `at`, only if the partition ends there. */
+  async append(
+    topic: string,
+    record: Buffer,
+    { at }: { readonly at?: number } = {},
+  ): Promise<AppendResult> {
+    const length = Buffer.alloc(LENGTH_BYTES);
+    length.writeUInt32BE(record.length);
+    const condition = at === undefined ? "" : `&at=${at}`;
+    const { status, body } = await this.#call({
+      method: "POST",
+      path: `/api/log-append?topic=${topic}&part=0${condition}`,
+      body: Buffer.concat([length, record]),
+    });
+    const fields = status === 200 || status === 412 ? json(body) : {};
+    if (status === 200) {
+      return { kind: "appended", offset: Number(fields["offset"]) };
+    }
+    if (status === 412) return { kind: "moved", end: Number(fields["end"]) };
+    throw new Error(`The store answered an append with status ${status}`);
+  }
+
+  /** Appends a record under a key, of which the store keeps the newest. */
+  appendKeyed(topic: string, key: string, value: Buffer) {
+    const name = Buffer.from(key);
+    const record = Buffer.concat([Buffer.from([name.length]), name, value]);
+    return this.append(topic, record);
+  }
+
+  /** Records of a topic from the offset on; undefined when they are deleted. */
+  async read(
+    topic: string,
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<
+    | { readonly records: readonly Buffer[]; readonly nextOffset: number }
+    | undefined
+  > {
+    const { status, body } = await this.#call({
+      method: "GET",
+      path:
+        `/api/log-read?topic=${topic}&part=0&from=${fromOffset}&wait_ms=${waitMs}`,
+      timeoutMs: waitMs + CALL_TIMEOUT_MS,
+    });
+    if (status === 410) return undefined;
+    if (status !== 200) {
+      throw new Error(`The store answered a read with status ${status}`);
+    }
+    const records = splitRecords(body.subarray(READ_HEADER_BYTES));
+    return { records, nextOffset: fromOffset + records.length };
+  }
+
+  /** The newest record of each key of a topic. */
+  async newest(topic: string): Promise<{
+    readonly records: readonly KeyedRecord[];
+    readonly nextOffset: number;
+  }> {
+    const records: KeyedRecord[] = [];
+    // Pages are no snapshot: reading on from the first page's end misses none.
+    let nextOffset: number | undefined;
+    let after = "";
+    for (;;) {
+      const { status, body } = await this.#call({
+        method: "GET",
+        path: `/api/log-newest?topic=${topic}&part=0${after}`,
+      });
+      if (status !== 200) {
+        throw new Error(`The store answered a listing with status ${status}`);
+      }
+      const page = json(body);
+      const items = page["items"] as Record<string, unknown>[];
+      for (const item of items) {
+        records.push({
+          key: String(item["key"]),
+          value: Buffer.from(String(item["value"]), "base64"),
+          offset: Number(item["offset"]),
+        });
+      }
+      nextOffset ??= Number(page["end"]);
+      const last = records.at(-1);
+      if (page["has_more"] !== true || last === undefined) break;
+      after = `&after=${encodeURIComponent(last.key)}`;
+    }
+    return { records, nextOffset };
+  }
+
+  /** A keyed topic as the product's followers see it. */
+  source(topic: string): RecordSource {
+    return {
+      newest: () => this.newest(topic),
+      read: async (fromOffset, waitMs) => {
+        const answer = await this.read(topic, fromOffset, waitMs);
+        if (answer === undefined) return { kind: "gap" };
+        const records = answer.records.map((bytes, index) =>
+          splitKey(bytes, fromOffset + index)
+        );
+        return { kind: "records", records, nextOffset: answer.nextOffset };
+      },
+    };
+  }
+
+  #call(call: {
+    readonly method: string;
+    readonly path: string;
+    readonly body?: Buffer;
+    readonly timeoutMs?: number;
+  }): Promise<StoreAnswer> {
+    return new Promise((resolve, reject) => {
+      const { method, path, body } = call;
+      const outgoing = request({
+        agent: this.#agent,
+        host: this.#host,
+        port: this.#port,
+        method,
+        path,
+        headers: body === undefined ? {} : {
+          "content-type": "application/octet-stream",
+          "content-length": body.length,
+        },
+      }, (answer) => {
+        const chunks: Buffer[] = [];
+        answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+        answer.on("error", fail);
+        answer.on("end", () => {
+          clearTimeout(timer);
+          const status = answer.statusCode ?? 0;
+          this.#isReachable = status < 500 && status !== 429;
+          resolve({ status, body: Buffer.concat(chunks) });
+        });
+      });
+      const timer = setTimeout(
+        () => outgoing.destroy(new Error("The store did not answer in time")),
+        call.timeoutMs ?? CALL_TIMEOUT_MS,
+      );
+      const fail = (error: Error) => {
+        clearTimeout(timer);
+        this.#isReachable = false;
+        // The other open connections may be silent as well.
+        this.#agent.destroy();
+        this.#agent = newAgent();
+        reject(error);
+      };
+      outgoing.on("error", fail);
+      outgoing.end(body);
+    });
+  }
+}
+
+function newAgent(): Agent {
+  return new Agent({ keepAlive: true });
+}
+
+function json(body: Buffer): Record<string, unknown> {
+  return JSON.parse(body.toString("utf8")) as Record<string, unknown>;
+}
+
+function splitRecords(bytes: Buffer): Buffer[] {
+  const records: Buffer[] = [];
+  let start = 0;
+  while (start + LENGTH_BYTES <= bytes.length) {
+    const end = start + LENGTH_BYTES + bytes.readUInt32BE(start);
+    if (end > bytes.length) break;
+    records.push(bytes.subarray(start + LENGTH_BYTES, end));
+    start = end;
+  }
+  return records;
+}
+
+/** A record of a keyed topic: the key's length, the key, the value. */
+function splitKey(bytes: Buffer, offset: number): KeyedRecord {
+  const length = bytes[0] ?? 0;
+  const value = bytes.subarray(1 + length);
+  return {
+    key: bytes.subarray(1, 1 + length).toString("utf8"),
+    value: value.length === 0 ? undefined : value,
+    offset,
+  };
+}
--- /dev/null
+++ b/packages/request-path/src/admit.ts
@@ -0,0 +1,71 @@
+/**
+ * Whether a request may run: its route, its key, its team's rate.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@endivebend/types";
+import { type ConfigurationView, pickDestination } from "./configuration.ts";
+import type { Route, TeamRules } from "./types.ts";
+
+/** What a request says of itself before its body is read. */
+export interface Arrival {
+  readonly host: string;
+  readonly path: string;
+  readonly key: string | undefined;
+  /** Tokens that the request states; undefined when it states none. */
+  readonly tokens: number | undefined;
+}
+
+/** Why a request may not run. */
+export type DeniedReason =
+  | "no_configuration"
+  | "unknown_route"
+  | "unknown_key"
+  | "no_service";
+
+/** Whether a request may run, and as what. */
+export type Admission =
+  | { readonly kind: "denied"; readonly reason: DeniedReason }
+  | {
+    readonly kind: "admitted";
+    readonly route: Route;
+    readonly team: TeamRules | undefined;
+    readonly service: ServiceName;
+    /** Units of the team's rate that the request takes. */
+    readonly cost: number;
+  };
+
+/**
+ * Decides by the configuration in force. `position`, from 0 to below 1, picks
+ * among the route's destinations.
+ *
+ * @example
+ * ```ts
+ * const admission = admit(view, arrival, Math.random());
+ * ```
+ */
+export function admit(
+  view: ConfigurationView | undefined,
+  arrival: Arrival,
+  position: number,
+): Admission {
+  if (view === undefined) return denied("no_configuration");
+  const route = view.findRoute(arrival.host, arrival.path);
+  if (route === undefined) return denied("unknown_route");
+  const team = arrival.key === undefined
+    ? undefined
+    : view.configuration.teamByKey.get(arrival.key);
+  const needsKey = view.configuration.teams.length > 0 && !route.isOpen;
+  if (needsKey && team === undefined) return denied("unknown_key");
+  const service = pickDestination(route, position);
+  if (service === undefined) return denied("no_service");
+  const cost = team?.unit === "tokens"
+    ? arrival.tokens ?? team.defaultTokens
+    : 1;
+  return { kind: "admitted", route, team, service, cost };
+}
+
+function denied(reason: DeniedReason): Admission {
+  return { kind: "denied", reason };
+}
--- /dev/null
+++ b/packages/request-path/src/answer_relay.ts
@@ -0,0 +1,96 @@
+/**
+ * Passes the answer of one attempt, or of several that go on from one another,
+ * to the caller.
+ *
+ * @module
+ */
+
+import { EventFrames } from "./event_frames.ts";
+import type { AnswerHead, CallerSink } from "./ports.ts";
+import { type Call, isStream } from "./types.ts";
+
+/** Plain answers up to this size are held until whole, so they can be repeated. */
+const MAX_HELD_BYTES = 262_144;
+
+/** The caller's view of an answer. */
+export class AnswerRelay {
+  readonly #call: Call;
+  readonly #caller: CallerSink;
+  #frames = new EventFrames();
+  #head: AnswerHead | undefined;
+  #held: Buffer[] = [];
+  #heldBytes = 0;
+  #hasBegun = false;
+  #lastEventId: string | undefined;
+
+  constructor(call: Call, caller: CallerSink) {
+    this.#call = call;
+    this.#caller = caller;
+  }
+
+  /** Whether the caller has received part of the answer. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
+  /** The last event that the caller has received. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Whether another server can go on from what the caller has. */
+  get canResume(): boolean {
+    return !this.#hasBegun || this.#lastEventId !== undefined;
+  }
+
+  /** Whether the answer would end in the middle of an event. */
+  get endsTooEarly(): boolean {
+    return this.#frames.hasPartialEvent;
+  }
+
+  /** The head of an attempt's answer; a resumed answer keeps the first head. */
+  head(head: AnswerHead): void {
+    this.#frames = new EventFrames();
+    this.#held = [];
+    this.#heldBytes = 0;
+    if (!this.#hasBegun) this.#head = head;
+  }
+
+  /** False when the caller reads too slowly. */
+  data(chunk: Buffer): boolean {
+    const isSuccess = (this.#head?.status ?? 0) < 300;
+    if (isStream(this.#call.route.kind) && isSuccess) {
+      return this.#relayEvents(chunk);
+    }
+    if (this.#hasBegun) return this.#caller.data(chunk);
+    this.#held.push(chunk);
+    this.#heldBytes += chunk.length;
+    if (this.#heldBytes <= MAX_HELD_BYTES) return true;
+    this.#begin();
+    const bytes = Buffer.concat(this.#held);
+    this.#held = [];
+    return this.#caller.data(bytes);
+  }
+
+  end(): void {
+    this.#begin();
+    for (const chunk of this.#held) this.#caller.data(chunk);
+    this.#caller.end();
+  }
+
+  #relayEvents(chunk: Buffer): boolean {
+    let mayGoOn = true;
+    for (const { bytes, id } of this.#frames.push(chunk)) {
+      this.#begin();
+      this.#lastEventId = id ?? this.#lastEventId;
+      mayGoOn = this.#caller.data(bytes) && mayGoOn;
+    }
+    return mayGoOn;
+  }
+
+  #begin(): void {
+    if (this.#hasBegun || this.#head === undefined) return;
+    this.#hasBegun = true;
+    this.#caller.head(this.#head);
+  }
+}
--- /dev/null
+++ b/packages/request-path/src/choose_server.ts
@@ -0,0 +1,158 @@
+/**
+ * Chooses a backend server for a call. Answers two loads: many prompts that
+ * share long parts, which belong together until their engine queues for longer
+ * than reading the parts again takes; and short calls to a plain service with
+ * few places, which go to the server with the shortest line.
+ *
+ * @module
+ */
+
+import { rendezvousWeight } from "@endivebend/routing";
+import type { BackendServerId } from "@endivebend/types";
+
+/** What the choice needs to know of a call. */
+export interface ChoiceRequest {
+  /** Tokens of the whole prompt; undefined for a call of a plain service. */
+  readonly promptTokens: number | undefined;
+  /** Tokens that other requests share. */
+  readonly sharedTokens: number;
+  /** Calls with the same key belong at the same server. */
+  readonly affinityKey: string;
+  /** Where this daemon runs. */
+  readonly failureDomain: string;
+}
+
+/** What is known of one server at the time of the choice. */
+export interface Candidate {
+  readonly id: BackendServerId;
+  readonly failureDomain: string;
+  /** Requests of all daemons that are there. */
+  readonly running: number;
+  readonly slots: number;
+  /** Prompt tokens that lie ahead. */
+  readonly prefillTokens: number;
+  /** Tokens of the prompt's shared parts known to be in its memory. */
+  readonly cachedTokens: number;
+  /** Share of recent calls that failed, 0 to 1. */
+  readonly failureShare: number;
+  /** Whether the last calls failed. */
+  readonly isAvoided: boolean;
+  /** Whether it is taking new weights and refuses what has not started. */
+  readonly isLoading: boolean;
+  /** Extra cost of weights older than named, in milliseconds. */
+  readonly staleWeightsMs: number;
+}
+
+/** The chosen server with its score, for the log. */
+export interface Choice {
+  readonly id: BackendServerId;
+  readonly scoreMs: number;
+  readonly cachedTokens: number;
+  readonly candidateCount: number;
+}
+
+/** Prompt tokens that an engine reads in a millisecond, from the users' sheets. */
+const PREFILL_TOKENS_PER_MS = 38.4;
+/** Weight of the engine time taken from others, as in the product's routing. */
+const WORK_WEIGHT = 2;
+/**
+ * Share of the shared parts that the first engine in rendezvous order is
+ * presumed to hold, as the other daemons send the same parts there.
+ */
+const PRESUMED_SHARE = 0.8;
+/** A running request slows each step of the others by 0.0138 ms of 4.73 ms. */
+const RUNNING_COST_MS = 0.5;
+/** Mean service time of a plain call, from the users' sheets. */
+const PLAIN_CALL_MS = 86;
+/** A hop to another failure domain and back costs some 2 ms. */
+const OTHER_DOMAIN_MS = 3;
+/** A server that fails every call costs a repetition and its silence. */
+const FAILURE_COST_MS = 1_500;
+/** An engine takes new weights in 390 ms once its runs have ended. */
+const LOADING_COST_MS = 1_000;
+/** Avoided servers are used when no other is left. */
+const AVOIDED_COST_MS = 100_000;
+
+/**
+ * Picks the candidate with the lowest expected cost; undefined when there is
+ * none.
+ *
+ * @example
+ * ```ts
+ * const choice = chooseServer(request, candidates);
+ * ```
+ */
+export function chooseServer(
+  request: ChoiceRequest,
+  candidates: readonly Candidate[],
+): Choice | undefined {
+  const home = homeOf(request.affinityKey, candidates);
+  let best: Choice | undefined;
+  let bestWeight = -1;
+  for (const candidate of candidates) {
+    const cachedTokens = candidate.id === home
+      ? Math.max(candidate.cachedTokens, request.sharedTokens * PRESUMED_SHARE)
+      : candidate.cachedTokens;
+    const scoreMs = request.promptTokens === undefined
+      ? plainScoreMs(request, candidate)
+      : modelScoreMs(request, { candidate, cachedTokens });
+    const weight = rendezvousWeight(request.affinityKey, candidate.id);
+    const isBetter = best === undefined || scoreMs < best.scoreMs ||
+      (scoreMs === best.scoreMs && weight > bestWeight);
+    if (!isBetter) continue;
+    bestWeight = weight;
+    best = {
+      id: candidate.id,
+      scoreMs,
+      cachedTokens,
+      candidateCount: candidates.length,
+    };
+  }
+  return best;
+}
+
+/** The server that all daemons prefer for the key; loading ones keep theirs. */
+function homeOf(
+  key: string,
+  candidates: readonly Candidate[],
+): BackendServerId | undefined {
+  let home: BackendServerId | undefined;
+  let homeWeight = -1;
+  for (const { id } of candidates) {
+    const weight = rendezvousWeight(key, id);
+    if (weight <= homeWeight) continue;
+    homeWeight = weight;
+    home = id;
+  }
+  return home;
+}
+
+function modelScoreMs(
+  request: ChoiceRequest,
+  option: { readonly candidate: Candidate; readonly cachedTokens: number },
+): number {
+  const { candidate, cachedTokens } = option;
+  const tokens = Math.max(0, (request.promptTokens ?? 0) - cachedTokens);
+  const prefillMs = tokens / PREFILL_TOKENS_PER_MS;
+  const waitMs = candidate.prefillTokens / PREFILL_TOKENS_PER_MS;
+  const overfull = Math.max(0, candidate.running + 1 - candidate.slots);
+  return waitMs + prefillMs * (1 + WORK_WEIGHT) +
+    candidate.running * RUNNING_COST_MS + overfull * PLAIN_CALL_MS +
+    troubleMs(candidate);
+}
+
+function plainScoreMs(request: ChoiceRequest, candidate: Candidate): number {
+  const slots = Math.max(1, candidate.slots);
+  const waiting = Math.max(0, candidate.running + 1 - slots);
+  const domainMs = candidate.failureDomain === request.failureDomain
+    ? 0
+    : OTHER_DOMAIN_MS;
+  return waiting * PLAIN_CALL_MS / slots + candidate.running * 2 + domainMs +
+    troubleMs(candidate);
+}
+
+function troubleMs(candidate: Candidate): number {
+  return candidate.failureShare * FAILURE_COST_MS +
+    (candidate.isAvoided ? AVOIDED_COST_MS : 0) +
+    (candidate.isLoading ? LOADING_COST_MS : 0) + candidate.staleWeightsMs;
+}
--- /dev/null
+++ b/packages/request-path/src/configuration.ts
@@ -0,0 +1,69 @@
+/**
+ * Finds what a configuration says of a request.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@endivebend/types";
+import type { Configuration, Route, ServiceRules } from "./types.ts";
+
+/** A configuration with its indexes. */
+export class ConfigurationView {
+  readonly configuration: Configuration;
+  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #services = new Map<ServiceName, ServiceRules>();
+
+  constructor(configuration: Configuration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const routes = this.#routesByHost.get(route.host) ?? [];
+      routes.push(route);
+      this.#routesByHost.set(route.host, routes);
+    }
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const service of configuration.services) {
+      this.#services.set(service.name, service);
+    }
+  }
+
+  /**
+   * The route of the host with the longest prefix of the path.
+   *
+   * @example
+   * ```ts
+   * view.findRoute("bells.example", "/peals/draft?full=1");
+   * ```
+   */
+  findRoute(host: string, path: string): Route | undefined {
+    const routes = this.#routesByHost.get(host.toLowerCase()) ?? [];
+    return routes.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  service(name: ServiceName): ServiceRules | undefined {
+    return this.#services.get(name);
+  }
+}
+
+/**
+ * The service that takes a request of the route. `position` is from 0 to below
+ * 1 and spreads requests by the destinations' weights.
+ *
+ * @example
+ * ```ts
+ * pickDestination(route, Math.random());
+ * ```
+ */
+export function pickDestination(
+  route: Route,
+  position: number,
+): ServiceName | undefined {
+  const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0);
+  let left = position * total;
+  for (const { service, weight } of route.destinations) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return route.destinations.at(-1)?.service;
+}
--- /dev/null
+++ b/packages/request-path/src/event_frames.ts
@@ -0,0 +1,76 @@
+/**
+ * Cuts the bytes of an event stream into whole events.
+ *
+ * @module
+ */
+
+const NEWLINE = 0x0a;
+/** An event larger than this is not buffered further: 1 MiB. */
+const MAX_EVENT_BYTES = 1_048_576;
+const ID_FIELD = "id:";
+
+/** One whole event with its closing empty line. */
+export interface EventFrame {
+  readonly bytes: Buffer;
+  readonly id: string | undefined;
+}
+
+/**
+ * Collects bytes and gives out whole events. A server that breaks off in the
+ * middle of an event leaves bytes here that never reach the caller.
+ *
+ * @example
+ * ```ts
+ * const frames = new EventFrames();
+ * for (const { bytes } of frames.push(chunk)) caller.write(bytes);
+ * ```
+ */
+export class EventFrames {
+  #rest: Buffer = Buffer.alloc(0);
+
+  /** Whether part of an event is still missing. */
+  get hasPartialEvent(): boolean {
+    return this.#rest.length > 0;
+  }
+
+  push(chunk: Buffer): EventFrame[] {
+    const bytes = this.#rest.length === 0
+      ? chunk
+      : Buffer.concat([this.#rest, chunk]);
+    const frames: EventFrame[] = [];
+    let start = 0;
+    for (;;) {
+      const end = eventEnd(bytes, start);
+      if (end === undefined) break;
+      const event = bytes.subarray(start, end);
+      frames.push({ bytes: event, id: idOf(event) });
+      start = end;
+    }
+    this.#rest = Buffer.from(bytes.subarray(start));
+    if (this.#rest.length > MAX_EVENT_BYTES) {
+      throw new Error("The event is larger than 1 MiB; treat it as malformed");
+    }
+    return frames;
+  }
+}
+
+/** The index after the empty line that closes the event at `start`. */
+function eventEnd(bytes: Buffer, start: number): number | undefined {
+  let line = start;
+  for (;;) {
+    const newline = bytes.indexOf(NEWLINE, line);
+    if (newline < 0) return undefined;
+    const length = newline - line;
+    const isEmpty = length === 0 || (length === 1 && bytes[line] === 0x0d);
+    if (isEmpty) return newline + 1;
+    line = newline + 1;
+  }
+}
+
+function idOf(event: Buffer): string | undefined {
+  let id: string | undefined;
+  for (const line of event.toString("utf8").split(/\r?\n/)) {
+    if (line.startsWith(ID_FIELD)) id = line.slice(ID_FIELD.length).trim();
+  }
+  return id;
+}
--- /dev/null
+++ b/packages/request-path/src/leaving.ts
@@ -0,0 +1,46 @@
+/**
+ * The steps of a planned stop: first out of the balancer, then no request is
+ * cut, then the end.
+ *
+ * @module
+ */
+
+/** How far a planned stop is. */
+export interface LeavingState {
+  /** Time since the stop was asked for, in milliseconds. */
+  readonly sinceMs: number;
+  /** Requests that have no final answer yet. */
+  readonly openCount: number;
+  /** Time after which the process is killed, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** What to do now. */
+export interface LeavingStep {
+  readonly closesIdle: boolean;
+  readonly mayEnd: boolean;
+}
+
+/** The balancer takes a daemon out after two misses, one second apart. */
+const OUT_OF_ROTATION_MS = 2_600;
+/** Clients that were sent here before still open connections for a moment. */
+const QUIET_MS = 600;
+/** Time kept to end before the process is killed. */
+const KILL_MARGIN_MS = 400;
+
+/**
+ * Decides the next step of a planned stop.
+ *
+ * @example
+ * ```ts
+ * const { mayEnd } = planLeaving({ sinceMs, openCount, graceMs: 8_000 });
+ * ```
+ */
+export function planLeaving(state: LeavingState): LeavingStep {
+  const { sinceMs, openCount, graceMs } = state;
+  const isQuiet = sinceMs >= OUT_OF_ROTATION_MS + QUIET_MS && openCount === 0;
+  return {
+    closesIdle: sinceMs >= OUT_OF_ROTATION_MS,
+    mayEnd: isQuiet || sinceMs >= graceMs - KILL_MARGIN_MS,
+  };
+}
--- /dev/null
+++ b/packages/request-path/src/placement.ts
@@ -0,0 +1,174 @@
+/**
+ * Gathers what the choice of a server depends on.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  FailureDomainId,
+  ModelName,
+} from "@endivebend/types";
+import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
+import type { BookedServer, ServerBook } from "./server_book.ts";
+import type { Call, PromptPart, WeightsNumber } from "./types.ts";
+
+/** Weights that the operator has named for a model. */
+export interface NamedWeights {
+  readonly weights: WeightsNumber;
+  /** On the steady clock: when this daemon first heard of them. */
+  readonly heardAtMs: number;
+}
+
+/** What a placement depends on besides the call. */
+export interface PlacementContext {
+  readonly book: ServerBook;
+  readonly failureDomain: FailureDomainId;
+  readonly namedWeights: (model: ModelName) => NamedWeights | undefined;
+  /** After this time no request may begin on older weights. */
+  readonly weightsBoundMs: number;
+  /** Connections of this daemon to one server, by service. */
+  readonly maxOwnAt: (service: Call["service"]) => number;
+}
+
+/** Where an attempt goes, or why it goes nowhere. */
+export type Placement =
+  | {
+    readonly kind: "placed";
+    readonly server: BookedServer;
+    readonly choice: Choice;
+  }
+  | {
+    readonly kind: "refused";
+    readonly reason: "no_server" | "overloaded" | "stale_weights";
+  };
+
+/** The benefit of an answer falls from 1,500 ms after newer weights are named. */
+const STALE_WEIGHTS_AFTER_MS = 1_200;
+/** A fifth of an answer's benefit weighs as much as this wait. */
+const STALE_WEIGHTS_COST_MS = 400;
+/** Time in which a request that is sent now begins. */
+const BEGIN_SLACK_MS = 1_500;
+/** Parts that were used longer ago are likely evicted. */
+const PART_LIFE_MS = 10_000;
+/** A full queue of an engine: as many waiting as running. */
+const MAX_FILL = 2;
+
+/**
+ * Chooses a server for the next attempt.
+ *
+ * @example
+ * ```ts
+ * const placement = placeCall(call, { ...context, exclude, nowMs });
+ * ```
+ */
+export function placeCall(
+  call: Call,
+  context: PlacementContext & {
+    readonly exclude: ReadonlySet<BackendServerId>;
+    readonly nowMs: number;
+  },
+): Placement {
+  const { book, exclude, nowMs } = context;
+  const usable = book.usable(call.service, nowMs)
+    .filter(({ listed }) => !exclude.has(listed.id));
+  if (usable.length === 0) return { kind: "refused", reason: "no_server" };
+  const fresh = usable.filter((server) => !isTooStale(call, server, context));
+  if (fresh.length === 0) return { kind: "refused", reason: "stale_weights" };
+  const open = fresh.filter((server) => hasRoom(call, server, context));
+  if (open.length === 0) return { kind: "refused", reason: "overloaded" };
+  const shared = sharedParts(call);
+  const choice = chooseServer({
+    promptTokens: call.work?.promptTokens,
+    sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
+    affinityKey: shared.at(-1)?.id ?? call.requestId,
+    failureDomain: context.failureDomain,
+  }, open.map((server) => candidateOf(call, { server, shared, context })));
+  const server = choice && book.get(choice.id);
+  if (choice === undefined || server === undefined) {
+    return { kind: "refused", reason: "no_server" };
+  }
+  return { kind: "placed", server, choice };
+}
+
+/** The parts that other requests may share: all but the last. */
+export function sharedParts(call: Call): readonly PromptPart[] {
+  return call.work?.prompt.slice(0, -1) ?? [];
+}
+
+function staleForMs(
+  call: Call,
+  server: BookedServer,
+  context: PlacementContext & { readonly nowMs: number },
+): number {
+  const model = call.work?.model;
+  const named = model === undefined ? undefined : context.namedWeights(model);
+  if (model === undefined || named === undefined) return 0;
+  const weights = context.book.weightsOf(server, model);
+  if (weights === undefined || weights >= named.weights) return 0;
+  return context.nowMs - named.heardAtMs;
+}
+
+function isTooStale(
+  call: Call,
+  server: BookedServer,
+  context: PlacementContext & { readonly nowMs: number },
+): boolean {
+  const limitMs = context.weightsBoundMs - BEGIN_SLACK_MS;
+  return staleForMs(call, server, context) > limitMs;
+}
+
+function hasRoom(
+  call: Call,
+  server: BookedServer,
+  context: PlacementContext,
+): boolean {
+  if (server.own.size >= context.maxOwnAt(call.service)) return false;
+  const slots = Math.max(1, server.listed.slots);
+  return context.book.runningAt(server) < slots * MAX_FILL;
+}
+
+function candidateOf(
+  call: Call,
+  at: {
+    readonly server: BookedServer;
+    readonly shared: readonly PromptPart[];
+    readonly context: PlacementContext & { readonly nowMs: number };
+  },
+): Candidate {
+  const { server, shared, context } = at;
+  const { book, nowMs } = context;
+  const staleMs = staleForMs(call, server, context);
+  return {
+    id: server.listed.id,
+    failureDomain: server.listed.failureDomain,
+    running: Math.max(
+      book.runningAt(server),
+      book.freshLoad(server, nowMs)?.waiting ?? 0,
+    ),
+    slots: server.listed.slots,
+    prefillTokens: book.prefillAt(server),
+    cachedTokens: cachedTokens(server, shared, nowMs),
+    failureShare: server.failureShare,
+    isAvoided: nowMs < server.avoidUntilMs,
+    isLoading: nowMs < server.loadingUntilMs,
+    staleWeightsMs: staleMs > STALE_WEIGHTS_AFTER_MS
+      ? STALE_WEIGHTS_COST_MS
+      : 0,
+  };
+}
+
+/** A part is of use only when all parts before it are there too. */
+function cachedTokens(
+  server: BookedServer,
+  shared: readonly PromptPart[],
+  nowMs: number,
+): number {
+  let tokens = 0;
+  for (const part of shared) {
+    const usedAtMs = server.parts.get(part.id);
+    if (usedAtMs === undefined || nowMs - usedAtMs > PART_LIFE_MS) break;
+    tokens += part.tokens;
+  }
+  return tokens;
+}
--- /dev/null
+++ b/packages/request-path/src/server_book.ts
@@ -0,0 +1,257 @@
+/**
+ * What the daemon believes of each backend server: its entry in the platform's
+ * list, what its answers show, and what peers tell. This is the one place that
+ * weighs these against each other.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  ModelName,
+  RequestId,
+  ServiceName,
+} from "@endivebend/types";
+import type { ServerLoad } from "./ports.ts";
+import type { ListedServer, PromptPartId, WeightsNumber } from "./types.ts";
+
+/**
+ * A server whose entry lapsed serves a service without any other server for
+ * this long; entries that lapsed in an outage of the store come back within
+ * 2,000 ms, and the shortest bound on leaving servers is 2,000 ms.
+ */
+const LAPSED_USE_MS = 1_500;
+/** The first avoidance after a failure; later ones double. */
+const FIRST_AVOIDANCE_MS = 500;
+/** An engine that restarts is back within seconds. */
+const MAX_AVOIDANCE_MS = 4_000;
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.15;
+/** A reported load older than this says nothing; reports lag some 200 ms. */
+const LOAD_LIFE_MS = 1_000;
+/** Parts remembered for each engine; a chain has a few parts. */
+const MAX_KNOWN_PARTS = 512;
+
+/** Work of this daemon that is at a server. */
+interface OwnWork {
+  /** Tokens that the engine has to prefill before the first event. */
+  prefillTokens: number;
+}
+
+/** Work of all other daemons that is at a server, as they told it. */
+export interface PeerWork {
+  readonly running: number;
+  readonly prefillTokens: number;
+}
+
+/** What is believed of one server. */
+export interface BookedServer {
+  listed: ListedServer;
+  /** Work of this daemon, by request. */
+  readonly own: Map<RequestId, OwnWork>;
+  /** When a prompt part was last read there, in order of use. */
+  readonly parts: Map<PromptPartId, number>;
+  /** Weights that orders or answers show, newer than the list's. */
+  readonly knownWeights: Map<ModelName, WeightsNumber>;
+  lapsedAtMs: number | undefined;
+  avoidUntilMs: number;
+  failureStreak: number;
+  /** Share of recent calls that failed there, 0 to 1. */
+  failureShare: number;
+  /** When any byte last came from the server. */
+  lastHeardMs: number;
+  load: ServerLoad | undefined;
+  loadAtMs: number;
+  /** Until when the server is known to take new weights. */
+  loadingUntilMs: number;
+}
+
+/** Beliefs about all backend servers. */
+export class ServerBook {
+  readonly #servers = new Map<BackendServerId, BookedServer>();
+  #peerWork: (id: BackendServerId) => PeerWork = () => ({
+    running: 0,
+    prefillTokens: 0,
+  });
+
+  /** Sets where the work of other daemons is looked up. */
+  usePeerWork(lookUp: (id: BackendServerId) => PeerWork): void {
+    this.#peerWork = lookUp;
+  }
+
+  /** Takes one entry of the list. Returns what changed, for the log. */
+  upsert(listed: ListedServer): "new" | "reborn" | "changed" | "same" {
+    const known = this.#servers.get(listed.id);
+    if (known === undefined) {
+      this.#servers.set(listed.id, emptyServer(listed));
+      return "new";
+    }
+    if (
+      known.listed.bornAtMs !== listed.bornAtMs ||
+      known.listed.address !== listed.address
+    ) {
+      this.#servers.set(listed.id, emptyServer(listed));
+      return "reborn";
+    }
+    const isSame = known.listed.isLeaving === listed.isLeaving &&
+      known.lapsedAtMs === undefined;
+    known.listed = listed;
+    known.lapsedAtMs = undefined;
+    return isSame ? "same" : "changed";
+  }
+
+  /** The entry has been removed from the list. */
+  remove(id: BackendServerId, nowMs: number): void {
+    const known = this.#servers.get(id);
+    if (known !== undefined) known.lapsedAtMs ??= nowMs;
+  }
+
+  /** Forgets servers whose entries were removed a while ago. */
+  prune(nowMs: number): void {
+    for (const [id, server] of this.#servers) {
+      const { lapsedAtMs } = server;
+      const isOver = lapsedAtMs !== undefined && server.own.size === 0 &&
+        nowMs - lapsedAtMs > 10 * LAPSED_USE_MS;
+      if (isOver) this.#servers.delete(id);
+    }
+  }
+
+  get(id: BackendServerId): BookedServer | undefined {
+    return this.#servers.get(id);
+  }
+
+  all(): Iterable<BookedServer> {
+    return this.#servers.values();
+  }
+
+  /** Servers that may get new work of the service. */
+  usable(service: ServiceName, nowMs: number): BookedServer[] {
+    const ofService = [...this.#servers.values()].filter((server) =>
+      server.listed.service === service && !server.listed.isLeaving
+    );
+    const listed = ofService.filter(({ lapsedAtMs }) =>
+      lapsedAtMs === undefined
+    );
+    if (listed.length > 0) return listed;
+    return ofService.filter(({ lapsedAtMs }) =>
+      lapsedAtMs !== undefined && nowMs - lapsedAtMs < LAPSED_USE_MS
+    );
+  }
+
+  /** Requests that all daemons together have at the server. */
+  runningAt(server: BookedServer): number {
+    return server.own.size + this.#peerWork(server.listed.id).running;
+  }
+
+  /** Prompt tokens ahead of a new request at the server. */
+  prefillAt(server: BookedServer): number {
+    let tokens = this.#peerWork(server.listed.id).prefillTokens;
+    for (const work of server.own.values()) tokens += work.prefillTokens;
+    return tokens;
+  }
+
+  /** The reported load while it is fresh. */
+  freshLoad(server: BookedServer, nowMs: number): ServerLoad | undefined {
+    return nowMs - server.loadAtMs < LOAD_LIFE_MS ? server.load : undefined;
+  }
+
+  weightsOf(server: BookedServer, model: ModelName): WeightsNumber | undefined {
+    const listed = server.listed.weights.get(model);
+    const known = server.knownWeights.get(model);
+    if (listed === undefined || known === undefined) return listed ?? known;
+    return known > listed ? known : listed;
+  }
+
+  /** An order or an answer shows which weights the server has. */
+  noteWeights(
+    id: BackendServerId,
+    model: ModelName,
+    weights: WeightsNumber,
+  ): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    const known = this.weightsOf(server, model);
+    if (known !== undefined && known >= weights) return;
+    server.knownWeights.set(model, weights);
+    // New weights discard what the engine has stored.
+    server.parts.clear();
+    server.loadingUntilMs = 0;
+  }
+
+  noteLoading(id: BackendServerId, untilMs: number): void {
+    const server = this.#servers.get(id);
+    if (server !== undefined) server.loadingUntilMs = untilMs;
+  }
+
+  noteHeard(id: BackendServerId, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server !== undefined) server.lastHeardMs = nowMs;
+  }
+
+  noteLoad(id: BackendServerId, load: ServerLoad, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.load = load;
+    server.loadAtMs = nowMs;
+  }
+
+  noteSuccess(id: BackendServerId): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.failureStreak = 0;
+    server.avoidUntilMs = 0;
+    server.failureShare *= 1 - FAILURE_WEIGHT;
+  }
+
+  /** A call failed in a way that speaks against the server. */
+  noteFailure(id: BackendServerId, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.failureShare += FAILURE_WEIGHT * (1 - server.failureShare);
+    const avoidanceMs = Math.min(
+      MAX_AVOIDANCE_MS,
+      FIRST_AVOIDANCE_MS * 2 ** server.failureStreak,
+    );
+    server.failureStreak += 1;
+    server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + avoidanceMs);
+  }
+
+  /** Another server has the address; only a new entry makes it usable again. */
+  noteMoved(id: BackendServerId): void {
+    this.#servers.delete(id);
+  }
+
+  /** Notes that the parts will be in the engine's memory. */
+  noteParts(
+    server: BookedServer,
+    parts: Iterable<PromptPartId>,
+    nowMs: number,
+  ): void {
+    for (const part of parts) {
+      server.parts.delete(part);
+      server.parts.set(part, nowMs);
+    }
+    while (server.parts.size > MAX_KNOWN_PARTS) {
+      const [oldest] = server.parts.keys();
+      if (oldest === undefined) break;
+      server.parts.delete(oldest);
+    }
+  }
+}
+
+function emptyServer(listed: ListedServer): BookedServer {
+  return {
+    listed,
+    own: new Map(),
+    parts: new Map(),
+    knownWeights: new Map(),
+    lapsedAtMs: undefined,
+    avoidUntilMs: 0,
+    failureStreak: 0,
+    failureShare: 0,
+    lastHeardMs: 0,
+    load: undefined,
+    loadAtMs: Number.NEGATIVE_INFINITY,
+    loadingUntilMs: 0,
+  };
+}
--- a/packages/router/src/commitments/over_http_test.ts
+++ b/packages/router/src/commitments/over_http_test.ts
@@ -15,7 +15,7 @@
   ServiceCall,
   StreamFold,
 } from "../ports.ts";
-import { createClock } from "../time.ts";
+import { createClock } from "@endivebend/clock";
 import { defaultCommitmentSettings } from "./settings.ts";
 import { createCommitmentTask } from "./task.ts";
 import { bookingRoute } from "./testing/fleet.ts";
--- a/packages/router/src/daemon/foundation.ts
+++ b/packages/router/src/daemon/foundation.ts
@@ -23,7 +23,7 @@
 import { ExplainLog } from "../explain.ts";
 import { readPeerTlsMaterial } from "../http/tls.ts";
 import type { Clock, Identity, Scheduler } from "../ports.ts";
-import { createClock, createScheduler } from "../time.ts";
+import { createClock, createScheduler } from "@endivebend/clock";
 
 /** The shared parts of one daemon. */
 export interface Foundation {
--- a/packages/router/src/engines/slot_handlers_test.ts
+++ b/packages/router/src/engines/slot_handlers_test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { createPeerClients, createPeerServer } from "@endivebend/peers";
 import { type BackendServerId, brandId } from "@endivebend/types";
-import { createClock, createScheduler } from "../time.ts";
+import { createClock, createScheduler } from "@endivebend/clock";
 import { EngineDirectory } from "./engine_directory.ts";
 import { createSlotHandlers } from "./slot_client.ts";
 import { SlotsTask } from "./slots_task.ts";
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Clock, Scheduler } from "@endivebend/clock";
 import type {
   RouteRule,
   TeamLimits,
@@ -28,26 +29,7 @@
   VmId,
 } from "@endivebend/types";
 
-export type { RouteRule, TeamLimits, TeamView };
-
-/** The only source of time for tasks. */
-export interface Clock {
-  /** Wall-clock time in milliseconds since 1970; may jump. */
-  wallMs(): number;
-  /** Monotonic milliseconds since an arbitrary start, sleep included. */
-  elapsedMs(): number;
-  /**
-   * Monotonic milliseconds that no step of the wall clock moves forward; sleep
-   * may be missing. Tokens accrue by it. Defaults to `elapsedMs`.
-   */
-  steadyMs?(): number;
-}
-
-/** Timers, injected so that tests use virtual time. */
-export interface Scheduler {
-  /** Runs `task` once after `delayMs`; returns a function that cancels it. */
-  after(delayMs: number, task: () => void): () => void;
-}
+export type { Clock, RouteRule, Scheduler, TeamLimits, TeamView };
 
 /** Who this daemon is. */
 export interface Identity {
--- a/packages/telemetry/src/mod.ts
+++ b/packages/telemetry/src/mod.ts
@@ -10,3 +10,6 @@
 export type { MetricsOptions, MetricsSink } from "./metrics.ts";
 export { createTracing } from "./tracing.ts";
 export type { Hop, HopOptions, Tracing, TracingOptions } from "./tracing.ts";
+export { createDecisionLog } from "./decision_log.ts";
+export type { BoundedLog, DecisionLogOptions } from "./decision_log.ts";
+export { TextMetrics } from "./text_metrics.ts";
--- /dev/null
+++ b/packages/telemetry/src/text_metrics.ts
@@ -0,0 +1,57 @@
+/**
+ * Counters and latency histograms, served as text.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+
+const MAX_VALUE_MS = 120_000;
+const QUANTILES = [50, 90, 99, 100] as const;
+
+/** Counters and histograms by name. */
+export class TextMetrics {
+  readonly #counts = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+
+  count(name: string, labels: Readonly<Record<string, string>> = {}): void {
+    const key = name + labelText(labels);
+    this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
+  }
+
+  observeMs(name: string, valueMs: number): void {
+    const histogram = this.#histograms.get(name) ?? newHistogram();
+    this.#histograms.set(name, histogram);
+    const bounded = Math.min(MAX_VALUE_MS, Math.max(0, valueMs));
+    histogram.recordValue(Math.round(bounded));
+  }
+
+  /** One line for each counter and each quantile, in the Prometheus format. */
+  text(): string {
+    const lines = [...this.#counts].map(([key, value]) => `${key} ${value}`);
+    for (const [name, histogram] of this.#histograms) {
+      for (const quantile of QUANTILES) {
+        const value = histogram.getValueAtPercentile(quantile);
+        lines.push(`${name}{quantile="${quantile / 100}"} ${value}`);
+      }
+      lines.push(`${name}_count ${histogram.totalCount}`);
+    }
+    return lines.join("\n") + "\n";
+  }
+}
+
+function newHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_VALUE_MS,
+    numberOfSignificantValueDigits: 2,
+    useWebAssembly: false,
+  });
+}
+
+function labelText(labels: Readonly<Record<string, string>>): string {
+  const entries = Object.entries(labels);
+  if (entries.length === 0) return "";
+  const text = entries.map(([name, value]) => `${name}="${value}"`).join(",");
+  return `{${text}}`;
+}
