Refuse connections late in a planned stop; tell placements to peers

Connections are refused from 2.7 s on.

Daemons tell each other where they placed prompt parts, so that an engine fetches from one that holds the part. Tests of the new packages.

--- /dev/null
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -0,0 +1,80 @@
+import test from "ava";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type IncarnationId,
+  type TeamId,
+  type VmId,
+} from "@endivebend/types";
+import { type FleetMessage, FleetState, parseFleetMessage } from "./mod.ts";
+
+const TEAM = brandId<TeamId>("st-mary");
+const SERVER = brandId<BackendServerId>("e");
+
+function message(fields: Partial<FleetMessage> = {}): FleetMessage {
+  return {
+    vm: brandId<VmId>("vm-2"),
+    incarnation: brandId<IncarnationId>("first"),
+    failureDomain: brandId<FailureDomainId>("a"),
+    address: "10.0.0.2:7600",
+    sequence: 1,
+    isLeaving: false,
+    reachesStore: true,
+    isReader: false,
+    duty: { epoch: 0 },
+    spent: { [TEAM]: 100 },
+    work: { [SERVER]: [2, 900] },
+    weights: [],
+    placed: {},
+    records: {},
+    ...fields,
+  };
+}
+
+test("spending counts once, however messages are lost or reordered", (t) => {
+  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  t.deepEqual(fleet.hear(message(), 0)?.spent, []);
+  const later = message({ sequence: 5, spent: { [TEAM]: 130 } });
+  t.deepEqual(fleet.hear(later, 10)?.spent, [{ team: TEAM, units: 30 }]);
+  t.is(fleet.hear(message({ sequence: 4 }), 20), undefined);
+});
+
+test("a restarted daemon's spending starts anew", (t) => {
+  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  fleet.hear(message({ sequence: 9 }), 0);
+  const restarted = message({
+    incarnation: brandId<IncarnationId>("second"),
+    spent: { [TEAM]: 5 },
+  });
+  t.deepEqual(fleet.hear(restarted, 10)?.spent, []);
+});
+
+test("a daemon out of reach keeps its share until it has long been gone", (t) => {
+  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  fleet.hear(message(), 0);
+  t.is(fleet.reachableShare(100), 1);
+  t.is(fleet.reachableShare(5_000), 0.5);
+  t.is(fleet.reachableShare(40_000), 1);
+});
+
+test("a daemon that says it leaves gives its share back at once", (t) => {
+  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  fleet.hear(message(), 0);
+  fleet.hear(message({ sequence: 2, isLeaving: true }), 10);
+  t.is(fleet.size, 1);
+});
+
+test("work that was told long ago no longer counts", (t) => {
+  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  fleet.hear(message(), 0);
+  t.deepEqual(fleet.workAt(SERVER, 500), { running: 2, prefillTokens: 900 });
+  t.deepEqual(fleet.workAt(SERVER, 2_000), { running: 0, prefillTokens: 0 });
+});
+
+test("bytes that are no message are left aside", (t) => {
+  t.is(parseFleetMessage(Buffer.from("{")), undefined);
+  t.is(parseFleetMessage(Buffer.from('{"vm":1}')), undefined);
+  const bytes = Buffer.from(JSON.stringify(message()));
+  t.deepEqual(parseFleetMessage(bytes), message());
+});
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -51,6 +51,8 @@
   readonly spent: Readonly<Record<TeamId, number>>;
   readonly work: Readonly<Record<BackendServerId, WorkAtServer>>;
   readonly weights: readonly WeightsNote[];
+  /** Prompt parts that the sender has lately placed at each engine. */
+  readonly placed: Readonly<Record<BackendServerId, readonly string[]>>;
   /** The offset of the newest record that the sender holds, by topic. */
   readonly records: Readonly<Record<string, number>>;
 }
@@ -67,6 +69,7 @@
       typeof value.work === "object" && value.work !== null &&
       typeof value.records === "object" && value.records !== null &&
       typeof value.duty === "object" && value.duty !== null &&
+      typeof value.placed === "object" && value.placed !== null &&
       Array.isArray(value.weights);
     return isMessage ? value as FleetMessage : undefined;
   } catch {
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -21,6 +21,7 @@
   CallDesk,
   type NamedWeights,
   planLeaving,
+  type PromptPartId,
   ServerBook,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
@@ -327,6 +328,7 @@
       spent: this.#desk.spent(),
       work,
       weights: this.#freshNotes(),
+      placed: this.#book.recentParts.fresh(this.#nowMs()),
       records,
     };
   }
@@ -352,6 +354,12 @@
       this.#desk.spentElsewhere(team, units);
     }
     for (const note of message.weights) this.#applyNote(note);
+    for (const [id, parts] of Object.entries(message.placed)) {
+      const server = this.#book.get(brandId<BackendServerId>(id));
+      if (server !== undefined) {
+        this.#book.noteParts(server, parts as PromptPartId[], nowMs);
+      }
+    }
     this.#pullNewer(message);
   }
 
@@ -479,6 +487,11 @@
   #pruneLater(): void {
     this.#scheduler.after(PRUNE_MS, () => {
       this.#book.prune(this.#nowMs());
+      this.#log.milestone("status", {
+        members: this.#fleet.size,
+        reachable: this.#fleet.reachable(this.#nowMs()).length + 1,
+        storeCalls: this.#store.callCounts,
+      });
       this.#pruneLater();
     });
   }
@@ -490,14 +503,13 @@
       openCount: this.#door.openCount,
       graceMs: this.#settings.graceMs,
     });
-    if (step.closesIdle) this.#door.closeIdle();
+    if (step.refusesConnections) this.#door.stopListening();
     if (step.mayEnd) return this.#end();
     this.#scheduler.after(LEAVING_CHECK_MS, () => this.#leave());
   }
 
   #end(): void {
     this.#log.milestone("end", { open: this.#door.openCount });
-    this.#door.stopListening();
     this.#channel.close({ ...this.#compose(), isLeaving: true });
     for (const server of this.#servers) server.close();
     this.#log.flush();
--- a/packages/platform/src/front_door.ts
+++ b/packages/platform/src/front_door.ts
@@ -95,13 +95,10 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  closeIdle(): void {
-    this.#server.closeIdleConnections();
-  }
-
-  /** Takes no more connections. */
+  /** Takes no more connections and closes those that are idle. */
   stopListening(): void {
     this.#server.close();
+    this.#server.closeIdleConnections();
   }
 
   async #serve(
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -31,6 +31,7 @@
   readonly #port: number;
   #agent = newAgent();
   #isReachable = true;
+  readonly #callCounts: Record<string, number> = {};
 
   constructor(address: string) {
     const [host = "", port = ""] = address.split(":");
@@ -38,6 +39,11 @@
     this.#port = Number(port);
   }
 
+  /** Calls since the start, by path and topic. */
+  get callCounts(): Readonly<Record<string, number>> {
+    return this.#callCounts;
+  }
+
   /** Whether the store served the last call. */
   get isReachable(): boolean {
     return this.#isReachable;
@@ -150,8 +156,10 @@
     readonly body?: Buffer;
     readonly timeoutMs?: number;
   }): Promise<StoreAnswer> {
+    const { method, path, body } = call;
+    const [kind = path] = path.split("&", 1);
+    this.#callCounts[kind] = (this.#callCounts[kind] ?? 0) + 1;
     return new Promise((resolve, reject) => {
-      const { method, path, body } = call;
       const outgoing = request({
         agent: this.#agent,
         host: this.#host,
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -155,7 +155,9 @@
     const cached = (isFetched ? shared : held)
       .reduce((sum, { tokens }) => sum + tokens, 0);
     server.own.set(call.requestId, { prefillTokens: promptTokens - cached });
-    book.noteParts(server, shared.map(({ id }) => id), nowMs);
+    const parts = shared.map(({ id }) => id);
+    book.noteParts(server, parts, nowMs);
+    book.recentParts.add(server.listed.id, parts, nowMs);
     const attempt: Attempt = {
       server,
       startedAtMs: nowMs,
--- /dev/null
+++ b/packages/request-path/src/call_run_test.ts
@@ -0,0 +1,142 @@
+import test from "ava";
+import { CallRun } from "./mod.ts";
+import {
+  answerHead,
+  call,
+  FakeCaller,
+  listed,
+  MODEL,
+  testContext,
+} from "./testing.ts";
+import { brandId } from "@endivebend/types";
+import type { Call, CallKind, WeightsNumber } from "./types.ts";
+
+function start(kind: CallKind, fields: Partial<Call> = {}) {
+  const context = testContext();
+  const caller = new FakeCaller();
+  const run = new CallRun(context, call(kind, fields), caller);
+  run.start();
+  context.client.last.listener.sent();
+  return { context, caller, run, client: context.client };
+}
+
+test("a refusal says not run after a server refused to run the call", (t) => {
+  const { caller, client } = start("at_most_once");
+  client.last.listener.head(answerHead({ status: 503, isNotRun: true }));
+  t.is(client.attempts.length, 2);
+  client.last.listener.head(answerHead({ status: 503, isNotRun: true }));
+  t.true(caller.refusal?.isNotRun);
+  t.truthy(caller.refusal?.retryAfterMs);
+});
+
+test("a call that may have run is sent once and never called not run", (t) => {
+  const { caller, client } = start("at_most_once");
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  t.is(client.attempts.length, 1);
+  t.false(caller.refusal?.isNotRun);
+});
+
+test("a repeatable call goes to another server when its server breaks", (t) => {
+  const { caller, client } = start("repeatable");
+  const [first] = client.attempts;
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  t.is(client.attempts.length, 2);
+  t.not(client.last.order.server.id, first!.order.server.id);
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("booked"));
+  client.last.listener.end();
+  t.is(caller.text, "booked");
+  t.true(caller.hasEnded);
+});
+
+test("half a plain answer does not reach the caller before it is whole", (t) => {
+  const { caller, client } = start("repeatable");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("boo"));
+  t.is(caller.text, "");
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  t.is(client.attempts.length, 2);
+});
+
+test("a success without its proof never reaches the caller", (t) => {
+  const { caller, client } = start("at_most_once");
+  client.last.listener.head(answerHead({ hasProof: false }));
+  t.is(caller.status, undefined);
+  t.is(caller.refusal?.reason, "server_failed");
+});
+
+test("a cut stream goes on after its last whole event", (t) => {
+  const { caller, client } = start("resumable_stream");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  t.is(client.last.order.resumeAfter, "1");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 2\ndata: b\n\n"));
+  client.last.listener.end();
+  t.is(caller.text, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  t.true(caller.hasEnded);
+});
+
+test("a stream that can't be resumed is broken off, not ended", (t) => {
+  const { caller, client } = start("stream");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  t.true(caller.isBrokenOff);
+  t.false(caller.hasEnded);
+});
+
+test("an engine that falls silent in a stream is left at the pause's bound", (t) => {
+  const { client, context } = start("resumable_stream");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
+  context.time.advance(1_200);
+  t.is(client.attempts.length, 2);
+  t.true(client.attempts[0]!.isAborted);
+});
+
+test("a call that may run once waits for a silent server to the deadline", (t) => {
+  const { caller, client, context } = start("at_most_once");
+  context.time.advance(5_900);
+  t.is(caller.refusal, undefined);
+  context.time.advance(400);
+  t.is(client.attempts.length, 1);
+  t.is(caller.refusal?.reason, "deadline_passed");
+  t.false(caller.refusal?.isNotRun);
+});
+
+test("a caller that leaves ends the work at the server", (t) => {
+  const { client, run } = start("stream");
+  run.callerGone();
+  t.true(client.last.isAborted);
+});
+
+test("other weights than expected are believed and the call goes on", (t) => {
+  const context = testContext({
+    namedWeights: () => [
+      { weights: brandId<WeightsNumber>(2), heardAtMs: 900 },
+    ],
+  });
+  const caller = new FakeCaller();
+  new CallRun(context, call("stream"), caller).start();
+  const { client } = context;
+  const id = client.last.order.server.id;
+  client.last.listener.sent();
+  client.last.listener.head(
+    answerHead({ status: 421, isMisdirected: true, isExpectedServer: true }),
+  );
+  t.is(context.book.weightsOf(context.book.get(id)!, MODEL), 2 as never);
+  t.is(client.attempts.length, 2);
+});
+
+test("an address that another server has taken names no server", (t) => {
+  const { client, context } = start("at_most_once");
+  const { id } = client.last.order.server;
+  client.last.listener.head(
+    answerHead({ status: 421, isMisdirected: true, isExpectedServer: false }),
+  );
+  t.is(context.book.get(id), undefined);
+  context.book.upsert(listed(id, { bornAtMs: 2 }));
+  t.truthy(context.book.get(id));
+});
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -115,15 +115,8 @@
   return best;
 }
 
-/**
- * The server that all daemons prefer for the key, whatever its load.
- *
- * @example
- * ```ts
- * const home = homeOf(partId, candidates);
- * ```
- */
-export function homeOf(
+/** The server that all daemons prefer for the key, whatever its load. */
+function homeOf(
   key: string,
   candidates: readonly { readonly id: BackendServerId }[],
 ): BackendServerId | undefined {
--- a/packages/request-path/src/leaving.ts
+++ b/packages/request-path/src/leaving.ts
@@ -17,14 +17,19 @@
 
 /** What to do now. */
 export interface LeavingStep {
-  readonly closesIdle: boolean;
+  /** Whether new connections are refused and idle ones closed. */
+  readonly refusesConnections: boolean;
   readonly mayEnd: boolean;
 }
 
-/** The balancer takes a daemon out after two misses, one second apart. */
-const OUT_OF_ROTATION_MS = 2_600;
-/** Clients that were sent here before still open connections for a moment. */
-const QUIET_MS = 600;
+/**
+ * The balancer takes a daemon out after two misses, one second apart. Where it
+ * has too few others it goes on sending clients, and a request taken later
+ * than 3,000 ms may not end before the process is killed.
+ */
+const LAST_CONNECTION_MS = 2_700;
+/** Requests on connections that were just accepted arrive within this time. */
+const QUIET_MS = 300;
 /** Time kept to end before the process is killed. */
 const KILL_MARGIN_MS = 400;
 
@@ -38,9 +43,9 @@
  */
 export function planLeaving(state: LeavingState): LeavingStep {
   const { sinceMs, openCount, graceMs } = state;
-  const isQuiet = sinceMs >= OUT_OF_ROTATION_MS + QUIET_MS && openCount === 0;
+  const isQuiet = sinceMs >= LAST_CONNECTION_MS + QUIET_MS && openCount === 0;
   return {
-    closesIdle: sinceMs >= OUT_OF_ROTATION_MS,
+    refusesConnections: sinceMs >= LAST_CONNECTION_MS,
     mayEnd: isQuiet || sinceMs >= graceMs - KILL_MARGIN_MS,
   };
 }
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -9,12 +9,7 @@
   FailureDomainId,
   ModelName,
 } from "@endivebend/types";
-import {
-  type Candidate,
-  type Choice,
-  chooseServer,
-  homeOf,
-} from "./choose_server.ts";
+import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
 import type { BookedServer, ServerBook } from "./server_book.ts";
 import type { Call, PromptPart, WeightsNumber } from "./types.ts";
 
@@ -118,12 +113,10 @@
   if (choice === undefined || server === undefined) {
     return { kind: "refused", reason: "no_server" };
   }
-  const home = homeOf(affinityKey, open.map(({ listed }) => listed));
   const cache = planCache(call, {
     server,
     sharedTokens,
     holders,
-    home: home && book.get(home),
     cacheStore,
     context,
   });
@@ -137,8 +130,8 @@
 
 /**
  * Fetching a part takes a hundredth of the time of reading it. The source is
- * an engine that is known to hold more than the chosen one, else the engine
- * that all daemons prefer, else the store, where a miss costs 1 ms.
+ * an engine that is known to hold more than the chosen one, else the store,
+ * which was sent whatever was read and where a miss costs 1 ms.
  */
 function planCache(
   call: Call,
@@ -146,12 +139,11 @@
     readonly server: BookedServer;
     readonly sharedTokens: number;
     readonly holders: readonly Holder[];
-    readonly home: BookedServer | undefined;
     readonly cacheStore: string | undefined;
     readonly context: PlacementContext & { readonly nowMs: number };
   },
 ): CachePlan {
-  const { server, sharedTokens, holders, home, cacheStore, context } = at;
+  const { server, sharedTokens, holders, cacheStore, context } = at;
   const { book, nowMs } = context;
   const model = call.work?.model;
   if (model === undefined) {
@@ -173,11 +165,9 @@
         most === undefined || holder.tokens > most.tokens ? holder : most,
       undefined,
     );
-  const preferred = home !== undefined && canExport(home) ? home : undefined;
-  const source = best?.server ?? preferred;
   return {
     weights,
-    fetchFrom: source?.listed.address ?? cacheStore,
+    fetchFrom: best?.server.listed.address ?? cacheStore,
     saveTo: cacheStore,
   };
 }
--- /dev/null
+++ b/packages/request-path/src/placement_test.ts
@@ -0,0 +1,104 @@
+import test from "ava";
+import { type BackendServerId, brandId } from "@endivebend/types";
+import { placeCall } from "./mod.ts";
+import { call, listed, MODEL, SERVICE, testContext } from "./testing.ts";
+import type { PromptPartId, WeightsNumber } from "./types.ts";
+
+const NONE: ReadonlySet<BackendServerId> = new Set();
+
+function weights(number: number) {
+  return new Map([[MODEL, brandId<WeightsNumber>(number)]]);
+}
+
+test("prompts that share parts meet at one engine while it is free", (t) => {
+  const context = testContext();
+  const chosen = new Set<string>();
+  for (let count = 0; count < 5; count++) {
+    const placement = placeCall(call("stream"), {
+      ...context,
+      exclude: NONE,
+      nowMs: 1_000,
+    });
+    if (placement.kind === "placed") chosen.add(placement.server.listed.id);
+  }
+  t.is(chosen.size, 1);
+});
+
+test("a hot prompt part spreads once its engine queues", (t) => {
+  const context = testContext();
+  const at = { ...context, exclude: NONE, nowMs: 1_000 };
+  const first = placeCall(call("stream"), at);
+  if (first.kind !== "placed") return t.fail();
+  for (let count = 0; count < 5; count++) {
+    first.server.own.set(brandId(`busy-${count}`), { prefillTokens: 9_000 });
+  }
+  const second = placeCall(call("stream"), at);
+  t.is(second.kind, "placed");
+  if (second.kind === "placed") t.not(second.server, first.server);
+});
+
+test("an engine that lacks parts fetches them from one that has them", (t) => {
+  const context = testContext({ cacheStores: () => ["10.9.9.9:1"] });
+  const holder = context.book.get(brandId("one"))!;
+  const parts = ["rulebook", "parish"].map((id) => brandId<PromptPartId>(id));
+  context.book.noteParts(holder, parts, 900);
+  const placement = placeCall(call("stream"), {
+    ...context,
+    exclude: new Set([holder.listed.id]),
+    nowMs: 1_000,
+  });
+  if (placement.kind !== "placed") return t.fail();
+  // The holder takes no part in the choice, so the store is the source.
+  t.is(placement.cache.fetchFrom, "10.9.9.9:1");
+  const open = placeCall(call("stream"), {
+    ...context,
+    exclude: NONE,
+    nowMs: 1_000,
+  });
+  if (open.kind !== "placed") return t.fail();
+  t.is(open.server, holder);
+  t.is(open.cache.fetchFrom, undefined);
+});
+
+test("no request begins on weights that were replaced too long ago", (t) => {
+  const named = [
+    { weights: brandId<WeightsNumber>(2), heardAtMs: 1_000 },
+    { weights: brandId<WeightsNumber>(3), heardAtMs: 7_000 },
+  ];
+  const context = testContext({ namedWeights: () => named });
+  const at = { ...context, exclude: NONE };
+  t.is(placeCall(call("stream"), { ...at, nowMs: 7_000 }).kind, "placed");
+  const late = placeCall(call("stream"), { ...at, nowMs: 8_000 });
+  t.deepEqual(late, { kind: "refused", reason: "stale_weights" });
+  context.book.upsert(listed("one", { weights: weights(3) }));
+  t.is(placeCall(call("stream"), { ...at, nowMs: 8_000 }).kind, "placed");
+});
+
+test("plain calls go to the server with free places", (t) => {
+  const context = testContext();
+  const busy = context.book.get(brandId("one"))!;
+  for (let count = 0; count < 8; count++) {
+    busy.own.set(brandId(`busy-${count}`), { prefillTokens: 0 });
+  }
+  const placement = placeCall(call("repeatable"), {
+    ...context,
+    exclude: NONE,
+    nowMs: 1_000,
+  });
+  t.is(placement.kind, "placed");
+  if (placement.kind === "placed") t.not(placement.server, busy);
+});
+
+test("a server that has left gets nothing new", (t) => {
+  const context = testContext();
+  context.book.upsert(listed("one", { isLeaving: true }));
+  context.book.remove(brandId("second"), 1_000);
+  const at = { ...context, exclude: NONE };
+  // Its entry may have lapsed in an outage, so it is used for a moment.
+  t.is(placeCall(call("repeatable"), { ...at, nowMs: 1_100 }).kind, "placed");
+  t.deepEqual(placeCall(call("repeatable"), { ...at, nowMs: 3_000 }), {
+    kind: "refused",
+    reason: "no_server",
+  });
+  t.is(context.book.usable(SERVICE, 3_000).length, 0);
+});
--- a/packages/request-path/src/server_book.ts
+++ b/packages/request-path/src/server_book.ts
@@ -13,6 +13,7 @@
   ServiceName,
 } from "@endivebend/types";
 import type { ServerLoad } from "./ports.ts";
+import { RecentParts } from "./recent_parts.ts";
 import type { ListedServer, PromptPartId, WeightsNumber } from "./types.ts";
 
 /**
@@ -69,6 +70,8 @@
 /** Beliefs about all backend servers. */
 export class ServerBook {
   readonly #servers = new Map<BackendServerId, BookedServer>();
+  /** What this daemon has placed, for the others. */
+  readonly recentParts = new RecentParts();
   #peerWork: (id: BackendServerId) => PeerWork = () => ({
     running: 0,
     prefillTokens: 0,
--- /dev/null
+++ b/packages/request-path/src/testing.ts
@@ -0,0 +1,251 @@
+/**
+ * Small inputs and fakes for tests of the request path.
+ *
+ * @module
+ */
+
+import type { Clock, Scheduler } from "@endivebend/clock";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type ModelName,
+  type RequestId,
+  type ServiceName,
+  type TeamId,
+} from "@endivebend/types";
+import type { CallContext } from "./call_run.ts";
+import type {
+  AnswerHead,
+  AttemptListener,
+  AttemptOrder,
+  CallerSink,
+  Refusal,
+  ServerClient,
+} from "./ports.ts";
+import { ServerBook } from "./server_book.ts";
+import type {
+  Call,
+  CallKind,
+  ListedServer,
+  PromptPartId,
+  Route,
+  RouteName,
+  TeamRules,
+  WeightsNumber,
+} from "./types.ts";
+
+export const MODEL = brandId<ModelName>("m");
+export const SERVICE = brandId<ServiceName>("engines");
+
+/** A clock and a scheduler that move only when told to. */
+export class TestTime implements Clock, Scheduler {
+  nowMs = 1_000;
+  #tasks: { readonly atMs: number; readonly task: () => void }[] = [];
+
+  wallMs = () => this.nowMs;
+  elapsedMs = () => this.nowMs;
+  steadyMs = () => this.nowMs;
+
+  after(delayMs: number, task: () => void): () => void {
+    const entry = { atMs: this.nowMs + delayMs, task };
+    this.#tasks.push(entry);
+    return () => {
+      this.#tasks = this.#tasks.filter((other) => other !== entry);
+    };
+  }
+
+  advance(durationMs: number): void {
+    const untilMs = this.nowMs + durationMs;
+    for (;;) {
+      const due = this.#tasks
+        .filter(({ atMs }) => atMs <= untilMs)
+        .sort((a, b) => a.atMs - b.atMs)[0];
+      if (due === undefined) break;
+      this.#tasks = this.#tasks.filter((other) => other !== due);
+      this.nowMs = Math.max(this.nowMs, due.atMs);
+      due.task();
+    }
+    this.nowMs = untilMs;
+  }
+}
+
+export function listed(
+  id: string,
+  fields: Partial<ListedServer> = {},
+): ListedServer {
+  return {
+    id: brandId<BackendServerId>(id),
+    service: SERVICE,
+    address: `10.0.0.1:${id.length}`,
+    failureDomain: brandId<FailureDomainId>("a"),
+    isLeaving: false,
+    slots: 8,
+    weights: new Map([[MODEL, brandId<WeightsNumber>(1)]]),
+    bornAtMs: 1,
+    ...fields,
+  };
+}
+
+export function route(kind: CallKind, fields: Partial<Route> = {}): Route {
+  return {
+    name: brandId<RouteName>("r"),
+    host: "bells.example",
+    pathPrefix: "/",
+    kind,
+    timeoutMs: 6_000,
+    targetMs: 800,
+    maxGapMs: 400,
+    maxAttempts: 2,
+    urgency: 1,
+    isOpen: false,
+    destinations: [{ service: SERVICE, weight: 1 }],
+    ...fields,
+  };
+}
+
+export function team(fields: Partial<TeamRules> = {}): TeamRules {
+  return {
+    id: brandId<TeamId>("st-mary"),
+    urgency: undefined,
+    isIsolated: false,
+    ratePerS: 0,
+    burst: 0,
+    unit: "tokens",
+    defaultTokens: 200,
+    ...fields,
+  };
+}
+
+export function call(kind: CallKind, fields: Partial<Call> = {}): Call {
+  const isModel = kind === "stream" || kind === "resumable_stream";
+  return {
+    requestId: brandId<RequestId>("q-1"),
+    route: route(kind),
+    service: SERVICE,
+    team: undefined,
+    work: isModel
+      ? {
+        model: MODEL,
+        promptTokens: 9_000,
+        outputTokens: 40,
+        prompt: [
+          { id: brandId<PromptPartId>("rulebook"), tokens: 2_500 },
+          { id: brandId<PromptPartId>("parish"), tokens: 3_800 },
+          { id: brandId<PromptPartId>("own"), tokens: 2_700 },
+        ],
+      }
+      : undefined,
+    cost: 9_040,
+    deadlineMs: 7_000,
+    timeoutAtMs: 7_000,
+    resumeAfter: undefined,
+    message: undefined,
+    ...fields,
+  };
+}
+
+/** An attempt that a test answers. */
+export interface FakeAttempt {
+  readonly order: AttemptOrder;
+  readonly listener: AttemptListener;
+  isAborted: boolean;
+}
+
+/** Collects attempts. */
+export class FakeClient implements ServerClient {
+  readonly attempts: FakeAttempt[] = [];
+
+  start(order: AttemptOrder, listener: AttemptListener) {
+    const attempt: FakeAttempt = { order, listener, isAborted: false };
+    this.attempts.push(attempt);
+    return {
+      abort: () => {
+        attempt.isAborted = true;
+      },
+      pause() {},
+      resume() {},
+    };
+  }
+
+  dropIdle(): void {}
+
+  get last(): FakeAttempt {
+    return this.attempts.at(-1)!;
+  }
+}
+
+/** Records what a caller receives. */
+export class FakeCaller implements CallerSink {
+  status: number | undefined;
+  text = "";
+  hasEnded = false;
+  isBrokenOff = false;
+  refusal: Refusal | undefined;
+
+  head({ status }: AnswerHead): void {
+    this.status = status;
+  }
+
+  data(chunk: Buffer): boolean {
+    this.text += chunk.toString();
+    return true;
+  }
+
+  end(): void {
+    this.hasEnded = true;
+  }
+
+  refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+  }
+
+  breakOff(): void {
+    this.isBrokenOff = true;
+  }
+}
+
+export function answerHead(fields: Partial<AnswerHead> = {}): AnswerHead {
+  return {
+    status: 200,
+    isNotRun: false,
+    isMisdirected: false,
+    isExpectedServer: undefined,
+    hasProof: true,
+    load: undefined,
+    lengthBytes: undefined,
+    message: undefined,
+    ...fields,
+  };
+}
+
+/** A context over two servers, with everything that a run needs. */
+export function testContext(
+  fields: Partial<CallContext> = {},
+): CallContext & {
+  readonly time: TestTime;
+  readonly book: ServerBook;
+  readonly client: FakeClient;
+} {
+  const time = new TestTime();
+  const book = new ServerBook();
+  book.upsert(listed("one"));
+  book.upsert(listed("second"));
+  return {
+    time,
+    clock: time,
+    scheduler: time,
+    client: new FakeClient(),
+    failureDomain: brandId<FailureDomainId>("a"),
+    namedWeights: () => [],
+    weightsBoundMs: 8_000,
+    maxOwnAt: () => 50,
+    cacheStores: () => [],
+    log: { decision() {} },
+    metrics: { count() {}, observeMs() {} },
+    tryRepeat: () => true,
+    ended() {},
+    ...fields,
+    book,
+  } as ReturnType<typeof testContext>;
+}
