--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -51,6 +51,8 @@
   readonly spent: Readonly<Record<TeamId, number>>;
   readonly work: Readonly<Record<BackendServerId, WorkAtServer>>;
   readonly weights: readonly WeightsNote[];
+  /** Backend servers that have fallen silent towards the sender. */
+  readonly suspects: readonly BackendServerId[];
   /** Prompt parts that the sender has lately placed at each engine. */
   readonly placed: Readonly<Record<BackendServerId, readonly string[]>>;
   /** The offset of the newest record that the sender holds, by topic. */
@@ -70,7 +72,7 @@
       typeof value.records === "object" && value.records !== null &&
       typeof value.duty === "object" && value.duty !== null &&
       typeof value.placed === "object" && value.placed !== null &&
-      Array.isArray(value.weights);
+      Array.isArray(value.suspects) && Array.isArray(value.weights);
     return isMessage ? value as FleetMessage : undefined;
   } catch {
     return undefined;
--- a/packages/orders/src/weights_duty.ts
+++ b/packages/orders/src/weights_duty.ts
@@ -76,7 +76,7 @@
  * Share of a model's engines that may have an order in progress. Most of that
  * time they wait for runs to end, up to 6 s, and only the short rest loads.
  */
-const ORDERED_SHARE = 1 / 2;
+const ORDERED_SHARE = 1 / 3;
 const MIN_ORDERED = 2;
 
 /**
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -194,8 +194,11 @@
           slackUnits: settings.limitSlack,
           windowMs: settings.limitWindowMs,
         },
-        repeatShare: settings.repeatShare,
-        repeatSlack: settings.repeatSlack,
+        repeats: {
+          windowMs: settings.repeatWindowMs,
+          share: settings.repeatShare,
+          slack: settings.repeatSlack,
+        },
       },
       fleetSize: () => this.#fleet.size,
       reachableShare: () => this.#fleet.reachableShare(this.#nowMs()),
@@ -328,6 +331,7 @@
       spent: this.#desk.spent(),
       work,
       weights: this.#freshNotes(),
+      suspects: this.#book.suspects(this.#nowMs()),
       placed: this.#book.recentParts.fresh(this.#nowMs()),
       records,
     };
@@ -354,6 +358,7 @@
       this.#desk.spentElsewhere(team, units);
     }
     for (const note of message.weights) this.#applyNote(note);
+    for (const id of message.suspects) this.#book.noteSuspected(id, nowMs);
     for (const [id, parts] of Object.entries(message.placed)) {
       const server = this.#book.get(brandId<BackendServerId>(id));
       if (server !== undefined) {
@@ -428,7 +433,9 @@
     const engines: OrderedEngine[] = [];
     for (const server of this.#book.all()) {
       const { listed } = server;
-      if (listed.isLeaving || server.lapsedAtMs !== undefined) continue;
+      const isAway = listed.isLeaving || server.lapsedAtMs !== undefined ||
+        this.#nowMs() < server.avoidUntilMs;
+      if (isAway) continue;
       for (const model of listed.weights.keys()) {
         const named = this.#named.get(model)?.at(-1);
         if (named === undefined) continue;
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -44,7 +44,7 @@
 }
 
 /** Domains are some 1 ms apart; a server that is up accepts at once. */
-const CONNECT_TIMEOUT_MS = 500;
+const CONNECT_TIMEOUT_MS = 300;
 /** Without a hint, idle connections are closed before servers close them. */
 const DEFAULT_IDLE_MS = 4_000;
 /** A connection is no longer used this long before the server may close it. */
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -27,6 +27,7 @@
   readonly weightsBoundMs: number;
   readonly repeatShare: number;
   readonly repeatSlack: number;
+  readonly repeatWindowMs: number;
   readonly limitOvershoot: number;
   readonly limitSlack: number;
   readonly limitWindowMs: number;
@@ -86,6 +87,7 @@
     weightsBoundMs: numberOf(bounds, "version_ms"),
     repeatShare: numberOf(bounds, "retry_budget_ratio"),
     repeatSlack: numberOf(bounds, "retry_budget_slack"),
+    repeatWindowMs: numberOf(bounds, "budget_window_s") * 1_000,
     limitOvershoot: numberOf(bounds, "quota_overshoot"),
     limitSlack: numberOf(bounds, "quota_slack"),
     limitWindowMs: numberOf(bounds, "quota_window_s") * 1_000,
--- a/packages/request-path/src/call_desk.ts
+++ b/packages/request-path/src/call_desk.ts
@@ -6,21 +6,19 @@
  */
 
 import { type BucketTolerance, SharedBucket } from "@endivebend/limits";
-import { RetryBudget } from "@endivebend/routing";
-import { type BackendServerId, brandId, type TeamId } from "@endivebend/types";
+import type { TeamId } from "@endivebend/types";
 import { type Admission, admit, type Arrival } from "./admit.ts";
 import { type CallContext, CallRun } from "./call_run.ts";
 import { ConfigurationView } from "./configuration.ts";
 import type { CallerSink } from "./ports.ts";
+import { type RepeatBound, RepeatWindow } from "./repeat_window.ts";
 import type { Call, Configuration, TeamRules } from "./types.ts";
 
 /** Bounds that the deployment states. */
 export interface DeskBounds {
   readonly tolerance: BucketTolerance;
-  /** Repetitions per request that all daemons together may send. */
-  readonly repeatShare: number;
-  /** Repetitions in each window that they may send besides. */
-  readonly repeatSlack: number;
+  /** Repetitions that all daemons together may send. */
+  readonly repeats: RepeatBound;
 }
 
 /** What the desk needs of its neighbours. */
@@ -45,14 +43,10 @@
     readonly retryAfterMs: number;
   };
 
-/** Share of the bound on repetitions that is used. */
-const REPEAT_USE = 0.7;
 /** Share of a server's connections that the fleet uses. */
 const CONNECTION_USE = 0.8;
 /** Few connections still let a daemon reach a server. */
 const MIN_CONNECTIONS = 4;
-/** Repetitions count for the service as a whole. */
-const ANY_TEAM = brandId<TeamId>("");
 /** A herd of refused calls that returns at once would be refused again. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -62,14 +56,12 @@
   readonly #context: CallContext;
   readonly #buckets = new Map<TeamId, SharedBucket>();
   readonly #spent = new Map<TeamId, number>();
-  #retries: RetryBudget;
-  #retryFleetSize: number;
+  readonly #repeats: RepeatWindow;
   #view: ConfigurationView | undefined;
 
   constructor(options: CallDeskOptions) {
     this.#options = options;
-    this.#retryFleetSize = options.fleetSize();
-    this.#retries = this.#newRetries();
+    this.#repeats = new RepeatWindow(options.bounds.repeats);
     this.#context = {
       ...options.context,
       maxOwnAt: (service) => this.#maxOwnAt(service),
@@ -122,7 +114,7 @@
       };
     }
     if (call.team) this.#addSpent(call.team.id, call.cost);
-    this.#retriesNow().recordRequest(this.#retryUse(call));
+    this.#repeats.recordRequest(call.service, nowMs);
     const run = new CallRun(this.#context, call, caller);
     return { kind: "running", run };
   }
@@ -166,40 +158,12 @@
   }
 
   #tryRepeat(call: Call): boolean {
-    const isAllowed = this.#retriesNow().tryRetry(this.#retryUse(call));
+    const isAllowed = this.#repeats.tryRepeat(call.service, {
+      nowMs: this.#nowMs(),
+      fleetSize: this.#options.fleetSize(),
+    });
     const outcome = isAllowed ? "allowed" : "refused";
     this.#context.metrics.count("repeats", { outcome });
     return isAllowed;
   }
-
-  #retryUse(call: Call) {
-    return {
-      team: ANY_TEAM,
-      server: brandId<BackendServerId>(call.service),
-      nowMs: this.#nowMs(),
-    };
-  }
-
-  /** The slack is shared evenly by the daemons. */
-  #retriesNow(): RetryBudget {
-    const size = this.#options.fleetSize();
-    if (size !== this.#retryFleetSize) {
-      this.#retryFleetSize = size;
-      this.#retries = this.#newRetries();
-    }
-    return this.#retries;
-  }
-
-  #newRetries(): RetryBudget {
-    const { repeatShare, repeatSlack } = this.#options.bounds;
-    const reserve = Math.max(
-      1,
-      repeatSlack * REPEAT_USE / Math.max(1, this.#retryFleetSize),
-    );
-    return new RetryBudget({
-      share: repeatShare * REPEAT_USE,
-      reserve,
-      maxSaved: 2 * reserve,
-    });
-  }
 }
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -45,6 +45,10 @@
 const MAX_UNRUN_ATTEMPTS = 3;
 /** How often a running attempt is checked for silence. */
 const CHECK_MS = 100;
+/** Events of an engine's streams are some 40 ms apart, 100 ms in a prefill. */
+const SILENT_STREAMS_MS = 400;
+/** A connection to a server that was heard this lately is alive. */
+const HEARD_MS = 1_000;
 /** The server's own answer at its deadline needs a moment to arrive. */
 const DEADLINE_GRACE_MS = 60;
 /** Repeating with less time left is of no use. */
@@ -166,6 +170,11 @@
       lastProgressMs: nowMs,
     };
     this.#attempt = attempt;
+    // An idle connection may have gone silent, and the call could then neither
+    // be answered nor be sent again; a new one fails before the call is sent.
+    const isRisky = !isRepeatable(call.route.kind) &&
+      nowMs - server.lastHeardMs > HEARD_MS;
+    if (isRisky) client.dropIdle(server.listed.address);
     attempt.handle = client.start({
       call,
       server: {
@@ -261,7 +270,7 @@
   #onFailed(attempt: Attempt, failure: AttemptFailure): void {
     if (this.#attempt !== attempt) return;
     if (failure.kind === "unsent" && !attempt.wasSent) {
-      this.#context.book.noteFailure(attempt.server.listed.id, this.#nowMs());
+      this.#context.book.noteSilent(attempt.server.listed.id, this.#nowMs());
       return this.#unrun(attempt, failure.reason);
     }
     this.#broken(attempt, failure.reason);
@@ -289,7 +298,11 @@
       afterMs: Math.round(this.#nowMs() - attempt.startedAtMs),
       hasBegun: this.#relay.hasBegun,
     });
-    this.#context.book.noteFailure(listed.id, this.#nowMs());
+    if (reason === "silent") {
+      this.#context.book.noteSilent(listed.id, this.#nowMs());
+    } else {
+      this.#context.book.noteFailure(listed.id, this.#nowMs());
+    }
     this.#dropAttempt();
     this.#ranAttempts += 1;
     this.#exclude.add(listed.id);
@@ -337,6 +350,7 @@
       return this.#expire();
     }
     if (attempt === undefined || this.#isBlocked) return;
+    this.#watchStreams(attempt, nowMs);
     const limitMs = patienceMs(this.#call, {
       hasBegun: this.#relay.hasBegun,
       mayRunAgain: this.#mayRunAgain(),
@@ -347,6 +361,20 @@
     this.#broken(attempt, "silent");
   }
 
+  /** A server whose streams all pause has likely fallen silent. */
+  #watchStreams(attempt: Attempt, nowMs: number): void {
+    const { listed, lastHeardMs, silentUntilMs } = attempt.server;
+    const isPaused = this.#relay.hasBegun &&
+      isStream(this.#call.route.kind) &&
+      nowMs - lastHeardMs > SILENT_STREAMS_MS;
+    if (!isPaused || nowMs < silentUntilMs) return;
+    this.#note("server_silent", {
+      server: listed.id,
+      heardAgoMs: Math.round(nowMs - lastHeardMs),
+    });
+    this.#context.book.noteSilent(listed.id, nowMs);
+  }
+
   #expire(): void {
     const attempt = this.#attempt;
     if (attempt?.wasSent) {
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -28,6 +28,8 @@
   WeightsHistory,
 } from "./placement.ts";
 export * from "./ports.ts";
+export { RepeatWindow } from "./repeat_window.ts";
+export type { RepeatBound } from "./repeat_window.ts";
 export { ServerBook } from "./server_book.ts";
 export type { BookedServer, PeerWork } from "./server_book.ts";
 export * from "./types.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { rendezvousWeight } from "@endivebend/routing";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -67,6 +68,10 @@
 const BEGIN_SLACK_MS = 1_500;
 /** Parts that were used longer ago are likely evicted. */
 const PART_LIFE_MS = 10_000;
+/** An engine under pressure evicts parts within seconds. */
+const FRESH_MS = 2_000;
+/** One request in this many sends parts to the store again. */
+const SAVED_AGAIN = 8;
 /** A full queue of an engine: as many waiting as running. */
 const MAX_FILL = 2;
 
@@ -100,6 +105,7 @@
   const holders = open.map((server) => ({
     server,
     tokens: cachedTokens(server, shared, nowMs),
+    isFresh: cachedTokens(server, shared, nowMs, FRESH_MS) > 0,
   }));
   const known = Math.max(0, ...holders.map(({ tokens }) => tokens));
   const choice = chooseServer({
@@ -125,7 +131,10 @@
 
 interface Holder {
   readonly server: BookedServer;
+  /** Shared tokens that it is thought to hold. */
   readonly tokens: number;
+  /** Whether they were used so lately that they are hardly evicted. */
+  readonly isFresh: boolean;
 }
 
 /**
@@ -151,27 +160,32 @@
   }
   const weights = book.weightsOf(server, model);
   const own = holders.find((holder) => holder.server === server)?.tokens ?? 0;
-  if (own >= sharedTokens) {
-    return { weights, fetchFrom: undefined, saveTo: undefined };
-  }
   const canExport = (other: BookedServer) =>
     other !== server && nowMs >= other.avoidUntilMs &&
     nowMs >= other.loadingUntilMs &&
     book.weightsOf(other, model) === weights;
-  const best = holders
-    .filter((holder) => holder.tokens > own && canExport(holder.server))
-    .reduce<Holder | undefined>(
-      (most, holder) =>
-        most === undefined || holder.tokens > most.tokens ? holder : most,
-      undefined,
-    );
+  const best = holders.find((holder) =>
+    holder.tokens > own && holder.isFresh && canExport(holder.server)
+  );
+  const isKnown = holders.some(({ tokens }) => tokens >= sharedTokens);
+  const isSaved = isKnown && !isSavedAgain(call);
   return {
     weights,
+    // The engine may have evicted what it is thought to hold; it fetches only
+    // what it lacks.
     fetchFrom: best?.server.listed.address ?? cacheStore,
-    saveTo: cacheStore,
+    saveTo: isSaved ? undefined : cacheStore,
   };
 }
 
+/**
+ * Sending parts that were sent before fills the store's link, but the store
+ * may have dropped them.
+ */
+function isSavedAgain(call: Call): boolean {
+  return rendezvousWeight(call.requestId, "") % SAVED_AGAIN === 0;
+}
+
 function sumTokens(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
@@ -250,11 +264,12 @@
   server: BookedServer,
   shared: readonly PromptPart[],
   nowMs: number,
+  lifeMs = PART_LIFE_MS,
 ): number {
   let tokens = 0;
   for (const part of shared) {
     const usedAtMs = server.parts.get(part.id);
-    if (usedAtMs === undefined || nowMs - usedAtMs > PART_LIFE_MS) break;
+    if (usedAtMs === undefined || nowMs - usedAtMs > lifeMs) break;
     tokens += part.tokens;
   }
   return tokens;
--- /dev/null
+++ b/packages/request-path/src/repeat_window.ts
@@ -0,0 +1,103 @@
+/**
+ * Bounds repetitions by the requests of the same window. Answers an outage in
+ * which every request would be repeated: the repetitions must not multiply it.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "@endivebend/types";
+
+/** The bound of the whole fleet. */
+export interface RepeatBound {
+  readonly windowMs: number;
+  /** Repetitions for each request of the window. */
+  readonly share: number;
+  /** Repetitions that are allowed besides. */
+  readonly slack: number;
+}
+
+/** Time is counted in slots of this length. */
+const SLOT_MS = 500;
+/** Share of the bound that is used; messages on the way take the rest. */
+const BOUND_USE = 0.9;
+
+interface Slot {
+  readonly index: number;
+  requests: number;
+  repeats: number;
+}
+
+/** Counts of one service. */
+class ServiceCounts {
+  #slots: Slot[] = [];
+
+  at(index: number): Slot {
+    const last = this.#slots.at(-1);
+    if (last?.index === index) return last;
+    const slot = { index, requests: 0, repeats: 0 };
+    this.#slots.push(slot);
+    return slot;
+  }
+
+  /** Sums over slots that overlap the window. */
+  sums(firstIndex: number): { requests: number; repeats: number } {
+    this.#slots = this.#slots.filter(({ index }) => index >= firstIndex);
+    let requests = 0;
+    let repeats = 0;
+    for (const slot of this.#slots) {
+      requests += slot.requests;
+      repeats += slot.repeats;
+    }
+    return { requests, repeats };
+  }
+}
+
+/**
+ * This daemon's part of the bound: its own requests, and an even part of the
+ * slack.
+ *
+ * @example
+ * ```ts
+ * window.recordRequest(service, nowMs);
+ * if (window.tryRepeat(service, { nowMs, fleetSize: 9 })) sendAgain();
+ * ```
+ */
+export class RepeatWindow {
+  readonly #bound: RepeatBound;
+  readonly #services = new Map<ServiceName, ServiceCounts>();
+
+  constructor(bound: RepeatBound) {
+    this.#bound = bound;
+  }
+
+  recordRequest(service: ServiceName, nowMs: number): void {
+    this.#countsOf(service).at(slotIndex(nowMs)).requests += 1;
+  }
+
+  /** Takes one repetition; false when the bound is reached. */
+  tryRepeat(
+    service: ServiceName,
+    at: { readonly nowMs: number; readonly fleetSize: number },
+  ): boolean {
+    const { windowMs, share, slack } = this.#bound;
+    const counts = this.#countsOf(service);
+    const first = slotIndex(at.nowMs - windowMs);
+    const { requests, repeats } = counts.sums(first);
+    const allowed = (requests * share + slack / at.fleetSize) * BOUND_USE;
+    if (repeats + 1 > allowed) return false;
+    counts.at(slotIndex(at.nowMs)).repeats += 1;
+    return true;
+  }
+
+  #countsOf(service: ServiceName): ServiceCounts {
+    const known = this.#services.get(service);
+    if (known !== undefined) return known;
+    const counts = new ServiceCounts();
+    this.#services.set(service, counts);
+    return counts;
+  }
+}
+
+function slotIndex(nowMs: number): number {
+  return Math.floor(nowMs / SLOT_MS);
+}
--- a/packages/request-path/src/server_book.ts
+++ b/packages/request-path/src/server_book.ts
@@ -26,6 +26,10 @@
 const FIRST_AVOIDANCE_MS = 500;
 /** An engine that restarts is back within seconds. */
 const MAX_AVOIDANCE_MS = 4_000;
+/** A server that others suspect is left aside until they tell again. */
+const SUSPECTED_MS = 600;
+/** A server that was heard this lately is not believed to be silent. */
+const HEARD_MS = 300;
 /** Weight of the newest outcome in the share of failures. */
 const FAILURE_WEIGHT = 0.15;
 /** A reported load older than this says nothing; reports lag some 200 ms. */
@@ -56,6 +60,8 @@
   readonly knownWeights: Map<ModelName, WeightsNumber>;
   lapsedAtMs: number | undefined;
   avoidUntilMs: number;
+  /** Until when this daemon itself takes the server for silent. */
+  silentUntilMs: number;
   failureStreak: number;
   /** Share of recent calls that failed there, 0 to 1. */
   failureShare: number;
@@ -188,7 +194,11 @@
 
   noteHeard(id: BackendServerId, nowMs: number): void {
     const server = this.#servers.get(id);
-    if (server !== undefined) server.lastHeardMs = nowMs;
+    if (server === undefined) return;
+    server.lastHeardMs = nowMs;
+    if (server.silentUntilMs === 0) return;
+    server.silentUntilMs = 0;
+    server.avoidUntilMs = 0;
   }
 
   noteLoad(id: BackendServerId, load: ServerLoad, nowMs: number): void {
@@ -203,6 +213,7 @@
     if (server === undefined) return;
     server.failureStreak = 0;
     server.avoidUntilMs = 0;
+    server.silentUntilMs = 0;
     server.failureShare *= 1 - FAILURE_WEIGHT;
   }
 
@@ -219,6 +230,27 @@
     server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + avoidanceMs);
   }
 
+  /** The server has fallen silent towards this daemon. */
+  noteSilent(id: BackendServerId, nowMs: number): void {
+    this.noteFailure(id, nowMs);
+    const server = this.#servers.get(id);
+    if (server !== undefined) server.silentUntilMs = server.avoidUntilMs;
+  }
+
+  /** Another daemon finds the server silent. */
+  noteSuspected(id: BackendServerId, nowMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined || nowMs - server.lastHeardMs < HEARD_MS) return;
+    server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + SUSPECTED_MS);
+  }
+
+  /** Servers that this daemon itself takes for silent. */
+  suspects(nowMs: number): BackendServerId[] {
+    return [...this.#servers.values()]
+      .filter(({ silentUntilMs }) => nowMs < silentUntilMs)
+      .map(({ listed }) => listed.id);
+  }
+
   /** Another server has the address; only a new entry makes it usable again. */
   noteMoved(id: BackendServerId): void {
     this.#servers.delete(id);
@@ -250,6 +282,7 @@
     knownWeights: new Map(),
     lapsedAtMs: undefined,
     avoidUntilMs: 0,
+    silentUntilMs: 0,
     failureStreak: 0,
     failureShare: 0,
     lastHeardMs: 0,
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -12,8 +12,6 @@
   readonly share?: number;
   /** Retries that are available without earlier requests; 3 when absent. */
   readonly reserve?: number;
-  /** Retries that a budget saves up at most; ten reserves when absent. */
-  readonly maxSaved?: number;
 }
 
 const DEFAULT_SHARE = 0.1;
@@ -42,19 +40,18 @@
 export class RetryBudget {
   readonly #share: number;
   readonly #reserve: number;
-  readonly #maxSaved: number;
   readonly #budgets = new Map<string, Budget>();
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#share = options.share ?? DEFAULT_SHARE;
     this.#reserve = options.reserve ?? DEFAULT_RESERVE;
-    this.#maxSaved = options.maxSaved ?? this.#reserve * MAX_SAVED_RESERVES;
   }
 
   /** Counts a first attempt, which earns a share of a retry. */
   recordRequest(use: RetryBudgetUse): void {
     const budget = this.#budgetOf(use);
-    budget.tokens = Math.min(this.#maxSaved, budget.tokens + this.#share);
+    const most = this.#reserve * MAX_SAVED_RESERVES;
+    budget.tokens = Math.min(most, budget.tokens + this.#share);
   }
 
   /** Takes one retry from the budget; false when there is none left. */
