--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -26,6 +26,7 @@
     spent: { [TEAM]: 100 },
     work: { [SERVER]: [2, 900] },
     weights: [],
+    named: {},
     suspects: [],
     placed: {},
     records: {},
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -25,6 +25,9 @@
   readonly isDone: boolean;
 }
 
+/** The number of a model's weights, and how long they have been known. */
+export type NamedAge = readonly [weights: number, ageMs: number];
+
 /** What the sender says about the duty to bring engines to new weights. */
 export interface DutyNote {
   /** The epoch under which the sender holds the duty; 0 when it doesn't. */
@@ -51,6 +54,8 @@
   readonly spent: Readonly<Record<TeamId, number>>;
   readonly work: Readonly<Record<BackendServerId, WorkAtServer>>;
   readonly weights: readonly WeightsNote[];
+  /** Weights named for each model, and how long the sender has known them. */
+  readonly named: Readonly<Record<ModelName, readonly NamedAge[]>>;
   /** Backend servers that have fallen silent towards the sender. */
   readonly suspects: readonly BackendServerId[];
   /** Prompt parts that the sender has lately placed at each engine. */
@@ -71,6 +76,7 @@
       typeof value.work === "object" && value.work !== null &&
       typeof value.records === "object" && value.records !== null &&
       typeof value.duty === "object" && value.duty !== null &&
+      typeof value.named === "object" && value.named !== null &&
       typeof value.placed === "object" && value.placed !== null &&
       Array.isArray(value.suspects) && Array.isArray(value.weights);
     return isMessage ? value as FleetMessage : undefined;
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -23,6 +23,7 @@
   planLeaving,
   type PromptPartId,
   ServerBook,
+  WeightsBook,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
 import {
@@ -72,8 +73,6 @@
 /** An engine that takes new weights is avoided no longer than this. */
 const LOADING_MS = 3_000;
 const PRUNE_MS = 5_000;
-/** Versions remembered for each model; engines are seldom two behind. */
-const WEIGHTS_HISTORY = 32;
 
 /** The running daemon. */
 export class Daemon {
@@ -85,7 +84,7 @@
   readonly #store: StoreClient;
   readonly #book = new ServerBook();
   readonly #fleet: FleetState;
-  readonly #named = new Map<ModelName, NamedWeights[]>();
+  readonly #named = new WeightsBook();
   readonly #notes = new Map<
     BackendServerId,
     WeightsNote & { readonly untilMs: number }
@@ -101,6 +100,7 @@
   readonly #servers: readonly Server[];
   #sequence = 0;
   #hasServers = false;
+  #hasListedRecords = false;
   #serversChangedAtMs = Number.NEGATIVE_INFINITY;
   #leavingSinceMs: number | undefined;
 
@@ -180,7 +180,7 @@
       context: {
         book: this.#book,
         failureDomain: settings.failureDomain,
-        namedWeights: (model) => this.#named.get(model) ?? [],
+        namedWeights: (model) => this.#named.history(model),
         weightsBoundMs: settings.weightsBoundMs,
         clock: this.#clock,
         scheduler: this.#scheduler,
@@ -221,6 +221,7 @@
         OPERATOR_TOPIC,
         new RecordTable((records) => {
           applyOperatorRecords(records, sinks);
+          this.#hasListedRecords = true;
           this.#channel.tellAll();
         }),
       ],
@@ -236,11 +237,13 @@
   }
 
   #noteNamed(model: ModelName, weights: NamedWeights["weights"]): void {
-    const history = this.#named.get(model) ?? [];
-    const newest = history.at(-1);
-    if (newest !== undefined && newest.weights >= weights) return;
-    history.push({ weights, heardAtMs: this.#nowMs() });
-    this.#named.set(model, history.slice(-WEIGHTS_HISTORY));
+    const isNews = this.#named.name(model, {
+      weights,
+      heardAtMs: this.#nowMs(),
+      // The first listing holds what was named before the start as well.
+      isAgeKnown: this.#hasListedRecords,
+    });
+    if (!isNews) return;
     this.#log.decision("weights_named", { model, weights });
   }
 
@@ -331,6 +334,7 @@
       spent: this.#desk.spent(),
       work,
       weights: this.#freshNotes(),
+      named: this.#named.ages(this.#nowMs()),
       suspects: this.#book.suspects(this.#nowMs()),
       placed: this.#book.recentParts.fresh(this.#nowMs()),
       records,
@@ -358,6 +362,7 @@
       this.#desk.spentElsewhere(team, units);
     }
     for (const note of message.weights) this.#applyNote(note);
+    this.#hearAges(message);
     for (const id of message.suspects) this.#book.noteSuspected(id, nowMs);
     for (const [id, parts] of Object.entries(message.placed)) {
       const server = this.#book.get(brandId<BackendServerId>(id));
@@ -368,6 +373,18 @@
     this.#pullNewer(message);
   }
 
+  #hearAges(message: FleetMessage): void {
+    for (const [model, ages] of Object.entries(message.named)) {
+      for (const [weights, ageMs] of ages) {
+        this.#named.knownSince(
+          brandId<ModelName>(model),
+          brandId<NamedWeights["weights"]>(weights),
+          this.#nowMs() - ageMs,
+        );
+      }
+    }
+  }
+
   #applyNote(note: WeightsNote): void {
     const weights = brandId<NamedWeights["weights"]>(note.weights);
     if (note.isDone) {
@@ -437,14 +454,14 @@
         this.#nowMs() < server.avoidUntilMs;
       if (isAway) continue;
       for (const model of listed.weights.keys()) {
-        const named = this.#named.get(model)?.at(-1);
+        const named = this.#named.newest(model);
         if (named === undefined) continue;
         engines.push({
           id: listed.id,
           address: listed.address,
           model,
           weights: this.#book.weightsOf(server, model) ?? 0,
-          namedWeights: named.weights,
+          namedWeights: named,
           running: this.#book.runningAt(server),
         });
       }
--- a/packages/platform/src/front_door.ts
+++ b/packages/platform/src/front_door.ts
@@ -238,11 +238,15 @@
   head(head: { readonly message: unknown }): void {
     const message = head.message as ServerMessage;
     const headers = answerHeaders(message, { isStream: this.#isStream });
+    if (!message.isFramed) {
+      // Whether such an answer is whole is not known here, so it must not get
+      // a frame that says so.
+      this.#response.useChunkedEncodingByDefault = false;
+    }
+    const isLast = !message.isFramed || this.#response.hasHeader("connection");
     this.#response.writeHead(message.status, message.statusText, [
       ...headers,
-      ...(this.#response.hasHeader("connection")
-        ? ["Connection", "close"]
-        : []),
+      ...(isLast ? ["Connection", "close"] : []),
     ]);
   }
 
@@ -265,6 +269,8 @@
   }
 
   breakOff(): void {
+    // The end of an answer without a frame would look like its completion.
+    this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -41,6 +41,8 @@
   readonly status: number;
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
+  /** Whether the answer tells its end; otherwise its connection's end does. */
+  readonly isFramed: boolean;
 }
 
 /** Domains are some 1 ms apart; a server that is up accepts at once. */
@@ -249,6 +251,8 @@
     status,
     statusText: response.statusMessage ?? "",
     rawHeaders,
+    isFramed: headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined,
   };
   return {
     status,
--- /dev/null
+++ b/packages/platform/src/server_client_test.ts
@@ -0,0 +1,149 @@
+import type { Socket } from "node:net";
+import test from "ava";
+import { createClock } from "@endivebend/clock";
+import type { AttemptOrder, ServerClient } from "@endivebend/request-path";
+import { createServerClient } from "./server_client.ts";
+import { type AttemptResult, startRawServer, testOrder } from "./testing.ts";
+
+function runAttempt(
+  client: ServerClient,
+  order: AttemptOrder,
+): Promise<AttemptResult> {
+  return new Promise((resolve) => {
+    const result: AttemptResult = {
+      head: undefined,
+      body: "",
+      isWhole: false,
+      failure: undefined,
+    };
+    client.start(order, {
+      sent() {},
+      head: (head) => {
+        result.head = head;
+      },
+      data: (chunk) => {
+        result.body += chunk.toString();
+      },
+      end: () => {
+        result.isWhole = true;
+        resolve(result);
+      },
+      failed: (failure) => {
+        result.failure = failure;
+        resolve(result);
+      },
+    });
+  });
+}
+
+async function exchange(
+  serve: (socket: Socket, request: string) => void,
+  fields: Partial<AttemptOrder> = {},
+): Promise<AttemptResult> {
+  const server = await startRawServer(serve);
+  try {
+    const client = createServerClient(createClock());
+    return await runAttempt(client, testOrder(server.address, fields));
+  } finally {
+    server.close();
+  }
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s\r\n";
+
+test("an answer without a length that is reset is not whole", async (t) => {
+  const result = await exchange((socket) => {
+    socket.write(`${HEAD}Connection: close\r\n\r\nhalf of it`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  t.false(result.isWhole);
+  t.is(result.failure?.kind, "broken");
+});
+
+test("an answer without a length ends with its connection", async (t) => {
+  const result = await exchange((socket) => {
+    socket.end(`${HEAD}Connection: close\r\n\r\nall of it`);
+  });
+  t.true(result.isWhole);
+  t.is(result.body, "all of it");
+});
+
+test("an answer that ends before its length is not whole", async (t) => {
+  const result = await exchange((socket) => {
+    socket.end(`${HEAD}Content-Length: 20\r\n\r\nhalf`);
+  });
+  t.is(result.failure?.kind, "broken");
+});
+
+test("the answer of another request fails the attempt", async (t) => {
+  const result = await exchange((socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n" +
+        "Content-Length: 2\r\n\r\nno",
+    );
+  });
+  t.is(result.head, undefined);
+  t.is(result.failure?.kind, "broken");
+});
+
+test("a refused connection means that the call was not sent", async (t) => {
+  const server = await startRawServer(() => {});
+  server.close();
+  const client = createServerClient(createClock());
+  const result = await runAttempt(client, testOrder(server.address));
+  t.is(result.failure?.kind, "unsent");
+});
+
+test("bytes after an answer fail no later call", async (t) => {
+  let count = 0;
+  const server = await startRawServer((socket) => {
+    count += 1;
+    const extra = count === 1
+      ? "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+      : "";
+    socket.write(`${HEAD}Content-Length: 2\r\n\r\nok${extra}`);
+  });
+  const client = createServerClient(createClock());
+  for (let round = 0; round < 3; round++) {
+    const result = await runAttempt(client, testOrder(server.address));
+    t.true(result.isWhole);
+    t.is(result.body, "ok");
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  server.close();
+});
+
+test("system headers of the client are dropped, its own kept", async (t) => {
+  let seen = "";
+  const order = testOrder("", {});
+  const message = {
+    ...(order.call.message as object),
+    rawHeaders: [
+      "Host",
+      "bells.example",
+      "Attempt-Id",
+      "a1",
+      "Authorization",
+      "Token secret",
+      "Tenant",
+      "forged",
+      "Kv-From",
+      "10.0.0.1:1/x",
+      "Connection",
+      "X-Hop",
+      "X-Hop",
+      "1",
+      "X-Own",
+      "y",
+    ],
+  };
+  await exchange((socket, request) => {
+    seen = request;
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+  }, { call: { ...order.call, message } });
+  t.regex(seen, /^POST \/book\/1\?x=2 HTTP\/1\.1/);
+  t.regex(seen, /X-Own: y/);
+  t.regex(seen, /Expect-Instance: i-1/);
+  t.notRegex(seen, /secret|forged|Kv-From|X-Hop/);
+});
--- /dev/null
+++ b/packages/platform/src/testing.ts
@@ -0,0 +1,122 @@
+/**
+ * Raw stand-ins for tests of the adapter.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import {
+  type AnswerHead,
+  type AttemptFailure,
+  type AttemptOrder,
+  type Call,
+  type RouteName,
+} from "@endivebend/request-path";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type RequestId,
+  type ServiceName,
+} from "@endivebend/types";
+import type { ClientMessage } from "./server_client.ts";
+
+/** A server that answers each connection by the test's own bytes. */
+export async function startRawServer(
+  serve: (socket: Socket, request: string) => void,
+): Promise<{ readonly address: string; close(): void }> {
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    let text = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      text += chunk.toString();
+      if (!text.includes("\r\n\r\n")) return;
+      const request = text;
+      text = "";
+      serve(socket, request);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+export function testCall(fields: Partial<Call> = {}): Call {
+  const service = brandId<ServiceName>("belfry");
+  const message: ClientMessage = {
+    method: "POST",
+    target: "/book/1?x=2",
+    rawHeaders: ["Host", "bells.example", "Attempt-Id", "a1", "X-Own", "y"],
+    body: Buffer.from("{}"),
+  };
+  return {
+    requestId: brandId<RequestId>("a1"),
+    route: {
+      name: brandId<RouteName>("r"),
+      host: "bells.example",
+      pathPrefix: "/",
+      kind: "at_most_once",
+      timeoutMs: 2_000,
+      targetMs: 300,
+      maxGapMs: undefined,
+      maxAttempts: 1,
+      urgency: 2,
+      isOpen: true,
+      destinations: [{ service, weight: 1 }],
+    },
+    service,
+    team: undefined,
+    work: undefined,
+    cost: 1,
+    deadlineMs: Number.MAX_SAFE_INTEGER,
+    timeoutAtMs: Number.MAX_SAFE_INTEGER,
+    resumeAfter: undefined,
+    message,
+    ...fields,
+  };
+}
+
+export function testOrder(
+  address: string,
+  fields: Partial<AttemptOrder> = {},
+): AttemptOrder {
+  const call = fields.call ?? testCall();
+  return {
+    call,
+    server: {
+      id: brandId<BackendServerId>("i-1"),
+      address,
+      service: call.service,
+      failureDomain: brandId<FailureDomainId>("a"),
+    },
+    deadlineMs: 2_000,
+    resumeAfter: undefined,
+    cache: { weights: undefined, fetchFrom: undefined, saveTo: undefined },
+    cacheScope: undefined,
+    urgency: 2,
+    ...fields,
+  };
+}
+
+/** What an attempt came to. */
+export interface AttemptResult {
+  head: AnswerHead | undefined;
+  body: string;
+  isWhole: boolean;
+  failure: AttemptFailure | undefined;
+}
--- a/packages/request-path/src/call_run_test.ts
+++ b/packages/request-path/src/call_run_test.ts
@@ -115,7 +115,7 @@
 test("other weights than expected are believed and the call goes on", (t) => {
   const context = testContext({
     namedWeights: () => [
-      { weights: brandId<WeightsNumber>(2), heardAtMs: 900 },
+      { weights: brandId<WeightsNumber>(2), heardAtMs: 900, isAgeKnown: true },
     ],
   });
   const caller = new FakeCaller();
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -20,16 +20,12 @@
 export type { LeavingState, LeavingStep } from "./leaving.ts";
 export { patienceMs } from "./patience.ts";
 export { placeCall } from "./placement.ts";
-export type {
-  CachePlan,
-  NamedWeights,
-  Placement,
-  PlacementContext,
-  WeightsHistory,
-} from "./placement.ts";
+export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
 export * from "./ports.ts";
 export { RepeatWindow } from "./repeat_window.ts";
 export type { RepeatBound } from "./repeat_window.ts";
 export { ServerBook } from "./server_book.ts";
 export type { BookedServer, PeerWork } from "./server_book.ts";
 export * from "./types.ts";
+export { WeightsBook } from "./weights_book.ts";
+export type { NamedWeights, WeightsHistory } from "./weights_book.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -12,18 +12,9 @@
 } from "@endivebend/types";
 import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
 import type { BookedServer, ServerBook } from "./server_book.ts";
+import type { WeightsHistory } from "./weights_book.ts";
 import type { Call, PromptPart, WeightsNumber } from "./types.ts";
 
-/** Weights that the operator has named for a model. */
-export interface NamedWeights {
-  readonly weights: WeightsNumber;
-  /** On the steady clock: when this daemon first heard of them. */
-  readonly heardAtMs: number;
-}
-
-/** Every version that may be newer than an engine's, oldest first. */
-export type WeightsHistory = readonly NamedWeights[];
-
 /** What a placement depends on besides the call. */
 export interface PlacementContext {
   readonly book: ServerBook;
@@ -94,7 +85,7 @@
   const usable = book.usable(call.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id));
   if (usable.length === 0) return { kind: "refused", reason: "no_server" };
-  const fresh = usable.filter((server) => !isTooStale(call, server, context));
+  const fresh = withoutStale(call, usable, context);
   if (fresh.length === 0) return { kind: "refused", reason: "stale_weights" };
   const open = fresh.filter((server) => hasRoom(call, server, context));
   if (open.length === 0) return { kind: "refused", reason: "overloaded" };
@@ -196,27 +187,40 @@
 }
 
 /** How long newer weights than the server's have been named. */
-function staleForMs(
+function staleness(
   call: Call,
   server: BookedServer,
   context: PlacementContext & { readonly nowMs: number },
-): number {
+): { readonly forMs: number; readonly isAgeKnown: boolean } {
+  const fresh = { forMs: 0, isAgeKnown: true };
   const model = call.work?.model;
-  if (model === undefined) return 0;
+  if (model === undefined) return fresh;
   const weights = context.book.weightsOf(server, model);
-  if (weights === undefined) return 0;
+  if (weights === undefined) return fresh;
   const newer = context.namedWeights(model)
     .find((named) => named.weights > weights);
-  return newer === undefined ? 0 : context.nowMs - newer.heardAtMs;
+  if (newer === undefined) return fresh;
+  const { heardAtMs, isAgeKnown } = newer;
+  return { forMs: context.nowMs - heardAtMs, isAgeKnown };
 }
 
-function isTooStale(
+/**
+ * Leaves out servers whose weights were replaced too long ago. Where it is not
+ * known how long ago, servers with newer weights show that it is some time.
+ */
+function withoutStale(
   call: Call,
-  server: BookedServer,
+  servers: readonly BookedServer[],
   context: PlacementContext & { readonly nowMs: number },
-): boolean {
+): BookedServer[] {
   const limitMs = context.weightsBoundMs - BEGIN_SLACK_MS;
-  return staleForMs(call, server, context) > limitMs;
+  const timely = servers.filter((server) =>
+    staleness(call, server, context).forMs <= limitMs
+  );
+  const current = timely.filter((server) =>
+    staleness(call, server, context).isAgeKnown
+  );
+  return current.length > 0 ? current : timely;
 }
 
 function hasRoom(
@@ -239,7 +243,7 @@
 ): Candidate {
   const { server, shared, context } = at;
   const { book, nowMs } = context;
-  const staleMs = staleForMs(call, server, context);
+  const staleMs = staleness(call, server, context).forMs;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -73,8 +73,8 @@
 
 test("no request begins on weights that were replaced too long ago", (t) => {
   const named = [
-    { weights: brandId<WeightsNumber>(2), heardAtMs: 1_000 },
-    { weights: brandId<WeightsNumber>(3), heardAtMs: 7_000 },
+    { weights: brandId<WeightsNumber>(2), heardAtMs: 1_000, isAgeKnown: true },
+    { weights: brandId<WeightsNumber>(3), heardAtMs: 7_000, isAgeKnown: true },
   ];
   const context = testContext({ namedWeights: () => named });
   const at = { ...context, exclude: NONE };
@@ -113,3 +113,21 @@
   });
   t.is(context.book.usable(SERVICE, 3_000).length, 0);
 });
+
+test("a daemon that starts late leaves engines with old weights aside", (t) => {
+  const named = [{
+    weights: brandId<WeightsNumber>(2),
+    heardAtMs: 1_000,
+    isAgeKnown: false,
+  }];
+  const context = testContext({ namedWeights: () => named });
+  const at = { ...context, exclude: NONE, nowMs: 1_000 };
+  t.is(placeCall(call("stream"), at).kind, "placed");
+  context.book.upsert(listed("second", { weights: weights(2) }));
+  const old = context.book.get(brandId("second"))!;
+  for (let count = 0; count < 7; count++) {
+    old.own.set(brandId(`busy-${count}`), { prefillTokens: 9_000 });
+  }
+  const placement = placeCall(call("stream"), at);
+  t.is(placement.kind === "placed" && placement.server, old);
+});
