--- a/packages/fleet/src/fleet_channel.ts
+++ b/packages/fleet/src/fleet_channel.ts
@@ -56,6 +56,12 @@
     this.#hasClosed = true;
   }
 
+  /** Closes the socket. */
+  dispose(): void {
+    this.#hasClosed = true;
+    this.#socket.close();
+  }
+
   #tick(): void {
     if (this.#hasClosed) return;
     const { scheduler, intervalMs } = this.#options;
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -54,8 +54,6 @@
 } from "./store_records.ts";
 import { PATHS } from "./wire_names.ts";
 
-/** The port that `deploy/system.toml` names for metrics. */
-const METRICS_PORT = 9_464;
 /** Daemons know each other's work and spending about this old. */
 const FLEET_INTERVAL_MS = 200;
 /** Daemons told in each interval; a fleet of 82 is told within 1.4 s. */
@@ -148,13 +146,13 @@
     this.#pruneLater();
   }
 
-  /** Begins a planned stop; the process ends by itself. */
-  stop(): void {
+  /** Begins a planned stop; calls `ended` when the process may end. */
+  stop(ended: () => void): void {
     if (this.#leavingSinceMs !== undefined) return;
     this.#leavingSinceMs = this.#nowMs();
     this.#log.milestone("stop", { open: this.#door.openCount });
     this.#duty.stop();
-    this.#leave();
+    this.#leave(ended);
   }
 
   /** The settings file has changed; everything in it needs a new process. */
@@ -503,9 +501,10 @@
   }
 
   #serveMetrics(): Server {
+    const { host, port } = this.#settings.metrics;
     return createServer((_request, response) => {
       response.end(this.#metrics.text());
-    }).listen(METRICS_PORT, this.#settings.ip);
+    }).listen(port, host);
   }
 
   #pruneLater(): void {
@@ -520,7 +519,7 @@
     });
   }
 
-  #leave(): void {
+  #leave(ended: () => void): void {
     const sinceMs = this.#nowMs() - (this.#leavingSinceMs ?? 0);
     const step = planLeaving({
       sinceMs,
@@ -528,16 +527,21 @@
       graceMs: this.#settings.graceMs,
     });
     if (step.refusesConnections) this.#door.stopListening();
-    if (step.mayEnd) return this.#end();
-    this.#scheduler.after(LEAVING_CHECK_MS, () => this.#leave());
+    if (step.mayEnd) return this.#end(ended);
+    this.#scheduler.after(LEAVING_CHECK_MS, () => this.#leave(ended));
   }
 
-  #end(): void {
+  #end(ended: () => void): void {
     this.#log.milestone("end", { open: this.#door.openCount });
     this.#channel.close({ ...this.#compose(), isLeaving: true });
     for (const server of this.#servers) server.close();
     this.#log.flush();
     // Datagrams that tell of the end leave with the next turn of the loop.
-    setTimeout(() => process.exit(0), LEAVING_CHECK_MS);
+    setTimeout(() => {
+      this.#channel.dispose();
+      this.#exchange.close();
+      for (const follower of this.#followers) follower.stop();
+      ended();
+    }, LEAVING_CHECK_MS);
   }
 }
--- /dev/null
+++ b/packages/platform/src/daemon_test.ts
@@ -0,0 +1,174 @@
+import { once } from "node:events";
+import { request } from "node:http";
+import { createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { brandId } from "@endivebend/types";
+import { Daemon } from "./daemon.ts";
+import type { PlatformSettings } from "./settings.ts";
+import { startRawServer } from "./testing.ts";
+import { startStore, type StoreStandIn } from "./testing_store.ts";
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  return port;
+}
+
+async function settingsFor(store: StoreStandIn): Promise<PlatformSettings> {
+  const host = "127.0.0.1";
+  return {
+    vm: brandId("vm-1"),
+    ip: host,
+    failureDomain: brandId("a"),
+    callers: { host, port: await freePort() },
+    readiness: { host, port: await freePort() },
+    metrics: { host, port: await freePort() },
+    firstPeerPort: await freePort(),
+    seedIps: [],
+    storeAddress: store.address,
+    graceMs: 4_000,
+    leaseMs: 3_000,
+    weightsBoundMs: 8_000,
+    repeatShare: 0.2,
+    repeatSlack: 58,
+    repeatWindowMs: 10_000,
+    limitOvershoot: 0.1,
+    limitSlack: 0,
+    limitWindowMs: 8_000,
+  };
+}
+
+const CONFIGURATION = {
+  version: 1,
+  routes: [{
+    name: "r",
+    hostname: "bells.example",
+    path_prefix: "/book/",
+    type: "unsafe",
+    timeout_ms: 2_000,
+    attempts: 1,
+    service: "belfry",
+  }],
+  services: [{ name: "belfry", max_conns: 100 }],
+  limits: { idle_timeout_ms: 15_000, header_timeout_ms: 3_000 },
+  tenants: [{
+    name: "st-mary",
+    api_keys: ["good"],
+    rate_per_s: 1_000,
+    burst: 1_000,
+    unit: "calls",
+  }],
+};
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly headers: Record<string, unknown>;
+}
+
+function send(
+  settings: PlatformSettings,
+  path: string,
+  headers: Record<string, string> = {},
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      ...settings.callers,
+      method: "POST",
+      path,
+      headers: {
+        host: "bells.example",
+        "attempt-id": "a1",
+        "deadline-ms": "2000",
+        authorization: "Token good",
+        ...headers,
+      },
+    }, (answer) => {
+      let body = "";
+      answer.on("data", (chunk) => body += chunk);
+      answer.on("end", () =>
+        resolve({
+          status: answer.statusCode ?? 0,
+          body,
+          headers: answer.headers,
+        }));
+    });
+    outgoing.on("error", reject);
+    outgoing.end("{}");
+  });
+}
+
+async function waitReady(settings: PlatformSettings): Promise<void> {
+  const { host, port } = settings.readiness;
+  for (let round = 0; round < 200; round++) {
+    const answer = await fetch(`http://${host}:${port}/api/ready`);
+    if (answer.status === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  throw new Error("The daemon did not get ready");
+}
+
+test("the daemon serves a call, refuses others truthfully, and stops", async (t) => {
+  const store = await startStore();
+  const seen: string[] = [];
+  const engine = await startRawServer((socket: Socket, text) => {
+    seen.push(text);
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s1\r\n" +
+        "Content-Length: 6\r\n\r\nbooked",
+    );
+  });
+  const settings = await settingsFor(store);
+  const daemon = new Daemon(settings);
+  daemon.start();
+
+  const early = await send(settings, "/book/1");
+  t.is(early.status, 503, "no configuration is known yet");
+
+  store.put("keyed.op", "config", CONFIGURATION);
+  store.put("keyed.servers", "i-1", {
+    service: "belfry",
+    address: engine.address,
+    zone: "a",
+    slots: 6,
+    phase: "ready",
+    models: [],
+    born: 1,
+  });
+  store.put("keyed.servers", "foreign", { service: 5 });
+  await waitReady(settings);
+
+  const answer = await send(settings, "/book/1");
+  t.is(answer.status, 200);
+  t.is(answer.body, "booked");
+  t.is(answer.headers["response-seal"], "s1");
+  t.regex(seen[0] ?? "", /Tenant: st-mary/);
+  t.notRegex(seen[0] ?? "", /good/);
+
+  t.is((await send(settings, "/elsewhere/")).status, 404);
+  const wrongKey = { authorization: "Token bad" };
+  t.is((await send(settings, "/book/1", wrongKey)).status, 401);
+
+  store.put("keyed.op", "config", {
+    ...CONFIGURATION,
+    version: 2,
+    tenants: [],
+  });
+  store.put("keyed.op", "config", CONFIGURATION);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const open = await send(settings, "/book/1", wrongKey);
+  t.is(open.status, 200, "an older revision is never taken again");
+
+  store.remove("keyed.servers", "i-1");
+  store.faults.isDown = true;
+  const whileDown = await send(settings, "/book/1");
+  t.is(whileDown.status, 200, "what is known holds while the store is away");
+
+  await new Promise<void>((resolve) => daemon.stop(resolve));
+  await t.throwsAsync(send(settings, "/book/1"));
+  store.close();
+  engine.close();
+});
--- /dev/null
+++ b/packages/platform/src/decode_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import {
+  decodeConfiguration,
+  decodeNamedWeights,
+  decodeServer,
+} from "./decode.ts";
+
+const ENTRY = {
+  service: "chime",
+  address: "10.0.0.9:8080",
+  zone: "a",
+  slots: 128,
+  phase: "ready",
+  models: [{ name: "m", version: 3, adapters: [] }],
+  born: 17,
+};
+
+function bytes(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+test("an entry of a server is decoded", (t) => {
+  const server = decodeServer("i-1", bytes(ENTRY));
+  t.like(server, {
+    id: "i-1",
+    service: "chime",
+    isLeaving: false,
+    slots: 128,
+    bornAtMs: 17,
+  });
+  t.is(server?.weights.get("m" as never), 3 as never);
+});
+
+test("entries of other writers name no server", (t) => {
+  const wrong = [
+    { ...ENTRY, slots: "many" },
+    { ...ENTRY, address: 5 },
+    { ...ENTRY, address: "chime.example:80" },
+    { ...ENTRY, phase: "resting" },
+    { ...ENTRY, born: 1.5 },
+    { ...ENTRY, service: undefined },
+    [],
+    null,
+  ];
+  for (const entry of wrong) t.is(decodeServer("i-1", bytes(entry)), undefined);
+  t.is(decodeServer("i-1", Buffer.from([0xff, 0x00])), undefined);
+});
+
+test("what may be repeated follows from a route's kind", (t) => {
+  const route = (fields: object) => ({
+    name: "r",
+    hostname: "Bells.example",
+    path_prefix: "/a/",
+    service: "chime",
+    ...fields,
+  });
+  const configuration = decodeConfiguration(bytes({
+    version: 7,
+    routes: [
+      route({ type: "safe" }),
+      route({ type: "unsafe" }),
+      route({ type: "stream", resumable: true }),
+      route({ type: "stream", resumable: false }),
+      route({ type: "unheard_of" }),
+    ],
+    services: [{ name: "cache", kv_store_addr: "10.9.9.9:1" }],
+    tenants: [{ name: "st-mary", api_keys: ["k1", "k2"], rate_per_s: 5 }],
+  }));
+  t.deepEqual(configuration?.routes.map(({ kind }) => kind), [
+    "repeatable",
+    "at_most_once",
+    "resumable_stream",
+    "stream",
+  ]);
+  t.is(configuration?.routes[0]?.host, "bells.example");
+  t.deepEqual(configuration?.cacheStores, ["10.9.9.9:1"]);
+  t.is(configuration?.teamByKey.get("k2")?.id, "st-mary" as never);
+});
+
+test("bytes that are no configuration and no weights are left aside", (t) => {
+  t.is(decodeConfiguration(Buffer.from("{")), undefined);
+  t.is(decodeNamedWeights(bytes({ model: "m", version: "new" })), undefined);
+});
--- a/packages/platform/src/main.ts
+++ b/packages/platform/src/main.ts
@@ -9,6 +9,7 @@
 
 const daemon = new Daemon(readSettings());
 daemon.start();
-process.on("SIGTERM", () => daemon.stop());
-process.on("SIGINT", () => daemon.stop());
+const stop = () => daemon.stop(() => process.exit(0));
+process.on("SIGTERM", stop);
+process.on("SIGINT", stop);
 process.on("SIGHUP", () => daemon.reload());
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -16,6 +16,8 @@
   readonly callers: Endpoint;
   /** Where the platform asks whether the daemon takes callers. */
   readonly readiness: Endpoint;
+  /** Where counters and histograms are served. */
+  readonly metrics: Endpoint;
   /** First of the ports that daemons use among themselves. */
   readonly firstPeerPort: number;
   /** IPs of daemons that may be running already. */
@@ -42,6 +44,9 @@
 /** The environment variable that names the settings file. */
 const SETTINGS_VARIABLE = "ENDIVEBEND_CONFIG";
 
+/** The port that `deploy/system.toml` names for metrics. */
+const METRICS_PORT = 9_464;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 /** Reads the file that the environment names. */
@@ -76,6 +81,7 @@
     failureDomain: brandId<FailureDomainId>(textOf(root, "zone")),
     callers: parseEndpoint(textOf(listen, "front")),
     readiness: parseEndpoint(textOf(listen, "readiness")),
+    metrics: { host: textOf(root, "ip"), port: METRICS_PORT },
     firstPeerPort: numberOf(
       { port_range: (ports as unknown[])?.[0] },
       "port_range",
--- /dev/null
+++ b/packages/platform/src/store_client_test.ts
@@ -0,0 +1,52 @@
+import test from "ava";
+import { brandId, type VmId } from "@endivebend/types";
+import { createDutyLog } from "./duty_log.ts";
+import { StoreClient } from "./store_client.ts";
+import { startStore } from "./testing_store.ts";
+
+const vm = (name: string) => brandId<VmId>(name);
+
+test("keyed records are listed and followed with their offsets", async (t) => {
+  const store = await startStore();
+  const client = new StoreClient(store.address);
+  store.put("keyed.op", "config", { version: 1 });
+  const { records, nextOffset } = await client.newest("keyed.op");
+  t.deepEqual(records.map(({ key, offset }) => [key, offset]), [["config", 0]]);
+  const following = client.source("keyed.op").read(nextOffset, 1_000);
+  store.remove("keyed.op", "config");
+  const answer = await following;
+  t.is(answer.kind, "records");
+  if (answer.kind === "records") {
+    t.like(answer.records[0], { key: "config", value: undefined, offset: 1 });
+  }
+  store.close();
+});
+
+test("the log orders claims of the duty, and a later one ends the former", async (t) => {
+  const store = await startStore();
+  const log = createDutyLog(new StoreClient(store.address));
+  const first = await log.claim(vm("vm-1"));
+  t.deepEqual(first, { kind: "held", epoch: 1, previousHolder: undefined });
+  t.true(await log.confirm(1));
+  const second = await log.claim(vm("vm-2"));
+  t.deepEqual(second, {
+    kind: "held",
+    epoch: 2,
+    previousHolder: vm("vm-1"),
+  });
+  t.false(await log.confirm(1));
+  t.true(await log.confirm(2));
+  store.close();
+});
+
+test("a store that refuses is out of reach until it serves again", async (t) => {
+  const store = await startStore();
+  const client = new StoreClient(store.address);
+  store.faults.isDown = true;
+  await t.throwsAsync(client.newest("keyed.op"));
+  t.false(client.isReachable);
+  store.faults.isDown = false;
+  await client.newest("keyed.op");
+  t.true(client.isReachable);
+  store.close();
+});
--- /dev/null
+++ b/packages/platform/src/testing_store.ts
@@ -0,0 +1,161 @@
+/**
+ * A small stand-in of the platform's store: a log with keyed topics.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Faults that a test switches. */
+export interface StoreFaults {
+  /** Answers every call with 503. */
+  isDown: boolean;
+  /** Executes appends without answering them. */
+  losesAnswers: boolean;
+}
+
+/** A running stand-in. */
+export interface StoreStandIn {
+  readonly address: string;
+  readonly faults: StoreFaults;
+  /** Calls so far. */
+  callCount(): number;
+  put(topic: string, key: string, value: unknown): void;
+  /** Removes a key and forgets its records. */
+  remove(topic: string, key: string): void;
+  close(): void;
+}
+
+const READ_HEADER_BYTES = 16;
+
+/** Starts the stand-in on loopback. */
+export async function startStore(): Promise<StoreStandIn> {
+  const topics = new Map<string, Buffer[]>();
+  const waiting = new Set<() => void>();
+  const faults: StoreFaults = { isDown: false, losesAnswers: false };
+  let calls = 0;
+  const recordsOf = (topic: string) => {
+    const records = topics.get(topic) ?? [];
+    topics.set(topic, records);
+    return records;
+  };
+  const append = (topic: string, record: Buffer) => {
+    recordsOf(topic).push(record);
+    for (const wake of [...waiting]) wake();
+  };
+
+  const handlers: Readonly<
+    Record<string, (at: StoreCall) => void | Promise<void>>
+  > = {
+    "/api/log-append": ({ query, body, response }) => {
+      const topic = query.get("topic")!;
+      const end = recordsOf(topic).length;
+      const at = query.get("at");
+      if (at !== null && Number(at) !== end) {
+        response.writeHead(412).end(JSON.stringify({ end }));
+        return;
+      }
+      append(topic, body.subarray(4));
+      if (faults.losesAnswers) return;
+      response.end(JSON.stringify({ offset: end, end: end + 1 }));
+    },
+    "/api/log-read": async ({ query, response }) => {
+      const records = recordsOf(query.get("topic")!);
+      const from = Number(query.get("from"));
+      const waitMs = Number(query.get("wait_ms"));
+      if (records.length <= from && waitMs > 0) {
+        await new Promise<void>((resolve) => {
+          const wake = () => {
+            waiting.delete(wake);
+            clearTimeout(timer);
+            resolve();
+          };
+          const timer = setTimeout(wake, waitMs);
+          waiting.add(wake);
+        });
+      }
+      const head = Buffer.alloc(READ_HEADER_BYTES);
+      head.writeBigUInt64BE(BigInt(records.length));
+      const parts = records.slice(from).flatMap((record) => {
+        const length = Buffer.alloc(4);
+        length.writeUInt32BE(record.length);
+        return [length, record];
+      });
+      response.end(Buffer.concat([head, ...parts]));
+    },
+    "/api/log-newest": ({ query, response }) => {
+      const newest = new Map<string, { value: Buffer; offset: number }>();
+      recordsOf(query.get("topic")!).forEach((record, offset) => {
+        const { key, value } = split(record);
+        if (value.length === 0) newest.delete(key);
+        else newest.set(key, { value, offset });
+      });
+      const items = [...newest].map(([key, { value, offset }]) => ({
+        key,
+        value: value.toString("base64"),
+        offset,
+      }));
+      const end = recordsOf(query.get("topic")!).length;
+      response.end(JSON.stringify({ items, has_more: false, end }));
+    },
+  };
+
+  const server = createServer((request, response) => {
+    calls += 1;
+    void readAll(request).then((body) => {
+      const url = new URL(request.url ?? "/", "http://store");
+      const handler = handlers[url.pathname];
+      if (faults.isDown || handler === undefined) {
+        response.writeHead(503).end();
+        return;
+      }
+      return handler({ query: url.searchParams, body, response });
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    faults,
+    callCount: () => calls,
+    put: (topic, key, value) =>
+      append(topic, keyed(key, Buffer.from(JSON.stringify(value)))),
+    remove: (topic, key) => append(topic, keyed(key, Buffer.alloc(0))),
+    close() {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+interface StoreCall {
+  readonly query: URLSearchParams;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+}
+
+function keyed(key: string, value: Buffer): Buffer {
+  const name = Buffer.from(key);
+  return Buffer.concat([Buffer.from([name.length]), name, value]);
+}
+
+function split(record: Buffer): { key: string; value: Buffer } {
+  const length = record[0] ?? 0;
+  return {
+    key: record.subarray(1, 1 + length).toString(),
+    value: record.subarray(1 + length),
+  };
+}
+
+async function readAll(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
--- a/packages/request-path/src/weights_book.ts
+++ b/packages/request-path/src/weights_book.ts
@@ -53,14 +53,13 @@
     heardAtMs: number,
   ): void {
     const history = this.#models.get(model) ?? [];
-    const index = history.findIndex((named) => named.weights === weights);
-    const known = history[index];
-    if (known === undefined) return;
-    history[index] = {
-      weights,
-      heardAtMs: Math.min(known.heardAtMs, heardAtMs),
-      isAgeKnown: true,
-    };
+    const known = history.find((named) => named.weights === weights);
+    const others = history.filter((named) => named !== known);
+    const sinceMs = Math.min(heardAtMs, known?.heardAtMs ?? heardAtMs);
+    const told = { weights, heardAtMs: sinceMs, isAgeKnown: true };
+    // The platform keeps the newest record only; peers know those before it.
+    const merged = [...others, told].sort((a, b) => a.weights - b.weights);
+    this.#models.set(model, merged.slice(-KEPT_VERSIONS));
   }
 
   /** Weights with known ages, for the other daemons. */
--- a/scripts/check_repository.ts
+++ b/scripts/check_repository.ts
@@ -2,8 +2,9 @@
  * Checks rules of the repository that formatter, linter and compiler don't:
  * product packages start no process and share no memory, packages import each
  * other only through their public module, every package has a README and a
- * change log, no file names a registry host or a machine's own path, and
- * docs/metrics.md describes every metric.
+ * change log, no file names a registry host or a machine's own path, names of
+ * the users' platform stand in its adapter only, and docs/metrics.md describes
+ * every metric.
  *
  * @module
  */
@@ -17,6 +18,11 @@
 const FORBIDDEN_IN_PRODUCT =
   /node:child_process|node:cluster|SharedArrayBuffer|node:worker_threads/;
 const DEEP_IMPORT = /from "@endivebend\/[a-z-]+\//;
+/** Headers, paths and settings of the users' platform. */
+const PLATFORM_NAMES =
+  /attempt-id|response-seal|prompt-prefix|expect-instance|not-run\b|kv-(?:events|fetch|save)|log-(?:append|read|newest)|server-load|token-usage|ENDIVEBEND_CONFIG/i;
+/** The adapter, and the stand-ins that play the platform. */
+const PLATFORM_PACKAGES = new Set(["platform", "stand-ins"]);
 const NOTICE = /copyright|licensed under|SPDX-/i;
 
 function listFiles(directory: string): string[] {
@@ -36,6 +42,9 @@
   if (DEEP_IMPORT.test(text)) {
     faults.push(`${file}: import other packages by their name only`);
   }
+  if (!PLATFORM_PACKAGES.has(packageName) && PLATFORM_NAMES.test(text)) {
+    faults.push(`${file}: move the platform's names to packages/platform`);
+  }
   if (NOTICE.test(text)) faults.push(`${file}: remove the notice`);
   return faults;
 }
