--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -11,7 +11,12 @@
   ModelName,
 } from "@endivebend/types";
 import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
-import type { BookedServer, ServerBook } from "./server_book.ts";
+import {
+  type BookedServer,
+  PART_LIFE_MS,
+  type PlacedPart,
+  type ServerBook,
+} from "./server_book.ts";
 import type { WeightsHistory } from "./weights_book.ts";
 import type { Call, PromptPart, WeightsNumber } from "./types.ts";
 
@@ -57,10 +62,10 @@
 const STALE_WEIGHTS_COST_MS = 400;
 /** Time in which a request that is sent now begins. */
 const BEGIN_SLACK_MS = 1_500;
-/** Parts that were used longer ago are likely evicted. */
-const PART_LIFE_MS = 10_000;
 /** An engine under pressure evicts parts within seconds. */
 const FRESH_MS = 2_000;
+/** A part can be fetched once the first request with it has been read. */
+const READ_MS = 500;
 /** One request in this many sends parts to the store again. */
 const SAVED_AGAIN = 8;
 /** A full queue of an engine: as many waiting as running. */
@@ -93,16 +98,12 @@
   const sharedTokens = sumTokens(shared);
   const affinityKey = shared.at(-1)?.id ?? call.requestId;
   const [cacheStore] = call.work === undefined ? [] : context.cacheStores();
-  const holders = open.map((server) => ({
-    server,
-    tokens: cachedTokens(server, shared, nowMs),
-    isFresh: cachedTokens(server, shared, nowMs, FRESH_MS) > 0,
-  }));
-  const known = Math.max(0, ...holders.map(({ tokens }) => tokens));
+  const holders = open.map((server) => holderOf(server, shared, nowMs));
+  const readTokens = Math.max(0, ...holders.map((holder) => holder.readTokens));
   const choice = chooseServer({
     promptTokens: call.work?.promptTokens,
     sharedTokens,
-    fetchableTokens: cacheStore === undefined ? known : sharedTokens,
+    fetchableTokens: readTokens,
     affinityKey,
     failureDomain: context.failureDomain,
   }, open.map((server) => candidateOf(call, { server, shared, context })));
@@ -124,8 +125,32 @@
   readonly server: BookedServer;
   /** Shared tokens that it is thought to hold. */
   readonly tokens: number;
-  /** Whether they were used so lately that they are hardly evicted. */
-  readonly isFresh: boolean;
+  /** Those of them that it has read and that others can fetch. */
+  readonly readTokens: number;
+  /** Those that were used so lately that they are hardly evicted. */
+  readonly freshTokens: number;
+}
+
+function holderOf(
+  server: BookedServer,
+  shared: readonly PromptPart[],
+  nowMs: number,
+): Holder {
+  const tokensWhere = (test: (part: PlacedPart) => boolean) =>
+    chainTokens(
+      server,
+      shared,
+      (part) => nowMs - part.lastMs <= PART_LIFE_MS && test(part),
+    );
+  const isRead = (part: PlacedPart) => nowMs - part.firstMs >= READ_MS;
+  return {
+    server,
+    tokens: tokensWhere(() => true),
+    readTokens: tokensWhere(isRead),
+    freshTokens: tokensWhere((part) =>
+      isRead(part) && nowMs - part.lastMs <= FRESH_MS
+    ),
+  };
 }
 
 /**
@@ -156,7 +181,7 @@
     nowMs >= other.loadingUntilMs &&
     book.weightsOf(other, model) === weights;
   const best = holders.find((holder) =>
-    holder.tokens > own && holder.isFresh && canExport(holder.server)
+    holder.freshTokens > own && canExport(holder.server)
   );
   const isKnown = holders.some(({ tokens }) => tokens >= sharedTokens);
   const isSaved = isKnown && !isSavedAgain(call);
@@ -253,7 +278,7 @@
     ),
     slots: server.listed.slots,
     prefillTokens: book.prefillAt(server),
-    cachedTokens: cachedTokens(server, shared, nowMs),
+    cachedTokens: holderOf(server, shared, nowMs).tokens,
     failureShare: server.failureShare,
     isAvoided: nowMs < server.avoidUntilMs,
     isLoading: nowMs < server.loadingUntilMs,
@@ -264,16 +289,15 @@
 }
 
 /** A part is of use only when all parts before it are there too. */
-function cachedTokens(
+function chainTokens(
   server: BookedServer,
   shared: readonly PromptPart[],
-  nowMs: number,
-  lifeMs = PART_LIFE_MS,
+  isUsable: (part: PlacedPart) => boolean,
 ): number {
   let tokens = 0;
   for (const part of shared) {
-    const usedAtMs = server.parts.get(part.id);
-    if (usedAtMs === undefined || nowMs - usedAtMs > lifeMs) break;
+    const placed = server.parts.get(part.id);
+    if (placed === undefined || !isUsable(placed)) break;
     tokens += part.tokens;
   }
   return tokens;
--- a/packages/request-path/src/server_book.ts
+++ b/packages/request-path/src/server_book.ts
@@ -34,6 +34,8 @@
 const FAILURE_WEIGHT = 0.15;
 /** A reported load older than this says nothing; reports lag some 200 ms. */
 const LOAD_LIFE_MS = 1_000;
+/** Parts that were used longer ago are likely evicted. */
+export const PART_LIFE_MS = 10_000;
 /** Parts remembered for each engine; a chain has a few parts. */
 const MAX_KNOWN_PARTS = 512;
 
@@ -43,6 +45,13 @@
   prefillTokens: number;
 }
 
+/** When requests with a prompt part were sent to an engine. */
+export interface PlacedPart {
+  /** The first of those that followed each other closely. */
+  readonly firstMs: number;
+  readonly lastMs: number;
+}
+
 /** Work of all other daemons that is at a server, as they told it. */
 export interface PeerWork {
   readonly running: number;
@@ -54,8 +63,8 @@
   listed: ListedServer;
   /** Work of this daemon, by request. */
   readonly own: Map<RequestId, OwnWork>;
-  /** When a prompt part was last read there, in order of use. */
-  readonly parts: Map<PromptPartId, number>;
+  /** Prompt parts placed there, in order of use. */
+  readonly parts: Map<PromptPartId, PlacedPart>;
   /** Weights that orders or answers show, newer than the list's. */
   readonly knownWeights: Map<ModelName, WeightsNumber>;
   lapsedAtMs: number | undefined;
@@ -263,8 +272,12 @@
     nowMs: number,
   ): void {
     for (const part of parts) {
+      const known = server.parts.get(part);
+      const isKept = known !== undefined &&
+        nowMs - known.lastMs < PART_LIFE_MS;
+      const firstMs = isKept ? known.firstMs : nowMs;
       server.parts.delete(part);
-      server.parts.set(part, nowMs);
+      server.parts.set(part, { firstMs, lastMs: nowMs });
     }
     while (server.parts.size > MAX_KNOWN_PARTS) {
       const [oldest] = server.parts.keys();
