--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -54,7 +54,7 @@
 }
 
 /** Prompt tokens that an engine reads in a millisecond, from the users' sheets. */
-const PREFILL_TOKENS_PER_MS = 38.4;
+export const PREFILL_TOKENS_PER_MS = 38.4;
 /** Weight of the engine time taken from others, as in the product's routing. */
 const WORK_WEIGHT = 2;
 /** Fetching takes some 10 ms and memory from what the engine keeps. */
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -10,7 +10,12 @@
   FailureDomainId,
   ModelName,
 } from "@endivebend/types";
-import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
+import {
+  type Candidate,
+  type Choice,
+  chooseServer,
+  PREFILL_TOKENS_PER_MS,
+} from "./choose_server.ts";
 import {
   type BookedServer,
   PART_LIFE_MS,
@@ -60,8 +65,10 @@
 const STALE_WEIGHTS_AFTER_MS = 1_200;
 /** A fifth of an answer's benefit weighs as much as this wait. */
 const STALE_WEIGHTS_COST_MS = 400;
-/** Time in which a request that is sent now begins. */
+/** Time in which a request that is sent to an idle engine begins, at most. */
 const BEGIN_SLACK_MS = 1_500;
+/** A queue takes up to this many times the time that its tokens need. */
+const QUEUE_FACTOR = 2;
 /** An engine under pressure evicts parts within seconds. */
 const FRESH_MS = 2_000;
 /** A part can be fetched once the first request with it has been read. */
@@ -239,9 +246,12 @@
   context: PlacementContext & { readonly nowMs: number },
 ): BookedServer[] {
   const limitMs = context.weightsBoundMs - BEGIN_SLACK_MS;
-  const timely = servers.filter((server) =>
-    staleness(call, server, context).forMs <= limitMs
-  );
+  const timely = servers.filter((server) => {
+    const { forMs } = staleness(call, server, context);
+    if (forMs === 0) return true;
+    const queueMs = context.book.prefillAt(server) / PREFILL_TOKENS_PER_MS;
+    return forMs + queueMs * QUEUE_FACTOR <= limitMs;
+  });
   const current = timely.filter((server) =>
     staleness(call, server, context).isAgeKnown
   );
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -145,3 +145,23 @@
   const later = placeCall(call("stream"), { ...at, nowMs: 1_600 });
   t.not(later.kind === "placed" && later.server, reader);
 });
+
+test("no request queues at an engine until its weights are too old", (t) => {
+  const named = [{
+    weights: brandId<WeightsNumber>(2),
+    heardAtMs: 1_000,
+    isAgeKnown: true,
+  }];
+  const context = testContext({ namedWeights: () => named });
+  const at = { ...context, exclude: NONE, nowMs: 7_000 };
+  t.is(placeCall(call("stream"), at).kind, "placed");
+  // 67,000 tokens take 1.75 s to read; a request behind them began 57 ms late
+  // on the users' trouble-2 with seed 1011094296148.
+  for (const server of context.book.all()) {
+    server.own.set(brandId("queue"), { prefillTokens: 67_000 });
+  }
+  t.deepEqual(placeCall(call("stream"), at), {
+    kind: "refused",
+    reason: "stale_weights",
+  });
+});
