--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -36,7 +36,6 @@
 
 /** What a message changed. */
 export interface Heard {
-  readonly isNewMember: boolean;
   readonly spent: readonly SpentElsewhere[];
 }
 
@@ -79,10 +78,7 @@
         heardAtMs: nowMs,
       });
     }
-    return {
-      isNewMember: known === undefined && !message.isLeaving,
-      spent: isSameRun ? spentSince(before, message) : [],
-    };
+    return { spent: isSameRun ? spentSince(before, message) : [] };
   }
 
   /** Every daemon that may be alive, whether or not in reach. */
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -21,7 +21,6 @@
     sequence: 1,
     isLeaving: false,
     reachesStore: true,
-    isReader: false,
     duty: { epoch: 0 },
     spent: { [TEAM]: 100 },
     work: { [SERVER]: [2, 900] },
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -47,8 +47,6 @@
   readonly isLeaving: boolean;
   /** Whether the sender has reached the store lately. */
   readonly reachesStore: boolean;
-  /** Whether the sender reads the list of servers from the store itself. */
-  readonly isReader: boolean;
   readonly duty: DutyNote;
   /** Units spent by each team since the sender started. */
   readonly spent: Readonly<Record<TeamId, number>>;
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -61,21 +61,11 @@
   #backoffMs = FIRST_BACKOFF_MS;
   #isLost = false;
   #hasStopped = false;
-  /** When the store last answered, on the steady clock. */
-  #answeredAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RecordFollowerOptions) {
     this.#options = options;
   }
 
-  get answeredAtMs(): number {
-    return this.#answeredAtMs;
-  }
-
-  get isLost(): boolean {
-    return this.#isLost;
-  }
-
   start(): void {
     void this.#run();
   }
@@ -97,7 +87,6 @@
   async #step(): Promise<void> {
     try {
       await this.#advance();
-      this.#answeredAtMs = steadyMs(this.#options.clock);
       this.#backoffMs = FIRST_BACKOFF_MS;
       if (!this.#isLost) return;
       this.#isLost = false;
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -96,6 +96,8 @@
   readonly #duty: WeightsDutyTask;
   readonly #door: FrontDoor;
   readonly #servers: readonly Server[];
+  /** Addresses of daemons to tell until they have been heard. */
+  readonly #seeds = new Set<string>();
   #sequence = 0;
   #hasServers = false;
   #hasListedRecords = false;
@@ -137,8 +139,7 @@
 
   start(): void {
     for (const ip of this.#settings.seedIps) {
-      const vm = brandId<VmId>(`seed-${ip}`);
-      if (ip !== this.#settings.ip) this.#seeds.set(vm, this.#peerAddress(ip));
+      if (ip !== this.#settings.ip) this.#seeds.add(this.#peerAddress(ip));
     }
     for (const follower of this.#followers) follower.start();
     this.#duty.start();
@@ -160,9 +161,6 @@
     this.#log.milestone("reload", { outcome: "settings apply at a restart" });
   }
 
-  /** Daemons to ask until they have been heard. */
-  readonly #seeds = new Map<VmId, string>();
-
   #nowMs(): number {
     return this.#clock.steadyMs?.() ?? this.#clock.elapsedMs();
   }
@@ -298,7 +296,7 @@
       compose: () => this.#compose(),
       addresses: () => [
         ...new Set([
-          ...this.#seeds.values(),
+          ...this.#seeds,
           ...this.#fleet.members().map(({ address }) => address),
         ]),
       ],
@@ -327,7 +325,6 @@
       sequence: ++this.#sequence,
       isLeaving: false,
       reachesStore: this.#reachesStore(),
-      isReader: this.#isReader(),
       duty: { epoch: this.#duty.epoch },
       spent: this.#desk.spent(),
       work,
@@ -353,9 +350,7 @@
     const nowMs = this.#nowMs();
     const heard = this.#fleet.hear(message, nowMs);
     if (heard === undefined) return;
-    for (const [vm, address] of this.#seeds) {
-      if (address === message.address) this.#seeds.delete(vm);
-    }
+    this.#seeds.delete(message.address);
     for (const { team, units } of heard.spent) {
       this.#desk.spentElsewhere(team, units);
     }
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -116,12 +116,9 @@
 }
 
 function decodeService(fields: Fields): ServiceRules {
-  const engine = asObject(fields["engine"]);
-  const memory = engine?.["kv_capacity"];
   return {
     name: brandId<ServiceName>(String(fields["name"])),
     maxConnections: numberOr(fields["max_conns"], 0),
-    memoryTokens: typeof memory === "number" ? memory : undefined,
   };
 }
 
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -245,7 +245,6 @@
   const isOwn = echoed === order.call.requestId ||
     (echoed === undefined && (isNotRun || status === 421));
   if (!isOwn) return undefined;
-  const length = Number(headers["content-length"] ?? Number.NaN);
   const instance = headers[HEADERS.serverId];
   const message: ServerMessage = {
     status,
@@ -263,7 +262,6 @@
       : instance === order.server.id,
     hasProof: headers[HEADERS.proof] !== undefined,
     load: parseLoad(headers[HEADERS.load]),
-    lengthBytes: Number.isNaN(length) ? undefined : length,
     message,
   };
 }
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -51,7 +51,6 @@
   /** Whether the answer carries the proof that a success needs. */
   readonly hasProof: boolean;
   readonly load: ServerLoad | undefined;
-  readonly lengthBytes: number | undefined;
   /** What the caller's interface needs to pass the answer on; opaque here. */
   readonly message: unknown;
 }
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -213,7 +213,6 @@
     isExpectedServer: undefined,
     hasProof: true,
     load: undefined,
-    lengthBytes: undefined,
     message: undefined,
     ...fields,
   };
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -90,8 +90,6 @@
   readonly name: ServiceName;
   /** Connections that one server accepts from all callers together. */
   readonly maxConnections: number;
-  /** Tokens of prompts and answers that one engine's memory holds. */
-  readonly memoryTokens: number | undefined;
 }
 
 /** Limits on what a caller may send. */
