Name the request path's parts by the usual terms

CallDesk is AdmissionController, FrontDoor IngressListener, ServerBook ServerRegistry, WeightsBook NamedWeightsRegistry. Only names change: the bundle differs by the length of property names.

--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -18,12 +18,12 @@
 } from "@endivebend/fleet";
 import { type OrderedEngine, WeightsDutyTask } from "@endivebend/orders";
 import {
-  CallDesk,
+  AdmissionController,
   type NamedWeights,
+  NamedWeightsRegistry,
   planLeaving,
   type PromptPartId,
-  ServerBook,
-  WeightsBook,
+  ServerRegistry,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
 import {
@@ -40,7 +40,7 @@
 } from "@endivebend/types";
 import { createDutyLog } from "./duty_log.ts";
 import { createEngineOrders } from "./engine_orders.ts";
-import { FrontDoor } from "./front_door.ts";
+import { IngressListener } from "./ingress_listener.ts";
 import { createServerClient } from "./server_client.ts";
 import type { PlatformSettings } from "./settings.ts";
 import { StoreClient } from "./store_client.ts";
@@ -80,21 +80,21 @@
   readonly #log: BoundedLog;
   readonly #metrics = new TextMetrics();
   readonly #store: StoreClient;
-  readonly #book = new ServerBook();
+  readonly #registry = new ServerRegistry();
   readonly #fleet: FleetState;
-  readonly #named = new WeightsBook();
+  readonly #named = new NamedWeightsRegistry();
   readonly #notes = new Map<
     BackendServerId,
     WeightsNote & { readonly untilMs: number }
   >();
   readonly #incarnation: IncarnationId;
-  readonly #desk: CallDesk;
+  readonly #admission: AdmissionController;
   readonly #tables: ReadonlyMap<string, RecordTable>;
   readonly #followers: readonly RecordFollower[];
   readonly #exchange: RecordExchange;
   readonly #channel: FleetChannel;
   readonly #duty: WeightsDutyTask;
-  readonly #door: FrontDoor;
+  readonly #ingress: IngressListener;
   readonly #servers: readonly Server[];
   /** Addresses of daemons to tell until they have been heard. */
   readonly #seeds = new Set<string>();
@@ -116,7 +116,7 @@
     this.#log.milestone("start", { incarnation: this.#incarnation });
     this.#store = new StoreClient(settings.storeAddress);
     this.#fleet = new FleetState(settings.vm);
-    this.#desk = this.#createDesk();
+    this.#admission = this.#createAdmission();
     this.#tables = this.#createTables();
     this.#followers = this.#createFollowers();
     this.#exchange = new RecordExchange({
@@ -127,9 +127,9 @@
     });
     this.#channel = this.#createChannel();
     this.#duty = this.#createDuty();
-    this.#door = new FrontDoor({
+    this.#ingress = new IngressListener({
       endpoint: settings.callers,
-      desk: this.#desk,
+      admission: this.#admission,
       clock: this.#clock,
       log: this.#log,
       isLeaving: () => this.#leavingSinceMs !== undefined,
@@ -151,7 +151,7 @@
   stop(ended: () => void): void {
     if (this.#leavingSinceMs !== undefined) return;
     this.#leavingSinceMs = this.#nowMs();
-    this.#log.milestone("stop", { open: this.#door.openCount });
+    this.#log.milestone("stop", { open: this.#ingress.openCount });
     this.#duty.stop();
     this.#leave(ended);
   }
@@ -169,12 +169,12 @@
     return `${ip}:${this.#settings.firstPeerPort}`;
   }
 
-  #createDesk(): CallDesk {
+  #createAdmission(): AdmissionController {
     const settings = this.#settings;
-    this.#book.usePeerWork((id) => this.#fleet.workAt(id, this.#nowMs()));
-    return new CallDesk({
+    this.#registry.usePeerWork((id) => this.#fleet.workAt(id, this.#nowMs()));
+    return new AdmissionController({
       context: {
-        book: this.#book,
+        registry: this.#registry,
         failureDomain: settings.failureDomain,
         namedWeights: (model) => this.#named.history(model),
         weightsBoundMs: settings.weightsBoundMs,
@@ -203,12 +203,12 @@
 
   #createTables(): ReadonlyMap<string, RecordTable> {
     const sinks: RecordSinks = {
-      desk: this.#desk,
-      book: this.#book,
+      admission: this.#admission,
+      registry: this.#registry,
       named: ({ model, weights }) => this.#noteNamed(model, weights),
       configured: () => {
-        const limits = this.#desk.view?.configuration.callerLimits;
-        if (limits !== undefined) this.#door.applyLimits(limits);
+        const limits = this.#admission.view?.configuration.callerLimits;
+        if (limits !== undefined) this.#ingress.applyLimits(limits);
       },
       decision: (step, fields) => this.#log.decision(step, fields),
     };
@@ -307,7 +307,7 @@
 
   #compose(): FleetMessage {
     const work: Record<BackendServerId, [number, number]> = {};
-    for (const { listed, own } of this.#book.all()) {
+    for (const { listed, own } of this.#registry.all()) {
       if (own.size === 0) continue;
       let prefillTokens = 0;
       for (const item of own.values()) prefillTokens += item.prefillTokens;
@@ -326,12 +326,12 @@
       isLeaving: false,
       reachesStore: this.#reachesStore(),
       duty: { epoch: this.#duty.epoch },
-      spent: this.#desk.spent(),
+      spent: this.#admission.spent(),
       work,
       weights: this.#freshNotes(),
       named: this.#named.ages(this.#nowMs()),
-      suspects: this.#book.suspects(this.#nowMs()),
-      placed: this.#book.recentParts.fresh(this.#nowMs()),
+      suspects: this.#registry.suspects(this.#nowMs()),
+      placed: this.#registry.recentParts.fresh(this.#nowMs()),
       records,
     };
   }
@@ -352,15 +352,15 @@
     if (heard === undefined) return;
     this.#seeds.delete(message.address);
     for (const { team, units } of heard.spent) {
-      this.#desk.spentElsewhere(team, units);
+      this.#admission.spentElsewhere(team, units);
     }
     for (const note of message.weights) this.#applyNote(note);
     this.#hearAges(message);
-    for (const id of message.suspects) this.#book.noteSuspected(id, nowMs);
+    for (const id of message.suspects) this.#registry.noteSuspected(id, nowMs);
     for (const [id, parts] of Object.entries(message.placed)) {
-      const server = this.#book.get(brandId<BackendServerId>(id));
+      const server = this.#registry.get(brandId<BackendServerId>(id));
       if (server !== undefined) {
-        this.#book.noteParts(server, parts as PromptPartId[], nowMs);
+        this.#registry.noteParts(server, parts as PromptPartId[], nowMs);
       }
     }
     this.#pullNewer(message);
@@ -381,13 +381,13 @@
   #applyNote(note: WeightsNote): void {
     const weights = brandId<NamedWeights["weights"]>(note.weights);
     if (note.isDone) {
-      this.#book.noteWeights(note.server, note.model, weights);
+      this.#registry.noteWeights(note.server, note.model, weights);
       return;
     }
-    const server = this.#book.get(note.server);
-    const known = server && this.#book.weightsOf(server, note.model);
+    const server = this.#registry.get(note.server);
+    const known = server && this.#registry.weightsOf(server, note.model);
     if (known !== undefined && known >= weights) return;
-    this.#book.noteLoading(note.server, this.#nowMs() + LOADING_MS);
+    this.#registry.noteLoading(note.server, this.#nowMs() + LOADING_MS);
   }
 
   #pullNewer(message: FleetMessage): void {
@@ -441,7 +441,7 @@
 
   #orderedEngines(): OrderedEngine[] {
     const engines: OrderedEngine[] = [];
-    for (const server of this.#book.all()) {
+    for (const server of this.#registry.all()) {
       const { listed } = server;
       const isAway = listed.isLeaving || server.lapsedAtMs !== undefined ||
         this.#nowMs() < server.avoidUntilMs;
@@ -453,9 +453,9 @@
           id: listed.id,
           address: listed.address,
           model,
-          weights: this.#book.weightsOf(server, model) ?? 0,
+          weights: this.#registry.weightsOf(server, model) ?? 0,
           namedWeights: named,
-          running: this.#book.runningAt(server),
+          running: this.#registry.runningAt(server),
         });
       }
     }
@@ -484,7 +484,7 @@
 
   #isReady(): boolean {
     return this.#leavingSinceMs === undefined &&
-      this.#desk.view !== undefined && this.#hasServers;
+      this.#admission.view !== undefined && this.#hasServers;
   }
 
   #serveReadiness(): Server {
@@ -504,7 +504,7 @@
 
   #pruneLater(): void {
     this.#scheduler.after(PRUNE_MS, () => {
-      this.#book.prune(this.#nowMs());
+      this.#registry.prune(this.#nowMs());
       this.#log.milestone("status", {
         members: this.#fleet.size,
         reachable: this.#fleet.reachable(this.#nowMs()).length + 1,
@@ -518,16 +518,16 @@
     const sinceMs = this.#nowMs() - (this.#leavingSinceMs ?? 0);
     const step = planLeaving({
       sinceMs,
-      openCount: this.#door.openCount,
+      openCount: this.#ingress.openCount,
       graceMs: this.#settings.graceMs,
     });
-    if (step.refusesConnections) this.#door.stopListening();
+    if (step.refusesConnections) this.#ingress.stopListening();
     if (step.mayEnd) return this.#end(ended);
     this.#scheduler.after(LEAVING_CHECK_MS, () => this.#leave(ended));
   }
 
   #end(ended: () => void): void {
-    this.#log.milestone("end", { open: this.#door.openCount });
+    this.#log.milestone("end", { open: this.#ingress.openCount });
     this.#channel.close({ ...this.#compose(), isLeaving: true });
     for (const server of this.#servers) server.close();
     this.#log.flush();
--- a/packages/platform/src/front_door.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -13,8 +13,8 @@
 import type { Clock } from "@endivebend/clock";
 import {
   type Admission,
+  type AdmissionController,
   type Call,
-  type CallDesk,
   type CallerLimits,
   type CallerSink,
   type DecisionLog,
@@ -35,9 +35,9 @@
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
 /** What the front door needs of its neighbours. */
-export interface FrontDoorOptions {
+export interface IngressOptions {
   readonly endpoint: Endpoint;
-  readonly desk: CallDesk;
+  readonly admission: AdmissionController;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Whether the daemon is about to end. */
@@ -65,12 +65,12 @@
 };
 
 /** The running listener. */
-export class FrontDoor {
-  readonly #options: FrontDoorOptions;
+export class IngressListener {
+  readonly #options: IngressOptions;
   readonly #server: Server;
   #open = 0;
 
-  constructor(options: FrontDoorOptions) {
+  constructor(options: IngressOptions) {
     this.#options = options;
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -127,7 +127,7 @@
   #admit(request: IncomingMessage): Admission {
     const { headers, url = "/" } = request;
     const authorization = headers[HEADERS.authorization] ?? "";
-    return this.#options.desk.admit({
+    return this.#options.admission.admit({
       host: (headers.host ?? "").replace(/:\d+$/, ""),
       path: url,
       key: authorization.startsWith(KEY_SCHEME)
@@ -145,7 +145,7 @@
     this.#options.log.decision("deny", {
       requestId: textHeader(request, HEADERS.requestId),
       reason: at.reason,
-      revision: this.#options.desk.view?.configuration.revision,
+      revision: this.#options.admission.view?.configuration.revision,
     });
     const retryAfterMs = status === 503 ? NOT_READY_RETRY_MS : undefined;
     answerPlain(at.response, { status, retryAfterMs });
@@ -161,7 +161,7 @@
     const { request, response, admission } = at;
     const call = buildCall(at);
     const sink = new ResponseSink(response, isStream(call.route.kind));
-    const opened = this.#options.desk.open(call, sink);
+    const opened = this.#options.admission.open(call, sink);
     if (opened.kind === "over_limit") {
       this.#options.log.decision("over_limit", {
         requestId: call.requestId,
@@ -182,7 +182,7 @@
   }
 
   #limits(): CallerLimits {
-    return this.#options.desk.view?.configuration.callerLimits ??
+    return this.#options.admission.view?.configuration.callerLimits ??
       DEFAULT_LIMITS;
   }
 
--- a/packages/platform/src/store_records.ts
+++ b/packages/platform/src/store_records.ts
@@ -5,7 +5,10 @@
  */
 
 import type { KeyedRecord } from "@endivebend/fleet";
-import type { CallDesk, ServerBook } from "@endivebend/request-path";
+import type {
+  AdmissionController,
+  ServerRegistry,
+} from "@endivebend/request-path";
 import { type BackendServerId, brandId } from "@endivebend/types";
 import {
   decodeConfiguration,
@@ -26,8 +29,8 @@
 
 /** Who hears about decoded records. */
 export interface RecordSinks {
-  readonly desk: CallDesk;
-  readonly book: ServerBook;
+  readonly admission: AdmissionController;
+  readonly registry: ServerRegistry;
   named(model: NamedModel): void;
   configured(): void;
   decision(step: string, fields: Readonly<Record<string, unknown>>): void;
@@ -62,7 +65,7 @@
       offset,
     });
   }
-  const isNewer = sinks.desk.configure(configuration);
+  const isNewer = sinks.admission.configure(configuration);
   sinks.decision("configuration", {
     revision: configuration.revision,
     offset,
@@ -79,7 +82,7 @@
   const { sinks, nowMs } = at;
   for (const { key, value, offset } of records) {
     if (value === undefined) {
-      sinks.book.remove(brandId<BackendServerId>(key), nowMs);
+      sinks.registry.remove(brandId<BackendServerId>(key), nowMs);
       sinks.decision("server", { server: key, change: "removed", offset });
       continue;
     }
@@ -88,7 +91,7 @@
       sinks.decision("malformed_record", { key, offset });
       continue;
     }
-    const change = sinks.book.upsert(server);
+    const change = sinks.registry.upsert(server);
     if (change === "same") continue;
     const { isLeaving, address } = server;
     sinks.decision("server", {
--- a/packages/request-path/src/call_desk.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -15,19 +15,19 @@
 import type { Call, Configuration, TeamRules } from "./types.ts";
 
 /** Bounds that the deployment states. */
-export interface DeskBounds {
+export interface AdmissionBounds {
   readonly tolerance: BucketTolerance;
   /** Repetitions that all daemons together may send. */
   readonly repeats: RepeatBound;
 }
 
-/** What the desk needs of its neighbours. */
-export interface CallDeskOptions {
+/** What the admission needs of its neighbours. */
+export interface AdmissionOptions {
   readonly context: Omit<
     CallContext,
     "tryRepeat" | "ended" | "maxOwnAt" | "cacheStores"
   >;
-  readonly bounds: DeskBounds;
+  readonly bounds: AdmissionBounds;
   /** Daemons of the fleet, this one included. */
   fleetSize(): number;
   /** Share of the fleet that this daemon hears. */
@@ -50,16 +50,16 @@
 /** A herd of refused calls that returns at once would be refused again. */
 const MIN_RETRY_AFTER_MS = 200;
 
-/** The entrance of the request path. */
-export class CallDesk {
-  readonly #options: CallDeskOptions;
+/** Admits calls and starts them. */
+export class AdmissionController {
+  readonly #options: AdmissionOptions;
   readonly #context: CallContext;
   readonly #buckets = new Map<TeamId, SharedBucket>();
   readonly #spent = new Map<TeamId, number>();
   readonly #repeats: RepeatWindow;
   #view: ConfigurationView | undefined;
 
-  constructor(options: CallDeskOptions) {
+  constructor(options: AdmissionOptions) {
     this.#options = options;
     this.#repeats = new RepeatWindow(options.bounds.repeats);
     this.#context = {
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -25,7 +25,7 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
-import type { BookedServer } from "./server_book.ts";
+import type { KnownServer } from "./server_registry.ts";
 import { type Call, isRepeatable, isStream } from "./types.ts";
 
 /** The tasks and state that all calls share. */
@@ -59,7 +59,7 @@
 const RETRY_SPREAD = 0.5;
 
 interface Attempt {
-  readonly server: BookedServer;
+  readonly server: KnownServer;
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
@@ -146,11 +146,11 @@
   }
 
   #send(
-    server: BookedServer,
+    server: KnownServer,
     at: { readonly nowMs: number; readonly cache: CachePlan },
   ): void {
     const { nowMs, cache } = at;
-    const { book, client } = this.#context;
+    const { registry, client } = this.#context;
     const call = this.#call;
     const shared = sharedParts(call);
     const promptTokens = call.work?.promptTokens ?? 0;
@@ -160,8 +160,8 @@
       .reduce((sum, { tokens }) => sum + tokens, 0);
     server.own.set(call.requestId, { prefillTokens: promptTokens - cached });
     const parts = shared.map(({ id }) => id);
-    book.noteParts(server, parts, nowMs);
-    book.recentParts.add(server.listed.id, parts, nowMs);
+    registry.noteParts(server, parts, nowMs);
+    registry.recentParts.add(server.listed.id, parts, nowMs);
     const attempt: Attempt = {
       server,
       startedAtMs: nowMs,
@@ -202,9 +202,11 @@
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (this.#attempt !== attempt) return;
     this.#noteProgress(attempt);
-    const { book } = this.#context;
+    const { registry } = this.#context;
     const { id } = attempt.server.listed;
-    if (head.load !== undefined) book.noteLoad(id, head.load, this.#nowMs());
+    if (head.load !== undefined) {
+      registry.noteLoad(id, head.load, this.#nowMs());
+    }
     if (head.isMisdirected) return this.#misdirected(attempt, head);
     if (head.isNotRun) return this.#unrun(attempt, `not_run_${head.status}`);
     const isSuccess = head.status >= 200 && head.status < 300;
@@ -219,15 +221,15 @@
 
   /** Another server has the address, or the weights are other ones. */
   #misdirected(attempt: Attempt, head: AnswerHead): void {
-    const { book } = this.#context;
+    const { registry } = this.#context;
     const { id } = attempt.server.listed;
     const model = this.#call.work?.model;
     const named = model && this.#context.namedWeights(model).at(-1);
     if (head.isExpectedServer && model !== undefined && named !== undefined) {
-      book.noteWeights(id, model, named.weights);
+      registry.noteWeights(id, model, named.weights);
       return this.#unrun(attempt, "other_weights");
     }
-    book.noteMoved(id);
+    registry.noteMoved(id);
     this.#unrun(attempt, "other_server");
   }
 
@@ -261,7 +263,7 @@
   #onEnd(attempt: Attempt): void {
     if (this.#attempt !== attempt) return;
     if (this.#relay.endsTooEarly) return this.#broken(attempt, "cut_event");
-    this.#context.book.noteSuccess(attempt.server.listed.id);
+    this.#context.registry.noteSuccess(attempt.server.listed.id);
     this.#releaseAttempt();
     this.#relay.end();
     this.#end("answered");
@@ -270,7 +272,10 @@
   #onFailed(attempt: Attempt, failure: AttemptFailure): void {
     if (this.#attempt !== attempt) return;
     if (failure.kind === "unsent" && !attempt.wasSent) {
-      this.#context.book.noteSilent(attempt.server.listed.id, this.#nowMs());
+      this.#context.registry.noteSilent(
+        attempt.server.listed.id,
+        this.#nowMs(),
+      );
       return this.#unrun(attempt, failure.reason);
     }
     this.#broken(attempt, failure.reason);
@@ -299,9 +304,9 @@
       hasBegun: this.#relay.hasBegun,
     });
     if (reason === "silent") {
-      this.#context.book.noteSilent(listed.id, this.#nowMs());
+      this.#context.registry.noteSilent(listed.id, this.#nowMs());
     } else {
-      this.#context.book.noteFailure(listed.id, this.#nowMs());
+      this.#context.registry.noteFailure(listed.id, this.#nowMs());
     }
     this.#dropAttempt();
     this.#ranAttempts += 1;
@@ -331,7 +336,7 @@
 
   #noteProgress(attempt: Attempt): void {
     attempt.lastProgressMs = this.#nowMs();
-    this.#context.book.noteHeard(
+    this.#context.registry.noteHeard(
       attempt.server.listed.id,
       attempt.lastProgressMs,
     );
@@ -372,7 +377,7 @@
       server: listed.id,
       heardAgoMs: Math.round(nowMs - lastHeardMs),
     });
-    this.#context.book.noteSilent(listed.id, nowMs);
+    this.#context.registry.noteSilent(listed.id, nowMs);
   }
 
   #expire(): void {
@@ -380,7 +385,7 @@
     if (attempt?.wasSent) {
       this.#ranAttempts += 1;
       if (!this.#relay.hasBegun && !isStream(this.#call.route.kind)) {
-        this.#context.book.noteFailure(
+        this.#context.registry.noteFailure(
           attempt.server.listed.id,
           this.#nowMs(),
         );
--- a/packages/request-path/src/call_run_test.ts
+++ b/packages/request-path/src/call_run_test.ts
@@ -126,7 +126,10 @@
   client.last.listener.head(
     answerHead({ status: 421, isMisdirected: true, isExpectedServer: true }),
   );
-  t.is(context.book.weightsOf(context.book.get(id)!, MODEL), 2 as never);
+  t.is(
+    context.registry.weightsOf(context.registry.get(id)!, MODEL),
+    2 as never,
+  );
   t.is(client.attempts.length, 2);
 });
 
@@ -136,7 +139,7 @@
   client.last.listener.head(
     answerHead({ status: 421, isMisdirected: true, isExpectedServer: false }),
   );
-  t.is(context.book.get(id), undefined);
-  context.book.upsert(listed(id, { bornAtMs: 2 }));
-  t.truthy(context.book.get(id));
+  t.is(context.registry.get(id), undefined);
+  context.registry.upsert(listed(id, { bornAtMs: 2 }));
+  t.truthy(context.registry.get(id));
 });
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -7,8 +7,12 @@
 
 export { admit } from "./admit.ts";
 export type { Admission, Arrival, DeniedReason } from "./admit.ts";
-export { CallDesk } from "./call_desk.ts";
-export type { CallDeskOptions, DeskBounds, Opened } from "./call_desk.ts";
+export { AdmissionController } from "./admission_controller.ts";
+export type {
+  AdmissionBounds,
+  AdmissionOptions,
+  Opened,
+} from "./admission_controller.ts";
 export { CallRun } from "./call_run.ts";
 export type { CallContext } from "./call_run.ts";
 export { chooseServer } from "./choose_server.ts";
@@ -24,8 +28,8 @@
 export * from "./ports.ts";
 export { RepeatWindow } from "./repeat_window.ts";
 export type { RepeatBound } from "./repeat_window.ts";
-export { ServerBook } from "./server_book.ts";
-export type { BookedServer, PeerWork } from "./server_book.ts";
+export { ServerRegistry } from "./server_registry.ts";
+export type { KnownServer, PeerWork } from "./server_registry.ts";
 export * from "./types.ts";
-export { WeightsBook } from "./weights_book.ts";
-export type { NamedWeights, WeightsHistory } from "./weights_book.ts";
+export { NamedWeightsRegistry } from "./named_weights.ts";
+export type { NamedWeights, WeightsHistory } from "./named_weights.ts";
--- a/packages/request-path/src/weights_book.ts
+++ b/packages/request-path/src/named_weights.ts
@@ -26,7 +26,7 @@
 const TOLD_MS = 30_000;
 
 /** Named weights by model. */
-export class WeightsBook {
+export class NamedWeightsRegistry {
   readonly #models = new Map<ModelName, NamedWeights[]>();
 
   history(model: ModelName): WeightsHistory {
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -17,17 +17,17 @@
   PREFILL_TOKENS_PER_MS,
 } from "./choose_server.ts";
 import {
-  type BookedServer,
+  type KnownServer,
   PART_LIFE_MS,
   type PlacedPart,
-  type ServerBook,
-} from "./server_book.ts";
-import type { WeightsHistory } from "./weights_book.ts";
+  type ServerRegistry,
+} from "./server_registry.ts";
+import type { WeightsHistory } from "./named_weights.ts";
 import type { Call, PromptPart, WeightsNumber } from "./types.ts";
 
 /** What a placement depends on besides the call. */
 export interface PlacementContext {
-  readonly book: ServerBook;
+  readonly registry: ServerRegistry;
   readonly failureDomain: FailureDomainId;
   readonly namedWeights: (model: ModelName) => WeightsHistory;
   /** After this time no request may begin on older weights. */
@@ -42,7 +42,7 @@
 export type Placement =
   | {
     readonly kind: "placed";
-    readonly server: BookedServer;
+    readonly server: KnownServer;
     readonly choice: Choice;
     readonly cache: CachePlan;
   }
@@ -93,8 +93,8 @@
     readonly nowMs: number;
   },
 ): Placement {
-  const { book, exclude, nowMs } = context;
-  const usable = book.usable(call.service, nowMs)
+  const { registry, exclude, nowMs } = context;
+  const usable = registry.usable(call.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id));
   if (usable.length === 0) return { kind: "refused", reason: "no_server" };
   const fresh = withoutStale(call, usable, context);
@@ -114,7 +114,7 @@
     affinityKey,
     failureDomain: context.failureDomain,
   }, open.map((server) => candidateOf(call, { server, shared, context })));
-  const server = choice && book.get(choice.id);
+  const server = choice && registry.get(choice.id);
   if (choice === undefined || server === undefined) {
     return { kind: "refused", reason: "no_server" };
   }
@@ -129,7 +129,7 @@
 }
 
 interface Holder {
-  readonly server: BookedServer;
+  readonly server: KnownServer;
   /** Shared tokens that it is thought to hold. */
   readonly tokens: number;
   /** Those of them that it has read and that others can fetch. */
@@ -139,7 +139,7 @@
 }
 
 function holderOf(
-  server: BookedServer,
+  server: KnownServer,
   shared: readonly PromptPart[],
   nowMs: number,
 ): Holder {
@@ -168,7 +168,7 @@
 function planCache(
   call: Call,
   at: {
-    readonly server: BookedServer;
+    readonly server: KnownServer;
     readonly sharedTokens: number;
     readonly holders: readonly Holder[];
     readonly cacheStore: string | undefined;
@@ -176,17 +176,17 @@
   },
 ): CachePlan {
   const { server, sharedTokens, holders, cacheStore, context } = at;
-  const { book, nowMs } = context;
+  const { registry, nowMs } = context;
   const model = call.work?.model;
   if (model === undefined) {
     return { weights: undefined, fetchFrom: undefined, saveTo: undefined };
   }
-  const weights = book.weightsOf(server, model);
+  const weights = registry.weightsOf(server, model);
   const own = holders.find((holder) => holder.server === server)?.tokens ?? 0;
-  const canExport = (other: BookedServer) =>
+  const canExport = (other: KnownServer) =>
     other !== server && nowMs >= other.avoidUntilMs &&
     nowMs >= other.loadingUntilMs &&
-    book.weightsOf(other, model) === weights;
+    registry.weightsOf(other, model) === weights;
   const best = holders.find((holder) =>
     holder.freshTokens > own && canExport(holder.server)
   );
@@ -221,13 +221,13 @@
 /** How long newer weights than the server's have been named. */
 function staleness(
   call: Call,
-  server: BookedServer,
+  server: KnownServer,
   context: PlacementContext & { readonly nowMs: number },
 ): { readonly forMs: number; readonly isAgeKnown: boolean } {
   const fresh = { forMs: 0, isAgeKnown: true };
   const model = call.work?.model;
   if (model === undefined) return fresh;
-  const weights = context.book.weightsOf(server, model);
+  const weights = context.registry.weightsOf(server, model);
   if (weights === undefined) return fresh;
   const newer = context.namedWeights(model)
     .find((named) => named.weights > weights);
@@ -242,14 +242,14 @@
  */
 function withoutStale(
   call: Call,
-  servers: readonly BookedServer[],
+  servers: readonly KnownServer[],
   context: PlacementContext & { readonly nowMs: number },
-): BookedServer[] {
+): KnownServer[] {
   const limitMs = context.weightsBoundMs - BEGIN_SLACK_MS;
   const timely = servers.filter((server) => {
     const { forMs } = staleness(call, server, context);
     if (forMs === 0) return true;
-    const queueMs = context.book.prefillAt(server) / PREFILL_TOKENS_PER_MS;
+    const queueMs = context.registry.prefillAt(server) / PREFILL_TOKENS_PER_MS;
     return forMs + queueMs * QUEUE_FACTOR <= limitMs;
   });
   const current = timely.filter((server) =>
@@ -260,34 +260,34 @@
 
 function hasRoom(
   call: Call,
-  server: BookedServer,
+  server: KnownServer,
   context: PlacementContext,
 ): boolean {
   if (server.own.size >= context.maxOwnAt(call.service)) return false;
   const slots = Math.max(1, server.listed.slots);
-  return context.book.runningAt(server) < slots * MAX_FILL;
+  return context.registry.runningAt(server) < slots * MAX_FILL;
 }
 
 function candidateOf(
   call: Call,
   at: {
-    readonly server: BookedServer;
+    readonly server: KnownServer;
     readonly shared: readonly PromptPart[];
     readonly context: PlacementContext & { readonly nowMs: number };
   },
 ): Candidate {
   const { server, shared, context } = at;
-  const { book, nowMs } = context;
+  const { registry, nowMs } = context;
   const staleMs = staleness(call, server, context).forMs;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
     running: Math.max(
-      book.runningAt(server),
-      book.freshLoad(server, nowMs)?.waiting ?? 0,
+      registry.runningAt(server),
+      registry.freshLoad(server, nowMs)?.waiting ?? 0,
     ),
     slots: server.listed.slots,
-    prefillTokens: book.prefillAt(server),
+    prefillTokens: registry.prefillAt(server),
     cachedTokens: holderOf(server, shared, nowMs).tokens,
     failureShare: server.failureShare,
     isAvoided: nowMs < server.avoidUntilMs,
@@ -300,7 +300,7 @@
 
 /** A part is of use only when all parts before it are there too. */
 function chainTokens(
-  server: BookedServer,
+  server: KnownServer,
   shared: readonly PromptPart[],
   isUsable: (part: PlacedPart) => boolean,
 ): number {
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -39,9 +39,9 @@
 
 test("an engine that lacks parts fetches them from one that has them", (t) => {
   const context = testContext({ cacheStores: () => ["10.9.9.9:1"] });
-  const holder = context.book.get(brandId("one"))!;
+  const holder = context.registry.get(brandId("one"))!;
   const parts = ["rulebook", "parish"].map((id) => brandId<PromptPartId>(id));
-  context.book.noteParts(holder, parts, 100);
+  context.registry.noteParts(holder, parts, 100);
   const placement = placeCall(call("stream"), {
     ...context,
     exclude: new Set([holder.listed.id]),
@@ -81,13 +81,13 @@
   t.is(placeCall(call("stream"), { ...at, nowMs: 7_000 }).kind, "placed");
   const late = placeCall(call("stream"), { ...at, nowMs: 8_000 });
   t.deepEqual(late, { kind: "refused", reason: "stale_weights" });
-  context.book.upsert(listed("one", { weights: weights(3) }));
+  context.registry.upsert(listed("one", { weights: weights(3) }));
   t.is(placeCall(call("stream"), { ...at, nowMs: 8_000 }).kind, "placed");
 });
 
 test("plain calls go to the server with free places", (t) => {
   const context = testContext();
-  const busy = context.book.get(brandId("one"))!;
+  const busy = context.registry.get(brandId("one"))!;
   for (let count = 0; count < 8; count++) {
     busy.own.set(brandId(`busy-${count}`), { prefillTokens: 0 });
   }
@@ -102,8 +102,8 @@
 
 test("a server that has left gets nothing new", (t) => {
   const context = testContext();
-  context.book.upsert(listed("one", { isLeaving: true }));
-  context.book.remove(brandId("second"), 1_000);
+  context.registry.upsert(listed("one", { isLeaving: true }));
+  context.registry.remove(brandId("second"), 1_000);
   const at = { ...context, exclude: NONE };
   // Its entry may have lapsed in an outage, so it is used for a moment.
   t.is(placeCall(call("repeatable"), { ...at, nowMs: 1_100 }).kind, "placed");
@@ -111,7 +111,7 @@
     kind: "refused",
     reason: "no_server",
   });
-  t.is(context.book.usable(SERVICE, 3_000).length, 0);
+  t.is(context.registry.usable(SERVICE, 3_000).length, 0);
 });
 
 test("a daemon that starts late leaves engines with old weights aside", (t) => {
@@ -123,8 +123,8 @@
   const context = testContext({ namedWeights: () => named });
   const at = { ...context, exclude: NONE, nowMs: 1_000 };
   t.is(placeCall(call("stream"), at).kind, "placed");
-  context.book.upsert(listed("second", { weights: weights(2) }));
-  const old = context.book.get(brandId("second"))!;
+  context.registry.upsert(listed("second", { weights: weights(2) }));
+  const old = context.registry.get(brandId("second"))!;
   for (let count = 0; count < 7; count++) {
     old.own.set(brandId(`busy-${count}`), { prefillTokens: 9_000 });
   }
@@ -134,11 +134,11 @@
 
 test("requests for a part that is being read wait at its engine", (t) => {
   const context = testContext({ cacheStores: () => ["10.9.9.9:1"] });
-  const reader = context.book.get(brandId("one"))!;
+  const reader = context.registry.get(brandId("one"))!;
   const parts = ["rulebook", "parish"].map((id) => brandId<PromptPartId>(id));
   reader.own.set(brandId("reading"), { prefillTokens: 6_300 });
   const at = { ...context, exclude: NONE };
-  context.book.noteParts(reader, parts, 900);
+  context.registry.noteParts(reader, parts, 900);
   const early = placeCall(call("stream"), { ...at, nowMs: 1_000 });
   t.is(early.kind === "placed" && early.server, reader);
   // Once the part has been read, another engine can fetch it.
@@ -157,7 +157,7 @@
   t.is(placeCall(call("stream"), at).kind, "placed");
   // 67,000 tokens take 1.75 s to read; a request behind them began 57 ms late
   // on the users' trouble-2 with seed 1011094296148.
-  for (const server of context.book.all()) {
+  for (const server of context.registry.all()) {
     server.own.set(brandId("queue"), { prefillTokens: 67_000 });
   }
   t.deepEqual(placeCall(call("stream"), at), {
--- a/packages/request-path/src/server_book.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -59,7 +59,7 @@
 }
 
 /** What is believed of one server. */
-export interface BookedServer {
+export interface KnownServer {
   listed: ListedServer;
   /** Work of this daemon, by request. */
   readonly own: Map<RequestId, OwnWork>;
@@ -83,8 +83,8 @@
 }
 
 /** Beliefs about all backend servers. */
-export class ServerBook {
-  readonly #servers = new Map<BackendServerId, BookedServer>();
+export class ServerRegistry {
+  readonly #servers = new Map<BackendServerId, KnownServer>();
   /** What this daemon has placed, for the others. */
   readonly recentParts = new RecentParts();
   #peerWork: (id: BackendServerId) => PeerWork = () => ({
@@ -134,16 +134,16 @@
     }
   }
 
-  get(id: BackendServerId): BookedServer | undefined {
+  get(id: BackendServerId): KnownServer | undefined {
     return this.#servers.get(id);
   }
 
-  all(): Iterable<BookedServer> {
+  all(): Iterable<KnownServer> {
     return this.#servers.values();
   }
 
   /** Servers that may get new work of the service. */
-  usable(service: ServiceName, nowMs: number): BookedServer[] {
+  usable(service: ServiceName, nowMs: number): KnownServer[] {
     const ofService = [...this.#servers.values()].filter((server) =>
       server.listed.service === service && !server.listed.isLeaving
     );
@@ -157,23 +157,23 @@
   }
 
   /** Requests that all daemons together have at the server. */
-  runningAt(server: BookedServer): number {
+  runningAt(server: KnownServer): number {
     return server.own.size + this.#peerWork(server.listed.id).running;
   }
 
   /** Prompt tokens ahead of a new request at the server. */
-  prefillAt(server: BookedServer): number {
+  prefillAt(server: KnownServer): number {
     let tokens = this.#peerWork(server.listed.id).prefillTokens;
     for (const work of server.own.values()) tokens += work.prefillTokens;
     return tokens;
   }
 
   /** The reported load while it is fresh. */
-  freshLoad(server: BookedServer, nowMs: number): ServerLoad | undefined {
+  freshLoad(server: KnownServer, nowMs: number): ServerLoad | undefined {
     return nowMs - server.loadAtMs < LOAD_LIFE_MS ? server.load : undefined;
   }
 
-  weightsOf(server: BookedServer, model: ModelName): WeightsNumber | undefined {
+  weightsOf(server: KnownServer, model: ModelName): WeightsNumber | undefined {
     const listed = server.listed.weights.get(model);
     const known = server.knownWeights.get(model);
     if (listed === undefined || known === undefined) return listed ?? known;
@@ -267,7 +267,7 @@
 
   /** Notes that the parts will be in the engine's memory. */
   noteParts(
-    server: BookedServer,
+    server: KnownServer,
     parts: Iterable<PromptPartId>,
     nowMs: number,
   ): void {
@@ -287,7 +287,7 @@
   }
 }
 
-function emptyServer(listed: ListedServer): BookedServer {
+function emptyServer(listed: ListedServer): KnownServer {
   return {
     listed,
     own: new Map(),
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -23,7 +23,7 @@
   Refusal,
   ServerClient,
 } from "./ports.ts";
-import { ServerBook } from "./server_book.ts";
+import { ServerRegistry } from "./server_registry.ts";
 import type {
   Call,
   CallKind,
@@ -223,13 +223,13 @@
   fields: Partial<CallContext> = {},
 ): CallContext & {
   readonly time: TestTime;
-  readonly book: ServerBook;
+  readonly registry: ServerRegistry;
   readonly client: FakeClient;
 } {
   const time = new TestTime();
-  const book = new ServerBook();
-  book.upsert(listed("one"));
-  book.upsert(listed("second"));
+  const registry = new ServerRegistry();
+  registry.upsert(listed("one"));
+  registry.upsert(listed("second"));
   return {
     time,
     clock: time,
@@ -245,6 +245,6 @@
     tryRepeat: () => true,
     ended() {},
     ...fields,
-    book,
+    registry,
   } as ReturnType<typeof testContext>;
 }
