--- a/packages/platform/src/daemon_test.ts
+++ b/packages/platform/src/daemon_test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { request } from "node:http";
+import { Agent, type IncomingMessage, request } from "node:http";
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import test from "ava";
@@ -51,6 +51,14 @@
     timeout_ms: 2_000,
     attempts: 1,
     service: "belfry",
+  }, {
+    name: "draft",
+    hostname: "bells.example",
+    path_prefix: "/draft/",
+    type: "stream",
+    timeout_ms: 6_000,
+    attempts: 1,
+    service: "belfry",
   }],
   services: [{ name: "belfry", max_conns: 100 }],
   limits: { idle_timeout_ms: 15_000, header_timeout_ms: 3_000 },
@@ -172,3 +180,55 @@
   store.close();
   engine.close();
 });
+
+test("a stream that a planned stop lets end takes its connection with it", async (t) => {
+  const store = await startStore();
+  const engine = await startRawServer((socket: Socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s1\r\n" +
+        "Content-Length: 16\r\n\r\nid: 1\n\n",
+    );
+    setTimeout(() => socket.write("id: 2\n\n\n\n"), 300);
+  });
+  const settings = await settingsFor(store);
+  const daemon = new Daemon(settings);
+  daemon.start();
+  store.put("keyed.op", "config", CONFIGURATION);
+  store.put("keyed.servers", "i-1", {
+    service: "belfry",
+    address: engine.address,
+    zone: "a",
+    slots: 6,
+    phase: "ready",
+    models: [],
+    born: 1,
+  });
+  await waitReady(settings);
+
+  const agent = new Agent({ keepAlive: true });
+  const outgoing = request({
+    ...settings.callers,
+    agent,
+    method: "POST",
+    path: "/draft/1",
+    headers: {
+      host: "bells.example",
+      "attempt-id": "a1",
+      "deadline-ms": "5000",
+      authorization: "Token good",
+    },
+  });
+  outgoing.end("{}");
+  const [answer] = await once(outgoing, "response") as [IncomingMessage];
+  const ended = new Promise<void>((resolve) => daemon.stop(resolve));
+  const closed = once(answer.socket, "close");
+  let body = "";
+  for await (const chunk of answer) body += chunk;
+  t.is(body, "id: 1\n\nid: 2\n\n\n\n");
+  const late = new Promise((resolve) => setTimeout(resolve, 1_500, "open"));
+  t.not(await Promise.race([closed, late]), "open");
+  await ended;
+  agent.destroy();
+  store.close();
+  engine.close();
+});
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -110,6 +110,11 @@
     response.once("close", () => {
       this.#open -= 1;
     });
+    // An answer that began before the stop promised to keep its connection, and
+    // the next request on it could be cut by the end.
+    response.once("finish", () => {
+      if (this.#options.isLeaving()) request.socket.destroySoon();
+    });
     request.on("error", () => {});
     response.on("error", () => {});
     if (this.#options.isLeaving()) response.setHeader("Connection", "close");
