Follow what engines and stores report to keep of prompts

Parts are known by weights and team. An engine is a source only for parts it reported; the queue ahead counts parts that nobody keeps.

--- a/packages/clock/src/time_types.ts
+++ b/packages/clock/src/time_types.ts
@@ -17,6 +17,18 @@
   steadyMs?(): number;
 }
 
+/**
+ * Reads the steady clock.
+ *
+ * @example
+ * ```ts
+ * const deadlineMs = steadyMs(clock) + 500;
+ * ```
+ */
+export function steadyMs(clock: Clock): number {
+  return clock.steadyMs?.() ?? clock.elapsedMs();
+}
+
 /** Timers, injected so that tests use virtual time. */
 export interface Scheduler {
   /** Runs `task` once after `delayMs`; returns a function that cancels it. */
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -28,6 +28,7 @@
     named: {},
     suspects: [],
     placed: {},
+    kept: {},
     records: {},
     ...fields,
   };
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -28,6 +28,9 @@
 /** The number of a model's weights, and how long they have been known. */
 export type NamedAge = readonly [weights: number, ageMs: number];
 
+/** A prompt part and how many of its tokens are kept; 0 when it was dropped. */
+export type KeptNote = readonly [part: string, tokens: number];
+
 /** What the sender says about the duty to bring engines to new weights. */
 export interface DutyNote {
   /** The epoch under which the sender holds the duty; 0 when it doesn't. */
@@ -56,8 +59,10 @@
   readonly named: Readonly<Record<ModelName, readonly NamedAge[]>>;
   /** Backend servers that have fallen silent towards the sender. */
   readonly suspects: readonly BackendServerId[];
-  /** Prompt parts that the sender has lately placed at each engine. */
-  readonly placed: Readonly<Record<BackendServerId, readonly string[]>>;
+  /** Prompt parts that the sender has lately placed in each memory. */
+  readonly placed: Readonly<Record<string, readonly string[]>>;
+  /** What the memories that the sender watches have stored and dropped. */
+  readonly kept: Readonly<Record<string, readonly KeptNote[]>>;
   /** The offset of the newest record that the sender holds, by topic. */
   readonly records: Readonly<Record<string, number>>;
 }
@@ -76,6 +81,7 @@
       typeof value.duty === "object" && value.duty !== null &&
       typeof value.named === "object" && value.named !== null &&
       typeof value.placed === "object" && value.placed !== null &&
+      typeof value.kept === "object" && value.kept !== null &&
       Array.isArray(value.suspects) && Array.isArray(value.weights);
     return isMessage ? value as FleetMessage : undefined;
   } catch {
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -12,6 +12,7 @@
 export type {
   DutyNote,
   FleetMessage,
+  KeptNote,
   NamedAge,
   WeightsNote,
   WorkAtServer,
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Clock, Scheduler } from "@endivebend/clock";
+import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { RecordTable } from "./record_table.ts";
 
 /** One record; without a value, the key has been removed. */
@@ -136,7 +136,3 @@
     });
   }
 }
-
-function steadyMs(clock: Clock): number {
-  return clock.steadyMs?.() ?? clock.elapsedMs();
-}
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -6,7 +6,12 @@
  */
 
 import { createServer, type Server } from "node:http";
-import { type Clock, createClock, createScheduler } from "@endivebend/clock";
+import {
+  type Clock,
+  createClock,
+  createScheduler,
+  steadyMs,
+} from "@endivebend/clock";
 import {
   FleetChannel,
   type FleetMessage,
@@ -19,11 +24,15 @@
 import { type OrderedEngine, WeightsDutyTask } from "@endivebend/orders";
 import {
   AdmissionController,
+  type KeptChange,
+  KeptPartsWatch,
+  type MemoryId,
   type NamedWeights,
   NamedWeightsRegistry,
+  type PartKey,
   planLeaving,
-  type PromptPartId,
   ServerRegistry,
+  type WatchedMemory,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
 import {
@@ -40,6 +49,7 @@
 } from "@endivebend/types";
 import { createDutyLog } from "./duty_log.ts";
 import { createEngineOrders } from "./engine_orders.ts";
+import { createMemoryClient } from "./memory_client.ts";
 import { IngressListener } from "./ingress_listener.ts";
 import { createServerClient } from "./server_client.ts";
 import type { PlatformSettings } from "./settings.ts";
@@ -94,6 +104,7 @@
   readonly #exchange: RecordExchange;
   readonly #channel: FleetChannel;
   readonly #duty: WeightsDutyTask;
+  readonly #watch: KeptPartsWatch;
   readonly #ingress: IngressListener;
   readonly #servers: readonly Server[];
   /** Addresses of daemons to tell until they have been heard. */
@@ -127,6 +138,7 @@
     });
     this.#channel = this.#createChannel();
     this.#duty = this.#createDuty();
+    this.#watch = this.#createWatch();
     this.#ingress = new IngressListener({
       endpoint: settings.callers,
       admission: this.#admission,
@@ -143,6 +155,7 @@
     }
     for (const follower of this.#followers) follower.start();
     this.#duty.start();
+    this.#watch.start();
     void this.#register();
     this.#pruneLater();
   }
@@ -153,6 +166,7 @@
     this.#leavingSinceMs = this.#nowMs();
     this.#log.milestone("stop", { open: this.#ingress.openCount });
     this.#duty.stop();
+    this.#watch.stop();
     this.#leave(ended);
   }
 
@@ -162,7 +176,7 @@
   }
 
   #nowMs(): number {
-    return this.#clock.steadyMs?.() ?? this.#clock.elapsedMs();
+    return steadyMs(this.#clock);
   }
 
   #peerAddress(ip: string): string {
@@ -332,6 +346,7 @@
       named: this.#named.ages(this.#nowMs()),
       suspects: this.#registry.suspects(this.#nowMs()),
       placed: this.#registry.recentParts.fresh(this.#nowMs()),
+      kept: this.#watch.news() as Record<string, KeptChange[]>,
       records,
     };
   }
@@ -358,10 +373,14 @@
     this.#hearAges(message);
     for (const id of message.suspects) this.#registry.noteSuspected(id, nowMs);
     for (const [id, parts] of Object.entries(message.placed)) {
-      const server = this.#registry.get(brandId<BackendServerId>(id));
-      if (server !== undefined) {
-        this.#registry.noteParts(server, parts as PromptPartId[], nowMs);
-      }
+      this.#registry.notePlaced(id as MemoryId, parts as PartKey[], nowMs);
+    }
+    for (const [id, changes] of Object.entries(message.kept)) {
+      this.#registry.noteReported(
+        id as MemoryId,
+        changes as KeptChange[],
+        nowMs,
+      );
     }
     this.#pullNewer(message);
   }
@@ -439,6 +458,34 @@
     });
   }
 
+  #createWatch(): KeptPartsWatch {
+    return new KeptPartsWatch({
+      self: this.#settings.vm,
+      clock: this.#clock,
+      scheduler: this.#scheduler,
+      client: createMemoryClient(),
+      registry: this.#registry,
+      memories: () => this.#memories(),
+      peers: () =>
+        this.#fleet.reachable(this.#nowMs()).map((member) => member.vm),
+      decision: (step, fields) => this.#log.decision(step, fields),
+    });
+  }
+
+  #memories(): WatchedMemory[] {
+    const stores = this.#admission.view?.configuration.cacheStores ?? [];
+    const engines = [...this.#registry.all()]
+      .filter(({ listed, lapsedAtMs }) =>
+        lapsedAtMs === undefined && listed.weights.size > 0
+      )
+      .map(({ listed: { id, address } }) => ({ id, address }));
+    const storeMemories = stores.map((address) => {
+      this.#registry.storeParts(address);
+      return { id: address as MemoryId, address };
+    });
+    return [...engines, ...storeMemories];
+  }
+
   #orderedEngines(): OrderedEngine[] {
     const engines: OrderedEngine[] = [];
     for (const server of this.#registry.all()) {
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Clock } from "@endivebend/clock";
+import { type Clock, steadyMs } from "@endivebend/clock";
 import {
   type Admission,
   type AdmissionController,
@@ -192,8 +192,7 @@
   }
 
   #nowMs(): number {
-    const { clock } = this.#options;
-    return clock.steadyMs?.() ?? clock.elapsedMs();
+    return steadyMs(this.#options.clock);
   }
 }
 
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -11,7 +11,7 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "@endivebend/clock";
+import { type Clock, steadyMs } from "@endivebend/clock";
 import type {
   AnswerHead,
   AttemptHandle,
@@ -200,7 +200,7 @@
 function requestHeaders(order: AttemptOrder, clock: Clock): string[] {
   const { call } = order;
   const message = call.message as ClientMessage;
-  const nowMs = clock.steadyMs?.() ?? clock.elapsedMs();
+  const nowMs = steadyMs(clock);
   const headers = filterHeaders(
     message.rawHeaders,
     (name) =>
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -15,6 +15,7 @@
   type AnswerHead,
   type AttemptFailure,
   type AttemptOrder,
+  type CacheScope,
   type Call,
   type RouteName,
 } from "@endivebend/request-path";
@@ -106,7 +107,14 @@
     },
     deadlineMs: 2_000,
     resumeAfter: undefined,
-    cache: { weights: undefined, fetchFrom: undefined, saveTo: undefined },
+    cache: {
+      weights: undefined,
+      scope: "1/" as CacheScope,
+      parts: [],
+      tokensToRead: 0,
+      fetchFrom: undefined,
+      saveTo: undefined,
+    },
     cacheScope: undefined,
     urgency: 2,
     ...fields,
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -71,6 +71,7 @@
   ready: "/api/ready",
   report: "/api/report",
   order: "/api/order",
+  memoryEvents: "/api/kv-events",
 } as const;
 
 /** Copies raw headers without those that `isDropped` names. */
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { steadyMs } from "@endivebend/clock";
 import { type BucketTolerance, SharedBucket } from "@endivebend/limits";
 import type { TeamId } from "@endivebend/types";
 import { type Admission, admit, type Arrival } from "./admit.ts";
@@ -125,8 +126,7 @@
   }
 
   #nowMs(): number {
-    const { clock } = this.#context;
-    return clock.steadyMs?.() ?? clock.elapsedMs();
+    return steadyMs(this.#context.clock);
   }
 
   #bucketOf(team: TeamRules, nowMs: number): SharedBucket {
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Clock, Scheduler } from "@endivebend/clock";
+import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { BackendServerId } from "@endivebend/types";
 import { AnswerRelay } from "./answer_relay.ts";
 import { patienceMs } from "./patience.ts";
@@ -13,7 +13,6 @@
   type CachePlan,
   placeCall,
   type PlacementContext,
-  sharedParts,
 } from "./placement.ts";
 import type {
   AnswerHead,
@@ -25,7 +24,7 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
-import type { KnownServer } from "./server_registry.ts";
+import type { KnownServer, MemoryId } from "./server_registry.ts";
 import { type Call, isRepeatable, isStream } from "./types.ts";
 
 /** The tasks and state that all calls share. */
@@ -113,7 +112,7 @@
   }
 
   #nowMs(): number {
-    return this.#context.clock.steadyMs?.() ?? this.#context.clock.elapsedMs();
+    return steadyMs(this.#context.clock);
   }
 
   #finalAtMs(): number {
@@ -152,16 +151,14 @@
     const { nowMs, cache } = at;
     const { registry, client } = this.#context;
     const call = this.#call;
-    const shared = sharedParts(call);
-    const promptTokens = call.work?.promptTokens ?? 0;
-    const held = shared.filter(({ id }) => server.parts.has(id));
-    const isFetched = cache.fetchFrom !== undefined;
-    const cached = (isFetched ? shared : held)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
-    server.own.set(call.requestId, { prefillTokens: promptTokens - cached });
-    const parts = shared.map(({ id }) => id);
-    registry.noteParts(server, parts, nowMs);
-    registry.recentParts.add(server.listed.id, parts, nowMs);
+    server.own.set(call.requestId, { prefillTokens: cache.tokensToRead });
+    registry.notePlaced(server.listed.id, cache.parts, nowMs);
+    registry.recentParts.add(server.listed.id, cache.parts, nowMs);
+    if (cache.saveTo !== undefined) {
+      const store = cache.saveTo as MemoryId;
+      registry.notePlaced(store, cache.parts, nowMs);
+      registry.recentParts.add(store, cache.parts, nowMs);
+    }
     const attempt: Attempt = {
       server,
       startedAtMs: nowMs,
@@ -186,7 +183,7 @@
       deadlineMs: this.#finalAtMs(),
       resumeAfter: this.#relay.lastEventId ?? call.resumeAfter,
       cache,
-      cacheScope: cacheScope(call, cache),
+      cacheScope: call.work && cache.scope,
       urgency: Math.min(9, call.team?.urgency ?? call.route.urgency),
     }, {
       sent: () => {
@@ -426,10 +423,3 @@
     });
   }
 }
-
-/** Parts are shared by weights, and by team where the team is isolated. */
-function cacheScope(call: Call, cache: CachePlan): string | undefined {
-  if (call.work === undefined) return undefined;
-  const team = call.team?.isIsolated ? call.team.id : "";
-  return `${cache.weights ?? "any"}/${team}`;
-}
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -18,6 +18,15 @@
 export { chooseServer } from "./choose_server.ts";
 export type { Candidate, Choice, ChoiceRequest } from "./choose_server.ts";
 export { ConfigurationView, pickDestination } from "./configuration.ts";
+export { KeptParts, partKey } from "./kept_parts.ts";
+export type { KeptChange, KeptTokens, PartKey } from "./kept_parts.ts";
+export { assignMemories, KeptPartsWatch } from "./kept_parts_watch.ts";
+export type {
+  KeptPartsWatchOptions,
+  MemoryClient,
+  MemoryNews,
+  WatchedMemory,
+} from "./kept_parts_watch.ts";
 export { EventFrames } from "./event_frames.ts";
 export type { EventFrame } from "./event_frames.ts";
 export { planLeaving } from "./leaving.ts";
@@ -29,7 +38,7 @@
 export { RepeatWindow } from "./repeat_window.ts";
 export type { RepeatBound } from "./repeat_window.ts";
 export { ServerRegistry } from "./server_registry.ts";
-export type { KnownServer, PeerWork } from "./server_registry.ts";
+export type { KnownServer, MemoryId, PeerWork } from "./server_registry.ts";
 export * from "./types.ts";
 export { NamedWeightsRegistry } from "./named_weights.ts";
 export type { NamedWeights, WeightsHistory } from "./named_weights.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { rendezvousWeight } from "@endivebend/routing";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -16,14 +15,10 @@
   chooseServer,
   PREFILL_TOKENS_PER_MS,
 } from "./choose_server.ts";
-import {
-  type KnownServer,
-  PART_LIFE_MS,
-  type PlacedPart,
-  type ServerRegistry,
-} from "./server_registry.ts";
+import { type KeptTokens, type PartKey, partKey } from "./kept_parts.ts";
 import type { WeightsHistory } from "./named_weights.ts";
-import type { Call, PromptPart, WeightsNumber } from "./types.ts";
+import type { KnownServer, ServerRegistry } from "./server_registry.ts";
+import type { CacheScope, Call, PromptPart, WeightsNumber } from "./types.ts";
 
 /** What a placement depends on besides the call. */
 export interface PlacementContext {
@@ -55,6 +50,12 @@
 export interface CachePlan {
   /** Weights that the engine must have; parts are kept by weights. */
   readonly weights: WeightsNumber | undefined;
+  /** Only requests of the same scope share parts. */
+  readonly scope: CacheScope;
+  /** Shared parts that the engine will keep. */
+  readonly parts: readonly PartKey[];
+  /** Prompt tokens that the engine neither keeps nor can fetch. */
+  readonly tokensToRead: number;
   /** Where the engine fetches shared parts that it lacks. */
   readonly fetchFrom: string | undefined;
   /** Where the engine sends shared parts that it has read. */
@@ -69,15 +70,26 @@
 const BEGIN_SLACK_MS = 1_500;
 /** A queue takes up to this many times the time that its tokens need. */
 const QUEUE_FACTOR = 2;
-/** An engine under pressure evicts parts within seconds. */
-const FRESH_MS = 2_000;
-/** A part can be fetched once the first request with it has been read. */
-const READ_MS = 500;
-/** One request in this many sends parts to the store again. */
-const SAVED_AGAIN = 8;
+/** Reading fewer tokens is as quick as saving them in a store. */
+const MIN_SAVED_TOKENS = 512;
 /** A full queue of an engine: as many waiting as running. */
 const MAX_FILL = 2;
 
+type CallPlacement = PlacementContext & {
+  readonly exclude: ReadonlySet<BackendServerId>;
+  readonly nowMs: number;
+};
+
+/** What matters of one server to one call. */
+interface ServerView {
+  readonly server: KnownServer;
+  readonly scope: CacheScope;
+  readonly kept: KeptTokens;
+  /** How long newer weights than the server's have been named. */
+  readonly staleForMs: number;
+  readonly isStaleAgeKnown: boolean;
+}
+
 /**
  * Chooses a server for the next attempt.
  *
@@ -86,127 +98,135 @@
  * const placement = placeCall(call, { ...context, exclude, nowMs });
  * ```
  */
-export function placeCall(
-  call: Call,
-  context: PlacementContext & {
-    readonly exclude: ReadonlySet<BackendServerId>;
-    readonly nowMs: number;
-  },
-): Placement {
+export function placeCall(call: Call, context: CallPlacement): Placement {
   const { registry, exclude, nowMs } = context;
   const usable = registry.usable(call.service, nowMs)
-    .filter(({ listed }) => !exclude.has(listed.id));
+    .filter(({ listed }) => !exclude.has(listed.id))
+    .map((server) => viewServer(call, { server, context }));
   if (usable.length === 0) return { kind: "refused", reason: "no_server" };
-  const fresh = withoutStale(call, usable, context);
+  const fresh = withoutStale(usable, context);
   if (fresh.length === 0) return { kind: "refused", reason: "stale_weights" };
-  const open = fresh.filter((server) => hasRoom(call, server, context));
+  const open = fresh.filter(({ server }) => hasRoom(call, server, context));
   if (open.length === 0) return { kind: "refused", reason: "overloaded" };
-  const shared = sharedParts(call);
-  const sharedTokens = sumTokens(shared);
-  const affinityKey = shared.at(-1)?.id ?? call.requestId;
-  const [cacheStore] = call.work === undefined ? [] : context.cacheStores();
-  const holders = open.map((server) => holderOf(server, shared, nowMs));
-  const readTokens = Math.max(0, ...holders.map((holder) => holder.readTokens));
+  const sharedTokens = sumTokens(sharedParts(call));
   const choice = chooseServer({
     promptTokens: call.work?.promptTokens,
     sharedTokens,
-    fetchableTokens: readTokens,
-    affinityKey,
+    fetchableTokens: Math.max(0, ...open.map(({ kept }) => kept.read)),
+    affinityKey: sharedParts(call).at(-1)?.id ?? call.requestId,
     failureDomain: context.failureDomain,
-  }, open.map((server) => candidateOf(call, { server, shared, context })));
-  const server = choice && registry.get(choice.id);
-  if (choice === undefined || server === undefined) {
+  }, open.map((view) => candidateOf(view, context)));
+  const view = open.find(({ server }) => server.listed.id === choice?.id);
+  if (choice === undefined || view === undefined) {
     return { kind: "refused", reason: "no_server" };
   }
-  const cache = planCache(call, {
+  const cache = planCache(call, { view, all: open, context });
+  return { kind: "placed", server: view.server, choice, cache };
+}
+
+function viewServer(
+  call: Call,
+  at: { readonly server: KnownServer; readonly context: CallPlacement },
+): ServerView {
+  const { server, context } = at;
+  const { nowMs } = context;
+  const scope = scopeAt(call, server, context);
+  const kept = server.parts.tokensOf(sharedParts(call), { scope, nowMs });
+  const newer = newerWeights(call, server, context);
+  return {
     server,
-    sharedTokens,
-    holders,
-    cacheStore,
-    context,
-  });
-  return { kind: "placed", server, choice, cache };
+    scope,
+    kept,
+    staleForMs: newer === undefined ? 0 : nowMs - newer.heardAtMs,
+    isStaleAgeKnown: newer?.isAgeKnown ?? true,
+  };
 }
 
-interface Holder {
-  readonly server: KnownServer;
-  /** Shared tokens that it is thought to hold. */
-  readonly tokens: number;
-  /** Those of them that it has read and that others can fetch. */
-  readonly readTokens: number;
-  /** Those that were used so lately that they are hardly evicted. */
-  readonly freshTokens: number;
+/** Parts are shared by weights, and by team where the team is isolated. */
+function scopeAt(
+  call: Call,
+  server: KnownServer,
+  { registry }: PlacementContext,
+): CacheScope {
+  const model = call.work?.model;
+  const weights = model && registry.weightsOf(server, model);
+  const team = call.team?.isIsolated ? call.team.id : "";
+  return `${weights ?? "any"}/${team}` as CacheScope;
 }
 
-function holderOf(
+/** The first weights named after those that the server has. */
+function newerWeights(
+  call: Call,
   server: KnownServer,
-  shared: readonly PromptPart[],
-  nowMs: number,
-): Holder {
-  const tokensWhere = (test: (part: PlacedPart) => boolean) =>
-    chainTokens(
-      server,
-      shared,
-      (part) => nowMs - part.lastMs <= PART_LIFE_MS && test(part),
-    );
-  const isRead = (part: PlacedPart) => nowMs - part.firstMs >= READ_MS;
-  return {
-    server,
-    tokens: tokensWhere(() => true),
-    readTokens: tokensWhere(isRead),
-    freshTokens: tokensWhere((part) =>
-      isRead(part) && nowMs - part.lastMs <= FRESH_MS
-    ),
-  };
+  { registry, namedWeights }: PlacementContext,
+) {
+  const model = call.work?.model;
+  const weights = model && registry.weightsOf(server, model);
+  if (model === undefined || weights === undefined) return undefined;
+  return namedWeights(model).find((named) => named.weights > weights);
 }
 
 /**
- * Fetching a part takes a hundredth of the time of reading it. The source is
- * an engine that is known to hold more than the chosen one, else the store,
- * which was sent whatever was read and where a miss costs 1 ms.
+ * Fetching a part from another engine takes a hundredth of the time of reading
+ * it, from the store a third; a miss costs 1 ms. So a source is always named:
+ * the engine that keeps most, else the store.
  */
 function planCache(
   call: Call,
   at: {
-    readonly server: KnownServer;
-    readonly sharedTokens: number;
-    readonly holders: readonly Holder[];
-    readonly cacheStore: string | undefined;
-    readonly context: PlacementContext & { readonly nowMs: number };
+    readonly view: ServerView;
+    readonly all: readonly ServerView[];
+    readonly context: CallPlacement;
   },
 ): CachePlan {
-  const { server, sharedTokens, holders, cacheStore, context } = at;
-  const { registry, nowMs } = context;
-  const model = call.work?.model;
-  if (model === undefined) {
-    return { weights: undefined, fetchFrom: undefined, saveTo: undefined };
+  const { view, all, context } = at;
+  const { scope, kept } = view;
+  const promptTokens = call.work?.promptTokens ?? 0;
+  const none = { fetchFrom: undefined, saveTo: undefined };
+  if (call.work === undefined) {
+    return { weights: undefined, scope, parts: [], tokensToRead: 0, ...none };
   }
-  const weights = registry.weightsOf(server, model);
-  const own = holders.find((holder) => holder.server === server)?.tokens ?? 0;
-  const canExport = (other: KnownServer) =>
-    other !== server && nowMs >= other.avoidUntilMs &&
-    nowMs >= other.loadingUntilMs &&
-    registry.weightsOf(other, model) === weights;
-  const best = holders.find((holder) =>
-    holder.freshTokens > own && canExport(holder.server)
-  );
-  const isKnown = holders.some(({ tokens }) => tokens >= sharedTokens);
-  const isSaved = isKnown && !isSavedAgain(call);
+  const shared = sharedParts(call);
+  const [store] = context.cacheStores();
+  const stored = store === undefined
+    ? undefined
+    : context.registry.storeParts(store)
+      .tokensOf(shared, { scope, nowMs: context.nowMs });
+  const source = bestSource(view, all, context);
+  const storedTokens = stored?.fetchable ?? 0;
+  const sourceTokens = source?.kept.fetchable ?? 0;
+  const isFromStore = source === undefined || storedTokens > sourceTokens;
+  const sharedTokens = sumTokens(shared);
+  const isSaved = stored !== undefined && stored.expected >= sharedTokens;
+  const held = Math.max(kept.expected, sourceTokens, storedTokens);
   return {
-    weights,
-    // The engine may have evicted what it is thought to hold; it fetches only
-    // what it lacks.
-    fetchFrom: best?.server.listed.address ?? cacheStore,
-    saveTo: isSaved ? undefined : cacheStore,
+    weights: context.registry.weightsOf(view.server, call.work.model),
+    scope,
+    parts: shared.map(({ id }) => partKey(scope, id)),
+    tokensToRead: Math.max(0, promptTokens - held),
+    // The engine may have evicted what it is thought to keep.
+    fetchFrom: isFromStore ? store : source.server.listed.address,
+    saveTo: isSaved || sharedTokens < MIN_SAVED_TOKENS ? undefined : store,
   };
 }
 
-/**
- * Sending parts that were sent before fills the store's link, but the store
- * may have dropped them.
- */
-function isSavedAgain(call: Call): boolean {
-  return rendezvousWeight(call.requestId, "") % SAVED_AGAIN === 0;
+/** The other engine that surely keeps most, if it keeps enough. */
+function bestSource(
+  view: ServerView,
+  all: readonly ServerView[],
+  { nowMs }: CallPlacement,
+): ServerView | undefined {
+  let best: ServerView | undefined;
+  for (const other of all) {
+    const { server, scope, kept } = other;
+    const canExport = other !== view && scope === view.scope &&
+      nowMs >= server.avoidUntilMs && nowMs >= server.loadingUntilMs;
+    const isEnough = kept.fetchable > 0 &&
+      kept.fetchable >= view.kept.expected;
+    if (!canExport || !isEnough) continue;
+    if (kept.fetchable > (best?.kept.fetchable ?? 0)) best = other;
+  }
+  return best;
 }
 
 function sumTokens(parts: readonly PromptPart[]): number {
@@ -214,47 +234,25 @@
 }
 
 /** The parts that other requests may share: all but the last. */
-export function sharedParts(call: Call): readonly PromptPart[] {
+function sharedParts(call: Call): readonly PromptPart[] {
   return call.work?.prompt.slice(0, -1) ?? [];
 }
 
-/** How long newer weights than the server's have been named. */
-function staleness(
-  call: Call,
-  server: KnownServer,
-  context: PlacementContext & { readonly nowMs: number },
-): { readonly forMs: number; readonly isAgeKnown: boolean } {
-  const fresh = { forMs: 0, isAgeKnown: true };
-  const model = call.work?.model;
-  if (model === undefined) return fresh;
-  const weights = context.registry.weightsOf(server, model);
-  if (weights === undefined) return fresh;
-  const newer = context.namedWeights(model)
-    .find((named) => named.weights > weights);
-  if (newer === undefined) return fresh;
-  const { heardAtMs, isAgeKnown } = newer;
-  return { forMs: context.nowMs - heardAtMs, isAgeKnown };
-}
-
 /**
  * Leaves out servers whose weights were replaced too long ago. Where it is not
  * known how long ago, servers with newer weights show that it is some time.
  */
 function withoutStale(
-  call: Call,
-  servers: readonly KnownServer[],
-  context: PlacementContext & { readonly nowMs: number },
-): KnownServer[] {
-  const limitMs = context.weightsBoundMs - BEGIN_SLACK_MS;
-  const timely = servers.filter((server) => {
-    const { forMs } = staleness(call, server, context);
-    if (forMs === 0) return true;
-    const queueMs = context.registry.prefillAt(server) / PREFILL_TOKENS_PER_MS;
-    return forMs + queueMs * QUEUE_FACTOR <= limitMs;
+  views: readonly ServerView[],
+  { registry, weightsBoundMs }: PlacementContext,
+): ServerView[] {
+  const limitMs = weightsBoundMs - BEGIN_SLACK_MS;
+  const timely = views.filter(({ server, staleForMs }) => {
+    if (staleForMs === 0) return true;
+    const queueMs = registry.prefillAt(server) / PREFILL_TOKENS_PER_MS;
+    return staleForMs + queueMs * QUEUE_FACTOR <= limitMs;
   });
-  const current = timely.filter((server) =>
-    staleness(call, server, context).isAgeKnown
-  );
+  const current = timely.filter(({ isStaleAgeKnown }) => isStaleAgeKnown);
   return current.length > 0 ? current : timely;
 }
 
@@ -269,16 +267,9 @@
 }
 
 function candidateOf(
-  call: Call,
-  at: {
-    readonly server: KnownServer;
-    readonly shared: readonly PromptPart[];
-    readonly context: PlacementContext & { readonly nowMs: number };
-  },
+  { server, kept, staleForMs }: ServerView,
+  { registry, nowMs }: CallPlacement,
 ): Candidate {
-  const { server, shared, context } = at;
-  const { registry, nowMs } = context;
-  const staleMs = staleness(call, server, context).forMs;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
@@ -288,27 +279,12 @@
     ),
     slots: server.listed.slots,
     prefillTokens: registry.prefillAt(server),
-    cachedTokens: holderOf(server, shared, nowMs).tokens,
+    cachedTokens: kept.expected,
     failureShare: server.failureShare,
     isAvoided: nowMs < server.avoidUntilMs,
     isLoading: nowMs < server.loadingUntilMs,
-    staleWeightsMs: staleMs > STALE_WEIGHTS_AFTER_MS
+    staleWeightsMs: staleForMs > STALE_WEIGHTS_AFTER_MS
       ? STALE_WEIGHTS_COST_MS
       : 0,
   };
 }
-
-/** A part is of use only when all parts before it are there too. */
-function chainTokens(
-  server: KnownServer,
-  shared: readonly PromptPart[],
-  isUsable: (part: PlacedPart) => boolean,
-): number {
-  let tokens = 0;
-  for (const part of shared) {
-    const placed = server.parts.get(part.id);
-    if (placed === undefined || !isUsable(placed)) break;
-    tokens += part.tokens;
-  }
-  return tokens;
-}
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -1,11 +1,16 @@
 import test from "ava";
 import { type BackendServerId, brandId } from "@endivebend/types";
-import { placeCall } from "./mod.ts";
+import { partKey, placeCall } from "./mod.ts";
 import { call, listed, MODEL, SERVICE, testContext } from "./testing.ts";
-import type { PromptPartId, WeightsNumber } from "./types.ts";
+import type { CacheScope, PromptPartId, WeightsNumber } from "./types.ts";
 
 const NONE: ReadonlySet<BackendServerId> = new Set();
 
+const SCOPE = "1/" as CacheScope;
+const PARTS = ["rulebook", "parish"].map((id) =>
+  partKey(SCOPE, brandId<PromptPartId>(id))
+);
+
 function weights(number: number) {
   return new Map([[MODEL, brandId<WeightsNumber>(number)]]);
 }
@@ -40,8 +45,7 @@
 test("an engine that lacks parts fetches them from one that has them", (t) => {
   const context = testContext({ cacheStores: () => ["10.9.9.9:1"] });
   const holder = context.registry.get(brandId("one"))!;
-  const parts = ["rulebook", "parish"].map((id) => brandId<PromptPartId>(id));
-  context.registry.noteParts(holder, parts, 100);
+  context.registry.notePlaced(holder.listed.id, PARTS, 100);
   const placement = placeCall(call("stream"), {
     ...context,
     exclude: new Set([holder.listed.id]),
@@ -135,10 +139,9 @@
 test("requests for a part that is being read wait at its engine", (t) => {
   const context = testContext({ cacheStores: () => ["10.9.9.9:1"] });
   const reader = context.registry.get(brandId("one"))!;
-  const parts = ["rulebook", "parish"].map((id) => brandId<PromptPartId>(id));
   reader.own.set(brandId("reading"), { prefillTokens: 6_300 });
   const at = { ...context, exclude: NONE };
-  context.registry.noteParts(reader, parts, 900);
+  context.registry.notePlaced(reader.listed.id, PARTS, 900);
   const early = placeCall(call("stream"), { ...at, nowMs: 1_000 });
   t.is(early.kind === "placed" && early.server, reader);
   // Once the part has been read, another engine can fetch it.
--- a/packages/request-path/src/recent_parts.ts
+++ b/packages/request-path/src/recent_parts.ts
@@ -6,15 +6,15 @@
  * @module
  */
 
-import type { BackendServerId } from "@endivebend/types";
-import type { PromptPartId } from "./types.ts";
+import type { PartKey } from "./kept_parts.ts";
+import type { MemoryId } from "./server_registry.ts";
 
 /** A placement is told in three messages, of which two may be lost. */
 const TOLD_MS = 650;
 
 interface PlacedPart {
-  readonly server: BackendServerId;
-  readonly part: PromptPartId;
+  readonly memory: MemoryId;
+  readonly part: PartKey;
   readonly untilMs: number;
 }
 
@@ -23,23 +23,23 @@
   #placed: PlacedPart[] = [];
 
   add(
-    server: BackendServerId,
-    parts: readonly PromptPartId[],
+    memory: MemoryId,
+    parts: readonly PartKey[],
     nowMs: number,
   ): void {
     for (const part of parts) {
-      this.#placed.push({ server, part, untilMs: nowMs + TOLD_MS });
+      this.#placed.push({ memory, part, untilMs: nowMs + TOLD_MS });
     }
   }
 
-  /** Parts by server, those that have been told often enough left out. */
-  fresh(nowMs: number): Record<BackendServerId, PromptPartId[]> {
+  /** Parts by memory, those that have been told often enough left out. */
+  fresh(nowMs: number): Record<MemoryId, PartKey[]> {
     this.#placed = this.#placed.filter(({ untilMs }) => untilMs > nowMs);
-    const byServer: Record<BackendServerId, PromptPartId[]> = {};
-    for (const { server, part } of this.#placed) {
-      const parts = byServer[server] ??= [];
+    const byMemory: Record<MemoryId, PartKey[]> = {};
+    for (const { memory, part } of this.#placed) {
+      const parts = byMemory[memory] ??= [];
       if (!parts.includes(part)) parts.push(part);
     }
-    return byServer;
+    return byMemory;
   }
 }
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -8,13 +8,16 @@
 
 import type {
   BackendServerId,
+  Branded,
   ModelName,
   RequestId,
   ServiceName,
 } from "@endivebend/types";
 import type { ServerLoad } from "./ports.ts";
+import { type KeptChange, KeptParts, type PartKey } from "./kept_parts.ts";
 import { RecentParts } from "./recent_parts.ts";
-import type { ListedServer, PromptPartId, WeightsNumber } from "./types.ts";
+import { SharedPartIds } from "./shared_part_ids.ts";
+import type { ListedServer, WeightsNumber } from "./types.ts";
 
 /**
  * A server whose entry lapsed serves a service without any other server for
@@ -34,10 +37,6 @@
 const FAILURE_WEIGHT = 0.15;
 /** A reported load older than this says nothing; reports lag some 200 ms. */
 const LOAD_LIFE_MS = 1_000;
-/** Parts that were used longer ago are likely evicted. */
-export const PART_LIFE_MS = 10_000;
-/** Parts remembered for each engine; a chain has a few parts. */
-const MAX_KNOWN_PARTS = 512;
 
 /** Work of this daemon that is at a server. */
 interface OwnWork {
@@ -45,12 +44,8 @@
   prefillTokens: number;
 }
 
-/** When requests with a prompt part were sent to an engine. */
-export interface PlacedPart {
-  /** The first of those that followed each other closely. */
-  readonly firstMs: number;
-  readonly lastMs: number;
-}
+/** An engine by its id, or a store of prompt parts by its address. */
+export type MemoryId = BackendServerId | Branded<string, "CacheStoreAddress">;
 
 /** Work of all other daemons that is at a server, as they told it. */
 export interface PeerWork {
@@ -63,8 +58,8 @@
   listed: ListedServer;
   /** Work of this daemon, by request. */
   readonly own: Map<RequestId, OwnWork>;
-  /** Prompt parts placed there, in order of use. */
-  readonly parts: Map<PromptPartId, PlacedPart>;
+  /** Prompt parts that it keeps. */
+  readonly parts: KeptParts;
   /** Weights that orders or answers show, newer than the list's. */
   readonly knownWeights: Map<ModelName, WeightsNumber>;
   lapsedAtMs: number | undefined;
@@ -85,8 +80,11 @@
 /** Beliefs about all backend servers. */
 export class ServerRegistry {
   readonly #servers = new Map<BackendServerId, KnownServer>();
+  readonly #stores = new Map<MemoryId, KeptParts>();
   /** What this daemon has placed, for the others. */
   readonly recentParts = new RecentParts();
+  /** Parts that several requests have in common. */
+  readonly sharedParts = new SharedPartIds();
   #peerWork: (id: BackendServerId) => PeerWork = () => ({
     running: 0,
     prefillTokens: 0,
@@ -265,25 +263,39 @@
     this.#servers.delete(id);
   }
 
-  /** Notes that the parts will be in the engine's memory. */
-  noteParts(
-    server: KnownServer,
-    parts: Iterable<PromptPartId>,
+  /** What the engine or the store at the address keeps of prompts. */
+  partsOf(memory: MemoryId): KeptParts | undefined {
+    return this.#servers.get(memory as BackendServerId)?.parts ??
+      this.#stores.get(memory);
+  }
+
+  /** What the store of prompt parts at the address keeps. */
+  storeParts(address: string): KeptParts {
+    const memory = address as MemoryId;
+    const known = this.#stores.get(memory);
+    if (known !== undefined) return known;
+    const parts = new KeptParts();
+    this.#stores.set(memory, parts);
+    return parts;
+  }
+
+  /** The memory has been sent requests with the parts, or the parts. */
+  notePlaced(
+    memory: MemoryId,
+    parts: readonly PartKey[],
     nowMs: number,
   ): void {
-    for (const part of parts) {
-      const known = server.parts.get(part);
-      const isKept = known !== undefined &&
-        nowMs - known.lastMs < PART_LIFE_MS;
-      const firstMs = isKept ? known.firstMs : nowMs;
-      server.parts.delete(part);
-      server.parts.set(part, { firstMs, lastMs: nowMs });
-    }
-    while (server.parts.size > MAX_KNOWN_PARTS) {
-      const [oldest] = server.parts.keys();
-      if (oldest === undefined) break;
-      server.parts.delete(oldest);
-    }
+    this.sharedParts.add(parts);
+    this.partsOf(memory)?.notePlaced(parts, nowMs);
+  }
+
+  /** A memory that is being watched has reported changes. */
+  noteReported(
+    memory: MemoryId,
+    changes: readonly KeptChange[],
+    nowMs: number,
+  ): void {
+    this.partsOf(memory)?.noteReported(changes, nowMs);
   }
 }
 
@@ -291,7 +303,7 @@
   return {
     listed,
     own: new Map(),
-    parts: new Map(),
+    parts: new KeptParts(),
     knownWeights: new Map(),
     lapsedAtMs: undefined,
     avoidUntilMs: 0,
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -16,6 +16,8 @@
 
 /** A named part of a prompt; requests that share it may share its cache. */
 export type PromptPartId = Branded<string, "PromptPartId">;
+/** Requests share cached prompt parts only within one scope. */
+export type CacheScope = Branded<string, "CacheScope">;
 /** The number of a model's weights; larger is newer. */
 export type WeightsNumber = Branded<number, "WeightsNumber">;
 /** The name of a route. */
