Turn prompts away at once that would begin after their target

The queue then never empties: prompts wait in the engines, fill their memory, evict shared parts, and those are read again.

An idle engine refuses nothing. The log's place line now tells the wait and the tokens to read, its end line the first byte.

--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -25,7 +25,7 @@
   ServerClient,
 } from "./ports.ts";
 import type { KnownServer, MemoryId } from "./server_registry.ts";
-import { type Call, isRepeatable, isStream } from "./types.ts";
+import { type Call, isRepeatable, isStream, urgencyOf } from "./types.ts";
 
 /** The tasks and state that all calls share. */
 export interface CallContext extends PlacementContext {
@@ -77,6 +77,8 @@
   #cancelTimer = () => {};
   #hasEnded = false;
   #isBlocked = false;
+  /** From the start to the first bytes of an answer. */
+  #firstByteMs: number | undefined;
   /** Attempts that may have run the call. */
   #ranAttempts = 0;
   #unrunAttempts = 0;
@@ -128,6 +130,7 @@
     const placement = placeCall(this.#call, {
       ...this.#context,
       exclude,
+      hasBegun: this.#relay.hasBegun,
       nowMs,
     });
     if (placement.kind === "refused") return this.#giveUp(placement.reason);
@@ -135,7 +138,9 @@
     this.#note("place", {
       server: server.listed.id,
       scoreMs: Math.round(choice.scoreMs),
+      waitMs: Math.round(choice.waitMs),
       cachedTokens: choice.cachedTokens,
+      tokensToRead: cache.tokensToRead,
       weights: cache.weights,
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
@@ -184,7 +189,7 @@
       resumeAfter: this.#relay.lastEventId ?? call.resumeAfter,
       cache,
       cacheScope: call.work && cache.scope,
-      urgency: Math.min(9, call.team?.urgency ?? call.route.urgency),
+      urgency: urgencyOf(call),
     }, {
       sent: () => {
         attempt.wasSent = true;
@@ -246,11 +251,9 @@
     this.#noteProgress(attempt);
     const work = attempt.server.own.get(this.#call.requestId);
     if (work !== undefined) work.prefillTokens = 0;
-    if (!this.#relay.hasBegun) {
-      this.#context.metrics.observeMs(
-        "first_byte_ms",
-        this.#nowMs() - this.#startedAtMs,
-      );
+    if (this.#firstByteMs === undefined) {
+      this.#firstByteMs = this.#nowMs() - this.#startedAtMs;
+      this.#context.metrics.observeMs("first_byte_ms", this.#firstByteMs);
     }
     if (this.#relay.data(chunk)) return;
     this.#isBlocked = true;
@@ -410,7 +413,11 @@
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
-    this.#note("end", { outcome, durationMs: Math.round(durationMs) });
+    this.#note("end", {
+      outcome,
+      firstByteMs: this.#firstByteMs && Math.round(this.#firstByteMs),
+      durationMs: Math.round(durationMs),
+    });
     const hasRun = this.#ranAttempts > 0 || this.#relay.hasBegun ||
       outcome === "answered";
     this.#context.ended(this.#call, { hasRun });
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -49,6 +49,8 @@
 export interface Choice {
   readonly id: BackendServerId;
   readonly scoreMs: number;
+  /** Time that the prompts ahead of it take at the server. */
+  readonly waitMs: number;
   readonly cachedTokens: number;
   readonly candidateCount: number;
 }
@@ -108,6 +110,7 @@
     best = {
       id: candidate.id,
       scoreMs,
+      waitMs: candidate.prefillTokens / PREFILL_TOKENS_PER_MS,
       cachedTokens,
       candidateCount: candidates.length,
     };
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -18,7 +18,14 @@
 import { type KeptTokens, type PartKey, partKey } from "./kept_parts.ts";
 import type { WeightsHistory } from "./named_weights.ts";
 import type { KnownServer, ServerRegistry } from "./server_registry.ts";
-import type { CacheScope, Call, PromptPart, WeightsNumber } from "./types.ts";
+import { beginsTooLate } from "./turn_away.ts";
+import {
+  type CacheScope,
+  type Call,
+  type PromptPart,
+  urgencyOf,
+  type WeightsNumber,
+} from "./types.ts";
 
 /** What a placement depends on besides the call. */
 export interface PlacementContext {
@@ -77,6 +84,8 @@
 
 type CallPlacement = PlacementContext & {
   readonly exclude: ReadonlySet<BackendServerId>;
+  /** Whether part of the answer has reached the caller. */
+  readonly hasBegun: boolean;
   readonly nowMs: number;
 };
 
@@ -121,6 +130,14 @@
     return { kind: "refused", reason: "no_server" };
   }
   const cache = planCache(call, { view, all: open, context });
+  const isLate = call.work !== undefined && beginsTooLate({
+    tokensAhead: registry.prefillAt(view.server),
+    tokensToRead: cache.tokensToRead,
+    targetMs: call.route.targetMs,
+    urgency: urgencyOf(call),
+    hasBegun: context.hasBegun || call.resumeAfter !== undefined,
+  });
+  if (isLate) return { kind: "refused", reason: "overloaded" };
   return { kind: "placed", server: view.server, choice, cache };
 }
 
--- /dev/null
+++ b/packages/request-path/src/turn_away.ts
@@ -0,0 +1,48 @@
+/**
+ * Decides which prompts are turned away at once. Answers a load with more
+ * prompt tokens than the engines read, such as after some of them have fallen
+ * silent: a prompt that waits for longer than callers aim for delays every
+ * prompt behind it, fills the engine's memory, and evicts parts that have to be
+ * read again, so that the queue never empties.
+ *
+ * @module
+ */
+
+/** A prompt at the engine that would take it soonest. */
+export interface WaitingPrompt {
+  /** Prompt tokens ahead of it. */
+  readonly tokensAhead: number;
+  /** Its own tokens that the engine neither keeps nor can fetch. */
+  readonly tokensToRead: number;
+  /** Time to the first event that callers aim for. */
+  readonly targetMs: number;
+  /** 0 is the most urgent; engines take more urgent prompts first. */
+  readonly urgency: number;
+  /** Whether part of its answer has reached the caller. */
+  readonly hasBegun: boolean;
+}
+
+/** Of 38.4 tokens a millisecond, attention and generation leave about these. */
+const TOKENS_PER_MS = 28;
+/** A shorter queue says nothing: the engine may be idle by the next message. */
+const MIN_AHEAD_TOKENS = 4_000;
+/** Placements that other daemons have not told yet take the rest. */
+const TARGET_SHARE = 0.8;
+/** The most urgent prompts overtake others at the engine. */
+const URGENT_FACTOR = 1.5;
+
+/**
+ * Whether the prompt would begin so late that it is better refused now.
+ *
+ * @example
+ * ```ts
+ * if (beginsTooLate(prompt)) refuse("overloaded");
+ * ```
+ */
+export function beginsTooLate(prompt: WaitingPrompt): boolean {
+  const { tokensAhead, tokensToRead, targetMs, urgency, hasBegun } = prompt;
+  if (hasBegun || tokensAhead < MIN_AHEAD_TOKENS) return false;
+  const beginsInMs = (tokensAhead + tokensToRead) / TOKENS_PER_MS;
+  const factor = urgency === 0 ? URGENT_FACTOR : TARGET_SHARE;
+  return beginsInMs > targetMs * factor;
+}
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -155,3 +155,11 @@
 export function isStream(kind: CallKind): boolean {
   return kind === "stream" || kind === "resumable_stream";
 }
+
+/** Engines know ten ranks. */
+const LEAST_URGENT = 9;
+
+/** The rank of a call, 0 first; its team's goes before its route's. */
+export function urgencyOf(call: Call): number {
+  return Math.min(LEAST_URGENT, call.team?.urgency ?? call.route.urgency);
+}
