Tell a prompt that is turned away when the queue will be short enough

The refusal names the time by which the queue exceeds the target, 250 ms at least, and the limit is the target itself.

--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -133,7 +133,9 @@
       hasBegun: this.#relay.hasBegun,
       nowMs,
     });
-    if (placement.kind === "refused") return this.#giveUp(placement.reason);
+    if (placement.kind === "refused") {
+      return this.#giveUp(placement.reason, placement.returnInMs);
+    }
     const { server, choice, cache } = placement;
     this.#note("place", {
       server: server.listed.id,
@@ -318,7 +320,7 @@
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
 
-  #giveUp(reason: RefusalReason): void {
+  #giveUp(reason: RefusalReason, returnInMs = RETRY_AFTER_MS): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
       this.#note("break_off", { reason });
@@ -327,7 +329,7 @@
     }
     const isNotRun = this.#ranAttempts === 0;
     const retryAfterMs = isNotRun
-      ? Math.round(RETRY_AFTER_MS * (1 + RETRY_SPREAD * Math.random()))
+      ? Math.round(returnInMs * (1 + RETRY_SPREAD * Math.random()))
       : undefined;
     this.#note("refuse", { reason, isNotRun, retryAfterMs });
     this.#caller.refuse({ reason, isNotRun, retryAfterMs });
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -39,7 +39,7 @@
 export type { RepeatBound } from "./repeat_window.ts";
 export { ServerRegistry } from "./server_registry.ts";
 export type { KnownServer, MemoryId, PeerWork } from "./server_registry.ts";
-export { beginsTooLate } from "./turn_away.ts";
+export { turnAway } from "./turn_away.ts";
 export type { WaitingPrompt } from "./turn_away.ts";
 export * from "./types.ts";
 export { NamedWeightsRegistry } from "./named_weights.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -18,7 +18,7 @@
 import { type KeptTokens, type PartKey, partKey } from "./kept_parts.ts";
 import type { WeightsHistory } from "./named_weights.ts";
 import type { KnownServer, ServerRegistry } from "./server_registry.ts";
-import { beginsTooLate } from "./turn_away.ts";
+import { turnAway } from "./turn_away.ts";
 import {
   type CacheScope,
   type Call,
@@ -51,6 +51,8 @@
   | {
     readonly kind: "refused";
     readonly reason: "no_server" | "overloaded" | "stale_weights";
+    /** When the queue will be short enough, if that is what it waits for. */
+    readonly returnInMs?: number;
   };
 
 /** How an attempt uses what engines and stores keep of its prompt. */
@@ -130,14 +132,16 @@
     return { kind: "refused", reason: "no_server" };
   }
   const cache = planCache(call, { view, all: open, context });
-  const isLate = call.work !== undefined && beginsTooLate({
+  const returnInMs = call.work && turnAway({
     tokensAhead: registry.prefillAt(view.server),
     tokensToRead: cache.tokensToRead,
     targetMs: call.route.targetMs,
     urgency: urgencyOf(call),
     hasBegun: context.hasBegun || call.resumeAfter !== undefined,
   });
-  if (isLate) return { kind: "refused", reason: "overloaded" };
+  if (returnInMs !== undefined) {
+    return { kind: "refused", reason: "overloaded", returnInMs };
+  }
   return { kind: "placed", server: view.server, choice, cache };
 }
 
--- a/packages/request-path/src/turn_away.ts
+++ b/packages/request-path/src/turn_away.ts
@@ -26,23 +26,27 @@
 const TOKENS_PER_MS = 28;
 /** A shorter queue says nothing: the engine may be idle by the next message. */
 const MIN_AHEAD_TOKENS = 4_000;
-/** Placements that other daemons have not told yet take the rest. */
-const TARGET_SHARE = 0.8;
 /** The most urgent prompts overtake others at the engine. */
 const URGENT_FACTOR = 1.5;
+/** Returning sooner costs a caller a connection and gains it nothing. */
+const MIN_RETURN_MS = 250;
 
 /**
- * Whether the prompt would begin so late that it is better refused now.
+ * Milliseconds after which a prompt that would begin too late should return:
+ * the time in which the queue falls below its target. Undefined when it should
+ * be taken.
  *
  * @example
  * ```ts
- * if (beginsTooLate(prompt)) refuse("overloaded");
+ * const returnInMs = turnAway(prompt);
+ * if (returnInMs !== undefined) refuse({ retryAfterMs: returnInMs });
  * ```
  */
-export function beginsTooLate(prompt: WaitingPrompt): boolean {
+export function turnAway(prompt: WaitingPrompt): number | undefined {
   const { tokensAhead, tokensToRead, targetMs, urgency, hasBegun } = prompt;
-  if (hasBegun || tokensAhead < MIN_AHEAD_TOKENS) return false;
+  if (hasBegun || tokensAhead < MIN_AHEAD_TOKENS) return undefined;
   const beginsInMs = (tokensAhead + tokensToRead) / TOKENS_PER_MS;
-  const factor = urgency === 0 ? URGENT_FACTOR : TARGET_SHARE;
-  return beginsInMs > targetMs * factor;
+  const limitMs = targetMs * (urgency === 0 ? URGENT_FACTOR : 1);
+  if (beginsInMs <= limitMs) return undefined;
+  return Math.max(MIN_RETURN_MS, beginsInMs - limitMs);
 }
