Let one daemon of a failure domain read servers, however rare the records

Cause: a daemon read the list of servers itself when no record had come for 1,200 ms. The list changes less often than that, so each of 9 daemons made 77 to 137 reads in 43 s where one of each failure domain should have read. At 81 daemons messages to each came every 1,400 ms, past the 1,200 ms after which a daemon counts as out of reach.

Daemons tell how old their own read is; the next in rendezvous order takes over 100 ms apart. Daemons of the own failure domain are told in rounds of 600 ms at most, others in rounds of 1,800 ms, and reach and the life of told work follow the round. The choice of the reader moves from the adapter to the fleet package.

--- a/packages/fleet/src/fleet_channel.ts
+++ b/packages/fleet/src/fleet_channel.ts
@@ -15,21 +15,41 @@
   readonly ip: string;
   readonly port: number;
   readonly scheduler: Scheduler;
-  /** Time between two messages to each daemon. */
-  readonly intervalMs: number;
-  /** Daemons told in each interval; larger fleets are told in turn. */
-  readonly fanOut: number;
   compose(): FleetMessage;
-  addresses(): readonly string[];
+  addresses(): FleetAddresses;
   hear(message: FleetMessage): void;
   failed(reason: string): void;
 }
 
+/** Where the other daemons are. */
+export interface FleetAddresses {
+  /** Of the same failure domain. */
+  readonly near: readonly string[];
+  readonly far: readonly string[];
+}
+
+/** Daemons know each other's work and spending about this old. */
+const INTERVAL_MS = 200;
+/** 27 daemons of a failure domain are told within 600 ms. */
+const NEAR_FAN_OUT = 12;
+/** 54 daemons of others within 1,800 ms; their bytes are charged. */
+const FAR_FAN_OUT = 6;
+
+/** Milliseconds in which every daemon is told, given how many there are. */
+export function roundMs(
+  count: { readonly near: number; readonly far: number },
+) {
+  const near = Math.ceil(count.near / NEAR_FAN_OUT);
+  const far = Math.ceil(count.far / FAR_FAN_OUT);
+  return { near: near * INTERVAL_MS, far: far * INTERVAL_MS };
+}
+
 /** A running channel. */
 export class FleetChannel {
   readonly #options: FleetChannelOptions;
   readonly #socket: Socket;
-  #next = 0;
+  #nextNear = 0;
+  #nextFar = 0;
   #hasClosed = false;
   #cancel = () => {};
 
@@ -46,13 +66,15 @@
 
   /** Tells every daemon at once, such as about an order that begins. */
   tellAll(): void {
-    this.#send(this.#options.addresses());
+    const { near, far } = this.#options.addresses();
+    this.#send([...near, ...far]);
   }
 
   /** Sends a last message to every daemon and speaks no more. */
   close(last: FleetMessage): void {
     this.#cancel();
-    this.#sendBytes(this.#options.addresses(), encode(last));
+    const { near, far } = this.#options.addresses();
+    this.#sendBytes([...near, ...far], encode(last));
     this.#hasClosed = true;
   }
 
@@ -64,22 +86,19 @@
 
   #tick(): void {
     if (this.#hasClosed) return;
-    const { scheduler, intervalMs } = this.#options;
-    this.#cancel = scheduler.after(intervalMs, () => this.#tick());
+    const { scheduler } = this.#options;
+    this.#cancel = scheduler.after(INTERVAL_MS, () => this.#tick());
     this.#send(this.#turn());
   }
 
-  /** The daemons to tell in this interval. */
+  /** The daemons to tell in this interval; large fleets are told in turn. */
   #turn(): readonly string[] {
-    const { fanOut } = this.#options;
-    const addresses = this.#options.addresses();
-    if (addresses.length <= fanOut) return addresses;
-    const turn: string[] = [];
-    for (let count = 0; count < fanOut; count++) {
-      this.#next = (this.#next + 1) % addresses.length;
-      turn.push(addresses[this.#next]!);
-    }
-    return turn;
+    const { near, far } = this.#options.addresses();
+    const nearTurn = takeTurn(near, this.#nextNear, NEAR_FAN_OUT);
+    const farTurn = takeTurn(far, this.#nextFar, FAR_FAN_OUT);
+    this.#nextNear = nearTurn.next;
+    this.#nextFar = farTurn.next;
+    return [...nearTurn.items, ...farTurn.items];
   }
 
   #send(addresses: readonly string[]): void {
@@ -100,3 +119,13 @@
 function encode(message: FleetMessage): Buffer {
   return Buffer.from(JSON.stringify(message));
 }
+
+/** Up to `count` items from the position on, around the end. */
+function takeTurn(items: readonly string[], from: number, count: number) {
+  if (items.length <= count) return { items, next: 0 };
+  const turn = Array.from(
+    { length: count },
+    (_, index) => items[(from + index) % items.length]!,
+  );
+  return { items: turn, next: (from + count) % items.length };
+}
--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -5,13 +5,23 @@
  * @module
  */
 
-import type { BackendServerId, TeamId, VmId } from "@endivebend/types";
+import type {
+  BackendServerId,
+  FailureDomainId,
+  TeamId,
+  VmId,
+} from "@endivebend/types";
+import { type FleetAddresses, roundMs } from "./fleet_channel.ts";
 import type { FleetMessage } from "./message.ts";
 
 /** A daemon that has said nothing for this long is out of reach. */
-const REACH_MS = 1_200;
+const MIN_REACH_MS = 1_200;
+/** In a large fleet, one that has not been heard for this many rounds. */
+const REACH_ROUNDS = 2.5;
 /** Work told longer ago than this has likely ended. */
-const WORK_LIFE_MS = 1_000;
+const MIN_WORK_LIFE_MS = 1_000;
+/** In a large fleet, work lasts until it is told again. */
+const WORK_ROUNDS = 1.5;
 /**
  * A daemon out of reach keeps its share of the limits for this long; partitions
  * of the users' sites last up to 12 s.
@@ -42,10 +52,12 @@
 /** The other daemons. */
 export class FleetState {
   readonly #self: VmId;
+  readonly #failureDomain: FailureDomainId;
   readonly #members = new Map<VmId, FleetMember>();
 
-  constructor(self: VmId) {
+  constructor(self: VmId, failureDomain: FailureDomainId) {
     this.#self = self;
+    this.#failureDomain = failureDomain;
   }
 
   /** Takes a daemon from the platform's list. */
@@ -88,9 +100,31 @@
 
   /** Daemons heard lately. */
   reachable(nowMs: number): FleetMember[] {
-    return this.members().filter(({ message, heardAtMs }) =>
-      message !== undefined && nowMs - heardAtMs < REACH_MS
-    );
+    const round = this.#round();
+    return this.members().filter((member) => {
+      const reachMs = Math.max(
+        MIN_REACH_MS,
+        REACH_ROUNDS * (this.#isNear(member) ? round.near : round.far),
+      );
+      return member.message !== undefined &&
+        nowMs - member.heardAtMs < reachMs;
+    });
+  }
+
+  /** Milliseconds in which every daemon has told every other one. */
+  get roundMs(): number {
+    const { near, far } = this.#round();
+    return Math.max(near, far);
+  }
+
+  /** Addresses of all daemons that may be alive. */
+  addresses(): FleetAddresses {
+    const near: string[] = [];
+    const far: string[] = [];
+    for (const member of this.#members.values()) {
+      (this.#isNear(member) ? near : far).push(member.address);
+    }
+    return { near, far };
   }
 
   /** Share of the fleet that is in reach, this daemon included. */
@@ -111,8 +145,9 @@
   ): { readonly running: number; readonly prefillTokens: number } {
     let running = 0;
     let prefillTokens = 0;
+    const lifeMs = Math.max(MIN_WORK_LIFE_MS, WORK_ROUNDS * this.roundMs);
     for (const { message, heardAtMs } of this.#members.values()) {
-      if (nowMs - heardAtMs > WORK_LIFE_MS) continue;
+      if (nowMs - heardAtMs > lifeMs) continue;
       const work = message?.work[server];
       running += work?.[0] ?? 0;
       prefillTokens += work?.[1] ?? 0;
@@ -120,6 +155,19 @@
     return { running, prefillTokens };
   }
 
+  /** Daemons that have only been listed may be of any failure domain. */
+  #isNear({ message }: FleetMember): boolean {
+    return message?.failureDomain === this.#failureDomain;
+  }
+
+  #round() {
+    let near = 0;
+    for (const member of this.#members.values()) {
+      if (this.#isNear(member)) near += 1;
+    }
+    return roundMs({ near, far: this.#members.size - near });
+  }
+
   #forgetEnded(nowMs: number): void {
     for (const [vm, { heardAtMs }] of this.#members) {
       if (nowMs - heardAtMs > MEMBER_LIFE_MS) this.#members.delete(vm);
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -30,12 +30,17 @@
     placed: {},
     kept: {},
     records: {},
+    readAgesMs: {},
     ...fields,
   };
 }
 
+function newState(): FleetState {
+  return new FleetState(brandId<VmId>("vm-1"), brandId<FailureDomainId>("a"));
+}
+
 test("spending counts once, however messages are lost or reordered", (t) => {
-  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  const fleet = newState();
   t.deepEqual(fleet.hear(message(), 0)?.spent, []);
   const later = message({ sequence: 5, spent: { [TEAM]: 130 } });
   t.deepEqual(fleet.hear(later, 10)?.spent, [{ team: TEAM, units: 30 }]);
@@ -43,7 +48,7 @@
 });
 
 test("a restarted daemon's spending starts anew", (t) => {
-  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  const fleet = newState();
   fleet.hear(message({ sequence: 9 }), 0);
   const restarted = message({
     incarnation: brandId<IncarnationId>("second"),
@@ -53,7 +58,7 @@
 });
 
 test("a daemon out of reach keeps its share until it has long been gone", (t) => {
-  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  const fleet = newState();
   fleet.hear(message(), 0);
   t.is(fleet.reachableShare(100), 1);
   t.is(fleet.reachableShare(5_000), 0.5);
@@ -61,14 +66,14 @@
 });
 
 test("a daemon that says it leaves gives its share back at once", (t) => {
-  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  const fleet = newState();
   fleet.hear(message(), 0);
   fleet.hear(message({ sequence: 2, isLeaving: true }), 10);
   t.is(fleet.size, 1);
 });
 
 test("work that was told long ago no longer counts", (t) => {
-  const fleet = new FleetState(brandId<VmId>("vm-1"));
+  const fleet = newState();
   fleet.hear(message(), 0);
   t.deepEqual(fleet.workAt(SERVER, 500), { running: 2, prefillTokens: 900 });
   t.deepEqual(fleet.workAt(SERVER, 2_000), { running: 0, prefillTokens: 0 });
@@ -80,3 +85,23 @@
   const bytes = Buffer.from(JSON.stringify(message()));
   t.deepEqual(parseFleetMessage(bytes), message());
 });
+
+test("a large fleet keeps those in reach who are told of in turn", (t) => {
+  const fleet = newState();
+  for (let index = 2; index <= 82; index++) {
+    const failureDomain = brandId<FailureDomainId>("abc"[index % 3]!);
+    const vm = brandId<VmId>(`vm-${index}`);
+    fleet.hear(message({ vm, failureDomain }), 0);
+  }
+  // 54 daemons of other domains speak every 1,800 ms.
+  t.is(fleet.reachable(1_300).length, 81);
+  t.is(fleet.reachable(1_900).length, 54);
+  t.deepEqual(fleet.workAt(SERVER, 1_900).running, 162);
+  const near = (nowMs: number) =>
+    fleet.reachable(nowMs).filter(({ message }) =>
+      message?.failureDomain === "a"
+    ).length;
+  t.is(near(1_400), 27);
+  t.is(near(1_600), 0);
+  t.is(fleet.reachable(5_000).length, 0);
+});
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -65,6 +65,8 @@
   readonly kept: Readonly<Record<string, readonly KeptNote[]>>;
   /** The offset of the newest record that the sender holds, by topic. */
   readonly records: Readonly<Record<string, number>>;
+  /** How long ago the sender itself read each topic from the store. */
+  readonly readAgesMs: Readonly<Record<string, number>>;
 }
 
 /** Reads a datagram; undefined when it isn't a message of this format. */
@@ -78,6 +80,7 @@
       typeof value.spent === "object" && value.spent !== null &&
       typeof value.work === "object" && value.work !== null &&
       typeof value.records === "object" && value.records !== null &&
+      typeof value.readAgesMs === "object" && value.readAgesMs !== null &&
       typeof value.duty === "object" && value.duty !== null &&
       typeof value.named === "object" && value.named !== null &&
       typeof value.placed === "object" && value.placed !== null &&
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -5,7 +5,7 @@
  */
 
 export { FleetChannel } from "./fleet_channel.ts";
-export type { FleetChannelOptions } from "./fleet_channel.ts";
+export type { FleetAddresses, FleetChannelOptions } from "./fleet_channel.ts";
 export { FleetState } from "./fleet_state.ts";
 export type { FleetMember, Heard, SpentElsewhere } from "./fleet_state.ts";
 export { parseFleetMessage } from "./message.ts";
@@ -17,6 +17,8 @@
   WeightsNote,
   WorkAtServer,
 } from "./message.ts";
+export { shouldRead } from "./reader_choice.ts";
+export type { ReaderInput } from "./reader_choice.ts";
 export { RecordFollower } from "./record_follower.ts";
 export type {
   KeyedRecord,
--- /dev/null
+++ b/packages/fleet/src/reader_choice_test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import {
+  brandId,
+  type FailureDomainId,
+  type IncarnationId,
+  type VmId,
+} from "@endivebend/types";
+import { type FleetMember, type ReaderInput, shouldRead } from "./mod.ts";
+
+const DOMAIN = brandId<FailureDomainId>("a");
+const TOPIC = "servers";
+const VMS = Array.from({ length: 27 }, (_, index) => `vm-${index}`);
+
+function member(
+  vm: string,
+  told: { readonly heardAtMs: number; readonly readAgeMs?: number },
+): FleetMember {
+  const { heardAtMs, readAgeMs } = told;
+  return {
+    vm: brandId<VmId>(vm),
+    address: `10.0.0.1:${vm.length}`,
+    heardAtMs,
+    message: {
+      vm: brandId<VmId>(vm),
+      incarnation: brandId<IncarnationId>("first"),
+      failureDomain: DOMAIN,
+      address: "10.0.0.1:1",
+      sequence: 1,
+      isLeaving: false,
+      reachesStore: true,
+      duty: { epoch: 0 },
+      spent: {},
+      work: {},
+      weights: [],
+      named: {},
+      suspects: [],
+      placed: {},
+      kept: {},
+      records: { [TOPIC]: 7 },
+      readAgesMs: readAgeMs === undefined ? {} : { [TOPIC]: readAgeMs },
+    },
+  };
+}
+
+function input(self: string, fields: Partial<ReaderInput> = {}): ReaderInput {
+  return {
+    self: brandId<VmId>(self),
+    failureDomain: DOMAIN,
+    topic: TOPIC,
+    heldOffset: 7,
+    ownReadAtMs: Number.NEGATIVE_INFINITY,
+    peers: [],
+    nowMs: 10_000,
+    ...fields,
+  };
+}
+
+function readers(readAgeMs: number | undefined): string[] {
+  const first = VMS.find((vm) =>
+    shouldRead(input(vm, {
+      peers: VMS.filter((other) => other !== vm).map((other) =>
+        member(other, { heardAtMs: 10_000, readAgeMs: 0 })
+      ),
+    }))
+  );
+  return VMS.filter((vm) =>
+    shouldRead(input(vm, {
+      peers: VMS.filter((other) => other !== vm).map((other) =>
+        member(other, {
+          heardAtMs: 10_000,
+          readAgeMs: other === first ? readAgeMs : undefined,
+        })
+      ),
+    }))
+  );
+}
+
+test("one daemon of a failure domain reads, however rare the records", (t) => {
+  t.is(readers(400).length, 1);
+});
+
+test("the next in order read first when the reader falls silent", (t) => {
+  const atOnce = readers(1_350).length;
+  t.true(atOnce > 1 && atOnce < 5, `${atOnce} daemons read`);
+  t.is(readers(2_000).length, VMS.length);
+});
+
+test("a daemon that lacks what was read reads by itself", (t) => {
+  const peers = [
+    member("vm-2", { heardAtMs: 10_000, readAgeMs: 0 }),
+    member("vm-3", { heardAtMs: 10_000, readAgeMs: 0 }),
+  ];
+  for (const self of VMS) {
+    t.true(shouldRead(input(self, { peers, heldOffset: 6 })));
+  }
+});
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -61,11 +61,17 @@
   #backoffMs = FIRST_BACKOFF_MS;
   #isLost = false;
   #hasStopped = false;
+  #readAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RecordFollowerOptions) {
     this.#options = options;
   }
 
+  /** When the store last answered a read, on the steady clock. */
+  get readAtMs(): number {
+    return this.#readAtMs;
+  }
+
   start(): void {
     void this.#run();
   }
@@ -87,6 +93,7 @@
   async #step(): Promise<void> {
     try {
       await this.#advance();
+      this.#readAtMs = steadyMs(this.#options.clock);
       this.#backoffMs = FIRST_BACKOFF_MS;
       if (!this.#isLost) return;
       this.#isLost = false;
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -19,6 +19,7 @@
   RecordExchange,
   RecordFollower,
   RecordTable,
+  shouldRead,
   type WeightsNote,
 } from "@endivebend/fleet";
 import { type OrderedEngine, WeightsDutyTask } from "@endivebend/orders";
@@ -64,16 +65,10 @@
 } from "./store_records.ts";
 import { PATHS } from "./wire_names.ts";
 
-/** Daemons know each other's work and spending about this old. */
-const FLEET_INTERVAL_MS = 200;
-/** Daemons told in each interval; a fleet of 82 is told within 1.4 s. */
-const FLEET_FAN_OUT = 12;
 /** The operator's records come at once; a silent connection costs this long. */
 const OPERATOR_WAIT_MS = 8_000;
 /** Entries of servers change all the time; drains allow 2,000 ms. */
 const SERVER_PACE_MS = 400;
-/** Without news from the reader for this long, a daemon reads by itself. */
-const READER_SILENCE_MS = 1_200;
 const REGISTER_RETRY_MS = 1_000;
 const LEAVING_CHECK_MS = 50;
 /** How long peers are told that a server has new weights. */
@@ -100,6 +95,7 @@
   readonly #incarnation: IncarnationId;
   readonly #admission: AdmissionController;
   readonly #tables: ReadonlyMap<string, RecordTable>;
+  readonly #serverFollower: RecordFollower;
   readonly #followers: readonly RecordFollower[];
   readonly #exchange: RecordExchange;
   readonly #channel: FleetChannel;
@@ -112,7 +108,6 @@
   #sequence = 0;
   #hasServers = false;
   #hasListedRecords = false;
-  #serversChangedAtMs = Number.NEGATIVE_INFINITY;
   #leavingSinceMs: number | undefined;
 
   constructor(settings: PlatformSettings) {
@@ -126,10 +121,13 @@
     });
     this.#log.milestone("start", { incarnation: this.#incarnation });
     this.#store = new StoreClient(settings.storeAddress);
-    this.#fleet = new FleetState(settings.vm);
+    this.#fleet = new FleetState(settings.vm, settings.failureDomain);
+    this.#registry.recentParts.useRound(() => this.#fleet.roundMs);
     this.#admission = this.#createAdmission();
     this.#tables = this.#createTables();
-    this.#followers = this.#createFollowers();
+    const followers = this.#createFollowers();
+    this.#serverFollower = followers.servers;
+    this.#followers = [followers.operator, followers.servers];
     this.#exchange = new RecordExchange({
       ip: settings.ip,
       port: settings.firstPeerPort + 1,
@@ -239,7 +237,6 @@
         SERVER_TOPIC,
         new RecordTable((records) => {
           this.#hasServers = true;
-          this.#serversChangedAtMs = this.#nowMs();
           applyServerRecords(records, { sinks, nowMs: this.#nowMs() });
         }),
       ],
@@ -257,7 +254,7 @@
     this.#log.decision("weights_named", { model, weights });
   }
 
-  #createFollowers(): RecordFollower[] {
+  #createFollowers() {
     const shared = { clock: this.#clock, scheduler: this.#scheduler };
     const follow = (
       topic: string,
@@ -275,28 +272,30 @@
         lost: (reason) => this.#log.milestone("store_lost", { topic, reason }),
         regained: () => this.#log.milestone("store_regained", { topic }),
       });
-    return [
-      follow(OPERATOR_TOPIC, { waitMs: OPERATOR_WAIT_MS, paceMs: 0 }),
-      follow(SERVER_TOPIC, {
+    return {
+      operator: follow(OPERATOR_TOPIC, {
+        waitMs: OPERATOR_WAIT_MS,
+        paceMs: 0,
+      }),
+      servers: follow(SERVER_TOPIC, {
         waitMs: 0,
         paceMs: SERVER_PACE_MS,
         isReader: () => this.#isReader(),
       }),
-    ];
+    };
   }
 
-  /** One daemon of a failure domain reads the list of servers for all. */
   #isReader(): boolean {
     const nowMs = this.#nowMs();
-    if (nowMs - this.#serversChangedAtMs > READER_SILENCE_MS) return true;
-    const { vm, failureDomain } = this.#settings;
-    const others = this.#fleet.reachable(nowMs)
-      .filter(({ message }) =>
-        message?.failureDomain === failureDomain && message.reachesStore
-      )
-      .map((member) => member.vm);
-    const [reader] = rankByRendezvous(failureDomain, [...others, vm]);
-    return reader === vm;
+    return shouldRead({
+      self: this.#settings.vm,
+      failureDomain: this.#settings.failureDomain,
+      topic: SERVER_TOPIC,
+      heldOffset: this.#tables.get(SERVER_TOPIC)?.highestOffset ?? -1,
+      ownReadAtMs: this.#serverFollower.readAtMs,
+      peers: this.#fleet.reachable(nowMs),
+      nowMs,
+    });
   }
 
   #createChannel(): FleetChannel {
@@ -305,15 +304,13 @@
       ip,
       port: firstPeerPort,
       scheduler: this.#scheduler,
-      intervalMs: FLEET_INTERVAL_MS,
-      fanOut: FLEET_FAN_OUT,
       compose: () => this.#compose(),
-      addresses: () => [
-        ...new Set([
-          ...this.#seeds,
-          ...this.#fleet.members().map(({ address }) => address),
-        ]),
-      ],
+      addresses: () => {
+        const { near, far } = this.#fleet.addresses();
+        const known = new Set([...near, ...far]);
+        const unheard = [...this.#seeds].filter((seed) => !known.has(seed));
+        return { near, far: [...far, ...unheard] };
+      },
       hear: (message) => this.#hear(message),
       failed: (reason) => this.#log.decision("peer_send_failed", { reason }),
     });
@@ -348,9 +345,16 @@
       placed: this.#registry.recentParts.fresh(this.#nowMs()),
       kept: this.#watch.news() as Record<string, KeptChange[]>,
       records,
+      readAgesMs: this.#readAges(),
     };
   }
 
+  /** Topics that this daemon reads itself, and how long ago it did. */
+  #readAges(): Record<string, number> {
+    const ageMs = this.#nowMs() - this.#serverFollower.readAtMs;
+    return Number.isFinite(ageMs) ? { [SERVER_TOPIC]: Math.round(ageMs) } : {};
+  }
+
   #freshNotes(): WeightsNote[] {
     const nowMs = this.#nowMs();
     const fresh: WeightsNote[] = [];
@@ -468,6 +472,7 @@
       memories: () => this.#memories(),
       peers: () =>
         this.#fleet.reachable(this.#nowMs()).map((member) => member.vm),
+      roundMs: () => this.#fleet.roundMs,
       decision: (step, fields) => this.#log.decision(step, fields),
     });
   }
--- a/packages/request-path/src/kept_parts_watch.ts
+++ b/packages/request-path/src/kept_parts_watch.ts
@@ -48,6 +48,8 @@
   memories(): readonly WatchedMemory[];
   /** The other daemons in reach. */
   peers(): readonly VmId[];
+  /** How long it takes until every daemon has been told. */
+  roundMs(): number;
   decision(step: string, fields: Readonly<Record<string, unknown>>): void;
 }
 
@@ -57,8 +59,8 @@
 const PACE_MS = 400;
 /** A memory that does not answer is left alone for this long. */
 const SILENT_MS = 1_000;
-/** A change is told in several messages, of which some may be lost. */
-const TOLD_MS = 650;
+/** A change is told in three messages of a small fleet. */
+const MIN_TOLD_MS = 650;
 
 /**
  * The memories that a daemon watches, by rendezvous hashing over the daemons
@@ -176,10 +178,11 @@
     const changes = [...newest.values()];
     registry.noteReported(memory.id, changes, nowMs);
     this.#answeredAtMs.set(memory.id, nowMs);
+    const untilMs = nowMs + Math.max(MIN_TOLD_MS, this.#options.roundMs());
     const told = this.#told.get(memory.id) ?? new Map();
     this.#told.set(memory.id, told);
     for (const change of changes) {
-      told.set(change[0], { change, untilMs: nowMs + TOLD_MS });
+      told.set(change[0], { change, untilMs });
     }
   }
 
--- a/packages/request-path/src/kept_parts_watch_test.ts
+++ b/packages/request-path/src/kept_parts_watch_test.ts
@@ -35,6 +35,7 @@
     },
     memories: () => [MEMORY],
     peers: () => [],
+    roundMs: () => 200,
     decision() {},
   });
   const expected = () =>
--- a/packages/request-path/src/recent_parts.ts
+++ b/packages/request-path/src/recent_parts.ts
@@ -9,8 +9,8 @@
 import type { PartKey } from "./kept_parts.ts";
 import type { MemoryId } from "./server_registry.ts";
 
-/** A placement is told in three messages, of which two may be lost. */
-const TOLD_MS = 650;
+/** A placement is told in three messages of a small fleet. */
+const MIN_TOLD_MS = 650;
 
 interface PlacedPart {
   readonly memory: MemoryId;
@@ -21,14 +21,21 @@
 /** Placements in the order in which they were made. */
 export class RecentParts {
   #placed: PlacedPart[] = [];
+  #roundMs: () => number = () => 0;
+
+  /** Sets how long it takes until every daemon has been told. */
+  useRound(roundMs: () => number): void {
+    this.#roundMs = roundMs;
+  }
 
   add(
     memory: MemoryId,
     parts: readonly PartKey[],
     nowMs: number,
   ): void {
+    const untilMs = nowMs + Math.max(MIN_TOLD_MS, this.#roundMs());
     for (const part of parts) {
-      this.#placed.push({ memory, part, untilMs: nowMs + TOLD_MS });
+      this.#placed.push({ memory, part, untilMs });
     }
   }
 
