Compress the messages between daemons

Messages go as raw deflate; a text above 1 MiB is refused. Composed once for all receivers of a turn.

--- a/packages/fleet/src/fleet_channel.ts
+++ b/packages/fleet/src/fleet_channel.ts
@@ -8,7 +8,11 @@
 
 import { createSocket, type Socket } from "node:dgram";
 import type { Scheduler } from "@endivebend/clock";
-import { type FleetMessage, parseFleetMessage } from "./message.ts";
+import {
+  encodeFleetMessage,
+  type FleetMessage,
+  parseFleetMessage,
+} from "./message.ts";
 
 /** Where the channel listens and how often it speaks. */
 export interface FleetChannelOptions {
@@ -74,7 +78,7 @@
   close(last: FleetMessage): void {
     this.#cancel();
     const { near, far } = this.#options.addresses();
-    this.#sendBytes([...near, ...far], encode(last));
+    this.#sendBytes([...near, ...far], encodeFleetMessage(last));
     this.#hasClosed = true;
   }
 
@@ -103,7 +107,7 @@
 
   #send(addresses: readonly string[]): void {
     if (this.#hasClosed || addresses.length === 0) return;
-    this.#sendBytes(addresses, encode(this.#options.compose()));
+    this.#sendBytes(addresses, encodeFleetMessage(this.#options.compose()));
   }
 
   #sendBytes(addresses: readonly string[], bytes: Buffer): void {
@@ -116,10 +120,6 @@
   }
 }
 
-function encode(message: FleetMessage): Buffer {
-  return Buffer.from(JSON.stringify(message));
-}
-
 /** Up to `count` items from the position on, around the end. */
 function takeTurn(items: readonly string[], from: number, count: number) {
   if (items.length <= count) return { items, next: 0 };
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync } from "node:zlib";
 import test from "ava";
 import {
   type BackendServerId,
@@ -7,7 +8,12 @@
   type TeamId,
   type VmId,
 } from "@endivebend/types";
-import { type FleetMessage, FleetState, parseFleetMessage } from "./mod.ts";
+import {
+  encodeFleetMessage,
+  type FleetMessage,
+  FleetState,
+  parseFleetMessage,
+} from "./mod.ts";
 
 const TEAM = brandId<TeamId>("st-mary");
 const SERVER = brandId<BackendServerId>("e");
@@ -81,9 +87,10 @@
 
 test("bytes that are no message are left aside", (t) => {
   t.is(parseFleetMessage(Buffer.from("{")), undefined);
-  t.is(parseFleetMessage(Buffer.from('{"vm":1}')), undefined);
-  const bytes = Buffer.from(JSON.stringify(message()));
-  t.deepEqual(parseFleetMessage(bytes), message());
+  for (const text of ["{", '{"vm":1}', `"${"x".repeat(2_000_000)}"`]) {
+    t.is(parseFleetMessage(deflateRawSync(text)), undefined);
+  }
+  t.deepEqual(parseFleetMessage(encodeFleetMessage(message())), message());
 });
 
 test("a large fleet keeps those in reach who are told of in turn", (t) => {
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -69,10 +70,19 @@
   readonly readAgesMs: Readonly<Record<string, number>>;
 }
 
+/** A message holds some 3 KB of JSON; a larger text is none. */
+const MAX_TEXT_BYTES = 1_048_576;
+
+/** Makes the datagram; bytes between failure domains are charged. */
+export function encodeFleetMessage(message: FleetMessage): Buffer {
+  return deflateRawSync(JSON.stringify(message));
+}
+
 /** Reads a datagram; undefined when it isn't a message of this format. */
 export function parseFleetMessage(bytes: Buffer): FleetMessage | undefined {
   try {
-    const value = JSON.parse(bytes.toString("utf8")) as Partial<FleetMessage>;
+    const text = inflateRawSync(bytes, { maxOutputLength: MAX_TEXT_BYTES });
+    const value = JSON.parse(text.toString("utf8")) as Partial<FleetMessage>;
     const isMessage = typeof value.vm === "string" &&
       typeof value.incarnation === "string" &&
       typeof value.address === "string" &&
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -8,7 +8,7 @@
 export type { FleetAddresses, FleetChannelOptions } from "./fleet_channel.ts";
 export { FleetState } from "./fleet_state.ts";
 export type { FleetMember, Heard, SpentElsewhere } from "./fleet_state.ts";
-export { parseFleetMessage } from "./message.ts";
+export { encodeFleetMessage, parseFleetMessage } from "./message.ts";
 export type {
   DutyNote,
   FleetMessage,
