Divide engines into some for short prompts and some for long ones

Cause: on the grown sites an event holds 6 tokens, and each step of an engine may carry a piece of a prompt of some 73 ms. Of 509 short prompts before any trouble 255 had a pause above the 400 ms that callers accept, with a median of 403 ms and 75% below 455 ms; only 10 began late.

Where a service's events hold so many tokens, a third of its engines, the same for every daemon, is for prompts of two pieces at most. Either pool takes the other's prompts when its own would cost 400 ms more. The small sites have events of 4 tokens and are not divided. The log's end line tells the longest pause.

Ruled out: late first events (10 of 509) and the daemons' own links.

--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -116,9 +116,12 @@
 }
 
 function decodeService(fields: Fields): ServiceRules {
+  const engine = asObject(fields["engine"]);
   return {
     name: brandId<ServiceName>(String(fields["name"])),
     maxConnections: numberOr(fields["max_conns"], 0),
+    // The wire's name says a stride; it is the number of tokens in an event.
+    tokensPerEvent: numberOr(engine?.["stride"], 1),
   };
 }
 
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -26,7 +26,7 @@
 export interface AdmissionOptions {
   readonly context: Omit<
     CallContext,
-    "tryRepeat" | "ended" | "maxOwnAt" | "cacheStores"
+    "tryRepeat" | "ended" | "maxOwnAt" | "tokensPerEvent" | "cacheStores"
   >;
   readonly bounds: AdmissionBounds;
   /** Daemons of the fleet, this one included. */
@@ -66,6 +66,8 @@
     this.#context = {
       ...options.context,
       maxOwnAt: (service) => this.#maxOwnAt(service),
+      tokensPerEvent: (service) =>
+        this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
       tryRepeat: (call) => this.#tryRepeat(call),
       ended: (call, { hasRun }) => {
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -79,6 +79,8 @@
   #isBlocked = false;
   /** From the start to the first bytes of an answer. */
   #firstByteMs: number | undefined;
+  /** Between two pieces of the answer; a stream with a long one is late. */
+  #longestPauseMs = 0;
   /** Attempts that may have run the call. */
   #ranAttempts = 0;
   #unrunAttempts = 0;
@@ -250,6 +252,10 @@
 
   #onData(attempt: Attempt, chunk: Buffer): void {
     if (this.#attempt !== attempt) return;
+    if (this.#firstByteMs !== undefined) {
+      const pauseMs = this.#nowMs() - attempt.lastProgressMs;
+      this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    }
     this.#noteProgress(attempt);
     const work = attempt.server.own.get(this.#call.requestId);
     if (work !== undefined) work.prefillTokens = 0;
@@ -418,6 +424,7 @@
     this.#note("end", {
       outcome,
       firstByteMs: this.#firstByteMs && Math.round(this.#firstByteMs),
+      longestPauseMs: Math.round(this.#longestPauseMs),
       durationMs: Math.round(durationMs),
     });
     const hasRun = this.#ranAttempts > 0 || this.#relay.hasBegun ||
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -9,6 +9,7 @@
 
 import { rendezvousWeight } from "@endivebend/routing";
 import type { BackendServerId } from "@endivebend/types";
+import { assignPools, poolOf, type PromptPool } from "./prompt_pools.ts";
 
 /** What the choice needs to know of a call. */
 export interface ChoiceRequest {
@@ -22,6 +23,8 @@
   readonly affinityKey: string;
   /** Where this daemon runs. */
   readonly failureDomain: string;
+  /** Whether long prompts must be kept apart from short ones. */
+  readonly usesPools: boolean;
 }
 
 /** What is known of one server at the time of the choice. */
@@ -76,6 +79,8 @@
 const FAILURE_COST_MS = 1_500;
 /** An engine takes new weights in 390 ms once its runs have ended. */
 const LOADING_COST_MS = 1_000;
+/** Less than reading a long prompt's shared parts costs, 490 ms. */
+const FOREIGN_POOL_COST_MS = 400;
 /** Avoided servers are used when no other is left. */
 const AVOIDED_COST_MS = 100_000;
 
@@ -92,16 +97,26 @@
   request: ChoiceRequest,
   candidates: readonly Candidate[],
 ): Choice | undefined {
-  const home = homeOf(request.affinityKey, candidates);
+  const pools = request.usesPools
+    ? assignPools(candidates.map(({ id }) => id))
+    : new Map<BackendServerId, PromptPool>();
+  const ownPool = poolOf(request.promptTokens ?? 0);
+  const isForeign = ({ id }: Candidate) =>
+    (pools.get(id) ?? ownPool) !== ownPool;
+  const home = homeOf(
+    request.affinityKey,
+    candidates.filter((candidate) => !isForeign(candidate)),
+  );
   let best: Choice | undefined;
   let bestWeight = -1;
   for (const candidate of candidates) {
     const cachedTokens = candidate.id === home
       ? Math.max(candidate.cachedTokens, request.sharedTokens * PRESUMED_SHARE)
       : candidate.cachedTokens;
+    const poolMs = isForeign(candidate) ? FOREIGN_POOL_COST_MS : 0;
     const scoreMs = request.promptTokens === undefined
       ? plainScoreMs(request, candidate)
-      : modelScoreMs(request, { candidate, cachedTokens });
+      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs;
     const weight = rendezvousWeight(request.affinityKey, candidate.id);
     const isBetter = best === undefined || scoreMs < best.scoreMs ||
       (scoreMs === best.scoreMs && weight > bestWeight);
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -18,6 +18,7 @@
 import { type KeptTokens, type PartKey, partKey } from "./kept_parts.ts";
 import type { WeightsHistory } from "./named_weights.ts";
 import type { KnownServer, ServerRegistry } from "./server_registry.ts";
+import { needsPools } from "./prompt_pools.ts";
 import { turnAway } from "./turn_away.ts";
 import {
   type CacheScope,
@@ -36,6 +37,8 @@
   readonly weightsBoundMs: number;
   /** Connections of this daemon to one server, by service. */
   readonly maxOwnAt: (service: Call["service"]) => number;
+  /** Tokens in one event of a service's streams. */
+  readonly tokensPerEvent: (service: Call["service"]) => number;
   /** Addresses of the stores of prompt parts that answer. */
   readonly cacheStores: () => readonly string[];
 }
@@ -126,6 +129,10 @@
     fetchableTokens: Math.max(0, ...open.map(({ kept }) => kept.read)),
     affinityKey: sharedParts(call).at(-1)?.id ?? call.requestId,
     failureDomain: context.failureDomain,
+    usesPools: needsPools({
+      tokensPerEvent: context.tokensPerEvent(call.service),
+      maxGapMs: call.route.maxGapMs,
+    }),
   }, open.map((view) => candidateOf(view, context)));
   const view = open.find(({ server }) => server.listed.id === choice?.id);
   if (choice === undefined || view === undefined) {
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -239,6 +239,7 @@
     namedWeights: () => [],
     weightsBoundMs: 8_000,
     maxOwnAt: () => 50,
+    tokensPerEvent: () => 4,
     cacheStores: () => [],
     log: { decision() {} },
     metrics: { count() {}, observeMs() {} },
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -92,6 +92,8 @@
   readonly name: ServiceName;
   /** Connections that one server accepts from all callers together. */
   readonly maxConnections: number;
+  /** Tokens that an event of a stream holds; 1 for plain services. */
+  readonly tokensPerEvent: number;
 }
 
 /** Limits on what a caller may send. */
