Take the daemon's decisions out of the adapter

Cause: daemon.ts of the adapter decided who reads the list of servers, what peers are told and which engines need orders, and kept the daemon's state.

A prompt's store of parts is chosen by its last shared part instead of the first of the list.

--- /dev/null
+++ b/packages/front/src/engine_views.ts
@@ -0,0 +1,69 @@
+/**
+ * Which engines may need new weights, and which memories of prompt parts are
+ * to be watched.
+ *
+ * @module
+ */
+
+import type { OrderedEngine } from "@endivebend/orders";
+import type {
+  KnownServer,
+  MemoryId,
+  NamedWeightsRegistry,
+  ServerRegistry,
+  WatchedMemory,
+} from "@endivebend/request-path";
+
+/**
+ * Engines in reach whose model has named weights. One that is leaving or has
+ * just failed gets no order.
+ *
+ * @example
+ * ```ts
+ * const engines = findOrderedEngines(registry, named, clock.steadyMs());
+ * ```
+ */
+export function findOrderedEngines(
+  registry: ServerRegistry,
+  named: NamedWeightsRegistry,
+  nowMs: number,
+): OrderedEngine[] {
+  return [...registry.all()]
+    .filter((server) => isInReach(server, nowMs))
+    .flatMap((server) =>
+      [...server.listed.weights.keys()].flatMap((model) => {
+        const namedWeights = named.newest(model);
+        if (namedWeights === undefined) return [];
+        return [{
+          id: server.listed.id,
+          address: server.listed.address,
+          model,
+          weights: registry.weightsOf(server, model) ?? 0,
+          namedWeights,
+          running: registry.runningAt(server),
+        }];
+      })
+    );
+}
+
+function isInReach(server: KnownServer, nowMs: number): boolean {
+  return !server.listed.isLeaving && server.lapsedAtMs === undefined &&
+    nowMs >= server.avoidUntilMs;
+}
+
+/** Engines that are listed, and the configured stores of prompt parts. */
+export function findMemories(
+  registry: ServerRegistry,
+  stores: readonly string[],
+): WatchedMemory[] {
+  const engines = [...registry.all()]
+    .filter(({ listed, lapsedAtMs }) =>
+      lapsedAtMs === undefined && listed.weights.size > 0
+    )
+    .map(({ listed: { id, address } }) => ({ id, address }));
+  const storeMemories = stores.map((address) => {
+    registry.storeParts(address);
+    return { id: address as MemoryId, address };
+  });
+  return [...engines, ...storeMemories];
+}
--- /dev/null
+++ b/packages/front/src/front_test.ts
@@ -0,0 +1,200 @@
+import test from "ava";
+import { FleetState, RecordTable } from "@endivebend/fleet";
+import {
+  type AdmissionController,
+  type Configuration,
+  type ListedServer,
+  NamedWeightsRegistry,
+  type PartKey,
+  ServerRegistry,
+  type WeightsNumber,
+} from "@endivebend/request-path";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type IncarnationId,
+  type ModelName,
+  type ServiceName,
+  type TeamId,
+  type VmId,
+} from "@endivebend/types";
+import {
+  findMemories,
+  findOrderedEngines,
+  FleetTalk,
+  type OperatorRecord,
+  RecordIntake,
+} from "./mod.ts";
+
+const MODEL = brandId<ModelName>("m");
+const ENGINE = brandId<BackendServerId>("e-1");
+const TEAM = brandId<TeamId>("st-mary");
+
+function engine(fields: Partial<ListedServer> = {}): ListedServer {
+  return {
+    id: ENGINE,
+    service: brandId<ServiceName>("engines"),
+    address: "10.0.0.1:1",
+    failureDomain: brandId<FailureDomainId>("a"),
+    isLeaving: false,
+    slots: 8,
+    weights: new Map([[MODEL, brandId<WeightsNumber>(1)]]),
+    bornAtMs: 1,
+    ...fields,
+  };
+}
+
+function namedTwo(): NamedWeightsRegistry {
+  const named = new NamedWeightsRegistry();
+  named.name(MODEL, {
+    weights: brandId<WeightsNumber>(2),
+    heardAtMs: 0,
+    isAgeKnown: true,
+  });
+  return named;
+}
+
+/** One daemon's view, with what it was told to have spent. */
+function daemon(name: string) {
+  const registry = new ServerRegistry();
+  registry.upsert(engine());
+  const named = new NamedWeightsRegistry();
+  const vm = brandId<VmId>(name);
+  const failureDomain = brandId<FailureDomainId>("a");
+  const fleet = new FleetState(vm, failureDomain);
+  const heardSpent: number[] = [];
+  let spent = 0;
+  const talk = new FleetTalk({
+    vm,
+    incarnation: brandId<IncarnationId>(`${name}-first`),
+    failureDomain,
+    address: `10.0.0.9:${name.length}`,
+    fleet,
+    registry,
+    admission: {
+      spent: () => ({ [TEAM]: spent }),
+      spentElsewhere: (_team: TeamId, units: number) => heardSpent.push(units),
+    } as unknown as AdmissionController,
+    named,
+    tables: new Map([["operator", new RecordTable(() => {})]]),
+    nowMs: () => 1_000,
+    reachesStore: () => true,
+    dutyEpoch: () => 0,
+    keptNews: () => ({}),
+    readAgesMs: () => ({}),
+  });
+  return {
+    registry,
+    named,
+    fleet,
+    heardSpent,
+    talk,
+    spend(units: number) {
+      spent += units;
+    },
+  };
+}
+
+test("an engine that leaves or has just failed gets no order", (t) => {
+  const registry = new ServerRegistry();
+  registry.upsert(engine());
+  const ids = (nowMs: number) =>
+    findOrderedEngines(registry, namedTwo(), nowMs).map(({ id }) => id);
+  t.deepEqual(ids(0), [ENGINE]);
+  registry.noteFailure(ENGINE, 0);
+  t.deepEqual(ids(100), []);
+  t.deepEqual(ids(10_000), [ENGINE]);
+  registry.upsert(engine({ isLeaving: true }));
+  t.deepEqual(ids(10_000), []);
+});
+
+test("engines and stores are watched, plain servers are not", (t) => {
+  const registry = new ServerRegistry();
+  registry.upsert(engine());
+  registry.upsert(
+    engine({ id: brandId<BackendServerId>("plain"), weights: new Map() }),
+  );
+  const memories = findMemories(registry, ["10.9.9.9:1"]);
+  t.deepEqual(memories.map(({ address }) => address), [
+    "10.0.0.1:1",
+    "10.9.9.9:1",
+  ]);
+});
+
+test("a daemon takes what another has spent, placed and named", (t) => {
+  const one = daemon("one");
+  const two = daemon("second");
+  t.true(two.talk.hear(one.talk.compose()));
+  one.spend(300);
+  const part = "1/|parish" as PartKey;
+  one.registry.recentParts.add(ENGINE, [part], 1_000);
+  one.named.name(MODEL, {
+    weights: brandId<WeightsNumber>(2),
+    heardAtMs: 400,
+    isAgeKnown: true,
+  });
+  const message = one.talk.compose();
+  t.true(two.talk.hear(message));
+  t.deepEqual(two.heardSpent, [300]);
+  t.true(two.registry.sharedParts.has(part));
+  t.is(two.named.history(MODEL)[0]?.heardAtMs, 400);
+  // The same datagram may arrive twice.
+  t.false(two.talk.hear(message));
+  t.deepEqual(two.heardSpent, [300]);
+});
+
+test("a note about older weights does not make an engine load", (t) => {
+  const { talk, registry } = daemon("one");
+  registry.noteWeights(ENGINE, MODEL, brandId<WeightsNumber>(3));
+  const note = { server: ENGINE, model: MODEL, isDone: false };
+  talk.noteWeights({ ...note, weights: 2 });
+  t.is(registry.get(ENGINE)?.loadingUntilMs, 0);
+  talk.noteWeights({ ...note, weights: 4 });
+  t.true((registry.get(ENGINE)?.loadingUntilMs ?? 0) > 1_000);
+});
+
+test("a malformed record changes nothing and is logged", (t) => {
+  const steps: string[] = [];
+  const registry = new ServerRegistry();
+  registry.upsert(engine());
+  const revisions: number[] = [];
+  const intake = new RecordIntake({
+    store: {
+      readOperatorRecord: ({ key }): OperatorRecord =>
+        key === "config"
+          ? {
+            kind: "configuration",
+            configuration: { revision: 4 } as Configuration,
+          }
+          : { kind: "malformed" },
+      readServer: () => undefined,
+    },
+    admission: {
+      configure({ revision }: Configuration) {
+        revisions.push(revision);
+        return false;
+      },
+    } as unknown as AdmissionController,
+    registry,
+    named: new NamedWeightsRegistry(),
+    nowMs: () => 0,
+    applyLimits: () => t.fail("an older configuration set limits"),
+    decision: (step) => steps.push(step),
+  });
+  const value = Buffer.from("{");
+  t.false(intake.hasServers);
+  intake.takeServers([{ key: "e-1", value, offset: 1 }]);
+  intake.takeOperatorRecords([
+    { key: "version/m", value, offset: 2 },
+    { key: "config", value, offset: 3 },
+  ]);
+  t.true(intake.hasServers);
+  t.is(registry.get(ENGINE)?.lapsedAtMs, undefined);
+  t.deepEqual(revisions, [4]);
+  t.deepEqual(steps, [
+    "malformed_record",
+    "malformed_record",
+    "configuration",
+  ]);
+});
--- a/packages/platform/src/daemon_test.ts
+++ b/packages/platform/src/daemon_test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import test from "ava";
 import { brandId } from "@endivebend/types";
-import { Daemon } from "./daemon.ts";
+import { createDaemon } from "./daemon.ts";
 import type { PlatformSettings } from "./settings.ts";
 import { startRawServer } from "./testing.ts";
 import { startStore, type StoreStandIn } from "./testing_store.ts";
@@ -32,12 +32,10 @@
     graceMs: 4_000,
     leaseMs: 3_000,
     weightsBoundMs: 8_000,
-    repeatShare: 0.2,
-    repeatSlack: 58,
-    repeatWindowMs: 10_000,
-    limitOvershoot: 0.1,
-    limitSlack: 0,
-    limitWindowMs: 8_000,
+    bounds: {
+      tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
+      repeats: { windowMs: 10_000, share: 0.2, slack: 58 },
+    },
   };
 }
 
@@ -130,7 +128,7 @@
     );
   });
   const settings = await settingsFor(store);
-  const daemon = new Daemon(settings);
+  const daemon = createDaemon(settings);
   daemon.start();
 
   const early = await send(settings, "/book/1");
@@ -191,7 +189,7 @@
     setTimeout(() => socket.write("id: 2\n\n\n\n"), 300);
   });
   const settings = await settingsFor(store);
-  const daemon = new Daemon(settings);
+  const daemon = createDaemon(settings);
   daemon.start();
   store.put("keyed.op", "config", CONFIGURATION);
   store.put("keyed.servers", "i-1", {
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -11,9 +11,9 @@
   type ServerResponse,
 } from "node:http";
 import { type Clock, steadyMs } from "@endivebend/clock";
+import type { CallerListener, ListenerTools } from "@endivebend/front";
 import {
   type Admission,
-  type AdmissionController,
   type Call,
   type CallerLimits,
   type CallerSink,
@@ -35,13 +35,10 @@
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
 /** What the front door needs of its neighbours. */
-export interface IngressOptions {
+export interface IngressOptions extends ListenerTools {
   readonly endpoint: Endpoint;
-  readonly admission: AdmissionController;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  /** Whether the daemon is about to end. */
-  isLeaving(): boolean;
 }
 
 /** Node.js fixes its limit at start; configurations ask for 16,384 bytes. */
@@ -65,7 +62,7 @@
 };
 
 /** The running listener. */
-export class IngressListener {
+export class IngressListener implements CallerListener {
   readonly #options: IngressOptions;
   readonly #server: Server;
   #open = 0;
--- a/packages/platform/src/main.ts
+++ b/packages/platform/src/main.ts
@@ -4,10 +4,10 @@
  * @module
  */
 
-import { Daemon } from "./daemon.ts";
+import { createDaemon } from "./daemon.ts";
 import { readSettings } from "./settings.ts";
 
-const daemon = new Daemon(readSettings());
+const daemon = createDaemon(readSettings());
 daemon.start();
 const stop = () => daemon.stop(() => process.exit(0));
 process.on("SIGTERM", stop);
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -4,6 +4,6 @@
  * @module
  */
 
-export { Daemon } from "./daemon.ts";
+export { createDaemon } from "./daemon.ts";
 export { parseSettings, readSettings } from "./settings.ts";
 export type { PlatformSettings } from "./settings.ts";
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -5,34 +5,18 @@
  */
 
 import { readFileSync } from "node:fs";
+import type { FrontSettings } from "@endivebend/front";
 import { brandId, type FailureDomainId, type VmId } from "@endivebend/types";
 
 /** The settings of one daemon. */
-export interface PlatformSettings {
-  readonly vm: VmId;
-  readonly ip: string;
-  readonly failureDomain: FailureDomainId;
+export interface PlatformSettings extends FrontSettings {
   /** Where callers connect. */
   readonly callers: Endpoint;
   /** Where the platform asks whether the daemon takes callers. */
   readonly readiness: Endpoint;
   /** Where counters and histograms are served. */
   readonly metrics: Endpoint;
-  /** First of the ports that daemons use among themselves. */
-  readonly firstPeerPort: number;
-  /** IPs of daemons that may be running already. */
-  readonly seedIps: readonly string[];
   readonly storeAddress: string;
-  readonly graceMs: number;
-  readonly leaseMs: number;
-  /** After this time no request may begin on older weights. */
-  readonly weightsBoundMs: number;
-  readonly repeatShare: number;
-  readonly repeatSlack: number;
-  readonly repeatWindowMs: number;
-  readonly limitOvershoot: number;
-  readonly limitSlack: number;
-  readonly limitWindowMs: number;
 }
 
 /** An address to listen on. */
@@ -91,12 +75,18 @@
     graceMs: numberOf(bounds, "grace_s") * 1_000,
     leaseMs: numberOf(bounds, "lease_ms"),
     weightsBoundMs: numberOf(bounds, "version_ms"),
-    repeatShare: numberOf(bounds, "retry_budget_ratio"),
-    repeatSlack: numberOf(bounds, "retry_budget_slack"),
-    repeatWindowMs: numberOf(bounds, "budget_window_s") * 1_000,
-    limitOvershoot: numberOf(bounds, "quota_overshoot"),
-    limitSlack: numberOf(bounds, "quota_slack"),
-    limitWindowMs: numberOf(bounds, "quota_window_s") * 1_000,
+    bounds: {
+      tolerance: {
+        overshootShare: numberOf(bounds, "quota_overshoot"),
+        slackUnits: numberOf(bounds, "quota_slack"),
+        windowMs: numberOf(bounds, "quota_window_s") * 1_000,
+      },
+      repeats: {
+        windowMs: numberOf(bounds, "budget_window_s") * 1_000,
+        share: numberOf(bounds, "retry_budget_ratio"),
+        slack: numberOf(bounds, "retry_budget_slack"),
+      },
+    },
   };
 }
 
--- /dev/null
+++ b/packages/platform/src/status_server.ts
@@ -0,0 +1,32 @@
+/**
+ * Answers the balancer's question whether the daemon takes callers, and serves
+ * its counters and histograms.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { StatusServer } from "@endivebend/front";
+import type { TextMetrics } from "@endivebend/telemetry";
+import type { PlatformSettings } from "./settings.ts";
+import { PATHS } from "./wire_names.ts";
+
+/** Starts both servers. */
+export function serveStatus(
+  settings: Pick<PlatformSettings, "readiness" | "metrics">,
+  tools: { isReady(): boolean; readonly metrics: TextMetrics },
+): StatusServer {
+  const readiness = createServer((request, response) => {
+    const isKnown = request.url === PATHS.ready;
+    response.writeHead(isKnown && tools.isReady() ? 200 : 503).end();
+  }).listen(settings.readiness.port, settings.readiness.host);
+  const metrics = createServer((_request, response) => {
+    response.end(tools.metrics.text());
+  }).listen(settings.metrics.port, settings.metrics.host);
+  return {
+    close() {
+      readiness.close();
+      metrics.close();
+    },
+  };
+}
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { rankByRendezvous } from "@endivebend/routing";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -215,7 +216,7 @@
     return { weights: undefined, scope, parts: [], tokensToRead: 0, ...none };
   }
   const shared = sharedParts(call);
-  const [store] = context.cacheStores();
+  const store = storeOf(shared, context);
   const stored = store === undefined
     ? undefined
     : context.registry.storeParts(store)
@@ -238,6 +239,14 @@
   };
 }
 
+/** Each store keeps the prompts of its own share of the last shared parts. */
+function storeOf(
+  shared: readonly PromptPart[],
+  { cacheStores }: PlacementContext,
+): string | undefined {
+  return rankByRendezvous(shared.at(-1)?.id ?? "", cacheStores())[0];
+}
+
 /** The other engine that surely keeps most, if it keeps enough. */
 function bestSource(
   view: ServerView,
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -173,3 +173,20 @@
     reason: "stale_weights",
   });
 });
+
+test("prompts with other shared parts use other stores", (t) => {
+  const stores = ["10.9.9.1:1", "10.9.9.2:1", "10.9.9.3:1"];
+  const context = testContext({ cacheStores: () => stores });
+  const used = new Set<string | undefined>();
+  for (let index = 0; index < 40; index++) {
+    const id = brandId<PromptPartId>(`parish-${index}`);
+    const { work } = call("stream");
+    const prompt = work!.prompt.with(1, { id, tokens: 3_800 });
+    const placement = placeCall(
+      call("stream", { work: { ...work!, prompt } }),
+      { ...context, exclude: NONE, hasBegun: false, nowMs: 1_000 },
+    );
+    if (placement.kind === "placed") used.add(placement.cache.saveTo);
+  }
+  t.is(used.size, stores.length);
+});
