--- a/packages/request-path/src/prompt_pools.ts
+++ b/packages/request-path/src/prompt_pools.ts
@@ -20,7 +20,10 @@
 const PIECE_MS = 73;
 /** A prompt of two pieces delays an event by less than callers accept. */
 const SHORT_PROMPT_TOKENS = 2 * PIECE_TOKENS;
-/** Short prompts bring a quarter of all tokens and need idle engines. */
+/**
+ * Short prompts bring a quarter of all tokens and need idle engines, also while
+ * some engines are silent and others take new weights.
+ */
 const SHORT_SHARE = 1 / 3;
 /** With fewer engines one pool would hang on a single engine. */
 const MIN_ENGINES = 6;
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -196,7 +196,8 @@
 
   noteLoading(id: BackendServerId, untilMs: number): void {
     const server = this.#servers.get(id);
-    if (server !== undefined) server.loadingUntilMs = untilMs;
+    if (server === undefined) return;
+    server.loadingUntilMs = Math.max(server.loadingUntilMs, untilMs);
   }
 
   noteHeard(id: BackendServerId, nowMs: number): void {
--- a/scripts/check_metrics.ts
+++ b/scripts/check_metrics.ts
@@ -11,11 +11,15 @@
   increment: "counter",
   gauge: "gauge",
   timing: "timing",
+  count: "counter",
+  observeMs: "histogram",
 };
 /** The sink hands names on that others gave it. */
 const SINK = /packages\/telemetry\/src\/metrics\.ts$/;
 const COMMENT = /\/\*[\s\S]*?\*\/|^\s*\/\/.*$/gm;
 const CALL = /\.(increment|gauge|timing)\(\s*("[^"]*"|[^,)]*)/g;
+/** Other classes have methods of these names, but not with such names given. */
+const TEXT_CALL = /\.(count|observeMs)\(\s*("[a-z_]+")/g;
 const ROW = /^\| `([a-z_.]+)`\s*\| (\w+)/gm;
 
 /** A metric that a source file emits. */
@@ -28,8 +32,9 @@
 /** Finds the metrics in one source file; a name that is no literal is kept. */
 export function findMetrics(file: string, text: string): EmittedMetric[] {
   if (file.endsWith("_test.ts") || SINK.test(file)) return [];
-  const calls = text.replaceAll(COMMENT, "").matchAll(CALL);
-  return [...calls].map(([, method = "", name = ""]) => ({
+  const code = text.replaceAll(COMMENT, "");
+  const calls = [...code.matchAll(CALL), ...code.matchAll(TEXT_CALL)];
+  return calls.map(([, method = "", name = ""]) => ({
     file,
     name,
     type: KINDS[method] ?? "",
