Revert: tell news of one moment together, and note engines that refuse

An engine that refuses while newer weights are named may be full rather than loading; leaving it aside for a second piles prompts up on the few others. Which of the two changes does the harm was not separated, so both go.

Conclusion: reverted; the flood test, the metrics page and its check stay.

--- a/packages/fleet/src/fleet_channel.ts
+++ b/packages/fleet/src/fleet_channel.ts
@@ -39,12 +39,6 @@
 /** 54 daemons of others within 1,800 ms; their bytes are charged. */
 const FAR_FAN_OUT = 6;
 
-/**
- * News of one moment goes out together: 14 orders at once, each told to 81
- * daemons by itself, keep a link of 10 Mbit/s busy for most of a second.
- */
-const GATHER_MS = 20;
-
 /** Milliseconds in which every daemon is told, given how many there are. */
 export function roundMs(
   count: { readonly near: number; readonly far: number },
@@ -61,7 +55,6 @@
   #nextNear = 0;
   #nextFar = 0;
   #hasClosed = false;
-  #isTellingAll = false;
   #cancel = () => {};
 
   constructor(options: FleetChannelOptions) {
@@ -75,15 +68,10 @@
     this.#socket.bind(options.port, options.ip, () => this.#tick());
   }
 
-  /** Tells every daemon soon, such as about an order that begins. */
+  /** Tells every daemon at once, such as about an order that begins. */
   tellAll(): void {
-    if (this.#isTellingAll) return;
-    this.#isTellingAll = true;
-    this.#options.scheduler.after(GATHER_MS, () => {
-      this.#isTellingAll = false;
-      const { near, far } = this.#options.addresses();
-      this.#send([...near, ...far]);
-    });
+    const { near, far } = this.#options.addresses();
+    this.#send([...near, ...far]);
   }
 
   /** Sends a last message to every daemon and speaks no more. */
--- a/packages/request-path/src/call_run.ts
+++ b/packages/request-path/src/call_run.ts
@@ -44,8 +44,6 @@
 const MAX_UNRUN_ATTEMPTS = 3;
 /** How often a running attempt is checked for silence. */
 const CHECK_MS = 100;
-/** Runs on the users' engines end within this time, and the load follows. */
-const REFUSING_MS = 1_000;
 /** Events of an engine's streams are some 40 ms apart, 100 ms in a prefill. */
 const SILENT_STREAMS_MS = 400;
 /** A connection to a server that was heard this lately is alive. */
@@ -216,10 +214,7 @@
       registry.noteLoad(id, head.load, this.#nowMs());
     }
     if (head.isMisdirected) return this.#misdirected(attempt, head);
-    if (head.isNotRun) {
-      this.#noteRefusal(attempt.server);
-      return this.#unrun(attempt, `not_run_${head.status}`);
-    }
+    if (head.isNotRun) return this.#unrun(attempt, `not_run_${head.status}`);
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && !head.hasProof) {
       return this.#broken(attempt, "no_proof");
@@ -230,16 +225,6 @@
     this.#relay.head(head);
   }
 
-  /** An engine refuses what has not begun while it takes new weights. */
-  #noteRefusal(server: KnownServer): void {
-    const { registry, namedWeights } = this.#context;
-    const model = this.#call.work?.model;
-    const named = model && namedWeights(model).at(-1)?.weights;
-    const held = model && registry.weightsOf(server, model);
-    if (named === undefined || held === undefined || held >= named) return;
-    registry.noteLoading(server.listed.id, this.#nowMs() + REFUSING_MS);
-  }
-
   /** Another server has the address, or the weights are other ones. */
   #misdirected(attempt: Attempt, head: AnswerHead): void {
     const { registry } = this.#context;
--- a/packages/request-path/src/call_run_test.ts
+++ b/packages/request-path/src/call_run_test.ts
@@ -143,18 +143,3 @@
   context.registry.upsert(listed(id, { bornAtMs: 2 }));
   t.truthy(context.registry.get(id));
 });
-
-test("an engine that refuses while newer weights are named is loading", (t) => {
-  const named = brandId<WeightsNumber>(2);
-  const history = [{ weights: named, heardAtMs: 900, isAgeKnown: true }];
-  for (const namedWeights of [() => history, () => []]) {
-    const context = testContext({ namedWeights });
-    const run = new CallRun(context, call("stream"), new FakeCaller());
-    run.start();
-    const { order, listener } = context.client.last;
-    listener.sent();
-    listener.head(answerHead({ status: 503, isNotRun: true }));
-    const { loadingUntilMs } = context.registry.get(order.server.id)!;
-    t.is(loadingUntilMs > context.time.nowMs, namedWeights().length > 0);
-  }
-});
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -196,8 +196,7 @@
 
   noteLoading(id: BackendServerId, untilMs: number): void {
     const server = this.#servers.get(id);
-    if (server === undefined) return;
-    server.loadingUntilMs = Math.max(server.loadingUntilMs, untilMs);
+    if (server !== undefined) server.loadingUntilMs = untilMs;
   }
 
   noteHeard(id: BackendServerId, nowMs: number): void {
