--- a/packages/faults/src/soak_main.ts
+++ b/packages/faults/src/soak_main.ts
@@ -36,7 +36,7 @@
   try {
     const scenario = soakScenario(durationMs);
     const result = await runScenario(scenario, { seed, logDirectory });
-    console.log(formatResult(result, { showsHarm: false }));
+    console.log(formatResult(result, { showsHarm: true }));
     return result.misses.length === 0;
   } catch (caught) {
     console.log(formatFailure(`soak seed ${seed}`, caught));
