--- a/packages/request-path/src/kept_parts.ts
+++ b/packages/request-path/src/kept_parts.ts
@@ -123,9 +123,9 @@
       return;
     }
     // A request that was placed since the report will read the part again.
-    const isOlder = known !== undefined &&
+    const isOutdated = known !== undefined &&
       nowMs - known.lastMs < REPORT_LAG_MS;
-    if (!isOlder) return void this.#parts.delete(key);
+    if (!isOutdated) return void this.#parts.delete(key);
     known.firstMs = known.lastMs;
     known.reportedTokens = undefined;
   }
