Wait and read the steady clock in one place

pause stood in three tasks (record_follower, weights_duty_task, kept_parts_watch) and the fallback of steadyMs once more in the router; both are in the clock package now. answerHeaders dropped connection headers that filterHeaders drops already, and the channel listed everyone twice.

No change of behaviour; tests as they were.

--- a/packages/clock/src/time_types.ts
+++ b/packages/clock/src/time_types.ts
@@ -34,3 +34,17 @@
   /** Runs `task` once after `delayMs`; returns a function that cancels it. */
   after(delayMs: number, task: () => void): () => void;
 }
+
+/**
+ * Resolves after a time in milliseconds.
+ *
+ * @example
+ * ```ts
+ * await pause(scheduler, 400);
+ * ```
+ */
+export function pause(scheduler: Scheduler, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    scheduler.after(delayMs, resolve);
+  });
+}
--- a/packages/fleet/src/fleet_channel.ts
+++ b/packages/fleet/src/fleet_channel.ts
@@ -70,15 +70,13 @@
 
   /** Tells every daemon at once, such as about an order that begins. */
   tellAll(): void {
-    const { near, far } = this.#options.addresses();
-    this.#send([...near, ...far]);
+    this.#send(this.#everyone());
   }
 
   /** Sends a last message to every daemon and speaks no more. */
   close(last: FleetMessage): void {
     this.#cancel();
-    const { near, far } = this.#options.addresses();
-    this.#sendBytes([...near, ...far], encodeFleetMessage(last));
+    this.#sendBytes(this.#everyone(), encodeFleetMessage(last));
     this.#hasClosed = true;
   }
 
@@ -95,6 +93,11 @@
     this.#send(this.#turn());
   }
 
+  #everyone(): readonly string[] {
+    const { near, far } = this.#options.addresses();
+    return [...near, ...far];
+  }
+
   /** The daemons to tell in this interval; large fleets are told in turn. */
   #turn(): readonly string[] {
     const { near, far } = this.#options.addresses();
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
+import { type Clock, pause, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { RecordTable } from "./record_table.ts";
 
 /** One record; without a value, the key has been removed. */
@@ -86,7 +86,7 @@
       const startedAtMs = steadyMs(clock);
       if (isReader === undefined || isReader()) await this.#step();
       const restMs = startedAtMs + paceMs - steadyMs(clock);
-      if (restMs > 0) await this.#pause(restMs);
+      if (restMs > 0) await pause(this.#options.scheduler, restMs);
     }
   }
 
@@ -101,7 +101,8 @@
     } catch (caught) {
       if (!this.#isLost) this.#options.lost((caught as Error).message);
       this.#isLost = true;
-      await this.#pause(this.#backoffMs * (0.5 + Math.random()));
+      const delayMs = this.#backoffMs * (0.5 + Math.random());
+      await pause(this.#options.scheduler, delayMs);
       this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
     }
   }
@@ -136,10 +137,4 @@
       ? undefined
       : next;
   }
-
-  #pause(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#options.scheduler.after(delayMs, resolve);
-    });
-  }
 }
--- a/packages/orders/src/weights_duty_task.ts
+++ b/packages/orders/src/weights_duty_task.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Clock, Scheduler } from "@endivebend/clock";
+import { type Clock, pause, type Scheduler } from "@endivebend/clock";
 import type { BackendServerId, ModelName, VmId } from "@endivebend/types";
 import {
   type ClaimInput,
@@ -238,15 +238,15 @@
 
   /** Asks the engine until it has the weights or is idle without them. */
   async #awaitLoad(engine: OrderedEngine): Promise<void> {
-    const { orders, clock } = this.#options;
+    const { orders, clock, scheduler } = this.#options;
     const untilMs = clock.elapsedMs() + MAX_LOAD_MS;
-    await this.#pause(FIRST_CHECK_MS);
+    await pause(scheduler, FIRST_CHECK_MS);
     while (clock.elapsedMs() < untilMs && !this.#hasStopped) {
       const report = await orders.report(engine);
       const weights = report?.weights.get(engine.model) ?? 0;
       if (weights >= engine.namedWeights) return this.#done(engine, weights);
       if (report === undefined || !report.isBusy) break;
-      await this.#pause(CHECK_MS);
+      await pause(scheduler, CHECK_MS);
     }
     this.#waitBeforeNext(engine.id, RETRY_MS);
   }
@@ -268,10 +268,4 @@
   #waitBeforeNext(id: BackendServerId, delayMs: number): void {
     this.#notBeforeMs.set(id, this.#options.clock.elapsedMs() + delayMs);
   }
-
-  #pause(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#options.scheduler.after(delayMs, resolve);
-    });
-  }
 }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -20,12 +20,7 @@
   ServerClient,
   ServerLoad,
 } from "@endivebend/request-path";
-import {
-  CONNECTION_HEADERS,
-  filterHeaders,
-  HEADERS,
-  SYSTEM_HEADERS,
-} from "./wire_names.ts";
+import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
 /** A request as the client sent it. */
 export interface ClientMessage {
@@ -285,9 +280,7 @@
 ): string[] {
   return filterHeaders(
     message.rawHeaders,
-    (name) =>
-      CONNECTION_HEADERS.has(name) ||
-      // A stream may go on at another server with other bytes to come.
-      (isStream && name === "content-length"),
+    // A stream may go on at another server with other bytes to come.
+    (name) => isStream && name === "content-length",
   );
 }
--- a/packages/request-path/src/kept_parts_watch.ts
+++ b/packages/request-path/src/kept_parts_watch.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
+import { type Clock, pause, type Scheduler, steadyMs } from "@endivebend/clock";
 import { rankByRendezvous } from "@endivebend/routing";
 import type { VmId } from "@endivebend/types";
 import type { KeptChange, PartKey } from "./kept_parts.ts";
@@ -143,26 +143,30 @@
   }
 
   async #watch(memory: WatchedMemory): Promise<void> {
+    const { client, registry, scheduler } = this.#options;
     this.#running.add(memory.id);
     let after = 0;
     let run: string | undefined;
     while (this.#watched.get(memory.id)?.address === memory.address) {
       const startedAtMs = this.#nowMs();
-      const news = await this.#options.client.news(memory, after);
+      const news = await client.news(memory, after);
       if (news === undefined) {
-        await this.#pause(SILENT_MS);
+        await pause(scheduler, SILENT_MS);
         continue;
       }
       if (run !== undefined && run !== news.run) {
         // The numbers of the former run mean nothing now.
-        this.#options.registry.partsOf(memory.id)?.clear();
+        registry.partsOf(memory.id)?.clear();
         after = 0;
       } else {
         this.#apply(memory, news);
         after = news.next;
       }
       run = news.run;
-      await this.#pause(startedAtMs + PACE_MS - this.#nowMs());
+      await pause(
+        scheduler,
+        Math.max(0, startedAtMs + PACE_MS - this.#nowMs()),
+      );
     }
     this.#running.delete(memory.id);
   }
@@ -185,10 +189,4 @@
       told.set(change[0], { change, untilMs });
     }
   }
-
-  #pause(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#options.scheduler.after(Math.max(0, delayMs), resolve);
-    });
-  }
 }
--- a/packages/router/src/limits/steady.ts
+++ b/packages/router/src/limits/steady.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { steadyMs } from "@endivebend/clock";
 import type { Clock } from "../ports.ts";
 
 /**
@@ -13,7 +14,7 @@
  * set forward.
  */
 export function steadyNowMs(clock: Clock): number {
-  return Math.floor(clock.steadyMs?.() ?? clock.elapsedMs());
+  return Math.floor(steadyMs(clock));
 }
 
 /** How far `elapsedMs` is ahead of the steady clock, in whole milliseconds. */
