Call engines and stores through one function

engine_orders and memory_client sent their calls, collected the answer and timed it out in two copies; callEngine does it for both. The tests' entry of a server stood twice in daemon_test.

No change of behaviour; the assertions are as they were.

--- a/packages/platform/src/daemon_test.ts
+++ b/packages/platform/src/daemon_test.ts
@@ -39,6 +39,18 @@
   };
 }
 
+function putServer(store: StoreStandIn, address: string): void {
+  store.put("keyed.servers", "i-1", {
+    service: "belfry",
+    address,
+    zone: "a",
+    slots: 6,
+    phase: "ready",
+    models: [],
+    born: 1,
+  });
+}
+
 const CONFIGURATION = {
   version: 1,
   routes: [{
@@ -135,15 +147,7 @@
   t.is(early.status, 503, "no configuration is known yet");
 
   store.put("keyed.op", "config", CONFIGURATION);
-  store.put("keyed.servers", "i-1", {
-    service: "belfry",
-    address: engine.address,
-    zone: "a",
-    slots: 6,
-    phase: "ready",
-    models: [],
-    born: 1,
-  });
+  putServer(store, engine.address);
   store.put("keyed.servers", "foreign", { service: 5 });
   await waitReady(settings);
 
@@ -192,15 +196,7 @@
   const daemon = createDaemon(settings);
   daemon.start();
   store.put("keyed.op", "config", CONFIGURATION);
-  store.put("keyed.servers", "i-1", {
-    service: "belfry",
-    address: engine.address,
-    zone: "a",
-    slots: 6,
-    phase: "ready",
-    models: [],
-    born: 1,
-  });
+  putServer(store, engine.address);
   await waitReady(settings);
 
   const agent = new Agent({ keepAlive: true });
--- a/packages/platform/src/engine_orders.ts
+++ b/packages/platform/src/engine_orders.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import type {
   EngineOrders,
   EngineReport,
@@ -12,6 +12,11 @@
   OrderedEngine,
 } from "@endivebend/orders";
 import { brandId, type ModelName } from "@endivebend/types";
+import {
+  callEngine,
+  type EngineAnswer,
+  type EngineCall,
+} from "./engine_call.ts";
 import { PATHS } from "./wire_names.ts";
 
 /** Reports and orders need no slot and are answered at once. */
@@ -83,49 +88,19 @@
 function call(
   agent: Agent,
   engine: OrderedEngine,
-  message: {
-    readonly method: string;
-    readonly path: string;
-    readonly body?: string;
-  },
-): Promise<{ readonly status: number; readonly body: string } | undefined> {
-  return new Promise((resolve) => {
-    const [host, port] = engine.address.split(":");
-    const { method, path, body } = message;
-    const outgoing = request({
-      agent,
-      host,
-      port,
-      method,
-      path,
-      headers: {
-        "expect-instance": engine.id,
-        ...(body === undefined ? {} : {
-          "content-type": "application/json",
-          "content-length": Buffer.byteLength(body),
-        }),
-      },
-    }, (answer) => {
-      const chunks: Buffer[] = [];
-      answer.on("data", (chunk: Buffer) => chunks.push(chunk));
-      answer.on("error", () => settle(undefined));
-      answer.on("end", () =>
-        settle({
-          status: answer.statusCode ?? 0,
-          body: Buffer.concat(chunks).toString("utf8"),
-        }));
-    });
-    const timer = setTimeout(() => {
-      settle(undefined);
-      outgoing.destroy();
-    }, CALL_TIMEOUT_MS);
-    const settle = (
-      result: { readonly status: number; readonly body: string } | undefined,
-    ) => {
-      clearTimeout(timer);
-      resolve(result);
-    };
-    outgoing.on("error", () => settle(undefined));
-    outgoing.end(body);
+  message: Pick<EngineCall, "method" | "path" | "body">,
+): Promise<EngineAnswer | undefined> {
+  const { body } = message;
+  return callEngine(agent, {
+    ...message,
+    address: engine.address,
+    headers: {
+      "expect-instance": engine.id,
+      ...(body === undefined ? {} : {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+      }),
+    },
+    timeoutMs: CALL_TIMEOUT_MS,
   });
 }
--- a/packages/platform/src/memory_client.ts
+++ b/packages/platform/src/memory_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Agent, get } from "node:http";
+import { Agent } from "node:http";
 import {
   type CacheScope,
   type KeptChange,
@@ -12,8 +12,8 @@
   type MemoryNews,
   partKey,
   type PromptPartId,
-  type WatchedMemory,
 } from "@endivebend/request-path";
+import { callEngine } from "./engine_call.ts";
 import { PATHS } from "./wire_names.ts";
 
 /** The memory holds a call this long; shorter waits cost as much as probes. */
@@ -28,8 +28,14 @@
   const agent = new Agent({ keepAlive: true, timeout: CALL_TIMEOUT_MS });
   return {
     async news(memory, after) {
-      const body = await fetchEvents(agent, memory, after);
-      return body === undefined ? undefined : parseNews(body);
+      const answer = await callEngine(agent, {
+        address: memory.address,
+        method: "GET",
+        path: `${PATHS.memoryEvents}?since=${after}`,
+        headers: { "wait-ms": WAIT_MS },
+        timeoutMs: CALL_TIMEOUT_MS,
+      });
+      return answer?.status === 200 ? parseNews(answer.body) : undefined;
     },
   };
 }
@@ -71,38 +77,3 @@
   const key = partKey(salt as CacheScope, id as PromptPartId);
   return [key, sign === "+" ? tokens : 0];
 }
-
-function fetchEvents(
-  agent: Agent,
-  memory: WatchedMemory,
-  after: number,
-): Promise<string | undefined> {
-  return new Promise((resolve) => {
-    const [host, port] = memory.address.split(":");
-    const outgoing = get({
-      agent,
-      host,
-      port,
-      path: `${PATHS.memoryEvents}?since=${after}`,
-      headers: { "wait-ms": WAIT_MS },
-    }, (answer) => {
-      const chunks: Buffer[] = [];
-      answer.on("data", (chunk: Buffer) => chunks.push(chunk));
-      answer.on("error", () => settle(undefined));
-      answer.on("end", () => {
-        const body = Buffer.concat(chunks).toString("utf8");
-        settle(answer.statusCode === 200 ? body : undefined);
-      });
-    });
-    const settle = (body: string | undefined) => {
-      clearTimeout(timer);
-      resolve(body);
-    };
-    const timer = setTimeout(() => {
-      settle(undefined);
-      outgoing.destroy();
-    }, CALL_TIMEOUT_MS);
-    outgoing.on("error", () => settle(undefined));
-    outgoing.end();
-  });
-}
