Look up the work at a server once for each placement

A placement asked up to five times for each server what all daemons have there, and each time the messages of every daemon were gone through: up to 42 engines and 81 daemons on the grown sites. The view of a server holds the sum now, read once; runningAt and prefillAt become workAt.

No change of behaviour: a placement is decided within one turn of the loop.

--- a/packages/front/src/engine_views.ts
+++ b/packages/front/src/engine_views.ts
@@ -40,7 +40,7 @@
           model,
           weights: registry.weightsOf(server, model) ?? 0,
           namedWeights,
-          running: registry.runningAt(server),
+          running: registry.workAt(server).running,
         }];
       })
     );
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -38,7 +38,7 @@
 export { RepeatWindow } from "./repeat_window.ts";
 export type { RepeatBound } from "./repeat_window.ts";
 export { ServerRegistry } from "./server_registry.ts";
-export type { KnownServer, MemoryId, PeerWork } from "./server_registry.ts";
+export type { KnownServer, MemoryId, ServerWork } from "./server_registry.ts";
 export { turnAway } from "./turn_away.ts";
 export type { WaitingPrompt } from "./turn_away.ts";
 export * from "./types.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -18,7 +18,11 @@
 } from "./choose_server.ts";
 import { type KeptTokens, type PartKey, partKey } from "./kept_parts.ts";
 import type { WeightsHistory } from "./named_weights.ts";
-import type { KnownServer, ServerRegistry } from "./server_registry.ts";
+import type {
+  KnownServer,
+  ServerRegistry,
+  ServerWork,
+} from "./server_registry.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { turnAway } from "./turn_away.ts";
 import {
@@ -100,6 +104,8 @@
   readonly server: KnownServer;
   readonly scope: CacheScope;
   readonly kept: KeptTokens;
+  /** What all daemons together have there. */
+  readonly work: ServerWork;
   /** How long newer weights than the server's have been named. */
   readonly staleForMs: number;
   readonly isStaleAgeKnown: boolean;
@@ -119,9 +125,10 @@
     .filter(({ listed }) => !exclude.has(listed.id))
     .map((server) => viewServer(call, { server, context }));
   if (usable.length === 0) return { kind: "refused", reason: "no_server" };
-  const fresh = withoutStale(usable, context);
+  const fresh = withoutStale(usable, context.weightsBoundMs);
   if (fresh.length === 0) return { kind: "refused", reason: "stale_weights" };
-  const open = fresh.filter(({ server }) => hasRoom(call, server, context));
+  const maxOwn = context.maxOwnAt(call.service);
+  const open = fresh.filter((view) => hasRoom(view, maxOwn));
   if (open.length === 0) return { kind: "refused", reason: "overloaded" };
   const sharedTokens = sumTokens(sharedParts(call));
   const choice = chooseServer({
@@ -141,7 +148,7 @@
   }
   const cache = planCache(call, { view, all: open, context });
   const returnInMs = call.work && turnAway({
-    tokensAhead: registry.prefillAt(view.server),
+    tokensAhead: view.work.prefillTokens,
     tokensToRead: cache.tokensToRead,
     targetMs: call.route.targetMs,
     urgency: urgencyOf(call),
@@ -166,6 +173,7 @@
     server,
     scope,
     kept,
+    work: context.registry.workAt(server),
     staleForMs: newer === undefined ? 0 : nowMs - newer.heardAtMs,
     isStaleAgeKnown: newer?.isAgeKnown ?? true,
   };
@@ -281,41 +289,37 @@
  */
 function withoutStale(
   views: readonly ServerView[],
-  { registry, weightsBoundMs }: PlacementContext,
+  weightsBoundMs: number,
 ): ServerView[] {
   const limitMs = weightsBoundMs - BEGIN_SLACK_MS;
-  const timely = views.filter(({ server, staleForMs }) => {
+  const timely = views.filter(({ work, staleForMs }) => {
     if (staleForMs === 0) return true;
-    const queueMs = registry.prefillAt(server) / PREFILL_TOKENS_PER_MS;
+    const queueMs = work.prefillTokens / PREFILL_TOKENS_PER_MS;
     return staleForMs + queueMs * QUEUE_FACTOR <= limitMs;
   });
   const current = timely.filter(({ isStaleAgeKnown }) => isStaleAgeKnown);
   return current.length > 0 ? current : timely;
 }
 
-function hasRoom(
-  call: Call,
-  server: KnownServer,
-  context: PlacementContext,
-): boolean {
-  if (server.own.size >= context.maxOwnAt(call.service)) return false;
+function hasRoom({ server, work }: ServerView, maxOwn: number): boolean {
+  if (server.own.size >= maxOwn) return false;
   const slots = Math.max(1, server.listed.slots);
-  return context.registry.runningAt(server) < slots * MAX_FILL;
+  return work.running < slots * MAX_FILL;
 }
 
 function candidateOf(
-  { server, kept, staleForMs }: ServerView,
+  { server, kept, work, staleForMs }: ServerView,
   { registry, nowMs }: CallPlacement,
 ): Candidate {
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
     running: Math.max(
-      registry.runningAt(server),
+      work.running,
       registry.freshLoad(server, nowMs)?.waiting ?? 0,
     ),
     slots: server.listed.slots,
-    prefillTokens: registry.prefillAt(server),
+    prefillTokens: work.prefillTokens,
     cachedTokens: kept.expected,
     failureShare: server.failureShare,
     isAvoided: nowMs < server.avoidUntilMs,
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -47,9 +47,10 @@
 /** An engine by its id, or a store of prompt parts by its address. */
 export type MemoryId = BackendServerId | Branded<string, "CacheStoreAddress">;
 
-/** Work of all other daemons that is at a server, as they told it. */
-export interface PeerWork {
+/** Work at a server. */
+export interface ServerWork {
   readonly running: number;
+  /** Prompt tokens that the engine has to read before a new request. */
   readonly prefillTokens: number;
 }
 
@@ -85,13 +86,13 @@
   readonly recentParts = new RecentParts();
   /** Parts that several requests have in common. */
   readonly sharedParts = new SharedPartIds();
-  #peerWork: (id: BackendServerId) => PeerWork = () => ({
+  #peerWork: (id: BackendServerId) => ServerWork = () => ({
     running: 0,
     prefillTokens: 0,
   });
 
   /** Sets where the work of other daemons is looked up. */
-  usePeerWork(lookUp: (id: BackendServerId) => PeerWork): void {
+  usePeerWork(lookUp: (id: BackendServerId) => ServerWork): void {
     this.#peerWork = lookUp;
   }
 
@@ -154,16 +155,12 @@
     );
   }
 
-  /** Requests that all daemons together have at the server. */
-  runningAt(server: KnownServer): number {
-    return server.own.size + this.#peerWork(server.listed.id).running;
-  }
-
-  /** Prompt tokens ahead of a new request at the server. */
-  prefillAt(server: KnownServer): number {
-    let tokens = this.#peerWork(server.listed.id).prefillTokens;
-    for (const work of server.own.values()) tokens += work.prefillTokens;
-    return tokens;
+  /** Work that all daemons together have at the server. */
+  workAt(server: KnownServer): ServerWork {
+    const peers = this.#peerWork(server.listed.id);
+    let { prefillTokens } = peers;
+    for (const work of server.own.values()) prefillTokens += work.prefillTokens;
+    return { running: server.own.size + peers.running, prefillTokens };
   }
 
   /** The reported load while it is fresh. */
