Log what an engine was running when it ended

attempt_broken names the segments and whether a head had come, server_ended is logged when nothing listens at the engine's address any more, and the metrics broken_attempts and end_checks count both. One connection is opened for each engine whose answers break off.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -23,6 +23,7 @@
   CacheWatch,
   NamedWeightsRegistry,
   planDrain,
+  ServerEndCheck,
   ServerRegistry,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
@@ -180,6 +181,7 @@
         clock,
         scheduler,
         client: serverClient,
+        endCheck: new ServerEndCheck({ client: serverClient, log, metrics }),
         log,
         metrics,
       },
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -10,13 +10,14 @@
   type IncomingMessage,
   request,
 } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type {
   AnswerHead,
   AttemptHandle,
   AttemptListener,
   AttemptOrder,
+  ListenState,
   ServerClient,
   ServerLoad,
 } from "@endivebend/request-path";
@@ -101,6 +102,7 @@
         clock,
         agent: agentFor(order.server.address),
       }),
+    checkListening,
     closeIdleConnections(address) {
       const agent = agents.get(address);
       for (const sockets of Object.values(agent?.freeSockets ?? {})) {
@@ -110,6 +112,25 @@
   };
 }
 
+function checkListening(address: string): Promise<ListenState> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    const settle = (state: ListenState) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(state);
+    };
+    const timer = setTimeout(() => settle("unknown"), CONNECT_TIMEOUT_MS);
+    socket.on("connect", () => settle("listening"));
+    socket.on(
+      "error",
+      ({ code }: NodeJS.ErrnoException) =>
+        settle(code === "ECONNREFUSED" ? "closed" : "unknown"),
+    );
+  });
+}
+
 function startAttempt(
   order: AttemptOrder,
   context: {
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -122,3 +122,11 @@
   t.regex(requestText, /Expect-Instance: i-1/);
   t.notRegex(requestText, /secret|forged|Kv-From|X-Hop/);
 });
+
+test("a check tells a server that listens from one that has ended", async (t) => {
+  const client = createServerClient(createClock());
+  const server = await startRawServer(() => {});
+  t.is(await client.checkListening(server.address), "listening");
+  server.close();
+  t.is(await client.checkListening(server.address), "closed");
+});
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -41,6 +41,8 @@
 export * from "./ports.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryLimits } from "./retry_budget.ts";
+export { ServerEndCheck } from "./server_end_check.ts";
+export type { ServerEndCheckOptions } from "./server_end_check.ts";
 export { ServerRegistry } from "./server_registry.ts";
 export type {
   KnownServer,
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -82,9 +82,17 @@
   resume(): void;
 }
 
+/**
+ * What a new connection shows of a server's process: `closed` when nothing
+ * listens at the address, `unknown` when there was no answer in time.
+ */
+export type ListenState = "listening" | "closed" | "unknown";
+
 /** Sends attempts to backend servers. */
 export interface ServerClient {
   start(order: AttemptOrder, listener: AttemptListener): AttemptHandle;
+  /** Opens a connection to the server and closes it. Never rejects. */
+  checkListening(address: string): Promise<ListenState>;
   /** Closes idle connections to a server that may have become silent. */
   closeIdleConnections(address: string): void;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -25,6 +25,7 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
+import type { ServerEndCheck } from "./server_end_check.ts";
 import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
@@ -38,6 +39,7 @@
   readonly clock: Clock;
   readonly scheduler: Scheduler;
   readonly client: ServerClient;
+  readonly endCheck: Pick<ServerEndCheck, "hasEnded">;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** Takes one retry from the shared budget; false when it is used up. */
@@ -68,6 +70,8 @@
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
+  /** When the head of its answer came. */
+  headAtMs: number | undefined;
   lastProgressMs: number;
 }
 
@@ -185,6 +189,7 @@
       startedAtMs: nowMs,
       handle: undefined,
       wasSent: false,
+      headAtMs: undefined,
       lastProgressMs: nowMs,
     };
     this.#attempt = attempt;
@@ -220,7 +225,8 @@
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (this.#attempt !== attempt) return;
     this.#recordReceived(attempt);
-    attempt.lastProgressMs = this.#nowMs();
+    attempt.headAtMs = this.#nowMs();
+    attempt.lastProgressMs = attempt.headAtMs;
     const { registry } = this.#context;
     const { id } = attempt.server.listed;
     if (head.load !== undefined) {
@@ -313,6 +319,9 @@
       );
       return this.#handleNotRun(attempt, failure.reason);
     }
+    if (this.#request.work !== undefined) {
+      void this.#context.endCheck.hasEnded(attempt.server.listed);
+    }
     this.#handleBroken(attempt, failure.reason);
   }
 
@@ -336,7 +345,12 @@
       server: listed.id,
       reason,
       afterMs: Math.round(this.#nowMs() - attempt.startedAtMs),
+      hasHead: attempt.headAtMs !== undefined,
       hasBegun: this.#relay.hasBegun,
+      segments: this.#request.work?.prompt.map(({ id }) => id),
+    });
+    this.#context.metrics.count("broken_attempts", {
+      phase: phaseOf(attempt, this.#relay),
     });
     if (reason === "silent") {
       this.#context.registry.recordSilence(listed.id, this.#nowMs());
@@ -469,3 +483,12 @@
     });
   }
 }
+
+/** How far the answer of an attempt had come. */
+function phaseOf(
+  { headAtMs }: Attempt,
+  { hasBegun }: AnswerRelay,
+): "waiting" | "head" | "events" {
+  if (headAtMs === undefined) return "waiting";
+  return hasBegun ? "events" : "head";
+}
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -20,9 +20,11 @@
   AttemptListener,
   AttemptOrder,
   CallerSink,
+  ListenState,
   Refusal,
   ServerClient,
 } from "./ports.ts";
+import { ServerEndCheck } from "./server_end_check.ts";
 import { ServerRegistry } from "./server_registry.ts";
 import type {
   ListedServer,
@@ -173,6 +175,14 @@
 
   closeIdleConnections(): void {}
 
+  /** Addresses at which nothing listens. */
+  readonly closedAddresses = new Set<string>();
+
+  checkListening(address: string) {
+    const isClosed = this.closedAddresses.has(address);
+    return Promise.resolve<ListenState>(isClosed ? "closed" : "listening");
+  }
+
   get last(): FakeAttempt {
     return this.attempts.at(-1)!;
   }
@@ -233,19 +243,23 @@
   const registry = new ServerRegistry();
   registry.upsert(listedServer("one"));
   registry.upsert(listedServer("second"));
+  const client = new FakeClient();
+  const log = { decision() {} };
+  const metrics = { count() {}, observeMs() {} };
   return {
     time,
     clock: time,
     scheduler: time,
-    client: new FakeClient(),
+    client,
+    endCheck: new ServerEndCheck({ client, log, metrics }),
     failureDomain: brandId<FailureDomainId>("a"),
     namedWeights: () => [],
     weightsBoundMs: 8_000,
     maxOwnConnections: () => 50,
     tokensPerEvent: () => 4,
     cacheStores: () => [],
-    log: { decision() {} },
-    metrics: { count() {}, observeMs() {} },
+    log,
+    metrics,
     tryRetry: () => true,
     ended() {},
     ...fields,
