Create the transports between daemons in the composition root

The front daemon opened its gossip socket and record exchange itself, so that a fleet of daemons could not be played in virtual time. Both come in through its ports now; what they do is unchanged.

--- a/packages/fleet/src/gossip_transport.ts
+++ b/packages/fleet/src/gossip_transport.ts
@@ -15,6 +15,13 @@
   close(): void;
 }
 
+/** Address to receive at. */
+export interface UdpTransportOptions {
+  readonly ip: string;
+  readonly port: number;
+  failed(reason: string): void;
+}
+
 /**
  * Creates the transport over a UDP socket.
  *
@@ -23,11 +30,9 @@
  * const transport = createUdpTransport({ ip, port: 7600, failed: console.error });
  * ```
  */
-export function createUdpTransport(options: {
-  readonly ip: string;
-  readonly port: number;
-  failed(reason: string): void;
-}): GossipTransport {
+export function createUdpTransport(
+  options: UdpTransportOptions,
+): GossipTransport {
   const { ip, port, failed } = options;
   const socket = createSocket({
     type: "udp4",
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -7,7 +7,10 @@
 export { GossipChannel } from "./gossip_channel.ts";
 export type { GossipChannelOptions, PeerAddresses } from "./gossip_channel.ts";
 export { createUdpTransport } from "./gossip_transport.ts";
-export type { GossipTransport } from "./gossip_transport.ts";
+export type {
+  GossipTransport,
+  UdpTransportOptions,
+} from "./gossip_transport.ts";
 export { FleetState } from "./fleet_state.ts";
 export type {
   AppliedMessage,
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -6,12 +6,11 @@
 
 import { steadyMs } from "@endivebend/clock";
 import {
-  createUdpTransport,
   FleetState,
   GossipChannel,
   type GossipMessage,
   MIN_RELAYED_FLEET,
-  RecordExchange,
+  type RecordExchange,
   RecordFollower,
   type RecordSource,
   RecordTable,
@@ -70,7 +69,7 @@
   readonly #tables: ReadonlyMap<string, RecordTable>;
   readonly #operatorFollower: RecordFollower;
   readonly #serverFollower: RecordFollower;
-  readonly #recordExchange: RecordExchange;
+  readonly #recordExchange: Pick<RecordExchange, "pull" | "close">;
   readonly #gossip: FleetGossip;
   readonly #gossipChannel: GossipChannel;
   readonly #weightsRollout: WeightsRolloutTask;
@@ -248,8 +247,8 @@
     });
   }
 
-  #createRecordExchange(): RecordExchange {
-    return new RecordExchange({
+  #createRecordExchange(): Pick<RecordExchange, "pull" | "close"> {
+    return this.#ports.createRecordExchange({
       ip: this.#settings.ip,
       port: this.#settings.firstPeerPort + 1,
       tables: this.#tables,
@@ -288,7 +287,11 @@
     const failed = (reason: string) =>
       this.#logDecision("peer_send_failed", { reason });
     return new GossipChannel({
-      transport: createUdpTransport({ ip, port: firstPeerPort, failed }),
+      transport: this.#ports.createGossipTransport({
+        ip,
+        port: firstPeerPort,
+        failed,
+      }),
       scheduler: this.#ports.scheduler,
       composeMessage: () => this.#gossip.composeMessage(),
       addresses: () => {
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -5,7 +5,14 @@
  */
 
 import type { Clock, Scheduler } from "@endivebend/clock";
-import type { KeyedRecord, RecordSource } from "@endivebend/fleet";
+import type {
+  GossipTransport,
+  KeyedRecord,
+  RecordExchange,
+  RecordExchangeOptions,
+  RecordSource,
+  UdpTransportOptions,
+} from "@endivebend/fleet";
 import type { RolloutLeaseLog, RolloutOrderClient } from "@endivebend/orders";
 import type {
   AdmissionBounds,
@@ -102,6 +109,11 @@
   readonly engineOrders: RolloutOrderClient;
   readonly serverClient: ServerClient;
   readonly cacheEventClient: CacheEventClient;
+  /** Carries gossip between the daemons. */
+  createGossipTransport(options: UdpTransportOptions): GossipTransport;
+  createRecordExchange(
+    options: RecordExchangeOptions,
+  ): Pick<RecordExchange, "pull" | "close">;
   listen(context: ListenerContext): CallerListener;
   serveStatus(isReady: () => boolean): StatusServer;
 }
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -5,6 +5,7 @@
  */
 
 import { createClock, createScheduler, steadyMs } from "@endivebend/clock";
+import { createUdpTransport, RecordExchange } from "@endivebend/fleet";
 import { FrontDaemon } from "@endivebend/front";
 import { createDecisionLog, TextMetrics } from "@endivebend/telemetry";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
@@ -44,6 +45,8 @@
     engineOrders: createRolloutOrderClient(),
     serverClient: createServerClient(clock),
     cacheEventClient: createCacheEventClient(),
+    createGossipTransport: createUdpTransport,
+    createRecordExchange: (options) => new RecordExchange(options),
     listen: (context) =>
       new IngressListener({
         ...context,
