--- /dev/null
+++ b/packages/front/src/testing_fleet.ts
@@ -0,0 +1,696 @@
+/**
+ * A fleet of front daemons in virtual time, with a store, model engines and
+ * callers. Gossip, records and attempts take simulated delays; nothing opens a
+ * socket.
+ *
+ * @module
+ */
+
+import type { Clock, Scheduler } from "@endivebend/clock";
+import type {
+  GossipTransport,
+  KeyedRecord,
+  RecordExchangeOptions,
+  RecordSource,
+} from "@endivebend/fleet";
+import type {
+  AnswerHead,
+  AttemptListener,
+  AttemptOrder,
+  CallerSink,
+  Configuration,
+  ListedServer,
+  ListenState,
+  PromptSegment,
+  PromptSegmentId,
+  Refusal,
+  RequestKind,
+  RouteName,
+  WeightsVersion,
+} from "@endivebend/request-path";
+import {
+  type BackendServerId,
+  brandId,
+  type FailureDomainId,
+  type ModelName,
+  type RequestId,
+  type ServiceName,
+  type VmId,
+} from "@endivebend/types";
+import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
+
+export const MODEL = brandId<ModelName>("m");
+const SERVICE = brandId<ServiceName>("engines");
+const PREFILL_TOKENS_PER_MS = 38.4;
+const EVENT_INTERVAL_MS = 30;
+const LINK_MS = 1;
+/** Time from the head of an answer until a deadly segment ends the engine. */
+const CRASH_DELAY_MS = 40;
+const RESTART_MS = 3_000;
+const DOMAINS = ["a", "b", "c", "d"].map((name) =>
+  brandId<FailureDomainId>(name)
+);
+
+/** Time that advances only on demand; tasks run in order. */
+export class VirtualTime implements Clock, Scheduler {
+  nowMs = 0;
+  readonly #tasksByMs = new Map<number, (() => void)[]>();
+
+  wallMs = () => this.nowMs;
+  elapsedMs = () => this.nowMs;
+  steadyMs = () => this.nowMs;
+
+  after(delayMs: number, task: () => void): () => void {
+    const atMs = Math.ceil(this.nowMs + Math.max(0, delayMs));
+    const tasks = this.#tasksByMs.get(atMs) ?? [];
+    this.#tasksByMs.set(atMs, tasks);
+    let isCancelled = false;
+    tasks.push(() => {
+      if (!isCancelled) task();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    const untilMs = this.nowMs + durationMs;
+    while (this.nowMs <= untilMs) {
+      const tasks = this.#tasksByMs.get(this.nowMs) ?? [];
+      // Tasks may add others for the same millisecond.
+      for (const task of tasks) task();
+      this.#tasksByMs.delete(this.nowMs);
+      if (tasks.length > 0) await new Promise(setImmediate);
+      if (this.#tasksByMs.has(this.nowMs)) continue;
+      if (this.nowMs === untilMs) return;
+      this.nowMs += 1;
+    }
+  }
+}
+
+/** Keyed topics with offsets. */
+class FakeStore {
+  isDown = false;
+  readonly #time: VirtualTime;
+  readonly #topics = new Map<string, KeyedRecord[]>();
+  readonly #waiting = new Set<() => void>();
+
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
+  put(topic: string, key: string, value: unknown): number {
+    const records = this.#records(topic);
+    const bytes = value === undefined
+      ? undefined
+      : Buffer.from(JSON.stringify(value));
+    records.push({ key, value: bytes, offset: records.length });
+    for (const wake of [...this.#waiting]) wake();
+    return records.length - 1;
+  }
+
+  /** The newest value of each key. */
+  values(topic: string): Map<string, unknown> {
+    const values = new Map<string, unknown>();
+    for (const { key, value } of this.#records(topic)) {
+      if (value === undefined) values.delete(key);
+      else values.set(key, JSON.parse(value.toString()));
+    }
+    return values;
+  }
+
+  source(topic: string): RecordSource {
+    return {
+      newest: async () => {
+        await this.call();
+        const records = this.#records(topic);
+        const newest = new Map(records.map((record) => [record.key, record]));
+        return { records: [...newest.values()], nextOffset: records.length };
+      },
+      read: async (fromOffset, waitMs) => {
+        await this.call();
+        if (this.#records(topic).length <= fromOffset) {
+          await this.#change(waitMs);
+        }
+        const records = this.#records(topic);
+        const nextOffset = records.length;
+        return {
+          kind: "records",
+          records: records.slice(fromOffset),
+          nextOffset,
+        };
+      },
+    };
+  }
+
+  /** Resolves when the store has answered a call. */
+  async call(): Promise<void> {
+    await this.wait(4);
+    if (this.isDown) throw new Error("The store is down");
+  }
+
+  wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => this.#time.after(durationMs, resolve));
+  }
+
+  #change(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        this.#waiting.delete(wake);
+        cancel();
+        resolve();
+      };
+      const cancel = this.#time.after(waitMs, wake);
+      this.#waiting.add(wake);
+    });
+  }
+
+  #records(topic: string): KeyedRecord[] {
+    const records = this.#topics.get(topic) ?? [];
+    this.#topics.set(topic, records);
+    return records;
+  }
+}
+
+/** An attempt that has reached an engine. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly engine: string;
+  readonly requestId: RequestId;
+  readonly segments: readonly string[];
+}
+
+interface RunningAttempt {
+  readonly listener: AttemptListener;
+  isOver: boolean;
+}
+
+interface Engine {
+  listed: ListedServer;
+  isUp: boolean;
+  /** When the prompts that wait are prefilled. */
+  prefilledAtMs: number;
+  readonly attempts: Set<RunningAttempt>;
+}
+
+/** What became of a request. */
+export interface Outcome {
+  readonly requestId: RequestId;
+  readonly sentAtMs: number;
+  readonly segments: readonly string[];
+  begunAtMs: number | undefined;
+  hasEnded: boolean;
+  isCut: boolean;
+  refusal: Refusal | undefined;
+  isOverLimit: boolean;
+}
+
+/** Settings of a simulated fleet. */
+export interface FleetOptions {
+  readonly daemons: number;
+  readonly engines: number;
+  readonly kind?: RequestKind;
+}
+
+/** Daemons, engines, store and callers in one virtual time. */
+export class TestFleet {
+  readonly time = new VirtualTime();
+  readonly store = new FakeStore(this.time);
+  /** Prompts with one of these segments end their engine. */
+  readonly deadlySegments = new Set<string>();
+  readonly arrivals: Arrival[] = [];
+  readonly outcomes: Outcome[] = [];
+  readonly crashAtMs: number[] = [];
+  readonly steps: Record<string, unknown>[] = [];
+  readonly #engines = new Map<string, Engine>();
+  readonly #daemons: SimulatedDaemon[] = [];
+  readonly #options: FleetOptions;
+  #nextEngine = 0;
+  #nextRequest = 0;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.store.put("operator", "config", {});
+    for (let index = 0; index < options.engines; index++) {
+      this.#addEngine(`10.9.0.${index + 1}:80`);
+    }
+    for (let index = 0; index < options.daemons; index++) {
+      this.startDaemon(index);
+    }
+  }
+
+  /** Starts the daemon, or starts it again with nothing remembered. */
+  startDaemon(index: number): void {
+    this.#daemons[index] = new SimulatedDaemon(this, index);
+  }
+
+  /** Ends the daemon without notice; its requests end with it. */
+  killDaemon(index: number): void {
+    this.#daemons[index]?.kill();
+  }
+
+  get configuration(): Configuration {
+    const kind = this.#options.kind ?? "resumable_stream";
+    return {
+      revision: 1,
+      routes: [{
+        name: brandId<RouteName>("draft"),
+        host: "bells.example",
+        pathPrefix: "/",
+        kind,
+        timeoutMs: 6_000,
+        targetMs: 800,
+        maxGapMs: 400,
+        maxAttempts: kind === "resumable_stream" ? 2 : 1,
+        urgency: 1,
+        allowsAnonymous: true,
+        destinations: [{ service: SERVICE, weight: 1 }],
+      }],
+      services: [{ name: SERVICE, maxConnections: 600, tokensPerEvent: 4 }],
+      cacheStores: [],
+      teams: [],
+      teamByKey: new Map(),
+      callerLimits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 4_194_304,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    };
+  }
+
+  get daemonCount(): number {
+    return this.#daemons.length;
+  }
+
+  /** Sends a request with these shared segments and one of its own. */
+  send(daemon: number, segments: readonly string[]): Outcome {
+    const requestId = brandId<RequestId>(`q-${++this.#nextRequest}`);
+    const outcome: Outcome = {
+      requestId,
+      sentAtMs: this.time.nowMs,
+      segments,
+      begunAtMs: undefined,
+      hasEnded: false,
+      isCut: false,
+      refusal: undefined,
+      isOverLimit: false,
+    };
+    this.outcomes.push(outcome);
+    this.#daemons[daemon]?.serve(outcome);
+    return outcome;
+  }
+
+  /** Sends to a daemon what another one has sent by gossip. */
+  deliver(address: string, bytes: Buffer): void {
+    this.time.after(LINK_MS, () => {
+      for (const daemon of this.#daemons) {
+        if (daemon.gossipAddress === address) daemon.receive(bytes);
+      }
+    });
+  }
+
+  /** The records of a daemon for a peer that pulls them. */
+  tablesAt(address: string): RecordExchangeOptions["tables"] | undefined {
+    return this.#daemons.find(({ recordAddress }) => recordAddress === address)
+      ?.tables;
+  }
+
+  readServer({ value }: KeyedRecord): ListedServer | undefined {
+    if (value === undefined) return undefined;
+    const { id } = JSON.parse(value.toString()) as { id: string };
+    return this.#engines.get(id)?.listed ?? undefined;
+  }
+
+  checkListening(address: string): Promise<ListenState> {
+    const isUp = this.#engineAt(address)?.isUp === true;
+    return this.store.wait(LINK_MS).then(() => isUp ? "listening" : "closed");
+  }
+
+  startAttempt(vm: VmId, order: AttemptOrder, listener: AttemptListener) {
+    const attempt: RunningAttempt = { listener, isOver: false };
+    this.time.after(LINK_MS, () => this.#arrive(vm, { order, attempt }));
+    return {
+      abort: () => {
+        attempt.isOver = true;
+        for (const { attempts } of this.#engines.values()) {
+          attempts.delete(attempt);
+        }
+      },
+      pause() {},
+      resume() {},
+    };
+  }
+
+  #engineAt(address: string): Engine | undefined {
+    return [...this.#engines.values()].find(({ listed, isUp }) =>
+      listed.address === address && isUp
+    );
+  }
+
+  #addEngine(address: string): void {
+    const id = `e-${++this.#nextEngine}`;
+    const domain = Number(address.split(/[.:]/)[3]) % DOMAINS.length;
+    this.#engines.set(id, {
+      listed: {
+        id: brandId<BackendServerId>(id),
+        service: SERVICE,
+        address,
+        failureDomain: DOMAINS[domain]!,
+        isLeaving: false,
+        slots: 128,
+        weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+        startedAtMs: this.time.nowMs,
+      },
+      isUp: true,
+      prefilledAtMs: 0,
+      attempts: new Set(),
+    });
+    this.store.put("servers", id, { id });
+  }
+
+  /** Ends the engine; it is back at its address under another id. */
+  crash(engine: Engine): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.crashAtMs.push(this.time.nowMs);
+    for (const attempt of engine.attempts) {
+      if (attempt.isOver) continue;
+      attempt.isOver = true;
+      attempt.listener.failed({ kind: "broken", reason: "socket hang up" });
+    }
+    const { id, address } = engine.listed;
+    this.time.after(RESTART_MS, () => this.#addEngine(address));
+    this.time.after(RESTART_MS + 600, () => {
+      this.store.put("servers", id, undefined);
+    });
+  }
+
+  /** Engines that run, in the order of their start. */
+  runningEngines(): Engine[] {
+    return [...this.#engines.values()].filter(({ isUp }) => isUp);
+  }
+
+  #arrive(
+    vm: VmId,
+    sent: { readonly order: AttemptOrder; readonly attempt: RunningAttempt },
+  ): void {
+    const { order, attempt } = sent;
+    const { listener } = attempt;
+    if (attempt.isOver) return;
+    const engine = this.#engineAt(order.server.address);
+    if (engine === undefined) {
+      attempt.isOver = true;
+      const reason = "connect ECONNREFUSED";
+      return listener.failed({ kind: "unsent", reason });
+    }
+    const segments = order.request.work?.prompt.map(({ id }) => id) ?? [];
+    const { requestId } = order.request;
+    const { id } = engine.listed;
+    this.arrivals.push({
+      atMs: this.time.nowMs,
+      vm,
+      engine: id,
+      requestId,
+      segments,
+    });
+    engine.attempts.add(attempt);
+    listener.sent();
+    engine.prefilledAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs) +
+      order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
+    const delayMs = engine.prefilledAtMs - this.time.nowMs;
+    this.time.after(delayMs, () => this.#begin(engine, { attempt, segments }));
+  }
+
+  #begin(
+    engine: Engine,
+    run: {
+      readonly attempt: RunningAttempt;
+      readonly segments: readonly string[];
+    },
+  ): void {
+    const { attempt, segments } = run;
+    if (attempt.isOver) return;
+    attempt.listener.head(this.#head(engine));
+    const isDeadly = segments.slice(0, -1).some((id) =>
+      this.deadlySegments.has(id)
+    );
+    if (isDeadly) {
+      this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
+      return;
+    }
+    this.#sendEvents(engine, { attempt, left: 12 });
+  }
+
+  #head(engine: Engine): AnswerHead {
+    return {
+      status: 200,
+      isNotRun: false,
+      isMisdirected: false,
+      isExpectedServer: true,
+      hasProof: true,
+      load: { running: engine.attempts.size, waiting: 0, slots: 128 },
+      message: undefined,
+    };
+  }
+
+  #sendEvents(
+    engine: Engine,
+    run: { readonly attempt: RunningAttempt; readonly left: number },
+  ): void {
+    const { attempt, left } = run;
+    this.time.after(EVENT_INTERVAL_MS, () => {
+      if (attempt.isOver) return;
+      attempt.listener.data(Buffer.from(`id: ${13 - left}\ndata: x\n\n`));
+      if (attempt.isOver) return;
+      if (left > 1) {
+        return this.#sendEvents(engine, { attempt, left: left - 1 });
+      }
+      attempt.isOver = true;
+      engine.attempts.delete(attempt);
+      attempt.listener.end();
+    });
+  }
+}
+
+/** One daemon with its simulated ports. */
+class SimulatedDaemon {
+  readonly vm: VmId;
+  readonly gossipAddress: string;
+  readonly recordAddress: string;
+  tables: RecordExchangeOptions["tables"] = new Map();
+  readonly #world: TestFleet;
+  readonly #time: VirtualTime;
+  #context: ListenerContext | undefined;
+  #onDatagram: (bytes: Buffer) => void = () => {};
+  #isAlive = true;
+
+  constructor(world: TestFleet, index: number) {
+    this.#world = world;
+    this.#time = world.time;
+    const ip = `10.0.0.${index + 1}`;
+    this.vm = brandId<VmId>(`vm-${index}`);
+    this.gossipAddress = `${ip}:7600`;
+    this.recordAddress = `${ip}:7601`;
+    new FrontDaemon({
+      vm: this.vm,
+      ip,
+      failureDomain: DOMAINS[index % DOMAINS.length]!,
+      firstPeerPort: 7600,
+      seedIps: ["10.0.0.1"],
+      graceMs: 8_000,
+      leaseMs: 3_000,
+      weightsBoundMs: 8_000,
+      bounds: {
+        tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
+        repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
+      },
+    }, this.#ports()).start();
+  }
+
+  kill(): void {
+    this.#isAlive = false;
+  }
+
+  receive(bytes: Buffer): void {
+    if (this.#isAlive) this.#onDatagram(bytes);
+  }
+
+  serve(outcome: Outcome): void {
+    const admission = this.#context?.admission;
+    const admitted = admission?.admit({
+      host: "bells.example",
+      path: "/",
+      key: undefined,
+      tokens: undefined,
+    });
+    if (admission === undefined || admitted?.kind !== "admitted") return;
+    const { nowMs } = this.#time;
+    const opened = admission.open({
+      ...admitted,
+      requestId: outcome.requestId,
+      work: {
+        model: MODEL,
+        promptTokens: 100 * (outcome.segments.length + 1),
+        maxOutputTokens: 48,
+        prompt: promptOf(outcome),
+      },
+      deadlineMs: nowMs + 6_000,
+      timeoutAtMs: nowMs + 6_000,
+      resumeAfter: undefined,
+      message: undefined,
+    }, this.#sink(outcome));
+    if (opened.kind === "over_limit") outcome.isOverLimit = true;
+    else opened.run.start();
+  }
+
+  #sink(outcome: Outcome): CallerSink {
+    return {
+      head: () => {
+        outcome.begunAtMs = this.#time.nowMs;
+      },
+      data: () => true,
+      end: () => {
+        outcome.hasEnded = true;
+      },
+      refuse: (refusal) => {
+        outcome.refusal = refusal;
+      },
+      abortAnswer: () => {
+        outcome.isCut = true;
+      },
+    };
+  }
+
+  #ports(): FrontPorts {
+    const world = this.#world;
+    const { store } = world;
+    const record = (
+      step: string,
+      fields: Readonly<Record<string, unknown>>,
+    ) => {
+      world.steps.push({
+        ...fields,
+        atMs: this.#time.nowMs,
+        vm: this.vm,
+        step,
+      });
+    };
+    return {
+      clock: this.#time,
+      scheduler: this.#scheduler(),
+      log: { decision: record, stateChange: record, flush() {} },
+      metrics: {
+        count() {},
+        observeMs() {},
+        text: () => "",
+      } as unknown as FrontPorts["metrics"],
+      store: {
+        get isReachable() {
+          return !store.isDown;
+        },
+        callCounts: {},
+        operatorRecords: store.source("operator"),
+        serverRecords: store.source("servers"),
+        readOperatorRecord: () => ({
+          kind: "configuration",
+          configuration: world.configuration,
+        }),
+        readServer: (keyed) => world.readServer(keyed),
+        registerDaemon: async (vm, ip) => {
+          await store.call();
+          store.put("members", vm, ip);
+          return store.values("members") as Map<VmId, string>;
+        },
+      },
+      rolloutLeaseLog: {
+        claim: () => Promise.reject(new Error("No rollout is played")),
+        confirm: () => Promise.resolve(false),
+      },
+      engineOrders: {
+        report: () => Promise.resolve(undefined),
+        order: () => Promise.resolve("unknown"),
+      },
+      serverClient: {
+        start: (order, listener) =>
+          world.startAttempt(this.vm, order, this.#whileAlive(listener)),
+        closeIdleConnections() {},
+        checkListening: (address) => world.checkListening(address),
+      },
+      cacheEventClient: {
+        fetchEvents: async () => {
+          await store.wait(800);
+          return undefined;
+        },
+      },
+      createGossipTransport: () => this.#transport(),
+      createRecordExchange: (options) => this.#exchange(options),
+      listen: (context) => {
+        this.#context = context;
+        return { openRequestCount: 0, applyLimits() {}, stopListening() {} };
+      },
+      serveStatus: () => ({ close() {} }),
+    };
+  }
+
+  #scheduler(): Scheduler {
+    return {
+      after: (delayMs, task) =>
+        this.#time.after(delayMs, () => {
+          if (this.#isAlive) task();
+        }),
+    };
+  }
+
+  #whileAlive(listener: AttemptListener): AttemptListener {
+    const guard =
+      <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
+      (...args: Arguments) => {
+        if (this.#isAlive) call(...args);
+      };
+    return {
+      sent: guard(() => listener.sent()),
+      head: guard((head: AnswerHead) => listener.head(head)),
+      data: guard((chunk: Buffer) => listener.data(chunk)),
+      end: guard(() => listener.end()),
+      failed: guard((failure: Parameters<AttemptListener["failed"]>[0]) =>
+        listener.failed(failure)
+      ),
+    };
+  }
+
+  #transport(): GossipTransport {
+    return {
+      open: (onDatagram, onOpen) => {
+        this.#onDatagram = onDatagram;
+        this.#time.after(0, onOpen);
+      },
+      send: (address, bytes) => {
+        if (this.#isAlive) this.#world.deliver(address, bytes);
+      },
+      close() {},
+    };
+  }
+
+  #exchange(options: RecordExchangeOptions) {
+    this.tables = options.tables;
+    return {
+      pull: async (topic: string, address: string) => {
+        await this.#world.store.wait(2 * LINK_MS);
+        const table = options.tables.get(topic);
+        const theirs = this.#world.tablesAt(address)?.get(topic);
+        if (table === undefined || theirs === undefined) return;
+        table.apply(theirs.since(table.highestOffset));
+      },
+      close() {},
+    };
+  }
+}
+
+function promptOf({ requestId, segments }: Outcome): PromptSegment[] {
+  return [...segments, `${requestId}-own`].map((id) => ({
+    id: brandId<PromptSegmentId>(id),
+    tokens: 100,
+  }));
+}
