Keep prompt segments that crash engines away from them

Cause: a daemon tied a crash to its engine and never to what the engine was running, so that each new request with the part was placed as if nothing had happened, and was repeated at a second engine. No daemon alone sees enough, as such requests come at any of them.

Change: an answer that had just begun when its engine ended makes the segments of its prompt suspects; a connection to the engine, or its entry, tells whether the engine itself ended. Daemons tell each other the crashes they saw and when suspects were answered, and each decides from all of it: a segment that was at three crashes and not answered since is refused everywhere, not run, for a term of 60 s; then one request tries it, and a failed trial doubles the term. Of segments with the same crashes only the one never answered, or the deepest, is held. A record in the store outlasts restarts. A suspect is not repeated, and what waits at an engine is called back. A stream that ends before its first event counts as broken off, as an answer without a length ends with its engine.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -13,6 +13,7 @@
   TeamId,
   VmId,
 } from "@endivebend/types";
+import type { AnswerAges, CrashReport } from "@endivebend/quarantine";
 import { isGossipBundle, isGossipMessage } from "./gossip_schema.ts";
 
 /** The sender's requests and prompt tokens at one backend server. */
@@ -71,6 +72,10 @@
   readonly records: Readonly<Record<string, number>>;
   /** Milliseconds since the sender itself read each topic from the store. */
   readonly readAgesMs: Readonly<Record<string, number>>;
+  /** Engines that ended, and which answers had just begun at the sender. */
+  readonly crashes?: readonly CrashReport[];
+  /** Milliseconds since the sender relayed answers to suspected prompts. */
+  readonly answeredAgesMs?: AnswerAges;
 }
 
 /** A message that a relay passes on, and the time since it was received. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -62,6 +62,11 @@
     checks.every((check, index) => check(value[index]));
 }
 
+/** Absent in messages of daemons of an earlier build. */
+function isOptional(check: Check): Check {
+  return (value) => value === undefined || check(value);
+}
+
 /** An object whose named fields pass their checks. */
 function hasFields(checks: Readonly<Record<string, Check>>): Check {
   const fields = Object.entries(checks);
@@ -93,6 +98,13 @@
   answerAgesMs: isMapOf(isCount),
   records: isMapOf(isNumber),
   readAgesMs: isMapOf(isCount),
+  crashes: isOptional(isListOf(hasFields({
+    server: isName,
+    startedAtMs: isCount,
+    ageMs: isCount,
+    suspects: isListOf(isTuple(isName, isCount)),
+  }))),
+  answeredAgesMs: isOptional(isMapOf(isCount)),
 };
 
 const isGossip = hasFields(MESSAGE_CHECKS);
--- a/packages/front/src/crash_containment_test.ts
+++ b/packages/front/src/crash_containment_test.ts
@@ -136,3 +136,77 @@
     checkContained(t, traffic, day);
   });
 }
+
+const VARIED: Readonly<Record<string, Partial<Day>>> = {
+  "two deadly segments at once": {
+    deadlySegments: ["deadly", "fatal"],
+    deadlyPrompt: (deadly) => ["rulebook-0", `parish-${deadly.length}`, deadly],
+  },
+  "a deadly segment that comes often": { deadlyPerS: 15 },
+  "a deadly first segment": {
+    deadlyPrompt: (deadly) => [deadly, "rulebook-0", "parish-0"],
+  },
+  "a deadly segment amid prompts that can't be resumed": { kind: "stream" },
+};
+
+for (const [name, fields] of Object.entries(VARIED)) {
+  test(`${name} soon reaches no engine`, async (t) => {
+    const day = { ...DAY, seed: 4, ...fields };
+    const traffic = new Traffic(day);
+    await traffic.play();
+    checkContained(t, traffic, day);
+  });
+}
+
+test("a fleet that starts again as a whole sends no deadly segment to engines", async (t) => {
+  const day = { ...DAY, seed: 5, deadlyPerS: 3 };
+  const traffic = new Traffic(day);
+  const { fleet } = traffic;
+  const all = Array.from({ length: day.daemons }, (_, index) => index);
+  const restartAtMs = 14_000;
+  await traffic.play([
+    [restartAtMs, () => all.forEach((index) => fleet.killDaemon(index))],
+    [restartAtMs + 500, () => all.forEach((index) => fleet.startDaemon(index))],
+  ]);
+  checkContained(t, traffic, day);
+  t.deepEqual(traffic.arrivalsAfter("deadly", restartAtMs + CONTACT_MS), []);
+});
+
+test("a daemon that starts while the store is down learns of a deadly segment from its peers", async (t) => {
+  const day = { ...DAY, seed: 6, deadlyPerS: 3 };
+  const traffic = new Traffic(day);
+  const { fleet } = traffic;
+  const restartAtMs = 14_000;
+  await traffic.play([
+    [3_000, () => fleet.store.isDown = true],
+    [restartAtMs, () => fleet.killDaemon(0)],
+    [restartAtMs + 500, () => fleet.startDaemon(0)],
+  ]);
+  checkContained(t, traffic, day);
+});
+
+test("engines that end by themselves, one after the other or together, block no prompt", async (t) => {
+  const day = { ...DAY, seed: 7, deadlySegments: [] };
+  const traffic = new Traffic(day);
+  const { fleet } = traffic;
+  const ends = Array.from(
+    { length: 12 },
+    (_, index) =>
+      [
+        4_000 + index * 700,
+        () => fleet.crash(fleet.runningEngines()[0]!),
+      ] as const,
+  );
+  const waves = [14_000, 18_000, 22_000].map((atMs) =>
+    [
+      atMs,
+      () =>
+        fleet.runningEngines().slice(0, 6).forEach((engine) =>
+          fleet.crash(engine)
+        ),
+    ] as const
+  );
+  await traffic.play([...ends, ...waves]);
+  t.true(fleet.crashAtMs.length >= 24);
+  t.deepEqual(fleet.steps.filter(({ step }) => step === "quarantine"), []);
+});
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -29,6 +29,8 @@
   type VmId,
 } from "@endivebend/types";
 
+import type { QuarantineKeeper } from "./quarantine_keeper.ts";
+
 /** The daemon's identity and the state that it shares by gossip. */
 export interface FleetGossipOptions {
   readonly vm: VmId;
@@ -41,6 +43,10 @@
   readonly admission: AdmissionController;
   readonly named: NamedWeightsRegistry;
   readonly tables: ReadonlyMap<string, RecordTable>;
+  readonly quarantines: Pick<
+    QuarantineKeeper,
+    "composeReport" | "applyReport"
+  >;
   nowMs(): number;
   reachesStore(): boolean;
   leaseEpoch(): number;
@@ -96,6 +102,7 @@
       answerAgesMs: this.#options.answerAgesMs(),
       records: this.#recordOffsets(),
       readAgesMs: this.#options.readAgesMs(),
+      ...this.#options.quarantines.composeReport(),
     };
   }
 
@@ -120,6 +127,7 @@
     }
     this.#applyNamedWeights(message);
     this.#applyServerState(message, ageMs);
+    this.#options.quarantines.applyReport(message, ageMs);
     return true;
   }
 
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -26,7 +26,7 @@
   ServerRegistry,
 } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
-import { brandId, type IncarnationId } from "@endivebend/types";
+import { brandId, type IncarnationId, type VmId } from "@endivebend/types";
 import { findRolloutEngines, findWatchedCaches } from "./server_selection.ts";
 import { FleetGossip } from "./fleet_gossip.ts";
 import type {
@@ -36,12 +36,15 @@
   StatusServer,
 } from "./ports.ts";
 import { PauseGuard } from "./pause_guard.ts";
+import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
 
 /** Topic of the operator's records, also when daemons pass them on. */
 const OPERATOR_TOPIC = "operator";
 /** Topic of the records that backend servers write about themselves. */
 const SERVER_TOPIC = "servers";
+/** Topic of the prompt segments that crash engines. */
+const QUARANTINE_TOPIC = "quarantines";
 /**
  * Time for which the store may hold a read of operator records. New records are
  * returned at once; a connection that went silent costs this long.
@@ -52,6 +55,11 @@
  * reads don't wait for a change; a drain leaves 2,000 ms to notice it.
  */
 const SERVER_READ_INTERVAL_MS = 400;
+/**
+ * Time for which the store may hold a read of quarantines, which change rarely;
+ * peers' gossip tells of the same crashes.
+ */
+const QUARANTINE_POLL_WAIT_MS = 20_000;
 const REGISTER_RETRY_DELAY_MS = 1_000;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 const PRUNE_INTERVAL_MS = 5_000;
@@ -64,11 +72,13 @@
   readonly #registry = new ServerRegistry();
   readonly #namedWeights = new NamedWeightsRegistry();
   readonly #fleet: FleetState;
+  readonly #quarantines: QuarantineKeeper;
   readonly #admission: AdmissionController;
   readonly #recordApplier: RecordApplier;
   readonly #tables: ReadonlyMap<string, RecordTable>;
   readonly #operatorFollower: RecordFollower;
   readonly #serverFollower: RecordFollower;
+  readonly #quarantineFollower: RecordFollower;
   readonly #recordExchange: Pick<RecordExchange, "pull" | "close">;
   readonly #gossip: FleetGossip;
   readonly #gossipChannel: GossipChannel;
@@ -96,6 +106,7 @@
     this.#registry.setPeerWorkLookup((id) =>
       this.#fleet.workAt(id, this.#nowMs())
     );
+    this.#quarantines = this.#createQuarantines();
     this.#admission = this.#createAdmission();
     this.#recordApplier = this.#createRecordApplier();
     this.#tables = this.#createTables();
@@ -110,6 +121,11 @@
       minReadIntervalMs: SERVER_READ_INTERVAL_MS,
       isReader: () => this.#shouldReadServers(),
     });
+    this.#quarantineFollower = this.#createFollower(QUARANTINE_TOPIC, {
+      source: ports.store.quarantineRecords,
+      waitMs: QUARANTINE_POLL_WAIT_MS,
+      minReadIntervalMs: 0,
+    });
     this.#recordExchange = this.#createRecordExchange();
     this.#gossip = this.#createGossip();
     this.#gossipChannel = this.#createGossipChannel();
@@ -132,6 +148,8 @@
     }
     this.#operatorFollower.start();
     this.#serverFollower.start();
+    this.#quarantineFollower.start();
+    this.#quarantines.start();
     this.#weightsRollout.start();
     this.#cacheWatch.start();
     this.#pauseGuard.start();
@@ -148,6 +166,7 @@
     });
     this.#weightsRollout.stop();
     this.#cacheWatch.stop();
+    this.#quarantines.stop();
     this.#continueDrain(onEnd);
   }
 
@@ -180,7 +199,7 @@
         clock,
         scheduler,
         client: serverClient,
-        endCheck: new ServerEndCheck({ client: serverClient, log, metrics }),
+        crashGuard: this.#quarantines.guard,
         log,
         metrics,
       },
@@ -190,6 +209,31 @@
     });
   }
 
+  #createQuarantines(): QuarantineKeeper {
+    const { clock, scheduler, store, serverClient, log, metrics } = this.#ports;
+    return new QuarantineKeeper({
+      self: this.#settings.vm,
+      clock,
+      scheduler,
+      store,
+      endCheck: new ServerEndCheck({
+        client: serverClient,
+        registry: this.#registry,
+        scheduler,
+        log,
+        metrics,
+      }),
+      log,
+      metrics,
+      peers: () => this.#reachablePeers(),
+      announce: () => this.#gossipChannel.announce(),
+    });
+  }
+
+  #reachablePeers(): VmId[] {
+    return this.#fleet.reachable(this.#nowMs()).map(({ vm }) => vm);
+  }
+
   #createRecordApplier(): RecordApplier {
     return new RecordApplier({
       store: this.#ports.store,
@@ -211,7 +255,14 @@
     const servers = new RecordTable((records) =>
       this.#recordApplier.applyServerRecords(records)
     );
-    return new Map([[OPERATOR_TOPIC, operator], [SERVER_TOPIC, servers]]);
+    const quarantines = new RecordTable((records) =>
+      this.#quarantines.applyRecords(records)
+    );
+    return new Map([
+      [OPERATOR_TOPIC, operator],
+      [SERVER_TOPIC, servers],
+      [QUARANTINE_TOPIC, quarantines],
+    ]);
   }
 
   #createFollower(
@@ -268,6 +319,7 @@
       admission: this.#admission,
       named: this.#namedWeights,
       tables: this.#tables,
+      quarantines: this.#quarantines,
       nowMs: () => this.#nowMs(),
       reachesStore: () => this.#ports.store.isReachable,
       leaseEpoch: () => this.#weightsRollout.epoch,
@@ -399,8 +451,7 @@
           this.#registry,
           this.#admission.view?.configuration.cacheStores ?? [],
         ),
-      peers: () =>
-        this.#fleet.reachable(this.#nowMs()).map((member) => member.vm),
+      peers: () => this.#reachablePeers(),
       gossipRoundMs: () => this.#fleet.gossipRoundMs,
       decision: this.#logDecision,
     });
@@ -495,6 +546,7 @@
       this.#recordExchange.close();
       this.#operatorFollower.stop();
       this.#serverFollower.stop();
+      this.#quarantineFollower.stop();
       onEnd();
     }, DRAIN_CHECK_INTERVAL_MS);
   }
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -82,6 +82,10 @@
     } as unknown as AdmissionController,
     named,
     tables: new Map([["operator", new RecordTable(() => {})]]),
+    quarantines: {
+      composeReport: () => ({ crashes: [], answeredAgesMs: {} }),
+      applyReport() {},
+    },
     nowMs: () => 1_000,
     reachesStore: () => true,
     leaseEpoch: () => 0,
--- a/packages/front/src/mod.ts
+++ b/packages/front/src/mod.ts
@@ -11,3 +11,5 @@
 export * from "./ports.ts";
 export { RecordApplier } from "./record_applier.ts";
 export type { RecordApplierOptions } from "./record_applier.ts";
+export { QuarantineKeeper } from "./quarantine_keeper.ts";
+export type { QuarantineKeeperOptions } from "./quarantine_keeper.ts";
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -65,9 +65,13 @@
   readonly callCounts: Readonly<Record<string, number>>;
   readonly operatorRecords: RecordSource;
   readonly serverRecords: RecordSource;
+  /** Prompt segments that crash engines. */
+  readonly quarantineRecords: RecordSource;
   readOperatorRecord(record: KeyedRecord): OperatorRecord;
   /** Returns `undefined` when the record does not describe a server. */
   readServer(record: KeyedRecord): ListedServer | undefined;
+  /** Stores a record of a quarantine; undefined removes it. */
+  putQuarantine(key: string, value: Buffer | undefined): Promise<void>;
   /** Registers this daemon and returns all daemons with their IPs. */
   registerDaemon(vm: VmId, ip: string): Promise<ReadonlyMap<VmId, string>>;
 }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -593,6 +593,11 @@
         callCounts: {},
         operatorRecords: store.source("operator"),
         serverRecords: store.source("servers"),
+        quarantineRecords: store.source("quarantines"),
+        putQuarantine: async (key, value) => {
+          await store.call();
+          store.put("quarantines", key, value && JSON.parse(String(value)));
+        },
         readOperatorRecord: () => ({
           kind: "configuration",
           configuration: world.configuration,
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -84,8 +84,11 @@
     );
   }
 
-  /** Appends a record under a key; the store retains the newest of each key. */
-  appendKeyed(topic: string, key: string, value: Buffer) {
+  /**
+   * Appends a record under a key; the store retains the newest of each key.
+   * Without a value the key is removed.
+   */
+  appendKeyed(topic: string, key: string, value: Buffer = Buffer.alloc(0)) {
     const name = Buffer.from(key);
     const record = Buffer.concat([Buffer.from([name.length]), name, value]);
     return this.append(topic, record);
--- a/packages/platform/src/store_records.ts
+++ b/packages/platform/src/store_records.ts
@@ -21,6 +21,9 @@
 /** Topic of the daemons' entries: the VM id is the key, its IP the value. */
 const MEMBER_TOPIC = "keyed.members";
 
+/** Topic of the quarantined prompt segments. */
+const QUARANTINE_TOPIC = "keyed.quarantines";
+
 const CONFIGURATION_KEY = "config";
 const WEIGHTS_PREFIX = "version/";
 
@@ -35,8 +38,12 @@
     },
     operatorRecords: client.keyedRecordSource(OPERATOR_TOPIC),
     serverRecords: client.keyedRecordSource(SERVER_TOPIC),
+    quarantineRecords: client.keyedRecordSource(QUARANTINE_TOPIC),
     readOperatorRecord,
     readServer: ({ key, value }) => value && decodeServer(key, value),
+    async putQuarantine(key, value) {
+      await client.appendKeyed(QUARANTINE_TOPIC, key, value);
+    },
     async registerDaemon(vm, ip) {
       await client.appendKeyed(MEMBER_TOPIC, vm, Buffer.from(ip));
       const { records } = await client.newest(MEMBER_TOPIC);
--- /dev/null
+++ b/packages/quarantine/src/find_crash_causes.ts
@@ -0,0 +1,124 @@
+/**
+ * Decides which prompt segments crash engines. Each crash ends the answers of
+ * all requests at its engine, so it names the guilty segment together with some
+ * innocent ones; what they have in common over several crashes tells them apart.
+ *
+ * @module
+ */
+
+import type { SegmentOfModel } from "./segment_of_model.ts";
+
+/** A segment of a request whose answer had just begun when its engine ended. */
+export interface Suspect {
+  readonly key: SegmentOfModel;
+  /** Position in the prompt, from 0. */
+  readonly depth: number;
+}
+
+/** The end of one engine process. */
+export interface Crash {
+  readonly atMs: number;
+  /** Whether one of the suspects was found to be the cause. */
+  readonly isExplained: boolean;
+  readonly suspects: readonly Suspect[];
+}
+
+/** What is known of crashes and of answers. */
+export interface CrashHistory {
+  readonly crashes: readonly Crash[];
+  /** When the newest answer to a prompt with the segment began and went on. */
+  readonly answeredAtMs: (key: SegmentOfModel) => number | undefined;
+  /** Segments that are known to crash engines; they explain their crashes. */
+  readonly isKnownCause: (key: SegmentOfModel) => boolean;
+}
+
+/**
+ * Crashes that convict a segment. Two happen to innocent segments: a request
+ * that shares an engine with a deadly one is retried beside it.
+ */
+export const MIN_INCIDENTS = 3;
+/**
+ * Engines that end within this time count once: a rack, a failure domain or a
+ * service may end at once with whatever it was running.
+ */
+const SIMULTANEOUS_MS = 100;
+
+interface Candidate extends Suspect {
+  readonly incidents: number;
+  readonly wasAnswered: boolean;
+}
+
+/**
+ * The segments that the crashes convict beyond the known causes. A segment is
+ * convicted when it was at several crashes, with no answer after the first of
+ * them, and no known cause explains them all. Of segments with the same
+ * crashes, the one that was never answered is convicted, else the one deepest
+ * in its prompts, as fewer requests share it.
+ *
+ * @example
+ * ```ts
+ * for (const key of findCrashCauses(history)) quarantine(key);
+ * ```
+ */
+export function findCrashCauses(history: CrashHistory): SegmentOfModel[] {
+  const causes: SegmentOfModel[] = [];
+  for (;;) {
+    const [worst] = listCandidates({
+      ...history,
+      isKnownCause: (key) => causes.includes(key) || history.isKnownCause(key),
+    }).sort(compareCandidates);
+    if (worst === undefined) return causes;
+    causes.push(worst.key);
+  }
+}
+
+/**
+ * Number of crashes with the segment since it was last answered; engines that
+ * ended at once count as one.
+ */
+export function countIncidents(
+  key: SegmentOfModel,
+  { crashes, answeredAtMs }: CrashHistory,
+): number {
+  const sinceMs = answeredAtMs(key) ?? Number.NEGATIVE_INFINITY;
+  const times = crashes
+    .filter(({ atMs, suspects }) =>
+      atMs > sinceMs && suspects.some((suspect) => suspect.key === key)
+    )
+    .map(({ atMs }) => atMs)
+    .sort((a, b) => a - b);
+  let incidents = 0;
+  let incidentAtMs = Number.NEGATIVE_INFINITY;
+  for (const atMs of times) {
+    if (atMs - incidentAtMs < SIMULTANEOUS_MS) continue;
+    incidents += 1;
+    incidentAtMs = atMs;
+  }
+  return incidents;
+}
+
+function listCandidates(history: CrashHistory): Candidate[] {
+  const { crashes, answeredAtMs, isKnownCause } = history;
+  const unexplained = crashes.filter(({ isExplained, suspects }) =>
+    !isExplained && !suspects.some(({ key }) => isKnownCause(key))
+  );
+  const suspects = new Map(
+    unexplained.flatMap((crash) =>
+      crash.suspects
+        .filter(({ key }) => crash.atMs > (answeredAtMs(key) ?? -Infinity))
+        .map((suspect) => [suspect.key, suspect])
+    ),
+  );
+  return [...suspects.values()]
+    .map((suspect) => ({
+      ...suspect,
+      incidents: countIncidents(suspect.key, history),
+      wasAnswered: answeredAtMs(suspect.key) !== undefined,
+    }))
+    .filter(({ incidents }) => incidents >= MIN_INCIDENTS);
+}
+
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return b.incidents - a.incidents ||
+    Number(a.wasAnswered) - Number(b.wasAnswered) || b.depth - a.depth;
+}
--- a/packages/request-path/src/answer_relay.ts
+++ b/packages/request-path/src/answer_relay.ts
@@ -58,6 +58,12 @@
     return this.#frames.hasPartialEvent;
   }
 
+  /** Whether a stream would end without an event. */
+  get lacksEvents(): boolean {
+    const isSuccess = (this.#head?.status ?? 0) < 300;
+    return isSuccess && isStream(this.#request.route.kind) && !this.#hasBegun;
+  }
+
   /** Takes the head of an attempt's answer; the caller gets only the first. */
   head(head: AnswerHead): void {
     this.#frames = new EventFrames();
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -31,6 +31,8 @@
   CacheWatchOptions,
   WatchedCache,
 } from "./cache_watch.ts";
+export { CrashGuard } from "./crash_guard.ts";
+export type { CrashGuardOptions, SharedSegments } from "./crash_guard.ts";
 export { EventFrames } from "./event_frames.ts";
 export type { EventFrame } from "./event_frames.ts";
 export { planDrain } from "./drain_plan.ts";
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -103,6 +103,8 @@
   | "overloaded"
   | "deadline_passed"
   | "stale_weights"
+  /** The prompt has a segment that crashes engines. */
+  | "quarantined"
   | "server_failed"
   | "server_silent";
 
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -9,6 +9,7 @@
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { BackendServerId } from "@endivebend/types";
 import { AnswerRelay } from "./answer_relay.ts";
+import type { CrashGuard, SharedSegments } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
 import {
   type CachePlan,
@@ -25,7 +26,6 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
-import type { ServerEndCheck } from "./server_end_check.ts";
 import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
@@ -39,7 +39,7 @@
   readonly clock: Clock;
   readonly scheduler: Scheduler;
   readonly client: ServerClient;
-  readonly endCheck: Pick<ServerEndCheck, "hasEnded">;
+  readonly crashGuard: CrashGuard;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** Takes one retry from the shared budget; false when it is used up. */
@@ -72,6 +72,9 @@
   wasSent: boolean;
   /** When the head of its answer came. */
   headAtMs: number | undefined;
+  hasEvents: boolean;
+  /** Whether its answer shows that the prompt is sound. */
+  isKnownSound: boolean;
   lastProgressMs: number;
 }
 
@@ -81,9 +84,12 @@
   readonly #request: RoutedRequest;
   readonly #caller: CallerSink;
   readonly #relay: AnswerRelay;
+  readonly #segments: SharedSegments;
   readonly #startedAtMs: number;
   readonly #excluded = new Set<BackendServerId>();
   #attempt: Attempt | undefined;
+  /** Whether the request tries a segment whose quarantine has ended. */
+  #isTrial = false;
   #cancelTimer = () => {};
   #hasEnded = false;
   #isCallerBlocked = false;
@@ -105,6 +111,7 @@
     this.#caller = caller;
     this.#startedAtMs = this.#nowMs();
     this.#relay = new AnswerRelay(request, caller);
+    this.#segments = context.crashGuard.segmentsOf(request);
   }
 
   start(): void {
@@ -142,6 +149,7 @@
     if (this.#finalDeadlineMs() - nowMs < MIN_ATTEMPT_TIME_MS) {
       return this.#giveUp("deadline_passed");
     }
+    if (!this.#mayReachEngine(nowMs)) return;
     const exclude = this.#excluded;
     const placement = placeRequest(this.#request, {
       ...this.#context,
@@ -167,6 +175,16 @@
     this.#send(server, { nowMs, cache });
   }
 
+  /** Gives up when the prompt has a segment that crashes engines. */
+  #mayReachEngine(nowMs: number): boolean {
+    if (this.#isTrial) return true;
+    const admission = this.#context.crashGuard.admit(this.#segments);
+    this.#isTrial = admission.kind === "trial";
+    if (admission.kind !== "blocked") return true;
+    this.#giveUp("quarantined", admission.untilMs - nowMs);
+    return false;
+  }
+
   #send(
     server: KnownServer,
     at: { readonly nowMs: number; readonly cache: CachePlan },
@@ -190,6 +208,8 @@
       handle: undefined,
       wasSent: false,
       headAtMs: undefined,
+      hasEvents: false,
+      isKnownSound: false,
       lastProgressMs: nowMs,
     };
     this.#attempt = attempt;
@@ -278,7 +298,11 @@
       return this.#handleBroken(attempt, relayed.malformed);
     }
     this.#recordReceived(attempt);
-    if (relayed.isProgress) this.#recordProgress(attempt);
+    if (relayed.isProgress) {
+      attempt.hasEvents = true;
+      this.#recordProgress(attempt);
+      this.#recordSound(attempt, { isComplete: false });
+    }
     const work = attempt.server.ownWork.get(this.#request.requestId);
     if (work !== undefined) work.prefillTokens = 0;
     if (relayed.callerAcceptsMore) return;
@@ -301,9 +325,13 @@
 
   #onEnd(attempt: Attempt): void {
     if (this.#attempt !== attempt) return;
-    if (this.#relay.endsMidEvent) {
-      return this.#handleBroken(attempt, "cut_event");
+    if (this.#relay.endsMidEvent || this.#relay.lacksEvents) {
+      // An answer without a length ends like this when its engine crashes.
+      this.#recordLoss(attempt);
+      const reason = this.#relay.lacksEvents ? "no_events" : "cut_event";
+      return this.#handleBroken(attempt, reason);
     }
+    this.#recordSound(attempt, { isComplete: true });
     this.#context.registry.recordSuccess(attempt.server.listed.id);
     this.#releaseAttempt();
     this.#relay.end();
@@ -319,12 +347,33 @@
       );
       return this.#handleNotRun(attempt, failure.reason);
     }
-    if (this.#request.work !== undefined) {
-      void this.#context.endCheck.hasEnded(attempt.server.listed);
-    }
+    this.#recordLoss(attempt);
     this.#handleBroken(attempt, failure.reason);
   }
 
+  /** Records once that the prompt's answer goes on or is complete. */
+  #recordSound(
+    attempt: Attempt,
+    { isComplete }: { readonly isComplete: boolean },
+  ): void {
+    const { headAtMs: beganAtMs } = attempt;
+    if (attempt.isKnownSound || beganAtMs === undefined) return;
+    attempt.isKnownSound = this.#context.crashGuard.recordProgress(
+      this.#segments,
+      { beganAtMs, isComplete },
+    );
+  }
+
+  /** Records that the connection was lost; its engine may have crashed. */
+  #recordLoss(attempt: Attempt): void {
+    const { server, headAtMs, hasEvents, isKnownSound } = attempt;
+    void this.#context.crashGuard.recordLoss(this.#segments, {
+      server: server.listed,
+      beganAtMs: isKnownSound ? undefined : headAtMs,
+      hasEvents,
+    });
+  }
+
   /** Handles an attempt that has not run at its server. */
   #handleNotRun(attempt: Attempt, reason: string): void {
     const { listed } = attempt.server;
@@ -362,7 +411,9 @@
     this.#excluded.add(listed.id);
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
-      this.#relay.canResume && this.#context.tryRetry(this.#request);
+      this.#relay.canResume &&
+      this.#context.crashGuard.mayRetry(this.#segments) &&
+      this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
@@ -404,6 +455,7 @@
       return this.#expire();
     }
     if (attempt === undefined || this.#isCallerBlocked) return;
+    if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
     const limitMs = silenceTimeoutMs(this.#request, {
       hasBegun: this.#relay.hasBegun,
@@ -412,9 +464,23 @@
     });
     if (nowMs - attempt.lastProgressMs <= limitMs) return;
     this.#context.client.closeIdleConnections(attempt.server.listed.address);
+    this.#recordLoss(attempt);
     this.#handleBroken(attempt, "silent");
   }
 
+  /** Whether the prompt has been found to crash engines since it was sent. */
+  #isToBeCalledBack(): boolean {
+    return !this.#isTrial && !this.#relay.hasBegun &&
+      this.#context.crashGuard.findBlocked(this.#segments) !== undefined;
+  }
+
+  /** Takes the request back from its engine; it may have run. */
+  #callBack(): void {
+    if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
+    this.#abortAttempt();
+    this.#giveUp("quarantined");
+  }
+
   /** Records a server as silent when none of its streams has sent an event. */
   #detectSilentStreams(attempt: Attempt, nowMs: number): void {
     const { listed, lastReceivedMs, silentUntilMs } = attempt.server;
--- a/packages/request-path/src/server_end_check_test.ts
+++ b/packages/request-path/src/server_end_check_test.ts
@@ -1,10 +1,13 @@
 import test from "ava";
-import { type ListenState, ServerEndCheck } from "./mod.ts";
-import { listedServer } from "./testing.ts";
+import { type ListenState, ServerEndCheck, ServerRegistry } from "./mod.ts";
+import { listedServer, TestTime } from "./testing.ts";
 
 function createCheck(state: ListenState) {
   const steps: string[] = [];
   let connections = 0;
+  const registry = new ServerRegistry();
+  registry.upsert(listedServer("one"));
+  const time = new TestTime();
   const check = new ServerEndCheck({
     client: {
       checkListening: () => {
@@ -12,10 +15,12 @@
         return Promise.resolve(state);
       },
     },
+    registry,
+    scheduler: time,
     log: { decision: (step) => steps.push(step) },
     metrics: { count() {}, observeMs() {} },
   });
-  return { check, steps, connectionCount: () => connections };
+  return { check, registry, time, steps, connectionCount: () => connections };
 }
 
 test("answers that break off together open one connection to their server", async (t) => {
@@ -31,10 +36,39 @@
   t.is(connectionCount(), 2);
 });
 
+/** Lets time pass until the check has come to its result. */
+async function settle(
+  time: TestTime,
+  result: Promise<boolean>,
+): Promise<boolean> {
+  const state = { isOver: false };
+  void result.finally(() => state.isOver = true);
+  while (!state.isOver) {
+    await new Promise(setImmediate);
+    time.advance(500);
+  }
+  return await result;
+}
+
 for (const state of ["listening", "unknown"] as const) {
   test(`a server has not ended when the check says ${state}`, async (t) => {
-    const { check, steps } = createCheck(state);
-    t.false(await check.hasEnded(listedServer("one")));
+    const { check, steps, time } = createCheck(state);
+    t.false(await settle(time, check.hasEnded(listedServer("one"))));
     t.deepEqual(steps, []);
   });
 }
+
+test("a server that started again at its address has ended before", async (t) => {
+  const { check, registry, time } = createCheck("listening");
+  const result = check.hasEnded(listedServer("one"));
+  registry.upsert(listedServer("one", { startedAtMs: 2 }));
+  t.true(await settle(time, result));
+});
+
+test("a silent server whose entry lapses has ended", async (t) => {
+  const { check, registry, time } = createCheck("unknown");
+  const server = listedServer("one");
+  const result = check.hasEnded(server);
+  registry.remove(server.id, 1_000);
+  t.true(await settle(time, result));
+});
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock, Scheduler } from "@endivebend/clock";
+import { CrashEvidence, PromptQuarantine } from "@endivebend/quarantine";
 import {
   type BackendServerId,
   brandId,
@@ -24,6 +25,7 @@
   Refusal,
   ServerClient,
 } from "./ports.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { ServerEndCheck } from "./server_end_check.ts";
 import { ServerRegistry } from "./server_registry.ts";
 import type {
@@ -246,12 +248,29 @@
   const client = new FakeClient();
   const log = { decision() {} };
   const metrics = { count() {}, observeMs() {} };
+  const evidence = new CrashEvidence();
   return {
     time,
     clock: time,
     scheduler: time,
     client,
-    endCheck: new ServerEndCheck({ client, log, metrics }),
+    crashGuard: new CrashGuard({
+      endCheck: new ServerEndCheck({
+        client,
+        registry,
+        scheduler: time,
+        log,
+        metrics,
+      }),
+      evidence,
+      quarantine: new PromptQuarantine({
+        evidence,
+        mayTry: () => true,
+        changed() {},
+      }),
+      nowMs: time.steadyMs,
+      crashSeen() {},
+    }),
     failureDomain: brandId<FailureDomainId>("a"),
     namedWeights: () => [],
     weightsBoundMs: 8_000,
