Bound the work and the messages about crashes in a large fleet

Found on reading the change for fleets of 195 daemons: each message with a report led to a new evaluation of all crashes, for ten minutes after each crash, and one engine that ended twice under the same id and entry counted as one crash.

--- a/packages/front/src/quarantine_keeper.ts
+++ b/packages/front/src/quarantine_keeper.ts
@@ -98,8 +98,11 @@
     }
     const nowMs = this.#nowMs();
     const sentAtMs = nowMs - ageMs;
-    this.#evidence.applyPeer({ crashes, answeredAgesMs }, sentAtMs);
-    this.#quarantine.evaluate(nowMs);
+    const hasNew = this.#evidence.applyPeer(
+      { crashes, answeredAgesMs },
+      sentAtMs,
+    );
+    if (hasNew) this.#quarantine.evaluate(nowMs);
   }
 
   /** Applies stored records, read here or by a peer. */
--- a/packages/quarantine/src/crash_evidence.ts
+++ b/packages/quarantine/src/crash_evidence.ts
@@ -35,14 +35,26 @@
 
 /** Crashes further apart than this are not seen as related. */
 const EVIDENCE_TTL_MS = 600_000;
+/**
+ * Peers are told of a crash for this long: many gossip rounds, and long enough
+ * for a daemon that starts again while the store is away.
+ */
+const REPORT_TTL_MS = 30_000;
 /** Bounds on what a gossip message tells, newest first. */
 const MAX_REPORTS = 16;
-const MAX_REPORTED_SUSPECTS = 24;
+const MAX_REPORTED_SUSPECTS = 12;
 const MAX_ANSWER_AGES = 64;
 /** Segments whose newest answer is remembered; 20 a second for a few minutes. */
 const MAX_ANSWERED = 8_192;
 /** Crashes that are remembered, newest first. */
 const MAX_CRASHES = 256;
+/**
+ * Ends of one engine that are further apart are two crashes: its entry may still
+ * be that of the former process.
+ */
+const SAME_CRASH_MS = 1_500;
+/** Ages in messages vary by their time on the way. */
+const MIN_NEWER_MS = 50;
 
 interface KnownCrash extends Crash {
   readonly server: BackendServerId;
@@ -56,7 +68,8 @@
 
 /** Crashes and answers, merged from all daemons. */
 export class CrashEvidence {
-  readonly #crashes = new Map<string, KnownCrash>();
+  /** In the order in which they became known. */
+  #crashes: KnownCrash[] = [];
   readonly #answers = new AnswerTimes();
   /** What this daemon itself has seen of answers. */
   readonly #ownAnswers = new AnswerTimes();
@@ -81,7 +94,8 @@
   }
 
   /**
-   * Applies what a peer has told. Returns whether a crash or a suspect is new.
+   * Applies what a peer has told. Returns whether a crash, a suspect or an
+   * answer is new.
    */
   applyPeer(
     told: {
@@ -101,8 +115,11 @@
       );
       hasNew ||= crash.suspects.length > before;
     }
-    for (const [key, ageMs] of Object.entries(told.answeredAgesMs)) {
-      this.#answers.set(key as SegmentOfModel, nowMs - ageMs);
+    for (const [name, ageMs] of Object.entries(told.answeredAgesMs)) {
+      const key = name as SegmentOfModel;
+      const knownAtMs = this.#answers.get(key) ?? Number.NEGATIVE_INFINITY;
+      this.#answers.set(key, nowMs - ageMs);
+      hasNew ||= nowMs - ageMs - knownAtMs > MIN_NEWER_MS;
     }
     return hasNew;
   }
@@ -110,8 +127,8 @@
   /** What this daemon has seen of recent crashes, newest first. */
   ownReports(nowMs: number): CrashReport[] {
     this.#dropOld(nowMs);
-    return [...this.#crashes.values()]
-      .filter(({ own }) => own.length > 0)
+    return this.#crashes
+      .filter(({ own, atMs }) => own.length > 0 && nowMs - atMs < REPORT_TTL_MS)
       .sort((a, b) => b.atMs - a.atMs)
       .slice(0, MAX_REPORTS)
       .map(({ server, startedAtMs, atMs, own }) => ({
@@ -128,7 +145,8 @@
    * to tell segments with the same crashes apart.
    */
   ownAnswerAges(nowMs: number): AnswerAges {
-    const suspects = [...this.#crashes.values()]
+    const suspects = this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < REPORT_TTL_MS)
       .flatMap((crash) => crash.suspects.map(({ key }) => key));
     const newest = [...new Set(suspects)]
       .flatMap((key) => {
@@ -153,7 +171,7 @@
     this.#dropOld(nowMs);
     const causes = findCrashCauses(this.#history(isKnownCause));
     // Stays so when the cause is released, as others were not at fault.
-    for (const crash of this.#crashes.values()) {
+    for (const crash of this.#crashes) {
       crash.isExplained ||= crash.suspects.some(({ key }) =>
         isKnownCause(key) || causes.includes(key)
       );
@@ -170,7 +188,7 @@
 
   #history(isKnownCause: CrashHistory["isKnownCause"]): CrashHistory {
     return {
-      crashes: [...this.#crashes.values()],
+      crashes: this.#crashes,
       answeredAtMs: (key) => this.#answers.get(key),
       isKnownCause,
     };
@@ -183,8 +201,10 @@
     },
     atMs: number,
   ): KnownCrash {
-    const name = `${id}/${startedAtMs}`;
-    const known = this.#crashes.get(name);
+    const known = this.#crashes.find((crash) =>
+      crash.server === id && crash.startedAtMs === startedAtMs &&
+      Math.abs(crash.atMs - atMs) < SAME_CRASH_MS
+    );
     if (known !== undefined) {
       known.atMs = Math.min(known.atMs, atMs);
       return known;
@@ -197,15 +217,14 @@
       suspects: [],
       own: [],
     };
-    this.#crashes.set(name, crash);
+    this.#crashes.push(crash);
     return crash;
   }
 
   #dropOld(nowMs: number): void {
-    for (const [name, { atMs }] of this.#crashes) {
-      const isOld = nowMs - atMs > EVIDENCE_TTL_MS;
-      if (isOld || this.#crashes.size > MAX_CRASHES) this.#crashes.delete(name);
-    }
+    this.#crashes = this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < EVIDENCE_TTL_MS)
+      .slice(-MAX_CRASHES);
   }
 }
 
--- a/packages/quarantine/src/find_crash_causes.ts
+++ b/packages/quarantine/src/find_crash_causes.ts
@@ -78,18 +78,21 @@
  */
 export function countIncidents(
   key: SegmentOfModel,
-  { crashes, answeredAtMs }: CrashHistory,
+  { crashes, answeredAtMs }: Pick<CrashHistory, "crashes" | "answeredAtMs">,
 ): number {
   const sinceMs = answeredAtMs(key) ?? Number.NEGATIVE_INFINITY;
   const times = crashes
     .filter(({ atMs, suspects }) =>
       atMs > sinceMs && suspects.some((suspect) => suspect.key === key)
     )
-    .map(({ atMs }) => atMs)
-    .sort((a, b) => a - b);
+    .map(({ atMs }) => atMs);
+  return countApart(times);
+}
+
+function countApart(times: readonly number[]): number {
   let incidents = 0;
   let incidentAtMs = Number.NEGATIVE_INFINITY;
-  for (const atMs of times) {
+  for (const atMs of times.toSorted((a, b) => a - b)) {
     if (atMs - incidentAtMs < SIMULTANEOUS_MS) continue;
     incidents += 1;
     incidentAtMs = atMs;
@@ -99,20 +102,27 @@
 
 function listCandidates(history: CrashHistory): Candidate[] {
   const { crashes, answeredAtMs, isKnownCause } = history;
-  const unexplained = crashes.filter(({ isExplained, suspects }) =>
-    !isExplained && !suspects.some(({ key }) => isKnownCause(key))
-  );
-  const suspects = new Map(
-    unexplained.flatMap((crash) =>
-      crash.suspects
-        .filter(({ key }) => crash.atMs > (answeredAtMs(key) ?? -Infinity))
-        .map((suspect) => [suspect.key, suspect])
-    ),
-  );
-  return [...suspects.values()]
-    .map((suspect) => ({
+  const found = new Map<
+    SegmentOfModel,
+    { readonly suspect: Suspect; readonly times: number[]; isOpen: boolean }
+  >();
+  for (const { atMs, isExplained, suspects } of crashes) {
+    const isOpen = !isExplained &&
+      !suspects.some(({ key }) => isKnownCause(key));
+    for (const suspect of suspects) {
+      if (atMs <= (answeredAtMs(suspect.key) ?? -Infinity)) continue;
+      const entry = found.get(suspect.key) ??
+        { suspect, times: [], isOpen: false };
+      found.set(suspect.key, entry);
+      entry.times.push(atMs);
+      entry.isOpen ||= isOpen;
+    }
+  }
+  return [...found.values()]
+    .filter(({ isOpen, times }) => isOpen && times.length >= MIN_INCIDENTS)
+    .map(({ suspect, times }) => ({
       ...suspect,
-      incidents: countIncidents(suspect.key, history),
+      incidents: countApart(times),
       wasAnswered: answeredAtMs(suspect.key) !== undefined,
     }))
     .filter(({ incidents }) => incidents >= MIN_INCIDENTS);
--- a/packages/quarantine/src/prompt_quarantine_test.ts
+++ b/packages/quarantine/src/prompt_quarantine_test.ts
@@ -158,6 +158,16 @@
   t.is(quarantine.admit([BAD], 1_000).kind, "admitted");
 });
 
+test("an engine that ends again under its id and entry counts again", (t) => {
+  const { quarantine, evidence } = create();
+  const server = { id: brandId<BackendServerId>("e"), startedAtMs: 0 };
+  for (const atMs of [1_000, 5_000, 9_000]) {
+    evidence.recordCrash(server, [{ key: BAD, depth: 0 }], atMs);
+  }
+  quarantine.evaluate(9_000);
+  t.is(quarantine.admit([BAD], 9_000).kind, "blocked");
+});
+
 test("a stored quarantine holds for what is left of its term", (t) => {
   const { quarantine } = create();
   const record = { strikes: 2, untilWallMs: 1_000_000 };
