Log the limits that engines name

The adapter reads the header into the head of an answer, the registry holds the newest one, server_limit is logged at each change, place names the limit, and limited_attempts counts attempts at such engines.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -191,6 +191,8 @@
   isUp: boolean;
   /** When the prompts that wait are prefilled. */
   prefilledAtMs: number;
+  /** The limit that its answers name. */
+  limitPerS: number | undefined;
   readonly attempts: Set<RunningAttempt>;
 }
 
@@ -365,6 +367,7 @@
       },
       isUp: true,
       prefilledAtMs: 0,
+      limitPerS: undefined,
       attempts: new Set(),
     });
     this.store.put("servers", id, { id });
@@ -451,6 +454,7 @@
       isExpectedServer: true,
       hasProof: true,
       load: { running: engine.attempts.size, waiting: 0, slots: 128 },
+      limitPerS: engine.limitPerS,
       message: undefined,
     };
   }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -319,6 +319,7 @@
       : instanceId === order.server.id,
     hasProof: headers[HEADERS.proof] !== undefined,
     load: parseLoad(headers[HEADERS.load]),
+    limitPerS: parseLimit(headers[HEADERS.limit]),
     message,
   };
 }
@@ -335,6 +336,13 @@
     : undefined;
 }
 
+/** Parses a decimal number of requests a second. */
+function parseLimit(header: string | string[] | undefined) {
+  if (typeof header !== "string" || header.trim() === "") return undefined;
+  const limitPerS = Number(header);
+  return Number.isFinite(limitPerS) && limitPerS >= 0 ? limitPerS : undefined;
+}
+
 /** Returns the headers of a server's answer that are passed to the client. */
 export function answerHeaders(
   message: ServerMessage,
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -130,3 +130,20 @@
   server.close();
   t.is(await client.checkListening(server.address), "closed");
 });
+
+for (
+  const [header, limitPerS] of [
+    ["Server-Limit: 3.6\r\n", 3.6],
+    ["Server-Limit: 0\r\n", 0],
+    ["Server-Limit: soon\r\n", undefined],
+    ["Server-Limit: -1\r\n", undefined],
+    ["", undefined],
+  ] as const
+) {
+  test(`an answer with "${header.trim()}" names the limit ${limitPerS}`, async (t) => {
+    const { head } = await runAttemptAgainst((socket) => {
+      socket.write(`${RESPONSE_HEAD}${header}Content-Length: 0\r\n\r\n`);
+    });
+    t.is(head?.limitPerS, limitPerS);
+  });
+}
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -21,6 +21,8 @@
   serverId: "instance-id",
   /** A server's load as `RUNNING,WAITING,SLOTS`. */
   load: "server-load",
+  /** Requests a second that a server takes from all callers together. */
+  limit: "server-limit",
   notRun: "not-run",
   retryAfter: "retry-after",
   model: "model",
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -52,6 +52,11 @@
   /** Whether the answer has the proof header that a success requires. */
   readonly hasProof: boolean;
   readonly load: ServerLoad | undefined;
+  /**
+   * Requests a second that the server takes from all daemons together;
+   * undefined while it names no limit.
+   */
+  readonly limitPerS: number | undefined;
   /** Data with which the caller's interface relays the answer; opaque here. */
   readonly message: unknown;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -170,6 +170,7 @@
       weights: cache.weights,
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
+      limitPerS: server.limitPerS,
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
     });
     this.#send(server, { nowMs, cache });
@@ -213,6 +214,9 @@
       lastProgressMs: nowMs,
     };
     this.#attempt = attempt;
+    if (server.limitPerS !== undefined) {
+      this.#context.metrics.count("limited_attempts");
+    }
     // An idle connection may be dead. A request sent on it would get no answer
     // and could not be retried; a new connection fails before anything is sent.
     const needsNewConnection = !isRepeatable(request.route.kind) &&
@@ -252,6 +256,7 @@
     if (head.load !== undefined) {
       registry.recordLoad(id, head.load, this.#nowMs());
     }
+    if (!head.isMisdirected) this.#recordLimit(attempt, head);
     if (head.isMisdirected) return this.#handleMisdirected(attempt, head);
     if (head.isNotRun) {
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
@@ -266,6 +271,13 @@
     this.#relay.head(head);
   }
 
+  #recordLimit({ server }: Attempt, { limitPerS }: AnswerHead): void {
+    const { registry, log } = this.#context;
+    const { id } = server.listed;
+    if (!registry.recordLimit(id, limitPerS)) return;
+    log.decision("server_limit", { server: id, limitPerS: limitPerS ?? null });
+  }
+
   /** Another server has the address, or the server has other weights. */
   #handleMisdirected(attempt: Attempt, head: AnswerHead): void {
     const { registry } = this.#context;
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -95,6 +95,8 @@
   loadAtMs: number;
   /** Until when the server is expected to be loading weights. */
   loadingUntilMs: number;
+  /** Requests a second that it takes, by its newest answer. */
+  limitPerS: number | undefined;
 }
 
 /** The known state of all backend servers. */
@@ -234,6 +236,14 @@
     server.loadAtMs = nowMs;
   }
 
+  /** Records the limit that an answer names; returns whether it has changed. */
+  recordLimit(id: BackendServerId, limitPerS: number | undefined): boolean {
+    const server = this.#servers.get(id);
+    if (server === undefined || server.limitPerS === limitPerS) return false;
+    server.limitPerS = limitPerS;
+    return true;
+  }
+
   recordSuccess(id: BackendServerId): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
@@ -369,5 +379,6 @@
     load: undefined,
     loadAtMs: Number.NEGATIVE_INFINITY,
     loadingUntilMs: 0,
+    limitPerS: undefined,
   };
 }
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -228,6 +228,7 @@
     isExpectedServer: undefined,
     hasProof: true,
     load: undefined,
+    limitPerS: undefined,
     message: undefined,
     ...fields,
   };
--- a/scripts/check_repository.ts
+++ b/scripts/check_repository.ts
@@ -21,7 +21,7 @@
 const DEEP_IMPORT = /from "@endivebend\/[a-z-]+\//;
 /** Headers, paths and settings of the users' platform. */
 const PLATFORM_NAMES =
-  /attempt-id|response-seal|prompt-prefix|expect-instance|not-run\b|kv-(?:events|fetch|save)|log-(?:append|read|newest)|server-load|token-usage|ENDIVEBEND_CONFIG/i;
+  /attempt-id|response-seal|prompt-prefix|expect-instance|not-run\b|kv-(?:events|fetch|save)|log-(?:append|read|newest)|server-load|server-limit|token-usage|ENDIVEBEND_CONFIG/i;
 /** The adapter, and the stand-ins that play the platform. */
 const PLATFORM_PACKAGES = new Set(["platform", "stand-ins"]);
 /** Packages that run beside the product: tests, measurements, stand-ins. */
