Convict no sound segment for a crash whose cause went unseen

Change: a request whose answer has begun is not called back, so that the end of its engine is seen and explained. Crashes that a known cause explains count for segments that were never answered only.

Evidence: both tests failed before.

--- a/packages/quarantine/src/find_crash_causes.ts
+++ b/packages/quarantine/src/find_crash_causes.ts
@@ -43,6 +43,14 @@
  */
 const SIMULTANEOUS_MS = 100;
 
+/** The crashes at which a segment was a suspect since it was last answered. */
+interface Appearances {
+  readonly suspect: Suspect;
+  /** Those that no known cause explains. */
+  readonly openAtMs: number[];
+  readonly explainedAtMs: number[];
+}
+
 interface Candidate extends Suspect {
   readonly incidents: number;
   readonly wasAnswered: boolean;
@@ -50,8 +58,9 @@
 
 /**
  * The segments that the crashes convict beyond the known causes. A segment is
- * convicted when it was at several crashes, with no answer after the first of
- * them, and no known cause explains them all. Of segments with the same
+ * convicted when it was at several crashes that no known cause explains, with
+ * no answer after the first of them. For one that was never answered a single
+ * crash without an explanation is enough. Of segments with the same
  * crashes, the one that was never answered is convicted, else the one deepest
  * in its prompts, as fewer requests share it.
  *
@@ -102,29 +111,27 @@
 
 function listCandidates(history: CrashHistory): Candidate[] {
   const { crashes, answeredAtMs, isKnownCause } = history;
-  const found = new Map<
-    SegmentOfModel,
-    { readonly suspect: Suspect; readonly times: number[]; isOpen: boolean }
-  >();
+  const found = new Map<SegmentOfModel, Appearances>();
   for (const { atMs, isExplained, suspects } of crashes) {
     const isOpen = !isExplained &&
       !suspects.some(({ key }) => isKnownCause(key));
     for (const suspect of suspects) {
       if (atMs <= (answeredAtMs(suspect.key) ?? -Infinity)) continue;
       const entry = found.get(suspect.key) ??
-        { suspect, times: [], isOpen: false };
+        { suspect, openAtMs: [], explainedAtMs: [] };
       found.set(suspect.key, entry);
-      entry.times.push(atMs);
-      entry.isOpen ||= isOpen;
+      (isOpen ? entry.openAtMs : entry.explainedAtMs).push(atMs);
     }
   }
   return [...found.values()]
-    .filter(({ isOpen, times }) => isOpen && times.length >= MIN_INCIDENTS)
-    .map(({ suspect, times }) => ({
-      ...suspect,
-      incidents: countApart(times),
-      wasAnswered: answeredAtMs(suspect.key) !== undefined,
-    }))
+    .filter(({ openAtMs }) => openAtMs.length > 0)
+    .map(({ suspect, openAtMs, explainedAtMs }) => {
+      const wasAnswered = answeredAtMs(suspect.key) !== undefined;
+      // Beside a known cause anything may have been at its crashes; only what
+      // was never answered may be a cause that was mistaken for another.
+      const times = wasAnswered ? openAtMs : [...openAtMs, ...explainedAtMs];
+      return { ...suspect, incidents: countApart(times), wasAnswered };
+    })
     .filter(({ incidents }) => incidents >= MIN_INCIDENTS);
 }
 
--- a/packages/quarantine/src/find_crash_causes_test.ts
+++ b/packages/quarantine/src/find_crash_causes_test.ts
@@ -105,6 +105,17 @@
   t.deepEqual(causes(crashes, { known: ["bad"] }), []);
 });
 
+test("a crash whose cause nobody saw does not convict what the cause stood beside", (t) => {
+  const crashes = [100, 250, 400].map((atMs) => crash(atMs, ["rules", "bad"]));
+  t.deepEqual(
+    causes([...crashes, crash(500, ["rules", "sound"])], {
+      answered: { rules: 50 },
+      known: ["bad"],
+    }),
+    [],
+  );
+});
+
 test("two deadly segments at once are both convicted", (t) => {
   const crashes = [0, 200, 400, 600, 800, 1_000].map((atMs, index) =>
     crash(atMs, ["rules", index % 2 === 0 ? "one" : "two"])
--- a/packages/request-path/src/crash_guard_test.ts
+++ b/packages/request-path/src/crash_guard_test.ts
@@ -91,6 +91,19 @@
   t.like(caller.refusal, { reason: "quarantined", isNotRun: false });
 });
 
+test("a request whose answer has begun is not called back, as its engine ends anyway", async (t) => {
+  const context = createServers();
+  start(context, "bad");
+  const begun = context.client.last;
+  begun.listener.head(answerHead());
+  for (let crashes = 0; crashes < 3; crashes++) {
+    start(context, "bad");
+    await crashEngine(context);
+  }
+  t.false(start(context, "bad").wasSent);
+  t.false(begun.isAborted);
+});
+
 test("an answer without a length that ends before its first event is broken off", async (t) => {
   const context = createServers();
   const { caller } = start(context, "bad");
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -480,9 +480,12 @@
     this.#handleBroken(attempt, "silent");
   }
 
-  /** Whether the prompt has been found to crash engines since it was sent. */
+  /**
+   * Whether the prompt has been found to crash engines since it was sent. Once
+   * the answer has begun the engine ends anyway, and its end has to be seen.
+   */
   #isToBeCalledBack(): boolean {
-    return !this.#isTrial && !this.#relay.hasBegun &&
+    return !this.#isTrial && this.#attempt?.headAtMs === undefined &&
       this.#context.crashGuard.findBlocked(this.#segments) !== undefined;
   }
 
