Check at once whether an engine has ended, also after an earlier loss

Found on reading the change with two troubles at once in mind: a connection that was lost while its engine ran keeps a watch on the engine's entry for 5 s, and an engine that ended meanwhile was not connected to but waited for with it, 3 to 5 s. Beside lost answers a deadly segment would be convicted late.

Only the connection is shared now, the entry is watched for each loss.

--- a/packages/request-path/src/server_end_check.ts
+++ b/packages/request-path/src/server_end_check.ts
@@ -8,7 +8,12 @@
 
 import { delay, type Scheduler } from "@endivebend/clock";
 import type { BackendServerId } from "@endivebend/types";
-import type { DecisionLog, PathMetrics, ServerClient } from "./ports.ts";
+import type {
+  DecisionLog,
+  ListenState,
+  PathMetrics,
+  ServerClient,
+} from "./ports.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { ListedServer } from "./types.ts";
 
@@ -28,11 +33,15 @@
  */
 const ENTRY_CHECKS = 10;
 const ENTRY_CHECK_INTERVAL_MS = 500;
+/** Ends that are remembered, so that each is logged once. */
+const MAX_LOGGED = 1_024;
 
-/** Checks servers, each of them at most once at a time. */
+/** Checks servers, with at most one connection to each of them at a time. */
 export class ServerEndCheck {
   readonly #options: ServerEndCheckOptions;
-  readonly #running = new Map<BackendServerId, Promise<boolean>>();
+  readonly #connecting = new Map<BackendServerId, Promise<ListenState>>();
+  /** Starts of the processes whose end was logged. */
+  readonly #loggedStartMs = new Map<BackendServerId, number>();
 
   constructor(options: ServerEndCheckOptions) {
     this.#options = options;
@@ -47,24 +56,35 @@
    * if (await endCheck.hasEnded(listed)) recordCrash(listed);
    * ```
    */
-  hasEnded(server: ListedServer): Promise<boolean> {
-    const running = this.#running.get(server.id);
-    if (running !== undefined) return running;
-    const check = this.#check(server)
-      .finally(() => this.#running.delete(server.id));
-    this.#running.set(server.id, check);
+  async hasEnded(server: ListedServer): Promise<boolean> {
+    const state = await this.#connect(server);
+    const hasEnded = state === "closed" || await this.#isReplaced(server);
+    if (hasEnded) this.#logEnd(server, state);
+    return hasEnded;
+  }
+
+  #connect({ id, address }: ListedServer): Promise<ListenState> {
+    const connecting = this.#connecting.get(id);
+    if (connecting !== undefined) return connecting;
+    const { client, metrics } = this.#options;
+    const check = client.checkListening(address).then((state) => {
+      metrics.count("end_checks", { state });
+      this.#connecting.delete(id);
+      return state;
+    });
+    this.#connecting.set(id, check);
     return check;
   }
 
-  async #check(server: ListedServer): Promise<boolean> {
-    const { client, log, metrics } = this.#options;
-    const { id, address, startedAtMs } = server;
-    const state = await client.checkListening(address);
-    metrics.count("end_checks", { state });
-    const hasEnded = state === "closed" || await this.#isReplaced(server);
-    if (!hasEnded) return false;
-    log.decision("server_ended", { server: id, address, startedAtMs, state });
-    return true;
+  #logEnd({ id, address, startedAtMs }: ListedServer, state: ListenState) {
+    if (this.#loggedStartMs.get(id) === startedAtMs) return;
+    this.#loggedStartMs.set(id, startedAtMs);
+    if (this.#loggedStartMs.size > MAX_LOGGED) {
+      const [oldest] = this.#loggedStartMs.keys();
+      this.#loggedStartMs.delete(oldest!);
+    }
+    const fields = { server: id, address, startedAtMs, state };
+    this.#options.log.decision("server_ended", fields);
   }
 
   async #isReplaced({ id, startedAtMs }: ListedServer): Promise<boolean> {
--- a/packages/request-path/src/server_end_check_test.ts
+++ b/packages/request-path/src/server_end_check_test.ts
@@ -2,7 +2,7 @@
 import { type ListenState, ServerEndCheck, ServerRegistry } from "./mod.ts";
 import { listedServer, TestTime } from "./testing.ts";
 
-function createCheck(state: ListenState) {
+function createCheck(state: ListenState | (() => ListenState)) {
   const steps: string[] = [];
   let connections = 0;
   const registry = new ServerRegistry();
@@ -12,7 +12,7 @@
     client: {
       checkListening: () => {
         connections += 1;
-        return Promise.resolve(state);
+        return Promise.resolve(typeof state === "function" ? state() : state);
       },
     },
     registry,
@@ -65,6 +65,17 @@
   t.true(await settle(time, result));
 });
 
+test("a connection lost before does not delay finding that a server ended", async (t) => {
+  const state = { now: "listening" as ListenState };
+  const { check, time } = createCheck(() => state.now);
+  const server = listedServer("one");
+  const earlier = check.hasEnded(server);
+  await new Promise(setImmediate);
+  state.now = "closed";
+  t.true(await check.hasEnded(server));
+  t.false(await settle(time, earlier));
+});
+
 test("a silent server whose entry lapses has ended", async (t) => {
   const { check, registry, time } = createCheck("unknown");
   const server = listedServer("one");
