Bound what resumed streams send beyond a server's limit

Found on reading: a stream that had begun went on at servers with a limit whatever had been sent there, so that the end of one engine with many streams could take the others over their limits. It may now take up a request that is saved in part, one for each daemon and server, and breaks off where none is.

--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -339,8 +339,8 @@
 
 /**
  * Leaves out servers with a limit that take no further request of this daemon
- * now. A stream that has begun goes on at one of them rather than break off;
- * later requests wait for longer instead.
+ * now. A stream that has begun may be ahead of time at one of them rather than
+ * break off; the next request waits for longer instead.
  */
 function excludeLimited(
   views: readonly ServerView[],
@@ -349,7 +349,8 @@
   const allowed = views.filter(({ server }) =>
     allowances.waitMs(server, nowMs) === 0
   );
-  return allowed.length === 0 && hasBegun ? views : allowed;
+  if (allowed.length > 0 || !hasBegun) return allowed;
+  return views.filter(({ server }) => allowances.mayAdvance(server, nowMs));
 }
 
 function untilAllowedMs(
--- a/packages/request-path/src/server_allowances.ts
+++ b/packages/request-path/src/server_allowances.ts
@@ -59,6 +59,12 @@
     return Math.max(0, (1 - bucket.tokens) / bucket.ratePerS * 1_000);
   }
 
+  /** Whether a stream that has begun may take up a request saved in part. */
+  mayAdvance(server: KnownServer, nowMs: number): boolean {
+    if (server.limit === undefined) return true;
+    return (this.#bucketOf(server, nowMs)?.tokens ?? 0) > 0;
+  }
+
   /** Charges a request that is sent to the server. */
   take(server: KnownServer, nowMs: number): void {
     if (server.limit === undefined) return;
