Try a quarantined segment at one engine only, and name likely causes first

Found on reading: a trial whose engine ended was repeated at a second one once the crashes that led to the quarantine were forgotten, and of a prompt with more segments than a message tells the first ones were told, which most requests share, not those that would be convicted.

A trial is not repeated; suspects that were never answered, and deep ones, are told first. Both tests failed before; 34 tests of crash_guard and quarantine passed.

--- a/packages/quarantine/src/crash_evidence.ts
+++ b/packages/quarantine/src/crash_evidence.ts
@@ -135,11 +135,20 @@
         server,
         startedAtMs,
         ageMs: Math.round(nowMs - atMs),
-        suspects: own.slice(0, MAX_REPORTED_SUSPECTS)
+        suspects: this.#mostSuspect(own)
           .map(({ key, depth }) => [key, depth] as const),
       }));
   }
 
+  /** Those that are convicted first, should all be at the same crashes. */
+  #mostSuspect(suspects: readonly Suspect[]): Suspect[] {
+    const wasAnswered = ({ key }: Suspect) =>
+      Number(this.#answers.get(key) !== undefined);
+    return suspects
+      .toSorted((a, b) => wasAnswered(a) - wasAnswered(b) || b.depth - a.depth)
+      .slice(0, MAX_REPORTED_SUSPECTS);
+  }
+
   /**
    * When this daemon has answered suspects. Also answers before the crash count,
    * to tell segments with the same crashes apart.
--- a/packages/quarantine/src/prompt_quarantine_test.ts
+++ b/packages/quarantine/src/prompt_quarantine_test.ts
@@ -206,3 +206,21 @@
     t.is(decodeQuarantine(Buffer.from(text)), undefined);
   }
 });
+
+test("peers are told of the likely causes first when a prompt has many segments", (t) => {
+  const { evidence } = create();
+  const keys = Array.from(
+    { length: 40 },
+    (_, depth) => segmentOfModel(MODEL, `part-${depth}`),
+  );
+  evidence.recordAnswered(keys.filter((_, depth) => depth !== 20), 100);
+  evidence.recordCrash(
+    { id: brandId<BackendServerId>("e"), startedAtMs: 1 },
+    keys.map((key, depth) => ({ key, depth })),
+    1_000,
+  );
+  const [report] = evidence.ownReports(1_100);
+  t.is(report?.suspects[0]?.[0], keys[20]);
+  t.is(report?.suspects[1]?.[0], keys[39]);
+  t.true((report?.suspects.length ?? 0) < keys.length);
+});
--- a/packages/request-path/src/crash_guard_test.ts
+++ b/packages/request-path/src/crash_guard_test.ts
@@ -14,7 +14,7 @@
 const EVENT = Buffer.from("id: 1\ndata: a\n\n");
 let requests = 0;
 
-function request(segment: string): RoutedRequest {
+function request(segment: string, deadlineMs: number): RoutedRequest {
   return routedRequest("resumable_stream", {
     requestId: brandId<RequestId>(`q-${++requests}`),
     work: {
@@ -26,8 +26,8 @@
         tokens: 300,
       })),
     },
-    deadlineMs: 60_000,
-    timeoutAtMs: 60_000,
+    deadlineMs,
+    timeoutAtMs: deadlineMs,
   });
 }
 
@@ -40,9 +40,13 @@
   return context;
 }
 
-function start(context: ReturnType<typeof createServers>, segment: string) {
+function start(
+  context: ReturnType<typeof createServers>,
+  segment: string,
+  deadlineMs = 60_000,
+) {
   const caller = new FakeCaller();
-  const run = new RequestRun(context, request(segment), caller);
+  const run = new RequestRun(context, request(segment, deadlineMs), caller);
   const before = context.client.attempts.length;
   run.start();
   const wasSent = context.client.attempts.length > before;
@@ -104,6 +108,23 @@
   t.false(begun.isAborted);
 });
 
+test("a request that tries a segment again ends one engine at most", async (t) => {
+  const context = createServers();
+  for (let crashes = 0; crashes < 3; crashes++) {
+    start(context, "bad");
+    await crashEngine(context);
+  }
+  // The crashes before are forgotten by then, and the segment is due.
+  context.time.advance(700_000);
+  context.evidence.ownReports(context.time.nowMs);
+  const sentBefore = context.client.attempts.length;
+  const { wasSent, caller } = start(context, "bad", 900_000);
+  t.true(wasSent);
+  await crashEngine(context);
+  t.is(context.client.attempts.length, sentBefore + 1);
+  t.is(caller.refusal?.reason, "server_failed");
+});
+
 test("an answer without a length that ends before its first event is broken off", async (t) => {
   const context = createServers();
   const { caller } = start(context, "bad");
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -424,7 +424,7 @@
     this.#excluded.add(listed.id);
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
-      this.#relay.canResume &&
+      this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#segments) &&
       this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -243,6 +243,7 @@
   readonly time: TestTime;
   readonly registry: ServerRegistry;
   readonly client: FakeClient;
+  readonly evidence: CrashEvidence;
 } {
   const time = new TestTime();
   const registry = new ServerRegistry();
@@ -291,5 +292,6 @@
     ended() {},
     ...fields,
     registry,
+    evidence,
   } as ReturnType<typeof testContext>;
 }
