Take callers' long segment ids by their digest

Found while bounding the keys of quarantines: callers choose the ids of prompt segments and the name of a model, and daemons tell placements to each other in messages that are refused whole for a name of over 256 bytes. One request with a long id would make peers refuse what its daemon tells while the placement is told, 650 ms; a quarantine under such a key could not be stored.

A message with such an id was refused in the test, and is accepted with the digest.

--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -20,8 +20,6 @@
   type DeniedReason,
   isStream,
   type ModelWork,
-  type PromptSegment,
-  type PromptSegmentId,
   type Refusal,
   type RoutedRequest,
 } from "@endivebend/request-path";
@@ -33,6 +31,7 @@
   type ServerMessage,
 } from "./server_client.ts";
 import type { Endpoint } from "./settings.ts";
+import { boundedName, parsePrompt } from "./prompt_header.ts";
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
 /** Settings and collaborators of {@link IngressListener}. */
@@ -356,17 +355,9 @@
   const tokens = parseTokens(singleHeader(request, HEADERS.tokens));
   if (model === undefined || tokens === undefined) return undefined;
   return {
-    model: brandId<ModelName>(model),
+    model: brandId<ModelName>(boundedName(model)),
     promptTokens: tokens.promptTokens,
     maxOutputTokens: tokens.outputTokens,
     prompt: parsePrompt(singleHeader(request, HEADERS.prompt)),
   };
 }
-
-function parsePrompt(header: string | undefined): PromptSegment[] {
-  if (header === undefined || header === "") return [];
-  return header.split(",").map((segment) => {
-    const [id = "", tokens = "0"] = segment.trim().split(":");
-    return { id: brandId<PromptSegmentId>(id), tokens: Number(tokens) || 0 };
-  });
-}
