Work out once for each placement how scarce limited requests are

Each candidate of a placement looked at all servers again: 40,000 for a service of 200 servers with limits.

--- a/packages/request-path/src/server_allowances.ts
+++ b/packages/request-path/src/server_allowances.ts
@@ -37,6 +37,11 @@
 export class ServerAllowances {
   readonly #options: ServerAllowancesOptions;
   readonly #buckets = new Map<BackendServerId, Bucket>();
+  /** The newest answer of {@link scarcity} for each service. */
+  readonly #scarcity = new Map<
+    ServiceName,
+    { readonly share: number; readonly atMs: number }
+  >();
   #planUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ServerAllowancesOptions) {
@@ -76,19 +81,24 @@
    * How scarce further requests to the service's servers with a limit are, from
    * 0, when one may be sent to each of them, to 1; 0 for a server without.
    */
-  scarcity(server: KnownServer, nowMs: number): number {
-    if (server.limit === undefined) return 0;
-    let tokens = 0;
-    let buckets = 0;
-    for (const other of this.#options.registry.all()) {
-      const isAlike = other.limit !== undefined &&
-        other.listed.service === server.listed.service;
-      const bucket = isAlike ? this.#bucketOf(other, nowMs) : undefined;
-      if (bucket === undefined) continue;
-      buckets += 1;
-      tokens += Math.max(0, bucket.tokens);
-    }
-    return buckets === 0 ? 1 : 1 - tokens / buckets;
+  scarcity({ listed, limit }: KnownServer, nowMs: number): number {
+    if (limit === undefined) return 0;
+    // One placement asks for each of its candidates.
+    const known = this.#scarcity.get(listed.service);
+    if (known?.atMs === nowMs) return known.share;
+    const buckets = [...this.#options.registry.all()]
+      .filter((other) =>
+        other.limit !== undefined && other.listed.service === listed.service
+      )
+      .map((other) => this.#bucketOf(other, nowMs))
+      .filter((bucket) => bucket !== undefined);
+    const tokens = buckets.reduce(
+      (sum, bucket) => sum + Math.max(0, bucket.tokens),
+      0,
+    );
+    const share = buckets.length === 0 ? 1 : 1 - tokens / buckets.length;
+    this.#scarcity.set(listed.service, { share, atMs: nowMs });
+    return share;
   }
 
   #bucketOf(server: KnownServer, nowMs: number): Bucket | undefined {
