Give each daemon of the platform's tests a loopback address of its own

Cause, by reading, not shown by a run: the tests choose a free port of 127.0.0.1, close it, and the daemon listens there later; meanwhile another test process or an outgoing connection can have it. More test files at once made it likelier. Addresses are made from the process id and a counter now, so that no two daemons share one. No check changed; 53 tests of platform passed three times beside the same load.

--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -171,27 +171,40 @@
   });
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, "127.0.0.1");
+let addresses = 0;
+
+/**
+ * A loopback address that no other daemon of this or another test process has.
+ * A free port may be taken by another process before a daemon listens there,
+ * and the port after it may be in use.
+ */
+function ownAddress(): string {
+  addresses += 1;
+  const { pid } = process;
+  return `127.${1 + (pid >> 8) % 250}.${pid & 255}.${1 + addresses % 250}`;
+}
+
+async function freePort(host: string): Promise<number> {
+  const server = createServer().listen(0, host);
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   server.close();
   return port;
 }
 
-/** Settings of a daemon on free ports of loopback. */
+/** Settings of a daemon on free ports of a loopback address of its own. */
 export async function settingsFor(
   store: StoreStandIn,
 ): Promise<PlatformSettings> {
-  const host = "127.0.0.1";
+  const host = ownAddress();
   return {
     vm: brandId("vm-1"),
     ip: host,
     failureDomain: brandId("a"),
-    callers: { host, port: await freePort() },
-    readiness: { host, port: await freePort() },
-    metrics: { host, port: await freePort() },
-    firstPeerPort: await freePort(),
+    callers: { host, port: await freePort(host) },
+    readiness: { host, port: await freePort(host) },
+    metrics: { host, port: await freePort(host) },
+    firstPeerPort: await freePort(host),
     seedIps: [],
     storeAddress: store.address,
     graceMs: 4_000,
