Divide limits up once, not at each look at a server left to others

Found on reading the change once more: the plan that divides limits among the daemons is kept for 200 ms, but was made anew for every server without a bucket, and a daemon has none for servers that it leaves to others. The plan now remembers every server that it covers; one whose limit is new is still planned at once.

--- a/packages/request-path/src/server_allowances.ts
+++ b/packages/request-path/src/server_allowances.ts
@@ -42,6 +42,8 @@
     ServiceName,
     { readonly share: number; readonly atMs: number }
   >();
+  /** Servers that the plan covers, those left to other daemons included. */
+  #planned: ReadonlySet<BackendServerId> = new Set();
   #planUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ServerAllowancesOptions) {
@@ -102,7 +104,7 @@
   }
 
   #bucketOf(server: KnownServer, nowMs: number): Bucket | undefined {
-    if (nowMs >= this.#planUntilMs || !this.#buckets.has(server.listed.id)) {
+    if (nowMs >= this.#planUntilMs || !this.#planned.has(server.listed.id)) {
       this.#plan(nowMs);
     }
     const bucket = this.#buckets.get(server.listed.id);
@@ -116,8 +118,12 @@
   /** Buckets of servers that this daemon takes over start empty. */
   #plan(nowMs: number): void {
     this.#planUntilMs = nowMs + PLAN_TTL_MS;
+    const limitedByService = [...this.#limitedByService()];
+    this.#planned = new Set(
+      limitedByService.flatMap(([, limited]) => limited.map(({ id }) => id)),
+    );
     const rates = new Map(
-      [...this.#limitedByService()].flatMap(([service, limited]) => [
+      limitedByService.flatMap(([service, limited]) => [
         ...planAllowances(limited, {
           self: this.#options.self,
           all: this.#options.daemons(service),
--- a/packages/request-path/src/server_allowances_test.ts
+++ b/packages/request-path/src/server_allowances_test.ts
@@ -108,6 +108,31 @@
   return { registry, allowances, server };
 }
 
+test("servers that a daemon leaves to others are divided up once, not at each look", (t) => {
+  const registry = new ServerRegistry();
+  for (let index = 0; index < 60; index++) {
+    const server = listedServer(`engine-${index}`);
+    registry.upsert(server);
+    registry.recordOwnLimit(server.id, 3.5, 0);
+  }
+  let plans = 0;
+  const allowances = new ServerAllowances({
+    registry,
+    self: brandId<VmId>("vm-7"),
+    daemons: () => {
+      plans += 1;
+      return fleet(Array.from({ length: 195 }, () => 1));
+    },
+  });
+  for (const server of registry.all()) allowances.waitMs(server, 10);
+  t.is(plans, 1);
+  const newcomer = listedServer("newcomer");
+  registry.upsert(newcomer);
+  registry.recordOwnLimit(newcomer.id, 3.5, 0);
+  allowances.waitMs(registry.get(newcomer.id)!, 20);
+  t.is(plans, 2);
+});
+
 test("a daemon that learns of a limit has nothing saved up", (t) => {
   const { allowances, server } = createAllowances(2);
   const waitMs = allowances.waitMs(server, 0);
