Check header and trailer names ourselves on every wire

What callers saw: a request with a header name such as "a b", or with an empty name, was taken and forwarded on Node.js 20.19 (llhttp 8.1.2).

Cause: which names are refused was left to the parser that the runtime brings. A name that is no token (RFC 9110, 5.1 and 5.6.2) is read differently by the next hop, so it can smuggle requests past the router. Ruled out: "Content-Length " and control or 8-bit characters, which llhttp 8.1.2 refuses itself.

Change: packages/http-syntax holds the one check. Both listeners answer 400 and close, so that what follows on the connection does not run; the platform's client and its calls to engines treat such an answer as spoiled. Trailers count too.

Also found by the tests: the ingress left rejected bytes to Node.js, which wrote its 400 at once, so that a sound request before them on the connection got it as its answer while it ran. The refusal now waits for the answers before it.

--- /dev/null
+++ b/packages/http-syntax/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Checks of HTTP syntax that must not depend on the runtime's parser.
+ *
+ * @module
+ */
+
+export { findInvalidHeaderName, isHeaderName } from "./header_names.ts";
--- a/packages/platform/src/connection_turns.ts
+++ b/packages/platform/src/connection_turns.ts
@@ -14,7 +14,10 @@
 const MAX_WAITING_REQUESTS = 32;
 
 interface ConnectionState {
-  isBusy: boolean;
+  /** The response to the request that runs or is being read. */
+  current: ServerResponse | undefined;
+  /** Whether the parser has rejected bytes; it reads nothing after them. */
+  hasParserFailed: boolean;
   /** Start the requests that wait, in the order of their arrival. */
   readonly waiting: (() => void)[];
   /** Bytes that had been read when the latest response was closed. */
@@ -28,7 +31,8 @@
   /** Starts tracking a connection. */
   add(socket: Socket): void {
     const connection: ConnectionState = {
-      isBusy: false,
+      current: undefined,
+      hasParserFailed: false,
       waiting: [],
       bytesReadAtClose: 0,
     };
@@ -53,26 +57,58 @@
     const connection = this.#connections.get(socket);
     if (connection === undefined) return false;
     if (connection.waiting.length >= MAX_WAITING_REQUESTS) socket.destroy();
-    if (connection.isBusy) {
+    if (connection.current !== undefined) {
       await new Promise<void>((start) => connection.waiting.push(start));
     }
     if (socket.destroyed || !socket.writable) return false;
-    connection.isBusy = true;
+    if (connection.hasParserFailed && !response.req.complete) {
+      connection.waiting.shift()?.();
+      return false;
+    }
+    connection.current = response;
     response.once("close", () => {
       connection.bytesReadAtClose = socket.bytesRead;
-      connection.isBusy = false;
+      connection.current = undefined;
       connection.waiting.shift()?.();
     });
     return true;
   }
 
+  /**
+   * Ends a connection on which the parser has rejected bytes: calls `refuse`
+   * when the requests before them have been answered. Destroys the connection
+   * where the refusal would become a part of an answer.
+   *
+   * @example
+   * ```ts
+   * turns.endAfterAnswers(socket, () => socket.end(refusal));
+   * ```
+   */
+  endAfterAnswers(socket: Socket, refuse: () => void): void {
+    const connection = this.#connections.get(socket);
+    if (connection?.hasParserFailed === true) return;
+    if (connection === undefined) return void socket.destroy();
+    connection.hasParserFailed = true;
+    const { current } = connection;
+    const end = () => {
+      if (socket.writable) refuse();
+      else socket.destroy();
+    };
+    if (current === undefined) return end();
+    // The request with the rejected bytes is still being read, so it won't run.
+    if (!current.req.complete && !current.headersSent) return end();
+    if (!current.req.complete) return void socket.destroy();
+    connection.waiting.push(end);
+  }
+
   /**
    * Connections whose client has sent bytes since the latest response was
    * closed: a request without a complete response, or a part of one.
    */
   get openCount(): number {
     let count = 0;
-    for (const [socket, { isBusy, bytesReadAtClose }] of this.#connections) {
+    for (const [socket, { current, bytesReadAtClose }] of this.#connections) {
+      const isBusy = current !== undefined;
       if (isBusy || socket.bytesRead > bytesReadAtClose) count += 1;
     }
     return count;
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { type Agent, request } from "node:http";
+import { type Agent, type IncomingMessage, request } from "node:http";
+import { findInvalidHeaderName } from "@endivebend/http-syntax";
 
 /**
  * Largest answer that is read, in bytes. A list of 4,000 cache events has about
@@ -37,8 +38,8 @@
 
 /**
  * Sends the call and reads its answer. Never rejects: returns undefined when
- * the connection fails, the answer is incomplete after `timeoutMs` or larger
- * than {@link MAX_ANSWER_BYTES}, or the call may no longer be sent.
+ * the connection fails, the answer is incomplete after `timeoutMs`, malformed or
+ * larger than {@link MAX_ANSWER_BYTES}, or the call may no longer be sent.
  */
 export function callEngine(
   agent: Agent,
@@ -58,11 +59,13 @@
           else chunks.push(chunk);
         });
         answer.on("error", () => settle(undefined));
-        answer.on("end", () =>
+        answer.on("end", () => {
+          if (hasInvalidHeaderName(answer)) return abandon();
           settle({
             status: answer.statusCode ?? 0,
             body: Buffer.concat(chunks).toString("utf8"),
-          }));
+          });
+        });
       },
     );
     const abandon = () => {
@@ -90,3 +93,8 @@
     });
   });
 }
+
+function hasInvalidHeaderName(answer: IncomingMessage): boolean {
+  return findInvalidHeaderName(answer.rawHeaders) !== undefined ||
+    findInvalidHeaderName(answer.rawTrailers) !== undefined;
+}
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -9,9 +9,12 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
+import type { Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type { CallerListener, ListenerContext } from "@endivebend/front";
+import { findInvalidHeaderName } from "@endivebend/http-syntax";
 import {
   type Admission,
   type CallerLimits,
@@ -67,6 +70,14 @@
   no_service: 503,
 };
 
+/** Statuses for requests that the parser of Node.js rejects. */
+const STATUS_BY_PARSER_ERROR: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+const PARSER_ERROR = /^(?:HPE_|ERR_HTTP_)/;
+
 /** The HTTP server for callers; it listens as soon as it is constructed. */
 export class IngressListener implements CallerListener {
   readonly #options: IngressOptions;
@@ -82,6 +93,10 @@
       connectionsCheckingInterval: 1_000,
     }, (request, response) => void this.#serve(request, response));
     this.#server.on("connection", (socket) => this.#turns.add(socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#refuseMalformed(error, socket as Socket),
+    );
     this.applyLimits(DEFAULT_LIMITS);
     // Node.js must not end requests: each has a time limit of its own.
     this.#server.requestTimeout = 0;
@@ -124,6 +139,11 @@
     const body = await readBody(request, this.#limits().maxBodyBytes);
     if (body === "gone") return;
     if (body === "too_large") return sendLocalReply(response, { status: 413 });
+    if (hasInvalidHeaderName(request)) {
+      // What follows on the connection may be no request.
+      response.setHeader("Connection", "close");
+      return sendLocalReply(response, { status: 400 });
+    }
     await this.#options.whenCurrent();
     const admission = this.#admit(request);
     if (admission.kind === "denied") {
@@ -132,6 +152,24 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
+  /**
+   * Answers bytes that the parser rejects, after the answers to the requests
+   * before them, one of which the refusal would be taken for otherwise.
+   */
+  #refuseMalformed(
+    error: Error & { readonly code?: string },
+    socket: Socket,
+  ): void {
+    const code = error.code ?? "";
+    if (!PARSER_ERROR.test(code)) return void socket.destroy();
+    const status = STATUS_BY_PARSER_ERROR[code] ?? 400;
+    this.#turns.endAfterAnswers(socket, () => {
+      const head = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+        "Content-Length: 0\r\nConnection: close\r\n\r\n";
+      socket.end(head, () => socket.destroy());
+    });
+  }
+
   #admit(request: IncomingMessage): Admission {
     const { headers, url = "/" } = request;
     const authorization = headers[HEADERS.authorization] ?? "";
@@ -235,6 +273,12 @@
   };
 }
 
+/** Also checks the trailers, which are known once the body has been read. */
+function hasInvalidHeaderName(request: IncomingMessage): boolean {
+  return findInvalidHeaderName(request.rawHeaders) !== undefined ||
+    findInvalidHeaderName(request.rawTrailers) !== undefined;
+}
+
 /** Writes the answer of the request path to the client's connection. */
 class ResponseSink implements CallerSink {
   readonly #response: ServerResponse;
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
+import { findInvalidHeaderName } from "@endivebend/http-syntax";
 import type {
   AnswerHead,
   AttemptHandle,
@@ -188,6 +189,9 @@
     if (hint !== null) {
       keepAliveMsBySocket.set(response.socket, Number(hint[1]) * 1_000);
     }
+    if (findInvalidHeaderName(response.rawHeaders) !== undefined) {
+      return fail("The answer has a header whose name is not a token");
+    }
     const isFirstAnswer = !outgoing.reusedSocket;
     const head = readHead(response, { order, isFirstAnswer });
     if (head === undefined) {
@@ -207,6 +211,9 @@
       if (!response.complete) {
         return fail("The answer was cut off before its end");
       }
+      if (findInvalidHeaderName(response.rawTrailers) !== undefined) {
+        return fail("The answer has a trailer whose name is not a token");
+      }
       isFinished = true;
       listener.end();
     });
--- a/packages/router/src/http/body.ts
+++ b/packages/router/src/http/body.ts
@@ -7,6 +7,8 @@
 import { isUtf8 } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { createError } from "@endivebend/errors";
+import { findInvalidHeaderName } from "@endivebend/http-syntax";
+import { connectionOf } from "./connections.ts";
 import { exceedsDepth } from "./json_depth.ts";
 
 /** Maximum nesting of a JSON body; valid requests and changes need far less. */
@@ -15,7 +17,7 @@
 /**
  * Reads a whole body. Throws `body_too_large` as soon as more than `maxBytes`
  * are declared or received, and `malformed_request` when the connection ends
- * before the body is complete.
+ * before the body is complete or a trailer has an invalid name.
  *
  * @example
  * ```ts
@@ -43,7 +45,15 @@
       reject(bodyTooLarge(options.maxBytes));
     };
     request.on("data", onData);
-    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("end", () => {
+      if (findInvalidHeaderName(request.rawTrailers) === undefined) {
+        return resolve(Buffer.concat(chunks));
+      }
+      // What follows may be no request, so it must not run.
+      connectionOf(request.socket).isClosing = true;
+      const message = "The request has a trailer whose name is not a token";
+      reject(createError("malformed_request", message, { field: "trailers" }));
+    });
     const onIncomplete = () => {
       const message = "The body was incomplete when the connection ended";
       reject(createError("malformed_request", message, { field: "body" }));
--- a/packages/router/src/http/listener.ts
+++ b/packages/router/src/http/listener.ts
@@ -14,6 +14,7 @@
 } from "node:https";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { createError, type ErrorCode } from "@endivebend/errors";
+import { findInvalidHeaderName } from "@endivebend/http-syntax";
 import type { ListenerSettings } from "@endivebend/settings";
 import { brandId, type RequestId } from "@endivebend/types";
 import { answerClientError, writeRawRefusal } from "./client_errors.ts";
@@ -96,7 +97,8 @@
 
 /**
  * Wraps the handler: drops requests on closing connections, and refuses
- * requests beyond the pipelining limit and HTTP/1.1 requests without a host.
+ * requests beyond the pipelining limit, with invalid header names, and HTTP/1.1
+ * requests without a host.
  */
 function guardHandler(options: ListenerOptions): RequestListener {
   return (request, response) => {
@@ -118,6 +120,12 @@
       const retryAfterMs = PIPELINE_RETRY_MS;
       return refuse(createError("queue_full", message, { retryAfterMs }));
     }
+    if (findInvalidHeaderName(request.rawHeaders) !== undefined) {
+      const message = "The request has a header whose name is not a token";
+      return refuse(
+        createError("malformed_request", message, { field: "headers" }),
+      );
+    }
     const needsHost = request.httpVersion === "1.1";
     if (needsHost && request.headers.host === undefined) {
       const message = "The request has no Host header";
--- a/packages/router/src/http/listener_test.ts
+++ b/packages/router/src/http/listener_test.ts
@@ -117,6 +117,32 @@
   t.is(refusals.length, cases.length);
 });
 
+// Guards against names that another hop reads as the name they resemble, which
+// would let it see other requests on the connection.
+test("a request with an invalid header or trailer name, and what follows it, does not run", async (t) => {
+  const { open, ran } = await startListener(t);
+  const names = ["a b", "Content Length", "Content-Length ", "", " a", "a\t"];
+  for (const name of [...names, "Transfer-Encoding ", "a\x01", "a\xff", "a("]) {
+    const header = `POST /header HTTP/1.1\r\nhost: h\r\n${name}: 5\r\n\r\n`;
+    const trailer = "POST /trailer HTTP/1.1\r\nhost: h\r\n" +
+      "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" +
+      `${name}: 5\r\n\r\n`;
+    for (const malformed of [header, trailer]) {
+      const label = JSON.stringify(malformed);
+      const connection = await open();
+      const bytes = [rawRequest("GET /sound"), malformed];
+      const all = [...bytes, rawRequest("GET /behind")].join("");
+      connection.send(Buffer.from(all, "latin1"));
+      t.is((await connection.answer()).json.path, "/sound", label);
+      const refused = await connection.answer();
+      t.is(refused.status, 400, label);
+      t.like(refused.json.error, { ran: "not_run" }, label);
+      t.is(await connection.waitForClose(), "", label);
+    }
+  }
+  t.deepEqual(new Set(ran), new Set(["/sound"]));
+});
+
 // Guards against a refusal that is taken for the answer to an earlier request
 // that did run.
 test("requests before a malformed one on the connection get their own answers", async (t) => {
--- a/packages/router/src/http/respond.ts
+++ b/packages/router/src/http/respond.ts
@@ -52,7 +52,12 @@
     return;
   }
   const refusal = toRefusal(options.caught, options.requestId);
-  const headers = { ...options.headers, ...refusal.headers };
+  const { isClosing } = connectionOf(response.req.socket);
+  const headers = {
+    ...options.headers,
+    ...refusal.headers,
+    ...(isClosing ? { connection: "close" } : {}),
+  };
   if (response.req.complete) {
     const { status, body } = refusal;
     writeJson(response, { status, body, headers });
