Log the store's restores, and records that are ignored as old

Logs could not tell whether the operator's record was not read or dropped as old after the store came back from a copy. The store's client keeps the era that answers state, and each listing, and each read with ignored records, gets a line. No decision changes.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -39,6 +39,7 @@
   KeyedRecord,
   RecordFollowerOptions,
   RecordSource,
+  RecordsRead,
 } from "./record_follower.ts";
 export { RecordExchange } from "./record_exchange.ts";
 export type { RecordExchangeOptions } from "./record_exchange.ts";
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -17,6 +17,8 @@
 
 /** The store as the follower uses it. */
 export interface RecordSource {
+  /** How often the store has been restored from a copy, as it last stated. */
+  readonly era: number;
   /** The newest record of every key, and the offset to continue at. */
   newest(): Promise<{
     readonly records: readonly KeyedRecord[];
@@ -45,12 +47,25 @@
   /** Whether this daemon reads now; false leaves reading to another daemon. */
   readonly isReader?: () => boolean;
   readonly table: RecordTable;
+  /** Called after records were read, with what became of them. */
+  wasRead?(fields: RecordsRead): void;
   /** Called at the first failed read. */
   lost(reason: string): void;
   /** Called at the first successful read after a failed one. */
   regained(): void;
 }
 
+/** What a read brought, and what the table made of it. */
+export interface RecordsRead {
+  readonly kind: "newest" | "after";
+  readonly era: number;
+  readonly fromOffset: number | undefined;
+  readonly nextOffset: number;
+  readonly records: number;
+  /** Records that the table took for older than those it holds. */
+  readonly ignored: number;
+}
+
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
@@ -128,7 +143,11 @@
     const fromOffset = this.#fromOffset();
     if (fromOffset === undefined) {
       const { records, nextOffset } = await source.newest();
-      table.apply(records, new Set(records.map(({ key }) => key)));
+      const ignored = table.apply(
+        records,
+        new Set(records.map(({ key }) => key)),
+      );
+      this.#tell("newest", { nextOffset, records: records.length, ignored });
       this.#nextOffset = nextOffset;
       this.#hasGap = false;
       return;
@@ -143,7 +162,28 @@
       return await this.#advance();
     }
     this.#nextOffset = result.nextOffset;
-    table.apply(result.records);
+    const ignored = table.apply(result.records);
+    const { nextOffset, records } = result;
+    this.#tell("after", {
+      fromOffset,
+      nextOffset,
+      records: records.length,
+      ignored,
+    });
+  }
+
+  #tell(
+    kind: RecordsRead["kind"],
+    fields: {
+      readonly fromOffset?: number;
+      readonly nextOffset: number;
+      readonly records: number;
+      readonly ignored: number;
+    },
+  ): void {
+    const { source, wasRead } = this.#options;
+    const { fromOffset, ...rest } = fields;
+    wasRead?.({ kind, era: source.era, fromOffset, ...rest });
   }
 
   /** Offset to continue at; undefined when all keys must be read again. */
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -30,17 +30,19 @@
 
   /**
    * Applies records. When all keys were read, `known` holds every key that
-   * exists, and the other keys are removed.
+   * exists, and the other keys are removed. Returns how many of the records
+   * were ignored as older than those held.
    */
   apply(
     records: readonly KeyedRecord[],
     known?: ReadonlySet<string>,
-  ): void {
+  ): number {
     const newer = records.filter((record) => this.#store(record));
     const removed = known === undefined ? [] : this.#removeMissing(known);
     this.#dropOldTombstones();
     const changes = [...newer, ...removed];
     if (changes.length > 0) this.#onChange(changes);
+    return records.length - newer.length;
   }
 
   /** Records with a higher offset, in ascending order. */
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -302,6 +302,12 @@
       clock,
       scheduler,
       table: this.#tables.get(topic)!,
+      wasRead: (read) => {
+        // Reads in order would fill the log; listings and old records are rare.
+        if (read.kind === "newest" || read.ignored > 0) {
+          log.decision("records_read", { topic, ...read });
+        }
+      },
       lost: (reason) => log.stateChange("store_lost", { topic, reason }),
       regained: () => log.stateChange("store_regained", { topic }),
     });
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -121,6 +121,7 @@
 
   source(topic: string): RecordSource {
     return {
+      era: 0,
       newest: async () => {
         await this.call();
         const records = this.#records(topic);
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -7,6 +7,7 @@
 
 import { Agent, request } from "node:http";
 import type { KeyedRecord, RecordSource } from "@endivebend/fleet";
+import { HEADERS } from "./wire_names.ts";
 
 /** Time limit of a call, in addition to the wait that a long poll asks for. */
 const CALL_TIMEOUT_MS = 1_000;
@@ -40,6 +41,7 @@
   readonly #port: number;
   #agent = newAgent();
   #isReachable = true;
+  #era = 0;
   readonly #callCounts: Record<string, number> = {};
 
   constructor(address: string) {
@@ -58,6 +60,11 @@
     return this.#isReachable;
   }
 
+  /** How often the store has been restored from a copy, as it last stated. */
+  get era(): number {
+    return this.#era;
+  }
+
   /** Appends a record; with `at`, only if the partition ends at that offset. */
   async append(
     topic: string,
@@ -164,7 +171,11 @@
 
   /** Adapts a keyed topic to the interface that record followers read. */
   keyedRecordSource(topic: string): RecordSource {
+    const era = () => this.#era;
     return {
+      get era() {
+        return era();
+      },
       newest: () => this.newest(topic),
       read: async (fromOffset, waitMs) => {
         const answer = await this.read(topic, fromOffset, waitMs);
@@ -198,6 +209,7 @@
           "content-length": body.length,
         },
       }, (answer) => {
+        this.#era = parseEra(answer.headers[HEADERS.storeEra]) ?? this.#era;
         const chunks: Buffer[] = [];
         let bytes = 0;
         answer.on("data", (chunk: Buffer) => {
@@ -231,6 +243,11 @@
   }
 }
 
+function parseEra(header: string | string[] | undefined): number | undefined {
+  const era = Number(header);
+  return header !== undefined && Number.isSafeInteger(era) ? era : undefined;
+}
+
 function newAgent(): Agent {
   return new Agent({ keepAlive: true });
 }
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -32,6 +32,8 @@
   urgency: "request-priority",
   expectedWeights: "expect-version",
   authorization: "authorization",
+  /** How often the store has come back from a copy of an earlier state. */
+  storeEra: "store-era",
 } as const;
 
 /** Headers that only the router sets; a client's values are dropped. */
