Order records by the store's era and offset

What callers saw: after the store had come back from a copy, a change that was acknowledged was in force nowhere.

Cause: an offset was taken for an order in time. A restored store gives out offsets again, so the operator's new record had an offset that was not above the one held and was dropped; reads went on at the highest offset known, got 410, and the listing after each changed nothing, some 200 times in 4 s. Peers' pulls compared the same offsets. The class: an identifier that is unique within one life of its issuer only, compared across its lives.

Change: a record has a position, the era from the header Store-Era and the offset in one number that orders both. Tables, followers, pulls and gossip compare positions. A read that is answered in another era is a gap. An answer with a later era closes the other connections to the store, as reads held open there wait for offsets of before.

The new test fails when the era stays as it was, and passes with it.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -78,7 +78,7 @@
   readonly kept: Readonly<Record<string, readonly CacheChange[]>>;
   /** Milliseconds since each cache that the sender watches last answered. */
   readonly answerAgesMs: Readonly<Record<string, number>>;
-  /** The offset of the newest record that the sender holds, by topic. */
+  /** The position of the newest record that the sender holds, by topic. */
   readonly records: Readonly<Record<string, number>>;
   /** Milliseconds since the sender itself read each topic from the store. */
   readonly readAgesMs: Readonly<Record<string, number>>;
--- a/packages/fleet/src/reader_choice.ts
+++ b/packages/fleet/src/reader_choice.ts
@@ -9,14 +9,15 @@
 import { rankByRendezvous } from "@endivebend/routing";
 import type { FailureDomainId, VmId } from "@endivebend/types";
 import type { FleetMember } from "./fleet_state.ts";
+import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
 
 /** Input of the decision whether to read a topic. */
 export interface TopicReadInput {
   readonly self: VmId;
   readonly failureDomain: FailureDomainId;
   readonly topic: string;
-  /** Offset of the newest record that this daemon holds. */
-  readonly heldOffset: number;
+  /** Position of the newest record that this daemon holds. */
+  readonly held: LogPosition;
   /** When this daemon itself last read the topic. */
   readonly ownReadAtMs: number;
   /** The reachable other daemons. */
@@ -70,11 +71,11 @@
  */
 function reportedReadAtMs(
   { message, heardAtMs }: FleetMember,
-  { topic, heldOffset }: TopicReadInput,
+  { topic, held }: TopicReadInput,
 ): number {
   const ageMs = message?.readAgesMs[topic];
-  const offset = message?.records[topic] ?? -1;
-  if (ageMs === undefined || offset > heldOffset) {
+  const position = message?.records[topic] ?? BEFORE_FIRST;
+  if (ageMs === undefined || position > held) {
     return Number.NEGATIVE_INFINITY;
   }
   return heardAtMs - ageMs;
--- a/packages/fleet/src/reader_choice_test.ts
+++ b/packages/fleet/src/reader_choice_test.ts
@@ -2,6 +2,7 @@
 import { brandId, type FailureDomainId, type VmId } from "@endivebend/types";
 import {
   type FleetMember,
+  logPosition,
   shouldReadTopic,
   type TopicReadInput,
 } from "./mod.ts";
@@ -37,7 +38,7 @@
     self: brandId<VmId>(self),
     failureDomain: DOMAIN,
     topic: TOPIC,
-    heldOffset: 7,
+    held: logPosition(0, 7),
     ownReadAtMs: Number.NEGATIVE_INFINITY,
     peers: [],
     nowMs: 10_000,
@@ -81,6 +82,6 @@
     member("vm-3", { heardAtMs: 10_000, readAgeMs: 0 }),
   ];
   for (const self of VMS) {
-    t.true(shouldReadTopic(input(self, { peers, heldOffset: 6 })));
+    t.true(shouldReadTopic(input(self, { peers, held: logPosition(0, 6) })));
   }
 });
--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -14,11 +14,17 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { brandId } from "@endivebend/types";
+import type { LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
 import type { RecordTable } from "./record_table.ts";
 
 /** A record as it is sent between daemons; the value is in base64. */
-type WireRecord = readonly [key: string, offset: number, value: string | null];
+type WireRecord = readonly [
+  key: string,
+  position: number,
+  value: string | null,
+];
 
 /** A peer that does not answer must not delay the next pull for long. */
 const PULL_TIMEOUT_MS = 500;
@@ -59,7 +65,7 @@
     if (table === undefined || this.#pullsInProgress.has(topic)) return;
     this.#pullsInProgress.add(topic);
     try {
-      const since = table.highestOffset;
+      const since = table.newest;
       const body = await this.#fetch(address, `/${topic}?since=${since}`);
       const records = JSON.parse(body) as readonly WireRecord[];
       table.apply(records.map(fromWire));
@@ -132,14 +138,14 @@
   }
 }
 
-function toWire({ key, offset, value }: KeyedRecord): WireRecord {
-  return [key, offset, value === undefined ? null : value.toString("base64")];
+function toWire({ key, position, value }: KeyedRecord): WireRecord {
+  return [key, position, value === undefined ? null : value.toString("base64")];
 }
 
-function fromWire([key, offset, value]: WireRecord): KeyedRecord {
+function fromWire([key, position, value]: WireRecord): KeyedRecord {
   return {
     key,
-    offset,
+    position: brandId<LogPosition>(position),
     value: value === null ? undefined : Buffer.from(value, "base64"),
   };
 }
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -6,30 +6,40 @@
  */
 
 import { type Clock, delay, type Scheduler, steadyMs } from "@endivebend/clock";
+import {
+  BEFORE_FIRST,
+  eraOf,
+  type LogPosition,
+  logPosition,
+  offsetOf,
+} from "./log_position.ts";
 import type { RecordTable } from "./record_table.ts";
 
 /** One record; without a value, it removes the key. */
 export interface KeyedRecord {
   readonly key: string;
   readonly value: Buffer | undefined;
-  readonly offset: number;
+  readonly position: LogPosition;
 }
 
 /** The store as the follower uses it. */
 export interface RecordSource {
   /** How often the store has been restored from a copy, as it last stated. */
   readonly era: number;
-  /** The newest record of every key, and the offset to continue at. */
+  /** The newest record of every key, and the position to continue at. */
   newest(): Promise<{
     readonly records: readonly KeyedRecord[];
-    readonly nextOffset: number;
+    readonly next: LogPosition;
   }>;
-  /** Records from the offset on; `gap` when some of them have been deleted. */
-  read(fromOffset: number, waitMs: number): Promise<
+  /**
+   * Records from the position on; `gap` when some of them have been deleted or
+   * the store has been restored since.
+   */
+  read(from: LogPosition, waitMs: number): Promise<
     | {
       readonly kind: "records";
       readonly records: readonly KeyedRecord[];
-      readonly nextOffset: number;
+      readonly next: LogPosition;
     }
     | { readonly kind: "gap" }
   >;
@@ -72,7 +82,7 @@
 /** A running follower. */
 export class RecordFollower {
   readonly #options: RecordFollowerOptions;
-  #nextOffset: number | undefined;
+  #next: LogPosition | undefined;
   /** Whether records were deleted before they were read. */
   #hasGap = false;
   #backoffMs = FIRST_BACKOFF_MS;
@@ -103,9 +113,9 @@
    */
   async refresh(): Promise<void> {
     const { source, table, clock } = this.#options;
-    const fromOffset = this.#fromOffset();
-    if (fromOffset === undefined) return;
-    const result = await source.read(fromOffset, 0);
+    const from = this.#from();
+    if (from === undefined) return;
+    const result = await source.read(from, 0);
     if (result.kind === "gap") this.#hasGap = true;
     else table.apply(result.records);
     this.#readAtMs = steadyMs(clock);
@@ -140,60 +150,56 @@
 
   async #advance(): Promise<void> {
     const { source, table, waitMs } = this.#options;
-    const fromOffset = this.#fromOffset();
-    if (fromOffset === undefined) {
-      const { records, nextOffset } = await source.newest();
-      const ignored = table.apply(
-        records,
-        new Set(records.map(({ key }) => key)),
-      );
-      this.#tell("newest", { nextOffset, records: records.length, ignored });
-      this.#nextOffset = nextOffset;
-      this.#hasGap = false;
-      return;
-    }
+    const from = this.#from();
+    if (from === undefined) return await this.#list();
     // After a failure the store should answer at once, to show that it is back.
-    const result = await source.read(
-      fromOffset,
-      this.#isStoreLost ? 0 : waitMs,
-    );
-    if (result.kind === "gap") {
-      this.#hasGap = true;
-      return await this.#advance();
-    }
-    this.#nextOffset = result.nextOffset;
-    const ignored = table.apply(result.records);
-    const { nextOffset, records } = result;
-    this.#tell("after", {
-      fromOffset,
-      nextOffset,
-      records: records.length,
-      ignored,
-    });
+    const result = await source.read(from, this.#isStoreLost ? 0 : waitMs);
+    if (result.kind === "gap") return await this.#list();
+    const { next, records } = result;
+    this.#next = next;
+    const ignored = table.apply(records);
+    this.#tell("after", { from, next, records: records.length, ignored });
+  }
+
+  async #list(): Promise<void> {
+    const { source, table } = this.#options;
+    const { records, next } = await source.newest();
+    const known = new Set(records.map(({ key }) => key));
+    const ignored = table.apply(records, known);
+    this.#next = next;
+    this.#hasGap = false;
+    this.#tell("newest", { next, records: records.length, ignored });
   }
 
   #tell(
     kind: RecordsRead["kind"],
     fields: {
-      readonly fromOffset?: number;
-      readonly nextOffset: number;
+      readonly from?: LogPosition;
+      readonly next: LogPosition;
       readonly records: number;
       readonly ignored: number;
     },
   ): void {
-    const { source, wasRead } = this.#options;
-    const { fromOffset, ...rest } = fields;
-    wasRead?.({ kind, era: source.era, fromOffset, ...rest });
+    const { from, next, records, ignored } = fields;
+    this.#options.wasRead?.({
+      kind,
+      era: eraOf(next),
+      fromOffset: from && offsetOf(from),
+      nextOffset: offsetOf(next),
+      records,
+      ignored,
+    });
   }
 
-  /** Offset to continue at; undefined when all keys must be read again. */
-  #fromOffset(): number | undefined {
+  /** Position to continue at; undefined when all keys must be read again. */
+  #from(): LogPosition | undefined {
     if (this.#hasGap) return undefined;
-    const { highestOffset } = this.#options.table;
+    const { newest } = this.#options.table;
+    if (newest === BEFORE_FIRST) return this.#next;
     // Peers may have sent records that are newer than this daemon's last read.
-    const next = Math.max(this.#nextOffset ?? 0, highestOffset + 1);
-    return highestOffset < 0 && this.#nextOffset === undefined
-      ? undefined
-      : next;
+    const afterNewest = logPosition(eraOf(newest), offsetOf(newest) + 1);
+    return this.#next !== undefined && this.#next > afterNewest
+      ? this.#next
+      : afterNewest;
   }
 }
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -5,10 +5,11 @@
  * @module
  */
 
+import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
 
-/** Removals are kept for peers until the newest offset is this much higher. */
-const TOMBSTONE_RETENTION_OFFSETS = 2_000;
+/** Removals that are kept for peers, the newest ones. */
+const MAX_TOMBSTONES = 2_000;
 
 /** Called with the records that changed the table. */
 export type RecordListener = (records: readonly KeyedRecord[]) => void;
@@ -17,15 +18,15 @@
 export class RecordTable {
   readonly #records = new Map<string, KeyedRecord>();
   readonly #onChange: RecordListener;
-  #highestOffset = -1;
+  #newest = BEFORE_FIRST;
 
   constructor(listener: RecordListener) {
     this.#onChange = listener;
   }
 
-  /** The offset of the newest record held; -1 when there is none. */
-  get highestOffset(): number {
-    return this.#highestOffset;
+  /** The position of the newest record; before the first when there is none. */
+  get newest(): LogPosition {
+    return this.#newest;
   }
 
   /**
@@ -45,17 +46,17 @@
     return records.length - newer.length;
   }
 
-  /** Records with a higher offset, in ascending order. */
-  since(offset: number): KeyedRecord[] {
+  /** Records after the position, in ascending order. */
+  since(position: number): KeyedRecord[] {
     return [...this.#records.values()]
-      .filter((record) => record.offset > offset)
-      .sort((a, b) => a.offset - b.offset);
+      .filter((record) => record.position > position)
+      .sort((a, b) => a.position - b.position);
   }
 
   #store(record: KeyedRecord): boolean {
-    this.#highestOffset = Math.max(this.#highestOffset, record.offset);
+    if (record.position > this.#newest) this.#newest = record.position;
     const known = this.#records.get(record.key);
-    if (known !== undefined && known.offset >= record.offset) return false;
+    if (known !== undefined && known.position >= record.position) return false;
     this.#records.set(record.key, record);
     return true;
   }
@@ -67,7 +68,7 @@
       removed.push({
         ...record,
         value: undefined,
-        offset: this.#highestOffset,
+        position: this.#newest,
       });
     }
     for (const record of removed) this.#records.set(record.key, record);
@@ -75,10 +76,12 @@
   }
 
   #dropOldTombstones(): void {
-    for (const [key, record] of this.#records) {
-      const isOld = record.value === undefined &&
-        record.offset < this.#highestOffset - TOMBSTONE_RETENTION_OFFSETS;
-      if (isOld) this.#records.delete(key);
+    const tombstones = [...this.#records.values()]
+      .filter(({ value }) => value === undefined);
+    if (tombstones.length <= MAX_TOMBSTONES) return;
+    tombstones.sort((a, b) => b.position - a.position);
+    for (const { key } of tombstones.slice(MAX_TOMBSTONES)) {
+      this.#records.delete(key);
     }
   }
 }
--- a/packages/fleet/src/record_table_test.ts
+++ b/packages/fleet/src/record_table_test.ts
@@ -1,10 +1,15 @@
 import test from "ava";
-import { type KeyedRecord, RecordTable } from "./mod.ts";
+import { type KeyedRecord, logPosition, RecordTable } from "./mod.ts";
 
-function record(key: string, offset: number, text?: string): KeyedRecord {
+function record(
+  key: string,
+  offset: number,
+  text?: string,
+  era = 0,
+): KeyedRecord {
   return {
     key,
-    offset,
+    position: logPosition(era, offset),
     value: text === undefined ? undefined : Buffer.from(text),
   };
 }
@@ -19,7 +24,7 @@
   const { heard, table } = newTable();
   table.apply([record("config", 5, "new")]);
   table.apply([record("config", 4, "old")]);
-  t.deepEqual(heard.map(({ offset }) => offset), [5]);
+  t.deepEqual(heard.map(({ position }) => Number(position)), [5]);
 });
 
 test("a key that is missing from a full listing is removed", (t) => {
@@ -33,8 +38,24 @@
 test("peers get the records newer than their own, removals included", (t) => {
   const { table } = newTable();
   table.apply([record("a", 1, "x"), record("b", 2, "y"), record("a", 3)]);
-  t.deepEqual(table.since(1).map(({ key, offset }) => [key, offset]), [
-    ["b", 2],
-    ["a", 3],
+  t.deepEqual(
+    table.since(1).map(({ key, position }) => [key, Number(position)]),
+    [
+      ["b", 2],
+      ["a", 3],
+    ],
+  );
+});
+
+// The store gives out the offsets of lost records again.
+test("a record written after a restore replaces one with a higher offset", (t) => {
+  const { heard, table } = newTable();
+  table.apply([record("config", 5, "lost")]);
+  table.apply([record("config", 3, "written again", 1)]);
+  table.apply([record("config", 4, "late", 0)]);
+  t.deepEqual(heard.map(({ value }) => String(value)), [
+    "lost",
+    "written again",
   ]);
+  t.deepEqual(table.since(logPosition(0, 5)).length, 1);
 });
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -106,7 +106,7 @@
       placed: registry.recentPlacements.pending(nowMs),
       kept: this.#options.watchedCacheChanges(),
       answerAgesMs: this.#options.answerAgesMs(),
-      records: this.#recordOffsets(),
+      records: this.#recordPositions(),
       readAgesMs: this.#options.readAgesMs(),
       demandPerS: this.#demandOfLimitedServices(),
       ...this.#options.quarantines.composeReport(),
@@ -174,12 +174,12 @@
     );
   }
 
-  #recordOffsets(): Record<string, number> {
-    const offsets: Record<string, number> = {};
+  #recordPositions(): Record<string, number> {
+    const positions: Record<string, number> = {};
     for (const [topic, table] of this.#options.tables) {
-      offsets[topic] = table.highestOffset;
+      positions[topic] = table.newest;
     }
-    return offsets;
+    return positions;
   }
 
   #currentWeightsProgress(nowMs: number): WeightsProgress[] {
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -6,6 +6,7 @@
 
 import { steadyMs } from "@endivebend/clock";
 import {
+  BEFORE_FIRST,
   FleetState,
   GossipChannel,
   type GossipMessage,
@@ -319,7 +320,7 @@
       self: this.#settings.vm,
       failureDomain: this.#settings.failureDomain,
       topic: SERVER_TOPIC,
-      heldOffset: this.#tables.get(SERVER_TOPIC)?.highestOffset ?? -1,
+      held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
       ownReadAtMs: this.#serverFollower.readAtMs,
       peers: this.#fleet.reachable(nowMs),
       nowMs,
@@ -410,16 +411,16 @@
     const [ip = ""] = message.address.split(":");
     const address = `${ip}:${this.#settings.firstPeerPort + 1}`;
     const nowMs = this.#nowMs();
-    for (const [topic, offset] of Object.entries(message.records)) {
-      const ownOffset = this.#tables.get(topic)?.highestOffset ?? offset;
+    for (const [topic, position] of Object.entries(message.records)) {
+      const own = this.#tables.get(topic)?.newest ?? position;
       // Server records change often, so each failure domain has a daemon that
       // reads them from the store. Others fetch them within their domain, or
       // from any peer while they have none.
-      const mayPull = topic !== SERVER_TOPIC || ownOffset < 0 ||
+      const mayPull = topic !== SERVER_TOPIC || own === BEFORE_FIRST ||
         message.failureDomain === this.#settings.failureDomain;
-      if (offset <= ownOffset || !mayPull) continue;
+      if (position <= own || !mayPull) continue;
       if (topic === SERVER_TOPIC) {
-        // Peers hold different offsets all the time; each pull brings those of
+        // Peers hold different records all the time; each pull brings those of
         // one of them.
         if (nowMs < this.#nextServerPullMs) continue;
         this.#nextServerPullMs = nowMs + SERVER_READ_INTERVAL_MS;
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { FleetState, RecordTable } from "@endivebend/fleet";
+import { FleetState, logPosition, RecordTable } from "@endivebend/fleet";
 import {
   type AdmissionController,
   type Configuration,
@@ -195,10 +195,14 @@
   });
   const value = Buffer.from("{");
   t.false(applier.hasServerRecords);
-  applier.applyServerRecords([{ key: "e-1", value, offset: 1 }]);
+  applier.applyServerRecords([{
+    key: "e-1",
+    value,
+    position: logPosition(0, 1),
+  }]);
   applier.applyOperatorRecords([
-    { key: "version/m", value, offset: 2 },
-    { key: "config", value, offset: 3 },
+    { key: "version/m", value, position: logPosition(0, 2) },
+    { key: "config", value, position: logPosition(0, 3) },
   ]);
   t.true(applier.hasServerRecords);
   t.is(registry.get(ENGINE)?.removedAtMs, undefined);
--- a/packages/front/src/quarantine_keeper.ts
+++ b/packages/front/src/quarantine_keeper.ts
@@ -11,7 +11,12 @@
  */
 
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
-import type { GossipMessage, KeyedRecord } from "@endivebend/fleet";
+import {
+  eraOf,
+  type GossipMessage,
+  type KeyedRecord,
+  offsetOf,
+} from "@endivebend/fleet";
 import {
   CrashEvidence,
   decodeQuarantine,
@@ -109,7 +114,7 @@
   applyRecords(records: readonly KeyedRecord[]): void {
     const nowMs = this.#nowMs();
     const wallMs = this.#options.clock.wallMs();
-    for (const { key: name, value, offset } of records) {
+    for (const { key: name, value, position } of records) {
       const key = name as SegmentOfModel;
       const record = value && decodeQuarantine(value);
       if (record !== undefined) {
@@ -119,7 +124,11 @@
         this.#storedStrikes.delete(key);
         this.#quarantine.release(key);
       } else {
-        this.#options.log.decision("malformed_record", { key, offset });
+        this.#options.log.decision("malformed_record", {
+          key,
+          offset: offsetOf(position),
+          era: eraOf(position),
+        });
       }
     }
   }
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { KeyedRecord } from "@endivebend/fleet";
+import { eraOf, type KeyedRecord, offsetOf } from "@endivebend/fleet";
 import type {
   AdmissionController,
   CallerLimits,
@@ -57,32 +57,31 @@
   }
 
   #applyOperatorRecord(
-    { key, offset }: KeyedRecord,
+    record: KeyedRecord,
     parsed: OperatorRecord,
   ): void {
-    const { logDecision } = this.#options;
     if (parsed.kind === "malformed") {
-      logDecision("malformed_record", { key, offset });
+      this.#log("malformed_record", record);
     } else if (parsed.kind === "configuration") {
-      this.#applyConfiguration(parsed.configuration, offset);
+      this.#applyConfiguration(parsed.configuration, record);
     } else if (parsed.kind === "weights") {
-      this.#applyNamedWeights(parsed, offset);
+      this.#applyNamedWeights(parsed, record);
     }
   }
 
-  #applyConfiguration(configuration: Configuration, offset: number): void {
-    const { admission, logDecision, applyLimits } = this.#options;
+  #applyConfiguration(configuration: Configuration, record: KeyedRecord): void {
+    const { admission, applyLimits } = this.#options;
     const isNewer = admission.configure(configuration);
     const { revision, callerLimits } = configuration;
-    logDecision("configuration", { revision, offset, isNewer });
+    this.#log("configuration", record, { revision, isNewer });
     if (isNewer) applyLimits(callerLimits);
   }
 
   #applyNamedWeights(
     { model, weights }: OperatorRecord & { readonly kind: "weights" },
-    offset: number,
+    record: KeyedRecord,
   ): void {
-    const { named, nowMs, logDecision } = this.#options;
+    const { named, nowMs } = this.#options;
     const isNewer = named.name(model, {
       weights,
       firstSeenAtMs: nowMs(),
@@ -90,23 +89,31 @@
       // their age is unknown.
       isAgeKnown: this.#hasOperatorRecords,
     });
-    if (isNewer) logDecision("weights_named", { model, weights, offset });
+    if (isNewer) this.#log("weights_named", record, { model, weights });
   }
 
   #applyServerRecord(record: KeyedRecord): void {
-    const { registry, store, nowMs, logDecision } = this.#options;
-    const { key, value, offset } = record;
+    const { registry, store, nowMs } = this.#options;
+    const { key, value } = record;
     if (value === undefined) {
       registry.remove(brandId<BackendServerId>(key), nowMs());
-      return logDecision("server", { server: key, change: "removed", offset });
+      return this.#log("server", record, { server: key, change: "removed" });
     }
     const server = store.readServer(record);
-    if (server === undefined) {
-      return logDecision("malformed_record", { key, offset });
-    }
+    if (server === undefined) return this.#log("malformed_record", record);
     const change = registry.upsert(server);
     if (change === "same") return;
     const { isLeaving, address } = server;
-    logDecision("server", { server: key, change, isLeaving, address, offset });
+    this.#log("server", record, { server: key, change, isLeaving, address });
+  }
+
+  #log(
+    step: string,
+    { key, position }: KeyedRecord,
+    fields: Readonly<Record<string, unknown>> = { key },
+  ): void {
+    const offset = offsetOf(position);
+    const era = eraOf(position);
+    this.#options.logDecision(step, { ...fields, offset, era });
   }
 }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -13,6 +13,7 @@
   RecordExchangeOptions,
   RecordSource,
 } from "@endivebend/fleet";
+import { eraOf, logPosition, offsetOf } from "@endivebend/fleet";
 import type {
   AnswerHead,
   AttemptListener,
@@ -88,12 +89,21 @@
   }
 }
 
+/** A record, and when it was written. */
+interface StoredRecord extends KeyedRecord {
+  readonly atMs: number;
+}
+
+/** Topics whose writers write again what a restore lost. */
+const REWRITTEN_TOPICS = ["operator", "servers"];
+
 /** Keyed topics with offsets. */
 class FakeStore {
   isDown = false;
+  era = 1;
   readonly #time: VirtualTime;
-  readonly #topics = new Map<string, KeyedRecord[]>();
-  readonly #waiting = new Set<() => void>();
+  readonly #topics = new Map<string, StoredRecord[]>();
+  readonly #waiting = new Set<(isLost: boolean) => void>();
 
   constructor(time: VirtualTime) {
     this.#time = time;
@@ -104,11 +114,52 @@
     const bytes = value === undefined
       ? undefined
       : Buffer.from(JSON.stringify(value));
-    records.push({ key, value: bytes, offset: records.length });
-    for (const wake of [...this.#waiting]) wake();
+    records.push({
+      key,
+      value: bytes,
+      position: logPosition(this.era, records.length),
+      atMs: this.#time.nowMs,
+    });
+    for (const wake of [...this.#waiting]) wake(false);
     return records.length - 1;
   }
 
+  /**
+   * Goes away and comes back after `awayMs` with its state of `copyAgeMs`
+   * before; then the operator and the engines write again what was lost.
+   */
+  restore(drill: {
+    readonly copyAgeMs: number;
+    readonly awayMs: number;
+  }): void {
+    const copiedAtMs = this.#time.nowMs - drill.copyAgeMs;
+    this.isDown = true;
+    for (const wake of [...this.#waiting]) wake(true);
+    this.#time.after(drill.awayMs, () => {
+      this.era += 1;
+      this.isDown = false;
+      for (const topic of this.#topics.keys()) this.#rewind(topic, copiedAtMs);
+    });
+  }
+
+  #rewind(topic: string, copiedAtMs: number): void {
+    const records = this.#records(topic);
+    const newest = new Map(records.map((record) => [record.key, record]));
+    const kept = records.filter(({ atMs }) => atMs <= copiedAtMs);
+    this.#topics.set(
+      topic,
+      kept.map((record, offset) => ({
+        ...record,
+        position: logPosition(this.era, offset),
+      })),
+    );
+    if (!REWRITTEN_TOPICS.includes(topic)) return;
+    for (const { key, value, atMs } of newest.values()) {
+      if (atMs <= copiedAtMs) continue;
+      this.put(topic, key, value && JSON.parse(value.toString()));
+    }
+  }
+
   /** The newest value of each key. */
   values(topic: string): Map<string, unknown> {
     const values = new Map<string, unknown>();
@@ -120,25 +171,36 @@
   }
 
   source(topic: string): RecordSource {
+    const era = () => this.era;
     return {
-      era: 0,
+      get era() {
+        return era();
+      },
       newest: async () => {
         await this.call();
         const records = this.#records(topic);
         const newest = new Map(records.map((record) => [record.key, record]));
-        return { records: [...newest.values()], nextOffset: records.length };
+        return {
+          records: [...newest.values()].filter(({ value }) =>
+            value !== undefined
+          ),
+          next: logPosition(this.era, records.length),
+        };
       },
-      read: async (fromOffset, waitMs) => {
+      read: async (from, waitMs) => {
         await this.call();
-        if (this.#records(topic).length <= fromOffset) {
+        const fromOffset = offsetOf(from);
+        if (this.#records(topic).length === fromOffset) {
           await this.#change(waitMs);
         }
         const records = this.#records(topic);
-        const nextOffset = records.length;
+        if (eraOf(from) !== this.era || fromOffset > records.length) {
+          return { kind: "gap" };
+        }
         return {
           kind: "records",
           records: records.slice(fromOffset),
-          nextOffset,
+          next: logPosition(this.era, records.length),
         };
       },
     };
@@ -155,18 +217,19 @@
   }
 
   #change(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
+    return new Promise((resolve, reject) => {
+      const wake = (isLost: boolean) => {
         this.#waiting.delete(wake);
         cancel();
-        resolve();
+        if (isLost) reject(new Error("The store is down"));
+        else resolve();
       };
-      const cancel = this.#time.after(waitMs, wake);
+      const cancel = this.#time.after(waitMs, () => wake(false));
       this.#waiting.add(wake);
     });
   }
 
-  #records(topic: string): KeyedRecord[] {
+  #records(topic: string): StoredRecord[] {
     const records = this.#topics.get(topic) ?? [];
     this.#topics.set(topic, records);
     return records;
@@ -234,7 +297,7 @@
 
   constructor(options: FleetOptions) {
     this.#options = options;
-    this.store.put("operator", "config", {});
+    this.configure(1);
     for (let index = 0; index < options.engines; index++) {
       this.#addEngine(`10.9.0.${index + 1}:80`);
     }
@@ -253,10 +316,21 @@
     this.#daemons[index]?.kill();
   }
 
-  get configuration(): Configuration {
+  /** The operator stores a configuration. */
+  configure(revision: number): void {
+    this.store.put("operator", "config", { revision });
+  }
+
+  /** The revision of the configuration in force at the daemon. */
+  revisionAt(daemon: number): number | undefined {
+    return this.#daemons[daemon]?.revision;
+  }
+
+  readConfiguration({ value }: KeyedRecord): Configuration {
     const kind = this.#options.kind ?? "resumable_stream";
+    const { revision } = JSON.parse(String(value)) as { revision: number };
     return {
-      revision: 1,
+      revision,
       routes: [{
         name: brandId<RouteName>("draft"),
         host: "bells.example",
@@ -518,6 +592,10 @@
     this.#isAlive = false;
   }
 
+  get revision(): number | undefined {
+    return this.#context?.admission.view?.configuration.revision;
+  }
+
   receive(bytes: Buffer): void {
     if (this.#isAlive) this.#onDatagram(bytes);
   }
@@ -603,9 +681,9 @@
           await store.call();
           store.put("quarantines", key, value && JSON.parse(String(value)));
         },
-        readOperatorRecord: () => ({
+        readOperatorRecord: (keyed) => ({
           kind: "configuration",
-          configuration: world.configuration,
+          configuration: world.readConfiguration(keyed),
         }),
         readServer: (keyed) => world.readServer(keyed),
         registerDaemon: async (vm, ip) => {
@@ -691,7 +769,7 @@
         const table = options.tables.get(topic);
         const theirs = this.#world.tablesAt(address)?.get(topic);
         if (table === undefined || theirs === undefined) return;
-        table.apply(theirs.since(table.highestOffset));
+        table.apply(theirs.since(table.newest));
       },
       close() {},
     };
--- a/packages/platform/src/rollout_lease_log.ts
+++ b/packages/platform/src/rollout_lease_log.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { logPosition, offsetOf } from "@endivebend/fleet";
 import type { LeaseClaimResult, RolloutLeaseLog } from "@endivebend/orders";
 import { brandId, type VmId } from "@endivebend/types";
 import type { StoreClient } from "./store_client.ts";
@@ -18,7 +19,8 @@
 /** Creates the log of the weights rollout lease on the store. */
 export function createRolloutLeaseLog(store: StoreClient): RolloutLeaseLog {
   async function readHolders(fromOffset: number): Promise<readonly VmId[]> {
-    const answer = await store.read(TOPIC, fromOffset, 0);
+    const from = logPosition(store.era, fromOffset);
+    const answer = await store.read(TOPIC, from, 0);
     // Deleted records show that there were holders, but not which.
     if (answer === undefined) return [UNKNOWN_HOLDER];
     return answer.records.map((record) =>
@@ -32,7 +34,7 @@
       if (first.kind === "appended") {
         return { kind: "held", epoch: 1, previousHolder: undefined };
       }
-      const { end } = first;
+      const end = offsetOf(first.end);
       // The latest records may be this daemon's own claims whose answers were
       // lost, so a former holder may stand before them.
       const previousHolder = (await readHolders(0)).findLast((other) =>
@@ -40,13 +42,15 @@
       );
       const claim = await store.append(TOPIC, record, { at: end });
       if (claim.kind === "appended") {
-        return { kind: "held", epoch: claim.offset + 1, previousHolder };
+        const epoch = offsetOf(claim.position) + 1;
+        return { kind: "held", epoch, previousHolder };
       }
-      const [winner = UNKNOWN_HOLDER] = await readHolders(claim.end - 1);
-      return { kind: "taken", holder: winner, epoch: claim.end };
+      const epoch = offsetOf(claim.end);
+      const [winner = UNKNOWN_HOLDER] = await readHolders(epoch - 1);
+      return { kind: "taken", holder: winner, epoch };
     },
     async confirm(epoch): Promise<boolean> {
-      const answer = await store.read(TOPIC, epoch, 0);
+      const answer = await store.read(TOPIC, logPosition(store.era, epoch), 0);
       return answer !== undefined && answer.records.length === 0;
     },
   };
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -6,7 +6,14 @@
  */
 
 import { Agent, request } from "node:http";
-import type { KeyedRecord, RecordSource } from "@endivebend/fleet";
+import {
+  eraOf,
+  type KeyedRecord,
+  type LogPosition,
+  logPosition,
+  offsetOf,
+  type RecordSource,
+} from "@endivebend/fleet";
 import { HEADERS } from "./wire_names.ts";
 
 /** Time limit of a call, in addition to the wait that a long poll asks for. */
@@ -24,13 +31,15 @@
 interface StoreAnswer {
   readonly status: number;
   readonly body: Buffer;
+  /** How often the store had been restored when it answered. */
+  readonly era: number;
 }
 
 /** Result of an append. */
 export type AppendResult =
-  | { readonly kind: "appended"; readonly offset: number }
+  | { readonly kind: "appended"; readonly position: LogPosition }
   /** Nothing was appended: the partition ends at `end`, not where expected. */
-  | { readonly kind: "moved"; readonly end: number };
+  | { readonly kind: "moved"; readonly end: LogPosition };
 
 /**
  * Client of the store's HTTP interface. Calls reject when the store does not
@@ -60,12 +69,15 @@
     return this.#isReachable;
   }
 
-  /** How often the store has been restored from a copy, as it last stated. */
+  /** The highest era that an answer has stated; 0 before the first. */
   get era(): number {
     return this.#era;
   }
 
-  /** Appends a record; with `at`, only if the partition ends at that offset. */
+  /**
+   * Appends a record; with `at`, only if the partition ends at that offset,
+   * also when the store has been restored meanwhile.
+   */
   async append(
     topic: string,
     record: Buffer,
@@ -74,7 +86,7 @@
     const length = Buffer.alloc(LENGTH_PREFIX_BYTES);
     length.writeUInt32BE(record.length);
     const offsetQuery = at === undefined ? "" : `&at=${at}`;
-    const { status, body } = await this.#call({
+    const { status, body, era } = await this.#call({
       method: "POST",
       path: `/api/log-append?topic=${topic}&part=0${offsetQuery}`,
       body: Buffer.concat([length, record]),
@@ -83,9 +95,12 @@
       ? parseJsonObject(body)
       : {};
     if (status === 200) {
-      return { kind: "appended", offset: Number(fields["offset"]) };
+      const position = logPosition(era, Number(fields["offset"]));
+      return { kind: "appended", position };
+    }
+    if (status === 412) {
+      return { kind: "moved", end: logPosition(era, Number(fields["end"])) };
     }
-    if (status === 412) return { kind: "moved", end: Number(fields["end"]) };
     throw new Error(
       `The store answered an append with status ${status}, not 200 or 412`,
     );
@@ -102,18 +117,20 @@
   }
 
   /**
-   * Reads the records of a topic from an offset on, waiting up to `waitMs` for
-   * the first. Returns undefined when the records there were deleted.
+   * Reads the records of a topic from a position on, waiting up to `waitMs` for
+   * the first. Returns undefined when the records there were deleted or the
+   * store has been restored since: it has other records at these offsets.
    */
   async read(
     topic: string,
-    fromOffset: number,
+    from: LogPosition,
     waitMs: number,
   ): Promise<
-    | { readonly records: readonly Buffer[]; readonly nextOffset: number }
+    | { readonly records: readonly Buffer[]; readonly next: LogPosition }
     | undefined
   > {
-    const { status, body } = await this.#call({
+    const fromOffset = offsetOf(from);
+    const { status, body, era } = await this.#call({
       method: "GET",
       path:
         `/api/log-read?topic=${topic}&part=0&from=${fromOffset}&wait_ms=${waitMs}`,
@@ -125,25 +142,26 @@
         `The store answered a read with status ${status}, not 200 or 410`,
       );
     }
+    if (era !== eraOf(from)) return undefined;
     const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
-    return { records, nextOffset: fromOffset + records.length };
+    return { records, next: logPosition(era, fromOffset + records.length) };
   }
 
   /**
-   * Reads the newest record of each key of a topic, and the offset from which
-   * to read on.
+   * Reads the newest record of each key of a topic, and the position from which
+   * to read on. Rejects when the store is restored between two pages.
    */
   async newest(topic: string): Promise<{
     readonly records: readonly KeyedRecord[];
-    readonly nextOffset: number;
+    readonly next: LogPosition;
   }> {
     const records: KeyedRecord[] = [];
     // The pages are not one snapshot. Reading on from the end that the first
     // page states misses no record.
-    let nextOffset: number | undefined;
+    let next: LogPosition | undefined;
     let cursorQuery = "";
     for (;;) {
-      const { status, body } = await this.#call({
+      const { status, body, era } = await this.#call({
         method: "GET",
         path: `/api/log-newest?topic=${topic}&part=0${cursorQuery}`,
       });
@@ -158,15 +176,18 @@
         records.push({
           key: String(item["key"]),
           value: Buffer.from(String(item["value"]), "base64"),
-          offset: Number(item["offset"]),
+          position: logPosition(era, Number(item["offset"])),
         });
       }
-      nextOffset ??= Number(page["end"]);
+      next ??= logPosition(era, Number(page["end"]));
+      if (eraOf(next) !== era) {
+        throw new Error("The store was restored while it was listed");
+      }
       const last = records.at(-1);
       if (page["has_more"] !== true || last === undefined) break;
       cursorQuery = `&after=${encodeURIComponent(last.key)}`;
     }
-    return { records, nextOffset };
+    return { records, next };
   }
 
   /** Adapts a keyed topic to the interface that record followers read. */
@@ -177,17 +198,38 @@
         return era();
       },
       newest: () => this.newest(topic),
-      read: async (fromOffset, waitMs) => {
-        const answer = await this.read(topic, fromOffset, waitMs);
+      read: async (from, waitMs) => {
+        const answer = await this.read(topic, from, waitMs);
         if (answer === undefined) return { kind: "gap" };
-        const records = answer.records.map((bytes, index) =>
-          parseKeyedRecord(bytes, fromOffset + index)
-        );
-        return { kind: "records", records, nextOffset: answer.nextOffset };
+        const records = answer.records.map((bytes, index) => {
+          const offset = offsetOf(from) + index;
+          return parseKeyedRecord(bytes, logPosition(eraOf(from), offset));
+        });
+        return { kind: "records", records, next: answer.next };
       },
     };
   }
 
+  /**
+   * Returns the era that an answer states. When it is a later one, the other
+   * connections are closed: reads that the store holds open on them wait for
+   * offsets of the time before.
+   */
+  #noteEra(header: string | string[] | undefined): number {
+    const era = parseEra(header) ?? this.#era;
+    if (era <= this.#era) return era;
+    const wasKnown = this.#era > 0;
+    this.#era = era;
+    if (wasKnown) this.#renewAgent();
+    return era;
+  }
+
+  #renewAgent(): void {
+    const former = this.#agent;
+    this.#agent = newAgent();
+    former.destroy();
+  }
+
   #call(call: {
     readonly method: string;
     readonly path: string;
@@ -197,9 +239,10 @@
     const { method, path, body } = call;
     const [kind = path] = path.split("&", 1);
     this.#callCounts[kind] = (this.#callCounts[kind] ?? 0) + 1;
+    const agent = this.#agent;
     return new Promise((resolve, reject) => {
       const outgoing = request({
-        agent: this.#agent,
+        agent,
         host: this.#host,
         port: this.#port,
         method,
@@ -209,7 +252,6 @@
           "content-length": body.length,
         },
       }, (answer) => {
-        this.#era = parseEra(answer.headers[HEADERS.storeEra]) ?? this.#era;
         const chunks: Buffer[] = [];
         let bytes = 0;
         answer.on("data", (chunk: Buffer) => {
@@ -222,7 +264,8 @@
           clearTimeout(timer);
           const status = answer.statusCode ?? 0;
           this.#isReachable = status < 500 && status !== 429;
-          resolve({ status, body: Buffer.concat(chunks) });
+          const era = this.#noteEra(answer.headers[HEADERS.storeEra]);
+          resolve({ status, body: Buffer.concat(chunks), era });
         });
       });
       const timer = setTimeout(
@@ -231,11 +274,11 @@
       );
       const fail = (error: Error) => {
         clearTimeout(timer);
+        reject(error);
+        if (agent !== this.#agent) return;
         this.#isReachable = false;
         // The other open connections may not answer either.
-        this.#agent.destroy();
-        this.#agent = newAgent();
-        reject(error);
+        this.#renewAgent();
       };
       outgoing.on("error", fail);
       outgoing.end(body);
@@ -272,12 +315,12 @@
  * Parses a record of a keyed topic: one byte with the key's length, the key,
  * the value. An empty value marks a removed key.
  */
-function parseKeyedRecord(bytes: Buffer, offset: number): KeyedRecord {
+function parseKeyedRecord(bytes: Buffer, position: LogPosition): KeyedRecord {
   const length = bytes[0] ?? 0;
   const value = bytes.subarray(1 + length);
   return {
     key: bytes.subarray(1, 1 + length).toString("utf8"),
     value: value.length === 0 ? undefined : value,
-    offset,
+    position,
   };
 }
--- a/packages/platform/src/store_client_test.ts
+++ b/packages/platform/src/store_client_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { logPosition } from "@endivebend/fleet";
 import { brandId, type VmId } from "@endivebend/types";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { StoreClient } from "./store_client.ts";
@@ -10,17 +11,20 @@
   const store = await startStore();
   const client = new StoreClient(store.address);
   store.put("keyed.op", "config", { version: 1 });
-  const { records, nextOffset } = await client.newest("keyed.op");
-  t.deepEqual(records.map(({ key, offset }) => [key, offset]), [["config", 0]]);
-  const following = client.keyedRecordSource("keyed.op").read(
-    nextOffset,
-    1_000,
-  );
+  const { records, next } = await client.newest("keyed.op");
+  t.deepEqual(records.map(({ key, position }) => [key, position]), [
+    ["config", logPosition(1, 0)],
+  ]);
+  const following = client.keyedRecordSource("keyed.op").read(next, 1_000);
   store.remove("keyed.op", "config");
   const answer = await following;
   t.is(answer.kind, "records");
   if (answer.kind === "records") {
-    t.like(answer.records[0], { key: "config", value: undefined, offset: 1 });
+    t.like(answer.records[0], {
+      key: "config",
+      value: undefined,
+      position: logPosition(1, 1),
+    });
   }
   store.close();
 });
@@ -53,3 +57,25 @@
   t.true(client.isReachable);
   store.close();
 });
+
+test("a restored store has a gap for readers of the time before, and later positions", async (t) => {
+  const store = await startStore();
+  const client = new StoreClient(store.address);
+  for (const version of [1, 2]) store.put("keyed.op", "config", { version });
+  const source = client.keyedRecordSource("keyed.op");
+  const before = await source.newest();
+  const held = source.read(before.next, 20_000);
+  await t.notThrowsAsync(source.read(before.next, 0));
+  store.restore(1);
+  await t.throwsAsync(held);
+  store.put("keyed.op", "config", { version: 2 });
+  t.deepEqual(await source.read(before.next, 0), { kind: "gap" });
+  const after = await source.newest();
+  t.is(after.records[0]?.position, logPosition(2, 1));
+  t.true(after.next > before.next);
+  const [held2, other] = [source.read(after.next, 20_000), client.era];
+  t.is(other, 2);
+  store.put("keyed.op", "config", { version: 3 });
+  t.is((await held2).kind, "records");
+  store.close();
+});
--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -28,6 +28,11 @@
   callCount(): number;
   /** Appends a record with the value as JSON. */
   put(topic: string, key: string, value: unknown): void;
+  /**
+   * Comes back from a copy that has only the first `kept` records of each
+   * topic, and states its era from now on. Held reads are reset.
+   */
+  restore(kept: number): void;
   /** Appends a record with an empty value, which removes the key. */
   remove(topic: string, key: string): void;
   close(): void;
@@ -41,6 +46,7 @@
   const waitingReaders = new Set<() => void>();
   const faults: StoreFaults = { isDown: false, dropsAnswers: false };
   let calls = 0;
+  let era = 1;
   const recordsOf = (topic: string) => {
     const records = topics.get(topic) ?? [];
     topics.set(topic, records);
@@ -67,7 +73,7 @@
       response.end(JSON.stringify({ offset: end, end: end + 1 }));
     },
     "/api/log-read": async ({ query, response }) => {
-      const records = recordsOf(query.get("topic")!);
+      let records = recordsOf(query.get("topic")!);
       const from = Number(query.get("from"));
       const waitMs = Number(query.get("wait_ms"));
       if (records.length <= from && waitMs > 0) {
@@ -81,6 +87,11 @@
           waitingReaders.add(wake);
         });
       }
+      records = recordsOf(query.get("topic")!);
+      if (from > records.length) {
+        response.writeHead(410).end(JSON.stringify({ first: 0 }));
+        return;
+      }
       const head = Buffer.alloc(READ_PREFIX_BYTES);
       head.writeBigUInt64BE(BigInt(records.length));
       const encodedRecords = records.slice(from).flatMap((record) => {
@@ -110,6 +121,7 @@
   const server = createServer((request, response) => {
     calls += 1;
     void readAll(request).then((body) => {
+      response.setHeader("Store-Era", era);
       const url = new URL(request.url ?? "/", "http://store");
       const handler = handlers[url.pathname];
       if (faults.isDown || handler === undefined) {
@@ -126,6 +138,11 @@
     address: `127.0.0.1:${port}`,
     faults,
     callCount: () => calls,
+    restore(kept) {
+      era += 1;
+      for (const records of topics.values()) records.splice(kept);
+      server.closeAllConnections();
+    },
     put: (topic, key, value) =>
       append(topic, encodeKeyedRecord(key, Buffer.from(JSON.stringify(value)))),
     remove: (topic, key) =>
