Keep what is known of servers while a restored store is incomplete

What callers would have seen: requests sent to servers that had left (DRAIN), servers without requests for two seconds, and a daemon that starts just after a restore and serves an older configuration than its peers (CONFIG).

Cause: the listing after a restore was taken for the present. The copy is some seconds old: it lists servers as ready that have left since, and lacks those that started since, until their writers have written again.

Change: for 6 s after a restore, records of different eras are ordered by their content: configurations by revision, weights by version, entries of servers by start, leaving and number of reports. Records that the store lacks are removed 2.5 s after its return at the earliest, when writers have written theirs again. Every daemon lists all topics at 0, 2.5 and 6 s, whoever reads them otherwise, and after its start or a restore reads all records of one peer once, as peers may know what the store has lost. After that the store is taken at its word.

The fleet's engines answer 421 to requests for another engine now, as the users' do.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -46,4 +46,8 @@
 export { RecordTable } from "./record_table.ts";
 export { BEFORE_FIRST, eraOf, logPosition, offsetOf } from "./log_position.ts";
 export type { LogPosition } from "./log_position.ts";
-export type { RecordListener } from "./record_table.ts";
+export type {
+  ContentOrder,
+  RecordListener,
+  RecordListing,
+} from "./record_table.ts";
--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -15,7 +15,7 @@
   type ServerResponse,
 } from "node:http";
 import { brandId } from "@endivebend/types";
-import type { LogPosition } from "./log_position.ts";
+import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
 import type { RecordTable } from "./record_table.ts";
 
@@ -56,16 +56,20 @@
   }
 
   /**
-   * Fetches the records of a peer that are newer than the table's. Failures are
-   * reported to the `failed` option and not thrown. Does nothing while another
-   * pull of the topic runs.
+   * Fetches the records of a peer that are newer than the table's, or all of
+   * them. Failures are reported to the `failed` option and not thrown. Does
+   * nothing while another pull of the topic runs.
    */
-  async pull(topic: string, address: string): Promise<void> {
+  async pull(
+    topic: string,
+    address: string,
+    { all = false }: { readonly all?: boolean } = {},
+  ): Promise<void> {
     const table = this.#options.tables.get(topic);
     if (table === undefined || this.#pullsInProgress.has(topic)) return;
     this.#pullsInProgress.add(topic);
     try {
-      const since = table.newest;
+      const since = all ? BEFORE_FIRST : table.newest;
       const body = await this.#fetch(address, `/${topic}?since=${since}`);
       const records = JSON.parse(body) as readonly WireRecord[];
       table.apply(records.map(fromWire));
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -57,6 +57,8 @@
   /** Whether this daemon reads now; false leaves reading to another daemon. */
   readonly isReader?: () => boolean;
   readonly table: RecordTable;
+  /** Called when the store was found to have been restored. */
+  restored?(): void;
   /** Called after records were read, with what became of them. */
   wasRead?(fields: RecordsRead): void;
   /** Called at the first failed read. */
@@ -76,6 +78,19 @@
   readonly ignored: number;
 }
 
+/**
+ * Time after the return of a restored store at which all records are read
+ * again, and those that it lacks are removed. Writers have written theirs again
+ * within 2,000 ms.
+ */
+const REWRITTEN_AFTER_MS = 2_500;
+/**
+ * Time after the return at which what the store has is taken as it is. Until
+ * then the copy may hold records of writers that have gone; they lapse after
+ * three of their report intervals of 1,200 ms.
+ */
+const LAPSED_AFTER_MS = 6_000;
+
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
@@ -89,6 +104,10 @@
   #isStoreLost = false;
   #hasStopped = false;
   #readAtMs = Number.NEGATIVE_INFINITY;
+  #era: number | undefined;
+  /** When all records are to be read, in ascending order. */
+  #listAtMs: number[] = [];
+  #restoredUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RecordFollowerOptions) {
     this.#options = options;
@@ -125,12 +144,37 @@
     const { clock, minReadIntervalMs, isReader } = this.#options;
     while (!this.#hasStopped) {
       const startedAtMs = steadyMs(clock);
-      if (isReader === undefined || isReader()) await this.#readOnce();
+      this.#noteEra();
+      const isReading = isReader === undefined || isReader();
+      if (isReading || this.#isListingDue()) await this.#readOnce();
       const remainingMs = startedAtMs + minReadIntervalMs - steadyMs(clock);
       if (remainingMs > 0) await delay(this.#options.scheduler, remainingMs);
     }
   }
 
+  /** Starts or ends the time in which a restored store is incomplete. */
+  #noteEra(): void {
+    const { source, table, clock } = this.#options;
+    const nowMs = steadyMs(clock);
+    if (source.era !== this.#era) {
+      const isRestore = this.#era !== undefined && this.#era > 0;
+      this.#era = source.era;
+      // At the start the store may have been restored just before.
+      this.#restoredUntilMs = nowMs + LAPSED_AFTER_MS;
+      if (isRestore) {
+        this.#listAtMs = [0, REWRITTEN_AFTER_MS, LAPSED_AFTER_MS]
+          .map((afterMs) => nowMs + afterMs);
+        this.#options.restored?.();
+      }
+    }
+    table.isRestoring = nowMs < this.#restoredUntilMs;
+  }
+
+  #isListingDue(): boolean {
+    const [dueAtMs] = this.#listAtMs;
+    return dueAtMs !== undefined && steadyMs(this.#options.clock) >= dueAtMs;
+  }
+
   async #readOnce(): Promise<void> {
     try {
       await this.#advance();
@@ -164,8 +208,13 @@
   async #list(): Promise<void> {
     const { source, table } = this.#options;
     const { records, next } = await source.newest();
-    const known = new Set(records.map(({ key }) => key));
-    const ignored = table.apply(records, known);
+    this.#noteEra();
+    const keys = new Set(records.map(({ key }) => key));
+    const nowMs = steadyMs(this.#options.clock);
+    const isComplete = nowMs >= this.#restoredUntilMs - LAPSED_AFTER_MS +
+        REWRITTEN_AFTER_MS;
+    const ignored = table.apply(records, { keys, isComplete });
+    this.#listAtMs = this.#listAtMs.filter((atMs) => atMs > nowMs);
     this.#next = next;
     this.#hasGap = false;
     this.#tell("newest", { next, records: records.length, ignored });
@@ -193,7 +242,7 @@
 
   /** Position to continue at; undefined when all keys must be read again. */
   #from(): LogPosition | undefined {
-    if (this.#hasGap) return undefined;
+    if (this.#hasGap || this.#isListingDue()) return undefined;
     const { newest } = this.#options.table;
     if (newest === BEFORE_FIRST) return this.#next;
     // Peers may have sent records that are newer than this daemon's last read.
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
+import { BEFORE_FIRST, eraOf, type LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
 
 /** Removals that are kept for peers, the newest ones. */
@@ -14,14 +14,40 @@
 /** Called with the records that changed the table. */
 export type RecordListener = (records: readonly KeyedRecord[]) => void;
 
+/**
+ * Whether the content of a record is older than that of another record of the
+ * same key.
+ */
+export type ContentOrder = (
+  record: KeyedRecord,
+  other: KeyedRecord,
+) => boolean;
+
+/** All records that the store has. */
+export interface RecordListing {
+  readonly keys: ReadonlySet<string>;
+  /** Whether records of other keys are removed. */
+  readonly isComplete: boolean;
+}
+
 /** Keyed records of one topic. */
 export class RecordTable {
+  /**
+   * Whether the store may still lack what a restore lost. Until it has it
+   * again, records of different eras are ordered by their content: the copy may
+   * be older than what is known, and what is known may be lost for good later.
+   */
+  isRestoring = false;
   readonly #records = new Map<string, KeyedRecord>();
+  /** The last record before the removal of each removed key. */
+  readonly #removed = new Map<string, KeyedRecord>();
   readonly #onChange: RecordListener;
+  readonly #isOlder: ContentOrder;
   #newest = BEFORE_FIRST;
 
-  constructor(listener: RecordListener) {
+  constructor(listener: RecordListener, isOlder: ContentOrder = () => false) {
     this.#onChange = listener;
+    this.#isOlder = isOlder;
   }
 
   /** The position of the newest record; before the first when there is none. */
@@ -30,16 +56,14 @@
   }
 
   /**
-   * Applies records. When all keys were read, `known` holds every key that
-   * exists, and the other keys are removed. Returns how many of the records
-   * were ignored as older than those held.
+   * Applies records, which are all that the store has when a listing is given.
+   * Returns how many of them were ignored as older than those held.
    */
-  apply(
-    records: readonly KeyedRecord[],
-    known?: ReadonlySet<string>,
-  ): number {
+  apply(records: readonly KeyedRecord[], listing?: RecordListing): number {
     const newer = records.filter((record) => this.#store(record));
-    const removed = known === undefined ? [] : this.#removeMissing(known);
+    const removed = listing?.isComplete === true
+      ? this.#removeMissing(listing.keys)
+      : [];
     this.#dropOldTombstones();
     const changes = [...newer, ...removed];
     if (changes.length > 0) this.#onChange(changes);
@@ -56,11 +80,34 @@
   #store(record: KeyedRecord): boolean {
     if (record.position > this.#newest) this.#newest = record.position;
     const known = this.#records.get(record.key);
-    if (known !== undefined && known.position >= record.position) return false;
-    this.#records.set(record.key, record);
+    if (known !== undefined && !this.#isNewer(record, known)) return false;
+    this.#set(record, known);
     return true;
   }
 
+  #set(record: KeyedRecord, known: KeyedRecord | undefined): void {
+    const { key, value } = record;
+    if (value !== undefined) this.#removed.delete(key);
+    else if (known?.value !== undefined) this.#removed.set(key, known);
+    this.#records.set(key, record);
+  }
+
+  #isNewer(record: KeyedRecord, known: KeyedRecord): boolean {
+    const isLater = record.position > known.position;
+    const isOtherEra = eraOf(record.position) !== eraOf(known.position);
+    if (!this.isRestoring || !isOtherEra || record.value === undefined) {
+      return isLater;
+    }
+    if (known.value !== undefined) {
+      return isLater
+        ? !this.#isOlder(record, known)
+        : this.#isOlder(known, record);
+    }
+    // The copy may have a record that was removed after it was made.
+    const removed = this.#removed.get(record.key);
+    return isLater && removed !== undefined && this.#isOlder(removed, record);
+  }
+
   #removeMissing(known: ReadonlySet<string>): KeyedRecord[] {
     const removed: KeyedRecord[] = [];
     for (const record of this.#records.values()) {
@@ -71,7 +118,9 @@
         position: this.#newest,
       });
     }
-    for (const record of removed) this.#records.set(record.key, record);
+    for (const record of removed) {
+      this.#set(record, this.#records.get(record.key));
+    }
     return removed;
   }
 
@@ -82,6 +131,7 @@
     tombstones.sort((a, b) => b.position - a.position);
     for (const { key } of tombstones.slice(MAX_TOMBSTONES)) {
       this.#records.delete(key);
+      this.#removed.delete(key);
     }
   }
 }
--- a/packages/fleet/src/record_table_test.ts
+++ b/packages/fleet/src/record_table_test.ts
@@ -30,7 +30,10 @@
 test("a key that is missing from a full listing is removed", (t) => {
   const { heard, table } = newTable();
   table.apply([record("a", 1, "x"), record("b", 2, "y")]);
-  table.apply([record("a", 1, "x")], new Set(["a"]));
+  table.apply([record("a", 1, "x")], {
+    keys: new Set(["a"]),
+    isComplete: true,
+  });
   t.is(heard.at(-1)?.key, "b");
   t.is(heard.at(-1)?.value, undefined);
 });
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -46,6 +46,7 @@
 import { PauseGuard } from "./pause_guard.ts";
 import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
+import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
 
 /** Topic of the operator's records, also when daemons pass them on. */
 const OPERATOR_TOPIC = "operator";
@@ -97,6 +98,11 @@
   readonly #statusServer: StatusServer;
   /** Addresses that get gossip messages until their daemon has sent one. */
   readonly #seedAddresses = new Set<string>();
+  /**
+   * Topics of which no peer's records were read yet, since the start or since a
+   * restore. Peers may know what the store has lost.
+   */
+  readonly #unmergedTopics: Set<string>;
   #drainingSinceMs: number | undefined;
   #nextServerPullMs = Number.NEGATIVE_INFINITY;
 
@@ -118,6 +124,7 @@
     this.#admission = this.#createAdmission();
     this.#recordApplier = this.#createRecordApplier();
     this.#tables = this.#createTables();
+    this.#unmergedTopics = new Set(this.#tables.keys());
     this.#operatorFollower = this.#createFollower(OPERATOR_TOPIC, {
       source: ports.store.operatorRecords,
       waitMs: OPERATOR_POLL_WAIT_MS,
@@ -274,9 +281,10 @@
       this.#recordApplier.applyOperatorRecords(records);
       // In a large fleet the next message tells of them soon enough.
       if (this.#fleet.size < MIN_RELAYED_FLEET) this.#gossipChannel.broadcast();
-    });
-    const servers = new RecordTable((records) =>
-      this.#recordApplier.applyServerRecords(records)
+    }, operatorRecordOrder(this.#ports.store));
+    const servers = new RecordTable(
+      (records) => this.#recordApplier.applyServerRecords(records),
+      serverRecordOrder(this.#ports.store),
     );
     const quarantines = new RecordTable((records) =>
       this.#quarantines.applyRecords(records)
@@ -309,11 +317,17 @@
           log.decision("records_read", { topic, ...read });
         }
       },
+      restored: () => this.#noteRestore(topic),
       lost: (reason) => log.stateChange("store_lost", { topic, reason }),
       regained: () => log.stateChange("store_regained", { topic }),
     });
   }
 
+  #noteRestore(topic: string): void {
+    this.#unmergedTopics.add(topic);
+    this.#ports.log.stateChange("store_restored", { topic });
+  }
+
   #shouldReadServers(): boolean {
     const nowMs = this.#nowMs();
     return shouldReadTopic({
@@ -418,14 +432,16 @@
       // from any peer while they have none.
       const mayPull = topic !== SERVER_TOPIC || own === BEFORE_FIRST ||
         message.failureDomain === this.#settings.failureDomain;
-      if (position <= own || !mayPull) continue;
+      const all = this.#unmergedTopics.has(topic);
+      if ((position <= own && !all) || !mayPull) continue;
       if (topic === SERVER_TOPIC) {
         // Peers hold different records all the time; each pull brings those of
         // one of them.
         if (nowMs < this.#nextServerPullMs) continue;
         this.#nextServerPullMs = nowMs + SERVER_READ_INTERVAL_MS;
       }
-      void this.#recordExchange.pull(topic, address);
+      this.#unmergedTopics.delete(topic);
+      void this.#recordExchange.pull(topic, address, { all });
     }
   }
 
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -41,6 +41,7 @@
     slots: 8,
     weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
     startedAtMs: 1,
+    reportCount: 1,
     ...fields,
   };
 }
--- a/packages/front/src/restored_store_test.ts
+++ b/packages/front/src/restored_store_test.ts
@@ -3,6 +3,8 @@
 
 /** Time within which a change must be in force; the users' bound. */
 const CONFIG_MS = 2_000;
+/** Time after which an engine that leaves gets no more requests. */
+const DRAIN_MS = 2_000;
 const DAEMONS = 8;
 
 function revisions(fleet: TestFleet): (number | undefined)[] {
@@ -33,3 +35,83 @@
   );
   t.true(listings.length <= 8 * DAEMONS, `${listings.length} listings`);
 });
+
+/** Sends a request to each daemon in turn every 20 ms. */
+function sendTraffic(fleet: TestFleet, untilMs: number): void {
+  let sent = 0;
+  const send = () => {
+    if (fleet.time.nowMs > untilMs) return;
+    fleet.send(sent++ % DAEMONS, [`parish-${sent}`]);
+    fleet.time.after(20, send);
+  };
+  send();
+}
+
+// The copy lists the engine as it was before it left.
+for (const how of ["reported", "removed"] as const) {
+  test(`an engine whose leaving was ${how} gets no requests when a copy lists it again`, async (t) => {
+    const fleet = new TestFleet({ daemons: DAEMONS, engines: 4 });
+    const { time, store } = fleet;
+    await time.advance(6_000);
+    sendTraffic(fleet, 24_000);
+    const [leaving] = fleet.runningEngines();
+    fleet.leave(leaving!, how);
+    await time.advance(3_000);
+    store.restore({ copyAgeMs: 5_000, awayMs: 1_000, rewriteMs: 1_500 });
+    await time.advance(15_000);
+    const late = fleet.arrivals.filter(({ engine, atMs }) =>
+      engine === leaving!.listed.id && atMs > 6_000 + DRAIN_MS
+    );
+    t.deepEqual(late, []);
+    t.true(fleet.arrivals.length > 800);
+  });
+}
+
+// The copy lacks the engine until it reports again.
+test("an engine that a copy lacks goes on getting requests", async (t) => {
+  const fleet = new TestFleet({ daemons: DAEMONS, engines: 4 });
+  const { time, store } = fleet;
+  await time.advance(6_000);
+  fleet.crash(fleet.runningEngines()[0]!);
+  await time.advance(5_000);
+  const started = fleet.runningEngines().at(-1)!;
+  sendTraffic(fleet, 24_000);
+  await time.advance(500);
+  store.restore({ copyAgeMs: 4_000, awayMs: 1_000, rewriteMs: 1_900 });
+  await time.advance(12_000);
+  const times = fleet.arrivals
+    .filter(({ engine }) => engine === started.listed.id)
+    .map(({ atMs }) => atMs);
+  const pauses = times.slice(1).map((atMs, index) => atMs - times[index]!);
+  t.true(Math.max(...pauses) < 1_000, `${Math.max(...pauses)} ms without any`);
+});
+
+test("an engine that is not listed again after a restore is taken as gone", async (t) => {
+  const fleet = new TestFleet({ daemons: DAEMONS, engines: 4 });
+  const { time, store } = fleet;
+  await time.advance(6_000);
+  sendTraffic(fleet, 24_000);
+  const [silent] = fleet.runningEngines();
+  store.forget(silent!.listed.id);
+  store.restore({ copyAgeMs: 1_000, awayMs: 1_000 });
+  await time.advance(15_000);
+  const boundMs = 6_000 + 1_000 + 2_500 + DRAIN_MS;
+  const late = fleet.arrivals.filter(({ engine, atMs }) =>
+    engine === silent!.listed.id && atMs > boundMs
+  );
+  t.deepEqual(late, []);
+});
+
+test("daemons that start after a restore learn from peers what the copy lacks", async (t) => {
+  const fleet = new TestFleet({ daemons: DAEMONS, engines: 4 });
+  const { time, store } = fleet;
+  await time.advance(4_000);
+  fleet.configure(5);
+  await time.advance(3_000);
+  store.restore({ copyAgeMs: 4_000, awayMs: 500, rewriteMs: 5_000 });
+  await time.advance(1_500);
+  fleet.killDaemon(3);
+  fleet.startDaemon(3);
+  await time.advance(1_500);
+  t.deepEqual(revisions(fleet), Array(DAEMONS).fill(5));
+});
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -13,7 +13,7 @@
   RecordExchangeOptions,
   RecordSource,
 } from "@endivebend/fleet";
-import { eraOf, logPosition, offsetOf } from "@endivebend/fleet";
+import { BEFORE_FIRST, eraOf, logPosition, offsetOf } from "@endivebend/fleet";
 import type {
   AnswerHead,
   AttemptListener,
@@ -96,6 +96,8 @@
 
 /** Topics whose writers write again what a restore lost. */
 const REWRITTEN_TOPICS = ["operator", "servers"];
+/** Time without reports after which the entry of a server lapses. */
+const LAPSE_MS = 3_600;
 
 /** Keyed topics with offsets. */
 class FakeStore {
@@ -131,6 +133,8 @@
   restore(drill: {
     readonly copyAgeMs: number;
     readonly awayMs: number;
+    /** Time after the return at which lost records are written again. */
+    readonly rewriteMs?: number;
   }): void {
     const copiedAtMs = this.#time.nowMs - drill.copyAgeMs;
     this.isDown = true;
@@ -138,11 +142,13 @@
     this.#time.after(drill.awayMs, () => {
       this.era += 1;
       this.isDown = false;
-      for (const topic of this.#topics.keys()) this.#rewind(topic, copiedAtMs);
+      for (const topic of this.#topics.keys()) {
+        this.#rewind(topic, copiedAtMs, drill.rewriteMs ?? 0);
+      }
     });
   }
 
-  #rewind(topic: string, copiedAtMs: number): void {
+  #rewind(topic: string, copiedAtMs: number, rewriteMs: number): void {
     const records = this.#records(topic);
     const newest = new Map(records.map((record) => [record.key, record]));
     const kept = records.filter(({ atMs }) => atMs <= copiedAtMs);
@@ -156,10 +162,19 @@
     if (!REWRITTEN_TOPICS.includes(topic)) return;
     for (const { key, value, atMs } of newest.values()) {
       if (atMs <= copiedAtMs) continue;
-      this.put(topic, key, value && JSON.parse(value.toString()));
+      const write = () =>
+        this.put(topic, key, value && JSON.parse(value.toString()));
+      // Nobody removes the record of a writer that has gone; it lapses.
+      this.#time.after(value === undefined ? LAPSE_MS : rewriteMs, write);
     }
   }
 
+  /** Loses every entry of a server, as if it had never been written. */
+  forget(server: string): void {
+    const kept = this.#records("servers").filter(({ key }) => key !== server);
+    this.#topics.set("servers", kept);
+  }
+
   /** The newest value of each key. */
   values(topic: string): Map<string, unknown> {
     const values = new Map<string, unknown>();
@@ -396,8 +411,32 @@
 
   readServer({ value }: KeyedRecord): ListedServer | undefined {
     if (value === undefined) return undefined;
-    const { id } = JSON.parse(value.toString()) as { id: string };
-    return this.#engines.get(id)?.listed ?? undefined;
+    const { id, ...fields } = JSON.parse(value.toString()) as {
+      readonly id: string;
+      readonly isLeaving: boolean;
+      readonly reportCount: number;
+    };
+    const engine = this.#engines.get(id);
+    return engine && { ...engine.listed, ...fields };
+  }
+
+  /** The engine reports that it leaves, or its entry goes without a report. */
+  leave(engine: Engine, how: "reported" | "removed"): void {
+    const { id } = engine.listed;
+    if (how === "removed") return void this.store.put("servers", id, undefined);
+    engine.listed = { ...engine.listed, isLeaving: true };
+    this.#report(engine);
+  }
+
+  /** The engine writes its entry. */
+  #report(engine: Engine): void {
+    const { id, isLeaving, reportCount } = engine.listed;
+    engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
+    this.store.put("servers", id, {
+      id,
+      isLeaving,
+      reportCount: reportCount + 1,
+    });
   }
 
   checkListening(address: string): Promise<ListenState> {
@@ -439,13 +478,14 @@
         slots: 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
         startedAtMs: this.time.nowMs,
+        reportCount: 0,
       },
       isUp: true,
       prefilledAtMs: 0,
       limitPerS: undefined,
       attempts: new Set(),
     });
-    this.store.put("servers", id, { id });
+    this.#report(this.#engines.get(id)!);
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -486,6 +526,12 @@
     const segments = order.request.work?.prompt.map(({ id }) => id) ?? [];
     const { requestId } = order.request;
     const { id } = engine.listed;
+    if (order.server.id !== id) {
+      attempt.isOver = true;
+      const refusal = { status: 421, isMisdirected: true, hasProof: false };
+      listener.sent();
+      return listener.head({ ...this.#head(engine), ...refusal });
+    }
     this.arrivals.push({
       atMs: this.time.nowMs,
       vm,
@@ -764,12 +810,16 @@
   #exchange(options: RecordExchangeOptions) {
     this.tables = options.tables;
     return {
-      pull: async (topic: string, address: string) => {
+      pull: async (
+        topic: string,
+        address: string,
+        { all = false }: { readonly all?: boolean } = {},
+      ) => {
         await this.#world.store.wait(2 * LINK_MS);
         const table = options.tables.get(topic);
         const theirs = this.#world.tablesAt(address)?.get(topic);
         if (table === undefined || theirs === undefined) return;
-        table.apply(theirs.since(table.newest));
+        table.apply(theirs.since(all ? BEFORE_FIRST : table.newest));
       },
       close() {},
     };
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -166,7 +166,7 @@
 ): ListedServer | undefined {
   const fields = parseObject(value);
   if (fields === undefined) return undefined;
-  const { service, address, zone, slots, phase, born } = fields;
+  const { service, address, zone, slots, phase, born, seq } = fields;
   const isValidEntry = typeof service === "string" && isAddress(address) &&
     typeof zone === "string" && isCount(slots) &&
     (phase === "ready" || phase === "draining") &&
@@ -187,6 +187,7 @@
     slots,
     weights,
     startedAtMs: (born as number | undefined) ?? 0,
+    reportCount: isCount(seq) ? seq : 0,
   };
 }
 
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -89,6 +89,7 @@
     slots: 8,
     weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
     startedAtMs: 1,
+    reportCount: 1,
     ...fields,
   };
 }
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -128,6 +128,8 @@
   readonly weights: ReadonlyMap<ModelName, WeightsVersion>;
   /** When the process started; another value means another incarnation. */
   readonly startedAtMs: number;
+  /** Rises with each report that the process makes of itself. */
+  readonly reportCount: number;
 }
 
 /** One request of a caller with its route, service and team. */
