Store quarantines again that a restore has lost

What callers would have seen: a segment that crashes engines reaching them again after a restore, when daemons start anew, or a sound segment blocked by a quarantine that had been lifted.

Cause: the daemons' own records are lost by a restore and nobody writes them again. The keeper remembered what it had stored, so it took lost records for stored; a listing without them lifted the quarantines 2.5 s later; and one that was lifted meanwhile came back with the copy.

Change: the keeper takes each listing as what the store has, and writes or removes the difference. Records of the daemons' own topics from before a restore are not removed for being missing.

--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -57,6 +57,13 @@
   /** Whether this daemon reads now; false leaves reading to another daemon. */
   readonly isReader?: () => boolean;
   readonly table: RecordTable;
+  /**
+   * Whether the daemons themselves write the records. They write lost ones
+   * again, so a record from before a restore stays though the store lacks it.
+   */
+  readonly isOwnTopic?: boolean;
+  /** Called with all records that the store has. */
+  listed?(records: readonly KeyedRecord[]): void;
   /** Called when the store was found to have been restored. */
   restored?(): void;
   /** Called after records were read, with what became of them. */
@@ -213,7 +220,14 @@
     const nowMs = steadyMs(this.#options.clock);
     const isComplete = nowMs >= this.#restoredUntilMs - LAPSED_AFTER_MS +
         REWRITTEN_AFTER_MS;
-    const ignored = table.apply(records, { keys, isComplete });
+    this.#options.listed?.(records);
+    const ignored = table.apply(records, {
+      keys,
+      isComplete,
+      ...(this.#options.isOwnTopic === true
+        ? { removesFrom: logPosition(eraOf(next), 0) }
+        : {}),
+    });
     this.#listAtMs = this.#listAtMs.filter((atMs) => atMs > nowMs);
     this.#next = next;
     this.#hasGap = false;
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -28,6 +28,8 @@
   readonly keys: ReadonlySet<string>;
   /** Whether records of other keys are removed. */
   readonly isComplete: boolean;
+  /** Records from before it stay all the same; none do when it is left out. */
+  readonly removesFrom?: LogPosition;
 }
 
 /** Keyed records of one topic. */
@@ -62,7 +64,7 @@
   apply(records: readonly KeyedRecord[], listing?: RecordListing): number {
     const newer = records.filter((record) => this.#store(record));
     const removed = listing?.isComplete === true
-      ? this.#removeMissing(listing.keys)
+      ? this.#removeMissing(listing)
       : [];
     this.#dropOldTombstones();
     const changes = [...newer, ...removed];
@@ -108,10 +110,13 @@
     return isLater && removed !== undefined && this.#isOlder(removed, record);
   }
 
-  #removeMissing(known: ReadonlySet<string>): KeyedRecord[] {
+  #removeMissing(
+    { keys, removesFrom = BEFORE_FIRST }: RecordListing,
+  ): KeyedRecord[] {
     const removed: KeyedRecord[] = [];
     for (const record of this.#records.values()) {
-      if (record.value === undefined || known.has(record.key)) continue;
+      if (record.value === undefined || keys.has(record.key)) continue;
+      if (record.position < removesFrom) continue;
       removed.push({
         ...record,
         value: undefined,
--- a/packages/front/src/crash_containment_test.ts
+++ b/packages/front/src/crash_containment_test.ts
@@ -172,6 +172,21 @@
   t.deepEqual(traffic.arrivalsAfter("deadly", restartAtMs + CONTACT_MS), []);
 });
 
+test("a fleet that starts again after the store lost its quarantines sends no deadly segment to engines", async (t) => {
+  const day = { ...DAY, seed: 8, deadlyPerS: 3 };
+  const traffic = new Traffic(day);
+  const { fleet } = traffic;
+  const all = Array.from({ length: day.daemons }, (_, index) => index);
+  const restartAtMs = 14_800;
+  await traffic.play([
+    [12_000, () => fleet.store.restore({ copyAgeMs: 11_000, awayMs: 1_000 })],
+    [restartAtMs, () => all.forEach((index) => fleet.killDaemon(index))],
+    [restartAtMs + 500, () => all.forEach((index) => fleet.startDaemon(index))],
+  ]);
+  checkContained(t, traffic, day);
+  t.deepEqual(traffic.arrivalsAfter("deadly", restartAtMs), []);
+});
+
 test("a daemon that starts while the store is down learns of a deadly segment from its peers", async (t) => {
   const day = { ...DAY, seed: 6, deadlyPerS: 3 };
   const traffic = new Traffic(day);
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -13,7 +13,7 @@
   MIN_RELAYED_FLEET,
   type RecordExchange,
   RecordFollower,
-  type RecordSource,
+  type RecordFollowerOptions,
   RecordTable,
   shouldReadTopic,
 } from "@endivebend/fleet";
@@ -140,6 +140,8 @@
       source: ports.store.quarantineRecords,
       waitMs: QUARANTINE_POLL_WAIT_MS,
       minReadIntervalMs: 0,
+      isOwnTopic: true,
+      listed: (records) => this.#quarantines.noteStored(records),
     });
     this.#recordExchange = this.#createRecordExchange();
     this.#gossip = this.#createGossip();
@@ -298,12 +300,15 @@
 
   #createFollower(
     topic: string,
-    options: {
-      readonly source: RecordSource;
-      readonly waitMs: number;
-      readonly minReadIntervalMs: number;
-      readonly isReader?: () => boolean;
-    },
+    options: Pick<
+      RecordFollowerOptions,
+      | "source"
+      | "waitMs"
+      | "minReadIntervalMs"
+      | "isReader"
+      | "isOwnTopic"
+      | "listed"
+    >,
   ): RecordFollower {
     const { clock, scheduler, log } = this.#ports;
     return new RecordFollower({
--- a/packages/front/src/quarantine_keeper.ts
+++ b/packages/front/src/quarantine_keeper.ts
@@ -110,6 +110,16 @@
     if (hasNew) this.#quarantine.evaluate(nowMs);
   }
 
+  /** Notes what the store has; what it lacks or has in excess is mended. */
+  noteStored(records: readonly KeyedRecord[]): void {
+    this.#storedStrikes.clear();
+    for (const { key, value } of records) {
+      const record = value && decodeQuarantine(value);
+      if (record === undefined) continue;
+      this.#storedStrikes.set(key as SegmentOfModel, record.strikes);
+    }
+  }
+
   /** Applies stored records, read here or by a peer. */
   applyRecords(records: readonly KeyedRecord[]): void {
     const nowMs = this.#nowMs();
