Register daemons again after a restore of the store

What callers would have seen: teams served beyond or below their limits and slower placement, as two daemons each count a fleet without the other.

Cause: a restore loses the registration of a daemon that started after the copy was made. One that starts later lists the store and does not find it, and gossip goes to listed daemons only.

Change: a daemon registers again when it finds that the store was restored. The listing that comes with it adds no daemon that has said goodbye or fell silent.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -85,6 +85,8 @@
   readonly #self: VmId;
   readonly #failureDomain: FailureDomainId;
   readonly #members = new Map<VmId, FleetMember>();
+  /** Daemons that have ended or fallen silent; a list may still have them. */
+  readonly #ended = new Set<VmId>();
   /** When relays last brought the messages of each failure domain. */
   readonly #bundleAtMs = new Map<FailureDomainId, number>();
   /** Since when relays carry the messages; infinite while they don't. */
@@ -98,9 +100,9 @@
     this.#failureDomain = failureDomain;
   }
 
-  /** Adds a daemon of the platform's list, unless it is known already. */
+  /** Adds a daemon of the platform's list that was not heard of before. */
   list(vm: VmId, address: string, nowMs: number): void {
-    if (vm === this.#self) return;
+    if (vm === this.#self || this.#ended.has(vm)) return;
     const known = this.#members.get(vm);
     if (known !== undefined) return;
     this.#members.set(vm, {
@@ -130,7 +132,9 @@
     }
     if (message.isLeaving) {
       this.#members.delete(message.vm);
+      this.#ended.add(message.vm);
     } else {
+      this.#ended.delete(message.vm);
       this.#members.set(message.vm, {
         vm: message.vm,
         address: message.address,
@@ -297,7 +301,9 @@
 
   #removeSilent(nowMs: number): void {
     for (const [vm, { heardAtMs }] of this.#members) {
-      if (nowMs - heardAtMs > MEMBER_TTL_MS) this.#members.delete(vm);
+      if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
+      this.#members.delete(vm);
+      this.#ended.add(vm);
     }
   }
 }
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -331,6 +331,8 @@
   #noteRestore(topic: string): void {
     this.#unmergedTopics.add(topic);
     this.#ports.log.stateChange("store_restored", { topic });
+    // The copy may lack this daemon, and daemons that start now list it.
+    if (topic === OPERATOR_TOPIC) void this.#register();
   }
 
   #shouldReadServers(): boolean {
--- a/packages/front/src/restored_store_test.ts
+++ b/packages/front/src/restored_store_test.ts
@@ -115,3 +115,22 @@
   await time.advance(1_500);
   t.deepEqual(revisions(fleet), Array(DAEMONS).fill(5));
 });
+
+// The copy lacks the daemon that registered last, and only a list names it.
+test("daemons that start before and after a restore find each other", async (t) => {
+  const fleet = new TestFleet({ daemons: 3, engines: 2 });
+  const { time, store } = fleet;
+  await time.advance(8_000);
+  fleet.startDaemon(3);
+  await time.advance(2_000);
+  store.restore({ copyAgeMs: 4_000, awayMs: 1_000 });
+  await time.advance(1_200);
+  fleet.startDaemon(4);
+  await time.advance(10_000);
+  const members = [0, 1, 2, 3, 4].map((index) =>
+    fleet.steps.findLast(({ step, vm }) =>
+      step === "status" && vm === `vm-${index}`
+    )?.["members"]
+  );
+  t.deepEqual(members, [5, 5, 5, 5, 5]);
+});
