List all records when a renewal finds a gap

What callers would have seen: a daemon that goes on after a pause and serves an old configuration, a withdrawn key or a server that has left, though it renewed.

Cause: the renewal read from where it was, got a gap, as after a restore or when records were deleted meanwhile, noted that it has to list, and counted as done; the listing waited for the read that the store held open, up to 8 s.

Change: a renewal lists on a gap. The note is gone.

Evidence: a test with a held read and a restore fails before and passes with it.

--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -105,8 +105,6 @@
 export class RecordFollower {
   readonly #options: RecordFollowerOptions;
   #next: LogPosition | undefined;
-  /** Whether records were deleted before they were read. */
-  #hasGap = false;
   #backoffMs = FIRST_BACKOFF_MS;
   #isStoreLost = false;
   #hasStopped = false;
@@ -140,9 +138,10 @@
   async refresh(): Promise<void> {
     const { source, table, clock } = this.#options;
     const from = this.#from();
-    if (from === undefined) return;
-    const result = await source.read(from, 0);
-    if (result.kind === "gap") this.#hasGap = true;
+    const result = from === undefined
+      ? { kind: "gap" as const }
+      : await source.read(from, 0);
+    if (result.kind === "gap") await this.#list();
     else table.apply(result.records);
     this.#readAtMs = steadyMs(clock);
   }
@@ -230,7 +229,6 @@
     });
     this.#listAtMs = this.#listAtMs.filter((atMs) => atMs > nowMs);
     this.#next = next;
-    this.#hasGap = false;
     this.#tell("newest", { next, records: records.length, ignored });
   }
 
@@ -256,7 +254,7 @@
 
   /** Position to continue at; undefined when all keys must be read again. */
   #from(): LogPosition | undefined {
-    if (this.#hasGap || this.#isListingDue()) return undefined;
+    if (this.#isListingDue()) return undefined;
     const { newest } = this.#options.table;
     if (newest === BEFORE_FIRST) return this.#next;
     // Peers may have sent records that are newer than this daemon's last read.
