Pass on no promise of "not run" that a server has not made

What callers saw: an engine's own 408, 429 or 503 without the header that says so.

Cause: an error that can't be retried was relayed as the engine sent it. The class: a status that means one thing to the next hop and another one to the sender. Ruled out on this wire: earlier refusals once more on a kept connection; stray_bytes_test covers them while idle, in the segment of the answer and as the next request arrives, with and without an id.

Change: these statuses without that statement count as a broken answer. A request that may be repeated is retried, others get 502, which promises nothing.

On the own interface a service's 503 with x-leaving is taken as not run, and its answers have no request id, so a late copy there can't be told apart: suspected, open.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -50,6 +50,11 @@
 
 /** Most attempts that reach no server or that a server refuses to run. */
 const MAX_NOT_RUN_ATTEMPTS = 3;
+/**
+ * Statuses that promise callers that the request has not run and will not.
+ * Only what an engine states expressly supports the promise.
+ */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Interval at which a running attempt is checked for silence. */
 const CHECK_INTERVAL_MS = 100;
 /** Stream events are about 40 ms apart, 100 ms while an engine prefills. */
@@ -266,7 +271,7 @@
     if (isSuccess && !head.hasProof) {
       return this.#handleBroken(attempt, "no_proof");
     }
-    if (!isSuccess && this.#isRetryableFailure(head)) {
+    if (!isSuccess && this.#isWithheld(head)) {
       return this.#handleBroken(attempt, `status_${head.status}`);
     }
     this.#relay.head(head);
@@ -293,9 +298,9 @@
     this.#handleNotRun(attempt, "other_server");
   }
 
-  /** Whether an error answer should be retried at another server. */
-  #isRetryableFailure(head: AnswerHead): boolean {
-    if (this.#relay.hasBegun) return true;
+  /** Whether an error answer is kept from the caller, and retried if allowed. */
+  #isWithheld(head: AnswerHead): boolean {
+    if (this.#relay.hasBegun || NOT_RUN_STATUSES.has(head.status)) return true;
     return head.status >= 500 && isRepeatable(this.#request.route.kind) &&
       this.#hasAttemptsLeft();
   }
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -65,6 +65,47 @@
   t.is(caller.refusal?.reason, "server_failed");
 });
 
+// Callers take these statuses as a promise that the request has not run.
+for (const status of [408, 429, 503]) {
+  test(`an engine's ${status} that does not say "not run" is not passed on`, (t) => {
+    const { caller, client } = start("at_most_once");
+    client.last.listener.head(answerHead({ status, hasProof: true }));
+    client.last.listener.end();
+    t.is(client.attempts.length, 1);
+    t.is(caller.status, undefined);
+    t.false(caller.refusal?.isNotRun);
+  });
+}
+
+const ERROR_ANSWERS = {
+  "an error": answerHead({ status: 500 }),
+  "an error without proof": answerHead({ status: 502, hasProof: false }),
+  "a redirect": answerHead({ status: 302 }),
+  "a success without proof": answerHead({ hasProof: false }),
+  "a refusal": answerHead({ status: 503, isNotRun: true }),
+  "another status of success": answerHead({ status: 206, hasProof: false }),
+};
+
+for (const [name, head] of Object.entries(ERROR_ANSWERS)) {
+  test(`a stream that goes on elsewhere with ${name} is broken off without it`, (t) => {
+    const { caller, client } = start("resumable_stream");
+    client.last.listener.head(answerHead());
+    client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
+    client.last.listener.failed({ kind: "broken", reason: "reset" });
+    for (let count = 1; count < client.attempts.length; count++) {
+      const { listener } = client.attempts[count]!;
+      listener.sent();
+      listener.head(head);
+      listener.data(Buffer.from("id: 2\ndata: overloaded\n\n"));
+      listener.end();
+    }
+    t.true(client.attempts.length >= 2);
+    t.is(caller.text, "id: 1\ndata: a\n\n");
+    t.true(caller.isAborted);
+    t.false(caller.hasEnded);
+  });
+}
+
 test("a cut stream resumes after its last complete event", (t) => {
   const { caller, client } = start("resumable_stream");
   client.last.listener.head(answerHead());
