Break off a stream that goes on elsewhere and gets no event

What callers saw: a stream that broke off, was resumed at another server and ended as complete, though that server had sent a success without a single event (ORDER).

Cause: whether an answer has events was asked of the whole stream, not of the attempt that ends it. The class: a check on the sum that one part must pass. Ruled out by tests that pass before and after: an error, with or without proof or id, a redirect, a refusal, an error sent as a success, a cut head or bytes that are no HTTP never reach a stream that has begun.

Change: an attempt that ends without an event counts as broken.

--- a/packages/request-path/src/answer_relay.ts
+++ b/packages/request-path/src/answer_relay.ts
@@ -58,10 +58,10 @@
     return this.#frames.hasPartialEvent;
   }
 
-  /** Whether a stream would end without an event. */
-  get lacksEvents(): boolean {
+  /** Whether the answer consists of events; errors don't. */
+  get isEventStream(): boolean {
     const isSuccess = (this.#head?.status ?? 0) < 300;
-    return isSuccess && isStream(this.#request.route.kind) && !this.#hasBegun;
+    return isSuccess && isStream(this.#request.route.kind);
   }
 
   /** Takes the head of an attempt's answer; the caller gets only the first. */
@@ -74,10 +74,8 @@
 
   /** Relays or buffers a chunk. */
   data(chunk: Buffer): RelayedChunk {
-    const isSuccess = (this.#head?.status ?? 0) < 300;
-    if (isStream(this.#request.route.kind) && isSuccess) {
-      return this.#relayEvents(chunk);
-    }
+    if (this.isEventStream) return this.#relayEvents(chunk);
+
     if (this.#hasBegun) {
       const callerAcceptsMore = this.#caller.data(chunk);
       return { isProgress: true, callerAcceptsMore };
@@ -88,7 +86,7 @@
       return { isProgress: true, callerAcceptsMore: true };
     }
     // Answers may be long, errors are not: this one may never end.
-    if (!isSuccess) return malformed("error_too_large");
+    if ((this.#head?.status ?? 0) >= 300) return malformed("error_too_large");
     this.#sendHead();
     const bytes = Buffer.concat(this.#buffered);
     this.#buffered = [];
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -343,11 +343,14 @@
 
   #onEnd(attempt: Attempt): void {
     if (this.#attempt !== attempt) return;
-    if (this.#relay.endsMidEvent || this.#relay.lacksEvents) {
+    const lacksEvents = this.#relay.isEventStream && !attempt.hasEvents;
+    if (this.#relay.endsMidEvent || lacksEvents) {
       // An answer without a length ends like this when its engine crashes.
       this.#recordLoss(attempt);
-      const reason = this.#relay.lacksEvents ? "no_events" : "cut_event";
-      return this.#handleBroken(attempt, reason);
+      return this.#handleBroken(
+        attempt,
+        lacksEvents ? "no_events" : "cut_event",
+      );
     }
     this.#recordSound(attempt, { isComplete: true });
     this.#context.registry.recordSuccess(attempt.server.listed.id);
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -106,6 +106,18 @@
   });
 }
 
+test("a stream that goes on elsewhere without an event is broken off", (t) => {
+  const { caller, client } = start("resumable_stream");
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
+  client.last.listener.failed({ kind: "broken", reason: "reset" });
+  client.last.listener.sent();
+  client.last.listener.head(answerHead());
+  client.last.listener.end();
+  t.true(caller.isAborted);
+  t.false(caller.hasEnded);
+});
+
 test("a cut stream resumes after its last complete event", (t) => {
   const { caller, client } = start("resumable_stream");
   client.last.listener.head(answerHead());
