--- a/packages/front/src/restored_store_test.ts
+++ b/packages/front/src/restored_store_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { TestFleet } from "./testing_fleet.ts";
 
 /** Time within which a change must be in force; the users' bound. */
@@ -134,3 +136,46 @@
   );
   t.deepEqual(members, [5, 5, 5, 5, 5]);
 });
+
+for (const seed of [1, 2, 3, 4, 5]) {
+  test(`changes hold through restores and restarts in a random order, seed ${seed}`, async (t) => {
+    const random = xoroshiro128plus(seed);
+    const draw = (most: number) => uniformInt(random, 0, most);
+    const fleet = new TestFleet({ daemons: DAEMONS, engines: 4 });
+    const { time, store } = fleet;
+    await time.advance(2_000);
+    let revision = 1;
+    for (let round = 0; round < 6; round++) {
+      for (let count = draw(3); count >= 0; count--) {
+        fleet.configure(revision += 1 + draw(4));
+        await time.advance(draw(1_500));
+      }
+      const restarted = draw(DAEMONS - 1);
+      fleet.killDaemon(restarted);
+      const awayMs = 200 + draw(2_500);
+      store.restore({
+        copyAgeMs: 1_000 + draw(9_000),
+        awayMs,
+        rewriteMs: draw(1_800),
+      });
+      await time.advance(draw(awayMs));
+      fleet.startDaemon(restarted);
+      await time.advance(awayMs + 1_800 + CONFIG_MS);
+      const label = `round ${round}, seed ${seed}`;
+      t.deepEqual(revisions(fleet), Array(DAEMONS).fill(revision), label);
+    }
+    const applied = new Map<unknown, number>();
+    for (const step of fleet.steps) {
+      if (step["step"] === "start") applied.delete(step["vm"]);
+      if (step["step"] !== "configuration" || step["isNewer"] !== true) {
+        continue;
+      }
+      const now = Number(step["revision"]);
+      t.true(
+        now > (applied.get(step["vm"]) ?? 0),
+        `${step["vm"]}, seed ${seed}`,
+      );
+      applied.set(step["vm"], now);
+    }
+  });
+}
