Send nothing more to servers that say in answers that they leave

What callers would have seen: requests at a server that leaves, later than drain_ms after an answer that said so (DRAIN), and cut when it ends.

What a daemon knew of leaving came from the list alone, which lags and can be away.

Change: an answer with Server-Leaving: 1 marks that incarnation. It gets no new request, repeat or resumed stream, no order and no cache call, and is no source of segments. Peers are told in the next gossip message. Only a new incarnation ends it: the list entry, ready again, does not. What runs there finishes.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -44,6 +44,12 @@
   readonly ageMs: number;
 }
 
+/** An incarnation of a server that said in an answer that it leaves. */
+export interface LeavingServer {
+  readonly server: BackendServerId;
+  readonly startedAtMs: number;
+}
+
 /** The sender's state in the weights rollout. */
 export interface RolloutLeaseState {
   /** The epoch under which the sender holds the rollout lease; 0 without it. */
@@ -84,6 +90,8 @@
   readonly readAgesMs: Readonly<Record<string, number>>;
   /** Limits that servers have lately named to the sender, or ended. */
   readonly limits?: readonly SeenServerLimit[];
+  /** Servers that said in an answer that they leave, with their start. */
+  readonly leaving?: readonly LeavingServer[];
   /** Requests a second of callers, by service, where servers name limits. */
   readonly demandPerS?: Readonly<Record<ServiceName, number>>;
   /** Engines that ended, and which answers had just begun at the sender. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -103,6 +103,10 @@
     perS: (value) => value === null || isCount(value),
     ageMs: isCount,
   }))),
+  leaving: isOptional(isListOf(hasFields({
+    server: isName,
+    startedAtMs: isCount,
+  }))),
   demandPerS: isOptional(isMapOf(isCount)),
   crashes: isOptional(isListOf(hasFields({
     server: isName,
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -103,6 +103,10 @@
         perS: perS ?? null,
         ageMs: Math.round(nowMs - atMs),
       })),
+      leaving: registry.saidLeaving().map(({ id, startedAtMs }) => ({
+        server: id,
+        startedAtMs,
+      })),
       placed: registry.recentPlacements.pending(nowMs),
       kept: this.#options.watchedCacheChanges(),
       answerAgesMs: this.#options.answerAgesMs(),
@@ -212,6 +216,9 @@
     for (const id of message.suspects) {
       registry.recordSuspicion(id, { nowMs, roundMs });
     }
+    for (const { server, startedAtMs } of message.leaving ?? []) {
+      registry.recordLeaving(server, startedAtMs);
+    }
     for (const { server, perS, ageMs } of message.limits ?? []) {
       const atMs = nowMs - messageAgeMs - ageMs;
       registry.recordLimit(server, perS ?? undefined, atMs);
--- a/packages/front/src/server_selection.ts
+++ b/packages/front/src/server_selection.ts
@@ -30,7 +30,7 @@
   nowMs: number,
 ): RolloutEngine[] {
   return [...registry.all()]
-    .filter((server) => isReachable(server, nowMs))
+    .filter((server) => isReachable(registry, server, nowMs))
     .flatMap((server) =>
       [...server.listed.weights.keys()].flatMap((model) => {
         const namedWeights = named.newest(model);
@@ -47,19 +47,24 @@
     );
 }
 
-function isReachable(server: KnownServer, nowMs: number): boolean {
-  return !server.listed.isLeaving && server.removedAtMs === undefined &&
+function isReachable(
+  registry: ServerRegistry,
+  server: KnownServer,
+  nowMs: number,
+): boolean {
+  return !registry.isLeaving(server) && server.removedAtMs === undefined &&
     nowMs >= server.avoidUntilMs;
 }
 
-/** Returns the listed engines and the configured cache stores. */
+/** Returns the listed engines that stay, and the configured cache stores. */
 export function findWatchedCaches(
   registry: ServerRegistry,
   stores: readonly string[],
 ): WatchedCache[] {
   const engines = [...registry.all()]
-    .filter(({ listed, removedAtMs: lapsedAtMs }) =>
-      lapsedAtMs === undefined && listed.weights.size > 0
+    .filter((server) =>
+      server.removedAtMs === undefined && server.listed.weights.size > 0 &&
+      !registry.isLeaving(server)
     )
     .map(({ listed: { id, address } }) => ({ id, address }));
   const storeCaches = stores.map((address) => {
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -272,6 +272,8 @@
   prefilledAtMs: number;
   /** The limit that its answers name. */
   limitPerS: number | undefined;
+  /** Whether its answers say that it leaves. */
+  saysThatItLeaves: boolean;
   readonly attempts: Set<RunningAttempt>;
 }
 
@@ -425,11 +427,11 @@
     const { id } = engine.listed;
     if (how === "removed") return void this.store.put("servers", id, undefined);
     engine.listed = { ...engine.listed, isLeaving: true };
-    this.#report(engine);
+    this.report(engine);
   }
 
   /** The engine writes its entry. */
-  #report(engine: Engine): void {
+  report(engine: Engine): void {
     const { id, isLeaving, reportCount } = engine.listed;
     engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
     this.store.put("servers", id, {
@@ -483,9 +485,10 @@
       isUp: true,
       prefilledAtMs: 0,
       limitPerS: undefined,
+      saysThatItLeaves: false,
       attempts: new Set(),
     });
-    this.#report(this.#engines.get(id)!);
+    this.report(this.#engines.get(id)!);
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -576,6 +579,7 @@
       hasProof: true,
       load: { running: engine.attempts.size, waiting: 0, slots: 128 },
       limitPerS: engine.limitPerS,
+      isLeaving: engine.saysThatItLeaves,
       message: undefined,
     };
   }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -327,6 +327,7 @@
     hasProof: headers[HEADERS.proof] !== undefined,
     load: parseLoad(headers[HEADERS.load]),
     limitPerS: parseLimit(headers[HEADERS.limit]),
+    isLeaving: headers[HEADERS.leaving] === "1",
     message,
   };
 }
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -147,3 +147,20 @@
     t.is(head?.limitPerS, limitPerS);
   });
 }
+
+for (
+  const [header, isLeaving] of [
+    ["Server-Leaving: 1\r\n", true],
+    ["Server-Leaving: 0\r\n", false],
+    ["Server-Leaving: yes\r\n", false],
+    ["Server-Leaving: 1\r\nServer-Leaving: 1\r\n", false],
+    ["", false],
+  ] as const
+) {
+  test(`an answer with ${JSON.stringify(header)} says ${isLeaving} of leaving`, async (t) => {
+    const { head } = await runAttemptAgainst((socket) => {
+      socket.write(`${RESPONSE_HEAD}${header}Content-Length: 0\r\n\r\n`);
+    });
+    t.is(head?.isLeaving, isLeaving);
+  });
+}
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -24,6 +24,8 @@
   /** Requests a second that a server takes from all callers together. */
   limit: "server-limit",
   notRun: "not-run",
+  /** "1" in all answers of a server that is leaving. */
+  leaving: "server-leaving",
   retryAfter: "retry-after",
   model: "model",
   /** `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`. */
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -57,6 +57,8 @@
    * undefined while it names no limit.
    */
   readonly limitPerS: number | undefined;
+  /** Whether the server says that it is leaving. */
+  readonly isLeaving: boolean;
   /** Data with which the caller's interface relays the answer; opaque here. */
   readonly message: unknown;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -262,7 +262,10 @@
     if (head.load !== undefined) {
       registry.recordLoad(id, head.load, this.#nowMs());
     }
-    if (!head.isMisdirected) this.#recordLimit(attempt, head);
+    if (!head.isMisdirected) {
+      this.#recordLimit(attempt, head);
+      if (head.isLeaving) this.#recordLeaving(attempt);
+    }
     if (head.isMisdirected) return this.#handleMisdirected(attempt, head);
     if (head.isNotRun) {
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
@@ -277,6 +280,14 @@
     this.#relay.head(head);
   }
 
+  #recordLeaving({ server }: Attempt): void {
+    const { registry, log, metrics } = this.#context;
+    const { id, startedAtMs } = server.listed;
+    if (!registry.recordLeaving(id, startedAtMs)) return;
+    metrics.count("servers_leaving");
+    log.decision("server_leaving", { server: id });
+  }
+
   #recordLimit({ server }: Attempt, { limitPerS }: AnswerHead): void {
     const { registry, log } = this.#context;
     const { id } = server.listed;
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -57,6 +57,9 @@
  */
 const SEEN_LIMIT_TTL_MS = 30_000;
 
+/** Incarnations whose leaving is remembered; a fleet has some 1,000 servers. */
+const MAX_LEAVING = 4_000;
+
 /** Work of one of this daemon's requests at a server. */
 interface OwnWork {
   /** Tokens that the engine has to prefill before the first event. */
@@ -135,6 +138,12 @@
     prefillTokens: 0,
   });
 
+  /**
+   * Incarnations that said in an answer that they leave, by their start. Their
+   * entries in the list may come later, or come back from an old state.
+   */
+  readonly #leaving = new Map<BackendServerId, number>();
+
   /** Sets the function that looks up the work of other daemons. */
   setPeerWorkLookup(lookUp: (id: BackendServerId) => ServerWork): void {
     this.#peerWork = lookUp;
@@ -182,6 +191,35 @@
     return this.#servers.get(id);
   }
 
+  /** Whether the server has said that it leaves, in the list or an answer. */
+  isLeaving({ listed }: KnownServer): boolean {
+    return listed.isLeaving ||
+      this.#leaving.get(listed.id) === listed.startedAtMs;
+  }
+
+  /**
+   * Records that an incarnation has said that it leaves. Returns whether that
+   * is news; only a new incarnation ends it.
+   */
+  recordLeaving(id: BackendServerId, startedAtMs: number): boolean {
+    const known = this.#leaving.get(id);
+    if (known !== undefined && known >= startedAtMs) return false;
+    this.#leaving.delete(id);
+    this.#leaving.set(id, startedAtMs);
+    const [oldest] = this.#leaving.keys();
+    if (this.#leaving.size > MAX_LEAVING) this.#leaving.delete(oldest!);
+    return true;
+  }
+
+  /** Listed incarnations that have said in an answer that they leave. */
+  saidLeaving(): { id: BackendServerId; startedAtMs: number }[] {
+    return [...this.#leaving]
+      .filter(([id, startedAtMs]) =>
+        this.#servers.get(id)?.listed.startedAtMs === startedAtMs
+      )
+      .map(([id, startedAtMs]) => ({ id, startedAtMs }));
+  }
+
   all(): Iterable<KnownServer> {
     return this.#servers.values();
   }
@@ -189,7 +227,7 @@
   /** Servers that may get new requests of the service. */
   usable(service: ServiceName, nowMs: number): KnownServer[] {
     const ofService = [...this.#servers.values()].filter((server) =>
-      server.listed.service === service && !server.listed.isLeaving
+      server.listed.service === service && !this.isLeaving(server)
     );
     const listed = ofService.filter(({ removedAtMs }) =>
       removedAtMs === undefined
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -232,6 +232,7 @@
     hasProof: true,
     load: undefined,
     limitPerS: undefined,
+    isLeaving: false,
     message: undefined,
     ...fields,
   };
