Give servers the quiet that they ask for

What callers would have seen: requests turned away one after the other by a server that had asked for quiet (BUDGET), each of which spends a repeat.

Change: a 503 with a decimal Retry-After keeps this daemon from the server until then: new requests, repeats and resumed streams go elsewhere. Zero, negative and malformed values ask for nothing, an hour is the most. With all servers of a service quiet, a request is refused at once, not run, with the time left. It is per VM, as the rule is; whether peers should hear of it is not measured.

Orders to engines and cache calls are not held back: open.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -272,6 +272,8 @@
   prefilledAtMs: number;
   /** The limit that its answers name. */
   limitPerS: number | undefined;
+  /** It turns requests away and asks for quiet for so long. */
+  asksForQuietMs: number | undefined;
   /** Whether its answers say that it leaves. */
   saysThatItLeaves: boolean;
   readonly attempts: Set<RunningAttempt>;
@@ -485,6 +487,7 @@
       isUp: true,
       prefilledAtMs: 0,
       limitPerS: undefined,
+      asksForQuietMs: undefined,
       saysThatItLeaves: false,
       attempts: new Set(),
     });
@@ -542,8 +545,18 @@
       requestId,
       segments,
     });
-    engine.attempts.add(attempt);
     listener.sent();
+    if (engine.asksForQuietMs !== undefined) {
+      attempt.isOver = true;
+      return listener.head({
+        ...this.#head(engine),
+        status: 503,
+        isNotRun: true,
+        hasProof: false,
+        quietMs: engine.asksForQuietMs,
+      });
+    }
+    engine.attempts.add(attempt);
     engine.prefilledAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs) +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
@@ -580,6 +593,7 @@
       load: { running: engine.attempts.size, waiting: 0, slots: 128 },
       limitPerS: engine.limitPerS,
       isLeaving: engine.saysThatItLeaves,
+      quietMs: undefined,
       message: undefined,
     };
   }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -53,6 +53,9 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 /** An idle connection is closed this long before the server may close it. */
 const IDLE_MARGIN_MS = 600;
+const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
+/** A server that asks for a longer quiet is asked again after this time. */
+const MAX_QUIET_MS = 3_600_000;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -328,6 +331,9 @@
     load: parseLoad(headers[HEADERS.load]),
     limitPerS: parseLimit(headers[HEADERS.limit]),
     isLeaving: headers[HEADERS.leaving] === "1",
+    quietMs: status === 503
+      ? parseQuiet(headers[HEADERS.retryAfter])
+      : undefined,
     message,
   };
 }
@@ -344,6 +350,13 @@
     : undefined;
 }
 
+/** Parses a decimal number of seconds above 0 into milliseconds. */
+function parseQuiet(header: string | undefined): number | undefined {
+  if (header === undefined || !DECIMAL.test(header)) return undefined;
+  const quietMs = Math.min(MAX_QUIET_MS, Math.ceil(Number(header) * 1_000));
+  return quietMs > 0 ? quietMs : undefined;
+}
+
 /** Parses a decimal number of requests a second. */
 function parseLimit(header: string | string[] | undefined) {
   if (typeof header !== "string" || header.trim() === "") return undefined;
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -164,3 +164,26 @@
     t.is(head?.isLeaving, isLeaving);
   });
 }
+
+for (
+  const [retryAfter, quietMs] of [
+    ["2", 2_000],
+    ["0.25", 250],
+    ["0", undefined],
+    ["-3", undefined],
+    ["1e3", undefined],
+    ["soon", undefined],
+    ["9999999999", 3_600_000],
+    ["Fri, 04 Dec 2026 20:00:00 GMT", undefined],
+  ] as const
+) {
+  test(`a server that turns away with Retry-After "${retryAfter}" asks for quiet for ${quietMs} ms`, async (t) => {
+    const { head } = await runAttemptAgainst((socket) => {
+      socket.write(
+        "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\nNot-Run: 1\r\n" +
+          `Retry-After: ${retryAfter}\r\nContent-Length: 0\r\n\r\n`,
+      );
+    });
+    t.is(head?.quietMs, quietMs);
+  });
+}
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -68,7 +68,7 @@
     readonly reason: "no_server" | "overloaded" | "limited" | "stale_weights";
     /**
      * Milliseconds until the queue is short enough for a shed prompt, or until
-     * a server with a limit takes another request.
+     * a server with a limit or one that asked for quiet takes another request.
      */
     readonly retryInMs?: number;
   };
@@ -150,9 +150,15 @@
     hasCapacity(view, maxOwnConnections)
   );
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
-  const available = excludeLimited(withRoom, context);
+  const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
+  if (asking.length === 0) {
+    const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
+    const retryInMs = Math.min(...untilMs) - nowMs;
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  const available = excludeLimited(asking, context);
   if (available.length === 0) {
-    const retryInMs = untilAllowedMs(withRoom, context);
+    const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
   const sharedTokens = sumTokens(sharedSegments(request));
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -57,6 +57,11 @@
    * undefined while it names no limit.
    */
   readonly limitPerS: number | undefined;
+  /**
+   * For how long the server wants nothing more from this daemon, which it says
+   * when it turns a request away; undefined when it does not.
+   */
+  readonly quietMs: number | undefined;
   /** Whether the server says that it is leaving. */
   readonly isLeaving: boolean;
   /** Data with which the caller's interface relays the answer; opaque here. */
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -265,6 +265,7 @@
     if (!head.isMisdirected) {
       this.#recordLimit(attempt, head);
       if (head.isLeaving) this.#recordLeaving(attempt);
+      if (head.quietMs !== undefined) this.#recordQuiet(attempt, head.quietMs);
     }
     if (head.isMisdirected) return this.#handleMisdirected(attempt, head);
     if (head.isNotRun) {
@@ -288,6 +289,14 @@
     log.decision("server_leaving", { server: id });
   }
 
+  #recordQuiet({ server }: Attempt, quietMs: number): void {
+    const { registry, log, metrics } = this.#context;
+    const { id } = server.listed;
+    registry.recordQuiet(id, this.#nowMs() + quietMs);
+    metrics.count("servers_quiet");
+    log.decision("server_quiet", { server: id, quietMs });
+  }
+
   #recordLimit({ server }: Attempt, { limitPerS }: AnswerHead): void {
     const { registry, log } = this.#context;
     const { id } = server.listed;
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -102,6 +102,8 @@
   watchedAtMs: number;
   load: ServerLoad | undefined;
   loadAtMs: number;
+  /** Until when it wants nothing from this daemon. */
+  quietUntilMs: number;
   /** Until when the server is expected to be loading weights. */
   loadingUntilMs: number;
   /** The limit that its newest answer names. */
@@ -281,6 +283,13 @@
     if (server !== undefined) server.loadingUntilMs = untilMs;
   }
 
+  /** Records until when the server wants nothing from this daemon. */
+  recordQuiet(id: BackendServerId, untilMs: number): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.quietUntilMs = Math.max(server.quietUntilMs, untilMs);
+  }
+
   recordActivity(id: BackendServerId, nowMs: number): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
@@ -472,6 +481,7 @@
     load: undefined,
     loadAtMs: Number.NEGATIVE_INFINITY,
     loadingUntilMs: 0,
+    quietUntilMs: 0,
     limit: undefined,
     limitAsOfMs: Number.NEGATIVE_INFINITY,
     ownLimitAsOfMs: Number.NEGATIVE_INFINITY,
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -233,6 +233,7 @@
     load: undefined,
     limitPerS: undefined,
     isLeaving: false,
+    quietMs: undefined,
     message: undefined,
     ...fields,
   };
