Order a copy by its content also where the restore is not noticed yet

What callers would have seen: a daemon that starts just after a restore and serves an older configuration than its peers (CONFIG), once in some tries.

Whether records are ordered by content was decided by the follower's own discovery of the restore. A daemon that still waits to call the store again, up to 1.2 s, took the copy from a peer that had started meanwhile, as its position is higher, and handed that on to it.

Change: the table knows the latest era in which the store is complete again, and the follower settles it 6 s after it found the era. Records of different eras are ordered by content until the later one is settled.

--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -173,7 +173,7 @@
         this.#options.restored?.();
       }
     }
-    table.isRestoring = nowMs < this.#restoredUntilMs;
+    if (nowMs >= this.#restoredUntilMs) table.settle(this.#era);
   }
 
   #isListingDue(): boolean {
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -34,18 +34,14 @@
 
 /** Keyed records of one topic. */
 export class RecordTable {
-  /**
-   * Whether the store may still lack what a restore lost. Until it has it
-   * again, records of different eras are ordered by their content: the copy may
-   * be older than what is known, and what is known may be lost for good later.
-   */
-  isRestoring = false;
   readonly #records = new Map<string, KeyedRecord>();
   /** The last record before the removal of each removed key. */
   readonly #removed = new Map<string, KeyedRecord>();
   readonly #onChange: RecordListener;
   readonly #isOlder: ContentOrder;
   #newest = BEFORE_FIRST;
+  /** The latest era in which the store is complete again. */
+  #settledEra = -1;
 
   constructor(listener: RecordListener, isOlder: ContentOrder = () => false) {
     this.#onChange = listener;
@@ -72,6 +68,15 @@
     return records.length - newer.length;
   }
 
+  /**
+   * Takes the store at its word from now on. Until an era is settled, the copy
+   * may be older than what is known, so its records and those of other eras are
+   * ordered by their content.
+   */
+  settle(era: number): void {
+    this.#settledEra = Math.max(this.#settledEra, era);
+  }
+
   /** Records after the position, in ascending order. */
   since(position: number): KeyedRecord[] {
     return [...this.#records.values()]
@@ -96,8 +101,9 @@
 
   #isNewer(record: KeyedRecord, known: KeyedRecord): boolean {
     const isLater = record.position > known.position;
-    const isOtherEra = eraOf(record.position) !== eraOf(known.position);
-    if (!this.isRestoring || !isOtherEra || record.value === undefined) {
+    const [era, knownEra] = [eraOf(record.position), eraOf(known.position)];
+    const isSettled = Math.max(era, knownEra) <= this.#settledEra;
+    if (era === knownEra || isSettled || record.value === undefined) {
       return isLater;
     }
     if (known.value !== undefined) {
--- a/packages/fleet/src/record_table_test.ts
+++ b/packages/fleet/src/record_table_test.ts
@@ -62,3 +62,24 @@
   ]);
   t.deepEqual(table.since(logPosition(0, 5)).length, 1);
 });
+
+// A peer may tell of a copy before this daemon has found the restore itself.
+test("a copy is ordered by its content until its era is settled", (t) => {
+  const heard: string[] = [];
+  const table = new RecordTable(
+    (records) => heard.push(...records.map(({ value }) => String(value))),
+    (one, other) => String(one.value) < String(other.value),
+  );
+  table.settle(0);
+  table.apply([record("config", 5, "9")]);
+  table.apply([record("config", 2, "7", 1)]);
+  t.deepEqual(heard, ["9"]);
+  table.apply([record("gone", 6, "3"), record("gone", 7)]);
+  table.apply([record("gone", 3, "3", 1)]);
+  t.is(heard.at(-1), "undefined", "what was removed stays removed");
+  table.apply([record("gone", 4, "4", 1)]);
+  t.is(heard.at(-1), "4", "unless it is written again");
+  table.settle(1);
+  table.apply([record("config", 2, "7", 1)]);
+  t.is(heard.at(-1), "7");
+});
