--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -112,7 +112,8 @@
   #era: number | undefined;
   /** When all records are to be read, in ascending order. */
   #listAtMs: number[] = [];
-  #restoredUntilMs = Number.NEGATIVE_INFINITY;
+  /** When the present era was found, which may be just after a restore. */
+  #eraSinceMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RecordFollowerOptions) {
     this.#options = options;
@@ -158,22 +159,24 @@
     }
   }
 
-  /** Starts or ends the time in which a restored store is incomplete. */
+  /**
+   * Schedules listings when the store has been restored, and takes it at its
+   * word when it must be complete again.
+   */
   #noteEra(): void {
     const { source, table, clock } = this.#options;
     const nowMs = steadyMs(clock);
     if (source.era !== this.#era) {
       const isRestore = this.#era !== undefined && this.#era > 0;
       this.#era = source.era;
-      // At the start the store may have been restored just before.
-      this.#restoredUntilMs = nowMs + LAPSED_AFTER_MS;
+      this.#eraSinceMs = nowMs;
       if (isRestore) {
         this.#listAtMs = [0, REWRITTEN_AFTER_MS, LAPSED_AFTER_MS]
           .map((afterMs) => nowMs + afterMs);
         this.#options.restored?.();
       }
     }
-    if (nowMs >= this.#restoredUntilMs) table.settle(this.#era);
+    if (nowMs >= this.#eraSinceMs + LAPSED_AFTER_MS) table.settle(this.#era);
   }
 
   #isListingDue(): boolean {
@@ -217,8 +220,7 @@
     this.#noteEra();
     const keys = new Set(records.map(({ key }) => key));
     const nowMs = steadyMs(this.#options.clock);
-    const isComplete = nowMs >= this.#restoredUntilMs - LAPSED_AFTER_MS +
-        REWRITTEN_AFTER_MS;
+    const isComplete = nowMs >= this.#eraSinceMs + REWRITTEN_AFTER_MS;
     this.#options.listed?.(records);
     const ignored = table.apply(records, {
       keys,
