Ask another peer when a pull of all records failed

What callers would have seen: a daemon that starts just after a restore and keeps an older configuration until the operator has written it again (CONFIG).

A topic counted as merged with a peer before the pull was done; a peer that did not answer, or a pull that was running, left it unmerged for good.

Change: a pull says whether it brought the records, and the topic stays unmerged until one has.

--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -57,24 +57,26 @@
 
   /**
    * Fetches the records of a peer that are newer than the table's, or all of
-   * them. Failures are reported to the `failed` option and not thrown. Does
-   * nothing while another pull of the topic runs.
+   * them. Failures are reported to the `failed` option and not thrown. Returns
+   * false when it failed or another pull of the topic runs.
    */
   async pull(
     topic: string,
     address: string,
     { all = false }: { readonly all?: boolean } = {},
-  ): Promise<void> {
+  ): Promise<boolean> {
     const table = this.#options.tables.get(topic);
-    if (table === undefined || this.#pullsInProgress.has(topic)) return;
+    if (table === undefined || this.#pullsInProgress.has(topic)) return false;
     this.#pullsInProgress.add(topic);
     try {
       const since = all ? BEFORE_FIRST : table.newest;
       const body = await this.#fetch(address, `/${topic}?since=${since}`);
       const records = JSON.parse(body) as readonly WireRecord[];
       table.apply(records.map(fromWire));
+      return true;
     } catch (caught) {
       this.#options.failed(`pull from ${address}: ${String(caught)}`);
+      return false;
     } finally {
       this.#pullsInProgress.delete(topic);
     }
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -447,11 +447,20 @@
         if (nowMs < this.#nextServerPullMs) continue;
         this.#nextServerPullMs = nowMs + SERVER_READ_INTERVAL_MS;
       }
-      this.#unmergedTopics.delete(topic);
-      void this.#recordExchange.pull(topic, address, { all });
+      void this.#pull(topic, { address, all });
     }
   }
 
+  async #pull(
+    topic: string,
+    from: { readonly address: string; readonly all: boolean },
+  ): Promise<void> {
+    const { address, all } = from;
+    this.#unmergedTopics.delete(topic);
+    const isDone = await this.#recordExchange.pull(topic, address, { all });
+    if (all && !isDone) this.#unmergedTopics.add(topic);
+  }
+
   #createWeightsRollout(): WeightsRolloutTask {
     const {
       clock,
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -836,8 +836,9 @@
         await this.#world.store.wait(2 * LINK_MS);
         const table = options.tables.get(topic);
         const theirs = this.#world.tablesAt(address)?.get(topic);
-        if (table === undefined || theirs === undefined) return;
+        if (table === undefined || theirs === undefined) return false;
         table.apply(theirs.since(all ? BEFORE_FIRST : table.newest));
+        return true;
       },
       close() {},
     };
