--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -39,6 +39,7 @@
   type VmId,
 } from "@endivebend/types";
 import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
+import { type CutForm, ServerLinks } from "./testing_links.ts";
 
 export const MODEL = brandId<ModelName>("m");
 const SERVICE = brandId<ServiceName>("engines");
@@ -261,6 +262,7 @@
 }
 
 interface RunningAttempt {
+  readonly vm: VmId;
   readonly listener: AttemptListener;
   isOver: boolean;
 }
@@ -283,6 +285,7 @@
 export interface Outcome {
   readonly requestId: RequestId;
   readonly sentAtMs: number;
+  readonly daemon: number;
   readonly segments: readonly string[];
   begunAtMs: number | undefined;
   hasEnded: boolean;
@@ -308,6 +311,7 @@
   readonly outcomes: Outcome[] = [];
   readonly crashAtMs: number[] = [];
   readonly steps: Record<string, unknown>[] = [];
+  readonly links = new ServerLinks(this.time);
   readonly #engines = new Map<string, Engine>();
   readonly #daemons: SimulatedDaemon[] = [];
   readonly #options: FleetOptions;
@@ -386,6 +390,7 @@
     const outcome: Outcome = {
       requestId,
       sentAtMs: this.time.nowMs,
+      daemon,
       segments,
       begunAtMs: undefined,
       hasEnded: false,
@@ -443,14 +448,53 @@
     });
   }
 
-  checkListening(address: string): Promise<ListenState> {
+  /** Cuts daemons off from all engines, with what runs for them there. */
+  cutOff(daemons: readonly number[], form: CutForm): void {
+    for (const daemon of daemons) {
+      const vm = vmOf(daemon);
+      this.links.cut(vm, form);
+      if (form !== "reset") continue;
+      for (const { attempts } of this.#engines.values()) {
+        for (const attempt of attempts) {
+          if (attempt.vm === vm) breakOff(attempt, "read ECONNRESET");
+        }
+      }
+    }
+  }
+
+  /** Ends cuts, for some engines only where they are given. */
+  heal(daemons: readonly number[], engines?: readonly Engine[]): void {
+    const addresses = engines?.map(({ listed }) => listed.address);
+    for (const daemon of daemons) this.links.heal(vmOf(daemon), addresses);
+  }
+
+  async checkListening(vm: VmId, address: string): Promise<ListenState> {
+    const cut = this.links.cutOf(vm, address);
+    if (cut !== undefined) {
+      await this.store.wait(this.links.connectFailure(cut).afterMs);
+      return cut === "old_alive" ? "closed" : "unknown";
+    }
     const isUp = this.#engineAt(address)?.isUp === true;
-    return this.store.wait(LINK_MS).then(() => isUp ? "listening" : "closed");
+    await this.store.wait(LINK_MS);
+    return isUp ? "listening" : "closed";
   }
 
   startAttempt(vm: VmId, order: AttemptOrder, listener: AttemptListener) {
-    const attempt: RunningAttempt = { listener, isOver: false };
-    this.time.after(LINK_MS, () => this.#arrive(vm, { order, attempt }));
+    const attempt: RunningAttempt = { vm, listener, isOver: false };
+    const { address } = order.server;
+    const connected = this.links.connect(vm, address);
+    if (connected.kind === "connected") {
+      this.time.after(LINK_MS, () => this.#arrive(vm, { order, attempt }));
+    } else if (connected.kind === "dead") {
+      this.time.after(LINK_MS, () => {
+        if (!attempt.isOver) listener.sent();
+      });
+    } else {
+      const { reason, afterMs } = connected;
+      this.time.after(afterMs, () => {
+        if (!attempt.isOver) listener.failed({ kind: "unsent", reason });
+      });
+    }
     return {
       abort: () => {
         attempt.isOver = true;
@@ -500,9 +544,7 @@
     engine.isUp = false;
     this.crashAtMs.push(this.time.nowMs);
     for (const attempt of engine.attempts) {
-      if (attempt.isOver) continue;
-      attempt.isOver = true;
-      attempt.listener.failed({ kind: "broken", reason: "socket hang up" });
+      this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
     }
     const { id, address } = engine.listed;
     this.time.after(RESTART_MS, () => this.#addEngine(address));
@@ -572,7 +614,9 @@
   ): void {
     const { attempt, segments } = run;
     if (attempt.isOver) return;
-    attempt.listener.head(this.#head(engine));
+    this.#answer(engine, attempt, () => {
+      attempt.listener.head(this.#head(engine));
+    });
     const isDeadly = segments.slice(0, -1).some((id) =>
       this.deadlySegments.has(id)
     );
@@ -605,16 +649,37 @@
     const { attempt, left } = run;
     this.time.after(EVENT_INTERVAL_MS, () => {
       if (attempt.isOver) return;
-      attempt.listener.data(Buffer.from(`id: ${13 - left}\ndata: x\n\n`));
+      const event = Buffer.from(`id: ${13 - left}\ndata: x\n\n`);
+      this.#answer(engine, attempt, () => attempt.listener.data(event));
       if (attempt.isOver) return;
       if (left > 1) {
         return this.#sendEvents(engine, { attempt, left: left - 1 });
       }
       attempt.isOver = true;
       engine.attempts.delete(attempt);
-      attempt.listener.end();
+      this.links.keep(attempt.vm, engine.listed.address);
+      this.#answer(engine, attempt, () => attempt.listener.end());
     });
   }
+
+  /** Lets the answer of an engine take its link. */
+  #answer(
+    { listed }: Engine,
+    { vm }: RunningAttempt,
+    deliver: () => void,
+  ): void {
+    this.links.deliver(vm, listed.address, deliver);
+  }
+}
+
+function vmOf(daemon: number): VmId {
+  return brandId<VmId>(`vm-${daemon}`);
+}
+
+function breakOff(attempt: RunningAttempt, reason: string): void {
+  if (attempt.isOver) return;
+  attempt.isOver = true;
+  attempt.listener.failed({ kind: "broken", reason });
 }
 
 /** One daemon with its simulated ports. */
@@ -633,7 +698,7 @@
     this.#world = world;
     this.#time = world.time;
     const ip = `10.0.0.${index + 1}`;
-    this.vm = brandId<VmId>(`vm-${index}`);
+    this.vm = vmOf(index);
     this.gossipAddress = `${ip}:7600`;
     this.recordAddress = `${ip}:7601`;
     new FrontDaemon({
@@ -767,8 +832,9 @@
       serverClient: {
         start: (order, listener) =>
           world.startAttempt(this.vm, order, this.#whileAlive(listener)),
-        closeIdleConnections() {},
-        checkListening: (address) => world.checkListening(address),
+        closeIdleConnections: (address) =>
+          world.links.closeIdle(this.vm, address),
+        checkListening: (address) => world.checkListening(this.vm, address),
       },
       cacheEventClient: {
         fetchEvents: async () => {
