Log how many servers a VM hears from and avoids

The log named single servers that failed, so it did not show whether a VM had lost all of them. The status line now counts listed, heard and avoided servers.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -570,6 +570,7 @@
       log.stateChange("status", {
         members: this.#fleet.size,
         reachable: this.#fleet.reachable(this.#nowMs()).length + 1,
+        ...this.#registry.contactCounts(this.#nowMs()),
         storeCalls: store.callCounts,
       });
       this.#schedulePrune();
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -46,6 +46,8 @@
 const MAX_DARK_MS = 15_000;
 /** A server that sent data this recently is not taken as silent. */
 const RECENTLY_RECEIVED_MS = 300;
+/** A server counts as heard if it sent data this recently. */
+const HEARD_MS = 2_000;
 /** Weight of the newest outcome in the moving average of failures. */
 const FAILURE_WEIGHT = 0.15;
 /** An older reported load is ignored; reports lag by about 200 ms. */
@@ -226,6 +228,26 @@
     return this.#servers.values();
   }
 
+  /** How many servers are listed, were lately heard, and are avoided. */
+  contactCounts(nowMs: number): {
+    readonly servers: number;
+    readonly serversHeard: number;
+    readonly serversAvoided: number;
+  } {
+    const listed = [...this.#servers.values()].filter(({ removedAtMs }) =>
+      removedAtMs === undefined
+    );
+    const heard = listed.filter(({ lastReceivedMs }) =>
+      lastReceivedMs > 0 && nowMs - lastReceivedMs < HEARD_MS
+    );
+    const avoided = listed.filter((server) => this.isAvoided(server, nowMs));
+    return {
+      servers: listed.length,
+      serversHeard: heard.length,
+      serversAvoided: avoided.length,
+    };
+  }
+
   /** Servers that may get new requests of the service. */
   usable(service: ServiceName, nowMs: number): KnownServer[] {
     const ofService = [...this.#servers.values()].filter((server) =>
