--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -56,6 +56,14 @@
   readonly epoch: number;
 }
 
+/** What the sender does for daemons that don't reach their servers. */
+export interface ForwardingState {
+  /** Services to whose servers the sender forwards requests. */
+  readonly reaches: readonly ServiceName[];
+  /** Requests that the sender is forwarding. */
+  readonly open: number;
+}
+
 /** The state of the sender; each message replaces its earlier ones. */
 export interface GossipMessage {
   readonly vm: VmId;
@@ -92,6 +100,8 @@
   readonly limits?: readonly SeenServerLimit[];
   /** Servers that said in an answer that they leave, with their start. */
   readonly leaving?: readonly LeavingServer[];
+  /** Absent in messages of daemons that don't forward. */
+  readonly forwarding?: ForwardingState;
   /** Requests a second of callers, by service, where servers name limits. */
   readonly demandPerS?: Readonly<Record<ServiceName, number>>;
   /** Engines that ended, and which answers had just begun at the sender. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -107,6 +107,10 @@
     server: isName,
     startedAtMs: isCount,
   }))),
+  forwarding: isOptional(hasFields({
+    reaches: isListOf(isName),
+    open: isCount,
+  })),
   demandPerS: isOptional(isMapOf(isCount)),
   crashes: isOptional(isListOf(hasFields({
     server: isName,
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -20,6 +20,7 @@
 export { encodeDatagram, parseDatagram } from "./gossip_message.ts";
 export type {
   CacheChange,
+  ForwardingState,
   GossipBundle,
   GossipDatagram,
   GossipMessage,
--- /dev/null
+++ b/packages/forwarding/src/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Decides which servers a VM reaches itself, and which VM forwards its requests
+ * to the others.
+ *
+ * @module
+ */
+
+export { ServerReach } from "./server_reach.ts";
+export type { ReachableServer, ServerReachOptions } from "./server_reach.ts";
+export { ReachChecks } from "./reach_checks.ts";
+export type { ListenState, ReachChecksOptions } from "./reach_checks.ts";
+export { chooseForwarder, Forwarders } from "./choose_forwarder.ts";
+export type { Forwarder, ForwarderCandidate } from "./choose_forwarder.ts";
+export { ServerPaths } from "./server_paths.ts";
+export type { ServerPathsOptions } from "./server_paths.ts";
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -6,6 +6,7 @@
 
 import type {
   FleetState,
+  ForwardingState,
   GossipBundle,
   GossipMessage,
   RecordTable,
@@ -51,6 +52,8 @@
   nowMs(): number;
   reachesStore(): boolean;
   leaseEpoch(): number;
+  /** What this daemon forwards for daemons that don't reach their servers. */
+  forwarding(): ForwardingState;
   /** Recent changes of the prefix caches that this daemon watches. */
   watchedCacheChanges(): Readonly<
     Record<PrefixCacheId, readonly CacheChange[]>
@@ -112,6 +115,7 @@
       answerAgesMs: this.#options.answerAgesMs(),
       records: this.#recordPositions(),
       readAgesMs: this.#options.readAgesMs(),
+      forwarding: this.#options.forwarding(),
       demandPerS: this.#demandOfLimitedServices(),
       ...this.#options.quarantines.composeReport(),
     };
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -17,10 +17,12 @@
   RecordTable,
   shouldReadTopic,
 } from "@endivebend/fleet";
+import { type ForwarderCandidate, ServerPaths } from "@endivebend/forwarding";
 import { WeightsRolloutTask } from "@endivebend/orders";
 import {
   AdmissionController,
   CacheWatch,
+  ForwardedRuns,
   NamedWeightsRegistry,
   planDrain,
   ServerAllowances,
@@ -39,6 +41,7 @@
 import { FleetGossip } from "./fleet_gossip.ts";
 import type {
   CallerListener,
+  ForwardListener,
   FrontPorts,
   FrontSettings,
   StatusServer,
@@ -81,6 +84,7 @@
   readonly #registry = new ServerRegistry();
   readonly #namedWeights = new NamedWeightsRegistry();
   readonly #fleet: FleetState;
+  readonly #paths: ServerPaths;
   readonly #quarantines: QuarantineKeeper;
   readonly #admission: AdmissionController;
   readonly #recordApplier: RecordApplier;
@@ -95,6 +99,8 @@
   readonly #cacheWatch: CacheWatch;
   readonly #pauseGuard: PauseGuard;
   readonly #listener: CallerListener;
+  readonly #forwardedRuns: ForwardedRuns;
+  readonly #forwardListener: ForwardListener;
   readonly #statusServer: StatusServer;
   /** Addresses that get gossip messages until their daemon has sent one. */
   readonly #seedAddresses = new Set<string>();
@@ -120,8 +126,10 @@
     this.#registry.setPeerWorkLookup((id) =>
       this.#fleet.workAt(id, this.#nowMs())
     );
+    this.#paths = this.#createPaths();
     this.#quarantines = this.#createQuarantines();
     this.#admission = this.#createAdmission();
+    this.#forwardedRuns = this.#createForwardedRuns();
     this.#recordApplier = this.#createRecordApplier();
     this.#tables = this.#createTables();
     this.#unmergedTopics = new Set(this.#tables.keys());
@@ -154,6 +162,7 @@
       isLeaving: () => this.#drainingSinceMs !== undefined,
       whenCurrent: () => this.#pauseGuard.whenCurrent(),
     });
+    this.#forwardListener = this.#listenForPeers();
     this.#statusServer = ports.serveStatus(() => this.#isReady());
   }
 
@@ -170,6 +179,7 @@
     this.#weightsRollout.start();
     this.#cacheWatch.start();
     this.#pauseGuard.start();
+    this.#paths.start();
     void this.#register();
     this.#schedulePrune();
   }
@@ -222,6 +232,7 @@
         scheduler,
         client: serverClient,
         crashGuard: this.#quarantines.guard,
+        paths: this.#paths,
         log,
         metrics,
       },
@@ -231,6 +242,78 @@
     });
   }
 
+  #createPaths(): ServerPaths {
+    const { scheduler, serverClient, log, metrics } = this.#ports;
+    return new ServerPaths({
+      failureDomain: this.#settings.failureDomain,
+      scheduler,
+      nowMs: () => this.#nowMs(),
+      usable: (service) =>
+        this.#registry.usable(service, this.#nowMs())
+          .map(({ listed }) => listed),
+      checkListening: (address) => serverClient.checkListening(address),
+      peers: () => this.#forwarders(),
+      cutOff: (service, servers) => {
+        log.stateChange("servers_lost", { service, servers: servers.length });
+        metrics.count("cuts", { service });
+        for (const { id, address } of servers) {
+          this.#registry.forgive(id);
+          // Open ones may be dead without a sign of it, also after the cut.
+          serverClient.closeIdleConnections(address);
+        }
+        this.#gossipChannel.announce();
+      },
+      restored: (service) => {
+        log.stateChange("servers_regained", { service });
+        this.#gossipChannel.announce();
+      },
+    });
+  }
+
+  /** Reachable daemons that forward requests. */
+  #forwarders(): ForwarderCandidate[] {
+    return this.#fleet.reachable(this.#nowMs()).flatMap(({ vm, message }) => {
+      if (message?.forwarding === undefined) return [];
+      const { failureDomain, address, forwarding } = message;
+      const [ip = ""] = address.split(":");
+      return [{
+        vm,
+        address: `${ip}:${this.#settings.firstPeerPort + 2}`,
+        failureDomain,
+        reaches: forwarding.reaches,
+        forwarding: forwarding.open,
+      }];
+    });
+  }
+
+  #createForwardedRuns(): ForwardedRuns {
+    const { clock, serverClient, log, metrics } = this.#ports;
+    return new ForwardedRuns({
+      registry: this.#registry,
+      clock,
+      client: serverClient,
+      paths: this.#paths,
+      crashGuard: this.#quarantines.guard,
+      log,
+      metrics,
+      isLeaving: () => this.#drainingSinceMs !== undefined,
+    });
+  }
+
+  #listenForPeers(): ForwardListener {
+    const { ip, firstPeerPort } = this.#settings;
+    return this.#ports.listenForPeers({
+      ip,
+      port: firstPeerPort + 2,
+      runs: this.#forwardedRuns,
+      isPeer: (peerIp) =>
+        this.#fleet.members().some(({ address }) =>
+          address.startsWith(`${peerIp}:`)
+        ),
+      failed: (reason) => this.#logDecision("forward_failed", { reason }),
+    });
+  }
+
   #createQuarantines(): QuarantineKeeper {
     const { clock, scheduler, store, serverClient, log, metrics } = this.#ports;
     return new QuarantineKeeper({
@@ -242,6 +325,7 @@
         client: serverClient,
         registry: this.#registry,
         scheduler,
+        reachesAnother: (server) => this.#paths.reachesAnother(server),
         log,
         metrics,
       }),
@@ -375,6 +459,14 @@
       leaseEpoch: () => this.#weightsRollout.epoch,
       watchedCacheChanges: () => this.#cacheWatch.recentEvents(),
       answerAgesMs: () => this.#cacheWatch.answerAgesMs(),
+      forwarding: () => ({
+        reaches: this.#drainingSinceMs === undefined
+          ? [...this.#registry.services()].filter((service) =>
+            this.#paths.mayForward(service)
+          )
+          : [],
+        open: this.#forwardedRuns.openCount,
+      }),
       readAgesMs: () => this.#readAgesMs(),
     });
   }
@@ -580,7 +672,8 @@
   #continueDrain(onEnd: () => void): void {
     const step = planDrain({
       sinceMs: this.#nowMs() - (this.#drainingSinceMs ?? 0),
-      openCount: this.#listener.openRequestCount,
+      openCount: this.#listener.openRequestCount +
+        this.#forwardedRuns.openCount,
       graceMs: this.#settings.graceMs,
     });
     if (step.refusesConnections) this.#listener.stopListening();
@@ -600,6 +693,8 @@
     });
     this.#statusServer.close();
     this.#pauseGuard.stop();
+    this.#paths.stop();
+    this.#forwardListener.close();
     log.flush();
     // The datagrams that announce the end are sent in the next turn of the
     // event loop; the timer keeps the process alive until then.
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -92,6 +92,7 @@
     leaseEpoch: () => 0,
     watchedCacheChanges: () => ({}),
     answerAgesMs: () => ({}),
+    forwarding: () => ({ reaches: [], open: 0 }),
     readAgesMs: () => ({}),
   });
   return {
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -20,6 +20,7 @@
   CacheEventClient,
   CallerLimits,
   Configuration,
+  ForwardedRuns,
   ListedServer,
   ServerClient,
   WeightsVersion,
@@ -32,7 +33,10 @@
   readonly vm: VmId;
   readonly ip: string;
   readonly failureDomain: FailureDomainId;
-  /** Port for gossip between daemons; the next port serves records to peers. */
+  /**
+   * Port for gossip between daemons; the next port serves records to peers, the
+   * one after it takes requests that they want forwarded.
+   */
   readonly firstPeerPort: number;
   /** IPs of daemons that may already be running. */
   readonly seedIps: readonly string[];
@@ -97,6 +101,21 @@
   whenCurrent(): Promise<void> | undefined;
 }
 
+/** What the listener for other daemons needs from the daemon. */
+export interface ForwardListenerContext {
+  readonly ip: string;
+  readonly port: number;
+  readonly runs: ForwardedRuns;
+  /** Whether a daemon of the fleet runs at the IP address. */
+  isPeer(ip: string): boolean;
+  failed(reason: string): void;
+}
+
+/** The listener that takes requests of daemons that don't reach servers. */
+export interface ForwardListener {
+  close(): void;
+}
+
 /** Reports to the load balancer whether the daemon accepts callers. */
 export interface StatusServer {
   close(): void;
@@ -119,5 +138,6 @@
     options: RecordExchangeOptions,
   ): Pick<RecordExchange, "pull" | "close">;
   listen(context: ListenerContext): CallerListener;
+  listenForPeers(context: ForwardListenerContext): ForwardListener;
   serveStatus(isReady: () => boolean): StatusServer;
 }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -20,6 +20,10 @@
   AttemptOrder,
   CallerSink,
   Configuration,
+  ForwardedRun,
+  ForwardedRuns,
+  ForwardOrder,
+  ForwardSink,
   ListedServer,
   ListenState,
   PromptSegment,
@@ -479,12 +483,65 @@
     return isUp ? "listening" : "closed";
   }
 
+  /** Sends an attempt through another daemon. */
+  startForwarded(order: AttemptOrder, listener: AttemptListener) {
+    const address = order.forwarder?.address;
+    let run: ForwardedRun | undefined;
+    let isOver = false;
+    const toOrigin = (deliver: () => void) =>
+      this.time.after(LINK_MS, () => {
+        if (!isOver) deliver();
+      });
+    this.time.after(LINK_MS, () => {
+      const daemon = this.#daemons.find(({ forwardAddress }) =>
+        forwardAddress === address
+      );
+      if (isOver) return;
+      if (daemon?.isAlive !== true) {
+        const reason = "connect ECONNREFUSED";
+        const failure = { kind: "unsent", reason, at: "forwarder" } as const;
+        return toOrigin(() => listener.failed(failure));
+      }
+      toOrigin(() => listener.sent());
+      daemon.ended.push(() =>
+        toOrigin(() => {
+          const reason = "socket hang up";
+          listener.failed({ kind: "broken", reason, at: "forwarder" });
+        })
+      );
+      run = daemon.forward(order, {
+        head: (head) => toOrigin(() => listener.head(head)),
+        data: (chunk) => {
+          toOrigin(() => listener.data(chunk));
+          return true;
+        },
+        end: () => toOrigin(() => listener.end()),
+        failed: (failure) => toOrigin(() => listener.failed(failure)),
+      });
+    });
+    return {
+      abort: () => {
+        isOver = true;
+        this.time.after(LINK_MS, () => run?.abort());
+      },
+      pause() {},
+      resume() {},
+    };
+  }
+
   startAttempt(vm: VmId, order: AttemptOrder, listener: AttemptListener) {
+    if (order.forwarder !== undefined) {
+      return this.startForwarded(order, listener);
+    }
     const attempt: RunningAttempt = { vm, listener, isOver: false };
     const { address } = order.server;
     const connected = this.links.connect(vm, address);
     if (connected.kind === "connected") {
-      this.time.after(LINK_MS, () => this.#arrive(vm, { order, attempt }));
+      this.time.after(LINK_MS, () => {
+        if (attempt.isOver) return;
+        if (connected.isNew) listener.connected();
+        this.#arrive(vm, { order, attempt });
+      });
     } else if (connected.kind === "dead") {
       this.time.after(LINK_MS, () => {
         if (!attempt.isOver) listener.sent();
@@ -687,12 +744,16 @@
   readonly vm: VmId;
   readonly gossipAddress: string;
   readonly recordAddress: string;
+  readonly forwardAddress: string;
+  /** Called when the daemon ends, by those who wait for its answers. */
+  readonly ended: (() => void)[] = [];
   tables: RecordExchangeOptions["tables"] = new Map();
   readonly #world: TestFleet;
   readonly #time: VirtualTime;
   #context: ListenerContext | undefined;
   #onDatagram: (bytes: Buffer) => void = () => {};
-  #isAlive = true;
+  #forwardedRuns: ForwardedRuns | undefined;
+  isAlive = true;
 
   constructor(world: TestFleet, index: number) {
     this.#world = world;
@@ -701,6 +762,7 @@
     this.vm = vmOf(index);
     this.gossipAddress = `${ip}:7600`;
     this.recordAddress = `${ip}:7601`;
+    this.forwardAddress = `${ip}:7602`;
     new FrontDaemon({
       vm: this.vm,
       ip,
@@ -718,7 +780,21 @@
   }
 
   kill(): void {
-    this.#isAlive = false;
+    this.isAlive = false;
+    for (const notify of this.ended) notify();
+  }
+
+  /** Forwards a request of another daemon. */
+  forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
+    const { requestId, work } = order.request;
+    const { deadlineMs, server } = order;
+    return this.#forwardedRuns?.open({
+      requestId,
+      server,
+      work,
+      deadlineMs,
+      message: { ...order, forwarder: undefined },
+    }, sink);
   }
 
   get revision(): number | undefined {
@@ -726,7 +802,7 @@
   }
 
   receive(bytes: Buffer): void {
-    if (this.#isAlive) this.#onDatagram(bytes);
+    if (this.isAlive) this.#onDatagram(bytes);
   }
 
   serve(outcome: Outcome): void {
@@ -832,6 +908,12 @@
       serverClient: {
         start: (order, listener) =>
           world.startAttempt(this.vm, order, this.#whileAlive(listener)),
+        forward: ({ message }: ForwardOrder, listener) =>
+          world.startAttempt(
+            this.vm,
+            message as AttemptOrder,
+            this.#whileAlive(listener),
+          ),
         closeIdleConnections: (address) =>
           world.links.closeIdle(this.vm, address),
         checkListening: (address) => world.checkListening(this.vm, address),
@@ -848,6 +930,10 @@
         this.#context = context;
         return { openRequestCount: 0, applyLimits() {}, stopListening() {} };
       },
+      listenForPeers: ({ runs }) => {
+        this.#forwardedRuns = runs;
+        return { close() {} };
+      },
       serveStatus: () => ({ close() {} }),
     };
   }
@@ -856,7 +942,7 @@
     return {
       after: (delayMs, task) =>
         this.#time.after(delayMs, () => {
-          if (this.#isAlive) task();
+          if (this.isAlive) task();
         }),
     };
   }
@@ -865,9 +951,10 @@
     const guard =
       <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
       (...args: Arguments) => {
-        if (this.#isAlive) call(...args);
+        if (this.isAlive) call(...args);
       };
     return {
+      connected: guard(() => listener.connected()),
       sent: guard(() => listener.sent()),
       head: guard((head: AnswerHead) => listener.head(head)),
       data: guard((chunk: Buffer) => listener.data(chunk)),
@@ -885,7 +972,7 @@
         this.#time.after(0, onOpen);
       },
       send: (address, bytes) => {
-        if (this.#isAlive) this.#world.deliver(address, bytes);
+        if (this.isAlive) this.#world.deliver(address, bytes);
       },
       close() {},
     };
--- a/packages/front/src/testing_links.ts
+++ b/packages/front/src/testing_links.ts
@@ -21,7 +21,7 @@
 
 /** What a VM gets that wants to send on a connection. */
 export type ConnectResult =
-  | { readonly kind: "connected" }
+  | { readonly kind: "connected"; readonly isNew: boolean }
   /** The connection takes bytes that never arrive. */
   | { readonly kind: "dead" }
   | {
@@ -80,9 +80,11 @@
     const idle = this.#idleUntilMs.get(`${vm} ${address}`) ?? [];
     const isKept = (idle.pop() ?? 0) > this.#time.nowMs;
     const cut = this.cutOf(vm, address);
-    if (cut === undefined) return { kind: "connected" };
+    if (cut === undefined) return { kind: "connected", isNew: !isKept };
     if (!isKept) return this.connectFailure(cut);
-    return cut === "silent" ? { kind: "dead" } : { kind: "connected" };
+    return cut === "silent"
+      ? { kind: "dead" }
+      : { kind: "connected", isNew: false };
   }
 
   /** What a new connection gets. */
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -10,6 +10,7 @@
 import { createDecisionLog, TextMetrics } from "@endivebend/telemetry";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { createRolloutOrderClient } from "./rollout_order_client.ts";
+import { serveForwarding } from "./forward_listener.ts";
 import { IngressListener } from "./ingress_listener.ts";
 import { createCacheEventClient } from "./cache_event_client.ts";
 import { createServerClient } from "./server_client.ts";
@@ -43,7 +44,7 @@
     store: createRecordStore(store),
     rolloutLeaseLog: createRolloutLeaseLog(store),
     engineOrders: createRolloutOrderClient(),
-    serverClient: createServerClient(clock),
+    serverClient: createServerClient(clock, { ip: settings.ip }),
     cacheEventClient: createCacheEventClient(),
     createGossipTransport: createUdpTransport,
     createRecordExchange: (options) => new RecordExchange(options),
@@ -54,6 +55,7 @@
         clock,
         log,
       }),
+    listenForPeers: (context) => serveForwarding({ ...context, clock }),
     serveStatus: (isReady) => serveStatus(settings, { isReady, metrics }),
   });
 }
--- /dev/null
+++ b/packages/platform/src/forward_listener.ts
@@ -0,0 +1,156 @@
+/**
+ * Takes requests of daemons that don't reach their servers and forwards them.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { type Clock, steadyMs } from "@endivebend/clock";
+import type {
+  ForwardListener,
+  ForwardListenerContext,
+} from "@endivebend/front";
+import type {
+  AnswerHead,
+  AttemptFailure,
+  ForwardSink,
+} from "@endivebend/request-path";
+import {
+  type BackendServerId,
+  brandId,
+  type RequestId,
+} from "@endivebend/types";
+import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
+import { parseWork, readBody, singleHeader } from "./incoming_request.ts";
+import type { ClientMessage, ServerMessage } from "./server_client.ts";
+import { filterHeaders, HEADERS } from "./wire_names.ts";
+
+/** Bound on what a daemon sends on for a client, whose body is bounded too. */
+const MAX_BODY_BYTES = 16_777_216;
+const MAX_HEADER_BYTES = 98_304;
+
+/**
+ * Starts the listener. It serves addresses of the fleet only, as requests that
+ * come here have been admitted and charged already.
+ *
+ * @example
+ * ```ts
+ * const listener = serveForwarding({ ...context, clock });
+ * ```
+ */
+export function serveForwarding(
+  context: ForwardListenerContext & { readonly clock: Clock },
+): ForwardListener {
+  const server: Server = createServer(
+    { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+    (request, response) => void serve(context, { request, response }),
+  );
+  server.requestTimeout = 0;
+  server.on("error", ({ message }) => context.failed(message));
+  server.listen(context.port, context.ip);
+  return {
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+async function serve(
+  context: ForwardListenerContext & { readonly clock: Clock },
+  { request, response }: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+  },
+): Promise<void> {
+  response.sendDate = false;
+  request.on("error", () => {});
+  response.on("error", () => {});
+  const receivedAtMs = steadyMs(context.clock);
+  const id = singleHeader(request, FORWARD_HEADERS.server);
+  const address = singleHeader(request, FORWARD_HEADERS.address);
+  const timeLeftMs = Number(singleHeader(request, HEADERS.timeLeft));
+  const isPeer = context.isPeer(request.socket.remoteAddress ?? "");
+  const isComplete = id !== undefined && address !== undefined &&
+    Number.isFinite(timeLeftMs);
+  if (!isPeer || !isComplete) {
+    context.failed(isPeer ? "incomplete request" : "not a daemon's address");
+    request.resume();
+    response.writeHead(403, { "Content-Length": 0, Connection: "close" }).end();
+    return;
+  }
+  const body = await readBody(request, MAX_BODY_BYTES);
+  if (body === "gone") return;
+  const sink = new PeerSink(response);
+  if (body === "too_large") {
+    const reason = "body_too_large";
+    return sink.failed({ kind: "unsent", reason, at: "forwarder" });
+  }
+  const message: ClientMessage = {
+    method: request.method ?? "GET",
+    target: request.url ?? "/",
+    rawHeaders: request.rawHeaders,
+    body,
+  };
+  const run = context.runs.open({
+    requestId: brandId<RequestId>(
+      singleHeader(request, HEADERS.requestId) ?? "",
+    ),
+    server: { id: brandId<BackendServerId>(id), address },
+    work: parseWork(request),
+    deadlineMs: receivedAtMs + timeLeftMs,
+    message,
+  }, sink);
+  response.on("drain", () => run.resume());
+  response.once("close", () => run.abort());
+  if (request.socket.destroyed) run.abort();
+}
+
+/** Writes an answer to the daemon that the request came from. */
+class PeerSink implements ForwardSink {
+  readonly #response: ServerResponse;
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+  }
+
+  head({ message }: AnswerHead): void {
+    const { status, statusText, rawHeaders, isFramed } =
+      message as ServerMessage;
+    const headers = filterHeaders(rawHeaders, isForwardHeader);
+    if (!isFramed) headers.push(FORWARD_HEADERS.unframed, "1");
+    this.#response.writeHead(status, statusText, headers);
+    this.#response.flushHeaders();
+  }
+
+  data(chunk: Buffer): boolean {
+    return this.#response.write(chunk);
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  failed({ kind, reason, at }: AttemptFailure): void {
+    if (this.#response.headersSent) {
+      this.#response.socket?.resetAndDestroy();
+      this.#response.destroy();
+      return;
+    }
+    this.#response.writeHead(502, [
+      "Content-Length",
+      "0",
+      FORWARD_HEADERS.outcome,
+      kind,
+      FORWARD_HEADERS.reason,
+      reason.replaceAll(/[^\x20-\x7e]/g, "?"),
+      ...(at === "forwarder" ? [FORWARD_HEADERS.ownFault, "1"] : []),
+    ]);
+    this.#response.end();
+  }
+}
--- /dev/null
+++ b/packages/platform/src/incoming_request.ts
@@ -0,0 +1,64 @@
+/**
+ * Reads what requests of clients and of other daemons have in common.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import type { ModelWork } from "@endivebend/request-path";
+import { brandId, type ModelName } from "@endivebend/types";
+import { boundedName, parsePrompt } from "./prompt_header.ts";
+import { HEADERS } from "./wire_names.ts";
+
+/** Reads the body, or tells why there is none. Never rejects. */
+export function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | "gone" | "too_large"> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve("too_large");
+      else chunks.push(chunk);
+    });
+    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("close", () => resolve("gone"));
+  });
+}
+
+/** The header's value; undefined when it is absent or came several times. */
+export function singleHeader(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+/** Parses `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`. */
+export function parseTokens(header: string | undefined) {
+  if (header === undefined) return undefined;
+  const [promptTokens, outputTokens] = header.split(",").map(Number);
+  const hasBothCounts = [promptTokens, outputTokens].every(Number.isFinite);
+  if (!hasBothCounts) return undefined;
+  return {
+    promptTokens: promptTokens!,
+    outputTokens: outputTokens!,
+    total: promptTokens! + outputTokens!,
+  };
+}
+
+/** The work that the request asks of a model; undefined for a plain call. */
+export function parseWork(request: IncomingMessage): ModelWork | undefined {
+  const model = singleHeader(request, HEADERS.model);
+  const tokens = parseTokens(singleHeader(request, HEADERS.tokens));
+  if (model === undefined || tokens === undefined) return undefined;
+  return {
+    model: brandId<ModelName>(boundedName(model)),
+    promptTokens: tokens.promptTokens,
+    maxOutputTokens: tokens.outputTokens,
+    prompt: parsePrompt(singleHeader(request, HEADERS.prompt)),
+  };
+}
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -22,19 +22,23 @@
   type DecisionLog,
   type DeniedReason,
   isStream,
-  type ModelWork,
   type Refusal,
   type RoutedRequest,
 } from "@endivebend/request-path";
-import { brandId, type ModelName, type RequestId } from "@endivebend/types";
+import { brandId, type RequestId } from "@endivebend/types";
 import { ConnectionTurns } from "./connection_turns.ts";
+import {
+  parseTokens,
+  parseWork,
+  readBody,
+  singleHeader,
+} from "./incoming_request.ts";
 import {
   answerHeaders,
   type ClientMessage,
   type ServerMessage,
 } from "./server_client.ts";
 import type { Endpoint } from "./settings.ts";
-import { boundedName, parsePrompt } from "./prompt_header.ts";
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
 /** Settings and collaborators of {@link IngressListener}. */
@@ -355,53 +359,3 @@
   response.writeHead(answer.status, headers);
   response.end(body);
 }
-
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | "gone" | "too_large"> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
-    });
-    request.on("end", () => resolve(Buffer.concat(chunks)));
-    request.on("close", () => resolve("gone"));
-  });
-}
-
-function singleHeader(
-  request: IncomingMessage,
-  name: string,
-): string | undefined {
-  const value = request.headers[name];
-  return typeof value === "string" ? value : undefined;
-}
-
-/** Parses `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`. */
-function parseTokens(header: string | undefined) {
-  if (header === undefined) return undefined;
-  const [promptTokens, outputTokens] = header.split(",").map(Number);
-  const hasBothCounts = [promptTokens, outputTokens].every(Number.isFinite);
-  if (!hasBothCounts) return undefined;
-  return {
-    promptTokens: promptTokens!,
-    outputTokens: outputTokens!,
-    total: promptTokens! + outputTokens!,
-  };
-}
-
-function parseWork(request: IncomingMessage): ModelWork | undefined {
-  const model = singleHeader(request, HEADERS.model);
-  const tokens = parseTokens(singleHeader(request, HEADERS.tokens));
-  if (model === undefined || tokens === undefined) return undefined;
-  return {
-    model: brandId<ModelName>(boundedName(model)),
-    promptTokens: tokens.promptTokens,
-    maxOutputTokens: tokens.outputTokens,
-    prompt: parsePrompt(singleHeader(request, HEADERS.prompt)),
-  };
-}
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -13,15 +13,20 @@
 import { connect, type Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import { findInvalidHeaderName } from "@endivebend/http-syntax";
-import type {
-  AnswerHead,
-  AttemptHandle,
-  AttemptListener,
-  AttemptOrder,
-  ListenState,
-  ServerClient,
-  ServerLoad,
+import {
+  type AnswerHead,
+  type AttemptFailure,
+  type AttemptHandle,
+  type AttemptListener,
+  type AttemptOrder,
+  type ForwardOrder,
+  isRepeatable,
+  type ListenState,
+  type ServerClient,
+  type ServerLoad,
 } from "@endivebend/request-path";
+import type { BackendServerId, RequestId } from "@endivebend/types";
+import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
 /** A request as the client sent it. */
@@ -89,9 +94,18 @@
 /** Keep-alive time that a socket's server last stated, in milliseconds. */
 const keepAliveMsBySocket = new WeakMap<Socket, number>();
 
-/** Creates the client, which keeps one connection pool for each address. */
-export function createServerClient(clock: Clock): ServerClient {
+/**
+ * Creates the client, which keeps one connection pool for each address. `ip` is
+ * the address that other daemons see its connections come from.
+ */
+export function createServerClient(
+  clock: Clock,
+  { ip }: { readonly ip?: string } = {},
+): ServerClient {
   const agents = new Map<string, Agent>();
+  // Requests that run at most once are not sent to other daemons on connections
+  // that may be dead.
+  const unpooled = new Agent({ keepAlive: false });
   function agentFor(address: string): Agent {
     const known = agents.get(address);
     if (known !== undefined) return known;
@@ -100,12 +114,40 @@
     return agent;
   }
   return {
-    start: (order, listener) =>
-      startAttempt(order, {
-        listener,
-        clock,
-        agent: agentFor(order.server.address),
-      }),
+    start(order, listener) {
+      const { server, request, forwarder } = order;
+      const headers = requestHeaders(order, clock);
+      const message = request.message as ClientMessage;
+      const expected = { requestId: request.requestId, serverId: server.id };
+      if (forwarder === undefined) {
+        const { address } = server;
+        const agent = agentFor(address);
+        const exchange = { address, agent, message, headers, expected };
+        return startExchange(exchange, listener);
+      }
+      headers.push(FORWARD_HEADERS.server, server.id);
+      headers.push(FORWARD_HEADERS.address, server.address);
+      const { address } = forwarder;
+      return startExchange({
+        address,
+        agent: isRepeatable(request.route.kind) ? agentFor(address) : unpooled,
+        message,
+        headers,
+        expected,
+        forwardedFrom: ip,
+        isForwarded: true,
+      }, listener);
+    },
+    forward(order, listener) {
+      const { requestId, server } = order;
+      return startExchange({
+        address: server.address,
+        agent: agentFor(server.address),
+        message: order.message as ClientMessage,
+        headers: forwardedHeaders(order, clock),
+        expected: { requestId, serverId: server.id },
+      }, listener);
+    },
     checkListening,
     closeIdleConnections(address) {
       const agent = agents.get(address);
@@ -135,26 +177,44 @@
   });
 }
 
-function startAttempt(
-  order: AttemptOrder,
-  context: {
-    readonly listener: AttemptListener;
-    readonly clock: Clock;
-    readonly agent: Agent;
-  },
+/** The answer that a request expects. */
+interface ExpectedAnswer {
+  readonly requestId: RequestId;
+  readonly serverId: BackendServerId;
+}
+
+/** One request, sent to a server or to a daemon that forwards it. */
+interface Exchange {
+  readonly address: string;
+  readonly agent: Agent;
+  readonly message: ClientMessage;
+  readonly headers: readonly string[];
+  readonly expected: ExpectedAnswer;
+  readonly isForwarded?: boolean;
+  /** Own address from which to connect. */
+  readonly forwardedFrom?: string | undefined;
+}
+
+function startExchange(
+  exchange: Exchange,
+  listener: AttemptListener,
 ): AttemptHandle {
-  const { listener, clock, agent } = context;
-  const message = order.request.message as ClientMessage;
-  const [host, port] = order.server.address.split(":");
+  const { address, agent, message, headers, isForwarded = false } = exchange;
+  const [host, port] = address.split(":");
   let answer: IncomingMessage | undefined;
   let wasSent = false;
   let isFinished = false;
   let isPaused = false;
-  const fail = (reason: string) => {
+  const fail = (
+    reason: string,
+    kind: AttemptFailure["kind"] = wasSent ? "broken" : "unsent",
+    isOwnFault = isForwarded,
+  ) => {
     if (isFinished) return;
     isFinished = true;
     clearTimeout(connectTimer);
-    listener.failed({ kind: wasSent ? "broken" : "unsent", reason });
+    const at = isOwnFault ? { at: "forwarder" as const } : {};
+    listener.failed({ kind, reason, ...at });
     outgoing.destroy();
   };
   const outgoing = request({
@@ -165,7 +225,8 @@
     path: message.target,
     // Node.js accepts a flat list of names and values and keeps their letter
     // case; its types don't say so.
-    headers: requestHeaders(order, clock) as unknown as Record<string, string>,
+    headers: headers as unknown as Record<string, string>,
+    ...(exchange.forwardedFrom && { localAddress: exchange.forwardedFrom }),
   });
   const connectTimer = setTimeout(
     () => fail("The server did not accept the connection in time"),
@@ -177,8 +238,11 @@
       wasSent = true;
       listener.sent();
     };
-    if (socket.connecting) socket.once("connect", markSent);
-    else markSent();
+    if (!socket.connecting) return markSent();
+    socket.once("connect", () => {
+      if (!isFinished) listener.connected();
+      markSent();
+    });
   });
   outgoing.on("error", ({ message }) => {
     // Bytes after the end of a complete answer don't invalidate it.
@@ -195,8 +259,20 @@
     if (findInvalidHeaderName(response.rawHeaders) !== undefined) {
       return fail("The answer has a header whose name is not a token");
     }
-    const isFirstAnswer = !outgoing.reusedSocket;
-    const head = readHead(response, { order, isFirstAnswer });
+    if (isForwarded) {
+      const {
+        [FORWARD_HEADERS.outcome]: outcome,
+        [FORWARD_HEADERS.reason]: reason,
+        [FORWARD_HEADERS.ownFault]: ownFault,
+      } = response.headers;
+      if (outcome === "unsent" || outcome === "broken") {
+        return fail(String(reason ?? ""), outcome, ownFault !== undefined);
+      }
+    }
+    // A daemon that forwards has checked whose answer it is.
+    const isFirstAnswer = isForwarded || !outgoing.reusedSocket;
+    const { expected } = exchange;
+    const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
       return fail("The answer belongs to another request");
     }
@@ -255,6 +331,25 @@
   else outgoing.destroy();
 }
 
+/** The headers of another daemon's request, with the time that is left. */
+function forwardedHeaders(order: ForwardOrder, clock: Clock): string[] {
+  const { rawHeaders, body } = order.message as ClientMessage;
+  const headers = filterHeaders(
+    rawHeaders,
+    (name) =>
+      isForwardHeader(name) || name === HEADERS.timeLeft ||
+      name === "content-length",
+  );
+  const timeLeftMs = Math.floor(order.deadlineMs - steadyMs(clock));
+  headers.push("Deadline-Ms", String(Math.max(1, timeLeftMs)));
+  const hadLength = rawHeaders.some((name, index) =>
+    index % 2 === 0 && name.toLowerCase() === "content-length"
+  );
+  if (hadLength) headers.push("Content-Length", String(body.length));
+  headers.push("Connection", "keep-alive");
+  return headers;
+}
+
 function requestHeaders(order: AttemptOrder, clock: Clock): string[] {
   const { request: routedRequest } = order;
   const message = routedRequest.message as ClientMessage;
@@ -263,7 +358,7 @@
     message.rawHeaders,
     (name) =>
       SYSTEM_HEADERS.has(name) || name === "content-length" ||
-      name === HEADERS.resumeAfter,
+      name === HEADERS.resumeAfter || isForwardHeader(name),
   );
   const timeLeftMs = Math.max(1, Math.floor(order.deadlineMs - nowMs));
   headers.push("Deadline-Ms", String(timeLeftMs));
@@ -298,8 +393,8 @@
  */
 function readHead(
   response: IncomingMessage,
-  { order, isFirstAnswer }: {
-    readonly order: AttemptOrder;
+  { expected, isFirstAnswer }: {
+    readonly expected: ExpectedAnswer;
     /** Whether the connection has carried no other request. */
     readonly isFirstAnswer: boolean;
   },
@@ -308,7 +403,7 @@
   const status = response.statusCode ?? 0;
   const isNotRun = headers[HEADERS.notRun] !== undefined;
   const echoedRequestId = headers[HEADERS.requestId];
-  const belongsToRequest = echoedRequestId === order.request.requestId ||
+  const belongsToRequest = echoedRequestId === expected.requestId ||
     (isFirstAnswer && echoedRequestId === undefined &&
       (isNotRun || status === 421));
   if (!belongsToRequest) return undefined;
@@ -317,8 +412,9 @@
     status,
     statusText: response.statusMessage ?? "",
     rawHeaders,
-    isFramed: headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined,
+    isFramed: headers[FORWARD_HEADERS.unframed] === undefined &&
+      (headers["content-length"] !== undefined ||
+        headers["transfer-encoding"] !== undefined),
   };
   return {
     status,
@@ -326,7 +422,7 @@
     isMisdirected: status === 421,
     isExpectedServer: instanceId === undefined
       ? undefined
-      : instanceId === order.server.id,
+      : instanceId === expected.serverId,
     hasProof: headers[HEADERS.proof] !== undefined,
     load: parseLoad(headers[HEADERS.load]),
     limitPerS: parseLimit(headers[HEADERS.limit]),
@@ -372,6 +468,6 @@
   return filterHeaders(
     message.rawHeaders,
     // A stream may be resumed at another server, and its length may differ.
-    (name) => isStream && name === "content-length",
+    (name) => isForwardHeader(name) || (isStream && name === "content-length"),
   );
 }
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -127,6 +127,7 @@
     },
     cacheScope: undefined,
     urgency: 2,
+    forwarder: undefined,
     ...fields,
   };
 }
@@ -152,6 +153,7 @@
       failure: undefined,
     };
     client.start(order, {
+      connected() {},
       sent() {},
       head: (head) => {
         result.head = head;
--- a/packages/request-path/src/crash_guard.ts
+++ b/packages/request-path/src/crash_guard.ts
@@ -43,7 +43,7 @@
   }
 
   /** The request's shared segments; none for a plain service. */
-  segmentsOf({ work }: RoutedRequest): SharedSegments {
+  segmentsOf({ work }: Pick<RoutedRequest, "work">): SharedSegments {
     if (work === undefined) return [];
     return work.prompt.slice(0, -1).map(({ id }) =>
       segmentOfModel(work.model, id)
--- /dev/null
+++ b/packages/request-path/src/forwarded_run.ts
@@ -0,0 +1,246 @@
+/**
+ * Forwards a request of another VM that does not reach its servers. The other
+ * VM has chosen the server, charged the request to its team and to the server's
+ * limit, and decides on retries. This VM sends the request on once, and records
+ * what the answer shows of the server, as it does for its own requests.
+ *
+ * @module
+ */
+
+import { type Clock, steadyMs } from "@endivebend/clock";
+import type { ServerPaths } from "@endivebend/forwarding";
+import type { CrashGuard, SharedSegments } from "./crash_guard.ts";
+import type {
+  AnswerHead,
+  AttemptFailure,
+  AttemptHandle,
+  ForwardOrder,
+  ServerClient,
+} from "./ports.ts";
+import { type AnswerRecords, recordAnswerHead } from "./record_answer.ts";
+import type { KnownServer } from "./server_registry.ts";
+
+/** Dependencies of all forwarded requests. */
+export interface ForwardContext extends AnswerRecords {
+  readonly clock: Clock;
+  readonly client: Pick<ServerClient, "forward" | "closeIdleConnections">;
+  readonly paths: ServerPaths;
+  readonly crashGuard: CrashGuard;
+  /** Whether the daemon is draining before its end. */
+  isLeaving(): boolean;
+}
+
+/** The other VM's side of a forwarded request. */
+export interface ForwardSink {
+  head(head: AnswerHead): void;
+  /** False when the other VM reads too slowly; `resume` follows. */
+  data(chunk: Buffer): boolean;
+  end(): void;
+  /** Not called after `end`; the answer must not look complete. */
+  failed(failure: AttemptFailure): void;
+}
+
+/** A forwarded request. */
+export interface ForwardedRun {
+  /** The other VM accepts data again. */
+  resume(): void;
+  /** The other VM has given the request up. */
+  abort(): void;
+}
+
+/**
+ * Requests that a VM forwards at a time. The smallest VM has 0.3 of a core and
+ * 178 MB, and callers of its own.
+ */
+const MAX_FORWARDED = 192;
+/** A connection is taken as alive if its server sent data this recently. */
+const CONNECTION_FRESH_MS = 1_000;
+
+const NOTHING_RUNS: ForwardedRun = { resume() {}, abort() {} };
+
+/** Forwards requests of other VMs. */
+export class ForwardedRuns {
+  readonly #context: ForwardContext;
+  #openCount = 0;
+
+  constructor(context: ForwardContext) {
+    this.#context = context;
+  }
+
+  /** Requests that are being forwarded. */
+  get openCount(): number {
+    return this.#openCount;
+  }
+
+  /**
+   * Forwards a request, or tells the sink why nothing has been sent on.
+   *
+   * @example
+   * ```ts
+   * const run = forwardedRuns.open(order, sink);
+   * connection.once("close", () => run.abort());
+   * ```
+   */
+  open(order: ForwardOrder, sink: ForwardSink): ForwardedRun {
+    const { registry, log, metrics } = this.#context;
+    const server = registry.get(order.server.id);
+    const refusal = this.#findRefusal(order, server);
+    const { requestId } = order;
+    if (server === undefined || refusal !== undefined) {
+      metrics.count("forwarded", { outcome: "refused" });
+      const reason = refusal?.reason ?? "unknown_server";
+      log.decision("forward_refused", { requestId, reason });
+      sink.failed({ kind: "unsent", ...refusal, reason });
+      return NOTHING_RUNS;
+    }
+    log.decision("forward", { requestId, server: order.server.id });
+    return this.#send(server, { order, sink });
+  }
+
+  #findRefusal(
+    { server: { address } }: ForwardOrder,
+    server: KnownServer | undefined,
+  ): { readonly reason: string; readonly at?: "forwarder" } | undefined {
+    const { registry, clock, paths, isLeaving } = this.#context;
+    if (isLeaving()) return { reason: "forwarder_leaves", at: "forwarder" };
+    if (this.#openCount >= MAX_FORWARDED) {
+      return { reason: "forwarder_full", at: "forwarder" };
+    }
+    if (server === undefined || server.listed.address !== address) {
+      return { reason: "unknown_server", at: "forwarder" };
+    }
+    if (!paths.mayForward(server.listed.service)) {
+      // Requests are forwarded once at most.
+      return { reason: "forwarder_cut_off", at: "forwarder" };
+    }
+    if (registry.isLeaving(server)) return { reason: "server_leaves" };
+    if (steadyMs(clock) < server.quietUntilMs) {
+      return { reason: "server_quiet" };
+    }
+    return undefined;
+  }
+
+  #send(
+    server: KnownServer,
+    run: { readonly order: ForwardOrder; readonly sink: ForwardSink },
+  ): ForwardedRun {
+    const { client, clock, registry, crashGuard, paths } = this.#context;
+    const { order, sink } = run;
+    const { listed } = server;
+    const segments = crashGuard.segmentsOf(order);
+    const nowMs = () => steadyMs(clock);
+    const answer: ForwardedAnswer = {
+      startedAtMs: nowMs(),
+      headAtMs: undefined,
+      hasData: false,
+      isKnownSound: false,
+    };
+    if (nowMs() - server.lastReceivedMs > CONNECTION_FRESH_MS) {
+      client.closeIdleConnections(listed.address);
+    }
+    this.#openCount += 1;
+    let isOver = false;
+    const end = (outcome: string) => {
+      if (isOver) return;
+      isOver = true;
+      this.#openCount -= 1;
+      this.#logEnd(order, { outcome, startedAtMs: answer.startedAtMs });
+    };
+    const handle: AttemptHandle = client.forward(order, {
+      connected: () => paths.recordConnected(listed),
+      sent() {},
+      head: (head) => {
+        answer.headAtMs = nowMs();
+        recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
+        sink.head(head);
+      },
+      data: (chunk) => {
+        answer.hasData = true;
+        registry.recordActivity(listed.id, nowMs());
+        this.#recordSound(segments, { answer, isComplete: false });
+        if (!sink.data(chunk)) handle.pause();
+      },
+      end: () => {
+        this.#recordSound(segments, { answer, isComplete: true });
+        end("answered");
+        sink.end();
+      },
+      failed: (failure) => {
+        end(failure.kind);
+        if (failure.kind === "unsent") this.#recordNoConnection(server);
+        else this.#recordLoss(segments, { server, answer });
+        sink.failed(failure);
+      },
+    });
+    return {
+      resume: () => handle.resume(),
+      abort: () => {
+        if (isOver) return;
+        end("gone");
+        handle.abort();
+      },
+    };
+  }
+
+  #recordSound(
+    segments: SharedSegments,
+    seen: { readonly answer: ForwardedAnswer; readonly isComplete: boolean },
+  ): void {
+    const { answer, isComplete } = seen;
+    const { headAtMs: beganAtMs, isKnownSound } = answer;
+    if (isKnownSound || beganAtMs === undefined) return;
+    answer.isKnownSound = this.#context.crashGuard.recordProgress(segments, {
+      beganAtMs,
+      isComplete,
+    });
+  }
+
+  #recordNoConnection({ listed }: KnownServer): void {
+    const { paths, registry, clock } = this.#context;
+    paths.recordNoConnection(listed);
+    if (paths.isCutOff(listed.service)) return;
+    registry.recordSilence(listed.id, steadyMs(clock));
+  }
+
+  #recordLoss(
+    segments: SharedSegments,
+    lost: { readonly server: KnownServer; readonly answer: ForwardedAnswer },
+  ): void {
+    const { headAtMs, hasData, isKnownSound } = lost.answer;
+    const { paths, registry, clock } = this.#context;
+    const { id, service } = lost.server.listed;
+    paths.suspect(lost.server.listed);
+    if (!paths.isCutOff(service)) registry.recordFailure(id, steadyMs(clock));
+    void this.#context.crashGuard.recordLoss(segments, {
+      server: lost.server.listed,
+      beganAtMs: isKnownSound ? undefined : headAtMs,
+      hasEvents: hasData,
+    });
+  }
+
+  #logEnd(
+    { requestId, server }: ForwardOrder,
+    { outcome, startedAtMs }: {
+      readonly outcome: string;
+      readonly startedAtMs: number;
+    },
+  ): void {
+    const { log, metrics, clock } = this.#context;
+    const durationMs = Math.round(steadyMs(clock) - startedAtMs);
+    metrics.count("forwarded", { outcome });
+    metrics.observeMs("forwarded_ms", durationMs);
+    log.decision("forward_end", {
+      requestId,
+      server: server.id,
+      outcome,
+      durationMs,
+    });
+  }
+}
+
+interface ForwardedAnswer {
+  readonly startedAtMs: number;
+  headAtMs: number | undefined;
+  hasData: boolean;
+  isKnownSound: boolean;
+}
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -37,6 +37,12 @@
 export type { EventFrame } from "./event_frames.ts";
 export { planDrain } from "./drain_plan.ts";
 export type { DrainState, DrainStep } from "./drain_plan.ts";
+export { ForwardedRuns } from "./forwarded_run.ts";
+export type {
+  ForwardContext,
+  ForwardedRun,
+  ForwardSink,
+} from "./forwarded_run.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
 export { placeRequest } from "./placement.ts";
 export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -5,13 +5,17 @@
  * @module
  */
 
+import type { Forwarder, ListenState } from "@endivebend/forwarding";
 import type {
   BackendServerId,
   FailureDomainId,
+  RequestId,
   ServiceName,
 } from "@endivebend/types";
 import type { CachePlan } from "./placement.ts";
-import type { RoutedRequest } from "./types.ts";
+import type { ModelWork, RoutedRequest } from "./types.ts";
+
+export type { Forwarder, ListenState } from "@endivebend/forwarding";
 
 /** One attempt to run a request at one backend server. */
 export interface AttemptOrder {
@@ -31,6 +35,22 @@
   readonly cacheScope: string | undefined;
   /** 0 is the most urgent, 9 the least. */
   readonly urgency: number;
+  /** The VM to send through; undefined to connect to the server itself. */
+  readonly forwarder: Forwarder | undefined;
+}
+
+/** A request of another VM that is forwarded to a server. */
+export interface ForwardOrder {
+  readonly requestId: RequestId;
+  readonly server: {
+    readonly id: BackendServerId;
+    readonly address: string;
+  };
+  readonly work: ModelWork | undefined;
+  /** When the server must stop working, on the steady clock. */
+  readonly deadlineMs: number;
+  /** The request as the other VM has sent it; opaque here. */
+  readonly message: unknown;
 }
 
 /** The load that a server has reported. */
@@ -71,12 +91,20 @@
 /** Why an attempt has no complete answer. */
 export type AttemptFailure =
   /** No byte of the request was sent, so it has not run there. */
-  | { readonly kind: "unsent"; readonly reason: string }
+  | (FailureCause & { readonly kind: "unsent" })
   /** The request may have run. */
-  | { readonly kind: "broken"; readonly reason: string };
+  | (FailureCause & { readonly kind: "broken" });
+
+interface FailureCause {
+  readonly reason: string;
+  /** Set when the VM that forwards has failed, or is not known to be sound. */
+  readonly at?: "forwarder";
+}
 
 /** Receives the events of an attempt. */
 export interface AttemptListener {
+  /** The server has accepted a new connection for the request. */
+  connected(): void;
   /** The request is being sent to the server. */
   sent(): void;
   head(head: AnswerHead): void;
@@ -94,16 +122,15 @@
   resume(): void;
 }
 
-/**
- * What a new connection shows of a server's process: `closed` when nothing
- * listens at the address, `unknown` when there was no answer in time.
- */
-export type ListenState = "listening" | "closed" | "unknown";
-
 /** Sends attempts to backend servers. */
 export interface ServerClient {
   start(order: AttemptOrder, listener: AttemptListener): AttemptHandle;
-  /** Opens a connection to the server and closes it. Never rejects. */
+  /** Sends a request of another VM on as it came. */
+  forward(order: ForwardOrder, listener: AttemptListener): AttemptHandle;
+  /**
+   * Opens a connection to the server and closes it: `closed` when nothing
+   * listens there, `unknown` when there was no answer in time. Never rejects.
+   */
   checkListening(address: string): Promise<ListenState>;
   /** Closes idle connections to a server that may have become silent. */
   closeIdleConnections(address: string): void;
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -7,7 +7,8 @@
  */
 
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
-import type { BackendServerId } from "@endivebend/types";
+import type { ServerPaths } from "@endivebend/forwarding";
+import type { BackendServerId, VmId } from "@endivebend/types";
 import { AnswerRelay } from "./answer_relay.ts";
 import type { CrashGuard, SharedSegments } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
@@ -22,10 +23,12 @@
   AttemptHandle,
   CallerSink,
   DecisionLog,
+  Forwarder,
   PathMetrics,
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
+import { recordAnswerHead } from "./record_answer.ts";
 import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
@@ -40,6 +43,7 @@
   readonly scheduler: Scheduler;
   readonly client: ServerClient;
   readonly crashGuard: CrashGuard;
+  readonly paths: ServerPaths;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** Takes one retry from the shared budget; false when it is used up. */
@@ -72,6 +76,10 @@
 
 interface Attempt {
   readonly server: KnownServer;
+  /** The VM that it goes through; undefined when it goes to the server. */
+  readonly forwarder: Forwarder | undefined;
+  /** Ends the count of the forwarder's requests. */
+  readonly leaveForwarder: () => void;
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
@@ -92,6 +100,7 @@
   readonly #segments: SharedSegments;
   readonly #startedAtMs: number;
   readonly #excluded = new Set<BackendServerId>();
+  readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
   /** Whether the request tries a segment whose quarantine has ended. */
   #isTrial = false;
@@ -166,6 +175,10 @@
       return this.#giveUp(placement.reason, placement.retryInMs);
     }
     const { server, choice, cache } = placement;
+    const forwarder = this.#context.paths.forwarderFor(
+      server.listed,
+      this.#excludedForwarders,
+    );
     this.#logDecision("place", {
       server: server.listed.id,
       scoreMs: Math.round(choice.scoreMs),
@@ -176,9 +189,10 @@
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
       limitPerS: server.limit?.perS,
+      forwarder: forwarder?.vm,
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
     });
-    this.#send(server, { nowMs, cache });
+    this.#send(server, { nowMs, cache, forwarder });
   }
 
   /** Gives up when the prompt has a segment that crashes engines. */
@@ -193,9 +207,13 @@
 
   #send(
     server: KnownServer,
-    at: { readonly nowMs: number; readonly cache: CachePlan },
+    at: {
+      readonly nowMs: number;
+      readonly cache: CachePlan;
+      readonly forwarder: Forwarder | undefined;
+    },
   ): void {
-    const { nowMs, cache } = at;
+    const { nowMs, cache, forwarder } = at;
     const { registry, client } = this.#context;
     const request = this.#request;
     server.ownWork.set(request.requestId, {
@@ -208,8 +226,11 @@
       registry.recordPlacement(store, cache.parts, nowMs);
       registry.recentPlacements.add(store, cache.parts, nowMs);
     }
+    const { paths, metrics } = this.#context;
     const attempt: Attempt = {
       server,
+      forwarder,
+      leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       startedAtMs: nowMs,
       handle: undefined,
       wasSent: false,
@@ -220,12 +241,12 @@
     };
     this.#attempt = attempt;
     this.#context.allowances.take(server, nowMs);
-    if (server.limit !== undefined) {
-      this.#context.metrics.count("limited_attempts");
-    }
+    if (server.limit !== undefined) metrics.count("limited_attempts");
+    if (forwarder !== undefined) metrics.count("forwarded_attempts");
     // An idle connection may be dead. A request sent on it would get no answer
     // and could not be retried; a new connection fails before anything is sent.
-    const needsNewConnection = !isRepeatable(request.route.kind) &&
+    const needsNewConnection = forwarder === undefined &&
+      !isRepeatable(request.route.kind) &&
       nowMs - server.lastReceivedMs > CONNECTION_FRESH_MS;
     if (needsNewConnection) client.closeIdleConnections(server.listed.address);
     attempt.handle = client.start({
@@ -241,7 +262,11 @@
       cache,
       cacheScope: request.work && cache.scope,
       urgency: urgencyOf(request),
+      forwarder,
     }, {
+      connected: () => {
+        if (forwarder === undefined) paths.recordConnected(server.listed);
+      },
       sent: () => {
         attempt.wasSent = true;
       },
@@ -254,19 +279,10 @@
 
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (this.#attempt !== attempt) return;
-    this.#recordReceived(attempt);
-    attempt.headAtMs = this.#nowMs();
-    attempt.lastProgressMs = attempt.headAtMs;
-    const { registry } = this.#context;
-    const { id } = attempt.server.listed;
-    if (head.load !== undefined) {
-      registry.recordLoad(id, head.load, this.#nowMs());
-    }
-    if (!head.isMisdirected) {
-      this.#recordLimit(attempt, head);
-      if (head.isLeaving) this.#recordLeaving(attempt);
-      if (head.quietMs !== undefined) this.#recordQuiet(attempt, head.quietMs);
-    }
+    const nowMs = this.#nowMs();
+    recordAnswerHead(this.#context, attempt.server, { head, nowMs });
+    attempt.headAtMs = nowMs;
+    attempt.lastProgressMs = nowMs;
     if (head.isMisdirected) return this.#handleMisdirected(attempt, head);
     if (head.isNotRun) {
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
@@ -281,29 +297,6 @@
     this.#relay.head(head);
   }
 
-  #recordLeaving({ server }: Attempt): void {
-    const { registry, log, metrics } = this.#context;
-    const { id, startedAtMs } = server.listed;
-    if (!registry.recordLeaving(id, startedAtMs)) return;
-    metrics.count("servers_leaving");
-    log.decision("server_leaving", { server: id });
-  }
-
-  #recordQuiet({ server }: Attempt, quietMs: number): void {
-    const { registry, log, metrics } = this.#context;
-    const { id } = server.listed;
-    registry.recordQuiet(id, this.#nowMs() + quietMs);
-    metrics.count("servers_quiet");
-    log.decision("server_quiet", { server: id, quietMs });
-  }
-
-  #recordLimit({ server }: Attempt, { limitPerS }: AnswerHead): void {
-    const { registry, log } = this.#context;
-    const { id } = server.listed;
-    if (!registry.recordOwnLimit(id, limitPerS, this.#nowMs())) return;
-    log.decision("server_limit", { server: id, limitPerS: limitPerS ?? null });
-  }
-
   /** Another server has the address, or the server has other weights. */
   #handleMisdirected(attempt: Attempt, head: AnswerHead): void {
     const { registry } = this.#context;
@@ -381,17 +374,46 @@
 
   #onFailed(attempt: Attempt, failure: AttemptFailure): void {
     if (this.#attempt !== attempt) return;
-    if (failure.kind === "unsent" && !attempt.wasSent) {
-      this.#context.registry.recordSilence(
-        attempt.server.listed.id,
-        this.#nowMs(),
-      );
+    if (failure.at === "forwarder") {
+      return this.#onForwarderFailed(attempt, failure);
+    }
+    const { forwarder, server, wasSent } = attempt;
+    // A VM that forwards says so itself when it has sent nothing on.
+    const isUnsent = failure.kind === "unsent" &&
+      (!wasSent || forwarder !== undefined);
+    if (isUnsent) {
+      const { paths } = this.#context;
+      if (forwarder === undefined) paths.recordNoConnection(server.listed);
+      this.#recordSilence(attempt);
       return this.#handleNotRun(attempt, failure.reason);
     }
     this.#recordLoss(attempt);
     this.#handleBroken(attempt, failure.reason);
   }
 
+  /** The VM that forwards has failed; its server is not to blame. */
+  #onForwarderFailed(attempt: Attempt, failure: AttemptFailure): void {
+    const { forwarder } = attempt;
+    if (forwarder === undefined) return;
+    this.#context.paths.recordForwarderFailure(forwarder);
+    this.#excludedForwarders.add(forwarder.vm);
+    if (failure.kind === "unsent") {
+      return this.#handleNotRun(attempt, failure.reason);
+    }
+    this.#handleBroken(attempt, failure.reason);
+  }
+
+  /**
+   * Unless this VM's own links may be at fault. A VM that forwards tells of the
+   * servers that it does not reach itself.
+   */
+  #recordSilence({ server, forwarder }: Attempt): void {
+    const { paths, registry } = this.#context;
+    const { id, service } = server.listed;
+    if (forwarder !== undefined || paths.isCutOff(service)) return;
+    registry.recordSilence(id, this.#nowMs());
+  }
+
   /** Records once that the prompt's answer goes on or is complete. */
   #recordSound(
     attempt: Attempt,
@@ -407,7 +429,9 @@
 
   /** Records that the connection was lost; its engine may have crashed. */
   #recordLoss(attempt: Attempt): void {
-    const { server, headAtMs, hasEvents, isKnownSound } = attempt;
+    const { server, headAtMs, hasEvents, isKnownSound, forwarder } = attempt;
+    // A VM that forwards sees for itself whether the engine has ended.
+    if (forwarder !== undefined) return;
     void this.#context.crashGuard.recordLoss(this.#segments, {
       server: server.listed,
       beganAtMs: isKnownSound ? undefined : headAtMs,
@@ -420,7 +444,7 @@
     const { listed } = attempt.server;
     this.#logDecision("attempt_unrun", { server: listed.id, reason });
     this.#abortAttempt();
-    this.#excluded.add(listed.id);
+    this.#exclude(attempt);
     this.#notRunAttempts += 1;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
       this.#context.tryRetry(this.#request);
@@ -442,14 +466,10 @@
     this.#context.metrics.count("broken_attempts", {
       phase: phaseOf(attempt, this.#relay),
     });
-    if (reason === "silent") {
-      this.#context.registry.recordSilence(listed.id, this.#nowMs());
-    } else {
-      this.#context.registry.recordFailure(listed.id, this.#nowMs());
-    }
+    this.#blame(attempt, reason);
     this.#abortAttempt();
     this.#possiblyRunAttempts += 1;
-    this.#excluded.add(listed.id);
+    this.#exclude(attempt);
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
@@ -459,6 +479,27 @@
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
 
+  /** Another VM may reach a server that the failed one did not. */
+  #exclude({ server, forwarder }: Attempt): void {
+    const isForwarders = forwarder !== undefined &&
+      this.#excludedForwarders.has(forwarder.vm);
+    if (!isForwarders) this.#excluded.add(server.listed.id);
+  }
+
+  /** Counts the failure against whoever may have caused it. */
+  #blame(attempt: Attempt, reason: string): void {
+    const { paths, registry } = this.#context;
+    const { server, forwarder } = attempt;
+    if (forwarder !== undefined) {
+      // Its own links, or the way to it, may be at fault as well.
+      return paths.recordForwarderFailure(forwarder);
+    }
+    paths.suspect(server.listed);
+    if (reason === "silent") return this.#recordSilence(attempt);
+    if (paths.isCutOff(server.listed.service)) return;
+    registry.recordFailure(server.listed.id, this.#nowMs());
+  }
+
   #giveUp(reason: RefusalReason, retryInMs = DEFAULT_RETRY_MS): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
@@ -498,6 +539,9 @@
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
+    if (this.#isCutOff(attempt, nowMs)) {
+      return this.#handleBroken(attempt, "cut_off");
+    }
     const limitMs = silenceTimeoutMs(this.#request, {
       hasBegun: this.#relay.hasBegun,
       canRetry: this.#hasAttemptsLeft(),
@@ -525,10 +569,24 @@
     this.#giveUp("quarantined");
   }
 
+  /**
+   * Whether the attempt waits on a connection that this VM has likely lost, and
+   * the request can go on through another VM.
+   */
+  #isCutOff(attempt: Attempt, nowMs: number): boolean {
+    const { server, forwarder, lastProgressMs } = attempt;
+    return forwarder === undefined && this.#hasAttemptsLeft() &&
+      isRepeatable(this.#request.route.kind) &&
+      nowMs - Math.max(lastProgressMs, server.lastReceivedMs) >
+        STREAM_SILENCE_MS &&
+      this.#context.paths.isCutOff(server.listed.service);
+  }
+
   /** Records a server as silent when none of its streams has sent an event. */
   #detectSilentStreams(attempt: Attempt, nowMs: number): void {
     const { listed, lastReceivedMs, silentUntilMs } = attempt.server;
-    const isPaused = this.#relay.hasBegun &&
+    const isPaused = attempt.forwarder === undefined &&
+      this.#relay.hasBegun &&
       isStream(this.#request.route.kind) &&
       nowMs - lastReceivedMs > STREAM_SILENCE_MS &&
       // The pause of a caller that reads again is not the server's.
@@ -538,7 +596,8 @@
       server: listed.id,
       heardAgoMs: Math.round(nowMs - lastReceivedMs),
     });
-    this.#context.registry.recordSilence(listed.id, nowMs);
+    this.#context.paths.suspect(listed);
+    this.#recordSilence(attempt);
   }
 
   #expire(): void {
@@ -546,7 +605,12 @@
     if (attempt?.wasSent) {
       this.#possiblyRunAttempts += 1;
       const isPlain = !isStream(this.#request.route.kind);
-      if (isPlain && !this.#isCallerBlocked) {
+      const isOwn = attempt.forwarder === undefined;
+      const { paths } = this.#context;
+      if (isOwn) paths.suspect(attempt.server.listed);
+      const mayBeLink = !isOwn ||
+        paths.isCutOff(attempt.server.listed.service);
+      if (isPlain && !this.#isCallerBlocked && !mayBeLink) {
         this.#context.registry.recordFailure(
           attempt.server.listed.id,
           this.#nowMs(),
@@ -565,6 +629,7 @@
   #releaseAttempt(): void {
     const attempt = this.#attempt;
     this.#attempt = undefined;
+    attempt?.leaveForwarder();
     attempt?.server.ownWork.delete(this.#request.requestId);
   }
 
--- a/packages/request-path/src/server_end_check.ts
+++ b/packages/request-path/src/server_end_check.ts
@@ -21,6 +21,11 @@
 export interface ServerEndCheckOptions {
   readonly client: Pick<ServerClient, "checkListening">;
   readonly registry: Pick<ServerRegistry, "get">;
+  /**
+   * Whether another server of the service accepts a connection; if none does,
+   * a refused one shows nothing of the server.
+   */
+  reachesAnother(server: ListedServer): Promise<boolean>;
   readonly scheduler: Scheduler;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
@@ -58,7 +63,9 @@
    */
   async hasEnded(server: ListedServer): Promise<boolean> {
     const state = await this.#connect(server);
-    const hasEnded = state === "closed" || await this.#isReplaced(server);
+    const isClosed = state === "closed" &&
+      await this.#options.reachesAnother(server);
+    const hasEnded = isClosed || await this.#isReplaced(server);
     if (hasEnded) this.#logEnd(server, state);
     return hasEnded;
   }
--- a/packages/request-path/src/server_end_check_test.ts
+++ b/packages/request-path/src/server_end_check_test.ts
@@ -17,6 +17,7 @@
     },
     registry,
     scheduler: time,
+    reachesAnother: () => Promise.resolve(true),
     log: { decision: (step) => steps.push(step) },
     metrics: { count() {}, observeMs() {} },
   });
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -228,6 +228,15 @@
     return this.#servers.values();
   }
 
+  /** Services that have a listed server. */
+  services(): ReadonlySet<ServiceName> {
+    return new Set(
+      [...this.#servers.values()]
+        .filter(({ removedAtMs }) => removedAtMs === undefined)
+        .map(({ listed }) => listed.service),
+    );
+  }
+
   /** How many servers are listed, were lately heard, and are avoided. */
   contactCounts(nowMs: number): {
     readonly servers: number;
@@ -399,6 +408,16 @@
     server.silentAtMs = nowMs;
   }
 
+  /** Takes back what this daemon holds against a server for its silence. */
+  forgive(id: BackendServerId): void {
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    server.failureStreak = 0;
+    server.avoidUntilMs = 0;
+    server.silentUntilMs = 0;
+    server.silentAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Records that another daemon suspects the server to be silent; it tells so
    * again after `roundMs`.
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock, Scheduler } from "@endivebend/clock";
+import { ServerPaths } from "@endivebend/forwarding";
 import { CrashEvidence, PromptQuarantine } from "@endivebend/quarantine";
 import {
   type BackendServerId,
@@ -22,6 +23,7 @@
   AttemptListener,
   AttemptOrder,
   CallerSink,
+  ForwardOrder,
   ListenState,
   Refusal,
   ServerClient,
@@ -162,9 +164,39 @@
   isAborted: boolean;
 }
 
+/** A forwarded request that the test answers. */
+export interface FakeForward {
+  readonly order: ForwardOrder;
+  readonly listener: AttemptListener;
+  isAborted: boolean;
+  isPaused: boolean;
+}
+
 /** Collects attempts. */
 export class FakeClient implements ServerClient {
   readonly attempts: FakeAttempt[] = [];
+  readonly forwards: FakeForward[] = [];
+
+  forward(order: ForwardOrder, listener: AttemptListener) {
+    const forward: FakeForward = {
+      order,
+      listener,
+      isAborted: false,
+      isPaused: false,
+    };
+    this.forwards.push(forward);
+    return {
+      abort: () => {
+        forward.isAborted = true;
+      },
+      pause: () => {
+        forward.isPaused = true;
+      },
+      resume: () => {
+        forward.isPaused = false;
+      },
+    };
+  }
 
   start(order: AttemptOrder, listener: AttemptListener) {
     const attempt: FakeAttempt = { order, listener, isAborted: false };
@@ -256,8 +288,20 @@
   const log = { decision() {} };
   const metrics = { count() {}, observeMs() {} };
   const evidence = new CrashEvidence();
+  const paths = new ServerPaths({
+    failureDomain: brandId<FailureDomainId>("a"),
+    scheduler: { after: () => () => {} },
+    nowMs: time.steadyMs,
+    usable: (service) =>
+      registry.usable(service, time.nowMs).map(({ listed }) => listed),
+    checkListening: (address) => client.checkListening(address),
+    peers: () => [],
+    cutOff() {},
+    restored() {},
+  });
   return {
     time,
+    paths,
     clock: time,
     scheduler: time,
     client,
@@ -271,6 +315,7 @@
         client,
         registry,
         scheduler: time,
+        reachesAnother: () => Promise.resolve(true),
         log,
         metrics,
       }),
