Take nothing from the retry budget for attempts that reached no server

Cause: every further attempt took from the budget, though one whose connection was not accepted is no arrival anywhere. The bound on attempts of a request stays.

The new case of request_run_test failed before: one attempt instead of two.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -385,7 +385,7 @@
       const { paths } = this.#context;
       if (forwarder === undefined) paths.recordNoConnection(server.listed);
       this.#recordSilence(attempt);
-      return this.#handleNotRun(attempt, failure.reason);
+      return this.#handleUnsent(attempt, failure.reason);
     }
     this.#recordLoss(attempt);
     this.#handleBroken(attempt, failure.reason);
@@ -398,7 +398,7 @@
     this.#context.paths.recordForwarderFailure(forwarder);
     this.#excludedForwarders.add(forwarder.vm);
     if (failure.kind === "unsent") {
-      return this.#handleNotRun(attempt, failure.reason);
+      return this.#handleUnsent(attempt, failure.reason);
     }
     this.#handleBroken(attempt, failure.reason);
   }
@@ -439,17 +439,29 @@
     });
   }
 
-  /** Handles an attempt that has not run at its server. */
+  /** Handles an attempt that reached no server, so the next is no retry. */
+  #handleUnsent(attempt: Attempt, reason: string): void {
+    this.#endNotRun(attempt, reason);
+    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
+    if (mayRetry) return this.#startAttempt();
+    this.#giveUp("overloaded");
+  }
+
+  /** Handles an attempt that its server has not run. */
   #handleNotRun(attempt: Attempt, reason: string): void {
+    this.#endNotRun(attempt, reason);
+    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
+      this.#context.tryRetry(this.#request);
+    if (mayRetry) return this.#startAttempt();
+    this.#giveUp("overloaded");
+  }
+
+  #endNotRun(attempt: Attempt, reason: string): void {
     const { listed } = attempt.server;
     this.#logDecision("attempt_unrun", { server: listed.id, reason });
     this.#abortAttempt();
     this.#exclude(attempt);
     this.#notRunAttempts += 1;
-    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#context.tryRetry(this.#request);
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp("overloaded");
   }
 
   /** Handles an attempt that may have run and has no complete answer. */
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -58,6 +58,27 @@
   t.is(client.attempts.length, 2);
 });
 
+test("an attempt that reached no server takes nothing from the budget of retries", (t) => {
+  let taken = 0;
+  const context = testContext({
+    tryRetry: () => {
+      taken += 1;
+      return false;
+    },
+  });
+  const caller = new FakeCaller();
+  new RequestRun(context, routedRequest("at_most_once"), caller).start();
+  const { client } = context;
+  client.last.listener.failed({ kind: "unsent", reason: "ECONNREFUSED" });
+  t.is(client.attempts.length, 2);
+  t.is(taken, 0);
+  client.last.listener.sent();
+  client.last.listener.head(answerHead({ status: 503, isNotRun: true }));
+  t.is(client.attempts.length, 2);
+  t.is(taken, 1);
+  t.true(caller.refusal?.isNotRun);
+});
+
 test("a success without its proof never reaches the caller", (t) => {
   const { caller, client } = start("at_most_once");
   client.last.listener.head(answerHead({ hasProof: false }));
