--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -261,17 +261,28 @@
   readonly atMs: number;
   readonly vm: VmId;
   readonly engine: string;
+  /** The start of the engine's process. */
+  readonly startedAtMs: number;
   readonly requestId: RequestId;
   readonly segments: readonly string[];
 }
 
+/** An answer of an engine that says that it leaves, as it came to a VM. */
+export interface LeavingAnswer {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly engine: string;
+  readonly startedAtMs: number;
+}
+
 interface RunningAttempt {
   readonly vm: VmId;
   readonly listener: AttemptListener;
   isOver: boolean;
 }
 
-interface Engine {
+/** A simulated engine. */
+export interface Engine {
   listed: ListedServer;
   isUp: boolean;
   /** When the prompts that wait are prefilled. */
@@ -312,6 +323,7 @@
   /** Prompts with one of these segments end their engine. */
   readonly deadlySegments = new Set<string>();
   readonly arrivals: Arrival[] = [];
+  readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
   readonly crashAtMs: number[] = [];
   readonly steps: Record<string, unknown>[] = [];
@@ -428,6 +440,7 @@
       readonly id: string;
       readonly isLeaving: boolean;
       readonly reportCount: number;
+      readonly startedAtMs: number;
     };
     const engine = this.#engines.get(id);
     return engine && { ...engine.listed, ...fields };
@@ -443,12 +456,13 @@
 
   /** The engine writes its entry. */
   report(engine: Engine): void {
-    const { id, isLeaving, reportCount } = engine.listed;
+    const { id, isLeaving, reportCount, startedAtMs } = engine.listed;
     engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
     this.store.put("servers", id, {
       id,
       isLeaving,
       reportCount: reportCount + 1,
+      startedAtMs,
     });
   }
 
@@ -600,9 +614,7 @@
     if (!engine.isUp) return;
     engine.isUp = false;
     this.crashAtMs.push(this.time.nowMs);
-    for (const attempt of engine.attempts) {
-      this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
-    }
+    this.#endAttempts(engine);
     const { id, address } = engine.listed;
     this.time.after(RESTART_MS, () => this.#addEngine(address));
     this.time.after(RESTART_MS + 600, () => {
@@ -610,6 +622,26 @@
     });
   }
 
+  #endAttempts(engine: Engine): void {
+    for (const attempt of engine.attempts) {
+      this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
+    }
+  }
+
+  /** The engine starts again under its id; its entry follows its first report. */
+  restart(engine: Engine): void {
+    this.#endAttempts(engine);
+    const { nowMs: startedAtMs } = this.time;
+    const { listed } = engine;
+    engine.listed = {
+      ...listed,
+      startedAtMs,
+      isLeaving: false,
+      reportCount: 0,
+    };
+    engine.saysThatItLeaves = false;
+  }
+
   /** Engines that run, in the order of their start. */
   runningEngines(): Engine[] {
     return [...this.#engines.values()].filter(({ isUp }) => isUp);
@@ -641,6 +673,7 @@
       atMs: this.time.nowMs,
       vm,
       engine: id,
+      startedAtMs: engine.listed.startedAtMs,
       requestId,
       segments,
     });
@@ -672,6 +705,12 @@
     const { attempt, segments } = run;
     if (attempt.isOver) return;
     this.#answer(engine, attempt, () => {
+      if (engine.saysThatItLeaves) {
+        const { id, startedAtMs } = engine.listed;
+        const { vm } = attempt;
+        const atMs = this.time.nowMs;
+        this.leavingAnswers.push({ atMs, vm, engine: id, startedAtMs });
+      }
       attempt.listener.head(this.#head(engine));
     });
     const isDeadly = segments.slice(0, -1).some((id) =>
