Log which process of a server leaves, and who told so

Lines on servers did not name the start of the process, so an entry that names another one could not be told from a change of mind of the same one.

--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -50,6 +50,7 @@
     "composeReport" | "applyReport"
   >;
   nowMs(): number;
+  logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
   reachesStore(): boolean;
   leaseEpoch(): number;
   /** What this daemon forwards for daemons that don't reach their servers. */
@@ -221,7 +222,9 @@
       registry.recordSuspicion(id, { nowMs, roundMs });
     }
     for (const { server, startedAtMs } of message.leaving ?? []) {
-      registry.recordLeaving(server, startedAtMs);
+      if (!registry.recordLeaving(server, startedAtMs)) continue;
+      const told = { server, startedAtMs, toldBy: message.vm };
+      this.#options.logDecision("server_leaving", told);
     }
     for (const { server, perS, ageMs } of message.limits ?? []) {
       const atMs = nowMs - messageAgeMs - ageMs;
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -455,6 +455,7 @@
       tables: this.#tables,
       quarantines: this.#quarantines,
       nowMs: () => this.#nowMs(),
+      logDecision: this.#logDecision,
       reachesStore: () => this.#ports.store.isReachable,
       leaseEpoch: () => this.#weightsRollout.epoch,
       watchedCacheChanges: () => this.#cacheWatch.recentEvents(),
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -93,6 +93,7 @@
     watchedCacheChanges: () => ({}),
     answerAgesMs: () => ({}),
     forwarding: () => ({ reaches: [], open: 0 }),
+    logDecision() {},
     readAgesMs: () => ({}),
   });
   return {
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -103,8 +103,14 @@
     if (server === undefined) return this.#log("malformed_record", record);
     const change = registry.upsert(server);
     if (change === "same") return;
-    const { isLeaving, address } = server;
-    this.#log("server", record, { server: key, change, isLeaving, address });
+    const { isLeaving, address, startedAtMs } = server;
+    this.#log("server", record, {
+      server: key,
+      change,
+      isLeaving,
+      address,
+      startedAtMs,
+    });
   }
 
   #log(
--- a/packages/request-path/src/record_answer.ts
+++ b/packages/request-path/src/record_answer.ts
@@ -35,7 +35,7 @@
   }
   if (isLeaving && registry.recordLeaving(server, startedAtMs)) {
     metrics.count("servers_leaving");
-    log.decision("server_leaving", { server });
+    log.decision("server_leaving", { server, startedAtMs });
   }
   if (quietMs !== undefined) {
     registry.recordQuiet(server, nowMs + quietMs);
