Hold what a server says of its leaving for every process up to then

Requests reached servers seconds after daemons had passed on answers that said that they leave (DRAIN). Cause: the mark belonged to the start that the list named when the request was sent. The process that answered may be a younger one under the same id, or the list may go back to a former one; either way the next entry, "reborn", lifted the mark, and for a former process it could not be set again.

The mark now holds for all processes of the id that started up to the time of the answer, by a wall clock that follows no steps. A process that starts later ends it. Peers are told that time; those of an earlier build go on by the start.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -44,10 +44,13 @@
   readonly ageMs: number;
 }
 
-/** An incarnation of a server that said in an answer that it leaves. */
+/** A server that said that it leaves. */
 export interface LeavingServer {
   readonly server: BackendServerId;
+  /** Start of the process that the sender's list names. */
   readonly startedAtMs: number;
+  /** It holds for all processes that started up to this Unix time. */
+  readonly untilStartMs?: number;
 }
 
 /** The sender's state in the weights rollout. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -106,6 +106,7 @@
   leaving: isOptional(isListOf(hasFields({
     server: isName,
     startedAtMs: isCount,
+    untilStartMs: isOptional(isCount),
   }))),
   forwarding: isOptional(hasFields({
     reaches: isListOf(isName),
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -107,9 +107,9 @@
         perS: perS ?? null,
         ageMs: Math.round(nowMs - atMs),
       })),
-      leaving: registry.saidLeaving().map(({ id, startedAtMs }) => ({
-        server: id,
-        startedAtMs,
+      leaving: registry.saidLeaving().map(({ id: server, ...starts }) => ({
+        server,
+        ...starts,
       })),
       placed: registry.recentPlacements.pending(nowMs),
       kept: this.#options.watchedCacheChanges(),
@@ -221,8 +221,9 @@
     for (const id of message.suspects) {
       registry.recordSuspicion(id, { nowMs, roundMs });
     }
-    for (const { server, startedAtMs } of message.leaving ?? []) {
-      if (!registry.recordLeaving(server, startedAtMs)) continue;
+    for (const leaving of message.leaving ?? []) {
+      const { server, startedAtMs, untilStartMs = startedAtMs } = leaving;
+      if (!registry.recordLeaving(server, untilStartMs)) continue;
       const told = { server, startedAtMs, toldBy: message.vm };
       this.#options.logDecision("server_leaving", told);
     }
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -81,7 +81,7 @@
   readonly #settings: FrontSettings;
   readonly #ports: FrontPorts;
   readonly #incarnation: IncarnationId;
-  readonly #registry = new ServerRegistry();
+  readonly #registry: ServerRegistry;
   readonly #namedWeights = new NamedWeightsRegistry();
   readonly #fleet: FleetState;
   readonly #paths: ServerPaths;
@@ -120,6 +120,9 @@
     );
     ports.log.stateChange("start", { incarnation: this.#incarnation });
     this.#fleet = new FleetState(settings.vm, settings.failureDomain);
+    this.#registry = new ServerRegistry({
+      wallOffsetMs: ports.clock.wallMs() - this.#nowMs(),
+    });
     this.#registry.recentPlacements.setGossipRound(() =>
       this.#fleet.gossipRoundMs
     );
--- a/packages/request-path/src/record_answer.ts
+++ b/packages/request-path/src/record_answer.ts
@@ -33,7 +33,7 @@
   if (registry.recordOwnLimit(server, limitPerS, nowMs)) {
     log.decision("server_limit", { server, limitPerS: limitPerS ?? null });
   }
-  if (isLeaving && registry.recordLeaving(server, startedAtMs)) {
+  if (isLeaving && registry.recordLeavingAnswer(listed, nowMs)) {
     metrics.count("servers_leaving");
     log.decision("server_leaving", { server, startedAtMs });
   }
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -143,10 +143,20 @@
   });
 
   /**
-   * Incarnations that said in an answer that they leave, by their start. Their
-   * entries in the list may come later, or come back from an old state.
+   * Servers that said that they leave, with the start, in Unix milliseconds, up
+   * to which it holds for their processes. The list may name another process
+   * than the one that answered: a former one, or a later one by and by.
    */
-  readonly #leaving = new Map<BackendServerId, number>();
+  readonly #leavingUntilStartMs = new Map<BackendServerId, number>();
+  readonly #wallOffsetMs: number;
+
+  /**
+   * `wallOffsetMs` is the Unix time at 0 of the steady clock. It stays what it
+   * was at the start of the daemon, whatever steps the wall clock makes.
+   */
+  constructor({ wallOffsetMs = 0 } = {}) {
+    this.#wallOffsetMs = wallOffsetMs;
+  }
 
   /** Sets the function that looks up the work of other daemons. */
   setPeerWorkLookup(lookUp: (id: BackendServerId) => ServerWork): void {
@@ -197,31 +207,53 @@
 
   /** Whether the server has said that it leaves, in the list or an answer. */
   isLeaving({ listed }: KnownServer): boolean {
-    return listed.isLeaving ||
-      this.#leaving.get(listed.id) === listed.startedAtMs;
+    return listed.isLeaving || this.#hasSaidLeaving(listed);
   }
 
   /**
-   * Records that an incarnation has said that it leaves. Returns whether that
-   * is news; only a new incarnation ends it.
+   * Records that a server has said in an answer that it leaves. Returns whether
+   * that is news. Only a process that starts later ends it.
    */
-  recordLeaving(id: BackendServerId, startedAtMs: number): boolean {
-    const known = this.#leaving.get(id);
-    if (known !== undefined && known >= startedAtMs) return false;
-    this.#leaving.delete(id);
-    this.#leaving.set(id, startedAtMs);
-    const [oldest] = this.#leaving.keys();
-    if (this.#leaving.size > MAX_LEAVING) this.#leaving.delete(oldest!);
-    return true;
-  }
-
-  /** Listed incarnations that have said in an answer that they leave. */
-  saidLeaving(): { id: BackendServerId; startedAtMs: number }[] {
-    return [...this.#leaving]
-      .filter(([id, startedAtMs]) =>
-        this.#servers.get(id)?.listed.startedAtMs === startedAtMs
-      )
-      .map(([id, startedAtMs]) => ({ id, startedAtMs }));
+  recordLeavingAnswer(
+    { id, startedAtMs }: Pick<ListedServer, "id" | "startedAtMs">,
+    nowMs: number,
+  ): boolean {
+    const untilStartMs = Math.max(startedAtMs, this.#wallOffsetMs + nowMs);
+    return this.recordLeaving(id, Math.round(untilStartMs));
+  }
+
+  /** The same for all processes that started up to the Unix time. */
+  recordLeaving(id: BackendServerId, untilStartMs: number): boolean {
+    const listed = this.#servers.get(id)?.listed;
+    const known = this.#leavingUntilStartMs.get(id);
+    if (known !== undefined && known >= untilStartMs) return false;
+    const isNews = known === undefined ||
+      (listed !== undefined && listed.startedAtMs > known);
+    this.#leavingUntilStartMs.delete(id);
+    this.#leavingUntilStartMs.set(id, untilStartMs);
+    const [oldest] = this.#leavingUntilStartMs.keys();
+    if (this.#leavingUntilStartMs.size > MAX_LEAVING) {
+      this.#leavingUntilStartMs.delete(oldest!);
+    }
+    return isNews;
+  }
+
+  /** Listed servers that have said that they leave, for peers. */
+  saidLeaving(): {
+    readonly id: BackendServerId;
+    readonly startedAtMs: number;
+    readonly untilStartMs: number;
+  }[] {
+    return [...this.#leavingUntilStartMs].flatMap(([id, untilStartMs]) => {
+      const listed = this.#servers.get(id)?.listed;
+      if (listed === undefined || !this.#hasSaidLeaving(listed)) return [];
+      return [{ id, startedAtMs: listed.startedAtMs, untilStartMs }];
+    });
+  }
+
+  #hasSaidLeaving({ id, startedAtMs }: ListedServer): boolean {
+    const untilStartMs = this.#leavingUntilStartMs.get(id);
+    return untilStartMs !== undefined && startedAtMs <= untilStartMs;
   }
 
   all(): Iterable<KnownServer> {
