Keep the list's word that a process leaves

Requests reached a server again when an earlier report of the same process was listed after the one that said that it leaves (DRAIN). Cause: the list's word lasted until its next entry, and only for 6 s after a restore are entries ordered by what they say. A process that leaves doesn't come back, so its word is now kept as one of its answers is; a process that starts later ends it.

The case "listed as ready again" of drained_servers_test failed before. Engines of the simulated fleet no longer start at 0, which means an unknown start.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -596,7 +596,7 @@
         isLeaving: false,
         slots: 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
-        startedAtMs: this.time.nowMs,
+        startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
       },
       isUp: true,
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -165,6 +165,10 @@
 
   /** Adds or updates an entry of the list. Returns the change, for the log. */
   upsert(listed: ListedServer): "new" | "reborn" | "changed" | "same" {
+    const { id, isLeaving, startedAtMs } = listed;
+    // A process that leaves doesn't come back, whatever is listed later. A start
+    // of 0 is unknown and may be that of several processes.
+    if (isLeaving && startedAtMs > 0) this.recordLeaving(id, startedAtMs);
     const known = this.#servers.get(listed.id);
     if (known === undefined) {
       this.#servers.set(listed.id, newServer(listed));
