Use removed servers only while the store may have lost their entries

Cause: with no listed server, removed ones were used for 1.5 s from when the daemon learned of it, which is up to a second later, and more when readers of the list have ended. That use is meant for entries that lapse in an outage; otherwise a removed server is gone.

A removal now says whether the store was away within the last 3 s, and only then is the server used further.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -75,6 +75,11 @@
 const REGISTER_RETRY_DELAY_MS = 1_000;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 const PRUNE_INTERVAL_MS = 5_000;
+/**
+ * Time after the return of the store in which its list may lack servers that
+ * live; the users take the store as stable from then on.
+ */
+const STORE_RECOVERY_MS = 3_000;
 
 /** The daemon, assembled from its settings and ports. */
 export class FrontDaemon {
@@ -110,6 +115,8 @@
    */
   readonly #unmergedTopics: Set<string>;
   #drainingSinceMs: number | undefined;
+  /** When this daemon last found the store away, or back. */
+  #storeAwayAtMs = Number.NEGATIVE_INFINITY;
   #nextServerPullMs = Number.NEGATIVE_INFINITY;
 
   constructor(settings: FrontSettings, ports: FrontPorts) {
@@ -360,6 +367,7 @@
       registry: this.#registry,
       named: this.#namedWeights,
       nowMs: () => this.#nowMs(),
+      wasStoreAway: () => this.#wasStoreAway(),
       applyLimits: (limits) => this.#listener.applyLimits(limits),
       logDecision: this.#logDecision,
     });
@@ -410,12 +418,24 @@
         }
       },
       restored: () => this.#noteRestore(topic),
-      lost: (reason) => log.stateChange("store_lost", { topic, reason }),
-      regained: () => log.stateChange("store_regained", { topic }),
+      lost: (reason) => {
+        this.#storeAwayAtMs = this.#nowMs();
+        log.stateChange("store_lost", { topic, reason });
+      },
+      regained: () => {
+        this.#storeAwayAtMs = this.#nowMs();
+        log.stateChange("store_regained", { topic });
+      },
     });
   }
 
+  #wasStoreAway(): boolean {
+    return !this.#ports.store.isReachable ||
+      this.#nowMs() - this.#storeAwayAtMs < STORE_RECOVERY_MS;
+  }
+
   #noteRestore(topic: string): void {
+    this.#storeAwayAtMs = this.#nowMs();
     this.#unmergedTopics.add(topic);
     this.#ports.log.stateChange("store_restored", { topic });
     // The copy may lack this daemon, and daemons that start now list it.
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -194,6 +194,7 @@
     named: new NamedWeightsRegistry(),
     nowMs: () => 0,
     applyLimits: () => t.fail("An older configuration changed the limits"),
+    wasStoreAway: () => false,
     logDecision: (step) => steps.push(step),
   });
   const value = Buffer.from("{");
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -23,6 +23,8 @@
   readonly registry: ServerRegistry;
   readonly named: NamedWeightsRegistry;
   nowMs(): number;
+  /** Whether the store is away, or was until some seconds ago. */
+  wasStoreAway(): boolean;
   applyLimits(limits: CallerLimits): void;
   logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
 }
@@ -96,8 +98,11 @@
     const { registry, store, nowMs } = this.#options;
     const { key, value } = record;
     if (value === undefined) {
-      registry.remove(brandId<BackendServerId>(key), nowMs());
-      return this.#log("server", record, { server: key, change: "removed" });
+      const mayBeBack = this.#options.wasStoreAway();
+      const id = brandId<BackendServerId>(key);
+      registry.remove(id, { nowMs: nowMs(), mayBeBack });
+      const change = "removed";
+      return this.#log("server", record, { server: key, change, mayBeBack });
     }
     const server = store.readServer(record);
     if (server === undefined) return this.#log("malformed_record", record);
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -140,7 +140,7 @@
 test("a server that is leaving gets no new requests", (t) => {
   const context = testContext();
   context.registry.upsert(listedServer("one", { isLeaving: true }));
-  context.registry.remove(brandId("second"), 1_000);
+  context.registry.remove(brandId("second"), { nowMs: 1_000, mayBeBack: true });
   const at = { ...context, exclude: NONE, hasBegun: false };
   // Its entry may have lapsed in a store outage, so it stays usable briefly.
   t.is(
--- a/packages/request-path/src/server_end_check_test.ts
+++ b/packages/request-path/src/server_end_check_test.ts
@@ -81,6 +81,6 @@
   const { check, registry, time } = createCheck("unknown");
   const server = listedServer("one");
   const result = check.hasEnded(server);
-  registry.remove(server.id, 1_000);
+  registry.remove(server.id, { nowMs: 1_000, mayBeBack: true });
   t.true(await settle(time, result));
 });
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -24,9 +24,9 @@
 import type { ListedServer, WeightsVersion } from "./types.ts";
 
 /**
- * How long a server stays usable after its entry was removed, if its service
- * has no listed server. Entries that lapsed in a store outage come back within
- * 2,000 ms, and the shortest limit on the use of leaving servers is 2,000 ms.
+ * How long a server stays usable after its entry lapsed in a store outage, if
+ * its service has no listed server. Such entries come back within 2,000 ms, and
+ * the shortest limit on the use of leaving servers is 2,000 ms.
  */
 const REMOVED_USE_MS = 1_500;
 /** Time for which a server is avoided after a failure; doubles each time. */
@@ -90,6 +90,8 @@
   /** Weights learned from orders or answers, newer than the listed ones. */
   readonly knownWeights: Map<ModelName, WeightsVersion>;
   removedAtMs: number | undefined;
+  /** Whether the removed entry may have lapsed in an outage of the store. */
+  mayBeBack: boolean;
   avoidUntilMs: number;
   /** Until when this daemon itself regards the server as silent. */
   silentUntilMs: number;
@@ -188,10 +190,18 @@
     return isSame ? "same" : "changed";
   }
 
-  /** Records that the entry has been removed from the list. */
-  remove(id: BackendServerId, nowMs: number): void {
+  /**
+   * Records that the entry has been removed from the list. It may be back soon
+   * when it has lapsed in an outage of the store; otherwise the server is gone.
+   */
+  remove(
+    id: BackendServerId,
+    at: { readonly nowMs: number; readonly mayBeBack: boolean },
+  ): void {
     const known = this.#servers.get(id);
-    if (known !== undefined) known.removedAtMs ??= nowMs;
+    if (known === undefined || known.removedAtMs !== undefined) return;
+    known.removedAtMs = at.nowMs;
+    known.mayBeBack = at.mayBeBack;
   }
 
   /** Forgets servers whose entries were removed a while ago. */
@@ -302,8 +312,9 @@
       removedAtMs === undefined
     );
     if (listed.length > 0) return listed;
-    return ofService.filter(({ removedAtMs }) =>
-      removedAtMs !== undefined && nowMs - removedAtMs < REMOVED_USE_MS
+    return ofService.filter(({ removedAtMs, mayBeBack }) =>
+      mayBeBack && removedAtMs !== undefined &&
+      nowMs - removedAtMs < REMOVED_USE_MS
     );
   }
 
@@ -548,6 +559,7 @@
     parts: new CachedSegments(),
     knownWeights: new Map(),
     removedAtMs: undefined,
+    mayBeBack: false,
     avoidUntilMs: 0,
     silentUntilMs: 0,
     failureStreak: 0,
--- a/packages/request-path/src/stalled_answers_test.ts
+++ b/packages/request-path/src/stalled_answers_test.ts
@@ -147,7 +147,7 @@
     const { client, registry, time } = context;
     const { id } = client.last.order.server;
     client.last.listener.sent();
-    registry.remove(id, time.nowMs);
+    registry.remove(id, { nowMs: time.nowMs, mayBeBack: true });
     registry.recordSuspicion(id, { nowMs: time.nowMs, roundMs: 200 });
     time.advance(2_500);
     registry.prune(time.nowMs);
@@ -164,10 +164,20 @@
 
 test("entries that lapsed with the store away serve until they are back", (t) => {
   const { registry } = testContext();
-  for (const { listed } of [...registry.all()]) registry.remove(listed.id, 0);
+  for (const { listed } of [...registry.all()]) {
+    registry.remove(listed.id, { nowMs: 0, mayBeBack: true });
+  }
   const service = routedRequest("stream").service;
   t.is(registry.usable(service, 1_000).length, 2);
   t.is(registry.usable(service, 2_000).length, 0, "still missing means gone");
   registry.upsert(listedServer("one"));
   t.is(registry.usable(service, 2_000).length, 1);
 });
+
+test("servers whose entries were removed while the store was there are gone at once", (t) => {
+  const { registry } = testContext();
+  for (const { listed } of [...registry.all()]) {
+    registry.remove(listed.id, { nowMs: 0, mayBeBack: false });
+  }
+  t.deepEqual(registry.usable(routedRequest("stream").service, 1), []);
+});
