--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -33,6 +33,7 @@
   RouteName,
   WeightsVersion,
 } from "@endivebend/request-path";
+import { isRepeatable } from "@endivebend/request-path";
 import {
   type BackendServerId,
   brandId,
@@ -265,6 +266,7 @@
   readonly startedAtMs: number;
   readonly requestId: RequestId;
   readonly segments: readonly string[];
+  readonly body: string;
 }
 
 /** An answer of an engine that says that it leaves, as it came to a VM. */
@@ -302,6 +304,7 @@
   readonly sentAtMs: number;
   readonly daemon: number;
   readonly segments: readonly string[];
+  readonly body: string;
   begunAtMs: number | undefined;
   hasEnded: boolean;
   isCut: boolean;
@@ -314,6 +317,8 @@
   readonly daemons: number;
   readonly engines: number;
   readonly kind?: RequestKind;
+  /** Whether calls have no prompt; streams always have one. */
+  readonly isPlain?: boolean;
 }
 
 /** Daemons, engines, store and callers in one virtual time. */
@@ -322,6 +327,11 @@
   readonly store = new FakeStore(this.time);
   /** Prompts with one of these segments end their engine. */
   readonly deadlySegments = new Set<string>();
+  /** Requests with one of these bodies end their engine. */
+  readonly deadlyBodies = new Set<string>();
+  /** Crashes by a request with a deadly body. */
+  readonly deadlyCrashes: { readonly atMs: number; readonly body: string }[] =
+    [];
   readonly arrivals: Arrival[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
@@ -378,7 +388,7 @@
         timeoutMs: 6_000,
         targetMs: 800,
         maxGapMs: 400,
-        maxAttempts: kind === "resumable_stream" ? 2 : 1,
+        maxAttempts: isRepeatable(kind) ? 2 : 1,
         urgency: 1,
         allowsAnonymous: true,
         destinations: [{ service: SERVICE, weight: 1 }],
@@ -396,18 +406,32 @@
     };
   }
 
+  /** Whether the requests are prompts of a model, not plain calls. */
+  get isModel(): boolean {
+    const { kind = "resumable_stream" } = this.#options;
+    return this.#options.isPlain !== true || kind.endsWith("stream");
+  }
+
   get daemonCount(): number {
     return this.#daemons.length;
   }
 
-  /** Sends a request with these shared segments and one of its own. */
-  send(daemon: number, segments: readonly string[]): Outcome {
+  /**
+   * Sends a request with these shared segments and one of its own. Requests
+   * with the same body are the same for the platform.
+   */
+  send(
+    daemon: number,
+    segments: readonly string[],
+    { body }: { readonly body?: string } = {},
+  ): Outcome {
     const requestId = brandId<RequestId>(`q-${++this.#nextRequest}`);
     const outcome: Outcome = {
       requestId,
       sentAtMs: this.time.nowMs,
       daemon,
       segments,
+      body: body ?? requestId,
       begunAtMs: undefined,
       hasEnded: false,
       isCut: false,
@@ -662,6 +686,7 @@
     }
     const segments = order.request.work?.prompt.map(({ id }) => id) ?? [];
     const { requestId } = order.request;
+    const body = String(order.request.message);
     const { id } = engine.listed;
     if (order.server.id !== id) {
       attempt.isOver = true;
@@ -676,6 +701,7 @@
       startedAtMs: engine.listed.startedAtMs,
       requestId,
       segments,
+      body,
     });
     listener.sent();
     if (engine.asksForQuietMs !== undefined) {
@@ -692,7 +718,10 @@
     engine.prefilledAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs) +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
-    this.time.after(delayMs, () => this.#begin(engine, { attempt, segments }));
+    this.time.after(
+      delayMs,
+      () => this.#begin(engine, { attempt, segments, body }),
+    );
   }
 
   #begin(
@@ -700,10 +729,21 @@
     run: {
       readonly attempt: RunningAttempt;
       readonly segments: readonly string[];
+      readonly body: string;
     },
   ): void {
-    const { attempt, segments } = run;
+    const { attempt, segments, body } = run;
     if (attempt.isOver) return;
+    const isDeadlyBody = this.deadlyBodies.has(body);
+    if (isDeadlyBody) {
+      this.time.after(CRASH_DELAY_MS, () => {
+        if (!engine.isUp) return;
+        this.deadlyCrashes.push({ atMs: this.time.nowMs, body });
+        this.crash(engine);
+      });
+      // A plain call is answered at its end.
+      if (!this.isModel) return;
+    }
     this.#answer(engine, attempt, () => {
       if (engine.saysThatItLeaves) {
         const { id, startedAtMs } = engine.listed;
@@ -716,6 +756,7 @@
     const isDeadly = segments.slice(0, -1).some((id) =>
       this.deadlySegments.has(id)
     );
+    if (isDeadlyBody) return;
     if (isDeadly) {
       this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
       return;
@@ -857,16 +898,18 @@
     const opened = admission.open({
       ...admitted,
       requestId: outcome.requestId,
-      work: {
-        model: MODEL,
-        promptTokens: 100 * (outcome.segments.length + 1),
-        maxOutputTokens: 48,
-        prompt: promptOf(outcome),
-      },
+      work: this.#world.isModel
+        ? {
+          model: MODEL,
+          promptTokens: 100 * (outcome.segments.length + 1),
+          maxOutputTokens: 48,
+          prompt: promptOf(outcome),
+        }
+        : undefined,
       deadlineMs: nowMs + 6_000,
       timeoutAtMs: nowMs + 6_000,
       resumeAfter: undefined,
-      message: undefined,
+      message: outcome.body,
     }, this.#sink(outcome));
     if (opened.kind === "over_limit") outcome.isOverLimit = true;
     else opened.run.start();
