Log the digest of a request whose attempt breaks off

Attempts of one request at two VMs could not be told from attempts of two. A digest of path, caller and body now names what is the same; it holds no text.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -29,6 +29,7 @@
   PromptSegment,
   PromptSegmentId,
   Refusal,
+  RequestDigest,
   RequestKind,
   RouteName,
   WeightsVersion,
@@ -866,10 +867,11 @@
 
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
-    const { requestId, work } = order.request;
+    const { requestId, digest, work } = order.request;
     const { deadlineMs, server } = order;
     return this.#forwardedRuns?.open({
       requestId,
+      digest,
       server,
       work,
       deadlineMs,
@@ -898,6 +900,7 @@
     const opened = admission.open({
       ...admitted,
       requestId: outcome.requestId,
+      digest: brandId<RequestDigest>(outcome.body),
       work: this.#world.isModel
         ? {
           model: MODEL,
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -24,9 +24,11 @@
   type BackendServerId,
   brandId,
   type RequestId,
+  type TeamId,
 } from "@endivebend/types";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { parseWork, readBody, singleHeader } from "./incoming_request.ts";
+import { digestRequest } from "./request_digest.ts";
 import type { ClientMessage, ServerMessage } from "./server_client.ts";
 import { filterHeaders, HEADERS } from "./wire_names.ts";
 
@@ -97,10 +99,17 @@
     rawHeaders: request.rawHeaders,
     body,
   };
+  const team = singleHeader(request, HEADERS.team);
   const run = context.runs.open({
     requestId: brandId<RequestId>(
       singleHeader(request, HEADERS.requestId) ?? "",
     ),
+    digest: digestRequest({
+      method: message.method,
+      target: message.target,
+      team: team === undefined ? undefined : brandId<TeamId>(team),
+      body,
+    }),
     server: { id: brandId<BackendServerId>(id), address },
     work: parseWork(request),
     deadlineMs: receivedAtMs + timeLeftMs,
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -38,6 +38,7 @@
   type ClientMessage,
   type ServerMessage,
 } from "./server_client.ts";
+import { digestRequest } from "./request_digest.ts";
 import type { Endpoint } from "./settings.ts";
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
@@ -264,6 +265,12 @@
     requestId: brandId<RequestId>(
       singleHeader(request, HEADERS.requestId) ?? "",
     ),
+    digest: digestRequest({
+      method: message.method,
+      target: message.target,
+      team: admission.team?.id,
+      body: message.body,
+    }),
     route: admission.route,
     service: admission.service,
     team: admission.team,
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -16,6 +16,7 @@
   type AttemptFailure,
   type AttemptOrder,
   type CacheScope,
+  type RequestDigest,
   type RoutedRequest,
   type RouteName,
   type ServerClient,
@@ -76,6 +77,7 @@
   };
   return {
     requestId: brandId<RequestId>("a1"),
+    digest: brandId<RequestDigest>("d1"),
     route: {
       name: brandId<RouteName>("r"),
       host: "bells.example",
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -13,7 +13,7 @@
   ServiceName,
 } from "@endivebend/types";
 import type { CachePlan } from "./placement.ts";
-import type { ModelWork, RoutedRequest } from "./types.ts";
+import type { ModelWork, RequestDigest, RoutedRequest } from "./types.ts";
 
 export type { Forwarder, ListenState } from "@endivebend/forwarding";
 
@@ -42,6 +42,7 @@
 /** A request of another VM that is forwarded to a server. */
 export interface ForwardOrder {
   readonly requestId: RequestId;
+  readonly digest: RequestDigest;
   readonly server: {
     readonly id: BackendServerId;
     readonly address: string;
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -473,6 +473,7 @@
       afterMs: Math.round(this.#nowMs() - attempt.startedAtMs),
       hasHead: attempt.headAtMs !== undefined,
       hasBegun: this.#relay.hasBegun,
+      digest: this.#request.digest,
       segments: this.#request.work?.prompt.map(({ id }) => id),
     });
     this.#context.metrics.count("broken_attempts", {
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -35,6 +35,7 @@
 import type {
   ListedServer,
   PromptSegmentId,
+  RequestDigest,
   RequestKind,
   Route,
   RoutedRequest,
@@ -133,6 +134,7 @@
   const isModel = kind === "stream" || kind === "resumable_stream";
   return {
     requestId: brandId<RequestId>("q-1"),
+    digest: brandId<RequestDigest>(fields.requestId ?? "q-1"),
     route: route(kind),
     service: SERVICE,
     team: undefined,
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -15,6 +15,11 @@
   TeamId,
 } from "@endivebend/types";
 
+/**
+ * What tells that two requests, of whatever attempt or VM, are the same: a
+ * digest of path, caller and body.
+ */
+export type RequestDigest = Branded<string, "RequestDigest">;
 /** The id of a prompt segment; requests with the same segment can share it. */
 export type PromptSegmentId = Branded<string, "PromptPartId">;
 /** Requests share cached prompt segments only within one scope. */
@@ -135,6 +140,7 @@
 /** One request of a caller with its route, service and team. */
 export interface RoutedRequest {
   readonly requestId: RequestId;
+  readonly digest: RequestDigest;
   readonly route: Route;
   readonly service: ServiceName;
   readonly team: TeamRules | undefined;
