Keep whole requests that crash servers away from them

Cause: only shared prompt segments were suspects, and only where the answer had begun; and a deadly stream took sound ones on its segments with it.

A digest of path, caller and body is now a suspect beside the segments, in the same evidence, gossip, records, terms and trials, also where the server ended before a head. The narrowest suspect of the same crashes is convicted.

--- a/packages/front/src/quarantine_keeper.ts
+++ b/packages/front/src/quarantine_keeper.ts
@@ -24,7 +24,7 @@
   PromptQuarantine,
   type Quarantine,
   type QuarantineChange,
-  type SegmentOfModel,
+  type SuspectKey,
 } from "@endivebend/quarantine";
 import { CrashGuard, type ServerEndCheck } from "@endivebend/request-path";
 import { rankByRendezvous } from "@endivebend/routing";
@@ -56,7 +56,7 @@
   readonly #evidence = new CrashEvidence();
   readonly #quarantine: PromptQuarantine;
   /** Strikes of the newest stored record of each segment. */
-  readonly #storedStrikes = new Map<SegmentOfModel, number>();
+  readonly #storedStrikes = new Map<SuspectKey, number>();
   #isStoring = false;
   #cancelTick = () => {};
 
@@ -116,7 +116,7 @@
     for (const { key, value } of records) {
       const record = value && decodeQuarantine(value);
       if (record === undefined) continue;
-      this.#storedStrikes.set(key as SegmentOfModel, record.strikes);
+      this.#storedStrikes.set(key as SuspectKey, record.strikes);
     }
   }
 
@@ -125,7 +125,7 @@
     const nowMs = this.#nowMs();
     const wallMs = this.#options.clock.wallMs();
     for (const { key: name, value, position } of records) {
-      const key = name as SegmentOfModel;
+      const key = name as SuspectKey;
       const record = value && decodeQuarantine(value);
       if (record !== undefined) {
         this.#storedStrikes.set(key, record.strikes);
@@ -148,7 +148,7 @@
   }
 
   /** One daemon tries and stores a segment; two for a moment do no harm. */
-  #isFirstFor(key: SegmentOfModel): boolean {
+  #isFirstFor(key: SuspectKey): boolean {
     const { self, peers } = this.#options;
     return rankByRendezvous(key, [self, ...peers()])[0] === self;
   }
@@ -180,7 +180,7 @@
 
   /** Stores a quarantine, or removes its record when it was released. */
   async #put(
-    key: SegmentOfModel,
+    key: SuspectKey,
     quarantine: Quarantine | undefined,
   ): Promise<void> {
     const { clock, store, log } = this.#options;
--- a/packages/quarantine/src/crash_evidence.ts
+++ b/packages/quarantine/src/crash_evidence.ts
@@ -14,7 +14,7 @@
   findCrashCauses,
   type Suspect,
 } from "./find_crash_causes.ts";
-import type { SegmentOfModel } from "./segment_of_model.ts";
+import { isWholeRequest, type SuspectKey } from "./suspect_key.ts";
 
 /** What one daemon has seen of a crash, for its peers. */
 export interface CrashReport {
@@ -25,13 +25,13 @@
   readonly ageMs: number;
   /** Segment and its position, for each request that may be the cause. */
   readonly suspects: readonly (readonly [
-    key: SegmentOfModel,
+    key: SuspectKey,
     depth: number,
   ])[];
 }
 
 /** Milliseconds since an answer to a prompt with the segment began. */
-export type AnswerAges = Readonly<Record<SegmentOfModel, number>>;
+export type AnswerAges = Readonly<Record<SuspectKey, number>>;
 
 /** Crashes further apart than this are not seen as related. */
 const EVIDENCE_TTL_MS = 600_000;
@@ -42,9 +42,14 @@
 const REPORT_TTL_MS = 30_000;
 /** Bounds on what a gossip message tells, newest first. */
 const MAX_REPORTS = 16;
-const MAX_REPORTED_SUSPECTS = 12;
+const MAX_REPORTED_SEGMENTS = 12;
+/** An engine of 128 slots has 16 requests of each of 8 daemons. */
+const MAX_REPORTED_REQUESTS = 16;
 const MAX_ANSWER_AGES = 64;
-/** Segments whose newest answer is remembered; 20 a second for a few minutes. */
+/**
+ * Segments, and requests, whose newest answer is remembered; 20 a second for a
+ * few minutes.
+ */
 const MAX_ANSWERED = 8_192;
 /** Crashes that are remembered, newest first. */
 const MAX_CRASHES = 256;
@@ -86,7 +91,7 @@
   }
 
   /** Records that an answer began at the time given and went on. */
-  recordAnswered(keys: readonly SegmentOfModel[], beganAtMs: number): void {
+  recordAnswered(keys: readonly SuspectKey[], beganAtMs: number): void {
     for (const key of keys) {
       this.#answers.set(key, beganAtMs);
       this.#ownAnswers.set(key, beganAtMs);
@@ -116,7 +121,7 @@
       hasNew ||= crash.suspects.length > before;
     }
     for (const [name, ageMs] of Object.entries(told.answeredAgesMs)) {
-      const key = name as SegmentOfModel;
+      const key = name as SuspectKey;
       const knownAtMs = this.#answers.get(key) ?? Number.NEGATIVE_INFINITY;
       this.#answers.set(key, nowMs - ageMs);
       hasNew ||= nowMs - ageMs - knownAtMs > MIN_NEWER_MS;
@@ -144,9 +149,15 @@
   #mostSuspect(suspects: readonly Suspect[]): Suspect[] {
     const wasAnswered = ({ key }: Suspect) =>
       Number(this.#answers.get(key) !== undefined);
-    return suspects
-      .toSorted((a, b) => wasAnswered(a) - wasAnswered(b) || b.depth - a.depth)
-      .slice(0, MAX_REPORTED_SUSPECTS);
+    const sorted = suspects.toSorted((a, b) =>
+      wasAnswered(a) - wasAnswered(b) || b.depth - a.depth
+    );
+    const requests = sorted.filter(({ key }) => isWholeRequest(key));
+    const segments = sorted.filter(({ key }) => !isWholeRequest(key));
+    return [
+      ...segments.slice(0, MAX_REPORTED_SEGMENTS),
+      ...requests.slice(0, MAX_REPORTED_REQUESTS),
+    ];
   }
 
   /**
@@ -168,7 +179,7 @@
     return Object.fromEntries(newest);
   }
 
-  answeredAtMs(key: SegmentOfModel): number | undefined {
+  answeredAtMs(key: SuspectKey): number | undefined {
     return this.#answers.get(key);
   }
 
@@ -176,7 +187,7 @@
   findCauses(
     isKnownCause: CrashHistory["isKnownCause"],
     nowMs: number,
-  ): SegmentOfModel[] {
+  ): SuspectKey[] {
     this.#dropOld(nowMs);
     const causes = findCrashCauses(this.#history(isKnownCause));
     // Stays so when the cause is released, as others were not at fault.
@@ -189,7 +200,7 @@
   }
 
   /** Crashes with the segment after the time and since its newest answer. */
-  incidentsSince(key: SegmentOfModel, sinceMs: number): number {
+  incidentsSince(key: SuspectKey, sinceMs: number): number {
     const history = this.#history(() => false);
     const crashes = history.crashes.filter(({ atMs }) => atMs > sinceMs);
     return countIncidents(key, { ...history, crashes });
@@ -237,21 +248,28 @@
   }
 }
 
-/** When segments were last answered, least recently answered first. */
+/** When segments and requests were last answered. */
 class AnswerTimes {
-  readonly #atMs = new Map<SegmentOfModel, number>();
+  /** Least recently answered first; requests don't displace segments. */
+  readonly #segmentAtMs = new Map<SuspectKey, number>();
+  readonly #requestAtMs = new Map<SuspectKey, number>();
+
+  get(key: SuspectKey): number | undefined {
+    return this.#timesFor(key).get(key);
+  }
 
-  get(key: SegmentOfModel): number | undefined {
-    return this.#atMs.get(key);
+  set(key: SuspectKey, atMs: number): void {
+    const times = this.#timesFor(key);
+    const known = times.get(key) ?? Number.NEGATIVE_INFINITY;
+    times.delete(key);
+    times.set(key, Math.max(known, atMs));
+    if (times.size <= MAX_ANSWERED) return;
+    const [oldest] = times.keys();
+    times.delete(oldest!);
   }
 
-  set(key: SegmentOfModel, atMs: number): void {
-    const known = this.#atMs.get(key) ?? Number.NEGATIVE_INFINITY;
-    this.#atMs.delete(key);
-    this.#atMs.set(key, Math.max(known, atMs));
-    if (this.#atMs.size <= MAX_ANSWERED) return;
-    const [oldest] = this.#atMs.keys();
-    this.#atMs.delete(oldest!);
+  #timesFor(key: SuspectKey): Map<SuspectKey, number> {
+    return isWholeRequest(key) ? this.#requestAtMs : this.#segmentAtMs;
   }
 }
 
--- a/packages/quarantine/src/find_crash_causes.ts
+++ b/packages/quarantine/src/find_crash_causes.ts
@@ -6,12 +6,15 @@
  * @module
  */
 
-import type { SegmentOfModel } from "./segment_of_model.ts";
+import type { SuspectKey } from "./suspect_key.ts";
 
-/** A segment of a request whose answer had just begun when its engine ended. */
+/** What may have ended an engine: a request that ran there, or its segments. */
 export interface Suspect {
-  readonly key: SegmentOfModel;
-  /** Position in the prompt, from 0. */
+  readonly key: SuspectKey;
+  /**
+   * Position in the prompt, from 0. A whole request whose answer had begun comes
+   * after its segments.
+   */
   readonly depth: number;
 }
 
@@ -27,9 +30,9 @@
 export interface CrashHistory {
   readonly crashes: readonly Crash[];
   /** When the newest answer to a prompt with the segment began and went on. */
-  readonly answeredAtMs: (key: SegmentOfModel) => number | undefined;
+  readonly answeredAtMs: (key: SuspectKey) => number | undefined;
   /** Segments that are known to crash engines; they explain their crashes. */
-  readonly isKnownCause: (key: SegmentOfModel) => boolean;
+  readonly isKnownCause: (key: SuspectKey) => boolean;
 }
 
 /**
@@ -62,15 +65,16 @@
  * no answer after the first of them. For one that was never answered a single
  * crash without an explanation is enough. Of segments with the same
  * crashes, the one that was never answered is convicted, else the one deepest
- * in its prompts, as fewer requests share it.
+ * in its prompts, as fewer requests share it; the whole request comes last, so
+ * that sound requests with the same segments go on.
  *
  * @example
  * ```ts
  * for (const key of findCrashCauses(history)) quarantine(key);
  * ```
  */
-export function findCrashCauses(history: CrashHistory): SegmentOfModel[] {
-  const causes: SegmentOfModel[] = [];
+export function findCrashCauses(history: CrashHistory): SuspectKey[] {
+  const causes: SuspectKey[] = [];
   for (;;) {
     const [worst] = listCandidates({
       ...history,
@@ -86,7 +90,7 @@
  * ended at once count as one.
  */
 export function countIncidents(
-  key: SegmentOfModel,
+  key: SuspectKey,
   { crashes, answeredAtMs }: Pick<CrashHistory, "crashes" | "answeredAtMs">,
 ): number {
   const sinceMs = answeredAtMs(key) ?? Number.NEGATIVE_INFINITY;
@@ -111,7 +115,7 @@
 
 function listCandidates(history: CrashHistory): Candidate[] {
   const { crashes, answeredAtMs, isKnownCause } = history;
-  const found = new Map<SegmentOfModel, Appearances>();
+  const found = new Map<SuspectKey, Appearances>();
   for (const { atMs, isExplained, suspects } of crashes) {
     const isOpen = !isExplained &&
       !suspects.some(({ key }) => isKnownCause(key));
--- a/packages/quarantine/src/find_crash_causes_test.ts
+++ b/packages/quarantine/src/find_crash_causes_test.ts
@@ -6,13 +6,13 @@
   type Crash,
   type CrashHistory,
   findCrashCauses,
-  type SegmentOfModel,
   segmentOfModel,
+  type SuspectKey,
 } from "./mod.ts";
 
 const MODEL = brandId<ModelName>("m");
 
-function key(id: string): SegmentOfModel {
+function key(id: string): SuspectKey {
   return segmentOfModel(MODEL, id);
 }
 
--- a/packages/quarantine/src/mod.ts
+++ b/packages/quarantine/src/mod.ts
@@ -17,5 +17,5 @@
 } from "./prompt_quarantine.ts";
 export { decodeQuarantine, encodeQuarantine } from "./quarantine_record.ts";
 export type { QuarantineRecord } from "./quarantine_record.ts";
-export { segmentOfModel } from "./segment_of_model.ts";
-export type { SegmentOfModel } from "./segment_of_model.ts";
+export { isWholeRequest, segmentOfModel, wholeRequest } from "./suspect_key.ts";
+export type { SuspectKey } from "./suspect_key.ts";
--- a/packages/quarantine/src/prompt_quarantine.ts
+++ b/packages/quarantine/src/prompt_quarantine.ts
@@ -9,11 +9,11 @@
 import type { CrashEvidence } from "./crash_evidence.ts";
 import { MIN_INCIDENTS } from "./find_crash_causes.ts";
 import type { QuarantineRecord } from "./quarantine_record.ts";
-import type { SegmentOfModel } from "./segment_of_model.ts";
+import type { SuspectKey } from "./suspect_key.ts";
 
 /** The quarantine of one segment. */
 export interface Quarantine {
-  readonly key: SegmentOfModel;
+  readonly key: SuspectKey;
   readonly strikes: number;
   /** End of the term, on the steady clock. */
   readonly untilMs: number;
@@ -23,23 +23,23 @@
 export type PromptAdmission =
   | { readonly kind: "admitted" }
   /** The prompt tries a segment whose term has ended. */
-  | { readonly kind: "trial"; readonly key: SegmentOfModel }
+  | { readonly kind: "trial"; readonly key: SuspectKey }
   | {
     readonly kind: "blocked";
-    readonly key: SegmentOfModel;
+    readonly key: SuspectKey;
     readonly untilMs: number;
   };
 
 /** A segment that was quarantined or released. */
 export type QuarantineChange =
   | ({ readonly kind: "quarantined" } & Quarantine)
-  | { readonly kind: "released"; readonly key: SegmentOfModel };
+  | { readonly kind: "released"; readonly key: SuspectKey };
 
 /** Dependencies of the quarantine. */
 export interface PromptQuarantineOptions {
   readonly evidence: CrashEvidence;
   /** Whether this daemon tries the segment for the fleet. */
-  mayTry(key: SegmentOfModel): boolean;
+  mayTry(key: SuspectKey): boolean;
   changed(change: QuarantineChange): void;
 }
 
@@ -58,7 +58,7 @@
 /** The quarantined segments as this daemon knows them. */
 export class PromptQuarantine {
   readonly #options: PromptQuarantineOptions;
-  readonly #entries = new Map<SegmentOfModel, Entry>();
+  readonly #entries = new Map<SuspectKey, Entry>();
 
   constructor(options: PromptQuarantineOptions) {
     this.#options = options;
@@ -78,7 +78,7 @@
    * const admission = quarantine.admit(keys, nowMs);
    * ```
    */
-  admit(keys: readonly SegmentOfModel[], nowMs: number): PromptAdmission {
+  admit(keys: readonly SuspectKey[], nowMs: number): PromptAdmission {
     const blocked = this.findBlocked(keys, nowMs);
     if (blocked === undefined) return { kind: "admitted" };
     const entry = this.#entries.get(blocked.key)!;
@@ -94,9 +94,9 @@
 
   /** The quarantine that keeps the segments from engines, if there is one. */
   findBlocked(
-    keys: readonly SegmentOfModel[],
+    keys: readonly SuspectKey[],
     nowMs: number,
-  ): { readonly key: SegmentOfModel; readonly untilMs: number } | undefined {
+  ): { readonly key: SuspectKey; readonly untilMs: number } | undefined {
     if (this.#entries.size === 0) return undefined;
     for (const key of keys) {
       const entry = this.#entries.get(key);
@@ -108,7 +108,7 @@
   }
 
   /** Whether one more crash with one of the segments would convict it. */
-  isSuspected(keys: readonly SegmentOfModel[]): boolean {
+  isSuspected(keys: readonly SuspectKey[]): boolean {
     const { evidence } = this.#options;
     return keys.some((key) =>
       evidence.incidentsSince(key, -Infinity) >= MIN_INCIDENTS - 1
@@ -132,7 +132,7 @@
 
   /** Applies a stored quarantine, unless a later conviction is known. */
   applyRecord(
-    key: SegmentOfModel,
+    key: SuspectKey,
     record: QuarantineRecord,
     at: { readonly nowMs: number; readonly wallMs: number },
   ): void {
@@ -148,12 +148,12 @@
   }
 
   /** Lets the segment reach engines again. */
-  release(key: SegmentOfModel): void {
+  release(key: SuspectKey): void {
     if (!this.#entries.delete(key)) return;
     this.#options.changed({ kind: "released", key });
   }
 
-  #quarantine(key: SegmentOfModel, nowMs: number): void {
+  #quarantine(key: SuspectKey, nowMs: number): void {
     const strikes = (this.#entries.get(key)?.strikes ?? 0) + 1;
     const termMs = Math.min(MAX_TERM_MS, FIRST_TERM_MS * 2 ** (strikes - 1));
     this.#set({ key, strikes, untilMs: nowMs + termMs });
--- a/packages/quarantine/src/prompt_quarantine_test.ts
+++ b/packages/quarantine/src/prompt_quarantine_test.ts
@@ -10,8 +10,8 @@
   encodeQuarantine,
   PromptQuarantine,
   type QuarantineChange,
-  type SegmentOfModel,
   segmentOfModel,
+  type SuspectKey,
 } from "./mod.ts";
 
 const MODEL = brandId<ModelName>("m");
@@ -29,7 +29,7 @@
     changed: (change) => changes.push(change),
   });
   let engines = 0;
-  function crash(atMs: number, keys: readonly SegmentOfModel[] = [BAD]): void {
+  function crash(atMs: number, keys: readonly SuspectKey[] = [BAD]): void {
     engines += 1;
     evidence.recordCrash(
       { id: brandId<BackendServerId>(`e-${engines}`), startedAtMs: 1 },
--- a/packages/request-path/src/crash_guard.ts
+++ b/packages/request-path/src/crash_guard.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps prompts that crash engines away from them. Collects which answers had
- * just begun when an engine ended, and which prompts were answered.
+ * Keeps requests that crash servers away from them. Collects which requests ran
+ * at a server that ended, which of their answers had just begun, and which
+ * requests were answered.
  *
  * @module
  */
@@ -9,8 +10,9 @@
   type CrashEvidence,
   type PromptAdmission,
   type PromptQuarantine,
-  type SegmentOfModel,
   segmentOfModel,
+  type SuspectKey,
+  wholeRequest,
 } from "@endivebend/quarantine";
 import type { ServerEndCheck } from "./server_end_check.ts";
 import type { ListedServer, RoutedRequest } from "./types.ts";
@@ -31,10 +33,15 @@
  */
 const ANSWER_START_MS = 250;
 
-/** The segments of a request's prompt that other requests may share. */
-export type SharedSegments = readonly SegmentOfModel[];
+/** What of a request may crash engines. */
+export interface RequestSuspects {
+  /** The segments of its prompt that other requests may share. */
+  readonly segments: readonly SuspectKey[];
+  /** The whole request, which clients may send again at any VM. */
+  readonly request: SuspectKey;
+}
 
-/** Decides whether prompts are sent to engines. */
+/** Decides whether requests are sent to servers. */
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
 
@@ -42,71 +49,84 @@
     this.#options = options;
   }
 
-  /** The request's shared segments; none for a plain service. */
-  segmentsOf({ work }: Pick<RoutedRequest, "work">): SharedSegments {
-    if (work === undefined) return [];
-    return work.prompt.slice(0, -1).map(({ id }) =>
-      segmentOfModel(work.model, id)
-    );
+  suspectsOf(
+    { work, digest }: Pick<RoutedRequest, "work" | "digest">,
+  ): RequestSuspects {
+    const prompt = work?.prompt.slice(0, -1) ?? [];
+    return {
+      segments: prompt.map(({ id }) => segmentOfModel(work!.model, id)),
+      request: wholeRequest(digest),
+    };
   }
 
-  /** Decides whether a prompt may be sent now; may begin a trial. */
-  admit(segments: SharedSegments): PromptAdmission {
+  /** Decides whether a request may be sent now; may begin a trial. */
+  admit(suspects: RequestSuspects): PromptAdmission {
     const { quarantine, nowMs } = this.#options;
-    return quarantine.admit(segments, nowMs());
+    return quarantine.admit(allOf(suspects), nowMs());
   }
 
-  /** The quarantine that the prompt falls under, if there is one. */
-  findBlocked(segments: SharedSegments) {
+  /** The quarantine that the request falls under, if there is one. */
+  findBlocked(suspects: RequestSuspects) {
     const { quarantine, nowMs } = this.#options;
-    return quarantine.findBlocked(segments, nowMs());
+    return quarantine.findBlocked(allOf(suspects), nowMs());
   }
 
-  /** Whether a prompt may be tried again after its engine ended. */
-  mayRetry(segments: SharedSegments): boolean {
-    return !this.#options.quarantine.isSuspected(segments);
+  /** Whether a request may be tried again after its engine ended. */
+  mayRetry(suspects: RequestSuspects): boolean {
+    return !this.#options.quarantine.isSuspected(allOf(suspects));
   }
 
   /**
    * Records that an answer that began at `beganAtMs` goes on, or is complete.
-   * Returns whether that shows that its prompt is sound.
+   * Returns whether that shows that its request is sound.
    */
   recordProgress(
-    segments: SharedSegments,
+    suspects: RequestSuspects,
     answer: { readonly beganAtMs: number; readonly isComplete: boolean },
   ): boolean {
     const { evidence, quarantine, nowMs } = this.#options;
     const isStarted = nowMs() - answer.beganAtMs >= ANSWER_START_MS;
     if (!isStarted && !answer.isComplete) return false;
-    evidence.recordAnswered(segments, answer.beganAtMs);
-    if (quarantine.findBlocked(segments, nowMs()) !== undefined) {
+    const keys = allOf(suspects);
+    evidence.recordAnswered(keys, answer.beganAtMs);
+    if (quarantine.findBlocked(keys, nowMs()) !== undefined) {
       quarantine.evaluate(nowMs());
     }
     return true;
   }
 
   /**
-   * Records that the connection of an attempt was lost. It counts as a crash by
-   * the prompt when the engine itself has ended and the answer had just begun;
-   * `beganAtMs` is undefined when it had not begun, or had gone on for long.
+   * Records that the connection of an attempt was lost. When the engine itself
+   * has ended, the request may be the cause, unless its answer had gone on for
+   * some time; its segments may be if the answer had just begun.
    */
   async recordLoss(
-    segments: SharedSegments,
+    suspects: RequestSuspects,
     answer: {
       readonly server: ListedServer;
-      readonly beganAtMs: number | undefined;
+      /** When its head came; undefined when none had come. */
+      readonly headAtMs: number | undefined;
       readonly hasEvents: boolean;
+      /** Whether {@link CrashGuard.recordProgress} has found it sound. */
+      readonly isKnownSound: boolean;
     },
   ): Promise<void> {
-    if (segments.length === 0) return;
     const { endCheck, evidence, quarantine, nowMs, crashSeen } = this.#options;
-    const { server, beganAtMs, hasEvents } = answer;
+    const { server, headAtMs, hasEvents, isKnownSound } = answer;
     const atMs = nowMs();
-    if (!await endCheck.hasEnded(server) || beganAtMs === undefined) return;
-    if (hasEvents && atMs - beganAtMs >= ANSWER_START_MS) return;
-    const suspects = segments.map((key, depth) => ({ key, depth }));
-    evidence.recordCrash(server, suspects, atMs);
+    if (!await endCheck.hasEnded(server) || isKnownSound) return;
+    const hasBegun = headAtMs !== undefined;
+    if (hasBegun && hasEvents && atMs - headAtMs >= ANSWER_START_MS) return;
+    const { segments, request } = suspects;
+    const seen = hasBegun
+      ? [...segments, request].map((key, depth) => ({ key, depth }))
+      : [{ key: request, depth: 0 }];
+    evidence.recordCrash(server, seen, atMs);
     quarantine.evaluate(nowMs());
     crashSeen();
   }
 }
+
+function allOf({ segments, request }: RequestSuspects): SuspectKey[] {
+  return [...segments, request];
+}
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -9,7 +9,7 @@
 
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
-import type { CrashGuard, SharedSegments } from "./crash_guard.ts";
+import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import type {
   AnswerHead,
   AttemptFailure,
@@ -127,7 +127,7 @@
     const { client, clock, registry, crashGuard, paths } = this.#context;
     const { order, sink } = run;
     const { listed } = server;
-    const segments = crashGuard.segmentsOf(order);
+    const suspects = crashGuard.suspectsOf(order);
     const nowMs = () => steadyMs(clock);
     const answer: ForwardedAnswer = {
       startedAtMs: nowMs(),
@@ -157,18 +157,18 @@
       data: (chunk) => {
         answer.hasData = true;
         registry.recordActivity(listed.id, nowMs());
-        this.#recordSound(segments, { answer, isComplete: false });
+        this.#recordSound(suspects, { answer, isComplete: false });
         if (!sink.data(chunk)) handle.pause();
       },
       end: () => {
-        this.#recordSound(segments, { answer, isComplete: true });
+        this.#recordSound(suspects, { answer, isComplete: true });
         end("answered");
         sink.end();
       },
       failed: (failure) => {
         end(failure.kind);
         if (failure.kind === "unsent") this.#recordNoConnection(server);
-        else this.#recordLoss(segments, { server, answer });
+        else this.#recordLoss(suspects, { server, answer });
         sink.failed(failure);
       },
     });
@@ -183,13 +183,13 @@
   }
 
   #recordSound(
-    segments: SharedSegments,
+    suspects: RequestSuspects,
     seen: { readonly answer: ForwardedAnswer; readonly isComplete: boolean },
   ): void {
     const { answer, isComplete } = seen;
     const { headAtMs: beganAtMs, isKnownSound } = answer;
     if (isKnownSound || beganAtMs === undefined) return;
-    answer.isKnownSound = this.#context.crashGuard.recordProgress(segments, {
+    answer.isKnownSound = this.#context.crashGuard.recordProgress(suspects, {
       beganAtMs,
       isComplete,
     });
@@ -203,7 +203,7 @@
   }
 
   #recordLoss(
-    segments: SharedSegments,
+    suspects: RequestSuspects,
     lost: { readonly server: KnownServer; readonly answer: ForwardedAnswer },
   ): void {
     const { headAtMs, hasData, isKnownSound } = lost.answer;
@@ -211,10 +211,11 @@
     const { id, service } = lost.server.listed;
     paths.suspect(lost.server.listed);
     if (!paths.isCutOff(service)) registry.recordFailure(id, steadyMs(clock));
-    void this.#context.crashGuard.recordLoss(segments, {
+    void this.#context.crashGuard.recordLoss(suspects, {
       server: lost.server.listed,
-      beganAtMs: isKnownSound ? undefined : headAtMs,
+      headAtMs,
       hasEvents: hasData,
+      isKnownSound,
     });
   }
 
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -32,7 +32,7 @@
   WatchedCache,
 } from "./cache_watch.ts";
 export { CrashGuard } from "./crash_guard.ts";
-export type { CrashGuardOptions, SharedSegments } from "./crash_guard.ts";
+export type { CrashGuardOptions, RequestSuspects } from "./crash_guard.ts";
 export { EventFrames } from "./event_frames.ts";
 export type { EventFrame } from "./event_frames.ts";
 export { planDrain } from "./drain_plan.ts";
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -145,7 +145,7 @@
   | "limited"
   | "deadline_passed"
   | "stale_weights"
-  /** The prompt has a segment that crashes engines. */
+  /** The request, or a segment of its prompt, crashes engines. */
   | "quarantined"
   | "server_failed"
   | "server_silent";
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -10,7 +10,7 @@
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
 import { AnswerRelay } from "./answer_relay.ts";
-import type { CrashGuard, SharedSegments } from "./crash_guard.ts";
+import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
 import {
   type CachePlan,
@@ -97,12 +97,12 @@
   readonly #request: RoutedRequest;
   readonly #caller: CallerSink;
   readonly #relay: AnswerRelay;
-  readonly #segments: SharedSegments;
+  readonly #suspects: RequestSuspects;
   readonly #startedAtMs: number;
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
-  /** Whether the request tries a segment whose quarantine has ended. */
+  /** Whether the request is a trial after the end of a quarantine. */
   #isTrial = false;
   #cancelTimer = () => {};
   #hasEnded = false;
@@ -125,7 +125,7 @@
     this.#caller = caller;
     this.#startedAtMs = this.#nowMs();
     this.#relay = new AnswerRelay(request, caller);
-    this.#segments = context.crashGuard.segmentsOf(request);
+    this.#suspects = context.crashGuard.suspectsOf(request);
   }
 
   start(): void {
@@ -195,10 +195,10 @@
     this.#send(server, { nowMs, cache, forwarder });
   }
 
-  /** Gives up when the prompt has a segment that crashes engines. */
+  /** Gives up when the request, or a segment of its prompt, crashes engines. */
   #mayReachEngine(nowMs: number): boolean {
     if (this.#isTrial) return true;
-    const admission = this.#context.crashGuard.admit(this.#segments);
+    const admission = this.#context.crashGuard.admit(this.#suspects);
     this.#isTrial = admission.kind === "trial";
     if (admission.kind !== "blocked") return true;
     this.#giveUp("quarantined", admission.untilMs - nowMs);
@@ -422,7 +422,7 @@
     const { headAtMs: beganAtMs } = attempt;
     if (attempt.isKnownSound || beganAtMs === undefined) return;
     attempt.isKnownSound = this.#context.crashGuard.recordProgress(
-      this.#segments,
+      this.#suspects,
       { beganAtMs, isComplete },
     );
   }
@@ -432,10 +432,11 @@
     const { server, headAtMs, hasEvents, isKnownSound, forwarder } = attempt;
     // A VM that forwards sees for itself whether the engine has ended.
     if (forwarder !== undefined) return;
-    void this.#context.crashGuard.recordLoss(this.#segments, {
+    void this.#context.crashGuard.recordLoss(this.#suspects, {
       server: server.listed,
-      beganAtMs: isKnownSound ? undefined : headAtMs,
+      headAtMs,
       hasEvents,
+      isKnownSound,
     });
   }
 
@@ -486,7 +487,7 @@
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
-      this.#context.crashGuard.mayRetry(this.#segments) &&
+      this.#context.crashGuard.mayRetry(this.#suspects) &&
       this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
@@ -567,12 +568,12 @@
   }
 
   /**
-   * Whether the prompt has been found to crash engines since it was sent. Once
+   * Whether the request was found to crash engines since it was sent. Once
    * the answer has begun the engine ends anyway, and its end has to be seen.
    */
   #isToBeCalledBack(): boolean {
     return !this.#isTrial && this.#attempt?.headAtMs === undefined &&
-      this.#context.crashGuard.findBlocked(this.#segments) !== undefined;
+      this.#context.crashGuard.findBlocked(this.#suspects) !== undefined;
   }
 
   /** Takes the request back from its engine; it may have run. */
