Let an odd entry of a server end nothing but itself

An entry of another writer with a port out of range ended each daemon that chose that server, as the attempt threw ERR_SOCKET_BAD_PORT past every boundary; so did an id that can't stand in a header. A weights version of 1e400 was taken as infinite, an address of 10.1.0.999 asked of name resolution, and a long service name would have made peers refuse whole gossip messages.

Cause: values of other writers were checked for their type and not for their range. Entries, named weights and cache addresses are now checked for both; attempts, checks of connections and calls to engines return a failure instead of throwing. Deep nesting was read without harm before, and is.

--- a/packages/http-syntax/src/mod.ts
+++ b/packages/http-syntax/src/mod.ts
@@ -5,3 +5,4 @@
  */
 
 export { findInvalidHeaderName, isHeaderName } from "./header_names.ts";
+export { isIpAndPort } from "./addresses.ts";
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -15,6 +15,7 @@
   TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
+import { isIpAndPort } from "@endivebend/http-syntax";
 import {
   type BackendServerId,
   brandId,
@@ -42,6 +43,9 @@
   keyed: "at_most_once",
   stream: "stream",
 };
+/** An id stands in a header, and its key in the store has 255 bytes at most. */
+const SERVER_ID = /^[\x21-\x7e]{1,255}$/;
+const MAX_NAME_LENGTH = 255;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
@@ -77,7 +81,7 @@
     services: objectsOf(root["services"]).map(decodeService),
     cacheStores: objectsOf(root["services"])
       .map((service) => service["kv_store_addr"])
-      .filter((address) => typeof address === "string"),
+      .filter(isIpAndPort),
     teams,
     teamByKey,
     callerLimits: {
@@ -167,21 +171,16 @@
   const fields = parseObject(value);
   if (fields === undefined) return undefined;
   const { service, address, zone, slots, phase, born, seq } = fields;
-  const isValidEntry = typeof service === "string" && isAddress(address) &&
-    typeof zone === "string" && isCount(slots) &&
+  const isValidEntry = SERVER_ID.test(id) && isName(service) &&
+    isIpAndPort(address) && isName(zone) && isCount(slots) &&
     (phase === "ready" || phase === "draining") &&
     (born === undefined || isCount(born));
-  if (!isValidEntry) return undefined;
-  const weights = new Map<ModelName, WeightsVersion>();
-  for (const model of objectsOf(fields["models"])) {
-    const { name, version } = model;
-    if (typeof name !== "string" || typeof version !== "number") continue;
-    weights.set(brandId<ModelName>(name), brandId<WeightsVersion>(version));
-  }
+  const weights = decodeWeights(objectsOf(fields["models"]));
+  if (!isValidEntry || weights === undefined) return undefined;
   return {
     id: brandId<BackendServerId>(id),
     service: brandId<ServiceName>(service),
-    address: address as string,
+    address,
     failureDomain: brandId<FailureDomainId>(zone),
     isLeaving: phase === "draining",
     slots,
@@ -191,6 +190,19 @@
   };
 }
 
+/** Skips models of another form; undefined when a value is out of range. */
+function decodeWeights(
+  models: readonly Fields[],
+): Map<ModelName, WeightsVersion> | undefined {
+  const weights = new Map<ModelName, WeightsVersion>();
+  for (const { name, version } of models) {
+    if (typeof name !== "string" || typeof version !== "number") continue;
+    if (!isName(name) || !isCount(version)) return undefined;
+    weights.set(brandId<ModelName>(name), brandId<WeightsVersion>(version));
+  }
+  return weights;
+}
+
 /**
  * Decodes the operator's record that sets a model's weights version; returns
  * undefined when a field is missing or of another type.
@@ -201,9 +213,7 @@
   const fields = parseObject(value);
   const model = fields?.["model"];
   const version = fields?.["version"];
-  if (typeof model !== "string" || typeof version !== "number") {
-    return undefined;
-  }
+  if (!isName(model) || !isCount(version)) return undefined;
   return {
     model: brandId<ModelName>(model),
     weights: brandId<WeightsVersion>(version),
@@ -242,7 +252,7 @@
   return typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
 }
 
-function isAddress(value: unknown): boolean {
-  return typeof value === "string" &&
-    /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(value);
+/** Daemons tell names to each other, in messages refused whole for longer ones. */
+function isName(value: unknown): value is string {
+  return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
 }
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Agent, type IncomingMessage, request } from "node:http";
-import { findInvalidHeaderName } from "@endivebend/http-syntax";
+import { findInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
 
 /**
  * Largest answer that is read, in bytes. A list of 4,000 cache events has about
@@ -39,9 +39,22 @@
 /**
  * Sends the call and reads its answer. Never rejects: returns undefined when
  * the connection fails, the answer is incomplete after `timeoutMs`, malformed or
- * larger than {@link MAX_ANSWER_BYTES}, or the call may no longer be sent.
+ * larger than {@link MAX_ANSWER_BYTES}, or the call can't or may not be sent.
  */
-export function callEngine(
+export async function callEngine(
+  agent: Agent,
+  call: EngineCall,
+): Promise<EngineAnswer | undefined> {
+  if (!isIpAndPort(call.address)) return undefined;
+  try {
+    return await sendCall(agent, call);
+  } catch {
+    // Its headers have ids that others have written, and one can't be sent.
+    return undefined;
+  }
+}
+
+function sendCall(
   agent: Agent,
   call: EngineCall,
 ): Promise<EngineAnswer | undefined> {
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -12,7 +12,7 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
-import { findInvalidHeaderName } from "@endivebend/http-syntax";
+import { findInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
 import {
   type AnswerHead,
   type AttemptFailure,
@@ -159,6 +159,7 @@
 }
 
 function checkListening(address: string): Promise<ListenState> {
+  if (!isIpAndPort(address)) return Promise.resolve("unknown");
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
@@ -195,12 +196,44 @@
   readonly forwardedFrom?: string | undefined;
 }
 
+/**
+ * Opens the request, or returns why there is none: addresses and ids are those
+ * that others have written, and one of them must end its own request only.
+ */
+function openRequest(exchange: Exchange): ClientRequest | Error {
+  const { address, agent, message, headers, forwardedFrom } = exchange;
+  if (!isIpAndPort(address)) {
+    return new Error(`The server's address ${JSON.stringify(address)} is none`);
+  }
+  const [host, port] = address.split(":");
+  try {
+    return request({
+      agent,
+      host,
+      port,
+      method: message.method,
+      path: message.target,
+      // Node.js accepts a flat list of names and values and keeps their letter
+      // case; its types don't say so.
+      headers: headers as unknown as Record<string, string>,
+      ...(forwardedFrom && { localAddress: forwardedFrom }),
+    });
+  } catch (caught) {
+    return caught as Error;
+  }
+}
+
 function startExchange(
   exchange: Exchange,
   listener: AttemptListener,
 ): AttemptHandle {
-  const { address, agent, message, headers, isForwarded = false } = exchange;
-  const [host, port] = address.split(":");
+  const { message, isForwarded = false } = exchange;
+  const outgoing = openRequest(exchange);
+  if (outgoing instanceof Error) {
+    const { message: reason } = outgoing;
+    queueMicrotask(() => listener.failed({ kind: "unsent", reason }));
+    return { abort() {}, pause() {}, resume() {} };
+  }
   let answer: IncomingMessage | undefined;
   let wasSent = false;
   let isFinished = false;
@@ -217,17 +250,6 @@
     listener.failed({ kind, reason, ...at });
     outgoing.destroy();
   };
-  const outgoing = request({
-    agent,
-    host,
-    port,
-    method: message.method,
-    path: message.target,
-    // Node.js accepts a flat list of names and values and keeps their letter
-    // case; its types don't say so.
-    headers: headers as unknown as Record<string, string>,
-    ...(exchange.forwardedFrom && { localAddress: exchange.forwardedFrom }),
-  });
   const connectTimer = setTimeout(
     () => fail("The server did not accept the connection in time"),
     CONNECT_TIMEOUT_MS,
--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -28,6 +28,8 @@
   callCount(): number;
   /** Appends a record with the value as JSON. */
   put(topic: string, key: string, value: unknown): void;
+  /** Appends a record with the value as it is. */
+  putText(topic: string, key: string, value: string): void;
   /**
    * Comes back from a copy that has only the first `kept` records of each
    * topic, and states its era from now on. Held reads are reset.
@@ -145,6 +147,8 @@
     },
     put: (topic, key, value) =>
       append(topic, encodeKeyedRecord(key, Buffer.from(JSON.stringify(value)))),
+    putText: (topic, key, value) =>
+      append(topic, encodeKeyedRecord(key, Buffer.from(value))),
     remove: (topic, key) =>
       append(topic, encodeKeyedRecord(key, Buffer.alloc(0))),
     close() {
