Look at sockets once more before a connection counts as not accepted

Under load four cases of header_names_test failed once with "unsent" for servers that had answered. Cause: after a pause of the process its timers run before its sockets are looked at, so the time limit of a connection ended it although it had been accepted. Several at once would also have made a VM take itself as cut off. The limit now acts after the sockets were looked at.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -168,7 +168,10 @@
       socket.destroy();
       resolve(state);
     };
-    const timer = setTimeout(() => settle("unknown"), CONNECT_TIMEOUT_MS);
+    const timer = setTimeout(
+      () => setImmediate(() => settle("unknown")),
+      CONNECT_TIMEOUT_MS,
+    );
     socket.on("connect", () => settle("listening"));
     socket.on(
       "error",
@@ -250,10 +253,15 @@
     listener.failed({ kind, reason, ...at });
     outgoing.destroy();
   };
+  // After a pause of the process its timers run before its sockets are looked
+  // at, and the connection may have been accepted meanwhile.
   const connectTimer = setTimeout(
-    () => fail("The server did not accept the connection in time"),
+    () => setImmediate(() => failUnconnected()),
     CONNECT_TIMEOUT_MS,
   );
+  const failUnconnected = () => {
+    if (!wasSent) fail("The server did not accept the connection in time");
+  };
   outgoing.on("socket", (socket) => {
     const markSent = () => {
       clearTimeout(connectTimer);
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -187,3 +187,21 @@
     t.is(head?.quietMs, quietMs);
   });
 }
+
+test("a process that was paused while a connection opened uses it", async (t) => {
+  const server = await startRawServer((socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s\r\n" +
+        "Content-Length: 2\r\n\r\nok",
+    );
+  });
+  const client = createServerClient(createClock());
+  const result = runAttempt(client, testAttemptOrder(server.address));
+  const check = client.checkListening(server.address);
+  await new Promise(setImmediate);
+  const untilMs = performance.now() + 400;
+  while (performance.now() < untilMs);
+  t.true((await result).isComplete);
+  t.is(await check, "listening");
+  server.close();
+});
