Charge no token counts that no request has

A caller's count of -1000000 tokens refilled the bucket of its team, 1e308 emptied it for good on every VM, and on a team without a limit an infinite sum made peers refuse all that the VM tells them. Found while looking for the cause of the odd entries: values of others that are checked for type and not for range. Counts are digits now, nine at most; other requests cost the default.

--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -10,6 +10,9 @@
 import { boundedName, parsePrompt } from "./prompt_header.ts";
 import { HEADERS } from "./wire_names.ts";
 
+/** Engines hold some 100,000 tokens; counts of more digits are none. */
+const TOKEN_COUNTS = /^\s*(\d{1,9})(?:\.\d*)?\s*,\s*(\d{1,9})(?:\.\d*)?\s*$/;
+
 /** Reads the body, or tells why there is none. Never rejects. */
 export function readBody(
   request: IncomingMessage,
@@ -37,12 +40,14 @@
   return typeof value === "string" ? value : undefined;
 }
 
-/** Parses `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`. */
+/**
+ * Parses `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`; undefined where a count is none. A
+ * caller's counts are charged to its team, over the whole fleet.
+ */
 export function parseTokens(header: string | undefined) {
-  if (header === undefined) return undefined;
-  const [promptTokens, outputTokens] = header.split(",").map(Number);
-  const hasBothCounts = [promptTokens, outputTokens].every(Number.isFinite);
-  if (!hasBothCounts) return undefined;
+  const match = TOKEN_COUNTS.exec(header ?? "");
+  if (match === null) return undefined;
+  const [promptTokens, outputTokens] = match.slice(1).map(Number);
   return {
     promptTokens: promptTokens!,
     outputTokens: outputTokens!,
--- a/packages/platform/src/prompt_header.ts
+++ b/packages/platform/src/prompt_header.ts
@@ -15,6 +15,9 @@
  */
 const MAX_NAME_LENGTH = 96;
 
+/** Engines hold some 100,000 tokens; counts of more digits are none. */
+const TOKEN_COUNT = /^\s*\d{1,9}(?:\.\d*)?\s*$/;
+
 /**
  * Parses `ID:TOKENS` entries, separated by commas. Engines get the header as the
  * caller sent it; here long ids are replaced by digests.
@@ -30,7 +33,7 @@
     const [id = "", tokens = "0"] = segment.trim().split(":");
     return {
       id: brandId<PromptSegmentId>(boundedName(id)),
-      tokens: Number(tokens) || 0,
+      tokens: TOKEN_COUNT.test(tokens) ? Number(tokens) : 0,
     };
   });
 }
