Bound the keep-alive time that a server states

A Keep-Alive header of 400 digits in an answer ended the daemon: the time became infinite, and the socket's timer threw ERR_OUT_OF_RANGE past every boundary. Times above ten minutes are cut to that.

The case of 400 digits failed before by an uncaught exception.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -56,6 +56,8 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Keep-alive time of servers that state none in a `Keep-Alive` header. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
+/** Timers take no longer times; a server that states more is not waited for. */
+const MAX_IDLE_TIMEOUT_MS = 600_000;
 /** An idle connection is closed this long before the server may close it. */
 const IDLE_MARGIN_MS = 600;
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
@@ -284,7 +286,8 @@
       String(response.headers["keep-alive"] ?? ""),
     );
     if (hint !== null) {
-      keepAliveMsBySocket.set(response.socket, Number(hint[1]) * 1_000);
+      const hintMs = Math.min(MAX_IDLE_TIMEOUT_MS, Number(hint[1]) * 1_000);
+      keepAliveMsBySocket.set(response.socket, hintMs);
     }
     if (findInvalidHeaderName(response.rawHeaders) !== undefined) {
       return fail("The answer has a header whose name is not a token");
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -205,3 +205,22 @@
   t.is(await check, "listening");
   server.close();
 });
+
+for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
+  test(`a Keep-Alive of ${timeout.length} digits ends no process`, async (t) => {
+    const server = await startRawServer((socket) => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s\r\n" +
+          `Keep-Alive: timeout=${timeout}\r\nContent-Length: 2\r\n\r\nok`,
+      );
+    });
+    const client = createServerClient(createClock());
+    for (let count = 0; count < 2; count++) {
+      const order = testAttemptOrder(server.address);
+      t.true((await runAttempt(client, order)).isComplete);
+      await new Promise(setImmediate);
+    }
+    client.closeIdleConnections(server.address);
+    server.close();
+  });
+}
