Leave out cache events that can't be told to peers

One event of an engine with a segment id of 300 bytes, as a caller may choose it, or with a count too large made peers refuse everything that its watcher tells, and an event of another form lost the whole batch. Long ids are replaced by their digest, as in prompts; other events of that kind are left out.

The new case of cache_event_client_test failed before.

--- a/packages/platform/src/cache_event_client.ts
+++ b/packages/platform/src/cache_event_client.ts
@@ -13,7 +13,9 @@
   type PromptSegmentId,
   segmentKey,
 } from "@endivebend/request-path";
+import { brandId } from "@endivebend/types";
 import { callEngine } from "./engine_call.ts";
+import { boundedName } from "./prompt_header.ts";
 import { PATHS } from "./wire_names.ts";
 
 /**
@@ -22,6 +24,8 @@
  */
 const LONG_POLL_MS = 1_000;
 const CALL_TIMEOUT_MS = LONG_POLL_MS + 700;
+/** Daemons tell segments to each other under names of 256 bytes at most. */
+const MAX_SALT_LENGTH = 128;
 
 /** Event number, `+` or `-`, cache salt, segment id, stored tokens, model. */
 type WireCacheEvent = readonly [number, string, string, string, number, string];
@@ -61,12 +65,12 @@
       readonly events?: readonly WireCacheEvent[];
     };
     const { next, events } = fields;
-    if (typeof next !== "number" || !Array.isArray(events)) return undefined;
+    if (!isCount(next) || !Array.isArray(events)) return undefined;
     return {
       bootId: String(fields.boot_epoch),
       next,
       hasGap: fields.lost === true,
-      changes: (events as readonly WireCacheEvent[]).map(decodeCacheEvent),
+      changes: (events as readonly WireCacheEvent[]).flatMap(decodeCacheEvent),
     };
   } catch {
     return undefined;
@@ -75,11 +79,22 @@
 
 /**
  * A segment that lost some of its tokens counts as evicted: the rest is of use
- * to the next request only.
+ * to the next request only. Events of another form are left out.
  */
-function decodeCacheEvent(
-  [, sign, salt, id, tokens]: WireCacheEvent,
-): CacheChange {
-  const key = segmentKey(salt as CacheScope, id as PromptSegmentId);
-  return [key, sign === "+" ? tokens : 0];
+function decodeCacheEvent(event: WireCacheEvent): CacheChange[] {
+  if (!Array.isArray(event)) return [];
+  const [, sign, salt, id, tokens] = event as WireCacheEvent;
+  const isEvent = typeof salt === "string" && salt.length <= MAX_SALT_LENGTH &&
+    typeof id === "string" && isCount(tokens);
+  if (!isEvent) return [];
+  const segment = brandId<PromptSegmentId>(boundedName(id));
+  return [[
+    segmentKey(salt as CacheScope, segment),
+    sign === "+" ? tokens : 0,
+  ]];
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === "number" && value >= 0 &&
+    value <= Number.MAX_SAFE_INTEGER;
 }
--- a/packages/platform/src/cache_event_client_test.ts
+++ b/packages/platform/src/cache_event_client_test.ts
@@ -51,3 +51,22 @@
     undefined,
   );
 });
+
+// Peers refuse whole messages of a daemon that tells them such a change.
+test("events that can't be told to peers are left out", (t) => {
+  const long = "x".repeat(300);
+  const events = [
+    null,
+    [1, "+", "1/", 5, 800, "m"],
+    [2, "+", null, "5c1e", 800, "m"],
+    [3, "+", long, "5c1e", 800, "m"],
+    [4, "+", "1/", "5c1e", -1, "m"],
+    [5, "+", "1/", long, 800, "m"],
+    [6, "+", "1/", "91bd", 128, "m"],
+  ];
+  const text = JSON.stringify({ boot_epoch: 77, next: 7, events })
+    .replace("-1", "1e400");
+  const changes = parseCacheEvents(text)?.changes ?? [];
+  t.deepEqual(changes.map(([, tokens]) => tokens), [800, 128]);
+  t.true(changes.every(([key]) => key.length <= 256));
+});
