Refuse requests that come too late in a planned stop

A request that begins later than 3 s after the stop is now run only if it has its final answer before the end; otherwise it is refused as not run. One that had begun before is run. Open requests get their last answer 0.6 s before the process is killed, which says that they may have run.

The new case of planned_stop_test failed before: the late request ran.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -23,6 +23,7 @@
   AdmissionController,
   CacheWatch,
   ForwardedRuns,
+  mayTakeRequest,
   NamedWeightsRegistry,
   planDrain,
   ServerAllowances,
@@ -170,6 +171,13 @@
     this.#listener = ports.listen({
       admission: this.#admission,
       isLeaving: () => this.#drainingSinceMs !== undefined,
+      mayTake: (timeLeftMs) =>
+        this.#drainingSinceMs === undefined ||
+        mayTakeRequest({
+          sinceMs: this.#nowMs() - this.#drainingSinceMs,
+          graceMs: this.#settings.graceMs,
+          timeLeftMs,
+        }),
       whenCurrent: () => this.#pauseGuard.whenCurrent(),
     });
     this.#forwardListener = this.#listenForPeers();
@@ -701,6 +709,7 @@
       graceMs: this.#settings.graceMs,
     });
     if (step.refusesConnections) this.#listener.stopListening();
+    if (step.endsRequests) this.#admission.stopRuns();
     if (step.mayEnd) return this.#finishDrain(onEnd);
     this.#ports.scheduler.after(
       DRAIN_CHECK_INTERVAL_MS,
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -94,6 +94,11 @@
   readonly admission: AdmissionController;
   /** Whether the daemon is draining before its end. */
   isLeaving(): boolean;
+  /**
+   * Whether a request may be run that has its final answer in `timeLeftMs` at
+   * the latest; false for some while the daemon drains.
+   */
+  mayTake(timeLeftMs: number): boolean;
   /**
    * Resolves when requests may be admitted; undefined when they may at once.
    * After a pause of the process, what permits them is renewed first.
--- a/packages/platform/src/connection_turns.ts
+++ b/packages/platform/src/connection_turns.ts
@@ -27,6 +27,8 @@
 /** Tracks the connections of one HTTP server. */
 export class ConnectionTurns {
   readonly #connections = new Map<Socket, ConnectionState>();
+  /** Connections with a request that had begun when the last ones were noted. */
+  #lastRequests: Set<Socket> | undefined;
 
   /** Starts tracking a connection. */
   add(socket: Socket): void {
@@ -106,11 +108,24 @@
    * closed: a request without a complete response, or a part of one.
    */
   get openCount(): number {
-    let count = 0;
-    for (const [socket, { current, bytesReadAtClose }] of this.#connections) {
-      const isBusy = current !== undefined;
-      if (isBusy || socket.bytesRead > bytesReadAtClose) count += 1;
-    }
-    return count;
+    return this.#openSockets().length;
+  }
+
+  /** Notes which requests have begun, at the first call. */
+  noteLastRequests(): void {
+    this.#lastRequests ??= new Set(this.#openSockets());
+  }
+
+  /** Whether the connection's request had begun then; true for one request. */
+  takeLastRequest(socket: Socket): boolean {
+    return this.#lastRequests?.delete(socket) === true;
+  }
+
+  #openSockets(): Socket[] {
+    return [...this.#connections]
+      .filter(([socket, { current, bytesReadAtClose }]) =>
+        current !== undefined || socket.bytesRead > bytesReadAtClose
+      )
+      .map(([socket]) => socket);
   }
 }
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -61,6 +61,8 @@
  * gets one within a second.
  */
 const NOT_READY_RETRY_MS = 500;
+/** Another daemon takes the request at once. */
+const STOPPING_RETRY_MS = 100;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 4_194_304,
@@ -121,6 +123,7 @@
 
   /** Stops accepting connections and closes those that are idle. */
   stopListening(): void {
+    this.#turns.noteLastRequests();
     this.#server.close();
     this.#server.closeIdleConnections();
   }
@@ -214,6 +217,14 @@
   }): void {
     const { request, response, admission } = context;
     const routedRequest = buildRoutedRequest(context);
+    const { requestId, deadlineMs, timeoutAtMs } = routedRequest;
+    const timeLeftMs = Math.min(deadlineMs, timeoutAtMs) - this.#nowMs();
+    const hasBegunInTime = this.#turns.takeLastRequest(request.socket);
+    if (!hasBegunInTime && !this.#options.mayTake(timeLeftMs)) {
+      this.#options.log.decision("refuse", { requestId, reason: "stopping" });
+      const retryAfterMs = STOPPING_RETRY_MS;
+      return sendLocalReply(response, { status: 503, retryAfterMs });
+    }
     const sink = new ResponseSink(response, isStream(routedRequest.route.kind));
     const opened = this.#options.admission.open(routedRequest, sink);
     if (opened.kind === "over_limit") {
--- a/packages/platform/src/planned_stop_test.ts
+++ b/packages/platform/src/planned_stop_test.ts
@@ -135,3 +135,21 @@
   t.true(ran.length <= 1);
   await stop();
 });
+
+test("requests that come late in a planned stop are refused as not run, and open ones get an answer", async (t) => {
+  // The daemon's process has 4,000 ms to end.
+  const { ran, open, stop } = await startDaemon(t, 6_000);
+  const early = await open();
+  const fresh = await open();
+  early.socket.write(booking("early").replace("2000", "9000"));
+  while (ran.length === 0) await wait(5);
+  const stopped = stop();
+  await wait(3_200);
+  fresh.socket.write(booking("late"));
+  await fresh.closed;
+  t.regex(fresh.received(), /^HTTP\/1\.1 503 .*retry-after: /is);
+  await Promise.all([early.closed, stopped]);
+  // It may have run, so nothing is promised.
+  t.regex(early.received(), /^HTTP\/1\.1 50[24] .*\r\n\r\n\{.*\}$/s);
+  t.deepEqual(ran, ["early"]);
+});
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -62,6 +62,7 @@
   readonly #buckets = new Map<TeamId, SharedBucket>();
   readonly #spent = new Map<TeamId, number>();
   readonly #retryBudget: RetryBudget;
+  readonly #runs = new Set<RequestRun>();
   #view: ConfigurationView | undefined;
 
   constructor(options: AdmissionOptions) {
@@ -74,7 +75,8 @@
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
       tryRetry: (request) => this.#tryRetry(request),
-      ended: (request, { hasRun }) => {
+      ended: (request, { run, hasRun }) => {
+        this.#runs.delete(run);
         if (!hasRun) this.#refund(request);
       },
     };
@@ -128,9 +130,15 @@
     if (request.team) this.#addSpent(request.team.id, request.cost);
     this.#retryBudget.recordRequest(request.service, nowMs);
     const run = new RequestRun(this.#context, request, caller);
+    this.#runs.add(run);
     return { kind: "running", run };
   }
 
+  /** Ends all requests with their last answers, as the daemon ends. */
+  stopRuns(): void {
+    for (const run of [...this.#runs]) run.stop();
+  }
+
   /** Applies that the process was paused until now. */
   resumeAfterPause(): void {
     for (const bucket of this.#buckets.values()) {
--- a/packages/request-path/src/drain_plan.ts
+++ b/packages/request-path/src/drain_plan.ts
@@ -19,6 +19,8 @@
 export interface DrainStep {
   /** Whether new connections are refused and idle ones closed. */
   readonly refusesConnections: boolean;
+  /** Whether open requests get a last answer, as the process ends soon. */
+  readonly endsRequests: boolean;
   readonly mayEnd: boolean;
 }
 
@@ -33,6 +35,8 @@
 const LAST_REQUEST_DELAY_MS = 300;
 /** Time reserved for ending before the process is killed. */
 const KILL_MARGIN_MS = 400;
+/** Time for the last answers of open requests to reach their callers. */
+const LAST_ANSWERS_MS = 200;
 
 /**
  * Decides the current step of a drain.
@@ -48,6 +52,33 @@
     openCount === 0;
   return {
     refusesConnections: sinceMs >= ACCEPT_CONNECTIONS_MS,
+    endsRequests: sinceMs >= lastAnswersMs(graceMs),
     mayEnd: isIdle || sinceMs >= graceMs - KILL_MARGIN_MS,
   };
 }
+
+/**
+ * Whether a request that has just come may be run: either it will have its
+ * answer before the process ends, or it came while the balancer may still have
+ * sent callers here.
+ *
+ * @example
+ * ```ts
+ * if (!mayTakeRequest({ sinceMs, graceMs, timeLeftMs })) refuseAsNotRun();
+ * ```
+ */
+export function mayTakeRequest(request: {
+  /** Time since the stop was requested, in milliseconds. */
+  readonly sinceMs: number;
+  readonly graceMs: number;
+  /** Time until the request has its final answer, in milliseconds. */
+  readonly timeLeftMs: number;
+}): boolean {
+  const { sinceMs, graceMs, timeLeftMs } = request;
+  if (sinceMs < ACCEPT_CONNECTIONS_MS + LAST_REQUEST_DELAY_MS) return true;
+  return sinceMs + timeLeftMs < lastAnswersMs(graceMs);
+}
+
+function lastAnswersMs(graceMs: number): number {
+  return graceMs - KILL_MARGIN_MS - LAST_ANSWERS_MS;
+}
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -35,7 +35,7 @@
 export type { CrashGuardOptions, RequestSuspects } from "./crash_guard.ts";
 export { EventFrames } from "./event_frames.ts";
 export type { EventFrame } from "./event_frames.ts";
-export { planDrain } from "./drain_plan.ts";
+export { mayTakeRequest, planDrain } from "./drain_plan.ts";
 export type { DrainState, DrainStep } from "./drain_plan.ts";
 export { ForwardedRuns } from "./forwarded_run.ts";
 export type {
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -144,6 +144,8 @@
   /** Every server takes a limited number of requests, and no more now. */
   | "limited"
   | "deadline_passed"
+  /** The daemon ends as planned. */
+  | "stopping"
   | "stale_weights"
   /** The request, or a segment of its prompt, crashes engines. */
   | "quarantined"
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -49,7 +49,10 @@
   /** Takes one retry from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest): boolean;
   /** Called once, when the request has ended. */
-  ended(request: RoutedRequest, outcome: { readonly hasRun: boolean }): void;
+  ended(
+    request: RoutedRequest,
+    outcome: { readonly run: RequestRun; readonly hasRun: boolean },
+  ): void;
 }
 
 /** Most attempts that reach no server or that a server refuses to run. */
@@ -150,6 +153,14 @@
     this.#end("gone");
   }
 
+  /** Ends the request with its last answer, as the daemon ends. */
+  stop(): void {
+    if (this.#hasEnded) return;
+    if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
+    this.#abortAttempt();
+    this.#giveUp("stopping");
+  }
+
   #nowMs(): number {
     return steadyMs(this.#context.clock);
   }
@@ -662,7 +673,7 @@
     });
     const hasRun = this.#possiblyRunAttempts > 0 || this.#relay.hasBegun ||
       outcome === "answered";
-    this.#context.ended(this.#request, { hasRun });
+    this.#context.ended(this.#request, { run: this, hasRun });
   }
 
   #logDecision(step: string, fields: Readonly<Record<string, unknown>>): void {
