Convict what was answered before only by settled evidence

With two deadly requests at once a popular sound segment was quarantined, and all sound requests on it were refused for 60 s (LOST). Cause: it was at three crashes within a few hundred milliseconds, while answers that had begun between them count as sound only after 250 ms and are known to all daemons up to 800 ms later; and suspects that another daemon had seen at the third crash were still on their way.

Suspects that were answered before are now convicted by crashes that are at least 1,050 ms old, looked at again by the keeper's timer. One that was never answered is convicted at once, as before, so a deadly request or segment that is new is stopped as early.

--- a/packages/front/src/quarantine_keeper.ts
+++ b/packages/front/src/quarantine_keeper.ts
@@ -166,6 +166,8 @@
   #tick(): void {
     const { scheduler, store } = this.#options;
     this.#cancelTick = scheduler.after(STORE_INTERVAL_MS, () => this.#tick());
+    const nowMs = this.#nowMs();
+    if (this.#evidence.isSettling(nowMs)) this.#quarantine.evaluate(nowMs);
     if (this.#isStoring || !store.isReachable) return;
     const entries = this.#quarantine.entries();
     const changed = entries.find(({ key, strikes }) =>
--- a/packages/front/src/testing_cuts.ts
+++ b/packages/front/src/testing_cuts.ts
@@ -67,7 +67,8 @@
 /** Checks that each request ran once at most, and none that was refused. */
 export function checkRunOnce(t: ExecutionContext, fleet: TestFleet): void {
   const runs = new Set<string>();
-  for (const { requestId } of fleet.arrivals) {
+  for (const { requestId, isTurnedAway } of fleet.arrivals) {
+    if (isTurnedAway) continue;
     t.false(runs.has(requestId), `${requestId} arrived twice`);
     runs.add(requestId);
   }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -268,6 +268,8 @@
   readonly requestId: RequestId;
   readonly segments: readonly string[];
   readonly body: string;
+  /** Whether the engine has refused to run it. */
+  readonly isTurnedAway: boolean;
 }
 
 /** An answer of an engine that says that it leaves, as it came to a VM. */
@@ -703,6 +705,7 @@
       requestId,
       segments,
       body,
+      isTurnedAway: engine.asksForQuietMs !== undefined,
     });
     listener.sent();
     if (engine.asksForQuietMs !== undefined) {
--- a/packages/quarantine/src/crash_evidence.ts
+++ b/packages/quarantine/src/crash_evidence.ts
@@ -61,6 +61,14 @@
 /** Ages in messages vary by their time on the way. */
 const MIN_NEWER_MS = 50;
 
+/**
+ * Time until an answer counts as sound, 250 ms, and until all daemons know, 800
+ * ms through relays.
+ */
+const SETTLE_MS = 1_050;
+/** Evidence is looked at again for this long after it has settled. */
+const SETTLE_CHECK_MS = 2_000;
+
 interface KnownCrash extends Crash {
   readonly server: BackendServerId;
   readonly startedAtMs: number;
@@ -189,7 +197,10 @@
     nowMs: number,
   ): SuspectKey[] {
     this.#dropOld(nowMs);
-    const causes = findCrashCauses(this.#history(isKnownCause));
+    const causes = findCrashCauses({
+      ...this.#history(isKnownCause),
+      settledUntilMs: nowMs - SETTLE_MS,
+    });
     // Stays so when the cause is released, as others were not at fault.
     for (const crash of this.#crashes) {
       crash.isExplained ||= crash.suspects.some(({ key }) =>
@@ -199,6 +210,13 @@
     return causes;
   }
 
+  /** Whether evidence may settle without a further event. */
+  isSettling(nowMs: number): boolean {
+    return this.#crashes.some(({ atMs }) =>
+      nowMs - atMs < SETTLE_MS + SETTLE_CHECK_MS
+    );
+  }
+
   /** Crashes with the segment after the time and since its newest answer. */
   incidentsSince(key: SuspectKey, sinceMs: number): number {
     const history = this.#history(() => false);
@@ -206,7 +224,9 @@
     return countIncidents(key, { ...history, crashes });
   }
 
-  #history(isKnownCause: CrashHistory["isKnownCause"]): CrashHistory {
+  #history(
+    isKnownCause: CrashHistory["isKnownCause"],
+  ): Omit<CrashHistory, "settledUntilMs"> {
     return {
       crashes: this.#crashes,
       answeredAtMs: (key) => this.#answers.get(key),
--- a/packages/quarantine/src/find_crash_causes.ts
+++ b/packages/quarantine/src/find_crash_causes.ts
@@ -33,6 +33,12 @@
   readonly answeredAtMs: (key: SuspectKey) => number | undefined;
   /** Segments that are known to crash engines; they explain their crashes. */
   readonly isKnownCause: (key: SuspectKey) => boolean;
+  /**
+   * Up to when all daemons have told of crashes, and of answers that began
+   * between them. Suspects that were answered before are not convicted by later
+   * crashes yet.
+   */
+  readonly settledUntilMs: number;
 }
 
 /**
@@ -114,7 +120,7 @@
 }
 
 function listCandidates(history: CrashHistory): Candidate[] {
-  const { crashes, answeredAtMs, isKnownCause } = history;
+  const { crashes, answeredAtMs, isKnownCause, settledUntilMs } = history;
   const found = new Map<SuspectKey, Appearances>();
   for (const { atMs, isExplained, suspects } of crashes) {
     const isOpen = !isExplained &&
@@ -133,7 +139,9 @@
       const wasAnswered = answeredAtMs(suspect.key) !== undefined;
       // Beside a known cause anything may have been at its crashes; only what
       // was never answered may be a cause that was mistaken for another.
-      const times = wasAnswered ? openAtMs : [...openAtMs, ...explainedAtMs];
+      const times = wasAnswered
+        ? openAtMs.filter((atMs) => atMs <= settledUntilMs)
+        : [...openAtMs, ...explainedAtMs];
       return { ...suspect, incidents: countApart(times), wasAnswered };
     })
     .filter(({ incidents }) => incidents >= MIN_INCIDENTS);
--- a/packages/quarantine/src/find_crash_causes_test.ts
+++ b/packages/quarantine/src/find_crash_causes_test.ts
@@ -29,15 +29,18 @@
   {
     answered = {},
     known = [],
+    settledUntilMs = Number.POSITIVE_INFINITY,
   }: {
     readonly answered?: Readonly<Record<string, number>>;
     readonly known?: readonly string[];
+    readonly settledUntilMs?: number;
   } = {},
 ): string[] {
   const history: CrashHistory = {
     crashes,
     answeredAtMs: (name) => answered[name.slice(2)],
     isKnownCause: (name) => known.includes(name.slice(2)),
+    settledUntilMs,
   };
   return findCrashCauses(history).map((name) => name.slice(2));
 }
@@ -57,6 +60,20 @@
   );
 });
 
+test("crashes in quick succession convict a segment that was answered before only once answers between them would be known", (t) => {
+  const crashes = [
+    crash(1_000, ["popular"]),
+    crash(1_150, ["popular"]),
+    crash(1_300, ["popular"]),
+  ];
+  const answered = { popular: 900 };
+  t.deepEqual(causes(crashes, { answered, settledUntilMs: 1_250 }), []);
+  t.deepEqual(causes(crashes, { answered, settledUntilMs: 1_300 }), [
+    "popular",
+  ]);
+  t.deepEqual(causes(crashes, { settledUntilMs: 0 }), ["popular"]);
+});
+
 test("a segment that is answered after a crash is not its cause", (t) => {
   const crashes = [0, 400, 900].map((atMs) => crash(atMs, ["rules", "bad"]));
   t.deepEqual(causes(crashes, { answered: { bad: 500 } }), ["rules"]);
