Open one connection to another server when answers are lost together

Each lost answer of a server that ended opened up to four connections to others, to tell its end from a cut: 80 for 20 answers. They are asked one by one now, once for all answers that are lost together. The new case of server_reach_test counted 80 before.

--- a/packages/forwarding/src/reach_checks.ts
+++ b/packages/forwarding/src/reach_checks.ts
@@ -37,6 +37,7 @@
   readonly #suspectedAtMs = new Map<BackendServerId, number>();
   readonly #roundAtMs = new Map<ServiceName, number>();
   readonly #checking = new Set<BackendServerId>();
+  readonly #findingAnother = new Map<BackendServerId, Promise<boolean>>();
   #cancel = () => {};
 
   constructor(options: ReachChecksOptions) {
@@ -84,12 +85,25 @@
    * const isServersFault = await checks.reachesAnother(server);
    * ```
    */
-  async reachesAnother(server: ReachableServer): Promise<boolean> {
+  reachesAnother(server: ReachableServer): Promise<boolean> {
+    // All answers of a server that ends are lost at once.
+    const running = this.#findingAnother.get(server.id);
+    if (running !== undefined) return running;
+    const finding = this.#findAnother(server).finally(() =>
+      this.#findingAnother.delete(server.id)
+    );
+    this.#findingAnother.set(server.id, finding);
+    return finding;
+  }
+
+  async #findAnother({ id, service }: ReachableServer): Promise<boolean> {
     const others = this.#options.reach
-      .leastRecentlyChecked(server.service, CHECKS_A_ROUND + 1)
-      .filter(({ id }) => id !== server.id);
-    const states = await Promise.all(others.map((other) => this.#check(other)));
-    return states.includes("listening");
+      .leastRecentlyChecked(service, CHECKS_A_ROUND + 1)
+      .filter((other) => other.id !== id);
+    for (const other of others) {
+      if (await this.#check(other) === "listening") return true;
+    }
+    return false;
   }
 
   #runRound(service: ServiceName): void {
--- a/packages/forwarding/src/server_reach_test.ts
+++ b/packages/forwarding/src/server_reach_test.ts
@@ -105,6 +105,25 @@
   t.not(reach.cutOffSinceMs(SERVICE), undefined);
 });
 
+test("answers that are lost together open one connection to another server", async (t) => {
+  const { reach, servers, state } = create(8);
+  const opened: string[] = [];
+  const checks = new ReachChecks({
+    reach,
+    scheduler: { after: () => () => {} },
+    nowMs: () => state.nowMs,
+    usable: () => servers,
+    checkListening: (address) => {
+      opened.push(address);
+      return Promise.resolve<ListenState>("listening");
+    },
+  });
+  const lost = Array.from({ length: 20 }, () => servers[0]!);
+  const reached = lost.map((server) => checks.reachesAnother(server));
+  t.true((await Promise.all(reached)).every(Boolean));
+  t.is(opened.length, 1);
+});
+
 function candidate(
   vm: string,
   fields: Partial<ForwarderCandidate> = {},
