Ask for invalid header names of a message in one place

The check of headers and trailers of one message stood in the ingress listener and in calls to engines.

--- a/packages/http-syntax/src/header_names.ts
+++ b/packages/http-syntax/src/header_names.ts
@@ -37,3 +37,20 @@
   }
   return undefined;
 }
+
+/**
+ * Whether a message that was read to its end has such a name among its headers
+ * or trailers.
+ *
+ * @example
+ * ```ts
+ * if (hasInvalidHeaderName(request)) refuse();
+ * ```
+ */
+export function hasInvalidHeaderName(message: {
+  readonly rawHeaders: readonly string[];
+  readonly rawTrailers: readonly string[];
+}): boolean {
+  return findInvalidHeaderName(message.rawHeaders) !== undefined ||
+    findInvalidHeaderName(message.rawTrailers) !== undefined;
+}
--- a/packages/http-syntax/src/mod.ts
+++ b/packages/http-syntax/src/mod.ts
@@ -4,5 +4,9 @@
  * @module
  */
 
-export { findInvalidHeaderName, isHeaderName } from "./header_names.ts";
+export {
+  findInvalidHeaderName,
+  hasInvalidHeaderName,
+  isHeaderName,
+} from "./header_names.ts";
 export { isIpAndPort } from "./addresses.ts";
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { type Agent, type IncomingMessage, request } from "node:http";
-import { findInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
+import { type Agent, request } from "node:http";
+import { hasInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
 
 /**
  * Largest answer that is read, in bytes. A list of 4,000 cache events has about
@@ -106,8 +106,3 @@
     });
   });
 }
-
-function hasInvalidHeaderName(answer: IncomingMessage): boolean {
-  return findInvalidHeaderName(answer.rawHeaders) !== undefined ||
-    findInvalidHeaderName(answer.rawTrailers) !== undefined;
-}
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -14,7 +14,7 @@
 import type { Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type { CallerListener, ListenerContext } from "@endivebend/front";
-import { findInvalidHeaderName } from "@endivebend/http-syntax";
+import { hasInvalidHeaderName } from "@endivebend/http-syntax";
 import {
   type Admission,
   type CallerLimits,
@@ -295,12 +295,6 @@
   };
 }
 
-/** Also checks the trailers, which are known once the body has been read. */
-function hasInvalidHeaderName(request: IncomingMessage): boolean {
-  return findInvalidHeaderName(request.rawHeaders) !== undefined ||
-    findInvalidHeaderName(request.rawTrailers) !== undefined;
-}
-
 /** Writes the answer of the request path to the client's connection. */
 class ResponseSink implements CallerSink {
   readonly #response: ServerResponse;
