Check for a cut only when connections fail, not when servers answer errors

An answer with an error shows that the link works, but counted as a sign of a cut: two servers that failed part of their requests led to four connections every 400 ms from each VM, and a VM that had forwarded such an answer was left aside for a second. Errors count against the server alone now; lost connections and silence lead to checks. The new case of request_run_test failed before.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -300,10 +300,10 @@
     }
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && !head.hasProof) {
-      return this.#handleBroken(attempt, "no_proof");
+      return this.#handleBroken(attempt, "no_proof", "answer");
     }
     if (!isSuccess && this.#isWithheld(head)) {
-      return this.#handleBroken(attempt, `status_${head.status}`);
+      return this.#handleBroken(attempt, `status_${head.status}`, "answer");
     }
     this.#relay.head(head);
   }
@@ -337,7 +337,7 @@
     if (this.#attempt !== attempt) return;
     const relayed = this.#relay.data(chunk);
     if (relayed.malformed !== undefined) {
-      return this.#handleBroken(attempt, relayed.malformed);
+      return this.#handleBroken(attempt, relayed.malformed, "answer");
     }
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
@@ -443,6 +443,7 @@
     const { server, headAtMs, hasEvents, isKnownSound, forwarder } = attempt;
     // A VM that forwards sees for itself whether the engine has ended.
     if (forwarder !== undefined) return;
+    this.#context.paths.suspect(server.listed);
     void this.#context.crashGuard.recordLoss(this.#suspects, {
       server: server.listed,
       headAtMs,
@@ -477,7 +478,11 @@
   }
 
   /** Handles an attempt that may have run and has no complete answer. */
-  #handleBroken(attempt: Attempt, reason: string): void {
+  #handleBroken(
+    attempt: Attempt,
+    reason: string,
+    shownBy: "answer" | "connection" = "connection",
+  ): void {
     const { listed } = attempt.server;
     this.#logDecision("attempt_broken", {
       server: listed.id,
@@ -491,7 +496,8 @@
     this.#context.metrics.count("broken_attempts", {
       phase: phaseOf(attempt, this.#relay),
     });
-    this.#blame(attempt, reason);
+    if (shownBy === "connection") this.#blame(attempt, reason);
+    else this.#context.registry.recordFailure(listed.id, this.#nowMs());
     this.#abortAttempt();
     this.#possiblyRunAttempts += 1;
     this.#exclude(attempt);
@@ -511,7 +517,7 @@
     if (!isForwarders) this.#excluded.add(server.listed.id);
   }
 
-  /** Counts the failure against whoever may have caused it. */
+  /** Counts a lost connection against whoever may have caused it. */
   #blame(attempt: Attempt, reason: string): void {
     const { paths, registry } = this.#context;
     const { server, forwarder } = attempt;
@@ -519,7 +525,6 @@
       // Its own links, or the way to it, may be at fault as well.
       return paths.recordForwarderFailure(forwarder);
     }
-    paths.suspect(server.listed);
     if (reason === "silent") return this.#recordSilence(attempt);
     if (paths.isCutOff(server.listed.service)) return;
     registry.recordFailure(server.listed.id, this.#nowMs());
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -79,6 +79,23 @@
   t.true(caller.refusal?.isNotRun);
 });
 
+test("servers that answer with errors are not checked for a cut", (t) => {
+  const context = testContext();
+  const checked: string[] = [];
+  context.client.checkListening = (address) => {
+    checked.push(address);
+    return Promise.resolve("listening");
+  };
+  for (let count = 0; count < 4; count++) {
+    const caller = new FakeCaller();
+    new RequestRun(context, routedRequest("repeatable"), caller).start();
+    context.client.last.listener.sent();
+    context.client.last.listener.head(answerHead({ status: 500 }));
+    context.client.last.listener.end();
+  }
+  t.deepEqual(checked, []);
+});
+
 test("a success without its proof never reaches the caller", (t) => {
   const { caller, client } = start("at_most_once");
   client.last.listener.head(answerHead({ hasProof: false }));
