Ask servers that were there lately to tell an end from a cut

While five of six engines ended within 0.4 s a VM did not count one of the ends: it asked the servers that had been checked least recently, all of which had ended too, and left out the one that had just accepted a connection.

Those that accepted a connection last are asked first, of whatever service. The new case of server_reach_test failed before.

--- a/packages/forwarding/src/reach_checks.ts
+++ b/packages/forwarding/src/reach_checks.ts
@@ -18,6 +18,8 @@
   readonly scheduler: Scheduler;
   nowMs(): number;
   usable(service: ServiceName): readonly ReachableServer[];
+  /** Servers of all services. */
+  listed(): readonly ReachableServer[];
   checkListening(address: string): Promise<ListenState>;
 }
 
@@ -30,6 +32,8 @@
 /** Connections that are opened at a time when a cut has healed. */
 const CHECKS_AFTER_HEALING = 64;
 const MIN_SUSPECTS = 2;
+/** Servers that are asked before a VM takes its own links as being at fault. */
+const MAX_ASKED = 8;
 
 /** Checks servers for one VM. */
 export class ReachChecks {
@@ -77,8 +81,8 @@
   }
 
   /**
-   * Whether another server of the service accepts a connection: if none does,
-   * the links of this VM may be at fault and not the server.
+   * Whether another server, of whatever service, accepts a connection: if none
+   * does, the links of this VM may be at fault and not the server.
    *
    * @example
    * ```ts
@@ -96,11 +100,12 @@
     return finding;
   }
 
-  async #findAnother({ id, service }: ReachableServer): Promise<boolean> {
-    const others = this.#options.reach
-      .leastRecentlyChecked(service, CHECKS_A_ROUND + 1)
-      .filter((other) => other.id !== id);
-    for (const other of others) {
+  async #findAnother({ id }: ReachableServer): Promise<boolean> {
+    const { reach, listed } = this.#options;
+    const others = listed().filter((other) => other.id !== id);
+    // Many servers may end together; one that was there lately likely still is.
+    const likeliest = reach.byLastConnection(others).slice(0, MAX_ASKED);
+    for (const other of likeliest) {
       if (await this.#check(other) === "listening") return true;
     }
     return false;
--- a/packages/forwarding/src/server_paths.ts
+++ b/packages/forwarding/src/server_paths.ts
@@ -23,6 +23,8 @@
   nowMs(): number;
   /** Servers of the service that may get requests. */
   usable(service: ServiceName): readonly ReachableServer[];
+  /** Servers of all services. */
+  listed(): readonly ReachableServer[];
   checkListening(address: string): Promise<ListenState>;
   /** Other VMs that answer. */
   peers(): readonly ForwarderCandidate[];
@@ -53,6 +55,7 @@
       scheduler,
       nowMs,
       usable,
+      listed: () => options.listed(),
       checkListening,
     });
   }
@@ -132,7 +135,7 @@
     return !this.isCutOff(service) && !this.#reach.isMostlyLost(service);
   }
 
-  /** Whether another server of the service accepts a connection. */
+  /** Whether another server, of whatever service, accepts a connection. */
   reachesAnother(server: ReachableServer): Promise<boolean> {
     return this.#checks.reachesAnother(server);
   }
--- a/packages/forwarding/src/server_reach.ts
+++ b/packages/forwarding/src/server_reach.ts
@@ -114,6 +114,18 @@
       .slice(0, count);
   }
 
+  /** The same servers, those that last accepted a connection first. */
+  byLastConnection(servers: readonly ReachableServer[]): ReachableServer[] {
+    const connectedAtMs = ({ id }: ReachableServer) =>
+      this.#evidence.get(id)?.connectedAtMs ?? Number.NEGATIVE_INFINITY;
+    return servers.toSorted((a, b) =>
+      // Both may be minus infinity, whose difference is no number.
+      connectedAtMs(a) === connectedAtMs(b)
+        ? 0
+        : connectedAtMs(b) - connectedAtMs(a)
+    );
+  }
+
   /** Servers of the service that accept no connection. */
   lost(service: ServiceName): ReachableServer[] {
     return this.#options.usable(service).filter(({ id }) => this.#isLost(id));
--- a/packages/forwarding/src/server_reach_test.ts
+++ b/packages/forwarding/src/server_reach_test.ts
@@ -90,6 +90,7 @@
     scheduler: { after: () => () => {} },
     nowMs: () => state.nowMs,
     usable: () => servers,
+    listed: () => servers,
     checkListening: (address) => {
       opened.push(address);
       return Promise.resolve<ListenState>("unknown");
@@ -113,6 +114,7 @@
     scheduler: { after: () => () => {} },
     nowMs: () => state.nowMs,
     usable: () => servers,
+    listed: () => servers,
     checkListening: (address) => {
       opened.push(address);
       return Promise.resolve<ListenState>("listening");
@@ -124,6 +126,24 @@
   t.is(opened.length, 1);
 });
 
+test("an end is told from a cut while nearly all servers end", async (t) => {
+  const { reach, servers, state } = create(6);
+  const alive = servers[5]!;
+  const checks = new ReachChecks({
+    reach,
+    scheduler: { after: () => () => {} },
+    nowMs: () => state.nowMs,
+    usable: () => servers,
+    listed: () => servers,
+    checkListening: (address) =>
+      Promise.resolve<ListenState>(
+        address === alive.address ? "listening" : "closed",
+      ),
+  });
+  reach.recordConnected(alive);
+  t.true(await checks.reachesAnother(servers[0]!));
+});
+
 function candidate(
   vm: string,
   fields: Partial<ForwarderCandidate> = {},
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -269,6 +269,10 @@
       usable: (service) =>
         this.#registry.usable(service, this.#nowMs())
           .map(({ listed }) => listed),
+      listed: () =>
+        [...this.#registry.all()]
+          .filter(({ removedAtMs }) => removedAtMs === undefined)
+          .map(({ listed }) => listed),
       checkListening: (address) => serverClient.checkListening(address),
       peers: () => this.#forwarders(),
       cutOff: (service, servers) => {
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -56,6 +56,7 @@
       scheduler: { after: () => () => {} },
       nowMs: clock.elapsedMs,
       usable: () => [],
+      listed: () => [],
       checkListening: client.checkListening,
       peers: () => [],
       cutOff() {},
--- a/packages/request-path/src/server_end_check.ts
+++ b/packages/request-path/src/server_end_check.ts
@@ -22,8 +22,8 @@
   readonly client: Pick<ServerClient, "checkListening">;
   readonly registry: Pick<ServerRegistry, "get">;
   /**
-   * Whether another server of the service accepts a connection; if none does,
-   * a refused one shows nothing of the server.
+   * Whether another server, of whatever service, accepts a connection; if none
+   * does, a refused one shows nothing of the server.
    */
   reachesAnother(server: ListedServer): Promise<boolean>;
   readonly scheduler: Scheduler;
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -296,6 +296,7 @@
     nowMs: time.steadyMs,
     usable: (service) =>
       registry.usable(service, time.nowMs).map(({ listed }) => listed),
+    listed: () => [...registry.all()].map(({ listed }) => listed),
     checkListening: (address) => client.checkListening(address),
     peers: () => [],
     cutOff() {},
