--- a/packages/forwarding/src/server_reach.ts
+++ b/packages/forwarding/src/server_reach.ts
@@ -34,7 +34,7 @@
   restored(service: ServiceName): void;
 }
 
-/** Servers that must fail, as one or two may be down by themselves. */
+/** Servers that must accept no connection, as one may be down by itself. */
 const MIN_LOST_SERVERS = 2;
 /** What a connection has shown holds for this long. */
 const EVIDENCE_TTL_MS = 2_500;
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -110,7 +110,7 @@
       return { reason: "unknown_server", at: "forwarder" };
     }
     if (!paths.mayForward(server.listed.service)) {
-      // Requests are forwarded once at most.
+      // A second hop is never tried.
       return { reason: "forwarder_cut_off", at: "forwarder" };
     }
     if (registry.isLeaving(server)) return { reason: "server_leaves" };
