--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,5 +1,5 @@
-// A faulty model engine answers requests with a failure whose body has no end,
-// in chunks of one byte, while requests of other clients run at a sound server.
+// A backend server spoils one byte of one answer's status line, while requests
+// of other clients run at a sound server.
 import {
   answerHeaders,
   Client,
@@ -13,49 +13,33 @@
 } from "../stand_ins/fleet.mjs";
 import { fileURLToPath } from "node:url";
 
-const ORDER_CLIENTS = 12;
-const ORDERS_FOR_MS = 15_000;
+const CLIENTS = 12;
 const WORK_MS = 600;
-const ORDER_LIMIT_MS = 3_000;
-const MOTTO_CLIENTS = 4;
-const MOTTO_LIMIT_MS = 15_000;
+const LIMIT_MS = 3_000;
 /** The rule allows three. */
 const ALLOWED = 3;
-/** Chunks of one byte each that are written at a time. */
-const CHUNKS = Buffer.from("1\r\nx\r\n".repeat(4_096));
 
 const route = (name, fields) => ({
   name,
   hostname: "seals.example",
   path_prefix: `/${name}/`,
+  type: "safe",
+  timeout_ms: 3_000,
+  target_latency_ms: 1_500,
+  priority: 2,
   attempts: 1,
   anonymous: true,
+  sticky: false,
   ...fields,
 });
 
-/** Answers with a failure whose body ends only when the caller closes. */
-function failWithoutEnd({ socket }, attempt) {
-  let sentBytes = 0;
-  socket.on("error", () => {});
-  socket.write(
-    "HTTP/1.1 500 Internal Server Error\r\n" +
-      `Attempt-Id: ${attempt}\r\nResponse-Seal: seal.${attempt}\r\n` +
-      "Transfer-Encoding: chunked\r\n\r\n",
+function answer(response, attempt) {
+  const body = `answer to ${attempt}`;
+  response.writeHead(
+    200,
+    answerHeaders(attempt, { "Content-Length": body.length }),
   );
-  const send = () => {
-    while (!socket.destroyed) {
-      sentBytes += CHUNKS.length;
-      if (!socket.write(CHUNKS)) return;
-    }
-  };
-  socket.on("drain", send);
-  socket.on(
-    "close",
-    () =>
-      note("i-faulty", "connection closed by caller", { attempt, sentBytes }),
-  );
-  note("i-faulty", "sends a failure without end", { attempt });
-  send();
+  response.end(body);
 }
 
 async function body() {
@@ -63,42 +47,15 @@
   store.put("keyed.op", "config", {
     version: 3,
     routes: [
-      route("orders", {
-        type: "unsafe",
-        service: "bench-app",
-        timeout_ms: ORDER_LIMIT_MS,
-        target_latency_ms: 1_500,
-        priority: 2,
-        sticky: false,
-      }),
-      route("mottos", {
-        type: "stream",
-        service: "heraldry-llm",
-        timeout_ms: MOTTO_LIMIT_MS,
-        target_latency_ms: 1_000,
-        priority: 0,
-        sticky: true,
-        resumable: false,
-        gap_target_ms: 400,
-      }),
+      route("orders", { type: "unsafe", service: "bench-app" }),
+      route("lookups", { service: "lookup-app" }),
     ],
-    services: [
-      { name: "bench-app", max_conns: 110 },
-      {
-        name: "heraldry-llm",
-        max_conns: 620,
-        engine: {
-          slots: 128,
-          stride: 4,
-          max_inflight: 12,
-          models: [{ name: "m0" }],
-        },
-      },
-    ].map((service) => ({
+    services: ["bench-app", "lookup-app"].map((name) => ({
+      name,
       health_path: "/health",
+      max_conns: 110,
       protocol: "h1",
       tls: false,
-      ...service,
     })),
     limits: {
       max_header_bytes: 16_384,
@@ -111,78 +68,57 @@
   const sound = await startServer(store, {
     id: "i-sound",
     service: "bench-app",
-    slots: ORDER_CLIENTS,
     run: async ({ response, attempt }) => {
       await sleep(WORK_MS);
-      const text = `answer to ${attempt}`;
-      response.writeHead(
-        200,
-        answerHeaders(attempt, { "Content-Length": text.length }),
-      );
-      response.end(text);
+      answer(response, attempt);
+      note("i-sound", "answered", { attempt });
     },
   });
   await startServer(store, {
     id: "i-faulty",
-    service: "heraldry-llm",
-    models: [{ name: "m0", version: 1, adapters: [] }],
+    service: "lookup-app",
     run: ({ response, attempt }) => {
-      if (hasTrouble) return failWithoutEnd(response, attempt);
-      response.writeHead(
-        500,
-        answerHeaders(attempt, { "Content-Length": 1_000 }),
-      );
-      response.end("x".repeat(1_000));
+      if (!hasTrouble) return answer(response, attempt);
+      // One byte of the status line is spoiled: 0x01 for the "O" of "OK".
+      const head = `HTTP/1.1 200 \x01K\r\nAttempt-Id: ${attempt}\r\n` +
+        `Response-Seal: seal.${attempt}\r\nContent-Length: 2\r\n\r\n`;
+      note("i-faulty", "sends a spoiled status line", { attempt });
+      response.socket.write(`${head}ok`);
     },
   });
   const [daemon] = await startDaemons(store, 1);
   // A machine is in touch 3 s after its start.
   await sleep(3_500);
-  const untilMs = performance.now() + ORDERS_FOR_MS;
-  const sendingOrders = Promise.all(
-    Array.from({ length: ORDER_CLIENTS }, async (_, at) => {
-      const client = new Client(`client-order-${at + 1}`, daemon);
-      const results = [];
-      await sleep(at * WORK_MS / ORDER_CLIENTS);
-      for (let count = 1; performance.now() < untilMs; count++) {
-        const result = await client.send({
-          attempt: `order-${at + 1}-${count}`,
-          method: "POST",
-          host: "seals.example",
-          path: "/orders/new",
-          body: "one die",
-          limitMs: ORDER_LIMIT_MS,
-        });
-        results.push(result);
-        if (result.outcome === "none") break;
-      }
-      return results;
-    }),
-  );
-  // The orders' connections are kept from here on.
-  await sleep(2 * WORK_MS);
-  const mottos = Array.from(
-    { length: MOTTO_CLIENTS },
-    (_, at) =>
-      new Client(`client-motto-${at + 1}`, daemon).send({
-        attempt: `motto-${at + 1}`,
-        method: "POST",
-        host: "seals.example",
-        path: "/mottos/new",
-        headers: {
-          Model: "m0",
-          "Token-Usage": "300,200",
-          "Prompt-Prefix": `aa:100,bb:100,c${at}:100`,
-        },
-        body: "a family",
-        limitMs: MOTTO_LIMIT_MS,
-      }),
+
+  const clients = Array.from(
+    { length: CLIENTS },
+    (_, at) => new Client(`client-${at + 1}`, daemon),
   );
-  const orders = (await sendingOrders).flat();
-  const outcomes = (await Promise.all(mottos))
-    .map(({ outcome, status }) => `${outcome} ${status ?? ""}`.trim());
-  const lost = orders.filter(({ attempt, outcome }) =>
-    (outcome === "none" || outcome === "cut") && sound.runs.includes(attempt)
+  const order = (client, round) =>
+    client.send({
+      attempt: `order-${round}-${client.name}`,
+      method: "POST",
+      host: "seals.example",
+      path: "/orders/new",
+      body: "one die",
+      limitMs: LIMIT_MS,
+    });
+  // Opens the connections that are kept.
+  const first = await Promise.all(clients.map((client) => order(client, 1)));
+  if (first.some(({ status }) => status !== 200)) {
+    throw new Error("the requests before the disruption were not served");
+  }
+  const orders = Promise.all(clients.map((client) => order(client, 2)));
+  await sleep(WORK_MS / 2);
+  const lookup = await new Client("client-lookup", daemon).send({
+    attempt: "lookup-1",
+    host: "seals.example",
+    path: "/lookups/1",
+    limitMs: LIMIT_MS,
+  });
+  const results = await orders;
+  const lost = results.filter(({ attempt, outcome }) =>
+    outcome !== "complete" && sound.runs.includes(attempt)
   );
   await sleep(200);
   const end = daemon.exit === undefined
@@ -190,9 +126,9 @@
     : `the process ended by itself with ${JSON.stringify(daemon.exit)}`;
   return {
     broken: lost.length > ALLOWED,
-    text: `${lost.length} orders that the sound server ran were closed ` +
-      `without an answer, of ${orders.length}; ${end}; the mottos: ` +
-      [...new Set(outcomes)].join(", "),
+    text: `${lost.length} of ${CLIENTS} orders that the sound server ran ` +
+      `were closed without an answer; the lookup: ${lookup.outcome} ` +
+      `${lookup.status ?? ""}; ${end}`,
   };
 }
 
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,5 +1,5 @@
-// A dedicated tenant and another one send prompts with the same part, without
-// the header Token-Usage.
+// A faulty model engine answers requests with a failure whose body has no end,
+// in chunks of one byte, while requests of other clients run at a sound server.
 import {
   answerHeaders,
   Client,
@@ -13,144 +13,186 @@
 } from "../stand_ins/fleet.mjs";
 import { fileURLToPath } from "node:url";
 
-const ROUNDS = 4;
-const LIMIT_MS = 6_000;
-const SHARED_PART = "5c1e07a2";
+const ORDER_CLIENTS = 12;
+const ORDERS_FOR_MS = 15_000;
+const WORK_MS = 600;
+const ORDER_LIMIT_MS = 3_000;
+const MOTTO_CLIENTS = 4;
+const MOTTO_LIMIT_MS = 15_000;
+/** The rule allows three. */
+const ALLOWED = 3;
+/** Chunks of one byte each that are written at a time. */
+const CHUNKS = Buffer.from("1\r\nx\r\n".repeat(4_096));
 
-const TENANTS = [
-  { name: "heraldry-house", key: "key-of-heraldry-house", dedicated: true },
-  { name: "engraver", key: "key-of-engraver", dedicated: false },
-];
+const route = (name, fields) => ({
+  name,
+  hostname: "seals.example",
+  path_prefix: `/${name}/`,
+  attempts: 1,
+  anonymous: true,
+  ...fields,
+});
+
+/** Answers with a failure whose body ends only when the caller closes. */
+function failWithoutEnd({ socket }, attempt) {
+  let sentBytes = 0;
+  socket.on("error", () => {});
+  socket.write(
+    "HTTP/1.1 500 Internal Server Error\r\n" +
+      `Attempt-Id: ${attempt}\r\nResponse-Seal: seal.${attempt}\r\n` +
+      "Transfer-Encoding: chunked\r\n\r\n",
+  );
+  const send = () => {
+    while (!socket.destroyed) {
+      sentBytes += CHUNKS.length;
+      if (!socket.write(CHUNKS)) return;
+    }
+  };
+  socket.on("drain", send);
+  socket.on(
+    "close",
+    () =>
+      note("i-faulty", "connection closed by caller", { attempt, sentBytes }),
+  );
+  note("i-faulty", "sends a failure without end", { attempt });
+  send();
+}
 
 async function body() {
   const store = await startStore();
   store.put("keyed.op", "config", {
     version: 3,
-    routes: [{
-      name: "reviews",
-      hostname: "seals.example",
-      path_prefix: "/reviews/",
-      type: "stream",
-      service: "heraldry-llm",
-      timeout_ms: LIMIT_MS,
-      target_latency_ms: 800,
-      priority: 1,
-      attempts: 2,
-      anonymous: false,
-      sticky: true,
-      resumable: true,
-      gap_target_ms: 400,
-    }],
-    services: [{
-      name: "heraldry-llm",
+    routes: [
+      route("orders", {
+        type: "unsafe",
+        service: "bench-app",
+        timeout_ms: ORDER_LIMIT_MS,
+        target_latency_ms: 1_500,
+        priority: 2,
+        sticky: false,
+      }),
+      route("mottos", {
+        type: "stream",
+        service: "heraldry-llm",
+        timeout_ms: MOTTO_LIMIT_MS,
+        target_latency_ms: 1_000,
+        priority: 0,
+        sticky: true,
+        resumable: false,
+        gap_target_ms: 400,
+      }),
+    ],
+    services: [
+      { name: "bench-app", max_conns: 110 },
+      {
+        name: "heraldry-llm",
+        max_conns: 620,
+        engine: {
+          slots: 128,
+          stride: 4,
+          max_inflight: 12,
+          models: [{ name: "m0" }],
+        },
+      },
+    ].map((service) => ({
       health_path: "/health",
-      max_conns: 620,
       protocol: "h1",
       tls: false,
-      engine: {
-        slots: 128,
-        kv_capacity: 89_220,
-        kv_token_bytes: 131_072,
-        stride: 4,
-        max_inflight: 12,
-        models: [{ name: "m0" }],
-      },
-    }],
+      ...service,
+    })),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
-    tenants: TENANTS.map(({ name, key, dedicated }) => ({
-      name,
-      api_keys: [key],
-      priority: 1,
-      unit: "tokens",
-      uncached_tokens: 200,
-      dedicated,
-      rate_per_s: 99_164,
-      burst: 99_164,
-    })),
+    tenants: [],
+  });
+  const sound = await startServer(store, {
+    id: "i-sound",
+    service: "bench-app",
+    slots: ORDER_CLIENTS,
+    run: async ({ response, attempt }) => {
+      await sleep(WORK_MS);
+      const text = `answer to ${attempt}`;
+      response.writeHead(
+        200,
+        answerHeaders(attempt, { "Content-Length": text.length }),
+      );
+      response.end(text);
+    },
   });
-  /** Who made the parts that the engine caches, by salt and part. */
-  const makers = new Map();
-  const crossings = [];
   await startServer(store, {
-    id: "i-engine",
+    id: "i-faulty",
     service: "heraldry-llm",
     models: [{ name: "m0", version: 1, adapters: [] }],
-    run: ({ request, response, attempt }) => {
-      const {
-        tenant,
-        "cache-salt": salt = "",
-        "prompt-prefix": prompt = "",
-        "token-usage": usage,
-      } = request.headers;
-      // A part is found if all parts before it are cached under the same salt.
-      let isUnbroken = true;
-      const used = [];
-      for (
-        const part of prompt.split(",").map((entry) => entry.split(":")[0])
-      ) {
-        const key = JSON.stringify([salt, part]);
-        const maker = makers.get(key);
-        isUnbroken &&= maker !== undefined;
-        if (isUnbroken) used.push({ part, maker });
-        else makers.set(key, tenant);
-      }
-      note("i-engine", "prompt", { attempt, tenant, salt, usage, used });
-      for (const { part, maker } of used) {
-        const isWalled = TENANTS.some(({ name, dedicated }) =>
-          dedicated && (name === tenant || name === maker)
-        );
-        if (maker !== tenant && isWalled) {
-          crossings.push({ attempt, tenant, part, maker });
-        }
-      }
+    run: ({ response, attempt }) => {
+      if (hasTrouble) return failWithoutEnd(response, attempt);
       response.writeHead(
-        200,
-        answerHeaders(attempt, {
-          "Content-Type": "text/event-stream",
-          "Weight-Versions": "1",
-        }),
+        500,
+        answerHeaders(attempt, { "Content-Length": 1_000 }),
       );
-      response.end("id: 1\ndata: checked\n\n");
+      response.end("x".repeat(1_000));
     },
   });
   const [daemon] = await startDaemons(store, 1);
-  await sleep(1_000);
-  let served = 0;
-  for (let round = 1; round <= ROUNDS; round++) {
-    for (const { name, key } of TENANTS) {
-      const { status } = await new Client(`client-${name}`, daemon).send({
-        attempt: `review-${round}-${name}`,
+  // A machine is in touch 3 s after its start.
+  await sleep(3_500);
+  const untilMs = performance.now() + ORDERS_FOR_MS;
+  const sendingOrders = Promise.all(
+    Array.from({ length: ORDER_CLIENTS }, async (_, at) => {
+      const client = new Client(`client-order-${at + 1}`, daemon);
+      const results = [];
+      await sleep(at * WORK_MS / ORDER_CLIENTS);
+      for (let count = 1; performance.now() < untilMs; count++) {
+        const result = await client.send({
+          attempt: `order-${at + 1}-${count}`,
+          method: "POST",
+          host: "seals.example",
+          path: "/orders/new",
+          body: "one die",
+          limitMs: ORDER_LIMIT_MS,
+        });
+        results.push(result);
+        if (result.outcome === "none") break;
+      }
+      return results;
+    }),
+  );
+  // The orders' connections are kept from here on.
+  await sleep(2 * WORK_MS);
+  const mottos = Array.from(
+    { length: MOTTO_CLIENTS },
+    (_, at) =>
+      new Client(`client-motto-${at + 1}`, daemon).send({
+        attempt: `motto-${at + 1}`,
         method: "POST",
         host: "seals.example",
-        path: "/reviews/new",
+        path: "/mottos/new",
         headers: {
-          Authorization: `Token ${key}`,
           Model: "m0",
-          ...(hasTrouble ? {} : { "Token-Usage": "1460,80" }),
-          "Prompt-Prefix":
-            `${SHARED_PART}:800,91bd3f06:410,e4402b7d${round}:250`,
+          "Token-Usage": "300,200",
+          "Prompt-Prefix": `aa:100,bb:100,c${at}:100`,
         },
-        body: "a crest",
-        limitMs: LIMIT_MS,
-      });
-      if (status === 200) served += 1;
-      await sleep(200);
-    }
-  }
-  if (served < ROUNDS * TENANTS.length) {
-    throw new Error(`only ${served} requests were served`);
-  }
-  const requests = new Set(crossings.map(({ attempt }) => attempt));
+        body: "a family",
+        limitMs: MOTTO_LIMIT_MS,
+      }),
+  );
+  const orders = (await sendingOrders).flat();
+  const outcomes = (await Promise.all(mottos))
+    .map(({ outcome, status }) => `${outcome} ${status ?? ""}`.trim());
+  const lost = orders.filter(({ attempt, outcome }) =>
+    (outcome === "none" || outcome === "cut") && sound.runs.includes(attempt)
+  );
+  await sleep(200);
+  const end = daemon.exit === undefined
+    ? "the process runs on"
+    : `the process ended by itself with ${JSON.stringify(daemon.exit)}`;
   return {
-    broken: requests.size > 0,
-    text: `${requests.size} of ${served} requests used cached parts that a ` +
-      `request of the other tenant had made; the first: ` +
-      `${JSON.stringify(crossings[0] ?? null)}`,
+    broken: lost.length > ALLOWED,
+    text: `${lost.length} orders that the sound server ran were closed ` +
+      `without an answer, of ${orders.length}; ${end}; the mottos: ` +
+      [...new Set(outcomes)].join(", "),
   };
 }
 
