--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,5 +1,5 @@
-// A dedicated tenant and another one send prompts with the same part, without
-// the header Token-Usage.
+// A planned stop of one daemon while a sound model engine pauses for 1.1 s and
+// then goes on with all its streams.
 import {
   answerHeaders,
   Client,
@@ -13,14 +13,16 @@
 } from "../stand_ins/fleet.mjs";
 import { fileURLToPath } from "node:url";
 
-const ROUNDS = 4;
-const LIMIT_MS = 6_000;
-const SHARED_PART = "5c1e07a2";
+const DAEMONS = 8;
+const ENGINES = 3;
+const STREAMS = 120;
+const EVENTS = 50;
+const EVENT_INTERVAL_MS = 100;
+const SILENCE_MS = 1_100;
+const LIMIT_MS = 15_000;
+const GRACE_MS = 8_000;
 
-const TENANTS = [
-  { name: "heraldry-house", key: "key-of-heraldry-house", dedicated: true },
-  { name: "engraver", key: "key-of-engraver", dedicated: false },
-];
+const model = { name: "m0", version: 1, adapters: [] };
 
 async function body() {
   const store = await startStore();
@@ -36,7 +38,7 @@
       target_latency_ms: 800,
       priority: 1,
       attempts: 2,
-      anonymous: false,
+      anonymous: true,
       sticky: true,
       resumable: true,
       gap_target_ms: 400,
@@ -62,95 +64,89 @@
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
-    tenants: TENANTS.map(({ name, key, dedicated }) => ({
-      name,
-      api_keys: [key],
-      priority: 1,
-      unit: "tokens",
-      uncached_tokens: 200,
-      dedicated,
-      rate_per_s: 99_164,
-      burst: 99_164,
-    })),
-  });
-  /** Who made the parts that the engine caches, by salt and part. */
-  const makers = new Map();
-  const crossings = [];
-  await startServer(store, {
-    id: "i-engine",
-    service: "heraldry-llm",
-    models: [{ name: "m0", version: 1, adapters: [] }],
-    run: ({ request, response, attempt }) => {
-      const {
-        tenant,
-        "cache-salt": salt = "",
-        "prompt-prefix": prompt = "",
-        "token-usage": usage,
-      } = request.headers;
-      // A part is found if all parts before it are cached under the same salt.
-      let isUnbroken = true;
-      const used = [];
-      for (
-        const part of prompt.split(",").map((entry) => entry.split(":")[0])
-      ) {
-        const key = JSON.stringify([salt, part]);
-        const maker = makers.get(key);
-        isUnbroken &&= maker !== undefined;
-        if (isUnbroken) used.push({ part, maker });
-        else makers.set(key, tenant);
-      }
-      note("i-engine", "prompt", { attempt, tenant, salt, usage, used });
-      for (const { part, maker } of used) {
-        const isWalled = TENANTS.some(({ name, dedicated }) =>
-          dedicated && (name === tenant || name === maker)
-        );
-        if (maker !== tenant && isWalled) {
-          crossings.push({ attempt, tenant, part, maker });
-        }
-      }
-      response.writeHead(
-        200,
-        answerHeaders(attempt, {
-          "Content-Type": "text/event-stream",
-          "Weight-Versions": "1",
-        }),
-      );
-      response.end("id: 1\ndata: checked\n\n");
-    },
+    tenants: [],
   });
-  const [daemon] = await startDaemons(store, 1);
-  await sleep(1_000);
-  let served = 0;
-  for (let round = 1; round <= ROUNDS; round++) {
-    for (const { name, key } of TENANTS) {
-      const { status } = await new Client(`client-${name}`, daemon).send({
-        attempt: `review-${round}-${name}`,
+  let silentId;
+  let silentUntilMs = 0;
+  const engines = [];
+  for (let at = 1; at <= ENGINES; at++) {
+    const id = `i-engine-${at}`;
+    engines.push(
+      await startServer(store, {
+        id,
+        service: "heraldry-llm",
+        models: [model],
+        run: async ({ request, response, attempt }) => {
+          response.writeHead(
+            200,
+            answerHeaders(attempt, {
+              "Content-Type": "text/event-stream",
+              "Weight-Versions": "1",
+            }),
+          );
+          response.flushHeaders();
+          const after = Number(request.headers["last-event-id"] ?? 0);
+          for (let event = after + 1; event <= EVENTS; event++) {
+            await sleep(EVENT_INTERVAL_MS);
+            while (id === silentId && performance.now() < silentUntilMs) {
+              await sleep(10);
+            }
+            if (response.destroyed) return;
+            response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+          }
+          response.end();
+          note(id, "answered", { attempt });
+        },
+      }),
+    );
+  }
+  const daemons = await startDaemons(store, DAEMONS);
+  // A machine is in touch 3 s after its start.
+  await sleep(4_000);
+  const [daemon] = daemons;
+  const streams = Array.from(
+    { length: STREAMS },
+    (_, at) =>
+      new Client(`client-${at + 1}`, daemon).send({
+        attempt: `review-${at + 1}`,
         method: "POST",
         host: "seals.example",
         path: "/reviews/new",
         headers: {
-          Authorization: `Token ${key}`,
           Model: "m0",
-          ...(hasTrouble ? {} : { "Token-Usage": "1460,80" }),
-          "Prompt-Prefix":
-            `${SHARED_PART}:800,91bd3f06:410,e4402b7d${round}:250`,
+          "Token-Usage": "300,200",
+          "Prompt-Prefix": `aa:100,b${at % 30}:100,c${at}:100`,
         },
         body: "a crest",
         limitMs: LIMIT_MS,
-      });
-      if (status === 200) served += 1;
-      await sleep(200);
-    }
-  }
-  if (served < ROUNDS * TENANTS.length) {
-    throw new Error(`only ${served} requests were served`);
+      }),
+  );
+  await sleep(1_500);
+  let stoppedAtMs = performance.now();
+  if (hasTrouble) {
+    note("case", "SIGTERM", { to: daemon.node });
+    daemon.child.kill("SIGTERM");
+    stoppedAtMs = performance.now();
+    await sleep(500);
+    silentId = engines[0].id;
+    silentUntilMs = performance.now() + SILENCE_MS;
+    note(silentId, "is silent", { forMs: SILENCE_MS });
   }
-  const requests = new Set(crossings.map(({ attempt }) => attempt));
+  const results = await Promise.all(streams);
+  const endedMs = Math.round(performance.now() - stoppedAtMs);
+  const runs = engines.map(({ runs }) => runs.length);
+  const complete = results.filter(({ outcome, status, text }) =>
+    outcome === "complete" && status === 200 &&
+    text.includes(`id: ${EVENTS}\n`)
+  );
+  const cut = results.filter(({ outcome }) =>
+    outcome === "cut" || outcome === "none"
+  );
   return {
-    broken: requests.size > 0,
-    text: `${requests.size} of ${served} requests used cached parts that a ` +
-      `request of the other tenant had made; the first: ` +
-      `${JSON.stringify(crossings[0] ?? null)}`,
+    broken: cut.length > 0,
+    text: `${cut.length} of ${STREAMS} streams were cut, ` +
+      `${complete.length} are complete; runs at the engines: ${runs}; the ` +
+      `last ended ${endedMs} ms after the stop was asked for, of ${GRACE_MS}`,
   };
 }
 
--- a/review/stand_ins/fleet.mjs
+++ b/review/stand_ins/fleet.mjs
@@ -257,7 +257,13 @@
   });
   server.on("clientError", (_error, socket) => socket.destroy());
   await new Promise((done) => server.listen(0, "127.0.0.1", 1_024, done));
-  const address = `127.0.0.1:${server.address().port}`;
+  const sockets = new Set();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  const { port } = server.address();
+  const address = `127.0.0.1:${port}`;
   const born = Date.now();
   let seq = 0;
   const report = (phase = "ready") =>
@@ -275,7 +281,14 @@
       born,
     });
   report();
-  return { ...state, id, address, report };
+  /** Resets all connections and accepts none for a while, like a crash. */
+  const goDown = async (forMs) => {
+    server.close();
+    for (const socket of sockets) socket.resetAndDestroy();
+    await sleep(forMs);
+    await new Promise((done) => server.listen(port, "127.0.0.1", 1_024, done));
+  };
+  return { ...state, id, address, report, goDown };
 }
 
 /** Headers with which servers answer. */
