--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,7 +3,6 @@
 import {
   answerHeaders,
   Client,
-  hasTrouble,
   note,
   nowMs,
   runCase,
@@ -14,6 +13,9 @@
 } from "../stand_ins/fleet.mjs";
 import { fileURLToPath } from "node:url";
 
+/** Whether the disruption is to happen; TROUBLE=0 leaves it out. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
 const DAEMONS = 3;
 const ENGINES = 2;
 const CLIENTS = 150;
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,7 +3,6 @@
 import {
   answerHeaders,
   Client,
-  hasTrouble,
   note,
   runCase,
   sleep,
@@ -13,6 +12,9 @@
 } from "../stand_ins/fleet.mjs";
 import { fileURLToPath } from "node:url";
 
+/** Whether the disruption is to happen; TROUBLE=0 leaves it out. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
 const CLIENTS = 12;
 const WORK_MS = 600;
 const LIMIT_MS = 3_000;
--- a/review/stand_ins/fleet.mjs
+++ b/review/stand_ins/fleet.mjs
@@ -10,8 +10,6 @@
 
 /** Root of the repository. */
 export const root = fileURLToPath(new URL("../..", import.meta.url));
-/** Whether the disruption of the case is to happen. */
-export const hasTrouble = process.env.TROUBLE !== "0";
 /** Exit codes of a case. */
 export const EXIT = { held: 0, broken: 1, notRun: 2 };
 
