End only the request whose answer has a spoiled head

Cause: the parser of Node.js reads heads that writeHead refuses with an exception: control characters in a reason phrase, status codes below 100. It was thrown in an event handler of the answer that nothing surrounds.

Fix: heads and trailers are checked where they are read; a spoiled one breaks its attempt. Requests, forwarded requests and both listeners contain what still throws: that request ends, the error is logged and counted.

--- a/packages/http-syntax/src/mod.ts
+++ b/packages/http-syntax/src/mod.ts
@@ -4,6 +4,11 @@
  * @module
  */
 
+export {
+  findFieldFault,
+  findHeadFault,
+  type ReadHead,
+} from "./answer_heads.ts";
 export {
   findInvalidHeaderName,
   hasInvalidHeaderName,
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -5,7 +5,11 @@
  */
 
 import { type Agent, request } from "node:http";
-import { hasInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
+import {
+  findFieldFault,
+  findHeadFault,
+  isIpAndPort,
+} from "@endivebend/http-syntax";
 
 /**
  * Largest answer that is read, in bytes. A list of 4,000 cache events has about
@@ -73,7 +77,9 @@
         });
         answer.on("error", () => settle(undefined));
         answer.on("end", () => {
-          if (hasInvalidHeaderName(answer)) return abandon();
+          const fault = findHeadFault(answer) ??
+            findFieldFault(answer.rawTrailers);
+          if (fault !== undefined) return abandon();
           settle({
             status: answer.statusCode ?? 0,
             body: Buffer.concat(chunks).toString("utf8"),
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -50,7 +50,12 @@
 ): ForwardListener {
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
-    (request, response) => void serve(context, { request, response }),
+    (request, response) => {
+      serve(context, { request, response }).catch((caught) => {
+        context.failed(String(caught));
+        response.socket?.resetAndDestroy();
+      });
+    },
   );
   server.requestTimeout = 0;
   server.on("error", ({ message }) => context.failed(message));
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -98,7 +98,11 @@
       keepAlive: true,
       noDelay: true,
       connectionsCheckingInterval: 1_000,
-    }, (request, response) => void this.#serve(request, response));
+    }, (request, response) => {
+      this.#serve(request, response).catch((caught) =>
+        this.#failRequest(request, { response, caught })
+      );
+    });
     this.#server.on("connection", (socket) => this.#turns.add(socket));
     this.#server.on(
       "clientError",
@@ -160,6 +164,20 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
+  /** Ends one request whose handling raised an error, before it was sent on. */
+  #failRequest(
+    request: IncomingMessage,
+    failed: { readonly response: ServerResponse; readonly caught: unknown },
+  ): void {
+    const { response, caught } = failed;
+    this.#options.log.decision("request_failed", {
+      requestId: singleHeader(request, HEADERS.requestId),
+      reason: String(caught),
+    });
+    if (response.headersSent) response.socket?.resetAndDestroy();
+    else sendLocalReply(response, { status: 500, reason: "internal_error" });
+  }
+
   /**
    * Answers bytes that the parser rejects, after the answers to the requests
    * before them, one of which the refusal would be taken for otherwise.
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -12,7 +12,11 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type Clock, steadyMs } from "@endivebend/clock";
-import { findInvalidHeaderName, isIpAndPort } from "@endivebend/http-syntax";
+import {
+  findFieldFault,
+  findHeadFault,
+  isIpAndPort,
+} from "@endivebend/http-syntax";
 import {
   type AnswerHead,
   type AttemptFailure,
@@ -281,7 +285,16 @@
     if (answer?.complete !== true) fail(message);
   });
   outgoing.on("response", (response) => {
+    try {
+      takeAnswer(response);
+    } catch (caught) {
+      fail(`The answer can't be read: ${(caught as Error).message}`);
+    }
+  });
+  const takeAnswer = (response: IncomingMessage) => {
     answer = response;
+    const headFault = findHeadFault(response);
+    if (headFault !== undefined) return fail(`The answer has ${headFault}`);
     const hint = KEEP_ALIVE_TIMEOUT.exec(
       String(response.headers["keep-alive"] ?? ""),
     );
@@ -289,9 +302,6 @@
       const hintMs = Math.min(MAX_IDLE_TIMEOUT_MS, Number(hint[1]) * 1_000);
       keepAliveMsBySocket.set(response.socket, hintMs);
     }
-    if (findInvalidHeaderName(response.rawHeaders) !== undefined) {
-      return fail("The answer has a header whose name is not a token");
-    }
     if (isForwarded) {
       const {
         [FORWARD_HEADERS.outcome]: outcome,
@@ -323,13 +333,14 @@
       if (!response.complete) {
         return fail("The answer was cut off before its end");
       }
-      if (findInvalidHeaderName(response.rawTrailers) !== undefined) {
-        return fail("The answer has a trailer whose name is not a token");
+      const trailerFault = findFieldFault(response.rawTrailers);
+      if (trailerFault !== undefined) {
+        return fail(`The answer's trailer has ${trailerFault}`);
       }
       isFinished = true;
       listener.end();
     });
-  });
+  };
   outgoing.end(message.body);
   return {
     abort() {
--- a/packages/request-path/src/answer_relay.ts
+++ b/packages/request-path/src/answer_relay.ts
@@ -123,8 +123,8 @@
 
   #sendHead(): void {
     if (this.#hasBegun || this.#head === undefined) return;
-    this.#hasBegun = true;
     this.#caller.head(this.#head);
+    this.#hasBegun = true;
   }
 }
 
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -146,31 +146,49 @@
       this.#openCount -= 1;
       this.#logEnd(order, { outcome, startedAtMs: answer.startedAtMs });
     };
+    // Ends this request, and no other, when handling one of its events throws.
+    const contain = (handleEvent: () => void) => {
+      try {
+        handleEvent();
+      } catch (caught) {
+        const reason = String(caught);
+        const { requestId } = order;
+        this.#context.log.decision("forward_failed", { requestId, reason });
+        this.#context.metrics.count("contained_errors", { at: "forward" });
+        end("failed");
+        handle.abort();
+        sink.failed({ kind: "broken", reason, at: "forwarder" });
+      }
+    };
     const handle: AttemptHandle = client.forward(order, {
       connected: () => paths.recordConnected(listed),
       sent() {},
-      head: (head) => {
-        answer.headAtMs = nowMs();
-        recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
-        sink.head(head);
-      },
-      data: (chunk) => {
-        answer.hasData = true;
-        registry.recordActivity(listed.id, nowMs());
-        this.#recordSound(suspects, { answer, isComplete: false });
-        if (!sink.data(chunk)) handle.pause();
-      },
-      end: () => {
-        this.#recordSound(suspects, { answer, isComplete: true });
-        end("answered");
-        sink.end();
-      },
-      failed: (failure) => {
-        end(failure.kind);
-        if (failure.kind === "unsent") this.#recordNoConnection(server);
-        else this.#recordLoss(suspects, { server, answer });
-        sink.failed(failure);
-      },
+      head: (head) =>
+        contain(() => {
+          answer.headAtMs = nowMs();
+          recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
+          sink.head(head);
+        }),
+      data: (chunk) =>
+        contain(() => {
+          answer.hasData = true;
+          registry.recordActivity(listed.id, nowMs());
+          this.#recordSound(suspects, { answer, isComplete: false });
+          if (!sink.data(chunk)) handle.pause();
+        }),
+      end: () =>
+        contain(() => {
+          this.#recordSound(suspects, { answer, isComplete: true });
+          end("answered");
+          sink.end();
+        }),
+      failed: (failure) =>
+        contain(() => {
+          end(failure.kind);
+          if (failure.kind === "unsent") this.#recordNoConnection(server);
+          else this.#recordLoss(suspects, { server, answer });
+          sink.failed(failure);
+        }),
     });
     return {
       resume: () => handle.resume(),
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -150,7 +150,9 @@
   /** The request, or a segment of its prompt, crashes engines. */
   | "quarantined"
   | "server_failed"
-  | "server_silent";
+  | "server_silent"
+  /** Handling one of its events raised an error, which is logged. */
+  | "internal_error";
 
 /** The refusal that a caller gets instead of a server's answer. */
 export interface Refusal {
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -132,8 +132,10 @@
   }
 
   start(): void {
-    this.#startAttempt();
-    this.#checkProgress();
+    this.#contain(() => {
+      this.#startAttempt();
+      this.#checkProgress();
+    });
   }
 
   /** The caller reads again. */
@@ -142,23 +144,56 @@
     const attempt = this.#attempt;
     if (attempt === undefined) return;
     attempt.lastProgressMs = this.#nowMs();
-    attempt.handle?.resume();
+    this.#contain(() => attempt.handle?.resume());
   }
 
   /** The caller has closed its connection. */
   callerGone(): void {
     if (this.#hasEnded) return;
-    this.#logDecision("caller_gone", {});
-    this.#abortAttempt();
-    this.#end("gone");
+    this.#contain(() => {
+      this.#logDecision("caller_gone", {});
+      this.#abortAttempt();
+      this.#end("gone");
+    });
   }
 
   /** Ends the request with its last answer, as the daemon ends. */
   stop(): void {
     if (this.#hasEnded) return;
-    if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
-    this.#abortAttempt();
-    this.#giveUp("stopping");
+    this.#contain(() => {
+      if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
+      this.#abortAttempt();
+      this.#giveUp("stopping");
+    });
+  }
+
+  /**
+   * Ends this request, and no other, when handling one of its events throws.
+   * What servers and callers send reaches functions that throw, and nothing
+   * surrounds the handlers of sockets and timers.
+   */
+  #contain(handle: () => void): void {
+    try {
+      handle();
+    } catch (caught) {
+      this.#logDecision("request_failed", { reason: String(caught) });
+      this.#context.metrics.count("contained_errors", { at: "request" });
+      this.#endAfterError();
+    }
+  }
+
+  #endAfterError(): void {
+    if (this.#hasEnded) return;
+    // Where the error came from is unknown, so the request may have run.
+    this.#possiblyRunAttempts += 1;
+    try {
+      this.#abortAttempt();
+      this.#giveUp("internal_error");
+    } catch (caught) {
+      this.#logDecision("request_failed", { reason: String(caught) });
+      this.#caller.abortAnswer();
+      this.#end("broken_off");
+    }
   }
 
   #nowMs(): number {
@@ -281,10 +316,11 @@
       sent: () => {
         attempt.wasSent = true;
       },
-      head: (head) => this.#onHead(attempt, head),
-      data: (chunk) => this.#onData(attempt, chunk),
-      end: () => this.#onEnd(attempt),
-      failed: (failure) => this.#onFailed(attempt, failure),
+      head: (head) => this.#contain(() => this.#onHead(attempt, head)),
+      data: (chunk) => this.#contain(() => this.#onData(attempt, chunk)),
+      end: () => this.#contain(() => this.#onEnd(attempt)),
+      failed: (failure) =>
+        this.#contain(() => this.#onFailed(attempt, failure)),
     });
   }
 
@@ -559,7 +595,7 @@
     if (this.#hasEnded) return;
     this.#cancelTimer = this.#context.scheduler.after(
       CHECK_INTERVAL_MS,
-      () => this.#checkProgress(),
+      () => this.#contain(() => this.#checkProgress()),
     );
     const nowMs = this.#nowMs();
     const attempt = this.#attempt;
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -238,3 +238,20 @@
   context.registry.upsert(listedServer(id, { startedAtMs: 2 }));
   t.truthy(context.registry.get(id));
 });
+
+// Guards against an exception in an event handler, which ended the process.
+for (const place of ["head", "data", "end"] as const) {
+  test(`an error while the caller gets the ${place} ends this request only`, (t) => {
+    const { caller, client, context } = start("at_most_once");
+    caller[place] = () => {
+      throw new TypeError("Invalid character in statusMessage");
+    };
+    client.last.listener.head(answerHead());
+    client.last.listener.data(Buffer.from("booked"));
+    t.notThrows(() => client.last.listener.end());
+    t.not(caller.refusal?.isNotRun, true, "the request has run");
+    t.true(caller.refusal !== undefined || caller.isAborted);
+    t.notThrows(() => context.time.advance(10_000));
+    t.is(client.attempts.length, 1);
+  });
+}
