Contain odd messages of peers and odd records

Evidence: record_exchange_test on the code before ends with "Uncaught exception: Invalid URL"; gossip_schema_test accepts port 0.

Fix: targets are parsed to a result, addresses are checked as those of servers are, and each datagram and each record is applied for itself: one that raises an error is logged and left out.

--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -32,6 +32,8 @@
   composeBundle(): GossipBundle;
   onMessage(message: GossipMessage): void;
   onBundle(bundle: GossipBundle): void;
+  /** Called when applying a datagram of a peer has raised an error. */
+  failed(reason: string): void;
 }
 
 /** Addresses of the other daemons. */
@@ -93,8 +95,13 @@
   constructor(options: GossipChannelOptions) {
     this.#options = options;
     options.transport.open((bytes) => {
-      const datagram = parseDatagram(bytes);
-      if (datagram !== undefined) this.#receive(datagram, bytes);
+      try {
+        const datagram = parseDatagram(bytes);
+        if (datagram !== undefined) this.#receive(datagram, bytes);
+      } catch (caught) {
+        // Drops this datagram only.
+        options.failed(`received: ${String(caught)}`);
+      }
     }, () => this.#tick());
   }
 
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { isIPv4 } from "node:net";
+import { isIpAndPort } from "@endivebend/http-syntax";
 import type { GossipBundle, GossipMessage } from "./gossip_message.ts";
 
 type Check = (value: unknown) => boolean;
@@ -14,7 +14,6 @@
 const MAX_NAME_LENGTH = 256;
 /** Bound on the entries of a list or an object; a fleet has 1,000 servers. */
 const MAX_ENTRIES = 20_000;
-const MAX_PORT = 65_535;
 
 const isName: Check = (value) =>
   typeof value === "string" && value.length <= MAX_NAME_LENGTH;
@@ -23,13 +22,6 @@
 const isCount: Check = (value) => isNumber(value) && (value as number) >= 0;
 const isFlag: Check = (value) => typeof value === "boolean";
 
-function isAddress(value: unknown): boolean {
-  if (typeof value !== "string") return false;
-  const [ip = "", port = "", ...rest] = value.split(":");
-  const isPort = /^\d{1,5}$/.test(port) && Number(port) <= MAX_PORT;
-  return isIPv4(ip) && isPort && rest.length === 0;
-}
-
 function isObject(value: unknown): value is Record<string, unknown> {
   return typeof value === "object" && value !== null && !Array.isArray(value);
 }
@@ -78,7 +70,7 @@
   vm: isName,
   incarnation: isName,
   failureDomain: isName,
-  address: isAddress,
+  address: isIpAndPort,
   sequence: isCount,
   isLeaving: isFlag,
   reachesStore: isFlag,
--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -58,6 +58,7 @@
     "named weights that are no list": { named: { m: null } },
     "placed segments that are no list": { placed: { m: null } },
     "an address that is a name": { address: "nowhere" },
+    "an address with port 0": { address: "127.0.0.1:0" },
     "an address with a port out of range": { address: "127.0.0.1:99999" },
     "work that is no pair": { work: { e: [1] } },
     "spending that is no number": { spent: { t: "many" } },
--- a/packages/fleet/src/gossip_transport.ts
+++ b/packages/fleet/src/gossip_transport.ts
@@ -49,9 +49,14 @@
     },
     send(address, bytes) {
       const [host, port] = address.split(":");
-      socket.send(bytes, Number(port), host, (error) => {
-        if (error !== null) failed(error.message);
-      });
+      try {
+        socket.send(bytes, Number(port), host, (error) => {
+          if (error !== null) failed(error.message);
+        });
+      } catch (caught) {
+        // An address that can't be sent to must not end the process.
+        failed(`send to ${address}: ${(caught as Error).message}`);
+      }
     },
     close: () => socket.close(),
   };
--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -89,13 +89,13 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const url = new URL(request.url ?? "/", "http://peer");
-    const table = this.#options.tables.get(url.pathname.slice(1));
-    if (table === undefined) {
-      response.writeHead(404).end();
+    const target = parseTarget(request.url ?? "/");
+    const table = this.#options.tables.get(target?.topic ?? "");
+    if (target === undefined || table === undefined) {
+      response.writeHead(target === undefined ? 400 : 404).end();
       return;
     }
-    const records = table.since(Number(url.searchParams.get("since") ?? -1));
+    const records = table.since(target.since);
     response.end(JSON.stringify(records.map(toWire)));
   }
 
@@ -144,6 +144,19 @@
   }
 }
 
+/** The parts of `/TOPIC?since=POSITION`; undefined when it is no path. */
+function parseTarget(
+  target: string,
+): { readonly topic: string; readonly since: number } | undefined {
+  try {
+    const { pathname, searchParams } = new URL(`http://peer${target}`);
+    const since = Number(searchParams.get("since") ?? -1);
+    return { topic: pathname.slice(1), since };
+  } catch {
+    return undefined;
+  }
+}
+
 function toWire({ key, position, value }: KeyedRecord): WireRecord {
   return [key, position, value === undefined ? null : value.toString("base64")];
 }
--- a/packages/fleet/src/record_exchange_test.ts
+++ b/packages/fleet/src/record_exchange_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import test from "ava";
 import { logPosition, RecordExchange, RecordTable } from "./mod.ts";
 
@@ -34,3 +35,26 @@
   t.is(failures.length, 1);
   exchange.close();
 });
+
+// Guards against a target that `new URL` rejects, which ended the process.
+test("odd targets are refused, and the exchange goes on", async (t) => {
+  const port = 20_000 + process.pid % 20_000;
+  const table = new RecordTable(() => {});
+  const { exchange } = open("127.0.0.53", port, table);
+  const ask = (target: string) =>
+    new Promise<string>((resolve) => {
+      const socket = connect(port, "127.0.0.53");
+      let received = "";
+      socket.on("data", (chunk) => received += chunk);
+      socket.on("close", () => resolve(received));
+      socket.on("error", () => {});
+      socket.end(`GET ${target} HTTP/1.1\r\nHost: peer\r\n\r\n`);
+    });
+  while (!(await ask("/operator")).startsWith("HTTP/1.1 200 "));
+  const targets = ["//", "//:0", "///", "/%", "http://[", "/operator?since=x"];
+  for (const target of targets) {
+    t.regex(await ask(target), /^HTTP\/1\.1 (?:200|400|404) /, target);
+  }
+  t.regex(await ask("/operator"), /^HTTP\/1\.1 200 /);
+  exchange.close();
+});
--- a/packages/fleet/src/relay_test.ts
+++ b/packages/fleet/src/relay_test.ts
@@ -115,6 +115,9 @@
       this.#draw() * 200,
       () =>
         new GossipChannel({
+          failed: (reason) => {
+            throw new Error(reason);
+          },
           transport: {
             open: (onDatagram, onOpen) => {
               this.#receivers.set(address, (bytes) => {
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -517,6 +517,7 @@
     const failed = (reason: string) =>
       this.#logDecision("peer_send_failed", { reason });
     return new GossipChannel({
+      failed,
       transport: this.#ports.createGossipTransport({
         ip,
         port: firstPeerPort,
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -45,17 +45,32 @@
   }
 
   applyOperatorRecords(records: readonly KeyedRecord[]): void {
-    for (const record of records) {
-      if (record.value === undefined) continue;
+    this.#applyEach(records, (record) => {
+      if (record.value === undefined) return;
       const parsed = this.#options.store.readOperatorRecord(record);
       this.#applyOperatorRecord(record, parsed);
-    }
+    });
     this.#hasOperatorRecords = true;
   }
 
   applyServerRecords(records: readonly KeyedRecord[]): void {
     this.#hasServerRecords = true;
-    for (const record of records) this.#applyServerRecord(record);
+    this.#applyEach(records, (record) => this.#applyServerRecord(record));
+  }
+
+  /** Leaves out a record that raises an error; the others hold. */
+  #applyEach(
+    records: readonly KeyedRecord[],
+    apply: (record: KeyedRecord) => void,
+  ): void {
+    for (const record of records) {
+      try {
+        apply(record);
+      } catch (caught) {
+        const reason = String(caught);
+        this.#log("malformed_record", record, { key: record.key, reason });
+      }
+    }
   }
 
   #applyOperatorRecord(
