Keep messages in one growing buffer instead of a list of chunks

Cause: AnswerRelay limited the sum of the bytes that it keeps, but kept each chunk as a Buffer of its own, of some 190 bytes of heap. readBody, callEngine, StoreClient and RecordExchange did the same.

Evidence: bytes_without_end_test on the code before: 79,266,036 bytes alive for an engine's answer of 400,000 bytes, 78,754,163 for a client's body of that length; two such messages fill the heap of the deploy file.

Fix: ByteCollector, one buffer of doubled capacity, at all five places. ChunkBatch hands on what one read of a socket brings as one chunk, as a read of 64 KB has some 10,000 chunks of one byte, each of which was handled by itself.

--- /dev/null
+++ b/packages/byte-buffers/src/byte_collector.ts
@@ -0,0 +1,77 @@
+/**
+ * One growing buffer for a message of unknown length.
+ *
+ * @module
+ */
+
+/** Capacity after the first chunk, in bytes; most messages are shorter. */
+const INITIAL_CAPACITY_BYTES = 1_024;
+const GROWTH_FACTOR = 2;
+const NO_BYTES = Buffer.alloc(0);
+
+/** The limit of a {@link ByteCollector}. */
+export interface ByteCollectorOptions {
+  /** Length of the longest message. */
+  readonly maxBytes: number;
+}
+
+/** Collects chunks; costs what their bytes cost, however short they are. */
+export class ByteCollector {
+  readonly #options: ByteCollectorOptions;
+  #buffer = NO_BYTES;
+  #length = 0;
+
+  constructor(options: ByteCollectorOptions) {
+    this.#options = options;
+  }
+
+  /** Number of bytes held. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /**
+   * Copies the chunk to the end. Returns false, and keeps what it holds, when
+   * the message would be too long.
+   *
+   * @example
+   * ```ts
+   * if (!collector.append(chunk)) socket.destroy();
+   * ```
+   */
+  append(chunk: Buffer): boolean {
+    const length = this.#length + chunk.length;
+    if (length > this.#options.maxBytes) return false;
+    if (length > this.#buffer.length) this.#grow(length);
+    chunk.copy(this.#buffer, this.#length);
+    this.#length = length;
+    return true;
+  }
+
+  /** Returns the bytes held, without a copy, and starts over. */
+  take(): Buffer {
+    const bytes = this.#buffer.subarray(0, this.#length);
+    this.clear();
+    return bytes;
+  }
+
+  /** Drops the bytes held. */
+  clear(): void {
+    this.#buffer = NO_BYTES;
+    this.#length = 0;
+  }
+
+  #grow(neededBytes: number): void {
+    const doubled = Math.max(
+      INITIAL_CAPACITY_BYTES,
+      this.#buffer.length * GROWTH_FACTOR,
+    );
+    const capacity = Math.max(
+      neededBytes,
+      Math.min(doubled, this.#options.maxBytes),
+    );
+    const grown = Buffer.allocUnsafeSlow(capacity);
+    this.#buffer.copy(grown, 0, 0, this.#length);
+    this.#buffer = grown;
+  }
+}
--- /dev/null
+++ b/packages/byte-buffers/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Collects bytes that come in chunks, within limits.
+ *
+ * @module
+ */
+
+export { ByteCollector } from "./byte_collector.ts";
+export type { ByteCollectorOptions } from "./byte_collector.ts";
+export { ChunkBatch } from "./chunk_batch.ts";
--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -14,6 +14,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { ByteCollector } from "@endivebend/byte-buffers";
 import { brandId } from "@endivebend/types";
 import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
@@ -105,22 +106,18 @@
       const request = get(
         { agent: this.#agent, host, port, path },
         (response) => {
-          const chunks: Buffer[] = [];
-          let bytes = 0;
+          const received = new ByteCollector({ maxBytes: MAX_PULL_BYTES });
           response.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= MAX_PULL_BYTES) chunks.push(chunk);
-            else {
-              request.destroy(
-                new Error(`The peer sent more than ${MAX_PULL_BYTES} bytes`),
-              );
-            }
+            if (received.append(chunk)) return;
+            request.destroy(
+              new Error(`The peer sent more than ${MAX_PULL_BYTES} bytes`),
+            );
           });
           response.on("error", reject);
           response.on("end", () => {
             clearTimeout(timer);
             if (response.statusCode === 200) {
-              resolve(String(Buffer.concat(chunks)));
+              resolve(String(received.take()));
             } else {reject(
                 new Error(
                   `The peer answered with status ${response.statusCode}`,
--- /dev/null
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -0,0 +1,94 @@
+import { Agent, createServer, request } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo, Socket } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import test from "ava";
+import { callEngine } from "./engine_call.ts";
+import { readBody } from "./incoming_request.ts";
+import { startRawServer } from "./testing.ts";
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** Memory that is alive, in the heap and in buffers. */
+function usedBytes(): number {
+  collectGarbage();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+/** Sent as chunks of one byte. */
+const BODY_BYTES = 400_000;
+/** What sockets and their parsers may hold besides. */
+const SOCKET_BYTES = 4_194_304;
+const CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
+
+async function writeChunks(socket: Pick<Socket, "write" | "once">) {
+  for (let sent = 0; sent < BODY_BYTES; sent += 10_000) {
+    if (!socket.write(CHUNKS)) {
+      await new Promise((resolve) => socket.once("drain", resolve));
+    }
+  }
+}
+
+/** Resolves when the socket has received the whole body. */
+async function receivedBy(socket: Socket): Promise<void> {
+  const wireBytes = BODY_BYTES / 10_000 * CHUNKS.length;
+  while (socket.bytesRead < wireBytes) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
+
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against an engine whose answer to a call costs more than its bytes.
+test.serial("an engine's answer in chunks of one byte costs at most twice its bytes", async (t) => {
+  const server = await startRawServer((socket) => {
+    socket.write(CHUNKED_HEAD);
+    void writeChunks(socket);
+  });
+  const agent = new Agent();
+  const beforeBytes = usedBytes();
+  const answer = callEngine(agent, {
+    address: server.address,
+    method: "GET",
+    path: "/api/report",
+    headers: {},
+    timeoutMs: 20_000,
+  });
+  await receivedBy(Object.values(agent.sockets)[0]![0]!);
+  const costBytes = usedBytes() - beforeBytes;
+  t.true(costBytes <= 2 * BODY_BYTES + SOCKET_BYTES, `${costBytes}`);
+  server.close();
+  t.is(await answer, undefined);
+});
+
+// The same for a client's body.
+test.serial("a request's body in chunks of one byte costs at most twice its bytes", async (t) => {
+  const server = createServer((incoming, response) => {
+    void readBody(incoming, 4_194_304).then((body) =>
+      response.end(String(body.length))
+    );
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const accepted = once(server, "connection") as Promise<[Socket]>;
+  const beforeBytes = usedBytes();
+  const outgoing = request({ host: "127.0.0.1", port, method: "POST" });
+  outgoing.on("error", () => {});
+  const socket = await new Promise<Socket>((resolve) =>
+    outgoing.once("socket", resolve)
+  );
+  outgoing.flushHeaders();
+  const [receiver] = await accepted;
+  await Promise.all([writeChunks(socket), receivedBy(receiver)]);
+  const costBytes = usedBytes() - beforeBytes;
+  t.true(costBytes <= 2 * BODY_BYTES + SOCKET_BYTES, `${costBytes}`);
+  socket.write("0\r\n\r\n");
+  const [answer] = await once(outgoing, "response");
+  const [text] = await once(answer, "data");
+  t.is(String(text), String(BODY_BYTES));
+  server.close();
+  server.closeAllConnections();
+});
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -5,6 +5,7 @@
  */
 
 import { type Agent, request } from "node:http";
+import { ByteCollector } from "@endivebend/byte-buffers";
 import {
   findFieldFault,
   findHeadFault,
@@ -68,12 +69,9 @@
     const outgoing = request(
       { agent, host, port, method, path, headers },
       (answer) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const received = new ByteCollector({ maxBytes: MAX_ANSWER_BYTES });
         answer.on("data", (chunk: Buffer) => {
-          bytes += chunk.length;
-          if (bytes > MAX_ANSWER_BYTES) abandon();
-          else chunks.push(chunk);
+          if (!received.append(chunk)) abandon();
         });
         answer.on("error", () => settle(undefined));
         answer.on("end", () => {
@@ -82,7 +80,7 @@
           if (fault !== undefined) return abandon();
           settle({
             status: answer.statusCode ?? 0,
-            body: Buffer.concat(chunks).toString("utf8"),
+            body: received.take().toString("utf8"),
           });
         });
       },
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { ByteCollector } from "@endivebend/byte-buffers";
 import type { ModelWork } from "@endivebend/request-path";
 import { brandId, type ModelName } from "@endivebend/types";
 import { boundedName, parsePrompt } from "./prompt_header.ts";
@@ -19,14 +20,15 @@
   maxBytes: number,
 ): Promise<Buffer | "gone" | "too_large"> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new ByteCollector({ maxBytes });
+    let isTooLarge = false;
     request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
+      if (isTooLarge || body.append(chunk)) return;
+      isTooLarge = true;
+      body.clear();
+      resolve("too_large");
     });
-    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("end", () => resolve(body.take()));
     request.on("close", () => resolve("gone"));
   });
 }
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -11,6 +11,7 @@
   request,
 } from "node:http";
 import { connect, type Socket } from "node:net";
+import { ChunkBatch } from "@endivebend/byte-buffers";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import {
   findFieldFault,
@@ -247,11 +248,15 @@
   let wasSent = false;
   let isFinished = false;
   let isPaused = false;
+  const batch = new ChunkBatch((bytes) => {
+    if (!isFinished) listener.data(bytes);
+  });
   const fail = (
     reason: string,
     kind: AttemptFailure["kind"] = wasSent ? "broken" : "unsent",
     isOwnFault = isForwarded,
   ) => {
+    batch.flush();
     if (isFinished) return;
     isFinished = true;
     clearTimeout(connectTimer);
@@ -325,10 +330,9 @@
     listener.head(head);
     // The listener may have aborted the attempt.
     if (isFinished) return;
-    response.on("data", (chunk: Buffer) => {
-      if (!isFinished) listener.data(chunk);
-    });
+    response.on("data", (chunk: Buffer) => batch.add(chunk));
     response.on("end", () => {
+      batch.flush();
       if (isFinished) return;
       if (!response.complete) {
         return fail("The answer was cut off before its end");
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -6,6 +6,7 @@
  */
 
 import { Agent, request } from "node:http";
+import { ByteCollector } from "@endivebend/byte-buffers";
 import {
   eraOf,
   type KeyedRecord,
@@ -252,12 +253,10 @@
           "content-length": body.length,
         },
       }, (answer) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const received = new ByteCollector({ maxBytes: MAX_ANSWER_BYTES });
         answer.on("data", (chunk: Buffer) => {
-          bytes += chunk.length;
-          if (bytes <= MAX_ANSWER_BYTES) chunks.push(chunk);
-          else outgoing.destroy(new Error("The store's answer is too large"));
+          if (received.append(chunk)) return;
+          outgoing.destroy(new Error("The store's answer is too large"));
         });
         answer.on("error", fail);
         answer.on("end", () => {
@@ -265,7 +264,7 @@
           const status = answer.statusCode ?? 0;
           this.#isReachable = status < 500 && status !== 429;
           const era = this.#noteEra(answer.headers[HEADERS.storeEra]);
-          resolve({ status, body: Buffer.concat(chunks), era });
+          resolve({ status, body: received.take(), era });
         });
       });
       const timer = setTimeout(
--- a/packages/request-path/src/answer_relay.ts
+++ b/packages/request-path/src/answer_relay.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { ByteCollector } from "@endivebend/byte-buffers";
 import { type EventFrame, EventFrames } from "./event_frames.ts";
 import type { AnswerHead, CallerSink } from "./ports.ts";
 import { isStream, type RoutedRequest } from "./types.ts";
@@ -28,8 +29,7 @@
   readonly #caller: CallerSink;
   #frames = new EventFrames();
   #head: AnswerHead | undefined;
-  #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteCollector({ maxBytes: MAX_BUFFERED_BYTES });
   #hasBegun = false;
   #lastEventId: string | undefined;
 
@@ -67,8 +67,7 @@
   /** Takes the head of an attempt's answer; the caller gets only the first. */
   head(head: AnswerHead): void {
     this.#frames = new EventFrames();
-    this.#buffered = [];
-    this.#bufferedBytes = 0;
+    this.#buffered.clear();
     if (!this.#hasBegun) this.#head = head;
   }
 
@@ -80,22 +79,19 @@
       const callerAcceptsMore = this.#caller.data(chunk);
       return { isProgress: true, callerAcceptsMore };
     }
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) {
+    if (this.#buffered.append(chunk)) {
       return { isProgress: true, callerAcceptsMore: true };
     }
     // Answers may be long, errors are not: this one may never end.
     if ((this.#head?.status ?? 0) >= 300) return malformed("error_too_large");
     this.#sendHead();
-    const bytes = Buffer.concat(this.#buffered);
-    this.#buffered = [];
-    return { isProgress: true, callerAcceptsMore: this.#caller.data(bytes) };
+    this.#caller.data(this.#buffered.take());
+    return { isProgress: true, callerAcceptsMore: this.#caller.data(chunk) };
   }
 
   end(): void {
     this.#sendHead();
-    for (const chunk of this.#buffered) this.#caller.data(chunk);
+    if (this.#buffered.length > 0) this.#caller.data(this.#buffered.take());
     this.#caller.end();
   }
 
