Search and copy each byte of an event once

Cause: EventFrames.push joined all that was pending of an event with each chunk and searched it from its start.

Fix: the state of the line that is not ended is kept across chunks, and what is pending in a ByteCollector, so that each byte is searched once.

--- a/packages/request-path/src/answer_relay_test.ts
+++ b/packages/request-path/src/answer_relay_test.ts
@@ -30,6 +30,7 @@
   const [what, kind, status] of [
     ["a failure", "repeatable", 500],
     ["a plain answer", "at_most_once", 200],
+    ["an event", "resumable_stream", 200],
   ] as const
 ) {
   test(`${what} in chunks of one byte costs at most twice its bytes`, (t) => {
--- a/packages/request-path/src/event_frames.ts
+++ b/packages/request-path/src/event_frames.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
+import { ByteCollector } from "@endivebend/byte-buffers";
+
 const NEWLINE = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 /** Maximum size of a buffered event, 1 MiB. */
 const MAX_EVENT_BYTES = 1_048_576;
 const ID_FIELD = "id:";
@@ -31,7 +34,9 @@
  * ```
  */
 export class EventFrames {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = new ByteCollector({ maxBytes: MAX_EVENT_BYTES });
+  /** What the line that is not ended yet has so far. */
+  #line: LineStart = "empty";
 
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
@@ -39,37 +44,72 @@
   }
 
   push(chunk: Buffer): EventFrame[] {
-    const bytes = this.#pending.length === 0
-      ? chunk
-      : Buffer.concat([this.#pending, chunk]);
     const frames: EventFrame[] = [];
     let start = 0;
     for (;;) {
-      const end = findEventEnd(bytes, start);
-      if (end === undefined) break;
-      const event = bytes.subarray(start, end);
+      const end = this.#findEventEnd(chunk, start);
+      const rest = chunk.subarray(start, end);
+      if (end === undefined) {
+        this.#keep(rest);
+        return frames;
+      }
+      const event = this.#complete(rest);
       frames.push({ bytes: event, ...readFields(event) });
       start = end;
     }
-    this.#pending = Buffer.from(bytes.subarray(start));
-    if (this.#pending.length > MAX_EVENT_BYTES) {
-      throw new Error("The event is larger than 1 MiB; treat it as malformed");
+  }
+
+  /** Drops the event that is buffered. */
+  clear(): void {
+    this.#pending.clear();
+    this.#line = "empty";
+  }
+
+  /** Joins the last bytes of an event with those that are buffered. */
+  #complete(rest: Buffer): Buffer {
+    if (this.#pending.length === 0) return rest;
+    this.#keep(rest);
+    return this.#pending.take();
+  }
+
+  #keep(bytes: Buffer): void {
+    if (this.#pending.append(bytes)) return;
+    this.clear();
+    throw new Error("The event is larger than 1 MiB; treat it as malformed");
+  }
+
+  /**
+   * The index after the empty line that ends the event; undefined when the
+   * chunk has none. Each byte is looked at once, in whatever chunks an event
+   * comes.
+   */
+  #findEventEnd(chunk: Buffer, start: number): number | undefined {
+    let from = start;
+    for (;;) {
+      const newline = chunk.indexOf(NEWLINE, from);
+      const end = newline < 0 ? chunk.length : newline;
+      if (end > from) this.#line = continueLine(this.#line, chunk, from, end);
+      if (newline < 0) return undefined;
+      const isEmptyLine = this.#line !== "text";
+      this.#line = "empty";
+      if (isEmptyLine) return newline + 1;
+      from = newline + 1;
     }
-    return frames;
   }
 }
 
-/** The index after the empty line that closes the event at `start`. */
-function findEventEnd(bytes: Buffer, start: number): number | undefined {
-  let line = start;
-  for (;;) {
-    const newline = bytes.indexOf(NEWLINE, line);
-    if (newline < 0) return undefined;
-    const length = newline - line;
-    const isEmpty = length === 0 || (length === 1 && bytes[line] === 0x0d);
-    if (isEmpty) return newline + 1;
-    line = newline + 1;
-  }
+/** Whether a line has no byte yet, only a carriage return, or text. */
+type LineStart = "empty" | "return" | "text";
+
+/** The line after the bytes from `from` to `end`, of which there is one. */
+function continueLine(
+  line: LineStart,
+  chunk: Buffer,
+  from: number,
+  end: number,
+): LineStart {
+  const isReturn = end - from === 1 && chunk[from] === CARRIAGE_RETURN;
+  return line === "empty" && isReturn ? "return" : "text";
 }
 
 function readFields(event: Buffer): Omit<EventFrame, "bytes"> {
