Give up attempts whose answer never begins

Cause: Node.js reports informational answers as events that nothing listened to, and closes the connection of an unrequested 101 without an error.

Evidence: three cases of bytes_without_end_test hang on the code before.

Fix: an attempt is broken after 16 informational answers, at a change of protocol, and when its connection closes without an answer. The rest of a short refusal is awaited for a second at most.

Result: the cases pass; a few informational answers are still skipped.

--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -4,9 +4,11 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import test from "ava";
+import { createClock } from "@endivebend/clock";
 import { callEngine } from "./engine_call.ts";
 import { readBody } from "./incoming_request.ts";
-import { startRawServer } from "./testing.ts";
+import { createServerClient } from "./server_client.ts";
+import { runAttempt, startRawServer, testAttemptOrder } from "./testing.ts";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
@@ -40,6 +42,56 @@
   }
 }
 
+// Guards against answers that never begin: their callers waited until their
+// time limit, and the connection was kept.
+for (
+  const [what, bytes] of [
+    ["informational answers without end", "HTTP/1.1 103 Hints\r\nX: y\r\n\r\n"],
+    ["100 without end", "HTTP/1.1 100 Continue\r\n\r\n"],
+  ] as const
+) {
+  test.serial(`${what} end the attempt`, async (t) => {
+    t.timeout(10_000);
+    let wasClosed = false;
+    const server = await startRawServer((socket) => {
+      socket.once("close", () => wasClosed = true);
+      socket.write(bytes.repeat(1_000));
+    });
+    const client = createServerClient(createClock());
+    const result = await runAttempt(client, testAttemptOrder(server.address));
+    t.is(result.failure?.kind, "broken");
+    while (!wasClosed) await new Promise((resolve) => setTimeout(resolve, 5));
+    server.close();
+  });
+}
+
+test.serial("a few informational answers before an answer are skipped", async (t) => {
+  const server = await startRawServer((socket) => {
+    socket.write("HTTP/1.1 103 Hints\r\n\r\n".repeat(3));
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\nok",
+    );
+  });
+  const client = createServerClient(createClock());
+  const result = await runAttempt(client, testAttemptOrder(server.address));
+  t.is(result.body, "ok");
+  server.close();
+});
+
+test.serial("a change of protocol that nobody asked for ends the attempt", async (t) => {
+  t.timeout(10_000);
+  const server = await startRawServer((socket) => {
+    socket.write(
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" +
+        "Connection: Upgrade\r\n\r\nbytes",
+    );
+  });
+  const client = createServerClient(createClock());
+  const result = await runAttempt(client, testAttemptOrder(server.address));
+  t.is(result.failure?.kind, "broken");
+  server.close();
+});
+
 const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // Guards against an engine whose answer to a call costs more than its bytes.
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -65,6 +65,12 @@
 const MAX_IDLE_TIMEOUT_MS = 600_000;
 /** An idle connection is closed this long before the server may close it. */
 const IDLE_MARGIN_MS = 600;
+/** Servers have a use for a few (RFC 9110, section 15.2). */
+const MAX_INFORMATIONAL_ANSWERS = 16;
+/** Bodies of this length, in bytes, are read so that a connection is reused. */
+const MAX_DRAINED_BYTES = 4_096;
+/** Time for such a body to arrive; it is sent together with its head. */
+const DRAIN_TIMEOUT_MS = 1_000;
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
 /** A server that asks for a longer quiet is asked again after this time. */
 const MAX_QUIET_MS = 3_600_000;
@@ -289,6 +295,20 @@
     // Bytes after the end of a complete answer don't invalidate it.
     if (answer?.complete !== true) fail(message);
   });
+  let informationalAnswers = 0;
+  outgoing.on("information", () => {
+    informationalAnswers += 1;
+    if (informationalAnswers > MAX_INFORMATIONAL_ANSWERS) {
+      fail("The server sends informational answers without a final one");
+    }
+  });
+  outgoing.on("upgrade", (_answer, socket) => {
+    socket.destroy();
+    fail("The server changed the protocol without being asked");
+  });
+  outgoing.on("close", () => {
+    if (answer === undefined) fail("The connection closed without an answer");
+  });
   outgoing.on("response", (response) => {
     try {
       takeAnswer(response);
@@ -374,9 +394,11 @@
 ): void {
   const length = Number(answer?.headers["content-length"] ?? Number.NaN);
   const isShortRefusal = answer?.headers[HEADERS.notRun] !== undefined &&
-    length <= 4_096;
-  if (isShortRefusal) answer?.resume();
-  else outgoing.destroy();
+    length <= MAX_DRAINED_BYTES;
+  if (answer === undefined || !isShortRefusal) return void outgoing.destroy();
+  const timer = setTimeout(() => outgoing.destroy(), DRAIN_TIMEOUT_MS);
+  answer.once("close", () => clearTimeout(timer));
+  answer.resume();
 }
 
 /** The headers of another daemon's request, with the time that is left. */
