Take what all messages hold together from one budget

Limits of single messages bound no sum: 200 plain answers of 262,144 bytes or 20 bodies of 4 MB fill the memory of a VM, and the process ends with all its requests.

Cause: AnswerRelay, EventFrames, readBody and callEngine each limit one message.

Fix: MemoryBudget, an eighth of memory_mb, which all four take their memory from. When it is short, failures and engines' reports give way at half of it, bodies of new requests at three quarters (503 as not run, with Retry-After, before the rest is read), and answers last. A plain answer without room is relayed as far as it is there, and loses only the chance of a retry.

--- a/packages/byte-buffers/src/byte_collector.ts
+++ b/packages/byte-buffers/src/byte_collector.ts
@@ -4,15 +4,21 @@
  * @module
  */
 
+import type { MemoryBudget, MemoryUse } from "./memory_budget.ts";
+
 /** Capacity after the first chunk, in bytes; most messages are shorter. */
 const INITIAL_CAPACITY_BYTES = 1_024;
 const GROWTH_FACTOR = 2;
 const NO_BYTES = Buffer.alloc(0);
 
-/** The limit of a {@link ByteCollector}. */
+/** The limits of a {@link ByteCollector}. */
 export interface ByteCollectorOptions {
   /** Length of the longest message. */
   readonly maxBytes: number;
+  /** What it takes its memory from; unlimited when there is none. */
+  readonly budget?: MemoryBudget;
+  /** What it holds; answers by default. */
+  readonly use?: MemoryUse;
 }
 
 /** Collects chunks; costs what their bytes cost, however short they are. */
@@ -32,7 +38,7 @@
 
   /**
    * Copies the chunk to the end. Returns false, and keeps what it holds, when
-   * the message would be too long.
+   * the message would be too long or the budget has no room.
    *
    * @example
    * ```ts
@@ -42,26 +48,33 @@
   append(chunk: Buffer): boolean {
     const length = this.#length + chunk.length;
     if (length > this.#options.maxBytes) return false;
-    if (length > this.#buffer.length) this.#grow(length);
+    if (length > this.#buffer.length && !this.#grow(length)) return false;
     chunk.copy(this.#buffer, this.#length);
     this.#length = length;
     return true;
   }
 
+  /** The bytes held, without a copy; valid until the next change. */
+  get bytes(): Buffer {
+    return this.#buffer.subarray(0, this.#length);
+  }
+
   /** Returns the bytes held, without a copy, and starts over. */
   take(): Buffer {
-    const bytes = this.#buffer.subarray(0, this.#length);
+    const { bytes } = this;
     this.clear();
     return bytes;
   }
 
   /** Drops the bytes held. */
   clear(): void {
+    this.#options.budget?.release(this.#buffer.length);
     this.#buffer = NO_BYTES;
     this.#length = 0;
   }
 
-  #grow(neededBytes: number): void {
+  #grow(neededBytes: number): boolean {
+    const { budget, use = "answer" } = this.#options;
     const doubled = Math.max(
       INITIAL_CAPACITY_BYTES,
       this.#buffer.length * GROWTH_FACTOR,
@@ -70,8 +83,11 @@
       neededBytes,
       Math.min(doubled, this.#options.maxBytes),
     );
+    const addedBytes = capacity - this.#buffer.length;
+    if (budget?.tryTake(use, addedBytes) === false) return false;
     const grown = Buffer.allocUnsafeSlow(capacity);
     this.#buffer.copy(grown, 0, 0, this.#length);
     this.#buffer = grown;
+    return true;
   }
 }
--- a/packages/byte-buffers/src/mod.ts
+++ b/packages/byte-buffers/src/mod.ts
@@ -7,3 +7,5 @@
 export { ByteCollector } from "./byte_collector.ts";
 export type { ByteCollectorOptions } from "./byte_collector.ts";
 export { ChunkBatch } from "./chunk_batch.ts";
+export { MemoryBudget } from "./memory_budget.ts";
+export type { MemoryUse } from "./memory_budget.ts";
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -234,7 +234,8 @@
 
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
-    const { clock, scheduler, serverClient, log, metrics } = this.#ports;
+    const { clock, scheduler, serverClient, log, metrics, memory } =
+      this.#ports;
     return new AdmissionController({
       context: {
         registry: this.#registry,
@@ -253,6 +254,7 @@
         paths: this.#paths,
         log,
         metrics,
+        memory,
       },
       bounds,
       fleetSize: () => this.#fleet.size,
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import type { Clock, Scheduler } from "@endivebend/clock";
 import type {
   GossipTransport,
@@ -132,6 +133,8 @@
   readonly scheduler: Scheduler;
   readonly log: RateLimitedLog;
   readonly metrics: TextMetrics;
+  /** What the daemon may hold of messages, over all requests. */
+  readonly memory: MemoryBudget;
   readonly store: RecordStore;
   readonly rolloutLeaseLog: RolloutLeaseLog;
   readonly engineOrders: RolloutOrderClient;
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { MemoryBudget } from "@endivebend/byte-buffers";
 import type { Clock, Scheduler } from "@endivebend/clock";
 import type {
   GossipTransport,
@@ -962,6 +963,7 @@
         observeMs() {},
         text: () => "",
       } as unknown as FrontPorts["metrics"],
+      memory: new MemoryBudget(67_108_864),
       store: {
         get isReachable() {
           return !store.isDown;
--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -8,7 +8,12 @@
 import { callEngine } from "./engine_call.ts";
 import { readBody } from "./incoming_request.ts";
 import { createServerClient } from "./server_client.ts";
-import { runAttempt, startRawServer, testAttemptOrder } from "./testing.ts";
+import {
+  runAttempt,
+  startRawServer,
+  testAttemptOrder,
+  testMemory,
+} from "./testing.ts";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
@@ -108,6 +113,7 @@
     path: "/api/report",
     headers: {},
     timeoutMs: 20_000,
+    memory: testMemory(),
   });
   await receivedBy(Object.values(agent.sockets)[0]![0]!);
   const costBytes = usedBytes() - beforeBytes;
@@ -119,9 +125,11 @@
 // The same for a client's body.
 test.serial("a request's body in chunks of one byte costs at most twice its bytes", async (t) => {
   const server = createServer((incoming, response) => {
-    void readBody(incoming, 4_194_304).then((body) =>
-      response.end(String(body.length))
-    );
+    void readBody(incoming, {
+      maxBytes: 4_194_304,
+      memory: testMemory(),
+      isOver: new Promise((resolve) => response.once("close", resolve)),
+    }).then((body) => response.end(String(body.length)));
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
--- a/packages/platform/src/cache_event_client.ts
+++ b/packages/platform/src/cache_event_client.ts
@@ -5,6 +5,7 @@
  */
 
 import { Agent } from "node:http";
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import {
   type CacheChange,
   type CacheEventBatch,
@@ -30,8 +31,11 @@
 /** Event number, `+` or `-`, cache salt, segment id, stored tokens, model. */
 type WireCacheEvent = readonly [number, string, string, string, number, string];
 
-/** Creates the client with which the cache watch reads events. */
-export function createCacheEventClient(): CacheEventClient {
+/**
+ * Creates the client with which the cache watch reads events; answers take
+ * their memory from the budget.
+ */
+export function createCacheEventClient(memory: MemoryBudget): CacheEventClient {
   const agent = new Agent({ keepAlive: true, timeout: CALL_TIMEOUT_MS });
   return {
     async fetchEvents(server, after) {
@@ -41,6 +45,7 @@
         path: `${PATHS.cacheEvents}?since=${after}`,
         headers: { "wait-ms": LONG_POLL_MS },
         timeoutMs: CALL_TIMEOUT_MS,
+        memory,
       });
       return answer?.status === 200 ? parseCacheEvents(answer.body) : undefined;
     },
--- a/packages/platform/src/cache_event_client_test.ts
+++ b/packages/platform/src/cache_event_client_test.ts
@@ -4,7 +4,7 @@
   createCacheEventClient,
   parseCacheEvents,
 } from "./cache_event_client.ts";
-import { startRawServer } from "./testing.ts";
+import { startRawServer, testMemory } from "./testing.ts";
 
 test("cache events are parsed into changes of segments", (t) => {
   const batch = parseCacheEvents(JSON.stringify({
@@ -40,7 +40,7 @@
     socket.write("HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n");
   });
   t.teardown(() => refusingServer.close());
-  const client = createCacheEventClient();
+  const client = createCacheEventClient(testMemory());
   const server = {
     id: brandId<BackendServerId>("e"),
     address: refusingServer.address,
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { MemoryBudget } from "@endivebend/byte-buffers";
 import { createClock, createScheduler, steadyMs } from "@endivebend/clock";
 import { createUdpTransport, RecordExchange } from "@endivebend/fleet";
 import { FrontDaemon } from "@endivebend/front";
@@ -30,6 +31,7 @@
  */
 export function createDaemon(settings: PlatformSettings): FrontDaemon {
   const clock = createClock();
+  const memory = new MemoryBudget(settings.messageBytes);
   const metrics = new TextMetrics();
   const log = createDecisionLog({
     fields: { vm: settings.vm, domain: settings.failureDomain },
@@ -41,11 +43,12 @@
     scheduler: createScheduler(),
     log,
     metrics,
+    memory,
     store: createRecordStore(store),
     rolloutLeaseLog: createRolloutLeaseLog(store),
-    engineOrders: createRolloutOrderClient(),
+    engineOrders: createRolloutOrderClient(memory),
     serverClient: createServerClient(clock, { ip: settings.ip }),
-    cacheEventClient: createCacheEventClient(),
+    cacheEventClient: createCacheEventClient(memory),
     createGossipTransport: createUdpTransport,
     createRecordExchange: (options) => new RecordExchange(options),
     listen: (context) =>
@@ -54,8 +57,9 @@
         endpoint: settings.callers,
         clock,
         log,
+        memory,
       }),
-    listenForPeers: (context) => serveForwarding({ ...context, clock }),
+    listenForPeers: (context) => serveForwarding({ ...context, clock, memory }),
     serveStatus: (isReady) => serveStatus(settings, { isReady, metrics }),
   });
 }
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Agent, request } from "node:http";
-import { ByteCollector } from "@endivebend/byte-buffers";
+import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
 import {
   findFieldFault,
   findHeadFault,
@@ -28,6 +28,8 @@
   readonly headers: Readonly<Record<string, string | number>>;
   readonly body?: string;
   readonly timeoutMs: number;
+  /** What the answer takes its memory from. */
+  readonly memory: MemoryBudget;
   /**
    * Whether the call may still be sent, checked when its connection is ready.
    * A process may have been paused since it decided to make the call.
@@ -66,10 +68,14 @@
   return new Promise((resolve) => {
     const { address, method, path, headers, body } = call;
     const [host, port] = address.split(":");
+    const received = new ByteCollector({
+      maxBytes: MAX_ANSWER_BYTES,
+      budget: call.memory,
+      use: "failure",
+    });
     const outgoing = request(
       { agent, host, port, method, path, headers },
       (answer) => {
-        const received = new ByteCollector({ maxBytes: MAX_ANSWER_BYTES });
         answer.on("data", (chunk: Buffer) => {
           if (!received.append(chunk)) abandon();
         });
@@ -92,6 +98,7 @@
     const timer = setTimeout(abandon, call.timeoutMs);
     const settle = (result: EngineAnswer | undefined) => {
       clearTimeout(timer);
+      received.clear();
       resolve(result);
     };
     outgoing.on("error", () => settle(undefined));
--- a/packages/platform/src/engine_call_test.ts
+++ b/packages/platform/src/engine_call_test.ts
@@ -4,7 +4,7 @@
 import { callEngine, type EngineCall } from "./engine_call.ts";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { StoreClient } from "./store_client.ts";
-import { startRawServer } from "./testing.ts";
+import { startRawServer, testMemory } from "./testing.ts";
 import { startStore } from "./testing_store.ts";
 import { brandId, type VmId } from "@endivebend/types";
 
@@ -41,6 +41,7 @@
     path: "/api/report",
     headers: {},
     timeoutMs: 5_000,
+    memory: testMemory(),
     ...fields,
   });
 }
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -10,6 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type {
   ForwardListener,
@@ -36,18 +37,23 @@
 const MAX_BODY_BYTES = 16_777_216;
 const MAX_HEADER_BYTES = 98_304;
 
+/** What the listener needs. */
+export interface ForwardingContext extends ForwardListenerContext {
+  readonly clock: Clock;
+  /** What the daemon may hold of messages. */
+  readonly memory: MemoryBudget;
+}
+
 /**
  * Starts the listener. It serves addresses of the fleet only, as requests that
  * come here have been admitted and charged already.
  *
  * @example
  * ```ts
- * const listener = serveForwarding({ ...context, clock });
+ * const listener = serveForwarding({ ...context, clock, memory });
  * ```
  */
-export function serveForwarding(
-  context: ForwardListenerContext & { readonly clock: Clock },
-): ForwardListener {
+export function serveForwarding(context: ForwardingContext): ForwardListener {
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
     (request, response) => {
@@ -69,7 +75,7 @@
 }
 
 async function serve(
-  context: ForwardListenerContext & { readonly clock: Clock },
+  context: ForwardingContext,
   { request, response }: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -91,12 +97,15 @@
     response.writeHead(403, { "Content-Length": 0, Connection: "close" }).end();
     return;
   }
-  const body = await readBody(request, MAX_BODY_BYTES);
+  const body = await readBody(request, {
+    maxBytes: MAX_BODY_BYTES,
+    memory: context.memory,
+    isOver: new Promise((resolve) => response.once("close", resolve)),
+  });
   if (body === "gone") return;
   const sink = new PeerSink(response);
-  if (body === "too_large") {
-    const reason = "body_too_large";
-    return sink.failed({ kind: "unsent", reason, at: "forwarder" });
+  if (body === "too_large" || body === "no_memory") {
+    return sink.failed({ kind: "unsent", reason: body, at: "forwarder" });
   }
   const message: ClientMessage = {
     method: request.method ?? "GET",
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -18,6 +18,7 @@
   runAttempt,
   startRawServer,
   testAttemptOrder,
+  testMemory,
   testRoutedRequest,
 } from "./testing.ts";
 
@@ -86,6 +87,7 @@
     isPeer: () => isPeer,
     failed: (reason) => failures.push(reason),
     clock,
+    memory: testMemory(),
   });
   const order = testAttemptOrder(server.address, {
     deadlineMs: clock.elapsedMs() + 5_000,
--- a/packages/platform/src/header_names_test.ts
+++ b/packages/platform/src/header_names_test.ts
@@ -13,6 +13,7 @@
   settingsFor,
   startRawServer,
   testAttemptOrder,
+  testMemory,
   waitReady,
 } from "./testing.ts";
 import { startStore } from "./testing_store.ts";
@@ -120,6 +121,7 @@
         path: "/api/report",
         headers: {},
         timeoutMs: 5_000,
+        memory: testMemory(),
       });
       t.is(call, undefined);
       server.close();
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -5,7 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import { ByteCollector } from "@endivebend/byte-buffers";
+import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
 import type { ModelWork } from "@endivebend/request-path";
 import { brandId, type ModelName } from "@endivebend/types";
 import { boundedName, parsePrompt } from "./prompt_header.ts";
@@ -14,22 +14,42 @@
 /** Engines hold some 100,000 tokens; counts of more digits are none. */
 const TOKEN_COUNTS = /^\s*(\d{1,9})(?:\.\d*)?\s*,\s*(\d{1,9})(?:\.\d*)?\s*$/;
 
+/** Limits on a request's body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Holds the body's memory until `isOver` resolves. */
+  readonly memory: MemoryBudget;
+  readonly isOver: Promise<unknown>;
+}
+
+/** Why a request has no body. */
+export type MissingBody = "gone" | "too_large" | "no_memory";
+
 /** Reads the body, or tells why there is none. Never rejects. */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | "gone" | "too_large"> {
+  { maxBytes, memory, isOver }: BodyLimits,
+): Promise<Buffer | MissingBody> {
   return new Promise((resolve) => {
-    const body = new ByteCollector({ maxBytes });
-    let isTooLarge = false;
-    request.on("data", (chunk: Buffer) => {
-      if (isTooLarge || body.append(chunk)) return;
-      isTooLarge = true;
+    const body = new ByteCollector({
+      maxBytes,
+      budget: memory,
+      use: "request",
+    });
+    let isGivenUp = false;
+    const giveUp = (reason: MissingBody) => {
+      isGivenUp = true;
       body.clear();
-      resolve("too_large");
+      resolve(reason);
+    };
+    request.on("data", (chunk: Buffer) => {
+      if (isGivenUp || body.append(chunk)) return;
+      const isTooLarge = body.length + chunk.length > maxBytes;
+      giveUp(isTooLarge ? "too_large" : "no_memory");
     });
-    request.on("end", () => resolve(body.take()));
+    request.on("end", () => resolve(body.bytes));
     request.on("close", () => resolve("gone"));
+    void isOver.then(() => giveUp("gone"));
   });
 }
 
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -12,6 +12,7 @@
   STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type { CallerListener, ListenerContext } from "@endivebend/front";
 import { hasInvalidHeaderName } from "@endivebend/http-syntax";
@@ -47,6 +48,8 @@
   readonly endpoint: Endpoint;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** What the daemon may hold of messages. */
+  readonly memory: MemoryBudget;
 }
 
 /**
@@ -61,6 +64,8 @@
  * gets one within a second.
  */
 const NOT_READY_RETRY_MS = 500;
+/** Requests that hold memory end within some 500 ms. */
+const NO_MEMORY_RETRY_MS = 500;
 /** Another daemon takes the request at once. */
 const STOPPING_RETRY_MS = 100;
 const DEFAULT_LIMITS: CallerLimits = {
@@ -148,9 +153,16 @@
     if (!await this.#turns.take(request.socket, response)) return;
     if (this.#options.isLeaving()) response.setHeader("Connection", "close");
     const arrivedAtMs = this.#nowMs();
-    const body = await readBody(request, this.#limits().maxBodyBytes);
+    const body = await readBody(request, {
+      maxBytes: this.#limits().maxBodyBytes,
+      memory: this.#options.memory,
+      isOver: new Promise((resolve) => response.once("close", resolve)),
+    });
     if (body === "gone") return;
     if (body === "too_large") return sendLocalReply(response, { status: 413 });
+    if (body === "no_memory") {
+      return this.#refuseUnread(request, response);
+    }
     if (hasInvalidHeaderName(request)) {
       // What follows on the connection may be no request.
       response.setHeader("Connection", "close");
@@ -164,6 +176,17 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
+  /** Refuses a request whose body there is no memory for; it has not run. */
+  #refuseUnread(request: IncomingMessage, response: ServerResponse): void {
+    this.#options.log.decision("refuse", {
+      requestId: singleHeader(request, HEADERS.requestId),
+      reason: "no_memory",
+    });
+    // The rest of the body is not read.
+    response.setHeader("Connection", "close");
+    sendLocalReply(response, { status: 503, retryAfterMs: NO_MEMORY_RETRY_MS });
+  }
+
   /** Ends one request whose handling raised an error, before it was sent on. */
   #failRequest(
     request: IncomingMessage,
--- a/packages/platform/src/odd_entries_test.ts
+++ b/packages/platform/src/odd_entries_test.ts
@@ -14,6 +14,7 @@
   settingsFor,
   startRawServer,
   testAttemptOrder,
+  testMemory,
   waitReady,
 } from "./testing.ts";
 import { startStore } from "./testing_store.ts";
@@ -87,7 +88,13 @@
     t.is(failure?.kind, "unsent");
     t.is(await client.checkListening(address), "unknown");
     const agent = new Agent();
-    const call = { address, method: "GET", path: "/", headers: {} } as const;
+    const call = {
+      address,
+      method: "GET",
+      path: "/",
+      headers: {},
+      memory: testMemory(),
+    } as const;
     t.is(await callEngine(agent, { ...call, timeoutMs: 200 }), undefined);
   });
 }
--- a/packages/platform/src/rollout_order_client.ts
+++ b/packages/platform/src/rollout_order_client.ts
@@ -5,6 +5,7 @@
  */
 
 import { Agent } from "node:http";
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import type {
   EngineReport,
   OrderAnswer,
@@ -30,12 +31,18 @@
   421: "misdirected",
 };
 
-/** Creates the client that the weights rollout uses. */
-export function createRolloutOrderClient(): RolloutOrderClient {
+/**
+ * Creates the client that the weights rollout uses; answers take their memory
+ * from the budget.
+ */
+export function createRolloutOrderClient(
+  memory: MemoryBudget,
+): RolloutOrderClient {
   const agent = new Agent({ keepAlive: true, timeout: 4_000 });
   return {
     async report(engine) {
       const answer = await call(agent, engine, {
+        memory,
         method: "GET",
         path: PATHS.report,
       });
@@ -54,6 +61,7 @@
         expect: order.acceptedOrders,
       });
       const answer = await call(agent, engine, {
+        memory,
         method: "POST",
         path: PATHS.order,
         body,
@@ -90,7 +98,7 @@
 function call(
   agent: Agent,
   engine: RolloutEngine,
-  message: Pick<EngineCall, "method" | "path" | "body" | "maySend">,
+  message: Pick<EngineCall, "method" | "path" | "body" | "memory" | "maySend">,
 ): Promise<EngineAnswer | undefined> {
   const { body } = message;
   return callEngine(agent, {
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -18,6 +18,8 @@
   readonly metrics: Endpoint;
   /** IP and port of the platform's metadata store. */
   readonly storeAddress: string;
+  /** What the daemon may hold of requests, answers and reports, in bytes. */
+  readonly messageBytes: number;
 }
 
 /** An address to listen on. */
@@ -32,6 +34,13 @@
 /** The port that `deploy/system.toml` names for metrics. */
 const METRICS_PORT = 9_464;
 
+/**
+ * Share of the process's memory for what it holds of messages. Growing and
+ * garbage take up to three times as much, and the rest is the program's own.
+ */
+const MESSAGE_MEMORY_SHARE = 1 / 8;
+const BYTES_PER_MB = 1_048_576;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 /**
@@ -62,6 +71,7 @@
   const listen = requireTable(root, "listen");
   const bounds = requireTable(root, "bounds");
   const provider = requireTable(root, "provider");
+  const limits = requireTable(root, "limits");
   const ports = root["port_range"];
   const seeds = Array.isArray(root["seeds"]) ? root["seeds"] : [];
   return {
@@ -77,6 +87,8 @@
     ),
     seedIps: seeds.map((seed) => parseEndpoint(String(seed)).host),
     storeAddress: requireString(provider, "address"),
+    messageBytes: requireNumber(limits, "memory_mb") * BYTES_PER_MB *
+      MESSAGE_MEMORY_SHARE,
     graceMs: requireNumber(bounds, "grace_s") * 1_000,
     leaseMs: requireNumber(bounds, "lease_ms"),
     weightsBoundMs: requireNumber(bounds, "version_ms"),
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -11,6 +11,7 @@
   type Server,
   type Socket,
 } from "node:net";
+import { MemoryBudget } from "@endivebend/byte-buffers";
 import {
   type AnswerHead,
   type AttemptFailure,
@@ -64,6 +65,11 @@
   };
 }
 
+/** Memory for messages that no test uses up. */
+export function testMemory(): MemoryBudget {
+  return new MemoryBudget(67_108_864);
+}
+
 /** Makes a routed request; `fields` replace its values. */
 export function testRoutedRequest(
   fields: Partial<RoutedRequest> = {},
@@ -211,6 +217,7 @@
     firstPeerPort: await freePort(host),
     seedIps: [],
     storeAddress: store.address,
+    messageBytes: 23_330_816,
     graceMs: 4_000,
     leaseMs: 3_000,
     weightsBoundMs: 8_000,
--- a/packages/request-path/src/answer_relay.ts
+++ b/packages/request-path/src/answer_relay.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { ByteCollector } from "@endivebend/byte-buffers";
+import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
 import { type EventFrame, EventFrames } from "./event_frames.ts";
 import type { AnswerHead, CallerSink } from "./ports.ts";
 import { isStream, type RoutedRequest } from "./types.ts";
@@ -27,15 +27,24 @@
 export class AnswerRelay {
   readonly #request: RoutedRequest;
   readonly #caller: CallerSink;
-  #frames = new EventFrames();
+  readonly #memory: MemoryBudget;
+  readonly #frames: EventFrames;
   #head: AnswerHead | undefined;
-  readonly #buffered = new ByteCollector({ maxBytes: MAX_BUFFERED_BYTES });
+  #buffered: ByteCollector;
   #hasBegun = false;
   #lastEventId: string | undefined;
 
-  constructor(request: RoutedRequest, caller: CallerSink) {
+  /** Takes the memory for what it buffers from the budget. */
+  constructor(
+    request: RoutedRequest,
+    caller: CallerSink,
+    memory: MemoryBudget,
+  ) {
     this.#request = request;
     this.#caller = caller;
+    this.#memory = memory;
+    this.#frames = new EventFrames({ budget: memory });
+    this.#buffered = this.#collector("answer");
   }
 
   /** Whether the caller has received part of the answer. */
@@ -66,11 +75,17 @@
 
   /** Takes the head of an attempt's answer; the caller gets only the first. */
   head(head: AnswerHead): void {
-    this.#frames = new EventFrames();
-    this.#buffered.clear();
+    this.dropBuffered();
+    this.#buffered = this.#collector(head.status < 300 ? "answer" : "failure");
     if (!this.#hasBegun) this.#head = head;
   }
 
+  /** Gives back the memory of what the caller has not received. */
+  dropBuffered(): void {
+    this.#frames.clear();
+    this.#buffered.clear();
+  }
+
   /** Relays or buffers a chunk. */
   data(chunk: Buffer): RelayedChunk {
     if (this.isEventStream) return this.#relayEvents(chunk);
@@ -82,10 +97,11 @@
     if (this.#buffered.append(chunk)) {
       return { isProgress: true, callerAcceptsMore: true };
     }
-    // Answers may be long, errors are not: this one may never end.
+    // Answers may be long, errors are not: this one may never end. An answer
+    // that there is no memory for is relayed without a chance of a retry.
     if ((this.#head?.status ?? 0) >= 300) return malformed("error_too_large");
     this.#sendHead();
-    this.#caller.data(this.#buffered.take());
+    if (this.#buffered.length > 0) this.#caller.data(this.#buffered.take());
     return { isProgress: true, callerAcceptsMore: this.#caller.data(chunk) };
   }
 
@@ -95,6 +111,11 @@
     this.#caller.end();
   }
 
+  #collector(use: "answer" | "failure"): ByteCollector {
+    const budget = this.#memory;
+    return new ByteCollector({ maxBytes: MAX_BUFFERED_BYTES, budget, use });
+  }
+
   #relayEvents(chunk: Buffer): RelayedChunk {
     const events = this.#splitEvents(chunk);
     if (events === undefined) return malformed("event_too_large");
--- a/packages/request-path/src/answer_relay_test.ts
+++ b/packages/request-path/src/answer_relay_test.ts
@@ -1,6 +1,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import test from "ava";
+import { MemoryBudget } from "@endivebend/byte-buffers";
 import { AnswerRelay } from "./answer_relay.ts";
 import { answerHead, FakeCaller, routedRequest } from "./testing.ts";
 import type { RequestKind } from "./types.ts";
@@ -19,7 +20,11 @@
 
 function relayWith(kind: RequestKind, status: number) {
   const caller = new FakeCaller();
-  const relay = new AnswerRelay(routedRequest(kind), caller);
+  const relay = new AnswerRelay(
+    routedRequest(kind),
+    caller,
+    new MemoryBudget(67_108_864),
+  );
   relay.head(answerHead({ status }));
   return { caller, relay };
 }
@@ -64,3 +69,24 @@
   t.is(caller.text, text);
   t.true(caller.hasEnded);
 });
+
+test("without memory a failure is given up and a plain answer is relayed", (t) => {
+  const full = new MemoryBudget(100_000);
+  full.tryTake("answer", 60_000);
+  const start = (status: number) => {
+    const caller = new FakeCaller();
+    const relay = new AnswerRelay(routedRequest("repeatable"), caller, full);
+    relay.head(answerHead({ status }));
+    return { caller, relay };
+  };
+  const failure = start(500).relay.data(Buffer.alloc(60_000));
+  t.is(failure.malformed, "error_too_large");
+  const plain = start(200);
+  plain.relay.data(Buffer.from("first "));
+  t.is(plain.caller.text, "");
+  plain.relay.data(Buffer.alloc(60_000, "x"));
+  t.is(plain.caller.text.length, 60_006);
+  plain.relay.end();
+  t.true(plain.caller.hasEnded);
+  t.is(full.usedBytes, 60_000);
+});
--- a/packages/request-path/src/event_frames.ts
+++ b/packages/request-path/src/event_frames.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { ByteCollector } from "@endivebend/byte-buffers";
+import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
 
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -25,7 +25,7 @@
 /**
  * Buffers bytes and returns complete events. When a server breaks off within an
  * event, the bytes of that event stay here and never reach the caller. Throws
- * when an event exceeds 1 MiB.
+ * when an event exceeds 1 MiB or the budget has no room.
  *
  * @example
  * ```ts
@@ -34,10 +34,15 @@
  * ```
  */
 export class EventFrames {
-  readonly #pending = new ByteCollector({ maxBytes: MAX_EVENT_BYTES });
+  readonly #pending: ByteCollector;
   /** What the line that is not ended yet has so far. */
   #line: LineStart = "empty";
 
+  /** Takes the memory for an incomplete event from the budget. */
+  constructor(memory: { readonly budget?: MemoryBudget } = {}) {
+    this.#pending = new ByteCollector({ ...memory, maxBytes: MAX_EVENT_BYTES });
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.#pending.length > 0;
@@ -75,7 +80,10 @@
   #keep(bytes: Buffer): void {
     if (this.#pending.append(bytes)) return;
     this.clear();
-    throw new Error("The event is larger than 1 MiB; treat it as malformed");
+    throw new Error(
+      "The event is larger than 1 MiB or than memory allows; " +
+        "treat it as malformed",
+    );
   }
 
   /**
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import type { MemoryBudget } from "@endivebend/byte-buffers";
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
@@ -46,6 +47,8 @@
   readonly paths: ServerPaths;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
+  /** What the daemon may hold of messages, over all requests. */
+  readonly memory: MemoryBudget;
   /** Takes one retry from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest): boolean;
   /** Called once, when the request has ended. */
@@ -127,7 +130,7 @@
     this.#request = request;
     this.#caller = caller;
     this.#startedAtMs = this.#nowMs();
-    this.#relay = new AnswerRelay(request, caller);
+    this.#relay = new AnswerRelay(request, caller, context.memory);
     this.#suspects = context.crashGuard.suspectsOf(request);
   }
 
@@ -703,6 +706,7 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#cancelTimer();
+    this.#relay.dropBuffered();
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { MemoryBudget } from "@endivebend/byte-buffers";
 import type { Clock, Scheduler } from "@endivebend/clock";
 import { ServerPaths } from "@endivebend/forwarding";
 import { CrashEvidence, PromptQuarantine } from "@endivebend/quarantine";
@@ -339,6 +340,7 @@
     cacheStores: () => [],
     log,
     metrics,
+    memory: new MemoryBudget(67_108_864),
     tryRetry: () => true,
     ended() {},
     ...fields,
