Let other connections have their turn between short chunks

Callers saw: beside a stream in chunks of one byte, sound requests took up to 351 ms where 60 ms is their work; readiness waited as long.

Cause: one turn of the event loop reads up to 2 MB of a connection, which may be hundreds of thousands of chunks.

Evidence: bytes_without_end_test on the code before: 35,888 chunks in one turn from a full buffer of the test's kernel, where one read has 10,922 at most.

Fix: answers, bodies and engines' answers pause for a turn after 2,000 chunks.

--- a/packages/byte-buffers/src/mod.ts
+++ b/packages/byte-buffers/src/mod.ts
@@ -9,3 +9,4 @@
 export { ChunkBatch } from "./chunk_batch.ts";
 export { MemoryBudget } from "./memory_budget.ts";
 export type { MemoryUse } from "./memory_budget.ts";
+export { paceReading } from "./read_pace.ts";
--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -99,6 +99,45 @@
 
 const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+// Guards against one connection that fills turns of the event loop with chunks.
+test.serial("other events have their turn between the chunks of an answer", async (t) => {
+  const server = await startRawServer((socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n",
+    );
+    void writeChunks(socket);
+  });
+  const client = createServerClient(createClock());
+  let received = 0;
+  let receivedInTurn = 0;
+  let mostInTurn = 0;
+  const attempt = client.start(testAttemptOrder(server.address), {
+    connected() {},
+    sent() {},
+    head() {},
+    data(chunk) {
+      received += chunk.length;
+      receivedInTurn += chunk.length;
+    },
+    end() {},
+    failed() {},
+  });
+  // The chunks that wait in the kernel's buffer meanwhile are read at once.
+  attempt.pause();
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  attempt.resume();
+  while (received < BODY_BYTES) {
+    await new Promise((resolve) => setImmediate(resolve));
+    mostInTurn = Math.max(mostInTurn, receivedInTurn);
+    receivedInTurn = 0;
+  }
+  const oneReadChunks = 65_536 / "1\r\nx\r\n".length;
+  t.true(mostInTurn <= oneReadChunks, `${mostInTurn}`);
+  attempt.abort();
+  server.close();
+});
+
 // Guards against an engine whose answer to a call costs more than its bytes.
 test.serial("an engine's answer in chunks of one byte costs at most twice its bytes", async (t) => {
   const server = await startRawServer((socket) => {
--- a/packages/platform/src/engine_call.ts
+++ b/packages/platform/src/engine_call.ts
@@ -5,7 +5,11 @@
  */
 
 import { type Agent, request } from "node:http";
-import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
+import {
+  ByteCollector,
+  type MemoryBudget,
+  paceReading,
+} from "@endivebend/byte-buffers";
 import {
   findFieldFault,
   findHeadFault,
@@ -79,6 +83,7 @@
         answer.on("data", (chunk: Buffer) => {
           if (!received.append(chunk)) abandon();
         });
+        paceReading(answer);
         answer.on("error", () => settle(undefined));
         answer.on("end", () => {
           const fault = findHeadFault(answer) ??
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -5,7 +5,11 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import { ByteCollector, type MemoryBudget } from "@endivebend/byte-buffers";
+import {
+  ByteCollector,
+  type MemoryBudget,
+  paceReading,
+} from "@endivebend/byte-buffers";
 import type { ModelWork } from "@endivebend/request-path";
 import { brandId, type ModelName } from "@endivebend/types";
 import { boundedName, parsePrompt } from "./prompt_header.ts";
@@ -47,6 +51,7 @@
       const isTooLarge = body.length + chunk.length > maxBytes;
       giveUp(isTooLarge ? "too_large" : "no_memory");
     });
+    paceReading(request);
     request.on("end", () => resolve(body.bytes));
     request.on("close", () => resolve("gone"));
     void isOver.then(() => giveUp("gone"));
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -11,7 +11,7 @@
   request,
 } from "node:http";
 import { connect, type Socket } from "node:net";
-import { ChunkBatch } from "@endivebend/byte-buffers";
+import { ChunkBatch, paceReading } from "@endivebend/byte-buffers";
 import { type Clock, steadyMs } from "@endivebend/clock";
 import {
   findFieldFault,
@@ -351,6 +351,7 @@
     // The listener may have aborted the attempt.
     if (isFinished) return;
     response.on("data", (chunk: Buffer) => batch.add(chunk));
+    paceReading(response, () => !isPaused);
     response.on("end", () => {
       batch.flush();
       if (isFinished) return;
