Take no more from a refusal for weights than it says

Cause: a 421 of the expected server was taken for the newest named weights and held as known. Known weights only rose, so the server's entry and reports could not correct it, and the rollout left the server out as up to date.

Fix: ServerWeights keeps apart what the list says, what the server states, and what a refusal shows: at least the version named next after the one that the request expected.

--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -253,17 +253,14 @@
 
   #applyWeightsProgress(progress: WeightsProgress): void {
     const { registry } = this.#options;
+    const { server: id, model } = progress;
     const weights = brandId<NamedWeights["weights"]>(progress.weights);
+    const nowMs = this.#options.nowMs();
     if (progress.isDone) {
-      registry.recordWeights(progress.server, progress.model, weights);
-      return;
+      return registry.recordWeights(id, { model, weights, nowMs });
     }
-    const server = registry.get(progress.server);
-    const currentWeights = server && registry.weightsOf(server, progress.model);
-    if (currentWeights !== undefined && currentWeights >= weights) return;
-    registry.recordLoading(
-      progress.server,
-      this.#options.nowMs() + MAX_LOADING_MS,
-    );
+    const known = registry.get(id)?.weights.confirmedOf(model);
+    if (known !== undefined && known >= weights) return;
+    registry.recordLoading(id, nowMs + MAX_LOADING_MS);
   }
 }
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -160,7 +160,11 @@
 
 test("a message about older weights does not mark an engine as loading", (t) => {
   const { gossip, registry } = createDaemon("one");
-  registry.recordWeights(ENGINE, MODEL, brandId<WeightsVersion>(3));
+  registry.recordWeights(ENGINE, {
+    model: MODEL,
+    weights: brandId<WeightsVersion>(3),
+    nowMs: 1_000,
+  });
   const note = { server: ENGINE, model: MODEL, isDone: false };
   gossip.announceWeightsProgress({ ...note, weights: 2 });
   t.is(registry.get(ENGINE)?.loadingUntilMs, 0);
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -121,7 +121,7 @@
     }
     const server = store.readServer(record);
     if (server === undefined) return this.#log("malformed_record", record);
-    const change = registry.upsert(server);
+    const change = registry.upsert(server, nowMs());
     if (change === "same") return;
     const { isLeaving, address, startedAtMs } = server;
     this.#log("server", record, {
--- a/packages/front/src/server_selection.ts
+++ b/packages/front/src/server_selection.ts
@@ -39,7 +39,7 @@
           id: server.listed.id,
           address: server.listed.address,
           model,
-          weights: registry.weightsOf(server, model) ?? 0,
+          weights: server.weights.confirmedOf(model) ?? 0,
           namedWeights,
           running: registry.workAt(server).running,
         }];
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -46,7 +46,9 @@
   type VmId,
 } from "@endivebend/types";
 import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
+import type { OperatorRecord } from "./ports.ts";
 import { type CutForm, ServerLinks } from "./testing_links.ts";
+import { SimulatedRollout, type SimulatedWeights } from "./testing_rollout.ts";
 
 export const MODEL = brandId<ModelName>("m");
 const SERVICE = brandId<ServiceName>("engines");
@@ -271,6 +273,8 @@
   readonly body: string;
   /** Whether the engine has refused to run it. */
   readonly isTurnedAway: boolean;
+  /** The weights that the engine has. */
+  readonly weights: number;
 }
 
 /** An answer of an engine that says that it leaves, as it came to a VM. */
@@ -288,7 +292,7 @@
 }
 
 /** A simulated engine. */
-export interface Engine {
+export interface Engine extends SimulatedWeights {
   listed: ListedServer;
   isUp: boolean;
   /** When the prompts that wait are prefilled. */
@@ -323,6 +327,8 @@
   readonly kind?: RequestKind;
   /** Whether calls have no prompt; streams always have one. */
   readonly isPlain?: boolean;
+  /** Whether a daemon brings engines to the weights that are named. */
+  readonly rollsOut?: boolean;
 }
 
 /** Daemons, engines, store and callers in one virtual time. */
@@ -342,6 +348,12 @@
   readonly crashAtMs: number[] = [];
   readonly steps: Record<string, unknown>[] = [];
   readonly links = new ServerLinks(this.time);
+  readonly rollout = new SimulatedRollout({
+    after: (delayMs, task) => this.time.after(delayMs, task),
+    callStore: () => this.store.call(),
+    callEngine: () => this.store.wait(2 * LINK_MS),
+    engineAt: (address) => this.#engineAt(address),
+  });
   readonly #engines = new Map<string, Engine>();
   readonly #daemons: SimulatedDaemon[] = [];
   readonly #options: FleetOptions;
@@ -374,6 +386,30 @@
     this.store.put("operator", "config", { revision });
   }
 
+  /** The operator names weights of the model. */
+  nameWeights(weights: number): void {
+    this.store.put("operator", "weights", { weights });
+  }
+
+  readOperatorRecord(record: KeyedRecord): OperatorRecord {
+    if (record.key === "config") {
+      const configuration = this.readConfiguration(record);
+      return { kind: "configuration", configuration };
+    }
+    const { weights } = JSON.parse(String(record.value)) as {
+      readonly weights: number;
+    };
+    return {
+      kind: "weights",
+      model: MODEL,
+      weights: brandId<WeightsVersion>(weights),
+    };
+  }
+
+  get rollsOut(): boolean {
+    return this.#options.rollsOut === true;
+  }
+
   /** The revision of the configuration in force at the daemon. */
   revisionAt(daemon: number): number | undefined {
     return this.#daemons[daemon]?.revision;
@@ -464,14 +500,19 @@
 
   readServer({ value }: KeyedRecord): ListedServer | undefined {
     if (value === undefined) return undefined;
-    const { id, ...fields } = JSON.parse(value.toString()) as {
+    const { id, weights, ...fields } = JSON.parse(value.toString()) as {
       readonly id: string;
       readonly isLeaving: boolean;
       readonly reportCount: number;
       readonly startedAtMs: number;
+      readonly weights: number;
     };
     const engine = this.#engines.get(id);
-    return engine && { ...engine.listed, ...fields };
+    return engine && {
+      ...engine.listed,
+      ...fields,
+      weights: new Map([[MODEL, brandId<WeightsVersion>(weights)]]),
+    };
   }
 
   /** The engine reports that it leaves, or its entry goes without a report. */
@@ -491,6 +532,7 @@
       isLeaving,
       reportCount: reportCount + 1,
       startedAtMs,
+      weights: engine.weights,
     });
   }
 
@@ -633,6 +675,10 @@
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
       attempts: new Set(),
+      weights: 1,
+      loading: undefined,
+      acceptedOrders: 0,
+      cancelLoad() {},
     });
     this.report(this.#engines.get(id)!);
   }
@@ -668,6 +714,9 @@
       reportCount: 0,
     };
     engine.saysThatItLeaves = false;
+    engine.cancelLoad();
+    engine.loading = undefined;
+    engine.acceptedOrders = 0;
   }
 
   /** Engines that run, in the order of their start. */
@@ -707,8 +756,20 @@
       segments,
       body,
       isTurnedAway: engine.asksForQuietMs !== undefined,
+      weights: engine.weights,
     });
     listener.sent();
+    const { weights: expected } = order.cache;
+    if (expected !== undefined && Number(expected) !== engine.weights) {
+      attempt.isOver = true;
+      const refusal = { status: 421, isMisdirected: true, hasProof: false };
+      return listener.head({ ...this.#head(engine), ...refusal });
+    }
+    if (engine.loading !== undefined) {
+      attempt.isOver = true;
+      const refusal = { status: 503, isNotRun: true, hasProof: false };
+      return listener.head({ ...this.#head(engine), ...refusal });
+    }
     if (engine.asksForQuietMs !== undefined) {
       attempt.isOver = true;
       return listener.head({
@@ -777,6 +838,7 @@
       isExpectedServer: true,
       hasProof: true,
       load: { running: engine.attempts.size, waiting: 0, slots: 128 },
+      weights: undefined,
       limitPerS: engine.limitPerS,
       isLeaving: engine.saysThatItLeaves,
       quietMs: undefined,
@@ -976,10 +1038,7 @@
           await store.call();
           store.put("quarantines", key, value && JSON.parse(String(value)));
         },
-        readOperatorRecord: (keyed) => ({
-          kind: "configuration",
-          configuration: world.readConfiguration(keyed),
-        }),
+        readOperatorRecord: (keyed) => world.readOperatorRecord(keyed),
         readServer: (keyed) => world.readServer(keyed),
         registerDaemon: async (vm, ip) => {
           await store.call();
@@ -987,14 +1046,11 @@
           return store.values("members") as Map<VmId, string>;
         },
       },
-      rolloutLeaseLog: {
+      rolloutLeaseLog: world.rollsOut ? world.rollout.leaseLog() : {
         claim: () => Promise.reject(new Error("No rollout is played")),
         confirm: () => Promise.resolve(false),
       },
-      engineOrders: {
-        report: () => Promise.resolve(undefined),
-        order: () => Promise.resolve("unknown"),
-      },
+      engineOrders: world.rollout.orders(),
       serverClient: {
         start: (order, listener) =>
           world.startAttempt(this.vm, order, this.#whileAlive(listener)),
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -29,8 +29,13 @@
   type ListenState,
   type ServerClient,
   type ServerLoad,
+  type WeightsVersion,
 } from "@endivebend/request-path";
-import type { BackendServerId, RequestId } from "@endivebend/types";
+import {
+  type BackendServerId,
+  brandId,
+  type RequestId,
+} from "@endivebend/types";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
@@ -71,6 +76,7 @@
 const MAX_DRAINED_BYTES = 4_096;
 /** Time for such a body to arrive; it is sent together with its head. */
 const DRAIN_TIMEOUT_MS = 1_000;
+const WHOLE_NUMBER = /^\d{1,15}$/;
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
 /** A server that asks for a longer quiet is asked again after this time. */
 const MAX_QUIET_MS = 3_600_000;
@@ -496,6 +502,7 @@
       : instanceId === expected.serverId,
     hasProof: headers[HEADERS.proof] !== undefined,
     load: parseLoad(headers[HEADERS.load]),
+    weights: parseWeights(headers[HEADERS.weights]),
     limitPerS: parseLimit(headers[HEADERS.limit]),
     isLeaving: headers[HEADERS.leaving] === "1",
     quietMs: status === 503
@@ -517,6 +524,14 @@
     : undefined;
 }
 
+/** Parses a whole number. */
+function parseWeights(header: string | string[] | undefined) {
+  if (typeof header !== "string" || !WHOLE_NUMBER.test(header)) {
+    return undefined;
+  }
+  return brandId<WeightsVersion>(Number(header));
+}
+
 /** Parses a decimal number of seconds above 0 into milliseconds. */
 function parseQuiet(header: string | undefined): number | undefined {
   if (header === undefined || !DECIMAL.test(header)) return undefined;
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -33,6 +33,8 @@
   cacheSalt: "cache-salt",
   urgency: "request-priority",
   expectedWeights: "expect-version",
+  /** The version of its model that an engine has. */
+  weights: "weight-versions",
   authorization: "authorization",
   /** How often the store has come back from a copy of an earlier state. */
   storeEra: "store-era",
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -13,7 +13,12 @@
   ServiceName,
 } from "@endivebend/types";
 import type { CachePlan } from "./placement.ts";
-import type { ModelWork, RequestDigest, RoutedRequest } from "./types.ts";
+import type {
+  ModelWork,
+  RequestDigest,
+  RoutedRequest,
+  WeightsVersion,
+} from "./types.ts";
 
 export type { Forwarder, ListenState } from "@endivebend/forwarding";
 
@@ -73,6 +78,8 @@
   /** Whether the answer has the proof header that a success requires. */
   readonly hasProof: boolean;
   readonly load: ServerLoad | undefined;
+  /** The server's version of the request's model; undefined when not stated. */
+  readonly weights: WeightsVersion | undefined;
   /**
    * Requests a second that the server takes from all daemons together;
    * undefined while it names no limit.
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -36,6 +36,7 @@
   isStream,
   type RoutedRequest,
   urgencyOf,
+  type WeightsVersion,
 } from "./types.ts";
 
 /** Dependencies and state that all requests share. */
@@ -86,6 +87,8 @@
   readonly forwarder: Forwarder | undefined;
   /** Ends the count of the forwarder's requests. */
   readonly leaveForwarder: () => void;
+  /** The weights that its server must have to run it. */
+  readonly expectedWeights: WeightsVersion | undefined;
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
@@ -280,6 +283,7 @@
       server,
       forwarder,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
+      expectedWeights: cache.weights,
       startedAtMs: nowMs,
       handle: undefined,
       wasSent: false,
@@ -352,13 +356,22 @@
     const { registry } = this.#context;
     const { id } = attempt.server.listed;
     const model = this.#request.work?.model;
-    const named = model && this.#context.namedWeights(model).at(-1);
-    if (head.isExpectedServer && model !== undefined && named !== undefined) {
-      registry.recordWeights(id, model, named.weights);
-      return this.#handleNotRun(attempt, "other_weights");
+    const { expectedWeights: expected } = attempt;
+    const isOtherWeights = head.isExpectedServer && model !== undefined &&
+      expected !== undefined;
+    if (!isOtherWeights) {
+      registry.forgetMoved(id);
+      return this.#handleNotRun(attempt, "other_server");
     }
-    registry.forgetMoved(id);
-    this.#handleNotRun(attempt, "other_server");
+    const nowMs = this.#nowMs();
+    if (head.weights === undefined || head.weights === expected) {
+      const named = this.#context.namedWeights(model);
+      registry.recordOtherWeights(id, model, { expected, named, nowMs });
+    } else {
+      const { weights } = head;
+      registry.recordStatedWeights(id, { model, weights, nowMs });
+    }
+    this.#handleNotRun(attempt, "other_weights");
   }
 
   /** Whether an error answer is kept from the caller, and retried if allowed. */
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -205,13 +205,12 @@
 
 test("unexpected weights are recorded and the request is retried", (t) => {
   const context = testContext({
-    namedWeights: () => [
-      {
-        weights: brandId<WeightsVersion>(2),
+    namedWeights: () =>
+      [2, 3].map((weights) => ({
+        weights: brandId<WeightsVersion>(weights),
         firstSeenAtMs: 900,
         isAgeKnown: true,
-      },
-    ],
+      })),
   });
   const caller = new FakeCaller();
   new RequestRun(context, routedRequest("stream"), caller).start();
@@ -228,6 +227,19 @@
   t.is(client.attempts.length, 2);
 });
 
+test("weights that a server states in its refusal are taken as they are", (t) => {
+  const { client, context } = start("stream");
+  const { id } = client.last.order.server;
+  client.last.listener.head(answerHead({
+    status: 421,
+    isMisdirected: true,
+    isExpectedServer: true,
+    weights: brandId<WeightsVersion>(7),
+  }));
+  const server = context.registry.get(id)!;
+  t.is(context.registry.weightsOf(server, MODEL), 7 as never);
+});
+
 test("a server whose address another server has taken is forgotten", (t) => {
   const { client, context } = start("at_most_once");
   const { id } = client.last.order.server;
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -21,6 +21,7 @@
 } from "./cached_segments.ts";
 import { RecentPlacements } from "./recent_placements.ts";
 import { SharedSegmentIds } from "./shared_segment_ids.ts";
+import { ServerWeights, type WeightsRefusal } from "./server_weights.ts";
 import type { ListedServer, WeightsVersion } from "./types.ts";
 
 /**
@@ -87,8 +88,7 @@
   readonly ownWork: Map<RequestId, OwnWork>;
   /** Prompt segments in its prefix cache. */
   readonly parts: CachedSegments;
-  /** Weights learned from orders or answers, newer than the listed ones. */
-  readonly knownWeights: Map<ModelName, WeightsVersion>;
+  readonly weights: ServerWeights;
   removedAtMs: number | undefined;
   /** Whether the removed entry may have lapsed in an outage of the store. */
   mayBeBack: boolean;
@@ -123,6 +123,13 @@
   readonly perS: number;
 }
 
+/** Weights that a server says that it has. */
+export interface StatedWeights {
+  readonly model: ModelName;
+  readonly weights: WeightsVersion;
+  readonly nowMs: number;
+}
+
 /** What this daemon has seen of a server's limit, for its peers. */
 export interface SeenLimit {
   readonly id: BackendServerId;
@@ -165,8 +172,14 @@
     this.#peerWork = lookUp;
   }
 
-  /** Adds or updates an entry of the list. Returns the change, for the log. */
-  upsert(listed: ListedServer): "new" | "reborn" | "changed" | "same" {
+  /**
+   * Adds or updates an entry of the list, read at `nowMs`. Returns the change,
+   * for the log.
+   */
+  upsert(
+    listed: ListedServer,
+    nowMs = 0,
+  ): "new" | "reborn" | "changed" | "same" {
     const { id, isLeaving, startedAtMs } = listed;
     // A process that leaves doesn't come back, whatever is listed later. A start
     // of 0 is unknown and may be that of several processes.
@@ -186,6 +199,7 @@
     const isSame = known.listed.isLeaving === listed.isLeaving &&
       known.removedAtMs === undefined;
     known.listed = listed;
+    known.weights.list(listed.weights, nowMs);
     known.removedAtMs = undefined;
     return isSame ? "same" : "changed";
   }
@@ -334,23 +348,51 @@
   }
 
   weightsOf(server: KnownServer, model: ModelName): WeightsVersion | undefined {
-    const listed = server.listed.weights.get(model);
-    const known = server.knownWeights.get(model);
-    if (listed === undefined || known === undefined) return listed ?? known;
-    return known > listed ? known : listed;
+    return server.weights.of(model);
+  }
+
+  /** Records weights that the server has reported to a daemon. */
+  recordWeights(id: BackendServerId, reported: StatedWeights): void {
+    const { model, weights, nowMs } = reported;
+    this.#changeWeights(id, model, (known) => {
+      known.report(model, weights, nowMs);
+    });
+  }
+
+  /** Records weights that the server states in an answer to this daemon. */
+  recordStatedWeights(id: BackendServerId, stated: StatedWeights): void {
+    const { model, weights, nowMs } = stated;
+    this.#changeWeights(id, model, (known) => {
+      known.state(model, weights, nowMs);
+    });
+  }
+
+  /**
+   * Records that the server has refused a request because it has other weights.
+   * A server that has refused all that it may have is avoided for a while.
+   */
+  recordOtherWeights(
+    id: BackendServerId,
+    model: ModelName,
+    refusal: WeightsRefusal,
+  ): void {
+    let isExplained = true;
+    this.#changeWeights(id, model, (known) => {
+      isExplained = known.refuse(model, refusal);
+    });
+    if (!isExplained) this.recordFailure(id, refusal.nowMs);
   }
 
-  /** Records weights of the server that an order or an answer shows. */
-  recordWeights(
+  #changeWeights(
     id: BackendServerId,
     model: ModelName,
-    weights: WeightsVersion,
+    change: (weights: ServerWeights) => void,
   ): void {
     const server = this.#servers.get(id);
     if (server === undefined) return;
-    const known = this.weightsOf(server, model);
-    if (known !== undefined && known >= weights) return;
-    server.knownWeights.set(model, weights);
+    const before = server.weights.of(model);
+    change(server.weights);
+    if (server.weights.of(model) === before) return;
     // An engine clears its prefix cache when it loads new weights.
     server.parts.clear();
     server.loadingUntilMs = 0;
@@ -557,7 +599,7 @@
     listed,
     ownWork: new Map(),
     parts: new CachedSegments(),
-    knownWeights: new Map(),
+    weights: new ServerWeights(listed.weights),
     removedAtMs: undefined,
     mayBeBack: false,
     avoidUntilMs: 0,
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -266,6 +266,7 @@
     isExpectedServer: undefined,
     hasProof: true,
     load: undefined,
+    weights: undefined,
     limitPerS: undefined,
     isLeaving: false,
     quietMs: undefined,
