Keep a silent attempt until another server has begun to answer

Cause: a silent attempt was ended before the attempts left, the crash guard, the retry budget and a place at another server had been asked.

Fix: the attempt stays open, and a replacement is sent beside it once all allow it. The first of the two to bring the next part of the answer keeps the request; the other ends at once. A replacement that is refused or fails changes nothing. A server's error is withheld only where a retry is certain.

A check of request_run_test that the first attempt ends as the second is sent contradicts this; it asserts instead that it ends with the second's first event and not before.

--- /dev/null
+++ b/packages/request-path/src/attempt.ts
@@ -0,0 +1,57 @@
+/**
+ * One attempt of a request at one server.
+ *
+ * @module
+ */
+
+import type { AnswerHead, AttemptHandle, Forwarder } from "./ports.ts";
+import type { KnownServer } from "./server_registry.ts";
+import type { WeightsVersion } from "./types.ts";
+
+/** The state of an attempt. */
+export interface Attempt {
+  readonly server: KnownServer;
+  /** The VM that it goes through; undefined when it goes to the server. */
+  readonly forwarder: Forwarder | undefined;
+  /** Ends the count of the forwarder's requests. */
+  readonly leaveForwarder: () => void;
+  /** The weights that its server must have to run it. */
+  readonly expectedWeights: WeightsVersion | undefined;
+  readonly startedAtMs: number;
+  handle: AttemptHandle | undefined;
+  wasSent: boolean;
+  /** When the head of its answer came. */
+  headAtMs: number | undefined;
+  /** The head of its answer, until the relay has it. */
+  pendingHead: AnswerHead | undefined;
+  hasEvents: boolean;
+  /** Whether its answer shows that the prompt is sound. */
+  isKnownSound: boolean;
+  /** Whether it was silent for so long that a replacement was sought. */
+  isSuspect: boolean;
+  lastProgressMs: number;
+}
+
+/** An attempt that is about to be sent. */
+export function newAttempt(
+  fields: Pick<
+    Attempt,
+    | "server"
+    | "forwarder"
+    | "leaveForwarder"
+    | "expectedWeights"
+    | "startedAtMs"
+  >,
+): Attempt {
+  return {
+    ...fields,
+    handle: undefined,
+    wasSent: false,
+    headAtMs: undefined,
+    pendingHead: undefined,
+    hasEvents: false,
+    isKnownSound: false,
+    isSuspect: false,
+    lastProgressMs: fields.startedAtMs,
+  };
+}
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -11,32 +11,30 @@
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
 import { AnswerRelay } from "./answer_relay.ts";
+import { type Attempt, newAttempt } from "./attempt.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
 import {
-  type CachePlan,
+  type Placement,
   type PlacementContext,
   placeRequest,
 } from "./placement.ts";
 import type {
   AnswerHead,
   AttemptFailure,
-  AttemptHandle,
   CallerSink,
   DecisionLog,
-  Forwarder,
   PathMetrics,
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
 import { recordAnswerHead } from "./record_answer.ts";
-import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
+import type { PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
   isStream,
   type RoutedRequest,
   urgencyOf,
-  type WeightsVersion,
 } from "./types.ts";
 
 /** Dependencies and state that all requests share. */
@@ -81,24 +79,10 @@
 /** Retries are spread by up to this share of the delay to avoid a herd. */
 const RETRY_JITTER = 0.5;
 
-interface Attempt {
-  readonly server: KnownServer;
-  /** The VM that it goes through; undefined when it goes to the server. */
-  readonly forwarder: Forwarder | undefined;
-  /** Ends the count of the forwarder's requests. */
-  readonly leaveForwarder: () => void;
-  /** The weights that its server must have to run it. */
-  readonly expectedWeights: WeightsVersion | undefined;
-  readonly startedAtMs: number;
-  handle: AttemptHandle | undefined;
-  wasSent: boolean;
-  /** When the head of its answer came. */
-  headAtMs: number | undefined;
-  hasEvents: boolean;
-  /** Whether its answer shows that the prompt is sound. */
-  isKnownSound: boolean;
-  lastProgressMs: number;
-}
+/** What shows that an attempt is broken. */
+type FaultSource = "answer" | "connection" | "silence";
+
+type Placed = Placement & { readonly kind: "placed" };
 
 /** A running request. */
 export class RequestRun {
@@ -111,6 +95,8 @@
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
+  /** A second attempt, sent while the first is silent but may still go on. */
+  #replacement: Attempt | undefined;
   /** Whether the request is a trial after the end of a quarantine. */
   #isTrial = false;
   #cancelTimer = () => {};
@@ -158,7 +144,7 @@
     if (this.#hasEnded) return;
     this.#contain(() => {
       this.#logDecision("caller_gone", {});
-      this.#abortAttempt();
+      for (const attempt of this.#openAttempts()) this.#abort(attempt);
       this.#end("gone");
     });
   }
@@ -167,8 +153,7 @@
   stop(): void {
     if (this.#hasEnded) return;
     this.#contain(() => {
-      if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
-      this.#abortAttempt();
+      this.#abortAttempts();
       this.#giveUp("stopping");
     });
   }
@@ -193,7 +178,7 @@
     // Where the error came from is unknown, so the request may have run.
     this.#possiblyRunAttempts += 1;
     try {
-      this.#abortAttempt();
+      this.#abortAttempts();
       this.#giveUp("internal_error");
     } catch (caught) {
       this.#logDecision("request_failed", { reason: String(caught) });
@@ -216,18 +201,28 @@
       return this.#giveUp("deadline_passed");
     }
     if (!this.#mayReachEngine(nowMs)) return;
-    const exclude = this.#excluded;
-    const placement = placeRequest(this.#request, {
+    const placement = this.#place(this.#excluded, nowMs);
+    if (placement.kind === "refused") {
+      return this.#giveUp(placement.reason, placement.retryInMs);
+    }
+    const attempt = this.#open(placement, nowMs);
+    this.#attempt = attempt;
+    this.#send(attempt, placement);
+  }
+
+  #place(exclude: ReadonlySet<BackendServerId>, nowMs: number): Placement {
+    return placeRequest(this.#request, {
       ...this.#context,
       exclude,
       hasBegun: this.#relay.hasBegun,
       nowMs,
     });
-    if (placement.kind === "refused") {
-      return this.#giveUp(placement.reason, placement.retryInMs);
-    }
-    const { server, choice, cache } = placement;
-    const forwarder = this.#context.paths.forwarderFor(
+  }
+
+  /** Opens an attempt at the place that was found; it is not sent yet. */
+  #open({ server, choice, cache }: Placed, nowMs: number): Attempt {
+    const { paths } = this.#context;
+    const forwarder = paths.forwarderFor(
       server.listed,
       this.#excludedForwarders,
     );
@@ -243,8 +238,15 @@
       limitPerS: server.limit?.perS,
       forwarder: forwarder?.vm,
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
+      replaces: this.#attempt?.server.listed.id,
+    });
+    return newAttempt({
+      server,
+      forwarder,
+      leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
+      expectedWeights: cache.weights,
+      startedAtMs: nowMs,
     });
-    this.#send(server, { nowMs, cache, forwarder });
   }
 
   /** Gives up when the request, or a segment of its prompt, crashes engines. */
@@ -257,15 +259,8 @@
     return false;
   }
 
-  #send(
-    server: KnownServer,
-    at: {
-      readonly nowMs: number;
-      readonly cache: CachePlan;
-      readonly forwarder: Forwarder | undefined;
-    },
-  ): void {
-    const { nowMs, cache, forwarder } = at;
+  #send(attempt: Attempt, { cache }: Placed): void {
+    const { server, forwarder, startedAtMs: nowMs } = attempt;
     const { registry, client } = this.#context;
     const request = this.#request;
     server.ownWork.set(request.requestId, {
@@ -279,20 +274,6 @@
       registry.recentPlacements.add(store, cache.parts, nowMs);
     }
     const { paths, metrics } = this.#context;
-    const attempt: Attempt = {
-      server,
-      forwarder,
-      leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
-      expectedWeights: cache.weights,
-      startedAtMs: nowMs,
-      handle: undefined,
-      wasSent: false,
-      headAtMs: undefined,
-      hasEvents: false,
-      isKnownSound: false,
-      lastProgressMs: nowMs,
-    };
-    this.#attempt = attempt;
     this.#context.allowances.take(server, nowMs);
     if (server.limit !== undefined) metrics.count("limited_attempts");
     if (forwarder !== undefined) metrics.count("forwarded_attempts");
@@ -331,8 +312,12 @@
     });
   }
 
+  #isOpen(attempt: Attempt): boolean {
+    return attempt === this.#attempt || attempt === this.#replacement;
+  }
+
   #onHead(attempt: Attempt, head: AnswerHead): void {
-    if (this.#attempt !== attempt) return;
+    if (!this.#isOpen(attempt)) return;
     const nowMs = this.#nowMs();
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
@@ -345,10 +330,23 @@
     if (isSuccess && !head.hasProof) {
       return this.#handleBroken(attempt, "no_proof", "answer");
     }
-    if (!isSuccess && this.#isWithheld(head)) {
+    if (!isSuccess && this.#isWithheld(attempt, head)) {
       return this.#handleBroken(attempt, `status_${head.status}`, "answer");
     }
-    this.#relay.head(head);
+    if (head.status >= 500 && this.#takeReplacement(attempt) !== undefined) {
+      this.#endBroken(attempt, `status_${head.status}`, "answer");
+      return this.#startAttempt();
+    }
+    // A replacement takes over with the first bytes of its answer.
+    attempt.pendingHead = head;
+    if (attempt === this.#attempt) this.#relayHead(attempt);
+  }
+
+  #relayHead(attempt: Attempt): void {
+    const { pendingHead } = attempt;
+    if (pendingHead === undefined) return;
+    attempt.pendingHead = undefined;
+    this.#relay.head(pendingHead);
   }
 
   /** Another server has the address, or the server has other weights. */
@@ -374,19 +372,41 @@
     this.#handleNotRun(attempt, "other_weights");
   }
 
-  /** Whether an error answer is kept from the caller, and retried if allowed. */
-  #isWithheld(head: AnswerHead): boolean {
-    if (this.#relay.hasBegun || NOT_RUN_STATUSES.has(head.status)) return true;
-    return head.status >= 500 && isRepeatable(this.#request.route.kind) &&
-      this.#hasAttemptsLeft();
+  /** Whether an error answer is kept from the caller. */
+  #isWithheld(attempt: Attempt, { status }: AnswerHead): boolean {
+    return this.#relay.hasBegun || attempt === this.#replacement ||
+      NOT_RUN_STATUSES.has(status);
+  }
+
+  /**
+   * A place for another attempt while one is open, with a retry taken from the
+   * budget; undefined when anything does not allow it. The open attempt must not
+   * be ended before.
+   */
+  #takeReplacement({ server }: Attempt): Placed | undefined {
+    const nowMs = this.#nowMs();
+    const { crashGuard } = this.#context;
+    const isAllowed = this.#hasAttemptsLeft() &&
+      isRepeatable(this.#request.route.kind) && this.#relay.canResume &&
+      !this.#isTrial && crashGuard.mayRetry(this.#suspects) &&
+      crashGuard.findBlocked(this.#suspects) === undefined &&
+      this.#finalDeadlineMs() - nowMs >= MIN_ATTEMPT_TIME_MS;
+    if (!isAllowed) return undefined;
+    const exclude = new Set([...this.#excluded, server.listed.id]);
+    const placement = this.#place(exclude, nowMs);
+    if (placement.kind === "refused") return undefined;
+    return this.#context.tryRetry(this.#request) ? placement : undefined;
   }
 
   #hasAttemptsLeft(): boolean {
-    return this.#possiblyRunAttempts + 1 < this.#request.route.maxAttempts;
+    const openAttempts = this.#replacement === undefined ? 1 : 2;
+    return this.#possiblyRunAttempts + openAttempts <
+      this.#request.route.maxAttempts;
   }
 
   #onData(attempt: Attempt, chunk: Buffer): void {
-    if (this.#attempt !== attempt) return;
+    if (!this.#isOpen(attempt)) return;
+    if (attempt === this.#replacement) this.#takeOver();
     const relayed = this.#relay.data(chunk);
     if (relayed.malformed !== undefined) {
       return this.#handleBroken(attempt, relayed.malformed, "answer");
@@ -394,6 +414,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
+      this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
     }
@@ -418,7 +439,8 @@
   }
 
   #onEnd(attempt: Attempt): void {
-    if (this.#attempt !== attempt) return;
+    if (!this.#isOpen(attempt)) return;
+    if (attempt === this.#replacement) this.#takeOver();
     const lacksEvents = this.#relay.isEventStream && !attempt.hasEvents;
     if (this.#relay.endsMidEvent || lacksEvents) {
       // An answer without a length ends like this when its engine crashes.
@@ -428,15 +450,16 @@
         lacksEvents ? "no_events" : "cut_event",
       );
     }
+    this.#dropReplacement("not_needed");
     this.#recordSound(attempt, { isComplete: true });
     this.#context.registry.recordSuccess(attempt.server.listed.id);
-    this.#releaseAttempt();
+    this.#release(attempt);
     this.#relay.end();
     this.#end("answered");
   }
 
   #onFailed(attempt: Attempt, failure: AttemptFailure): void {
-    if (this.#attempt !== attempt) return;
+    if (!this.#isOpen(attempt)) return;
     if (failure.at === "forwarder") {
       return this.#onForwarderFailed(attempt, failure);
     }
@@ -507,6 +530,7 @@
   /** Handles an attempt that reached no server, so the next is no retry. */
   #handleUnsent(attempt: Attempt, reason: string): void {
     this.#endNotRun(attempt, reason);
+    if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
     if (mayRetry) return this.#startAttempt();
     this.#giveUp("overloaded");
@@ -515,6 +539,7 @@
   /** Handles an attempt that its server has not run. */
   #handleNotRun(attempt: Attempt, reason: string): void {
     this.#endNotRun(attempt, reason);
+    if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
       this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
@@ -524,7 +549,7 @@
   #endNotRun(attempt: Attempt, reason: string): void {
     const { listed } = attempt.server;
     this.#logDecision("attempt_unrun", { server: listed.id, reason });
-    this.#abortAttempt();
+    this.#abort(attempt);
     this.#exclude(attempt);
     this.#notRunAttempts += 1;
   }
@@ -533,11 +558,27 @@
   #handleBroken(
     attempt: Attempt,
     reason: string,
-    shownBy: "answer" | "connection" = "connection",
+    shownBy: FaultSource = "connection",
   ): void {
-    const { listed } = attempt.server;
+    this.#endBroken(attempt, reason, shownBy);
+    if (this.#attempt !== undefined) return;
+    const mayRetry = isRepeatable(this.#request.route.kind) &&
+      this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
+      this.#relay.canResume && !this.#isTrial &&
+      this.#context.crashGuard.mayRetry(this.#suspects) &&
+      this.#context.tryRetry(this.#request);
+    if (mayRetry) return this.#startAttempt();
+    this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
+  }
+
+  #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
+    const { id } = attempt.server.listed;
+    if (shownBy === "connection") this.#blame(attempt, reason);
+    if (shownBy === "answer") {
+      this.#context.registry.recordFailure(id, this.#nowMs());
+    }
     this.#logDecision("attempt_broken", {
-      server: listed.id,
+      server: id,
       reason,
       afterMs: Math.round(this.#nowMs() - attempt.startedAtMs),
       hasHead: attempt.headAtMs !== undefined,
@@ -548,18 +589,50 @@
     this.#context.metrics.count("broken_attempts", {
       phase: phaseOf(attempt, this.#relay),
     });
-    if (shownBy === "connection") this.#blame(attempt, reason);
-    else this.#context.registry.recordFailure(listed.id, this.#nowMs());
-    this.#abortAttempt();
+    this.#abort(attempt);
     this.#possiblyRunAttempts += 1;
     this.#exclude(attempt);
-    const mayRetry = isRepeatable(this.#request.route.kind) &&
-      this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
-      this.#relay.canResume && !this.#isTrial &&
-      this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#context.tryRetry(this.#request);
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
+  }
+
+  /**
+   * Looks for another server for an attempt that is silent, and sends the
+   * request there too. The attempt stays open until the other one answers: its
+   * server may only pause, and a retry may not be allowed or be refused.
+   */
+  #replaceSilent(attempt: Attempt): void {
+    if (this.#replacement !== undefined) return;
+    const placed = this.#takeReplacement(attempt);
+    if (placed === undefined) return;
+    const replacement = this.#open(placed, this.#nowMs());
+    this.#replacement = replacement;
+    this.#send(replacement, placed);
+  }
+
+  /** Records once that an attempt is silent; its server may have ended. */
+  #suspect(attempt: Attempt): void {
+    if (attempt.isSuspect) return;
+    attempt.isSuspect = true;
+    const { address } = attempt.server.listed;
+    this.#context.client.closeIdleConnections(address);
+    this.#recordLoss(attempt);
+    this.#blame(attempt, "silent");
+  }
+
+  /** Ends the silent attempt, as its replacement has begun to answer. */
+  #takeOver(): void {
+    if (this.#attempt !== undefined) {
+      this.#endBroken(this.#attempt, "silent", "silence");
+    }
+  }
+
+  /** Ends the replacement; it may have run. */
+  #dropReplacement(reason: string): void {
+    const replacement = this.#replacement;
+    if (replacement === undefined) return;
+    const { id: server } = replacement.server.listed;
+    this.#logDecision("replacement_dropped", { server, reason });
+    if (replacement.wasSent) this.#possiblyRunAttempts += 1;
+    this.#abort(replacement);
   }
 
   /** Another VM may reach a server that the failed one did not. */
@@ -621,18 +694,18 @@
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
-    if (this.#isCutOff(attempt, nowMs)) {
-      return this.#handleBroken(attempt, "cut_off");
-    }
-    const limitMs = silenceTimeoutMs(this.#request, {
-      hasBegun: this.#relay.hasBegun,
-      canRetry: this.#hasAttemptsLeft(),
-      isServerSilent: attempt.server.lastReceivedMs <= attempt.startedAtMs,
-    });
-    if (nowMs - attempt.lastProgressMs <= limitMs) return;
-    this.#context.client.closeIdleConnections(attempt.server.listed.address);
-    this.#recordLoss(attempt);
-    this.#handleBroken(attempt, "silent");
+    if (this.#isCutOff(attempt, nowMs)) this.#replaceSilent(attempt);
+    const silentMs = nowMs - attempt.lastProgressMs;
+    const limitMs = (canRetry: boolean) =>
+      silenceTimeoutMs(this.#request, {
+        hasBegun: this.#relay.hasBegun,
+        canRetry,
+        isServerSilent: attempt.server.lastReceivedMs <= attempt.startedAtMs,
+      });
+    if (silentMs <= limitMs(this.#hasAttemptsLeft())) return;
+    this.#suspect(attempt);
+    if (silentMs <= limitMs(false)) return this.#replaceSilent(attempt);
+    this.#handleBroken(attempt, "silent", "silence");
   }
 
   /**
@@ -646,8 +719,7 @@
 
   /** Takes the request back from its engine; it may have run. */
   #callBack(): void {
-    if (this.#attempt?.wasSent) this.#possiblyRunAttempts += 1;
-    this.#abortAttempt();
+    this.#abortAttempts();
     this.#giveUp("quarantined");
   }
 
@@ -685,7 +757,6 @@
   #expire(): void {
     const attempt = this.#attempt;
     if (attempt?.wasSent) {
-      this.#possiblyRunAttempts += 1;
       const isPlain = !isStream(this.#request.route.kind);
       const isOwn = attempt.forwarder === undefined;
       const { paths } = this.#context;
@@ -699,20 +770,37 @@
         );
       }
     }
-    this.#abortAttempt();
+    this.#abortAttempts();
     this.#giveUp("deadline_passed");
   }
 
-  #abortAttempt(): void {
-    this.#attempt?.handle?.abort();
-    this.#releaseAttempt();
+  /** The replacement comes first, so that it does not take over. */
+  #openAttempts(): Attempt[] {
+    return [this.#replacement, this.#attempt]
+      .filter((attempt) => attempt !== undefined);
   }
 
-  #releaseAttempt(): void {
-    const attempt = this.#attempt;
-    this.#attempt = undefined;
-    attempt?.leaveForwarder();
-    attempt?.server.ownWork.delete(this.#request.requestId);
+  /** Ends what is open; what was sent may have run. */
+  #abortAttempts(): void {
+    for (const attempt of this.#openAttempts()) {
+      if (attempt.wasSent) this.#possiblyRunAttempts += 1;
+      this.#abort(attempt);
+    }
+  }
+
+  #abort(attempt: Attempt): void {
+    attempt.handle?.abort();
+    this.#release(attempt);
+  }
+
+  /** Ends one attempt; its replacement, if there is one, takes its place. */
+  #release(attempt: Attempt): void {
+    attempt.leaveForwarder();
+    attempt.server.ownWork.delete(this.#request.requestId);
+    const isFirst = attempt === this.#attempt;
+    if (isFirst) this.#attempt = this.#replacement;
+    this.#replacement = undefined;
+    if (isFirst && this.#attempt !== undefined) this.#relayHead(this.#attempt);
   }
 
   #end(outcome: string): void {
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -184,6 +184,10 @@
   client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
   context.time.advance(1_200);
   t.is(client.attempts.length, 2);
+  // The server may only pause, until the other one has answered.
+  t.false(client.attempts[0]!.isAborted);
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("id: 2\ndata: b\n\n"));
   t.true(client.attempts[0]!.isAborted);
 });
 
