Give every request to an engine a cache scope

Cause: parseWork took a request without token counts for a plain call, which has no scope, and an engine shares what has no scope with everyone. Where the weights of a server were unknown, the scope "any/" held for all versions.

Fix: a request that names a model is one of that model; its prompt tells its tokens where it states none. A request to an engine always has a scope, and one of its own where the engine's weights are unknown, so that it shares nothing across teams or versions.

--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -19,8 +19,12 @@
 const collectGarbage = runInNewContext("gc") as () => void;
 
 /** Memory that is alive, in the heap and in buffers. */
-function usedBytes(): number {
-  collectGarbage();
+async function usedBytes(): Promise<number> {
+  // Buffers are given back after a collection, by another thread.
+  for (let round = 0; round < 3; round++) {
+    collectGarbage();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
   const { heapUsed, external } = process.memoryUsage();
   return heapUsed + external;
 }
@@ -145,7 +149,7 @@
     void writeChunks(socket);
   });
   const agent = new Agent();
-  const beforeBytes = usedBytes();
+  const beforeBytes = await usedBytes();
   const answer = callEngine(agent, {
     address: server.address,
     method: "GET",
@@ -155,7 +159,7 @@
     memory: testMemory(),
   });
   await receivedBy(Object.values(agent.sockets)[0]![0]!);
-  const costBytes = usedBytes() - beforeBytes;
+  const costBytes = await usedBytes() - beforeBytes;
   t.true(costBytes <= 2 * BODY_BYTES + SOCKET_BYTES, `${costBytes}`);
   server.close();
   t.is(await answer, undefined);
@@ -173,7 +177,7 @@
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   const accepted = once(server, "connection") as Promise<[Socket]>;
-  const beforeBytes = usedBytes();
+  const beforeBytes = await usedBytes();
   const outgoing = request({ host: "127.0.0.1", port, method: "POST" });
   outgoing.on("error", () => {});
   const socket = await new Promise<Socket>((resolve) =>
@@ -182,7 +186,7 @@
   outgoing.flushHeaders();
   const [receiver] = await accepted;
   await Promise.all([writeChunks(socket), receivedBy(receiver)]);
-  const costBytes = usedBytes() - beforeBytes;
+  const costBytes = await usedBytes() - beforeBytes;
   t.true(costBytes <= 2 * BODY_BYTES + SOCKET_BYTES, `${costBytes}`);
   socket.write("0\r\n\r\n");
   const [answer] = await once(outgoing, "response");
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -82,15 +82,20 @@
   };
 }
 
-/** The work that the request asks of a model; undefined for a plain call. */
+/**
+ * The work that the request asks of a model; undefined for a plain call. A
+ * request may leave out its token counts; its prompt then tells their sum.
+ */
 export function parseWork(request: IncomingMessage): ModelWork | undefined {
   const model = singleHeader(request, HEADERS.model);
+  if (model === undefined) return undefined;
   const tokens = parseTokens(singleHeader(request, HEADERS.tokens));
-  if (model === undefined || tokens === undefined) return undefined;
+  const prompt = parsePrompt(singleHeader(request, HEADERS.prompt));
+  const listedTokens = prompt.reduce((sum, segment) => sum + segment.tokens, 0);
   return {
     model: brandId<ModelName>(boundedName(model)),
-    promptTokens: tokens.promptTokens,
-    maxOutputTokens: tokens.outputTokens,
-    prompt: parsePrompt(singleHeader(request, HEADERS.prompt)),
+    promptTokens: tokens?.promptTokens ?? listedTokens,
+    maxOutputTokens: tokens?.outputTokens ?? 0,
+    prompt,
   };
 }
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -102,6 +102,9 @@
 /** Requests per slot of a full engine: as many waiting as running. */
 const MAX_LOAD_FACTOR = 2;
 
+/** Callers' ids may have thousands of characters. */
+const MAX_SCOPE_ID_LENGTH = 64;
+
 /** A server that has named no limit for this long may take more by now. */
 const LIMIT_RECHECK_MS = 2_000;
 /** Another daemon may have a server for the caller by then. */
@@ -213,7 +216,10 @@
   };
 }
 
-/** Segments are shared by weights, and by team where the team is isolated. */
+/**
+ * Segments are shared by weights, and by team where the team is isolated. Where
+ * the weights are unknown, the request shares none.
+ */
 function scopeAt(
   request: RoutedRequest,
   server: KnownServer,
@@ -221,8 +227,15 @@
 ): CacheScope {
   const model = request.work?.model;
   const weights = model && registry.weightsOf(server, model);
+  if (weights === undefined) return privateScope(request);
   const team = request.team?.isIsolated ? request.team.id : "";
-  return `${weights ?? "any"}/${team}` as CacheScope;
+  return `${weights}/${team}` as CacheScope;
+}
+
+/** Callers choose request ids; the digest tells requests of teams apart. */
+function privateScope({ requestId, digest }: RoutedRequest): CacheScope {
+  const id = requestId.slice(0, MAX_SCOPE_ID_LENGTH);
+  return `private/${digest}/${id}` as CacheScope;
 }
 
 /** The first version that was named after the server's. */
@@ -255,12 +268,14 @@
   const { scope, kept } = view;
   const promptTokens = request.work?.promptTokens ?? 0;
   const noTransfer = { fetchFrom: undefined, saveTo: undefined };
-  if (request.work === undefined) {
+  const model = request.work?.model;
+  const weights = model && context.registry.weightsOf(view.server, model);
+  if (weights === undefined) {
     return {
-      weights: undefined,
+      weights,
       scope,
       parts: [],
-      tokensToRead: 0,
+      tokensToRead: promptTokens,
       ...noTransfer,
     };
   }
@@ -278,7 +293,7 @@
   const isSaved = stored !== undefined && stored.expected >= sharedTokens;
   const availableTokens = Math.max(kept.expected, sourceTokens, storedTokens);
   return {
-    weights: context.registry.weightsOf(view.server, request.work.model),
+    weights,
     scope,
     parts: segments.map(({ id }) => segmentKey(scope, id)),
     tokensToRead: Math.max(0, promptTokens - availableTokens),
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -294,7 +294,10 @@
       deadlineMs: this.#finalDeadlineMs(),
       resumeAfter: this.#relay.lastEventId ?? request.resumeAfter,
       cache,
-      cacheScope: request.work && cache.scope,
+      // An engine without a scope would share its cache with everyone.
+      cacheScope: request.work !== undefined || server.listed.weights.size > 0
+        ? cache.scope
+        : undefined,
       urgency: urgencyOf(request),
       forwarder,
     }, {
