Keep a server's entry against one that lacks its fields

Cause: such an entry was taken as valid and replaced the server's own until its next report. Requests then had no Expect-Version.

Evidence: the case of front_test fails on the code before: the entry is applied.

Fix: an entry without models or start does not replace one that has them, and one whose models are no list names no server.

--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -221,3 +221,40 @@
     "configuration",
   ]);
 });
+
+// Guards against an entry of another writer that replaces the server's own: its
+// requests then had no version to expect, and ran on parts of older weights.
+test("an entry that lacks what the server has stated does not replace it", (t) => {
+  const registry = new ServerRegistry();
+  const steps: string[] = [];
+  let entry = listedEngine();
+  const applier = new RecordApplier({
+    store: {
+      readOperatorRecord: (): OperatorRecord => ({ kind: "other" }),
+      readServer: () => entry,
+    },
+    admission: {} as unknown as AdmissionController,
+    registry,
+    named: new NamedWeightsRegistry(),
+    nowMs: () => 0,
+    applyLimits() {},
+    wasStoreAway: () => false,
+    logDecision: (step) => steps.push(step),
+  });
+  const apply = (fields: Partial<ListedServer>) => {
+    entry = listedEngine(fields);
+    const value = Buffer.from("{}");
+    applier.applyServerRecords([{
+      key: ENGINE,
+      value,
+      position: logPosition(1, steps.length),
+    }]);
+  };
+  apply({});
+  apply({ weights: new Map() });
+  apply({ startedAtMs: 0 });
+  t.deepEqual(steps, ["server", "malformed_record", "malformed_record"]);
+  t.is(registry.get(ENGINE)?.weights.of(MODEL), 1 as never);
+  apply({ startedAtMs: 2 });
+  t.is(registry.get(ENGINE)?.listed.startedAtMs, 2);
+});
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -10,6 +10,7 @@
   AdmissionController,
   CallerLimits,
   Configuration,
+  ListedServer,
   NamedWeightsRegistry,
   ServerRegistry,
 } from "@endivebend/request-path";
@@ -29,6 +30,15 @@
   logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
 }
 
+/**
+ * Whether an entry lacks what an earlier one of the same server states. Another
+ * writer has made it, and it must not replace the server's own.
+ */
+function lacksFieldsOf(known: ListedServer, entry: ListedServer): boolean {
+  const lacksStart = entry.startedAtMs === 0 && known.startedAtMs > 0;
+  return lacksStart || (entry.weights.size === 0 && known.weights.size > 0);
+}
+
 /** Applies records and tracks which kinds have been received. */
 export class RecordApplier {
   readonly #options: RecordApplierOptions;
@@ -120,7 +130,10 @@
       return this.#log("server", record, { server: key, change, mayBeBack });
     }
     const server = store.readServer(record);
-    if (server === undefined) return this.#log("malformed_record", record);
+    const known = server && registry.get(server.id)?.listed;
+    if (server === undefined || (known && lacksFieldsOf(known, server))) {
+      return this.#log("malformed_record", record);
+    }
     const change = registry.upsert(server, nowMs());
     if (change === "same") return;
     const { isLeaving, address, startedAtMs } = server;
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -170,12 +170,14 @@
 ): ListedServer | undefined {
   const fields = parseObject(value);
   if (fields === undefined) return undefined;
-  const { service, address, zone, slots, phase, born, seq } = fields;
+  const { service, address, zone, slots, phase, born, seq, models } = fields;
   const isValidEntry = SERVER_ID.test(id) && isName(service) &&
     isIpAndPort(address) && isName(zone) && isCount(slots) &&
     (phase === "ready" || phase === "draining") &&
-    (born === undefined || isCount(born));
-  const weights = decodeWeights(objectsOf(fields["models"]));
+    (born === undefined || isCount(born)) &&
+    (seq === undefined || isCount(seq)) &&
+    (models === undefined || Array.isArray(models));
+  const weights = decodeWeights(objectsOf(models));
   if (!isValidEntry || weights === undefined) return undefined;
   return {
     id: brandId<BackendServerId>(id),
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -39,6 +39,8 @@
     { ...ENTRY, phase: "resting" },
     { ...ENTRY, born: 1.5 },
     { ...ENTRY, service: undefined },
+    { ...ENTRY, models: "m" },
+    { ...ENTRY, seq: "4" },
     [],
     null,
   ];
