--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -40,6 +40,8 @@
   readonly server: BackendServerId;
   /** Requests a second from all daemons; null when it names no limit. */
   readonly perS: number | null;
+  /** Requests a second that a brittle server can turn away. */
+  readonly bearsPerS?: number | undefined;
   /** Time since the answer. */
   readonly ageMs: number;
 }
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -93,6 +93,7 @@
   limits: isOptional(isListOf(hasFields({
     server: isName,
     perS: (value) => value === null || isCount(value),
+    bearsPerS: isOptional(isCount),
     ageMs: isCount,
   }))),
   leaving: isOptional(isListOf(hasFields({
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -102,9 +102,12 @@
       weights: this.#currentWeightsProgress(nowMs),
       named: named.ages(nowMs),
       suspects: registry.suspects(nowMs),
-      limits: registry.seenLimits(nowMs).map(({ id, perS, atMs }) => ({
+      limits: registry.seenLimits(nowMs).map((
+        { id, perS, bearsPerS, atMs },
+      ) => ({
         server: id,
         perS: perS ?? null,
+        ...(bearsPerS === undefined ? {} : { bearsPerS }),
         ageMs: Math.round(nowMs - atMs),
       })),
       leaving: registry.saidLeaving().map(({ id: server, ...starts }) => ({
@@ -227,9 +230,13 @@
       const told = { server, startedAtMs, toldBy: message.vm };
       this.#options.logDecision("server_leaving", told);
     }
-    for (const { server, perS, ageMs } of message.limits ?? []) {
+    for (const { server, perS, bearsPerS, ageMs } of message.limits ?? []) {
       const atMs = nowMs - messageAgeMs - ageMs;
-      registry.recordLimit(server, perS ?? undefined, atMs);
+      registry.recordLimit(
+        server,
+        { perS: perS ?? undefined, bearsPerS },
+        atMs,
+      );
     }
     for (const [id, ageMs] of Object.entries(message.answerAgesMs)) {
       const atMs = nowMs - messageAgeMs - ageMs;
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -327,6 +327,8 @@
   readonly kind?: RequestKind;
   /** Whether calls have no prompt; streams always have one. */
   readonly isPlain?: boolean;
+  /** Requests that an engine runs at a time; 128 by default. */
+  readonly slots?: number;
   /** Whether a daemon brings engines to the weights that are named. */
   readonly rollsOut?: boolean;
 }
@@ -345,6 +347,11 @@
   readonly arrivals: Arrival[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
+  /** Set while engines are brittle: what they bear, and let wait. */
+  brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
+  /** When brittle engines have fallen over. */
+  readonly fallAtMs: number[] = [];
+  readonly #rejectedAtMs = new Map<Engine, number[]>();
   readonly crashAtMs: number[] = [];
   readonly steps: Record<string, unknown>[] = [];
   readonly links = new ServerLinks(this.time);
@@ -664,7 +671,7 @@
         address,
         failureDomain: DOMAINS[domain]!,
         isLeaving: false,
-        slots: 128,
+        slots: this.#options.slots ?? 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
         startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
@@ -780,6 +787,12 @@
         quietMs: engine.asksForQuietMs,
       });
     }
+    if (this.#rejects(engine)) {
+      attempt.isOver = true;
+      const refusal = { status: 503, isNotRun: true, hasProof: false };
+      listener.head({ ...this.#head(engine), ...refusal });
+      return this.#noteRejection(engine);
+    }
     engine.attempts.add(attempt);
     engine.prefilledAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs) +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
@@ -790,6 +803,22 @@
     );
   }
 
+  /** Whether a brittle engine has no room for another request. */
+  #rejects({ listed, attempts }: Engine): boolean {
+    return this.brittle !== undefined &&
+      attempts.size >= listed.slots + this.brittle.room;
+  }
+
+  #noteRejection(engine: Engine): void {
+    const { nowMs } = this.time;
+    const recent = (this.#rejectedAtMs.get(engine) ?? [])
+      .filter((atMs) => nowMs - atMs < 1_000);
+    this.#rejectedAtMs.set(engine, [...recent, nowMs]);
+    if (recent.length + 1 <= (this.brittle?.bearsPerS ?? 0)) return;
+    this.fallAtMs.push(nowMs);
+    this.crash(engine);
+  }
+
   #begin(
     engine: Engine,
     run: {
@@ -840,6 +869,7 @@
       load: { running: engine.attempts.size, waiting: 0, slots: 128 },
       weights: undefined,
       limitPerS: engine.limitPerS,
+      bearsPerS: this.brittle?.bearsPerS,
       isLeaving: engine.saysThatItLeaves,
       quietMs: undefined,
       message: undefined,
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -504,6 +504,7 @@
     load: parseLoad(headers[HEADERS.load]),
     weights: parseWeights(headers[HEADERS.weights]),
     limitPerS: parseLimit(headers[HEADERS.limit]),
+    bearsPerS: parseLimit(headers[HEADERS.brittle]),
     isLeaving: headers[HEADERS.leaving] === "1",
     quietMs: status === 503
       ? parseQuiet(headers[HEADERS.retryAfter])
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -23,6 +23,8 @@
   load: "server-load",
   /** Requests a second that a server takes from all callers together. */
   limit: "server-limit",
+  /** Rejections a second that a brittle server bears. */
+  brittle: "server-brittle",
   notRun: "not-run",
   /** "1" in all answers of a server that is leaving. */
   leaving: "server-leaving",
--- a/packages/request-path/src/plan_allowances.ts
+++ b/packages/request-path/src/plan_allowances.ts
@@ -87,7 +87,8 @@
   return rates;
 }
 
-function weighByDemand(members: readonly Sharer[]) {
+/** The weight of each daemon, from its demand and a part of the mean. */
+export function weighByDemand(members: readonly Sharer[]) {
   const total = members.reduce((sum, { demandPerS }) => sum + demandPerS, 0);
   if (total === 0) return () => 1;
   const least = MIN_DEMAND_SHARE * total / members.length;
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -85,6 +85,11 @@
    * undefined while it names no limit.
    */
   readonly limitPerS: number | undefined;
+  /**
+   * Requests a second that a brittle server can turn away before it falls over;
+   * undefined while it is not brittle.
+   */
+  readonly bearsPerS: number | undefined;
   /**
    * For how long the server wants nothing more from this daemon, which it says
    * when it turns a request away; undefined when it does not.
--- a/packages/request-path/src/record_answer.ts
+++ b/packages/request-path/src/record_answer.ts
@@ -29,9 +29,14 @@
   registry.recordActivity(server, nowMs);
   if (head.load !== undefined) registry.recordLoad(server, head.load, nowMs);
   if (head.isMisdirected) return;
-  const { limitPerS, quietMs, isLeaving } = head;
-  if (registry.recordOwnLimit(server, limitPerS, nowMs)) {
-    log.decision("server_limit", { server, limitPerS: limitPerS ?? null });
+  const { limitPerS, bearsPerS, quietMs, isLeaving } = head;
+  const limit = { perS: limitPerS, bearsPerS };
+  if (registry.recordOwnLimit(server, limit, nowMs)) {
+    log.decision("server_limit", {
+      server,
+      limitPerS: limitPerS ?? null,
+      bearsPerS,
+    });
   }
   if (isLeaving && registry.recordLeavingAnswer(listed, nowMs)) {
     metrics.count("servers_leaving");
--- a/packages/request-path/src/server_allowances_test.ts
+++ b/packages/request-path/src/server_allowances_test.ts
@@ -97,7 +97,7 @@
 function createAllowances(limitPerS: number) {
   const registry = new ServerRegistry();
   registry.upsert(listedServer("one"));
-  registry.recordOwnLimit(ENGINE, limitPerS, 0);
+  registry.recordOwnLimit(ENGINE, { perS: limitPerS }, 0);
   const self = brandId<VmId>("vm-1");
   const allowances = new ServerAllowances({
     registry,
@@ -113,7 +113,7 @@
   for (let index = 0; index < 60; index++) {
     const server = listedServer(`engine-${index}`);
     registry.upsert(server);
-    registry.recordOwnLimit(server.id, 3.5, 0);
+    registry.recordOwnLimit(server.id, { perS: 3.5 }, 0);
   }
   let plans = 0;
   const allowances = new ServerAllowances({
@@ -128,7 +128,7 @@
   t.is(plans, 1);
   const newcomer = listedServer("newcomer");
   registry.upsert(newcomer);
-  registry.recordOwnLimit(newcomer.id, 3.5, 0);
+  registry.recordOwnLimit(newcomer.id, { perS: 3.5 }, 0);
   allowances.waitMs(registry.get(newcomer.id)!, 20);
   t.is(plans, 2);
 });
@@ -159,19 +159,19 @@
 
 test("the newest answer that any daemon got decides about a limit", (t) => {
   const { registry, server } = createAllowances(2);
-  t.false(registry.recordLimit(ENGINE, 9, -100));
+  t.false(registry.recordLimit(ENGINE, { perS: 9 }, -100));
   t.is(server.limit?.perS, 2);
-  t.true(registry.recordLimit(ENGINE, 3, 100));
-  t.true(registry.recordOwnLimit(ENGINE, undefined, 200));
-  t.false(registry.recordLimit(ENGINE, 3, 150));
+  t.true(registry.recordLimit(ENGINE, { perS: 3 }, 100));
+  t.true(registry.recordOwnLimit(ENGINE, { perS: undefined }, 200));
+  t.false(registry.recordLimit(ENGINE, { perS: 3 }, 150));
   t.is(server.limit, undefined);
 });
 
 test("peers are told of the end of a limit also after further answers", (t) => {
   const { registry } = createAllowances(2);
   t.like(registry.seenLimits(500), [{ perS: 2, atMs: 0 }]);
-  registry.recordOwnLimit(ENGINE, undefined, 1_000);
-  registry.recordOwnLimit(ENGINE, undefined, 2_000);
+  registry.recordOwnLimit(ENGINE, { perS: undefined }, 1_000);
+  registry.recordOwnLimit(ENGINE, { perS: undefined }, 2_000);
   const [seen] = registry.seenLimits(3_000);
   t.like(seen, { id: ENGINE, atMs: 1_000 });
   t.is(seen?.perS, undefined);
@@ -208,7 +208,7 @@
   test(`a request of kind ${kind} that no server takes now is refused at once, with the time`, (t) => {
     const context = testContext();
     for (const { listed } of context.registry.all()) {
-      context.registry.recordOwnLimit(listed.id, 1, 0);
+      context.registry.recordOwnLimit(listed.id, { perS: 1 }, 0);
     }
     const { caller, wasSent } = send(context, kind);
     t.false(wasSent);
@@ -221,7 +221,7 @@
 
 test("requests go to servers without a limit while others take no more", (t) => {
   const context = testContext();
-  context.registry.recordOwnLimit(ENGINE, 1, 0);
+  context.registry.recordOwnLimit(ENGINE, { perS: 1 }, 0);
   for (let sent = 0; sent < 5; sent++) {
     t.true(send(context).wasSent);
     t.is(context.client.last.order.server.id, "second" as BackendServerId);
@@ -236,7 +236,11 @@
     listener.head(answerHead());
     listener.data(Buffer.from("id: 1\ndata: a\n\n"));
     for (const { listed } of context.registry.all()) {
-      context.registry.recordOwnLimit(listed.id, 1, context.time.nowMs);
+      context.registry.recordOwnLimit(
+        listed.id,
+        { perS: 1 },
+        context.time.nowMs,
+      );
     }
     t.false(send(context).wasSent);
     context.time.advance(elapsedMs);
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -118,9 +118,15 @@
   ownLimitAsOfMs: number;
 }
 
-/** Requests a second that a server takes from all daemons together. */
+/** What a server names in its answers about the load that it bears. */
 export interface ServerLimit {
-  readonly perS: number;
+  /** Requests a second that it takes from all daemons together. */
+  readonly perS?: number | undefined;
+  /**
+   * Requests a second that it can turn away; with more it falls over. A server
+   * that names none bears any number.
+   */
+  readonly bearsPerS?: number | undefined;
 }
 
 /** Weights that a server says that it has. */
@@ -131,10 +137,8 @@
 }
 
 /** What this daemon has seen of a server's limit, for its peers. */
-export interface SeenLimit {
+export interface SeenLimit extends ServerLimit {
   readonly id: BackendServerId;
-  /** Undefined when the server names none any more. */
-  readonly perS: number | undefined;
   readonly atMs: number;
 }
 
@@ -430,22 +434,29 @@
    * Records the limit that an answer named at the time, or that it named none.
    * Returns whether that is news.
    */
-  recordLimit(id: BackendServerId, perS: number | undefined, atMs: number) {
+  recordLimit(id: BackendServerId, limit: ServerLimit, atMs: number): boolean {
     const server = this.#servers.get(id);
     if (server === undefined || atMs <= server.limitAsOfMs) return false;
-    const hasChanged = server.limit?.perS !== perS;
+    const { perS, bearsPerS } = limit;
+    const isNone = perS === undefined && bearsPerS === undefined;
+    const hasChanged = server.limit?.perS !== perS ||
+      server.limit?.bearsPerS !== bearsPerS;
     // Without a limit, the time stays that of its end, which peers are told.
-    if (!hasChanged && perS === undefined) return false;
+    if (!hasChanged && isNone) return false;
     server.limitAsOfMs = atMs;
-    server.limit = perS === undefined ? undefined : { perS };
+    server.limit = isNone ? undefined : { perS, bearsPerS };
     return hasChanged;
   }
 
   /** The same for an answer to this daemon, which it tells its peers of. */
-  recordOwnLimit(id: BackendServerId, perS: number | undefined, atMs: number) {
-    const hasChanged = this.recordLimit(id, perS, atMs);
+  recordOwnLimit(
+    id: BackendServerId,
+    limit: ServerLimit,
+    atMs: number,
+  ): boolean {
+    const hasChanged = this.recordLimit(id, limit, atMs);
     const server = this.#servers.get(id);
-    if (server !== undefined && (hasChanged || perS !== undefined)) {
+    if (server !== undefined && (hasChanged || server.limit !== undefined)) {
       server.ownLimitAsOfMs = atMs;
     }
     return hasChanged;
@@ -462,6 +473,7 @@
       .map(({ listed, limit, ownLimitAsOfMs: atMs }) => ({
         id: listed.id,
         perS: limit?.perS,
+        bearsPerS: limit?.bearsPerS,
         atMs,
       }));
   }
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -268,6 +268,7 @@
     load: undefined,
     weights: undefined,
     limitPerS: undefined,
+    bearsPerS: undefined,
     isLeaving: false,
     quietMs: undefined,
     message: undefined,
