--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -27,8 +27,10 @@
   hasEvents: boolean;
   /** Whether its answer shows that the prompt is sound. */
   isKnownSound: boolean;
-  /** Whether it was silent for so long that a replacement was sought. */
+  /** Whether it was silent for so long that its server may have ended. */
   isSuspect: boolean;
+  /** Why a replacement was sought, if one was. */
+  silence: "silent" | "cut_off";
   lastProgressMs: number;
 }
 
@@ -52,6 +54,7 @@
     hasEvents: false,
     isKnownSound: false,
     isSuspect: false,
+    silence: "silent",
     lastProgressMs: fields.startedAtMs,
   };
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -602,8 +602,9 @@
    * request there too. The attempt stays open until the other one answers: its
    * server may only pause, and a retry may not be allowed or be refused.
    */
-  #replaceSilent(attempt: Attempt): void {
+  #replaceSilent(attempt: Attempt, reason: "silent" | "cut_off"): void {
     if (this.#replacement !== undefined) return;
+    attempt.silence = reason;
     const placed = this.#takeReplacement(attempt);
     if (placed === undefined) return;
     const replacement = this.#open(placed, this.#nowMs());
@@ -624,7 +625,7 @@
   /** Ends the silent attempt, as its replacement has begun to answer. */
   #takeOver(): void {
     if (this.#attempt !== undefined) {
-      this.#endBroken(this.#attempt, "silent", "silence");
+      this.#endBroken(this.#attempt, this.#attempt.silence, "silence");
     }
   }
 
@@ -697,7 +698,7 @@
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
-    if (this.#isCutOff(attempt, nowMs)) this.#replaceSilent(attempt);
+    if (this.#isCutOff(attempt, nowMs)) this.#replaceSilent(attempt, "cut_off");
     const silentMs = nowMs - attempt.lastProgressMs;
     const limitMs = (canRetry: boolean) =>
       silenceTimeoutMs(this.#request, {
@@ -707,7 +708,9 @@
       });
     if (silentMs <= limitMs(this.#hasAttemptsLeft())) return;
     this.#suspect(attempt);
-    if (silentMs <= limitMs(false)) return this.#replaceSilent(attempt);
+    if (silentMs <= limitMs(false)) {
+      return this.#replaceSilent(attempt, "silent");
+    }
     this.#handleBroken(attempt, "silent", "silence");
   }
 
