Leave a request to its replacement when the silent attempt fails

Found by reading the change of silent attempts again: a 500 of the silent attempt was passed on and its replacement dropped; each silent attempt looked for a place ten times a second while none was allowed, which in an outage of a service costs a small VM much of its core; and a refused body closed its connection unread, which resets it before the client has the refusal.

Fix: errors are withheld while a replacement is open, a replacement is sought every 300 ms, and the rest of a refused body is dropped.

Result: a case of silent_attempts_test for the first; the others by the tests that there are.

--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -176,14 +176,15 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
-  /** Refuses a request whose body there is no memory for; it has not run. */
+  /**
+   * Refuses a request whose body there is no memory for; it has not run. The rest
+   * of the body is dropped: closing the connection would reset it.
+   */
   #refuseUnread(request: IncomingMessage, response: ServerResponse): void {
     this.#options.log.decision("refuse", {
       requestId: singleHeader(request, HEADERS.requestId),
       reason: "no_memory",
     });
-    // The rest of the body is not read.
-    response.setHeader("Connection", "close");
     sendLocalReply(response, { status: 503, retryAfterMs: NO_MEMORY_RETRY_MS });
   }
 
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -31,6 +31,8 @@
   isSuspect: boolean;
   /** Why a replacement was sought, if one was. */
   silence: "silent" | "cut_off";
+  /** When a replacement may be sought again. */
+  replaceFromMs: number;
   lastProgressMs: number;
 }
 
@@ -55,6 +57,7 @@
     isKnownSound: false,
     isSuspect: false,
     silence: "silent",
+    replaceFromMs: 0,
     lastProgressMs: fields.startedAtMs,
   };
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -66,6 +66,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Interval at which a running attempt is checked for silence. */
 const CHECK_INTERVAL_MS = 100;
+/** An outage leaves hundreds of attempts silent, and each looks for a place. */
+const REPLACE_INTERVAL_MS = 300;
 /** Stream events are about 40 ms apart, 100 ms while an engine prefills. */
 const STREAM_SILENCE_MS = 400;
 /** A connection is taken as alive if its server sent data this recently. */
@@ -377,8 +379,9 @@
 
   /** Whether an error answer is kept from the caller. */
   #isWithheld(attempt: Attempt, { status }: AnswerHead): boolean {
-    return this.#relay.hasBegun || attempt === this.#replacement ||
-      NOT_RUN_STATUSES.has(status);
+    const hasOther = this.#replacement !== undefined &&
+      (status >= 500 || attempt === this.#replacement);
+    return this.#relay.hasBegun || hasOther || NOT_RUN_STATUSES.has(status);
   }
 
   /**
@@ -603,11 +606,15 @@
    * server may only pause, and a retry may not be allowed or be refused.
    */
   #replaceSilent(attempt: Attempt, reason: "silent" | "cut_off"): void {
-    if (this.#replacement !== undefined) return;
+    const nowMs = this.#nowMs();
+    if (this.#replacement !== undefined || nowMs < attempt.replaceFromMs) {
+      return;
+    }
     attempt.silence = reason;
+    attempt.replaceFromMs = nowMs + REPLACE_INTERVAL_MS;
     const placed = this.#takeReplacement(attempt);
     if (placed === undefined) return;
-    const replacement = this.#open(placed, this.#nowMs());
+    const replacement = this.#open(placed, nowMs);
     this.#replacement = replacement;
     this.#send(replacement, placed);
   }
--- a/packages/request-path/src/silent_attempts_test.ts
+++ b/packages/request-path/src/silent_attempts_test.ts
@@ -135,6 +135,24 @@
   t.is(caller.text, WHOLE);
 });
 
+test("an error of the silent attempt leaves the request to its replacement", (t) => {
+  const context = testContext();
+  const caller = new FakeCaller();
+  new RequestRun(context, routedRequest("repeatable"), caller).start();
+  const { client } = context;
+  const first = client.last;
+  first.listener.sent();
+  context.time.advance(2_000);
+  client.last.listener.sent();
+  first.listener.head(answerHead({ status: 500 }));
+  t.true(first.isAborted);
+  client.last.listener.head(answerHead());
+  client.last.listener.data(Buffer.from("booked"));
+  client.last.listener.end();
+  t.is(client.attempts.length, 2);
+  t.is(caller.text, "booked");
+});
+
 test("both attempts end when the caller leaves", (t) => {
   const { client, time, run } = start();
   time.advance(1_100);
