--- a/packages/front/src/brittle_servers_test.ts
+++ b/packages/front/src/brittle_servers_test.ts
@@ -27,6 +27,8 @@
     },
     "8 daemons, 3 rejections, a burst": { daemons: 8, bearsPerS: 3, load: 1.5 },
     "24 daemons, 3 rejections": { daemons: 24, bearsPerS: 3, load: 0.6 },
+    // More daemons than places.
+    "40 daemons, 1 rejection": { daemons: 40, bearsPerS: 1, load: 0.6 },
   })
 ) {
   for (const seed of SEEDS) {
