Tell engines with old weights from daemons that believe they are old

Callers saw 503s whose log line says "stale_weights" and nothing else. Whether the engines really had old weights, or the daemon was mistaken about them or about the age of the name, no log or metric told.

The `refuse` line now has the newest named version, its age and whether that is known, the engines by believed version, and for how long the oldest weights have been replaced; `place` has the latter for its engine. `refusals` counts by reason, `replaced_weights_ms` measures requests sent to replaced weights, and `weights_beliefs` counts what changed a belief, and in which direction. Gauges `engines_behind` and `oldest_weights_ms` are read only when they are asked for; the `status` line has both every 5 s. Ordinary news of loads is counted and not logged, as each of 195 daemons hears of each of 82 loads.

The new tests don't compile without the change.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -51,6 +51,7 @@
 import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
 import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
+import { WeightsWatch } from "./weights_watch.ts";
 
 /** Topic of the operator's records, also when daemons pass them on. */
 const OPERATOR_TOPIC = "operator";
@@ -89,6 +90,7 @@
   readonly #incarnation: IncarnationId;
   readonly #registry: ServerRegistry;
   readonly #namedWeights = new NamedWeightsRegistry();
+  readonly #weightsWatch: WeightsWatch;
   readonly #fleet: FleetState;
   readonly #paths: ServerPaths;
   readonly #quarantines: QuarantineKeeper;
@@ -130,6 +132,14 @@
     this.#fleet = new FleetState(settings.vm, settings.failureDomain);
     this.#registry = new ServerRegistry({
       wallOffsetMs: ports.clock.wallMs() - this.#nowMs(),
+      weightsChanged: (change) => this.#weightsWatch.note(change),
+    });
+    this.#weightsWatch = new WeightsWatch({
+      registry: () => this.#registry,
+      named: this.#namedWeights,
+      log: ports.log,
+      metrics: ports.metrics,
+      nowMs: () => this.#nowMs(),
     });
     this.#registry.recentPlacements.setGossipRound(() =>
       this.#fleet.gossipRoundMs
@@ -702,6 +712,7 @@
         members: this.#fleet.size,
         reachable: this.#fleet.reachable(this.#nowMs()).length + 1,
         ...this.#registry.contactCounts(this.#nowMs()),
+        ...this.#weightsWatch.summary(),
         storeCalls: store.callCounts,
       });
       this.#schedulePrune();
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1052,6 +1052,7 @@
       log: { decision: record, stateChange: record, flush() {} },
       metrics: {
         count() {},
+        gauge() {},
         observeMs() {},
         text: () => "",
       } as unknown as FrontPorts["metrics"],
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -44,6 +44,8 @@
   ForwardSink,
 } from "./forwarded_run.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
+export { replacedForMs, summarizeWeights } from "./weights_belief.ts";
+export type { WeightsBelief } from "./weights_belief.ts";
 export { placeRequest } from "./placement.ts";
 export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
 export * from "./ports.ts";
@@ -61,7 +63,10 @@
   PrefixCacheId,
   SeenLimit,
   ServerLimit,
+  ServerRegistryOptions,
   ServerWork,
+  WeightsChange,
+  WeightsSource,
 } from "./server_registry.ts";
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -35,7 +35,9 @@
   isStream,
   type RoutedRequest,
   urgencyOf,
+  type WeightsVersion,
 } from "./types.ts";
+import { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 
 /** Dependencies and state that all requests share. */
 export interface RequestContext extends PlacementContext {
@@ -235,6 +237,7 @@
       cachedTokens: choice.cachedTokens,
       tokensToRead: cache.tokensToRead,
       weights: cache.weights,
+      replacedMs: this.#replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
       limitPerS: server.limit?.perS,
@@ -251,6 +254,18 @@
     });
   }
 
+  /** For how long the weights have been replaced; undefined when current. */
+  #replacedMs(
+    weights: WeightsVersion | undefined,
+    nowMs: number,
+  ): number | undefined {
+    const model = this.#request.work?.model;
+    if (model === undefined || weights === undefined) return undefined;
+    const named = this.#context.namedWeights(model);
+    const replacedMs = replacedForMs(weights, { named, nowMs });
+    return replacedMs && Math.round(replacedMs);
+  }
+
   /** Gives up when the request, or a segment of its prompt, crashes engines. */
   #mayReachEngine(nowMs: number): boolean {
     if (this.#isTrial) return true;
@@ -276,6 +291,10 @@
       registry.recentPlacements.add(store, cache.parts, nowMs);
     }
     const { paths, metrics } = this.#context;
+    const replacedMs = this.#replacedMs(cache.weights, nowMs);
+    if (replacedMs !== undefined) {
+      metrics.observeMs("replaced_weights_ms", replacedMs);
+    }
     this.#context.allowances.take(server, nowMs);
     if (server.limit !== undefined) metrics.count("limited_attempts");
     if (forwarder !== undefined) metrics.count("forwarded_attempts");
@@ -677,11 +696,28 @@
     const retryAfterMs = isNotRun
       ? Math.round(retryInMs * (1 + RETRY_JITTER * Math.random()))
       : undefined;
-    this.#logDecision("refuse", { reason, isNotRun, retryAfterMs });
+    this.#context.metrics.count("refusals", { reason });
+    this.#logDecision("refuse", {
+      reason,
+      isNotRun,
+      retryAfterMs,
+      ...this.#refusalDetails(reason),
+    });
     this.#caller.refuse({ reason, isNotRun, retryAfterMs });
     this.#end("refused");
   }
 
+  /** What tells engines with old weights from a daemon that is mistaken. */
+  #refusalDetails(reason: RefusalReason): Readonly<Record<string, unknown>> {
+    const { work, service } = this.#request;
+    if (reason !== "stale_weights" || work === undefined) return {};
+    const { registry, namedWeights } = this.#context;
+    const nowMs = this.#nowMs();
+    const servers = registry.usable(service, nowMs);
+    const named = namedWeights(work.model);
+    return { ...summarizeWeights(servers, work.model, { named, nowMs }) };
+  }
+
   /** Any byte shows that the server is alive; only events are progress. */
   #recordReceived(attempt: Attempt): void {
     this.#context.registry.recordActivity(
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -136,6 +136,38 @@
   readonly nowMs: number;
 }
 
+/** What taught a daemon that a server has other weights than it believed. */
+export type WeightsSource =
+  /** The server's entry in the list. */
+  | "entry"
+  /** A daemon that the server has reported to. */
+  | "peer"
+  /** The version that an answer to this daemon states. */
+  | "answer"
+  /** An answer that states none, but refuses the version. */
+  | "refusal"
+  /** Nothing: what was learned earlier has lapsed unconfirmed. */
+  | "lapse";
+
+/** A change of the weights that a server is believed to have. */
+export interface WeightsChange {
+  readonly server: BackendServerId;
+  readonly model: ModelName;
+  readonly by: WeightsSource;
+  readonly before: WeightsVersion | undefined;
+  readonly after: WeightsVersion | undefined;
+}
+
+/** Settings of a {@link ServerRegistry}. */
+export interface ServerRegistryOptions {
+  /**
+   * The Unix time at 0 of the steady clock. It stays what it was at the start
+   * of the daemon, whatever steps the wall clock makes.
+   */
+  readonly wallOffsetMs?: number;
+  readonly weightsChanged?: (change: WeightsChange) => void;
+}
+
 /** What this daemon has seen of a server's limit, for its peers. */
 export interface SeenLimit extends ServerLimit {
   readonly id: BackendServerId;
@@ -162,13 +194,13 @@
    */
   readonly #leavingUntilStartMs = new Map<BackendServerId, number>();
   readonly #wallOffsetMs: number;
+  readonly #weightsChanged: (change: WeightsChange) => void;
 
-  /**
-   * `wallOffsetMs` is the Unix time at 0 of the steady clock. It stays what it
-   * was at the start of the daemon, whatever steps the wall clock makes.
-   */
-  constructor({ wallOffsetMs = 0 } = {}) {
+  constructor(
+    { wallOffsetMs = 0, weightsChanged = () => {} }: ServerRegistryOptions = {},
+  ) {
     this.#wallOffsetMs = wallOffsetMs;
+    this.#weightsChanged = weightsChanged;
   }
 
   /** Sets the function that looks up the work of other daemons. */
@@ -203,7 +235,12 @@
     const isSame = known.listed.isLeaving === listed.isLeaving &&
       known.removedAtMs === undefined;
     known.listed = listed;
-    known.weights.list(listed.weights, nowMs);
+    for (
+      const { isLapse, ...update } of known.weights.list(listed.weights, nowMs)
+    ) {
+      const by = isLapse ? "lapse" : "entry";
+      this.#weightsChanged({ server: id, by, ...update });
+    }
     known.removedAtMs = undefined;
     return isSame ? "same" : "changed";
   }
@@ -358,7 +395,7 @@
   /** Records weights that the server has reported to a daemon. */
   recordWeights(id: BackendServerId, reported: StatedWeights): void {
     const { model, weights, nowMs } = reported;
-    this.#changeWeights(id, model, (known) => {
+    this.#changeWeights({ server: id, model, by: "peer" }, (known) => {
       known.report(model, weights, nowMs);
     });
   }
@@ -366,7 +403,7 @@
   /** Records weights that the server states in an answer to this daemon. */
   recordStatedWeights(id: BackendServerId, stated: StatedWeights): void {
     const { model, weights, nowMs } = stated;
-    this.#changeWeights(id, model, (known) => {
+    this.#changeWeights({ server: id, model, by: "answer" }, (known) => {
       known.state(model, weights, nowMs);
     });
   }
@@ -381,22 +418,24 @@
     refusal: WeightsRefusal,
   ): void {
     let isExplained = true;
-    this.#changeWeights(id, model, (known) => {
+    this.#changeWeights({ server: id, model, by: "refusal" }, (known) => {
       isExplained = known.refuse(model, refusal);
     });
     if (!isExplained) this.recordFailure(id, refusal.nowMs);
   }
 
   #changeWeights(
-    id: BackendServerId,
-    model: ModelName,
+    source: Pick<WeightsChange, "server" | "model" | "by">,
     change: (weights: ServerWeights) => void,
   ): void {
-    const server = this.#servers.get(id);
+    const { model } = source;
+    const server = this.#servers.get(source.server);
     if (server === undefined) return;
     const before = server.weights.of(model);
     change(server.weights);
-    if (server.weights.of(model) === before) return;
+    const after = server.weights.of(model);
+    if (after === before) return;
+    this.#weightsChanged({ ...source, before, after });
     // An engine clears its prefix cache when it loads new weights.
     server.parts.clear();
     server.loadingUntilMs = 0;
--- a/packages/request-path/src/server_weights.ts
+++ b/packages/request-path/src/server_weights.ts
@@ -24,6 +24,15 @@
   readonly nowMs: number;
 }
 
+/** What an entry changed of the weights to expect. */
+export interface WeightsUpdate {
+  readonly model: ModelName;
+  readonly before: WeightsVersion | undefined;
+  readonly after: WeightsVersion | undefined;
+  /** Whether something learned earlier lapsed, as no entry confirmed it. */
+  readonly isLapse: boolean;
+}
+
 interface LearnedWeights {
   readonly weights: WeightsVersion;
   readonly learnedAtMs: number;
@@ -54,14 +63,32 @@
     );
   }
 
-  /** Takes a newer entry; what no entry has confirmed for long lapses. */
-  list(listed: ReadonlyMap<ModelName, WeightsVersion>, nowMs: number): void {
+  /**
+   * Takes a newer entry; what no entry has confirmed for long lapses. Returns
+   * what that changed.
+   */
+  list(
+    listed: ReadonlyMap<ModelName, WeightsVersion>,
+    nowMs: number,
+  ): WeightsUpdate[] {
+    const models = new Set([...this.#listed.keys(), ...listed.keys()]);
+    const earlier = [...models].map((model) =>
+      [model, this.of(model)] as const
+    );
+    const lapsed = new Set<ModelName>();
     this.#listed = listed;
     for (const learned of [this.#reported, this.#presumed]) {
       for (const [model, { learnedAtMs }] of learned) {
-        if (nowMs - learnedAtMs > MAX_UNCONFIRMED_MS) learned.delete(model);
+        if (nowMs - learnedAtMs <= MAX_UNCONFIRMED_MS) continue;
+        learned.delete(model);
+        lapsed.add(model);
       }
     }
+    return earlier.flatMap(([model, before]) => {
+      const after = this.of(model);
+      if (after === before) return [];
+      return [{ model, before, after, isLapse: lapsed.has(model) }];
+    });
   }
 
   /** Records weights that the server states in an answer to this daemon. */
--- a/packages/telemetry/src/text_metrics.ts
+++ b/packages/telemetry/src/text_metrics.ts
@@ -1,5 +1,5 @@
 /**
- * Counters and latency histograms, rendered in the Prometheus text format.
+ * Counters, gauges and latency histograms, rendered in the Prometheus text format.
  *
  * @module
  */
@@ -10,9 +10,10 @@
 const MAX_VALUE_MS = 120_000;
 const QUANTILES = [50, 90, 99, 100] as const;
 
-/** Holds counters by name and labels, and histograms by name. */
+/** Holds counters by name and labels, and gauges and histograms by name. */
 export class TextMetrics {
   readonly #counts = new Map<string, number>();
+  readonly #gauges = new Map<string, () => number>();
   readonly #histograms = new Map<string, Histogram>();
 
   count(name: string, labels: Readonly<Record<string, string>> = {}): void {
@@ -20,6 +21,11 @@
     this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
   }
 
+  /** Adds a gauge, which is read whenever the text is rendered. */
+  gauge(name: string, read: () => number): void {
+    this.#gauges.set(name, read);
+  }
+
   observeMs(name: string, valueMs: number): void {
     const histogram = this.#histograms.get(name) ?? newHistogram();
     this.#histograms.set(name, histogram);
@@ -27,9 +33,10 @@
     histogram.recordValue(Math.round(bounded));
   }
 
-  /** Renders one line for each counter, quantile and count of a histogram. */
+  /** Renders one line for each counter, gauge, quantile and count. */
   text(): string {
     const lines = [...this.#counts].map(([key, value]) => `${key} ${value}`);
+    for (const [name, read] of this.#gauges) lines.push(`${name} ${read()}`);
     for (const [name, histogram] of this.#histograms) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(quantile);
--- /dev/null
+++ b/packages/telemetry/src/text_metrics_test.ts
@@ -0,0 +1,11 @@
+import test from "ava";
+import { TextMetrics } from "./mod.ts";
+
+test("a gauge shows its value at the time of rendering", (t) => {
+  const metrics = new TextMetrics();
+  let engines = 82;
+  metrics.gauge("engines_behind", () => engines);
+  t.is(metrics.text(), "engines_behind 82\n");
+  engines = 3;
+  t.is(metrics.text(), "engines_behind 3\n");
+});
