Let fleets in virtual time have slow links, runs before loads and daemons without the store

The stand-in fleet heard every datagram after 1 ms, reached the store from every daemon or from none, and loaded weights in a fixed time. Its lease log took every claim, where the store's takes one at each position, and its engines knew the epochs of all claims, not of the orders that they got.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -47,14 +47,29 @@
 } from "@endivebend/types";
 import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
 import type { OperatorRecord } from "./ports.ts";
+import {
+  type Draw,
+  type GossipLinkOptions,
+  GossipLinks,
+} from "./testing_gossip_links.ts";
 import { type CutForm, ServerLinks } from "./testing_links.ts";
-import { SimulatedRollout, type SimulatedWeights } from "./testing_rollout.ts";
+import {
+  type LoadOptions,
+  SimulatedRollout,
+  type SimulatedWeights,
+} from "./testing_rollout.ts";
+import { StoreAccess, type StoreCutForm } from "./testing_store_access.ts";
 
 export const MODEL = brandId<ModelName>("m");
 const SERVICE = brandId<ServiceName>("engines");
 const PREFILL_TOKENS_PER_MS = 38.4;
 const EVENT_INTERVAL_MS = 30;
 const LINK_MS = 1;
+/** Time that a daemon waits for an engine's answer to a report or an order. */
+const ENGINE_CALL_TIMEOUT_MS = 700;
+const RUN_EVENTS = 12;
+const TOKENS_PER_EVENT = 4;
+const WEIGHTS_BOUND_MS = 8_000;
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
@@ -277,6 +292,16 @@
   readonly weights: number;
 }
 
+/** A run that an engine has begun, after it has waited there. */
+export interface BegunRun {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly engine: string;
+  readonly requestId: RequestId;
+  /** The weights that the engine has. */
+  readonly weights: number;
+}
+
 /** An answer of an engine that says that it leaves, as it came to a VM. */
 export interface LeavingAnswer {
   readonly atMs: number;
@@ -331,8 +356,23 @@
   readonly slots?: number;
   /** Whether a daemon brings engines to the weights that are named. */
   readonly rollsOut?: boolean;
+  /** No request may begin on older weights this long after newer were named. */
+  readonly weightsBoundMs?: number;
+  /** Loads that begin once an engine's runs have ended. */
+  readonly loads?: LoadOptions;
+  /** Draws what is left to chance; required by the options below. */
+  readonly draw?: Draw;
+  /** Time within which all daemons start; they start at once by default. */
+  readonly startWithinMs?: number;
+  readonly gossipLinks?: GossipLinkOptions;
 }
 
+const WHOLE_GOSSIP_LINKS: GossipLinkOptions = {
+  lostPerMille: 0,
+  minDelayMs: LINK_MS,
+  maxDelayMs: LINK_MS,
+};
+
 /** Daemons, engines, store and callers in one virtual time. */
 export class TestFleet {
   readonly time = new VirtualTime();
@@ -345,6 +385,7 @@
   readonly deadlyCrashes: { readonly atMs: number; readonly body: string }[] =
     [];
   readonly arrivals: Arrival[] = [];
+  readonly begunRuns: BegunRun[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
   /** Set while engines are brittle: what they bear, and let wait. */
@@ -355,32 +396,70 @@
   readonly crashAtMs: number[] = [];
   readonly steps: Record<string, unknown>[] = [];
   readonly links = new ServerLinks(this.time);
-  readonly rollout = new SimulatedRollout({
-    after: (delayMs, task) => this.time.after(delayMs, task),
-    callStore: () => this.store.call(),
-    callEngine: () => this.store.wait(2 * LINK_MS),
-    engineAt: (address) => this.#engineAt(address),
-  });
+  readonly rollout: SimulatedRollout;
   readonly #engines = new Map<string, Engine>();
+  readonly #enginesByAddress = new Map<string, Engine>();
   readonly #daemons: SimulatedDaemon[] = [];
+  readonly #daemonsByAddress = new Map<string, SimulatedDaemon>();
+  readonly #gossipLinks: GossipLinks;
+  readonly #eventsByRequest = new Map<RequestId, number>();
   readonly #options: FleetOptions;
   #nextEngine = 0;
   #nextRequest = 0;
 
   constructor(options: FleetOptions) {
     this.#options = options;
+    const draw = options.draw ?? ((from) => from);
+    this.#gossipLinks = new GossipLinks(
+      this.time,
+      draw,
+      options.gossipLinks ?? WHOLE_GOSSIP_LINKS,
+    );
+    this.rollout = this.#createRollout();
     this.configure(1);
     for (let index = 0; index < options.engines; index++) {
       this.#addEngine(`10.9.0.${index + 1}:80`);
     }
     for (let index = 0; index < options.daemons; index++) {
-      this.startDaemon(index);
+      const delayMs = draw(0, options.startWithinMs ?? 0);
+      if (delayMs === 0) this.startDaemon(index);
+      else this.time.after(delayMs, () => this.startDaemon(index));
+    }
+  }
+
+  #createRollout(): SimulatedRollout {
+    const { time } = this;
+    return new SimulatedRollout({
+      get nowMs() {
+        return time.nowMs;
+      },
+      after: (delayMs, task) => time.after(delayMs, task),
+      callEngine: (vm, address) => this.#callEngine(vm, address),
+      hasRuns: (state) => (state as Engine).attempts.size > 0,
+    }, this.#options.loads);
+  }
+
+  async #callEngine(vm: VmId, address: string): Promise<Engine | undefined> {
+    const cut = this.links.cutOf(vm, address);
+    if (cut === undefined) {
+      await this.store.wait(2 * LINK_MS);
+      return this.#engineAt(address);
     }
+    await this.store.wait(cut === "silent" ? ENGINE_CALL_TIMEOUT_MS : LINK_MS);
+    return undefined;
   }
 
   /** Starts the daemon, or starts it again with nothing remembered. */
   startDaemon(index: number): void {
-    this.#daemons[index] = new SimulatedDaemon(this, index);
+    const daemon = new SimulatedDaemon(this, index);
+    this.#daemons[index] = daemon;
+    this.#daemonsByAddress.set(daemon.gossipAddress, daemon);
+    this.#daemonsByAddress.set(daemon.recordAddress, daemon);
+    this.#daemonsByAddress.set(daemon.forwardAddress, daemon);
+  }
+
+  isRunning(index: number): boolean {
+    return this.#daemons[index]?.isAlive === true;
   }
 
   /** Ends the daemon without notice; its requests end with it. */
@@ -413,6 +492,10 @@
     };
   }
 
+  get weightsBoundMs(): number {
+    return this.#options.weightsBoundMs ?? WEIGHTS_BOUND_MS;
+  }
+
   get rollsOut(): boolean {
     return this.#options.rollsOut === true;
   }
@@ -440,7 +523,11 @@
         allowsAnonymous: true,
         destinations: [{ service: SERVICE, weight: 1 }],
       }],
-      services: [{ name: SERVICE, maxConnections: 600, tokensPerEvent: 4 }],
+      services: [{
+        name: SERVICE,
+        maxConnections: 600,
+        tokensPerEvent: TOKENS_PER_EVENT,
+      }],
       cacheStores: [],
       teams: [],
       teamByKey: new Map(),
@@ -470,7 +557,11 @@
   send(
     daemon: number,
     segments: readonly string[],
-    { body }: { readonly body?: string } = {},
+    { body, events }: {
+      readonly body?: string;
+      /** Events of the answer, which an engine sends at intervals. */
+      readonly events?: number;
+    } = {},
   ): Outcome {
     const requestId = brandId<RequestId>(`q-${++this.#nextRequest}`);
     const outcome: Outcome = {
@@ -486,23 +577,26 @@
       isOverLimit: false,
     };
     this.outcomes.push(outcome);
-    this.#daemons[daemon]?.serve(outcome);
+    if (events !== undefined) this.#eventsByRequest.set(requestId, events);
+    this.#daemons[daemon]?.serve(outcome, events);
     return outcome;
   }
 
   /** Sends to a daemon what another one has sent by gossip. */
-  deliver(address: string, bytes: Buffer): void {
-    this.time.after(LINK_MS, () => {
-      for (const daemon of this.#daemons) {
-        if (daemon.gossipAddress === address) daemon.receive(bytes);
-      }
-    });
+  deliver(
+    route: { readonly from: string; readonly to: string },
+    bytes: Buffer,
+  ): void {
+    this.#gossipLinks.send(
+      route,
+      bytes,
+      () => this.#daemonsByAddress.get(route.to)?.receive(bytes),
+    );
   }
 
   /** The records of a daemon for a peer that pulls them. */
   tablesAt(address: string): RecordExchangeOptions["tables"] | undefined {
-    return this.#daemons.find(({ recordAddress }) => recordAddress === address)
-      ?.tables;
+    return this.#daemonsByAddress.get(address)?.tables;
   }
 
   readServer({ value }: KeyedRecord): ListedServer | undefined {
@@ -557,6 +651,30 @@
     }
   }
 
+  /** Cuts daemons off from the store. */
+  cutOffFromStore(daemons: readonly number[], form: StoreCutForm): void {
+    for (const daemon of daemons) {
+      this.#daemons[daemon]?.storeAccess.cutOff(form);
+    }
+  }
+
+  healStore(daemons: readonly number[]): void {
+    for (const daemon of daemons) this.#daemons[daemon]?.storeAccess.heal();
+  }
+
+  /** Cuts daemons off from all others. */
+  cutOffGossip(daemons: readonly number[]): void {
+    for (const daemon of daemons) {
+      this.#gossipLinks.cutOff(gossipAddressOf(daemon));
+    }
+  }
+
+  healGossip(daemons: readonly number[]): void {
+    for (const daemon of daemons) {
+      this.#gossipLinks.heal(gossipAddressOf(daemon));
+    }
+  }
+
   /** Ends cuts, for some engines only where they are given. */
   heal(daemons: readonly number[], engines?: readonly Engine[]): void {
     const addresses = engines?.map(({ listed }) => listed.address);
@@ -584,9 +702,7 @@
         if (!isOver) deliver();
       });
     this.time.after(LINK_MS, () => {
-      const daemon = this.#daemons.find(({ forwardAddress }) =>
-        forwardAddress === address
-      );
+      const daemon = this.#daemonsByAddress.get(address ?? "");
       if (isOver) return;
       if (daemon?.isAlive !== true) {
         const reason = "connect ECONNREFUSED";
@@ -656,15 +772,14 @@
   }
 
   #engineAt(address: string): Engine | undefined {
-    return [...this.#engines.values()].find(({ listed, isUp }) =>
-      listed.address === address && isUp
-    );
+    const engine = this.#enginesByAddress.get(address);
+    return engine?.isUp === true ? engine : undefined;
   }
 
   #addEngine(address: string): void {
     const id = `e-${++this.#nextEngine}`;
     const domain = Number(address.split(/[.:]/)[3]) % DOMAINS.length;
-    this.#engines.set(id, {
+    const engine: Engine = {
       listed: {
         id: brandId<BackendServerId>(id),
         service: SERVICE,
@@ -685,9 +800,12 @@
       weights: 1,
       loading: undefined,
       acceptedOrders: 0,
+      highestEpoch: 0,
       cancelLoad() {},
-    });
-    this.report(this.#engines.get(id)!);
+    };
+    this.#engines.set(id, engine);
+    this.#enginesByAddress.set(address, engine);
+    this.report(engine);
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -696,6 +814,7 @@
     engine.isUp = false;
     this.crashAtMs.push(this.time.nowMs);
     this.#endAttempts(engine);
+    engine.cancelLoad();
     const { id, address } = engine.listed;
     this.time.after(RESTART_MS, () => this.#addEngine(address));
     this.time.after(RESTART_MS + 600, () => {
@@ -724,6 +843,7 @@
     engine.cancelLoad();
     engine.loading = undefined;
     engine.acceptedOrders = 0;
+    engine.highestEpoch = 0;
   }
 
   /** Engines that run, in the order of their start. */
@@ -794,12 +914,20 @@
       return this.#noteRejection(engine);
     }
     engine.attempts.add(attempt);
-    engine.prefilledAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs) +
+    const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
+    this.begunRuns.push({
+      atMs: prefillAtMs,
+      vm,
+      engine: id,
+      requestId,
+      weights: engine.weights,
+    });
+    engine.prefilledAtMs = prefillAtMs +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
     this.time.after(
       delayMs,
-      () => this.#begin(engine, { attempt, segments, body }),
+      () => this.#begin(engine, { attempt, segments, body, requestId }),
     );
   }
 
@@ -825,9 +953,10 @@
       readonly attempt: RunningAttempt;
       readonly segments: readonly string[];
       readonly body: string;
+      readonly requestId: RequestId;
     },
   ): void {
-    const { attempt, segments, body } = run;
+    const { attempt, segments, body, requestId } = run;
     if (attempt.isOver) return;
     const isDeadlyBody = this.deadlyBodies.has(body);
     if (isDeadlyBody) {
@@ -856,7 +985,8 @@
       this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
       return;
     }
-    this.#sendEvents(engine, { attempt, left: 12 });
+    const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
+    this.#sendEvents(engine, { attempt, events, sent: 0 });
   }
 
   #head(engine: Engine): AnswerHead {
@@ -878,16 +1008,20 @@
 
   #sendEvents(
     engine: Engine,
-    run: { readonly attempt: RunningAttempt; readonly left: number },
+    run: {
+      readonly attempt: RunningAttempt;
+      readonly events: number;
+      readonly sent: number;
+    },
   ): void {
-    const { attempt, left } = run;
+    const { attempt, events, sent } = run;
     this.time.after(EVENT_INTERVAL_MS, () => {
       if (attempt.isOver) return;
-      const event = Buffer.from(`id: ${13 - left}\ndata: x\n\n`);
+      const event = Buffer.from(`id: ${sent + 1}\ndata: x\n\n`);
       this.#answer(engine, attempt, () => attempt.listener.data(event));
       if (attempt.isOver) return;
-      if (left > 1) {
-        return this.#sendEvents(engine, { attempt, left: left - 1 });
+      if (sent + 1 < events) {
+        return this.#sendEvents(engine, { attempt, events, sent: sent + 1 });
       }
       attempt.isOver = true;
       engine.attempts.delete(attempt);
@@ -910,6 +1044,14 @@
   return brandId<VmId>(`vm-${daemon}`);
 }
 
+function ipOf(daemon: number): string {
+  return `10.0.0.${daemon + 1}`;
+}
+
+function gossipAddressOf(daemon: number): string {
+  return `${ipOf(daemon)}:7600`;
+}
+
 function breakOff(attempt: RunningAttempt, reason: string): void {
   if (attempt.isOver) return;
   attempt.isOver = true;
@@ -924,6 +1066,7 @@
   readonly forwardAddress: string;
   /** Called when the daemon ends, by those who wait for its answers. */
   readonly ended: (() => void)[] = [];
+  readonly storeAccess: StoreAccess;
   tables: RecordExchangeOptions["tables"] = new Map();
   readonly #world: TestFleet;
   readonly #time: VirtualTime;
@@ -935,9 +1078,10 @@
   constructor(world: TestFleet, index: number) {
     this.#world = world;
     this.#time = world.time;
-    const ip = `10.0.0.${index + 1}`;
+    this.storeAccess = new StoreAccess(world.time);
+    const ip = ipOf(index);
     this.vm = vmOf(index);
-    this.gossipAddress = `${ip}:7600`;
+    this.gossipAddress = gossipAddressOf(index);
     this.recordAddress = `${ip}:7601`;
     this.forwardAddress = `${ip}:7602`;
     new FrontDaemon({
@@ -948,7 +1092,7 @@
       seedIps: ["10.0.0.1"],
       graceMs: 8_000,
       leaseMs: 3_000,
-      weightsBoundMs: 8_000,
+      weightsBoundMs: world.weightsBoundMs,
       bounds: {
         tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
@@ -958,6 +1102,7 @@
 
   kill(): void {
     this.isAlive = false;
+    this.storeAccess.end();
     for (const notify of this.ended) notify();
   }
 
@@ -983,7 +1128,7 @@
     if (this.isAlive) this.#onDatagram(bytes);
   }
 
-  serve(outcome: Outcome): void {
+  serve(outcome: Outcome, events = RUN_EVENTS): void {
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
@@ -1001,7 +1146,7 @@
         ? {
           model: MODEL,
           promptTokens: 100 * (outcome.segments.length + 1),
-          maxOutputTokens: 48,
+          maxOutputTokens: TOKENS_PER_EVENT * events,
           prompt: promptOf(outcome),
         }
         : undefined,
@@ -1035,6 +1180,7 @@
   #ports(): FrontPorts {
     const world = this.#world;
     const { store } = world;
+    const access = this.storeAccess;
     const record = (
       step: string,
       fields: Readonly<Record<string, unknown>>,
@@ -1059,29 +1205,31 @@
       memory: new MemoryBudget(67_108_864),
       store: {
         get isReachable() {
-          return !store.isDown;
+          return !store.isDown && access.isReachable;
         },
         callCounts: {},
-        operatorRecords: store.source("operator"),
-        serverRecords: store.source("servers"),
-        quarantineRecords: store.source("quarantines"),
+        operatorRecords: this.#source("operator"),
+        serverRecords: this.#source("servers"),
+        quarantineRecords: this.#source("quarantines"),
         putQuarantine: async (key, value) => {
-          await store.call();
+          await this.#callStore();
           store.put("quarantines", key, value && JSON.parse(String(value)));
         },
         readOperatorRecord: (keyed) => world.readOperatorRecord(keyed),
         readServer: (keyed) => world.readServer(keyed),
         registerDaemon: async (vm, ip) => {
-          await store.call();
+          await this.#callStore();
           store.put("members", vm, ip);
           return store.values("members") as Map<VmId, string>;
         },
       },
-      rolloutLeaseLog: world.rollsOut ? world.rollout.leaseLog() : {
-        claim: () => Promise.reject(new Error("No rollout is played")),
-        confirm: () => Promise.resolve(false),
-      },
-      engineOrders: world.rollout.orders(),
+      rolloutLeaseLog: world.rollsOut
+        ? world.rollout.leaseLog(() => this.#callStore())
+        : {
+          claim: () => Promise.reject(new Error("No rollout is played")),
+          confirm: () => Promise.resolve(false),
+        },
+      engineOrders: world.rollout.orders(this.vm),
       serverClient: {
         start: (order, listener) =>
           world.startAttempt(this.vm, order, this.#whileAlive(listener)),
@@ -1115,6 +1263,23 @@
     };
   }
 
+  #callStore(): Promise<void> {
+    return this.storeAccess.call(() => this.#world.store.call());
+  }
+
+  #source(topic: string): RecordSource {
+    const access = this.storeAccess;
+    const source = this.#world.store.source(topic);
+    return {
+      get era() {
+        return source.era;
+      },
+      newest: () => access.call(() => source.newest()),
+      read: (from, waitMs) =>
+        access.call(() => source.read(from, waitMs), { holdMs: waitMs }),
+    };
+  }
+
   #scheduler(): Scheduler {
     return {
       after: (delayMs, task) =>
@@ -1149,7 +1314,9 @@
         this.#time.after(0, onOpen);
       },
       send: (address, bytes) => {
-        if (this.isAlive) this.#world.deliver(address, bytes);
+        if (!this.isAlive) return;
+        const route = { from: this.gossipAddress, to: address };
+        this.#world.deliver(route, bytes);
       },
       close() {},
     };
--- a/packages/front/src/testing_links.ts
+++ b/packages/front/src/testing_links.ts
@@ -38,10 +38,16 @@
   readonly #cuts = new Map<VmId, CutForm>();
   /** Engines that a cut VM reaches again. */
   readonly #healed = new Map<VmId, Set<string>>();
+  /** Engines that reach nobody. */
+  readonly #darkAddresses = new Set<string>();
   /** When idle connections end, by VM and address. */
   readonly #idleUntilMs = new Map<string, number[]>();
   /** What arrives once the link is back. */
-  readonly #held: { readonly vm: VmId; readonly deliver: () => void }[] = [];
+  readonly #held: {
+    readonly vm: VmId;
+    readonly address: string;
+    readonly deliver: () => void;
+  }[] = [];
 
   constructor(time: Time) {
     this.#time = time;
@@ -64,14 +70,27 @@
     }
     this.#cuts.delete(vm);
     this.#healed.delete(vm);
-    const held = this.#held.splice(0);
-    for (const message of held) {
-      if (message.vm === vm) message.deliver();
-      else this.#held.push(message);
+    this.#releaseHeld();
+  }
+
+  /** Cuts an engine off from all VMs, without a sign of it. */
+  darken(address: string): void {
+    this.#darkAddresses.add(address);
+  }
+
+  lighten(address: string): void {
+    this.#darkAddresses.delete(address);
+    this.#releaseHeld();
+  }
+
+  #releaseHeld(): void {
+    for (const message of this.#held.splice(0)) {
+      this.deliver(message.vm, message.address, message.deliver);
     }
   }
 
   cutOf(vm: VmId, address: string): CutForm | undefined {
+    if (this.#darkAddresses.has(address)) return "silent";
     return this.#healed.get(vm)?.has(address) ? undefined : this.#cuts.get(vm);
   }
 
@@ -116,6 +135,6 @@
   /** Delivers what an engine sends; a silent link holds it until it heals. */
   deliver(vm: VmId, address: string, deliver: () => void): void {
     if (this.cutOf(vm, address) !== "silent") return deliver();
-    this.#held.push({ vm, deliver });
+    this.#held.push({ vm, address, deliver });
   }
 }
--- a/packages/front/src/testing_rollout.ts
+++ b/packages/front/src/testing_rollout.ts
@@ -15,6 +15,7 @@
 
 /** Time in which an engine ends its runs and loads weights. */
 const LOAD_MS = 600;
+const RUNS_CHECK_INTERVAL_MS = 10;
 
 /** The part of an engine that holds weights. */
 export interface SimulatedWeights {
@@ -22,27 +23,48 @@
   /** The order in progress; undefined when there is none. */
   loading: number | undefined;
   acceptedOrders: number;
+  /** The highest epoch of an order since the engine's start. */
+  highestEpoch: number;
   /** Ends an order in progress, as the engine's process does. */
   cancelLoad: () => void;
 }
 
+/** How engines load weights once their runs have ended. */
+export interface LoadOptions {
+  readonly loadMs: number;
+  /** With more loads at a time, each takes longer in proportion. */
+  readonly fullSpeedLoads: number;
+}
+
 /** What the rollout needs of the simulated fleet. */
 export interface RolloutWorld {
+  readonly nowMs: number;
   after(delayMs: number, task: () => void): () => void;
-  /** Resolves when the store has answered a call. */
-  callStore(): Promise<void>;
-  /** Resolves when a message has gone to an engine and back. */
-  callEngine(): Promise<void>;
-  engineAt(address: string): SimulatedWeights | undefined;
+  /** The engine, when a message has gone there and back; else undefined. */
+  callEngine(vm: VmId, address: string): Promise<SimulatedWeights | undefined>;
+  hasRuns(state: SimulatedWeights): boolean;
+}
+
+/** An order that an engine has taken. */
+export interface AcceptedOrder {
+  readonly atMs: number;
+  readonly holder: VmId;
+  readonly epoch: number;
+  readonly weights: number;
 }
 
 /** Lease and orders for all daemons of a fleet. */
 export class SimulatedRollout {
+  readonly accepted: AcceptedOrder[] = [];
   readonly #world: RolloutWorld;
+  readonly #load: LoadOptions | undefined;
   readonly #holders: VmId[] = [];
+  #loads = 0;
 
-  constructor(world: RolloutWorld) {
+  /** Without options, runs and load together take a fixed time. */
+  constructor(world: RolloutWorld, load?: LoadOptions) {
     this.#world = world;
+    this.#load = load;
   }
 
   /** The latest daemon that has claimed the lease. */
@@ -50,56 +72,118 @@
     return this.#holders.at(-1);
   }
 
-  leaseLog(): FrontPorts["rolloutLeaseLog"] {
+  leaseLog(callStore: () => Promise<void>): FrontPorts["rolloutLeaseLog"] {
     const holders = this.#holders;
     return {
       claim: async (holder) => {
-        await this.#world.callStore();
-        const previousHolder = holders.at(-1);
+        await callStore();
+        const end = holders.length;
+        const previousHolder = holders.findLast((other) => other !== holder);
+        if (end > 0) await callStore();
+        if (holders.length > end) {
+          const winner = holders.at(-1)!;
+          return { kind: "taken", holder: winner, epoch: holders.length };
+        }
         holders.push(holder);
         return { kind: "held", epoch: holders.length, previousHolder };
       },
       confirm: async (epoch) => {
-        await this.#world.callStore();
+        await callStore();
         return epoch === holders.length;
       },
     };
   }
 
-  orders(): FrontPorts["engineOrders"] {
+  orders(vm: VmId): FrontPorts["engineOrders"] {
     return {
-      report: (engine) => this.#report(engine),
-      order: (engine, order) => this.#order(engine, order),
+      report: (engine) => this.#report(vm, engine),
+      order: (engine, order) => this.#order(vm, { engine, order }),
     };
   }
 
-  async #report(engine: RolloutEngine): Promise<EngineReport | undefined> {
-    await this.#world.callEngine();
-    const state = this.#world.engineAt(engine.address);
+  async #report(
+    vm: VmId,
+    { address, model }: RolloutEngine,
+  ): Promise<EngineReport | undefined> {
+    const state = await this.#world.callEngine(vm, address);
     return state && {
-      weights: new Map([[engine.model, state.weights]]),
+      weights: new Map([[model, state.weights]]),
       isBusy: state.loading !== undefined,
       acceptedOrders: state.acceptedOrders,
     };
   }
 
   async #order(
-    engine: RolloutEngine,
-    order: WeightsOrder,
+    vm: VmId,
+    { engine, order }: {
+      readonly engine: RolloutEngine;
+      readonly order: WeightsOrder;
+    },
   ): Promise<OrderAnswer> {
-    await this.#world.callEngine();
-    const state = this.#world.engineAt(engine.address);
+    const state = await this.#world.callEngine(vm, engine.address);
     if (state === undefined || !order.maySend()) return "unknown";
-    if (order.epoch < this.#holders.length) return "fenced";
+    if (order.epoch < state.highestEpoch) return "fenced";
+    state.highestEpoch = order.epoch;
     if (state.weights === order.weights) return "already_holds";
     const isExpected = state.acceptedOrders === order.acceptedOrders;
     if (state.loading !== undefined || !isExpected) return "conflict";
     state.acceptedOrders += 1;
     state.loading = order.weights;
-    state.cancelLoad = this.#world.after(LOAD_MS, () => {
-      state.weights = order.weights;
-      state.loading = undefined;
-    });
+    const { holder, epoch, weights } = order;
+    const atMs = this.#world.nowMs;
+    this.accepted.push({ atMs, holder, epoch, weights });
+    this.#awaitRuns(state, weights);
     return "accepted";
   }
+
+  #awaitRuns(state: SimulatedWeights, weights: number): void {
+    const load = this.#load;
+    if (load === undefined) {
+      return this.#finishAfter(LOAD_MS, { state, weights });
+    }
+    if (this.#world.hasRuns(state)) {
+      const cancel = this.#world.after(
+        RUNS_CHECK_INTERVAL_MS,
+        () => this.#awaitRuns(state, weights),
+      );
+      state.cancelLoad = () => {
+        cancel();
+        state.loading = undefined;
+      };
+      return;
+    }
+    this.#loads += 1;
+    const slowdown = Math.max(1, this.#loads / load.fullSpeedLoads);
+    this.#finishAfter(load.loadMs * slowdown, {
+      state,
+      weights,
+      ended: () => {
+        this.#loads -= 1;
+      },
+    });
+  }
+
+  #finishAfter(
+    delayMs: number,
+    load: {
+      readonly state: SimulatedWeights;
+      readonly weights: number;
+      readonly ended?: () => void;
+    },
+  ): void {
+    const { state, weights, ended = () => {} } = load;
+    const cancel = this.#world.after(delayMs, () => {
+      state.weights = weights;
+      end();
+    });
+    const end = () => {
+      state.loading = undefined;
+      state.cancelLoad = () => {};
+      ended();
+    };
+    state.cancelLoad = () => {
+      cancel();
+      end();
+    };
+  }
 }
