--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -342,6 +342,7 @@
   hasEnded: boolean;
   isCut: boolean;
   refusal: Refusal | undefined;
+  refusedAtMs: number | undefined;
   isOverLimit: boolean;
 }
 
@@ -574,6 +575,7 @@
       hasEnded: false,
       isCut: false,
       refusal: undefined,
+      refusedAtMs: undefined,
       isOverLimit: false,
     };
     this.outcomes.push(outcome);
@@ -1170,6 +1172,7 @@
       },
       refuse: (refusal) => {
         outcome.refusal = refusal;
+        outcome.refusedAtMs = this.#time.nowMs;
       },
       abortAnswer: () => {
         outcome.isCut = true;
