--- a/packages/front/src/rollout_lease_at_size_test.ts
+++ b/packages/front/src/rollout_lease_at_size_test.ts
@@ -3,7 +3,12 @@
 import type { VmId } from "@endivebend/types";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type Engine, type Outcome, TestFleet } from "./testing_fleet.ts";
+import {
+  DOMAINS,
+  type Engine,
+  type Outcome,
+  TestFleet,
+} from "./testing_fleet.ts";
 import type { Draw } from "./testing_gossip_links.ts";
 import type { StoreCutForm } from "./testing_store_access.ts";
 
@@ -119,13 +124,19 @@
     return Number(this.fleet.rollout.holder?.split("-").at(-1) ?? 0);
   }
 
-  /** Notes that daemons are not up, or lack links, for so long. */
-  disturb(daemons: readonly number[], durationMs: number): void {
+  /** Notes that links are not whole, or daemons not up, for so long. */
+  noteOutage(durationMs: number): Interval {
     const interval = {
       fromMs: this.nowMs,
       untilMs: this.nowMs + durationMs,
     };
     this.outages.push(interval);
+    return interval;
+  }
+
+  /** Notes that daemons are not up, or don't reach store or engines. */
+  disturb(daemons: readonly number[], durationMs: number): void {
+    const interval = this.noteOutage(durationMs);
     for (const daemon of daemons) {
       const vm = `vm-${daemon}` as VmId;
       this.#disturbed.set(vm, [...this.#disturbed.get(vm) ?? [], interval]);
@@ -133,11 +144,7 @@
   }
 
   darken(engines: readonly Engine[], durationMs: number): void {
-    const interval = {
-      fromMs: this.nowMs,
-      untilMs: this.nowMs + durationMs,
-    };
-    this.outages.push(interval);
+    const interval = this.noteOutage(durationMs);
     for (const engine of engines) {
       const { address } = engine.listed;
       this.#dark.set(engine, [interval]);
@@ -275,6 +282,25 @@
   play.after(awayMs, () => fleet.heal(daemons));
 }
 
+function loseAll(play: Play, daemons: readonly number[], awayMs: number) {
+  const { fleet } = play;
+  loseStore(play, daemons, awayMs);
+  loseEngines(play, daemons, awayMs);
+  fleet.cutOffGossip(daemons, { together: false });
+  play.after(awayMs, () => fleet.healGossip(daemons));
+}
+
+/** Daemons of one failure domain hear each other only; all else is whole. */
+function splitDomain(play: Play, awayMs: number) {
+  const { fleet, size, draw } = play;
+  const domain = draw(0, DOMAINS.length - 1);
+  const daemons = Array.from({ length: size }, (_, index) => index)
+    .filter((index) => index % DOMAINS.length === domain);
+  play.noteOutage(awayMs);
+  fleet.cutOffGossip(daemons, { together: true });
+  play.after(awayMs, () => fleet.healGossip(daemons));
+}
+
 /** What befalls the fleet, by the remainder of the seed. */
 const TROUBLES: readonly {
   readonly name: string;
@@ -318,14 +344,16 @@
   },
   {
     name: "the holder is cut off from all",
-    begin: (play) => {
-      const holder = [play.holder()];
-      const awayMs = play.draw(1_000, 9_000);
-      loseStore(play, holder, awayMs);
-      loseEngines(play, holder, awayMs);
-      play.fleet.cutOffGossip(holder);
-      play.after(awayMs, () => play.fleet.healGossip(holder));
-    },
+    begin: (play) => loseAll(play, [play.holder()], play.draw(1_000, 9_000)),
+  },
+  {
+    name: "a third of the daemons are cut off from all",
+    begin: (play) =>
+      loseAll(play, drawDaemons(play, 1 / 3), play.draw(2_000, 9_000)),
+  },
+  {
+    name: "a domain does not hear the others",
+    begin: (play) => splitDomain(play, play.draw(2_000, 9_000)),
   },
 ];
 
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -73,7 +73,7 @@
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
-const DOMAINS = ["a", "b", "c", "d"].map((name) =>
+export const DOMAINS = ["a", "b", "c", "d"].map((name) =>
   brandId<FailureDomainId>(name)
 );
 
@@ -664,17 +664,16 @@
     for (const daemon of daemons) this.#daemons[daemon]?.storeAccess.heal();
   }
 
-  /** Cuts daemons off from all others. */
-  cutOffGossip(daemons: readonly number[]): void {
-    for (const daemon of daemons) {
-      this.#gossipLinks.cutOff(gossipAddressOf(daemon));
-    }
+  /** Cuts daemons off from other daemons, and from each other if not together. */
+  cutOffGossip(
+    daemons: readonly number[],
+    { together }: { readonly together: boolean },
+  ): void {
+    this.#gossipLinks.cutOff(daemons.map(gossipAddressOf), { together });
   }
 
   healGossip(daemons: readonly number[]): void {
-    for (const daemon of daemons) {
-      this.#gossipLinks.heal(gossipAddressOf(daemon));
-    }
+    this.#gossipLinks.heal(daemons.map(gossipAddressOf));
   }
 
   /** Ends cuts, for some engines only where they are given. */
--- a/packages/front/src/testing_gossip_links.ts
+++ b/packages/front/src/testing_gossip_links.ts
@@ -25,7 +25,8 @@
   readonly #scheduler: Scheduler;
   readonly #draw: Draw;
   readonly #options: GossipLinkOptions;
-  readonly #cutOff = new Set<string>();
+  /** The part of the network that an address is cut off with. */
+  readonly #islands = new Map<string, string>();
 
   constructor(
     scheduler: Scheduler,
@@ -37,13 +38,18 @@
     this.#options = options;
   }
 
-  /** Loses every datagram from and to the address. */
-  cutOff(address: string): void {
-    this.#cutOff.add(address);
+  /** Loses datagrams between these addresses, as one or each, and others. */
+  cutOff(
+    addresses: readonly string[],
+    { together }: { readonly together: boolean },
+  ): void {
+    for (const address of addresses) {
+      this.#islands.set(address, together ? addresses[0]! : address);
+    }
   }
 
-  heal(address: string): void {
-    this.#cutOff.delete(address);
+  heal(addresses: readonly string[]): void {
+    for (const address of addresses) this.#islands.delete(address);
   }
 
   send(
@@ -51,7 +57,7 @@
     bytes: Buffer,
     deliver: () => void,
   ): void {
-    if (this.#cutOff.has(from) || this.#cutOff.has(to)) return;
+    if (this.#islands.get(from) !== this.#islands.get(to)) return;
     const { lostPerMille, minDelayMs, maxDelayMs } = this.#options;
     const packets = Math.ceil(bytes.length / PACKET_BYTES);
     for (let packet = 0; packet < packets && lostPerMille > 0; packet++) {
