Let the log of the rollout lease decide whether its holder is alive

What callers saw: on the large site (195 daemons) nearly every prompt was refused as stale_weights from about 10 s after new weights were named, as the engines kept the old ones (VERSION, SHORT).

Cause: a hard right was taken from a soft picture. A daemon took 600 ms without gossip of the holder, plus 400 ms a rank, for a vacancy. Every claim began a wait of 3.8 s before the first order anew.

Now the holder appends a renewal every 700 ms, and a daemon claims only if the log's end has not moved for 2 s, which the conditional append checks again. Gossip carries the newest known end and so only says when to look; daemons that were listed a moment ago count in the rank before they are heard. Renewals permit orders for 1.2 s and say so, and the wait of a successor runs from the last order that can have been sent: a holder that sent none adds nothing. A holder that stops, or reaches no engine, releases the lease; one that loses the store goes on if nobody else has claimed. A restore of the store ends the lease as before, and the holder claims it again at once.

Ruled out: a longer timeout in gossip (the picture stays soft, and a real loss is noticed later); long polls of the log by each daemon (195 calls a renewal).

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -59,6 +59,8 @@
 export interface RolloutLeaseState {
   /** The epoch under which the sender holds the rollout lease; 0 without it. */
   readonly epoch: number;
+  /** The newest end of the lease's log that the sender knows; 0 for none. */
+  readonly logEnd?: number;
 }
 
 /** What the sender does for daemons that don't reach their servers. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -74,7 +74,7 @@
   sequence: isCount,
   isLeaving: isFlag,
   reachesStore: isFlag,
-  duty: hasFields({ epoch: isCount }),
+  duty: hasFields({ epoch: isCount, logEnd: isOptional(isCount) }),
   spent: isMapOf(isNumber),
   work: isMapOf(isTuple(isCount, isCount)),
   weights: isListOf(hasFields({
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -10,6 +10,7 @@
   GossipBundle,
   GossipMessage,
   RecordTable,
+  RolloutLeaseState,
   WeightsProgress,
 } from "@endivebend/fleet";
 import type {
@@ -52,7 +53,8 @@
   nowMs(): number;
   logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
   reachesStore(): boolean;
-  leaseEpoch(): number;
+  /** What this daemon knows of the rollout lease. */
+  rolloutLease(): RolloutLeaseState;
   /** What this daemon forwards for daemons that don't reach their servers. */
   forwarding(): ForwardingState;
   /** Recent changes of the prefix caches that this daemon watches. */
@@ -96,7 +98,7 @@
       sequence: ++this.#sequence,
       isLeaving: false,
       reachesStore: this.#options.reachesStore(),
-      duty: { epoch: this.#options.leaseEpoch() },
+      duty: this.#options.rolloutLease(),
       spent: admission.spent(),
       work: this.#ownWork(),
       weights: this.#currentWeightsProgress(nowMs),
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -83,6 +83,9 @@
  */
 const STORE_RECOVERY_MS = 3_000;
 
+/** A listed daemon that runs has been heard by then. */
+const FIRST_MESSAGE_TIMEOUT_MS = 3_000;
+
 /** The daemon, assembled from its settings and ports. */
 export class FrontDaemon {
   readonly #settings: FrontSettings;
@@ -504,7 +507,10 @@
       nowMs: () => this.#nowMs(),
       logDecision: this.#logDecision,
       reachesStore: () => this.#ports.store.isReachable,
-      leaseEpoch: () => this.#weightsRollout.epoch,
+      rolloutLease: () => ({
+        epoch: this.#weightsRollout.epoch,
+        logEnd: this.#weightsRollout.leaseLogEnd,
+      }),
       watchedCacheChanges: () => this.#cacheWatch.recentEvents(),
       answerAgesMs: () => this.#cacheWatch.answerAgesMs(),
       forwarding: () => ({
@@ -612,6 +618,7 @@
     } = this.#ports;
     return new WeightsRolloutTask({
       self: this.#settings.vm,
+      incarnation: this.#incarnation,
       clock,
       scheduler,
       log: rolloutLeaseLog,
@@ -622,6 +629,7 @@
       peers: () => this.#rolloutPeers(),
       rank: (members) => rankByRendezvous("weights-duty", members),
       reachesStore: () => store.isReachable,
+      reachesEngines: () => this.#reachesEngines(),
       onWeightsChange: (progress) => {
         this.#gossip.announceWeightsProgress(progress);
         this.#gossipChannel.announce();
@@ -630,16 +638,36 @@
     });
   }
 
+  /**
+   * Daemons that may claim the rollout lease. Those that were listed a moment
+   * ago count before they are heard, so that daemons that start at the same time
+   * agree on who comes first.
+   */
   #rolloutPeers() {
-    const reachable = this.#fleet.reachable(this.#nowMs());
-    const candidates = reachable.filter(({ message }) => message?.reachesStore);
-    const epochs = reachable.map(({ message }) => message?.duty.epoch ?? 0);
+    const nowMs = this.#nowMs();
+    const reachable = this.#fleet.reachable(nowMs);
+    const heard = reachable.filter(({ message }) => message?.reachesStore);
+    const listed = this.#fleet.members().filter(({ message, heardAtMs }) =>
+      message === undefined && nowMs - heardAtMs < FIRST_MESSAGE_TIMEOUT_MS
+    );
+    const ends = reachable.map(({ message }) => message?.duty.logEnd ?? 0);
     return {
-      candidates: candidates.map((member) => member.vm),
-      holderEpoch: Math.max(0, ...epochs),
+      candidates: [...heard, ...listed].map(({ vm }) => vm),
+      leaseLogEnd: Math.max(0, ...ends),
     };
   }
 
+  /** False while this daemon reaches no engine whose weights are named. */
+  #reachesEngines(): boolean {
+    const services = new Set(
+      [...this.#registry.all()]
+        .filter(({ listed }) => listed.weights.size > 0)
+        .map(({ listed }) => listed.service),
+    );
+    return services.size === 0 ||
+      [...services].some((service) => this.#paths.mayForward(service));
+  }
+
   #createCacheWatch(): CacheWatch {
     const { clock, scheduler, cacheEventClient } = this.#ports;
     return new CacheWatch({
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -89,7 +89,7 @@
     },
     nowMs: () => 1_000,
     reachesStore: () => true,
-    leaseEpoch: () => 0,
+    rolloutLease: () => ({ epoch: 0, logEnd: 0 }),
     watchedCacheChanges: () => ({}),
     answerAgesMs: () => ({}),
     forwarding: () => ({ reaches: [], open: 0 }),
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1228,8 +1228,8 @@
       rolloutLeaseLog: world.rollsOut
         ? world.rollout.leaseLog(() => this.#callStore())
         : {
-          claim: () => Promise.reject(new Error("No rollout is played")),
-          confirm: () => Promise.resolve(false),
+          read: () => Promise.reject(new Error("No rollout is played")),
+          append: () => Promise.reject(new Error("No rollout is played")),
         },
       engineOrders: world.rollout.orders(this.vm),
       serverClient: {
--- a/packages/front/src/testing_rollout.ts
+++ b/packages/front/src/testing_rollout.ts
@@ -6,6 +6,7 @@
 
 import type {
   EngineReport,
+  LeaseRecord,
   OrderAnswer,
   RolloutEngine,
   WeightsOrder,
@@ -58,7 +59,7 @@
   readonly accepted: AcceptedOrder[] = [];
   readonly #world: RolloutWorld;
   readonly #load: LoadOptions | undefined;
-  readonly #holders: VmId[] = [];
+  readonly #records: LeaseRecord[] = [];
   #loads = 0;
 
   /** Without options, runs and load together take a fixed time. */
@@ -69,27 +70,21 @@
 
   /** The latest daemon that has claimed the lease. */
   get holder(): VmId | undefined {
-    return this.#holders.at(-1);
+    return this.#records.at(-1)?.holder;
   }
 
   leaseLog(callStore: () => Promise<void>): FrontPorts["rolloutLeaseLog"] {
-    const holders = this.#holders;
+    const records = this.#records;
     return {
-      claim: async (holder) => {
+      read: async () => {
         await callStore();
-        const end = holders.length;
-        const previousHolder = holders.findLast((other) => other !== holder);
-        if (end > 0) await callStore();
-        if (holders.length > end) {
-          const winner = holders.at(-1)!;
-          return { kind: "taken", holder: winner, epoch: holders.length };
-        }
-        holders.push(holder);
-        return { kind: "held", epoch: holders.length, previousHolder };
+        return { end: records.length, newest: records.at(-1) };
       },
-      confirm: async (epoch) => {
+      append: async (record, end) => {
         await callStore();
-        return epoch === holders.length;
+        if (records.length !== end) return { kind: "moved" };
+        records.push(record);
+        return { kind: "appended", end: end + 1 };
       },
     };
   }
--- a/packages/orders/src/mod.ts
+++ b/packages/orders/src/mod.ts
@@ -22,14 +22,17 @@
 } from "./records.ts";
 export { MAX_WEIGHT_LOADS, OrdersState } from "./state.ts";
 export type { EngineOrderEntry, OrderVerdict } from "./state.ts";
-export { planRolloutOrders, shouldClaimLease } from "./weights_rollout.ts";
+export type {
+  LeaseAppendResult,
+  LeaseLogState,
+  LeaseRecord,
+  RolloutLeaseLog,
+} from "./lease_plan.ts";
+export { planRolloutOrders } from "./weights_rollout.ts";
 export type {
   EngineReport,
-  LeaseClaimInput,
-  LeaseClaimResult,
   OrderAnswer,
   RolloutEngine,
-  RolloutLeaseLog,
   RolloutOrderClient,
   WeightsOrder,
 } from "./weights_rollout.ts";
--- a/packages/orders/src/weights_handover_test.ts
+++ b/packages/orders/src/weights_handover_test.ts
@@ -6,7 +6,8 @@
   type ModelName,
   type VmId,
 } from "@endivebend/types";
-import { type LeaseClaimResult, WeightsRolloutTask } from "./mod.ts";
+import { WeightsRolloutTask } from "./mod.ts";
+import { LeaseRecords } from "./testing_lease_log.ts";
 
 const MODEL = brandId<ModelName>("m");
 const LEASE_MS = 3_000;
@@ -38,7 +39,7 @@
   nowMs = 0;
   readonly orders: SentOrder[] = [];
   readonly #troubles: readonly Trouble[];
-  readonly #log: VmId[] = [];
+  readonly #log = new LeaseRecords();
   readonly #tasks: WeightsRolloutTask[] = [];
   #events: {
     readonly daemon: number;
@@ -90,12 +91,6 @@
     });
   }
 
-  #claim(self: VmId): LeaseClaimResult {
-    const previousHolder = this.#log.findLast((other) => other !== self);
-    this.#log.push(self);
-    return { kind: "held", epoch: this.#log.length, previousHolder };
-  }
-
   #createTask(daemon: number): WeightsRolloutTask {
     const self = brandId<VmId>(`vm-${daemon}`);
     const heard = (other: number) =>
@@ -103,6 +98,7 @@
       !this.#has("unheard", other) && !this.#has("unheard", daemon);
     return new WeightsRolloutTask({
       self,
+      incarnation: "1",
       clock: { wallMs: () => this.nowMs, elapsedMs: () => this.nowMs },
       scheduler: {
         after: (delayMs, run) => {
@@ -111,9 +107,9 @@
         },
       },
       log: {
-        claim: () => this.#callStore(daemon, () => this.#claim(self)),
-        confirm: (epoch) =>
-          this.#callStore(daemon, () => this.#log.length === epoch),
+        read: () => this.#callStore(daemon, () => this.#log.read()),
+        append: (record, end) =>
+          this.#callStore(daemon, () => this.#log.append(record, end)),
       },
       orders: {
         // Reports come late, so that a daemon may be paused before an order.
@@ -150,13 +146,16 @@
       peers: () => ({
         candidates: this.#tasks.map((_, index) => index).filter(heard)
           .map((index) => brandId<VmId>(`vm-${index}`)),
-        holderEpoch: Math.max(
+        leaseLogEnd: Math.max(
           0,
-          ...this.#tasks.map((task, index) => heard(index) ? task.epoch : 0),
+          ...this.#tasks.map((task, index) =>
+            heard(index) ? task.leaseLogEnd : 0
+          ),
         ),
       }),
       rank: (members) => [...members].sort(),
       reachesStore: () => !this.#has("store_away", daemon),
+      reachesEngines: () => true,
       onWeightsChange() {},
       logDecision() {},
     });
--- a/packages/orders/src/weights_rollout.ts
+++ b/packages/orders/src/weights_rollout.ts
@@ -1,31 +1,12 @@
 /**
  * Decisions of the weights rollout, which brings engines to the newest weights
- * that the operator has named. One daemon at a time holds the rollout lease,
- * under an epoch that the store's log assigned to it.
+ * that the operator has named. The holder of the rollout lease carries them out.
  *
  * @module
  */
 
 import type { BackendServerId, ModelName, VmId } from "@endivebend/types";
 
-/** Result of a claim of the rollout lease. */
-export type LeaseClaimResult =
-  | {
-    readonly kind: "held";
-    readonly epoch: number;
-    /** The latest other holder; undefined when there has been none. */
-    readonly previousHolder: VmId | undefined;
-  }
-  | { readonly kind: "taken"; readonly holder: VmId; readonly epoch: number };
-
-/** The log of lease holders in the store. */
-export interface RolloutLeaseLog {
-  /** Claims the lease as the successor of the present holder. */
-  claim(holder: VmId): Promise<LeaseClaimResult>;
-  /** Whether no daemon has claimed the lease since the epoch began. */
-  confirm(epoch: number): Promise<boolean>;
-}
-
 /** State that an engine reports. */
 export interface EngineReport {
   /** Weights version of each model that the engine serves. */
@@ -114,38 +95,3 @@
     .sort((a, b) => a.running - b.running)
     .slice(0, Math.max(0, maxInProgress - inProgress.size));
 }
-
-/** Input of the decision whether to claim the rollout lease. */
-export interface LeaseClaimInput {
-  readonly self: VmId;
-  /** Whether this daemon reaches the store. */
-  readonly reachesStore: boolean;
-  /** Reachable daemons, without this one, that can reach the store. */
-  readonly candidates: readonly VmId[];
-  /** Whether one of them, or this daemon, holds the lease. */
-  readonly hasHolder: boolean;
-  /** How long there has been no holder. */
-  readonly vacantForMs: number;
-  /** Puts daemons into the order in which they should claim the lease. */
-  readonly rank: (members: readonly VmId[]) => readonly VmId[];
-}
-
-/** A holder must not be replaced for a pause of its garbage collector. */
-const VACANCY_TIMEOUT_MS = 600;
-/** Each candidate leaves the one ranked before it this much time to claim. */
-const RANK_DELAY_MS = 400;
-
-/**
- * Whether this daemon should claim the rollout lease now.
- *
- * @example
- * ```ts
- * if (shouldClaimLease({ self, candidates, ...rest })) await log.claim(self);
- * ```
- */
-export function shouldClaimLease(input: LeaseClaimInput): boolean {
-  if (!input.reachesStore || input.hasHolder) return false;
-  const rankedDaemons = input.rank([...input.candidates, input.self]);
-  const ownRank = rankedDaemons.indexOf(input.self);
-  return input.vacantForMs >= VACANCY_TIMEOUT_MS + ownRank * RANK_DELAY_MS;
-}
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -7,17 +7,18 @@
 } from "@endivebend/types";
 import {
   type EngineReport,
-  type LeaseClaimResult,
+  type LeaseRecord,
   type OrderAnswer,
   planRolloutOrders,
   type RolloutEngine,
-  shouldClaimLease,
   type WeightsOrder,
   WeightsRolloutTask,
 } from "./mod.ts";
+import { LeaseRecords } from "./testing_lease_log.ts";
 
 const MODEL = brandId<ModelName>("m");
 const SELF = brandId<VmId>("vm-1");
+const OTHER = brandId<VmId>("vm-2");
 
 function engine(
   id: string,
@@ -51,32 +52,11 @@
   t.deepEqual(planRolloutOrders([engine("e", { weights: 2 })], new Set()), []);
 });
 
-test("the first daemon in rank claims the lease, and others claim it later", (t) => {
-  const input = {
-    self: SELF,
-    reachesStore: true,
-    candidates: [brandId<VmId>("vm-0")],
-    hasHolder: false,
-    vacantForMs: 700,
-    rank: (members: readonly VmId[]) => [...members].sort(),
-  };
-  t.false(shouldClaimLease(input));
-  t.true(shouldClaimLease({ ...input, vacantForMs: 1_100 }));
-  t.false(shouldClaimLease({ ...input, vacantForMs: 1_100, hasHolder: true }));
-  t.false(
-    shouldClaimLease({ ...input, vacantForMs: 1_100, reachesStore: false }),
-  );
-});
-
 /** Runs the task in virtual time with a fake log and a fake engine. */
 class RolloutHarness {
   nowMs = 10_000;
-  claim: LeaseClaimResult = {
-    kind: "held",
-    epoch: 1,
-    previousHolder: undefined,
-  };
-  isConfirmed = true;
+  readonly log = new LeaseRecords();
+  calls = 0;
   answer: OrderAnswer = "accepted";
   report: EngineReport = {
     weights: new Map([[MODEL, 1]]),
@@ -84,7 +64,9 @@
     acceptedOrders: 3,
   };
   reachesStore = true;
-  holderEpoch = 0;
+  candidates: readonly VmId[] = [];
+  leaseLogEnd = 0;
+  reachesEngines = true;
   readonly ordered: (WeightsOrder & { readonly atMs: number })[] = [];
   readonly doneFlags: boolean[] = [];
   readonly task: WeightsRolloutTask;
@@ -93,6 +75,7 @@
   constructor() {
     this.task = new WeightsRolloutTask({
       self: SELF,
+      incarnation: "1",
       clock: { wallMs: () => this.nowMs, elapsedMs: () => this.nowMs },
       scheduler: {
         after: (delayMs, run) => {
@@ -101,27 +84,52 @@
         },
       },
       log: {
-        claim: () => Promise.resolve(this.claim),
-        confirm: () => Promise.resolve(this.isConfirmed),
+        read: () => this.#callStore(() => this.log.read()),
+        append: (record, end) =>
+          this.#callStore(() => this.log.append(record, end)),
       },
       orders: {
         report: () => Promise.resolve(this.report),
         order: (_engine, order) => {
+          if (!order.maySend()) return Promise.resolve("unknown");
           this.ordered.push({ ...order, atMs: this.nowMs });
           return Promise.resolve(this.answer);
         },
       },
       leaseMs: 3_000,
       engines: () => [engine("e")],
-      peers: () => ({ candidates: [], holderEpoch: this.holderEpoch }),
-      rank: (members) => members,
+      peers: () => ({
+        candidates: this.candidates,
+        leaseLogEnd: this.leaseLogEnd,
+      }),
+      rank: (members) => [...members].sort(),
       reachesStore: () => this.reachesStore,
+      reachesEngines: () => this.reachesEngines,
       onWeightsChange: ({ isDone }) => this.doneFlags.push(isDone),
       logDecision() {},
     });
     this.task.start();
   }
 
+  /** Another daemon appends at the end of the log. */
+  appendOther(fields: Partial<LeaseRecord> = {}): void {
+    this.log.append({
+      holder: OTHER,
+      incarnation: "2",
+      kind: "claim",
+      permitsOrders: false,
+      waitMs: 0,
+      ...fields,
+    }, this.log.list.length);
+  }
+
+  #callStore<T>(run: () => T): Promise<T> {
+    this.calls += 1;
+    return this.reachesStore
+      ? Promise.resolve(run())
+      : Promise.reject(new Error("no answer"));
+  }
+
   async advance(durationMs: number): Promise<void> {
     const untilMs = this.nowMs + durationMs;
     while (this.nowMs < untilMs) {
@@ -142,61 +150,139 @@
   t.like(harness.ordered[0], { epoch: 1, acceptedOrders: 3, weights: 2 });
 });
 
-test("a new holder waits for the former holder's lease before its first order", async (t) => {
+// The records of the lease tell a silent holder from one that is not heard.
+test("a daemon that hears of no holder leaves the lease to one that renews it", async (t) => {
   const harness = new RolloutHarness();
-  harness.claim = {
-    kind: "held",
-    epoch: 2,
-    previousHolder: brandId<VmId>("vm-2"),
-  };
-  await harness.advance(4_100);
+  for (let second = 0; second < 30; second++) {
+    harness.appendOther({ kind: "renewal" });
+    await harness.advance(1_000);
+  }
+  t.is(harness.task.epoch, 0);
   t.is(harness.ordered.length, 0);
-  await harness.advance(600);
-  t.is(harness.ordered.length, 1);
 });
 
-test("a holder whose epoch the store does not confirm sends no order", async (t) => {
+test("a daemon claims the lease of a holder that renews it no more", async (t) => {
   const harness = new RolloutHarness();
-  harness.isConfirmed = false;
-  await harness.advance(5_000);
+  harness.appendOther();
+  await harness.advance(2_500);
+  t.is(harness.task.epoch, 0, "the end of the log is known for 1,900 ms");
+  await harness.advance(300);
+  t.is(harness.task.epoch, 2);
+  t.is(harness.log.claims.at(-1)?.holder, SELF);
+});
+
+test("the first daemon in rank looks at the log, and others do so later", async (t) => {
+  const harness = new RolloutHarness();
+  harness.candidates = [brandId<VmId>("vm-0")];
+  await harness.advance(950);
+  t.is(harness.task.epoch, 0);
+  await harness.advance(100);
+  t.is(harness.task.epoch, 1);
+});
+
+test("a new holder waits for the orders of a former one that may still be sent", async (t) => {
+  const harness = new RolloutHarness();
+  harness.appendOther({ kind: "renewal", permitsOrders: true });
+  // Known from 600 ms on; permits last 1,200 ms, the lease 3,000 ms.
+  await harness.advance(4_900);
+  t.is(harness.task.epoch > 0, true);
   t.is(harness.ordered.length, 0);
+  await harness.advance(400);
+  t.is(harness.ordered.length, 1);
 });
 
-test("a holder that cannot reach the store orders nothing and ends its lease", async (t) => {
+// Each claim of a chain used to begin the wait anew, so no order was ever sent.
+test("a former holder that came to send no order adds nothing to the wait", async (t) => {
+  const harness = new RolloutHarness();
+  harness.appendOther({ kind: "claim", waitMs: 1_000 });
+  await harness.advance(3_000);
+  t.is(harness.ordered.length, 1);
+});
+
+test("a released lease is claimed without waiting for its silence", async (t) => {
+  const harness = new RolloutHarness();
+  harness.appendOther({ kind: "release" });
+  await harness.advance(800);
+  t.is(harness.ordered.length, 1);
+});
+
+test("a stop releases the lease with what is left to wait", async (t) => {
+  const harness = new RolloutHarness();
+  await harness.advance(800);
+  t.is(harness.ordered.length, 1);
+  harness.task.stop();
+  await harness.advance(50);
+  const released = harness.log.list.at(-1);
+  t.is(released?.kind, "release");
+  const sinceOrderMs = harness.nowMs - harness.ordered[0]!.atMs;
+  t.true(released!.waitMs + sinceOrderMs >= 3_200);
+});
+
+test("a holder that reaches no engine releases the lease", async (t) => {
   const harness = new RolloutHarness();
-  harness.reachesStore = false;
   await harness.advance(700);
-  harness.reachesStore = true;
-  await harness.advance(60);
-  t.is(harness.task.epoch, 1);
+  harness.reachesEngines = false;
+  await harness.advance(100);
+  t.is(harness.task.epoch, 0);
+  t.is(harness.log.list.at(-1)?.kind, "release");
+  await harness.advance(5_000);
+  t.is(harness.task.epoch, 0);
+});
+
+test("a holder whose records the store does not take sends no order", async (t) => {
+  const harness = new RolloutHarness();
+  await harness.advance(650);
   harness.reachesStore = false;
   const { length } = harness.ordered;
-  await harness.advance(1_700);
-  t.is(harness.ordered.length, length);
-  t.is(harness.task.epoch, 0);
+  await harness.advance(1_200);
+  const withPermit = harness.ordered.length;
+  await harness.advance(5_000);
+  t.true(length <= 1);
+  t.is(harness.ordered.length, withPermit, "the last permit has ended");
 });
 
-// A single failed call made another daemon claim the lease and wait it out.
-test("a holder keeps its lease while the store does not answer for a moment", async (t) => {
+// Ending the lease for a moment without the store made another daemon claim it.
+test("a holder goes on with its lease when the store is back before others claim it", async (t) => {
   const harness = new RolloutHarness();
   await harness.advance(700);
   harness.reachesStore = false;
-  await harness.advance(1_000);
+  await harness.advance(6_000);
   harness.reachesStore = true;
   await harness.advance(1_000);
-  harness.reachesStore = false;
-  await harness.advance(1_000);
   t.is(harness.task.epoch, 1);
+  t.is(harness.log.claims.length, 1);
 });
 
-test("a later epoch of another daemon ends the lease", async (t) => {
+test("a claim of another daemon ends the lease", async (t) => {
   const harness = new RolloutHarness();
   await harness.advance(700);
-  harness.holderEpoch = 5;
-  await harness.advance(100);
+  t.is(harness.task.epoch, 1);
+  harness.appendOther();
+  await harness.advance(800);
+  t.is(harness.task.epoch, 0);
+});
+
+// A store that refused one daemon got a renewal from it every 50 ms.
+test("a holder that the store refuses tries a few times a second until it is replaced", async (t) => {
+  const harness = new RolloutHarness();
+  await harness.advance(700);
+  harness.reachesStore = false;
+  const { calls } = harness;
+  await harness.advance(3_000);
+  t.true(harness.calls - calls <= 11, `${harness.calls - calls} calls`);
+  t.is(harness.task.epoch, 1);
+  harness.leaseLogEnd = 50;
+  await harness.advance(400);
   t.is(harness.task.epoch, 0);
 });
 
+test("an end of the log that a peer made up does not stop claims for good", async (t) => {
+  const harness = new RolloutHarness();
+  harness.leaseLogEnd = 1_000_000;
+  await harness.advance(6_000);
+  t.is(harness.task.epoch, 1);
+});
+
 test("an order without an answer is not retried while the engine is busy", async (t) => {
   const harness = new RolloutHarness();
   harness.answer = "unknown";
--- a/packages/platform/src/engine_call_test.ts
+++ b/packages/platform/src/engine_call_test.ts
@@ -2,11 +2,7 @@
 import type { Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { callEngine, type EngineCall } from "./engine_call.ts";
-import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
-import { StoreClient } from "./store_client.ts";
 import { startRawServer, testMemory } from "./testing.ts";
-import { startStore } from "./testing_store.ts";
-import { brandId, type VmId } from "@endivebend/types";
 
 const CHUNK = "x".repeat(65_536);
 
@@ -89,15 +85,3 @@
   t.is(answer, undefined);
   t.is(calls, 0);
 });
-
-test("a claim names the former holder also after own claims without an answer", async (t) => {
-  const store = await startStore();
-  const log = createRolloutLeaseLog(new StoreClient(store.address));
-  await log.claim(brandId<VmId>("vm-2"));
-  store.faults.dropsAnswers = true;
-  await t.throwsAsync(log.claim(brandId<VmId>("vm-1")));
-  store.faults.dropsAnswers = false;
-  const claim = await log.claim(brandId<VmId>("vm-1"));
-  t.like(claim, { kind: "held", previousHolder: "vm-2" });
-  store.close();
-});
--- a/packages/platform/src/rollout_lease_log.ts
+++ b/packages/platform/src/rollout_lease_log.ts
@@ -1,8 +1,8 @@
 /**
- * Stores the holders of the weights rollout lease as records of a topic. A
- * claim is a conditional append at the topic's end, so the log orders all
- * claims. The epoch of a claim is the position after it, so that epochs rise
- * also when the store comes back from a copy that lacks the latest claims.
+ * Stores the rollout lease as records of a topic. Every record is appended only
+ * at the topic's known end, so the log orders all of them. The epoch of a claim
+ * is the position after it, so that epochs rise also when the store comes back
+ * from a copy that lacks the latest records.
  *
  * @module
  */
@@ -13,69 +13,86 @@
   logPosition,
   offsetOf,
 } from "@endivebend/fleet";
-import type { LeaseClaimResult, RolloutLeaseLog } from "@endivebend/orders";
-import { brandId, type VmId } from "@endivebend/types";
+import type {
+  LeaseLogState,
+  LeaseRecord,
+  RolloutLeaseLog,
+} from "@endivebend/orders";
+import { brandId } from "@endivebend/types";
 import type { StoreClient } from "./store_client.ts";
 
-const TOPIC = "weights-duty";
+const TOPIC = "weights-lease";
 
-/** Holder in a claim whose record is lost or past its retention. */
-const UNKNOWN_HOLDER = brandId<VmId>("");
+/** A record with the position that it was meant for. */
+type StoredRecord = LeaseRecord & { readonly position: number };
 
-/** Creates the log of the weights rollout lease on the store. */
-export function createRolloutLeaseLog(store: StoreClient): RolloutLeaseLog {
-  async function readHolders(from: LogPosition): Promise<readonly VmId[]> {
-    const answer = await store.read(TOPIC, from, 0);
-    // Deleted records show that there were holders, but not which.
-    if (answer === undefined) return [UNKNOWN_HOLDER];
-    return answer.records.map((record) =>
-      brandId<VmId>(record.toString("utf8"))
-    );
-  }
-
-  /** The latest other holder before the end of the log, if there may be one. */
-  async function findPreviousHolder(
-    holder: VmId,
-    end: LogPosition,
-  ): Promise<VmId | undefined> {
-    const holders = offsetOf(end) === 0
-      ? []
-      : await readHolders(logPosition(eraOf(end), 0));
-    // The latest records may be this daemon's own claims whose answers were
-    // lost, so a former holder may stand before them.
-    const previous = holders.findLast((other) => other !== holder);
-    // A store that states an era may have lost the claims of other holders.
-    return previous ?? (eraOf(end) > 0 ? UNKNOWN_HOLDER : undefined);
-  }
+const KINDS: ReadonlySet<unknown> = new Set(["claim", "renewal", "release"]);
 
+/** Creates the log of the rollout lease on the store. */
+export function createRolloutLeaseLog(store: StoreClient): RolloutLeaseLog {
   return {
-    async claim(holder): Promise<LeaseClaimResult> {
-      const record = Buffer.from(holder);
-      const first = await store.append(TOPIC, record, { at: 0 });
-      if (first.kind === "appended") {
-        const { position } = first;
-        const previousHolder = await findPreviousHolder(holder, position);
-        return { kind: "held", epoch: epochOf(position), previousHolder };
-      }
-      const { end } = first;
-      const previousHolder = await findPreviousHolder(holder, end);
-      const claim = await store.append(TOPIC, record, { at: offsetOf(end) });
-      if (claim.kind === "appended") {
-        const epoch = epochOf(claim.position);
-        return { kind: "held", epoch, previousHolder };
+    async read(knownEnd): Promise<LeaseLogState> {
+      const knownOffset = knownEnd === undefined
+        ? 0
+        : offsetOf(brandId<LogPosition>(knownEnd));
+      const from = Math.max(0, knownOffset - 1);
+      let { records, next } = await store.readRetained(TOPIC, from);
+      // A log that a restore has set back has earlier records only.
+      if (records.length === 0 && from > 0) {
+        ({ records, next } = await store.readRetained(TOPIC, 0));
       }
-      const last = logPosition(eraOf(claim.end), offsetOf(claim.end) - 1);
-      const [winner = UNKNOWN_HOLDER] = await readHolders(last);
-      return { kind: "taken", holder: winner, epoch: epochOf(last) };
+      const isEmpty = next === logPosition(0, 0);
+      return {
+        end: next,
+        newest: isEmpty ? undefined : decode(records.at(-1), next),
+      };
     },
-    async confirm(epoch): Promise<boolean> {
-      const answer = await store.read(TOPIC, brandId<LogPosition>(epoch), 0);
-      return answer !== undefined && answer.records.length === 0;
+    async append(record, end) {
+      const position = brandId<LogPosition>(end);
+      const bytes = Buffer.from(JSON.stringify({ ...record, position }));
+      const result = await store.append(TOPIC, bytes, {
+        at: offsetOf(position),
+      });
+      const answered = result.kind === "appended"
+        ? result.position
+        : result.end;
+      if (eraOf(answered) !== eraOf(position)) return { kind: "restored" };
+      return result.kind === "appended"
+        ? { kind: "appended", end: result.position + 1 }
+        : { kind: "moved" };
     },
   };
 }
 
-/** The position after the claim, which no later claim has passed yet. */
-function epochOf(claim: LogPosition): number {
-  return claim + 1;
+/**
+ * Decodes the newest record. One of an earlier era is unknown, as the store may
+ * have lost later ones in a restore.
+ */
+function decode(
+  bytes: Buffer | undefined,
+  end: LogPosition,
+): LeaseRecord | "unknown" {
+  const stored = bytes === undefined ? undefined : parseRecord(bytes);
+  if (stored === undefined || stored.position !== end - 1) return "unknown";
+  const { position: _, ...record } = stored;
+  return record;
+}
+
+function parseRecord(bytes: Buffer): StoredRecord | undefined {
+  try {
+    const value = JSON.parse(bytes.toString("utf8")) as unknown;
+    return isStoredRecord(value) ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isStoredRecord(value: unknown): value is StoredRecord {
+  if (typeof value !== "object" || value === null) return false;
+  const fields = value as Readonly<Record<string, unknown>>;
+  return typeof fields["position"] === "number" &&
+    typeof fields["holder"] === "string" && fields["holder"] !== "" &&
+    typeof fields["incarnation"] === "string" && KINDS.has(fields["kind"]) &&
+    typeof fields["permitsOrders"] === "boolean" &&
+    Number.isFinite(fields["waitMs"]);
 }
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -22,6 +22,8 @@
 /** Largest answer that is read, in bytes. Reads ask for 1 MB at most. */
 const MAX_ANSWER_BYTES = 16_777_216;
 const LENGTH_PREFIX_BYTES = 4;
+/** Records may expire between an answer that names the first and the next. */
+const MAX_RETAINED_READS = 3;
 /**
  * An answer to a read starts with the partition's end and its first retained
  * offset, 8 bytes each.
@@ -148,6 +150,36 @@
     return { records, next: logPosition(era, fromOffset + records.length) };
   }
 
+  /**
+   * Reads the records that a topic retains from an offset on, or all that it
+   * retains when it has deleted some of these or does not reach that far.
+   */
+  async readRetained(
+    topic: string,
+    fromOffset: number,
+  ): Promise<
+    { readonly records: readonly Buffer[]; readonly next: LogPosition }
+  > {
+    let from = fromOffset;
+    for (let attempt = 0; attempt < MAX_RETAINED_READS; attempt++) {
+      const { status, body, era } = await this.#call({
+        method: "GET",
+        path: `/api/log-read?topic=${topic}&part=0&from=${from}&wait_ms=0`,
+      });
+      if (status === 200) {
+        const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
+        return { records, next: logPosition(era, from + records.length) };
+      }
+      if (status !== 410) {
+        throw new Error(
+          `The store answered a read with status ${status}, not 200 or 410`,
+        );
+      }
+      from = Number(parseJsonObject(body)["first"]);
+    }
+    throw new Error("The store deletes records faster than they can be read");
+  }
+
   /**
    * Reads the newest record of each key of a topic, and the position from which
    * to read on. Rejects when the store is restored between two pages.
--- a/packages/platform/src/store_client_test.ts
+++ b/packages/platform/src/store_client_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { logPosition } from "@endivebend/fleet";
 import { brandId, type VmId } from "@endivebend/types";
+import type { LeaseRecord } from "@endivebend/orders";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { StoreClient } from "./store_client.ts";
 import { startStore } from "./testing_store.ts";
@@ -29,48 +30,75 @@
   store.close();
 });
 
-test("the log orders claims of the rollout lease, and a later one ends the former", async (t) => {
+function leaseRecord(
+  holder: string,
+  fields: Partial<LeaseRecord> = {},
+): LeaseRecord {
+  return {
+    holder: vm(holder),
+    incarnation: "1",
+    kind: "claim",
+    permitsOrders: false,
+    waitMs: 0,
+    ...fields,
+  };
+}
+
+test("the log of the rollout lease takes one record at each position", async (t) => {
   const store = await startStore();
   const log = createRolloutLeaseLog(new StoreClient(store.address));
-  const epochs = [logPosition(1, 1), logPosition(1, 2)];
-  const first = await log.claim(vm("vm-1"));
-  // The store may have lost earlier claims.
-  t.deepEqual(first, {
-    kind: "held",
-    epoch: epochs[0],
-    previousHolder: vm(""),
-  });
-  t.true(await log.confirm(epochs[0]!));
-  const second = await log.claim(vm("vm-2"));
-  t.deepEqual(second, {
-    kind: "held",
-    epoch: epochs[1],
-    previousHolder: vm("vm-1"),
+  const { end, newest } = await log.read(undefined);
+  t.is(newest, "unknown", "the store may have lost earlier records");
+  const first = await log.append(leaseRecord("vm-1"), end);
+  t.deepEqual(first, { kind: "appended", end: end + 1 });
+  t.deepEqual(await log.append(leaseRecord("vm-2"), end), { kind: "moved" });
+  t.deepEqual(await log.read(end + 1), {
+    end: end + 1,
+    newest: leaseRecord("vm-1"),
   });
-  t.false(await log.confirm(epochs[0]!));
-  t.true(await log.confirm(epochs[1]!));
+  const second = await log.append(
+    leaseRecord("vm-2", { kind: "renewal", waitMs: 7 }),
+    end + 1,
+  );
+  t.is(second.kind, "appended");
+  for (const knownEnd of [undefined, end + 1, end + 2, end + 9]) {
+    t.deepEqual(await log.read(knownEnd), {
+      end: end + 2,
+      newest: leaseRecord("vm-2", { kind: "renewal", waitMs: 7 }),
+    });
+  }
+  store.close();
+});
+
+test("a malformed record of the rollout lease names no holder", async (t) => {
+  const store = await startStore();
+  const client = new StoreClient(store.address);
+  const log = createRolloutLeaseLog(client);
+  for (const text of ["", "vm-1", "null", '{"holder":"vm-1"}']) {
+    await client.append("weights-lease", Buffer.from(text));
+    t.is((await log.read(undefined)).newest, "unknown");
+  }
   store.close();
 });
 
-for (const kept of [0, 1]) {
-  test(`a restore that keeps ${kept} claims ends the lease, and the next epoch is higher`, async (t) => {
+for (const kept of [0, 1, 2]) {
+  test(`a restore that keeps ${kept} records of the lease is told, and the end is higher`, async (t) => {
     const store = await startStore();
     const holder = createRolloutLeaseLog(new StoreClient(store.address));
     const other = createRolloutLeaseLog(new StoreClient(store.address));
-    const epochs: number[] = [];
-    for (const log of [other, holder]) {
-      const name = log === holder ? "vm-1" : "vm-2";
-      epochs.push((await log.claim(vm(name))).epoch);
-    }
+    const { end } = await other.read(undefined);
+    await other.append(leaseRecord("vm-2"), end);
+    await holder.append(leaseRecord("vm-1"), end + 1);
     store.restore(kept);
-    await t.throwsAsync(holder.confirm(epochs[1]!));
-    t.false(await holder.confirm(epochs[1]!), "its claim is lost");
-    const next = await other.claim(vm("vm-2"));
-    t.like(next, { kind: "held", previousHolder: vm("") });
-    t.true(next.epoch > epochs[1]!);
-    t.true(await other.confirm(next.epoch));
-    await other.claim(vm("vm-2"));
-    t.false(await holder.confirm(epochs[1]!), "other claims follow");
+    const renewal = leaseRecord("vm-1", { kind: "renewal" });
+    await t.throwsAsync(holder.append(renewal, end + 2));
+    t.is((await holder.append(renewal, end + 2)).kind, "restored");
+    const state = await other.read(end + 2);
+    t.is(state.newest, "unknown", "later records may be lost");
+    t.true(state.end > end + 2);
+    const next = await other.append(leaseRecord("vm-2"), state.end);
+    t.deepEqual(next, { kind: "appended", end: state.end + 1 });
+    t.like((await holder.read(end + 2)).newest, { holder: vm("vm-2") });
     store.close();
   });
 }
