Send no request where it may begin on weights past their bound

Cause: an engine was left 1,500 ms plus twice the prefill time of known prompts before the bound. Runs that have to end before a slot is free, what the engine itself reports, and the age of what is known of other daemons' requests did not count. And nothing took a request back that still waited when the bound came.

`estimateStartMs` counts them. Age counts in proportion to the load, so that idle engines with replaced weights are used as long as before. Replaced weights cost more in their last 2 s, so that prompts move before all engines with them are left at once; a prompt that would be shed for it runs on replaced weights.

--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -43,6 +43,8 @@
   ForwardedRun,
   ForwardSink,
 } from "./forwarded_run.ts";
+export { estimateStartMs } from "./start_estimate.ts";
+export type { EngineQueue } from "./start_estimate.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
 export { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 export type { WeightsBelief } from "./weights_belief.ts";
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -291,3 +291,88 @@
   const successors = new Set(views.map((idle) => choose(idle, [...owners])));
   t.is(successors.size, 1);
 });
+
+function namedSince(firstSeenAtMs: number) {
+  const weights = brandId<WeightsVersion>(2);
+  return [{ weights, firstSeenAtMs, isAgeKnown: true }];
+}
+
+// Guards against a prompt that is sent 6.0 s after newer weights were named and
+// waits at its engine until the bound of 8 s has passed.
+test("no request waits for a slot until its engine's weights are too old", (t) => {
+  const context = testContext({ namedWeights: () => namedSince(1_000) });
+  for (const server of context.registry.all()) {
+    for (let count = 0; count < 10; count++) {
+      server.ownWork.set(brandId(`busy-${count}`), { prefillTokens: 0 });
+    }
+  }
+  const at = { ...context, exclude: NONE, hasBegun: false };
+  const request = routedRequest("stream");
+  t.is(placeRequest(request, { ...at, nowMs: 3_000 }).kind, "placed");
+  t.deepEqual(placeRequest(request, { ...at, nowMs: 7_000 }), {
+    kind: "refused",
+    reason: "stale_weights",
+  });
+});
+
+test("an engine that reports a queue is left before its weights are too old", (t) => {
+  const context = testContext({ namedWeights: () => namedSince(1_000) });
+  const load = { running: 8, waiting: 4, slots: 8 };
+  context.registry.recordLoad(brandId("one"), load, 6_900);
+  const at = { ...context, exclude: NONE, hasBegun: false, nowMs: 7_000 };
+  for (let index = 0; index < 40; index++) {
+    const id = brandId<PromptSegmentId>(`parish-${index}`);
+    const { work } = routedRequest("stream");
+    const prompt = work!.prompt.with(1, { id, tokens: 3_800 });
+    const request = routedRequest("stream", { work: { ...work!, prompt } });
+    const placement = placeRequest(request, at);
+    t.is(
+      placement.kind === "placed" && placement.server.listed.id,
+      brandId<BackendServerId>("second"),
+    );
+  }
+});
+
+test("busy engines are left earlier the older the knowledge of them is", (t) => {
+  const context = testContext({ namedWeights: () => namedSince(1_000) });
+  const place = (maxAgeMs: number) => {
+    const work = { running: 6, prefillTokens: 0 };
+    context.registry.setPeerWorkLookup(() => work, () => maxAgeMs);
+    const at = { ...context, exclude: NONE, hasBegun: false, nowMs: 7_000 };
+    return placeRequest(routedRequest("stream"), at).kind;
+  };
+  t.is(place(300), "placed");
+  t.is(place(1_200), "refused");
+});
+
+test("prompts move to engines with new weights before the others are left", (t) => {
+  const context = testContext({ namedWeights: () => namedSince(1_000) });
+  const { registry } = context;
+  registry.upsert(listedServer("second", { weights: weights(2) }));
+  const updated = registry.get(brandId("second"))!;
+  updated.ownWork.set(brandId("busy"), { prefillTokens: 9_000 });
+  const request = routedRequest("stream", {
+    route: { ...routedRequest("stream").route, targetMs: 5_000 },
+  });
+  const place = (nowMs: number) => {
+    const at = { ...context, exclude: NONE, hasBegun: false, nowMs };
+    const placement = placeRequest(request, at);
+    return placement.kind === "placed" && placement.server;
+  };
+  t.not(place(3_000), updated);
+  t.is(place(7_000), updated);
+});
+
+test("a prompt is run on replaced weights rather than shed", (t) => {
+  const context = testContext({ namedWeights: () => namedSince(1_000) });
+  const { registry } = context;
+  registry.upsert(listedServer("second", { weights: weights(2) }));
+  const updated = registry.get(brandId("second"))!;
+  updated.ownWork.set(brandId("busy"), { prefillTokens: 21_000 });
+  const at = { ...context, exclude: NONE, hasBegun: false, nowMs: 7_000 };
+  const placement = placeRequest(routedRequest("stream"), at);
+  t.is(
+    placement.kind === "placed" && placement.server.listed.id,
+    brandId<BackendServerId>("one"),
+  );
+});
