Let a daemon find out that engines have new weights

Callers saw 503s for "stale_weights" from daemons that missed the loads: a daemon that believes that all engines' weights are past the bound sends them nothing, so no 421 and no Weight-Versions corrects it. It waits for an entry or for gossip, which the same outage may keep from it.

Such a daemon now sends one request at a time to an engine with the newest weights expected. Where the belief is right, that costs one refusal that says not run, whatever the kind of the request; where it is wrong, the request is served. What an answer shows is told to peers, so that one daemon's probe teaches all. A probe that is refused tells nothing new, so the engine is not avoided for it. Newer weights in any answer are learned; older ones may come from an answer that others have overtaken.

A refusal for old weights asks callers to wait until the first engine that loads is expected to be done, or the next probe is due, instead of 600 ms.

--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -21,6 +21,7 @@
   PrefixCacheId,
   SegmentKey,
   ServerRegistry,
+  WeightsChange,
 } from "@endivebend/request-path";
 import {
   type BackendServerId,
@@ -162,6 +163,20 @@
     this.#applyWeightsProgress(progress);
   }
 
+  /** Tells peers of newer weights that an engine has stated to this daemon. */
+  shareStatedWeights(
+    { server, model, by, before, after }: WeightsChange,
+  ): void {
+    if (by !== "answer" || after === undefined) return;
+    if (before !== undefined && before > after) return;
+    this.announceWeightsProgress({
+      server,
+      model,
+      weights: after,
+      isDone: true,
+    });
+  }
+
   #ownWork(): Record<BackendServerId, [number, number]> {
     const work: Record<BackendServerId, [number, number]> = {};
     for (const { listed, ownWork: own } of this.#options.registry.all()) {
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -137,7 +137,10 @@
     this.#fleet = new FleetState(settings.vm, settings.failureDomain);
     this.#registry = new ServerRegistry({
       wallOffsetMs: ports.clock.wallMs() - this.#nowMs(),
-      weightsChanged: (change) => this.#weightsWatch.note(change),
+      weightsChanged: (change) => {
+        this.#weightsWatch.note(change);
+        this.#gossip.shareStatedWeights(change);
+      },
     });
     this.#weightsWatch = new WeightsWatch({
       registry: () => this.#registry,
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -290,6 +290,8 @@
   readonly isTurnedAway: boolean;
   /** The weights that the engine has. */
   readonly weights: number;
+  /** The weights that the request asks for. */
+  readonly expects: number | undefined;
 }
 
 /** A run that an engine has begun, after it has waited there. */
@@ -885,6 +887,7 @@
       body,
       isTurnedAway: engine.asksForQuietMs !== undefined,
       weights: engine.weights,
+      expects: order.cache.weights,
     });
     listener.sent();
     const { weights: expected } = order.cache;
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -14,6 +14,7 @@
 import type { CallerSink } from "./ports.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import type { Configuration, RoutedRequest, TeamRules } from "./types.ts";
+import { WeightsProbes } from "./weights_probes.ts";
 
 /** Limits from the deployment's settings. */
 export interface AdmissionBounds {
@@ -26,6 +27,7 @@
 export interface AdmissionOptions {
   readonly context: Omit<
     RequestContext,
+    | "weightsProbes"
     | "tryRetry"
     | "ended"
     | "maxOwnConnections"
@@ -74,6 +76,7 @@
       tokensPerEvent: (service) =>
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
+      weightsProbes: new WeightsProbes(options.fleetSize),
       tryRetry: (request) => this.#tryRetry(request),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -17,6 +17,8 @@
   readonly leaveForwarder: () => void;
   /** The weights that its server must have to run it. */
   readonly expectedWeights: WeightsVersion | undefined;
+  /** Whether it checks the belief that no engine has weights that may serve. */
+  readonly isProbe: boolean;
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
@@ -44,6 +46,7 @@
     | "forwarder"
     | "leaveForwarder"
     | "expectedWeights"
+    | "isProbe"
     | "startedAtMs"
   >,
 ): Attempt {
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -46,9 +46,10 @@
 export { estimateStartMs } from "./start_estimate.ts";
 export type { EngineQueue } from "./start_estimate.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
+export { WeightsProbes } from "./weights_probes.ts";
 export { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 export type { WeightsBelief } from "./weights_belief.ts";
-export { placeRequest } from "./placement.ts";
+export { placeProbe, placeRequest } from "./placement.ts";
 export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
 export * from "./ports.ts";
 export { RetryBudget } from "./retry_budget.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -24,6 +24,7 @@
   ServerRegistry,
   ServerWork,
 } from "./server_registry.ts";
+import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
 import { estimateStartMs } from "./start_estimate.ts";
@@ -58,6 +59,8 @@
     readonly server: KnownServer;
     readonly choice: Choice;
     readonly cache: CachePlan;
+    /** Set when the engine is believed to have weights that are too old. */
+    readonly isProbe?: boolean;
   }
   | {
     readonly kind: "refused";
@@ -146,8 +149,8 @@
   const current = excludeStale(views);
   if (current.length === 0) return { kind: "refused", reason: "stale_weights" };
   const maxOwnConnections = context.maxOwnConnections(request.service);
-  const withRoom = current.filter((view) =>
-    hasCapacity(view, maxOwnConnections)
+  const withRoom = current.filter(({ server, work }) =>
+    hasCapacity(server, work, maxOwnConnections)
   );
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
   const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
@@ -169,6 +172,61 @@
     : place;
 }
 
+/**
+ * Places a request at an engine that is believed to have weights that are too
+ * old, with the newest expected: where the belief is right, the engine refuses
+ * the request and does not run it. Undefined when no engine may be probed now.
+ *
+ * @example
+ * ```ts
+ * const probe = placeProbe(request, { ...context, exclude, nowMs });
+ * ```
+ */
+export function placeProbe(
+  request: RoutedRequest,
+  context: AttemptContext & { readonly weightsProbes: WeightsProbes },
+): Placement & { readonly kind: "placed" } | undefined {
+  const { registry, allowances, exclude, weightsProbes, nowMs } = context;
+  const { work, requestId, service } = request;
+  const newest = work && context.namedWeights(work.model).at(-1)?.weights;
+  if (work === undefined || newest === undefined) return undefined;
+  const maxOwnConnections = context.maxOwnConnections(service);
+  const candidates = registry.usable(service, nowMs).filter((server) => {
+    const believed = registry.weightsOf(server, work.model);
+    const mayProbe = believed !== undefined && believed < newest &&
+      !exclude.has(server.listed.id) && nowMs >= server.loadingUntilMs &&
+      !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
+    return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
+      hasCapacity(server, registry.workAt(server), maxOwnConnections);
+  });
+  const id = weightsProbes.choose(
+    candidates.map(({ listed }) => listed.id),
+    { key: requestId, nowMs },
+  );
+  const server = candidates.find(({ listed }) => listed.id === id);
+  if (server === undefined) return undefined;
+  return {
+    kind: "placed",
+    server,
+    choice: {
+      id: server.listed.id,
+      scoreMs: 0,
+      waitMs: 0,
+      cachedTokens: 0,
+      candidateCount: candidates.length,
+    },
+    cache: {
+      weights: newest,
+      scope: sharedScope(request, newest),
+      parts: [],
+      tokensToRead: work.promptTokens,
+      fetchFrom: undefined,
+      saveTo: undefined,
+    },
+    isProbe: true,
+  };
+}
+
 function isShed(placement: Placement): boolean {
   return placement.kind === "refused" && placement.reason === "overloaded";
 }
@@ -279,9 +337,17 @@
 ): CacheScope {
   const model = request.work?.model;
   const weights = model && registry.weightsOf(server, model);
-  if (weights === undefined) return privateScope(request);
-  const team = request.team?.isIsolated ? request.team.id : "";
-  return `${weights}/${team}` as CacheScope;
+  return weights === undefined
+    ? privateScope(request)
+    : sharedScope(request, weights);
+}
+
+function sharedScope(
+  { team }: RoutedRequest,
+  weights: WeightsVersion,
+): CacheScope {
+  const teamId = team?.isIsolated ? team.id : "";
+  return `${weights}/${teamId}` as CacheScope;
 }
 
 /** Callers choose request ids; the digest tells requests of teams apart. */
@@ -428,7 +494,8 @@
 }
 
 function hasCapacity(
-  { server, work }: ServerView,
+  server: KnownServer,
+  work: ServerWork,
   maxOwnConnections: number,
 ): boolean {
   if (server.ownWork.size >= maxOwnConnections) return false;
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -17,6 +17,7 @@
 import {
   type Placement,
   type PlacementContext,
+  placeProbe,
   placeRequest,
 } from "./placement.ts";
 import type {
@@ -37,6 +38,7 @@
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
+import type { WeightsProbes } from "./weights_probes.ts";
 import { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 
 /** Dependencies and state that all requests share. */
@@ -50,6 +52,7 @@
   readonly metrics: PathMetrics;
   /** What the daemon may hold of messages, over all requests. */
   readonly memory: MemoryBudget;
+  readonly weightsProbes: WeightsProbes;
   /** Takes one retry from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest): boolean;
   /** Called once, when the request has ended. */
@@ -85,6 +88,8 @@
 const MIN_ATTEMPT_TIME_MS = 50;
 /** Retry delay in a refusal while no server is known or free. */
 const DEFAULT_RETRY_MS = 600;
+/** An engine takes 390 ms to load weights. */
+const MIN_STALE_RETRY_MS = 400;
 /** Retries are spread by up to this share of the delay to avoid a herd. */
 const RETRY_JITTER = 0.5;
 
@@ -210,7 +215,10 @@
       return this.#giveUp("deadline_passed");
     }
     if (!this.#mayReachEngine(nowMs)) return;
-    const placement = this.#place(this.#excluded, nowMs);
+    let placement = this.#place(this.#excluded, nowMs);
+    if (placement.kind === "refused" && placement.reason === "stale_weights") {
+      placement = this.#placeProbe(nowMs) ?? placement;
+    }
     if (placement.kind === "refused") {
       return this.#giveUp(placement.reason, placement.retryInMs);
     }
@@ -219,6 +227,18 @@
     this.#send(attempt, placement);
   }
 
+  #placeProbe(nowMs: number): Placed | undefined {
+    const probe = placeProbe(this.#request, {
+      ...this.#context,
+      exclude: this.#excluded,
+      hasBegun: this.#relay.hasBegun,
+      nowMs,
+    });
+    if (probe === undefined) return undefined;
+    this.#context.weightsProbes.take(probe.server.listed.id, nowMs);
+    return probe;
+  }
+
   #place(exclude: ReadonlySet<BackendServerId>, nowMs: number): Placement {
     return placeRequest(this.#request, {
       ...this.#context,
@@ -229,7 +249,10 @@
   }
 
   /** Opens an attempt at the place that was found; it is not sent yet. */
-  #open({ server, choice, cache }: Placed, nowMs: number): Attempt {
+  #open(
+    { server, choice, cache, isProbe = false }: Placed,
+    nowMs: number,
+  ): Attempt {
     const { paths } = this.#context;
     const forwarder = paths.forwarderFor(
       server.listed,
@@ -245,6 +268,7 @@
       replacedMs: this.#replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
+      isProbe: isProbe || undefined,
       limitPerS: server.limit?.perS,
       forwarder: forwarder?.vm,
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
@@ -255,6 +279,7 @@
       forwarder,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
+      isProbe,
       startedAtMs: nowMs,
     });
   }
@@ -351,7 +376,12 @@
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
     attempt.lastProgressMs = nowMs;
+    if (attempt.isProbe) {
+      const outcome = head.isMisdirected || head.isNotRun ? "refused" : "run";
+      this.#context.metrics.count("weights_probes", { outcome });
+    }
     if (head.isMisdirected) return this.#handleMisdirected(attempt, head);
+    this.#recordNewerWeights(attempt, head);
     if (head.isNotRun) {
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
     }
@@ -378,6 +408,28 @@
     this.#relay.head(pendingHead);
   }
 
+  /**
+   * Records weights that show in an answer and are newer than believed. Older
+   * ones may come from an answer that others have overtaken.
+   */
+  #recordNewerWeights(
+    { server, expectedWeights }: Attempt,
+    { weights, isNotRun, hasProof }: AnswerHead,
+  ): void {
+    const model = this.#request.work?.model;
+    // A server runs only requests that expect its weights.
+    const shown = weights ??
+      (hasProof && !isNotRun ? expectedWeights : undefined);
+    if (model === undefined || shown === undefined) return;
+    const believed = server.weights.of(model);
+    if (believed !== undefined && believed >= shown) return;
+    this.#context.registry.recordStatedWeights(server.listed.id, {
+      model,
+      weights: shown,
+      nowMs: this.#nowMs(),
+    });
+  }
+
   /** Another server has the address, or the server has other weights. */
   #handleMisdirected(attempt: Attempt, head: AnswerHead): void {
     const { registry } = this.#context;
@@ -570,12 +622,19 @@
   #handleNotRun(attempt: Attempt, reason: string): void {
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
+    if (attempt.isProbe && !this.#hasPlace()) {
+      return this.#giveUp("stale_weights");
+    }
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
       this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
     this.#giveUp("overloaded");
   }
 
+  #hasPlace(): boolean {
+    return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
+  }
+
   #endNotRun(attempt: Attempt, reason: string): void {
     const { listed } = attempt.server;
     this.#logDecision("attempt_unrun", { server: listed.id, reason });
@@ -690,7 +749,12 @@
     registry.recordFailure(server.listed.id, this.#nowMs());
   }
 
-  #giveUp(reason: RefusalReason, retryInMs = DEFAULT_RETRY_MS): void {
+  #giveUp(
+    reason: RefusalReason,
+    retryInMs = reason === "stale_weights"
+      ? this.#newWeightsInMs()
+      : DEFAULT_RETRY_MS,
+  ): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
       this.#logDecision("break_off", { reason });
@@ -712,6 +776,24 @@
     this.#end("refused");
   }
 
+  /**
+   * Time until an engine is expected to have new weights: the first of those
+   * that load has, or else a probe may find one.
+   */
+  #newWeightsInMs(): number {
+    const { registry, weightsProbes } = this.#context;
+    const nowMs = this.#nowMs();
+    const loadedInMs = registry.usable(this.#request.service, nowMs)
+      .map(({ loadingUntilMs }) => loadingUntilMs - nowMs)
+      .filter((inMs) => inMs > 0);
+    return Math.max(
+      MIN_STALE_RETRY_MS,
+      loadedInMs.length > 0
+        ? Math.min(...loadedInMs)
+        : weightsProbes.nextInMs(nowMs),
+    );
+  }
+
   /** What tells engines with old weights from a daemon that is mistaken. */
   #refusalDetails(reason: RefusalReason): Readonly<Record<string, unknown>> {
     const { work, service } = this.#request;
--- a/packages/request-path/src/server_weights.ts
+++ b/packages/request-path/src/server_weights.ts
@@ -117,14 +117,16 @@
    */
   refuse(model: ModelName, refusal: WeightsRefusal): boolean {
     const { expected, named, nowMs } = refusal;
+    const believed = this.of(model);
+    // The request asked for newer weights than the server was believed to have.
+    if (believed !== undefined && expected > believed) return true;
     const next = named.find(({ weights }) => weights > expected)?.weights;
     if (next === undefined) {
       this.#reported.delete(model);
       this.#presumed.delete(model);
       return false;
     }
-    const known = this.of(model);
-    if (known === undefined || known < next) {
+    if (believed === undefined || believed < next) {
       this.#presumed.set(model, { weights: next, learnedAtMs: nowMs });
     }
     return true;
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -33,6 +33,7 @@
 import { ServerAllowances } from "./server_allowances.ts";
 import { ServerEndCheck } from "./server_end_check.ts";
 import { ServerRegistry } from "./server_registry.ts";
+import { WeightsProbes } from "./weights_probes.ts";
 import type {
   ListedServer,
   PromptSegmentId,
@@ -343,6 +344,7 @@
     log,
     metrics,
     memory: new MemoryBudget(67_108_864),
+    weightsProbes: new WeightsProbes(() => 1),
     tryRetry: () => true,
     ended() {},
     ...fields,
--- a/packages/request-path/src/weights_belief_test.ts
+++ b/packages/request-path/src/weights_belief_test.ts
@@ -7,6 +7,7 @@
   type WeightsChange,
 } from "./mod.ts";
 import {
+  answerHead,
   FakeCaller,
   listedServer,
   MODEL,
@@ -105,6 +106,9 @@
     timeoutAtMs: 15_000,
   });
   new RequestRun(context, request, new FakeCaller()).start();
+  context.client.last.listener.head(
+    answerHead({ status: 421, isMisdirected: true, isExpectedServer: true }),
+  );
   const refuse = steps.find(({ step }) => step === "refuse");
   t.like(refuse, {
     reason: "stale_weights",
