--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -122,6 +122,8 @@
    * restore. Peers may know what the store has lost.
    */
   readonly #unmergedTopics: Set<string>;
+  /** Whether the store has listed the other daemons. */
+  #isRegistered = false;
   #drainingSinceMs: number | undefined;
   /** When this daemon last found the store away, or back. */
   #storeAwayAtMs = Number.NEGATIVE_INFINITY;
@@ -634,7 +636,8 @@
         findRolloutEngines(this.#registry, this.#namedWeights, this.#nowMs()),
       peers: () => this.#rolloutPeers(),
       rank: (members) => rankByRendezvous("weights-duty", members),
-      reachesStore: () => store.isReachable,
+      // Without the list of daemons each would take itself for the first.
+      reachesStore: () => this.#isRegistered && store.isReachable,
       reachesEngines: () => this.#reachesEngines(),
       onWeightsChange: (progress) => {
         this.#gossip.announceWeightsProgress(progress);
@@ -722,6 +725,7 @@
       for (const [member, memberIp] of members) {
         this.#fleet.list(member, this.#peerAddress(memberIp), this.#nowMs());
       }
+      this.#isRegistered = true;
       log.stateChange("registered", { members: members.size });
       this.#gossipChannel.broadcast();
     } catch (caught) {
