Pace the bundles of gossip relays instead of sending bursts

Daemons took whole failure domains for gone before any fault, and the rollout lease was taken from a sound holder.

Cause: a relay sent a bundle to all that it serves in one burst, its own and those of four other domains each 600 ms. A VM's link drops what exceeds its short queue, so the last in the order got no bundle, at each round the same ones, until the domain counted as silent.

Why this works: bundles wait in the relay and leave at 8 Mbit/s, in turn, with at most 8 KB at once after a pause. The order is that of arrival, so that no daemon is always last, and a newer bundle of a domain takes the turn of an unsent older one, so that the queue is bounded. Announced messages are small and still go at once.

--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Scheduler } from "@endivebend/clock";
+import { DatagramPacer } from "./datagram_pacer.ts";
 import {
   encodeDatagram,
   type GossipBundle,
@@ -23,6 +24,8 @@
 export interface GossipChannelOptions {
   readonly transport: GossipTransport;
   readonly scheduler: Scheduler;
+  /** Time on the steady clock. */
+  nowMs(): number;
   /** Returns the present state of this daemon. */
   composeMessage(): GossipMessage;
   addresses(): PeerAddresses;
@@ -86,6 +89,7 @@
 /** A running channel. */
 export class GossipChannel {
   readonly #options: GossipChannelOptions;
+  readonly #pacer: DatagramPacer;
   #nextSameDomain = 0;
   #nextOtherDomains = 0;
   #intervals = 0;
@@ -94,7 +98,13 @@
 
   constructor(options: GossipChannelOptions) {
     this.#options = options;
-    options.transport.open((bytes) => {
+    const { transport, scheduler, nowMs } = options;
+    this.#pacer = new DatagramPacer({
+      scheduler,
+      nowMs,
+      send: (address, bytes) => transport.send(address, bytes),
+    });
+    transport.open((bytes) => {
       try {
         const datagram = parseDatagram(bytes);
         if (datagram !== undefined) this.#receive(datagram, bytes);
@@ -129,11 +139,13 @@
     this.#cancelTick();
     const bytes = encodeDatagram({ kind: "message", message: last });
     this.#send(this.#allAddresses(), bytes);
+    this.#pacer.clear();
     this.#hasClosed = true;
   }
 
   /** Closes the transport. */
   dispose(): void {
+    this.#pacer.clear();
     this.#hasClosed = true;
     this.#options.transport.close();
   }
@@ -165,13 +177,16 @@
 
   #sendBundles(plan: RelayPlan): void {
     if (!plan.isRelay || this.#intervals % BUNDLE_INTERVALS !== 0) return;
-    this.#sendBundle(this.#options.composeBundle(), plan);
-  }
-
-  #sendBundle(bundle: GossipBundle, plan: RelayPlan): void {
+    const bundle = this.#options.composeBundle();
     const bytes = encodeDatagram({ kind: "bundle", bundle });
-    this.#send(plan.served, bytes);
-    this.#send(plan.counterparts, withKind(bytes, "bundle_to_serve"));
+    const { failureDomain } = bundle;
+    // Counterparts first, as they pass it on.
+    this.#pacer.send(
+      plan.counterparts,
+      failureDomain,
+      withKind(bytes, "bundle_to_serve"),
+    );
+    this.#pacer.send(plan.served, failureDomain, bytes);
   }
 
   #receive(datagram: GossipDatagram, bytes: Buffer): void {
@@ -182,15 +197,26 @@
     if (plan === undefined || !plan.isRelay) return;
     if (datagram.kind === "urgent") this.#relayAtOnce(datagram.message, plan);
     if (datagram.kind === "bundle_to_serve") {
-      this.#send(plan.served, withKind(bytes, "bundle"));
+      this.#passOn(datagram.bundle, withKind(bytes, "bundle"), plan);
     }
   }
 
+  #passOn(bundle: GossipBundle, bytes: Buffer, plan: RelayPlan): void {
+    // Announced messages come alone.
+    if (bundle.messages.length <= 1) return this.#send(plan.served, bytes);
+    this.#pacer.send(plan.served, bundle.failureDomain, bytes);
+  }
+
   #relayAtOnce(message: GossipMessage, plan: RelayPlan): void {
     if (!plan.isRelay) return;
     const { failureDomain } = message;
     const messages = [{ message, ageMs: 0 }];
-    this.#sendBundle({ failureDomain, messages }, plan);
+    const bytes = encodeDatagram({
+      kind: "bundle",
+      bundle: { failureDomain, messages },
+    });
+    this.#send(plan.counterparts, withKind(bytes, "bundle_to_serve"));
+    this.#send(plan.served, bytes);
   }
 
   #allAddresses(): readonly string[] {
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -550,6 +550,7 @@
         failed,
       }),
       scheduler: this.#ports.scheduler,
+      nowMs: () => this.#nowMs(),
       composeMessage: () => this.#gossip.composeMessage(),
       addresses: () => {
         const { sameDomain, otherDomains } = this
