Ask for the messages of a failure domain that relays don't bring

Daemons missed whole failure domains for 5 s and more, and nothing brought them back.

Cause: a daemon returned to sending in turn only when the bundles of its own domain stayed away. One foreign domain could stay away for good: because the relay that serves the daemon is cut off from it, because bundles are lost on both hops, or because relays disagree on who relays.

Why this works: what counts is the age of the messages, by the median of a domain, however they came; so a single announced message or an answer with old content doesn't hide the silence. A relay asks after 1.0 s, others after 1.4 s: by turns a relay of the own domain and a daemon of the missing one, so that any daemon that hears the domain can answer. A relay passes the answer on to those it serves. Only known daemons are answered, and only by those who know news. After six requests a domain that is gone is asked for each 2 s. The request is a new kind of datagram, which older builds ignore.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -80,6 +80,13 @@
   readonly spent: readonly PeerSpending[];
 }
 
+/** A failure domain whose messages don't come. */
+export interface OverdueDomain {
+  readonly failureDomain: FailureDomainId;
+  /** The age of what is known of its daemons, the median of them. */
+  readonly ageMs: number;
+}
+
 /** The state of all other daemons. */
 export class FleetState {
   readonly #self: VmId;
@@ -172,15 +179,44 @@
     return this.#relayPlan;
   }
 
-  /** Newest messages of the reachable daemons of this failure domain. */
-  domainMessages(nowMs: number): RelayedMessage[] {
+  /** Newest messages of the reachable daemons of a failure domain. */
+  domainMessages(
+    nowMs: number,
+    failureDomain = this.#failureDomain,
+  ): RelayedMessage[] {
     return this.reachable(nowMs).flatMap((member) =>
-      member.message !== undefined && this.#isSameDomain(member)
+      member.message?.failureDomain === failureDomain
         ? [{ message: member.message, ageMs: nowMs - member.heardAtMs }]
         : []
     );
   }
 
+  /**
+   * Failure domains of whose daemons this one has heard nothing newer than
+   * `limitMs`, by the median: a single announced message is not enough.
+   */
+  overdueDomains(nowMs: number, limitMs: number): OverdueDomain[] {
+    const agesMs = new Map<FailureDomainId, number[]>();
+    for (const { message, heardAtMs } of this.#members.values()) {
+      if (message === undefined) continue;
+      const ages = agesMs.get(message.failureDomain);
+      if (ages === undefined) {
+        agesMs.set(message.failureDomain, [nowMs - heardAtMs]);
+      } else ages.push(nowMs - heardAtMs);
+    }
+    return [...agesMs].flatMap(([failureDomain, ages]) => {
+      const ageMs = ages.sort((a, b) => a - b)[ages.length >> 1]!;
+      return ageMs > limitMs ? [{ failureDomain, ageMs }] : [];
+    });
+  }
+
+  /** Addresses of the daemons of a failure domain that were heard once. */
+  addressesOf(failureDomain: FailureDomainId): string[] {
+    return this.members().flatMap(({ address, message }) =>
+      message?.failureDomain === failureDomain ? [address] : []
+    );
+  }
+
   /** All daemons that may be alive, whether or not they are reachable. */
   members(): readonly FleetMember[] {
     return [...this.#members.values()];
--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -8,6 +8,13 @@
  */
 
 import type { Scheduler } from "@endivebend/clock";
+import type { FailureDomainId } from "@endivebend/types";
+import {
+  type BundleRequest,
+  BundleRequests,
+  bundleSource,
+  type DueRequest,
+} from "./bundle_request.ts";
 import { DatagramPacer } from "./datagram_pacer.ts";
 import {
   encodeDatagram,
@@ -22,6 +29,8 @@
 
 /** Transport, timers and callbacks of the channel. */
 export interface GossipChannelOptions {
+  /** Where this daemon receives datagrams. */
+  readonly address: string;
   readonly transport: GossipTransport;
   readonly scheduler: Scheduler;
   /** Time on the steady clock. */
@@ -31,8 +40,15 @@
   addresses(): PeerAddresses;
   /** Whom to send to in a large fleet; undefined to send to all in turn. */
   relayPlan(): RelayPlan | undefined;
-  /** The newest messages of this daemon's failure domain, its own included. */
-  composeBundle(): GossipBundle;
+  /**
+   * The newest messages of a failure domain; of this daemon's own, with its own
+   * message, by default.
+   */
+  composeBundle(failureDomain?: FailureDomainId): GossipBundle;
+  /** Failure domains of whose daemons nothing newer than `limitMs` is known. */
+  overdueDomains(limitMs: number): readonly FailureDomainId[];
+  /** Addresses of the daemons of a failure domain. */
+  addressesOf(failureDomain: FailureDomainId): readonly string[];
   onMessage(message: GossipMessage): void;
   onBundle(bundle: GossipBundle): void;
   /** Called when applying a datagram of a peer has raised an error. */
@@ -68,6 +84,14 @@
 /** Intervals between two bundles. */
 const BUNDLE_INTERVALS = 3;
 
+/**
+ * A relay asks for messages that are older than this. Without loss they come
+ * within the two intervals above; one bundle may be late, none is lost.
+ */
+const RELAY_OVERDUE_MS = 1_000;
+/** The same for other daemons, after what their relay has asked for. */
+const SERVED_OVERDUE_MS = 1_400;
+
 /**
  * Milliseconds until a message has reached all daemons through relays: it waits
  * for its own interval and for that of the bundle.
@@ -90,6 +114,7 @@
 export class GossipChannel {
   readonly #options: GossipChannelOptions;
   readonly #pacer: DatagramPacer;
+  readonly #requests = new BundleRequests();
   #nextSameDomain = 0;
   #nextOtherDomains = 0;
   #intervals = 0;
@@ -169,6 +194,25 @@
     const addresses = new Set([...plan.relays, ...inTurn]);
     this.#send([...addresses], this.#ownMessage("message"));
     this.#sendBundles(plan);
+    this.#requestOverdue(plan);
+  }
+
+  #requestOverdue(plan: RelayPlan): void {
+    const { overdueDomains, nowMs } = this.#options;
+    const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
+    const due = this.#requests.due(overdueDomains(limitMs), nowMs());
+    for (const request of due) this.#request(request, plan);
+  }
+
+  #request({ failureDomain, attempt }: DueRequest, plan: RelayPlan): void {
+    const { address, addressesOf } = this.#options;
+    const request = { failureDomain, address, isRelay: plan.isRelay };
+    const source = bundleSource(request, attempt, {
+      ownRelays: plan.relays,
+      theirs: addressesOf(failureDomain),
+    });
+    if (source === undefined) return;
+    this.#send([source], encodeDatagram({ kind: "bundle_request", request }));
   }
 
   #ownMessage(kind: "message" | "urgent"): Buffer {
@@ -191,6 +235,9 @@
 
   #receive(datagram: GossipDatagram, bytes: Buffer): void {
     const { onMessage, onBundle, relayPlan } = this.#options;
+    if (datagram.kind === "bundle_request") {
+      return this.#answer(datagram.request);
+    }
     if ("message" in datagram) onMessage(datagram.message);
     else onBundle(datagram.bundle);
     const plan = relayPlan();
@@ -201,6 +248,20 @@
     }
   }
 
+  #answer({ failureDomain, address, isRelay }: BundleRequest): void {
+    // Only daemons are answered, as an answer is much larger than a request.
+    if (!this.#allAddresses().includes(address)) return;
+    const { overdueDomains, composeBundle } = this.#options;
+    if (overdueDomains(RELAY_OVERDUE_MS).includes(failureDomain)) return;
+    const bundle = composeBundle(failureDomain);
+    const kind = isRelay ? "bundle_to_serve" : "bundle";
+    this.#pacer.send(
+      [address],
+      failureDomain,
+      encodeDatagram({ kind, bundle }),
+    );
+  }
+
   #passOn(bundle: GossipBundle, bytes: Buffer, plan: RelayPlan): void {
     // Announced messages come alone.
     if (bundle.messages.length <= 1) return this.#send(plan.served, bytes);
--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -15,7 +15,12 @@
   VmId,
 } from "@endivebend/types";
 import type { AnswerAges, CrashReport } from "@endivebend/quarantine";
-import { isGossipBundle, isGossipMessage } from "./gossip_schema.ts";
+import type { BundleRequest } from "./bundle_request.ts";
+import {
+  isBundleRequest,
+  isGossipBundle,
+  isGossipMessage,
+} from "./gossip_schema.ts";
 
 /** The sender's requests and prompt tokens at one backend server. */
 export type WorkAtServer = readonly [running: number, prefillTokens: number];
@@ -136,7 +141,8 @@
   | { readonly kind: "urgent"; readonly message: GossipMessage }
   | { readonly kind: "bundle"; readonly bundle: GossipBundle }
   /** A bundle that the receiver passes on to the daemons it serves. */
-  | { readonly kind: "bundle_to_serve"; readonly bundle: GossipBundle };
+  | { readonly kind: "bundle_to_serve"; readonly bundle: GossipBundle }
+  | { readonly kind: "bundle_request"; readonly request: BundleRequest };
 
 /** The kinds of datagrams, by their first byte. */
 const KIND_BY_TAG: Readonly<Record<number, GossipDatagram["kind"]>> = {
@@ -144,6 +150,7 @@
   0x12: "urgent",
   0x13: "bundle",
   0x14: "bundle_to_serve",
+  0x15: "bundle_request",
 };
 
 const TAG_BY_KIND: Readonly<Record<GossipDatagram["kind"], number>> = {
@@ -151,6 +158,7 @@
   urgent: 0x12,
   bundle: 0x13,
   bundle_to_serve: 0x14,
+  bundle_request: 0x15,
 };
 
 /** Bound on the inflated size in bytes; a message has about 1 KB of JSON. */
@@ -161,11 +169,15 @@
  * is charged.
  */
 export function encodeDatagram(datagram: GossipDatagram): Buffer {
-  const content = "bundle" in datagram ? datagram.bundle : datagram.message;
-  const body = deflateRawSync(JSON.stringify(content));
+  const body = deflateRawSync(JSON.stringify(contentOf(datagram)));
   return Buffer.concat([Buffer.from([TAG_BY_KIND[datagram.kind]]), body]);
 }
 
+function contentOf(datagram: GossipDatagram) {
+  if ("bundle" in datagram) return datagram.bundle;
+  return "request" in datagram ? datagram.request : datagram.message;
+}
+
 /** The same datagram with another kind. */
 export function withKind(
   bytes: Buffer,
@@ -184,6 +196,9 @@
   if (kind === "message" || kind === "urgent") {
     return isGossipMessage(value) ? { kind, message: value } : undefined;
   }
+  if (kind === "bundle_request") {
+    return isBundleRequest(value) ? { kind, request: value } : undefined;
+  }
   return isGossipBundle(value) ? { kind, bundle: value } : undefined;
 }
 
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -6,6 +6,7 @@
  */
 
 import { isIpAndPort } from "@endivebend/http-syntax";
+import type { BundleRequest } from "./bundle_request.ts";
 import type { GossipBundle, GossipMessage } from "./gossip_message.ts";
 
 type Check = (value: unknown) => boolean;
@@ -139,3 +140,14 @@
 export function isGossipBundle(value: unknown): value is GossipBundle {
   return isBundle(value);
 }
+
+const isRequest = hasFields({
+  failureDomain: isName,
+  address: isIpAndPort,
+  isRelay: isFlag,
+});
+
+/** Whether a decoded value is a request for a bundle. */
+export function isBundleRequest(value: unknown): value is BundleRequest {
+  return isRequest(value);
+}
--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -125,3 +125,18 @@
   );
   t.pass();
 });
+
+test("a request for a bundle is read only if all its fields hold", (t) => {
+  const request = {
+    failureDomain: FULL.failureDomain,
+    address: "10.0.0.2:7600",
+    isRelay: true,
+  };
+  const kind = "bundle_request";
+  t.deepEqual(parseDatagram(encodeDatagram({ kind, request })), {
+    kind,
+    request,
+  });
+  const wrong = { ...request, address: "elsewhere" };
+  t.is(parseDatagram(encodeDatagram({ kind, request: wrong })), undefined);
+});
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -15,6 +15,7 @@
 export type {
   AppliedMessage,
   FleetMember,
+  OverdueDomain,
   PeerSpending,
 } from "./fleet_state.ts";
 export { encodeDatagram, parseDatagram } from "./gossip_message.ts";
--- a/packages/fleet/src/relay_links_test.ts
+++ b/packages/fleet/src/relay_links_test.ts
@@ -79,9 +79,9 @@
   t.is(found.lowestReachable, FLEET_SIZE);
 });
 
-test("every daemon hears each failure domain before its silence timeout on slow links with work at 8 servers", (t) => {
+test("every daemon hears each failure domain before its silence timeout on slow links that lose a twentieth", (t) => {
   const found = lookOver3s({
-    lossShare: 0,
+    lossShare: 0.05,
     linkMbps: 14,
     linkQueueBytes: 32_768,
     serversPerDaemon: 8,
--- a/packages/fleet/src/relay_test.ts
+++ b/packages/fleet/src/relay_test.ts
@@ -97,6 +97,31 @@
   t.true(oldest.areAllReachable);
 });
 
+/** Whether, at all moments of 8 s, each daemon reaches all that are up. */
+function areAllReached(model: FleetModel): boolean {
+  for (let round = 0; round < 40; round++) {
+    model.run(200);
+    const up = model.daemons.filter(({ isAlive }) => isAlive);
+    for (const { fleet } of up) {
+      const reached = fleet.reachable(model.nowMs)
+        .filter(({ vm }) => model.daemons[indexOf(vm)]!.isAlive);
+      if (reached.length !== up.length - 1) return false;
+    }
+  }
+  return true;
+}
+
+test("a daemon hears a domain from which its relay is cut off", (t) => {
+  const model = new FleetModel(LARGE_FLEET, { lossShare: 0 });
+  model.run(12_000);
+  const [relay] = relaysOf(DOMAINS[0]!, candidates(LARGE_FLEET));
+  const relayIndex = indexOf(relay!.vm);
+  const isCutPair = (one: number, other: number) =>
+    one === relayIndex && domainOf(other) === DOMAINS[1];
+  model.isCut = (from, to) => isCutPair(from, to) || isCutPair(to, from);
+  t.true(areAllReached(model));
+});
+
 test("spending is charged once everywhere while relays end and messages are lost", (t) => {
   const model = new FleetModel(60, { lossShare: 0.05 });
   model.run(8_000);
--- a/packages/fleet/src/testing_fleet_model.ts
+++ b/packages/fleet/src/testing_fleet_model.ts
@@ -80,9 +80,14 @@
 /** A fleet in virtual time whose datagrams take 10 ms and may be lost. */
 export class FleetModel {
   nowMs = 0;
+  /** Whether no datagram gets from one daemon to another. */
+  isCut: (from: number, to: number) => boolean = () => false;
   readonly daemons: ModelDaemon[] = [];
   readonly #options: FleetModelOptions;
-  readonly #receivers = new Map<string, (bytes: Buffer) => void>();
+  readonly #receivers = new Map<
+    string,
+    { readonly index: number; readonly receive: (bytes: Buffer) => void }
+  >();
   #random = 7;
   /** What happens in each millisecond. */
   readonly #eventsAtMs = new Map<number, (() => void)[]>();
@@ -185,17 +190,19 @@
     };
     const start = () =>
       new GossipChannel({
+        address,
         failed: (reason) => {
           throw new Error(reason);
         },
         transport: {
           open: (onDatagram, onOpen) => {
-            this.#receivers.set(address, (bytes) =>
+            const receive = (bytes: Buffer) =>
               carry(downlink, bytes, () => {
                 if (!daemon.isAlive) return;
                 daemon.received += 1;
                 onDatagram(bytes);
-              }));
+              });
+            this.#receivers.set(address, { index, receive });
             onOpen();
           },
           send: (to, bytes) => {
@@ -204,10 +211,11 @@
             daemon.sentBytes += bytes.length;
             carry(uplink, bytes, () => {
               if (this.#draw() < this.#options.lossShare) return;
-              this.#schedule(
-                DELAY_MS,
-                () => this.#receivers.get(to)?.(bytes),
-              );
+              this.#schedule(DELAY_MS, () => {
+                const receiver = this.#receivers.get(to);
+                if (receiver === undefined) return;
+                if (!this.isCut(index, receiver.index)) receiver.receive(bytes);
+              });
             });
           },
           close() {},
@@ -222,13 +230,17 @@
         composeMessage: compose,
         addresses: () => fleet.addresses(),
         relayPlan: () => fleet.relayPlan(address, this.nowMs),
-        composeBundle: () => ({
-          failureDomain,
-          messages: [
-            { message: compose(), ageMs: 0 },
-            ...fleet.domainMessages(this.nowMs),
-          ],
-        }),
+        composeBundle: (other = failureDomain) => {
+          const messages = fleet.domainMessages(this.nowMs, other);
+          const own = other === failureDomain
+            ? [{ message: compose(), ageMs: 0 }]
+            : [];
+          return { failureDomain: other, messages: [...own, ...messages] };
+        },
+        overdueDomains: (limitMs) =>
+          fleet.overdueDomains(this.nowMs, limitMs)
+            .map(({ failureDomain }) => failureDomain),
+        addressesOf: (other) => fleet.addressesOf(other),
         onMessage: (message) => receive(message, 0),
         onBundle: ({ failureDomain, messages }) => {
           fleet.recordBundle(failureDomain, this.nowMs);
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -544,6 +544,7 @@
       this.#logDecision("peer_send_failed", { reason });
     return new GossipChannel({
       failed,
+      address: this.#peerAddress(ip),
       transport: this.#ports.createGossipTransport({
         ip,
         port: firstPeerPort,
@@ -566,7 +567,12 @@
       },
       relayPlan: () =>
         this.#fleet.relayPlan(this.#peerAddress(ip), this.#nowMs()),
-      composeBundle: () => this.#gossip.composeBundle(),
+      composeBundle: (failureDomain) =>
+        this.#gossip.composeBundle(failureDomain),
+      overdueDomains: (limitMs) =>
+        this.#fleet.overdueDomains(this.#nowMs(), limitMs)
+          .map(({ failureDomain }) => failureDomain),
+      addressesOf: (failureDomain) => this.#fleet.addressesOf(failureDomain),
       onMessage: (message) => this.#receive(message, 0),
       onBundle: ({ failureDomain, messages }) => {
         this.#fleet.recordBundle(failureDomain, this.#nowMs());
