Let no gossip relay serve more than ten daemons

Cause: each domain had three relays, whatever its size, and each daemon went to the first in rendezvous order: of 36 daemons one relay served 18, another 8. The larger groups need more than the rate of a relay with work at 8 servers each. A relay whose rank the other domain lacks sent a second bundle to one of its relays, which passed both on.

Why this works: a domain has one relay for each eleven daemons, at least three, and a daemon goes to the first in rendezvous order that has room; a daemon that ends moves at most a few others, by test. Each relay of a domain gets the bundles of exactly one relay of each other domain.

--- a/packages/fleet/src/relay_plan.ts
+++ b/packages/fleet/src/relay_plan.ts
@@ -35,11 +35,13 @@
   readonly counterparts: readonly string[];
 }
 
+/** Two relays of a failure domain may end at once. */
+const MIN_RELAYS_PER_DOMAIN = 3;
 /**
- * Relays of a failure domain. Two may end at once, and the bundles for 39
- * daemons are shared among them.
+ * Daemons that one relay serves. The bundles of five domains for 10 daemons
+ * take less than half of a small VM's link, 20 Mbit/s.
  */
-const RELAYS_PER_DOMAIN = 3;
+const MAX_SERVED = 10;
 /** Smaller fleets hear everyone within a second without relays. */
 export const MIN_RELAYED_FLEET = 32;
 
@@ -60,8 +62,12 @@
       .filter((candidate) => candidate.failureDomain === failureDomain)
       .map((candidate) => [candidate.vm, candidate]),
   );
+  const count = Math.max(
+    MIN_RELAYS_PER_DOMAIN,
+    Math.ceil(byVm.size / (MAX_SERVED + 1)),
+  );
   return rankByRendezvous(`relay/${failureDomain}`, [...byVm.keys()])
-    .slice(0, RELAYS_PER_DOMAIN)
+    .slice(0, count)
     .map((vm) => byVm.get(vm)!);
 }
 
@@ -86,11 +92,12 @@
   if (rank < 0) {
     return { ...plan, isRelay: false, served: [], counterparts: [] };
   }
-  const relayVms = relays.map(({ vm }) => vm);
-  const served = peers.filter(({ vm, failureDomain }) =>
-    failureDomain === self.failureDomain && !relayVms.includes(vm) &&
-    rankByRendezvous(vm, relayVms)[0] === self.vm
-  );
+  const served = servedBy(self, {
+    relayVms: relays.map(({ vm }) => vm),
+    domainPeers: peers.filter(({ failureDomain }) =>
+      failureDomain === self.failureDomain
+    ),
+  });
   const domains = new Set(peers.map(({ failureDomain }) => failureDomain));
   domains.delete(self.failureDomain);
   const counterparts = [...domains].flatMap((failureDomain) =>
@@ -108,8 +115,34 @@
 }
 
 /**
- * The relays of another domain that the relay with this rank sends to. With
- * fewer relays on either side each of theirs still gets the bundles of one.
+ * The daemons that a relay serves. Each goes to the first relay in rendezvous
+ * order that has room, so that few change when a daemon comes or ends.
+ */
+function servedBy(
+  self: RelayCandidate,
+  domain: {
+    readonly relayVms: readonly VmId[];
+    readonly domainPeers: readonly RelayCandidate[];
+  },
+): RelayCandidate[] {
+  const { relayVms, domainPeers } = domain;
+  const byVm = new Map(domainPeers.map((peer) => [peer.vm, peer]));
+  for (const vm of relayVms) byVm.delete(vm);
+  const order = rankByRendezvous(`served/${self.failureDomain}`, [
+    ...byVm.keys(),
+  ]);
+  const counts = new Map(relayVms.map((vm) => [vm, 0]));
+  return order.flatMap((vm) => {
+    const relay = rankByRendezvous(vm, relayVms)
+      .find((relayVm) => counts.get(relayVm)! < MAX_SERVED)!;
+    counts.set(relay, counts.get(relay)! + 1);
+    return relay === self.vm ? [byVm.get(vm)!] : [];
+  });
+}
+
+/**
+ * The relays of another domain that the relay with this rank sends to. Each
+ * of theirs gets the bundles of one, also with fewer relays on either side.
  */
 function counterpartsOf(
   rank: number,
@@ -119,9 +152,6 @@
   },
 ): string[] {
   const { ownCount, theirs } = domains;
-  if (rank >= theirs.length) {
-    return [theirs[rank % theirs.length]!.address];
-  }
   return theirs
     .filter((_, index) => index % ownCount === rank)
     .map(({ address }) => address);
--- a/packages/fleet/src/relay_test.ts
+++ b/packages/fleet/src/relay_test.ts
@@ -35,6 +35,41 @@
   t.true([...served.values()].every((count) => count === 1));
 });
 
+for (const size of [64, 195, 210, 410]) {
+  test(`no relay of ${size} daemons serves more than ten`, (t) => {
+    const all = candidates(size);
+    for (const self of all) {
+      const plan = planRelays(self, all.filter((other) => other !== self))!;
+      t.true(
+        plan.served.length <= 10,
+        `${self.vm} serves ${plan.served.length}`,
+      );
+    }
+  });
+}
+
+test("few daemons change their relay when one of their domain ends", (t) => {
+  const all = candidates(195);
+  const relayOf = (fleet: readonly RelayCandidate[]) =>
+    new Map(
+      fleet.flatMap((self) =>
+        planRelays(self, fleet.filter((other) => other !== self))!.served
+          .map((address) => [address, self.vm] as const)
+      ),
+    );
+  const before = relayOf(all);
+  const relays = new Set(
+    DOMAINS.flatMap((domain) => relaysOf(domain, all)).map(({ vm }) => vm),
+  );
+  const ending = all.find(({ vm }) => !relays.has(vm))!;
+  const after = relayOf(all.filter((other) => other !== ending));
+  const moved = [...after].filter(([address, vm]) =>
+    before.get(address) !== vm
+  );
+  t.is(after.size, before.size - 1);
+  t.true(moved.length <= 3, `${moved.length} moved`);
+});
+
 test("each relay of a domain is sent bundles, also by a domain with fewer relays", (t) => {
   const single = candidates(1)[0]!;
   const others = candidates(60).filter((other) =>
