Show which failure domains a daemon does not hear

- `silentDomainsMs` in the `status` line: the domains of whose daemons nothing newer than 1.4 s is known, by the median, with that age.
- `relayed` in the `status` line, and the counters gossip_relayed and gossip_relayed_bytes: datagrams and bytes sent as a relay.
- counter gossip_requests by domain: requests for missing messages.

A counter can now grow by more than one.

--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -75,3 +75,23 @@
   t.is(reachableInSameDomain(1_600), 0);
   t.is(fleet.reachable(5_000).length, 0);
 });
+
+test("a failure domain is overdue when most of it is, whatever one announces", (t) => {
+  const fleet = newState();
+  const ofDomain = (index: number, sequence: number) =>
+    message({
+      vm: brandId<VmId>(`vm-${index + 2}`),
+      failureDomain: brandId<FailureDomainId>("b"),
+      sequence,
+    });
+  for (let index = 0; index < 3; index++) {
+    fleet.applyMessage(ofDomain(index, 1), 0);
+  }
+  t.deepEqual(fleet.overdueDomains(1_400, 1_400), []);
+  fleet.applyMessage(ofDomain(0, 2), 1_500);
+  t.deepEqual(fleet.overdueDomains(1_500, 1_400), [
+    { failureDomain: brandId<FailureDomainId>("b"), ageMs: 1_500 },
+  ]);
+  fleet.applyMessage(ofDomain(1, 2), 1_500, 800);
+  t.deepEqual(fleet.overdueDomains(1_500, 1_400), []);
+});
--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -51,6 +51,10 @@
   addressesOf(failureDomain: FailureDomainId): readonly string[];
   onMessage(message: GossipMessage): void;
   onBundle(bundle: GossipBundle): void;
+  /** Called when this daemon has sent a datagram as a relay. */
+  relayed(bytes: number): void;
+  /** Called when this daemon asks for the messages of a failure domain. */
+  requested(failureDomain: FailureDomainId): void;
   /** Called when applying a datagram of a peer has raised an error. */
   failed(reason: string): void;
 }
@@ -90,7 +94,7 @@
  */
 const RELAY_OVERDUE_MS = 1_000;
 /** The same for other daemons, after what their relay has asked for. */
-const SERVED_OVERDUE_MS = 1_400;
+export const SERVED_OVERDUE_MS = 1_400;
 
 /**
  * Milliseconds until a message has reached all daemons through relays: it waits
@@ -127,7 +131,7 @@
     this.#pacer = new DatagramPacer({
       scheduler,
       nowMs,
-      send: (address, bytes) => transport.send(address, bytes),
+      send: (address, bytes) => this.#sendRelayed([address], bytes),
     });
     transport.open((bytes) => {
       try {
@@ -212,6 +216,7 @@
       theirs: addressesOf(failureDomain),
     });
     if (source === undefined) return;
+    this.#options.requested(failureDomain);
     this.#send([source], encodeDatagram({ kind: "bundle_request", request }));
   }
 
@@ -264,7 +269,9 @@
 
   #passOn(bundle: GossipBundle, bytes: Buffer, plan: RelayPlan): void {
     // Announced messages come alone.
-    if (bundle.messages.length <= 1) return this.#send(plan.served, bytes);
+    if (bundle.messages.length <= 1) {
+      return this.#sendRelayed(plan.served, bytes);
+    }
     this.#pacer.send(plan.served, bundle.failureDomain, bytes);
   }
 
@@ -276,8 +283,8 @@
       kind: "bundle",
       bundle: { failureDomain, messages },
     });
-    this.#send(plan.counterparts, withKind(bytes, "bundle_to_serve"));
-    this.#send(plan.served, bytes);
+    this.#sendRelayed(plan.counterparts, withKind(bytes, "bundle_to_serve"));
+    this.#sendRelayed(plan.served, bytes);
   }
 
   #allAddresses(): readonly string[] {
@@ -305,6 +312,11 @@
     return [...sameDomainTurn.items, ...otherDomainsTurn.items];
   }
 
+  #sendRelayed(addresses: readonly string[], bytes: Buffer): void {
+    this.#send(addresses, bytes);
+    for (const _ of addresses) this.#options.relayed(bytes.length);
+  }
+
   #send(addresses: readonly string[], bytes: Buffer): void {
     if (this.#hasClosed) return;
     const { transport } = this.#options;
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { GossipChannel } from "./gossip_channel.ts";
+export { GossipChannel, SERVED_OVERDUE_MS } from "./gossip_channel.ts";
 export type { GossipChannelOptions, PeerAddresses } from "./gossip_channel.ts";
 export { createUdpTransport } from "./gossip_transport.ts";
 export type {
--- a/packages/fleet/src/relay_links_test.ts
+++ b/packages/fleet/src/relay_links_test.ts
@@ -17,6 +17,8 @@
   "receivedMessages",
   "sent",
   "sentBytes",
+  "relayedBytes",
+  "requests",
   "dropped",
 ] as const;
 
--- a/packages/fleet/src/testing_fleet_model.ts
+++ b/packages/fleet/src/testing_fleet_model.ts
@@ -40,6 +40,10 @@
   receivedMessages: number;
   sent: number;
   sentBytes: number;
+  /** Bytes sent as a relay. */
+  relayedBytes: number;
+  /** Requests for the messages of a failure domain. */
+  requests: number;
   /** Datagrams that found a link full. */
   dropped: number;
 }
@@ -157,6 +161,8 @@
       receivedMessages: 0,
       sent: 0,
       sentBytes: 0,
+      relayedBytes: 0,
+      requests: 0,
       dropped: 0,
     };
     this.daemons.push(daemon);
@@ -241,6 +247,12 @@
           fleet.overdueDomains(this.nowMs, limitMs)
             .map(({ failureDomain }) => failureDomain),
         addressesOf: (other) => fleet.addressesOf(other),
+        relayed: (bytes) => {
+          daemon.relayedBytes += bytes;
+        },
+        requested: () => {
+          daemon.requests += 1;
+        },
         onMessage: (message) => receive(message, 0),
         onBundle: ({ failureDomain, messages }) => {
           fleet.recordBundle(failureDomain, this.nowMs);
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -15,6 +15,7 @@
   RecordFollower,
   type RecordFollowerOptions,
   RecordTable,
+  SERVED_OVERDUE_MS,
   shouldReadTopic,
 } from "@endivebend/fleet";
 import { type ForwarderCandidate, ServerPaths } from "@endivebend/forwarding";
@@ -34,6 +35,7 @@
 import { rankByRendezvous } from "@endivebend/routing";
 import {
   brandId,
+  type FailureDomainId,
   type IncarnationId,
   type ServiceName,
   type VmId,
@@ -127,6 +129,8 @@
   #drainingSinceMs: number | undefined;
   /** When this daemon last found the store away, or back. */
   #storeAwayAtMs = Number.NEGATIVE_INFINITY;
+  /** What this daemon has sent as a relay of gossip. */
+  readonly #relayed = { datagrams: 0, bytes: 0 };
   #nextServerPullMs = Number.NEGATIVE_INFINITY;
 
   constructor(settings: FrontSettings, ports: FrontPorts) {
@@ -540,6 +544,7 @@
 
   #createGossipChannel(): GossipChannel {
     const { ip, firstPeerPort } = this.#settings;
+    const { metrics } = this.#ports;
     const failed = (reason: string) =>
       this.#logDecision("peer_send_failed", { reason });
     return new GossipChannel({
@@ -573,6 +578,13 @@
         this.#fleet.overdueDomains(this.#nowMs(), limitMs)
           .map(({ failureDomain }) => failureDomain),
       addressesOf: (failureDomain) => this.#fleet.addressesOf(failureDomain),
+      relayed: (bytes) => {
+        this.#relayed.datagrams += 1;
+        this.#relayed.bytes += bytes;
+        metrics.count("gossip_relayed");
+        metrics.count("gossip_relayed_bytes", {}, bytes);
+      },
+      requested: (domain) => metrics.count("gossip_requests", { domain }),
       onMessage: (message) => this.#receive(message, 0),
       onBundle: ({ failureDomain, messages }) => {
         this.#fleet.recordBundle(failureDomain, this.#nowMs());
@@ -756,6 +768,8 @@
       log.stateChange("status", {
         members: this.#fleet.size,
         reachable: this.#fleet.reachable(this.#nowMs()).length + 1,
+        silentDomainsMs: this.#silentDomainsMs(),
+        relayed: { ...this.#relayed },
         ...this.#registry.contactCounts(this.#nowMs()),
         ...this.#weightsWatch.summary(),
         storeCalls: store.callCounts,
@@ -764,6 +778,17 @@
     });
   }
 
+  /** Time for which nothing was heard of most of a failure domain. */
+  #silentDomainsMs(): Record<FailureDomainId, number> {
+    const overdue = this.#fleet.overdueDomains(
+      this.#nowMs(),
+      SERVED_OVERDUE_MS,
+    );
+    return Object.fromEntries(overdue.map(
+      ({ failureDomain, ageMs }) => [failureDomain, Math.round(ageMs)],
+    ));
+  }
+
   #continueDrain(onEnd: () => void): void {
     const step = planDrain({
       sinceMs: this.#nowMs() - (this.#drainingSinceMs ?? 0),
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -192,6 +192,11 @@
 
 /** Counters and durations of the request path. */
 export interface PathMetrics {
-  count(name: string, labels?: Readonly<Record<string, string>>): void;
+  /** Adds to a counter, 1 by default. */
+  count(
+    name: string,
+    labels?: Readonly<Record<string, string>>,
+    increment?: number,
+  ): void;
   observeMs(name: string, valueMs: number): void;
 }
--- a/packages/telemetry/src/text_metrics.ts
+++ b/packages/telemetry/src/text_metrics.ts
@@ -16,9 +16,13 @@
   readonly #gauges = new Map<string, () => number>();
   readonly #histograms = new Map<string, Histogram>();
 
-  count(name: string, labels: Readonly<Record<string, string>> = {}): void {
+  count(
+    name: string,
+    labels: Readonly<Record<string, string>> = {},
+    increment = 1,
+  ): void {
     const key = name + formatLabels(labels);
-    this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
+    this.#counts.set(key, (this.#counts.get(key) ?? 0) + increment);
   }
 
   /** Adds a gauge, which is read whenever the text is rendered. */
