Look up the work of peers by server

A placement asks for the work at each of 82 servers, and each answer looked through the work of 194 daemons: 16,000 look-ups in objects of different shapes a request, and the same every 50 ms at the holder of the rollout lease.

Daemons are now grouped by the servers where they have work, once after a change, so a server's work costs only those that have some there. Time limits and sums are the same.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -92,6 +92,11 @@
   readonly #self: VmId;
   readonly #failureDomain: FailureDomainId;
   readonly #members = new Map<VmId, FleetMember>();
+  /**
+   * Daemons with work at each backend server; undefined after a change. A
+   * placement asks for every server, and few daemons have work at one of them.
+   */
+  #workersByServer: ReadonlyMap<string, readonly FleetMember[]> | undefined;
   /** Daemons that have ended or fallen silent; a list may still have them. */
   readonly #ended = new Set<VmId>();
   /** When relays last brought the messages of each failure domain. */
@@ -137,6 +142,7 @@
     if (isSameIncarnation && previous.sequence >= message.sequence) {
       return undefined;
     }
+    this.#workersByServer = undefined;
     if (message.isLeaving) {
       this.#members.delete(message.vm);
       this.#ended.add(message.vm);
@@ -281,7 +287,9 @@
       MIN_WORK_TTL_MS,
       WORK_TTL_ROUNDS * this.gossipRoundMs,
     );
-    for (const { message, heardAtMs } of this.#members.values()) {
+    this.#workersByServer ??= groupByServer(this.#members.values());
+    for (const member of this.#workersByServer.get(server) ?? []) {
+      const { message, heardAtMs } = member;
       if (nowMs - heardAtMs > ttlMs) continue;
       const work = message?.work[server];
       running += work?.[0] ?? 0;
@@ -338,12 +346,27 @@
   #removeSilent(nowMs: number): void {
     for (const [vm, { heardAtMs }] of this.#members) {
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
+      this.#workersByServer = undefined;
       this.#members.delete(vm);
       this.#ended.add(vm);
     }
   }
 }
 
+function groupByServer(
+  members: Iterable<FleetMember>,
+): Map<string, FleetMember[]> {
+  const workers = new Map<string, FleetMember[]>();
+  for (const member of members) {
+    for (const server in member.message?.work) {
+      const known = workers.get(server);
+      if (known === undefined) workers.set(server, [member]);
+      else known.push(member);
+    }
+  }
+  return workers;
+}
+
 function spendingSince(
   previous: GossipMessage,
   message: GossipMessage,
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import {
+  type BackendServerId,
   brandId,
   type FailureDomainId,
   type IncarnationId,
@@ -55,6 +56,20 @@
   t.deepEqual(fleet.workAt(SERVER, 2_000), { running: 0, prefillTokens: 0 });
 });
 
+test("work counts where the newest message of each daemon has it", (t) => {
+  const fleet = newState();
+  const other = brandId<BackendServerId>("f");
+  const vm = brandId<VmId>("vm-3");
+  fleet.applyMessage(message(), 0);
+  fleet.applyMessage(message({ vm, work: { [SERVER]: [1, 0] } }), 0);
+  t.is(fleet.workAt(SERVER, 1).running, 3);
+  fleet.applyMessage(message({ sequence: 2, work: { [other]: [4, 7] } }), 10);
+  t.is(fleet.workAt(SERVER, 11).running, 1);
+  t.deepEqual(fleet.workAt(other, 11), { running: 4, prefillTokens: 7 });
+  fleet.applyMessage(message({ vm, sequence: 2, isLeaving: true }), 20);
+  t.is(fleet.workAt(SERVER, 21).running, 0);
+});
+
 test("daemons of a large fleet stay reachable while they send in turn", (t) => {
   const fleet = newState();
   for (let index = 2; index <= 82; index++) {
