Scan the fleet without lists in between

Each daemon of 195 goes through its peers some 60 times a second: twice in each tick of the weights rollout, and for each plan of relays, assignment of caches and read of the store. Each scan copied the list of members, made one or two more from it and computed a timeout for each member.

One loop over the members now makes the one list that is asked for; the timeouts are computed once a scan, what a peer has spent once a team, and the peer's address is split only for a pull.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -230,21 +230,17 @@
 
   /** Daemons whose newest message is within the silence timeout. */
   reachable(nowMs: number): FleetMember[] {
-    const durations = this.#roundDurations();
-    const rounds = this.#hasRelayRounds
-      ? RELAYED_SILENCE_TIMEOUT_ROUNDS
-      : SILENCE_TIMEOUT_ROUNDS;
-    return this.members().filter((member) => {
-      const silenceTimeoutMs = Math.max(
-        MIN_SILENCE_TIMEOUT_MS,
-        rounds *
-          (this.#isSameDomain(member)
-            ? durations.sameDomain
-            : durations.otherDomains),
-      );
-      return member.message !== undefined &&
-        nowMs - member.heardAtMs < silenceTimeoutMs;
-    });
+    const timeoutsMs = this.#silenceTimeoutsMs();
+    const reachable: FleetMember[] = [];
+    // Called dozens of times a second, so that lists in between would cost.
+    for (const member of this.#members.values()) {
+      if (member.message === undefined) continue;
+      const timeoutMs = this.#isSameDomain(member)
+        ? timeoutsMs.sameDomain
+        : timeoutsMs.otherDomains;
+      if (nowMs - member.heardAtMs < timeoutMs) reachable.push(member);
+    }
+    return reachable;
   }
 
   /** Milliseconds in which every daemon has sent to every other one. */
@@ -317,9 +313,24 @@
     });
   }
 
+  /** Time after which a daemon that sent no message is unreachable. */
+  #silenceTimeoutsMs() {
+    const { sameDomain, otherDomains } = this.#roundDurations();
+    const rounds = this.#hasRelayRounds
+      ? RELAYED_SILENCE_TIMEOUT_ROUNDS
+      : SILENCE_TIMEOUT_ROUNDS;
+    return {
+      sameDomain: Math.max(MIN_SILENCE_TIMEOUT_MS, rounds * sameDomain),
+      otherDomains: Math.max(MIN_SILENCE_TIMEOUT_MS, rounds * otherDomains),
+    };
+  }
+
   #hasHeardMost(): boolean {
-    const heard = this.members().filter(({ message }) => message !== undefined);
-    return heard.length >= MIN_HEARD_SHARE * this.#members.size;
+    let heard = 0;
+    for (const { message } of this.#members.values()) {
+      if (message !== undefined) heard += 1;
+    }
+    return heard >= MIN_HEARD_SHARE * this.#members.size;
   }
 
   #hasBundles(failureDomain: FailureDomainId, nowMs: number): boolean {
@@ -334,13 +345,16 @@
    * than the domain's own, and no bundles would come.
    */
   #relayCandidates(nowMs: number): RelayCandidate[] {
-    return this.members().flatMap((member) => {
-      if (member.message === undefined) return [];
-      const { failureDomain } = member.message;
-      const isSilent = nowMs - member.heardAtMs > RELAY_SILENCE_TIMEOUT_MS &&
+    const candidates: RelayCandidate[] = [];
+    for (const member of this.#members.values()) {
+      const { vm, address, message, heardAtMs } = member;
+      if (message === undefined) continue;
+      const { failureDomain } = message;
+      const isSilent = nowMs - heardAtMs > RELAY_SILENCE_TIMEOUT_MS &&
         (this.#isSameDomain(member) || this.#hasBundles(failureDomain, nowMs));
-      return isSilent ? [] : toCandidate(member);
-    });
+      if (!isSilent) candidates.push({ vm, address, failureDomain });
+    }
+    return candidates;
   }
 
   #removeSilent(nowMs: number): void {
@@ -371,16 +385,11 @@
   previous: GossipMessage,
   message: GossipMessage,
 ): PeerSpending[] {
-  const teams = Object.keys(message.spent) as TeamId[];
-  return teams
-    .map((team) => ({
-      team,
-      units: (message.spent[team] ?? 0) - (previous.spent[team] ?? 0),
-    }))
-    .filter(({ units }) => units !== 0);
-}
-
-function toCandidate({ vm, address, message }: FleetMember): RelayCandidate[] {
-  if (message === undefined) return [];
-  return [{ vm, address, failureDomain: message.failureDomain }];
+  const changes: PeerSpending[] = [];
+  for (const name in message.spent) {
+    const team = name as TeamId;
+    const units = (message.spent[team] ?? 0) - (previous.spent[team] ?? 0);
+    if (units !== 0) changes.push({ team, units });
+  }
+  return changes;
 }
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -603,10 +603,9 @@
 
   /** Fetches records that a peer has and this daemon lacks. */
   #pullNewerRecords(message: GossipMessage): void {
-    const [ip = ""] = message.address.split(":");
-    const address = `${ip}:${this.#settings.firstPeerPort + 1}`;
     const nowMs = this.#nowMs();
-    for (const [topic, position] of Object.entries(message.records)) {
+    for (const topic in message.records) {
+      const position = message.records[topic]!;
       const own = this.#tables.get(topic)?.newest ?? position;
       // Server records change often, so each failure domain has a daemon that
       // reads them from the store. Others fetch them within their domain, or
@@ -621,6 +620,8 @@
         if (nowMs < this.#nextServerPullMs) continue;
         this.#nextServerPullMs = nowMs + SERVER_READ_INTERVAL_MS;
       }
+      const [ip = ""] = message.address.split(":");
+      const address = `${ip}:${this.#settings.firstPeerPort + 1}`;
       void this.#pull(topic, { address, all });
     }
   }
@@ -653,7 +654,7 @@
       leaseMs: this.#settings.leaseMs,
       engines: () =>
         findRolloutEngines(this.#registry, this.#namedWeights, this.#nowMs()),
-      peers: () => this.#rolloutPeers(),
+      candidates: () => this.#leaseCandidates(),
       rank: (members) => rankByRendezvous("weights-duty", members),
       // Without the list of daemons each would take itself for the first.
       reachesStore: () => this.#isRegistered && store.isReachable,
@@ -671,18 +672,17 @@
    * ago count before they are heard, so that daemons that start at the same time
    * agree on who comes first.
    */
-  #rolloutPeers() {
+  #leaseCandidates(): VmId[] {
     const nowMs = this.#nowMs();
-    const reachable = this.#fleet.reachable(nowMs);
-    const heard = reachable.filter(({ message }) => message?.reachesStore);
-    const listed = this.#fleet.members().filter(({ message, heardAtMs }) =>
-      message === undefined && nowMs - heardAtMs < FIRST_MESSAGE_TIMEOUT_MS
-    );
-    const ends = reachable.map(({ message }) => message?.duty.logEnd ?? 0);
-    return {
-      candidates: [...heard, ...listed].map(({ vm }) => vm),
-      leaseLogEnd: Math.max(0, ...ends),
-    };
+    const candidates: VmId[] = [];
+    for (const { vm, message } of this.#fleet.reachable(nowMs)) {
+      if (message?.reachesStore) candidates.push(vm);
+    }
+    for (const { vm, message, heardAtMs } of this.#fleet.members()) {
+      const isRecent = nowMs - heardAtMs < FIRST_MESSAGE_TIMEOUT_MS;
+      if (message === undefined && isRecent) candidates.push(vm);
+    }
+    return candidates;
   }
 
   /** False while this daemon reaches no engine whose weights are named. */
