Rank candidates for the rollout lease only when a look at its log is due

Every daemon scanned all peers and ranked them by hashing every 50 ms. The end of the lease's log is now noted as messages arrive, and peers are ranked once the log has been silent. weights_handover_test and rollout_lease_at_size_test pass as before.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -598,6 +598,7 @@
   #receive(message: GossipMessage, ageMs: number): void {
     if (!this.#gossip.receive(message, ageMs)) return;
     this.#seedAddresses.delete(message.address);
+    this.#weightsRollout.noteLeaseLogEnd(message.duty.logEnd ?? 0);
     this.#pullNewerRecords(message);
   }
 
--- a/packages/orders/src/lease_plan.ts
+++ b/packages/orders/src/lease_plan.ts
@@ -86,43 +86,41 @@
 
 /** Input of the decision when to look at the lease's log. */
 export interface LeaseLookInput {
-  readonly self: VmId;
-  /** Other daemons that may claim the lease. */
-  readonly candidates: readonly VmId[];
-  /** Puts daemons into the order in which they should claim the lease. */
-  readonly rank: (members: readonly VmId[]) => readonly VmId[];
   /** Whether an end of the log is known. */
   readonly hasKnownEnd: boolean;
   /** Since when the newest known end stands; without one, since the start. */
   readonly unchangedSinceMs: number;
-  /** Since when this daemon may hold the lease. */
-  readonly eligibleSinceMs: number;
   /** When this daemon last looked. */
   readonly lookedAtMs: number;
 }
 
 /**
- * When this daemon should look at the log, to claim the lease if nothing was
- * appended meanwhile.
+ * When the first daemon in rank should look at the log, to claim the lease if
+ * nothing was appended meanwhile.
  *
  * @example
  * ```ts
- * if (nowMs >= nextLeaseLookMs(input)) state = await log.read(knownEnd);
+ * const isDue = nowMs >= firstLeaseLookMs({
+ *   hasKnownEnd: true,
+ *   unchangedSinceMs,
+ *   lookedAtMs,
+ * }) + leaseLookDelayMs(ownRank);
  * ```
  */
-export function nextLeaseLookMs(input: LeaseLookInput): number {
-  const { self, candidates, rank, hasKnownEnd } = input;
-  const ownRank = rank([...candidates, self]).indexOf(self);
-  const rankDelayMs = Math.min(ownRank, FIRST_LATE_RANK) * RANK_DELAY_MS +
-    Math.max(0, ownRank - FIRST_LATE_RANK) * LATE_RANK_DELAY_MS;
-  const silenceMs = hasKnownEnd ? LEASE_SILENCE_MS : FIRST_LOOK_DELAY_MS;
-  return rankDelayMs + Math.max(
+export function firstLeaseLookMs(input: LeaseLookInput): number {
+  const silenceMs = input.hasKnownEnd ? LEASE_SILENCE_MS : FIRST_LOOK_DELAY_MS;
+  return Math.max(
     input.unchangedSinceMs + silenceMs,
     input.lookedAtMs + LEASE_SILENCE_MS,
-    input.eligibleSinceMs,
   );
 }
 
+/** How much later than the first one a daemon of this rank, from 0, looks. */
+export function leaseLookDelayMs(rank: number): number {
+  return Math.min(rank, FIRST_LATE_RANK) * RANK_DELAY_MS +
+    Math.max(0, rank - FIRST_LATE_RANK) * LATE_RANK_DELAY_MS;
+}
+
 /**
  * When a daemon that claims the lease may send its first order, if the newest
  * record was appended by `seenAtMs`. The wait runs from the last order that a
--- a/packages/orders/src/rollout_lease.ts
+++ b/packages/orders/src/rollout_lease.ts
@@ -7,14 +7,14 @@
 import type { Clock } from "@endivebend/clock";
 import type { VmId } from "@endivebend/types";
 import {
+  firstLeaseLookMs,
   handoverMs,
   LEASE_RENEWAL_INTERVAL_MS,
   LEASE_SILENCE_MS,
   type LeaseLogState,
-  type LeaseLookInput,
+  leaseLookDelayMs,
   type LeaseRecord,
   mayOrderFrom,
-  nextLeaseLookMs,
   permitMs,
   type RolloutLeaseLog,
 } from "./lease_plan.ts";
@@ -31,15 +31,10 @@
   readonly log: RolloutLeaseLog;
   /** Time for which a former holder may go on sending orders; a site setting. */
   readonly leaseMs: number;
-  /**
-   * Other daemons that may claim the lease, and the newest end of its log that
-   * one of them has told of; 0 for none.
-   */
-  peers(): {
-    readonly candidates: readonly VmId[];
-    readonly leaseLogEnd: number;
-  };
-  rank: LeaseLookInput["rank"];
+  /** Other daemons that may claim the lease. */
+  candidates(): readonly VmId[];
+  /** Puts daemons into the order in which they should claim the lease. */
+  rank(members: readonly VmId[]): readonly VmId[];
   reachesStore(): boolean;
   /** Whether this daemon reaches the engines that it would order. */
   reachesEngines(): boolean;
@@ -72,7 +67,8 @@
   #endSinceMs: number;
   /** An end that a peer told of and that the log does not have. */
   #refutedEnd = Number.POSITIVE_INFINITY;
-  #eligibleSinceMs: number | undefined;
+  /** Since when a look at the log is due and possible. */
+  #dueSinceMs: number | undefined;
   #lookedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RolloutLeaseOptions) {
@@ -90,6 +86,13 @@
     return this.#end ?? 0;
   }
 
+  /** Takes note of an end of the lease's log that a peer has told of. */
+  noteLogEnd(end: number): void {
+    if (end <= (this.#end ?? 0) || end >= this.#refutedEnd) return;
+    this.#end = end;
+    this.#endSinceMs = this.#nowMs();
+  }
+
   /** Whether an order may be sent now under the epoch. */
   mayOrder(epoch: number): boolean {
     const held = this.#held;
@@ -107,7 +110,6 @@
    * the store does not answer.
    */
   async advance({ needsOrders }: { readonly needsOrders: boolean }) {
-    this.#noteEnd(this.#options.peers().leaseLogEnd);
     if (this.#held === undefined) return await this.#claimIfVacant();
     if (!this.#options.reachesEngines()) {
       return await this.release("no engine is reachable");
@@ -137,34 +139,19 @@
     return this.#options.clock.elapsedMs();
   }
 
-  #noteEnd(end: number): void {
-    if (end <= (this.#end ?? 0) || end >= this.#refutedEnd) return;
-    this.#end = end;
-    this.#endSinceMs = this.#nowMs();
-  }
-
   async #claimIfVacant(): Promise<void> {
-    const { self, log, rank, peers } = this.#options;
-    if (!this.#isEligible()) return;
+    const { self, log } = this.#options;
     const restored = this.#takeRestored();
-    const lookMs = nextLeaseLookMs({
-      self,
-      candidates: peers().candidates,
-      rank,
-      hasKnownEnd: this.#end !== undefined,
-      unchangedSinceMs: this.#endSinceMs,
-      eligibleSinceMs: this.#eligibleSinceMs ?? this.#nowMs(),
-      lookedAtMs: this.#lookedAtMs,
-    });
-    if (this.#nowMs() < lookMs && restored === undefined) return;
+    if (restored === undefined && !this.#isLookDue()) return;
     this.#lookedAtMs = this.#nowMs();
+    this.#dueSinceMs = undefined;
     const knownEnd = this.#end;
     const state = await log.read(knownEnd);
     if (knownEnd !== undefined && state.end < knownEnd) {
       this.#refutedEnd = Math.min(this.#refutedEnd, knownEnd);
       this.#end = undefined;
     }
-    this.#noteEnd(state.end);
+    this.noteLogEnd(state.end);
     if (restored !== undefined && state.newest === "unknown") {
       return await this.#claim(state, restored.mayOrderFromMs);
     }
@@ -185,14 +172,22 @@
     await this.#claim(state, fromMs);
   }
 
-  #isEligible(): boolean {
-    const { reachesStore, reachesEngines } = this.#options;
-    if (!reachesStore() || !reachesEngines()) {
-      this.#eligibleSinceMs = undefined;
+  #isLookDue(): boolean {
+    const { self, rank, candidates, reachesStore, reachesEngines } =
+      this.#options;
+    const nowMs = this.#nowMs();
+    const firstLookMs = firstLeaseLookMs({
+      hasKnownEnd: this.#end !== undefined,
+      unchangedSinceMs: this.#endSinceMs,
+      lookedAtMs: this.#lookedAtMs,
+    });
+    if (nowMs < firstLookMs || !reachesStore() || !reachesEngines()) {
+      this.#dueSinceMs = undefined;
       return false;
     }
-    this.#eligibleSinceMs ??= this.#nowMs();
-    return true;
+    this.#dueSinceMs ??= nowMs;
+    const ownRank = rank([...candidates(), self]).indexOf(self);
+    return nowMs >= this.#dueSinceMs + leaseLookDelayMs(ownRank);
   }
 
   /**
@@ -225,7 +220,7 @@
       waitMs,
     });
     if (result.kind !== "appended") return;
-    this.#noteEnd(result.end);
+    this.noteLogEnd(result.end);
     this.#held = {
       epoch: result.end,
       end: result.end,
@@ -267,7 +262,7 @@
     held.end = result.end;
     held.renewedAtMs = nowMs;
     held.permitsOrders = permitsOrders;
-    this.#noteEnd(result.end);
+    this.noteLogEnd(result.end);
   }
 
   /** The newest record may be an own one whose answer was lost. */
@@ -275,7 +270,7 @@
     const { self, incarnation, log } = this.#options;
     const state = await log.read(held.end);
     if (this.#held !== held) return;
-    this.#noteEnd(state.end);
+    this.noteLogEnd(state.end);
     const { newest } = state;
     const isOwn = typeof newest === "object" && newest.holder === self &&
       newest.incarnation === incarnation;
--- a/packages/orders/src/weights_handover_test.ts
+++ b/packages/orders/src/weights_handover_test.ts
@@ -64,11 +64,26 @@
       );
       this.#events = this.#events.filter((event) => !due.includes(event));
       for (const { run } of due.sort((a, b) => a.atMs - b.atMs)) run();
+      this.#gossip();
       await new Promise(setImmediate);
     }
     for (const task of this.#tasks) task.stop();
   }
 
+  #isHeard(other: number, by: number): boolean {
+    return other !== by && !this.#has("pause", other) &&
+      !this.#has("unheard", other) && !this.#has("unheard", by);
+  }
+
+  /** Daemons that hear each other know the same end of the lease's log. */
+  #gossip(): void {
+    for (const [index, task] of this.#tasks.entries()) {
+      for (const [other, { leaseLogEnd }] of this.#tasks.entries()) {
+        if (this.#isHeard(other, index)) task.noteLeaseLogEnd(leaseLogEnd);
+      }
+    }
+  }
+
   #has(kind: Trouble["kind"], daemon: number): boolean {
     return this.#troubles.some((trouble) =>
       trouble.kind === kind && trouble.daemon === daemon &&
@@ -93,9 +108,7 @@
 
   #createTask(daemon: number): WeightsRolloutTask {
     const self = brandId<VmId>(`vm-${daemon}`);
-    const heard = (other: number) =>
-      other !== daemon && !this.#has("pause", other) &&
-      !this.#has("unheard", other) && !this.#has("unheard", daemon);
+    const heard = (other: number) => this.#isHeard(other, daemon);
     return new WeightsRolloutTask({
       self,
       incarnation: "1",
@@ -143,16 +156,9 @@
         namedWeights: 2,
         running: 0,
       }],
-      peers: () => ({
-        candidates: this.#tasks.map((_, index) => index).filter(heard)
+      candidates: () =>
+        this.#tasks.map((_, index) => index).filter(heard)
           .map((index) => brandId<VmId>(`vm-${index}`)),
-        leaseLogEnd: Math.max(
-          0,
-          ...this.#tasks.map((task, index) =>
-            heard(index) ? task.leaseLogEnd : 0
-          ),
-        ),
-      }),
       rank: (members) => [...members].sort(),
       reachesStore: () => !this.#has("store_away", daemon),
       reachesEngines: () => true,
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -66,6 +66,11 @@
     return this.#lease.logEnd;
   }
 
+  /** Takes note of an end of the lease's log that a peer has told of. */
+  noteLeaseLogEnd(end: number): void {
+    this.#lease.noteLogEnd(end);
+  }
+
   start(): void {
     this.#tick();
   }
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -65,7 +65,6 @@
   };
   reachesStore = true;
   candidates: readonly VmId[] = [];
-  leaseLogEnd = 0;
   reachesEngines = true;
   readonly ordered: (WeightsOrder & { readonly atMs: number })[] = [];
   readonly doneFlags: boolean[] = [];
@@ -98,10 +97,7 @@
       },
       leaseMs: 3_000,
       engines: () => [engine("e")],
-      peers: () => ({
-        candidates: this.candidates,
-        leaseLogEnd: this.leaseLogEnd,
-      }),
+      candidates: () => this.candidates,
       rank: (members) => [...members].sort(),
       reachesStore: () => this.reachesStore,
       reachesEngines: () => this.reachesEngines,
@@ -271,14 +267,14 @@
   await harness.advance(3_000);
   t.true(harness.calls - calls <= 11, `${harness.calls - calls} calls`);
   t.is(harness.task.epoch, 1);
-  harness.leaseLogEnd = 50;
+  harness.task.noteLeaseLogEnd(50);
   await harness.advance(400);
   t.is(harness.task.epoch, 0);
 });
 
 test("an end of the log that a peer made up does not stop claims for good", async (t) => {
   const harness = new RolloutHarness();
-  harness.leaseLogEnd = 1_000_000;
+  harness.task.noteLeaseLogEnd(1_000_000);
   await harness.advance(6_000);
   t.is(harness.task.epoch, 1);
 });
