Leave empty fields out of gossip messages

Each of 195 daemons decodes, checks and holds 330 messages a second. Limits, leaving servers, demand, crashes and answers to suspected prompts are empty in nearly all of them, and each cost text, a check and an object to collect.

These fields are optional in the schema since messages of earlier builds lack them, and readers take an absent one as empty; so daemons of the present build read the shorter messages as before.

--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -11,6 +11,7 @@
   GossipMessage,
   RecordTable,
   RolloutLeaseState,
+  SeenServerLimit,
   WeightsProgress,
 } from "@endivebend/fleet";
 import type {
@@ -105,26 +106,21 @@
       weights: this.#currentWeightsProgress(nowMs),
       named: named.ages(nowMs),
       suspects: registry.suspects(nowMs),
-      limits: registry.seenLimits(nowMs).map((
-        { id, perS, bearsPerS, atMs },
-      ) => ({
-        server: id,
-        perS: perS ?? null,
-        ...(bearsPerS === undefined ? {} : { bearsPerS }),
-        ageMs: Math.round(nowMs - atMs),
-      })),
-      leaving: registry.saidLeaving().map(({ id: server, ...starts }) => ({
-        server,
-        ...starts,
-      })),
       placed: registry.recentPlacements.pending(nowMs),
       kept: this.#options.watchedCacheChanges(),
       answerAgesMs: this.#options.answerAgesMs(),
       records: this.#recordPositions(),
       readAgesMs: this.#options.readAgesMs(),
       forwarding: this.#options.forwarding(),
-      demandPerS: this.#demandOfLimitedServices(),
-      ...this.#options.quarantines.composeReport(),
+      ...withoutEmpty({
+        limits: this.#seenLimits(nowMs),
+        leaving: registry.saidLeaving().map(({ id: server, ...starts }) => ({
+          server,
+          ...starts,
+        })),
+        demandPerS: this.#demandOfLimitedServices(),
+        ...this.#options.quarantines.composeReport(),
+      }),
     };
   }
 
@@ -196,6 +192,17 @@
     return work;
   }
 
+  #seenLimits(nowMs: number): SeenServerLimit[] {
+    return this.#options.registry.seenLimits(nowMs).map(
+      ({ id, perS, bearsPerS, atMs }) => ({
+        server: id,
+        perS: perS ?? null,
+        ...(bearsPerS === undefined ? {} : { bearsPerS }),
+        ageMs: Math.round(nowMs - atMs),
+      }),
+    );
+  }
+
   #demandOfLimitedServices(): Record<ServiceName, number> {
     const { registry, admission } = this.#options;
     const limited = new Set(
@@ -294,3 +301,15 @@
     registry.recordLoading(id, nowMs + MAX_LOADING_MS);
   }
 }
+
+/**
+ * Leaves out empty lists and objects. In a fleet of 195 each daemon decodes 330
+ * messages a second, most of which have nothing to tell in these fields.
+ */
+function withoutEmpty<Fields extends Readonly<Record<string, object>>>(
+  fields: Fields,
+): Partial<Fields> {
+  return Object.fromEntries(
+    Object.entries(fields).filter(([, value]) => Object.keys(value).length > 0),
+  ) as Partial<Fields>;
+}
