Let engines that answer nothing hold up no other's new weights

Callers saw: refusals as stale_weights, and work on replaced weights, where some engines were dark while weights were named.

Cause: planRolloutOrders filled the allowance with the least busy engines, and the task dropped those whose retry was postponed afterwards. A dark engine has no runs, so dark engines came first, and took the places of all others while they were postponed. A dark engine that was being asked counted as well.

Change: postponed engines are left out before the allowance is filled. Engines that answered nothing, or refused, are asked besides the others, an eighth of all at a time, and count in no allowance.

Result: test of the plan with 2 of 8 dark; before, the plan named the dark ones only.

--- a/packages/orders/src/weights_rollout.ts
+++ b/packages/orders/src/weights_rollout.ts
@@ -71,27 +71,53 @@
 const MAX_IN_PROGRESS_SHARE = 1 / 3;
 const MIN_IN_PROGRESS_LIMIT = 2;
 
+/** Share of the engines that are asked at once though they were silent. */
+const MAX_SILENT_SHARE = 1 / 8;
+
+/** What a plan of orders depends on besides the engines. */
+export interface RolloutPlanContext {
+  /** Engines that get no order yet, as their latest one failed. */
+  readonly postponed: ReadonlySet<BackendServerId>;
+  /** Engines that did not answer, or refused, the latest order or report. */
+  readonly silent: ReadonlySet<BackendServerId>;
+}
+
+/** Used where nothing is known yet of earlier orders. */
+const UNKNOWN_CONTEXT: RolloutPlanContext = {
+  postponed: new Set(),
+  silent: new Set(),
+};
+
 /**
  * Engines to send an order next: those with older weights, the least busy
- * first. The others serve meanwhile.
+ * first. The others serve meanwhile. Engines that were silent are asked besides
+ * them, a few at a time.
  *
  * @example
  * ```ts
- * const next = planRolloutOrders(engines, new Set(inProgress));
+ * const next = planRolloutOrders(engines, new Set(inProgress), context);
  * ```
  */
 export function planRolloutOrders(
   engines: readonly RolloutEngine[],
   inProgress: ReadonlySet<BackendServerId>,
+  { postponed, silent }: RolloutPlanContext = UNKNOWN_CONTEXT,
 ): RolloutEngine[] {
+  const answering = engines.filter(({ id }) => !silent.has(id));
   const maxInProgress = Math.max(
     MIN_IN_PROGRESS_LIMIT,
-    Math.floor(engines.length * MAX_IN_PROGRESS_SHARE),
+    Math.floor(answering.length * MAX_IN_PROGRESS_SHARE),
   );
-  return engines
-    .filter(({ id, weights, namedWeights }) =>
-      weights < namedWeights && !inProgress.has(id)
-    )
-    .sort((a, b) => a.running - b.running)
-    .slice(0, Math.max(0, maxInProgress - inProgress.size));
+  const maxSilent = Math.ceil(engines.length * MAX_SILENT_SHARE);
+  const pick = (group: readonly RolloutEngine[], limit: number) => {
+    const started = group.filter(({ id }) => inProgress.has(id)).length;
+    return group
+      .filter(({ id, weights, namedWeights }) =>
+        weights < namedWeights && !inProgress.has(id) && !postponed.has(id)
+      )
+      .sort((a, b) => a.running - b.running)
+      .slice(0, Math.max(0, limit - started));
+  };
+  const silentEngines = engines.filter(({ id }) => silent.has(id));
+  return [...pick(answering, maxInProgress), ...pick(silentEngines, maxSilent)];
 }
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -45,6 +45,8 @@
   readonly #options: WeightsRolloutOptions;
   readonly #inProgress = new Set<BackendServerId>();
   readonly #nextOrderAtMs = new Map<BackendServerId, number>();
+  /** Engines that did not answer, or refused, the latest report or order. */
+  readonly #silent = new Set<BackendServerId>();
   readonly #lease: RolloutLease;
   /** Orders that are about to be sent. */
   #preparing = 0;
@@ -109,8 +111,13 @@
 
   #nextEngines(): RolloutEngine[] {
     const nowMs = this.#options.clock.elapsedMs();
-    return planRolloutOrders(this.#options.engines(), this.#inProgress)
-      .filter(({ id }) => nowMs >= (this.#nextOrderAtMs.get(id) ?? 0));
+    for (const [id, atMs] of this.#nextOrderAtMs) {
+      if (nowMs >= atMs) this.#nextOrderAtMs.delete(id);
+    }
+    return planRolloutOrders(this.#options.engines(), this.#inProgress, {
+      postponed: new Set(this.#nextOrderAtMs.keys()),
+      silent: this.#silent,
+    });
   }
 
   async #rollOut(engine: RolloutEngine): Promise<void> {
@@ -122,7 +129,7 @@
         server: engine.id,
         reason: (caught as Error).message,
       });
-      this.#delayNextOrder(engine.id, SILENT_ENGINE_DELAY_MS);
+      this.#delaySilentEngine(engine);
     } finally {
       this.#inProgress.delete(engine.id);
     }
@@ -136,9 +143,8 @@
     const report = await orders.report(engine).finally(() => {
       this.#preparing -= 1;
     });
-    if (report === undefined) {
-      return this.#delayNextOrder(engine.id, SILENT_ENGINE_DELAY_MS);
-    }
+    if (report === undefined) return this.#delaySilentEngine(engine);
+    this.#silent.delete(engine.id);
     if ((report.weights.get(engine.model) ?? 0) >= weights) {
       return this.#reportDone(engine, weights);
     }
@@ -177,8 +183,8 @@
     // and a retry carries the engine's new count of accepted orders.
     unknown: (engine) => this.#awaitLoad(engine),
     conflict: ({ id }) => this.#delayNextOrder(id, RETRY_DELAY_MS),
-    misdirected: ({ id }) => this.#delayNextOrder(id, SILENT_ENGINE_DELAY_MS),
-    refused: ({ id }) => this.#delayNextOrder(id, SILENT_ENGINE_DELAY_MS),
+    misdirected: (engine) => this.#delaySilentEngine(engine),
+    refused: (engine) => this.#delaySilentEngine(engine),
     fenced: () => this.#lease.end("an engine knows a later epoch"),
   };
 
@@ -196,12 +202,18 @@
       if (weights >= engine.namedWeights) {
         return this.#reportDone(engine, weights);
       }
-      if (report === undefined || !report.isBusy) break;
+      if (report === undefined) return this.#delaySilentEngine(engine);
+      if (!report.isBusy) break;
       await delay(scheduler, CHECK_INTERVAL_MS);
     }
     this.#delayNextOrder(engine.id, RETRY_DELAY_MS);
   }
 
+  #delaySilentEngine({ id }: RolloutEngine): void {
+    this.#silent.add(id);
+    this.#delayNextOrder(id, SILENT_ENGINE_DELAY_MS);
+  }
+
   #reportDone(engine: RolloutEngine, weights: number): void {
     const { id: server, model } = engine;
     this.#options.logDecision("weights_done", { server, model, weights });
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -48,6 +48,27 @@
   t.is(withOneInProgress.length, 1);
 });
 
+test("engines that answer nothing don't hold up the orders to others", (t) => {
+  const engines = Array.from(
+    { length: 8 },
+    (_, index) => engine(`e${index}`, { running: index }),
+  );
+  const dark = new Set(engines.slice(0, 2).map(({ id }) => id));
+  const context = { postponed: dark, silent: dark };
+  const next = planRolloutOrders(engines, new Set(), context);
+  t.deepEqual(next.map(({ id }) => String(id)), ["e2", "e3"]);
+  // They are asked again, besides the engines that load.
+  const retried = planRolloutOrders(
+    engines,
+    new Set(next.map(({ id }) => id)),
+    {
+      ...context,
+      postponed: new Set(),
+    },
+  );
+  t.deepEqual(retried.map(({ id }) => String(id)), ["e0"]);
+});
+
 test("an engine that has the named weights gets no order", (t) => {
   t.deepEqual(planRolloutOrders([engine("e", { weights: 2 })], new Set()), []);
 });
