Let a daemon's own orders and wrong news of peers not shorten a successor's wait

- A daemon that claimed again, after a restart, a fence or a restore, wrote that others need not wait for the orders that it had sent before: another daemon could order 1,400 ms after it.
What the daemon itself may do and what others may do are two times now, and the last own order is kept over claims.
- An end of the log that a peer made up was ignored for good, also once the log had reached it: the daemon never claimed again, and counted waits from an old time.
Ends that the store states always hold; only news of peers is doubted.
- A wall clock set forward shortened the silence and the wait, as they were counted on the clock that follows it.
Only permits end by that clock.
- An engine's refusal of an earlier epoch ended the present lease.
- A release that came after an own renewal was dropped.
- A holder released the lease when a few connections to engines had failed; now when it has reached no engine for 1.5 s, and leaves the next claim to others.
Candidates that reach no servers don't count in the rank.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -678,7 +678,8 @@
     const nowMs = this.#nowMs();
     const candidates: VmId[] = [];
     for (const { vm, message } of this.#fleet.reachable(nowMs)) {
-      if (message?.reachesStore) candidates.push(vm);
+      const reachesServers = message?.forwarding?.reaches.length !== 0;
+      if (message?.reachesStore && reachesServers) candidates.push(vm);
     }
     for (const { vm, message, heardAtMs } of this.#fleet.members()) {
       const isRecent = nowMs - heardAtMs < FIRST_MESSAGE_TIMEOUT_MS;
@@ -695,7 +696,7 @@
         .map(({ listed }) => listed.service),
     );
     return services.size === 0 ||
-      [...services].some((service) => this.#paths.mayForward(service));
+      [...services].some((service) => !this.#paths.isCutOff(service));
   }
 
   #createCacheWatch(): CacheWatch {
--- a/packages/orders/src/lease_plan.ts
+++ b/packages/orders/src/lease_plan.ts
@@ -122,31 +122,24 @@
 }
 
 /**
- * When a daemon that claims the lease may send its first order, if the newest
- * record was appended by `seenAtMs`. The wait runs from the last order that a
- * former holder can have sent, so a holder that never came to send orders
+ * When a successor of the newest record's holder may send its first order, if
+ * the record was appended by `seenAtMs`. The wait runs from the last order that
+ * a former holder can have sent, so a holder that never came to send orders
  * leaves nothing more to wait for than it found.
  *
  * @example
  * ```ts
- * const fromMs = mayOrderFrom(state.newest, { self, leaseMs, seenAtMs });
+ * const fromMs = mayOrderFrom(state.newest, { leaseMs, seenAtMs });
  * ```
  */
 export function mayOrderFrom(
   newest: LeaseLogState["newest"],
-  at: {
-    readonly self: VmId;
-    readonly leaseMs: number;
-    readonly seenAtMs: number;
-  },
+  at: { readonly leaseMs: number; readonly seenAtMs: number },
 ): number {
-  const { self, leaseMs, seenAtMs } = at;
+  const { leaseMs, seenAtMs } = at;
   if (newest === undefined) return seenAtMs;
-  if (newest === "unknown") {
+  if (newest === "unknown" || newest.permitsOrders) {
     return seenAtMs + permitMs(leaseMs) + handoverMs(leaseMs);
   }
-  if (!newest.permitsOrders) return seenAtMs + newest.waitMs;
-  // Orders of one daemon, also of an earlier process, are of one holder.
-  if (newest.holder === self) return seenAtMs;
-  return seenAtMs + permitMs(leaseMs) + handoverMs(leaseMs);
+  return seenAtMs + newest.waitMs;
 }
--- a/packages/orders/src/rollout_lease.ts
+++ b/packages/orders/src/rollout_lease.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Clock } from "@endivebend/clock";
+import { type Clock, steadyMs } from "@endivebend/clock";
 import type { VmId } from "@endivebend/types";
 import {
   firstLeaseLookMs,
@@ -19,6 +19,10 @@
   type RolloutLeaseLog,
 } from "./lease_plan.ts";
 
+/** A holder that reaches no engine for this long releases the lease. */
+const ENGINES_LOST_MS = 1_500;
+/** Then it leaves the next claim to others for this long. */
+const RELEASED_MS = 6_000;
 /** Delay before a renewal that the store did not take is tried again. */
 const RETRY_INTERVAL_MS = 300;
 
@@ -46,14 +50,17 @@
   /** The end of the log after the claim. */
   readonly epoch: number;
   readonly mayOrderFromMs: number;
+  /** When a successor might send its first order, but for own orders. */
+  readonly othersMayFromMs: number;
   /** The end of the log after the latest record. */
   end: number;
-  /** When the latest record was sent; orders are permitted from then on. */
+  /** When the latest record was sent. */
   renewedAtMs: number;
+  /** The same on the clock that counts suspensions; permits end by it. */
+  permittedAtElapsedMs: number;
   /** When a renewal was last tried. */
   triedAtMs: number;
   permitsOrders: boolean;
-  lastOrderAtMs: number | undefined;
 }
 
 /** The lease as this daemon knows it. */
@@ -65,15 +72,18 @@
   /** The newest known end of the log, and since when it is known. */
   #end: number | undefined;
   #endSinceMs: number;
-  /** An end that a peer told of and that the log does not have. */
+  /** An end that a peer told of and that the log does not have yet. */
   #refutedEnd = Number.POSITIVE_INFINITY;
+  /** Kept over claims, as a successor waits from then on. */
+  #lastOrderAtMs = Number.NEGATIVE_INFINITY;
+  #enginesLostSinceMs: number | undefined;
   /** Since when a look at the log is due and possible. */
   #dueSinceMs: number | undefined;
   #lookedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: RolloutLeaseOptions) {
     this.#options = options;
-    this.#endSinceMs = options.clock.elapsedMs();
+    this.#endSinceMs = steadyMs(options.clock);
   }
 
   /** The epoch under which this daemon holds the lease; 0 when it does not. */
@@ -96,13 +106,14 @@
   /** Whether an order may be sent now under the epoch. */
   mayOrder(epoch: number): boolean {
     const held = this.#held;
+    const { clock, leaseMs } = this.#options;
     return held !== undefined && held.epoch === epoch && held.permitsOrders &&
-      this.#nowMs() < held.renewedAtMs + permitMs(this.#options.leaseMs);
+      clock.elapsedMs() < held.permittedAtElapsedMs + permitMs(leaseMs);
   }
 
   /** Records that an order is sent now. */
   noteOrder(): void {
-    if (this.#held !== undefined) this.#held.lastOrderAtMs = this.#nowMs();
+    this.#lastOrderAtMs = this.#nowMs();
   }
 
   /**
@@ -111,7 +122,8 @@
    */
   async advance({ needsOrders }: { readonly needsOrders: boolean }) {
     if (this.#held === undefined) return await this.#claimIfVacant();
-    if (!this.#options.reachesEngines()) {
+    if (this.#hasLostEngines()) {
+      this.#lookedAtMs = this.#nowMs() + RELEASED_MS;
       return await this.release("no engine is reachable");
     }
     await this.#renewIfDue(this.#held, needsOrders);
@@ -121,55 +133,86 @@
   async release(reason: string): Promise<void> {
     const held = this.#held;
     if (held === undefined) return;
-    this.end(reason);
+    this.end(reason, held.epoch);
+    const { log } = this.#options;
     const record = this.#renewalOf(held, "release", false);
-    await this.#options.log.append(record, held.end);
+    const result = await log.append(record, held.end);
+    if (result.kind !== "moved") return;
+    // A renewal that was on its way may have come before.
+    const state = await log.read(held.end);
+    if (this.#isOwn(state)) await log.append(record, state.end);
   }
 
-  /** Ends the lease here; others find out by its silence. */
-  end(reason: string): void {
-    if (this.#held === undefined) return;
-    const { epoch } = this.#held;
+  /** Ends the lease of the epoch here; others find out by its silence. */
+  end(reason: string, epoch: number): void {
+    if (this.#held?.epoch !== epoch) return;
     this.#options.logDecision("duty_lost", { epoch, reason });
     this.#held = undefined;
-    this.#lookedAtMs = this.#nowMs();
+    this.#lookedAtMs = Math.max(this.#lookedAtMs, this.#nowMs());
   }
 
   #nowMs(): number {
-    return this.#options.clock.elapsedMs();
+    return steadyMs(this.#options.clock);
+  }
+
+  #hasLostEngines(): boolean {
+    if (this.#options.reachesEngines()) {
+      this.#enginesLostSinceMs = undefined;
+      return false;
+    }
+    this.#enginesLostSinceMs ??= this.#nowMs();
+    return this.#nowMs() - this.#enginesLostSinceMs >= ENGINES_LOST_MS;
+  }
+
+  /** Takes an end that the store itself has stated. */
+  #setEnd(end: number): void {
+    if (end >= this.#refutedEnd) this.#refutedEnd = Number.POSITIVE_INFINITY;
+    if (end === this.#end) return;
+    this.#end = end;
+    this.#endSinceMs = this.#nowMs();
+  }
+
+  #isOwn({ newest }: LeaseLogState): boolean {
+    const { self, incarnation } = this.#options;
+    return typeof newest === "object" && newest.holder === self &&
+      newest.incarnation === incarnation;
   }
 
   async #claimIfVacant(): Promise<void> {
-    const { self, log } = this.#options;
+    const { self, log, leaseMs } = this.#options;
     const restored = this.#takeRestored();
     if (restored === undefined && !this.#isLookDue()) return;
     this.#lookedAtMs = this.#nowMs();
     this.#dueSinceMs = undefined;
     const knownEnd = this.#end;
+    const knownSinceMs = this.#endSinceMs;
     const state = await log.read(knownEnd);
     if (knownEnd !== undefined && state.end < knownEnd) {
       this.#refutedEnd = Math.min(this.#refutedEnd, knownEnd);
-      this.#end = undefined;
-    }
-    this.noteLogEnd(state.end);
-    if (restored !== undefined && state.newest === "unknown") {
-      return await this.#claim(state, restored.mayOrderFromMs);
     }
-    const { leaseMs } = this.#options;
-    const seenAtMs = this.#endSinceMs;
-    const isSilent = state.end === knownEnd &&
+    this.#setEnd(state.end);
+    const isUnchanged = state.end === knownEnd;
+    const seenAtMs = isUnchanged ? knownSinceMs : this.#nowMs();
+    const isSilent = isUnchanged &&
       this.#nowMs() - seenAtMs >= LEASE_SILENCE_MS;
-    const isVacant = isSilent || state.newest === undefined ||
-      (state.newest !== "unknown" &&
-        (state.newest.kind === "release" || state.newest.holder === self));
+    const { newest } = state;
+    const isContinued = restored !== undefined && newest === "unknown";
+    const isVacant = isSilent || isContinued || newest === undefined ||
+      (newest !== "unknown" &&
+        (newest.kind === "release" || newest.holder === self));
     this.#options.logDecision("duty_look", {
       end: state.end,
       holder: holderOf(state),
       isVacant,
     });
     if (!isVacant) return;
-    const fromMs = mayOrderFrom(state.newest, { self, leaseMs, seenAtMs });
-    await this.#claim(state, fromMs);
+    if (isContinued) return await this.#claim(state, restored);
+    const othersMayFromMs = mayOrderFrom(newest, { leaseMs, seenAtMs });
+    // Orders of one daemon, also of an earlier process, are of one holder.
+    const isOwnPermit = typeof newest === "object" && newest.holder === self &&
+      newest.permitsOrders;
+    const mayOrderFromMs = isOwnPermit ? seenAtMs : othersMayFromMs;
+    await this.#claim(state, { mayOrderFromMs, othersMayFromMs });
   }
 
   #isLookDue(): boolean {
@@ -202,10 +245,15 @@
     return isRecent ? restored : undefined;
   }
 
-  async #claim(state: LeaseLogState, fromMs: number): Promise<void> {
-    const { self, incarnation, log } = this.#options;
-    const askedAtMs = this.#nowMs();
-    const waitMs = Math.max(0, Math.ceil(fromMs - askedAtMs));
+  async #claim(
+    state: LeaseLogState,
+    from: Pick<HeldLease, "mayOrderFromMs" | "othersMayFromMs">,
+  ): Promise<void> {
+    const { self, incarnation, log, clock } = this.#options;
+    const { mayOrderFromMs, othersMayFromMs } = from;
+    const renewedAtMs = this.#nowMs();
+    const permittedAtElapsedMs = clock.elapsedMs();
+    const waitMs = this.#othersWaitMs(othersMayFromMs);
     const result = await log.append({
       holder: self,
       incarnation,
@@ -217,24 +265,26 @@
       kind: result.kind === "appended" ? "held" : result.kind,
       epoch: result.kind === "appended" ? result.end : undefined,
       previousHolder: holderOf(state),
-      waitMs,
+      waitMs: Math.max(0, Math.ceil(mayOrderFromMs - renewedAtMs)),
     });
     if (result.kind !== "appended") return;
-    this.noteLogEnd(result.end);
+    this.#setEnd(result.end);
     this.#held = {
       epoch: result.end,
       end: result.end,
-      mayOrderFromMs: fromMs,
-      renewedAtMs: askedAtMs,
-      triedAtMs: askedAtMs,
+      mayOrderFromMs,
+      othersMayFromMs,
+      renewedAtMs,
+      permittedAtElapsedMs,
+      triedAtMs: renewedAtMs,
       permitsOrders: false,
-      lastOrderAtMs: undefined,
     };
   }
 
   async #renewIfDue(held: HeldLease, needsOrders: boolean): Promise<void> {
-    const { leaseMs, log } = this.#options;
+    const { leaseMs, log, clock } = this.#options;
     const nowMs = this.#nowMs();
+    const elapsedMs = clock.elapsedMs();
     const permitsOrders = needsOrders && nowMs >= held.mayOrderFromMs;
     const intervalMs = permitsOrders
       ? permitMs(leaseMs) / 2
@@ -246,7 +296,9 @@
     if (hasFailed && nowMs - held.triedAtMs < RETRY_INTERVAL_MS) return;
     const isReplaced = this.logEnd > held.end &&
       nowMs - held.renewedAtMs >= LEASE_SILENCE_MS;
-    if (isReplaced) return this.end("peers know of later records in the log");
+    if (isReplaced) {
+      return this.end("peers know of later records in the log", held.epoch);
+    }
     held.triedAtMs = nowMs;
     // The record states how long ago the last order was sent.
     if (!permitsOrders) held.permitsOrders = false;
@@ -255,26 +307,25 @@
     if (this.#held !== held) return;
     if (result.kind === "moved") return await this.#checkIsHeld(held);
     if (result.kind === "restored") {
-      this.end("the store was restored");
+      this.end("the store was restored", held.epoch);
       this.#restored = held;
       return;
     }
     held.end = result.end;
     held.renewedAtMs = nowMs;
+    held.permittedAtElapsedMs = elapsedMs;
     held.permitsOrders = permitsOrders;
-    this.noteLogEnd(result.end);
+    this.#setEnd(result.end);
   }
 
   /** The newest record may be an own one whose answer was lost. */
   async #checkIsHeld(held: HeldLease): Promise<void> {
-    const { self, incarnation, log } = this.#options;
-    const state = await log.read(held.end);
+    const state = await this.#options.log.read(held.end);
     if (this.#held !== held) return;
-    this.noteLogEnd(state.end);
-    const { newest } = state;
-    const isOwn = typeof newest === "object" && newest.holder === self &&
-      newest.incarnation === incarnation;
-    if (!isOwn) return this.end("the log names another holder");
+    this.#setEnd(state.end);
+    if (!this.#isOwn(state)) {
+      return this.end("the log names another holder", held.epoch);
+    }
     held.end = state.end;
   }
 
@@ -283,13 +334,20 @@
     kind: LeaseRecord["kind"],
     permitsOrders: boolean,
   ): LeaseRecord {
-    const { self: holder, incarnation, leaseMs } = this.#options;
-    const fromMs = held.lastOrderAtMs === undefined
-      ? held.mayOrderFromMs
-      : held.lastOrderAtMs + handoverMs(leaseMs);
-    const waitMs = Math.max(0, Math.ceil(fromMs - this.#nowMs()));
+    const { self: holder, incarnation } = this.#options;
+    const waitMs = this.#othersWaitMs(held.othersMayFromMs);
     return { holder, incarnation, kind, permitsOrders, waitMs };
   }
+
+  /** How long a successor waits if no order is sent from now on. */
+  #othersWaitMs(othersMayFromMs: number): number {
+    const { leaseMs } = this.#options;
+    const fromMs = Math.max(
+      othersMayFromMs,
+      this.#lastOrderAtMs + handoverMs(leaseMs),
+    );
+    return Math.max(0, Math.ceil(fromMs - this.#nowMs()));
+  }
 }
 
 function holderOf({ newest }: LeaseLogState): string | undefined {
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -186,6 +186,9 @@
       epoch,
       answer,
     });
+    if (answer === "fenced") {
+      return this.#lease.end("an engine knows a later epoch", epoch);
+    }
     await this.#answerHandlers[answer](engine);
   }
 
@@ -198,7 +201,10 @@
   }
 
   readonly #answerHandlers: Readonly<
-    Record<OrderAnswer, (engine: RolloutEngine) => Promise<void> | void>
+    Record<
+      Exclude<OrderAnswer, "fenced">,
+      (engine: RolloutEngine) => Promise<void> | void
+    >
   > = {
     accepted: (engine) => this.#awaitLoad(engine),
     already_holds: (engine) => this.#reportDone(engine, engine.namedWeights),
@@ -208,7 +214,6 @@
     conflict: ({ id }) => this.#delayNextOrder(id, RETRY_DELAY_MS),
     misdirected: (engine) => this.#delaySilentEngine(engine),
     refused: (engine) => this.#delaySilentEngine(engine),
-    fenced: () => this.#lease.end("an engine knows a later epoch"),
   };
 
   /**
