Let daemons that start together ask for the other domains

After a start of the whole fleet some daemons know only part of it for 9 to 14 s.

Cause: a daemon leaves sending in turn as soon as relays serve it, and the relays may still lack nine tenths of the fleet. The relays of the first rank of each domain then wait for each other's bundles, and the daemons that they should serve wait for them.

Why this works: in a large fleet a daemon without relays asks for overdue domains as well, and gets all of a domain in one answer.

--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -25,7 +25,7 @@
   withKind,
 } from "./gossip_message.ts";
 import type { GossipTransport } from "./gossip_transport.ts";
-import type { RelayPlan } from "./relay_plan.ts";
+import { MIN_RELAYED_FLEET, type RelayPlan } from "./relay_plan.ts";
 
 /** Transport, timers and callbacks of the channel. */
 export interface GossipChannelOptions {
@@ -190,7 +190,8 @@
         sameDomain: SAME_DOMAIN_FAN_OUT,
         otherDomains: OTHER_DOMAINS_FAN_OUT,
       });
-      return this.#send(addresses, this.#ownMessage("message"));
+      this.#send(addresses, this.#ownMessage("message"));
+      return this.#requestInLargeFleet();
     }
     const isTurn = this.#intervals % SERVED_TURN_INTERVALS === 0;
     const fanOut = plan.isRelay ? RELAY_FAN_OUT : SERVED_FAN_OUT;
@@ -198,17 +199,29 @@
     const addresses = new Set([...plan.relays, ...inTurn]);
     this.#send([...addresses], this.#ownMessage("message"));
     this.#sendBundles(plan);
-    this.#requestOverdue(plan);
+    const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
+    this.#requestOverdue(limitMs, plan);
+  }
+
+  /** Soon tells a daemon without relays of all others, as after a start. */
+  #requestInLargeFleet(): void {
+    if (this.#allAddresses().length + 1 < MIN_RELAYED_FLEET) return;
+    this.#requestOverdue(SERVED_OVERDUE_MS, { isRelay: false, relays: [] });
   }
 
-  #requestOverdue(plan: RelayPlan): void {
+  #requestOverdue(
+    limitMs: number,
+    plan: Pick<RelayPlan, "isRelay" | "relays">,
+  ): void {
     const { overdueDomains, nowMs } = this.#options;
-    const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
     const due = this.#requests.due(overdueDomains(limitMs), nowMs());
     for (const request of due) this.#request(request, plan);
   }
 
-  #request({ failureDomain, attempt }: DueRequest, plan: RelayPlan): void {
+  #request(
+    { failureDomain, attempt }: DueRequest,
+    plan: Pick<RelayPlan, "isRelay" | "relays">,
+  ): void {
     const { address, addressesOf } = this.#options;
     const request = { failureDomain, address, isRelay: plan.isRelay };
     const source = bundleSource(request, attempt, {
--- a/packages/fleet/src/relay_links_test.ts
+++ b/packages/fleet/src/relay_links_test.ts
@@ -6,8 +6,8 @@
 } from "./testing_fleet_model.ts";
 
 const FLEET_SIZE = 195;
-/** Daemons that start together know the relays after 10 s. */
-const SETTLING_MS = 12_000;
+/** Daemons that start together know each other by then. */
+const SETTLING_MS = 9_000;
 const LOOKS = 10;
 const LOOK_INTERVAL_MS = 300;
 /** `reachable` counts a daemon as silent after this long with relays. */
