Answer requests with the bundle as it was received

A daemon that was asked for another domain's messages encoded all of them again, which takes processor time of a daemon that is busy already, and needs the whole messages of all domains in memory. It now keeps the newest bundle of each other domain as bytes, and sends it with the time for which it was held in front, which the receiver adds to the ages.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -185,13 +185,10 @@
     return this.#relayPlan;
   }
 
-  /** Newest messages of the reachable daemons of a failure domain. */
-  domainMessages(
-    nowMs: number,
-    failureDomain = this.#failureDomain,
-  ): RelayedMessage[] {
+  /** Newest messages of the reachable daemons of this failure domain. */
+  domainMessages(nowMs: number): RelayedMessage[] {
     return this.reachable(nowMs).flatMap((member) =>
-      member.message?.failureDomain === failureDomain
+      member.message !== undefined && this.#isSameDomain(member)
         ? [{ message: member.message, ageMs: nowMs - member.heardAtMs }]
         : []
     );
--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -22,6 +22,7 @@
   type GossipDatagram,
   type GossipMessage,
   parseDatagram,
+  withHeldMs,
   withKind,
 } from "./gossip_message.ts";
 import type { GossipTransport } from "./gossip_transport.ts";
@@ -29,6 +30,7 @@
 
 /** Transport, timers and callbacks of the channel. */
 export interface GossipChannelOptions {
+  readonly failureDomain: FailureDomainId;
   /** Where this daemon receives datagrams. */
   readonly address: string;
   readonly transport: GossipTransport;
@@ -40,11 +42,8 @@
   addresses(): PeerAddresses;
   /** Whom to send to in a large fleet; undefined to send to all in turn. */
   relayPlan(): RelayPlan | undefined;
-  /**
-   * The newest messages of a failure domain; of this daemon's own, with its own
-   * message, by default.
-   */
-  composeBundle(failureDomain?: FailureDomainId): GossipBundle;
+  /** The newest messages of this daemon's failure domain, its own included. */
+  composeBundle(): GossipBundle;
   /** Failure domains of whose daemons nothing newer than `limitMs` is known. */
   overdueDomains(limitMs: number): readonly FailureDomainId[];
   /** Addresses of the daemons of a failure domain. */
@@ -114,11 +113,19 @@
   };
 }
 
+/** A bundle as it was received. */
+interface HeldBundle {
+  readonly bytes: Buffer;
+  readonly atMs: number;
+}
+
 /** A running channel. */
 export class GossipChannel {
   readonly #options: GossipChannelOptions;
   readonly #pacer: DatagramPacer;
   readonly #requests = new BundleRequests();
+  /** The newest bundle of each other failure domain, to answer requests. */
+  readonly #heldByDomain = new Map<FailureDomainId, HeldBundle>();
   #nextSameDomain = 0;
   #nextOtherDomains = 0;
   #intervals = 0;
@@ -193,28 +200,29 @@
       this.#send(addresses, this.#ownMessage("message"));
       return this.#requestInLargeFleet();
     }
+    const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
+    const overdue = this.#options.overdueDomains(limitMs);
     const isTurn = this.#intervals % SERVED_TURN_INTERVALS === 0;
     const fanOut = plan.isRelay ? RELAY_FAN_OUT : SERVED_FAN_OUT;
     const inTurn = plan.isRelay || isTurn ? this.#nextAddresses(fanOut) : [];
     const addresses = new Set([...plan.relays, ...inTurn]);
     this.#send([...addresses], this.#ownMessage("message"));
     this.#sendBundles(plan);
-    const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
-    this.#requestOverdue(limitMs, plan);
+    this.#requestOverdue(overdue, plan);
   }
 
   /** Soon tells a daemon without relays of all others, as after a start. */
   #requestInLargeFleet(): void {
     if (this.#allAddresses().length + 1 < MIN_RELAYED_FLEET) return;
-    this.#requestOverdue(SERVED_OVERDUE_MS, { isRelay: false, relays: [] });
+    const overdue = this.#options.overdueDomains(SERVED_OVERDUE_MS);
+    this.#requestOverdue(overdue, { isRelay: false, relays: [] });
   }
 
   #requestOverdue(
-    limitMs: number,
+    overdue: readonly FailureDomainId[],
     plan: Pick<RelayPlan, "isRelay" | "relays">,
   ): void {
-    const { overdueDomains, nowMs } = this.#options;
-    const due = this.#requests.due(overdueDomains(limitMs), nowMs());
+    const due = this.#requests.due(overdue, this.#options.nowMs());
     for (const request of due) this.#request(request, plan);
   }
 
@@ -257,7 +265,10 @@
       return this.#answer(datagram.request);
     }
     if ("message" in datagram) onMessage(datagram.message);
-    else onBundle(datagram.bundle);
+    else {
+      onBundle(datagram.bundle);
+      this.#hold(datagram.bundle, bytes);
+    }
     const plan = relayPlan();
     if (plan === undefined || !plan.isRelay) return;
     if (datagram.kind === "urgent") this.#relayAtOnce(datagram.message, plan);
@@ -269,15 +280,33 @@
   #answer({ failureDomain, address, isRelay }: BundleRequest): void {
     // Only daemons are answered, as an answer is much larger than a request.
     if (!this.#allAddresses().includes(address)) return;
-    const { overdueDomains, composeBundle } = this.#options;
-    if (overdueDomains(RELAY_OVERDUE_MS).includes(failureDomain)) return;
-    const bundle = composeBundle(failureDomain);
+    if (
+      this.#options.overdueDomains(RELAY_OVERDUE_MS).includes(failureDomain)
+    ) {
+      return;
+    }
+    const bytes = this.#newestBundle(failureDomain);
+    if (bytes === undefined) return;
     const kind = isRelay ? "bundle_to_serve" : "bundle";
-    this.#pacer.send(
-      [address],
-      failureDomain,
-      encodeDatagram({ kind, bundle }),
-    );
+    this.#pacer.send([address], failureDomain, withKind(bytes, kind));
+  }
+
+  #newestBundle(failureDomain: FailureDomainId): Buffer | undefined {
+    const { composeBundle, nowMs } = this.#options;
+    if (failureDomain === this.#options.failureDomain) {
+      return encodeDatagram({ kind: "bundle", bundle: composeBundle() });
+    }
+    const held = this.#heldByDomain.get(failureDomain);
+    return held === undefined
+      ? undefined
+      : withHeldMs(held.bytes, nowMs() - held.atMs);
+  }
+
+  #hold({ failureDomain, messages }: GossipBundle, bytes: Buffer): void {
+    // An announced message is no news of the others of its domain.
+    if (messages.length <= 1) return;
+    const atMs = this.#options.nowMs();
+    this.#heldByDomain.set(failureDomain, { bytes, atMs });
   }
 
   #passOn(bundle: GossipBundle, bytes: Buffer, plan: RelayPlan): void {
--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -161,6 +161,14 @@
   bundle_request: 0x15,
 };
 
+/**
+ * Set in the first byte of a bundle that was held before it was sent on. The
+ * time is in the next four bytes, so that the bundle isn't encoded again.
+ */
+const HELD_BIT = 0x20;
+const HELD_HEADER_BYTES = 4;
+const MAX_HELD_MS = 0xffff_ffff;
+
 /** Bound on the inflated size in bytes; a message has about 1 KB of JSON. */
 const MAX_INFLATED_BYTES = 1_048_576;
 
@@ -184,22 +192,54 @@
   kind: GossipDatagram["kind"],
 ): Buffer {
   const copy = Buffer.from(bytes);
-  copy[0] = TAG_BY_KIND[kind];
+  copy[0] = TAG_BY_KIND[kind] | (bytes[0]! & HELD_BIT);
   return copy;
 }
 
+/** The same bundle with messages that are `heldMs` older. */
+export function withHeldMs(bytes: Buffer, heldMs: number): Buffer {
+  const header = Buffer.alloc(1 + HELD_HEADER_BYTES);
+  header[0] = bytes[0]! | HELD_BIT;
+  const sumMs = heldMsOf(bytes) + Math.round(heldMs);
+  header.writeUInt32BE(Math.min(MAX_HELD_MS, sumMs), 1);
+  return Buffer.concat([header, bodyOf(bytes)]);
+}
+
+function isHeld(bytes: Buffer): boolean {
+  return ((bytes[0] ?? 0) & HELD_BIT) !== 0;
+}
+
+function heldMsOf(bytes: Buffer): number {
+  const hasHeader = isHeld(bytes) && bytes.length > HELD_HEADER_BYTES;
+  return hasHeader ? bytes.readUInt32BE(1) : 0;
+}
+
+function bodyOf(bytes: Buffer): Buffer {
+  return bytes.subarray(1 + (isHeld(bytes) ? HELD_HEADER_BYTES : 0));
+}
+
 /** Decodes a datagram; undefined when it is not one of this format. */
 export function parseDatagram(bytes: Buffer): GossipDatagram | undefined {
-  const kind = KIND_BY_TAG[bytes[0] ?? 0];
+  const kind = KIND_BY_TAG[(bytes[0] ?? 0) & ~HELD_BIT];
   if (kind === undefined) return undefined;
-  const value = inflateJson(bytes.subarray(1));
+  const value = inflateJson(bodyOf(bytes));
   if (kind === "message" || kind === "urgent") {
     return isGossipMessage(value) ? { kind, message: value } : undefined;
   }
   if (kind === "bundle_request") {
     return isBundleRequest(value) ? { kind, request: value } : undefined;
   }
-  return isGossipBundle(value) ? { kind, bundle: value } : undefined;
+  if (!isGossipBundle(value)) return undefined;
+  const heldMs = heldMsOf(bytes);
+  return { kind, bundle: heldMs === 0 ? value : agedBy(value, heldMs) };
+}
+
+function agedBy(bundle: GossipBundle, heldMs: number): GossipBundle {
+  const messages = bundle.messages.map(({ message, ageMs }) => ({
+    message,
+    ageMs: ageMs + heldMs,
+  }));
+  return { ...bundle, messages };
 }
 
 function inflateJson(bytes: Buffer): unknown {
--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -7,6 +7,7 @@
   type GossipMessage,
   parseDatagram,
 } from "./mod.ts";
+import { withHeldMs, withKind } from "./gossip_message.ts";
 import { gossipMessage } from "./testing.ts";
 import { brandId } from "@endivebend/types";
 
@@ -140,3 +141,20 @@
   const wrong = { ...request, address: "elsewhere" };
   t.is(parseDatagram(encodeDatagram({ kind, request: wrong })), undefined);
 });
+
+test("a bundle that was held brings older messages", (t) => {
+  const bundle = {
+    failureDomain: FULL.failureDomain,
+    messages: [{ message: FULL, ageMs: 120 }],
+  };
+  const bytes = encodeDatagram({ kind: "bundle", bundle });
+  const held = withKind(
+    withHeldMs(withHeldMs(bytes, 300), 40),
+    "bundle_to_serve",
+  );
+  t.deepEqual(parseDatagram(held), {
+    kind: "bundle_to_serve",
+    bundle: { ...bundle, messages: [{ message: FULL, ageMs: 460 }] },
+  });
+  t.is(parseDatagram(held.subarray(0, 3)), undefined);
+});
--- a/packages/fleet/src/testing_fleet_model.ts
+++ b/packages/fleet/src/testing_fleet_model.ts
@@ -92,6 +92,8 @@
     string,
     { readonly index: number; readonly receive: (bytes: Buffer) => void }
   >();
+  /** When each daemon has composed its messages, by sequence number. */
+  readonly #composedAtMs: number[][] = [];
   #random = 7;
   /** What happens in each millisecond. */
   readonly #eventsAtMs = new Map<number, (() => void)[]>();
@@ -117,16 +119,22 @@
     }
   }
 
-  /** Ages of what each daemon that is up knows of every other one, sorted. */
+  /**
+   * Ages of what each daemon that is up knows of every other one, sorted: the
+   * time since it was written, whatever the daemon takes it for.
+   */
   agesMs(isSameDomain: boolean): number[] {
     const agesMs: number[] = [];
     for (const [index, { fleet, isAlive }] of this.daemons.entries()) {
       if (!isAlive) continue;
-      for (const { vm, heardAtMs } of fleet.members()) {
+      for (const { vm, heardAtMs, message } of fleet.members()) {
         const other = indexOf(vm);
         if (!this.daemons[other]!.isAlive) continue;
         if ((domainOf(other) === domainOf(index)) !== isSameDomain) continue;
-        agesMs.push(this.nowMs - heardAtMs);
+        const composedAtMs = message === undefined
+          ? heardAtMs
+          : this.#composedAtMs[other]![message.sequence]!;
+        agesMs.push(this.nowMs - composedAtMs);
       }
     }
     return agesMs.sort((a, b) => a - b);
@@ -170,20 +178,25 @@
     const downlink = new ModelLink(this.#options);
     const state = this.#workingState();
     let sequence = 0;
-    const compose = () =>
-      gossipMessage({
+    const composedAtMs: number[] = [];
+    this.#composedAtMs.push(composedAtMs);
+    const compose = () => {
+      sequence += 1;
+      composedAtMs[sequence] = this.nowMs;
+      return gossipMessage({
         ...state,
         vm,
         incarnation: brandId<IncarnationId>(`first-${index}`),
         failureDomain,
         address,
-        sequence: ++sequence,
+        sequence,
         spent: { ...state.spent, [TEAM]: daemon.spent },
         work: {
           ...state.work,
           ...(daemon.running > 0 ? { [SERVER]: [daemon.running, 0] } : {}),
         },
       });
+    };
     const receive = (message: GossipMessage, ageMs: number) => {
       daemon.receivedMessages += 1;
       const applied = fleet.applyMessage(message, this.nowMs, ageMs);
@@ -196,6 +209,7 @@
     };
     const start = () =>
       new GossipChannel({
+        failureDomain,
         address,
         failed: (reason) => {
           throw new Error(reason);
@@ -236,13 +250,13 @@
         composeMessage: compose,
         addresses: () => fleet.addresses(),
         relayPlan: () => fleet.relayPlan(address, this.nowMs),
-        composeBundle: (other = failureDomain) => {
-          const messages = fleet.domainMessages(this.nowMs, other);
-          const own = other === failureDomain
-            ? [{ message: compose(), ageMs: 0 }]
-            : [];
-          return { failureDomain: other, messages: [...own, ...messages] };
-        },
+        composeBundle: () => ({
+          failureDomain,
+          messages: [
+            { message: compose(), ageMs: 0 },
+            ...fleet.domainMessages(this.nowMs),
+          ],
+        }),
         overdueDomains: (limitMs) =>
           fleet.overdueDomains(this.nowMs, limitMs)
             .map(({ failureDomain }) => failureDomain),
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -124,16 +124,10 @@
     };
   }
 
-  /**
-   * Returns the messages of a failure domain, for a relay. Those of the own
-   * domain, the default, include this daemon's.
-   */
-  composeBundle(failureDomain = this.#options.failureDomain): GossipBundle {
-    const { fleet, nowMs } = this.#options;
-    const messages = fleet.domainMessages(nowMs(), failureDomain);
-    if (failureDomain !== this.#options.failureDomain) {
-      return { failureDomain, messages };
-    }
+  /** Returns this daemon's message and those of its domain, for a relay. */
+  composeBundle(): GossipBundle {
+    const { failureDomain, fleet, nowMs } = this.#options;
+    const messages = fleet.domainMessages(nowMs());
     const own = { message: this.composeMessage(), ageMs: 0 };
     return { failureDomain, messages: [own, ...messages] };
   }
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -549,6 +549,7 @@
       this.#logDecision("peer_send_failed", { reason });
     return new GossipChannel({
       failed,
+      failureDomain: this.#settings.failureDomain,
       address: this.#peerAddress(ip),
       transport: this.#ports.createGossipTransport({
         ip,
@@ -572,8 +573,7 @@
       },
       relayPlan: () =>
         this.#fleet.relayPlan(this.#peerAddress(ip), this.#nowMs()),
-      composeBundle: (failureDomain) =>
-        this.#gossip.composeBundle(failureDomain),
+      composeBundle: () => this.#gossip.composeBundle(),
       overdueDomains: (limitMs) =>
         this.#fleet.overdueDomains(this.#nowMs(), limitMs)
           .map(({ failureDomain }) => failureDomain),
