Keep daemons reachable while the relays of a domain change

A daemon that left the relays had the short silence timeout of sending in turn at once, 1.2 s within a domain, although what it knew had come through relays and may be older. And daemons of a domain without relays hear nobody of it until they all send in turn, after 2.0 s.

Evidence: "daemons hear a domain all of whose relays end at once" (64 daemons, all three relays of one domain end) fails on the commit before.

Why this works: for 3 s after the relays served a daemon, its silence timeout is at least theirs, 3.2 s. A daemon whose own domain is overdue sends to 12 of it at each interval, so that all know each other before new relays are chosen.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -103,7 +103,10 @@
   readonly #bundleAtMs = new Map<FailureDomainId, number>();
   /** Since when relays carry the messages; infinite while they don't. */
   #relayedSinceMs = Number.POSITIVE_INFINITY;
+  #relayedUntilMs = Number.NEGATIVE_INFINITY;
   #hasRelayRounds = false;
+  /** Whether what is known of others may still have come through relays. */
+  #wasRelayed = false;
   #relayPlan: RelayPlan | undefined;
   #relayPlanUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -178,6 +181,8 @@
     }, this.#relayCandidates(nowMs));
     const isServed = plan !== undefined && this.#hasHeardMost() &&
       (plan.isRelay || this.#hasBundles(this.#failureDomain, nowMs));
+    if (isServed) this.#relayedUntilMs = nowMs;
+    this.#wasRelayed = nowMs - this.#relayedUntilMs <= RELAY_WARM_UP_MS;
     this.#relayedSinceMs = isServed
       ? Math.min(this.#relayedSinceMs, nowMs)
       : Number.POSITIVE_INFINITY;
@@ -316,9 +321,12 @@
     const rounds = this.#hasRelayRounds
       ? RELAYED_SILENCE_TIMEOUT_ROUNDS
       : SILENCE_TIMEOUT_ROUNDS;
+    const minMs = this.#wasRelayed
+      ? RELAYED_SILENCE_TIMEOUT_ROUNDS * RELAYED_ROUND_MS
+      : MIN_SILENCE_TIMEOUT_MS;
     return {
-      sameDomain: Math.max(MIN_SILENCE_TIMEOUT_MS, rounds * sameDomain),
-      otherDomains: Math.max(MIN_SILENCE_TIMEOUT_MS, rounds * otherDomains),
+      sameDomain: Math.max(minMs, rounds * sameDomain),
+      otherDomains: Math.max(minMs, rounds * otherDomains),
     };
   }
 
--- a/packages/fleet/src/gossip_channel.ts
+++ b/packages/fleet/src/gossip_channel.ts
@@ -202,9 +202,7 @@
     }
     const limitMs = plan.isRelay ? RELAY_OVERDUE_MS : SERVED_OVERDUE_MS;
     const overdue = this.#options.overdueDomains(limitMs);
-    const isTurn = this.#intervals % SERVED_TURN_INTERVALS === 0;
-    const fanOut = plan.isRelay ? RELAY_FAN_OUT : SERVED_FAN_OUT;
-    const inTurn = plan.isRelay || isTurn ? this.#nextAddresses(fanOut) : [];
+    const inTurn = this.#nextInTurn(plan, overdue);
     const addresses = new Set([...plan.relays, ...inTurn]);
     this.#send([...addresses], this.#ownMessage("message"));
     this.#sendBundles(plan);
@@ -226,6 +224,22 @@
     for (const request of due) this.#request(request, plan);
   }
 
+  #nextInTurn(
+    plan: RelayPlan,
+    overdue: readonly FailureDomainId[],
+  ): readonly string[] {
+    const fanOut = plan.isRelay ? RELAY_FAN_OUT : SERVED_FAN_OUT;
+    if (overdue.includes(this.#options.failureDomain)) {
+      // All relays of the domain may be gone.
+      return this.#nextAddresses({
+        ...fanOut,
+        sameDomain: SAME_DOMAIN_FAN_OUT,
+      });
+    }
+    const isTurn = this.#intervals % SERVED_TURN_INTERVALS === 0;
+    return plan.isRelay || isTurn ? this.#nextAddresses(fanOut) : [];
+  }
+
   #request(
     { failureDomain, attempt }: DueRequest,
     plan: Pick<RelayPlan, "isRelay" | "relays">,
--- a/packages/fleet/src/relay_test.ts
+++ b/packages/fleet/src/relay_test.ts
@@ -157,6 +157,15 @@
   t.true(areAllReached(model));
 });
 
+test("daemons hear a domain all of whose relays end at once", (t) => {
+  const model = new FleetModel(LARGE_FLEET, { lossShare: 0 });
+  model.run(12_000);
+  for (const { vm } of relaysOf(DOMAINS[0]!, candidates(LARGE_FLEET))) {
+    model.daemons[indexOf(vm)]!.isAlive = false;
+  }
+  t.true(areAllReached(model));
+});
+
 test("spending is charged once everywhere while relays end and messages are lost", (t) => {
   const model = new FleetModel(60, { lossShare: 0.05 });
   model.run(8_000);
