--- a/packages/fleet/src/relay_links_test.ts
+++ b/packages/fleet/src/relay_links_test.ts
@@ -70,7 +70,11 @@
   }));
 }
 
+/** A play of 195 daemons takes a minute on a busy machine. */
+const PLAY_TIMEOUT_MS = 600_000;
+
 test("every daemon hears each failure domain before its silence timeout on idle links with short queues", (t) => {
+  t.timeout(PLAY_TIMEOUT_MS);
   const found = lookOver3s({
     lossShare: 0,
     linkMbps: 20,
@@ -82,6 +86,7 @@
 });
 
 test("every daemon hears each failure domain before its silence timeout on slow links that lose a twentieth", (t) => {
+  t.timeout(PLAY_TIMEOUT_MS);
   const found = lookOver3s({
     lossShare: 0.05,
     linkMbps: 14,
