Hold only what is looked up of other domains' messages

A daemon holds the newest message of each of 194 peers for 600 ms, and its garbage collector copies what it holds before the next message replaces it.

Held messages are passed on only within the own failure domain's bundle; a relay answers for other domains with the bundle as it was received. So of messages of other domains only what is looked up later is held now (state, spending, work, records), and what is applied once (placements, cache changes, suspicions, progress, ages) is let go. The type of a member's state names its fields, so that code which needs another one does not compile.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -59,12 +59,30 @@
  */
 const RELAY_WARM_UP_MS = 3_000;
 
+/** What is looked up in the newest message of another daemon. */
+export type HeldState = Pick<
+  GossipMessage,
+  | "incarnation"
+  | "failureDomain"
+  | "sequence"
+  | "reachesStore"
+  | "duty"
+  | "spent"
+  | "work"
+  | "records"
+  | "readAgesMs"
+  | "forwarding"
+  | "demandPerS"
+>;
+
 /** Another daemon. */
 export interface FleetMember {
   readonly vm: VmId;
   readonly address: string;
-  /** The newest message; undefined until one has arrived. */
-  message: GossipMessage | undefined;
+  /** Its newest state; undefined until a message has arrived. */
+  message: HeldState | undefined;
+  /** The whole message, which only those of the own failure domain need. */
+  readonly toRelay?: GossipMessage | undefined;
   /** When the newest message arrived or, without one, the daemon was listed. */
   heardAtMs: number;
 }
@@ -151,10 +169,12 @@
       this.#ended.add(message.vm);
     } else {
       this.#ended.delete(message.vm);
+      const mayRelay = message.failureDomain === this.#failureDomain;
       this.#members.set(message.vm, {
         vm: message.vm,
         address: message.address,
-        message,
+        message: mayRelay ? message : heldStateOf(message),
+        toRelay: mayRelay ? message : undefined,
         heardAtMs: nowMs - ageMs,
       });
     }
@@ -192,9 +212,9 @@
 
   /** Newest messages of the reachable daemons of this failure domain. */
   domainMessages(nowMs: number): RelayedMessage[] {
-    return this.reachable(nowMs).flatMap((member) =>
-      member.message !== undefined && this.#isSameDomain(member)
-        ? [{ message: member.message, ageMs: nowMs - member.heardAtMs }]
+    return this.reachable(nowMs).flatMap(({ toRelay, heardAtMs }) =>
+      toRelay !== undefined
+        ? [{ message: toRelay, ageMs: nowMs - heardAtMs }]
         : []
     );
   }
@@ -372,6 +392,29 @@
   }
 }
 
+/**
+ * Leaves out what is applied once. The garbage collector passes over all that is
+ * held several times before the next message replaces it.
+ */
+function heldStateOf(message: GossipMessage): HeldState {
+  const { incarnation, failureDomain, sequence, reachesStore } = message;
+  const { duty, spent, work, records, readAgesMs } = message;
+  const { forwarding, demandPerS } = message;
+  return {
+    incarnation,
+    failureDomain,
+    sequence,
+    reachesStore,
+    duty,
+    spent,
+    work,
+    records,
+    readAgesMs,
+    ...(forwarding === undefined ? {} : { forwarding }),
+    ...(demandPerS === undefined ? {} : { demandPerS }),
+  };
+}
+
 function groupByServer(
   members: Iterable<FleetMember>,
 ): Map<string, FleetMember[]> {
@@ -387,7 +430,7 @@
 }
 
 function spendingSince(
-  previous: GossipMessage,
+  previous: HeldState,
   message: GossipMessage,
 ): PeerSpending[] {
   const changes: PeerSpending[] = [];
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -70,6 +70,17 @@
   t.is(fleet.workAt(SERVER, 21).running, 0);
 });
 
+test("messages of the own failure domain are passed on as they came", (t) => {
+  const fleet = newState();
+  const own = message({ placed: { [SERVER]: ["part"] }, suspects: [SERVER] });
+  const vm = brandId<VmId>("vm-3");
+  const failureDomain = brandId<FailureDomainId>("b");
+  fleet.applyMessage(own, 0);
+  fleet.applyMessage(message({ vm, failureDomain }), 0);
+  t.deepEqual(fleet.domainMessages(30), [{ message: own, ageMs: 30 }]);
+  t.is(fleet.workAt(SERVER, 30).running, 4);
+});
+
 test("daemons of a large fleet stay reachable while they send in turn", (t) => {
   const fleet = newState();
   for (let index = 2; index <= 82; index++) {
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -15,6 +15,7 @@
 export type {
   AppliedMessage,
   FleetMember,
+  HeldState,
   OverdueDomain,
   PeerSpending,
 } from "./fleet_state.ts";
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -321,9 +321,10 @@
 
   /** Reachable daemons that forward requests. */
   #forwarders(): ForwarderCandidate[] {
-    return this.#fleet.reachable(this.#nowMs()).flatMap(({ vm, message }) => {
+    const reachable = this.#fleet.reachable(this.#nowMs());
+    return reachable.flatMap(({ vm, address, message }) => {
       if (message?.forwarding === undefined) return [];
-      const { failureDomain, address, forwarding } = message;
+      const { failureDomain, forwarding } = message;
       const [ip = ""] = address.split(":");
       return [{
         vm,
