--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -863,10 +863,12 @@
    */
   #isTooLate(attempt: Attempt): boolean {
     const model = this.#request.work?.model;
-    const { expectedWeights: weights, hasEvents } = attempt;
+    const { expectedWeights: weights, headAtMs, hasEvents } = attempt;
     if (model === undefined || weights === undefined) return false;
-    // A plain answer shows nothing until it is whole.
-    if (!isStream(this.#request.route.kind) || hasEvents) return false;
+    const hasBegun = isStream(this.#request.route.kind)
+      ? hasEvents
+      : headAtMs !== undefined;
+    if (hasBegun) return false;
     const { namedWeights, weightsBoundMs } = this.#context;
     const replacedMs = replacedForMs(weights, {
       named: namedWeights(model),
