--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -76,8 +76,6 @@
  * peers' gossip tells of the same crashes.
  */
 const QUARANTINE_POLL_WAIT_MS = 20_000;
-/** `FleetState` counts the work that a message tells of for so many rounds. */
-const WORK_AGE_ROUNDS = 1.5;
 const REGISTER_RETRY_DELAY_MS = 1_000;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 const PRUNE_INTERVAL_MS = 5_000;
@@ -158,9 +156,8 @@
     this.#registry.recentPlacements.setGossipRound(() =>
       this.#fleet.gossipRoundMs
     );
-    this.#registry.setPeerWorkLookup(
-      (id) => this.#fleet.workAt(id, this.#nowMs()),
-      () => WORK_AGE_ROUNDS * this.#fleet.gossipRoundMs,
+    this.#registry.setPeerWorkLookup((id) =>
+      this.#fleet.workAt(id, this.#nowMs())
     );
     this.#paths = this.#createPaths();
     this.#quarantines = this.#createQuarantines();
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -43,8 +43,6 @@
   ForwardedRun,
   ForwardSink,
 } from "./forwarded_run.ts";
-export { estimateStartMs } from "./start_estimate.ts";
-export type { EngineQueue } from "./start_estimate.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
 export { WeightsProbes } from "./weights_probes.ts";
 export { replacedForMs, summarizeWeights } from "./weights_belief.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -11,7 +11,12 @@
   FailureDomainId,
   ModelName,
 } from "@endivebend/types";
-import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
+import {
+  type Candidate,
+  type Choice,
+  chooseServer,
+  PREFILL_TOKENS_PER_MS,
+} from "./choose_server.ts";
 import {
   type CachedTokens,
   type SegmentKey,
@@ -27,7 +32,6 @@
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
-import { estimateStartMs } from "./start_estimate.ts";
 import {
   type CacheScope,
   type PromptSegment,
@@ -92,8 +96,10 @@
 const STALE_WEIGHTS_AFTER_MS = 1_200;
 /** The wait that weighs as much as a fifth of an answer's value. */
 const STALE_WEIGHTS_COST_MS = 400;
-/** Before their bound, replaced weights come to cost twice as much. */
-const LATE_WEIGHTS_MS = 2_000;
+/** Longest time until a request that is sent to an idle engine starts. */
+const START_SLACK_MS = 1_500;
+/** A queue takes up to this multiple of the prefill time of its tokens. */
+const QUEUE_FACTOR = 2;
 /** Prefilling fewer tokens is as fast as saving them in a store. */
 const MIN_TOKENS_TO_SAVE = 512;
 /** Requests per slot of a full engine: as many waiting as running. */
@@ -124,8 +130,6 @@
   /** Time since weights newer than the server's were named; 0 for none. */
   readonly staleForMs: number;
   readonly isStaleAgeKnown: boolean;
-  /** Time until its weights are too old for a request that is sent now. */
-  readonly timeLeftMs: number;
 }
 
 /**
@@ -141,12 +145,11 @@
   context: AttemptContext,
 ): Placement {
   const { registry, exclude, nowMs } = context;
-  const maxAgeMs = registry.peerWorkMaxAgeMs;
   const views = registry.usable(request.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id))
-    .map((server) => describeServer(request, { server, context, maxAgeMs }));
+    .map((server) => describeServer(request, { server, context }));
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
-  const current = excludeStale(views);
+  const current = excludeStale(views, context.weightsBoundMs);
   if (current.length === 0) return { kind: "refused", reason: "stale_weights" };
   const maxOwnConnections = context.maxOwnConnections(request.service);
   const withRoom = current.filter(({ server, work }) =>
@@ -164,12 +167,34 @@
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
-  const place = chooseAmong(request, { available, context });
-  // A prompt that the engines with new weights have no time for is better run
-  // on replaced ones than shed.
-  return isShed(place) && available.some(({ staleForMs }) => staleForMs > 0)
-    ? chooseAmong(request, { available, context, ignoresWeights: true })
-    : place;
+  const sharedTokens = sumTokens(sharedSegments(request));
+  const choice = chooseServer({
+    promptTokens: request.work?.promptTokens,
+    sharedTokens,
+    fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
+    affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
+    failureDomain: context.failureDomain,
+    usesPools: needsPools({
+      tokensPerEvent: context.tokensPerEvent(request.service),
+      maxGapMs: request.route.maxGapMs,
+    }),
+  }, available.map((view) => candidateOf(view, context)));
+  const view = available.find(({ server }) => server.listed.id === choice?.id);
+  if (choice === undefined || view === undefined) {
+    return { kind: "refused", reason: "no_server" };
+  }
+  const cache = planCache(request, { view, all: available, context });
+  const retryInMs = request.work && shedRetryMs({
+    tokensAhead: view.work.prefillTokens,
+    tokensToRead: cache.tokensToRead,
+    targetMs: request.route.targetMs,
+    urgency: urgencyOf(request),
+    hasBegun: context.hasBegun || request.resumeAfter !== undefined,
+  });
+  if (retryInMs !== undefined) {
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  return { kind: "placed", server: view.server, choice, cache };
 }
 
 /**
@@ -227,60 +252,11 @@
   };
 }
 
-function isShed(placement: Placement): boolean {
-  return placement.kind === "refused" && placement.reason === "overloaded";
-}
-
-function chooseAmong(
-  request: RoutedRequest,
-  among: {
-    readonly available: readonly ServerView[];
-    readonly context: AttemptContext;
-    readonly ignoresWeights?: boolean;
-  },
-): Placement {
-  const { available, context, ignoresWeights = false } = among;
-  const sharedTokens = sumTokens(sharedSegments(request));
-  const candidates = available.map((view) => candidateOf(view, context));
-  const choice = chooseServer({
-    promptTokens: request.work?.promptTokens,
-    sharedTokens,
-    fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
-    affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
-    failureDomain: context.failureDomain,
-    usesPools: needsPools({
-      tokensPerEvent: context.tokensPerEvent(request.service),
-      maxGapMs: request.route.maxGapMs,
-    }),
-  }, ignoresWeights ? candidates.map(withoutWeightsCost) : candidates);
-  const view = available.find(({ server }) => server.listed.id === choice?.id);
-  if (choice === undefined || view === undefined) {
-    return { kind: "refused", reason: "no_server" };
-  }
-  const cache = planCache(request, { view, all: available, context });
-  const retryInMs = request.work && shedRetryMs({
-    tokensAhead: view.work.prefillTokens,
-    tokensToRead: cache.tokensToRead,
-    targetMs: request.route.targetMs,
-    urgency: urgencyOf(request),
-    hasBegun: context.hasBegun || request.resumeAfter !== undefined,
-  });
-  if (retryInMs !== undefined) {
-    return { kind: "refused", reason: "overloaded", retryInMs };
-  }
-  return { kind: "placed", server: view.server, choice, cache };
-}
-
 function describeServer(
   request: RoutedRequest,
-  at: {
-    readonly server: KnownServer;
-    readonly context: AttemptContext;
-    /** How old what is known of other daemons' work may be. */
-    readonly maxAgeMs: number;
-  },
+  at: { readonly server: KnownServer; readonly context: AttemptContext },
 ): ServerView {
-  const { server, context, maxAgeMs } = at;
+  const { server, context } = at;
   const { nowMs } = context;
   const scope = scopeAt(request, server, context);
   const kept = server.parts.countLeadingTokens(sharedSegments(request), {
@@ -288,44 +264,16 @@
     nowMs,
   });
   const newer = newerWeights(request, server, context);
-  const work = context.registry.workAt(server);
-  const staleForMs = newer === undefined ? 0 : nowMs - newer.firstSeenAtMs;
   return {
     server,
     scope,
     kept,
-    work,
-    staleForMs,
+    work: context.registry.workAt(server),
+    staleForMs: newer === undefined ? 0 : nowMs - newer.firstSeenAtMs,
     isStaleAgeKnown: newer?.isAgeKnown ?? true,
-    timeLeftMs: newer === undefined
-      ? Number.POSITIVE_INFINITY
-      : context.weightsBoundMs - staleForMs -
-        startsInMs(server, { work, context, maxAgeMs }),
   };
 }
 
-/** Time until the engine begins a request that is sent to it now, at most. */
-function startsInMs(
-  server: KnownServer,
-  at: {
-    readonly work: ServerWork;
-    readonly context: AttemptContext;
-    readonly maxAgeMs: number;
-  },
-): number {
-  const { work, maxAgeMs, context: { registry, nowMs } } = at;
-  const load = registry.freshLoad(server, nowMs);
-  return estimateStartMs({
-    tokensAhead: work.prefillTokens,
-    requests: Math.max(
-      work.running,
-      load === undefined ? 0 : load.running + load.waiting,
-    ),
-    slots: load?.slots ?? server.listed.slots,
-    maxAgeMs,
-  });
-}
-
 /**
  * Segments are shared by weights, and by team where the team is isolated. Where
  * the weights are unknown, the request shares none.
@@ -458,13 +406,20 @@
 }
 
 /**
- * Leaves out servers whose weights were replaced too long ago, or will have been
- * once they begin the request. Servers whose weights were replaced at an unknown
- * time are used only if there are no others: newer weights elsewhere show that
- * it was some time ago.
+ * Leaves out servers whose weights were replaced too long ago. Servers whose
+ * weights were replaced at an unknown time are used only if there are no
+ * others: newer weights elsewhere show that it was some time ago.
  */
-function excludeStale(views: readonly ServerView[]): ServerView[] {
-  const timely = views.filter(({ timeLeftMs }) => timeLeftMs >= 0);
+function excludeStale(
+  views: readonly ServerView[],
+  weightsBoundMs: number,
+): ServerView[] {
+  const limitMs = weightsBoundMs - START_SLACK_MS;
+  const timely = views.filter(({ work, staleForMs }) => {
+    if (staleForMs === 0) return true;
+    const queueMs = work.prefillTokens / PREFILL_TOKENS_PER_MS;
+    return staleForMs + queueMs * QUEUE_FACTOR <= limitMs;
+  });
   const current = timely.filter(({ isStaleAgeKnown }) => isStaleAgeKnown);
   return current.length > 0 ? current : timely;
 }
@@ -503,22 +458,10 @@
   return work.running < slots * MAX_LOAD_FACTOR;
 }
 
-/** What replaced weights cost; more as their bound comes near. */
-function staleWeightsCostMs({ staleForMs, timeLeftMs }: ServerView): number {
-  if (staleForMs <= STALE_WEIGHTS_AFTER_MS) return 0;
-  const leftShare = Math.min(1, Math.max(0, timeLeftMs / LATE_WEIGHTS_MS));
-  return STALE_WEIGHTS_COST_MS * (2 - leftShare);
-}
-
-function withoutWeightsCost(candidate: Candidate): Candidate {
-  return { ...candidate, staleWeightsCostMs: 0 };
-}
-
 function candidateOf(
-  view: ServerView,
+  { server, kept, work, staleForMs }: ServerView,
   { registry, allowances, nowMs }: AttemptContext,
 ): Candidate {
-  const { server, kept, work } = view;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
@@ -532,7 +475,9 @@
     failureRate: server.failureRate,
     isAvoided: registry.isAvoided(server, nowMs),
     isLoading: nowMs < server.loadingUntilMs,
-    staleWeightsCostMs: staleWeightsCostMs(view),
+    staleWeightsCostMs: staleForMs > STALE_WEIGHTS_AFTER_MS
+      ? STALE_WEIGHTS_COST_MS
+      : 0,
     scarcity: nowMs - server.limitAsOfMs < LIMIT_RECHECK_MS
       ? allowances.scarcity(server, nowMs)
       : 0,
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -79,11 +79,6 @@
 const CONNECTION_FRESH_MS = 1_000;
 /** Time for the server's own answer at its deadline to arrive. */
 const DEADLINE_GRACE_MS = 60;
-/**
- * Time before the bound of replaced weights at which what has not begun on them
- * is taken back: two checks, and the way to the engine through another VM.
- */
-const CALL_BACK_MARGIN_MS = 250;
 /** An attempt with less time left is of no use. */
 const MIN_ATTEMPT_TIME_MS = 50;
 /** Retry delay in a refusal while no server is known or free. */
@@ -827,10 +822,6 @@
     }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
-    if (this.#replacement !== undefined && this.#isTooLate(this.#replacement)) {
-      this.#dropReplacement("stale_weights");
-    }
-    if (this.#isTooLate(attempt)) return this.#callBackFromStale(attempt);
     this.#detectSilentStreams(attempt, nowMs);
     if (this.#isCutOff(attempt, nowMs)) this.#replaceSilent(attempt, "cut_off");
     const silentMs = nowMs - attempt.lastProgressMs;
@@ -857,37 +848,8 @@
       this.#context.crashGuard.findBlocked(this.#suspects) !== undefined;
   }
 
-  /**
-   * Whether the attempt still waits at an engine that would begin it on weights
-   * that were replaced too long ago.
-   */
-  #isTooLate(attempt: Attempt): boolean {
-    const model = this.#request.work?.model;
-    const { expectedWeights: weights, headAtMs, hasEvents } = attempt;
-    if (model === undefined || weights === undefined) return false;
-    const hasBegun = isStream(this.#request.route.kind)
-      ? hasEvents
-      : headAtMs !== undefined;
-    if (hasBegun) return false;
-    const { namedWeights, weightsBoundMs } = this.#context;
-    const replacedMs = replacedForMs(weights, {
-      named: namedWeights(model),
-      nowMs: this.#nowMs(),
-    });
-    return replacedMs !== undefined &&
-      replacedMs >= weightsBoundMs - CALL_BACK_MARGIN_MS;
-  }
-
-  #callBackFromStale(attempt: Attempt): void {
-    const reason = "stale_weights";
-    this.#context.metrics.count("called_back", { reason });
-    if (!attempt.wasSent) return this.#handleUnsent(attempt, reason);
-    this.#handleBroken(attempt, reason, "silence");
-  }
-
   /** Takes the request back from its engine; it may have run. */
   #callBack(): void {
-    this.#context.metrics.count("called_back", { reason: "quarantined" });
     this.#abortAttempts();
     this.#giveUp("quarantined");
   }
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -178,8 +178,6 @@
 export class ServerRegistry {
   readonly #servers = new Map<BackendServerId, KnownServer>();
   readonly #stores = new Map<PrefixCacheId, CachedSegments>();
-  #peerWorkMaxAgeMs: () => number = () => 0;
-
   /** Segments that this daemon has recently placed, for gossip. */
   readonly recentPlacements = new RecentPlacements();
   /** Segments that several requests have in common. */
@@ -205,21 +203,9 @@
     this.#weightsChanged = weightsChanged;
   }
 
-  /**
-   * Sets the functions that look up the work of other daemons, and how old it
-   * may be.
-   */
-  setPeerWorkLookup(
-    lookUp: (id: BackendServerId) => ServerWork,
-    maxAgeMs: () => number = () => 0,
-  ): void {
+  /** Sets the function that looks up the work of other daemons. */
+  setPeerWorkLookup(lookUp: (id: BackendServerId) => ServerWork): void {
     this.#peerWork = lookUp;
-    this.#peerWorkMaxAgeMs = maxAgeMs;
-  }
-
-  /** How old what is known of other daemons' work may be. */
-  get peerWorkMaxAgeMs(): number {
-    return this.#peerWorkMaxAgeMs();
   }
 
   /**
