--- a/packages/orders/src/rollout_schedule.ts
+++ b/packages/orders/src/rollout_schedule.ts
@@ -1,6 +1,6 @@
 /**
- * How many engines may be out of service at once to load weights, when each of
- * them is due, and when to check on one that was ordered.
+ * How many engines may be out of service at once to load weights, and when each
+ * of them is due.
  *
  * @module
  */
@@ -130,41 +130,3 @@
     return sumMs / (this.#ends + longMs.length);
   }
 }
-
-/** A load takes this long at least once the engine's runs have ended. */
-const LOAD_MS = 390;
-/** A report lags behind an order by some hundred milliseconds. */
-const FIRST_CHECK_DELAY_MS = 400;
-/** Interval while the engine loads, or does not tell its runs. */
-const CHECK_INTERVAL_MS = 150;
-const MAX_CHECK_DELAY_MS = 1_500;
-/** Chance that the engine is done before the check. */
-const EARLY_DONE_CHANCE = 0.1;
-
-/** What the latest report tells of an engine that ends its runs and loads. */
-export interface LoadProgress {
-  /** Runs that have to end first; undefined when the engine does not say. */
-  readonly running: number | undefined;
-  /** Mean length of the runs. */
-  readonly runMs: number;
-  /** Whether the order was accepted just now. */
-  readonly isFirst: boolean;
-}
-
-/**
- * Returns in how many milliseconds to check whether an engine has loaded: when
- * all its runs may have ended, and the load after them.
- *
- * @example
- * ```ts
- * await delay(scheduler, checkDelayMs({ running: 3, runMs, isFirst: true }));
- * ```
- */
-export function checkDelayMs(progress: LoadProgress): number {
-  const { running = 0, runMs, isFirst } = progress;
-  if (running === 0) return isFirst ? FIRST_CHECK_DELAY_MS : CHECK_INTERVAL_MS;
-  // For exponential lengths; all of n runs end before x with chance p(x)^n.
-  const share = EARLY_DONE_CHANCE ** (1 / running);
-  const drainMs = -runMs * Math.log(1 - share);
-  return Math.min(MAX_CHECK_DELAY_MS, LOAD_MS + drainMs);
-}
--- a/packages/orders/src/rollout_schedule_test.ts
+++ b/packages/orders/src/rollout_schedule_test.ts
@@ -3,12 +3,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { WeightsRolloutTask } from "./mod.ts";
-import {
-  checkDelayMs,
-  maxEnginesOut,
-  MeanSpan,
-  weightsDueAtMs,
-} from "./rollout_schedule.ts";
+import { maxEnginesOut, MeanSpan, weightsDueAtMs } from "./rollout_schedule.ts";
 import {
   EngineFleet,
   type EngineFleetFigures,
@@ -174,13 +169,3 @@
   t.is(span.meanMs([500, 1_900]), 2_000);
   t.is(span.meanMs([6_500]), 2_500);
 });
-
-test("an engine is checked later the more runs it has to end", (t) => {
-  const delays = [0, 1, 4, 16].map((running) =>
-    checkDelayMs({ running, runMs: 700, isFirst: true })
-  );
-  t.deepEqual(delays, delays.toSorted((a, b) => a - b));
-  t.is(delays[0], 400);
-  t.is(checkDelayMs({ running: 0, runMs: 700, isFirst: false }), 150);
-  t.is(checkDelayMs({ running: undefined, runMs: 700, isFirst: false }), 150);
-});
--- a/packages/orders/src/weights_rollout.ts
+++ b/packages/orders/src/weights_rollout.ts
@@ -21,8 +21,6 @@
   readonly isBusy: boolean;
   /** Orders accepted since the engine started. */
   readonly acceptedOrders: number;
-  /** Requests that it runs; undefined when it does not say. */
-  readonly running?: number | undefined;
 }
 
 /** An engine's answer to an order; `unknown` when none came. */
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -7,9 +7,8 @@
 import { delay, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { BackendServerId, ModelName } from "@endivebend/types";
 import { RolloutLease, type RolloutLeaseOptions } from "./rollout_lease.ts";
-import { checkDelayMs, MeanSpan } from "./rollout_schedule.ts";
+import { MeanSpan } from "./rollout_schedule.ts";
 import {
-  type EngineReport,
   type OrderAnswer,
   planRolloutOrders,
   type RolloutEngine,
@@ -36,8 +35,9 @@
 const TICK_INTERVAL_MS = 50;
 /** Assumed until loads have been observed. */
 const ASSUMED_OUTAGE_MS = 1_500;
-/** Assumed until runs have been seen to end. */
-const ASSUMED_RUN_MS = 700;
+/** An engine takes 390 ms to load weights; an earlier check can't succeed. */
+const FIRST_CHECK_DELAY_MS = 400;
+const CHECK_INTERVAL_MS = 250;
 /** The longest runs end within some 6 s; then the load begins. */
 const LOAD_TIMEOUT_MS = 8_000;
 /** Delay before a retry; the engine's state is read before the next order. */
@@ -55,7 +55,6 @@
   /** Since when engines have been out of service to load weights. */
   readonly #outSinceMs = new Map<BackendServerId, number>();
   readonly #outage = new MeanSpan(ASSUMED_OUTAGE_MS);
-  readonly #run = new MeanSpan(ASSUMED_RUN_MS);
   readonly #lease: RolloutLease;
   /** Orders that are about to be sent. */
   #preparing = 0;
@@ -164,7 +163,7 @@
     if ((report.weights.get(engine.model) ?? 0) >= weights) {
       return this.#reportDone(engine, weights);
     }
-    if (report.isBusy) return await this.#awaitLoad(engine, report);
+    if (report.isBusy) return await this.#awaitLoad(engine);
     const maySend = () => {
       if (!this.#lease.mayOrder(epoch)) return false;
       this.#lease.noteOrder();
@@ -190,7 +189,7 @@
     if (answer === "fenced") {
       return this.#lease.end("an engine knows a later epoch", epoch);
     }
-    await this.#answerHandlers[answer](engine, report);
+    await this.#answerHandlers[answer](engine);
   }
 
   /** A version may have been named since the plan; the older is not loaded. */
@@ -204,14 +203,14 @@
   readonly #answerHandlers: Readonly<
     Record<
       Exclude<OrderAnswer, "fenced">,
-      (engine: RolloutEngine, report: EngineReport) => Promise<void> | void
+      (engine: RolloutEngine) => Promise<void> | void
     >
   > = {
-    accepted: (engine, report) => this.#awaitLoad(engine, report),
+    accepted: (engine) => this.#awaitLoad(engine),
     already_holds: (engine) => this.#reportDone(engine, engine.namedWeights),
     // An order without an answer may have been accepted. Its state is polled,
     // and a retry carries the engine's new count of accepted orders.
-    unknown: (engine, report) => this.#awaitLoad(engine, report),
+    unknown: (engine) => this.#awaitLoad(engine),
     conflict: ({ id }) => this.#delayNextOrder(id, RETRY_DELAY_MS),
     misdirected: (engine) => this.#delaySilentEngine(engine),
     refused: (engine) => this.#delaySilentEngine(engine),
@@ -221,17 +220,13 @@
    * Polls the engine until it has the weights, is idle without them, does not
    * answer, or {@link LOAD_TIMEOUT_MS} have passed.
    */
-  async #awaitLoad(engine: RolloutEngine, last: EngineReport): Promise<void> {
+  async #awaitLoad(engine: RolloutEngine): Promise<void> {
     const { orders, clock, scheduler } = this.#options;
     const startedAtMs = clock.elapsedMs();
     const untilMs = startedAtMs + LOAD_TIMEOUT_MS;
     this.#outSinceMs.set(engine.id, startedAtMs);
-    let { running } = last;
-    let isFirst = true;
+    await delay(scheduler, FIRST_CHECK_DELAY_MS);
     while (clock.elapsedMs() < untilMs && !this.#hasStopped) {
-      const runMs = this.#run.meanMs();
-      const delayMs = checkDelayMs({ running, runMs, isFirst });
-      await delay(scheduler, delayMs);
       const report = await orders.report(engine);
       const weights = report?.weights.get(engine.model) ?? 0;
       if (weights >= engine.namedWeights) {
@@ -240,23 +235,11 @@
       }
       if (report === undefined) return this.#delaySilentEngine(engine);
       if (!report.isBusy) break;
-      this.#recordRuns({ before: running, after: report.running, delayMs });
-      ({ running } = report);
-      isFirst = false;
+      await delay(scheduler, CHECK_INTERVAL_MS);
     }
     this.#delayNextOrder(engine.id, RETRY_DELAY_MS);
   }
 
-  /** Records how many runs of an engine that takes no others have ended. */
-  #recordRuns({ before, after, delayMs }: {
-    readonly before: number | undefined;
-    readonly after: number | undefined;
-    readonly delayMs: number;
-  }): void {
-    if (before === undefined || after === undefined || after > before) return;
-    this.#run.record(delayMs * (before + after) / 2, before - after);
-  }
-
   #delaySilentEngine({ id }: RolloutEngine): void {
     this.#silent.add(id);
     this.#delayNextOrder(id, SILENT_ENGINE_DELAY_MS);
--- a/packages/platform/src/rollout_order_client.ts
+++ b/packages/platform/src/rollout_order_client.ts
@@ -79,7 +79,6 @@
       readonly models?: readonly { name: string; version: number }[];
       readonly busy?: boolean;
       readonly seq?: number;
-      readonly running?: unknown;
     };
     const weights = new Map<ModelName, number>();
     for (const { name, version } of fields.models ?? []) {
@@ -90,7 +89,6 @@
       isBusy: fields.busy === true,
       // `seq` on the wire is the number of accepted orders.
       acceptedOrders: Number(fields.seq ?? 0),
-      running: typeof fields.running === "number" ? fields.running : undefined,
     };
   } catch {
     return undefined;
