--- a/packages/orders/src/rollout_schedule.ts
+++ b/packages/orders/src/rollout_schedule.ts
@@ -24,7 +24,7 @@
  * Share that goes on serving, however near the deadline is. Those that are not
  * ordered by then get no requests anyway.
  */
-const MIN_SERVING_SHARE = 1 / 2;
+const MIN_SERVING_SHARE = 1 / 3;
 
 /**
  * Returns when an engine should have newer weights: from then on it gets no
