--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -651,7 +651,6 @@
       log: rolloutLeaseLog,
       orders: engineOrders,
       leaseMs: this.#settings.leaseMs,
-      weightsBoundMs: this.#settings.weightsBoundMs,
       engines: () =>
         findRolloutEngines(this.#registry, this.#namedWeights, this.#nowMs()),
       candidates: () => this.#leaseCandidates(),
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -123,27 +123,6 @@
   t.deepEqual(ids(10_000), []);
 });
 
-test("the rollout knows since when an engine's weights are replaced, unless their age is unknown", (t) => {
-  const registry = new ServerRegistry();
-  registry.upsert(listedEngine());
-  const named = createNamedWeights();
-  named.name(MODEL, {
-    weights: brandId<WeightsVersion>(3),
-    firstSeenAtMs: 4_000,
-    isAgeKnown: true,
-  });
-  const [engine] = findRolloutEngines(registry, named, 5_000);
-  t.like(engine, { namedWeights: 3, replacedAtMs: 0, slots: 8 });
-  const unknownAge = new NamedWeightsRegistry();
-  unknownAge.name(MODEL, {
-    weights: brandId<WeightsVersion>(2),
-    firstSeenAtMs: 0,
-    isAgeKnown: false,
-  });
-  const [other] = findRolloutEngines(registry, unknownAge, 5_000);
-  t.is(other?.replacedAtMs, undefined);
-});
-
 test("caches of engines and stores are watched, servers without models are not", (t) => {
   const registry = new ServerRegistry();
   registry.upsert(listedEngine());
--- a/packages/front/src/server_selection.ts
+++ b/packages/front/src/server_selection.ts
@@ -35,20 +35,13 @@
       [...server.listed.weights.keys()].flatMap((model) => {
         const namedWeights = named.newest(model);
         if (namedWeights === undefined) return [];
-        const weights = server.weights.confirmedOf(model) ?? 0;
-        const newer = named.history(model).find((version) =>
-          version.weights > weights
-        );
         return [{
           id: server.listed.id,
           address: server.listed.address,
           model,
-          weights,
+          weights: server.weights.confirmedOf(model) ?? 0,
           namedWeights,
           running: registry.workAt(server).running,
-          slots: server.listed.slots,
-          failureDomain: server.listed.failureDomain,
-          replacedAtMs: newer?.isAgeKnown ? newer.firstSeenAtMs : undefined,
         }];
       })
     );
--- a/packages/orders/src/mod.ts
+++ b/packages/orders/src/mod.ts
@@ -34,7 +34,6 @@
   OrderAnswer,
   RolloutEngine,
   RolloutOrderClient,
-  RolloutPlanContext,
   WeightsOrder,
 } from "./weights_rollout.ts";
 export { WeightsRolloutTask } from "./weights_rollout_task.ts";
--- a/packages/orders/src/weights_handover_test.ts
+++ b/packages/orders/src/weights_handover_test.ts
@@ -148,7 +148,6 @@
           ),
       },
       leaseMs: LEASE_MS,
-      weightsBoundMs: 8_000,
       engines: () => [{
         id: brandId<BackendServerId>("e"),
         address: "10.0.0.1:1",
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -4,10 +4,9 @@
  * @module
  */
 
-import { delay, type Scheduler, steadyMs } from "@endivebend/clock";
+import { delay, type Scheduler } from "@endivebend/clock";
 import type { BackendServerId, ModelName } from "@endivebend/types";
 import { RolloutLease, type RolloutLeaseOptions } from "./rollout_lease.ts";
-import { MeanSpan } from "./rollout_schedule.ts";
 import {
   type OrderAnswer,
   planRolloutOrders,
@@ -19,8 +18,6 @@
 export interface WeightsRolloutOptions extends RolloutLeaseOptions {
   readonly scheduler: Scheduler;
   readonly orders: RolloutOrderClient;
-  /** Time after naming newer weights when requests may not start on older. */
-  readonly weightsBoundMs: number;
   /** Engines of models for which the operator has named weights. */
   engines(): readonly RolloutEngine[];
   /** Called when an engine is about to be ordered, or has loaded, weights. */
@@ -33,8 +30,6 @@
 }
 
 const TICK_INTERVAL_MS = 50;
-/** Assumed until loads have been observed. */
-const ASSUMED_OUTAGE_MS = 1_500;
 /** An engine takes 390 ms to load weights; an earlier check can't succeed. */
 const FIRST_CHECK_DELAY_MS = 400;
 const CHECK_INTERVAL_MS = 250;
@@ -52,9 +47,6 @@
   readonly #nextOrderAtMs = new Map<BackendServerId, number>();
   /** Engines that did not answer, or refused, the latest report or order. */
   readonly #silent = new Set<BackendServerId>();
-  /** Since when engines have been out of service to load weights. */
-  readonly #outSinceMs = new Map<BackendServerId, number>();
-  readonly #outage = new MeanSpan(ASSUMED_OUTAGE_MS);
   readonly #lease: RolloutLease;
   /** Orders that are about to be sent. */
   #preparing = 0;
@@ -118,16 +110,11 @@
   }
 
   #nextEngines(): RolloutEngine[] {
-    const { clock, engines, weightsBoundMs } = this.#options;
-    const nowMs = clock.elapsedMs();
+    const nowMs = this.#options.clock.elapsedMs();
     for (const [id, atMs] of this.#nextOrderAtMs) {
       if (nowMs >= atMs) this.#nextOrderAtMs.delete(id);
     }
-    const outMs = [...this.#outSinceMs.values()].map((atMs) => nowMs - atMs);
-    return planRolloutOrders(engines(), this.#inProgress, {
-      nowMs: steadyMs(clock),
-      weightsBoundMs,
-      outageMs: this.#outage.meanMs(outMs),
+    return planRolloutOrders(this.#options.engines(), this.#inProgress, {
       postponed: new Set(this.#nextOrderAtMs.keys()),
       silent: this.#silent,
     });
@@ -145,21 +132,19 @@
       this.#delaySilentEngine(engine);
     } finally {
       this.#inProgress.delete(engine.id);
-      this.#outSinceMs.delete(engine.id);
     }
   }
 
-  async #orderAndAwaitLoad(planned: RolloutEngine): Promise<void> {
+  async #orderAndAwaitLoad(engine: RolloutEngine): Promise<void> {
     const { orders, self } = this.#options;
+    const weights = engine.namedWeights;
     const epoch = this.epoch;
     this.#preparing += 1;
-    const report = await orders.report(planned).finally(() => {
+    const report = await orders.report(engine).finally(() => {
       this.#preparing -= 1;
     });
-    if (report === undefined) return this.#delaySilentEngine(planned);
-    this.#silent.delete(planned.id);
-    const engine = this.#withNewestName(planned);
-    const weights = engine.namedWeights;
+    if (report === undefined) return this.#delaySilentEngine(engine);
+    this.#silent.delete(engine.id);
     if ((report.weights.get(engine.model) ?? 0) >= weights) {
       return this.#reportDone(engine, weights);
     }
@@ -192,14 +177,6 @@
     await this.#answerHandlers[answer](engine);
   }
 
-  /** A version may have been named since the plan; the older is not loaded. */
-  #withNewestName(engine: RolloutEngine): RolloutEngine {
-    const known = this.#options.engines().find(({ id, model }) =>
-      id === engine.id && model === engine.model
-    );
-    return known ?? engine;
-  }
-
   readonly #answerHandlers: Readonly<
     Record<
       Exclude<OrderAnswer, "fenced">,
@@ -222,15 +199,12 @@
    */
   async #awaitLoad(engine: RolloutEngine): Promise<void> {
     const { orders, clock, scheduler } = this.#options;
-    const startedAtMs = clock.elapsedMs();
-    const untilMs = startedAtMs + LOAD_TIMEOUT_MS;
-    this.#outSinceMs.set(engine.id, startedAtMs);
+    const untilMs = clock.elapsedMs() + LOAD_TIMEOUT_MS;
     await delay(scheduler, FIRST_CHECK_DELAY_MS);
     while (clock.elapsedMs() < untilMs && !this.#hasStopped) {
       const report = await orders.report(engine);
       const weights = report?.weights.get(engine.model) ?? 0;
       if (weights >= engine.namedWeights) {
-        this.#outage.record(clock.elapsedMs() - startedAtMs, 1);
         return this.#reportDone(engine, weights);
       }
       if (report === undefined) return this.#delaySilentEngine(engine);
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -2,7 +2,6 @@
 import {
   type BackendServerId,
   brandId,
-  type FailureDomainId,
   type ModelName,
   type VmId,
 } from "@endivebend/types";
@@ -12,7 +11,6 @@
   type OrderAnswer,
   planRolloutOrders,
   type RolloutEngine,
-  type RolloutPlanContext,
   type WeightsOrder,
   WeightsRolloutTask,
 } from "./mod.ts";
@@ -56,7 +54,7 @@
     (_, index) => engine(`e${index}`, { running: index }),
   );
   const dark = new Set(engines.slice(0, 2).map(({ id }) => id));
-  const context = { ...CONTEXT, postponed: dark, silent: dark };
+  const context = { postponed: dark, silent: dark };
   const next = planRolloutOrders(engines, new Set(), context);
   t.deepEqual(next.map(({ id }) => String(id)), ["e2", "e3"]);
   // They are asked again, besides the engines that load.
@@ -71,68 +69,6 @@
   t.deepEqual(retried.map(({ id }) => String(id)), ["e0"]);
 });
 
-/** Deadlines and durations for a plan, with no order that failed. */
-const CONTEXT: RolloutPlanContext = {
-  nowMs: 0,
-  weightsBoundMs: 8_000,
-  outageMs: 1_500,
-  postponed: new Set(),
-  silent: new Set(),
-};
-
-test("engines with the oldest weights come first, however busy they are", (t) => {
-  const engines = [
-    engine("new", { weights: 2, namedWeights: 3 }),
-    engine("old", { weights: 1, namedWeights: 3, running: 12 }),
-    engine("other", { weights: 2, namedWeights: 3 }),
-  ];
-  const [first] = planRolloutOrders(engines, new Set(), CONTEXT);
-  t.is(String(first?.id), "old");
-});
-
-test("orders are spread over failure domains, and none loses all engines", (t) => {
-  const engines = Array.from({ length: 12 }, (_, index) => {
-    const domain = `domain-${index % 3}`;
-    const failureDomain = brandId<FailureDomainId>(domain);
-    return engine(`e${index}`, { failureDomain, running: index % 3 });
-  });
-  const next = planRolloutOrders(engines, new Set(), CONTEXT);
-  const domains = next.map(({ failureDomain }) => failureDomain);
-  t.is(next.length, 4);
-  t.is(new Set(domains.slice(0, 3)).size, 3);
-  const late = engines.map((other) => ({ ...other, replacedAtMs: 0 }));
-  const hurried = planRolloutOrders(late, new Set(), {
-    ...CONTEXT,
-    nowMs: 6_000,
-  });
-  t.is(hurried.length, 8);
-  for (const domain of new Set(domains)) {
-    const out = hurried.filter(({ failureDomain }) => failureDomain === domain);
-    t.true(out.length < 4, String(domain));
-  }
-});
-
-test("engines that get no requests any more take no place of the others", (t) => {
-  const engines = Array.from({ length: 8 }, (_, index) => {
-    const isOverdue = index < 3;
-    return engine(`e${index}`, {
-      weights: isOverdue ? 1 : 2,
-      namedWeights: 3,
-      replacedAtMs: isOverdue ? 0 : 9_500,
-    });
-  });
-  const context = { ...CONTEXT, nowMs: 10_000 };
-  const next = planRolloutOrders(engines, new Set(), context);
-  t.deepEqual(next.map(({ id }) => String(id)), ["e0", "e1", "e2", "e3", "e4"]);
-});
-
-test("weights of unknown age are replaced at once where another engine has the newest", (t) => {
-  const engines = [0, 1, 2, 3, 4, 5].map((index) => engine(`e${index}`));
-  t.is(planRolloutOrders(engines, new Set(), CONTEXT).length, 2);
-  const withNewest = [...engines, engine("newest", { weights: 2 })];
-  t.is(planRolloutOrders(withNewest, new Set(), CONTEXT).length, 4);
-});
-
 test("an engine that has the named weights gets no order", (t) => {
   t.deepEqual(planRolloutOrders([engine("e", { weights: 2 })], new Set()), []);
 });
@@ -181,7 +117,6 @@
         },
       },
       leaseMs: 3_000,
-      weightsBoundMs: 8_000,
       engines: () => [engine("e")],
       candidates: () => this.candidates,
       rank: (members) => [...members].sort(),
