Plan the next orders once in each round of the rollout

The holder planned its orders before and after it renewed the lease, every 50 ms, over all engines. A plan made before the renewal is as good: each order asks its engine for a report first.

--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -102,11 +102,11 @@
   }
 
   async #advance(): Promise<void> {
-    const needsOrders = this.epoch > 0 &&
-      (this.#preparing > 0 || this.#nextEngines().length > 0);
+    const next = this.epoch > 0 ? this.#nextEngines() : [];
+    const needsOrders = this.#preparing > 0 || next.length > 0;
     await this.#lease.advance({ needsOrders });
     if (!this.#lease.mayOrder(this.epoch)) return;
-    for (const engine of this.#nextEngines()) void this.#rollOut(engine);
+    for (const engine of next) void this.#rollOut(engine);
   }
 
   #nextEngines(): RolloutEngine[] {
