Read records of the store in one place

readRetained repeated the call, the check of the status and the decoding of read. Both use #readFrom now and differ in what they do with deleted records.

--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -38,6 +38,15 @@
   readonly era: number;
 }
 
+/** An answer to a read; it says which records remain if these were deleted. */
+type ReadAnswer =
+  | {
+    readonly kind: "records";
+    readonly records: readonly Buffer[];
+    readonly next: LogPosition;
+  }
+  | { readonly kind: "deleted"; readonly body: Buffer };
+
 /** Result of an append. */
 export type AppendResult =
   | { readonly kind: "appended"; readonly position: LogPosition }
@@ -132,22 +141,10 @@
     | { readonly records: readonly Buffer[]; readonly next: LogPosition }
     | undefined
   > {
-    const fromOffset = offsetOf(from);
-    const { status, body, era } = await this.#call({
-      method: "GET",
-      path:
-        `/api/log-read?topic=${topic}&part=0&from=${fromOffset}&wait_ms=${waitMs}`,
-      timeoutMs: waitMs + CALL_TIMEOUT_MS,
-    });
-    if (status === 410) return undefined;
-    if (status !== 200) {
-      throw new Error(
-        `The store answered a read with status ${status}, not 200 or 410`,
-      );
-    }
-    if (era !== eraOf(from)) return undefined;
-    const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
-    return { records, next: logPosition(era, fromOffset + records.length) };
+    const answer = await this.#readFrom(topic, offsetOf(from), waitMs);
+    const isOtherEra = answer.kind === "records" &&
+      eraOf(answer.next) !== eraOf(from);
+    return answer.kind === "deleted" || isOtherEra ? undefined : answer;
   }
 
   /**
@@ -162,24 +159,35 @@
   > {
     let from = fromOffset;
     for (let attempt = 0; attempt < MAX_RETAINED_READS; attempt++) {
-      const { status, body, era } = await this.#call({
-        method: "GET",
-        path: `/api/log-read?topic=${topic}&part=0&from=${from}&wait_ms=0`,
-      });
-      if (status === 200) {
-        const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
-        return { records, next: logPosition(era, from + records.length) };
-      }
-      if (status !== 410) {
-        throw new Error(
-          `The store answered a read with status ${status}, not 200 or 410`,
-        );
-      }
-      from = Number(parseJsonObject(body)["first"]);
+      const answer = await this.#readFrom(topic, from, 0);
+      if (answer.kind === "records") return answer;
+      from = Number(parseJsonObject(answer.body)["first"]);
     }
     throw new Error("The store deletes records faster than they can be read");
   }
 
+  async #readFrom(
+    topic: string,
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<ReadAnswer> {
+    const { status, body, era } = await this.#call({
+      method: "GET",
+      path:
+        `/api/log-read?topic=${topic}&part=0&from=${fromOffset}&wait_ms=${waitMs}`,
+      timeoutMs: waitMs + CALL_TIMEOUT_MS,
+    });
+    if (status === 410) return { kind: "deleted", body };
+    if (status !== 200) {
+      throw new Error(
+        `The store answered a read with status ${status}, not 200 or 410`,
+      );
+    }
+    const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
+    const next = logPosition(era, fromOffset + records.length);
+    return { kind: "records", records, next };
+  }
+
   /**
    * Reads the newest record of each key of a topic, and the position from which
    * to read on. Rejects when the store is restored between two pages.
