Find the first newer named version with one function

Placement, refusals for weights and the belief of a daemon each searched the history of names in the same way. firstNewer stands beside that history.

--- a/packages/request-path/src/named_weights.ts
+++ b/packages/request-path/src/named_weights.ts
@@ -20,6 +20,21 @@
 /** Recently named versions, oldest first. */
 export type WeightsHistory = readonly NamedWeights[];
 
+/**
+ * The first version that was named after the given weights.
+ *
+ * @example
+ * ```ts
+ * const next = firstNewer(named.history(model), weights)?.weights;
+ * ```
+ */
+export function firstNewer(
+  named: WeightsHistory,
+  weights: WeightsVersion,
+): NamedWeights | undefined {
+  return named.find((later) => later.weights > weights);
+}
+
 /** Versions kept for each model; engines are rarely two versions behind. */
 const MAX_VERSIONS = 16;
 /** After this time all engines have the version or are excluded. */
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -22,7 +22,7 @@
   type SegmentKey,
   segmentKey,
 } from "./cached_segments.ts";
-import type { WeightsHistory } from "./named_weights.ts";
+import { firstNewer, type WeightsHistory } from "./named_weights.ts";
 import type { ServerAllowances } from "./server_allowances.ts";
 import type {
   KnownServer,
@@ -313,7 +313,7 @@
   const model = request.work?.model;
   const weights = model && registry.weightsOf(server, model);
   if (model === undefined || weights === undefined) return undefined;
-  return namedWeights(model).find((named) => named.weights > weights);
+  return firstNewer(namedWeights(model), weights);
 }
 
 /**
--- a/packages/request-path/src/server_weights.ts
+++ b/packages/request-path/src/server_weights.ts
@@ -6,7 +6,7 @@
  */
 
 import type { ModelName } from "@endivebend/types";
-import type { WeightsHistory } from "./named_weights.ts";
+import { firstNewer, type WeightsHistory } from "./named_weights.ts";
 import type { WeightsVersion } from "./types.ts";
 
 /**
@@ -120,7 +120,7 @@
     const believed = this.of(model);
     // The request asked for newer weights than the server was believed to have.
     if (believed !== undefined && expected > believed) return true;
-    const next = named.find(({ weights }) => weights > expected)?.weights;
+    const next = firstNewer(named, expected)?.weights;
     if (next === undefined) {
       this.#reported.delete(model);
       this.#presumed.delete(model);
--- a/packages/request-path/src/weights_belief.ts
+++ b/packages/request-path/src/weights_belief.ts
@@ -7,7 +7,7 @@
  */
 
 import type { ModelName } from "@endivebend/types";
-import type { WeightsHistory } from "./named_weights.ts";
+import { firstNewer, type WeightsHistory } from "./named_weights.ts";
 import type { KnownServer } from "./server_registry.ts";
 import type { WeightsVersion } from "./types.ts";
 
@@ -81,6 +81,6 @@
   weights: WeightsVersion,
   { named, nowMs }: { readonly named: WeightsHistory; readonly nowMs: number },
 ): number | undefined {
-  const newer = named.find((later) => later.weights > weights);
+  const newer = firstNewer(named, weights);
   return newer && nowMs - newer.firstSeenAtMs;
 }
