Export only what other packages use of the weights' and gossip's types

The probes, the age of replaced weights and some types were part of a package's surface though no other package uses them; two tests import them from their own files now. Counting by more than one is for the metrics of the daemon, not for the request path, which never does it.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -15,8 +15,6 @@
 export type {
   AppliedMessage,
   FleetMember,
-  HeldState,
-  OverdueDomain,
   PeerSpending,
 } from "./fleet_state.ts";
 export { encodeDatagram, parseDatagram } from "./gossip_message.ts";
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -44,10 +44,8 @@
   ForwardSink,
 } from "./forwarded_run.ts";
 export { silenceTimeoutMs } from "./silence_timeout.ts";
-export { WeightsProbes } from "./weights_probes.ts";
-export { replacedForMs, summarizeWeights } from "./weights_belief.ts";
-export type { WeightsBelief } from "./weights_belief.ts";
-export { placeProbe, placeRequest } from "./placement.ts";
+export { summarizeWeights } from "./weights_belief.ts";
+export { placeRequest } from "./placement.ts";
 export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
 export * from "./ports.ts";
 export { RetryBudget } from "./retry_budget.ts";
@@ -64,10 +62,8 @@
   PrefixCacheId,
   SeenLimit,
   ServerLimit,
-  ServerRegistryOptions,
   ServerWork,
   WeightsChange,
-  WeightsSource,
 } from "./server_registry.ts";
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -192,11 +192,6 @@
 
 /** Counters and durations of the request path. */
 export interface PathMetrics {
-  /** Adds to a counter, 1 by default. */
-  count(
-    name: string,
-    labels?: Readonly<Record<string, string>>,
-    increment?: number,
-  ): void;
+  count(name: string, labels?: Readonly<Record<string, string>>): void;
   observeMs(name: string, valueMs: number): void;
 }
--- a/packages/request-path/src/weights_belief_test.ts
+++ b/packages/request-path/src/weights_belief_test.ts
@@ -1,11 +1,7 @@
 import test from "ava";
 import { type BackendServerId, brandId } from "@endivebend/types";
-import {
-  replacedForMs,
-  ServerRegistry,
-  summarizeWeights,
-  type WeightsChange,
-} from "./mod.ts";
+import { ServerRegistry, summarizeWeights, type WeightsChange } from "./mod.ts";
+import { replacedForMs } from "./weights_belief.ts";
 import {
   answerHead,
   FakeCaller,
--- a/packages/request-path/src/weights_probes_test.ts
+++ b/packages/request-path/src/weights_probes_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { type BackendServerId, brandId } from "@endivebend/types";
-import { WeightsProbes } from "./mod.ts";
+import { WeightsProbes } from "./weights_probes.ts";
 
 const ENGINES = Array.from(
   { length: 82 },
