Tell the cause of each repeat and the fleet size that it was judged by

Callers saw more repeats at servers than the fleet's budget allows. The counter of repeats told neither why one was sent nor by which part of the slack it was allowed, so that logs could not tell a restart's fresh budget from a share that grew or from a missing list of daemons.

--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -9,7 +9,11 @@
 import { type BucketTolerance, SharedBucket } from "@endivebend/limits";
 import type { ServiceName, TeamId } from "@endivebend/types";
 import { type Admission, admit, type RequestHead } from "./admit.ts";
-import { type RequestContext, RequestRun } from "./request_run.ts";
+import {
+  type RepeatCause,
+  type RequestContext,
+  RequestRun,
+} from "./request_run.ts";
 import { ConfigurationView } from "./configuration.ts";
 import type { CallerSink } from "./ports.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
@@ -77,7 +81,7 @@
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
       weightsProbes: new WeightsProbes(options.fleetSize),
-      tryRetry: (request) => this.#tryRetry(request),
+      tryRetry: (request, cause) => this.#tryRetry(request, cause),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
         if (!hasRun) this.#refund(request);
@@ -187,13 +191,17 @@
     return Math.max(MIN_CONNECTIONS, Math.floor(ownShare));
   }
 
-  #tryRetry(request: RoutedRequest): boolean {
-    const isAllowed = this.#retryBudget.tryRetry(request.service, {
+  #tryRetry(request: RoutedRequest, cause: RepeatCause): boolean {
+    const { requestId, service } = request;
+    const fleetSize = this.#options.fleetSize();
+    const isAllowed = this.#retryBudget.tryRetry(service, {
       nowMs: this.#nowMs(),
-      fleetSize: this.#options.fleetSize(),
+      fleetSize,
     });
     const outcome = isAllowed ? "allowed" : "refused";
-    this.#context.metrics.count("repeats", { outcome });
+    this.#context.metrics.count("repeats", { outcome, cause });
+    const fields = { requestId, service, cause, outcome, fleetSize };
+    this.#context.log.decision("repeat", fields);
     return isAllowed;
   }
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -41,6 +41,12 @@
 import type { WeightsProbes } from "./weights_probes.ts";
 import { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 
+/**
+ * Why a request is sent once more: its attempt broke, its server did not run
+ * it, or its attempt is silent and stays open.
+ */
+export type RepeatCause = "broken" | "not_run" | "silent";
+
 /** Dependencies and state that all requests share. */
 export interface RequestContext extends PlacementContext {
   readonly clock: Clock;
@@ -53,8 +59,8 @@
   /** What the daemon may hold of messages, over all requests. */
   readonly memory: MemoryBudget;
   readonly weightsProbes: WeightsProbes;
-  /** Takes one retry from the shared budget; false when it is used up. */
-  tryRetry(request: RoutedRequest): boolean;
+  /** Takes one repeat from the shared budget; false when it is used up. */
+  tryRetry(request: RoutedRequest, cause: RepeatCause): boolean;
   /** Called once, when the request has ended. */
   ended(
     request: RoutedRequest,
@@ -472,7 +478,9 @@
     const exclude = new Set([...this.#excluded, server.listed.id]);
     const placement = this.#place(exclude, nowMs);
     if (placement.kind === "refused") return undefined;
-    return this.#context.tryRetry(this.#request) ? placement : undefined;
+    return this.#context.tryRetry(this.#request, "silent")
+      ? placement
+      : undefined;
   }
 
   #hasAttemptsLeft(): boolean {
@@ -621,7 +629,7 @@
       return this.#giveUp("stale_weights");
     }
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#context.tryRetry(this.#request);
+      this.#context.tryRetry(this.#request, "not_run");
     if (mayRetry) return this.#startAttempt();
     this.#giveUp("overloaded");
   }
@@ -650,7 +658,7 @@
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#context.tryRetry(this.#request);
+      this.#context.tryRetry(this.#request, "broken");
     if (mayRetry) return this.#startAttempt();
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
