Show that restarts, drains, cuts and freezes let a fleet pass its retry budget

Callers' servers got more repeats than retry_budget_ratio x requests + retry_budget_slack.

The simulated fleet can drain and freeze daemons, break answers off and give all requests a team; a daemon that has been killed takes no requests any more.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -33,6 +33,7 @@
   RequestDigest,
   RequestKind,
   RouteName,
+  TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
 import { isRepeatable } from "@endivebend/request-path";
@@ -43,6 +44,7 @@
   type ModelName,
   type RequestId,
   type ServiceName,
+  type TeamId,
   type VmId,
 } from "@endivebend/types";
 import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
@@ -67,12 +69,17 @@
 const LINK_MS = 1;
 /** Time that a daemon waits for an engine's answer to a report or an order. */
 const ENGINE_CALL_TIMEOUT_MS = 700;
+/** The API key of all requests; there may be no team that holds it. */
+const KEY = "callers-key";
+const CALLER_TIMEOUT_MS = 6_000;
 const RUN_EVENTS = 12;
 const TOKENS_PER_EVENT = 4;
 const WEIGHTS_BOUND_MS = 8_000;
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
+/** Time from the last message of a daemon that has drained to its end. */
+const END_MS = 50;
 export const DOMAINS = ["a", "b", "c", "d"].map((name) =>
   brandId<FailureDomainId>(name)
 );
@@ -355,6 +362,10 @@
   readonly kind?: RequestKind;
   /** Whether calls have no prompt; streams always have one. */
   readonly isPlain?: boolean;
+  /** Attempts of a request that may be repeated; 2 by default. */
+  readonly maxAttempts?: number;
+  /** Limit of the team whose key all requests bear; they bear none by default. */
+  readonly teamLimit?: Pick<TeamRules, "ratePerS" | "burst">;
   /** Requests that an engine runs at a time; 128 by default. */
   readonly slots?: number;
   /** Whether a daemon brings engines to the weights that are named. */
@@ -391,6 +402,8 @@
   readonly begunRuns: BegunRun[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
+  /** Draws whether an engine breaks an answer off; set while engines do. */
+  breaksAnswer: (() => boolean) | undefined;
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -470,6 +483,16 @@
     this.#daemons[index]?.kill();
   }
 
+  /** Sends SIGTERM to the daemon, which ends when it has drained. */
+  stopDaemon(index: number): void {
+    this.#daemons[index]?.stop();
+  }
+
+  /** Stops the daemon's process for a while; what reaches it waits. */
+  freezeDaemon(index: number, durationMs: number): void {
+    this.#daemons[index]?.freeze(durationMs);
+  }
+
   /** The operator stores a configuration. */
   configure(revision: number): void {
     this.store.put("operator", "config", { revision });
@@ -518,10 +541,10 @@
         host: "bells.example",
         pathPrefix: "/",
         kind,
-        timeoutMs: 6_000,
+        timeoutMs: CALLER_TIMEOUT_MS,
         targetMs: 800,
         maxGapMs: 400,
-        maxAttempts: isRepeatable(kind) ? 2 : 1,
+        maxAttempts: isRepeatable(kind) ? this.#options.maxAttempts ?? 2 : 1,
         urgency: 1,
         allowsAnonymous: true,
         destinations: [{ service: SERVICE, weight: 1 }],
@@ -532,8 +555,8 @@
         tokensPerEvent: TOKENS_PER_EVENT,
       }],
       cacheStores: [],
-      teams: [],
-      teamByKey: new Map(),
+      teams: this.#teams,
+      teamByKey: new Map(this.#teams.map((team) => [KEY, team])),
       callerLimits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 4_194_304,
@@ -543,6 +566,19 @@
     };
   }
 
+  get #teams(): TeamRules[] {
+    const { teamLimit } = this.#options;
+    if (teamLimit === undefined) return [];
+    return [{
+      id: brandId<TeamId>("callers"),
+      urgency: undefined,
+      isIsolated: false,
+      ...teamLimit,
+      unit: "calls",
+      defaultTokens: 1,
+    }];
+  }
+
   /** Whether the requests are prompts of a model, not plain calls. */
   get isModel(): boolean {
     const { kind = "resumable_stream" } = this.#options;
@@ -989,6 +1025,17 @@
       this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
       return;
     }
+    if (this.breaksAnswer?.() === true) {
+      this.time.after(EVENT_INTERVAL_MS, () => {
+        engine.attempts.delete(attempt);
+        this.#answer(
+          engine,
+          attempt,
+          () => breakOff(attempt, "read ECONNRESET"),
+        );
+      });
+      return;
+    }
     const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
     this.#sendEvents(engine, { attempt, events, sent: 0 });
   }
@@ -1077,6 +1124,9 @@
   #context: ListenerContext | undefined;
   #onDatagram: (bytes: Buffer) => void = () => {};
   #forwardedRuns: ForwardedRuns | undefined;
+  readonly #daemon: FrontDaemon;
+  /** What happens to the process once it runs again; undefined while it does. */
+  #whenThawed: (() => void)[] | undefined;
   isAlive = true;
 
   constructor(world: TestFleet, index: number) {
@@ -1088,7 +1138,7 @@
     this.gossipAddress = gossipAddressOf(index);
     this.recordAddress = `${ip}:7601`;
     this.forwardAddress = `${ip}:7602`;
-    new FrontDaemon({
+    this.#daemon = new FrontDaemon({
       vm: this.vm,
       ip,
       failureDomain: DOMAINS[index % DOMAINS.length]!,
@@ -1101,7 +1151,8 @@
         tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
       },
-    }, this.#ports()).start();
+    }, this.#ports());
+    this.#daemon.start();
   }
 
   kill(): void {
@@ -1110,6 +1161,27 @@
     for (const notify of this.ended) notify();
   }
 
+  stop(): void {
+    // The process ends when the simulated time says so, not a real timer.
+    this.#daemon.stop(() => {});
+  }
+
+  freeze(durationMs: number): void {
+    this.#whenThawed = [];
+    this.#time.after(durationMs, () => {
+      const tasks = this.#whenThawed ?? [];
+      this.#whenThawed = undefined;
+      for (const task of tasks) this.#whileRunning(task);
+    });
+  }
+
+  /** Runs what happens to the process, once it is not frozen. */
+  #whileRunning(task: () => void): void {
+    if (!this.isAlive) return;
+    if (this.#whenThawed === undefined) task();
+    else this.#whenThawed.push(task);
+  }
+
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
     const { requestId, digest, work } = order.request;
@@ -1129,19 +1201,27 @@
   }
 
   receive(bytes: Buffer): void {
-    if (this.isAlive) this.#onDatagram(bytes);
+    this.#whileRunning(() => this.#onDatagram(bytes));
   }
 
   serve(outcome: Outcome, events = RUN_EVENTS): void {
+    this.#whileRunning(() => {
+      // A caller that has given up has closed its connection.
+      const waitedMs = this.#time.nowMs - outcome.sentAtMs;
+      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, events);
+    });
+  }
+
+  #serve(outcome: Outcome, events: number): void {
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
       path: "/",
-      key: undefined,
+      key: KEY,
       tokens: undefined,
     });
     if (admission === undefined || admitted?.kind !== "admitted") return;
-    const { nowMs } = this.#time;
+    const deadlineMs = outcome.sentAtMs + CALLER_TIMEOUT_MS;
     const opened = admission.open({
       ...admitted,
       requestId: outcome.requestId,
@@ -1154,8 +1234,8 @@
           prompt: promptOf(outcome),
         }
         : undefined,
-      deadlineMs: nowMs + 6_000,
-      timeoutAtMs: nowMs + 6_000,
+      deadlineMs,
+      timeoutAtMs: deadlineMs,
       resumeAfter: undefined,
       message: outcome.body,
     }, this.#sink(outcome));
@@ -1200,7 +1280,14 @@
     return {
       clock: this.#time,
       scheduler: this.#scheduler(),
-      log: { decision: record, stateChange: record, flush() {} },
+      log: {
+        decision: record,
+        stateChange: (step, fields) => {
+          record(step, fields);
+          if (step === "end") this.#time.after(END_MS, () => this.kill());
+        },
+        flush() {},
+      },
       metrics: {
         count() {},
         gauge() {},
@@ -1288,9 +1375,7 @@
   #scheduler(): Scheduler {
     return {
       after: (delayMs, task) =>
-        this.#time.after(delayMs, () => {
-          if (this.isAlive) task();
-        }),
+        this.#time.after(delayMs, () => this.#whileRunning(task)),
     };
   }
 
@@ -1298,7 +1383,7 @@
     const guard =
       <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
       (...args: Arguments) => {
-        if (this.isAlive) call(...args);
+        this.#whileRunning(() => call(...args));
       };
     return {
       connected: guard(() => listener.connected()),
