Give restarted and departed daemons no second part of the retry budget

Callers' servers got more repeats than retry_budget_ratio x requests + retry_budget_slack when daemons started again, drained, were cut off from each other for long, or did not know the fleet's list.

Cause: the slack is a limit of the whole fleet, but it was split by the daemons that are members at the moment, and counted in memory that a restart wipes. A new process began with its whole part, or with all of it before the list had come; the others' parts grew at once when a daemon left, and after 30 s of silence on both sides of a cut, while what had been used still counted.

Now a process has no part of the slack until a window has passed since its start and it knows the fleet's list, so that what an earlier process of its VM used has left every window. The slack is split among all daemons that were listed or heard: one that leaves keeps its part for a window, a silent one for an hour, as it may be cut off or paused and use it. The part for a daemon's own requests needs none of this and stays.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -17,6 +17,7 @@
   RELAYED_ROUND_MS,
 } from "./gossip_channel.ts";
 import type { GossipMessage, RelayedMessage } from "./gossip_message.ts";
+import { LimitSharers } from "./limit_sharers.ts";
 import {
   planRelays,
   type RelayCandidate,
@@ -127,10 +128,17 @@
   #wasRelayed = false;
   #relayPlan: RelayPlan | undefined;
   #relayPlanUntilMs = Number.NEGATIVE_INFINITY;
-
-  constructor(self: VmId, failureDomain: FailureDomainId) {
+  readonly #sharers: LimitSharers;
+
+  /** `limitWindowMs` is the longest window of a limit that the fleet shares. */
+  constructor(
+    self: VmId,
+    failureDomain: FailureDomainId,
+    { limitWindowMs }: { readonly limitWindowMs: number },
+  ) {
     this.#self = self;
     this.#failureDomain = failureDomain;
+    this.#sharers = new LimitSharers(limitWindowMs);
   }
 
   /** Adds a daemon of the platform's list that was not heard of before. */
@@ -138,6 +146,7 @@
     if (vm === this.#self || this.#ended.has(vm)) return;
     const known = this.#members.get(vm);
     if (known !== undefined) return;
+    this.#sharers.add(vm, nowMs);
     this.#members.set(vm, {
       vm,
       address,
@@ -167,8 +176,10 @@
     if (message.isLeaving) {
       this.#members.delete(message.vm);
       this.#ended.add(message.vm);
+      this.#sharers.release(message.vm, nowMs);
     } else {
       this.#ended.delete(message.vm);
+      this.#sharers.add(message.vm, nowMs);
       const mayRelay = message.failureDomain === this.#failureDomain;
       this.#members.set(message.vm, {
         vm: message.vm,
@@ -294,6 +305,15 @@
     return this.#members.size + 1;
   }
 
+  /**
+   * Number of daemons among which limits of the whole fleet are shared, this one
+   * included. Unlike {@link size} it counts daemons that are silent, and those
+   * that have left within the limits' window.
+   */
+  sharerCount(nowMs: number): number {
+    return this.#sharers.others(nowMs).length + 1;
+  }
+
   /** Work of all other daemons at a backend server. */
   workAt(
     server: BackendServerId,
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -10,7 +10,9 @@
 import { gossipMessage as message, SERVER, TEAM } from "./testing.ts";
 
 function newState(): FleetState {
-  return new FleetState(brandId<VmId>("vm-1"), brandId<FailureDomainId>("a"));
+  const vm = brandId<VmId>("vm-1");
+  const limitWindowMs = 10_000;
+  return new FleetState(vm, brandId<FailureDomainId>("a"), { limitWindowMs });
 }
 
 test("spending counts once when messages are lost or reordered", (t) => {
@@ -49,6 +51,23 @@
   t.is(fleet.size, 1);
 });
 
+test("a daemon that leaves keeps its part of the limits for a window", (t) => {
+  const fleet = newState();
+  fleet.applyMessage(message(), 0);
+  fleet.applyMessage(message({ sequence: 2, isLeaving: true }), 10);
+  t.is(fleet.sharerCount(10_009), 2);
+  t.is(fleet.sharerCount(10_010), 1);
+});
+
+test("a daemon that is silent keeps its part of the limits", (t) => {
+  const fleet = newState();
+  fleet.applyMessage(message(), 0);
+  fleet.list(brandId<VmId>("vm-3"), "10.0.0.3:7600", 0);
+  t.is(fleet.reachableShare(40_000), 1);
+  t.is(fleet.sharerCount(40_000), 3);
+  t.is(fleet.sharerCount(3_600_000), 1);
+});
+
 test("work from an old message does not count", (t) => {
   const fleet = newState();
   fleet.applyMessage(message(), 0);
--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -97,7 +97,9 @@
     fc.property(path, fc.jsonValue(), (at, value) => {
       const message = decode(replaceAt(FULL, at, value));
       if (message === undefined) return;
-      const fleet = new FleetState(brandId("vm-1"), brandId("a"));
+      const fleet = new FleetState(brandId("vm-1"), brandId("a"), {
+        limitWindowMs: 10_000,
+      });
       fleet.applyMessage(message, 0);
       fleet.applyMessage({ ...message, sequence: message.sequence + 1 }, 5);
       fleet.workAt(brandId("e"), 10);
--- a/packages/fleet/src/testing_fleet_model.ts
+++ b/packages/fleet/src/testing_fleet_model.ts
@@ -157,7 +157,9 @@
     const vm = vmOf(index);
     const failureDomain = domainOf(index);
     const address = `10.0.${index >> 8}.${index & 255}:7600`;
-    const fleet = new FleetState(vm, failureDomain);
+    const fleet = new FleetState(vm, failureDomain, {
+      limitWindowMs: 10_000,
+    });
     const daemon: ModelDaemon = {
       fleet,
       address,
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -138,7 +138,10 @@
       `${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 8)}`,
     );
     ports.log.stateChange("start", { incarnation: this.#incarnation });
-    this.#fleet = new FleetState(settings.vm, settings.failureDomain);
+    const { repeats, tolerance } = settings.bounds;
+    this.#fleet = new FleetState(settings.vm, settings.failureDomain, {
+      limitWindowMs: Math.max(repeats.windowMs, tolerance.windowMs),
+    });
     this.#registry = new ServerRegistry({
       wallOffsetMs: ports.clock.wallMs() - this.#nowMs(),
       weightsChanged: (change) => {
@@ -280,6 +283,8 @@
       },
       bounds,
       fleetSize: () => this.#fleet.size,
+      limitSharers: () =>
+        this.#isRegistered ? this.#fleet.sharerCount(this.#nowMs()) : undefined,
       reachableShare: () => this.#fleet.reachableShare(this.#nowMs()),
     });
   }
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -66,7 +66,9 @@
   const named = new NamedWeightsRegistry();
   const vm = brandId<VmId>(name);
   const failureDomain = brandId<FailureDomainId>("a");
-  const fleet = new FleetState(vm, failureDomain);
+  const fleet = new FleetState(vm, failureDomain, {
+    limitWindowMs: 10_000,
+  });
   const receivedSpent: number[] = [];
   let spent = 0;
   const gossip = new FleetGossip({
--- a/packages/front/src/testing_repeats.ts
+++ b/packages/front/src/testing_repeats.ts
@@ -92,7 +92,7 @@
     );
     const allowed = requests * RATIO + SLACK;
     const repeats = countWithin(repeatAtMs, endMs);
-    const isWorse = repeats - allowed > worst.repeats - worst.allowed;
+    const isWorse = repeats / allowed > worst.repeats / worst.allowed;
     if (isWorse) worst = { endMs, repeats, allowed };
   }
   return worst;
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -41,6 +41,11 @@
   readonly bounds: AdmissionBounds;
   /** Number of daemons in the fleet, including this one. */
   fleetSize(): number;
+  /**
+   * Number of daemons that may use a part of the fleet's limits, this one
+   * included; undefined while the fleet's list is not known.
+   */
+  limitSharers(): number | undefined;
   /** Share of the fleet that this daemon receives gossip from, 0 to 1. */
   reachableShare(): number;
 }
@@ -73,7 +78,9 @@
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
-    this.#retryBudget = new RetryBudget(options.bounds.repeats);
+    this.#retryBudget = new RetryBudget(options.bounds.repeats, {
+      startedAtMs: steadyMs(options.context.clock),
+    });
     this.#context = {
       ...options.context,
       maxOwnConnections: (service) => this.#maxOwnConnections(service),
@@ -193,15 +200,20 @@
 
   #tryRetry(request: RoutedRequest, cause: RepeatCause): boolean {
     const { requestId, service } = request;
-    const fleetSize = this.#options.fleetSize();
-    const isAllowed = this.#retryBudget.tryRetry(service, {
+    const moment = {
       nowMs: this.#nowMs(),
-      fleetSize,
-    });
+      sharers: this.#options.limitSharers(),
+    };
+    const isAllowed = this.#retryBudget.tryRetry(service, moment);
     const outcome = isAllowed ? "allowed" : "refused";
     this.#context.metrics.count("repeats", { outcome, cause });
-    const fields = { requestId, service, cause, outcome, fleetSize };
-    this.#context.log.decision("repeat", fields);
+    this.#context.log.decision("repeat", {
+      requestId,
+      service,
+      cause,
+      outcome,
+      slackPart: this.#retryBudget.slackPart(moment),
+    });
     return isAllowed;
   }
 }
--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -21,6 +21,16 @@
 /** Share of the limit that is used; the rest covers messages in transit. */
 const BUDGET_UTILIZATION = 0.9;
 
+/** When a retry is asked for, and by whom the slack is shared. */
+export interface RetryMoment {
+  readonly nowMs: number;
+  /**
+   * Daemons that may use a part of the slack, this one included; undefined
+   * while the fleet's list is not known.
+   */
+  readonly sharers: number | undefined;
+}
+
 interface Slot {
   readonly index: number;
   requests: number;
@@ -54,20 +64,27 @@
 
 /**
  * This daemon's share of the budget: retries for its own requests, and an equal
- * part of the slack.
+ * part of the slack. What an earlier process of this VM has used is not known,
+ * so its part of the slack counts as used until a window has passed.
  *
  * @example
  * ```ts
+ * const budget = new RetryBudget(limits, { startedAtMs });
  * budget.recordRequest(service, nowMs);
- * if (budget.tryRetry(service, { nowMs, fleetSize: 9 })) sendAgain();
+ * if (budget.tryRetry(service, { nowMs, sharers: 9 })) sendAgain();
  * ```
  */
 export class RetryBudget {
   readonly #limits: RetryLimits;
+  readonly #slackFromMs: number;
   readonly #services = new Map<ServiceName, ServiceCounts>();
 
-  constructor(limits: RetryLimits) {
+  constructor(
+    limits: RetryLimits,
+    { startedAtMs }: { readonly startedAtMs: number },
+  ) {
     this.#limits = limits;
+    this.#slackFromMs = startedAtMs + limits.windowMs + SLOT_MS;
   }
 
   recordRequest(service: ServiceName, nowMs: number): void {
@@ -87,21 +104,24 @@
   }
 
   /** Takes one retry; false when the budget is used up. */
-  tryRetry(
-    service: ServiceName,
-    at: { readonly nowMs: number; readonly fleetSize: number },
-  ): boolean {
-    const { windowMs, share, slack } = this.#limits;
+  tryRetry(service: ServiceName, at: RetryMoment): boolean {
+    const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
     const firstIndex = slotIndex(at.nowMs - windowMs);
     const { requests, repeats } = counts.sums(firstIndex);
-    const allowed = (requests * share + slack / at.fleetSize) *
+    const allowed = (requests * share + this.slackPart(at)) *
       BUDGET_UTILIZATION;
     if (repeats + 1 > allowed) return false;
     counts.slotAt(slotIndex(at.nowMs)).repeats += 1;
     return true;
   }
 
+  /** Retries that this daemon may add to those for its requests. */
+  slackPart({ nowMs, sharers }: RetryMoment): number {
+    if (sharers === undefined || nowMs < this.#slackFromMs) return 0;
+    return this.#limits.slack / sharers;
+  }
+
   #countsOf(service: ServiceName): ServiceCounts {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
--- a/packages/request-path/src/retry_budget_test.ts
+++ b/packages/request-path/src/retry_budget_test.ts
@@ -3,26 +3,46 @@
 import { SERVICE } from "./testing.ts";
 
 const LIMITS = { windowMs: 10_000, share: 0.2, slack: 58 };
+/** The process has run for long. */
+const LONG_AGO = { startedAtMs: -60_000 };
 
 test("in an outage retries stay within the fleet's limit", (t) => {
-  const fleetSize = 9;
+  const sharers = 9;
   let repeats = 0;
-  for (let daemon = 0; daemon < fleetSize; daemon++) {
-    const budget = new RetryBudget(LIMITS);
+  for (let daemon = 0; daemon < sharers; daemon++) {
+    const budget = new RetryBudget(LIMITS, LONG_AGO);
     for (let nowMs = 0; nowMs < 10_000; nowMs += 200) {
       budget.recordRequest(SERVICE, nowMs);
-      if (budget.tryRetry(SERVICE, { nowMs, fleetSize })) repeats += 1;
+      if (budget.tryRetry(SERVICE, { nowMs, sharers })) repeats += 1;
     }
   }
-  const requests = fleetSize * 50;
+  const requests = sharers * 50;
   t.true(repeats > requests * 0.2);
   t.true(repeats <= requests * 0.2 + 58);
 });
 
 test("retries of past windows no longer count", (t) => {
-  const budget = new RetryBudget({ ...LIMITS, slack: 2 });
-  const at = { nowMs: 0, fleetSize: 1 };
+  const budget = new RetryBudget({ ...LIMITS, slack: 2 }, LONG_AGO);
+  const at = { nowMs: 0, sharers: 1 };
   t.true(budget.tryRetry(SERVICE, at));
   t.false(budget.tryRetry(SERVICE, at));
   t.true(budget.tryRetry(SERVICE, { ...at, nowMs: 11_000 }));
 });
+
+test("a new process uses no slack until what its predecessor used has passed", (t) => {
+  const budget = new RetryBudget(LIMITS, { startedAtMs: 0 });
+  t.false(budget.tryRetry(SERVICE, { nowMs: 10_000, sharers: 1 }));
+  t.true(budget.tryRetry(SERVICE, { nowMs: 10_500, sharers: 1 }));
+});
+
+test("a new process retries a share of its own requests", (t) => {
+  const budget = new RetryBudget(LIMITS, { startedAtMs: 0 });
+  for (let sent = 0; sent < 10; sent++) budget.recordRequest(SERVICE, 0);
+  t.true(budget.tryRetry(SERVICE, { nowMs: 100, sharers: 1 }));
+  t.false(budget.tryRetry(SERVICE, { nowMs: 100, sharers: 1 }));
+});
+
+test("a daemon that does not know the fleet uses no slack", (t) => {
+  const budget = new RetryBudget(LIMITS, LONG_AGO);
+  t.false(budget.tryRetry(SERVICE, { nowMs: 0, sharers: undefined }));
+});
