--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -9,7 +9,11 @@
 import { type BucketTolerance, SharedBucket } from "@endivebend/limits";
 import type { ServiceName, TeamId } from "@endivebend/types";
 import { type Admission, admit, type RequestHead } from "./admit.ts";
-import { type RequestContext, RequestRun } from "./request_run.ts";
+import {
+  type RepeatCause,
+  type RequestContext,
+  RequestRun,
+} from "./request_run.ts";
 import { ConfigurationView } from "./configuration.ts";
 import type { CallerSink } from "./ports.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
@@ -37,6 +41,11 @@
   readonly bounds: AdmissionBounds;
   /** Number of daemons in the fleet, including this one. */
   fleetSize(): number;
+  /**
+   * Number of daemons that may use a part of the fleet's limits, this one
+   * included; undefined while the fleet's list is not known.
+   */
+  limitSharers(): number | undefined;
   /** Share of the fleet that this daemon receives gossip from, 0 to 1. */
   reachableShare(): number;
 }
@@ -69,7 +78,9 @@
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
-    this.#retryBudget = new RetryBudget(options.bounds.repeats);
+    this.#retryBudget = new RetryBudget(options.bounds.repeats, {
+      startedAtMs: steadyMs(options.context.clock),
+    });
     this.#context = {
       ...options.context,
       maxOwnConnections: (service) => this.#maxOwnConnections(service),
@@ -77,7 +88,7 @@
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
       weightsProbes: new WeightsProbes(options.fleetSize),
-      tryRetry: (request) => this.#tryRetry(request),
+      tryRetry: (request, cause) => this.#tryRetry(request, cause),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
         if (!hasRun) this.#refund(request);
@@ -187,13 +198,22 @@
     return Math.max(MIN_CONNECTIONS, Math.floor(ownShare));
   }
 
-  #tryRetry(request: RoutedRequest): boolean {
-    const isAllowed = this.#retryBudget.tryRetry(request.service, {
+  #tryRetry(request: RoutedRequest, cause: RepeatCause): boolean {
+    const { requestId, service } = request;
+    const moment = {
       nowMs: this.#nowMs(),
-      fleetSize: this.#options.fleetSize(),
-    });
+      sharers: this.#options.limitSharers(),
+    };
+    const isAllowed = this.#retryBudget.tryRetry(service, moment);
     const outcome = isAllowed ? "allowed" : "refused";
-    this.#context.metrics.count("repeats", { outcome });
+    this.#context.metrics.count("repeats", { outcome, cause });
+    this.#context.log.decision("repeat", {
+      requestId,
+      service,
+      cause,
+      outcome,
+      slackPart: this.#retryBudget.slackPart(moment),
+    });
     return isAllowed;
   }
 }
