Break off answers without a length that are reset as they are read

What callers saw: part of an answer as a whole 200. The answer has no length and ends with its connection, and the server's connection is reset on the way.

Cause: libuv reports a reset as an end when one poll of the socket brings both data and the reset (a partial read with POLLHUP).

Why it works: after a reset the kernel has no peer for the socket, after an orderly end it has one, and its handle is still open when the end is reported.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -350,6 +350,13 @@
     if (head === undefined) {
       return fail("The answer belongs to another request");
     }
+    let wasReset = false;
+    if (!isFramed(response)) {
+      const { socket } = response;
+      const noteReset = () => wasReset = !hasPeer(socket);
+      socket.prependListener("end", noteReset);
+      response.once("close", () => socket.off("end", noteReset));
+    }
     response.on("error", ({ message }) => fail(message));
     response.on("aborted", () => fail("The answer was cut off before its end"));
     if (isPaused) response.pause();
@@ -361,7 +368,7 @@
     response.on("end", () => {
       batch.flush();
       if (isFinished) return;
-      if (!response.complete) {
+      if (!response.complete || wasReset) {
         return fail("The answer was cut off before its end");
       }
       const trailerFault = findFieldFault(response.rawTrailers);
@@ -391,6 +398,21 @@
   };
 }
 
+/**
+ * Whether a socket that has ended was closed in order by its peer. libuv reports
+ * a reset as an end when it reads it together with data; the kernel has
+ * forgotten the peer then.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
+/** Whether an answer doesn't end with its connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 /**
  * Reads a short refusal to its end, so that its connection can be reused;
  * otherwise destroys the request.
@@ -490,8 +512,7 @@
     statusText: response.statusMessage ?? "",
     rawHeaders,
     isFramed: headers[FORWARD_HEADERS.unframed] === undefined &&
-      (headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined),
+      isFramed(response),
   };
   return {
     status,
