End an answer without a length where a second copy of it begins

Cause: such an answer ends with its connection, so all bytes before that end were its body.

Why it works: a copy repeats the head with the request's own Attempt-Id, which no sound body holds. What stands before it is the whole answer, as the server went on to the next one; a copy that is longer shows an answer that was cut off, and a copy whose head breaks off before its id can't be told from the body: both are broken off. Heads with the id of an earlier request on the connection break the answer off too.

Remains: a copy of which no more than the first 11 bytes come, or only the end.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -36,6 +36,7 @@
   brandId,
   type RequestId,
 } from "@endivebend/types";
+import { AnswerBody } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
@@ -80,6 +81,10 @@
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
 /** A server that asks for a longer quiet is asked again after this time. */
 const MAX_QUIET_MS = 3_600_000;
+/** A late copy of an answer to one of so many requests is recognized. */
+const MAX_NOTED_REQUESTS = 32;
+const FOREIGN_ANSWER = "The answer belongs to another request";
+const NOTHING = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -113,6 +118,16 @@
 /** Keep-alive time that a socket's server last stated, in milliseconds. */
 const keepAliveMsBySocket = new WeakMap<Socket, number>();
 
+/** The last requests that a socket has carried, the newest last. */
+const requestsBySocket = new WeakMap<Socket, RequestId[]>();
+
+function noteRequest(socket: Socket, request: RequestId): void {
+  const requests = requestsBySocket.get(socket) ?? [];
+  requestsBySocket.set(socket, requests);
+  requests.push(request);
+  if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -260,8 +275,13 @@
   let wasSent = false;
   let isFinished = false;
   let isPaused = false;
+  let body: AnswerBody | undefined;
+  const relay = (bytes: Buffer) => {
+    if (!isFinished && bytes.length > 0) listener.data(bytes);
+  };
   const batch = new ChunkBatch((bytes) => {
-    if (!isFinished) listener.data(bytes);
+    relay(body === undefined ? bytes : body.push(bytes));
+    if (body?.found === "earlier") fail(FOREIGN_ANSWER);
   });
   const fail = (
     reason: string,
@@ -286,6 +306,7 @@
     if (!wasSent) fail("The server did not accept the connection in time");
   };
   outgoing.on("socket", (socket) => {
+    noteRequest(socket, exchange.expected.requestId);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
@@ -348,11 +369,13 @@
     const { expected } = exchange;
     const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
-      return fail("The answer belongs to another request");
+      return fail(FOREIGN_ANSWER);
     }
     let wasReset = false;
     if (!isFramed(response)) {
       const { socket } = response;
+      const earlier = requestsBySocket.get(socket)?.slice(0, -1) ?? [];
+      body = new AnswerBody({ requestId: expected.requestId, earlier });
       const noteReset = () => wasReset = !hasPeer(socket);
       socket.prependListener("end", noteReset);
       response.once("close", () => socket.off("end", noteReset));
@@ -375,6 +398,12 @@
       if (trailerFault !== undefined) {
         return fail(`The answer's trailer has ${trailerFault}`);
       }
+      const rest = body?.end();
+      if (body !== undefined && (rest === undefined || body.isLessThanCopy)) {
+        return fail("A second copy of the answer begins before its end");
+      }
+      relay(rest ?? NOTHING);
+      if (isFinished) return;
       isFinished = true;
       listener.end();
     });
