Break off answers whose length a second copy's bytes fill up

What callers saw: a whole 200 whose last bytes are the head of the answer. A server cuts an answer with a length off and sends it again on the same connection.

Cause: the length counts bytes, whoseever they are.

Why it works: the answer's own head, or one to an earlier request of the connection, shows that the bytes from there on are not of this answer; within a length the answer is then known to be cut off.

--- a/packages/platform/src/answer_body.ts
+++ b/packages/platform/src/answer_body.ts
@@ -19,6 +19,8 @@
   readonly requestId: RequestId;
   /** Requests that the connection has carried before. */
   readonly earlier: readonly RequestId[];
+  /** Whether the answer has a length of its own, or chunks. */
+  readonly isFramed: boolean;
 }
 
 const HEAD_MARK = "HTTP/1.";
@@ -38,7 +40,7 @@
  *
  * @example
  * ```ts
- * const body = new AnswerBody({ requestId, earlier: [] });
+ * const body = new AnswerBody({ requestId, earlier: [], isFramed });
  * answer.on("data", (chunk) => relay(body.push(chunk)));
  * answer.on("end", () => relay(body.end() ?? breakOff()));
  * ```
@@ -61,10 +63,13 @@
   }
 
   /**
-   * Whether the copy is longer than the body before it, which was then cut off.
+   * Whether the head stands where more of the answer is due: within its length,
+   * or before a copy that is longer than the body.
    */
-  get isLessThanCopy(): boolean {
-    return this.#copyBytes > this.#bodyBytes;
+  get isCutOff(): boolean {
+    if (this.#found === undefined) return false;
+    return this.#identity.isFramed || this.#found === "earlier" ||
+      this.#copyBytes > this.#bodyBytes;
   }
 
   /** Returns the bytes of the body that are known not to begin a head. */
--- a/packages/platform/src/answer_body_test.ts
+++ b/packages/platform/src/answer_body_test.ts
@@ -18,10 +18,11 @@
   readonly isKnown: boolean;
 }
 
-function pass(parts: readonly string[]): Passed {
+function pass(parts: readonly string[], isFramed = false): Passed {
   const body = new AnswerBody({
     requestId: brandId<RequestId>("own"),
     earlier: ["before", "last"].map((id) => brandId<RequestId>(id)),
+    isFramed,
   });
   let text = "";
   for (const part of parts) text += body.push(Buffer.from(part, "latin1"));
@@ -66,7 +67,7 @@
     const passed = pass(cutAt(whole, ends));
     t.is(passed.text, before);
     t.is(passed.body.found, "own");
-    t.false(passed.body.isLessThanCopy);
+    t.false(passed.body.isCutOff);
   });
   fc.assert(property, { seed, numRuns, endOnFailure: true });
 });
@@ -93,14 +94,20 @@
     t.is(text, "the answer", `${length} bytes of the copy`);
     t.is(isKnown, length >= idEnd, `${length} bytes of the copy`);
     t.is(body.found, length >= idEnd ? "own" : undefined);
-    t.false(body.isLessThanCopy);
+    t.false(body.isCutOff);
   }
 });
 
 test("a copy that is longer than the body shows that the body was cut off", (t) => {
   const { body } = pass(["the ans", headOf("own"), "the answer"]);
   t.is(body.found, "own");
-  t.true(body.isLessThanCopy);
+  t.true(body.isCutOff);
+});
+
+test("a copy within the length of an answer shows that it was cut off", (t) => {
+  const { body, text } = pass(["the answer", headOf("own"), "the"], true);
+  t.true(body.isCutOff);
+  t.is(text, "the answer");
 });
 
 for (
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -84,7 +84,7 @@
 /** A late copy of an answer to one of so many requests is recognized. */
 const MAX_NOTED_REQUESTS = 32;
 const FOREIGN_ANSWER = "The answer belongs to another request";
-const NOTHING = Buffer.alloc(0);
+const FOREIGN_HEAD = "The answer ends in the head of another one";
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -281,7 +281,7 @@
   };
   const batch = new ChunkBatch((bytes) => {
     relay(body === undefined ? bytes : body.push(bytes));
-    if (body?.found === "earlier") fail(FOREIGN_ANSWER);
+    if (body?.isCutOff) fail(FOREIGN_HEAD);
   });
   const fail = (
     reason: string,
@@ -371,11 +371,12 @@
     if (head === undefined) {
       return fail(FOREIGN_ANSWER);
     }
+    const { socket } = response;
+    const { requestId } = expected;
+    const earlier = requestsBySocket.get(socket)?.slice(0, -1) ?? [];
+    body = new AnswerBody({ requestId, earlier, isFramed: isFramed(response) });
     let wasReset = false;
     if (!isFramed(response)) {
-      const { socket } = response;
-      const earlier = requestsBySocket.get(socket)?.slice(0, -1) ?? [];
-      body = new AnswerBody({ requestId: expected.requestId, earlier });
       const noteReset = () => wasReset = !hasPeer(socket);
       socket.prependListener("end", noteReset);
       response.once("close", () => socket.off("end", noteReset));
@@ -399,10 +400,8 @@
         return fail(`The answer's trailer has ${trailerFault}`);
       }
       const rest = body?.end();
-      if (body !== undefined && (rest === undefined || body.isLessThanCopy)) {
-        return fail("A second copy of the answer begins before its end");
-      }
-      relay(rest ?? NOTHING);
+      if (rest === undefined || body?.isCutOff) return fail(FOREIGN_HEAD);
+      relay(rest);
       if (isFinished) return;
       isFinished = true;
       listener.end();
