Make each order of a second copy and the next request happen in tests

The four tests on idle connections sent the copy 10 ms after the answer and the next request 30 ms after it, in real time, and failed once under load. With an event loop that is blocked for 100 ms of each 105 ms all four fail in one of three runs: the second request is written before the copy is read, the copy is taken for an answer to it, its id (or its lack of one, or its form) doesn't match and the attempt is broken off. No caller gets bytes of the copy; the price is an attempt that ran.

Both orders are now tests of their own: the next request follows when the server has seen its connection closed, or in the turn in which the copy is written.

--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { Socket } from "node:net";
 import test from "ava";
 import { createClock } from "@endivebend/clock";
@@ -26,21 +27,32 @@
   return testAttemptOrder(address, { request: { ...request, message } });
 }
 
-/** Runs one attempt after the other; `serve` knows which one it answers. */
+interface Sequence {
+  readonly ids: readonly string[];
+  /** Answers a request, whose id it is given. */
+  readonly serve: (socket: Socket, id: string) => void;
+  /** Comes between the end of an answer and the next request. */
+  readonly between?: (socket: Socket) => Promise<void> | void;
+}
+
+/** Runs one attempt after the other. */
 async function runInTurn(
-  ids: readonly string[],
-  serve: (socket: Socket, id: string) => void,
+  { ids, serve, between = () => {} }: Sequence,
 ): Promise<{ readonly results: AttemptResult[]; readonly sockets: number }> {
   const sockets = new Set<Socket>();
+  let last: Socket | undefined;
   const server = await startRawServer((socket, request) => {
     sockets.add(socket);
+    last = socket;
     serve(socket, /attempt-id: (\S+)/i.exec(request)?.[1] ?? "");
   });
   const client: ServerClient = createServerClient(createClock());
   const results: AttemptResult[] = [];
   for (const id of ids) {
     results.push(await runAttempt(client, order(server.address, id)));
-    await new Promise((resolve) => setTimeout(resolve, 30));
+    // Node.js returns the connection to the pool after the answer's end.
+    await new Promise(setImmediate);
+    await between(last!);
   }
   server.close();
   return { results, sockets: sockets.size };
@@ -58,33 +70,56 @@
   }[copy];
 
   test(`a second copy in the segment of the answer reaches no later request: ${copy}`, async (t) => {
-    const { results } = await runInTurn(
-      ["first", "second"],
-      (socket, id) =>
+    const { results } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) =>
         socket.write(answer(id, id) + (id === "first" ? bytesOf : "")),
-    );
+    });
     t.deepEqual(results.map(({ body }) => body), ["first", "second"]);
     t.deepEqual(results.map(({ isComplete }) => isComplete), [true, true]);
   });
 
   test(`a second copy on an idle connection reaches no later request: ${copy}`, async (t) => {
-    const { results, sockets } = await runInTurn(
-      ["first", "second"],
-      (socket, id) => {
-        socket.write(answer(id, id));
-        if (id === "first") setTimeout(() => socket.write(bytesOf), 10);
+    let isFirst = true;
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) => socket.write(answer(id, id)),
+      between: async (socket) => {
+        if (!isFirst) return;
+        isFirst = false;
+        socket.write(bytesOf);
+        await once(socket, "close");
       },
-    );
+    });
     t.deepEqual(results.map(({ body }) => body), ["first", "second"]);
+    t.deepEqual(results.map(({ isComplete }) => isComplete), [true, true]);
+    t.is(sockets, 2, "the connection is not used again");
+  });
+
+  test(`a second copy that is unread as the next request is sent is not its answer: ${copy}`, async (t) => {
+    let isFirst = true;
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second", "third"],
+      serve: (socket, id) => socket.write(answer(id, id)),
+      between: (socket) => {
+        // The next request follows in the same turn of the event loop.
+        if (isFirst) socket.write(bytesOf);
+        isFirst = false;
+      },
+    });
+    t.is(results[1]?.body, "");
+    t.is(results[1]?.failure?.kind, "broken");
+    t.is(results[1]?.head, undefined);
+    t.is(results[2]?.body, "third");
     t.is(sockets, 2, "the connection is not used again");
   });
 
   test(`a second copy sent as the next request arrives is not its answer: ${copy}`, async (t) => {
-    const { results } = await runInTurn(
-      ["first", "second", "third"],
-      (socket, id) =>
+    const { results } = await runInTurn({
+      ids: ["first", "second", "third"],
+      serve: (socket, id) =>
         socket.write((id === "second" ? bytesOf : "") + answer(id, id)),
-    );
+    });
     t.is(results[1]?.body, "");
     t.deepEqual(results[1]?.failure?.kind, "broken");
     t.is(results[1]?.head, undefined);
