--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -18,6 +18,8 @@
 const BEGINS_MS = [7_000, 12_000, 17_000];
 const DOWN_MS = 400;
 const RESTART_INTERVAL_MS = 1_000;
+/** Shorter than callers wait for an answer. */
+const HELD_MS = 5_500;
 const DRAINED_MS = 700;
 const SHORT_CUT_MS = 12_000;
 /** Longer than a silent daemon stays a member. */
@@ -129,6 +131,11 @@
     }]],
     day: { lengthMs: 70_000 },
   },
+  "while requests wait on their way and come at once": {
+    events: (fleet) =>
+      atEach([12_000, 24_000], () => fleet.holdRequests(HELD_MS)),
+    day: { lengthMs: 45_000 },
+  },
   "while daemons start again without the store": {
     events: (fleet) => [
       [BEGINS_MS[0]! - 1_000, () => {
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -420,6 +420,7 @@
   readonly #gossipLinks: GossipLinks;
   readonly #eventsByRequest = new Map<RequestId, number>();
   readonly #options: FleetOptions;
+  #requestsHeldUntilMs = 0;
   #nextEngine = 0;
   #nextRequest = 0;
 
@@ -493,6 +494,11 @@
     this.#daemons[index]?.freeze(durationMs);
   }
 
+  /** Holds up requests on their way to all daemons. */
+  holdRequests(durationMs: number): void {
+    this.#requestsHeldUntilMs = this.time.nowMs + durationMs;
+  }
+
   /** The operator stores a configuration. */
   configure(revision: number): void {
     this.store.put("operator", "config", { revision });
@@ -618,7 +624,14 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
-    this.#daemons[daemon]?.serve(outcome, events);
+    const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
+    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, events);
+    else {
+      this.time.after(
+        heldMs,
+        () => this.#daemons[daemon]?.serve(outcome, events),
+      );
+    }
     return outcome;
   }
 
@@ -1213,6 +1226,11 @@
   }
 
   #serve(outcome: Outcome, events: number): void {
+    const renewal = this.#context?.whenCurrent();
+    if (renewal !== undefined) {
+      const serve = () => this.#serve(outcome, events);
+      return void renewal.then(() => this.#whileRunning(serve));
+    }
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
