Let requests that come late and at once allow no more retries than in time

Callers' servers got more repeats than the budget allows after a pause of 40 s of half of the daemons, and after requests had waited 5.5 s on their way.

Cause: retries are allowed by the requests that a daemon reads in a window, while the budget counts those that clients sent in it. What waited for a paused process or on its way is read at once, on top of the window's own requests.

The requests of half a second now allow retries only up to the number of those of the two seconds before it, or twice the mean of the window before it. A daemon that has just started is exempt, as nothing waited for it. Requests that come steadily or grow keep what they had.

--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -31,34 +31,99 @@
   readonly sharers: number | undefined;
 }
 
+/**
+ * Requests of a slot that allow retries: as many as in these slots before it, or
+ * twice the mean of the slots in the window before it.
+ */
+const COMPARED_SLOTS = 4;
+const MAX_TIMES_MEAN = 2;
+/** Requests of a slot that allow retries in any case. */
+const MIN_CREDITED = 1;
+
 interface Slot {
   readonly index: number;
   requests: number;
+  /** The requests that allow retries, up to {@link Slot.maxCredited}. */
+  credited: number;
+  readonly maxCredited: number;
   repeats: number;
 }
 
+interface Sums {
+  readonly requests: number;
+  readonly credited: number;
+  readonly repeats: number;
+}
+
 /** Counters of one service. */
 class ServiceCounts {
+  readonly #startIndex: number;
+  readonly #windowSlots: number;
   #slots: Slot[] = [];
 
+  constructor(
+    options: { readonly startIndex: number; readonly windowSlots: number },
+  ) {
+    this.#startIndex = options.startIndex;
+    this.#windowSlots = options.windowSlots;
+  }
+
   slotAt(index: number): Slot {
     const last = this.#slots.at(-1);
     if (last?.index === index) return last;
-    const slot = { index, requests: 0, repeats: 0 };
+    const slot = {
+      index,
+      requests: 0,
+      credited: 0,
+      maxCredited: this.#maxCredited(index),
+      repeats: 0,
+    };
     this.#slots.push(slot);
     return slot;
   }
 
+  recordRequest(index: number): void {
+    const slot = this.slotAt(index);
+    slot.requests += 1;
+    slot.credited = Math.min(slot.requests, slot.maxCredited);
+  }
+
   /** Sums over slots that overlap the window. */
-  sums(firstIndex: number): { requests: number; repeats: number } {
+  sums(firstIndex: number): Sums {
     this.#slots = this.#slots.filter(({ index }) => index >= firstIndex);
     let requests = 0;
+    let credited = 0;
     let repeats = 0;
     for (const slot of this.#slots) {
       requests += slot.requests;
+      credited += slot.credited;
       repeats += slot.repeats;
     }
-    return { requests, repeats };
+    return { requests, credited, repeats };
+  }
+
+  /**
+   * Requests that waited on their way, or while the process was paused, come at
+   * once. They were sent in earlier windows, whose retries are over. Nothing can
+   * have waited for a process that has just started.
+   */
+  #maxCredited(index: number): number {
+    if (index - this.#startIndex < COMPARED_SLOTS) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const mean = this.#creditedSince(index - this.#windowSlots) /
+      this.#windowSlots;
+    return Math.max(
+      MIN_CREDITED,
+      this.#creditedSince(index - COMPARED_SLOTS),
+      MAX_TIMES_MEAN * mean,
+    );
+  }
+
+  #creditedSince(firstIndex: number): number {
+    return this.#slots
+      .filter(({ index }) => index >= firstIndex)
+      .reduce((sum, { credited }) => sum + credited, 0);
   }
 }
 
@@ -76,6 +141,7 @@
  */
 export class RetryBudget {
   readonly #limits: RetryLimits;
+  readonly #startIndex: number;
   readonly #slackFromMs: number;
   readonly #services = new Map<ServiceName, ServiceCounts>();
 
@@ -84,11 +150,12 @@
     { startedAtMs }: { readonly startedAtMs: number },
   ) {
     this.#limits = limits;
+    this.#startIndex = slotIndex(startedAtMs);
     this.#slackFromMs = startedAtMs + limits.windowMs + SLOT_MS;
   }
 
   recordRequest(service: ServiceName, nowMs: number): void {
-    this.#countsOf(service).slotAt(slotIndex(nowMs)).requests += 1;
+    this.#countsOf(service).recordRequest(slotIndex(nowMs));
   }
 
   /** Requests a second for each service, over the window. */
@@ -108,8 +175,8 @@
     const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
     const firstIndex = slotIndex(at.nowMs - windowMs);
-    const { requests, repeats } = counts.sums(firstIndex);
-    const allowed = (requests * share + this.slackPart(at)) *
+    const { credited, repeats } = counts.sums(firstIndex);
+    const allowed = (credited * share + this.slackPart(at)) *
       BUDGET_UTILIZATION;
     if (repeats + 1 > allowed) return false;
     counts.slotAt(slotIndex(at.nowMs)).repeats += 1;
@@ -125,7 +192,10 @@
   #countsOf(service: ServiceName): ServiceCounts {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const counts = new ServiceCounts();
+    const counts = new ServiceCounts({
+      startIndex: this.#startIndex,
+      windowSlots: this.#limits.windowMs / SLOT_MS,
+    });
     this.#services.set(service, counts);
     return counts;
   }
--- a/packages/request-path/src/retry_budget_test.ts
+++ b/packages/request-path/src/retry_budget_test.ts
@@ -46,3 +46,34 @@
   const budget = new RetryBudget(LIMITS, LONG_AGO);
   t.false(budget.tryRetry(SERVICE, { nowMs: 0, sharers: undefined }));
 });
+
+test("requests that waited and come at once allow few retries", (t) => {
+  const budget = new RetryBudget({ ...LIMITS, slack: 0 }, LONG_AGO);
+  const at = (nowMs: number) => ({ nowMs, sharers: 1 });
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 100) {
+    budget.recordRequest(SERVICE, nowMs);
+  }
+  // Nothing comes for 8 s, and then what was sent meanwhile.
+  for (let late = 0; late < 80; late++) budget.recordRequest(SERVICE, 18_000);
+  let repeats = 0;
+  for (let nowMs = 18_000; nowMs < 28_000; nowMs += 100) {
+    budget.recordRequest(SERVICE, nowMs);
+    while (budget.tryRetry(SERVICE, at(nowMs))) repeats += 1;
+  }
+  t.true(repeats >= 15);
+  t.true(repeats <= 20);
+});
+
+test("more requests than before allow more retries", (t) => {
+  const budget = new RetryBudget({ ...LIMITS, slack: 0 }, LONG_AGO);
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 500) {
+    budget.recordRequest(SERVICE, nowMs);
+  }
+  for (let nowMs = 10_000; nowMs < 20_000; nowMs += 50) {
+    budget.recordRequest(SERVICE, nowMs);
+  }
+  let repeats = 0;
+  const at = { nowMs: 20_000, sharers: 1 };
+  while (budget.tryRetry(SERVICE, at)) repeats += 1;
+  t.true(repeats >= 30);
+});
