Play the platform's bundle as real processes under servers' faults and signals

No soak played what the users ran: real processes of the bundle on the platform's wire, servers that stutter, daemons killed and started again by signals, rules counted at servers and callers.

The new package starts the deploy file's command once for each daemon on loopback. The rule of the check on the platform's names names the package: its servers and callers speak the platform's wire.

--- /dev/null
+++ b/packages/platform-soak/src/backend_server.ts
@@ -0,0 +1,359 @@
+/**
+ * A backend server on raw sockets that answers as its faults say.
+ *
+ * @module
+ */
+
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import {
+  type AnswerPlan,
+  planAnswer,
+  type ServerFaults,
+} from "./answer_plan.ts";
+import { HttpReader, type Message } from "./http_reader.ts";
+import type { Ledger, Run } from "./ledger.ts";
+import { drawsFor } from "./random.ts";
+
+/** What a server is. */
+export interface ServerOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly domain: string;
+  /** Version of its software. */
+  readonly version: string;
+  readonly seed: number;
+}
+
+const SLOTS = 128;
+/** A cut answer ends after this many bytes. */
+const CUT_AFTER_BYTES = 50;
+const EVENT_INTERVAL_MS = 50;
+const RESET_DELAY_MS = 5;
+
+/** A connection from a daemon. */
+interface Connection {
+  readonly socket: Socket;
+  readonly reader: HttpReader;
+  /** A copy that is sent right before the next answer. */
+  held: string;
+  isBusy: boolean;
+}
+
+/** A request that a server answers. */
+interface Exchange {
+  readonly connection: Connection;
+  readonly message: Message;
+  readonly id: string;
+  readonly plan: AnswerPlan;
+}
+
+/** A running server; it may crash and start again. */
+export class BackendServer {
+  readonly options: ServerOptions;
+  faults: ServerFaults;
+  leavingSinceMs: number | undefined;
+  bornAtMs = Date.now();
+  reportCount = 0;
+  readonly #ledger: Ledger;
+  readonly #connections = new Set<Connection>();
+  readonly #arrivalsById = new Map<string, number>();
+  #server: Server | undefined;
+  #port = 0;
+  #running = 0;
+  /** Daemons whose requests neither arrive nor are answered. */
+  readonly cutDaemons = new Set<number>();
+
+  constructor(ledger: Ledger, options: ServerOptions, faults: ServerFaults) {
+    this.#ledger = ledger;
+    this.options = options;
+    this.faults = faults;
+  }
+
+  get isUp(): boolean {
+    return this.#server !== undefined;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  /** Listens, after a crash at the same port. */
+  async start(): Promise<void> {
+    this.bornAtMs = Date.now();
+    this.reportCount = 0;
+    const server = createServer({ noDelay: true }, (socket) => {
+      this.#accept(socket);
+    });
+    server.listen(this.#port, "127.0.0.1", 1_024);
+    await once(server, "listening");
+    this.#server = server;
+    this.#port = (server.address() as AddressInfo).port;
+  }
+
+  /** Resets all connections and accepts none, until it is started again. */
+  crash(): void {
+    this.#server?.close();
+    this.#server = undefined;
+    for (const { socket } of this.#connections) socket.resetAndDestroy();
+    this.#connections.clear();
+    this.#running = 0;
+  }
+
+  /** Delivers what came from a daemon while it was cut off. */
+  mend(daemon: number): void {
+    this.cutDaemons.delete(daemon);
+    for (const connection of this.#connections) this.#serveNext(connection);
+  }
+
+  #accept(socket: Socket): void {
+    const reader = new HttpReader({ isAnswer: false });
+    const connection = { socket, reader, held: "", isBusy: false };
+    this.#connections.add(connection);
+    socket.on("error", () => {});
+    socket.on("close", () => this.#connections.delete(connection));
+    socket.on("data", (bytes) => {
+      reader.append(bytes);
+      this.#serveNext(connection);
+    });
+  }
+
+  #serveNext(connection: Connection): void {
+    if (connection.isBusy) return;
+    const sender = /attempt-id: (\S+)/i.exec(connection.reader.rest)?.[1];
+    const daemon = this.#ledger.requests.get(sender ?? "")?.daemon;
+    if (daemon !== undefined && this.cutDaemons.has(daemon)) return;
+    const message = connection.reader.take();
+    if (message !== undefined) this.#serve(connection, message);
+  }
+
+  #serve(connection: Connection, message: Message): void {
+    const [method = "", path = ""] = message.startLine.split(" ");
+    const id = message.headers["attempt-id"];
+    if (id === undefined) {
+      const isHealth = method === "GET" && path.startsWith("/health");
+      return this.#write(
+        connection,
+        isHealth
+          ? formatAnswer(200, { "Instance-Id": this.options.id }, "")
+          : formatAnswer(404, { "Not-Run": "1" }, ""),
+      );
+    }
+    const count = this.#arrivalsById.get(id) ?? 0;
+    this.#arrivalsById.set(id, count + 1);
+    const { seed } = this.options;
+    const draws = drawsFor(seed, `${this.options.id}/${id}/${count}`);
+    const plan = planAnswer(this.faults, draws);
+    const exchange = { connection, message, id, plan };
+    const expected = message.headers["expect-instance"];
+    const isOther = expected !== undefined && expected !== this.options.id;
+    if (isOther) return this.#refuse(exchange, 421);
+    if (plan.isRefused || this.#running >= SLOTS) {
+      return this.#refuse(exchange, 503);
+    }
+    this.#run(exchange);
+  }
+
+  #refuse(exchange: Exchange, status: number): void {
+    const { connection, plan, id } = exchange;
+    this.#noteArrival(id, undefined);
+    const names: Record<string, string> = plan.namesRequest
+      ? { "Attempt-Id": id }
+      : {};
+    const fields = { ...names, "Not-Run": "1", "Instance-Id": this.options.id };
+    this.#answer(connection, formatAnswer(status, fields, ""), plan);
+  }
+
+  #run(exchange: Exchange): void {
+    const { connection, message, id, plan } = exchange;
+    this.#running += 1;
+    const { id: server, version } = this.options;
+    const number = this.#ledger.arrivals.length;
+    const proof = `${server}.${version}.${id}.${number}`;
+    const isStream = message.headers["accept"] === "text/event-stream";
+    const body = isStream
+      ? ""
+      : `${proof} ${"x".repeat(plan.fillerBytes)} end of ${proof}\n`;
+    const run = { server, version, proof, status: 200, body };
+    this.#noteArrival(id, run);
+    connection.isBusy = true;
+    setTimeout(() => {
+      if (isStream) return this.#stream(exchange, run);
+      this.#running -= 1;
+      connection.isBusy = false;
+      const fields = answerFields(id, proof);
+      const { isFramed } = plan;
+      this.#answer(
+        connection,
+        formatAnswer(200, fields, body, { isFramed }),
+        plan,
+      );
+      this.#serveNext(connection);
+    }, plan.workMs);
+  }
+
+  /** Writes an answer, and its copy or its first bytes only. */
+  #answer(connection: Connection, text: string, plan: AnswerPlan): void {
+    const { socket } = connection;
+    if (plan.isCut) {
+      socket.write(text.slice(0, CUT_AFTER_BYTES), "latin1");
+      setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+      return;
+    }
+    this.#write(connection, text, plan);
+    if (!plan.isFramed) {
+      const delayMs = plan.copy === undefined ? 0 : plan.copyDelayMs + 30;
+      setTimeout(() => socket.end(), delayMs);
+    }
+  }
+
+  #write(connection: Connection, text: string, plan?: AnswerPlan): void {
+    const { socket, held } = connection;
+    const send = (part: string, delayMs: number) =>
+      setTimeout(() => {
+        if (socket.writable) socket.write(part, "latin1");
+      }, delayMs);
+    connection.held = "";
+    const split = Math.ceil(text.length * (plan?.copySplit ?? 0));
+    const now = held + text + (plan?.copy === "same_segment" ? text : "");
+    if (socket.writable) socket.write(now, "latin1");
+    const delayMs = plan?.copyDelayMs ?? 0;
+    const forms: Readonly<Record<string, () => void>> = {
+      soon: () => send(text, delayMs),
+      late: () => send(text, delayMs),
+      before_next() {
+        connection.held = text;
+      },
+      two_pieces() {
+        send(text.slice(0, split), delayMs);
+        send(text.slice(split), delayMs + 20);
+      },
+      tail: () => send(text.slice(split), delayMs),
+      part: () => send(text.slice(0, split), delayMs),
+    };
+    forms[plan?.copy ?? ""]?.();
+  }
+
+  /** Sends events; chunks end anywhere, as events do not matter to them. */
+  #stream(exchange: Exchange, run: Run): void {
+    const { connection, message, id, plan } = exchange;
+    const { socket } = connection;
+    const after = Number(message.headers["last-event-id"] ?? 0);
+    const last = Number(/events=(\d+)/.exec(message.startLine)?.[1] ?? 10);
+    const name = message.headers["x-stream"] ?? id;
+    const events: string[] = [];
+    for (let event = after + 1; event <= last; event++) {
+      events.push(
+        `id: ${event}\ndata: ${name} ${event} ${run.version} ${run.proof}\n\n`,
+      );
+    }
+    const head = formatHead(200, {
+      ...answerFields(id, run.proof),
+      "Content-Type": "text/event-stream",
+      "Transfer-Encoding": "chunked",
+    });
+    let sent = head;
+    const write = (text: string) => {
+      sent += text;
+      if (socket.writable) socket.write(text, "latin1");
+    };
+    const finish = () => {
+      this.#running -= 1;
+      connection.isBusy = false;
+      this.#serveNext(connection);
+    };
+    socket.write(connection.held + head, "latin1");
+    connection.held = "";
+    let next = 0;
+    const step = () => {
+      if (socket.destroyed) return finish();
+      if (next === plan.breaksOffAfter) {
+        const text = events[next] ?? "";
+        write(formatChunk(text.slice(0, Math.ceil(text.length / 2))));
+        setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+        return finish();
+      }
+      if (next < events.length) {
+        write(splitChunk(events[next]!, plan.copySplit));
+        next += 1;
+        return void setTimeout(step, EVENT_INTERVAL_MS);
+      }
+      write("0\r\n\r\n");
+      finish();
+      if (plan.copy !== undefined && plan.copy !== "same_segment") {
+        connection.socket.setNoDelay(true);
+        this.#copyStream(connection, sent, plan);
+      } else if (plan.copy === "same_segment") write(sent);
+    };
+    step();
+  }
+
+  #copyStream(connection: Connection, sent: string, plan: AnswerPlan): void {
+    const split = Math.ceil(sent.length * plan.copySplit);
+    const text = plan.copy === "tail"
+      ? sent.slice(split)
+      : plan.copy === "part"
+      ? sent.slice(0, split)
+      : sent;
+    if (plan.copy === "before_next") {
+      connection.held = text;
+      return;
+    }
+    setTimeout(() => {
+      if (connection.socket.writable) connection.socket.write(text, "latin1");
+    }, plan.copyDelayMs);
+  }
+
+  #noteArrival(id: string, run: Run | undefined): void {
+    const { id: server, service } = this.options;
+    this.#ledger.arrivals.push({
+      id,
+      server,
+      service,
+      atMs: this.#ledger.nowMs(),
+      leavingSinceMs: this.leavingSinceMs,
+      run,
+    });
+  }
+}
+
+function answerFields(id: string, proof: string): Record<string, string> {
+  return { "Attempt-Id": id, "Response-Seal": proof };
+}
+
+function formatHead(
+  status: number,
+  fields: Readonly<Record<string, string>>,
+): string {
+  const lines = Object.entries(fields).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `HTTP/1.1 ${status} Answer\r\n${lines.join("")}\r\n`;
+}
+
+function formatAnswer(
+  status: number,
+  fields: Readonly<Record<string, string>>,
+  body: string,
+  { isFramed = true }: { readonly isFramed?: boolean } = {},
+): string {
+  const framing: Record<string, string> = isFramed
+    ? { "Content-Length": String(body.length) }
+    : { "Connection": "close" };
+  return formatHead(status, { ...fields, ...framing }) + body;
+}
+
+function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** An event in two chunks, split at a share of its bytes. */
+function splitChunk(text: string, share: number): string {
+  const at = Math.min(text.length - 1, Math.max(1, text.length * share | 0));
+  return formatChunk(text.slice(0, at)) + formatChunk(text.slice(at));
+}
--- /dev/null
+++ b/packages/platform-soak/src/ledger.ts
@@ -0,0 +1,95 @@
+/**
+ * What callers and servers saw, in the order in which they saw it.
+ *
+ * @module
+ */
+
+/** What the kind of a request's route allows. */
+export type RequestKind = "safe" | "unsafe" | "stream";
+
+/** How an answer ended for its caller. */
+export type AnswerEnd = "complete" | "broken" | "none" | "abandoned";
+
+/** An answer as a caller got it. */
+export interface CallerAnswer {
+  /** Undefined when no head arrived. */
+  readonly status: number | undefined;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  readonly end: AnswerEnd;
+  readonly atMs: number;
+}
+
+/** A request that a caller sent. */
+export interface SentRequest {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly service: string;
+  /** Index of the daemon that it was sent to. */
+  readonly daemon: number;
+  readonly sentAtMs: number;
+  /** Names the stream over its take-ups. */
+  readonly stream: string | undefined;
+  /** Number of the stream's last event. */
+  readonly lastEvent: number;
+  /** Last event that the caller has, when it takes a stream up. */
+  readonly resumeAfter: number;
+  /** The request that brought the stream's first event, when taken up. */
+  readonly resumes: string | undefined;
+  /** Software versions of which two servers or more served when it was sent. */
+  readonly servedVersions: readonly string[];
+  answer: CallerAnswer | undefined;
+}
+
+/** A request that reached a server. */
+export interface Arrival {
+  readonly id: string;
+  readonly server: string;
+  readonly service: string;
+  readonly atMs: number;
+  /** Whether the server had said that it leaves, and since when. */
+  readonly leavingSinceMs: number | undefined;
+  /** The run, when the server began to work on it. */
+  readonly run: Run | undefined;
+}
+
+/** A server's work on a request, and the answer that belongs to it. */
+export interface Run {
+  readonly server: string;
+  readonly version: string;
+  readonly proof: string;
+  readonly status: number;
+  /** The whole body of a plain answer; empty for streams. */
+  readonly body: string;
+}
+
+/** A signal to a daemon, or a fault, with what it struck. */
+export interface Disturbance {
+  readonly atMs: number;
+  readonly untilMs: number;
+  /** Index of a daemon, or -1 for all. */
+  readonly daemon: number;
+  readonly name: string;
+}
+
+/** All that a play saw. */
+export class Ledger {
+  readonly requests = new Map<string, SentRequest>();
+  readonly arrivals: Arrival[] = [];
+  readonly disturbances: Disturbance[] = [];
+  /** Bytes that came on callers' connections without a request. */
+  readonly strayBytes: { readonly atMs: number; readonly text: string }[] = [];
+  /** Daemons that ended by themselves. */
+  readonly ownEnds: { readonly atMs: number; readonly what: string }[] = [];
+  #startedAtMs = performance.now();
+
+  /** The play begins now. */
+  restartClock(): void {
+    this.#startedAtMs = performance.now();
+  }
+
+  /** Milliseconds since the start of the play. */
+  nowMs(): number {
+    return Math.round((performance.now() - this.#startedAtMs) * 10) / 10;
+  }
+}
--- /dev/null
+++ b/packages/platform-soak/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Plays of the platform's bundle as real processes.
+ *
+ * @module
+ */
+
+export { runPlay } from "./run_play.ts";
+export type { RunOptions } from "./run_play.ts";
+export { planPlay, SCENARIO_NAMES } from "./scenarios.ts";
+export type { Play, PlayOptions } from "./scenarios.ts";
+export type { Breach, Verdict } from "./verdict.ts";
--- /dev/null
+++ b/packages/platform-soak/src/scenarios.ts
@@ -0,0 +1,185 @@
+/**
+ * What a play consists of, drawn from its seed or fixed by a scenario.
+ *
+ * @module
+ */
+
+import { NO_FAULTS, type ServerFaults } from "./answer_plan.ts";
+import type { FaultName, PlannedFault } from "./faults.ts";
+import type { FleetShape } from "./fleet.ts";
+import type { RequestKind } from "./ledger.ts";
+import { type Draws, drawsFor } from "./random.ts";
+
+/** A change of what the servers do wrong. */
+export interface FaultsFrom {
+  readonly atMs: number;
+  readonly faults: ServerFaults;
+}
+
+/** A play: the fleet, its load, and what strikes it when. */
+export interface Play {
+  readonly shape: FleetShape;
+  /** Requests a second for each daemon. */
+  readonly ratePerS: number;
+  readonly kinds: readonly RequestKind[];
+  readonly retries: number;
+  readonly serverFaults: readonly FaultsFrom[];
+  readonly faults: readonly PlannedFault[];
+}
+
+/** What the command line sets, beside the seed. */
+export interface PlayOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly daemons: number | undefined;
+  readonly ratePerS: number | undefined;
+  readonly servers: number | undefined;
+}
+
+type Scenario = (options: PlayOptions, draws: Draws) => Play;
+
+/** Faults of daemons and servers that the drawn plays consist of. */
+const DRAWN_FAULTS: readonly FaultName[] = [
+  "daemon_killed",
+  "daemon_killed",
+  "half_killed",
+  "all_killed",
+  "daemon_stopped",
+  "daemon_frozen",
+  "daemon_frozen",
+  "all_frozen",
+  "daemon_cut_from_server",
+  "daemon_cut_from_server",
+  "server_crashed",
+  "server_crashed",
+  "server_replaced",
+  "server_released",
+];
+const RESTART_MS = 100;
+
+function fault(
+  name: FaultName,
+  atMs: number,
+  fields: Partial<PlannedFault> = {},
+): PlannedFault {
+  return { name, atMs, forMs: RESTART_MS, daemon: 0, server: 0, ...fields };
+}
+
+/** Servers that cut most answers off, while daemons are killed. */
+function cutAnswers(faultsFor: (daemons: number) => PlannedFault[]): Scenario {
+  return ({ daemons = 8, servers = 6, ratePerS = 12 }) => ({
+    shape: { daemons, servers, domains: 1, attempts: 3 },
+    ratePerS,
+    kinds: ["safe"],
+    retries: 0,
+    serverFaults: [
+      { atMs: 3_000, faults: { ...NO_FAULTS, cutShare: 0.6 } },
+    ],
+    faults: faultsFor(daemons),
+  });
+}
+
+const KILLS_AT_MS = [7_000, 12_000, 17_000];
+
+/** Faults from the seed, in series with gaps that let them overlap. */
+function drawFaults(
+  draws: Draws,
+  { names, durationMs, longestGapMs }: {
+    readonly names: readonly FaultName[];
+    readonly durationMs: number;
+    readonly longestGapMs: number;
+  },
+): PlannedFault[] {
+  const faults: PlannedFault[] = [];
+  let atMs = draws.int(500, 2_000);
+  while (atMs < durationMs) {
+    const forMs = draws.chance(0.3)
+      ? draws.int(1_000, 4_500)
+      : draws.int(20, 1_000);
+    const daemon = draws.int(0, 999);
+    const server = draws.int(0, 999);
+    faults.push({ atMs, name: draws.pick(names), forMs, daemon, server });
+    atMs += draws.int(20, longestGapMs);
+  }
+  return faults;
+}
+
+const SCENARIOS: Readonly<Record<string, Scenario>> = {
+  drawn(options, draws) {
+    const { durationMs } = options;
+    const faultsFrom = (atMs: number): FaultsFrom => ({
+      atMs,
+      faults: {
+        stutterShare: draws.pick([0, 0.05, 0.2]),
+        cutShare: draws.pick([0, 0, 0.1, 0.6]),
+        refuseShare: draws.pick([0, 0.05, 0.3]),
+        unframedShare: draws.pick([0, 0.2]),
+        stuttersUnframed: false,
+        breakOffShare: draws.pick([0, 0.1, 0.3]),
+      },
+    });
+    return {
+      shape: {
+        daemons: options.daemons ?? draws.int(3, 8),
+        servers: options.servers ?? draws.int(1, 6),
+        domains: draws.int(1, 3),
+        attempts: draws.int(1, 3),
+      },
+      ratePerS: options.ratePerS ?? draws.pick([3, 12, 25]),
+      kinds: ["safe", "unsafe", "unsafe", "stream"],
+      retries: draws.int(0, 3),
+      serverFaults: [1_000, 6_000, 12_000].map(faultsFrom),
+      faults: drawFaults(draws, {
+        names: DRAWN_FAULTS,
+        durationMs,
+        longestGapMs: draws.pick([800, 2_500]),
+      }),
+    };
+  },
+  cut_answers_quiet: cutAnswers(() => []),
+  cut_answers_half_killed: cutAnswers(() =>
+    KILLS_AT_MS.map((atMs) => fault("half_killed", atMs))
+  ),
+  cut_answers_all_killed: cutAnswers(() =>
+    KILLS_AT_MS.map((atMs) => fault("all_killed", atMs))
+  ),
+  cut_answers_killed_in_turn: cutAnswers((daemons) =>
+    Array.from(
+      { length: 14 },
+      (_, index) =>
+        fault("daemon_killed", 5_000 + index * 1_000, {
+          daemon: index % daemons,
+        }),
+    )
+  ),
+  cut_answers_frozen: cutAnswers((daemons) =>
+    KILLS_AT_MS.flatMap((atMs) =>
+      Array.from(
+        { length: daemons - 1 },
+        (_, index) =>
+          fault("daemon_frozen", atMs, { daemon: index + 1, forMs: 3_500 }),
+      )
+    )
+  ),
+};
+
+/** Names of all scenarios. */
+export const SCENARIO_NAMES = Object.keys(SCENARIOS);
+
+/**
+ * The play of a scenario.
+ *
+ * @example
+ * ```ts
+ * const play = planPlay("drawn", { seed: 7, durationMs: 20_000 });
+ * ```
+ */
+export function planPlay(name: string, options: PlayOptions): Play {
+  const scenario = SCENARIOS[name];
+  if (scenario === undefined) {
+    throw new Error(
+      `There is no scenario "${name}"; use one of ${SCENARIO_NAMES.join(", ")}`,
+    );
+  }
+  return scenario(options, drawsFor(options.seed, name));
+}
--- a/scripts/check_repository.ts
+++ b/scripts/check_repository.ts
@@ -15,7 +15,12 @@
 import { checkMetrics } from "./check_metrics.ts";
 
 /** Test tools that may start processes. */
-const PROCESS_STARTING_PACKAGES = new Set(["faults", "demo", "bench"]);
+const PROCESS_STARTING_PACKAGES = new Set([
+  "faults",
+  "demo",
+  "bench",
+  "platform-soak",
+]);
 const FORBIDDEN_IN_PRODUCT =
   /node:child_process|node:cluster|SharedArrayBuffer|node:worker_threads/;
 const DEEP_IMPORT = /from "@endivebend\/[a-z-]+\//;
@@ -23,13 +28,14 @@
 const PLATFORM_NAMES =
   /attempt-id|response-seal|prompt-prefix|expect-instance|not-run\b|kv-(?:events|fetch|save)|log-(?:append|read|newest)|server-load|server-limit|token-usage|ENDIVEBEND_CONFIG/i;
 /** The adapter, and the stand-ins that play the platform. */
-const PLATFORM_PACKAGES = new Set(["platform", "stand-ins"]);
+const PLATFORM_PACKAGES = new Set(["platform", "platform-soak", "stand-ins"]);
 /** Packages that run beside the product: tests, measurements, stand-ins. */
 const TOOL_PACKAGES = new Set([
   "bench",
   "capacity",
   "demo",
   "faults",
+  "platform-soak",
   "stand-ins",
 ]);
 const NOTICE = /copyright|licensed under|SPDX-/i;
