--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -36,6 +36,7 @@
   brandId,
   type RequestId,
 } from "@endivebend/types";
+import { AnswerBody } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
@@ -80,6 +81,10 @@
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
 /** A server that asks for a longer quiet is asked again after this time. */
 const MAX_QUIET_MS = 3_600_000;
+/** A late copy of an answer to one of so many requests is recognized. */
+const MAX_NOTED_REQUESTS = 32;
+const FOREIGN_ANSWER = "The answer belongs to another request";
+const FOREIGN_HEAD = "The answer ends in the head of another one";
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -113,6 +118,16 @@
 /** Keep-alive time that a socket's server last stated, in milliseconds. */
 const keepAliveMsBySocket = new WeakMap<Socket, number>();
 
+/** The last requests that a socket has carried, the newest last. */
+const requestsBySocket = new WeakMap<Socket, RequestId[]>();
+
+function noteRequest(socket: Socket, request: RequestId): void {
+  const requests = requestsBySocket.get(socket) ?? [];
+  requestsBySocket.set(socket, requests);
+  requests.push(request);
+  if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -260,8 +275,13 @@
   let wasSent = false;
   let isFinished = false;
   let isPaused = false;
+  let body: AnswerBody | undefined;
+  const relay = (bytes: Buffer) => {
+    if (!isFinished && bytes.length > 0) listener.data(bytes);
+  };
   const batch = new ChunkBatch((bytes) => {
-    if (!isFinished) listener.data(bytes);
+    relay(body === undefined ? bytes : body.push(bytes));
+    if (body?.isCutOff) fail(FOREIGN_HEAD);
   });
   const fail = (
     reason: string,
@@ -286,6 +306,7 @@
     if (!wasSent) fail("The server did not accept the connection in time");
   };
   outgoing.on("socket", (socket) => {
+    noteRequest(socket, exchange.expected.requestId);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
@@ -348,7 +369,17 @@
     const { expected } = exchange;
     const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
-      return fail("The answer belongs to another request");
+      return fail(FOREIGN_ANSWER);
+    }
+    const { socket } = response;
+    const { requestId } = expected;
+    const earlier = requestsBySocket.get(socket)?.slice(0, -1) ?? [];
+    body = new AnswerBody({ requestId, earlier, isFramed: isFramed(response) });
+    let wasReset = false;
+    if (!isFramed(response)) {
+      const noteReset = () => wasReset = !hasPeer(socket);
+      socket.prependListener("end", noteReset);
+      response.once("close", () => socket.off("end", noteReset));
     }
     response.on("error", ({ message }) => fail(message));
     response.on("aborted", () => fail("The answer was cut off before its end"));
@@ -361,13 +392,17 @@
     response.on("end", () => {
       batch.flush();
       if (isFinished) return;
-      if (!response.complete) {
+      if (!response.complete || wasReset) {
         return fail("The answer was cut off before its end");
       }
       const trailerFault = findFieldFault(response.rawTrailers);
       if (trailerFault !== undefined) {
         return fail(`The answer's trailer has ${trailerFault}`);
       }
+      const rest = body?.end();
+      if (rest === undefined || body?.isCutOff) return fail(FOREIGN_HEAD);
+      relay(rest);
+      if (isFinished) return;
       isFinished = true;
       listener.end();
     });
@@ -391,6 +426,21 @@
   };
 }
 
+/**
+ * Whether a socket that has ended was closed in order by its peer. libuv reports
+ * a reset as an end when it reads it together with data; the kernel has
+ * forgotten the peer then.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
+/** Whether an answer doesn't end with its connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 /**
  * Reads a short refusal to its end, so that its connection can be reused;
  * otherwise destroys the request.
@@ -490,8 +540,7 @@
     statusText: response.statusMessage ?? "",
     rawHeaders,
     isFramed: headers[FORWARD_HEADERS.unframed] === undefined &&
-      (headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined),
+      isFramed(response),
   };
   return {
     status,
