Use no connection again on which a second copy has begun

What callers saw: 502 for a request that ran, when the beginning of a copy came in the segment of the answer before it. Had the next answer no length, the rest of the copy would be part of it.

Cause: the parser drops the beginning of a head that it reads with the end of an answer, and the connection returned to the pool as if nothing had followed.

Evidence: four cases of stray_bytes_test fail before this commit (the connection is used again, after 1, 9, 20 and 60 bytes of the copy) and pass after it.

Why it works: what was read last must not end in what may begin a head. A whole head is a second answer, and other bytes are an error; both close the connection already.

--- a/packages/platform/src/answer_body.ts
+++ b/packages/platform/src/answer_body.ts
@@ -138,6 +138,20 @@
   }
 }
 
+/**
+ * Whether the bytes end in what may be the beginning of a head.
+ *
+ * @example
+ * ```ts
+ * mayEndInHead(Buffer.from("x\r\n0\r\n\r\nHTTP/1.1 20")); // true
+ * ```
+ */
+export function mayEndInHead(bytes: Buffer): boolean {
+  const at = bytes.lastIndexOf(HEAD_MARK);
+  const isOpen = at >= 0 && readHead(bytes.subarray(at)) === "incomplete";
+  return isOpen || partialMarkBytes(bytes) > 0;
+}
+
 /** Number of bytes at the end that may begin the mark of a head. */
 function partialMarkBytes(bytes: Buffer): number {
   const end = bytes.toString("latin1", bytes.length - HEAD_MARK.length + 1);
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -36,7 +36,7 @@
   brandId,
   type RequestId,
 } from "@endivebend/types";
-import { AnswerBody } from "./answer_body.ts";
+import { AnswerBody, mayEndInHead } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
@@ -98,7 +98,11 @@
   override keepSocketAlive(socket: Socket): boolean {
     const hint = keepAliveMsBySocket.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS;
     const idleMs = hint - IDLE_MARGIN_MS;
-    if (idleMs <= 0) return false;
+    const lastRead = lastReadBySocket.get(socket);
+    lastReadBySocket.delete(socket);
+    // The parser drops the beginning of a head that follows an answer.
+    const isFollowed = lastRead !== undefined && mayEndInHead(lastRead);
+    if (idleMs <= 0 || isFollowed) return false;
     socket.setKeepAlive(true, 1_000);
     socket.setTimeout(idleMs);
     socket.on("data", destroyOnStrayBytes);
@@ -107,6 +111,7 @@
 
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     socket.off("data", destroyOnStrayBytes);
+    socket.off("data", noteRead);
     super.reuseSocket(socket, request);
   }
 }
@@ -115,6 +120,13 @@
   this.destroy();
 }
 
+/** The bytes that were read last; they are kept while an answer is read. */
+const lastReadBySocket = new WeakMap<Socket, Buffer>();
+
+function noteRead(this: Socket, bytes: Buffer): void {
+  lastReadBySocket.set(this, bytes);
+}
+
 /** Keep-alive time that a socket's server last stated, in milliseconds. */
 const keepAliveMsBySocket = new WeakMap<Socket, number>();
 
@@ -307,6 +319,7 @@
   };
   outgoing.on("socket", (socket) => {
     noteRequest(socket, exchange.expected.requestId);
+    socket.on("data", noteRead);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -126,3 +126,26 @@
     t.is(results[2]?.body, "third");
   });
 }
+
+// Node.js drops the beginning of a head that it reads with the end of an answer.
+// The rest of the copy would stand before or in a later answer.
+for (const length of [1, 9, 20, 60]) {
+  test(`a connection is not used again after a second copy began in the segment of the answer: ${length} bytes`, async (t) => {
+    const copy = answer("first", "first");
+    let first: Socket | undefined;
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) => {
+        const rest = socket === first ? copy.slice(length) : "";
+        first ??= socket;
+        if (id === "first") {
+          socket.write(answer(id, id) + copy.slice(0, length));
+        } else {
+          socket.write(rest + answer(id, id));
+        }
+      },
+    });
+    t.deepEqual(results.map(({ body }) => body), ["first", "second"]);
+    t.is(sockets, 2);
+  });
+}
