--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -78,6 +78,8 @@
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
+/** The balancer takes a daemon that drains out after two failed checks. */
+const TAKEN_OUT_MS = 2_000;
 /** Time from the last message of a daemon that has drained to its end. */
 const END_MS = 50;
 export const DOMAINS = ["a", "b", "c", "d"].map((name) =>
@@ -366,6 +368,8 @@
   readonly maxAttempts?: number;
   /** Limit of the team whose key all requests bear; they bear none by default. */
   readonly teamLimit?: Pick<TeamRules, "ratePerS" | "burst">;
+  /** Requests by which teams may exceed their limit in a window. */
+  readonly teamSlack?: number;
   /** Requests that an engine runs at a time; 128 by default. */
   readonly slots?: number;
   /** Whether a daemon brings engines to the weights that are named. */
@@ -484,8 +488,14 @@
     this.#daemons[index]?.kill();
   }
 
+  /** Whether the balancer sends callers to the daemon. */
+  takesCallers(index: number): boolean {
+    return this.#daemons[index]?.takesCallers === true;
+  }
+
   /** Sends SIGTERM to the daemon, which ends when it has drained. */
-  stopDaemon(index: number): void {
+  stopDaemon(index: number, ended: () => void = () => {}): void {
+    this.#daemons[index]?.ended.push(ended);
     this.#daemons[index]?.stop();
   }
 
@@ -572,6 +582,10 @@
     };
   }
 
+  get teamSlack(): number {
+    return this.#options.teamSlack ?? 0;
+  }
+
   get #teams(): TeamRules[] {
     const { teamLimit } = this.#options;
     if (teamLimit === undefined) return [];
@@ -1141,6 +1155,7 @@
   /** What happens to the process once it runs again; undefined while it does. */
   #whenThawed: (() => void)[] | undefined;
   isAlive = true;
+  #isTakenOut = false;
 
   constructor(world: TestFleet, index: number) {
     this.#world = world;
@@ -1161,7 +1176,11 @@
       leaseMs: 3_000,
       weightsBoundMs: world.weightsBoundMs,
       bounds: {
-        tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
+        tolerance: {
+          overshootShare: 0.1,
+          slackUnits: world.teamSlack,
+          windowMs: 8_000,
+        },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
       },
     }, this.#ports());
@@ -1177,6 +1196,13 @@
   stop(): void {
     // The process ends when the simulated time says so, not a real timer.
     this.#daemon.stop(() => {});
+    this.#time.after(TAKEN_OUT_MS, () => {
+      this.#isTakenOut = true;
+    });
+  }
+
+  get takesCallers(): boolean {
+    return this.isAlive && !this.#isTakenOut;
   }
 
   freeze(durationMs: number): void {
--- a/packages/front/src/testing_repeats.ts
+++ b/packages/front/src/testing_repeats.ts
@@ -16,12 +16,14 @@
 const FIRST_REQUEST_MS = 1_500;
 /** Servers break answers off from here on. */
 export const BROKEN_FROM_MS = 3_000;
-const BROKEN_PER_CENT = 60;
+const DEFAULT_BROKEN_PER_CENT = 60;
 
 /** A day on which servers break most of their answers off. */
 export interface RepeatsDay extends Partial<FleetOptions> {
   readonly seed: number;
   readonly requestsPerDaemonPerS: number;
+  /** Answers of a hundred that servers break off; 60 by default. */
+  readonly brokenPerCent?: number;
   readonly lengthMs: number;
 }
 
@@ -37,7 +39,7 @@
   readonly allowed: number;
 }
 
-/** Sends requests to the daemons that run, in turn. */
+/** Sends requests to the daemons that take callers, in turn. */
 export async function playRepeats(
   day: RepeatsDay,
   events: FleetEvents = () => [],
@@ -56,14 +58,15 @@
   const { time } = fleet;
   for (const [atMs, run] of events(fleet)) time.after(atMs, run);
   time.after(BROKEN_FROM_MS, () => {
-    fleet.breaksAnswer = () => draw(1, 100) <= BROKEN_PER_CENT;
+    const brokenPerCent = day.brokenPerCent ?? DEFAULT_BROKEN_PER_CENT;
+    fleet.breaksAnswer = () => draw(1, 100) <= brokenPerCent;
   });
   const perS = day.requestsPerDaemonPerS * fleet.daemonCount;
   let sent = 0;
   const send = () => {
-    const running = Array.from({ length: fleet.daemonCount }, (_, at) => at)
-      .filter((daemon) => fleet.isRunning(daemon));
-    fleet.send(running[sent++ % running.length] ?? 0, []);
+    const daemons = Array.from({ length: fleet.daemonCount }, (_, at) => at)
+      .filter((daemon) => fleet.takesCallers(daemon));
+    fleet.send(daemons[sent++ % daemons.length] ?? 0, []);
     time.after(FIRST_REQUEST_MS + sent * 1_000 / perS - time.nowMs, send);
   };
   time.after(FIRST_REQUEST_MS, send);
