Show that servers get more connections than they accept in long cuts

The connections that a server accepts are shared by the fleet as well.

A daemon of the simulated fleet that is killed closes its connections.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -340,6 +340,8 @@
   /** Whether its answers say that it leaves. */
   saysThatItLeaves: boolean;
   readonly attempts: Set<RunningAttempt>;
+  /** The most attempts that it had at a time. */
+  peakAttempts: number;
 }
 
 /** What became of a request. */
@@ -372,6 +374,8 @@
   readonly teamSlack?: number;
   /** Requests that an engine runs at a time; 128 by default. */
   readonly slots?: number;
+  /** Connections that an engine accepts from all daemons; 600 by default. */
+  readonly maxConnections?: number;
   /** Whether a daemon brings engines to the weights that are named. */
   readonly rollsOut?: boolean;
   /** No request may begin on older weights this long after newer were named. */
@@ -483,6 +487,17 @@
     return this.#daemons[index]?.isAlive === true;
   }
 
+  /** Closes the connections of a daemon that has ended. */
+  closeConnections(vm: VmId): void {
+    for (const { attempts } of this.#engines.values()) {
+      for (const attempt of attempts) {
+        if (attempt.vm !== vm) continue;
+        attempt.isOver = true;
+        attempts.delete(attempt);
+      }
+    }
+  }
+
   /** Ends the daemon without notice; its requests end with it. */
   killDaemon(index: number): void {
     this.#daemons[index]?.kill();
@@ -567,7 +582,7 @@
       }],
       services: [{
         name: SERVICE,
-        maxConnections: 600,
+        maxConnections: this.#options.maxConnections ?? 600,
         tokensPerEvent: TOKENS_PER_EVENT,
       }],
       cacheStores: [],
@@ -863,6 +878,7 @@
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
       attempts: new Set(),
+      peakAttempts: 0,
       weights: 1,
       loading: undefined,
       acceptedOrders: 0,
@@ -981,6 +997,7 @@
       return this.#noteRejection(engine);
     }
     engine.attempts.add(attempt);
+    engine.peakAttempts = Math.max(engine.peakAttempts, engine.attempts.size);
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
     this.begunRuns.push({
       atMs: prefillAtMs,
@@ -1188,8 +1205,10 @@
   }
 
   kill(): void {
+    if (!this.isAlive) return;
     this.isAlive = false;
     this.storeAccess.end();
+    this.#world.closeConnections(this.vm);
     for (const notify of this.ended) notify();
   }
 
--- a/packages/front/src/testing_repeats.ts
+++ b/packages/front/src/testing_repeats.ts
@@ -24,6 +24,8 @@
   readonly requestsPerDaemonPerS: number;
   /** Answers of a hundred that servers break off; 60 by default. */
   readonly brokenPerCent?: number;
+  /** Events of each answer. */
+  readonly events?: number;
   readonly lengthMs: number;
 }
 
@@ -66,7 +68,8 @@
   const send = () => {
     const daemons = Array.from({ length: fleet.daemonCount }, (_, at) => at)
       .filter((daemon) => fleet.takesCallers(daemon));
-    fleet.send(daemons[sent++ % daemons.length] ?? 0, []);
+    const daemon = daemons[sent++ % daemons.length] ?? 0;
+    fleet.send(daemon, [], { ...(day.events && { events: day.events }) });
     time.after(FIRST_REQUEST_MS + sent * 1_000 / perS - time.nowMs, send);
   };
   time.after(FIRST_REQUEST_MS, send);
