Let late messages not bring back a daemon that has left

In a fleet with relays a message that was composed before the last one of a daemon can come after it. The daemon then counted as a member again: for 30 s in the shares of teams' rates and servers' limits, and for an hour in the split of the retry budget's slack, so that callers got less than the limits allow.

The process that has left is remembered, and its later messages are dropped; a new process of the VM is taken in at once. The new test in fleet_state_test failed before. Not seen in a fleet yet: the order of the messages was read in the code.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -8,6 +8,7 @@
 import type {
   BackendServerId,
   FailureDomainId,
+  IncarnationId,
   TeamId,
   VmId,
 } from "@endivebend/types";
@@ -116,8 +117,11 @@
    * placement asks for every server, and few daemons have work at one of them.
    */
   #workersByServer: ReadonlyMap<string, readonly FleetMember[]> | undefined;
-  /** Daemons that have ended or fallen silent; a list may still have them. */
-  readonly #ended = new Set<VmId>();
+  /**
+   * Daemons that have ended or fallen silent; a list may still have them. One
+   * that has ended is held with its process, whose messages may still come.
+   */
+  readonly #ended = new Map<VmId, IncarnationId | undefined>();
   /** When relays last brought the messages of each failure domain. */
   readonly #bundleAtMs = new Map<FailureDomainId, number>();
   /** Since when relays carry the messages; infinite while they don't. */
@@ -157,8 +161,8 @@
 
   /**
    * Applies a message, which a relay may have received `ageMs` ago. Returns
-   * undefined for a message of this daemon itself or one that is not newer than
-   * the last one of its sender.
+   * undefined for a message of this daemon itself, of a process that has ended,
+   * or one that is not newer than the last one of its sender.
    */
   applyMessage(
     message: GossipMessage,
@@ -172,10 +176,11 @@
     if (isSameIncarnation && previous.sequence >= message.sequence) {
       return undefined;
     }
+    if (this.#ended.get(message.vm) === message.incarnation) return undefined;
     this.#workersByServer = undefined;
     if (message.isLeaving) {
       this.#members.delete(message.vm);
-      this.#ended.add(message.vm);
+      this.#ended.set(message.vm, message.incarnation);
       this.#sharers.release(message.vm, nowMs);
     } else {
       this.#ended.delete(message.vm);
@@ -407,7 +412,7 @@
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
       this.#workersByServer = undefined;
       this.#members.delete(vm);
-      this.#ended.add(vm);
+      this.#ended.set(vm, undefined);
     }
   }
 }
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -51,6 +51,19 @@
   t.is(fleet.size, 1);
 });
 
+test("a late message does not bring back a daemon that has left", (t) => {
+  const fleet = newState();
+  fleet.applyMessage(message(), 0);
+  fleet.applyMessage(message({ sequence: 3, isLeaving: true }), 10);
+  const late = message({ sequence: 2 });
+  t.is(fleet.applyMessage(late, 400, 395), undefined);
+  t.is(fleet.size, 1);
+  t.is(fleet.sharerCount(10_010), 1);
+  const incarnation = brandId<IncarnationId>("second");
+  t.truthy(fleet.applyMessage(message({ incarnation }), 11_000));
+  t.is(fleet.size, 2);
+});
+
 test("a daemon that leaves keeps its part of the limits for a window", (t) => {
   const fleet = newState();
   fleet.applyMessage(message(), 0);
