--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -78,6 +78,8 @@
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
+/** The balancer takes a daemon that drains out after two failed checks. */
+const TAKEN_OUT_MS = 2_000;
 /** Time from the last message of a daemon that has drained to its end. */
 const END_MS = 50;
 export const DOMAINS = ["a", "b", "c", "d"].map((name) =>
@@ -338,6 +340,8 @@
   /** Whether its answers say that it leaves. */
   saysThatItLeaves: boolean;
   readonly attempts: Set<RunningAttempt>;
+  /** The most attempts that it had at a time. */
+  peakAttempts: number;
 }
 
 /** What became of a request. */
@@ -366,8 +370,12 @@
   readonly maxAttempts?: number;
   /** Limit of the team whose key all requests bear; they bear none by default. */
   readonly teamLimit?: Pick<TeamRules, "ratePerS" | "burst">;
+  /** Requests by which teams may exceed their limit in a window. */
+  readonly teamSlack?: number;
   /** Requests that an engine runs at a time; 128 by default. */
   readonly slots?: number;
+  /** Connections that an engine accepts from all daemons; 600 by default. */
+  readonly maxConnections?: number;
   /** Whether a daemon brings engines to the weights that are named. */
   readonly rollsOut?: boolean;
   /** No request may begin on older weights this long after newer were named. */
@@ -479,13 +487,30 @@
     return this.#daemons[index]?.isAlive === true;
   }
 
+  /** Closes the connections of a daemon that has ended. */
+  closeConnections(vm: VmId): void {
+    for (const { attempts } of this.#engines.values()) {
+      for (const attempt of attempts) {
+        if (attempt.vm !== vm) continue;
+        attempt.isOver = true;
+        attempts.delete(attempt);
+      }
+    }
+  }
+
   /** Ends the daemon without notice; its requests end with it. */
   killDaemon(index: number): void {
     this.#daemons[index]?.kill();
   }
 
+  /** Whether the balancer sends callers to the daemon. */
+  takesCallers(index: number): boolean {
+    return this.#daemons[index]?.takesCallers === true;
+  }
+
   /** Sends SIGTERM to the daemon, which ends when it has drained. */
-  stopDaemon(index: number): void {
+  stopDaemon(index: number, ended: () => void = () => {}): void {
+    this.#daemons[index]?.ended.push(ended);
     this.#daemons[index]?.stop();
   }
 
@@ -557,7 +582,7 @@
       }],
       services: [{
         name: SERVICE,
-        maxConnections: 600,
+        maxConnections: this.#options.maxConnections ?? 600,
         tokensPerEvent: TOKENS_PER_EVENT,
       }],
       cacheStores: [],
@@ -572,6 +597,10 @@
     };
   }
 
+  get teamSlack(): number {
+    return this.#options.teamSlack ?? 0;
+  }
+
   get #teams(): TeamRules[] {
     const { teamLimit } = this.#options;
     if (teamLimit === undefined) return [];
@@ -849,6 +878,7 @@
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
       attempts: new Set(),
+      peakAttempts: 0,
       weights: 1,
       loading: undefined,
       acceptedOrders: 0,
@@ -967,6 +997,7 @@
       return this.#noteRejection(engine);
     }
     engine.attempts.add(attempt);
+    engine.peakAttempts = Math.max(engine.peakAttempts, engine.attempts.size);
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
     this.begunRuns.push({
       atMs: prefillAtMs,
@@ -1141,6 +1172,7 @@
   /** What happens to the process once it runs again; undefined while it does. */
   #whenThawed: (() => void)[] | undefined;
   isAlive = true;
+  #isTakenOut = false;
 
   constructor(world: TestFleet, index: number) {
     this.#world = world;
@@ -1161,7 +1193,11 @@
       leaseMs: 3_000,
       weightsBoundMs: world.weightsBoundMs,
       bounds: {
-        tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
+        tolerance: {
+          overshootShare: 0.1,
+          slackUnits: world.teamSlack,
+          windowMs: 8_000,
+        },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
       },
     }, this.#ports());
@@ -1169,14 +1205,23 @@
   }
 
   kill(): void {
+    if (!this.isAlive) return;
     this.isAlive = false;
     this.storeAccess.end();
+    this.#world.closeConnections(this.vm);
     for (const notify of this.ended) notify();
   }
 
   stop(): void {
     // The process ends when the simulated time says so, not a real timer.
     this.#daemon.stop(() => {});
+    this.#time.after(TAKEN_OUT_MS, () => {
+      this.#isTakenOut = true;
+    });
+  }
+
+  get takesCallers(): boolean {
+    return this.isAlive && !this.#isTakenOut;
   }
 
   freeze(durationMs: number): void {
