Show answers without a length that hold their second copy as whole

Callers got a server's second copy of an answer without a length as part of a whole answer.

Retries pause longer each time, so that some come when the daemons are back.

--- a/packages/platform-soak/src/callers.ts
+++ b/packages/platform-soak/src/callers.ts
@@ -51,8 +51,8 @@
 
 const PLAIN_LIMIT_MS = 3_000;
 const STREAM_LIMIT_MS = 9_000;
-/** Pause before a retry when the answer names none. */
-const RETRY_PAUSE_MS = 50;
+/** Pause before the first retry when the answer names none; it grows. */
+const RETRY_PAUSE_MS = 150;
 /** Most that a caller waits because an answer asks it to. */
 const MAX_RETRY_AFTER_MS = 1_000;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -106,7 +106,7 @@
       resumeAfter: 0,
       resumes: undefined,
     };
-    this.#track(this.#pursue(wish, false));
+    this.#track(this.#pursue(wish));
   }
 
   #track(work: Promise<void>): void {
@@ -115,14 +115,16 @@
   }
 
   /** Retries come on new connections, to the next daemon. */
-  async #pursue(first: Wish, isRetry: boolean): Promise<void> {
+  async #pursue(first: Wish): Promise<void> {
     let wish: Wish | undefined = first;
-    let mustConnect = isRetry;
+    let mustConnect = false;
+    let tries = 0;
     while (wish !== undefined) {
       const sent = await this.#send(wish, mustConnect);
       wish = nextWish(wish, sent);
       mustConnect = true;
-      if (wish !== undefined) await pause(sent);
+      tries += 1;
+      if (wish !== undefined) await pause(sent, tries);
     }
   }
 
@@ -201,10 +203,10 @@
   };
 }
 
-function pause({ answer }: SentRequest): Promise<void> {
+function pause({ answer }: SentRequest, tries: number): Promise<void> {
   const seconds = Number(answer?.headers["retry-after"] ?? 0);
   const waitMs = Math.min(MAX_RETRY_AFTER_MS, seconds * 1_000);
   return new Promise((resolve) => {
-    setTimeout(resolve, Math.max(RETRY_PAUSE_MS, waitMs));
+    setTimeout(resolve, Math.max(RETRY_PAUSE_MS * tries ** 2, waitMs));
   });
 }
--- a/packages/platform-soak/src/main.ts
+++ b/packages/platform-soak/src/main.ts
@@ -118,4 +118,5 @@
 }
 
 if (values.help) console.log(USAGE);
-else process.exitCode = await main();
+// Held reads and waits of the faults would keep it running.
+else process.exit(await main());
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -55,6 +55,8 @@
   "server_replaced",
   "server_released",
 ];
+/** Faults beside which every software version stays. */
+const STEADY_FAULTS = DRAWN_FAULTS.filter((name) => name !== "server_released");
 const RESTART_MS = 100;
 
 function fault(
@@ -79,6 +81,69 @@
   });
 }
 
+/** Servers that answer twice, while daemons and servers are struck. */
+function secondCopies(serverFaults: Partial<ServerFaults>): Scenario {
+  return ({ durationMs, ...options }, draws) => ({
+    shape: {
+      daemons: options.daemons ?? draws.int(3, 6),
+      servers: options.servers ?? draws.int(1, 3),
+      domains: draws.int(1, 2),
+      attempts: draws.int(1, 3),
+    },
+    ratePerS: options.ratePerS ?? 30,
+    kinds: ["safe", "unsafe", "unsafe", "stream"],
+    retries: 2,
+    serverFaults: [{
+      atMs: 0,
+      faults: {
+        ...NO_FAULTS,
+        stutterShare: 0.2,
+        refuseShare: draws.pick([0, 0.15, 0.3]),
+        breakOffShare: 0.1,
+        ...serverFaults,
+      },
+    }],
+    faults: drawFaults(draws, {
+      names: STEADY_FAULTS,
+      durationMs,
+      longestGapMs: 2_500,
+    }),
+  });
+}
+
+/** Releases of software while daemons are killed and streams break off. */
+function released(
+  faultsFor: (draws: Draws, durationMs: number) => PlannedFault[],
+): Scenario {
+  return (options, draws) => ({
+    shape: {
+      daemons: options.daemons ?? 6,
+      servers: options.servers ?? 4,
+      domains: 2,
+      attempts: 2,
+    },
+    ratePerS: options.ratePerS ?? 12,
+    kinds: ["stream"],
+    retries: 3,
+    serverFaults: [
+      { atMs: 0, faults: { ...NO_FAULTS, breakOffShare: 0.15 } },
+    ],
+    faults: faultsFor(draws, options.durationMs),
+  });
+}
+
+/** One server after the other is replaced by one of the next version. */
+function releaseFaults(draws: Draws, atMs: number): PlannedFault[] {
+  return Array.from(
+    { length: 4 },
+    (_, index) =>
+      fault("server_released", atMs + index * 700, {
+        forMs: draws.int(0, 1_500),
+        server: draws.int(0, 999),
+      }),
+  );
+}
+
 const KILLS_AT_MS = [7_000, 12_000, 17_000];
 
 /** Faults from the seed, in series with gaps that let them overlap. */
@@ -136,6 +201,28 @@
       }),
     };
   },
+  second_copies: secondCopies({}),
+  second_copies_without_length: secondCopies({
+    unframedShare: 0.3,
+    stuttersUnframed: true,
+  }),
+  released: released((draws) => releaseFaults(draws, 3_000)),
+  released_servers_crash: released((draws, durationMs) => [
+    ...releaseFaults(draws, 3_000),
+    ...releaseFaults(draws, 11_000),
+    ...drawFaults(draws, {
+      names: ["server_crashed", "daemon_frozen"],
+      durationMs,
+      longestGapMs: 1_500,
+    }),
+  ]),
+  released_all_killed: released((draws) => [
+    ...releaseFaults(draws, 3_000),
+    ...releaseFaults(draws, 11_000),
+    ...[5_300, 9_500, 14_000].map((atMs) =>
+      fault("all_killed", atMs, { forMs: draws.int(200, 1_500) })
+    ),
+  ]),
   cut_answers_quiet: cutAnswers(() => []),
   cut_answers_half_killed: cutAnswers(() =>
     KILLS_AT_MS.map((atMs) => fault("half_killed", atMs))
