Send a request again to an address on a new connection

What callers could see: a call that runs at most once is refused as not run, or runs twice. A server answers 421 since it has the address of another one, and sends the refusal twice; the registry lists it at the address too, and the call is sent to it on the same connection. The late copy has the call's id and is taken for the second answer, while the server runs the call.

Cause: an answer is told from a copy by the request's id, which is the same for all attempts of a request.

No run of a whole daemon has shown it.

Why it works: where an idle connection to the address has carried the request, all idle ones are closed, so the second attempt gets a connection on which no copy can come.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -128,6 +128,23 @@
   if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
 }
 
+function idleSockets(agent: Agent | undefined): Socket[] {
+  return Object.values(agent?.freeSockets ?? {})
+    .flatMap((sockets) => sockets ?? []);
+}
+
+/**
+ * Closes idle connections where one of them has carried the request before: a
+ * late copy of what its server answered then has the request's id.
+ */
+function closeFormerConnections(agent: Agent, request: RequestId): void {
+  const sockets = idleSockets(agent);
+  const isFormer = sockets.some((socket) =>
+    requestsBySocket.get(socket)?.includes(request)
+  );
+  if (isFormer) { for (const socket of sockets) socket.destroy(); }
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -184,10 +201,7 @@
     },
     checkListening,
     closeIdleConnections(address) {
-      const agent = agents.get(address);
-      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      for (const socket of idleSockets(agents.get(address))) socket.destroy();
     },
   };
 }
@@ -265,6 +279,9 @@
   listener: AttemptListener,
 ): AttemptHandle {
   const { message, isForwarded = false } = exchange;
+  if (!isForwarded) {
+    closeFormerConnections(exchange.agent, exchange.expected.requestId);
+  }
   const outgoing = openRequest(exchange);
   if (outgoing instanceof Error) {
     const { message: reason } = outgoing;
--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -58,6 +58,31 @@
   return { results, sockets: sockets.size };
 }
 
+function refusal(id: string, status: string): string {
+  return `HTTP/1.1 ${status}\r\nAttempt-Id: ${id}\r\nNot-Run: 1\r\n` +
+    "Content-Length: 0\r\n\r\n";
+}
+
+// Guards against a request that runs and is refused as not run, or runs twice:
+// the server that refuses it answers twice, and another one with the address is
+// sent the request next.
+for (const status of ["421 Misdirected Request", "503 Service Unavailable"]) {
+  test(`a second copy of a refusal is not the answer to the same request when it is sent again: ${status}`, async (t) => {
+    const refused = new Set<Socket>();
+    const { results } = await runInTurn({
+      ids: ["first", "first"],
+      serve: (socket, id) => {
+        const isCopy = refused.has(socket);
+        if (isCopy || refused.size === 0) socket.write(refusal(id, status));
+        if (isCopy || refused.size > 0) socket.write(answer(id, "it has run"));
+        refused.add(socket);
+      },
+    });
+    t.deepEqual(results.map(({ head }) => head?.isNotRun), [true, false]);
+    t.is(results[1]?.body, "it has run");
+  });
+}
+
 // A server that sends an answer twice, at the times at which the second copy
 // can be taken for the answer of the next request on the connection.
 for (const copy of ["whole", "head only", "body only", "refusal"] as const) {
