Take answers whose transfer coding is not chunked to end with their connection

What callers could see: part of an answer as a whole 200. The answer has a Transfer-Encoding that does not end in chunked, so it ends with its connection, and the connection is reset on the way. It is relayed in chunks, so that its end looks whole.

Cause: any Transfer-Encoding was taken to frame the answer, and the check for a reset that is read together with data is made for answers without frames only.

Evidence: found by reading; server_client_test, 'an answer that is not in chunks', fails in 3 of 3 codings before this commit and passes after it. No server has been seen to send such an answer.

Why it works: only a length or a last coding of chunked ends an answer before its connection (RFC 9112, section 6.3); all others are checked for a reset and relayed so that a reset shows.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -55,8 +55,8 @@
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
   /**
-   * Whether the answer has a length or transfer encoding; otherwise it ends
-   * with its connection.
+   * Whether the answer has a length or chunks; otherwise it ends with its
+   * connection.
    */
   readonly isFramed: boolean;
 }
@@ -85,6 +85,7 @@
 const MAX_NOTED_REQUESTS = 32;
 const FOREIGN_ANSWER = "The answer belongs to another request";
 const FOREIGN_HEAD = "The answer ends in the head of another one";
+const ENDS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -454,8 +455,10 @@
 
 /** Whether an answer doesn't end with its connection. */
 function isFramed({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  const coding = headers["transfer-encoding"];
+  return coding === undefined
+    ? headers["content-length"] !== undefined
+    : ENDS_CHUNKED.test(coding);
 }
 
 /**
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import { createClock } from "@endivebend/clock";
 import type { AttemptOrder } from "@endivebend/request-path";
-import { createServerClient } from "./server_client.ts";
+import { createServerClient, type ServerMessage } from "./server_client.ts";
 import {
   type AttemptResult,
   runAttempt,
@@ -52,6 +52,21 @@
   t.is(result.failure?.kind, "broken");
 });
 
+// Another coding than chunked has no end of its own (RFC 9112, section 6.3).
+for (const coding of ["gzip", "identity", "chunked, gzip"]) {
+  test(`an answer that is not in chunks is incomplete when its connection is reset: ${coding}`, async (t) => {
+    const result = await runAttemptAgainst((socket) => {
+      socket.write(
+        `${RESPONSE_HEAD}Transfer-Encoding: ${coding}\r\n\r\nhalf of it`,
+      );
+      socket.resetAndDestroy();
+    });
+    t.false(result.isComplete);
+    t.is(result.failure?.kind, "broken");
+    t.false((result.head?.message as ServerMessage).isFramed);
+  });
+}
+
 test("an answer without a length ends with its connection", async (t) => {
   const result = await runAttemptAgainst((socket) => {
     socket.end(`${RESPONSE_HEAD}Connection: close\r\n\r\nall of it`);
