Show that retries which wait on their way let a fleet pass its retry budget

A retry is counted when it is sent, and leaves the daemon's window while it may still be on its way; what was sent to a server before it was given up there arrives as well.

--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -20,6 +20,8 @@
 const RESTART_INTERVAL_MS = 1_000;
 /** Shorter than callers wait for an answer. */
 const HELD_MS = 5_500;
+/** Engines accept nothing for so long. */
+const DEAF_MS = 3_000;
 const DRAINED_MS = 700;
 const SHORT_CUT_MS = 12_000;
 /** Longer than a silent daemon stays a member. */
@@ -136,6 +138,23 @@
       atEach([12_000, 24_000], () => fleet.holdRequests(HELD_MS)),
     day: { lengthMs: 45_000 },
   },
+  "while attempts wait on their way to half of the servers": {
+    events: (fleet) =>
+      atEach([7_000, 14_000, 21_000], () => {
+        const engines = fleet.runningEngines().slice(0, ENGINES / 2);
+        for (const engine of engines) fleet.holdArrivals(engine, DEAF_MS);
+      }),
+    day: { lengthMs: 40_000 },
+  },
+  "while attempts wait on their way to all servers": {
+    events: (fleet) =>
+      atEach([7_000, 14_000, 21_000], () => {
+        for (const engine of fleet.runningEngines()) {
+          fleet.holdArrivals(engine, DEAF_MS);
+        }
+      }),
+    day: { lengthMs: 40_000 },
+  },
   "while daemons start again without the store": {
     events: (fleet) => [
       [BEGINS_MS[0]! - 1_000, () => {
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -323,6 +323,8 @@
   readonly vm: VmId;
   readonly listener: AttemptListener;
   isOver: boolean;
+  /** Whether it is on its way to an engine that it can't reach yet. */
+  isHeld?: boolean;
 }
 
 /** A simulated engine. */
@@ -337,6 +339,8 @@
   asksForQuietMs: number | undefined;
   /** Whether its answers say that it leaves. */
   saysThatItLeaves: boolean;
+  /** Attempts that are sent to it arrive then at the earliest. */
+  heldUntilMs: number;
   readonly attempts: Set<RunningAttempt>;
 }
 
@@ -848,6 +852,7 @@
       limitPerS: undefined,
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
+      heldUntilMs: 0,
       attempts: new Set(),
       weights: 1,
       loading: undefined,
@@ -898,6 +903,14 @@
     engine.highestEpoch = 0;
   }
 
+  /**
+   * Holds up attempts on their way to the engine, as a lossy link does or a
+   * process that is paused. They also arrive once they have been given up.
+   */
+  holdArrivals(engine: Engine, durationMs: number): void {
+    engine.heldUntilMs = this.time.nowMs + durationMs;
+  }
+
   /** Engines that run, in the order of their start. */
   runningEngines(): Engine[] {
     return [...this.#engines.values()].filter(({ isUp }) => isUp);
@@ -909,9 +922,16 @@
   ): void {
     const { order, attempt } = sent;
     const { listener } = attempt;
-    if (attempt.isOver) return;
+    if (attempt.isOver && attempt.isHeld !== true) return;
     const engine = this.#engineAt(order.server.address);
+    const heldMs = (engine?.heldUntilMs ?? 0) - this.time.nowMs;
+    if (heldMs > 0) {
+      attempt.isHeld = true;
+      listener.sent();
+      return void this.time.after(heldMs, () => this.#arrive(vm, sent));
+    }
     if (engine === undefined) {
+      if (attempt.isOver) return;
       attempt.isOver = true;
       const reason = "connect ECONNREFUSED";
       return listener.failed({ kind: "unsent", reason });
@@ -921,6 +941,7 @@
     const body = String(order.request.message);
     const { id } = engine.listed;
     if (order.server.id !== id) {
+      if (attempt.isOver) return;
       attempt.isOver = true;
       const refusal = { status: 421, isMisdirected: true, hasProof: false };
       listener.sent();
@@ -938,6 +959,7 @@
       weights: engine.weights,
       expects: order.cache.weights,
     });
+    if (attempt.isOver) return;
     listener.sent();
     const { weights: expected } = order.cache;
     if (expected !== undefined && Number(expected) !== engine.weights) {
