Show that daemons which start cut off let a fleet pass its retry budget

The added ones split the slack by 16, as the list names all, and the others by 8: a daemon reads the list once, at its start, and learns of later ones by gossip only.

--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -155,6 +155,17 @@
       }),
     day: { lengthMs: 40_000 },
   },
+  "while daemons are added that are cut off from the others": {
+    events: (fleet) => {
+      const added = ALL.map((index) => DAEMONS + index);
+      return [[1_000, () => {
+        fleet.cutOffGossip(added, { together: true });
+      }], [2_000, () => {
+        for (const daemon of added) fleet.startDaemon(daemon);
+      }]];
+    },
+    day: { lengthMs: 40_000, requestsPerDaemonPerS: 3 },
+  },
   "while daemons start again without the store": {
     events: (fleet) => [
       [BEGINS_MS[0]! - 1_000, () => {
