Count a retry until a window after it has arrived

Cause: a retry was counted at the time at which it was sent, while the budget counts arrivals. What waits at a server that accepts nothing, or on a link that loses packets, arrives together with the retries of the windows after it.

Now a retry that is taken counts in each window until an answer begins, the attempt ends, or the request ends without having sent it, and for a window from then on. A retry that reached no server hands its count on to the next attempt.

--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -33,6 +33,7 @@
     RequestContext,
     | "weightsProbes"
     | "tryRetry"
+    | "settleRetry"
     | "ended"
     | "maxOwnConnections"
     | "tokensPerEvent"
@@ -89,6 +90,8 @@
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
       weightsProbes: new WeightsProbes(options.fleetSize),
       tryRetry: (request, cause) => this.#tryRetry(request, cause),
+      settleRetry: ({ service }) =>
+        this.#retryBudget.settleRetry(service, this.#nowMs()),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
         if (!hasRun) this.#refund(request);
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -20,6 +20,8 @@
   /** Whether it checks the belief that no engine has weights that may serve. */
   readonly isProbe: boolean;
   readonly startedAtMs: number;
+  /** Repeats that were taken for it and are not settled. */
+  pendingRepeats: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
   /** When the head of its answer came. */
@@ -48,6 +50,7 @@
     | "expectedWeights"
     | "isProbe"
     | "startedAtMs"
+    | "pendingRepeats"
   >,
 ): Attempt {
   return {
--- a/packages/request-path/src/charged_repeats_test.ts
+++ b/packages/request-path/src/charged_repeats_test.ts
@@ -27,6 +27,7 @@
   } = {},
 ) {
   const charged: RepeatCause[] = [];
+  const settled = { count: 0 };
   const context = testContext(
     {
       tryRetry: (_request, cause) => {
@@ -34,6 +35,9 @@
         if (isAllowed) charged.push(cause);
         return isAllowed;
       },
+      settleRetry: () => {
+        settled.count += 1;
+      },
     } satisfies Partial<RequestContext>,
   );
   for (let index = 0; index < 6; index++) {
@@ -41,11 +45,12 @@
   }
   context.paths.forwarderFor = () => forwards() ? FORWARDER : undefined;
   const caller = new FakeCaller();
-  new RequestRun(context, {
+  const run = new RequestRun(context, {
     ...routedRequest(kind),
     route: route(kind, { maxAttempts: MAX_ATTEMPTS }),
-  }, caller).start();
-  return { ...context, caller, charged };
+  }, caller);
+  run.start();
+  return { ...context, caller, charged, settled, run };
 }
 
 type Started = ReturnType<typeof start>;
@@ -162,6 +167,9 @@
     way.run(started);
     t.is(started.client.attempts.length, 2);
     t.deepEqual(started.charged, way.charged);
+    t.is(started.settled.count, 0, "it may be on its way");
+    answer(started, {});
+    t.is(started.settled.count, way.charged.length, "it has arrived");
   });
 
   if (way.charged.length === 0) continue;
@@ -280,7 +288,11 @@
         }
         const arrived = arriving.filter(({ hasArrived }) => hasArrived).length;
         repeats += Math.max(0, arrived - 1);
-        return arrived <= 1 + started.charged.length;
+        const { charged, settled, run } = started;
+        const isEarly = settled.count > charged.length;
+        run.callerGone();
+        return arrived <= 1 + charged.length && !isEarly &&
+          settled.count === charged.length;
       },
     ),
     { seed: 1, numRuns: 3_000 },
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -61,6 +61,8 @@
   readonly weightsProbes: WeightsProbes;
   /** Takes one repeat from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest, cause: RepeatCause): boolean;
+  /** Called once for each repeat taken: it has arrived, or will not. */
+  settleRetry(request: RoutedRequest): void;
   /** Called once, when the request has ended. */
   ended(
     request: RoutedRequest,
@@ -124,6 +126,8 @@
   /** Number of attempts that may have run the request. */
   #possiblyRunAttempts = 0;
   #notRunAttempts = 0;
+  /** Repeats that were taken for an attempt that is not open yet. */
+  #pendingRepeats = 0;
 
   constructor(
     context: RequestContext,
@@ -275,9 +279,12 @@
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
       replaces: this.#attempt?.server.listed.id,
     });
+    const pendingRepeats = this.#pendingRepeats;
+    this.#pendingRepeats = 0;
     return newAttempt({
       server,
       forwarder,
+      pendingRepeats,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
       isProbe,
@@ -373,6 +380,7 @@
 
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (!this.#isOpen(attempt)) return;
+    this.#settleRepeats(attempt);
     const nowMs = this.#nowMs();
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
@@ -478,9 +486,19 @@
     const exclude = new Set([...this.#excluded, server.listed.id]);
     const placement = this.#place(exclude, nowMs);
     if (placement.kind === "refused") return undefined;
-    return this.#context.tryRetry(this.#request, "silent")
-      ? placement
-      : undefined;
+    return this.#tryRetry("silent") ? placement : undefined;
+  }
+
+  #tryRetry(cause: RepeatCause): boolean {
+    const isAllowed = this.#context.tryRetry(this.#request, cause);
+    if (isAllowed) this.#pendingRepeats += 1;
+    return isAllowed;
+  }
+
+  #settleRepeats(attempt: Attempt): void {
+    for (; attempt.pendingRepeats > 0; attempt.pendingRepeats--) {
+      this.#context.settleRetry(this.#request);
+    }
   }
 
   #hasAttemptsLeft(): boolean {
@@ -614,6 +632,8 @@
 
   /** Handles an attempt that reached no server, so the next is no retry. */
   #handleUnsent(attempt: Attempt, reason: string): void {
+    this.#pendingRepeats += attempt.pendingRepeats;
+    attempt.pendingRepeats = 0;
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
@@ -629,7 +649,7 @@
       return this.#giveUp("stale_weights");
     }
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#context.tryRetry(this.#request, "not_run");
+      this.#tryRetry("not_run");
     if (mayRetry) return this.#startAttempt();
     this.#giveUp("overloaded");
   }
@@ -658,7 +678,7 @@
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#context.tryRetry(this.#request, "broken");
+      this.#tryRetry("broken");
     if (mayRetry) return this.#startAttempt();
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
@@ -934,6 +954,7 @@
 
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
+    this.#settleRepeats(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#attempt;
@@ -947,6 +968,10 @@
     this.#hasEnded = true;
     this.#cancelTimer();
     this.#relay.dropBuffered();
+    for (; this.#pendingRepeats > 0; this.#pendingRepeats--) {
+      this.#context.settleRetry(this.#request);
+    }
+    for (const attempt of this.#openAttempts()) this.#settleRepeats(attempt);
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -59,6 +59,8 @@
 class ServiceCounts {
   readonly #startIndex: number;
   readonly #windowSlots: number;
+  /** Repeats that may not have arrived yet. */
+  pendingRepeats = 0;
   #slots: Slot[] = [];
 
   constructor(
@@ -136,7 +138,8 @@
  * ```ts
  * const budget = new RetryBudget(limits, { startedAtMs });
  * budget.recordRequest(service, nowMs);
- * if (budget.tryRetry(service, { nowMs, sharers: 9 })) sendAgain();
+ * if (budget.tryRetry(service, { nowMs, sharers: 9 })) await sendAgain();
+ * budget.settleRetry(service, nowMs);
  * ```
  */
 export class RetryBudget {
@@ -170,7 +173,10 @@
     );
   }
 
-  /** Takes one retry; false when the budget is used up. */
+  /**
+   * Takes one retry; false when the budget is used up. It counts in all windows
+   * until it is settled.
+   */
   tryRetry(service: ServiceName, at: RetryMoment): boolean {
     const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
@@ -178,11 +184,21 @@
     const { credited, repeats } = counts.sums(firstIndex);
     const allowed = (credited * share + this.slackPart(at)) *
       BUDGET_UTILIZATION;
-    if (repeats + 1 > allowed) return false;
-    counts.slotAt(slotIndex(at.nowMs)).repeats += 1;
+    if (repeats + counts.pendingRepeats + 1 > allowed) return false;
+    counts.pendingRepeats += 1;
     return true;
   }
 
+  /**
+   * Records that a retry has arrived by now, or will not arrive. It counts in
+   * the windows from now on, as it may have waited on its way until now.
+   */
+  settleRetry(service: ServiceName, nowMs: number): void {
+    const counts = this.#countsOf(service);
+    counts.pendingRepeats -= 1;
+    counts.slotAt(slotIndex(nowMs)).repeats += 1;
+  }
+
   /** Retries that this daemon may add to those for its requests. */
   slackPart({ nowMs, sharers }: RetryMoment): number {
     if (sharers === undefined || nowMs < this.#slackFromMs) return 0;
--- a/packages/request-path/src/retry_budget_test.ts
+++ b/packages/request-path/src/retry_budget_test.ts
@@ -26,9 +26,21 @@
   const at = { nowMs: 0, sharers: 1 };
   t.true(budget.tryRetry(SERVICE, at));
   t.false(budget.tryRetry(SERVICE, at));
+  budget.settleRetry(SERVICE, at.nowMs);
+  t.false(budget.tryRetry(SERVICE, { ...at, nowMs: 10_400 }));
   t.true(budget.tryRetry(SERVICE, { ...at, nowMs: 11_000 }));
 });
 
+test("a retry that waits on its way counts for a window from its arrival", (t) => {
+  const budget = new RetryBudget({ ...LIMITS, slack: 2 }, LONG_AGO);
+  const at = (nowMs: number) => ({ nowMs, sharers: 1 });
+  t.true(budget.tryRetry(SERVICE, at(0)));
+  t.false(budget.tryRetry(SERVICE, at(30_000)));
+  budget.settleRetry(SERVICE, 30_000);
+  t.false(budget.tryRetry(SERVICE, at(40_000)));
+  t.true(budget.tryRetry(SERVICE, at(41_000)));
+});
+
 test("a new process uses no slack until what its predecessor used has passed", (t) => {
   const budget = new RetryBudget(LIMITS, { startedAtMs: 0 });
   t.false(budget.tryRetry(SERVICE, { nowMs: 10_000, sharers: 1 }));
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -346,6 +346,7 @@
     memory: new MemoryBudget(67_108_864),
     weightsProbes: new WeightsProbes(() => 1),
     tryRetry: () => true,
+    settleRetry() {},
     ended() {},
     ...fields,
     registry,
