Read the software version of backend servers, and place by it

Entries name the version of the server's software; nothing read it. A placement can now be bound to one version. No request is bound yet, so nothing changes for callers. A version of another form is unknown, and matches none.

--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -7,6 +7,7 @@
   NamedWeightsRegistry,
   type SegmentKey,
   ServerRegistry,
+  type SoftwareVersion,
   type WeightsVersion,
 } from "@endivebend/request-path";
 import {
@@ -40,6 +41,7 @@
     isLeaving: false,
     slots: 8,
     weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+    softwareVersion: brandId<SoftwareVersion>("v1"),
     startedAtMs: 1,
     reportCount: 1,
     ...fields,
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -33,6 +33,7 @@
   RequestDigest,
   RequestKind,
   RouteName,
+  SoftwareVersion,
   WeightsVersion,
 } from "@endivebend/request-path";
 import { isRepeatable } from "@endivebend/request-path";
@@ -791,6 +792,7 @@
         isLeaving: false,
         slots: this.#options.slots ?? 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+        softwareVersion: brandId<SoftwareVersion>("v1"),
         startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
       },
--- a/packages/front/src/weights_watch_test.ts
+++ b/packages/front/src/weights_watch_test.ts
@@ -25,6 +25,7 @@
     isLeaving: false,
     slots: 16,
     weights: new Map([[MODEL, brandId<WeightsVersion>(weights)]]),
+    softwareVersion: undefined,
     startedAtMs: 1,
     reportCount: 1,
   };
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -12,6 +12,7 @@
   Route,
   RouteName,
   ServiceRules,
+  SoftwareVersion,
   TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
@@ -187,11 +188,19 @@
     isLeaving: phase === "draining",
     slots,
     weights,
+    softwareVersion: decodeSoftwareVersion(fields["version"]),
     startedAtMs: (born as number | undefined) ?? 0,
     reportCount: isCount(seq) ? seq : 0,
   };
 }
 
+/** Undefined when the version is unknown. */
+function decodeSoftwareVersion(value: unknown): SoftwareVersion | undefined {
+  return isName(value) && value !== ""
+    ? brandId<SoftwareVersion>(value)
+    : undefined;
+}
+
 /** Skips models of another form; undefined when a value is out of range. */
 function decodeWeights(
   models: readonly Fields[],
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -13,6 +13,7 @@
   phase: "ready",
   models: [{ name: "m", version: 3, adapters: [] }],
   born: 17,
+  version: "v1.2",
 };
 
 function bytes(value: unknown): Buffer {
@@ -27,10 +28,19 @@
     isLeaving: false,
     slots: 128,
     startedAtMs: 17,
+    softwareVersion: "v1.2",
   });
   t.is(server?.weights.get("m" as never), 3 as never);
 });
 
+test("a software version of another form is unknown", (t) => {
+  for (const version of [undefined, null, "", 2, ["v1"], "v".repeat(256)]) {
+    const server = decodeServer("i-1", bytes({ ...ENTRY, version }));
+    t.is(server?.id, "i-1" as never);
+    t.is(server?.softwareVersion, undefined);
+  }
+});
+
 test("entries of other writers are ignored", (t) => {
   const wrong = [
     { ...ENTRY, slots: "many" },
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -102,6 +102,7 @@
       isLeaving: false,
       slots: 4,
       weights: new Map(),
+      softwareVersion: undefined,
       startedAtMs: 1,
       reportCount: 1,
     });
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -36,6 +36,7 @@
   type CacheScope,
   type PromptSegment,
   type RoutedRequest,
+  type SoftwareVersion,
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
@@ -117,6 +118,11 @@
   readonly exclude: ReadonlySet<BackendServerId>;
   /** Whether part of the answer has reached the caller. */
   readonly hasBegun: boolean;
+  /**
+   * Only servers of this software version may run the request; any may when
+   * there is none. Servers whose version is unknown never match.
+   */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   readonly nowMs: number;
 };
 
@@ -147,6 +153,7 @@
   const { registry, exclude, nowMs } = context;
   const views = registry.usable(request.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id))
+    .filter((server) => isOfVersion(server, context))
     .map((server) => describeServer(request, { server, context }));
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
@@ -219,7 +226,8 @@
   const candidates = registry.usable(service, nowMs).filter((server) => {
     const believed = registry.weightsOf(server, work.model);
     const mayProbe = believed !== undefined && believed < newest &&
-      !exclude.has(server.listed.id) && nowMs >= server.loadingUntilMs &&
+      !exclude.has(server.listed.id) && isOfVersion(server, context) &&
+      nowMs >= server.loadingUntilMs &&
       !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
     return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
       hasCapacity(server, registry.workAt(server), maxOwnConnections);
@@ -252,6 +260,14 @@
   };
 }
 
+function isOfVersion(
+  { listed }: KnownServer,
+  { softwareVersion }: AttemptContext,
+): boolean {
+  return softwareVersion === undefined ||
+    listed.softwareVersion === softwareVersion;
+}
+
 function describeServer(
   request: RoutedRequest,
   at: { readonly server: KnownServer; readonly context: AttemptContext },
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -14,7 +14,13 @@
   SERVICE,
   testContext,
 } from "./testing.ts";
-import type { CacheScope, PromptSegmentId, WeightsVersion } from "./types.ts";
+import { placeProbe } from "./placement.ts";
+import type {
+  CacheScope,
+  PromptSegmentId,
+  SoftwareVersion,
+  WeightsVersion,
+} from "./types.ts";
 
 const NONE: ReadonlySet<BackendServerId> = new Set();
 
@@ -291,3 +297,43 @@
   const successors = new Set(views.map((idle) => choose(idle, [...owners])));
   t.is(successors.size, 1);
 });
+
+test("a request bound to a software version is placed at no other and at no unknown one", (t) => {
+  const { registry, ...context } = testContext({
+    namedWeights: () => [
+      { weights: brandId(1), firstSeenAtMs: -20_000, isAgeKnown: true },
+      { weights: brandId(2), firstSeenAtMs: -20_000, isAgeKnown: true },
+    ],
+  });
+  const upsert = (id: string, version: string | undefined, named = 2) =>
+    registry.upsert(listedServer(id, {
+      softwareVersion: version as SoftwareVersion | undefined,
+      weights: weights(named),
+    }));
+  const bound = {
+    ...context,
+    registry,
+    exclude: NONE,
+    hasBegun: true,
+    softwareVersion: brandId<SoftwareVersion>("v2"),
+    nowMs: 1_000,
+  };
+  const request = routedRequest("resumable_stream");
+  upsert("one", "v1");
+  upsert("second", undefined);
+  t.deepEqual(placeRequest(request, bound), {
+    kind: "refused",
+    reason: "no_server",
+  });
+  upsert("third", "v2");
+  const placement = placeRequest(request, bound);
+  if (placement.kind !== "placed") return t.fail();
+  t.is(placement.server.listed.id, brandId<BackendServerId>("third"));
+
+  upsert("one", "v1", 1);
+  upsert("second", undefined, 1);
+  upsert("third", "v3", 1);
+  t.is(placeProbe(request, bound), undefined);
+  const unbound = { ...bound, softwareVersion: undefined };
+  t.truthy(placeProbe(request, unbound));
+});
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -42,6 +42,7 @@
   Route,
   RoutedRequest,
   RouteName,
+  SoftwareVersion,
   TeamRules,
   WeightsVersion,
 } from "./types.ts";
@@ -93,6 +94,7 @@
     isLeaving: false,
     slots: 8,
     weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+    softwareVersion: brandId<SoftwareVersion>("v1"),
     startedAtMs: 1,
     reportCount: 1,
     ...fields,
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -26,6 +26,11 @@
 export type CacheScope = Branded<string, "CacheScope">;
 /** The version of a model's weights; larger is newer. */
 export type WeightsVersion = Branded<number, "WeightsNumber">;
+/**
+ * The version of a backend server's software. Versions have no order; answers
+ * of two versions don't fit together.
+ */
+export type SoftwareVersion = Branded<string, "SoftwareVersion">;
 /** The name of a route. */
 export type RouteName = Branded<string, "RouteName">;
 
@@ -131,6 +136,8 @@
   readonly isLeaving: boolean;
   readonly slots: number;
   readonly weights: ReadonlyMap<ModelName, WeightsVersion>;
+  /** Undefined when unknown; two unknown versions may differ. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   /** When the process started; another value means another incarnation. */
   readonly startedAtMs: number;
   /** Rises with each report that the process makes of itself. */
