--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -136,12 +136,13 @@
     }
     const change = registry.upsert(server, nowMs());
     if (change === "same") return;
-    const { isLeaving, address, startedAtMs } = server;
+    const { isLeaving, address, softwareVersion, startedAtMs } = server;
     this.#log("server", record, {
       server: key,
       change,
       isLeaving,
       address,
+      softwareVersion,
       startedAtMs,
     });
   }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -259,6 +259,7 @@
       waitMs: Math.round(choice.waitMs),
       cachedTokens: choice.cachedTokens,
       tokensToRead: cache.tokensToRead,
+      softwareVersion: server.listed.softwareVersion,
       weights: cache.weights,
       replacedMs: this.#replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
