Show that answers are joined from two software versions

Callers see streams of which each event is well formed, and whose text is that of two versions. Engines of that fleet have a software version, write it in their events, and go on after Last-Event-Id.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -69,6 +69,9 @@
 /** Time that a daemon waits for an engine's answer to a report or an order. */
 const ENGINE_CALL_TIMEOUT_MS = 700;
 const RUN_EVENTS = 12;
+/** An event; its text is the engine's software version, or else its id. */
+const EVENT = /id: (\d+)\ndata: (.*)\n\n/g;
+const FIRST_VERSION = brandId<SoftwareVersion>("v1");
 const TOKENS_PER_EVENT = 4;
 const WEIGHTS_BOUND_MS = 8_000;
 /** Time from the head of an answer until a deadly segment ends the engine. */
@@ -315,6 +318,7 @@
 
 interface RunningAttempt {
   readonly vm: VmId;
+  readonly requestId: RequestId;
   readonly listener: AttemptListener;
   isOver: boolean;
 }
@@ -341,6 +345,8 @@
   readonly daemon: number;
   readonly segments: readonly string[];
   readonly body: string;
+  /** The events that the caller got, with the versions that wrote them. */
+  readonly events: { readonly id: number; readonly version: string }[];
   begunAtMs: number | undefined;
   hasEnded: boolean;
   isCut: boolean;
@@ -392,6 +398,8 @@
   readonly begunRuns: BegunRun[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
+  /** Called for each request that an engine has as it ends. */
+  onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -409,6 +417,7 @@
   readonly #eventsByRequest = new Map<RequestId, number>();
   readonly #options: FleetOptions;
   #nextEngine = 0;
+  #startedEngines = 0;
   #nextRequest = 0;
 
   constructor(options: FleetOptions) {
@@ -422,7 +431,7 @@
     this.rollout = this.#createRollout();
     this.configure(1);
     for (let index = 0; index < options.engines; index++) {
-      this.#addEngine(`10.9.0.${index + 1}:80`);
+      this.#addEngine(`10.9.0.${index + 1}:80`, FIRST_VERSION);
     }
     for (let index = 0; index < options.daemons; index++) {
       const delayMs = draw(0, options.startWithinMs ?? 0);
@@ -574,6 +583,7 @@
       daemon,
       segments,
       body: body ?? requestId,
+      events: [],
       begunAtMs: undefined,
       hasEnded: false,
       isCut: false,
@@ -612,11 +622,13 @@
       readonly reportCount: number;
       readonly startedAtMs: number;
       readonly weights: number;
+      readonly softwareVersion: SoftwareVersion | null;
     };
     const engine = this.#engines.get(id);
     return engine && {
       ...engine.listed,
       ...fields,
+      softwareVersion: fields.softwareVersion ?? undefined,
       weights: new Map([[MODEL, brandId<WeightsVersion>(weights)]]),
     };
   }
@@ -631,7 +643,8 @@
 
   /** The engine writes its entry. */
   report(engine: Engine): void {
-    const { id, isLeaving, reportCount, startedAtMs } = engine.listed;
+    const { id, isLeaving, reportCount, startedAtMs, softwareVersion } =
+      engine.listed;
     engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
     this.store.put("servers", id, {
       id,
@@ -639,6 +652,7 @@
       reportCount: reportCount + 1,
       startedAtMs,
       weights: engine.weights,
+      softwareVersion: softwareVersion ?? null,
     });
   }
 
@@ -744,7 +758,8 @@
     if (order.forwarder !== undefined) {
       return this.startForwarded(order, listener);
     }
-    const attempt: RunningAttempt = { vm, listener, isOver: false };
+    const { requestId } = order.request;
+    const attempt: RunningAttempt = { vm, requestId, listener, isOver: false };
     const { address } = order.server;
     const connected = this.links.connect(vm, address);
     if (connected.kind === "connected") {
@@ -780,7 +795,25 @@
     return engine?.isUp === true ? engine : undefined;
   }
 
-  #addEngine(address: string): void {
+  /** Starts an engine of the software version at an address of its own. */
+  startEngine(version: string | undefined): Engine {
+    const address = `10.9.1.${++this.#startedEngines}:80`;
+    return this.#addEngine(address, version as SoftwareVersion | undefined);
+  }
+
+  /** Ends the engine, as one that leaves does; what it runs is cut off. */
+  stopEngine(engine: Engine): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.#endAttempts(engine);
+    engine.cancelLoad();
+    this.store.put("servers", engine.listed.id, undefined);
+  }
+
+  #addEngine(
+    address: string,
+    softwareVersion: SoftwareVersion | undefined,
+  ): Engine {
     const id = `e-${++this.#nextEngine}`;
     const domain = Number(address.split(/[.:]/)[3]) % DOMAINS.length;
     const engine: Engine = {
@@ -792,7 +825,7 @@
         isLeaving: false,
         slots: this.#options.slots ?? 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
-        softwareVersion: brandId<SoftwareVersion>("v1"),
+        softwareVersion,
         startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
       },
@@ -811,6 +844,7 @@
     this.#engines.set(id, engine);
     this.#enginesByAddress.set(address, engine);
     this.report(engine);
+    return engine;
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -820,8 +854,11 @@
     this.crashAtMs.push(this.time.nowMs);
     this.#endAttempts(engine);
     engine.cancelLoad();
-    const { id, address } = engine.listed;
-    this.time.after(RESTART_MS, () => this.#addEngine(address));
+    const { id, address, softwareVersion } = engine.listed;
+    this.time.after(
+      RESTART_MS,
+      () => this.#addEngine(address, softwareVersion),
+    );
     this.time.after(RESTART_MS + 600, () => {
       this.store.put("servers", id, undefined);
     });
@@ -829,17 +866,25 @@
 
   #endAttempts(engine: Engine): void {
     for (const attempt of engine.attempts) {
+      this.onLoss(engine, attempt.requestId);
       this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
     }
   }
 
-  /** The engine starts again under its id; its entry follows its first report. */
-  restart(engine: Engine): void {
+  /**
+   * The engine starts again under its id, at times with another software
+   * version; its entry follows its first report.
+   */
+  restart(
+    engine: Engine,
+    softwareVersion = engine.listed.softwareVersion,
+  ): void {
     this.#endAttempts(engine);
     const { nowMs: startedAtMs } = this.time;
     const { listed } = engine;
     engine.listed = {
       ...listed,
+      softwareVersion,
       startedAtMs,
       isLeaving: false,
       reportCount: 0,
@@ -933,7 +978,7 @@
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
     this.time.after(
       delayMs,
-      () => this.#begin(engine, { attempt, segments, body, requestId }),
+      () => this.#begin(engine, { attempt, segments, body, order }),
     );
   }
 
@@ -959,10 +1004,10 @@
       readonly attempt: RunningAttempt;
       readonly segments: readonly string[];
       readonly body: string;
-      readonly requestId: RequestId;
+      readonly order: AttemptOrder;
     },
   ): void {
-    const { attempt, segments, body, requestId } = run;
+    const { attempt, segments, body, order } = run;
     if (attempt.isOver) return;
     const isDeadlyBody = this.deadlyBodies.has(body);
     if (isDeadlyBody) {
@@ -991,8 +1036,10 @@
       this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
       return;
     }
+    const { requestId } = order.request;
+    const sent = Number(order.resumeAfter ?? 0);
     const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
-    this.#sendEvents(engine, { attempt, events, sent: 0 });
+    this.#sendEvents(engine, { attempt, events, sent });
   }
 
   #head(engine: Engine): AnswerHead {
@@ -1023,7 +1070,10 @@
     const { attempt, events, sent } = run;
     this.time.after(EVENT_INTERVAL_MS, () => {
       if (attempt.isOver) return;
-      const event = Buffer.from(`id: ${sent + 1}\ndata: x\n\n`);
+      const { id, softwareVersion = id } = engine.listed;
+      const event = Buffer.from(
+        `id: ${sent + 1}\ndata: ${softwareVersion}\n\n`,
+      );
       this.#answer(engine, attempt, () => attempt.listener.data(event));
       if (attempt.isOver) return;
       if (sent + 1 < events) {
@@ -1170,7 +1220,12 @@
       head: () => {
         outcome.begunAtMs = this.#time.nowMs;
       },
-      data: () => true,
+      data: (chunk) => {
+        for (const [, id, version] of chunk.toString().matchAll(EVENT)) {
+          outcome.events.push({ id: Number(id), version: version! });
+        }
+        return true;
+      },
       end: () => {
         outcome.hasEnded = true;
       },
