Go on with a stream only at the software version that began it

Callers got one whole answer of two software versions: a stream whose server was lost went on at any server of the service. A run now remembers the version of the server whose event the caller got first, as the entry was when the attempt was sent, and later attempts, replacements of silent ones included, are placed at servers of that version. Where there is none, or the version is unknown, the answer is broken off, and takes no retry from the budget. Before its first event any version may serve a stream.

An entry that names another version by the time the stream has to go on may be that of the process that began it, so the version counts as unknown. An entry without a version does not replace one that has one.

The test counts an unknown version as no other's; it did not before.

--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -255,7 +255,9 @@
   apply({});
   apply({ weights: new Map() });
   apply({ startedAtMs: 0 });
-  t.deepEqual(steps, ["server", "malformed_record", "malformed_record"]);
+  apply({ softwareVersion: undefined });
+  t.deepEqual(steps, ["server", ...Array(3).fill("malformed_record")]);
+  t.is(registry.get(ENGINE)?.listed.softwareVersion, "v1" as never);
   t.is(registry.get(ENGINE)?.weights.of(MODEL), 1 as never);
   apply({ startedAtMs: 2 });
   t.is(registry.get(ENGINE)?.listed.startedAtMs, 2);
--- a/packages/front/src/joined_versions_test.ts
+++ b/packages/front/src/joined_versions_test.ts
@@ -69,8 +69,10 @@
   readonly #ids = new Set<string>();
 
   constructor(fleet: TestFleet) {
+    // An engine whose version is unknown goes on with no other's answers.
     const isUsable = ({ listed }: Engine, of: Engine) =>
       listed.id !== of.listed.id && !listed.isLeaving &&
+      listed.softwareVersion !== undefined &&
       listed.softwareVersion === of.listed.softwareVersion;
     fleet.onLoss = (engine, requestId) => {
       const running = fleet.runningEngines();
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -36,7 +36,10 @@
  */
 function lacksFieldsOf(known: ListedServer, entry: ListedServer): boolean {
   const lacksStart = entry.startedAtMs === 0 && known.startedAtMs > 0;
-  return lacksStart || (entry.weights.size === 0 && known.weights.size > 0);
+  const lacksVersion = entry.softwareVersion === undefined &&
+    known.softwareVersion !== undefined;
+  return lacksStart || lacksVersion ||
+    (entry.weights.size === 0 && known.weights.size > 0);
 }
 
 /** Applies records and tracks which kinds have been received. */
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { AnswerOrigin } from "./answer_origin.ts";
 import type { AnswerHead, AttemptHandle, Forwarder } from "./ports.ts";
 import type { KnownServer } from "./server_registry.ts";
 import type { WeightsVersion } from "./types.ts";
@@ -11,6 +12,7 @@
 /** The state of an attempt. */
 export interface Attempt {
   readonly server: KnownServer;
+  readonly origin: AnswerOrigin;
   /** The VM that it goes through; undefined when it goes to the server. */
   readonly forwarder: Forwarder | undefined;
   /** Ends the count of the forwarder's requests. */
@@ -43,6 +45,7 @@
   fields: Pick<
     Attempt,
     | "server"
+    | "origin"
     | "forwarder"
     | "leaveForwarder"
     | "expectedWeights"
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -119,8 +119,9 @@
   /** Whether part of the answer has reached the caller. */
   readonly hasBegun: boolean;
   /**
-   * Only servers of this software version may run the request; any may when
-   * there is none. Servers whose version is unknown never match.
+   * Only servers of this software version may run the request. Without one any
+   * server may, unless the answer has begun: then its version is unknown, and
+   * no server may go on with it.
    */
   readonly softwareVersion?: SoftwareVersion | undefined;
   readonly nowMs: number;
@@ -262,10 +263,11 @@
 
 function isOfVersion(
   { listed }: KnownServer,
-  { softwareVersion }: AttemptContext,
+  { hasBegun, softwareVersion }: AttemptContext,
 ): boolean {
-  return softwareVersion === undefined ||
-    listed.softwareVersion === softwareVersion;
+  return softwareVersion === undefined
+    ? !hasBegun
+    : listed.softwareVersion === softwareVersion;
 }
 
 function describeServer(
--- a/packages/request-path/src/placement_test.ts
+++ b/packages/request-path/src/placement_test.ts
@@ -334,6 +334,8 @@
   upsert("second", undefined, 1);
   upsert("third", "v3", 1);
   t.is(placeProbe(request, bound), undefined);
-  const unbound = { ...bound, softwareVersion: undefined };
-  t.truthy(placeProbe(request, unbound));
+  const unknown = { ...bound, softwareVersion: undefined };
+  t.is(placeRequest(request, unknown).kind, "refused");
+  t.is(placeProbe(request, unknown), undefined);
+  t.truthy(placeProbe(request, { ...unknown, hasBegun: false }));
 });
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
+import { type AnswerOrigin, originAt, versionToGoOn } from "./answer_origin.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { type Attempt, newAttempt } from "./attempt.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
@@ -35,6 +36,7 @@
   isRepeatable,
   isStream,
   type RoutedRequest,
+  type SoftwareVersion,
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
@@ -111,6 +113,8 @@
   #cancelTimer = () => {};
   #hasEnded = false;
   #isCallerBlocked = false;
+  /** The server whose event the caller got first. */
+  #origin: AnswerOrigin | undefined;
   /** Time from the start to the first bytes of an answer. */
   #firstByteMs: number | undefined;
   /** Longest time between two chunks; a stream with a long one is late. */
@@ -227,6 +231,7 @@
       ...this.#context,
       exclude: this.#excluded,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
     if (probe === undefined) return undefined;
@@ -239,10 +244,17 @@
       ...this.#context,
       exclude,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
   }
 
+  /** The software version that began the answer; undefined when unknown. */
+  #versionToGoOn(): SoftwareVersion | undefined {
+    return this.#origin &&
+      versionToGoOn(this.#origin, this.#context.registry);
+  }
+
   /** Opens an attempt at the place that was found; it is not sent yet. */
   #open(
     { server, choice, cache, isProbe = false }: Placed,
@@ -272,6 +284,7 @@
     });
     return newAttempt({
       server,
+      origin: originAt(server.listed),
       forwarder,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
@@ -492,6 +505,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
+      this.#origin ??= attempt.origin;
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
@@ -622,11 +636,18 @@
       return this.#giveUp("stale_weights");
     }
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#context.tryRetry(this.#request);
+      this.#canGoOn() && this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
     this.#giveUp("overloaded");
   }
 
+  /** Whether an answer that has begun has a server that may go on with it. */
+  #canGoOn(): boolean {
+    if (!this.#relay.hasBegun) return true;
+    const placement = this.#place(this.#excluded, this.#nowMs());
+    return placement.kind === "placed" || placement.reason === "stale_weights";
+  }
+
   #hasPlace(): boolean {
     return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
   }
@@ -651,7 +672,7 @@
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#context.tryRetry(this.#request);
+      this.#canGoOn() && this.#context.tryRetry(this.#request);
     if (mayRetry) return this.#startAttempt();
     this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
   }
@@ -753,7 +774,8 @@
   ): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
-      this.#logDecision("break_off", { reason });
+      const softwareVersion = this.#versionToGoOn();
+      this.#logDecision("break_off", { reason, softwareVersion });
       this.#caller.abortAnswer();
       return this.#end("broken_off");
     }
