Let a stream wait for a place at its software version

Since a stream goes on only at the version that began it, callers got it broken off where the servers of that version were full, quiet or just back under another id, though one took requests some milliseconds later. A stream that has lost its server now looks for a place for as long as a silent server is given before its stream is cut, 2.5 times the route's accepted pause, and takes a retry from the budget only when there is one. When no listed server has the version, it is broken off at once.

Two tests stated that such a stream is broken off at once. One asks now that the stream goes on within 300 ms, where it was broken off; the other moves its clock past the wait before it checks the same, and counts attempts exactly. That it is broken off after the wait is a test of its own.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -93,6 +93,15 @@
 /** What shows that an attempt is broken. */
 type FaultSource = "answer" | "connection" | "silence";
 
+/** The wait of an answer for a server of its software version. */
+interface Wait {
+  /** Why the answer is broken off at the end of the wait. */
+  readonly reason: RefusalReason;
+  /** When the last event came. */
+  readonly lastProgressMs: number;
+  readonly nextMs: number;
+}
+
 type Placed = Placement & { readonly kind: "placed" };
 
 /** A running request. */
@@ -108,6 +117,8 @@
   #attempt: Attempt | undefined;
   /** A second attempt, sent while the first is silent but may still go on. */
   #replacement: Attempt | undefined;
+  /** Set while an answer that has begun has no server that may go on. */
+  #wait: Wait | undefined;
   /** Whether the request is a trial after the end of a quarantine. */
   #isTrial = false;
   #cancelTimer = () => {};
@@ -624,8 +635,9 @@
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp("overloaded");
+    if (!mayRetry) return this.#giveUp("overloaded");
+    if (this.#canGoOn()) return this.#startAttempt();
+    this.#retry("overloaded", attempt);
   }
 
   /** Handles an attempt that its server has not run. */
@@ -635,12 +647,52 @@
     if (attempt.isProbe && !this.#hasPlace()) {
       return this.#giveUp("stale_weights");
     }
-    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#canGoOn() && this.#context.tryRetry(this.#request);
-    if (mayRetry) return this.#startAttempt();
+    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
+    if (mayRetry) return this.#retry("overloaded", attempt);
     this.#giveUp("overloaded");
   }
 
+  /**
+   * Sends the request to another server, with a retry taken from the budget. An
+   * answer that has begun waits for a server of its software version.
+   */
+  #retry(reason: RefusalReason, after: Attempt | Wait): void {
+    const nowMs = this.#nowMs();
+    this.#wait = undefined;
+    if (this.#canGoOn()) {
+      const mayRetry = this.#context.tryRetry(this.#request);
+      return mayRetry ? this.#startAttempt() : this.#giveUp(reason);
+    }
+    const { lastProgressMs } = after;
+    const untilMs = lastProgressMs + this.#maxWaitMs();
+    if (nowMs >= untilMs || !this.#hasServerToWaitFor()) {
+      return this.#giveUp(reason);
+    }
+    const nextMs = Math.min(nowMs + REPLACE_INTERVAL_MS, untilMs);
+    this.#wait = { reason, lastProgressMs, nextMs };
+  }
+
+  /** A stream whose server is lost waits as long as for a silent server. */
+  #maxWaitMs(): number {
+    return silenceTimeoutMs(this.#request, {
+      hasBegun: true,
+      canRetry: true,
+      isServerSilent: false,
+    });
+  }
+
+  /**
+   * Whether a server of the answer's software version is listed, be it one that
+   * has failed: it may be back soon, or have room.
+   */
+  #hasServerToWaitFor(): boolean {
+    const version = this.#versionToGoOn();
+    const { registry } = this.#context;
+    return version !== undefined &&
+      registry.usable(this.#request.service, this.#nowMs())
+        .some(({ listed }) => listed.softwareVersion === version);
+  }
+
   /** Whether an answer that has begun has a server that may go on with it. */
   #canGoOn(): boolean {
     if (!this.#relay.hasBegun) return true;
@@ -671,10 +723,10 @@
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
-      this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#canGoOn() && this.#context.tryRetry(this.#request);
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
+      this.#context.crashGuard.mayRetry(this.#suspects);
+    const refusal = reason === "silent" ? "server_silent" : "server_failed";
+    if (mayRetry) return this.#retry(refusal, attempt);
+    this.#giveUp(refusal);
   }
 
   #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
@@ -843,6 +895,9 @@
     if (nowMs >= this.#finalDeadlineMs() + DEADLINE_GRACE_MS) {
       return this.#expire();
     }
+    if (this.#wait !== undefined && nowMs >= this.#wait.nextMs) {
+      return this.#retry(this.#wait.reason, this.#wait);
+    }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
--- a/packages/request-path/src/request_run_test.ts
+++ b/packages/request-path/src/request_run_test.ts
@@ -126,7 +126,7 @@
 
 for (const [name, head] of Object.entries(ERROR_ANSWERS)) {
   test(`a stream that goes on elsewhere with ${name} is broken off without it`, (t) => {
-    const { caller, client } = start("resumable_stream");
+    const { caller, client, context } = start("resumable_stream");
     client.last.listener.head(answerHead());
     client.last.listener.data(Buffer.from("id: 1\ndata: a\n\n"));
     client.last.listener.failed({ kind: "broken", reason: "reset" });
@@ -137,7 +137,8 @@
       listener.data(Buffer.from("id: 2\ndata: overloaded\n\n"));
       listener.end();
     }
-    t.true(client.attempts.length >= 2);
+    context.time.advance(1_000);
+    t.is(client.attempts.length, 2);
     t.is(caller.text, "id: 1\ndata: a\n\n");
     t.true(caller.isAborted);
     t.false(caller.hasEnded);
--- a/packages/request-path/src/resumed_versions_test.ts
+++ b/packages/request-path/src/resumed_versions_test.ts
@@ -55,12 +55,13 @@
     timeoutAtMs: 21_000,
   };
   const caller = new FakeCaller();
-  new RequestRun(context, request, caller).start();
+  const run = new RequestRun(context, request, caller);
+  run.start();
   client.last.listener.sent();
   for (const [id, version] of Object.entries(others)) {
     registry.upsert(versioned(id, version));
   }
-  return { ...context, caller, time, retries: () => retries };
+  return { ...context, caller, run, time, retries: () => retries };
 }
 
 function begin({ listener }: FakeAttempt, id = 1): void {
@@ -98,17 +99,88 @@
 });
 
 test("a stream whose software version no other server has is broken off without a retry", (t) => {
-  const { client, caller, retries } = start("v1", {
+  const { client, caller, retries, time } = start("v1", {
     others: { a: "v2", b: undefined },
   });
   begin(client.last);
   breakOff(client.last);
+  time.advance(1_100);
   t.is(client.attempts.length, 1);
   t.is(retries(), 0);
   t.true(caller.isAborted);
   t.false(caller.hasEnded);
 });
 
+test("a stream is broken off at once when its software version has left", (t) => {
+  const { client, caller, registry } = start("v1", { others: { a: "v2" } });
+  begin(client.last);
+  registry.upsert(versioned("first", "v1", { isLeaving: true }));
+  breakOff(client.last);
+  t.is(client.attempts.length, 1);
+  t.true(caller.isAborted);
+});
+
+// The server that crashed is back in a moment, under another id.
+test("a stream waits for a server of its software version, not for another one", (t) => {
+  const { client, caller, registry, retries, time } = start("v1", {
+    others: { a: "v2", b: undefined },
+  });
+  begin(client.last);
+  breakOff(client.last);
+  time.advance(400);
+  t.false(caller.isAborted);
+  t.is(retries(), 0);
+  registry.upsert(versioned("c", "v1"));
+  time.advance(400);
+  t.is(serverOf(client.last), "c");
+  t.is(retries(), 1);
+  begin(client.last, 2);
+  client.last.listener.end();
+  t.is(caller.text, `${event(1)}${event(2)}`);
+  t.true(caller.hasEnded);
+});
+
+test("a stream waits for a place at its software version, not at a free server of another", (t) => {
+  const { client, caller, registry, time } = start("v1", {
+    others: { a: "v2", b: "v1" },
+  });
+  begin(client.last);
+  registry.recordQuiet(brandId("b"), time.nowMs + 500);
+  breakOff(client.last);
+  t.is(client.attempts.length, 1);
+  time.advance(700);
+  t.is(serverOf(client.last), "b");
+  t.false(caller.isAborted);
+});
+
+test("a stream whose software version has no place for too long is broken off", (t) => {
+  const { client, caller, registry, retries, time } = start("v1", {
+    others: { a: "v2", b: "v1" },
+  });
+  begin(client.last);
+  registry.recordQuiet(brandId("b"), time.nowMs + 5_000);
+  breakOff(client.last);
+  time.advance(900);
+  t.false(caller.isAborted);
+  time.advance(100);
+  t.true(caller.isAborted);
+  t.is(client.attempts.length, 1);
+  t.is(retries(), 0);
+});
+
+test("a stream that waits ends once when its caller leaves", (t) => {
+  const { client, caller, run, registry, time } = start("v1", {
+    others: { a: "v2" },
+  });
+  begin(client.last);
+  breakOff(client.last);
+  run.callerGone();
+  registry.upsert(versioned("c", "v1"));
+  time.advance(2_000);
+  t.is(client.attempts.length, 1);
+  t.false(caller.isAborted);
+});
+
 test("a stream begun at an unknown software version goes on nowhere", (t) => {
   const { client, caller } = start(undefined, {
     others: { a: "v1", b: undefined },
@@ -203,7 +275,7 @@
 });
 
 test("a stream that goes through another VM goes on only at its software version", (t) => {
-  const { client, paths, caller } = start("v1", {
+  const { client, paths, caller, time } = start("v1", {
     others: { a: "v2", b: "v3" },
   });
   paths.forwarderFor = () => ({
@@ -212,6 +284,7 @@
   });
   begin(client.last);
   breakOff(client.last);
+  time.advance(1_100);
   t.is(client.attempts.length, 1);
   t.true(caller.isAborted);
 });
--- a/packages/request-path/src/server_allowances_test.ts
+++ b/packages/request-path/src/server_allowances_test.ts
@@ -228,8 +228,8 @@
   }
 });
 
-for (const [elapsedMs, attempts] of [[0, 1], [300, 2]] as const) {
-  test(`a stream that has begun goes on at a server that takes another within ${elapsedMs} ms`, (t) => {
+for (const [elapsedMs, waitMs] of [[0, 300], [300, 0]] as const) {
+  test(`a stream that has begun goes on within ${waitMs} ms at a server that takes another within ${elapsedMs} ms`, (t) => {
     const context = testContext();
     const { caller } = send(context);
     const { listener } = context.client.last;
@@ -246,7 +246,9 @@
     context.time.advance(elapsedMs);
     t.false(send(context).wasSent);
     listener.failed({ kind: "broken", reason: "reset" });
-    t.is(context.client.attempts.length, attempts);
-    t.is(caller.isAborted, attempts === 1);
+    t.is(context.client.attempts.length, waitMs === 0 ? 2 : 1);
+    context.time.advance(waitMs);
+    t.is(context.client.attempts.length, 2);
+    t.false(caller.isAborted);
   });
 }
