Ask a server which process it is before a stream goes on there

A server's process may be replaced by one of another software version under the same id, and its own entry comes later. Expect-Instance does not tell: the id is the same.

The report of a server states the start of its process, as its entry does. A stream that has begun goes on at a server only when that has just stated the listed start, and nowhere when the server that began it states another one. While servers of several versions are listed, a new connection to a server that was quiet for longer than a restart takes is checked too. A server that states no start is taken as listed; a VM that is cut off from the servers can't ask.

The virtual engines' idle connections now end with their process, as they did not before. The tests of the fleet run one after another, so that each reports in time.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -27,6 +27,7 @@
   mayTakeRequest,
   NamedWeightsRegistry,
   planDrain,
+  ProcessCheck,
   ServerAllowances,
   ServerEndCheck,
   ServerRegistry,
@@ -256,8 +257,15 @@
 
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
-    const { clock, scheduler, serverClient, log, metrics, memory } =
-      this.#ports;
+    const {
+      clock,
+      scheduler,
+      serverClient,
+      engineOrders,
+      log,
+      metrics,
+      memory,
+    } = this.#ports;
     return new AdmissionController({
       context: {
         registry: this.#registry,
@@ -274,6 +282,13 @@
         client: serverClient,
         crashGuard: this.#quarantines.guard,
         paths: this.#paths,
+        processCheck: new ProcessCheck({
+          ask: (server) => engineOrders.report(server),
+          clock,
+          scheduler,
+          log,
+          metrics,
+        }),
         log,
         metrics,
         memory,
--- a/packages/front/src/joined_versions_test.ts
+++ b/packages/front/src/joined_versions_test.ts
@@ -114,7 +114,7 @@
 // when its own is lost, so that a caller gets one answer joined from two.
 for (const [name, releases] of Object.entries(RELEASES)) {
   for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
-    test(`no answer is joined from two software versions, releases ${name}, seed ${seed}`, async (t) => {
+    test.serial(`no answer is joined from two software versions, releases ${name}, seed ${seed}`, async (t) => {
       const random = xoroshiro128plus(seed);
       const draw: Draw = (from, to) => uniformInt(random, from, to);
       const fleet = new TestFleet({ daemons: DAEMONS, engines: ENGINES });
@@ -152,29 +152,33 @@
 // Guards against a daemon that compares versions by the entry of a process that
 // has ended: the next one under the same id has another version, and its own
 // entry comes later.
-for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
-  test(`no answer is joined when a server comes back under its id with another software version, seed ${seed}`, async (t) => {
-    const random = xoroshiro128plus(seed);
-    const draw: Draw = (from, to) => uniformInt(random, from, to);
-    const fleet = new TestFleet({ daemons: DAEMONS, engines: 2 * ENGINES });
-    const { time } = fleet;
-    keepSending(fleet);
-    const replace = () => {
-      if (time.nowMs > END_MS - 8_000) return;
-      const running = fleet.runningEngines();
-      const engine = running[draw(0, running.length - 1)]!;
-      const version = engine.listed.softwareVersion === "v1" ? "v2" : "v1";
-      const [downMs, reportMs] = [draw(300, 2_000), draw(0, 3_000)];
-      fleet.replace(engine, version, { downMs, reportMs });
-      time.after(draw(400, 1_500), replace);
-    };
-    time.after(3_000, replace);
-    await time.advance(END_MS);
-
-    checkWhole(t, fleet);
-    const begun = fleet.outcomes.filter(({ events }) => events.length > 0);
-    const whole = begun.filter(({ hasEnded }) => hasEnded);
-    t.log(`${begun.length} begun, ${whole.length} whole`);
-    t.true(whole.length >= 0.9 * begun.length);
-  });
+for (const before of ["one version", "two versions"] as const) {
+  for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
+    test.serial(`no answer is joined when a server comes back under its id with another software version, ${before} before, seed ${seed}`, async (t) => {
+      const random = xoroshiro128plus(seed);
+      const draw: Draw = (from, to) => uniformInt(random, from, to);
+      const fleet = new TestFleet({ daemons: DAEMONS, engines: ENGINES });
+      const second = before === "one version" ? "v1" : "v2";
+      for (let count = 0; count < ENGINES; count++) fleet.startEngine(second);
+      const { time } = fleet;
+      keepSending(fleet);
+      const replace = () => {
+        if (time.nowMs > END_MS - 8_000) return;
+        const running = fleet.runningEngines();
+        const engine = running[draw(0, running.length - 1)]!;
+        const version = engine.listed.softwareVersion === "v1" ? "v2" : "v1";
+        const [downMs, reportMs] = [draw(300, 2_000), draw(0, 3_000)];
+        fleet.replace(engine, version, { downMs, reportMs });
+        time.after(draw(400, 1_500), replace);
+      };
+      time.after(3_000, replace);
+      await time.advance(END_MS);
+
+      checkWhole(t, fleet);
+      const begun = fleet.outcomes.filter(({ events }) => events.length > 0);
+      const whole = begun.filter(({ hasEnded }) => hasEnded);
+      t.log(`${begun.length} begun, ${whole.length} whole`);
+      t.true(whole.length >= 0.9 * begun.length);
+    });
+  }
 }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -864,7 +864,11 @@
     });
   }
 
+  /** Ends the connections of a process that ends, those that are idle too. */
   #endAttempts(engine: Engine): void {
+    for (const { vm } of this.#daemons.filter(Boolean)) {
+      this.links.closeIdle(vm, engine.listed.address);
+    }
     for (const attempt of engine.attempts) {
       this.onLoss(engine, attempt.requestId);
       this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
--- a/packages/front/src/testing_rollout.ts
+++ b/packages/front/src/testing_rollout.ts
@@ -11,6 +11,7 @@
   RolloutEngine,
   WeightsOrder,
 } from "@endivebend/orders";
+import type { ListedServer } from "@endivebend/request-path";
 import type { VmId } from "@endivebend/types";
 import type { FrontPorts } from "./ports.ts";
 
@@ -20,6 +21,7 @@
 
 /** The part of an engine that holds weights. */
 export interface SimulatedWeights {
+  readonly listed: ListedServer;
   weights: number;
   /** The order in progress; undefined when there is none. */
   loading: number | undefined;
@@ -98,13 +100,16 @@
 
   async #report(
     vm: VmId,
-    { address, model }: RolloutEngine,
+    { id, address }: Pick<RolloutEngine, "id" | "address">,
   ): Promise<EngineReport | undefined> {
     const state = await this.#world.callEngine(vm, address);
-    return state && {
-      weights: new Map([[model, state.weights]]),
+    if (state === undefined || state.listed.id !== id) return undefined;
+    const models = [...state.listed.weights.keys()];
+    return {
+      weights: new Map(models.map((model) => [model, state.weights])),
       isBusy: state.loading !== undefined,
       acceptedOrders: state.acceptedOrders,
+      startedAtMs: state.listed.startedAtMs,
     };
   }
 
--- a/packages/orders/src/weights_handover_test.ts
+++ b/packages/orders/src/weights_handover_test.ts
@@ -133,6 +133,7 @@
                 weights: new Map([[MODEL, 1]]),
                 isBusy: false,
                 acceptedOrders: 0,
+                startedAtMs: 1,
               }))
           ),
         // The order leaves when its connection is ready, unless it may not.
--- a/packages/orders/src/weights_rollout.ts
+++ b/packages/orders/src/weights_rollout.ts
@@ -15,6 +15,8 @@
   readonly isBusy: boolean;
   /** Orders accepted since the engine started. */
   readonly acceptedOrders: number;
+  /** When it started, in Unix milliseconds; undefined when it does not say. */
+  readonly startedAtMs: number | undefined;
 }
 
 /** An engine's answer to an order; `unknown` when none came. */
@@ -29,7 +31,9 @@
 
 /** Reads the state of engines and sends them orders. */
 export interface RolloutOrderClient {
-  report(engine: RolloutEngine): Promise<EngineReport | undefined>;
+  report(
+    engine: Pick<RolloutEngine, "id" | "address">,
+  ): Promise<EngineReport | undefined>;
   order(engine: RolloutEngine, order: WeightsOrder): Promise<OrderAnswer>;
 }
 
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -83,6 +83,7 @@
     weights: new Map([[MODEL, 1]]),
     isBusy: false,
     acceptedOrders: 3,
+    startedAtMs: 1,
   };
   reachesStore = true;
   candidates: readonly VmId[] = [];
--- a/packages/platform/src/rollout_order_client.ts
+++ b/packages/platform/src/rollout_order_client.ts
@@ -79,6 +79,7 @@
       readonly models?: readonly { name: string; version: number }[];
       readonly busy?: boolean;
       readonly seq?: number;
+      readonly born?: unknown;
     };
     const weights = new Map<ModelName, number>();
     for (const { name, version } of fields.models ?? []) {
@@ -89,6 +90,9 @@
       isBusy: fields.busy === true,
       // `seq` on the wire is the number of accepted orders.
       acceptedOrders: Number(fields.seq ?? 0),
+      startedAtMs: Number.isSafeInteger(fields.born)
+        ? fields.born as number
+        : undefined,
     };
   } catch {
     return undefined;
@@ -97,7 +101,7 @@
 
 function call(
   agent: Agent,
-  engine: RolloutEngine,
+  engine: Pick<RolloutEngine, "id" | "address">,
   message: Pick<EngineCall, "method" | "path" | "body" | "memory" | "maySend">,
 ): Promise<EngineAnswer | undefined> {
   const { body } = message;
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -48,6 +48,8 @@
 export { placeRequest } from "./placement.ts";
 export type { CachePlan, Placement, PlacementContext } from "./placement.ts";
 export * from "./ports.ts";
+export { ProcessCheck } from "./process_check.ts";
+export type { ProcessCheckOptions, StatedProcess } from "./process_check.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryLimits } from "./retry_budget.ts";
 export { planAllowances } from "./plan_allowances.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -29,6 +29,7 @@
   ServerRegistry,
   ServerWork,
 } from "./server_registry.ts";
+import { hasOtherProcess } from "./process_check.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
@@ -262,12 +263,12 @@
 }
 
 function isOfVersion(
-  { listed }: KnownServer,
+  server: KnownServer,
   { hasBegun, softwareVersion }: AttemptContext,
 ): boolean {
-  return softwareVersion === undefined
-    ? !hasBegun
-    : listed.softwareVersion === softwareVersion;
+  if (softwareVersion === undefined) return !hasBegun;
+  return server.listed.softwareVersion === softwareVersion &&
+    !hasOtherProcess(server);
 }
 
 function describeServer(
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -30,8 +30,9 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
+import type { ProcessCheck } from "./process_check.ts";
 import { recordAnswerHead } from "./record_answer.ts";
-import type { PrefixCacheId } from "./server_registry.ts";
+import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
   isStream,
@@ -50,6 +51,7 @@
   readonly client: ServerClient;
   readonly crashGuard: CrashGuard;
   readonly paths: ServerPaths;
+  readonly processCheck: Pick<ProcessCheck, "isFresh" | "check">;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** What the daemon may hold of messages, over all requests. */
@@ -79,6 +81,8 @@
 const STREAM_SILENCE_MS = 400;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
+/** A server takes longer than this to end and to start again. */
+const RESTART_MS = 300;
 /** Time for the server's own answer at its deadline to arrive. */
 const DEADLINE_GRACE_MS = 60;
 /** An attempt with less time left is of no use. */
@@ -126,6 +130,8 @@
   #isCallerBlocked = false;
   /** The server whose event the caller got first. */
   #origin: AnswerOrigin | undefined;
+  /** Whether the server that began the answer was asked which process it is. */
+  #isOriginChecked = false;
   /** Time from the start to the first bytes of an answer. */
   #firstByteMs: number | undefined;
   /** Longest time between two chunks; a stream with a long one is late. */
@@ -373,7 +379,9 @@
       forwarder,
     }, {
       connected: () => {
-        if (forwarder === undefined) paths.recordConnected(server.listed);
+        if (forwarder !== undefined) return;
+        paths.recordConnected(server.listed);
+        this.#checkNewConnection(server);
       },
       sent: () => {
         attempt.wasSent = true;
@@ -485,7 +493,8 @@
    * budget; undefined when anything does not allow it. The open attempt must not
    * be ended before.
    */
-  #takeReplacement({ server }: Attempt): Placed | undefined {
+  #takeReplacement(attempt: Attempt): Placed | undefined {
+    const { server } = attempt;
     const nowMs = this.#nowMs();
     const { crashGuard } = this.#context;
     const isAllowed = this.#hasAttemptsLeft() &&
@@ -497,6 +506,16 @@
     const exclude = new Set([...this.#excluded, server.listed.id]);
     const placement = this.#place(exclude, nowMs);
     if (placement.kind === "refused") return undefined;
+    const needsCheck = this.#relay.hasBegun &&
+      !this.#isCurrent(placement.server);
+    if (needsCheck) {
+      this.#checkProcesses(placement.server, () => {
+        if (attempt !== this.#attempt) return;
+        attempt.replaceFromMs = this.#nowMs();
+        this.#replaceSilent(attempt, attempt.silence);
+      });
+      return undefined;
+    }
     return this.#context.tryRetry(this.#request) ? placement : undefined;
   }
 
@@ -636,7 +655,7 @@
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
     if (!mayRetry) return this.#giveUp("overloaded");
-    if (this.#canGoOn()) return this.#startAttempt();
+    if (!this.#relay.hasBegun) return this.#startAttempt();
     this.#retry("overloaded", attempt);
   }
 
@@ -657,9 +676,12 @@
    * answer that has begun waits for a server of its software version.
    */
   #retry(reason: RefusalReason, after: Attempt | Wait): void {
-    const nowMs = this.#nowMs();
     this.#wait = undefined;
-    if (this.#canGoOn()) {
+    const nowMs = this.#nowMs();
+    const server = this.#relay.hasBegun ? this.#findNext() : undefined;
+    const mayStart = !this.#relay.hasBegun ||
+      (server !== undefined && this.#isCurrent(server));
+    if (mayStart) {
       const mayRetry = this.#context.tryRetry(this.#request);
       return mayRetry ? this.#startAttempt() : this.#giveUp(reason);
     }
@@ -670,6 +692,61 @@
     }
     const nextMs = Math.min(nowMs + REPLACE_INTERVAL_MS, untilMs);
     this.#wait = { reason, lastProgressMs, nextMs };
+    if (server === undefined) return;
+    this.#checkProcesses(server, () => {
+      if (this.#wait !== undefined) this.#retry(reason, this.#wait);
+    });
+  }
+
+  /**
+   * Asks a server which process it is when a new connection may be the first to
+   * another one. It matters only while several software versions serve.
+   */
+  #checkNewConnection(server: KnownServer): void {
+    const { processCheck, registry } = this.#context;
+    const nowMs = this.#nowMs();
+    const mayBeOther = isStream(this.#request.route.kind) &&
+      nowMs - server.lastReceivedMs > RESTART_MS &&
+      registry.hasSeveralVersions(this.#request.service);
+    if (mayBeOther && !processCheck.isFresh(server, nowMs)) {
+      void processCheck.check(server);
+    }
+  }
+
+  /** The server at which an answer that has begun would go on now. */
+  #findNext(): KnownServer | undefined {
+    const placement = this.#place(this.#excluded, this.#nowMs());
+    return placement.kind === "placed" ? placement.server : undefined;
+  }
+
+  /**
+   * Whether the server's process is known to be the one of its entry. A VM that
+   * reaches no server itself can't ask.
+   */
+  #isCurrent(server: KnownServer): boolean {
+    const { paths, processCheck } = this.#context;
+    return processCheck.isFresh(server, this.#nowMs()) ||
+      paths.isCutOff(server.listed.service);
+  }
+
+  /**
+   * Asks the server, and once the one that began the answer, which process they
+   * are; a server that does not answer is left out from then on.
+   */
+  #checkProcesses(server: KnownServer, done: () => void): void {
+    const { processCheck, registry } = this.#context;
+    const origin = this.#origin && registry.get(this.#origin.server);
+    const mayAskOrigin = origin !== undefined && !this.#isOriginChecked &&
+      !registry.isLeaving(origin) && this.#nowMs() >= origin.quietUntilMs;
+    this.#isOriginChecked = true;
+    void Promise.all([
+      processCheck.check(server),
+      mayAskOrigin ? processCheck.check(origin) : true,
+    ]).then(([hasAnswered]) => {
+      if (this.#hasEnded) return;
+      if (!hasAnswered) this.#excluded.add(server.listed.id);
+      this.#contain(done);
+    });
   }
 
   /** A stream whose server is lost waits as long as for a silent server. */
@@ -693,13 +770,6 @@
         .some(({ listed }) => listed.softwareVersion === version);
   }
 
-  /** Whether an answer that has begun has a server that may go on with it. */
-  #canGoOn(): boolean {
-    if (!this.#relay.hasBegun) return true;
-    const placement = this.#place(this.#excluded, this.#nowMs());
-    return placement.kind === "placed" || placement.reason === "stale_weights";
-  }
-
   #hasPlace(): boolean {
     return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
   }
--- a/packages/request-path/src/server_registry.ts
+++ b/packages/request-path/src/server_registry.ts
@@ -19,6 +19,7 @@
   CachedSegments,
   type SegmentKey,
 } from "./cached_segments.ts";
+import type { StatedProcess } from "./process_check.ts";
 import { RecentPlacements } from "./recent_placements.ts";
 import { SharedSegmentIds } from "./shared_segment_ids.ts";
 import { ServerWeights, type WeightsRefusal } from "./server_weights.ts";
@@ -112,6 +113,8 @@
   loadingUntilMs: number;
   /** The limit that its newest answer names. */
   limit: ServerLimit | undefined;
+  /** What its process last stated of its start, and when. */
+  stated: (StatedProcess & { readonly atMs: number }) | undefined;
   /** When an answer last named the limit, or first named none. */
   limitAsOfMs: number;
   /** When this daemon itself last saw it name a limit, or end one. */
@@ -373,6 +376,18 @@
     );
   }
 
+  /** Whether listed servers of the service have different software versions. */
+  hasSeveralVersions(service: ServiceName): boolean {
+    let first: KnownServer | undefined;
+    for (const server of this.#servers.values()) {
+      if (server.listed.service !== service) continue;
+      first ??= server;
+      const { softwareVersion } = server.listed;
+      if (softwareVersion !== first.listed.softwareVersion) return true;
+    }
+    return false;
+  }
+
   /** Work that all daemons together have at the server. */
   workAt(server: KnownServer): ServerWork {
     const peers = this.#peerWork(server.listed.id);
@@ -665,6 +680,7 @@
     loadingUntilMs: 0,
     quietUntilMs: 0,
     limit: undefined,
+    stated: undefined,
     limitAsOfMs: Number.NEGATIVE_INFINITY,
     ownLimitAsOfMs: Number.NEGATIVE_INFINITY,
   };
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -311,6 +311,7 @@
   return {
     time,
     paths,
+    processCheck: { isFresh: () => true, check: () => Promise.resolve(true) },
     clock: time,
     scheduler: time,
     client,
