Merge answers that go on only at the software version that began them (ORDER)

A retry names its cause for the budget and its refusal for the caller; one that was taken and reached no server is used before another is taken.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -27,6 +27,7 @@
   mayTakeRequest,
   NamedWeightsRegistry,
   planDrain,
+  ProcessCheck,
   ServerAllowances,
   ServerEndCheck,
   ServerRegistry,
@@ -259,8 +260,15 @@
 
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
-    const { clock, scheduler, serverClient, log, metrics, memory } =
-      this.#ports;
+    const {
+      clock,
+      scheduler,
+      serverClient,
+      engineOrders,
+      log,
+      metrics,
+      memory,
+    } = this.#ports;
     return new AdmissionController({
       context: {
         registry: this.#registry,
@@ -277,6 +285,13 @@
         client: serverClient,
         crashGuard: this.#quarantines.guard,
         paths: this.#paths,
+        processCheck: new ProcessCheck({
+          ask: (server) => engineOrders.report(server),
+          clock,
+          scheduler,
+          log,
+          metrics,
+        }),
         log,
         metrics,
         memory,
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -36,7 +36,10 @@
  */
 function lacksFieldsOf(known: ListedServer, entry: ListedServer): boolean {
   const lacksStart = entry.startedAtMs === 0 && known.startedAtMs > 0;
-  return lacksStart || (entry.weights.size === 0 && known.weights.size > 0);
+  const lacksVersion = entry.softwareVersion === undefined &&
+    known.softwareVersion !== undefined;
+  return lacksStart || lacksVersion ||
+    (entry.weights.size === 0 && known.weights.size > 0);
 }
 
 /** Applies records and tracks which kinds have been received. */
@@ -136,12 +139,13 @@
     }
     const change = registry.upsert(server, nowMs());
     if (change === "same") return;
-    const { isLeaving, address, startedAtMs } = server;
+    const { isLeaving, address, softwareVersion, startedAtMs } = server;
     this.#log("server", record, {
       server: key,
       change,
       isLeaving,
       address,
+      softwareVersion,
       startedAtMs,
     });
   }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -33,6 +33,7 @@
   RequestDigest,
   RequestKind,
   RouteName,
+  SoftwareVersion,
   TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
@@ -73,6 +74,9 @@
 const KEY = "callers-key";
 const CALLER_TIMEOUT_MS = 6_000;
 const RUN_EVENTS = 12;
+/** An event; its text is the engine's software version, or else its id. */
+const EVENT = /id: (\d+)\ndata: (.*)\n\n/g;
+const FIRST_VERSION = brandId<SoftwareVersion>("v1");
 const TOKENS_PER_EVENT = 4;
 const WEIGHTS_BOUND_MS = 8_000;
 /** Time from the head of an answer until a deadly segment ends the engine. */
@@ -323,6 +327,7 @@
 
 interface RunningAttempt {
   readonly vm: VmId;
+  readonly requestId: RequestId;
   readonly listener: AttemptListener;
   isOver: boolean;
   /** Whether it is on its way to an engine that it can't reach yet. */
@@ -355,6 +360,8 @@
   readonly daemon: number;
   readonly segments: readonly string[];
   readonly body: string;
+  /** The events that the caller got, with the versions that wrote them. */
+  readonly events: { readonly id: number; readonly version: string }[];
   begunAtMs: number | undefined;
   hasEnded: boolean;
   isCut: boolean;
@@ -416,6 +423,8 @@
   readonly outcomes: Outcome[] = [];
   /** Draws whether an engine breaks an answer off; set while engines do. */
   breaksAnswer: (() => boolean) | undefined;
+  /** Called for each request that an engine has as it ends. */
+  onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -434,6 +443,7 @@
   readonly #options: FleetOptions;
   #requestsHeldUntilMs = 0;
   #nextEngine = 0;
+  #startedEngines = 0;
   #nextRequest = 0;
 
   constructor(options: FleetOptions) {
@@ -447,7 +457,7 @@
     this.rollout = this.#createRollout();
     this.configure(1);
     for (let index = 0; index < options.engines; index++) {
-      this.#addEngine(`10.9.0.${index + 1}:80`);
+      this.#addEngine(`10.9.0.${index + 1}:80`, FIRST_VERSION);
     }
     for (let index = 0; index < options.daemons; index++) {
       const delayMs = draw(0, options.startWithinMs ?? 0);
@@ -648,6 +658,7 @@
       daemon,
       segments,
       body: body ?? requestId,
+      events: [],
       begunAtMs: undefined,
       hasEnded: false,
       isCut: false,
@@ -693,11 +704,13 @@
       readonly reportCount: number;
       readonly startedAtMs: number;
       readonly weights: number;
+      readonly softwareVersion: SoftwareVersion | null;
     };
     const engine = this.#engines.get(id);
     return engine && {
       ...engine.listed,
       ...fields,
+      softwareVersion: fields.softwareVersion ?? undefined,
       weights: new Map([[MODEL, brandId<WeightsVersion>(weights)]]),
     };
   }
@@ -712,7 +725,8 @@
 
   /** The engine writes its entry. */
   report(engine: Engine): void {
-    const { id, isLeaving, reportCount, startedAtMs } = engine.listed;
+    const { id, isLeaving, reportCount, startedAtMs, softwareVersion } =
+      engine.listed;
     engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
     this.store.put("servers", id, {
       id,
@@ -720,6 +734,7 @@
       reportCount: reportCount + 1,
       startedAtMs,
       weights: engine.weights,
+      softwareVersion: softwareVersion ?? null,
     });
   }
 
@@ -825,7 +840,8 @@
     if (order.forwarder !== undefined) {
       return this.startForwarded(order, listener);
     }
-    const attempt: RunningAttempt = { vm, listener, isOver: false };
+    const { requestId } = order.request;
+    const attempt: RunningAttempt = { vm, requestId, listener, isOver: false };
     const { address } = order.server;
     const connected = this.links.connect(vm, address);
     if (connected.kind === "connected") {
@@ -861,7 +877,25 @@
     return engine?.isUp === true ? engine : undefined;
   }
 
-  #addEngine(address: string): void {
+  /** Starts an engine of the software version at an address of its own. */
+  startEngine(version: string | undefined): Engine {
+    const address = `10.9.1.${++this.#startedEngines}:80`;
+    return this.#addEngine(address, version as SoftwareVersion | undefined);
+  }
+
+  /** Ends the engine, as one that leaves does; what it runs is cut off. */
+  stopEngine(engine: Engine): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.#endAttempts(engine);
+    engine.cancelLoad();
+    this.store.put("servers", engine.listed.id, undefined);
+  }
+
+  #addEngine(
+    address: string,
+    softwareVersion: SoftwareVersion | undefined,
+  ): Engine {
     const id = `e-${++this.#nextEngine}`;
     const domain = Number(address.split(/[.:]/)[3]) % DOMAINS.length;
     const engine: Engine = {
@@ -873,6 +907,7 @@
         isLeaving: false,
         slots: this.#options.slots ?? 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+        softwareVersion,
         startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
       },
@@ -893,6 +928,7 @@
     this.#engines.set(id, engine);
     this.#enginesByAddress.set(address, engine);
     this.report(engine);
+    return engine;
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -902,26 +938,41 @@
     this.crashAtMs.push(this.time.nowMs);
     this.#endAttempts(engine);
     engine.cancelLoad();
-    const { id, address } = engine.listed;
-    this.time.after(RESTART_MS, () => this.#addEngine(address));
+    const { id, address, softwareVersion } = engine.listed;
+    this.time.after(
+      RESTART_MS,
+      () => this.#addEngine(address, softwareVersion),
+    );
     this.time.after(RESTART_MS + 600, () => {
       this.store.put("servers", id, undefined);
     });
   }
 
+  /** Ends the connections of a process that ends, those that are idle too. */
   #endAttempts(engine: Engine): void {
+    for (const { vm } of this.#daemons.filter(Boolean)) {
+      this.links.closeIdle(vm, engine.listed.address);
+    }
     for (const attempt of engine.attempts) {
+      this.onLoss(engine, attempt.requestId);
       this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
     }
   }
 
-  /** The engine starts again under its id; its entry follows its first report. */
-  restart(engine: Engine): void {
+  /**
+   * The engine starts again under its id, at times with another software
+   * version; its entry follows its first report.
+   */
+  restart(
+    engine: Engine,
+    softwareVersion = engine.listed.softwareVersion,
+  ): void {
     this.#endAttempts(engine);
     const { nowMs: startedAtMs } = this.time;
     const { listed } = engine;
     engine.listed = {
       ...listed,
+      softwareVersion,
       startedAtMs,
       isLeaving: false,
       reportCount: 0,
@@ -941,6 +992,28 @@
     engine.heldUntilMs = this.time.nowMs + durationMs;
   }
 
+  /**
+   * The engine ends and starts again after `downMs` under its id with the
+   * software version, and writes its entry `reportMs` later.
+   */
+  replace(
+    engine: Engine,
+    softwareVersion: string,
+    { downMs, reportMs }: {
+      readonly downMs: number;
+      readonly reportMs: number;
+    },
+  ): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.#endAttempts(engine);
+    this.time.after(downMs, () => {
+      engine.isUp = true;
+      this.restart(engine, brandId<SoftwareVersion>(softwareVersion));
+      this.time.after(reportMs, () => this.report(engine));
+    });
+  }
+
   /** Engines that run, in the order of their start. */
   runningEngines(): Engine[] {
     return [...this.#engines.values()].filter(({ isUp }) => isUp);
@@ -1033,7 +1106,7 @@
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
     this.time.after(
       delayMs,
-      () => this.#begin(engine, { attempt, segments, body, requestId }),
+      () => this.#begin(engine, { attempt, segments, body, order }),
     );
   }
 
@@ -1059,10 +1132,10 @@
       readonly attempt: RunningAttempt;
       readonly segments: readonly string[];
       readonly body: string;
-      readonly requestId: RequestId;
+      readonly order: AttemptOrder;
     },
   ): void {
-    const { attempt, segments, body, requestId } = run;
+    const { attempt, segments, body, order } = run;
     if (attempt.isOver) return;
     const isDeadlyBody = this.deadlyBodies.has(body);
     if (isDeadlyBody) {
@@ -1102,8 +1175,10 @@
       });
       return;
     }
+    const { requestId } = order.request;
+    const sent = Number(order.resumeAfter ?? 0);
     const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
-    this.#sendEvents(engine, { attempt, events, sent: 0 });
+    this.#sendEvents(engine, { attempt, events, sent });
   }
 
   #head(engine: Engine): AnswerHead {
@@ -1134,7 +1209,10 @@
     const { attempt, events, sent } = run;
     this.time.after(EVENT_INTERVAL_MS, () => {
       if (attempt.isOver) return;
-      const event = Buffer.from(`id: ${sent + 1}\ndata: x\n\n`);
+      const { id, softwareVersion = id } = engine.listed;
+      const event = Buffer.from(
+        `id: ${sent + 1}\ndata: ${softwareVersion}\n\n`,
+      );
       this.#answer(engine, attempt, () => attempt.listener.data(event));
       if (attempt.isOver) return;
       if (sent + 1 < events) {
@@ -1333,7 +1411,12 @@
       head: () => {
         outcome.begunAtMs = this.#time.nowMs;
       },
-      data: () => true,
+      data: (chunk) => {
+        for (const [, id, version] of chunk.toString().matchAll(EVENT)) {
+          outcome.events.push({ id: Number(id), version: version! });
+        }
+        return true;
+      },
       end: () => {
         outcome.hasEnded = true;
       },
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
+import { type AnswerOrigin, originAt, versionToGoOn } from "./answer_origin.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { type Attempt, newAttempt } from "./attempt.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
@@ -29,12 +30,14 @@
   RefusalReason,
   ServerClient,
 } from "./ports.ts";
+import type { ProcessCheck } from "./process_check.ts";
 import { recordAnswerHead } from "./record_answer.ts";
-import type { PrefixCacheId } from "./server_registry.ts";
+import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
   isStream,
   type RoutedRequest,
+  type SoftwareVersion,
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
@@ -54,6 +57,7 @@
   readonly client: ServerClient;
   readonly crashGuard: CrashGuard;
   readonly paths: ServerPaths;
+  readonly processCheck: Pick<ProcessCheck, "isFresh" | "check">;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** What the daemon may hold of messages, over all requests. */
@@ -85,6 +89,8 @@
 const STREAM_SILENCE_MS = 400;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
+/** A server takes longer than this to end and to start again. */
+const RESTART_MS = 300;
 /** Time for the server's own answer at its deadline to arrive. */
 const DEADLINE_GRACE_MS = 60;
 /** An attempt with less time left is of no use. */
@@ -99,6 +105,19 @@
 /** What shows that an attempt is broken. */
 type FaultSource = "answer" | "connection" | "silence";
 
+/** Why a request is sent again, and what is said where that can't be done. */
+interface RetryCauses {
+  readonly reason: RefusalReason;
+  readonly cause: RepeatCause;
+}
+
+/** The wait of an answer for a server of its software version. */
+interface Wait extends RetryCauses {
+  /** When the last event came. */
+  readonly lastProgressMs: number;
+  readonly nextMs: number;
+}
+
 type Placed = Placement & { readonly kind: "placed" };
 
 /** A running request. */
@@ -114,11 +133,17 @@
   #attempt: Attempt | undefined;
   /** A second attempt, sent while the first is silent but may still go on. */
   #replacement: Attempt | undefined;
+  /** Set while an answer that has begun has no server that may go on. */
+  #wait: Wait | undefined;
   /** Whether the request is a trial after the end of a quarantine. */
   #isTrial = false;
   #cancelTimer = () => {};
   #hasEnded = false;
   #isCallerBlocked = false;
+  /** The server whose event the caller got first. */
+  #origin: AnswerOrigin | undefined;
+  /** Whether the server that began the answer was asked which process it is. */
+  #isOriginChecked = false;
   /** Time from the start to the first bytes of an answer. */
   #firstByteMs: number | undefined;
   /** Longest time between two chunks; a stream with a long one is late. */
@@ -237,6 +262,7 @@
       ...this.#context,
       exclude: this.#excluded,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
     if (probe === undefined) return undefined;
@@ -249,10 +275,17 @@
       ...this.#context,
       exclude,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
   }
 
+  /** The software version that began the answer; undefined when unknown. */
+  #versionToGoOn(): SoftwareVersion | undefined {
+    return this.#origin &&
+      versionToGoOn(this.#origin, this.#context.registry);
+  }
+
   /** Opens an attempt at the place that was found; it is not sent yet. */
   #open(
     { server, choice, cache, isProbe = false }: Placed,
@@ -269,6 +302,7 @@
       waitMs: Math.round(choice.waitMs),
       cachedTokens: choice.cachedTokens,
       tokensToRead: cache.tokensToRead,
+      softwareVersion: server.listed.softwareVersion,
       weights: cache.weights,
       replacedMs: this.#replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
@@ -283,6 +317,7 @@
     this.#pendingRepeats = 0;
     return newAttempt({
       server,
+      origin: originAt(server.listed),
       forwarder,
       pendingRepeats,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
@@ -361,7 +396,9 @@
       forwarder,
     }, {
       connected: () => {
-        if (forwarder === undefined) paths.recordConnected(server.listed);
+        if (forwarder !== undefined) return;
+        paths.recordConnected(server.listed);
+        this.#checkNewConnection(server);
       },
       sent: () => {
         attempt.wasSent = true;
@@ -474,7 +511,8 @@
    * budget; undefined when anything does not allow it. The open attempt must not
    * be ended before.
    */
-  #takeReplacement({ server }: Attempt): Placed | undefined {
+  #takeReplacement(attempt: Attempt): Placed | undefined {
+    const { server } = attempt;
     const nowMs = this.#nowMs();
     const { crashGuard } = this.#context;
     const isAllowed = this.#hasAttemptsLeft() &&
@@ -486,10 +524,22 @@
     const exclude = new Set([...this.#excluded, server.listed.id]);
     const placement = this.#place(exclude, nowMs);
     if (placement.kind === "refused") return undefined;
+    const needsCheck = this.#relay.hasBegun &&
+      !this.#isCurrent(placement.server);
+    if (needsCheck) {
+      this.#checkProcesses(placement.server, () => {
+        if (attempt !== this.#attempt) return;
+        attempt.replaceFromMs = this.#nowMs();
+        this.#replaceSilent(attempt, attempt.silence);
+      });
+      return undefined;
+    }
     return this.#tryRetry("silent") ? placement : undefined;
   }
 
+  /** Takes a repeat, unless one that was taken before reached no server. */
   #tryRetry(cause: RepeatCause): boolean {
+    if (this.#pendingRepeats > 0) return true;
     const isAllowed = this.#context.tryRetry(this.#request, cause);
     if (isAllowed) this.#pendingRepeats += 1;
     return isAllowed;
@@ -517,6 +567,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
+      this.#origin ??= attempt.origin;
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
@@ -637,8 +688,9 @@
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp("overloaded");
+    if (!mayRetry) return this.#giveUp("overloaded");
+    if (!this.#relay.hasBegun) return this.#startAttempt();
+    this.#retry({ reason: "overloaded", cause: "not_run" }, attempt);
   }
 
   /** Handles an attempt that its server has not run. */
@@ -648,12 +700,113 @@
     if (attempt.isProbe && !this.#hasPlace()) {
       return this.#giveUp("stale_weights");
     }
-    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#tryRetry("not_run");
-    if (mayRetry) return this.#startAttempt();
+    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
+    if (mayRetry) {
+      const causes = { reason: "overloaded", cause: "not_run" } as const;
+      return this.#retry(causes, attempt);
+    }
     this.#giveUp("overloaded");
   }
 
+  /**
+   * Sends the request to another server, with a retry taken from the budget. An
+   * answer that has begun waits for a server of its software version.
+   */
+  #retry({ reason, cause }: RetryCauses, after: Attempt | Wait): void {
+    this.#wait = undefined;
+    const nowMs = this.#nowMs();
+    const server = this.#relay.hasBegun ? this.#findNext() : undefined;
+    const mayStart = !this.#relay.hasBegun ||
+      (server !== undefined && this.#isCurrent(server));
+    if (mayStart) {
+      const mayRetry = this.#tryRetry(cause);
+      return mayRetry ? this.#startAttempt() : this.#giveUp(reason);
+    }
+    const { lastProgressMs } = after;
+    const untilMs = lastProgressMs + this.#maxWaitMs();
+    if (nowMs >= untilMs || !this.#hasServerToWaitFor()) {
+      return this.#giveUp(reason);
+    }
+    const nextMs = Math.min(nowMs + REPLACE_INTERVAL_MS, untilMs);
+    this.#wait = { reason, cause, lastProgressMs, nextMs };
+    if (server === undefined) return;
+    this.#checkProcesses(server, () => {
+      if (this.#wait !== undefined) this.#retry(this.#wait, this.#wait);
+    });
+  }
+
+  /**
+   * Asks a server which process it is when a new connection may be the first to
+   * another one. It matters only while several software versions serve.
+   */
+  #checkNewConnection(server: KnownServer): void {
+    const { processCheck, registry } = this.#context;
+    const nowMs = this.#nowMs();
+    const mayBeOther = isStream(this.#request.route.kind) &&
+      nowMs - server.lastReceivedMs > RESTART_MS &&
+      registry.hasSeveralVersions(this.#request.service);
+    if (mayBeOther && !processCheck.isFresh(server, nowMs)) {
+      void processCheck.check(server);
+    }
+  }
+
+  /** The server at which an answer that has begun would go on now. */
+  #findNext(): KnownServer | undefined {
+    const placement = this.#place(this.#excluded, this.#nowMs());
+    return placement.kind === "placed" ? placement.server : undefined;
+  }
+
+  /**
+   * Whether the server's process is known to be the one of its entry. A VM that
+   * reaches no server itself can't ask.
+   */
+  #isCurrent(server: KnownServer): boolean {
+    const { paths, processCheck } = this.#context;
+    return processCheck.isFresh(server, this.#nowMs()) ||
+      paths.isCutOff(server.listed.service);
+  }
+
+  /**
+   * Asks the server, and once the one that began the answer, which process they
+   * are; a server that does not answer is left out from then on.
+   */
+  #checkProcesses(server: KnownServer, done: () => void): void {
+    const { processCheck, registry } = this.#context;
+    const origin = this.#origin && registry.get(this.#origin.server);
+    const mayAskOrigin = origin !== undefined && !this.#isOriginChecked &&
+      !registry.isLeaving(origin) && this.#nowMs() >= origin.quietUntilMs;
+    this.#isOriginChecked = true;
+    void Promise.all([
+      processCheck.check(server),
+      mayAskOrigin ? processCheck.check(origin) : true,
+    ]).then(([hasAnswered]) => {
+      if (this.#hasEnded) return;
+      if (!hasAnswered) this.#excluded.add(server.listed.id);
+      this.#contain(done);
+    });
+  }
+
+  /** A stream whose server is lost waits as long as for a silent server. */
+  #maxWaitMs(): number {
+    return silenceTimeoutMs(this.#request, {
+      hasBegun: true,
+      canRetry: true,
+      isServerSilent: false,
+    });
+  }
+
+  /**
+   * Whether a server of the answer's software version is listed, be it one that
+   * has failed: it may be back soon, or have room.
+   */
+  #hasServerToWaitFor(): boolean {
+    const version = this.#versionToGoOn();
+    const { registry } = this.#context;
+    return version !== undefined &&
+      registry.usable(this.#request.service, this.#nowMs())
+        .some(({ listed }) => listed.softwareVersion === version);
+  }
+
   #hasPlace(): boolean {
     return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
   }
@@ -677,10 +830,12 @@
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
-      this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#tryRetry("broken");
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
+      this.#context.crashGuard.mayRetry(this.#suspects);
+    const refusal = reason === "silent" ? "server_silent" : "server_failed";
+    if (mayRetry) {
+      return this.#retry({ reason: refusal, cause: "broken" }, attempt);
+    }
+    this.#giveUp(refusal);
   }
 
   #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
@@ -780,7 +935,8 @@
   ): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
-      this.#logDecision("break_off", { reason });
+      const softwareVersion = this.#versionToGoOn();
+      this.#logDecision("break_off", { reason, softwareVersion });
       this.#caller.abortAnswer();
       return this.#end("broken_off");
     }
@@ -848,6 +1004,9 @@
     if (nowMs >= this.#finalDeadlineMs() + DEADLINE_GRACE_MS) {
       return this.#expire();
     }
+    if (this.#wait !== undefined && nowMs >= this.#wait.nextMs) {
+      return this.#retry(this.#wait, this.#wait);
+    }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
