Read which stream a request takes up, and give daemons a log of origins

`Resumes` names the request that brought the first event of a stream. The log is a topic of the store that is read to its end and appended to at a known end. No decision uses either yet, so nothing changes for callers.

--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -9,6 +9,7 @@
 import type {
   GossipTransport,
   KeyedRecord,
+  LogPosition,
   RecordExchange,
   RecordExchangeOptions,
   RecordSource,
@@ -81,6 +82,35 @@
   registerDaemon(vm: VmId, ip: string): Promise<ReadonlyMap<VmId, string>>;
 }
 
+/** The log in which daemons record which versions began streams. */
+export interface StreamOriginLog {
+  /** How often the store is known to have been restored. */
+  readonly era: number;
+  /** Write calls a second that the store takes from all daemons together. */
+  readonly writesPerS: number;
+  /** How long the log keeps a record, in milliseconds. */
+  readonly keepMs: number;
+  /**
+   * Reads the records from a position on, or from the first that is kept. The
+   * position after them has another era once the store has been restored.
+   */
+  read(from: LogPosition | undefined): Promise<{
+    readonly records: readonly Buffer[];
+    readonly next: LogPosition;
+    readonly isEnd: boolean;
+  }>;
+  /** Appends a record; with `at`, only if the log ends there. */
+  append(
+    record: Buffer,
+    options?: { readonly at?: LogPosition },
+  ): Promise<
+    | { readonly kind: "appended"; readonly position: LogPosition }
+    | { readonly kind: "moved" }
+  >;
+  /** Deletes the records before the position. */
+  trim(before: LogPosition): Promise<void>;
+}
+
 /** The listener that callers connect to. */
 export interface CallerListener {
   /** Number of requests without a complete answer. */
@@ -137,6 +167,7 @@
   readonly memory: MemoryBudget;
   readonly store: RecordStore;
   readonly rolloutLeaseLog: RolloutLeaseLog;
+  readonly streamOriginLog: StreamOriginLog;
   readonly engineOrders: RolloutOrderClient;
   readonly serverClient: ServerClient;
   readonly cacheEventClient: CacheEventClient;
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -15,6 +15,7 @@
   RecordSource,
 } from "@endivebend/fleet";
 import { BEFORE_FIRST, eraOf, logPosition, offsetOf } from "@endivebend/fleet";
+import type { LogPosition } from "@endivebend/fleet";
 import type {
   AnswerHead,
   AttemptListener,
@@ -32,6 +33,7 @@
   Refusal,
   RequestDigest,
   RequestKind,
+  RoutedRequest,
   RouteName,
   SoftwareVersion,
   WeightsVersion,
@@ -125,6 +127,8 @@
 
 /** Topics whose writers write again what a restore lost. */
 const REWRITTEN_TOPICS = ["operator", "servers"];
+/** Topic of the versions that began streams. */
+const ORIGIN_TOPIC = "stream-origins";
 /** Time without reports after which the entry of a server lapses. */
 const LAPSE_MS = 3_600;
 
@@ -250,6 +254,27 @@
     };
   }
 
+  /** Appends a record; with `at`, only if the topic ends there. */
+  append(
+    topic: string,
+    value: Buffer,
+    at?: number,
+  ): { kind: "appended"; position: LogPosition } | { kind: "moved" } {
+    const records = this.#records(topic);
+    if (at !== undefined && at !== records.length) return { kind: "moved" };
+    const position = logPosition(this.era, records.length);
+    records.push({ key: "", value, position, atMs: this.#time.nowMs });
+    return { kind: "appended", position };
+  }
+
+  /** Reads the records from a position on. */
+  readFrom(topic: string, offset: number) {
+    const records = this.#records(topic);
+    const read = records.slice(offset).flatMap(({ value }) => value ?? []);
+    const next = logPosition(this.era, Math.max(offset, records.length));
+    return { records: read, next, isEnd: true };
+  }
+
   /** Resolves when the store has answered a call. */
   async call(): Promise<void> {
     await this.wait(4);
@@ -338,6 +363,13 @@
   readonly attempts: Set<RunningAttempt>;
 }
 
+/** A call to the log of the versions that began streams. */
+export interface OriginCall {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly kind: "read" | "append" | "trim";
+}
+
 /** What became of a request. */
 export interface Outcome {
   readonly requestId: RequestId;
@@ -400,6 +432,7 @@
   readonly outcomes: Outcome[] = [];
   /** Called for each request that an engine has as it ends. */
   onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
+  readonly originCalls: OriginCall[] = [];
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -471,6 +504,17 @@
     this.#daemonsByAddress.set(daemon.forwardAddress, daemon);
   }
 
+  /** Whether the daemon takes callers. */
+  isReady(index: number): boolean {
+    return this.isRunning(index) &&
+      this.#daemons[index]?.revision !== undefined;
+  }
+
+  /** When the daemon's process started. */
+  startedAtMs(index: number): number {
+    return this.#daemons[index]?.startedAtMs ?? 0;
+  }
+
   isRunning(index: number): boolean {
     return this.#daemons[index]?.isAlive === true;
   }
@@ -570,8 +614,12 @@
   send(
     daemon: number,
     segments: readonly string[],
-    { body, events }: {
+    { body, events, takesUp, resumeAfter }: {
       readonly body?: string;
+      /** The stream that the request goes on with, as its caller names it. */
+      readonly takesUp?: RequestId | undefined;
+      /** The id of the last event that the caller has. */
+      readonly resumeAfter?: string | undefined;
       /** Events of the answer, which an engine sends at intervals. */
       readonly events?: number;
     } = {},
@@ -593,7 +641,8 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
-    this.#daemons[daemon]?.serve(outcome, events);
+    const takeUp = { takesUp, resumeAfter };
+    this.#daemons[daemon]?.serve(outcome, { events, takeUp });
     return outcome;
   }
 
@@ -1117,6 +1166,7 @@
 /** One daemon with its simulated ports. */
 class SimulatedDaemon {
   readonly vm: VmId;
+  readonly startedAtMs: number;
   readonly gossipAddress: string;
   readonly recordAddress: string;
   readonly forwardAddress: string;
@@ -1134,6 +1184,7 @@
   constructor(world: TestFleet, index: number) {
     this.#world = world;
     this.#time = world.time;
+    this.startedAtMs = world.time.nowMs;
     this.storeAccess = new StoreAccess(world.time);
     const ip = ipOf(index);
     this.vm = vmOf(index);
@@ -1184,7 +1235,13 @@
     if (this.isAlive) this.#onDatagram(bytes);
   }
 
-  serve(outcome: Outcome, events = RUN_EVENTS): void {
+  serve(
+    outcome: Outcome,
+    { events = RUN_EVENTS, takeUp }: {
+      readonly events: number | undefined;
+      readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
+    },
+  ): void {
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
@@ -1208,7 +1265,7 @@
         : undefined,
       deadlineMs: nowMs + 6_000,
       timeoutAtMs: nowMs + 6_000,
-      resumeAfter: undefined,
+      ...takeUp,
       message: outcome.body,
     }, this.#sink(outcome));
     if (opened.kind === "over_limit") outcome.isOverLimit = true;
@@ -1291,6 +1348,7 @@
           read: () => Promise.reject(new Error("No rollout is played")),
           append: () => Promise.reject(new Error("No rollout is played")),
         },
+      streamOriginLog: this.#streamOriginLog(),
       engineOrders: world.rollout.orders(this.vm),
       serverClient: {
         start: (order, listener) =>
@@ -1325,6 +1383,34 @@
     };
   }
 
+  #streamOriginLog(): FrontPorts["streamOriginLog"] {
+    const { store, originCalls } = this.#world;
+    const call = (kind: OriginCall["kind"]) => {
+      originCalls.push({ atMs: this.#time.nowMs, vm: this.vm, kind });
+      return this.#callStore();
+    };
+    return {
+      get era() {
+        return store.era;
+      },
+      writesPerS: 400,
+      keepMs: 300_000,
+      read: async (from) => {
+        await call("read");
+        return store.readFrom(
+          ORIGIN_TOPIC,
+          from === undefined ? 0 : offsetOf(from),
+        );
+      },
+      append: async (record, { at } = {}) => {
+        await call("append");
+        const offset = at === undefined ? undefined : offsetOf(at);
+        return store.append(ORIGIN_TOPIC, record, offset);
+      },
+      trim: () => call("trim"),
+    };
+  }
+
   #callStore(): Promise<void> {
     return this.storeAccess.call(() => this.#world.store.call());
   }
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -19,6 +19,7 @@
 import { serveStatus } from "./status_server.ts";
 import { StoreClient } from "./store_client.ts";
 import { createRecordStore } from "./store_records.ts";
+import { createStreamOriginLog } from "./stream_origin_log.ts";
 
 /**
  * Creates the daemon with its adapters and opens its listeners. It gets ready
@@ -46,6 +47,7 @@
     memory,
     store: createRecordStore(store),
     rolloutLeaseLog: createRolloutLeaseLog(store),
+    streamOriginLog: createStreamOriginLog(store, settings.storeRates),
     engineOrders: createRolloutOrderClient(memory),
     serverClient: createServerClient(clock, { ip: settings.ip }),
     cacheEventClient: createCacheEventClient(memory),
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -333,10 +333,17 @@
       (Number.isFinite(timeLeftMs) ? timeLeftMs : DEFAULT_REQUEST_TIMEOUT_MS),
     timeoutAtMs: arrivedAtMs + admission.route.timeoutMs,
     resumeAfter: singleHeader(request, HEADERS.resumeAfter),
+    takesUp: parseRequestId(singleHeader(request, HEADERS.resumes)),
     message,
   };
 }
 
+function parseRequestId(value: string | undefined): RequestId | undefined {
+  return value === undefined || value === ""
+    ? undefined
+    : brandId<RequestId>(value);
+}
+
 /** Writes the answer of the request path to the client's connection. */
 class ResponseSink implements CallerSink {
   readonly #response: ServerResponse;
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -18,10 +18,23 @@
   readonly metrics: Endpoint;
   /** IP and port of the platform's metadata store. */
   readonly storeAddress: string;
+  readonly storeRates: StoreRates;
   /** What the daemon may hold of requests, answers and reports, in bytes. */
   readonly messageBytes: number;
 }
 
+/** What the store takes and keeps. */
+export interface StoreRates {
+  /** Write calls a second from all daemons together. */
+  readonly writesPerS: number;
+  /** How long the log keeps a record. */
+  readonly keepMs: number;
+}
+
+/** Values where the settings name none, from the users' data sheets. */
+const DEFAULT_WRITES_PER_S = 400;
+const DEFAULT_KEEP_S = 300;
+
 /** An address to listen on. */
 export interface Endpoint {
   readonly host: string;
@@ -87,6 +100,10 @@
     ),
     seedIps: seeds.map((seed) => parseEndpoint(String(seed)).host),
     storeAddress: requireString(provider, "address"),
+    storeRates: {
+      writesPerS: numberOr(provider["writes_per_s"], DEFAULT_WRITES_PER_S),
+      keepMs: numberOr(provider["keep_s"], DEFAULT_KEEP_S) * 1_000,
+    },
     messageBytes: requireNumber(limits, "memory_mb") * BYTES_PER_MB *
       MESSAGE_MEMORY_SHARE,
     graceMs: requireNumber(bounds, "grace_s") * 1_000,
@@ -135,3 +152,9 @@
     `The setting "${name}" is not a finite number; set it to one`,
   );
 }
+
+function numberOr(value: unknown, fallback: number): number {
+  return typeof value === "number" && Number.isFinite(value) && value > 0
+    ? value
+    : fallback;
+}
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -44,6 +44,8 @@
     readonly kind: "records";
     readonly records: readonly Buffer[];
     readonly next: LogPosition;
+    /** Whether the partition ended after these records. */
+    readonly isEnd: boolean;
   }
   | { readonly kind: "deleted"; readonly body: Buffer };
 
@@ -118,6 +120,16 @@
     );
   }
 
+  /** Deletes the records of a topic before the offset. */
+  async trim(topic: string, before: number): Promise<void> {
+    const { status } = await this.#call({
+      method: "POST",
+      path: `/api/log-trim?topic=${topic}&part=0&before=${before}`,
+    });
+    if (status === 200) return;
+    throw new Error(`The store answered a trim with status ${status}, not 200`);
+  }
+
   /**
    * Appends a record under a key; the store retains the newest of each key.
    * Without a value the key is removed.
@@ -155,7 +167,11 @@
     topic: string,
     fromOffset: number,
   ): Promise<
-    { readonly records: readonly Buffer[]; readonly next: LogPosition }
+    {
+      readonly records: readonly Buffer[];
+      readonly next: LogPosition;
+      readonly isEnd: boolean;
+    }
   > {
     let from = fromOffset;
     for (let attempt = 0; attempt < MAX_RETAINED_READS; attempt++) {
@@ -185,7 +201,8 @@
     }
     const records = splitRecords(body.subarray(READ_PREFIX_BYTES));
     const next = logPosition(era, fromOffset + records.length);
-    return { kind: "records", records, next };
+    const end = Number(body.readBigUInt64BE(0));
+    return { kind: "records", records, next, isEnd: offsetOf(next) >= end };
   }
 
   /**
--- /dev/null
+++ b/packages/platform/src/stream_origin_log.ts
@@ -0,0 +1,33 @@
+/**
+ * Keeps the log of the versions that began streams in a topic of the store.
+ *
+ * @module
+ */
+
+import { offsetOf } from "@endivebend/fleet";
+import type { StreamOriginLog } from "@endivebend/front";
+import type { StoreClient } from "./store_client.ts";
+
+const TOPIC = "stream-origins";
+
+/** Creates the log on the store. */
+export function createStreamOriginLog(
+  store: StoreClient,
+  settings: { readonly writesPerS: number; readonly keepMs: number },
+): StreamOriginLog {
+  return {
+    ...settings,
+    get era() {
+      return store.era;
+    },
+    read: (from) =>
+      store.readRetained(TOPIC, from === undefined ? 0 : offsetOf(from)),
+    append: (record, { at } = {}) =>
+      store.append(
+        TOPIC,
+        record,
+        at === undefined ? {} : { at: offsetOf(at) },
+      ),
+    trim: (before) => store.trim(TOPIC, offsetOf(before)),
+  };
+}
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -104,6 +104,7 @@
     deadlineMs: Number.MAX_SAFE_INTEGER,
     timeoutAtMs: Number.MAX_SAFE_INTEGER,
     resumeAfter: undefined,
+    takesUp: undefined,
     message,
     ...fields,
   };
@@ -217,6 +218,7 @@
     firstPeerPort: await freePort(host),
     seedIps: [],
     storeAddress: store.address,
+    storeRates: { writesPerS: 400, keepMs: 300_000 },
     messageBytes: 23_330_816,
     graceMs: 4_000,
     leaseMs: 3_000,
--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -103,6 +103,9 @@
       });
       response.end(Buffer.concat([head, ...encodedRecords]));
     },
+    "/api/log-trim": ({ response }) => {
+      response.end("{}");
+    },
     "/api/log-newest": ({ query, response }) => {
       const newest = new Map<string, { value: Buffer; offset: number }>();
       recordsOf(query.get("topic")!).forEach((record, offset) => {
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -14,6 +14,8 @@
   /** The prompt's segments as `ID:TOKENS`, separated by commas. */
   prompt: "prompt-prefix",
   resumeAfter: "last-event-id",
+  /** Id of the request that brought the first event of the resumed stream. */
+  resumes: "resumes",
   /** The backend server's signature of an answer. */
   proof: "response-seal",
   team: "tenant",
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -158,6 +158,7 @@
     deadlineMs: 7_000,
     timeoutAtMs: 7_000,
     resumeAfter: undefined,
+    takesUp: undefined,
     message: undefined,
     ...fields,
   };
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -160,6 +160,8 @@
   readonly timeoutAtMs: number;
   /** Id of the last event that the caller has; the stream resumes after it. */
   readonly resumeAfter: string | undefined;
+  /** The request that brought the first event of the stream it takes up. */
+  readonly takesUp: RequestId | undefined;
   /** Data with which the interface sends the request; opaque here. */
   readonly message: unknown;
 }
@@ -184,3 +186,10 @@
     request.team?.urgency ?? request.route.urgency,
   );
 }
+
+/** Whether a caller goes on with a stream that another request began. */
+export function isTakeUp(request: RoutedRequest): boolean {
+  const { route, resumeAfter, takesUp } = request;
+  return route.kind === "resumable_stream" &&
+    (resumeAfter !== undefined || takesUp !== undefined);
+}
