--- /dev/null
+++ b/packages/front/src/take_ups_test.ts
@@ -0,0 +1,182 @@
+import process from "node:process";
+import test, { type ExecutionContext } from "ava";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { type Engine, TestFleet } from "./testing_fleet.ts";
+import type { Draw } from "./testing_gossip_links.ts";
+import { TakeUpCallers } from "./testing_take_ups.ts";
+
+/** `FLEET_SEEDS=1-50` plays other seeds than the few of CI. */
+const [FIRST_SEED = 1, LAST_SEED = 2] = (process.env["FLEET_SEEDS"] ?? "1-2")
+  .split("-").map(Number);
+
+const DAEMONS = 8;
+const ENGINES = 4;
+const DRAIN_MS = 2_000;
+const ALL = Array.from({ length: DAEMONS }, (_, index) => index);
+
+/** A fleet in which troubles are drawn. */
+interface Play {
+  readonly fleet: TestFleet;
+  readonly callers: TakeUpCallers;
+  readonly draw: Draw;
+}
+
+/** Engines of the version start at intervals, and all others leave. */
+function release(
+  { fleet }: Play,
+  version: string | undefined,
+  { count = ENGINES, gapMs = 100, rest = 0 } = {},
+): void {
+  const former = fleet.runningEngines()
+    .filter(({ listed }) => listed.softwareVersion !== version);
+  for (let index = 0; index < count; index++) {
+    fleet.time.after(index * gapMs, () => void fleet.startEngine(version));
+  }
+  former.slice(0, former.length - rest).forEach((engine, index) =>
+    leave(fleet, engine, 300 + index * gapMs)
+  );
+}
+
+function leave(fleet: TestFleet, engine: Engine, afterMs: number): void {
+  fleet.time.after(afterMs, () => {
+    fleet.leave(engine, "reported");
+    fleet.time.after(DRAIN_MS, () => fleet.stopEngine(engine));
+  });
+}
+
+function restartAll({ fleet }: Play, awayMs = 1_500): void {
+  restart(fleet, ALL, awayMs);
+}
+
+function restart(
+  fleet: TestFleet,
+  daemons: readonly number[],
+  awayMs: number,
+): void {
+  for (const daemon of daemons) fleet.killDaemon(daemon);
+  fleet.time.after(awayMs, () => {
+    for (const daemon of daemons) fleet.startDaemon(daemon);
+  });
+}
+
+function play(
+  seed: number,
+  options: { readonly areNamed?: boolean } = {},
+): Play {
+  const random = xoroshiro128plus(seed);
+  const draw: Draw = (from, to) => uniformInt(random, from, to);
+  const fleet = new TestFleet({ daemons: DAEMONS, engines: ENGINES });
+  const callers = new TakeUpCallers({
+    fleet,
+    daemons: DAEMONS,
+    draw,
+    ...options,
+  });
+  return { fleet, callers, draw };
+}
+
+function assertNotJoined(t: ExecutionContext, { callers }: Play): void {
+  const joined = callers.joined();
+  const shown = joined.slice(0, 3).map((stream) =>
+    `${stream.tries[0]?.requestId}: ` +
+    callers.eventsOf(stream).map(({ version }) => version).join(" ")
+  );
+  t.is(joined.length, 0, shown.join("\n"));
+  const takenUp = callers.takenUp();
+  const owed = takenUp.filter(({ couldGoOn }) => couldGoOn);
+  t.log(
+    `${callers.streams.length} streams, ${takenUp.length} taken up, ` +
+      `${owed.length} while their version served, ` +
+      `of which ${callers.shareGoneOn(owed).toFixed(2)} went on`,
+  );
+}
+
+/** Take-ups go on at least half as often as new streams begin. */
+function assertGoOn(t: ExecutionContext, { callers }: Play): void {
+  const owed = callers.takenUp().filter(({ couldGoOn }) => couldGoOn);
+  t.true(owed.length >= 12, `${owed.length} take-ups`);
+  const share = callers.shareGoneOn(owed);
+  t.true(share >= callers.shareBegun() / 2, `${share} went on`);
+}
+
+/** When the release begins; the service has settled on the first version. */
+const RELEASE_MS = 14_000;
+
+/** Troubles in which streams of a former version are taken up. */
+const TROUBLES: Readonly<Record<string, (play: Play) => void>> = {
+  "as the old version's servers have just left": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    const endMs = RELEASE_MS + 700 + draw(0, 400);
+    fleet.time.after(endMs, () => restartAll(play, 2_000));
+  },
+  "as the first new server starts": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    const endMs = RELEASE_MS + draw(0, 500);
+    fleet.time.after(endMs, () => restartAll(play, 2_500));
+  },
+  "amid a release that is taken back": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    fleet.time.after(RELEASE_MS + 3_000, () => release(play, "v1"));
+    const endMs = RELEASE_MS + 3_600 + draw(0, 500);
+    fleet.time.after(endMs, () => restartAll(play, 2_000));
+  },
+  "while three versions serve": (play) => {
+    const { fleet, draw } = play;
+    const two = { count: 2, rest: 2 };
+    fleet.time.after(RELEASE_MS, () => release(play, "v2", two));
+    fleet.time.after(RELEASE_MS + 1_000, () => release(play, "v3", two));
+    const endMs = RELEASE_MS + 1_700 + draw(0, 500);
+    fleet.time.after(endMs, () => restartAll(play));
+  },
+  "twice": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    const firstMs = RELEASE_MS + 700 + draw(0, 400);
+    fleet.time.after(firstMs, () => restartAll(play, 800));
+    fleet.time.after(RELEASE_MS + 4_500, () => release(play, "v3"));
+    const secondMs = RELEASE_MS + 5_200 + draw(0, 400);
+    fleet.time.after(secondMs, () => restartAll(play, 800));
+  },
+  "while the store is away": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    fleet.time.after(RELEASE_MS + 500, () => {
+      fleet.store.isDown = true;
+    });
+    const endMs = RELEASE_MS + 800 + draw(0, 400);
+    fleet.time.after(endMs, () => restartAll(play, 1_500));
+    fleet.time.after(RELEASE_MS + 2_400, () => {
+      fleet.store.isDown = false;
+    });
+  },
+  "as the store comes back from a copy": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => release(play, "v2"));
+    fleet.time.after(
+      RELEASE_MS + 600,
+      () =>
+        fleet.store.restore({ copyAgeMs: 2_500, awayMs: 200, rewriteMs: 400 }),
+    );
+    const endMs = RELEASE_MS + 900 + draw(0, 300);
+    fleet.time.after(endMs, () => restartAll(play, 2_000));
+  },
+};
+
+// Guards against a caller's stream that goes on at a server of another software
+// version, at a daemon that has not seen it begin.
+for (const [name, trouble] of Object.entries(TROUBLES)) {
+  for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
+    test(`no stream is taken up at another software version when all daemons end ${name}, seed ${seed}`, async (t) => {
+      const played = play(seed);
+      played.callers.run(RELEASE_MS - 2_000, RELEASE_MS + 12_000);
+      trouble(played);
+      await played.fleet.time.advance(RELEASE_MS + 18_000);
+      assertNotJoined(t, played);
+      t.true(played.callers.takenUp().length >= 8, "streams are taken up");
+    });
+  }
+}
