Take a stream up only at the software version that began it

Cause: nothing read what a take-up names, so it was placed like a new request, and what began a stream was known nowhere: the daemon that had relayed its beginning did not keep it, and all daemons may have ended since.

A daemon now remembers the version of each stream that it begins. While servers of several versions are listed, or were within the life of a stream, it also records them in a topic of the store's log, 200 ms apart or as far apart as keeps all daemons within a fifth of the store's writes. Once one version alone has been listed for that long, one daemon records that the service has settled on it. A take-up goes on at the version that is remembered or recorded, or at the only one that can have begun any stream that lives; otherwise the log is read for up to 600 ms, and then the take-up is refused as not run. Times are the daemon's own steady time.

Why it holds after all daemons end: records precede the end, a settled record is appended only at the known end of the log and names its version and the store's era, and a daemon that starts relies on it only while it lists that version alone.

Without a release: one read a daemon, one append and one trim in 60 s.

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -33,7 +33,7 @@
 } from "./gossip_message.ts";
 export { MIN_RELAYED_FLEET, planRelays, relaysOf } from "./relay_plan.ts";
 export type { RelayCandidate, RelayPlan } from "./relay_plan.ts";
-export { shouldReadTopic } from "./reader_choice.ts";
+export { shouldReadTopic, topicReadAtMs } from "./reader_choice.ts";
 export type { TopicReadInput } from "./reader_choice.ts";
 export { RecordFollower } from "./record_follower.ts";
 export type {
--- a/packages/fleet/src/reader_choice.ts
+++ b/packages/fleet/src/reader_choice.ts
@@ -57,21 +57,36 @@
   );
   const ownRank = rankedVms.indexOf(self);
   if (ownRank === 0) return true;
-  const readAtMs = Math.max(
-    input.ownReadAtMs,
-    ...sameDomainPeers.map((peer) => reportedReadAtMs(peer, input)),
-  );
+  const readAtMs = topicReadAtMs({ ...input, peers: sameDomainPeers });
   const delayMs = Math.min(ownRank, MAX_DELAYED_RANK) * RANK_DELAY_MS;
   return nowMs - readAtMs > READ_SILENCE_TIMEOUT_MS + delayMs;
 }
 
+/**
+ * When this daemon, or one of the peers whose records it has, last read the
+ * topic; negative infinity before the first read.
+ *
+ * @example
+ * ```ts
+ * const ageMs = nowMs - topicReadAtMs({ topic, held, ownReadAtMs, peers });
+ * ```
+ */
+export function topicReadAtMs(
+  input: Pick<TopicReadInput, "topic" | "held" | "ownReadAtMs" | "peers">,
+): number {
+  return Math.max(
+    input.ownReadAtMs,
+    ...input.peers.map((peer) => reportedReadAtMs(peer, input)),
+  );
+}
+
 /**
  * When the peer read the topic; negative infinity if it did not, or if it holds
  * records that this daemon lacks.
  */
 function reportedReadAtMs(
   { message, heardAtMs }: FleetMember,
-  { topic, held }: TopicReadInput,
+  { topic, held }: Pick<TopicReadInput, "topic" | "held">,
 ): number {
   const ageMs = message?.readAgesMs[topic];
   const position = message?.records[topic] ?? BEFORE_FIRST;
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -17,6 +17,7 @@
   RecordTable,
   SERVED_OVERDUE_MS,
   shouldReadTopic,
+  topicReadAtMs,
 } from "@endivebend/fleet";
 import { type ForwarderCandidate, ServerPaths } from "@endivebend/forwarding";
 import { WeightsRolloutTask } from "@endivebend/orders";
@@ -52,6 +53,7 @@
 import { PauseGuard } from "./pause_guard.ts";
 import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
+import { StreamOriginKeeper } from "./stream_origin_keeper.ts";
 import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
 import { WeightsWatch } from "./weights_watch.ts";
 
@@ -99,6 +101,7 @@
   readonly #fleet: FleetState;
   readonly #paths: ServerPaths;
   readonly #quarantines: QuarantineKeeper;
+  readonly #streamOrigins: StreamOriginKeeper;
   readonly #admission: AdmissionController;
   readonly #recordApplier: RecordApplier;
   readonly #tables: ReadonlyMap<string, RecordTable>;
@@ -161,6 +164,7 @@
     );
     this.#paths = this.#createPaths();
     this.#quarantines = this.#createQuarantines();
+    this.#streamOrigins = this.#createStreamOrigins();
     this.#admission = this.#createAdmission();
     this.#forwardedRuns = this.#createForwardedRuns();
     this.#recordApplier = this.#createRecordApplier();
@@ -216,6 +220,7 @@
     this.#serverFollower.start();
     this.#quarantineFollower.start();
     this.#quarantines.start();
+    this.#streamOrigins.start();
     this.#weightsRollout.start();
     this.#cacheWatch.start();
     this.#pauseGuard.start();
@@ -273,6 +278,7 @@
         scheduler,
         client: serverClient,
         crashGuard: this.#quarantines.guard,
+        streamOrigins: this.#streamOrigins,
         paths: this.#paths,
         log,
         metrics,
@@ -383,6 +389,49 @@
     });
   }
 
+  #createStreamOrigins(): StreamOriginKeeper {
+    const { clock, scheduler, store, streamOriginLog, log, metrics } =
+      this.#ports;
+    return new StreamOriginKeeper({
+      self: this.#settings.vm,
+      clock,
+      scheduler,
+      originLog: streamOriginLog,
+      registry: this.#registry,
+      log,
+      metrics,
+      timeoutsMs: () => this.#resumableTimeoutsMs(),
+      peers: () => this.#reachablePeers(),
+      fleetSize: () => this.#fleet.size,
+      reachesStore: () => store.isReachable,
+      listReadAtMs: () => this.#listReadAtMs(),
+    });
+  }
+
+  /** The longest timeout of each service's streams that may be taken up. */
+  #resumableTimeoutsMs(): ReadonlyMap<ServiceName, number> {
+    return this.#admission.view?.resumableTimeoutsMs ?? new Map();
+  }
+
+  /**
+   * When the servers that this daemon knows were last all that are listed. While
+   * no daemon reaches the store, none can learn of others.
+   */
+  #listReadAtMs(): number {
+    const nowMs = this.#nowMs();
+    const peers = this.#fleet.reachable(nowMs);
+    const isAwayForAll = !this.#ports.store.isReachable &&
+      peers.length === this.#fleet.members().length &&
+      peers.every(({ message }) => message?.reachesStore === false);
+    if (isAwayForAll) return nowMs;
+    return topicReadAtMs({
+      topic: SERVER_TOPIC,
+      held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
+      ownReadAtMs: this.#serverFollower.readAtMs,
+      peers,
+    });
+  }
+
   /** All daemons that may be alive, with their demand for the service. */
   #sharersOf(service: ServiceName): Sharer[] {
     const ownDemandPerS = this.#admission.demandPerS().get(service) ?? 0;
@@ -404,6 +453,7 @@
       registry: this.#registry,
       named: this.#namedWeights,
       nowMs: () => this.#nowMs(),
+      serverListed: (server) => this.#streamOrigins.noteListed(server),
       wasStoreAway: () => this.#wasStoreAway(),
       applyLimits: (limits) => this.#listener.applyLimits(limits),
       logDecision: this.#logDecision,
@@ -476,7 +526,9 @@
     this.#unmergedTopics.add(topic);
     this.#ports.log.stateChange("store_restored", { topic });
     // The copy may lack this daemon, and daemons that start now list it.
-    if (topic === OPERATOR_TOPIC) void this.#register();
+    if (topic !== OPERATOR_TOPIC) return;
+    void this.#register();
+    this.#streamOrigins.noteRestore();
   }
 
   #shouldReadServers(): boolean {
@@ -729,6 +781,7 @@
       },
       paused: ({ fromMs, untilMs }) => {
         this.#admission.resumeAfterPause();
+        this.#streamOrigins.notePause();
         metrics.count("pauses", {});
         log.stateChange("paused", { pausedMs: Math.round(untilMs - fromMs) });
       },
@@ -815,6 +868,7 @@
     this.#statusServer.close();
     this.#pauseGuard.stop();
     this.#paths.stop();
+    this.#streamOrigins.stop();
     this.#forwardListener.close();
     log.flush();
     // The datagrams that announce the end are sent in the next turn of the
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -200,6 +200,7 @@
     named: new NamedWeightsRegistry(),
     nowMs: () => 0,
     applyLimits: () => t.fail("An older configuration changed the limits"),
+    serverListed() {},
     wasStoreAway: () => false,
     logDecision: (step) => steps.push(step),
   });
@@ -240,6 +241,7 @@
     named: new NamedWeightsRegistry(),
     nowMs: () => 0,
     applyLimits() {},
+    serverListed() {},
     wasStoreAway: () => false,
     logDecision: (step) => steps.push(step),
   });
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -24,6 +24,8 @@
   readonly registry: ServerRegistry;
   readonly named: NamedWeightsRegistry;
   nowMs(): number;
+  /** Called for each entry of a server that is applied. */
+  serverListed(server: ListedServer): void;
   /** Whether the store is away, or was until some seconds ago. */
   wasStoreAway(): boolean;
   applyLimits(limits: CallerLimits): void;
@@ -138,6 +140,7 @@
       return this.#log("malformed_record", record);
     }
     const change = registry.upsert(server, nowMs());
+    this.#options.serverListed(server);
     if (change === "same") return;
     const { isLeaving, address, softwareVersion, startedAtMs } = server;
     this.#log("server", record, {
--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -180,3 +180,65 @@
     });
   }
 }
+
+// Guards against take-ups that are refused though servers of their version serve.
+for (const named of ["v1 and v2", "v1, v2 and v3"]) {
+  test(`take-ups go on while ${named} serve and daemons end in turn`, async (t) => {
+    const played = play(1);
+    const { fleet, callers } = played;
+    const versions = named.match(/v[23]/g) ?? [];
+    fleet.time.after(RELEASE_MS - 4_000, () => {
+      for (const version of versions) {
+        fleet.startEngine(version);
+        fleet.startEngine(version);
+      }
+    });
+    callers.run(RELEASE_MS - 2_000, RELEASE_MS + 12_000);
+    for (const daemon of ALL) {
+      const atMs = RELEASE_MS + daemon * 1_300;
+      fleet.time.after(atMs, () => restart(fleet, [daemon], 1_000));
+    }
+    await fleet.time.advance(RELEASE_MS + 18_000);
+    assertNotJoined(t, played);
+    assertGoOn(t, played);
+  });
+}
+
+test("take-ups go on after all daemons have ended while one version serves", async (t) => {
+  const played = play(1);
+  played.callers.run(RELEASE_MS - 2_000, RELEASE_MS + 8_000);
+  played.fleet.time.after(RELEASE_MS, () => restartAll(played));
+  await played.fleet.time.advance(RELEASE_MS + 14_000);
+  assertGoOn(t, played);
+});
+
+test("without a release daemons ask the log once each, and one settles the service", async (t) => {
+  const played = play(1);
+  const { fleet, callers } = played;
+  callers.run(2_000, 60_000);
+  await fleet.time.advance(62_000);
+  const kinds = fleet.originCalls.map(({ kind }) => kind);
+  const countOf = (kind: string) => kinds.filter((one) => one === kind).length;
+  t.true(countOf("read") <= DAEMONS + 2, `${countOf("read")} reads`);
+  t.is(countOf("append"), 1);
+  t.is(countOf("trim"), 1);
+});
+
+test("take-ups that do not name their stream go on only while one version serves", async (t) => {
+  const played = play(1, { areNamed: false });
+  const { fleet, callers } = played;
+  callers.run(RELEASE_MS - 2_000, RELEASE_MS + 8_000);
+  fleet.time.after(RELEASE_MS, () => restart(fleet, [0, 1], 1_000));
+  fleet.time.after(RELEASE_MS + 4_000, () => release(played, "v2"));
+  fleet.time.after(RELEASE_MS + 6_000, () => restart(fleet, [0, 1], 1_000));
+  await fleet.time.advance(RELEASE_MS + 14_000);
+  assertNotJoined(t, played);
+  const takenUp = callers.takenUp();
+  const before = takenUp.filter(({ brokeAtMs = 0 }) =>
+    brokeAtMs < RELEASE_MS + 2_000
+  );
+  const after = takenUp.filter((stream) => !before.includes(stream));
+  t.true(before.length >= 5 && after.length >= 5);
+  t.true(callers.shareGoneOn(before) > 0.9);
+  t.is(callers.shareGoneOn(after), 0);
+});
--- a/packages/request-path/src/configuration.ts
+++ b/packages/request-path/src/configuration.ts
@@ -10,6 +10,8 @@
 /** A configuration with indexes for lookups. */
 export class ConfigurationView {
   readonly configuration: Configuration;
+  /** The longest timeout of each service's streams that may be taken up. */
+  readonly resumableTimeoutsMs: ReadonlyMap<ServiceName, number>;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #services = new Map<ServiceName, ServiceRules>();
 
@@ -26,6 +28,7 @@
     for (const service of configuration.services) {
       this.#services.set(service.name, service);
     }
+    this.resumableTimeoutsMs = findResumableTimeouts(configuration.routes);
   }
 
   /**
@@ -46,6 +49,20 @@
   }
 }
 
+function findResumableTimeouts(
+  routes: readonly Route[],
+): Map<ServiceName, number> {
+  const timeoutsMs = new Map<ServiceName, number>();
+  for (const { kind, timeoutMs, destinations } of routes) {
+    if (kind !== "resumable_stream") continue;
+    for (const { service } of destinations) {
+      const longestMs = Math.max(timeoutMs, timeoutsMs.get(service) ?? 0);
+      timeoutsMs.set(service, longestMs);
+    }
+  }
+  return timeoutsMs;
+}
+
 /**
  * The destination service for a request of the route. `fraction`, from 0 to
  * below 1, spreads requests by the destinations' weights.
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -17,6 +17,7 @@
   ModelWork,
   RequestDigest,
   RoutedRequest,
+  SoftwareVersion,
   WeightsVersion,
 } from "./types.ts";
 
@@ -149,6 +150,29 @@
   closeIdleConnections(address: string): void;
 }
 
+/** What began a stream that a caller takes up again. */
+export type StreamOrigin =
+  | { readonly kind: "version"; readonly version: SoftwareVersion }
+  /** Several versions may have begun it, so no server may go on. */
+  | { readonly kind: "unknown" };
+
+/** Which software versions began the streams that callers may take up. */
+export interface StreamOrigins {
+  /** Records which server the first event that the caller got came from. */
+  began(
+    request: RoutedRequest,
+    at: {
+      readonly server: BackendServerId;
+      /** Undefined when unknown. */
+      readonly version: SoftwareVersion | undefined;
+    },
+  ): void;
+  /** Records that the caller got the whole stream. */
+  completed(request: RoutedRequest): void;
+  /** What began the stream that the request takes up. Never rejects. */
+  find(request: RoutedRequest): StreamOrigin | Promise<StreamOrigin>;
+}
+
 /** Why the request path refuses a request. */
 export type RefusalReason =
   | "no_server"
@@ -159,6 +183,8 @@
   /** The daemon ends as planned. */
   | "stopping"
   | "stale_weights"
+  /** It takes a stream up, and the version that began it is not known. */
+  | "unknown_origin"
   /** The request, or a segment of its prompt, crashes engines. */
   | "quarantined"
   | "server_failed"
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -29,12 +29,15 @@
   PathMetrics,
   RefusalReason,
   ServerClient,
+  StreamOrigin,
+  StreamOrigins,
 } from "./ports.ts";
 import { recordAnswerHead } from "./record_answer.ts";
 import type { PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
   isStream,
+  isTakeUp,
   type RoutedRequest,
   type SoftwareVersion,
   urgencyOf,
@@ -55,6 +58,7 @@
   /** What the daemon may hold of messages, over all requests. */
   readonly memory: MemoryBudget;
   readonly weightsProbes: WeightsProbes;
+  readonly streamOrigins: StreamOrigins;
   /** Takes one retry from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest): boolean;
   /** Called once, when the request has ended. */
@@ -106,6 +110,8 @@
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
+  /** The version that began the stream that the request takes up. */
+  #takenUpVersion: SoftwareVersion | undefined;
   /** A second attempt, sent while the first is silent but may still go on. */
   #replacement: Attempt | undefined;
   /** Whether the request is a trial after the end of a quarantine. */
@@ -138,11 +144,30 @@
 
   start(): void {
     this.#contain(() => {
-      this.#startAttempt();
+      if (isTakeUp(this.#request)) this.#startTakeUp();
+      else this.#startAttempt();
       this.#checkProgress();
     });
   }
 
+  /** Starts an attempt once it is known which version began the stream. */
+  #startTakeUp(): void {
+    const origin = this.#context.streamOrigins.find(this.#request);
+    if ("kind" in origin) return this.#takeUp(origin);
+    void origin.then((found) => this.#contain(() => this.#takeUp(found)));
+  }
+
+  #takeUp(origin: StreamOrigin): void {
+    if (this.#hasEnded) return;
+    const { kind } = origin;
+    const version = kind === "version" ? origin.version : undefined;
+    this.#context.metrics.count("take_ups", { origin: kind });
+    this.#logDecision("take_up", { origin: kind, version });
+    if (version === undefined) return this.#giveUp("unknown_origin");
+    this.#takenUpVersion = version;
+    this.#startAttempt();
+  }
+
   /** The caller reads again. */
   callerReady(): void {
     this.#isCallerBlocked = false;
@@ -249,10 +274,14 @@
     });
   }
 
-  /** The software version that began the answer; undefined when unknown. */
+  /**
+   * The software version that began the stream; undefined when unknown, or when
+   * none has begun.
+   */
   #versionToGoOn(): SoftwareVersion | undefined {
-    return this.#origin &&
-      versionToGoOn(this.#origin, this.#context.registry);
+    return this.#origin === undefined
+      ? this.#takenUpVersion
+      : versionToGoOn(this.#origin, this.#context.registry);
   }
 
   /** Opens an attempt at the place that was found; it is not sent yet. */
@@ -505,7 +534,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
-      this.#origin ??= attempt.origin;
+      this.#recordOrigin(attempt);
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
@@ -517,6 +546,21 @@
     attempt.handle?.pause();
   }
 
+  /** Records the server whose event the caller got first. */
+  #recordOrigin({ origin }: Attempt): void {
+    if (this.#origin !== undefined) return;
+    this.#origin = origin;
+    if (!this.#mayBeTakenUp()) return;
+    const { registry, streamOrigins } = this.#context;
+    const version = versionToGoOn(origin, registry);
+    streamOrigins.began(this.#request, { server: origin.server, version });
+  }
+
+  #mayBeTakenUp(): boolean {
+    return this.#request.route.kind === "resumable_stream" &&
+      this.#relay.isEventStream;
+  }
+
   /** Records that part of the answer came, and the pause before it. */
   #recordProgress(attempt: Attempt): void {
     const nowMs = this.#nowMs();
@@ -547,6 +591,9 @@
     this.#context.registry.recordSuccess(attempt.server.listed.id);
     this.#release(attempt);
     this.#relay.end();
+    if (this.#mayBeTakenUp()) {
+      this.#context.streamOrigins.completed(this.#request);
+    }
     this.#end("answered");
   }
 
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -348,6 +348,14 @@
     metrics,
     memory: new MemoryBudget(67_108_864),
     weightsProbes: new WeightsProbes(() => 1),
+    streamOrigins: {
+      began() {},
+      completed() {},
+      find: () => ({
+        kind: "version",
+        version: brandId<SoftwareVersion>("v1"),
+      }),
+    },
     tryRetry: () => true,
     ended() {},
     ...fields,
