Rely on the only version listed while the list is at most 2 s old

A daemon that is cut off from store and peers took its list as current for 4 s, in which others may begin streams at a version that it has not heard of, and callers take these up at it. The list is 0.8 s old at most when all is well. The gap after which the watch begins anew stays: an outage of the store takes 2 s to be known to all.

Found by reading; version_watch_test has the case.

--- a/packages/stream-origins/src/version_watch.ts
+++ b/packages/stream-origins/src/version_watch.ts
@@ -13,6 +13,8 @@
  * gone unseen; they stay for longer.
  */
 const MAX_GAP_MS = 4_000;
+/** Age of the list up to which no daemon knows others for long. */
+const MAX_AGE_MS = 2_000;
 
 /** Which versions were listed, and when. */
 export class VersionWatch {
@@ -76,7 +78,7 @@
     service: ServiceName,
     time: { readonly nowMs: number; readonly lifeMs: number },
   ): SoftwareVersion | undefined {
-    if (time.nowMs - this.#currentAtMs > MAX_GAP_MS) return undefined;
+    if (time.nowMs - this.#currentAtMs > MAX_AGE_MS) return undefined;
     const versions = this.versions(service, time);
     return versions.length === 1 ? versions[0] : undefined;
   }
--- a/packages/stream-origins/src/version_watch_test.ts
+++ b/packages/stream-origins/src/version_watch_test.ts
@@ -60,8 +60,9 @@
 test("without news a version may have come and gone unseen", (t) => {
   const watch = new VersionWatch();
   list(watch, { fromMs: 0, untilMs: 20_000 }, V1);
-  const time = { nowMs: 24_001, lifeMs: LIFE_MS };
-  t.is(watch.soleVersion(SERVICE, time), undefined);
+  const atMs = (nowMs: number) => ({ nowMs, lifeMs: LIFE_MS });
+  t.is(watch.soleVersion(SERVICE, atMs(22_000)), V1);
+  t.is(watch.soleVersion(SERVICE, atMs(22_001)), undefined);
   list(watch, { fromMs: 25_000, untilMs: 33_000 }, V1);
   t.is(
     watch.soleVersion(SERVICE, { nowMs: 33_999, lifeMs: LIFE_MS }),
