Take back what began a stream when its server turns out to have restarted

A server that starts again under its id, with another version, gets requests under its former entry until the new one is read. Streams that began then were remembered and recorded as of the former version. They are now unknown to this daemon, and recorded as such, so that every daemon refuses their take-ups.

--- a/packages/front/src/stream_origin_keeper.ts
+++ b/packages/front/src/stream_origin_keeper.ts
@@ -37,7 +37,7 @@
   VersionWatch,
 } from "@endivebend/stream-origins";
 import type { RateLimitedLog, TextMetrics } from "@endivebend/telemetry";
-import type { ServiceName, VmId } from "@endivebend/types";
+import type { BackendServerId, ServiceName, VmId } from "@endivebend/types";
 import type { StreamOriginLog } from "./ports.ts";
 import { SharedReads } from "./shared_reads.ts";
 
@@ -65,7 +65,10 @@
 /** A stream that this daemon has begun to relay. */
 interface OwnStream {
   readonly service: ServiceName;
-  readonly version: SoftwareVersion;
+  readonly server: BackendServerId;
+  /** Undefined when unknown. */
+  version: SoftwareVersion | undefined;
+  readonly beganAtMs: number;
   readonly untilMs: number;
   isRecorded: boolean;
 }
@@ -74,6 +77,13 @@
 const LEAVING_SLACK_MS = 3_000;
 /** Routes may have no timeout. */
 const MAX_LIFE_MS = 600_000;
+/**
+ * A server that starts again under its id takes requests for so long before its
+ * new entry has come.
+ */
+const ENTRY_LAG_MS = 4_000;
+/** Stands in records for a version that is unknown. */
+const UNKNOWN_VERSION = "" as SoftwareVersion;
 const TICK_MS = 500;
 /** Time between looks at whether a service has settled on one version. */
 const SETTLE_INTERVAL_MS = 2_000;
@@ -126,9 +136,19 @@
   }
 
   /** Notes an entry of the list of servers. */
-  noteListed({ service, softwareVersion }: ListedServer): void {
+  noteListed({ id, service, softwareVersion }: ListedServer): void {
     const nowMs = this.#nowMs();
     this.#watch.noteListed(service, { version: softwareVersion, nowMs });
+    for (const [key, stream] of this.#own) {
+      const isOther = stream.server === id &&
+        stream.version !== undefined && stream.version !== softwareVersion;
+      if (!isOther || nowMs - stream.beganAtMs > ENTRY_LAG_MS) continue;
+      // The process that the entry tells of may have begun the stream.
+      stream.version = undefined;
+      stream.isRecorded = false;
+      const { untilMs } = stream;
+      this.#table.record(key, { version: undefined, untilMs });
+    }
     this.#recordIfMixed(service);
   }
 
@@ -150,7 +170,7 @@
 
   began(
     request: RoutedRequest,
-    { version }: Parameters<StreamOrigins["began"]>[1],
+    { server, version }: Parameters<StreamOrigins["began"]>[1],
   ): void {
     const { service } = request;
     this.#noteWait(request);
@@ -161,8 +181,15 @@
     this.#watch.noteListed(service, { version, nowMs });
     for (const key of keysOf(request)) {
       this.#table.record(key, { version, untilMs });
-      if (version === undefined || this.#own.has(key)) continue;
-      this.#own.set(key, { service, version, untilMs, isRecorded: false });
+      if (this.#own.has(key)) continue;
+      this.#own.set(key, {
+        service,
+        server,
+        version,
+        beganAtMs: nowMs,
+        untilMs,
+        isRecorded: false,
+      });
     }
     this.#recordIfMixed(service);
   }
@@ -407,7 +434,7 @@
       for (const [key, stream] of this.#own) {
         const isOther = stream.service !== service || stream.isRecorded;
         if (isOther || streams.length >= MAX_STREAMS_PER_RECORD) continue;
-        (keys[stream.version] ??= []).push(key);
+        (keys[stream.version ?? UNKNOWN_VERSION] ??= []).push(key);
         streams.push(stream);
       }
       if (Object.keys(keys).length === 0 && this.#marked.has(service)) continue;
--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -1,4 +1,5 @@
 import process from "node:process";
+import type { SoftwareVersion } from "@endivebend/request-path";
 import test, { type ExecutionContext } from "ava";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -79,8 +80,9 @@
 function assertNotJoined(t: ExecutionContext, { callers }: Play): void {
   const joined = callers.joined();
   const shown = joined.slice(0, 3).map((stream) =>
-    `${stream.tries[0]?.requestId}: ` +
-    callers.eventsOf(stream).map(({ version }) => version).join(" ")
+    stream.tries.map(({ requestId, events }) =>
+      `${requestId}: ${events.map(({ version }) => version).join(" ")}`
+    ).join("; ")
   );
   t.is(joined.length, 0, shown.join("\n"));
   const takenUp = callers.takenUp();
@@ -141,6 +143,16 @@
     const secondMs = RELEASE_MS + 5_200 + draw(0, 400);
     fleet.time.after(secondMs, () => restartAll(play, 800));
   },
+  "after a server has started again with another version": (play) => {
+    const { fleet, draw } = play;
+    const engine = fleet.runningEngines()[draw(0, ENGINES - 1)]!;
+    fleet.time.after(RELEASE_MS, () => {
+      fleet.restart(engine, "v2" as SoftwareVersion);
+      fleet.time.after(600, () => fleet.report(engine));
+    });
+    const endMs = RELEASE_MS + 900 + draw(0, 400);
+    fleet.time.after(endMs, () => restartAll(play));
+  },
   "while the store is away": (play) => {
     const { fleet, draw } = play;
     fleet.time.after(RELEASE_MS, () => release(play, "v2"));
@@ -204,6 +216,31 @@
   });
 }
 
+test("no stream is taken up at another software version while a domain is cut off", async (t) => {
+  for (const seed of [1, 2]) {
+    const played = play(seed);
+    const { fleet, callers, draw } = played;
+    const domain = [1, 5];
+    callers.run(RELEASE_MS - 2_000, RELEASE_MS + 14_000);
+    fleet.time.after(RELEASE_MS - draw(0, 1_000), () => {
+      fleet.cutOffFromStore(domain, "silent");
+      fleet.cutOffGossip(domain, { together: true });
+    });
+    fleet.time.after(RELEASE_MS, () => release(played, "v2"));
+    for (const daemon of [0, 2, 3, 4, 5, 6]) {
+      const atMs = RELEASE_MS + 700 + daemon * 1_100;
+      fleet.time.after(atMs, () => restart(fleet, [daemon], 1_000));
+    }
+    fleet.time.after(RELEASE_MS + 9_000, () => {
+      fleet.healStore(domain);
+      fleet.healGossip(domain);
+    });
+    await fleet.time.advance(RELEASE_MS + 20_000);
+    assertNotJoined(t, played);
+    assertGoOn(t, played);
+  }
+});
+
 test("take-ups go on after all daemons have ended while one version serves", async (t) => {
   const played = play(1);
   played.callers.run(RELEASE_MS - 2_000, RELEASE_MS + 8_000);
--- a/packages/stream-origins/src/origin_log_state.ts
+++ b/packages/stream-origins/src/origin_log_state.ts
@@ -63,7 +63,7 @@
       for (const [version, keys] of Object.entries(origins.streams)) {
         for (const key of keys) {
           this.#table.record(key, {
-            version: version as SoftwareVersion,
+            version: version === "" ? undefined : version as SoftwareVersion,
             untilMs: read.untilMs,
           });
         }
--- a/packages/stream-origins/src/origin_log_state_test.ts
+++ b/packages/stream-origins/src/origin_log_state_test.ts
@@ -115,6 +115,13 @@
   t.is(table.find(keyOf("q-1"), 2_000)?.kind, "unknown");
 });
 
+test("a stream of which a daemon takes its version back is unknown", (t) => {
+  const { state, table } = createState();
+  state.apply(mixed(V1, "q-1"), READ);
+  state.apply(mixed("" as SoftwareVersion, "q-1"), READ);
+  t.is(table.find(keyOf("q-1"), 2_000)?.kind, "unknown");
+});
+
 test("teams and services share no keys", (t) => {
   const requestId = brandId<RequestId>("q-1");
   const service = SERVICE;
--- a/packages/stream-origins/src/origin_record.ts
+++ b/packages/stream-origins/src/origin_record.ts
@@ -14,7 +14,7 @@
     readonly kind: "mixed";
     /** Versions of the servers that the writer has listed; null if unknown. */
     readonly listed: readonly (SoftwareVersion | null)[];
-    /** Streams by the version that began them. */
+    /** Streams by the version that began them; "" where it is unknown. */
     readonly streams: Readonly<Record<SoftwareVersion, readonly StreamKey[]>>;
   }
   /** The version alone has served for as long as a stream can live. */
