Keep the log of origins short, and settle each service by itself

While servers of two versions serve for long, which the users allow, nothing was deleted from the log, and a daemon that starts read all that the store keeps: 300 s of records. A service that stayed mixed also kept all others from being recorded as settled, so that their take-ups were refused after all daemons had ended.

The daemon on duty now deletes every 10 s what is older than any stream, after it has renewed the records of the services that have settled. A settled record names the end of the log that its writer had read, instead of being appended at it: beside the records of a mixed service it would rarely be accepted.

--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -99,14 +99,8 @@
     readonly next: LogPosition;
     readonly isEnd: boolean;
   }>;
-  /** Appends a record; with `at`, only if the log ends there. */
-  append(
-    record: Buffer,
-    options?: { readonly at?: LogPosition },
-  ): Promise<
-    | { readonly kind: "appended"; readonly position: LogPosition }
-    | { readonly kind: "moved" }
-  >;
+  /** Appends a record and returns its position. */
+  append(record: Buffer): Promise<LogPosition>;
   /** Deletes the records before the position. */
   trim(before: LogPosition): Promise<void>;
 }
--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -3,7 +3,7 @@
 import test, { type ExecutionContext } from "ava";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type Engine, TestFleet } from "./testing_fleet.ts";
+import { type Engine, ORIGIN_TOPIC, TestFleet } from "./testing_fleet.ts";
 import type { Draw } from "./testing_gossip_links.ts";
 import { TakeUpCallers } from "./testing_take_ups.ts";
 
@@ -279,3 +279,27 @@
   t.true(callers.shareGoneOn(before) > 0.9);
   t.is(callers.shareGoneOn(after), 0);
 });
+
+// Guards against a log that daemons which start can't read in time.
+test("the log stays short while two versions serve for long", async (t) => {
+  const played = play(1);
+  const { fleet, callers } = played;
+  const { time } = fleet;
+  time.after(3_000, () => void fleet.startEngine("v2"));
+  time.after(3_000, () => void fleet.startEngine("v2"));
+  callers.run(2_000, 66_000);
+  let longest = 0;
+  const look = () => {
+    longest = Math.max(longest, fleet.store.countKept(ORIGIN_TOPIC));
+    time.after(1_000, look);
+  };
+  look();
+  time.after(60_000, () => restartAll(played));
+  await time.advance(70_000);
+  assertNotJoined(t, played);
+  assertGoOn(t, played);
+  // Records of two trims and the life of a stream, at five a second a daemon.
+  const most = DAEMONS * 5 * (9 + 2 * 10 + 2);
+  t.log(`${longest} records at most`);
+  t.true(longest <= most, `${longest} of ${most} records`);
+});
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -128,7 +128,7 @@
 /** Topics whose writers write again what a restore lost. */
 const REWRITTEN_TOPICS = ["operator", "servers"];
 /** Topic of the versions that began streams. */
-const ORIGIN_TOPIC = "stream-origins";
+export const ORIGIN_TOPIC = "stream-origins";
 /** Time without reports after which the entry of a server lapses. */
 const LAPSE_MS = 3_600;
 
@@ -138,6 +138,8 @@
   era = 1;
   readonly #time: VirtualTime;
   readonly #topics = new Map<string, StoredRecord[]>();
+  /** The first offset of each topic that is not deleted. */
+  readonly #trimmed = new Map<string, number>();
   readonly #waiting = new Set<(isLost: boolean) => void>();
 
   constructor(time: VirtualTime) {
@@ -170,6 +172,7 @@
     readonly rewriteMs?: number;
   }): void {
     const copiedAtMs = this.#time.nowMs - drill.copyAgeMs;
+    this.#trimmed.clear();
     this.isDown = true;
     for (const wake of [...this.#waiting]) wake(true);
     this.#time.after(drill.awayMs, () => {
@@ -254,23 +257,29 @@
     };
   }
 
-  /** Appends a record; with `at`, only if the topic ends there. */
-  append(
-    topic: string,
-    value: Buffer,
-    at?: number,
-  ): { kind: "appended"; position: LogPosition } | { kind: "moved" } {
+  /** Appends a record without a key. */
+  append(topic: string, value: Buffer): LogPosition {
     const records = this.#records(topic);
-    if (at !== undefined && at !== records.length) return { kind: "moved" };
     const position = logPosition(this.era, records.length);
     records.push({ key: "", value, position, atMs: this.#time.nowMs });
-    return { kind: "appended", position };
+    return position;
   }
 
-  /** Reads the records from a position on. */
+  /** Deletes the records before the offset. */
+  trim(topic: string, before: number): void {
+    this.#trimmed.set(topic, before);
+  }
+
+  /** Number of records without a key that are not deleted. */
+  countKept(topic: string): number {
+    return this.#records(topic).length - (this.#trimmed.get(topic) ?? 0);
+  }
+
+  /** Reads the records from an offset on that are not deleted. */
   readFrom(topic: string, offset: number) {
     const records = this.#records(topic);
-    const read = records.slice(offset).flatMap(({ value }) => value ?? []);
+    const first = Math.max(offset, this.#trimmed.get(topic) ?? 0);
+    const read = records.slice(first).flatMap(({ value }) => value ?? []);
     const next = logPosition(this.era, Math.max(offset, records.length));
     return { records: read, next, isEnd: true };
   }
@@ -1402,12 +1411,14 @@
           from === undefined ? 0 : offsetOf(from),
         );
       },
-      append: async (record, { at } = {}) => {
+      append: async (record) => {
         await call("append");
-        const offset = at === undefined ? undefined : offsetOf(at);
-        return store.append(ORIGIN_TOPIC, record, offset);
+        return store.append(ORIGIN_TOPIC, record);
+      },
+      trim: async (before) => {
+        await call("trim");
+        store.trim(ORIGIN_TOPIC, offsetOf(before));
       },
-      trim: () => call("trim"),
     };
   }
 
--- a/packages/platform/src/stream_origin_log.ts
+++ b/packages/platform/src/stream_origin_log.ts
@@ -22,12 +22,11 @@
     },
     read: (from) =>
       store.readRetained(TOPIC, from === undefined ? 0 : offsetOf(from)),
-    append: (record, { at } = {}) =>
-      store.append(
-        TOPIC,
-        record,
-        at === undefined ? {} : { at: offsetOf(at) },
-      ),
+    async append(record) {
+      const result = await store.append(TOPIC, record);
+      if (result.kind === "appended") return result.position;
+      throw new Error("The store refused an append without a condition");
+    },
     trim: (before) => store.trim(TOPIC, offsetOf(before)),
   };
 }
--- a/packages/stream-origins/src/mod.ts
+++ b/packages/stream-origins/src/mod.ts
@@ -5,7 +5,7 @@
  */
 
 export { OriginLogState } from "./origin_log_state.ts";
-export type { ServiceState } from "./origin_log_state.ts";
+export type { ReadRecord, ServiceState } from "./origin_log_state.ts";
 export { decodeOriginRecord, encodeOriginRecord } from "./origin_record.ts";
 export type { OriginRecord, ServiceOrigins } from "./origin_record.ts";
 export { OriginTable } from "./origin_table.ts";
--- a/packages/stream-origins/src/origin_log_state.ts
+++ b/packages/stream-origins/src/origin_log_state.ts
@@ -4,20 +4,38 @@
  * @module
  */
 
+import { eraOf, type LogPosition } from "@endivebend/fleet";
 import type { SoftwareVersion } from "@endivebend/request-path";
 import type { ServiceName } from "@endivebend/types";
-import type { OriginRecord } from "./origin_record.ts";
+import type { OriginRecord, ServiceOrigins } from "./origin_record.ts";
 import type { OriginTable } from "./origin_table.ts";
 
-/** What the newest record of a service says. */
+/** What the records of a service say. */
 export type ServiceState =
-  | { readonly kind: "mixed"; readonly readAtMs: number }
+  | {
+    readonly kind: "mixed";
+    /** When the newest record that says so was read. */
+    readonly readAtMs: number;
+  }
   | { readonly kind: "settled"; readonly version: SoftwareVersion };
 
+/** Where and when a record was read. */
+export interface ReadRecord {
+  readonly position: LogPosition;
+  readonly nowMs: number;
+  /** Until when streams of the record may be taken up. */
+  readonly untilMs: number;
+}
+
+type Mixed = ServiceOrigins & { readonly kind: "mixed" };
+type Settled = ServiceOrigins & { readonly kind: "settled" };
+
 /** The log's records as far as they were read. */
 export class OriginLogState {
   readonly #table: OriginTable;
-  readonly #services = new Map<ServiceName, ServiceState>();
+  readonly #states = new Map<ServiceName, ServiceState>();
+  /** The newest record of each service that tells that it is mixed. */
+  readonly #mixedAt = new Map<ServiceName, LogPosition>();
 
   /** Streams of the records are recorded in the table. */
   constructor(table: OriginTable) {
@@ -26,7 +44,7 @@
 
   /** What is known of the service; undefined without a record of it. */
   stateOf(service: ServiceName): ServiceState | undefined {
-    return this.#services.get(service);
+    return this.#states.get(service);
   }
 
   /**
@@ -34,40 +52,44 @@
    * streams of those that were read stay known.
    */
   forget(): void {
-    this.#services.clear();
+    this.#states.clear();
+    this.#mixedAt.clear();
   }
 
   /** Applies the next record; undefined stands for one of another form. */
-  apply(
-    record: OriginRecord | undefined,
-    read: {
-      /** The store's era in which the record was read. */
-      readonly era: number;
-      readonly nowMs: number;
-      /** Until when streams of the record may be taken up. */
-      readonly untilMs: number;
-    },
-  ): void {
+  apply(record: OriginRecord | undefined, read: ReadRecord): void {
     for (const [name, origins] of Object.entries(record?.services ?? {})) {
       const service = name as ServiceName;
-      if (origins.kind === "settled") {
-        // After a restore the log may lack what followed the record.
-        const isOfEra = record?.era === read.era;
-        const state: ServiceState = isOfEra
-          ? origins
-          : { kind: "mixed", readAtMs: read.nowMs };
-        this.#services.set(service, state);
-        continue;
-      }
-      this.#services.set(service, { kind: "mixed", readAtMs: read.nowMs });
-      for (const [version, keys] of Object.entries(origins.streams)) {
-        for (const key of keys) {
-          this.#table.record(key, {
-            version: version === "" ? undefined : version as SoftwareVersion,
-            untilMs: read.untilMs,
-          });
-        }
-      }
+      if (origins.kind === "mixed") this.#applyMixed(service, origins, read);
+      else this.#applySettled(service, origins, read);
+    }
+  }
+
+  #applyMixed(
+    service: ServiceName,
+    { streams }: Mixed,
+    { position, nowMs, untilMs }: ReadRecord,
+  ): void {
+    this.#states.set(service, { kind: "mixed", readAtMs: nowMs });
+    this.#mixedAt.set(service, position);
+    for (const [name, keys] of Object.entries(streams)) {
+      const version = name === "" ? undefined : name as SoftwareVersion;
+      for (const key of keys) this.#table.record(key, { version, untilMs });
+    }
+  }
+
+  #applySettled(
+    service: ServiceName,
+    { version, readTo }: Settled,
+    { position, nowMs }: ReadRecord,
+  ): void {
+    const mixedAt = this.#mixedAt.get(service);
+    // After a restore the log may lack what preceded the record.
+    const isInForce = eraOf(readTo) === eraOf(position) &&
+      (mixedAt === undefined || mixedAt < readTo);
+    if (isInForce) this.#states.set(service, { kind: "settled", version });
+    else if (!this.#states.has(service)) {
+      this.#states.set(service, { kind: "mixed", readAtMs: nowMs });
     }
   }
 }
--- a/packages/stream-origins/src/origin_log_state_test.ts
+++ b/packages/stream-origins/src/origin_log_state_test.ts
@@ -1,4 +1,5 @@
 import type { SoftwareVersion } from "@endivebend/request-path";
+import { logPosition } from "@endivebend/fleet";
 import { brandId, type RequestId, type ServiceName } from "@endivebend/types";
 import test from "ava";
 import {
@@ -13,7 +14,12 @@
 const SERVICE = brandId<ServiceName>("engines");
 const V1 = brandId<SoftwareVersion>("v1");
 const V2 = brandId<SoftwareVersion>("v2");
-const READ = { era: 1, nowMs: 1_000, untilMs: 10_000 };
+
+/** A record that is read at the offset, in the store's era. */
+function at(offset: number, era = 1) {
+  const position = logPosition(era, offset);
+  return { position, nowMs: 1_000, untilMs: 10_000 };
+}
 
 function keyOf(id: string) {
   const requestId = brandId<RequestId>(id);
@@ -22,7 +28,6 @@
 
 function mixed(version: SoftwareVersion, ...ids: string[]): OriginRecord {
   return {
-    era: 1,
     services: {
       [SERVICE]: {
         kind: "mixed",
@@ -33,8 +38,12 @@
   };
 }
 
-function settled(version: SoftwareVersion, era = 1): OriginRecord {
-  return { era, services: { [SERVICE]: { kind: "settled", version } } };
+function settled(version: SoftwareVersion, readTo: number): OriginRecord {
+  return {
+    services: {
+      [SERVICE]: { kind: "settled", version, readTo: logPosition(1, readTo) },
+    },
+  };
 }
 
 function createState() {
@@ -48,26 +57,18 @@
 });
 
 test("records of another form tell nothing", (t) => {
-  const forms: unknown[] = [
+  const origins: unknown[] = [
+    { kind: "settled" },
+    { kind: "settled", version: "v1" },
+    { kind: "settled", version: "v1", readTo: "1" },
+    { kind: "mixed", listed: [] },
+    { kind: "mixed", listed: [1], streams: {} },
+    { kind: "mixed", listed: [], streams: { v1: [1] } },
+    { kind: "other" },
     null,
-    [],
-    { era: "1", services: {} },
-    { era: 1 },
-    { era: 1, services: { engines: { kind: "settled" } } },
-    { era: 1, services: { engines: { kind: "mixed", listed: [] } } },
-    {
-      era: 1,
-      services: { engines: { kind: "mixed", listed: [1], streams: {} } },
-    },
-    {
-      era: 1,
-      services: {
-        engines: { kind: "mixed", listed: [], streams: { v1: [1] } },
-      },
-    },
-    { era: 1, services: { engines: { kind: "other" } } },
   ];
-  for (const form of forms) {
+  const forms = origins.map((engines) => ({ services: { engines } }));
+  for (const form of [null, [], { services: [] }, {}, ...forms]) {
     t.is(decodeOriginRecord(Buffer.from(JSON.stringify(form))), undefined);
   }
   t.is(decodeOriginRecord(Buffer.from("{")), undefined);
@@ -76,25 +77,35 @@
 test("the newest record of a service holds", (t) => {
   const { state } = createState();
   t.is(state.stateOf(SERVICE), undefined);
-  state.apply(settled(V1), READ);
+  state.apply(settled(V1, 0), at(0));
   t.deepEqual(state.stateOf(SERVICE), { kind: "settled", version: V1 });
-  state.apply(mixed(V2), READ);
+  state.apply(mixed(V2), at(1));
   t.is(state.stateOf(SERVICE)?.kind, "mixed");
-  state.apply(undefined, READ);
+  state.apply(undefined, at(2));
   t.is(state.stateOf(SERVICE)?.kind, "mixed");
-  state.apply(settled(V2), READ);
+  state.apply(settled(V2, 3), at(3));
   t.deepEqual(state.stateOf(SERVICE), { kind: "settled", version: V2 });
 });
 
+test("a settled record does not overtake one that its writer had not read", (t) => {
+  const { state } = createState();
+  state.apply(mixed(V1), at(0));
+  state.apply(mixed(V2), at(1));
+  state.apply(settled(V1, 1), at(2));
+  t.is(state.stateOf(SERVICE)?.kind, "mixed");
+  state.apply(settled(V1, 2), at(3));
+  t.deepEqual(state.stateOf(SERVICE), { kind: "settled", version: V1 });
+});
+
 test("a settled record from before a restore does not hold", (t) => {
   const { state } = createState();
-  state.apply(settled(V1, 1), { ...READ, era: 2 });
+  state.apply(settled(V1, 0), at(0, 2));
   t.is(state.stateOf(SERVICE)?.kind, "mixed");
 });
 
 test("streams of the records are known until they end", (t) => {
   const { state, table } = createState();
-  state.apply(mixed(V2, "q-1"), READ);
+  state.apply(mixed(V2, "q-1"), at(1));
   t.deepEqual(table.find(keyOf("q-1"), 10_000), {
     kind: "version",
     version: V2,
@@ -107,18 +118,18 @@
 
 test("a stream that two versions are said to have begun is unknown", (t) => {
   const { state, table } = createState();
-  state.apply(mixed(V1, "q-1"), READ);
-  state.apply(mixed(V1, "q-1"), READ);
+  state.apply(mixed(V1, "q-1"), at(2));
+  state.apply(mixed(V1, "q-1"), at(3));
   t.is(table.find(keyOf("q-1"), 2_000)?.kind, "version");
-  state.apply(mixed(V2, "q-1"), READ);
-  state.apply(mixed(V1, "q-1"), READ);
+  state.apply(mixed(V2, "q-1"), at(4));
+  state.apply(mixed(V1, "q-1"), at(5));
   t.is(table.find(keyOf("q-1"), 2_000)?.kind, "unknown");
 });
 
 test("a stream of which a daemon takes its version back is unknown", (t) => {
   const { state, table } = createState();
-  state.apply(mixed(V1, "q-1"), READ);
-  state.apply(mixed("" as SoftwareVersion, "q-1"), READ);
+  state.apply(mixed(V1, "q-1"), at(6));
+  state.apply(mixed("" as SoftwareVersion, "q-1"), at(7));
   t.is(table.find(keyOf("q-1"), 2_000)?.kind, "unknown");
 });
 
--- a/packages/stream-origins/src/origin_record.ts
+++ b/packages/stream-origins/src/origin_record.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { LogPosition } from "@endivebend/fleet";
 import type { SoftwareVersion } from "@endivebend/request-path";
 import type { ServiceName } from "@endivebend/types";
 import type { StreamKey } from "./stream_key.ts";
@@ -17,13 +18,19 @@
     /** Streams by the version that began them; "" where it is unknown. */
     readonly streams: Readonly<Record<SoftwareVersion, readonly StreamKey[]>>;
   }
-  /** The version alone has served for as long as a stream can live. */
-  | { readonly kind: "settled"; readonly version: SoftwareVersion };
+  /**
+   * The version alone has served for as long as a stream can live. Holds unless
+   * a record at `readTo` or after tells that the service is mixed, which the
+   * writer had not read.
+   */
+  | {
+    readonly kind: "settled";
+    readonly version: SoftwareVersion;
+    readonly readTo: LogPosition;
+  };
 
 /** A record of the log. */
 export interface OriginRecord {
-  /** The store's era in which the record was written. */
-  readonly era: number;
   readonly services: Readonly<Record<ServiceName, ServiceOrigins>>;
 }
 
@@ -34,7 +41,7 @@
  *
  * @example
  * ```ts
- * const bytes = encodeOriginRecord({ era, services });
+ * const bytes = encodeOriginRecord({ services });
  * ```
  */
 export function encodeOriginRecord(record: OriginRecord): Buffer {
@@ -52,15 +59,16 @@
 }
 
 function isOriginRecord(value: unknown): value is OriginRecord {
-  return isObject(value) && typeof value["era"] === "number" &&
-    isObject(value["services"]) &&
+  return isObject(value) && isObject(value["services"]) &&
     Object.values(value["services"]).every(isServiceOrigins);
 }
 
 function isServiceOrigins(value: unknown): value is ServiceOrigins {
   if (!isObject(value)) return false;
-  const { kind, version, listed, streams } = value;
-  if (kind === "settled") return typeof version === "string";
+  const { kind, version, readTo, listed, streams } = value;
+  if (kind === "settled") {
+    return typeof version === "string" && Number.isSafeInteger(readTo);
+  }
   return kind === "mixed" && Array.isArray(listed) && isObject(streams) &&
     listed.every((item) => item === null || typeof item === "string") &&
     Object.values(streams).every(isTexts);
