Test take-ups and the log of origins over HTTP

The log is read on from where the last read ended, without the records that were deleted, and shows a restore.

--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -45,6 +45,8 @@
 /** Starts the stand-in on a free port of 127.0.0.1. */
 export async function startStore(): Promise<StoreStandIn> {
   const topics = new Map<string, Buffer[]>();
+  /** The first offset of each topic that is not deleted. */
+  const firstKept = new Map<string, number>();
   const waitingReaders = new Set<() => void>();
   const faults: StoreFaults = { isDown: false, dropsAnswers: false };
   let calls = 0;
@@ -90,8 +92,9 @@
         });
       }
       records = recordsOf(query.get("topic")!);
-      if (from > records.length) {
-        response.writeHead(410).end(JSON.stringify({ first: 0 }));
+      const first = firstKept.get(query.get("topic")!) ?? 0;
+      if (from > records.length || from < first) {
+        response.writeHead(410).end(JSON.stringify({ first }));
         return;
       }
       const head = Buffer.alloc(READ_PREFIX_BYTES);
@@ -103,7 +106,8 @@
       });
       response.end(Buffer.concat([head, ...encodedRecords]));
     },
-    "/api/log-trim": ({ response }) => {
+    "/api/log-trim": ({ query, response }) => {
+      firstKept.set(query.get("topic")!, Number(query.get("before")));
       response.end("{}");
     },
     "/api/log-newest": ({ query, response }) => {
@@ -146,6 +150,7 @@
     restore(kept) {
       era += 1;
       for (const records of topics.values()) records.splice(kept);
+      firstKept.clear();
       server.closeAllConnections();
     },
     put: (topic, key, value) =>
