Take the store as away for all only while every listed daemon is heard

A daemon that is cut off forgets its peers by and by, and then took the store as away for all and its list of servers as current, so that it would have relied on the only version it knew. It now counts the daemons that the store listed.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -125,6 +125,8 @@
    * restore. Peers may know what the store has lost.
    */
   readonly #unmergedTopics: Set<string>;
+  /** Number of other daemons that the store has listed. */
+  #registeredPeers = Number.POSITIVE_INFINITY;
   /** Whether the store has listed the other daemons. */
   #isRegistered = false;
   #drainingSinceMs: number | undefined;
@@ -420,8 +422,9 @@
   #listReadAtMs(): number {
     const nowMs = this.#nowMs();
     const peers = this.#fleet.reachable(nowMs);
+    // A daemon that is cut off from its peers forgets them by and by.
     const isAwayForAll = !this.#ports.store.isReachable &&
-      peers.length === this.#fleet.members().length &&
+      peers.length >= this.#registeredPeers &&
       peers.every(({ message }) => message?.reachesStore === false);
     if (isAwayForAll) return nowMs;
     return topicReadAtMs({
@@ -797,6 +800,7 @@
       for (const [member, memberIp] of members) {
         this.#fleet.list(member, this.#peerAddress(memberIp), this.#nowMs());
       }
+      this.#registeredPeers = members.size - 1;
       this.#isRegistered = true;
       log.stateChange("registered", { members: members.size });
       this.#gossipChannel.broadcast();
