Look at the list of servers when a take-up comes

A daemon that had just started looked every 500 ms only, and refused the first take-ups after its start though the log had told what began them.

--- a/packages/front/src/stream_origin_keeper.ts
+++ b/packages/front/src/stream_origin_keeper.ts
@@ -140,6 +140,7 @@
   find(request: RoutedRequest): StreamOrigin | Promise<StreamOrigin> {
     const { service, takesUp, deadlineMs } = request;
     this.#lives.noteWait(service, deadlineMs - this.#nowMs());
+    this.#lookAtList();
     const key = takesUp && keyOf(request, takesUp);
     const found = this.#findNow(service, key);
     if (found !== undefined) return found;
@@ -190,17 +191,11 @@
   }
 
   #tick(): void {
-    const { scheduler, registry, reachesStore } = this.#options;
+    const { scheduler, reachesStore } = this.#options;
     this.#cancelTick = scheduler.after(TICK_MS, () => this.#tick());
     const nowMs = this.#nowMs();
-    const { watch, table } = this.#knowledge;
-    watch.noteCurrent(this.#options.listReadAtMs());
-    for (const { listed, removedAtMs } of registry.all()) {
-      if (removedAtMs !== undefined) continue;
-      const { service, softwareVersion: version } = listed;
-      watch.noteListed(service, { version, nowMs });
-    }
-    table.prune(nowMs);
+    this.#lookAtList();
+    this.#knowledge.table.prune(nowMs);
     this.#recorder.prune();
     for (const service of this.#lives.services) this.#recorder.update(service);
     if (this.#lives.services.length === 0) return;
@@ -211,6 +206,17 @@
     this.#maintainFromMs = nowMs + MAINTENANCE_INTERVAL_MS;
     void this.#settledRecorder.maintain();
   }
+
+  #lookAtList(): void {
+    const nowMs = this.#nowMs();
+    const { watch } = this.#knowledge;
+    watch.noteCurrent(this.#options.listReadAtMs());
+    for (const { listed, removedAtMs } of this.#options.registry.all()) {
+      if (removedAtMs !== undefined) continue;
+      const { service, softwareVersion: version } = listed;
+      watch.noteListed(service, { version, nowMs });
+    }
+  }
 }
 
 function keyOf(
