--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -153,6 +153,14 @@
     const endMs = RELEASE_MS + 900 + draw(0, 400);
     fleet.time.after(endMs, () => restartAll(play));
   },
+  "while the version of some servers is unknown": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => {
+      release(play, undefined, { count: 2, rest: 2 });
+    });
+    const endMs = RELEASE_MS + 900 + draw(0, 400);
+    fleet.time.after(endMs, () => restartAll(play));
+  },
   "while the store is away": (play) => {
     const { fleet, draw } = play;
     fleet.time.after(RELEASE_MS, () => release(play, "v2"));
@@ -241,6 +249,29 @@
   }
 });
 
+test.serial("no stream is taken up at another software version while servers crash amid releases", async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const played = play(seed);
+    const { fleet, callers, draw } = played;
+    callers.run(RELEASE_MS - 2_000, RELEASE_MS + 14_000);
+    const half = { count: 2, rest: 2 };
+    fleet.time.after(RELEASE_MS, () => release(played, "v2", half));
+    fleet.time.after(RELEASE_MS + 6_000, () => release(played, "v3", half));
+    for (let index = 0; index < 16; index++) {
+      fleet.time.after(RELEASE_MS + index * 800, () => {
+        const running = fleet.runningEngines();
+        const engine = running[draw(0, running.length - 1)]!;
+        fleet.crash(engine);
+        const daemon = draw(0, DAEMONS - 1);
+        if (index % 3 === 0) restart(fleet, [daemon], 700);
+      });
+    }
+    await fleet.time.advance(RELEASE_MS + 20_000);
+    assertNotJoined(t, played);
+    t.true(callers.takenUp().length >= 12, "streams are taken up");
+  }
+});
+
 test.serial("take-ups go on after all daemons have ended while one version serves", async (t) => {
   const played = play(1);
   played.callers.run(RELEASE_MS - 2_000, RELEASE_MS + 8_000);
