--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -28,6 +28,7 @@
   mayTakeRequest,
   NamedWeightsRegistry,
   planDrain,
+  ProcessCheck,
   ServerAllowances,
   ServerEndCheck,
   ServerRegistry,
@@ -263,8 +264,15 @@
 
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
-    const { clock, scheduler, serverClient, log, metrics, memory } =
-      this.#ports;
+    const {
+      clock,
+      scheduler,
+      serverClient,
+      engineOrders,
+      log,
+      metrics,
+      memory,
+    } = this.#ports;
     return new AdmissionController({
       context: {
         registry: this.#registry,
@@ -282,6 +290,13 @@
         crashGuard: this.#quarantines.guard,
         streamOrigins: this.#streamOrigins,
         paths: this.#paths,
+        processCheck: new ProcessCheck({
+          ask: (server) => engineOrders.report(server),
+          clock,
+          scheduler,
+          log,
+          metrics,
+        }),
         log,
         metrics,
         memory,
