--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -153,6 +153,16 @@
     const endMs = RELEASE_MS + 900 + draw(0, 400);
     fleet.time.after(endMs, () => restartAll(play));
   },
+  "as servers start again with another version": (play) => {
+    const { fleet, draw } = play;
+    fleet.time.after(RELEASE_MS, () => restartAll(play, 800));
+    for (const engine of fleet.runningEngines().slice(0, 2)) {
+      fleet.time.after(RELEASE_MS + 600 + draw(0, 500), () => {
+        fleet.restart(engine, "v2" as SoftwareVersion);
+        fleet.time.after(900, () => fleet.report(engine));
+      });
+    }
+  },
   "while the version of some servers is unknown": (play) => {
     const { fleet, draw } = play;
     fleet.time.after(RELEASE_MS, () => {
