Take a stream up at a server only once it has said which process it is

As before a stream goes on within an answer, the server is now asked for the start of its process before a take-up is sent.

The servers of the HTTP test answer reports, as engines do.

--- a/packages/platform/src/take_ups_test.ts
+++ b/packages/platform/src/take_ups_test.ts
@@ -22,6 +22,9 @@
   route.type === "stream" ? { ...route, resumable: true } : route
 );
 
+/** What a server states of itself, with the start of its process. */
+const REPORT = JSON.stringify({ models: [], busy: false, seq: 0, born: 1 });
+
 function send(
   settings: PlatformSettings,
   requestId: string,
@@ -61,6 +64,11 @@
 /** A server whose first events tell its name; it ends new streams midway. */
 function startVersion(name: string, seen: string[]) {
   return startRawServer((socket: Socket, text) => {
+    if (text.startsWith("GET /api/report")) {
+      return void socket.write(
+        `HTTP/1.1 200 OK\r\nContent-Length: ${REPORT.length}\r\n\r\n${REPORT}`,
+      );
+    }
     seen.push(text);
     const requestId = /attempt-id: (\S+)/i.exec(text)?.[1];
     const isTakeUp = /last-event-id/i.test(text);
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -182,7 +182,20 @@
     this.#logDecision("take_up", { origin: kind, version });
     if (version === undefined) return this.#giveUp("unknown_origin");
     this.#takenUpVersion = version;
-    this.#startAttempt();
+    this.#startAtVersion();
+  }
+
+  /**
+   * Starts a take-up's attempt once the server that it goes to has said that its
+   * process is the one of its entry.
+   */
+  #startAtVersion(): void {
+    if (this.#hasEnded) return;
+    const server = this.#findNext();
+    if (server === undefined || this.#isCurrent(server)) {
+      return this.#startAttempt();
+    }
+    this.#checkProcesses(server, () => this.#startAtVersion());
   }
 
   /** The caller reads again. */
@@ -702,8 +715,8 @@
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
     if (!mayRetry) return this.#giveUp("overloaded");
-    if (!this.#relay.hasBegun) return this.#startAttempt();
-    this.#retry("overloaded", attempt);
+    if (this.#relay.hasBegun) return this.#retry("overloaded", attempt);
+    this.#startAgain();
   }
 
   /** Handles an attempt that its server has not run. */
@@ -730,7 +743,7 @@
       (server !== undefined && this.#isCurrent(server));
     if (mayStart) {
       const mayRetry = this.#context.tryRetry(this.#request);
-      return mayRetry ? this.#startAttempt() : this.#giveUp(reason);
+      return mayRetry ? this.#startAgain() : this.#giveUp(reason);
     }
     const { lastProgressMs } = after;
     const untilMs = lastProgressMs + this.#maxWaitMs();
@@ -745,6 +758,13 @@
     });
   }
 
+  #startAgain(): void {
+    const isTakeUp = this.#takenUpVersion !== undefined &&
+      !this.#relay.hasBegun;
+    if (isTakeUp) this.#startAtVersion();
+    else this.#startAttempt();
+  }
+
   /**
    * Asks a server which process it is when a new connection may be the first to
    * another one. It matters only while several software versions serve.
