--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -15,6 +15,7 @@
   RecordSource,
 } from "@endivebend/fleet";
 import { BEFORE_FIRST, eraOf, logPosition, offsetOf } from "@endivebend/fleet";
+import type { LogPosition } from "@endivebend/fleet";
 import type {
   AnswerHead,
   AttemptListener,
@@ -32,6 +33,7 @@
   Refusal,
   RequestDigest,
   RequestKind,
+  RoutedRequest,
   RouteName,
   SoftwareVersion,
   TeamRules,
@@ -134,6 +136,8 @@
 
 /** Topics whose writers write again what a restore lost. */
 const REWRITTEN_TOPICS = ["operator", "servers"];
+/** Topic of the versions that began streams. */
+export const ORIGIN_TOPIC = "stream-origins";
 /** Time without reports after which the entry of a server lapses. */
 const LAPSE_MS = 3_600;
 
@@ -143,6 +147,8 @@
   era = 1;
   readonly #time: VirtualTime;
   readonly #topics = new Map<string, StoredRecord[]>();
+  /** The first offset of each topic that is not deleted. */
+  readonly #trimmed = new Map<string, number>();
   readonly #waiting = new Set<(isLost: boolean) => void>();
 
   constructor(time: VirtualTime) {
@@ -175,6 +181,7 @@
     readonly rewriteMs?: number;
   }): void {
     const copiedAtMs = this.#time.nowMs - drill.copyAgeMs;
+    this.#trimmed.clear();
     this.isDown = true;
     for (const wake of [...this.#waiting]) wake(true);
     this.#time.after(drill.awayMs, () => {
@@ -259,6 +266,33 @@
     };
   }
 
+  /** Appends a record without a key. */
+  append(topic: string, value: Buffer): LogPosition {
+    const records = this.#records(topic);
+    const position = logPosition(this.era, records.length);
+    records.push({ key: "", value, position, atMs: this.#time.nowMs });
+    return position;
+  }
+
+  /** Deletes the records before the offset. */
+  trim(topic: string, before: number): void {
+    this.#trimmed.set(topic, before);
+  }
+
+  /** Number of records without a key that are not deleted. */
+  countKept(topic: string): number {
+    return this.#records(topic).length - (this.#trimmed.get(topic) ?? 0);
+  }
+
+  /** Reads the records from an offset on that are not deleted. */
+  readFrom(topic: string, offset: number) {
+    const records = this.#records(topic);
+    const first = Math.max(offset, this.#trimmed.get(topic) ?? 0);
+    const read = records.slice(first).flatMap(({ value }) => value ?? []);
+    const next = logPosition(this.era, Math.max(offset, records.length));
+    return { records: read, next, isEnd: true };
+  }
+
   /** Resolves when the store has answered a call. */
   async call(): Promise<void> {
     await this.wait(4);
@@ -353,6 +387,16 @@
   peakAttempts: number;
 }
 
+/** Which stream a request goes on with, and after which event. */
+type TakeUp = Pick<RoutedRequest, "takesUp" | "resumeAfter">;
+
+/** A call to the log of the versions that began streams. */
+export interface OriginCall {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly kind: "read" | "append" | "trim";
+}
+
 /** What became of a request. */
 export interface Outcome {
   readonly requestId: RequestId;
@@ -425,6 +469,7 @@
   breaksAnswer: (() => boolean) | undefined;
   /** Called for each request that an engine has as it ends. */
   onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
+  readonly originCalls: OriginCall[] = [];
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -497,6 +542,17 @@
     this.#daemonsByAddress.set(daemon.forwardAddress, daemon);
   }
 
+  /** Whether the daemon takes callers. */
+  isReady(index: number): boolean {
+    return this.isRunning(index) &&
+      this.#daemons[index]?.revision !== undefined;
+  }
+
+  /** When the daemon's process started. */
+  startedAtMs(index: number): number {
+    return this.#daemons[index]?.startedAtMs ?? 0;
+  }
+
   isRunning(index: number): boolean {
     return this.#daemons[index]?.isAlive === true;
   }
@@ -645,8 +701,12 @@
   send(
     daemon: number,
     segments: readonly string[],
-    { body, events }: {
+    { body, events, takesUp, resumeAfter }: {
       readonly body?: string;
+      /** The stream that the request goes on with, as its caller names it. */
+      readonly takesUp?: RequestId | undefined;
+      /** The id of the last event that the caller has. */
+      readonly resumeAfter?: string | undefined;
       /** Events of the answer, which an engine sends at intervals. */
       readonly events?: number;
     } = {},
@@ -669,13 +729,11 @@
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
     const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
-    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, events);
-    else {
-      this.time.after(
-        heldMs,
-        () => this.#daemons[daemon]?.serve(outcome, events),
-      );
-    }
+    const takeUp = { takesUp, resumeAfter };
+    const serve = () =>
+      this.#daemons[daemon]?.serve(outcome, { events, takeUp });
+    if (heldMs <= 0) serve();
+    else this.time.after(heldMs, serve);
     return outcome;
   }
 
@@ -1256,6 +1314,7 @@
 /** One daemon with its simulated ports. */
 class SimulatedDaemon {
   readonly vm: VmId;
+  readonly startedAtMs: number;
   readonly gossipAddress: string;
   readonly recordAddress: string;
   readonly forwardAddress: string;
@@ -1277,6 +1336,7 @@
   constructor(world: TestFleet, index: number) {
     this.#world = world;
     this.#time = world.time;
+    this.startedAtMs = world.time.nowMs;
     this.storeAccess = new StoreAccess(world.time);
     const ip = ipOf(index);
     this.vm = vmOf(index);
@@ -1362,18 +1422,24 @@
     this.#whileRunning(() => this.#onDatagram(bytes));
   }
 
-  serve(outcome: Outcome, events = RUN_EVENTS): void {
+  serve(
+    outcome: Outcome,
+    { events = RUN_EVENTS, takeUp }: {
+      readonly events: number | undefined;
+      readonly takeUp: TakeUp;
+    },
+  ): void {
     this.#whileRunning(() => {
       // A caller that has given up has closed its connection.
       const waitedMs = this.#time.nowMs - outcome.sentAtMs;
-      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, events);
+      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, events, takeUp);
     });
   }
 
-  #serve(outcome: Outcome, events: number): void {
+  #serve(outcome: Outcome, events: number, takeUp: TakeUp): void {
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
-      const serve = () => this.#serve(outcome, events);
+      const serve = () => this.#serve(outcome, events, takeUp);
       return void renewal.then(() => this.#whileRunning(serve));
     }
     const admission = this.#context?.admission;
@@ -1399,7 +1465,7 @@
         : undefined,
       deadlineMs,
       timeoutAtMs: deadlineMs,
-      resumeAfter: undefined,
+      ...takeUp,
       message: outcome.body,
     }, this.#sink(outcome));
     if (opened.kind === "over_limit") outcome.isOverLimit = true;
@@ -1489,6 +1555,7 @@
           read: () => Promise.reject(new Error("No rollout is played")),
           append: () => Promise.reject(new Error("No rollout is played")),
         },
+      streamOriginLog: this.#streamOriginLog(),
       engineOrders: world.rollout.orders(this.vm),
       serverClient: {
         start: (order, listener) =>
@@ -1523,6 +1590,36 @@
     };
   }
 
+  #streamOriginLog(): FrontPorts["streamOriginLog"] {
+    const { store, originCalls } = this.#world;
+    const call = (kind: OriginCall["kind"]) => {
+      originCalls.push({ atMs: this.#time.nowMs, vm: this.vm, kind });
+      return this.#callStore();
+    };
+    return {
+      get era() {
+        return store.era;
+      },
+      writesPerS: 400,
+      keepMs: 300_000,
+      read: async (from) => {
+        await call("read");
+        return store.readFrom(
+          ORIGIN_TOPIC,
+          from === undefined ? 0 : offsetOf(from),
+        );
+      },
+      append: async (record) => {
+        await call("append");
+        return store.append(ORIGIN_TOPIC, record);
+      },
+      trim: async (before) => {
+        await call("trim");
+        store.trim(ORIGIN_TOPIC, offsetOf(before));
+      },
+    };
+  }
+
   #callStore(): Promise<void> {
     return this.storeAccess.call(() => this.#world.store.call());
   }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -29,6 +29,8 @@
   PathMetrics,
   RefusalReason,
   ServerClient,
+  StreamOrigin,
+  StreamOrigins,
 } from "./ports.ts";
 import type { ProcessCheck } from "./process_check.ts";
 import { recordAnswerHead } from "./record_answer.ts";
@@ -36,6 +38,7 @@
 import {
   isRepeatable,
   isStream,
+  isTakeUp,
   type RoutedRequest,
   type SoftwareVersion,
   urgencyOf,
@@ -63,6 +66,7 @@
   /** What the daemon may hold of messages, over all requests. */
   readonly memory: MemoryBudget;
   readonly weightsProbes: WeightsProbes;
+  readonly streamOrigins: StreamOrigins;
   /** Takes one repeat from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest, cause: RepeatCause): boolean;
   /** Called once for each repeat taken: it has arrived, or will not. */
@@ -131,6 +135,8 @@
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
+  /** The version that began the stream that the request takes up. */
+  #takenUpVersion: SoftwareVersion | undefined;
   /** A second attempt, sent while the first is silent but may still go on. */
   #replacement: Attempt | undefined;
   /** Set while an answer that has begun has no server that may go on. */
@@ -169,11 +175,43 @@
 
   start(): void {
     this.#contain(() => {
-      this.#startAttempt();
+      if (isTakeUp(this.#request)) this.#startTakeUp();
+      else this.#startAttempt();
       this.#checkProgress();
     });
   }
 
+  /** Starts an attempt once it is known which version began the stream. */
+  #startTakeUp(): void {
+    const origin = this.#context.streamOrigins.find(this.#request);
+    if ("kind" in origin) return this.#takeUp(origin);
+    void origin.then((found) => this.#contain(() => this.#takeUp(found)));
+  }
+
+  #takeUp(origin: StreamOrigin): void {
+    if (this.#hasEnded) return;
+    const { kind } = origin;
+    const version = kind === "version" ? origin.version : undefined;
+    this.#context.metrics.count("take_ups", { origin: kind });
+    this.#logDecision("take_up", { origin: kind, version });
+    if (version === undefined) return this.#giveUp("unknown_origin");
+    this.#takenUpVersion = version;
+    this.#startAtVersion();
+  }
+
+  /**
+   * Starts a take-up's attempt once the server that it goes to has said that its
+   * process is the one of its entry.
+   */
+  #startAtVersion(): void {
+    if (this.#hasEnded) return;
+    const server = this.#findNext();
+    if (server === undefined || this.#isCurrent(server)) {
+      return this.#startAttempt();
+    }
+    this.#checkProcesses(server, () => this.#startAtVersion());
+  }
+
   /** The caller reads again. */
   callerReady(): void {
     this.#isCallerBlocked = false;
@@ -280,10 +318,14 @@
     });
   }
 
-  /** The software version that began the answer; undefined when unknown. */
+  /**
+   * The software version that began the stream; undefined when unknown, or when
+   * none has begun.
+   */
   #versionToGoOn(): SoftwareVersion | undefined {
-    return this.#origin &&
-      versionToGoOn(this.#origin, this.#context.registry);
+    return this.#origin === undefined
+      ? this.#takenUpVersion
+      : versionToGoOn(this.#origin, this.#context.registry);
   }
 
   /** Opens an attempt at the place that was found; it is not sent yet. */
@@ -567,7 +609,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
-      this.#origin ??= attempt.origin;
+      this.#recordOrigin(attempt);
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
@@ -579,6 +621,21 @@
     attempt.handle?.pause();
   }
 
+  /** Records the server whose event the caller got first. */
+  #recordOrigin({ origin }: Attempt): void {
+    if (this.#origin !== undefined) return;
+    this.#origin = origin;
+    if (!this.#mayBeTakenUp()) return;
+    const { registry, streamOrigins } = this.#context;
+    const version = versionToGoOn(origin, registry);
+    streamOrigins.began(this.#request, { server: origin.server, version });
+  }
+
+  #mayBeTakenUp(): boolean {
+    return this.#request.route.kind === "resumable_stream" &&
+      this.#relay.isEventStream;
+  }
+
   /** Records that part of the answer came, and the pause before it. */
   #recordProgress(attempt: Attempt): void {
     const nowMs = this.#nowMs();
@@ -609,6 +666,9 @@
     this.#context.registry.recordSuccess(attempt.server.listed.id);
     this.#release(attempt);
     this.#relay.end();
+    if (this.#mayBeTakenUp()) {
+      this.#context.streamOrigins.completed(this.#request);
+    }
     this.#end("answered");
   }
 
@@ -689,7 +749,7 @@
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
     if (!mayRetry) return this.#giveUp("overloaded");
-    if (!this.#relay.hasBegun) return this.#startAttempt();
+    if (!this.#relay.hasBegun) return this.#startAgain();
     this.#retry({ reason: "overloaded", cause: "not_run" }, attempt);
   }
 
@@ -720,7 +780,7 @@
       (server !== undefined && this.#isCurrent(server));
     if (mayStart) {
       const mayRetry = this.#tryRetry(cause);
-      return mayRetry ? this.#startAttempt() : this.#giveUp(reason);
+      return mayRetry ? this.#startAgain() : this.#giveUp(reason);
     }
     const { lastProgressMs } = after;
     const untilMs = lastProgressMs + this.#maxWaitMs();
@@ -735,6 +795,13 @@
     });
   }
 
+  #startAgain(): void {
+    const isTakeUp = this.#takenUpVersion !== undefined &&
+      !this.#relay.hasBegun;
+    if (isTakeUp) this.#startAtVersion();
+    else this.#startAttempt();
+  }
+
   /**
    * Asks a server which process it is when a new connection may be the first to
    * another one. It matters only while several software versions serve.
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -158,6 +158,7 @@
     deadlineMs: 7_000,
     timeoutAtMs: 7_000,
     resumeAfter: undefined,
+    takesUp: undefined,
     message: undefined,
     ...fields,
   };
@@ -348,6 +349,14 @@
     metrics,
     memory: new MemoryBudget(67_108_864),
     weightsProbes: new WeightsProbes(() => 1),
+    streamOrigins: {
+      began() {},
+      completed() {},
+      find: () => ({
+        kind: "version",
+        version: brandId<SoftwareVersion>("v1"),
+      }),
+    },
     tryRetry: () => true,
     settleRetry() {},
     ended() {},
