Reset requests that are given up before their answer has begun

What servers could see: a request arrives after it has been sent to another server, beyond what the retry budget has counted, when a link heals or a server reads again.

Cause: a connection that is closed in order still delivers what the kernel has accepted, however long that takes.

No cut of a real link was run.

Why it works: a reset drops what has not been sent. What the server's kernel has taken already still arrives; requests whose answer has begun have arrived and are closed as before.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -469,15 +469,26 @@
   outgoing: ClientRequest,
   answer: IncomingMessage | undefined,
 ): void {
-  const length = Number(answer?.headers["content-length"] ?? Number.NaN);
-  const isShortRefusal = answer?.headers[HEADERS.notRun] !== undefined &&
+  if (answer === undefined) return reset(outgoing);
+  const length = Number(answer.headers["content-length"] ?? Number.NaN);
+  const isShortRefusal = answer.headers[HEADERS.notRun] !== undefined &&
     length <= MAX_DRAINED_BYTES;
-  if (answer === undefined || !isShortRefusal) return void outgoing.destroy();
+  if (!isShortRefusal) return void outgoing.destroy();
   const timer = setTimeout(() => outgoing.destroy(), DRAIN_TIMEOUT_MS);
   answer.once("close", () => clearTimeout(timer));
   answer.resume();
 }
 
+/**
+ * Destroys a request that may not have arrived. After an orderly close the kernel
+ * would go on sending it until the server accepts it.
+ */
+function reset(outgoing: ClientRequest): void {
+  const { socket } = outgoing;
+  if (socket?.connecting === false) socket.resetAndDestroy();
+  outgoing.destroy();
+}
+
 /** The headers of another daemon's request, with the time that is left. */
 function forwardedHeaders(order: ForwardOrder, clock: Clock): string[] {
   const { rawHeaders, body } = order.message as ClientMessage;
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -1,4 +1,5 @@
-import type { Socket } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import test from "ava";
 import { createClock } from "@endivebend/clock";
 import type { AttemptOrder } from "@endivebend/request-path";
@@ -8,6 +9,7 @@
   runAttempt,
   startRawServer,
   testAttemptOrder,
+  testRoutedRequest,
 } from "./testing.ts";
 
 async function runAttemptAgainst(
@@ -255,3 +257,41 @@
     server.close();
   });
 }
+
+// Guards against a request that arrives after it was sent to another server. The
+// body is longer than what the server's side takes and shorter than what the
+// client's does.
+test("an attempt that is given up while its server accepts nothing does not arrive later", async (t) => {
+  const body = Buffer.alloc(1_000_000);
+  const request = testRoutedRequest();
+  const message = { ...(request.message as object), body };
+  const server = createServer({ pauseOnConnect: true });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = createServerClient(createClock());
+  let sent = () => {};
+  const isSent = new Promise<void>((resolve) => sent = resolve);
+  const handle = client.start(
+    testAttemptOrder(`127.0.0.1:${port}`, {
+      request: { ...request, message },
+    }),
+    {
+      connected() {},
+      sent: () => sent(),
+      head() {},
+      data() {},
+      end() {},
+      failed() {},
+    },
+  );
+  const [socket] = await once(server, "connection") as [Socket];
+  await isSent;
+  await new Promise(setImmediate);
+  handle.abort();
+  socket.on("error", () => {});
+  socket.resume();
+  await once(socket, "close");
+  server.close();
+  t.true(socket.bytesRead < body.length, `${socket.bytesRead} bytes arrived`);
+});
