Show that attempts which arrive after they are given up pass the retry budget

The retry is counted when it arrives, and the attempt that was given up for it arrives as well, seconds later.

--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -22,6 +22,8 @@
 const HELD_MS = 5_500;
 /** Engines accept nothing for so long. */
 const DEAF_MS = 3_000;
+/** Longer than an attempt at an engine that is silent is waited for. */
+const LONG_DEAF_MS = 5_500;
 const DRAINED_MS = 700;
 const SHORT_CUT_MS = 12_000;
 /** Longer than a silent daemon stays a member. */
@@ -155,6 +157,14 @@
       }),
     day: { lengthMs: 40_000 },
   },
+  "while attempts that are given up wait on their way": {
+    events: (fleet) =>
+      atEach([7_000, 14_000, 21_000], () => {
+        const engines = fleet.runningEngines().slice(0, ENGINES / 2);
+        for (const engine of engines) fleet.holdArrivals(engine, LONG_DEAF_MS);
+      }),
+    day: { lengthMs: 40_000 },
+  },
   "while daemons are added that are cut off from the others": {
     events: (fleet) => {
       const added = ALL.map((index) => DAEMONS + index);
