Count a retry while the attempt that was given up for it may still arrive

Callers' servers got 283 and 272 repeats in 10 s of 248 allowed after half of them had accepted nothing for 5.5 s (retry_budget_fleet_test).

Cause: a retry was settled when its own answer began, although the attempt before it had been given up without a sign that it had arrived. That one arrives later, as the repeat, in a window that no longer counts the retry.

Now the repeats of a request stay pending as long as attempts may arrive: those that are open or were given up without an answer, up to the caller's deadline.

Remains: an attempt that arrives after the caller's deadline.

--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -20,10 +20,10 @@
   /** Whether it checks the belief that no engine has weights that may serve. */
   readonly isProbe: boolean;
   readonly startedAtMs: number;
-  /** Repeats that were taken for it and are not settled. */
-  pendingRepeats: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
+  /** Whether it is known to have arrived, or to arrive no more. */
+  isSettled: boolean;
   /** When the head of its answer came. */
   headAtMs: number | undefined;
   /** The head of its answer, until the relay has it. */
@@ -50,13 +50,13 @@
     | "expectedWeights"
     | "isProbe"
     | "startedAtMs"
-    | "pendingRepeats"
   >,
 ): Attempt {
   return {
     ...fields,
     handle: undefined,
     wasSent: false,
+    isSettled: false,
     headAtMs: undefined,
     pendingHead: undefined,
     hasEvents: false,
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -126,8 +126,10 @@
   /** Number of attempts that may have run the request. */
   #possiblyRunAttempts = 0;
   #notRunAttempts = 0;
-  /** Repeats that were taken for an attempt that is not open yet. */
+  /** Repeats that were taken and are not settled. */
   #pendingRepeats = 0;
+  /** Attempts that may still arrive, also after they were given up. */
+  #unsettledAttempts = 0;
 
   constructor(
     context: RequestContext,
@@ -279,12 +281,10 @@
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
       replaces: this.#attempt?.server.listed.id,
     });
-    const pendingRepeats = this.#pendingRepeats;
-    this.#pendingRepeats = 0;
+    this.#unsettledAttempts += 1;
     return newAttempt({
       server,
       forwarder,
-      pendingRepeats,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
       isProbe,
@@ -380,7 +380,8 @@
 
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (!this.#isOpen(attempt)) return;
-    this.#settleRepeats(attempt);
+    this.#settle(attempt);
+    this.#settleRepeats();
     const nowMs = this.#nowMs();
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
@@ -495,12 +496,30 @@
     return isAllowed;
   }
 
-  #settleRepeats(attempt: Attempt): void {
-    for (; attempt.pendingRepeats > 0; attempt.pendingRepeats--) {
+  #settle(attempt: Attempt): void {
+    if (attempt.isSettled) return;
+    attempt.isSettled = true;
+    this.#unsettledAttempts -= 1;
+  }
+
+  /** Settles the repeats beyond the attempts that may still arrive. */
+  #settleRepeats(): void {
+    while (this.#pendingRepeats > this.#unsettledAttempts) {
+      this.#pendingRepeats -= 1;
       this.#context.settleRetry(this.#request);
     }
   }
 
+  /** Attempts that were given up may arrive until the caller's deadline. */
+  #settleLate(): void {
+    if (this.#pendingRepeats === 0) return;
+    const leftMs = this.#finalDeadlineMs() - this.#nowMs();
+    this.#context.scheduler.after(Math.max(0, leftMs), () => {
+      this.#unsettledAttempts = 0;
+      this.#settleRepeats();
+    });
+  }
+
   #hasAttemptsLeft(): boolean {
     const openAttempts = this.#replacement === undefined ? 1 : 2;
     return this.#possiblyRunAttempts + openAttempts <
@@ -576,6 +595,7 @@
       this.#recordSilence(attempt);
       return this.#handleUnsent(attempt, failure.reason);
     }
+    this.#settle(attempt);
     this.#recordLoss(attempt);
     this.#handleBroken(attempt, failure.reason);
   }
@@ -632,8 +652,7 @@
 
   /** Handles an attempt that reached no server, so the next is no retry. */
   #handleUnsent(attempt: Attempt, reason: string): void {
-    this.#pendingRepeats += attempt.pendingRepeats;
-    attempt.pendingRepeats = 0;
+    this.#settle(attempt);
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
@@ -954,7 +973,7 @@
 
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
-    this.#settleRepeats(attempt);
+    if (!attempt.wasSent) this.#settle(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#attempt;
@@ -968,10 +987,8 @@
     this.#hasEnded = true;
     this.#cancelTimer();
     this.#relay.dropBuffered();
-    for (; this.#pendingRepeats > 0; this.#pendingRepeats--) {
-      this.#context.settleRetry(this.#request);
-    }
-    for (const attempt of this.#openAttempts()) this.#settleRepeats(attempt);
+    this.#settleRepeats();
+    this.#settleLate();
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
