--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -12,6 +12,8 @@
 
 /** Engines accept nothing for so long. */
 const DEAF_MS = 3_000;
+/** Longer than an attempt at an engine that is silent is waited for. */
+const LONG_DEAF_MS = 5_500;
 
 /** Courses of events that matter to the retry budget only. */
 const RETRY_COURSES: Readonly<Record<string, Course>> = {
@@ -32,6 +34,14 @@
       }),
     day: { lengthMs: 40_000 },
   },
+  "while attempts that are given up wait on their way": {
+    events: (fleet) =>
+      atEach([7_000, 14_000, 21_000], () => {
+        const engines = fleet.runningEngines().slice(0, ENGINES / 2);
+        for (const engine of engines) fleet.holdArrivals(engine, LONG_DEAF_MS);
+      }),
+    day: { lengthMs: 40_000 },
+  },
   "while daemons are added that are cut off from the others": {
     events: (fleet) => {
       const added = ALL.map((index) => DAEMONS + index);
