Show that requests which waited for a start let a fleet pass its retry budget

All daemons are down for 5.1 s, and the requests of 5.5 s come when they are back, as after a loss of power, when callers' connections are neither accepted nor refused: 254 and 256 repeats in 10 s of 248 allowed. The requests of the first two seconds of a process allow retries in full.

--- a/packages/front/src/testing_courses.ts
+++ b/packages/front/src/testing_courses.ts
@@ -146,6 +146,17 @@
       atEach([12_000, 24_000], () => fleet.holdRequests(HELD_MS)),
     day: { lengthMs: 45_000 },
   },
+  "while requests wait for daemons that start again": {
+    events: (fleet) =>
+      atEach([15_000, 30_000], () => {
+        for (const daemon of ALL) fleet.killDaemon(daemon);
+        fleet.holdRequests(HELD_MS);
+        fleet.time.after(HELD_MS - DOWN_MS, () => {
+          for (const daemon of ALL) fleet.startDaemon(daemon);
+        });
+      }),
+    day: { lengthMs: 45_000 },
+  },
   "while daemons start again without the store": {
     events: (fleet) => [
       [BEGINS_MS[0]! - 1_000, () => {
--- a/packages/front/src/testing_repeats.ts
+++ b/packages/front/src/testing_repeats.ts
@@ -66,9 +66,10 @@
   const perS = day.requestsPerDaemonPerS * fleet.daemonCount;
   let sent = 0;
   const send = () => {
-    const daemons = Array.from({ length: fleet.daemonCount }, (_, at) => at)
-      .filter((daemon) => fleet.takesCallers(daemon));
-    const daemon = daemons[sent++ % daemons.length] ?? 0;
+    const all = Array.from({ length: fleet.daemonCount }, (_, at) => at);
+    const taking = all.filter((daemon) => fleet.takesCallers(daemon));
+    const daemons = taking.length > 0 ? taking : all;
+    const daemon = daemons[sent++ % daemons.length]!;
     fleet.send(daemon, [], { ...(day.events && { events: day.events }) });
     time.after(FIRST_REQUEST_MS + sent * 1_000 / perS - time.nowMs, send);
   };
