Let requests that waited for a start allow no more retries than in time

Servers got 254 repeats in 10 s of 248 allowed when all daemons had been down and callers' requests had waited for them.

Cause: the first requests of a process allowed retries in full, on the belief that nothing can have waited for it. Requests wait where connections are neither accepted nor refused, as after a loss of power.

The first requests now count like all others: up to the requests of the two seconds before, or twice the mean of the window. Requests in excess of that count after two seconds, up to the mean of those two seconds, so that steady callers of a new process lose nothing for long.

--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -32,8 +32,9 @@
 }
 
 /**
- * Requests of a slot that allow retries: as many as in these slots before it, or
- * twice the mean of the slots in the window before it.
+ * Requests of a slot that allow retries: as many as in these slots before it,
+ * twice the mean of the slots in the window before it, or later the mean of
+ * these slots after it.
  */
 const COMPARED_SLOTS = 4;
 const MAX_TIMES_MEAN = 2;
@@ -57,20 +58,17 @@
 
 /** Counters of one service. */
 class ServiceCounts {
-  readonly #startIndex: number;
   readonly #windowSlots: number;
   #slots: Slot[] = [];
 
-  constructor(
-    options: { readonly startIndex: number; readonly windowSlots: number },
-  ) {
-    this.#startIndex = options.startIndex;
-    this.#windowSlots = options.windowSlots;
+  constructor({ windowMs }: Pick<RetryLimits, "windowMs">) {
+    this.#windowSlots = windowMs / SLOT_MS;
   }
 
   slotAt(index: number): Slot {
     const last = this.#slots.at(-1);
     if (last?.index === index) return last;
+    this.#creditSteady(index);
     const slot = {
       index,
       requests: 0,
@@ -104,13 +102,10 @@
 
   /**
    * Requests that waited on their way, or while the process was paused, come at
-   * once. They were sent in earlier windows, whose retries are over. Nothing can
-   * have waited for a process that has just started.
+   * once. They were sent in earlier windows, whose retries are over. They may
+   * have waited for the start of the process as well.
    */
   #maxCredited(index: number): number {
-    if (index - this.#startIndex < COMPARED_SLOTS) {
-      return Number.POSITIVE_INFINITY;
-    }
     const mean = this.#creditedSince(index - this.#windowSlots) /
       this.#windowSlots;
     return Math.max(
@@ -120,6 +115,20 @@
     );
   }
 
+  /** Credits requests once as many have followed them at the same rate. */
+  #creditSteady(nowIndex: number): void {
+    for (const slot of this.#slots) {
+      if (slot.index + COMPARED_SLOTS >= nowIndex) return;
+      const following = this.#slots
+        .filter(({ index }) =>
+          index > slot.index && index <= slot.index + COMPARED_SLOTS
+        )
+        .reduce((sum, { requests }) => sum + requests, 0);
+      const steady = Math.min(slot.requests, following / COMPARED_SLOTS);
+      slot.credited = Math.max(slot.credited, steady);
+    }
+  }
+
   #creditedSince(firstIndex: number): number {
     return this.#slots
       .filter(({ index }) => index >= firstIndex)
@@ -141,7 +150,6 @@
  */
 export class RetryBudget {
   readonly #limits: RetryLimits;
-  readonly #startIndex: number;
   readonly #slackFromMs: number;
   readonly #services = new Map<ServiceName, ServiceCounts>();
 
@@ -150,7 +158,6 @@
     { startedAtMs }: { readonly startedAtMs: number },
   ) {
     this.#limits = limits;
-    this.#startIndex = slotIndex(startedAtMs);
     this.#slackFromMs = startedAtMs + limits.windowMs + SLOT_MS;
   }
 
@@ -192,10 +199,7 @@
   #countsOf(service: ServiceName): ServiceCounts {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const counts = new ServiceCounts({
-      startIndex: this.#startIndex,
-      windowSlots: this.#limits.windowMs / SLOT_MS,
-    });
+    const counts = new ServiceCounts(this.#limits);
     this.#services.set(service, counts);
     return counts;
   }
