Tell each request's arrivals with a breach, and part copies from whole ones

A second copy of an answer without a length that holds no head, or is cut in its head, can't be told from the body by its bytes: the play copy_parts_without_length has these, second_copies_without_length the others.

--- a/packages/platform-soak/src/answer_plan.ts
+++ b/packages/platform-soak/src/answer_plan.ts
@@ -16,8 +16,8 @@
   readonly refuseShare: number;
   /** Plain answers without a length. */
   readonly unframedShare: number;
-  /** Whether second copies of answers without a length are sent, too. */
-  readonly stuttersUnframed: boolean;
+  /** Forms of second copies of answers without a length. */
+  readonly unframedCopies: readonly CopyForm[];
   /** Streams that break off, often in the middle of an event. */
   readonly breakOffShare: number;
 }
@@ -28,7 +28,7 @@
   cutShare: 0,
   refuseShare: 0,
   unframedShare: 0,
-  stuttersUnframed: false,
+  unframedCopies: [],
   breakOffShare: 0,
 };
 
@@ -75,15 +75,16 @@
 /** Draws how a request is answered. */
 export function planAnswer(faults: ServerFaults, draws: Draws): AnswerPlan {
   const isFramed = !draws.chance(faults.unframedShare);
-  const mayStutter = isFramed || faults.stuttersUnframed;
-  const form = draws.pick(COPY_FORMS);
+  const forms = isFramed ? COPY_FORMS : faults.unframedCopies;
+  const stutters = draws.chance(faults.stutterShare) && forms.length > 0;
+  const form = stutters ? draws.pick(forms) : undefined;
   const delayMs = draws.int(5, 205);
   return {
     isRefused: draws.chance(faults.refuseShare),
     namesRequest: draws.chance(0.5),
     isCut: draws.chance(faults.cutShare),
     isFramed,
-    copy: draws.chance(faults.stutterShare) && mayStutter ? form : undefined,
+    copy: form,
     copyDelayMs: form === "late" ? delayMs : delayMs % 5,
     copySplit: draws.int(1, 99) / 100,
     workMs: draws.int(1, 40),
--- a/packages/platform-soak/src/backend_server.ts
+++ b/packages/platform-soak/src/backend_server.ts
@@ -161,7 +161,7 @@
 
   #refuse(exchange: Exchange, status: number): void {
     const { connection, plan, id } = exchange;
-    this.#noteArrival(id, undefined);
+    this.#noteArrival(exchange, undefined);
     const names: Record<string, string> = plan.namesRequest
       ? { "Attempt-Id": id }
       : {};
@@ -180,7 +180,7 @@
       ? ""
       : `${proof} ${"x".repeat(plan.fillerBytes)} end of ${proof}\n`;
     const run = { server, version, proof, status: 200, body };
-    this.#noteArrival(id, run);
+    this.#noteArrival(exchange, run);
     connection.isBusy = true;
     setTimeout(() => {
       if (isStream) return this.#stream(exchange, run);
@@ -309,7 +309,7 @@
     }, plan.copyDelayMs);
   }
 
-  #noteArrival(id: string, run: Run | undefined): void {
+  #noteArrival({ id, plan }: Exchange, run: Run | undefined): void {
     const { id: server, service } = this.options;
     this.#ledger.arrivals.push({
       id,
@@ -317,6 +317,7 @@
       service,
       atMs: this.#ledger.nowMs(),
       leavingSinceMs: this.leavingSinceMs,
+      copy: plan.copy,
       run,
     });
   }
--- a/packages/platform-soak/src/ledger.ts
+++ b/packages/platform-soak/src/ledger.ts
@@ -49,6 +49,8 @@
   readonly atMs: number;
   /** Whether the server had said that it leaves, and since when. */
   readonly leavingSinceMs: number | undefined;
+  /** How its answer was sent a second time, if it was. */
+  readonly copy: string | undefined;
   /** The run, when the server began to work on it. */
   readonly run: Run | undefined;
 }
--- a/packages/platform-soak/src/retry_count_test.ts
+++ b/packages/platform-soak/src/retry_count_test.ts
@@ -25,6 +25,7 @@
     service: "plain",
     atMs,
     leavingSinceMs: undefined,
+    copy: undefined,
     run: undefined,
   };
 }
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -179,7 +179,7 @@
         cutShare: draws.pick([0, 0, 0.1, 0.6]),
         refuseShare: draws.pick([0, 0.05, 0.3]),
         unframedShare: draws.pick([0, 0.2]),
-        stuttersUnframed: false,
+        unframedCopies: [],
         breakOffShare: draws.pick([0, 0.1, 0.3]),
       },
     });
@@ -204,7 +204,11 @@
   second_copies: secondCopies({}),
   second_copies_without_length: secondCopies({
     unframedShare: 0.3,
-    stuttersUnframed: true,
+    unframedCopies: ["same_segment", "soon", "late", "two_pieces"],
+  }),
+  copy_parts_without_length: secondCopies({
+    unframedShare: 0.3,
+    unframedCopies: ["tail", "part"],
   }),
   released: released((draws) => releaseFaults(draws, 3_000)),
   released_servers_crash: released((draws, durationMs) => [
--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -123,15 +123,16 @@
   const breaches: Breach[] = [];
   const report = (rule: string, why: string) => {
     const ended = `${status ?? "no head"}, ${answer.end}`;
-    const what = `${kind} ${id} at daemon ${sent.daemon} (${ended}): ${why}`;
+    const what = `${kind} ${id} at daemon ${sent.daemon} (${ended}): ${why}` +
+      `; it reached ${arrivals.map(formatArrival).join(", ")}`;
     breaches.push({ rule, atMs, what });
   };
   if (kind === "unsafe" && runs.length > 1) {
-    report("TWICE", `${runs.length} runs: ${runs.map((run) => run.proof)}`);
+    report("TWICE", `${runs.length} runs`);
   }
   if (status === undefined) return breaches;
   if (kind === "unsafe" && NOT_RUN_STATUSES.has(status) && runs.length > 0) {
-    report("REFUSED", `has run: ${runs.map((run) => run.proof)}`);
+    report("REFUSED", "has run");
   }
   const echoed = headers["attempt-id"];
   if (echoed !== undefined && echoed !== id) {
@@ -152,11 +153,16 @@
   return breaches;
 }
 
+function formatArrival({ server, atMs, run, copy }: Arrival): string {
+  const outcome = run === undefined ? "refused" : `ran as ${run.proof}`;
+  return `${server} at ${atMs} (${outcome}, copy: ${copy ?? "none"})`;
+}
+
 function findBodyFault({ answer }: SentRequest, run: Run): string | undefined {
   const { body, end } = answer!;
   if (end === "complete" && body !== run.body) {
     return `${body.length} bytes are taken as a whole body of ` +
-      `${run.body.length}: ${JSON.stringify(body.slice(-120))}`;
+      `${run.body.length}: ${JSON.stringify(body.slice(-60))}`;
   }
   return run.body.startsWith(body) ? undefined : "the body is another's";
 }
