--- a/packages/platform-soak/src/retry_count.ts
+++ b/packages/platform-soak/src/retry_count.ts
@@ -48,7 +48,7 @@
   const sentIn = (fromMs: number) =>
     countUntil(sentAtMs, fromMs + WINDOW_MS) - countUntil(sentAtMs, fromMs);
   const { retry_budget_ratio: ratio, retry_budget_slack: slack } = BOUNDS;
-  let worst = { service, repeats: 0, allowed: slack as number, untilMs: 0 };
+  let worst: WorstBudget | undefined;
   repeatsAtMs.forEach((untilMs, index) => {
     const fromMs = untilMs - WINDOW_MS;
     const repeats = index + 1 - countUntil(repeatsAtMs, fromMs);
@@ -58,11 +58,12 @@
       sentIn(fromMs - WINDOW_MS / 2),
     );
     const allowed = requests * ratio + slack;
-    if (repeats - allowed > worst.repeats - worst.allowed) {
+    const excess = repeats - allowed;
+    if (worst === undefined || excess > worst.repeats - worst.allowed) {
       worst = { service, repeats, allowed, untilMs };
     }
   });
-  return worst;
+  return worst ?? { service, repeats: 0, allowed: slack, untilMs: 0 };
 }
 
 /** Number of times up to a limit; the times are in order. */
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -206,6 +206,23 @@
     unframedShare: 0.3,
     unframedCopies: ["same_segment", "soon", "late", "two_pieces"],
   }),
+  // Late copies of refusals meet the next attempt of the same request.
+  second_copies_of_refusals: (options) => ({
+    shape: {
+      daemons: options.daemons ?? 3,
+      servers: options.servers ?? 2,
+      domains: 1,
+      attempts: 4,
+    },
+    ratePerS: options.ratePerS ?? 60,
+    kinds: ["unsafe"],
+    retries: 2,
+    serverFaults: [{
+      atMs: 0,
+      faults: { ...NO_FAULTS, stutterShare: 0.5, refuseShare: 0.15 },
+    }],
+    faults: [],
+  }),
   copy_parts_without_length: secondCopies({
     unframedShare: 0.3,
     unframedCopies: ["tail", "part"],
