--- a/packages/front/src/testing_courses.ts
+++ b/packages/front/src/testing_courses.ts
@@ -29,7 +29,7 @@
 /** Longer than a silent daemon stays a member. */
 const LONG_CUT_MS = 40_000;
 
-const ALL = Array.from({ length: DAEMONS }, (_, index) => index);
+export const ALL = Array.from({ length: DAEMONS }, (_, index) => index);
 /** The daemons of the first of four failure domains. */
 const FIRST_DOMAIN = ALL.filter((index) => index % 4 === 0);
 const HALF = ALL.slice(0, DAEMONS / 2);
@@ -41,7 +41,7 @@
   });
 }
 
-function atEach(
+export function atEach(
   timesMs: readonly number[],
   run: (at: number) => void,
 ): (readonly [number, () => void])[] {
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -55,8 +55,8 @@
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
   /**
-   * Whether the answer has a length or transfer encoding; otherwise it ends
-   * with its connection.
+   * Whether the answer has a length or chunks; otherwise it ends with its
+   * connection.
    */
   readonly isFramed: boolean;
 }
@@ -85,6 +85,7 @@
 const MAX_NOTED_REQUESTS = 32;
 const FOREIGN_ANSWER = "The answer belongs to another request";
 const FOREIGN_HEAD = "The answer ends in the head of another one";
+const ENDS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -140,6 +141,23 @@
   if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
 }
 
+function idleSockets(agent: Agent | undefined): Socket[] {
+  return Object.values(agent?.freeSockets ?? {})
+    .flatMap((sockets) => sockets ?? []);
+}
+
+/**
+ * Closes idle connections where one of them has carried the request before: a
+ * late copy of what its server answered then has the request's id.
+ */
+function closeFormerConnections(agent: Agent, request: RequestId): void {
+  const sockets = idleSockets(agent);
+  const isFormer = sockets.some((socket) =>
+    requestsBySocket.get(socket)?.includes(request)
+  );
+  if (isFormer) { for (const socket of sockets) socket.destroy(); }
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -196,10 +214,7 @@
     },
     checkListening,
     closeIdleConnections(address) {
-      const agent = agents.get(address);
-      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      for (const socket of idleSockets(agents.get(address))) socket.destroy();
     },
   };
 }
@@ -277,6 +292,9 @@
   listener: AttemptListener,
 ): AttemptHandle {
   const { message, isForwarded = false } = exchange;
+  if (!isForwarded) {
+    closeFormerConnections(exchange.agent, exchange.expected.requestId);
+  }
   const outgoing = openRequest(exchange);
   if (outgoing instanceof Error) {
     const { message: reason } = outgoing;
@@ -450,8 +468,10 @@
 
 /** Whether an answer doesn't end with its connection. */
 function isFramed({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  const coding = headers["transfer-encoding"];
+  return coding === undefined
+    ? headers["content-length"] !== undefined
+    : ENDS_CHUNKED.test(coding);
 }
 
 /**
