Let a stream go on through another VM where only some links are lost

A VM sends requests for a server through another VM also when at least half of its links to the service's servers are lost. It asked such a server itself which process it is, got no answer, and left the server out. It now asks only servers that it would send to itself.

--- a/packages/request-path/src/process_check_test.ts
+++ b/packages/request-path/src/process_check_test.ts
@@ -1,6 +1,11 @@
 import test from "ava";
-import type { BackendServerId } from "@endivebend/types";
-import { ProcessCheck, RequestRun, type StatedProcess } from "./mod.ts";
+import type { BackendServerId, VmId } from "@endivebend/types";
+import {
+  type Forwarder,
+  ProcessCheck,
+  RequestRun,
+  type StatedProcess,
+} from "./mod.ts";
 import { hasOtherProcess } from "./process_check.ts";
 import {
   answerHead,
@@ -86,6 +91,7 @@
 /** A stream that has begun at `first` and breaks off beside two others. */
 async function startBroken(
   starts: Readonly<Record<string, number | "unstated" | "silent">>,
+  { forwarder }: { readonly forwarder?: Forwarder } = {},
 ) {
   const time = new TestTime();
   const { check, asked } = checkOf(starts, time);
@@ -94,7 +100,8 @@
     clock: time,
     scheduler: time,
   });
-  const { registry, client } = context;
+  const { registry, client, paths } = context;
+  paths.forwarderFor = () => forwarder;
   registry.forgetMoved("one" as BackendServerId);
   registry.forgetMoved("second" as BackendServerId);
   registry.upsert(listedServer("first"));
@@ -152,3 +159,11 @@
   t.is(serverIds().length, 1);
   t.true(caller.isAborted);
 });
+
+// A VM that has lost its links to half of the servers reaches them so.
+test("a stream goes on through another VM at a server that can't be asked", async (t) => {
+  const forwarder = { vm: "vm-2" as VmId, address: "10.0.0.2:1" };
+  const { serverIds, asked } = await startBroken({}, { forwarder });
+  t.is(serverIds().length, 2);
+  t.deepEqual(asked, []);
+});
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -721,12 +721,12 @@
 
   /**
    * Whether the server's process is known to be the one of its entry. A VM that
-   * reaches no server itself can't ask.
+   * reaches the server only through another one can't ask.
    */
   #isCurrent(server: KnownServer): boolean {
     const { paths, processCheck } = this.#context;
     return processCheck.isFresh(server, this.#nowMs()) ||
-      paths.isCutOff(server.listed.service);
+      paths.forwarderFor(server.listed, this.#excludedForwarders) !== undefined;
   }
 
   /**
