Show that daemons which start again spend the budget's share of requests twice

Until 17 s the daemons spend at once what the requests of the window before allow; the new processes then spend as much for the requests that follow. The courses of events with restarts so far break answers off 1.5 s after the first request, when no share has been saved up.

--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -16,6 +16,10 @@
 const ENGINES = Math.ceil(DAEMONS * 6 / 8);
 
 const BEGINS_MS = [7_000, 12_000, 17_000];
+/** A window after the first requests. */
+const OUTAGE_FROM_MS = 14_000;
+/** Time in which the fleet takes what its budget allows. */
+const REPEATING_MS = 3_000;
 const DOWN_MS = 400;
 const RESTART_INTERVAL_MS = 1_000;
 /** Shorter than callers wait for an answer. */
@@ -157,6 +161,18 @@
       }),
     day: { lengthMs: 40_000 },
   },
+  "while all daemons start again after the first repeats in a window": {
+    events: (fleet) => {
+      let breaks: (() => boolean) | undefined;
+      return [[BROKEN_FROM_MS + 1, () => {
+        breaks = fleet.breaksAnswer;
+        fleet.breaksAnswer = undefined;
+      }], [OUTAGE_FROM_MS, () => {
+        fleet.breaksAnswer = breaks;
+      }], [OUTAGE_FROM_MS + REPEATING_MS, () => restart(fleet, ALL)]];
+    },
+    day: { lengthMs: 30_000, requestsPerDaemonPerS: 30 },
+  },
   "while attempts that are given up wait on their way": {
     events: (fleet) =>
       atEach([7_000, 14_000, 21_000], () => {
