--- a/packages/front/src/retry_budget_fleet_test.ts
+++ b/packages/front/src/retry_budget_fleet_test.ts
@@ -6,10 +6,15 @@
   COURSES,
   DAEMONS,
   ENGINES,
+  restart,
   SEEDS,
 } from "./testing_courses.ts";
 import { BROKEN_FROM_MS, playRepeats, worstWindow } from "./testing_repeats.ts";
 
+/** A window after the first requests. */
+const OUTAGE_FROM_MS = 14_000;
+/** Time in which the fleet takes what its budget allows. */
+const REPEATING_MS = 3_000;
 /** Engines accept nothing for so long. */
 const DEAF_MS = 3_000;
 /** Longer than an attempt at an engine that is silent is waited for. */
@@ -34,6 +39,18 @@
       }),
     day: { lengthMs: 40_000 },
   },
+  "while all daemons start again after the first repeats in a window": {
+    events: (fleet) => {
+      let breaks: (() => boolean) | undefined;
+      return [[BROKEN_FROM_MS + 1, () => {
+        breaks = fleet.breaksAnswer;
+        fleet.breaksAnswer = undefined;
+      }], [OUTAGE_FROM_MS, () => {
+        fleet.breaksAnswer = breaks;
+      }], [OUTAGE_FROM_MS + REPEATING_MS, () => restart(fleet, ALL)]];
+    },
+    day: { lengthMs: 30_000, requestsPerDaemonPerS: 30 },
+  },
   "while attempts that are given up wait on their way": {
     events: (fleet) =>
       atEach([7_000, 14_000, 21_000], () => {
--- a/packages/front/src/testing_courses.ts
+++ b/packages/front/src/testing_courses.ts
@@ -34,7 +34,7 @@
 const FIRST_DOMAIN = ALL.filter((index) => index % 4 === 0);
 const HALF = ALL.slice(0, DAEMONS / 2);
 
-function restart(fleet: TestFleet, daemons: readonly number[]): void {
+export function restart(fleet: TestFleet, daemons: readonly number[]): void {
   for (const daemon of daemons) fleet.killDaemon(daemon);
   fleet.time.after(DOWN_MS, () => {
     for (const daemon of daemons) fleet.startDaemon(daemon);
