Answer reports as engines do, and start servers again as another version

Daemons that ask a server for the start of its process before they take a stream up got 404 and took none up. The play servers_upgraded crashes servers and starts them again under their ids as another version.

--- a/packages/platform-soak/src/backend_server.ts
+++ b/packages/platform-soak/src/backend_server.ts
@@ -55,7 +55,7 @@
 
 /** A running server; it may crash and start again. */
 export class BackendServer {
-  readonly options: ServerOptions;
+  options: ServerOptions;
   faults: ServerFaults;
   leavingSinceMs: number | undefined;
   bornAtMs = Date.now();
@@ -96,6 +96,11 @@
     this.#port = (server.address() as AddressInfo).port;
   }
 
+  /** The next start is of another version of the software. */
+  upgrade(version: string): void {
+    this.options = { ...this.options, version };
+  }
+
   /** Resets all connections and accepts none, until it is started again. */
   crash(): void {
     this.#server?.close();
@@ -136,13 +141,7 @@
     const [method = "", path = ""] = message.startLine.split(" ");
     const id = message.headers["attempt-id"];
     if (id === undefined) {
-      const isHealth = method === "GET" && path.startsWith("/health");
-      return this.#write(
-        connection,
-        isHealth
-          ? formatAnswer(200, { "Instance-Id": this.options.id }, "")
-          : formatAnswer(404, { "Not-Run": "1" }, ""),
-      );
+      return this.#write(connection, this.#answerStatus(`${method} ${path}`));
     }
     const count = this.#arrivalsById.get(id) ?? 0;
     this.#arrivalsById.set(id, count + 1);
@@ -159,6 +158,34 @@
     this.#run(exchange);
   }
 
+  /** Answers what the platform and the daemons ask of the server itself. */
+  #answerStatus(call: string): string {
+    const { id } = this.options;
+    const handlers: Readonly<Record<string, () => string>> = {
+      "GET /health": () => formatAnswer(200, { "Instance-Id": id }, ""),
+      "GET /api/report": () =>
+        formatAnswer(
+          200,
+          { "Content-Type": "application/json" },
+          this.#report(),
+        ),
+    };
+    const handler = handlers[call.split("?")[0] ?? ""];
+    return handler?.() ?? formatAnswer(404, { "Not-Run": "1" }, "");
+  }
+
+  #report(): string {
+    return JSON.stringify({
+      stage: "both",
+      models: [],
+      busy: false,
+      seq: 0,
+      queued: 0,
+      running: this.#running,
+      born: this.bornAtMs,
+    });
+  }
+
   #refuse(exchange: Exchange, status: number): void {
     const { connection, plan, id } = exchange;
     this.#noteArrival(exchange, undefined);
--- a/packages/platform-soak/src/faults.ts
+++ b/packages/platform-soak/src/faults.ts
@@ -130,6 +130,14 @@
     if (server === undefined) return Promise.resolve();
     return fleet.restartServer(server, fault.forMs);
   },
+  // A server crashes and starts again, as another version, under its id.
+  async server_upgraded(fleet, fault) {
+    const servers = fleet.serving(SERVICE_BY_KIND.stream);
+    const server = servers[fault.server % Math.max(1, servers.length)];
+    if (server === undefined) return;
+    server.upgrade(server.options.version === "v1" ? "v2" : "v1");
+    await fleet.restartServer(server, fault.forMs);
+  },
   async server_replaced(fleet, fault) {
     const { faults, options } = leavingServer(fleet, fault);
     const { service, version } = options;
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -237,6 +237,13 @@
       longestGapMs: 1_500,
     }),
   ]),
+  servers_upgraded: released((draws, durationMs) =>
+    drawFaults(draws, {
+      names: ["server_upgraded", "server_upgraded", "daemon_killed"],
+      durationMs,
+      longestGapMs: 1_500,
+    })
+  ),
   released_all_killed: released((draws) => [
     ...releaseFaults(draws, 3_000),
     ...releaseFaults(draws, 11_000),
