Send calls that run once on new connections to servers that answer twice

What callers saw: 502 for calls that had run and been answered, when a late copy of another answer came in their answer's place.

Cause: a copy can come at any time after its answer. Only the id tells it from the next answer, when the next request has been sent, and Node.js's client reads one answer a request.

Connections are priced and calls that may be repeated are, so those keep theirs. Three tests of stray_bytes_test fail before this commit (the connection is used again).

Why it works: a new connection carries no copy of another answer. A stray byte, an answer with another id, a second head or a copy in a body marks the server for 5 s; requests on kept connections go on to show whether it still answers twice.

Not tried: reading over the stale answer and awaiting the true one, which needs a parser of our own and does not help with copies in pieces.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -36,8 +36,9 @@
   brandId,
   type RequestId,
 } from "@endivebend/types";
-import { AnswerBody, mayEndInHead } from "./answer_body.ts";
+import { AnswerBody } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
+import { noteKeepAlive, noteReads, ServerAgent } from "./server_agent.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
 /** A request as the client sent it. */
@@ -65,12 +66,6 @@
  * Failure domains are some 1 ms apart, and a server that is up accepts at once.
  */
 const CONNECT_TIMEOUT_MS = 300;
-/** Keep-alive time of servers that state none in a `Keep-Alive` header. */
-const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
-/** Timers take no longer times; a server that states more is not waited for. */
-const MAX_IDLE_TIMEOUT_MS = 600_000;
-/** An idle connection is closed this long before the server may close it. */
-const IDLE_MARGIN_MS = 600;
 /** Servers have a use for a few (RFC 9110, section 15.2). */
 const MAX_INFORMATIONAL_ANSWERS = 16;
 /** Bodies of this length, in bytes, are read so that a connection is reused. */
@@ -87,49 +82,6 @@
 const FOREIGN_HEAD = "The answer ends in the head of another one";
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
-/**
- * Closes idle connections before their servers do, so that no request is sent
- * on a connection that the server is closing. Closes them also when a server
- * sends bytes without a request: what follows can't be told from an answer.
- */
-class ServerAgent extends Agent {
-  // Node.js calls this when an answer was read to its end and the socket could
-  // be reused.
-  override keepSocketAlive(socket: Socket): boolean {
-    const hint = keepAliveMsBySocket.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS;
-    const idleMs = hint - IDLE_MARGIN_MS;
-    const lastRead = lastReadBySocket.get(socket);
-    lastReadBySocket.delete(socket);
-    // The parser drops the beginning of a head that follows an answer.
-    const isFollowed = lastRead !== undefined && mayEndInHead(lastRead);
-    if (idleMs <= 0 || isFollowed) return false;
-    socket.setKeepAlive(true, 1_000);
-    socket.setTimeout(idleMs);
-    socket.on("data", destroyOnStrayBytes);
-    return true;
-  }
-
-  override reuseSocket(socket: Socket, request: ClientRequest): void {
-    socket.off("data", destroyOnStrayBytes);
-    socket.off("data", noteRead);
-    super.reuseSocket(socket, request);
-  }
-}
-
-function destroyOnStrayBytes(this: Socket): void {
-  this.destroy();
-}
-
-/** The bytes that were read last; they are kept while an answer is read. */
-const lastReadBySocket = new WeakMap<Socket, Buffer>();
-
-function noteRead(this: Socket, bytes: Buffer): void {
-  lastReadBySocket.set(this, bytes);
-}
-
-/** Keep-alive time that a socket's server last stated, in milliseconds. */
-const keepAliveMsBySocket = new WeakMap<Socket, number>();
-
 /** The last requests that a socket has carried, the newest last. */
 const requestsBySocket = new WeakMap<Socket, RequestId[]>();
 
@@ -148,14 +100,14 @@
   clock: Clock,
   { ip }: { readonly ip?: string } = {},
 ): ServerClient {
-  const agents = new Map<string, Agent>();
+  const agents = new Map<string, ServerAgent>();
   // Requests that run at most once are not sent to other daemons on connections
-  // that may be dead.
+  // that may be dead, nor to servers where a second copy may cost the answer.
   const unpooled = new Agent({ keepAlive: false });
-  function agentFor(address: string): Agent {
+  function agentFor(address: string): ServerAgent {
     const known = agents.get(address);
     if (known !== undefined) return known;
-    const agent = new ServerAgent({ keepAlive: true });
+    const agent = new ServerAgent(clock);
     agents.set(address, agent);
     return agent;
   }
@@ -167,8 +119,10 @@
       const expected = { requestId: request.requestId, serverId: server.id };
       if (forwarder === undefined) {
         const { address } = server;
-        const agent = agentFor(address);
-        const exchange = { address, agent, message, headers, expected };
+        const known = agentFor(address);
+        const mayReuse = isRepeatable(request.route.kind) || !known.stutters;
+        const agent = mayReuse ? known : unpooled;
+        const exchange = { address, agent, known, message, headers, expected };
         return startExchange(exchange, listener);
       }
       headers.push(FORWARD_HEADERS.server, server.id);
@@ -186,9 +140,11 @@
     },
     forward(order, listener) {
       const { requestId, server } = order;
+      const known = agentFor(server.address);
       return startExchange({
         address: server.address,
-        agent: agentFor(server.address),
+        agent: known.stutters ? unpooled : known,
+        known,
         message: order.message as ClientMessage,
         headers: forwardedHeaders(order, clock),
         expected: { requestId, serverId: server.id },
@@ -196,10 +152,7 @@
     },
     checkListening,
     closeIdleConnections(address) {
-      const agent = agents.get(address);
-      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      agents.get(address)?.closeIdle();
     },
   };
 }
@@ -237,6 +190,8 @@
 interface Exchange {
   readonly address: string;
   readonly agent: Agent;
+  /** What is known of the server; undefined for a daemon that forwards. */
+  readonly known?: ServerAgent;
   readonly message: ClientMessage;
   readonly headers: readonly string[];
   readonly expected: ExpectedAnswer;
@@ -293,8 +248,10 @@
   };
   const batch = new ChunkBatch((bytes) => {
     relay(body === undefined ? bytes : body.push(bytes));
+    if (body?.found !== undefined) noteStutter();
     if (body?.isCutOff) fail(FOREIGN_HEAD);
   });
+  const noteStutter = () => exchange.known?.noteStutter();
   const fail = (
     reason: string,
     kind: AttemptFailure["kind"] = wasSent ? "broken" : "unsent",
@@ -319,7 +276,7 @@
   };
   outgoing.on("socket", (socket) => {
     noteRequest(socket, exchange.expected.requestId);
-    socket.on("data", noteRead);
+    noteReads(socket);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
@@ -331,9 +288,10 @@
       markSent();
     });
   });
-  outgoing.on("error", ({ message }) => {
+  outgoing.on("error", ({ message, code }: NodeJS.ErrnoException) => {
     // Bytes after the end of a complete answer don't invalidate it.
-    if (answer?.complete !== true) fail(message);
+    if (answer?.complete !== true) return fail(message);
+    if (code?.startsWith("HPE_")) noteStutter();
   });
   let informationalAnswers = 0;
   outgoing.on("information", () => {
@@ -363,10 +321,7 @@
     const hint = KEEP_ALIVE_TIMEOUT.exec(
       String(response.headers["keep-alive"] ?? ""),
     );
-    if (hint !== null) {
-      const hintMs = Math.min(MAX_IDLE_TIMEOUT_MS, Number(hint[1]) * 1_000);
-      keepAliveMsBySocket.set(response.socket, hintMs);
-    }
+    if (hint !== null) noteKeepAlive(response.socket, Number(hint[1]) * 1_000);
     if (isForwarded) {
       const {
         [FORWARD_HEADERS.outcome]: outcome,
@@ -382,6 +337,7 @@
     const { expected } = exchange;
     const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
+      if (outgoing.reusedSocket) noteStutter();
       return fail(FOREIGN_ANSWER);
     }
     const { socket } = response;
@@ -414,6 +370,8 @@
       }
       const rest = body?.end();
       if (rest === undefined || body?.isCutOff) return fail(FOREIGN_HEAD);
+      // Node.js closes the connection at the head of a second answer.
+      if (outgoing.shouldKeepAlive && socket.destroyed) noteStutter();
       relay(rest);
       if (isFinished) return;
       isFinished = true;
--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import test from "ava";
-import { createClock } from "@endivebend/clock";
+import { type Clock, createClock } from "@endivebend/clock";
 import type { AttemptOrder, ServerClient } from "@endivebend/request-path";
 import { createServerClient } from "./server_client.ts";
 import {
@@ -33,11 +33,12 @@
   readonly serve: (socket: Socket, id: string) => void;
   /** Comes between the end of an answer and the next request. */
   readonly between?: (socket: Socket) => Promise<void> | void;
+  readonly clock?: Clock;
 }
 
 /** Runs one attempt after the other. */
 async function runInTurn(
-  { ids, serve, between = () => {} }: Sequence,
+  { ids, serve, between = () => {}, clock = createClock() }: Sequence,
 ): Promise<{ readonly results: AttemptResult[]; readonly sockets: number }> {
   const sockets = new Set<Socket>();
   let last: Socket | undefined;
@@ -46,7 +47,7 @@
     last = socket;
     serve(socket, /attempt-id: (\S+)/i.exec(request)?.[1] ?? "");
   });
-  const client: ServerClient = createServerClient(createClock());
+  const client: ServerClient = createServerClient(clock);
   const results: AttemptResult[] = [];
   for (const id of ids) {
     results.push(await runAttempt(client, order(server.address, id)));
@@ -149,3 +150,35 @@
     t.is(sockets, 2);
   });
 }
+
+// Guards against an answer that is lost because a copy comes in its place.
+for (
+  const [sign, bytes] of [
+    ["with its head", answer("first", "first")],
+    ["with other bytes", "rst"],
+    ["as the connection is idle", undefined],
+  ] as const
+) {
+  test(`a server that sent a second copy ${sign} gets new connections for calls that run once, for 5 s`, async (t) => {
+    let nowMs = 0;
+    let last = "";
+    const { results, sockets } = await runInTurn({
+      clock: { wallMs: () => nowMs, elapsedMs: () => nowMs },
+      ids: ["first", "second", "third", "fourth", "fifth", "sixth"],
+      serve: (socket, id) => {
+        last = id;
+        socket.write(answer(id, id) + (id === "first" ? bytes ?? "" : ""));
+      },
+      between: async (socket) => {
+        if (last === "first" && bytes === undefined) {
+          socket.write(answer("first", "first"));
+          await once(socket, "close");
+        }
+        if (last === "third") nowMs += 5_000;
+      },
+    });
+    t.true(results.every(({ isComplete }) => isComplete));
+    // The first three have one each, the others share the fourth.
+    t.is(sockets, 4);
+  });
+}
--- a/packages/platform/src/stuttering_servers_test.ts
+++ b/packages/platform/src/stuttering_servers_test.ts
@@ -54,6 +54,7 @@
 class Record {
   readonly runs = new Map<string, number>();
   readonly answered = new Set<string>();
+  readonly connections = new Set<Socket>();
   copies = 0;
 }
 
@@ -63,6 +64,7 @@
   const pick = <T>(values: readonly T[]) =>
     values[Math.floor(random() * values.length)]!;
   return (socket: Socket, text: string) => {
+    record.connections.add(socket);
     const id = /attempt-id: (\S+)/i.exec(text)?.[1] ?? "";
     const kind = /^POST \/(\w+)\//.exec(text)?.[1] as Kind;
     const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
@@ -254,6 +256,7 @@
     await Promise.all(Array.from({ length: 24 }, callInTurn));
     t.log(JSON.stringify({
       copies: record.copies,
+      connections: record.connections.size,
       ...Object.fromEntries([...tally].sort()),
     }));
     t.true(record.copies > requestCount * stutterShare / 4);
