Take no late copy of a report for the answer to an order

What could be seen: none by callers; the rollout takes an order as carried out ('already_holds') that the engine has only just accepted or has refused.

Cause: reports and orders share kept connections, and answers to calls have no id. The copy of a report, a 200, that comes as the order does is its answer.

Evidence: rollout_order_client_test gets 'already_holds' before this commit and 'accepted' after it.

Why it works: a new connection carries no copy of another answer. Orders are few. A late copy of a report that is taken for the next report remains possible; it is one report older.

--- a/packages/platform/src/rollout_order_client.ts
+++ b/packages/platform/src/rollout_order_client.ts
@@ -39,6 +39,9 @@
   memory: MemoryBudget,
 ): RolloutOrderClient {
   const agent = new Agent({ keepAlive: true, timeout: 4_000 });
+  // Answers to calls have no id. A late copy of a report would be taken for the
+  // answer to an order on the same connection.
+  const orderAgent = new Agent({ keepAlive: false });
   return {
     async report(engine) {
       const answer = await call(agent, engine, {
@@ -60,7 +63,7 @@
         fence: order.epoch,
         expect: order.acceptedOrders,
       });
-      const answer = await call(agent, engine, {
+      const answer = await call(orderAgent, engine, {
         memory,
         method: "POST",
         path: PATHS.order,
