--- a/packages/platform/src/stuttering_servers_test.ts
+++ b/packages/platform/src/stuttering_servers_test.ts
@@ -17,7 +17,20 @@
 const KINDS = ["book", "ask", "draft"] as const;
 type Kind = typeof KINDS[number];
 /** When and of what a second copy is sent. */
-const FORMS = ["at once", "soon", "late", "with next", "two pieces", "tail"];
+const FORMS = [
+  "at once",
+  "soon",
+  "late",
+  "with next",
+  "two pieces",
+  "tail",
+  "cut off",
+  "refusal",
+  "refusal with next",
+  "hints with next",
+];
+const REFUSAL = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const HINTS = "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n";
 const FRAMINGS = (process.env["STUTTER_FRAMINGS"] ?? "length,chunked,none")
   .split(",");
 
@@ -114,6 +127,17 @@
         write(sent, end);
         pending.set(socket, answer);
       },
+      "cut off": () => write(sent + answer.slice(0, cut), end),
+      "refusal": () =>
+        write(sent + REFUSAL.replace("Not", `Attempt-Id: ${id}\r\nNot`), end),
+      "refusal with next": () => {
+        write(sent, end);
+        pending.set(socket, REFUSAL);
+      },
+      "hints with next": () => {
+        write(sent, end);
+        pending.set(socket, HINTS + answer);
+      },
       // A piece without a head can't be told from an answer in the midst of
       // which it comes, so it follows in the same turn.
       "two pieces": () => {
