--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -159,6 +159,42 @@
   t.false((result.head?.message as { isFramed: boolean }).isFramed);
 });
 
+test("a second copy is no part of a forwarded answer without a length", async (t) => {
+  const answer = `${HEAD}Connection: close\r\n\r\nrest`;
+  const { send } = await start(t, (socket) => socket.end(answer + answer));
+  const result = await send();
+  t.true(result.isComplete);
+  t.is(result.body, "rest");
+});
+
+test("a forwarded answer without a length is incomplete when it is reset", async (t) => {
+  const { send } = await start(t, (socket) => {
+    socket.write(`${HEAD}Connection: close\r\n\r\nhalf`);
+    socket.resetAndDestroy();
+  });
+  t.like(await send(), { isComplete: false, failure: { kind: "broken" } });
+});
+
+// Such a refusal may be a copy of one to an earlier request, and the request at
+// hand runs.
+test("a refusal without an id on a used connection tells a forwarded request nothing", async (t) => {
+  const sockets = new Set<Socket>();
+  const { send } = await start(t, (socket) => {
+    const isUsed = sockets.has(socket);
+    sockets.add(socket);
+    const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" +
+      "Content-Length: 0\r\n\r\n";
+    const answer = `${HEAD}Content-Length: 4\r\n\r\ndone`;
+    socket.write((isUsed ? refusal : "") + answer);
+  });
+  t.true((await send()).isComplete);
+  await new Promise(setImmediate);
+  const second = await send();
+  t.is(sockets.size, 1);
+  t.is(second.head, undefined);
+  t.like(second, { isComplete: false, failure: { kind: "broken" } });
+});
+
 const CUTS: Readonly<Record<string, (socket: Socket) => void>> = {
   "before its head": (socket) => socket.destroy(),
   "in its body": (socket) => {
