List pieces of late copies within later answers as a known fault

A server that writes the end of an earlier answer's copy in the midst of a later answer on the same connection: the caller gets it as part of the body. Nothing in the bytes tells them from the body.

--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -182,3 +182,26 @@
     t.is(sockets, 4);
   });
 }
+
+// The end of a copy has no head that tells whose it is.
+for (
+  const [framing, fields] of [
+    ["without a length", "Connection: close\r\n"],
+    ["with a length", "Content-Length: 9\r\n"],
+  ] as const
+) {
+  test(`the end of a late copy is no part of a later answer ${framing}`, async (t) => {
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) => {
+        if (id === "first") return void socket.write(answer(id, id));
+        const head =
+          `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n`;
+        socket.end(`${head}${fields}\r\nsec${"rst"}ondly`);
+      },
+    });
+    t.is(sockets, 1);
+    const second = results[1]!;
+    t.true(!second.isComplete || second.body === "secondly", second.body);
+  });
+}
