--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -8,6 +8,7 @@
 import type {
   BackendServerId,
   FailureDomainId,
+  IncarnationId,
   TeamId,
   VmId,
 } from "@endivebend/types";
@@ -17,6 +18,7 @@
   RELAYED_ROUND_MS,
 } from "./gossip_channel.ts";
 import type { GossipMessage, RelayedMessage } from "./gossip_message.ts";
+import { LimitSharers } from "./limit_sharers.ts";
 import {
   planRelays,
   type RelayCandidate,
@@ -115,8 +117,11 @@
    * placement asks for every server, and few daemons have work at one of them.
    */
   #workersByServer: ReadonlyMap<string, readonly FleetMember[]> | undefined;
-  /** Daemons that have ended or fallen silent; a list may still have them. */
-  readonly #ended = new Set<VmId>();
+  /**
+   * Daemons that have ended or fallen silent; a list may still have them. One
+   * that has ended is held with its process, whose messages may still come.
+   */
+  readonly #ended = new Map<VmId, IncarnationId | undefined>();
   /** When relays last brought the messages of each failure domain. */
   readonly #bundleAtMs = new Map<FailureDomainId, number>();
   /** Since when relays carry the messages; infinite while they don't. */
@@ -127,10 +132,17 @@
   #wasRelayed = false;
   #relayPlan: RelayPlan | undefined;
   #relayPlanUntilMs = Number.NEGATIVE_INFINITY;
-
-  constructor(self: VmId, failureDomain: FailureDomainId) {
+  readonly #sharers: LimitSharers;
+
+  /** `limitWindowMs` is the longest window of a limit that the fleet shares. */
+  constructor(
+    self: VmId,
+    failureDomain: FailureDomainId,
+    { limitWindowMs }: { readonly limitWindowMs: number },
+  ) {
     this.#self = self;
     this.#failureDomain = failureDomain;
+    this.#sharers = new LimitSharers(limitWindowMs);
   }
 
   /** Adds a daemon of the platform's list that was not heard of before. */
@@ -138,6 +150,7 @@
     if (vm === this.#self || this.#ended.has(vm)) return;
     const known = this.#members.get(vm);
     if (known !== undefined) return;
+    this.#sharers.add(vm, nowMs);
     this.#members.set(vm, {
       vm,
       address,
@@ -148,8 +161,8 @@
 
   /**
    * Applies a message, which a relay may have received `ageMs` ago. Returns
-   * undefined for a message of this daemon itself or one that is not newer than
-   * the last one of its sender.
+   * undefined for a message of this daemon itself, of a process that has ended,
+   * or one that is not newer than the last one of its sender.
    */
   applyMessage(
     message: GossipMessage,
@@ -163,12 +176,15 @@
     if (isSameIncarnation && previous.sequence >= message.sequence) {
       return undefined;
     }
+    if (this.#ended.get(message.vm) === message.incarnation) return undefined;
     this.#workersByServer = undefined;
     if (message.isLeaving) {
       this.#members.delete(message.vm);
-      this.#ended.add(message.vm);
+      this.#ended.set(message.vm, message.incarnation);
+      this.#sharers.release(message.vm, nowMs);
     } else {
       this.#ended.delete(message.vm);
+      this.#sharers.add(message.vm, nowMs);
       const mayRelay = message.failureDomain === this.#failureDomain;
       this.#members.set(message.vm, {
         vm: message.vm,
@@ -294,6 +310,15 @@
     return this.#members.size + 1;
   }
 
+  /**
+   * Number of daemons among which limits of the whole fleet are shared, this one
+   * included. Unlike {@link size} it counts daemons that are silent, and those
+   * that have left within the limits' window.
+   */
+  sharerCount(nowMs: number): number {
+    return this.#sharers.others(nowMs).length + 1;
+  }
+
   /** Work of all other daemons at a backend server. */
   workAt(
     server: BackendServerId,
@@ -387,7 +412,7 @@
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
       this.#workersByServer = undefined;
       this.#members.delete(vm);
-      this.#ended.add(vm);
+      this.#ended.set(vm, undefined);
     }
   }
 }
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -36,6 +36,7 @@
   RoutedRequest,
   RouteName,
   SoftwareVersion,
+  TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
 import { isRepeatable } from "@endivebend/request-path";
@@ -46,6 +47,7 @@
   type ModelName,
   type RequestId,
   type ServiceName,
+  type TeamId,
   type VmId,
 } from "@endivebend/types";
 import { FrontDaemon, type FrontPorts, type ListenerContext } from "./mod.ts";
@@ -70,6 +72,9 @@
 const LINK_MS = 1;
 /** Time that a daemon waits for an engine's answer to a report or an order. */
 const ENGINE_CALL_TIMEOUT_MS = 700;
+/** The API key of all requests; there may be no team that holds it. */
+const KEY = "callers-key";
+const CALLER_TIMEOUT_MS = 6_000;
 const RUN_EVENTS = 12;
 /** An event; its text is the engine's software version, or else its id. */
 const EVENT = /id: (\d+)\ndata: (.*)\n\n/g;
@@ -79,6 +84,10 @@
 /** Time from the head of an answer until a deadly segment ends the engine. */
 const CRASH_DELAY_MS = 40;
 const RESTART_MS = 3_000;
+/** The balancer takes a daemon that drains out after two failed checks. */
+const TAKEN_OUT_MS = 2_000;
+/** Time from the last message of a daemon that has drained to its end. */
+const END_MS = 50;
 export const DOMAINS = ["a", "b", "c", "d"].map((name) =>
   brandId<FailureDomainId>(name)
 );
@@ -355,6 +364,8 @@
   readonly requestId: RequestId;
   readonly listener: AttemptListener;
   isOver: boolean;
+  /** Whether it is on its way to an engine that it can't reach yet. */
+  isHeld?: boolean;
 }
 
 /** A simulated engine. */
@@ -369,7 +380,11 @@
   asksForQuietMs: number | undefined;
   /** Whether its answers say that it leaves. */
   saysThatItLeaves: boolean;
+  /** Attempts that are sent to it arrive then at the earliest. */
+  heldUntilMs: number;
   readonly attempts: Set<RunningAttempt>;
+  /** The most attempts that it had at a time. */
+  peakAttempts: number;
 }
 
 /** A call to the log of the versions that began streams. */
@@ -403,8 +418,16 @@
   readonly kind?: RequestKind;
   /** Whether calls have no prompt; streams always have one. */
   readonly isPlain?: boolean;
+  /** Attempts of a request that may be repeated; 2 by default. */
+  readonly maxAttempts?: number;
+  /** Limit of the team whose key all requests bear; they bear none by default. */
+  readonly teamLimit?: Pick<TeamRules, "ratePerS" | "burst">;
+  /** Requests by which teams may exceed their limit in a window. */
+  readonly teamSlack?: number;
   /** Requests that an engine runs at a time; 128 by default. */
   readonly slots?: number;
+  /** Connections that an engine accepts from all daemons; 600 by default. */
+  readonly maxConnections?: number;
   /** Whether a daemon brings engines to the weights that are named. */
   readonly rollsOut?: boolean;
   /** No request may begin on older weights this long after newer were named. */
@@ -439,6 +462,8 @@
   readonly begunRuns: BegunRun[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
   readonly outcomes: Outcome[] = [];
+  /** Draws whether an engine breaks an answer off; set while engines do. */
+  breaksAnswer: (() => boolean) | undefined;
   /** Called for each request that an engine has as it ends. */
   onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
   readonly originCalls: OriginCall[] = [];
@@ -458,6 +483,7 @@
   readonly #gossipLinks: GossipLinks;
   readonly #eventsByRequest = new Map<RequestId, number>();
   readonly #options: FleetOptions;
+  #requestsHeldUntilMs = 0;
   #nextEngine = 0;
   #startedEngines = 0;
   #nextRequest = 0;
@@ -528,11 +554,43 @@
     return this.#daemons[index]?.isAlive === true;
   }
 
+  /** Closes the connections of a daemon that has ended. */
+  closeConnections(vm: VmId): void {
+    for (const { attempts } of this.#engines.values()) {
+      for (const attempt of attempts) {
+        if (attempt.vm !== vm) continue;
+        attempt.isOver = true;
+        attempts.delete(attempt);
+      }
+    }
+  }
+
   /** Ends the daemon without notice; its requests end with it. */
   killDaemon(index: number): void {
     this.#daemons[index]?.kill();
   }
 
+  /** Whether the balancer sends callers to the daemon. */
+  takesCallers(index: number): boolean {
+    return this.#daemons[index]?.takesCallers === true;
+  }
+
+  /** Sends SIGTERM to the daemon, which ends when it has drained. */
+  stopDaemon(index: number, ended: () => void = () => {}): void {
+    this.#daemons[index]?.ended.push(ended);
+    this.#daemons[index]?.stop();
+  }
+
+  /** Stops the daemon's process for a while; what reaches it waits. */
+  freezeDaemon(index: number, durationMs: number): void {
+    this.#daemons[index]?.freeze(durationMs);
+  }
+
+  /** Holds up requests on their way to all daemons. */
+  holdRequests(durationMs: number): void {
+    this.#requestsHeldUntilMs = this.time.nowMs + durationMs;
+  }
+
   /** The operator stores a configuration. */
   configure(revision: number): void {
     this.store.put("operator", "config", { revision });
@@ -581,22 +639,22 @@
         host: "bells.example",
         pathPrefix: "/",
         kind,
-        timeoutMs: 6_000,
+        timeoutMs: CALLER_TIMEOUT_MS,
         targetMs: 800,
         maxGapMs: 400,
-        maxAttempts: isRepeatable(kind) ? 2 : 1,
+        maxAttempts: isRepeatable(kind) ? this.#options.maxAttempts ?? 2 : 1,
         urgency: 1,
         allowsAnonymous: true,
         destinations: [{ service: SERVICE, weight: 1 }],
       }],
       services: [{
         name: SERVICE,
-        maxConnections: 600,
+        maxConnections: this.#options.maxConnections ?? 600,
         tokensPerEvent: TOKENS_PER_EVENT,
       }],
       cacheStores: [],
-      teams: [],
-      teamByKey: new Map(),
+      teams: this.#teams,
+      teamByKey: new Map(this.#teams.map((team) => [KEY, team])),
       callerLimits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 4_194_304,
@@ -606,6 +664,23 @@
     };
   }
 
+  get teamSlack(): number {
+    return this.#options.teamSlack ?? 0;
+  }
+
+  get #teams(): TeamRules[] {
+    const { teamLimit } = this.#options;
+    if (teamLimit === undefined) return [];
+    return [{
+      id: brandId<TeamId>("callers"),
+      urgency: undefined,
+      isIsolated: false,
+      ...teamLimit,
+      unit: "calls",
+      defaultTokens: 1,
+    }];
+  }
+
   /** Whether the requests are prompts of a model, not plain calls. */
   get isModel(): boolean {
     const { kind = "resumable_stream" } = this.#options;
@@ -650,8 +725,15 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
-    const takeUp = { takesUp, resumeAfter };
-    this.#daemons[daemon]?.serve(outcome, { events, takeUp });
+    const serving = { events, takeUp: { takesUp, resumeAfter } };
+    const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
+    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, serving);
+    else {
+      this.time.after(
+        heldMs,
+        () => this.#daemons[daemon]?.serve(outcome, serving),
+      );
+    }
     return outcome;
   }
 
@@ -892,7 +974,9 @@
       limitPerS: undefined,
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
+      heldUntilMs: 0,
       attempts: new Set(),
+      peakAttempts: 0,
       weights: 1,
       loading: undefined,
       acceptedOrders: 0,
@@ -958,6 +1042,14 @@
     engine.highestEpoch = 0;
   }
 
+  /**
+   * Holds up attempts on their way to the engine, as a lossy link does or a
+   * process that is paused. They also arrive once they have been given up.
+   */
+  holdArrivals(engine: Engine, durationMs: number): void {
+    engine.heldUntilMs = this.time.nowMs + durationMs;
+  }
+
   /**
    * The engine ends and starts again after `downMs` under its id with the
    * software version, and writes its entry `reportMs` later.
@@ -991,9 +1083,16 @@
   ): void {
     const { order, attempt } = sent;
     const { listener } = attempt;
-    if (attempt.isOver) return;
+    if (attempt.isOver && attempt.isHeld !== true) return;
     const engine = this.#engineAt(order.server.address);
+    const heldMs = (engine?.heldUntilMs ?? 0) - this.time.nowMs;
+    if (heldMs > 0) {
+      attempt.isHeld = true;
+      listener.sent();
+      return void this.time.after(heldMs, () => this.#arrive(vm, sent));
+    }
     if (engine === undefined) {
+      if (attempt.isOver) return;
       attempt.isOver = true;
       const reason = "connect ECONNREFUSED";
       return listener.failed({ kind: "unsent", reason });
@@ -1003,6 +1102,7 @@
     const body = String(order.request.message);
     const { id } = engine.listed;
     if (order.server.id !== id) {
+      if (attempt.isOver) return;
       attempt.isOver = true;
       const refusal = { status: 421, isMisdirected: true, hasProof: false };
       listener.sent();
@@ -1020,6 +1120,7 @@
       weights: engine.weights,
       expects: order.cache.weights,
     });
+    if (attempt.isOver) return;
     listener.sent();
     const { weights: expected } = order.cache;
     if (expected !== undefined && Number(expected) !== engine.weights) {
@@ -1049,6 +1150,7 @@
       return this.#noteRejection(engine);
     }
     engine.attempts.add(attempt);
+    engine.peakAttempts = Math.max(engine.peakAttempts, engine.attempts.size);
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
     this.begunRuns.push({
       atMs: prefillAtMs,
@@ -1120,6 +1222,17 @@
       this.time.after(CRASH_DELAY_MS, () => this.crash(engine));
       return;
     }
+    if (this.breaksAnswer?.() === true) {
+      this.time.after(EVENT_INTERVAL_MS, () => {
+        engine.attempts.delete(attempt);
+        this.#answer(
+          engine,
+          attempt,
+          () => breakOff(attempt, "read ECONNRESET"),
+        );
+      });
+      return;
+    }
     const { requestId } = order.request;
     const sent = Number(order.resumeAfter ?? 0);
     const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
@@ -1198,6 +1311,13 @@
   attempt.listener.failed({ kind: "broken", reason });
 }
 
+/** How a daemon serves a request. */
+interface Serving {
+  /** Events of the answer. */
+  readonly events: number | undefined;
+  readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
+}
+
 /** One daemon with its simulated ports. */
 class SimulatedDaemon {
   readonly vm: VmId;
@@ -1214,7 +1334,11 @@
   #context: ListenerContext | undefined;
   #onDatagram: (bytes: Buffer) => void = () => {};
   #forwardedRuns: ForwardedRuns | undefined;
+  readonly #daemon: FrontDaemon;
+  /** What happens to the process once it runs again; undefined while it does. */
+  #whenThawed: (() => void)[] | undefined;
   isAlive = true;
+  #isTakenOut = false;
 
   constructor(world: TestFleet, index: number) {
     this.#world = world;
@@ -1226,7 +1350,7 @@
     this.gossipAddress = gossipAddressOf(index);
     this.recordAddress = `${ip}:7601`;
     this.forwardAddress = `${ip}:7602`;
-    new FrontDaemon({
+    this.#daemon = new FrontDaemon({
       vm: this.vm,
       ip,
       failureDomain: DOMAINS[index % DOMAINS.length]!,
@@ -1236,18 +1360,53 @@
       leaseMs: 3_000,
       weightsBoundMs: world.weightsBoundMs,
       bounds: {
-        tolerance: { overshootShare: 0.1, slackUnits: 0, windowMs: 8_000 },
+        tolerance: {
+          overshootShare: 0.1,
+          slackUnits: world.teamSlack,
+          windowMs: 8_000,
+        },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
       },
-    }, this.#ports()).start();
+    }, this.#ports());
+    this.#daemon.start();
   }
 
   kill(): void {
+    if (!this.isAlive) return;
     this.isAlive = false;
     this.storeAccess.end();
+    this.#world.closeConnections(this.vm);
     for (const notify of this.ended) notify();
   }
 
+  stop(): void {
+    // The process ends when the simulated time says so, not a real timer.
+    this.#daemon.stop(() => {});
+    this.#time.after(TAKEN_OUT_MS, () => {
+      this.#isTakenOut = true;
+    });
+  }
+
+  get takesCallers(): boolean {
+    return this.isAlive && !this.#isTakenOut;
+  }
+
+  freeze(durationMs: number): void {
+    this.#whenThawed = [];
+    this.#time.after(durationMs, () => {
+      const tasks = this.#whenThawed ?? [];
+      this.#whenThawed = undefined;
+      for (const task of tasks) this.#whileRunning(task);
+    });
+  }
+
+  /** Runs what happens to the process, once it is not frozen. */
+  #whileRunning(task: () => void): void {
+    if (!this.isAlive) return;
+    if (this.#whenThawed === undefined) task();
+    else this.#whenThawed.push(task);
+  }
+
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
     const { requestId, digest, work } = order.request;
@@ -1267,25 +1426,33 @@
   }
 
   receive(bytes: Buffer): void {
-    if (this.isAlive) this.#onDatagram(bytes);
+    this.#whileRunning(() => this.#onDatagram(bytes));
   }
 
-  serve(
-    outcome: Outcome,
-    { events = RUN_EVENTS, takeUp }: {
-      readonly events: number | undefined;
-      readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
-    },
-  ): void {
+  serve(outcome: Outcome, serving: Serving): void {
+    this.#whileRunning(() => {
+      // A caller that has given up has closed its connection.
+      const waitedMs = this.#time.nowMs - outcome.sentAtMs;
+      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, serving);
+    });
+  }
+
+  #serve(outcome: Outcome, serving: Serving): void {
+    const { events = RUN_EVENTS, takeUp } = serving;
+    const renewal = this.#context?.whenCurrent();
+    if (renewal !== undefined) {
+      const serve = () => this.#serve(outcome, serving);
+      return void renewal.then(() => this.#whileRunning(serve));
+    }
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
       path: "/",
-      key: undefined,
+      key: KEY,
       tokens: undefined,
     });
     if (admission === undefined || admitted?.kind !== "admitted") return;
-    const { nowMs } = this.#time;
+    const deadlineMs = outcome.sentAtMs + CALLER_TIMEOUT_MS;
     const opened = admission.open({
       ...admitted,
       requestId: outcome.requestId,
@@ -1298,8 +1465,8 @@
           prompt: promptOf(outcome),
         }
         : undefined,
-      deadlineMs: nowMs + 6_000,
-      timeoutAtMs: nowMs + 6_000,
+      deadlineMs,
+      timeoutAtMs: deadlineMs,
       ...takeUp,
       message: outcome.body,
     }, this.#sink(outcome));
@@ -1349,7 +1516,14 @@
     return {
       clock: this.#time,
       scheduler: this.#scheduler(),
-      log: { decision: record, stateChange: record, flush() {} },
+      log: {
+        decision: record,
+        stateChange: (step, fields) => {
+          record(step, fields);
+          if (step === "end") this.#time.after(END_MS, () => this.kill());
+        },
+        flush() {},
+      },
       metrics: {
         count() {},
         gauge() {},
@@ -1468,9 +1642,7 @@
   #scheduler(): Scheduler {
     return {
       after: (delayMs, task) =>
-        this.#time.after(delayMs, () => {
-          if (this.isAlive) task();
-        }),
+        this.#time.after(delayMs, () => this.#whileRunning(task)),
     };
   }
 
@@ -1478,7 +1650,7 @@
     const guard =
       <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
       (...args: Arguments) => {
-        if (this.isAlive) call(...args);
+        this.#whileRunning(() => call(...args));
       };
     return {
       connected: guard(() => listener.connected()),
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -36,6 +36,7 @@
   brandId,
   type RequestId,
 } from "@endivebend/types";
+import { AnswerBody, mayEndInHead } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
@@ -54,8 +55,8 @@
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
   /**
-   * Whether the answer has a length or transfer encoding; otherwise it ends
-   * with its connection.
+   * Whether the answer has a length or chunks; otherwise it ends with its
+   * connection.
    */
   readonly isFramed: boolean;
 }
@@ -80,6 +81,11 @@
 const DECIMAL = /^\d{1,16}(?:\.\d{1,16})?$/;
 /** A server that asks for a longer quiet is asked again after this time. */
 const MAX_QUIET_MS = 3_600_000;
+/** A late copy of an answer to one of so many requests is recognized. */
+const MAX_NOTED_REQUESTS = 32;
+const FOREIGN_ANSWER = "The answer belongs to another request";
+const FOREIGN_HEAD = "The answer ends in the head of another one";
+const ENDS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -93,7 +99,11 @@
   override keepSocketAlive(socket: Socket): boolean {
     const hint = keepAliveMsBySocket.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS;
     const idleMs = hint - IDLE_MARGIN_MS;
-    if (idleMs <= 0) return false;
+    const lastRead = lastReadBySocket.get(socket);
+    lastReadBySocket.delete(socket);
+    // The parser drops the beginning of a head that follows an answer.
+    const isFollowed = lastRead !== undefined && mayEndInHead(lastRead);
+    if (idleMs <= 0 || isFollowed) return false;
     socket.setKeepAlive(true, 1_000);
     socket.setTimeout(idleMs);
     socket.on("data", destroyOnStrayBytes);
@@ -102,6 +112,7 @@
 
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     socket.off("data", destroyOnStrayBytes);
+    socket.off("data", noteRead);
     super.reuseSocket(socket, request);
   }
 }
@@ -110,9 +121,43 @@
   this.destroy();
 }
 
+/** The bytes that were read last; they are kept while an answer is read. */
+const lastReadBySocket = new WeakMap<Socket, Buffer>();
+
+function noteRead(this: Socket, bytes: Buffer): void {
+  lastReadBySocket.set(this, bytes);
+}
+
 /** Keep-alive time that a socket's server last stated, in milliseconds. */
 const keepAliveMsBySocket = new WeakMap<Socket, number>();
 
+/** The last requests that a socket has carried, the newest last. */
+const requestsBySocket = new WeakMap<Socket, RequestId[]>();
+
+function noteRequest(socket: Socket, request: RequestId): void {
+  const requests = requestsBySocket.get(socket) ?? [];
+  requestsBySocket.set(socket, requests);
+  requests.push(request);
+  if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
+}
+
+function idleSockets(agent: Agent | undefined): Socket[] {
+  return Object.values(agent?.freeSockets ?? {})
+    .flatMap((sockets) => sockets ?? []);
+}
+
+/**
+ * Closes idle connections where one of them has carried the request before: a
+ * late copy of what its server answered then has the request's id.
+ */
+function closeFormerConnections(agent: Agent, request: RequestId): void {
+  const sockets = idleSockets(agent);
+  const isFormer = sockets.some((socket) =>
+    requestsBySocket.get(socket)?.includes(request)
+  );
+  if (isFormer) { for (const socket of sockets) socket.destroy(); }
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -169,10 +214,7 @@
     },
     checkListening,
     closeIdleConnections(address) {
-      const agent = agents.get(address);
-      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      for (const socket of idleSockets(agents.get(address))) socket.destroy();
     },
   };
 }
@@ -250,6 +292,9 @@
   listener: AttemptListener,
 ): AttemptHandle {
   const { message, isForwarded = false } = exchange;
+  if (!isForwarded) {
+    closeFormerConnections(exchange.agent, exchange.expected.requestId);
+  }
   const outgoing = openRequest(exchange);
   if (outgoing instanceof Error) {
     const { message: reason } = outgoing;
@@ -260,8 +305,13 @@
   let wasSent = false;
   let isFinished = false;
   let isPaused = false;
+  let body: AnswerBody | undefined;
+  const relay = (bytes: Buffer) => {
+    if (!isFinished && bytes.length > 0) listener.data(bytes);
+  };
   const batch = new ChunkBatch((bytes) => {
-    if (!isFinished) listener.data(bytes);
+    relay(body === undefined ? bytes : body.push(bytes));
+    if (body?.isCutOff) fail(FOREIGN_HEAD);
   });
   const fail = (
     reason: string,
@@ -286,6 +336,8 @@
     if (!wasSent) fail("The server did not accept the connection in time");
   };
   outgoing.on("socket", (socket) => {
+    noteRequest(socket, exchange.expected.requestId);
+    socket.on("data", noteRead);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
@@ -348,7 +400,17 @@
     const { expected } = exchange;
     const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
-      return fail("The answer belongs to another request");
+      return fail(FOREIGN_ANSWER);
+    }
+    const { socket } = response;
+    const { requestId } = expected;
+    const earlier = requestsBySocket.get(socket)?.slice(0, -1) ?? [];
+    body = new AnswerBody({ requestId, earlier, isFramed: isFramed(response) });
+    let wasReset = false;
+    if (!isFramed(response)) {
+      const noteReset = () => wasReset = !hasPeer(socket);
+      socket.prependListener("end", noteReset);
+      response.once("close", () => socket.off("end", noteReset));
     }
     response.on("error", ({ message }) => fail(message));
     response.on("aborted", () => fail("The answer was cut off before its end"));
@@ -361,13 +423,17 @@
     response.on("end", () => {
       batch.flush();
       if (isFinished) return;
-      if (!response.complete) {
+      if (!response.complete || wasReset) {
         return fail("The answer was cut off before its end");
       }
       const trailerFault = findFieldFault(response.rawTrailers);
       if (trailerFault !== undefined) {
         return fail(`The answer's trailer has ${trailerFault}`);
       }
+      const rest = body?.end();
+      if (rest === undefined || body?.isCutOff) return fail(FOREIGN_HEAD);
+      relay(rest);
+      if (isFinished) return;
       isFinished = true;
       listener.end();
     });
@@ -391,6 +457,23 @@
   };
 }
 
+/**
+ * Whether a socket that has ended was closed in order by its peer. libuv reports
+ * a reset as an end when it reads it together with data; the kernel has
+ * forgotten the peer then.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
+/** Whether an answer doesn't end with its connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding === undefined
+    ? headers["content-length"] !== undefined
+    : ENDS_CHUNKED.test(coding);
+}
+
 /**
  * Reads a short refusal to its end, so that its connection can be reused;
  * otherwise destroys the request.
@@ -490,8 +573,7 @@
     statusText: response.statusMessage ?? "",
     rawHeaders,
     isFramed: headers[FORWARD_HEADERS.unframed] === undefined &&
-      (headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined),
+      isFramed(response),
   };
   return {
     status,
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -47,6 +47,12 @@
 import type { WeightsProbes } from "./weights_probes.ts";
 import { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 
+/**
+ * Why a request is sent once more: its attempt broke, its server did not run
+ * it, or its attempt is silent and stays open.
+ */
+export type RepeatCause = "broken" | "not_run" | "silent";
+
 /** Dependencies and state that all requests share. */
 export interface RequestContext extends PlacementContext {
   readonly clock: Clock;
@@ -61,8 +67,10 @@
   readonly memory: MemoryBudget;
   readonly weightsProbes: WeightsProbes;
   readonly streamOrigins: StreamOrigins;
-  /** Takes one retry from the shared budget; false when it is used up. */
-  tryRetry(request: RoutedRequest): boolean;
+  /** Takes one repeat from the shared budget; false when it is used up. */
+  tryRetry(request: RoutedRequest, cause: RepeatCause): boolean;
+  /** Called once for each repeat taken: it has arrived, or will not. */
+  settleRetry(request: RoutedRequest): void;
   /** Called once, when the request has ended. */
   ended(
     request: RoutedRequest,
@@ -101,10 +109,14 @@
 /** What shows that an attempt is broken. */
 type FaultSource = "answer" | "connection" | "silence";
 
-/** The wait of an answer for a server of its software version. */
-interface Wait {
-  /** Why the answer is broken off at the end of the wait. */
+/** Why a request is sent again, and what is said where that can't be done. */
+interface RetryCauses {
   readonly reason: RefusalReason;
+  readonly cause: RepeatCause;
+}
+
+/** The wait of an answer for a server of its software version. */
+interface Wait extends RetryCauses {
   /** When the last event came. */
   readonly lastProgressMs: number;
   readonly nextMs: number;
@@ -145,6 +157,8 @@
   /** Number of attempts that may have run the request. */
   #possiblyRunAttempts = 0;
   #notRunAttempts = 0;
+  /** Repeats that were taken for an attempt that is not open yet. */
+  #pendingRepeats = 0;
 
   constructor(
     context: RequestContext,
@@ -341,10 +355,13 @@
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
       replaces: this.#attempt?.server.listed.id,
     });
+    const pendingRepeats = this.#pendingRepeats;
+    this.#pendingRepeats = 0;
     return newAttempt({
       server,
       origin: originAt(server.listed),
       forwarder,
+      pendingRepeats,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
       isProbe,
@@ -442,6 +459,7 @@
 
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (!this.#isOpen(attempt)) return;
+    this.#settleRepeats(attempt);
     const nowMs = this.#nowMs();
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
@@ -558,7 +576,21 @@
       });
       return undefined;
     }
-    return this.#context.tryRetry(this.#request) ? placement : undefined;
+    return this.#tryRetry("silent") ? placement : undefined;
+  }
+
+  /** Takes a repeat, unless one that was taken before reached no server. */
+  #tryRetry(cause: RepeatCause): boolean {
+    if (this.#pendingRepeats > 0) return true;
+    const isAllowed = this.#context.tryRetry(this.#request, cause);
+    if (isAllowed) this.#pendingRepeats += 1;
+    return isAllowed;
+  }
+
+  #settleRepeats(attempt: Attempt): void {
+    for (; attempt.pendingRepeats > 0; attempt.pendingRepeats--) {
+      this.#context.settleRetry(this.#request);
+    }
   }
 
   #hasAttemptsLeft(): boolean {
@@ -711,12 +743,14 @@
 
   /** Handles an attempt that reached no server, so the next is no retry. */
   #handleUnsent(attempt: Attempt, reason: string): void {
+    this.#pendingRepeats += attempt.pendingRepeats;
+    attempt.pendingRepeats = 0;
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
     if (!mayRetry) return this.#giveUp("overloaded");
-    if (this.#relay.hasBegun) return this.#retry("overloaded", attempt);
-    this.#startAgain();
+    if (!this.#relay.hasBegun) return this.#startAgain();
+    this.#retry({ reason: "overloaded", cause: "not_run" }, attempt);
   }
 
   /** Handles an attempt that its server has not run. */
@@ -727,7 +761,10 @@
       return this.#giveUp("stale_weights");
     }
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
-    if (mayRetry) return this.#retry("overloaded", attempt);
+    if (mayRetry) {
+      const causes = { reason: "overloaded", cause: "not_run" } as const;
+      return this.#retry(causes, attempt);
+    }
     this.#giveUp("overloaded");
   }
 
@@ -735,14 +772,14 @@
    * Sends the request to another server, with a retry taken from the budget. An
    * answer that has begun waits for a server of its software version.
    */
-  #retry(reason: RefusalReason, after: Attempt | Wait): void {
+  #retry({ reason, cause }: RetryCauses, after: Attempt | Wait): void {
     this.#wait = undefined;
     const nowMs = this.#nowMs();
     const server = this.#relay.hasBegun ? this.#findNext() : undefined;
     const mayStart = !this.#relay.hasBegun ||
       (server !== undefined && this.#isCurrent(server));
     if (mayStart) {
-      const mayRetry = this.#context.tryRetry(this.#request);
+      const mayRetry = this.#tryRetry(cause);
       return mayRetry ? this.#startAgain() : this.#giveUp(reason);
     }
     const { lastProgressMs } = after;
@@ -751,10 +788,10 @@
       return this.#giveUp(reason);
     }
     const nextMs = Math.min(nowMs + REPLACE_INTERVAL_MS, untilMs);
-    this.#wait = { reason, lastProgressMs, nextMs };
+    this.#wait = { reason, cause, lastProgressMs, nextMs };
     if (server === undefined) return;
     this.#checkProcesses(server, () => {
-      if (this.#wait !== undefined) this.#retry(reason, this.#wait);
+      if (this.#wait !== undefined) this.#retry(this.#wait, this.#wait);
     });
   }
 
@@ -862,7 +899,9 @@
       this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#suspects);
     const refusal = reason === "silent" ? "server_silent" : "server_failed";
-    if (mayRetry) return this.#retry(refusal, attempt);
+    if (mayRetry) {
+      return this.#retry({ reason: refusal, cause: "broken" }, attempt);
+    }
     this.#giveUp(refusal);
   }
 
@@ -1033,7 +1072,7 @@
       return this.#expire();
     }
     if (this.#wait !== undefined && nowMs >= this.#wait.nextMs) {
-      return this.#retry(this.#wait.reason, this.#wait);
+      return this.#retry(this.#wait, this.#wait);
     }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
@@ -1141,6 +1180,7 @@
 
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
+    this.#settleRepeats(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#attempt;
@@ -1154,6 +1194,10 @@
     this.#hasEnded = true;
     this.#cancelTimer();
     this.#relay.dropBuffered();
+    for (; this.#pendingRepeats > 0; this.#pendingRepeats--) {
+      this.#context.settleRetry(this.#request);
+    }
+    for (const attempt of this.#openAttempts()) this.#settleRepeats(attempt);
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -21,57 +21,144 @@
 /** Share of the limit that is used; the rest covers messages in transit. */
 const BUDGET_UTILIZATION = 0.9;
 
+/** When a retry is asked for, and by whom the slack is shared. */
+export interface RetryMoment {
+  readonly nowMs: number;
+  /**
+   * Daemons that may use a part of the slack, this one included; undefined
+   * while the fleet's list is not known.
+   */
+  readonly sharers: number | undefined;
+}
+
+/**
+ * Requests of a slot that allow retries: as many as in these slots before it, or
+ * twice the mean of the slots in the window before it.
+ */
+const COMPARED_SLOTS = 4;
+const MAX_TIMES_MEAN = 2;
+/** Requests of a slot that allow retries in any case. */
+const MIN_CREDITED = 1;
+
 interface Slot {
   readonly index: number;
   requests: number;
+  /** The requests that allow retries, up to {@link Slot.maxCredited}. */
+  credited: number;
+  readonly maxCredited: number;
   repeats: number;
 }
 
+interface Sums {
+  readonly requests: number;
+  readonly credited: number;
+  readonly repeats: number;
+}
+
 /** Counters of one service. */
 class ServiceCounts {
+  readonly #startIndex: number;
+  readonly #windowSlots: number;
+  /** Repeats that may not have arrived yet. */
+  pendingRepeats = 0;
   #slots: Slot[] = [];
 
+  constructor(
+    options: { readonly startIndex: number; readonly windowSlots: number },
+  ) {
+    this.#startIndex = options.startIndex;
+    this.#windowSlots = options.windowSlots;
+  }
+
   slotAt(index: number): Slot {
     const last = this.#slots.at(-1);
     if (last?.index === index) return last;
-    const slot = { index, requests: 0, repeats: 0 };
+    const slot = {
+      index,
+      requests: 0,
+      credited: 0,
+      maxCredited: this.#maxCredited(index),
+      repeats: 0,
+    };
     this.#slots.push(slot);
     return slot;
   }
 
+  recordRequest(index: number): void {
+    const slot = this.slotAt(index);
+    slot.requests += 1;
+    slot.credited = Math.min(slot.requests, slot.maxCredited);
+  }
+
   /** Sums over slots that overlap the window. */
-  sums(firstIndex: number): { requests: number; repeats: number } {
+  sums(firstIndex: number): Sums {
     this.#slots = this.#slots.filter(({ index }) => index >= firstIndex);
     let requests = 0;
+    let credited = 0;
     let repeats = 0;
     for (const slot of this.#slots) {
       requests += slot.requests;
+      credited += slot.credited;
       repeats += slot.repeats;
     }
-    return { requests, repeats };
+    return { requests, credited, repeats };
+  }
+
+  /**
+   * Requests that waited on their way, or while the process was paused, come at
+   * once. They were sent in earlier windows, whose retries are over. Nothing can
+   * have waited for a process that has just started.
+   */
+  #maxCredited(index: number): number {
+    if (index - this.#startIndex < COMPARED_SLOTS) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const mean = this.#creditedSince(index - this.#windowSlots) /
+      this.#windowSlots;
+    return Math.max(
+      MIN_CREDITED,
+      this.#creditedSince(index - COMPARED_SLOTS),
+      MAX_TIMES_MEAN * mean,
+    );
+  }
+
+  #creditedSince(firstIndex: number): number {
+    return this.#slots
+      .filter(({ index }) => index >= firstIndex)
+      .reduce((sum, { credited }) => sum + credited, 0);
   }
 }
 
 /**
  * This daemon's share of the budget: retries for its own requests, and an equal
- * part of the slack.
+ * part of the slack. What an earlier process of this VM has used is not known,
+ * so its part of the slack counts as used until a window has passed.
  *
  * @example
  * ```ts
+ * const budget = new RetryBudget(limits, { startedAtMs });
  * budget.recordRequest(service, nowMs);
- * if (budget.tryRetry(service, { nowMs, fleetSize: 9 })) sendAgain();
+ * if (budget.tryRetry(service, { nowMs, sharers: 9 })) await sendAgain();
+ * budget.settleRetry(service, nowMs);
  * ```
  */
 export class RetryBudget {
   readonly #limits: RetryLimits;
+  readonly #startIndex: number;
+  readonly #slackFromMs: number;
   readonly #services = new Map<ServiceName, ServiceCounts>();
 
-  constructor(limits: RetryLimits) {
+  constructor(
+    limits: RetryLimits,
+    { startedAtMs }: { readonly startedAtMs: number },
+  ) {
     this.#limits = limits;
+    this.#startIndex = slotIndex(startedAtMs);
+    this.#slackFromMs = startedAtMs + limits.windowMs + SLOT_MS;
   }
 
   recordRequest(service: ServiceName, nowMs: number): void {
-    this.#countsOf(service).slotAt(slotIndex(nowMs)).requests += 1;
+    this.#countsOf(service).recordRequest(slotIndex(nowMs));
   }
 
   /** Requests a second for each service, over the window. */
@@ -86,26 +173,45 @@
     );
   }
 
-  /** Takes one retry; false when the budget is used up. */
-  tryRetry(
-    service: ServiceName,
-    at: { readonly nowMs: number; readonly fleetSize: number },
-  ): boolean {
-    const { windowMs, share, slack } = this.#limits;
+  /**
+   * Takes one retry; false when the budget is used up. It counts in all windows
+   * until it is settled.
+   */
+  tryRetry(service: ServiceName, at: RetryMoment): boolean {
+    const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
     const firstIndex = slotIndex(at.nowMs - windowMs);
-    const { requests, repeats } = counts.sums(firstIndex);
-    const allowed = (requests * share + slack / at.fleetSize) *
+    const { credited, repeats } = counts.sums(firstIndex);
+    const allowed = (credited * share + this.slackPart(at)) *
       BUDGET_UTILIZATION;
-    if (repeats + 1 > allowed) return false;
-    counts.slotAt(slotIndex(at.nowMs)).repeats += 1;
+    if (repeats + counts.pendingRepeats + 1 > allowed) return false;
+    counts.pendingRepeats += 1;
     return true;
   }
 
+  /**
+   * Records that a retry has arrived by now, or will not arrive. It counts in
+   * the windows from now on, as it may have waited on its way until now.
+   */
+  settleRetry(service: ServiceName, nowMs: number): void {
+    const counts = this.#countsOf(service);
+    counts.pendingRepeats -= 1;
+    counts.slotAt(slotIndex(nowMs)).repeats += 1;
+  }
+
+  /** Retries that this daemon may add to those for its requests. */
+  slackPart({ nowMs, sharers }: RetryMoment): number {
+    if (sharers === undefined || nowMs < this.#slackFromMs) return 0;
+    return this.#limits.slack / sharers;
+  }
+
   #countsOf(service: ServiceName): ServiceCounts {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const counts = new ServiceCounts();
+    const counts = new ServiceCounts({
+      startIndex: this.#startIndex,
+      windowSlots: this.#limits.windowMs / SLOT_MS,
+    });
     this.#services.set(service, counts);
     return counts;
   }
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -358,6 +358,7 @@
       }),
     },
     tryRetry: () => true,
+    settleRetry() {},
     ended() {},
     ...fields,
     registry,
