Count every daemon that was ever known before the store is away for all

Daemons that start together are listed to each other only in part: one that registered second knew of one peer. Cut off with that peer, it took the store as away for all daemons and its list of servers as current for as long as the cut lasted, and a stream of v2 was taken up at v1. The trace shows the take-up at vm-1, 2.3 s after the cut.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -126,8 +126,8 @@
    * restore. Peers may know what the store has lost.
    */
   readonly #unmergedTopics: Set<string>;
-  /** Number of other daemons that the store has listed. */
-  #registeredPeers = Number.POSITIVE_INFINITY;
+  /** The most other daemons that were known at a time. */
+  #mostPeers = 0;
   /** Whether the store has listed the other daemons. */
   #isRegistered = false;
   #drainingSinceMs: number | undefined;
@@ -443,8 +443,9 @@
     const nowMs = this.#nowMs();
     const peers = this.#fleet.reachable(nowMs);
     // A daemon that is cut off from its peers forgets them by and by.
+    this.#mostPeers = Math.max(this.#mostPeers, this.#fleet.members().length);
     const isAwayForAll = !this.#ports.store.isReachable &&
-      peers.length >= this.#registeredPeers &&
+      this.#isRegistered && peers.length >= this.#mostPeers &&
       peers.every(({ message }) => message?.reachesStore === false);
     if (isAwayForAll) return nowMs;
     return topicReadAtMs({
@@ -820,7 +821,6 @@
       for (const [member, memberIp] of members) {
         this.#fleet.list(member, this.#peerAddress(memberIp), this.#nowMs());
       }
-      this.#registeredPeers = members.size - 1;
       this.#isRegistered = true;
       log.stateChange("registered", { members: members.size });
       this.#gossipChannel.broadcast();
