Rely on a list of servers of 1 s, or on what the log says now

A daemon that was cut off relied on the only version it knew for 2 s, in which others may begin streams at another one. The list is 0.8 s old at most when all is well. A daemon with an older list now reads the log: whoever lists another version records that before it begins streams there. What tells whether streams are recorded does not depend on the age, so that a slow list causes no records.

--- a/packages/front/src/origin_knowledge.ts
+++ b/packages/front/src/origin_knowledge.ts
@@ -36,6 +36,9 @@
   failed(reason: string): void;
 }
 
+/** Age up to which the list, or what the log says, counts as current. */
+const MAX_AGE_MS = 1_000;
+
 /** What is known of the versions that began streams. */
 export class OriginKnowledge {
   readonly watch = new VersionWatch();
@@ -98,25 +101,23 @@
 
   /** The version that alone was listed for as long as any stream can live. */
   soleVersion(service: ServiceName): SoftwareVersion | undefined {
-    const lifeMs = this.#options.lives.lifeMs(service);
-    if (lifeMs === undefined) return undefined;
-    const nowMs = this.#options.nowMs();
-    return this.watch.soleVersion(service, { nowMs, lifeMs });
+    return this.#isListCurrent() ? this.#watchedVersion(service) : undefined;
   }
 
   /**
    * The only version that can have begun the service's live streams: the sole
    * one, or the one that the service had settled on before this daemon started.
+   * While the list may lack servers, the log has to say so: whoever lists
+   * another version records that before it begins streams there.
    */
   onlyVersion(service: ServiceName): SoftwareVersion | undefined {
-    const sole = this.soleVersion(service);
-    const lifeMs = this.#options.lives.lifeMs(service);
-    if (sole !== undefined || lifeMs === undefined) return sole;
-    const nowMs = this.#options.nowMs();
-    const seen = this.watch.soleSeen(service, { nowMs, lifeMs });
+    const version = this.#versionToRelyOn(service);
+    if (this.#isListCurrent()) return version;
+    const readAgeMs = this.#options.nowMs() - this.#readAtMs;
     const state = this.#currentStateOf(service);
-    const isSettled = state?.kind === "settled" && state.version === seen;
-    return isSettled ? seen : undefined;
+    const isSettled = readAgeMs <= MAX_AGE_MS && state?.kind === "settled" &&
+      state.version === version;
+    return isSettled ? version : undefined;
   }
 
   /** Whether streams of several versions may live. */
@@ -125,13 +126,36 @@
     if (lifeMs === undefined) return false;
     const versions = this.versions(service, lifeMs);
     if (versions.length > 1) return true;
-    if (this.onlyVersion(service) !== undefined) return false;
+    if (this.#versionToRelyOn(service) !== undefined) return false;
     const state = this.#currentStateOf(service);
     return state?.kind === "mixed" ||
       (state?.kind === "settled" &&
         versions.some((version) => version !== state.version));
   }
 
+  #isListCurrent(): boolean {
+    return this.watch.ageMs(this.#options.nowMs()) <= MAX_AGE_MS;
+  }
+
+  #watchedVersion(service: ServiceName): SoftwareVersion | undefined {
+    const lifeMs = this.#options.lives.lifeMs(service);
+    if (lifeMs === undefined) return undefined;
+    const nowMs = this.#options.nowMs();
+    return this.watch.soleVersion(service, { nowMs, lifeMs });
+  }
+
+  /** The only version, if the list was current until now. */
+  #versionToRelyOn(service: ServiceName): SoftwareVersion | undefined {
+    const watched = this.#watchedVersion(service);
+    const lifeMs = this.#options.lives.lifeMs(service);
+    if (watched !== undefined || lifeMs === undefined) return watched;
+    const nowMs = this.#options.nowMs();
+    const seen = this.watch.soleSeen(service, { nowMs, lifeMs });
+    const state = this.#currentStateOf(service);
+    const isSettled = state?.kind === "settled" && state.version === seen;
+    return isSettled ? seen : undefined;
+  }
+
   /** What the log says; what was read before the watch began may be over. */
   #currentStateOf(service: ServiceName): ServiceState | undefined {
     return this.isUnread ? undefined : this.#state.stateOf(service);
--- a/packages/stream-origins/src/version_watch.ts
+++ b/packages/stream-origins/src/version_watch.ts
@@ -13,8 +13,6 @@
  * gone unseen; they stay for longer.
  */
 const MAX_GAP_MS = 4_000;
-/** Age of the list up to which no daemon knows others for long. */
-const MAX_AGE_MS = 2_000;
 
 /** Which versions were listed, and when. */
 export class VersionWatch {
@@ -32,6 +30,11 @@
     return this.#sinceMs;
   }
 
+  /** How long ago the list of servers, as it is known, was current. */
+  ageMs(nowMs: number): number {
+    return nowMs - this.#currentAtMs;
+  }
+
   /** Records that the list of servers, as it is known, was current then. */
   noteCurrent(atMs: number): void {
     if (atMs <= Math.max(this.#currentAtMs, this.#pausedUntilMs)) return;
@@ -71,14 +74,12 @@
 
   /**
    * The only version that was listed within the last `lifeMs`, or since the
-   * watch began when that is shorter; undefined when there were several, or when
-   * the list may not be current.
+   * watch began when that is shorter; undefined when there were several.
    */
   soleSeen(
     service: ServiceName,
     time: { readonly nowMs: number; readonly lifeMs: number },
   ): SoftwareVersion | undefined {
-    if (time.nowMs - this.#currentAtMs > MAX_AGE_MS) return undefined;
     const versions = this.versions(service, time);
     return versions.length === 1 ? versions[0] : undefined;
   }
