--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -387,9 +387,6 @@
   peakAttempts: number;
 }
 
-/** Which stream a request goes on with, and after which event. */
-type TakeUp = Pick<RoutedRequest, "takesUp" | "resumeAfter">;
-
 /** A call to the log of the versions that began streams. */
 export interface OriginCall {
   readonly atMs: number;
@@ -728,12 +725,15 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
+    const serving = { events, takeUp: { takesUp, resumeAfter } };
     const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
-    const takeUp = { takesUp, resumeAfter };
-    const serve = () =>
-      this.#daemons[daemon]?.serve(outcome, { events, takeUp });
-    if (heldMs <= 0) serve();
-    else this.time.after(heldMs, serve);
+    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, serving);
+    else {
+      this.time.after(
+        heldMs,
+        () => this.#daemons[daemon]?.serve(outcome, serving),
+      );
+    }
     return outcome;
   }
 
@@ -1311,6 +1311,13 @@
   attempt.listener.failed({ kind: "broken", reason });
 }
 
+/** How a daemon serves a request. */
+interface Serving {
+  /** Events of the answer. */
+  readonly events: number | undefined;
+  readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
+}
+
 /** One daemon with its simulated ports. */
 class SimulatedDaemon {
   readonly vm: VmId;
@@ -1422,24 +1429,19 @@
     this.#whileRunning(() => this.#onDatagram(bytes));
   }
 
-  serve(
-    outcome: Outcome,
-    { events = RUN_EVENTS, takeUp }: {
-      readonly events: number | undefined;
-      readonly takeUp: TakeUp;
-    },
-  ): void {
+  serve(outcome: Outcome, serving: Serving): void {
     this.#whileRunning(() => {
       // A caller that has given up has closed its connection.
       const waitedMs = this.#time.nowMs - outcome.sentAtMs;
-      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, events, takeUp);
+      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, serving);
     });
   }
 
-  #serve(outcome: Outcome, events: number, takeUp: TakeUp): void {
+  #serve(outcome: Outcome, serving: Serving): void {
+    const { events = RUN_EVENTS, takeUp } = serving;
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
-      const serve = () => this.#serve(outcome, events, takeUp);
+      const serve = () => this.#serve(outcome, serving);
       return void renewal.then(() => this.#whileRunning(serve));
     }
     const admission = this.#context?.admission;
