--- a/packages/platform-soak/src/main.ts
+++ b/packages/platform-soak/src/main.ts
@@ -10,9 +10,9 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { parseKnownPlays, playName } from "./known_plays.ts";
-import { runPlay } from "./run_play.ts";
+import { type PlayResult, runPlay } from "./run_play.ts";
 import { planPlay, SCENARIO_NAMES } from "./scenarios.ts";
-import { formatBudget, type Verdict } from "./verdict.ts";
+import { formatBudget } from "./verdict.ts";
 
 const USAGE = `usage: npm run soak:platform -- [options]
   --scenario NAME  ${SCENARIO_NAMES.join(", ")} (default drawn)
@@ -48,7 +48,7 @@
   return text === undefined ? undefined : Number(text);
 }
 
-function printVerdict(verdict: Verdict): void {
+function printVerdict(verdict: PlayResult): void {
   const { breaches, budgets, outcomes, joinedStreams, takeUps } = verdict;
   const shown = Object.entries(outcomes).sort();
   console.log(
@@ -60,6 +60,9 @@
       `touch: ${takeUps.wentOn} of ${takeUps.asked} go on, ` +
       `${takeUps.newBegun} of ${takeUps.newAsked} new streams begin`,
   );
+  console.log(
+    `  servers and callers stood still for ${verdict.longestStallMs} ms at most`,
+  );
   for (const rule of new Set(breaches.map((breach) => breach.rule))) {
     const cases = breaches.filter((breach) => breach.rule === rule);
     console.log(`  ${rule}: ${cases.length}`);
--- a/packages/platform-soak/src/run_play.ts
+++ b/packages/platform-soak/src/run_play.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Callers } from "./callers.ts";
 import { inject } from "./faults.ts";
@@ -20,6 +21,13 @@
   readonly directory: string;
 }
 
+/** What came of a play. */
+export interface PlayResult extends Verdict {
+  /** Longest time in which servers and callers themselves stood still. */
+  readonly longestStallMs: number;
+}
+
+const NS_PER_MS = 1_000_000;
 /** Time in which the last faults end before the processes do. */
 const SETTLE_MS = 2_000;
 
@@ -34,7 +42,7 @@
 export async function runPlay(
   play: Play,
   { seed, durationMs, directory }: RunOptions,
-): Promise<Verdict> {
+): Promise<PlayResult> {
   const fleet = new Fleet(new Ledger(), play.shape, { seed, directory });
   const timers: NodeJS.Timeout[] = [];
   const open: Promise<void>[] = [];
@@ -59,11 +67,14 @@
     for (const fault of play.faults) {
       at(fault.atMs, () => open.push(inject(fleet, fault)));
     }
+    const stalls = monitorEventLoopDelay({ resolution: 10 });
+    stalls.enable();
     callers.start();
     await sleep(durationMs);
     await callers.stop();
     await Promise.race([Promise.all(open), sleep(SETTLE_MS)]);
-    return judge(ledger);
+    const longestStallMs = Math.round(stalls.max / NS_PER_MS);
+    return { ...judge(ledger), longestStallMs };
   } finally {
     for (const timer of timers) clearTimeout(timer);
     await fleet.close();
