Take retries at the pace of requests, so that restarts don't spend a share twice

Cause: a process saved up the share of a window's requests, took it at once, and the next process of the VM took the share of the requests after it. The guard of the slack does not cover it.

Why it works: retries of the last two seconds fit the share of the requests of these two seconds and the part of the slack, at least one, besides the window's own limit. So what ends with a process is the share of two seconds at most, and the tenth of the budget that is kept back covers it.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -580,9 +580,7 @@
     return this.#tryRetry("silent") ? placement : undefined;
   }
 
-  /** Takes a repeat, unless one that was taken before reached no server. */
   #tryRetry(cause: RepeatCause): boolean {
-    if (this.#pendingRepeats > 0) return true;
     const isAllowed = this.#context.tryRetry(this.#request, cause);
     if (isAllowed) this.#pendingRepeats += 1;
     return isAllowed;
--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -41,12 +41,24 @@
 /** Requests of a slot that allow retries in any case. */
 const MIN_CREDITED = 1;
 
+/**
+ * Retries keep pace with the requests of these slots. What a process has saved
+ * up over a window, and takes at once, would add to what the next process of its
+ * VM takes in the same window.
+ */
+const PACED_SLOTS = 4;
+/** Retries of the paced slots that are allowed in any case. */
+const MIN_PACED = 1;
+
 interface Slot {
   readonly index: number;
   requests: number;
   /** The requests that allow retries, up to {@link Slot.maxCredited}. */
   credited: number;
   readonly maxCredited: number;
+  /** Repeats that were taken, whether or not they have arrived. */
+  taken: number;
+  /** Repeats that have arrived. */
   repeats: number;
 }
 
@@ -76,6 +88,7 @@
       requests: 0,
       credited: 0,
       maxCredited: this.#maxCredited(index),
+      taken: 0,
       repeats: 0,
     };
     this.#slots.push(slot);
@@ -102,17 +115,23 @@
     return { requests, credited, repeats };
   }
 
+  takenSince(firstIndex: number): number {
+    return this.#slots
+      .filter(({ index }) => index >= firstIndex)
+      .reduce((sum, { taken }) => sum + taken, 0);
+  }
+
   /**
    * Requests that waited on their way, or while the process was paused, come at
    * once. They were sent in earlier windows, whose retries are over. They may
    * have waited for the start of the process as well.
    */
   #maxCredited(index: number): number {
-    const mean = this.#creditedSince(index - this.#windowSlots) /
+    const mean = this.creditedSince(index - this.#windowSlots) /
       this.#windowSlots;
     return Math.max(
       MIN_CREDITED,
-      this.#creditedSince(index - COMPARED_SLOTS),
+      this.creditedSince(index - COMPARED_SLOTS),
       MAX_TIMES_MEAN * mean,
     );
   }
@@ -131,7 +150,7 @@
     }
   }
 
-  #creditedSince(firstIndex: number): number {
+  creditedSince(firstIndex: number): number {
     return this.#slots
       .filter(({ index }) => index >= firstIndex)
       .reduce((sum, { credited }) => sum + credited, 0);
@@ -185,17 +204,27 @@
    * until it is settled.
    */
   tryRetry(service: ServiceName, at: RetryMoment): boolean {
-    const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
-    const firstIndex = slotIndex(at.nowMs - windowMs);
-    const { credited, repeats } = counts.sums(firstIndex);
-    const allowed = (credited * share + this.slackPart(at)) *
-      BUDGET_UTILIZATION;
-    if (repeats + counts.pendingRepeats + 1 > allowed) return false;
+    const { credited, repeats } = counts.sums(
+      slotIndex(at.nowMs - this.#limits.windowMs),
+    );
+    if (repeats + counts.pendingRepeats + 1 > this.#allowed(credited, at)) {
+      return false;
+    }
+    const pacedFrom = slotIndex(at.nowMs) - PACED_SLOTS + 1;
+    const paced = this.#allowed(counts.creditedSince(pacedFrom), at);
+    const maxPaced = Math.max(MIN_PACED, Math.ceil(paced));
+    if (counts.takenSince(pacedFrom) + 1 > maxPaced) return false;
     counts.pendingRepeats += 1;
+    counts.slotAt(slotIndex(at.nowMs)).taken += 1;
     return true;
   }
 
+  #allowed(credited: number, at: RetryMoment): number {
+    return (credited * this.#limits.share + this.slackPart(at)) *
+      BUDGET_UTILIZATION;
+  }
+
   /**
    * Records that a retry has arrived by now, or will not arrive. It counts in
    * the windows from now on, as it may have waited on its way until now.
