Let the soak's servers say which process they are

A stream goes on only at a server that has stated the start of its process, and the soak's servers answered reports with 404: none of 152 take-ups went on in released_all_killed, which broke LOST. Engines of the users' platform answer them, so the servers of the soak do now.

--- a/packages/platform-soak/src/backend_server.ts
+++ b/packages/platform-soak/src/backend_server.ts
@@ -136,6 +136,13 @@
     const [method = "", path = ""] = message.startLine.split(" ");
     const id = message.headers["attempt-id"];
     if (id === undefined) {
+      if (method === "GET" && path === "/api/report") {
+        const report = { models: [], busy: false, seq: 0, born: this.bornAtMs };
+        return this.#write(
+          connection,
+          formatAnswer(200, {}, JSON.stringify(report)),
+        );
+      }
       const isHealth = method === "GET" && path.startsWith("/health");
       return this.#write(
         connection,
