--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -15,6 +15,7 @@
   RecordSource,
 } from "@endivebend/fleet";
 import { BEFORE_FIRST, eraOf, logPosition, offsetOf } from "@endivebend/fleet";
+import type { LogPosition } from "@endivebend/fleet";
 import type {
   AnswerHead,
   AttemptListener,
@@ -32,7 +33,9 @@
   Refusal,
   RequestDigest,
   RequestKind,
+  RoutedRequest,
   RouteName,
+  SoftwareVersion,
   TeamRules,
   WeightsVersion,
 } from "@endivebend/request-path";
@@ -73,6 +76,9 @@
 const KEY = "callers-key";
 const CALLER_TIMEOUT_MS = 6_000;
 const RUN_EVENTS = 12;
+/** An event; its text is the engine's software version, or else its id. */
+const EVENT = /id: (\d+)\ndata: (.*)\n\n/g;
+const FIRST_VERSION = brandId<SoftwareVersion>("v1");
 const TOKENS_PER_EVENT = 4;
 const WEIGHTS_BOUND_MS = 8_000;
 /** Time from the head of an answer until a deadly segment ends the engine. */
@@ -130,6 +136,8 @@
 
 /** Topics whose writers write again what a restore lost. */
 const REWRITTEN_TOPICS = ["operator", "servers"];
+/** Topic of the versions that began streams. */
+export const ORIGIN_TOPIC = "stream-origins";
 /** Time without reports after which the entry of a server lapses. */
 const LAPSE_MS = 3_600;
 
@@ -139,6 +147,8 @@
   era = 1;
   readonly #time: VirtualTime;
   readonly #topics = new Map<string, StoredRecord[]>();
+  /** The first offset of each topic that is not deleted. */
+  readonly #trimmed = new Map<string, number>();
   readonly #waiting = new Set<(isLost: boolean) => void>();
 
   constructor(time: VirtualTime) {
@@ -171,6 +181,7 @@
     readonly rewriteMs?: number;
   }): void {
     const copiedAtMs = this.#time.nowMs - drill.copyAgeMs;
+    this.#trimmed.clear();
     this.isDown = true;
     for (const wake of [...this.#waiting]) wake(true);
     this.#time.after(drill.awayMs, () => {
@@ -255,6 +266,33 @@
     };
   }
 
+  /** Appends a record without a key. */
+  append(topic: string, value: Buffer): LogPosition {
+    const records = this.#records(topic);
+    const position = logPosition(this.era, records.length);
+    records.push({ key: "", value, position, atMs: this.#time.nowMs });
+    return position;
+  }
+
+  /** Deletes the records before the offset. */
+  trim(topic: string, before: number): void {
+    this.#trimmed.set(topic, before);
+  }
+
+  /** Number of records without a key that are not deleted. */
+  countKept(topic: string): number {
+    return this.#records(topic).length - (this.#trimmed.get(topic) ?? 0);
+  }
+
+  /** Reads the records from an offset on that are not deleted. */
+  readFrom(topic: string, offset: number) {
+    const records = this.#records(topic);
+    const first = Math.max(offset, this.#trimmed.get(topic) ?? 0);
+    const read = records.slice(first).flatMap(({ value }) => value ?? []);
+    const next = logPosition(this.era, Math.max(offset, records.length));
+    return { records: read, next, isEnd: true };
+  }
+
   /** Resolves when the store has answered a call. */
   async call(): Promise<void> {
     await this.wait(4);
@@ -323,6 +361,7 @@
 
 interface RunningAttempt {
   readonly vm: VmId;
+  readonly requestId: RequestId;
   readonly listener: AttemptListener;
   isOver: boolean;
   /** Whether it is on its way to an engine that it can't reach yet. */
@@ -348,6 +387,13 @@
   peakAttempts: number;
 }
 
+/** A call to the log of the versions that began streams. */
+export interface OriginCall {
+  readonly atMs: number;
+  readonly vm: VmId;
+  readonly kind: "read" | "append" | "trim";
+}
+
 /** What became of a request. */
 export interface Outcome {
   readonly requestId: RequestId;
@@ -355,6 +401,8 @@
   readonly daemon: number;
   readonly segments: readonly string[];
   readonly body: string;
+  /** The events that the caller got, with the versions that wrote them. */
+  readonly events: { readonly id: number; readonly version: string }[];
   begunAtMs: number | undefined;
   hasEnded: boolean;
   isCut: boolean;
@@ -416,6 +464,9 @@
   readonly outcomes: Outcome[] = [];
   /** Draws whether an engine breaks an answer off; set while engines do. */
   breaksAnswer: (() => boolean) | undefined;
+  /** Called for each request that an engine has as it ends. */
+  onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
+  readonly originCalls: OriginCall[] = [];
   /** Set while engines are brittle: what they bear, and let wait. */
   brittle: { readonly bearsPerS: number; readonly room: number } | undefined;
   /** When brittle engines have fallen over. */
@@ -434,6 +485,7 @@
   readonly #options: FleetOptions;
   #requestsHeldUntilMs = 0;
   #nextEngine = 0;
+  #startedEngines = 0;
   #nextRequest = 0;
 
   constructor(options: FleetOptions) {
@@ -447,7 +499,7 @@
     this.rollout = this.#createRollout();
     this.configure(1);
     for (let index = 0; index < options.engines; index++) {
-      this.#addEngine(`10.9.0.${index + 1}:80`);
+      this.#addEngine(`10.9.0.${index + 1}:80`, FIRST_VERSION);
     }
     for (let index = 0; index < options.daemons; index++) {
       const delayMs = draw(0, options.startWithinMs ?? 0);
@@ -487,6 +539,17 @@
     this.#daemonsByAddress.set(daemon.forwardAddress, daemon);
   }
 
+  /** Whether the daemon takes callers. */
+  isReady(index: number): boolean {
+    return this.isRunning(index) &&
+      this.#daemons[index]?.revision !== undefined;
+  }
+
+  /** When the daemon's process started. */
+  startedAtMs(index: number): number {
+    return this.#daemons[index]?.startedAtMs ?? 0;
+  }
+
   isRunning(index: number): boolean {
     return this.#daemons[index]?.isAlive === true;
   }
@@ -635,8 +698,12 @@
   send(
     daemon: number,
     segments: readonly string[],
-    { body, events }: {
+    { body, events, takesUp, resumeAfter }: {
       readonly body?: string;
+      /** The stream that the request goes on with, as its caller names it. */
+      readonly takesUp?: RequestId | undefined;
+      /** The id of the last event that the caller has. */
+      readonly resumeAfter?: string | undefined;
       /** Events of the answer, which an engine sends at intervals. */
       readonly events?: number;
     } = {},
@@ -648,6 +715,7 @@
       daemon,
       segments,
       body: body ?? requestId,
+      events: [],
       begunAtMs: undefined,
       hasEnded: false,
       isCut: false,
@@ -657,12 +725,13 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
+    const serving = { events, takeUp: { takesUp, resumeAfter } };
     const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
-    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, events);
+    if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, serving);
     else {
       this.time.after(
         heldMs,
-        () => this.#daemons[daemon]?.serve(outcome, events),
+        () => this.#daemons[daemon]?.serve(outcome, serving),
       );
     }
     return outcome;
@@ -693,11 +762,13 @@
       readonly reportCount: number;
       readonly startedAtMs: number;
       readonly weights: number;
+      readonly softwareVersion: SoftwareVersion | null;
     };
     const engine = this.#engines.get(id);
     return engine && {
       ...engine.listed,
       ...fields,
+      softwareVersion: fields.softwareVersion ?? undefined,
       weights: new Map([[MODEL, brandId<WeightsVersion>(weights)]]),
     };
   }
@@ -712,7 +783,8 @@
 
   /** The engine writes its entry. */
   report(engine: Engine): void {
-    const { id, isLeaving, reportCount, startedAtMs } = engine.listed;
+    const { id, isLeaving, reportCount, startedAtMs, softwareVersion } =
+      engine.listed;
     engine.listed = { ...engine.listed, reportCount: reportCount + 1 };
     this.store.put("servers", id, {
       id,
@@ -720,6 +792,7 @@
       reportCount: reportCount + 1,
       startedAtMs,
       weights: engine.weights,
+      softwareVersion: softwareVersion ?? null,
     });
   }
 
@@ -825,7 +898,8 @@
     if (order.forwarder !== undefined) {
       return this.startForwarded(order, listener);
     }
-    const attempt: RunningAttempt = { vm, listener, isOver: false };
+    const { requestId } = order.request;
+    const attempt: RunningAttempt = { vm, requestId, listener, isOver: false };
     const { address } = order.server;
     const connected = this.links.connect(vm, address);
     if (connected.kind === "connected") {
@@ -861,7 +935,25 @@
     return engine?.isUp === true ? engine : undefined;
   }
 
-  #addEngine(address: string): void {
+  /** Starts an engine of the software version at an address of its own. */
+  startEngine(version: string | undefined): Engine {
+    const address = `10.9.1.${++this.#startedEngines}:80`;
+    return this.#addEngine(address, version as SoftwareVersion | undefined);
+  }
+
+  /** Ends the engine, as one that leaves does; what it runs is cut off. */
+  stopEngine(engine: Engine): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.#endAttempts(engine);
+    engine.cancelLoad();
+    this.store.put("servers", engine.listed.id, undefined);
+  }
+
+  #addEngine(
+    address: string,
+    softwareVersion: SoftwareVersion | undefined,
+  ): Engine {
     const id = `e-${++this.#nextEngine}`;
     const domain = Number(address.split(/[.:]/)[3]) % DOMAINS.length;
     const engine: Engine = {
@@ -873,6 +965,7 @@
         isLeaving: false,
         slots: this.#options.slots ?? 128,
         weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+        softwareVersion,
         startedAtMs: Math.max(1, this.time.nowMs),
         reportCount: 0,
       },
@@ -893,6 +986,7 @@
     this.#engines.set(id, engine);
     this.#enginesByAddress.set(address, engine);
     this.report(engine);
+    return engine;
   }
 
   /** Ends the engine; it is back at its address under another id. */
@@ -902,26 +996,41 @@
     this.crashAtMs.push(this.time.nowMs);
     this.#endAttempts(engine);
     engine.cancelLoad();
-    const { id, address } = engine.listed;
-    this.time.after(RESTART_MS, () => this.#addEngine(address));
+    const { id, address, softwareVersion } = engine.listed;
+    this.time.after(
+      RESTART_MS,
+      () => this.#addEngine(address, softwareVersion),
+    );
     this.time.after(RESTART_MS + 600, () => {
       this.store.put("servers", id, undefined);
     });
   }
 
+  /** Ends the connections of a process that ends, those that are idle too. */
   #endAttempts(engine: Engine): void {
+    for (const { vm } of this.#daemons.filter(Boolean)) {
+      this.links.closeIdle(vm, engine.listed.address);
+    }
     for (const attempt of engine.attempts) {
+      this.onLoss(engine, attempt.requestId);
       this.#answer(engine, attempt, () => breakOff(attempt, "socket hang up"));
     }
   }
 
-  /** The engine starts again under its id; its entry follows its first report. */
-  restart(engine: Engine): void {
+  /**
+   * The engine starts again under its id, at times with another software
+   * version; its entry follows its first report.
+   */
+  restart(
+    engine: Engine,
+    softwareVersion = engine.listed.softwareVersion,
+  ): void {
     this.#endAttempts(engine);
     const { nowMs: startedAtMs } = this.time;
     const { listed } = engine;
     engine.listed = {
       ...listed,
+      softwareVersion,
       startedAtMs,
       isLeaving: false,
       reportCount: 0,
@@ -941,6 +1050,28 @@
     engine.heldUntilMs = this.time.nowMs + durationMs;
   }
 
+  /**
+   * The engine ends and starts again after `downMs` under its id with the
+   * software version, and writes its entry `reportMs` later.
+   */
+  replace(
+    engine: Engine,
+    softwareVersion: string,
+    { downMs, reportMs }: {
+      readonly downMs: number;
+      readonly reportMs: number;
+    },
+  ): void {
+    if (!engine.isUp) return;
+    engine.isUp = false;
+    this.#endAttempts(engine);
+    this.time.after(downMs, () => {
+      engine.isUp = true;
+      this.restart(engine, brandId<SoftwareVersion>(softwareVersion));
+      this.time.after(reportMs, () => this.report(engine));
+    });
+  }
+
   /** Engines that run, in the order of their start. */
   runningEngines(): Engine[] {
     return [...this.#engines.values()].filter(({ isUp }) => isUp);
@@ -1033,7 +1164,7 @@
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
     this.time.after(
       delayMs,
-      () => this.#begin(engine, { attempt, segments, body, requestId }),
+      () => this.#begin(engine, { attempt, segments, body, order }),
     );
   }
 
@@ -1059,10 +1190,10 @@
       readonly attempt: RunningAttempt;
       readonly segments: readonly string[];
       readonly body: string;
-      readonly requestId: RequestId;
+      readonly order: AttemptOrder;
     },
   ): void {
-    const { attempt, segments, body, requestId } = run;
+    const { attempt, segments, body, order } = run;
     if (attempt.isOver) return;
     const isDeadlyBody = this.deadlyBodies.has(body);
     if (isDeadlyBody) {
@@ -1102,8 +1233,10 @@
       });
       return;
     }
+    const { requestId } = order.request;
+    const sent = Number(order.resumeAfter ?? 0);
     const events = this.#eventsByRequest.get(requestId) ?? RUN_EVENTS;
-    this.#sendEvents(engine, { attempt, events, sent: 0 });
+    this.#sendEvents(engine, { attempt, events, sent });
   }
 
   #head(engine: Engine): AnswerHead {
@@ -1134,7 +1267,10 @@
     const { attempt, events, sent } = run;
     this.time.after(EVENT_INTERVAL_MS, () => {
       if (attempt.isOver) return;
-      const event = Buffer.from(`id: ${sent + 1}\ndata: x\n\n`);
+      const { id, softwareVersion = id } = engine.listed;
+      const event = Buffer.from(
+        `id: ${sent + 1}\ndata: ${softwareVersion}\n\n`,
+      );
       this.#answer(engine, attempt, () => attempt.listener.data(event));
       if (attempt.isOver) return;
       if (sent + 1 < events) {
@@ -1175,9 +1311,17 @@
   attempt.listener.failed({ kind: "broken", reason });
 }
 
+/** How a daemon serves a request. */
+interface Serving {
+  /** Events of the answer. */
+  readonly events: number | undefined;
+  readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
+}
+
 /** One daemon with its simulated ports. */
 class SimulatedDaemon {
   readonly vm: VmId;
+  readonly startedAtMs: number;
   readonly gossipAddress: string;
   readonly recordAddress: string;
   readonly forwardAddress: string;
@@ -1199,6 +1343,7 @@
   constructor(world: TestFleet, index: number) {
     this.#world = world;
     this.#time = world.time;
+    this.startedAtMs = world.time.nowMs;
     this.storeAccess = new StoreAccess(world.time);
     const ip = ipOf(index);
     this.vm = vmOf(index);
@@ -1284,18 +1429,19 @@
     this.#whileRunning(() => this.#onDatagram(bytes));
   }
 
-  serve(outcome: Outcome, events = RUN_EVENTS): void {
+  serve(outcome: Outcome, serving: Serving): void {
     this.#whileRunning(() => {
       // A caller that has given up has closed its connection.
       const waitedMs = this.#time.nowMs - outcome.sentAtMs;
-      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, events);
+      if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, serving);
     });
   }
 
-  #serve(outcome: Outcome, events: number): void {
+  #serve(outcome: Outcome, serving: Serving): void {
+    const { events = RUN_EVENTS, takeUp } = serving;
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
-      const serve = () => this.#serve(outcome, events);
+      const serve = () => this.#serve(outcome, serving);
       return void renewal.then(() => this.#whileRunning(serve));
     }
     const admission = this.#context?.admission;
@@ -1321,7 +1467,7 @@
         : undefined,
       deadlineMs,
       timeoutAtMs: deadlineMs,
-      resumeAfter: undefined,
+      ...takeUp,
       message: outcome.body,
     }, this.#sink(outcome));
     if (opened.kind === "over_limit") outcome.isOverLimit = true;
@@ -1333,7 +1479,12 @@
       head: () => {
         outcome.begunAtMs = this.#time.nowMs;
       },
-      data: () => true,
+      data: (chunk) => {
+        for (const [, id, version] of chunk.toString().matchAll(EVENT)) {
+          outcome.events.push({ id: Number(id), version: version! });
+        }
+        return true;
+      },
       end: () => {
         outcome.hasEnded = true;
       },
@@ -1406,6 +1557,7 @@
           read: () => Promise.reject(new Error("No rollout is played")),
           append: () => Promise.reject(new Error("No rollout is played")),
         },
+      streamOriginLog: this.#streamOriginLog(),
       engineOrders: world.rollout.orders(this.vm),
       serverClient: {
         start: (order, listener) =>
@@ -1440,6 +1592,36 @@
     };
   }
 
+  #streamOriginLog(): FrontPorts["streamOriginLog"] {
+    const { store, originCalls } = this.#world;
+    const call = (kind: OriginCall["kind"]) => {
+      originCalls.push({ atMs: this.#time.nowMs, vm: this.vm, kind });
+      return this.#callStore();
+    };
+    return {
+      get era() {
+        return store.era;
+      },
+      writesPerS: 400,
+      keepMs: 300_000,
+      read: async (from) => {
+        await call("read");
+        return store.readFrom(
+          ORIGIN_TOPIC,
+          from === undefined ? 0 : offsetOf(from),
+        );
+      },
+      append: async (record) => {
+        await call("append");
+        return store.append(ORIGIN_TOPIC, record);
+      },
+      trim: async (before) => {
+        await call("trim");
+        store.trim(ORIGIN_TOPIC, offsetOf(before));
+      },
+    };
+  }
+
   #callStore(): Promise<void> {
     return this.storeAccess.call(() => this.#world.store.call());
   }
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { AnswerOrigin } from "./answer_origin.ts";
 import type { AnswerHead, AttemptHandle, Forwarder } from "./ports.ts";
 import type { KnownServer } from "./server_registry.ts";
 import type { WeightsVersion } from "./types.ts";
@@ -11,6 +12,7 @@
 /** The state of an attempt. */
 export interface Attempt {
   readonly server: KnownServer;
+  readonly origin: AnswerOrigin;
   /** The VM that it goes through; undefined when it goes to the server. */
   readonly forwarder: Forwarder | undefined;
   /** Ends the count of the forwarder's requests. */
@@ -20,10 +22,10 @@
   /** Whether it checks the belief that no engine has weights that may serve. */
   readonly isProbe: boolean;
   readonly startedAtMs: number;
-  /** Repeats that were taken for it and are not settled. */
-  pendingRepeats: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
+  /** Whether it is known to have arrived, or to arrive no more. */
+  isSettled: boolean;
   /** When the head of its answer came. */
   headAtMs: number | undefined;
   /** The head of its answer, until the relay has it. */
@@ -45,18 +47,19 @@
   fields: Pick<
     Attempt,
     | "server"
+    | "origin"
     | "forwarder"
     | "leaveForwarder"
     | "expectedWeights"
     | "isProbe"
     | "startedAtMs"
-    | "pendingRepeats"
   >,
 ): Attempt {
   return {
     ...fields,
     handle: undefined,
     wasSent: false,
+    isSettled: false,
     headAtMs: undefined,
     pendingHead: undefined,
     hasEvents: false,
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -29,6 +29,7 @@
   ServerRegistry,
   ServerWork,
 } from "./server_registry.ts";
+import { hasOtherProcess } from "./process_check.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
@@ -36,6 +37,7 @@
   type CacheScope,
   type PromptSegment,
   type RoutedRequest,
+  type SoftwareVersion,
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
@@ -117,6 +119,12 @@
   readonly exclude: ReadonlySet<BackendServerId>;
   /** Whether part of the answer has reached the caller. */
   readonly hasBegun: boolean;
+  /**
+   * Only servers of this software version may run the request. Without one any
+   * server may, unless the answer has begun: then its version is unknown, and
+   * no server may go on with it.
+   */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   readonly nowMs: number;
 };
 
@@ -147,6 +155,7 @@
   const { registry, exclude, nowMs } = context;
   const views = registry.usable(request.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id))
+    .filter((server) => isOfVersion(server, context))
     .map((server) => describeServer(request, { server, context }));
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
@@ -219,7 +228,8 @@
   const candidates = registry.usable(service, nowMs).filter((server) => {
     const believed = registry.weightsOf(server, work.model);
     const mayProbe = believed !== undefined && believed < newest &&
-      !exclude.has(server.listed.id) && nowMs >= server.loadingUntilMs &&
+      !exclude.has(server.listed.id) && isOfVersion(server, context) &&
+      nowMs >= server.loadingUntilMs &&
       !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
     return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
       hasCapacity(server, registry.workAt(server), maxOwnConnections);
@@ -252,6 +262,15 @@
   };
 }
 
+function isOfVersion(
+  server: KnownServer,
+  { hasBegun, softwareVersion }: AttemptContext,
+): boolean {
+  if (softwareVersion === undefined) return !hasBegun;
+  return server.listed.softwareVersion === softwareVersion &&
+    !hasOtherProcess(server);
+}
+
 function describeServer(
   request: RoutedRequest,
   at: { readonly server: KnownServer; readonly context: AttemptContext },
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { BackendServerId, VmId } from "@endivebend/types";
+import { type AnswerOrigin, originAt, versionToGoOn } from "./answer_origin.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { type Attempt, newAttempt } from "./attempt.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
@@ -28,13 +29,18 @@
   PathMetrics,
   RefusalReason,
   ServerClient,
+  StreamOrigin,
+  StreamOrigins,
 } from "./ports.ts";
+import type { ProcessCheck } from "./process_check.ts";
 import { recordAnswerHead } from "./record_answer.ts";
-import type { PrefixCacheId } from "./server_registry.ts";
+import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
   isStream,
+  isTakeUp,
   type RoutedRequest,
+  type SoftwareVersion,
   urgencyOf,
   type WeightsVersion,
 } from "./types.ts";
@@ -54,11 +60,13 @@
   readonly client: ServerClient;
   readonly crashGuard: CrashGuard;
   readonly paths: ServerPaths;
+  readonly processCheck: Pick<ProcessCheck, "isFresh" | "check">;
   readonly log: DecisionLog;
   readonly metrics: PathMetrics;
   /** What the daemon may hold of messages, over all requests. */
   readonly memory: MemoryBudget;
   readonly weightsProbes: WeightsProbes;
+  readonly streamOrigins: StreamOrigins;
   /** Takes one repeat from the shared budget; false when it is used up. */
   tryRetry(request: RoutedRequest, cause: RepeatCause): boolean;
   /** Called once for each repeat taken: it has arrived, or will not. */
@@ -85,6 +93,8 @@
 const STREAM_SILENCE_MS = 400;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
+/** A server takes longer than this to end and to start again. */
+const RESTART_MS = 300;
 /** Time for the server's own answer at its deadline to arrive. */
 const DEADLINE_GRACE_MS = 60;
 /** An attempt with less time left is of no use. */
@@ -99,6 +109,19 @@
 /** What shows that an attempt is broken. */
 type FaultSource = "answer" | "connection" | "silence";
 
+/** Why a request is sent again, and what is said where that can't be done. */
+interface RetryCauses {
+  readonly reason: RefusalReason;
+  readonly cause: RepeatCause;
+}
+
+/** The wait of an answer for a server of its software version. */
+interface Wait extends RetryCauses {
+  /** When the last event came. */
+  readonly lastProgressMs: number;
+  readonly nextMs: number;
+}
+
 type Placed = Placement & { readonly kind: "placed" };
 
 /** A running request. */
@@ -112,13 +135,21 @@
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
   #attempt: Attempt | undefined;
+  /** The version that began the stream that the request takes up. */
+  #takenUpVersion: SoftwareVersion | undefined;
   /** A second attempt, sent while the first is silent but may still go on. */
   #replacement: Attempt | undefined;
+  /** Set while an answer that has begun has no server that may go on. */
+  #wait: Wait | undefined;
   /** Whether the request is a trial after the end of a quarantine. */
   #isTrial = false;
   #cancelTimer = () => {};
   #hasEnded = false;
   #isCallerBlocked = false;
+  /** The server whose event the caller got first. */
+  #origin: AnswerOrigin | undefined;
+  /** Whether the server that began the answer was asked which process it is. */
+  #isOriginChecked = false;
   /** Time from the start to the first bytes of an answer. */
   #firstByteMs: number | undefined;
   /** Longest time between two chunks; a stream with a long one is late. */
@@ -126,8 +157,10 @@
   /** Number of attempts that may have run the request. */
   #possiblyRunAttempts = 0;
   #notRunAttempts = 0;
-  /** Repeats that were taken for an attempt that is not open yet. */
+  /** Repeats that were taken and are not settled. */
   #pendingRepeats = 0;
+  /** Attempts that may still arrive, also after they were given up. */
+  #unsettledAttempts = 0;
 
   constructor(
     context: RequestContext,
@@ -144,11 +177,43 @@
 
   start(): void {
     this.#contain(() => {
-      this.#startAttempt();
+      if (isTakeUp(this.#request)) this.#startTakeUp();
+      else this.#startAttempt();
       this.#checkProgress();
     });
   }
 
+  /** Starts an attempt once it is known which version began the stream. */
+  #startTakeUp(): void {
+    const origin = this.#context.streamOrigins.find(this.#request);
+    if ("kind" in origin) return this.#takeUp(origin);
+    void origin.then((found) => this.#contain(() => this.#takeUp(found)));
+  }
+
+  #takeUp(origin: StreamOrigin): void {
+    if (this.#hasEnded) return;
+    const { kind } = origin;
+    const version = kind === "version" ? origin.version : undefined;
+    this.#context.metrics.count("take_ups", { origin: kind });
+    this.#logDecision("take_up", { origin: kind, version });
+    if (version === undefined) return this.#giveUp("unknown_origin");
+    this.#takenUpVersion = version;
+    this.#startAtVersion();
+  }
+
+  /**
+   * Starts a take-up's attempt once the server that it goes to has said that its
+   * process is the one of its entry.
+   */
+  #startAtVersion(): void {
+    if (this.#hasEnded) return;
+    const server = this.#findNext();
+    if (server === undefined || this.#isCurrent(server)) {
+      return this.#startAttempt();
+    }
+    this.#checkProcesses(server, () => this.#startAtVersion());
+  }
+
   /** The caller reads again. */
   callerReady(): void {
     this.#isCallerBlocked = false;
@@ -237,6 +302,7 @@
       ...this.#context,
       exclude: this.#excluded,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
     if (probe === undefined) return undefined;
@@ -249,10 +315,21 @@
       ...this.#context,
       exclude,
       hasBegun: this.#relay.hasBegun,
+      softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
   }
 
+  /**
+   * The software version that began the stream; undefined when unknown, or when
+   * none has begun.
+   */
+  #versionToGoOn(): SoftwareVersion | undefined {
+    return this.#origin === undefined
+      ? this.#takenUpVersion
+      : versionToGoOn(this.#origin, this.#context.registry);
+  }
+
   /** Opens an attempt at the place that was found; it is not sent yet. */
   #open(
     { server, choice, cache, isProbe = false }: Placed,
@@ -269,6 +346,7 @@
       waitMs: Math.round(choice.waitMs),
       cachedTokens: choice.cachedTokens,
       tokensToRead: cache.tokensToRead,
+      softwareVersion: server.listed.softwareVersion,
       weights: cache.weights,
       replacedMs: this.#replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
@@ -279,12 +357,11 @@
       attempt: this.#possiblyRunAttempts + this.#notRunAttempts + 1,
       replaces: this.#attempt?.server.listed.id,
     });
-    const pendingRepeats = this.#pendingRepeats;
-    this.#pendingRepeats = 0;
+    this.#unsettledAttempts += 1;
     return newAttempt({
       server,
+      origin: originAt(server.listed),
       forwarder,
-      pendingRepeats,
       leaveForwarder: forwarder ? paths.take(forwarder) : () => {},
       expectedWeights: cache.weights,
       isProbe,
@@ -361,7 +438,9 @@
       forwarder,
     }, {
       connected: () => {
-        if (forwarder === undefined) paths.recordConnected(server.listed);
+        if (forwarder !== undefined) return;
+        paths.recordConnected(server.listed);
+        this.#checkNewConnection(server);
       },
       sent: () => {
         attempt.wasSent = true;
@@ -380,7 +459,8 @@
 
   #onHead(attempt: Attempt, head: AnswerHead): void {
     if (!this.#isOpen(attempt)) return;
-    this.#settleRepeats(attempt);
+    this.#settle(attempt);
+    this.#settleRepeats();
     const nowMs = this.#nowMs();
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
@@ -474,7 +554,8 @@
    * budget; undefined when anything does not allow it. The open attempt must not
    * be ended before.
    */
-  #takeReplacement({ server }: Attempt): Placed | undefined {
+  #takeReplacement(attempt: Attempt): Placed | undefined {
+    const { server } = attempt;
     const nowMs = this.#nowMs();
     const { crashGuard } = this.#context;
     const isAllowed = this.#hasAttemptsLeft() &&
@@ -486,21 +567,51 @@
     const exclude = new Set([...this.#excluded, server.listed.id]);
     const placement = this.#place(exclude, nowMs);
     if (placement.kind === "refused") return undefined;
+    const needsCheck = this.#relay.hasBegun &&
+      !this.#isCurrent(placement.server);
+    if (needsCheck) {
+      this.#checkProcesses(placement.server, () => {
+        if (attempt !== this.#attempt) return;
+        attempt.replaceFromMs = this.#nowMs();
+        this.#replaceSilent(attempt, attempt.silence);
+      });
+      return undefined;
+    }
     return this.#tryRetry("silent") ? placement : undefined;
   }
 
+  /** Takes a repeat, unless one that was taken before reached no server. */
   #tryRetry(cause: RepeatCause): boolean {
+    if (this.#pendingRepeats > 0) return true;
     const isAllowed = this.#context.tryRetry(this.#request, cause);
     if (isAllowed) this.#pendingRepeats += 1;
     return isAllowed;
   }
 
-  #settleRepeats(attempt: Attempt): void {
-    for (; attempt.pendingRepeats > 0; attempt.pendingRepeats--) {
+  #settle(attempt: Attempt): void {
+    if (attempt.isSettled) return;
+    attempt.isSettled = true;
+    this.#unsettledAttempts -= 1;
+  }
+
+  /** Settles the repeats beyond the attempts that may still arrive. */
+  #settleRepeats(): void {
+    while (this.#pendingRepeats > this.#unsettledAttempts) {
+      this.#pendingRepeats -= 1;
       this.#context.settleRetry(this.#request);
     }
   }
 
+  /** Attempts that were given up may arrive until the caller's deadline. */
+  #settleLate(): void {
+    if (this.#pendingRepeats === 0) return;
+    const leftMs = this.#finalDeadlineMs() - this.#nowMs();
+    this.#context.scheduler.after(Math.max(0, leftMs), () => {
+      this.#unsettledAttempts = 0;
+      this.#settleRepeats();
+    });
+  }
+
   #hasAttemptsLeft(): boolean {
     const openAttempts = this.#replacement === undefined ? 1 : 2;
     return this.#possiblyRunAttempts + openAttempts <
@@ -517,6 +628,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
+      this.#recordOrigin(attempt);
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
       this.#recordSound(attempt, { isComplete: false });
@@ -528,6 +640,21 @@
     attempt.handle?.pause();
   }
 
+  /** Records the server whose event the caller got first. */
+  #recordOrigin({ origin }: Attempt): void {
+    if (this.#origin !== undefined) return;
+    this.#origin = origin;
+    if (!this.#mayBeTakenUp()) return;
+    const { registry, streamOrigins } = this.#context;
+    const version = versionToGoOn(origin, registry);
+    streamOrigins.began(this.#request, { server: origin.server, version });
+  }
+
+  #mayBeTakenUp(): boolean {
+    return this.#request.route.kind === "resumable_stream" &&
+      this.#relay.isEventStream;
+  }
+
   /** Records that part of the answer came, and the pause before it. */
   #recordProgress(attempt: Attempt): void {
     const nowMs = this.#nowMs();
@@ -558,6 +685,9 @@
     this.#context.registry.recordSuccess(attempt.server.listed.id);
     this.#release(attempt);
     this.#relay.end();
+    if (this.#mayBeTakenUp()) {
+      this.#context.streamOrigins.completed(this.#request);
+    }
     this.#end("answered");
   }
 
@@ -576,6 +706,7 @@
       this.#recordSilence(attempt);
       return this.#handleUnsent(attempt, failure.reason);
     }
+    this.#settle(attempt);
     this.#recordLoss(attempt);
     this.#handleBroken(attempt, failure.reason);
   }
@@ -632,13 +763,13 @@
 
   /** Handles an attempt that reached no server, so the next is no retry. */
   #handleUnsent(attempt: Attempt, reason: string): void {
-    this.#pendingRepeats += attempt.pendingRepeats;
-    attempt.pendingRepeats = 0;
+    this.#settle(attempt);
     this.#endNotRun(attempt, reason);
     if (this.#attempt !== undefined) return;
     const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp("overloaded");
+    if (!mayRetry) return this.#giveUp("overloaded");
+    if (!this.#relay.hasBegun) return this.#startAgain();
+    this.#retry({ reason: "overloaded", cause: "not_run" }, attempt);
   }
 
   /** Handles an attempt that its server has not run. */
@@ -648,12 +779,120 @@
     if (attempt.isProbe && !this.#hasPlace()) {
       return this.#giveUp("stale_weights");
     }
-    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS &&
-      this.#tryRetry("not_run");
-    if (mayRetry) return this.#startAttempt();
+    const mayRetry = this.#notRunAttempts < MAX_NOT_RUN_ATTEMPTS;
+    if (mayRetry) {
+      const causes = { reason: "overloaded", cause: "not_run" } as const;
+      return this.#retry(causes, attempt);
+    }
     this.#giveUp("overloaded");
   }
 
+  /**
+   * Sends the request to another server, with a retry taken from the budget. An
+   * answer that has begun waits for a server of its software version.
+   */
+  #retry({ reason, cause }: RetryCauses, after: Attempt | Wait): void {
+    this.#wait = undefined;
+    const nowMs = this.#nowMs();
+    const server = this.#relay.hasBegun ? this.#findNext() : undefined;
+    const mayStart = !this.#relay.hasBegun ||
+      (server !== undefined && this.#isCurrent(server));
+    if (mayStart) {
+      const mayRetry = this.#tryRetry(cause);
+      return mayRetry ? this.#startAgain() : this.#giveUp(reason);
+    }
+    const { lastProgressMs } = after;
+    const untilMs = lastProgressMs + this.#maxWaitMs();
+    if (nowMs >= untilMs || !this.#hasServerToWaitFor()) {
+      return this.#giveUp(reason);
+    }
+    const nextMs = Math.min(nowMs + REPLACE_INTERVAL_MS, untilMs);
+    this.#wait = { reason, cause, lastProgressMs, nextMs };
+    if (server === undefined) return;
+    this.#checkProcesses(server, () => {
+      if (this.#wait !== undefined) this.#retry(this.#wait, this.#wait);
+    });
+  }
+
+  #startAgain(): void {
+    const isTakeUp = this.#takenUpVersion !== undefined &&
+      !this.#relay.hasBegun;
+    if (isTakeUp) this.#startAtVersion();
+    else this.#startAttempt();
+  }
+
+  /**
+   * Asks a server which process it is when a new connection may be the first to
+   * another one. It matters only while several software versions serve.
+   */
+  #checkNewConnection(server: KnownServer): void {
+    const { processCheck, registry } = this.#context;
+    const nowMs = this.#nowMs();
+    const mayBeOther = isStream(this.#request.route.kind) &&
+      nowMs - server.lastReceivedMs > RESTART_MS &&
+      registry.hasSeveralVersions(this.#request.service);
+    if (mayBeOther && !processCheck.isFresh(server, nowMs)) {
+      void processCheck.check(server);
+    }
+  }
+
+  /** The server at which an answer that has begun would go on now. */
+  #findNext(): KnownServer | undefined {
+    const placement = this.#place(this.#excluded, this.#nowMs());
+    return placement.kind === "placed" ? placement.server : undefined;
+  }
+
+  /**
+   * Whether the server's process is known to be the one of its entry. A VM that
+   * reaches the server only through another one can't ask.
+   */
+  #isCurrent(server: KnownServer): boolean {
+    const { paths, processCheck } = this.#context;
+    return processCheck.isFresh(server, this.#nowMs()) ||
+      paths.forwarderFor(server.listed, this.#excludedForwarders) !== undefined;
+  }
+
+  /**
+   * Asks the server, and once the one that began the answer, which process they
+   * are; a server that does not answer is left out from then on.
+   */
+  #checkProcesses(server: KnownServer, done: () => void): void {
+    const { processCheck, registry } = this.#context;
+    const origin = this.#origin && registry.get(this.#origin.server);
+    const mayAskOrigin = origin !== undefined && !this.#isOriginChecked &&
+      !registry.isLeaving(origin) && this.#nowMs() >= origin.quietUntilMs;
+    this.#isOriginChecked = true;
+    void Promise.all([
+      processCheck.check(server),
+      mayAskOrigin ? processCheck.check(origin) : true,
+    ]).then(([hasAnswered]) => {
+      if (this.#hasEnded) return;
+      if (!hasAnswered) this.#excluded.add(server.listed.id);
+      this.#contain(done);
+    });
+  }
+
+  /** A stream whose server is lost waits as long as for a silent server. */
+  #maxWaitMs(): number {
+    return silenceTimeoutMs(this.#request, {
+      hasBegun: true,
+      canRetry: true,
+      isServerSilent: false,
+    });
+  }
+
+  /**
+   * Whether a server of the answer's software version is listed, be it one that
+   * has failed: it may be back soon, or have room.
+   */
+  #hasServerToWaitFor(): boolean {
+    const version = this.#versionToGoOn();
+    const { registry } = this.#context;
+    return version !== undefined &&
+      registry.usable(this.#request.service, this.#nowMs())
+        .some(({ listed }) => listed.softwareVersion === version);
+  }
+
   #hasPlace(): boolean {
     return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
   }
@@ -677,10 +916,12 @@
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
-      this.#context.crashGuard.mayRetry(this.#suspects) &&
-      this.#tryRetry("broken");
-    if (mayRetry) return this.#startAttempt();
-    this.#giveUp(reason === "silent" ? "server_silent" : "server_failed");
+      this.#context.crashGuard.mayRetry(this.#suspects);
+    const refusal = reason === "silent" ? "server_silent" : "server_failed";
+    if (mayRetry) {
+      return this.#retry({ reason: refusal, cause: "broken" }, attempt);
+    }
+    this.#giveUp(refusal);
   }
 
   #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
@@ -780,7 +1021,8 @@
   ): void {
     if (this.#hasEnded) return;
     if (this.#relay.hasBegun) {
-      this.#logDecision("break_off", { reason });
+      const softwareVersion = this.#versionToGoOn();
+      this.#logDecision("break_off", { reason, softwareVersion });
       this.#caller.abortAnswer();
       return this.#end("broken_off");
     }
@@ -848,6 +1090,9 @@
     if (nowMs >= this.#finalDeadlineMs() + DEADLINE_GRACE_MS) {
       return this.#expire();
     }
+    if (this.#wait !== undefined && nowMs >= this.#wait.nextMs) {
+      return this.#retry(this.#wait, this.#wait);
+    }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
     this.#detectSilentStreams(attempt, nowMs);
@@ -954,7 +1199,7 @@
 
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
-    this.#settleRepeats(attempt);
+    if (!attempt.wasSent) this.#settle(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#attempt;
@@ -968,10 +1213,8 @@
     this.#hasEnded = true;
     this.#cancelTimer();
     this.#relay.dropBuffered();
-    for (; this.#pendingRepeats > 0; this.#pendingRepeats--) {
-      this.#context.settleRetry(this.#request);
-    }
-    for (const attempt of this.#openAttempts()) this.#settleRepeats(attempt);
+    this.#settleRepeats();
+    this.#settleLate();
     const durationMs = this.#nowMs() - this.#startedAtMs;
     this.#context.metrics.count("calls", { outcome });
     this.#context.metrics.observeMs("call_ms", durationMs);
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -42,6 +42,7 @@
   Route,
   RoutedRequest,
   RouteName,
+  SoftwareVersion,
   TeamRules,
   WeightsVersion,
 } from "./types.ts";
@@ -93,6 +94,7 @@
     isLeaving: false,
     slots: 8,
     weights: new Map([[MODEL, brandId<WeightsVersion>(1)]]),
+    softwareVersion: brandId<SoftwareVersion>("v1"),
     startedAtMs: 1,
     reportCount: 1,
     ...fields,
@@ -156,6 +158,7 @@
     deadlineMs: 7_000,
     timeoutAtMs: 7_000,
     resumeAfter: undefined,
+    takesUp: undefined,
     message: undefined,
     ...fields,
   };
@@ -309,6 +312,7 @@
   return {
     time,
     paths,
+    processCheck: { isFresh: () => true, check: () => Promise.resolve(true) },
     clock: time,
     scheduler: time,
     client,
@@ -345,6 +349,14 @@
     metrics,
     memory: new MemoryBudget(67_108_864),
     weightsProbes: new WeightsProbes(() => 1),
+    streamOrigins: {
+      began() {},
+      completed() {},
+      find: () => ({
+        kind: "version",
+        version: brandId<SoftwareVersion>("v1"),
+      }),
+    },
     tryRetry: () => true,
     settleRetry() {},
     ended() {},
--- a/packages/request-path/src/types.ts
+++ b/packages/request-path/src/types.ts
@@ -26,6 +26,11 @@
 export type CacheScope = Branded<string, "CacheScope">;
 /** The version of a model's weights; larger is newer. */
 export type WeightsVersion = Branded<number, "WeightsNumber">;
+/**
+ * The version of a backend server's software. Versions have no order; answers
+ * of two versions don't fit together.
+ */
+export type SoftwareVersion = Branded<string, "SoftwareVersion">;
 /** The name of a route. */
 export type RouteName = Branded<string, "RouteName">;
 
@@ -131,6 +136,8 @@
   readonly isLeaving: boolean;
   readonly slots: number;
   readonly weights: ReadonlyMap<ModelName, WeightsVersion>;
+  /** Undefined when unknown; two unknown versions may differ. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   /** When the process started; another value means another incarnation. */
   readonly startedAtMs: number;
   /** Rises with each report that the process makes of itself. */
@@ -153,6 +160,8 @@
   readonly timeoutAtMs: number;
   /** Id of the last event that the caller has; the stream resumes after it. */
   readonly resumeAfter: string | undefined;
+  /** The request that brought the first event of the stream it takes up. */
+  readonly takesUp: RequestId | undefined;
   /** Data with which the interface sends the request; opaque here. */
   readonly message: unknown;
 }
@@ -177,3 +186,10 @@
     request.team?.urgency ?? request.route.urgency,
   );
 }
+
+/** Whether a caller goes on with a stream that another request began. */
+export function isTakeUp(request: RoutedRequest): boolean {
+  const { route, resumeAfter, takesUp } = request;
+  return route.kind === "resumable_stream" &&
+    (resumeAfter !== undefined || takesUp !== undefined);
+}
