--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -27,7 +27,7 @@
   readonly takeUps: TakeUps;
 }
 
-/** How often streams went on and began, at daemons in touch. */
+/** How many streams went on and began, at daemons in touch. */
 export interface TakeUps {
   readonly asked: number;
   readonly wentOn: number;
@@ -240,7 +240,12 @@
   requests: readonly SentRequest[],
   ledger: Ledger,
 ): TakeUps {
-  const counts = { asked: 0, wentOn: 0, newAsked: 0, newBegun: 0 };
+  const sets = {
+    asked: new Set<string>(),
+    wentOn: new Set<string>(),
+    newAsked: new Set<string>(),
+    newBegun: new Set<string>(),
+  };
   for (const sent of requests) {
     const { stream, answer, resumes, daemon, sentAtMs } = sent;
     if (stream === undefined || answer === undefined) continue;
@@ -248,17 +253,22 @@
     const isSuccess = answer.status !== undefined && answer.status < 300;
     const hasEvents = isSuccess && eventsOf(answer.body).events.length > 0;
     if (resumes === undefined) {
-      counts.newAsked += 1;
-      if (hasEvents) counts.newBegun += 1;
+      sets.newAsked.add(stream);
+      if (hasEvents) sets.newBegun.add(stream);
       continue;
     }
     const first = ledger.requests.get(resumes)?.answer?.body ?? "";
     const version = eventsOf(first).events[0]?.version ?? "";
     if (!sent.servedVersions.includes(version)) continue;
-    counts.asked += 1;
-    if (hasEvents) counts.wentOn += 1;
+    sets.asked.add(stream);
+    if (hasEvents) sets.wentOn.add(stream);
   }
-  return counts;
+  return {
+    asked: sets.asked.size,
+    wentOn: sets.wentOn.size,
+    newAsked: sets.newAsked.size,
+    newBegun: sets.newBegun.size,
+  };
 }
 
 function countOutcomes(
