Take streams of a new fleet up while one version is listed

Cause: a fleet settles only once a daemon has watched one version for a stream life, and each kill of all daemons begins that anew.

Why it works: a daemon that sees several versions, or relies on one, appends to the log before streams depend on it. A log to which nothing was ever appended belongs to a new fleet, and the only version that it lists has begun every stream; that is recorded at once, not after a stream life.

--- a/packages/front/src/origin_knowledge.ts
+++ b/packages/front/src/origin_knowledge.ts
@@ -101,7 +101,9 @@
 
   /** The version that alone was listed for as long as any stream can live. */
   soleVersion(service: ServiceName): SoftwareVersion | undefined {
-    return this.#isListCurrent() ? this.#watchedVersion(service) : undefined;
+    return this.#isListCurrent()
+      ? this.#watchedVersion(service) ?? this.#firstVersion(service)
+      : undefined;
   }
 
   /**
@@ -144,9 +146,23 @@
     return this.watch.soleVersion(service, { nowMs, lifeMs });
   }
 
+  /**
+   * The only version that a new fleet has listed. Nothing was ever appended to
+   * its log, so no daemon has seen several versions, nor relied on one.
+   */
+  #firstVersion(service: ServiceName): SoftwareVersion | undefined {
+    const isNewLog = !this.isUnread && this.#position !== undefined &&
+      offsetOf(this.#position) === 0;
+    const lifeMs = this.#options.lives.lifeMs(service);
+    if (!isNewLog || lifeMs === undefined) return undefined;
+    const nowMs = this.#options.nowMs();
+    return this.watch.soleSeen(service, { nowMs, lifeMs });
+  }
+
   /** The only version, if the list was current until now. */
   #versionToRelyOn(service: ServiceName): SoftwareVersion | undefined {
-    const watched = this.#watchedVersion(service);
+    const watched = this.#watchedVersion(service) ??
+      this.#firstVersion(service);
     const lifeMs = this.#options.lives.lifeMs(service);
     if (watched !== undefined || lifeMs === undefined) return watched;
     const nowMs = this.#options.nowMs();
--- a/packages/front/src/take_ups_test.ts
+++ b/packages/front/src/take_ups_test.ts
@@ -290,6 +290,18 @@
   assertGoOn(t, played);
 });
 
+// Guards against take-ups that are refused until a new fleet has settled.
+test.serial("take-ups go on after all daemons of a new fleet have ended", async (t) => {
+  const played = play(1);
+  played.callers.run(2_000, 16_000);
+  for (const endMs of [3_000, 8_000, 13_000]) {
+    played.fleet.time.after(endMs, () => restartAll(played, 600));
+  }
+  await played.fleet.time.advance(22_000);
+  assertNotJoined(t, played);
+  assertGoOn(t, played);
+});
+
 test.serial("without a release daemons ask the log once each, and one settles the service", async (t) => {
   const played = play(1);
   const { fleet, callers } = played;
