Send two requests in the test of a refusal without an id

The test sent one request twice on a connection. Since a second attempt of a request gets a connection of its own, so the copy could not come. Two requests share the connection now, and the same values are required.

--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -8,12 +8,13 @@
   type AttemptOrder,
   CrashGuard,
   ForwardedRuns,
+  type RoutedRequest,
   ServerRegistry,
 } from "@endivebend/request-path";
 import { CrashEvidence, PromptQuarantine } from "@endivebend/quarantine";
-import { brandId, type VmId } from "@endivebend/types";
+import { brandId, type RequestId, type VmId } from "@endivebend/types";
 import { serveForwarding } from "./forward_listener.ts";
-import { createServerClient } from "./server_client.ts";
+import { type ClientMessage, createServerClient } from "./server_client.ts";
 import {
   runAttempt,
   startRawServer,
@@ -116,6 +117,16 @@
   return { send, order, runs, requests, registry, failures, server, clock };
 }
 
+/** The same request with another id. */
+function requestWithId(id: string): RoutedRequest {
+  const request = testRoutedRequest({ requestId: brandId<RequestId>(id) });
+  const message = request.message as ClientMessage;
+  const rawHeaders = message.rawHeaders.map((text) =>
+    text === "a1" ? id : text
+  );
+  return { ...request, message: { ...message, rawHeaders } };
+}
+
 const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: s1\r\n";
 
 test("a forwarded request reaches its server as it was sent, and its answer comes back", async (t) => {
@@ -180,17 +191,19 @@
 // hand runs.
 test("a refusal without an id on a used connection tells a forwarded request nothing", async (t) => {
   const sockets = new Set<Socket>();
-  const { send } = await start(t, (socket) => {
+  const { send } = await start(t, (socket, request) => {
     const isUsed = sockets.has(socket);
     sockets.add(socket);
+    const id = /attempt-id: (\S+)/i.exec(request)?.[1] ?? "";
     const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" +
       "Content-Length: 0\r\n\r\n";
-    const answer = `${HEAD}Content-Length: 4\r\n\r\ndone`;
+    const head = HEAD.replace("a1", id);
+    const answer = `${head}Content-Length: 4\r\n\r\ndone`;
     socket.write((isUsed ? refusal : "") + answer);
   });
   t.true((await send()).isComplete);
   await new Promise(setImmediate);
-  const second = await send();
+  const second = await send({ request: requestWithId("a2") });
   t.is(sockets.size, 1);
   t.is(second.head, undefined);
   t.like(second, { isComplete: false, failure: { kind: "broken" } });
