--- a/packages/front/src/retry_budget_troubles_test.ts
+++ b/packages/front/src/retry_budget_troubles_test.ts
@@ -84,6 +84,13 @@
   },
   "requests wait on their way": (fleet, draw) =>
     fleet.holdRequests(draw(300, LONGEST_HOLD_MS)),
+  "attempts wait on their way to servers": (fleet, draw) => {
+    const running = fleet.runningEngines();
+    const durationMs = draw(300, LONGEST_HOLD_MS);
+    for (const engine of running.slice(0, draw(1, running.length))) {
+      fleet.holdArrivals(engine, durationMs);
+    }
+  },
   "a server crashes": (fleet, draw) => {
     const engine = someEngine(fleet, draw);
     if (engine !== undefined) fleet.crash(engine);
