Send the store what to delete as its calls expect it

Cause: topic, part and offset stood in the query, as for an append; a trim takes them as a JSON body. The stand-in took them from the query as well.

Evidence: with a stand-in that reads the body, stream_origin_log_test fails before the fix and passes after it. Nothing is deleted any more where the record is the first one: take_ups_test asks for no such call, where it asked for one.

--- a/packages/front/src/settled_recorder.ts
+++ b/packages/front/src/settled_recorder.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { LogPosition } from "@endivebend/fleet";
+import { type LogPosition, offsetOf } from "@endivebend/fleet";
 import type { SoftwareVersion } from "@endivebend/request-path";
 import { encodeOriginRecord } from "@endivebend/stream-origins";
 import type { RateLimitedLog } from "@endivebend/telemetry";
@@ -140,7 +140,8 @@
     this.#trimFromMs = nowMs() + TRIM_INTERVAL_MS;
     if (!this.#isAnyMixed()) {
       this.#ends = [];
-      if (settledAt !== undefined) await originLog.trim(settledAt);
+      const hasOlder = settledAt !== undefined && offsetOf(settledAt) > 0;
+      if (hasOlder) await originLog.trim(settledAt);
       return;
     }
     const agedMs = nowMs() - lives.longestMs;
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -124,7 +124,9 @@
   async trim(topic: string, before: number): Promise<void> {
     const { status } = await this.#call({
       method: "POST",
-      path: `/api/log-trim?topic=${topic}&part=0&before=${before}`,
+      path: "/api/log-trim",
+      body: Buffer.from(JSON.stringify({ topic, part: 0, before })),
+      contentType: "application/json",
     });
     if (status === 200) return;
     throw new Error(`The store answered a trim with status ${status}, not 200`);
@@ -292,6 +294,8 @@
     readonly method: string;
     readonly path: string;
     readonly body?: Buffer;
+    /** Records by default. */
+    readonly contentType?: string;
     readonly timeoutMs?: number;
   }): Promise<StoreAnswer> {
     const { method, path, body } = call;
@@ -306,7 +310,7 @@
         method,
         path,
         headers: body === undefined ? {} : {
-          "content-type": "application/octet-stream",
+          "content-type": call.contentType ?? "application/octet-stream",
           "content-length": body.length,
         },
       }, (answer) => {
--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -106,8 +106,12 @@
       });
       response.end(Buffer.concat([head, ...encodedRecords]));
     },
-    "/api/log-trim": ({ query, response }) => {
-      firstKept.set(query.get("topic")!, Number(query.get("before")));
+    "/api/log-trim": ({ body, response }) => {
+      const { topic, before } = JSON.parse(body.toString() || "{}");
+      if (topic === undefined || before === undefined) {
+        return void response.writeHead(400).end("the body can't be read");
+      }
+      firstKept.set(topic, before);
       response.end("{}");
     },
     "/api/log-newest": ({ query, response }) => {
