--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -24,6 +24,8 @@
   readonly registry: ServerRegistry;
   readonly named: NamedWeightsRegistry;
   nowMs(): number;
+  /** Called for each entry of a server that is applied. */
+  serverListed(server: ListedServer): void;
   /** Whether the store is away, or was until some seconds ago. */
   wasStoreAway(): boolean;
   applyLimits(limits: CallerLimits): void;
@@ -36,7 +38,10 @@
  */
 function lacksFieldsOf(known: ListedServer, entry: ListedServer): boolean {
   const lacksStart = entry.startedAtMs === 0 && known.startedAtMs > 0;
-  return lacksStart || (entry.weights.size === 0 && known.weights.size > 0);
+  const lacksVersion = entry.softwareVersion === undefined &&
+    known.softwareVersion !== undefined;
+  return lacksStart || lacksVersion ||
+    (entry.weights.size === 0 && known.weights.size > 0);
 }
 
 /** Applies records and tracks which kinds have been received. */
@@ -135,13 +140,15 @@
       return this.#log("malformed_record", record);
     }
     const change = registry.upsert(server, nowMs());
+    this.#options.serverListed(server);
     if (change === "same") return;
-    const { isLeaving, address, startedAtMs } = server;
+    const { isLeaving, address, softwareVersion, startedAtMs } = server;
     this.#log("server", record, {
       server: key,
       change,
       isLeaving,
       address,
+      softwareVersion,
       startedAtMs,
     });
   }
--- a/packages/platform/src/rollout_order_client.ts
+++ b/packages/platform/src/rollout_order_client.ts
@@ -39,6 +39,9 @@
   memory: MemoryBudget,
 ): RolloutOrderClient {
   const agent = new Agent({ keepAlive: true, timeout: 4_000 });
+  // Answers to calls have no id. A late copy of a report would be taken for the
+  // answer to an order on the same connection.
+  const orderAgent = new Agent({ keepAlive: false });
   return {
     async report(engine) {
       const answer = await call(agent, engine, {
@@ -60,7 +63,7 @@
         fence: order.epoch,
         expect: order.acceptedOrders,
       });
-      const answer = await call(agent, engine, {
+      const answer = await call(orderAgent, engine, {
         memory,
         method: "POST",
         path: PATHS.order,
@@ -79,6 +82,7 @@
       readonly models?: readonly { name: string; version: number }[];
       readonly busy?: boolean;
       readonly seq?: number;
+      readonly born?: unknown;
     };
     const weights = new Map<ModelName, number>();
     for (const { name, version } of fields.models ?? []) {
@@ -89,6 +93,9 @@
       isBusy: fields.busy === true,
       // `seq` on the wire is the number of accepted orders.
       acceptedOrders: Number(fields.seq ?? 0),
+      startedAtMs: Number.isSafeInteger(fields.born)
+        ? fields.born as number
+        : undefined,
     };
   } catch {
     return undefined;
@@ -97,7 +104,7 @@
 
 function call(
   agent: Agent,
-  engine: RolloutEngine,
+  engine: Pick<RolloutEngine, "id" | "address">,
   message: Pick<EngineCall, "method" | "path" | "body" | "memory" | "maySend">,
 ): Promise<EngineAnswer | undefined> {
   const { body } = message;
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -38,6 +38,7 @@
 } from "@endivebend/types";
 import { AnswerBody } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
+import { noteKeepAlive, noteReads, ServerAgent } from "./server_agent.ts";
 import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
 
 /** A request as the client sent it. */
@@ -55,8 +56,8 @@
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
   /**
-   * Whether the answer has a length or transfer encoding; otherwise it ends
-   * with its connection.
+   * Whether the answer has a length or chunks; otherwise it ends with its
+   * connection.
    */
   readonly isFramed: boolean;
 }
@@ -65,12 +66,6 @@
  * Failure domains are some 1 ms apart, and a server that is up accepts at once.
  */
 const CONNECT_TIMEOUT_MS = 300;
-/** Keep-alive time of servers that state none in a `Keep-Alive` header. */
-const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
-/** Timers take no longer times; a server that states more is not waited for. */
-const MAX_IDLE_TIMEOUT_MS = 600_000;
-/** An idle connection is closed this long before the server may close it. */
-const IDLE_MARGIN_MS = 600;
 /** Servers have a use for a few (RFC 9110, section 15.2). */
 const MAX_INFORMATIONAL_ANSWERS = 16;
 /** Bodies of this length, in bytes, are read so that a connection is reused. */
@@ -85,39 +80,9 @@
 const MAX_NOTED_REQUESTS = 32;
 const FOREIGN_ANSWER = "The answer belongs to another request";
 const FOREIGN_HEAD = "The answer ends in the head of another one";
+const ENDS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
-/**
- * Closes idle connections before their servers do, so that no request is sent
- * on a connection that the server is closing. Closes them also when a server
- * sends bytes without a request: what follows can't be told from an answer.
- */
-class ServerAgent extends Agent {
-  // Node.js calls this when an answer was read to its end and the socket could
-  // be reused.
-  override keepSocketAlive(socket: Socket): boolean {
-    const hint = keepAliveMsBySocket.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS;
-    const idleMs = hint - IDLE_MARGIN_MS;
-    if (idleMs <= 0) return false;
-    socket.setKeepAlive(true, 1_000);
-    socket.setTimeout(idleMs);
-    socket.on("data", destroyOnStrayBytes);
-    return true;
-  }
-
-  override reuseSocket(socket: Socket, request: ClientRequest): void {
-    socket.off("data", destroyOnStrayBytes);
-    super.reuseSocket(socket, request);
-  }
-}
-
-function destroyOnStrayBytes(this: Socket): void {
-  this.destroy();
-}
-
-/** Keep-alive time that a socket's server last stated, in milliseconds. */
-const keepAliveMsBySocket = new WeakMap<Socket, number>();
-
 /** The last requests that a socket has carried, the newest last. */
 const requestsBySocket = new WeakMap<Socket, RequestId[]>();
 
@@ -128,6 +93,17 @@
   if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
 }
 
+/**
+ * Closes idle connections where one of them has carried the request before: a
+ * late copy of what its server answered then has the request's id.
+ */
+function closeFormerConnections(agent: ServerAgent, request: RequestId): void {
+  const isFormer = agent.idleSockets().some((socket) =>
+    requestsBySocket.get(socket)?.includes(request)
+  );
+  if (isFormer) agent.closeIdle();
+}
+
 /**
  * Creates the client, which keeps one connection pool for each address. `ip` is
  * the address that other daemons see its connections come from.
@@ -136,14 +112,14 @@
   clock: Clock,
   { ip }: { readonly ip?: string } = {},
 ): ServerClient {
-  const agents = new Map<string, Agent>();
+  const agents = new Map<string, ServerAgent>();
   // Requests that run at most once are not sent to other daemons on connections
-  // that may be dead.
+  // that may be dead, nor to servers where a second copy may cost the answer.
   const unpooled = new Agent({ keepAlive: false });
-  function agentFor(address: string): Agent {
+  function agentFor(address: string): ServerAgent {
     const known = agents.get(address);
     if (known !== undefined) return known;
-    const agent = new ServerAgent({ keepAlive: true });
+    const agent = new ServerAgent(clock);
     agents.set(address, agent);
     return agent;
   }
@@ -155,8 +131,10 @@
       const expected = { requestId: request.requestId, serverId: server.id };
       if (forwarder === undefined) {
         const { address } = server;
-        const agent = agentFor(address);
-        const exchange = { address, agent, message, headers, expected };
+        const known = agentFor(address);
+        const mayReuse = isRepeatable(request.route.kind) || !known.stutters;
+        const agent = mayReuse ? known : unpooled;
+        const exchange = { address, agent, known, message, headers, expected };
         return startExchange(exchange, listener);
       }
       headers.push(FORWARD_HEADERS.server, server.id);
@@ -174,9 +152,11 @@
     },
     forward(order, listener) {
       const { requestId, server } = order;
+      const known = agentFor(server.address);
       return startExchange({
         address: server.address,
-        agent: agentFor(server.address),
+        agent: known.stutters ? unpooled : known,
+        known,
         message: order.message as ClientMessage,
         headers: forwardedHeaders(order, clock),
         expected: { requestId, serverId: server.id },
@@ -184,10 +164,7 @@
     },
     checkListening,
     closeIdleConnections(address) {
-      const agent = agents.get(address);
-      for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      agents.get(address)?.closeIdle();
     },
   };
 }
@@ -225,6 +202,8 @@
 interface Exchange {
   readonly address: string;
   readonly agent: Agent;
+  /** What is known of the server; undefined for a daemon that forwards. */
+  readonly known?: ServerAgent;
   readonly message: ClientMessage;
   readonly headers: readonly string[];
   readonly expected: ExpectedAnswer;
@@ -264,7 +243,8 @@
   exchange: Exchange,
   listener: AttemptListener,
 ): AttemptHandle {
-  const { message, isForwarded = false } = exchange;
+  const { message, known, expected, isForwarded = false } = exchange;
+  if (known !== undefined) closeFormerConnections(known, expected.requestId);
   const outgoing = openRequest(exchange);
   if (outgoing instanceof Error) {
     const { message: reason } = outgoing;
@@ -281,8 +261,10 @@
   };
   const batch = new ChunkBatch((bytes) => {
     relay(body === undefined ? bytes : body.push(bytes));
+    if (body?.found !== undefined) noteStutter();
     if (body?.isCutOff) fail(FOREIGN_HEAD);
   });
+  const noteStutter = () => known?.noteStutter();
   const fail = (
     reason: string,
     kind: AttemptFailure["kind"] = wasSent ? "broken" : "unsent",
@@ -306,7 +288,8 @@
     if (!wasSent) fail("The server did not accept the connection in time");
   };
   outgoing.on("socket", (socket) => {
-    noteRequest(socket, exchange.expected.requestId);
+    noteRequest(socket, expected.requestId);
+    noteReads(socket);
     const markSent = () => {
       clearTimeout(connectTimer);
       wasSent = true;
@@ -318,9 +301,10 @@
       markSent();
     });
   });
-  outgoing.on("error", ({ message }) => {
+  outgoing.on("error", ({ message, code }: NodeJS.ErrnoException) => {
     // Bytes after the end of a complete answer don't invalidate it.
-    if (answer?.complete !== true) fail(message);
+    if (answer?.complete !== true) return fail(message);
+    if (code?.startsWith("HPE_")) noteStutter();
   });
   let informationalAnswers = 0;
   outgoing.on("information", () => {
@@ -350,10 +334,7 @@
     const hint = KEEP_ALIVE_TIMEOUT.exec(
       String(response.headers["keep-alive"] ?? ""),
     );
-    if (hint !== null) {
-      const hintMs = Math.min(MAX_IDLE_TIMEOUT_MS, Number(hint[1]) * 1_000);
-      keepAliveMsBySocket.set(response.socket, hintMs);
-    }
+    if (hint !== null) noteKeepAlive(response.socket, Number(hint[1]) * 1_000);
     if (isForwarded) {
       const {
         [FORWARD_HEADERS.outcome]: outcome,
@@ -366,9 +347,9 @@
     }
     // A daemon that forwards has checked whose answer it is.
     const isFirstAnswer = isForwarded || !outgoing.reusedSocket;
-    const { expected } = exchange;
     const head = readHead(response, { expected, isFirstAnswer });
     if (head === undefined) {
+      if (outgoing.reusedSocket) noteStutter();
       return fail(FOREIGN_ANSWER);
     }
     const { socket } = response;
@@ -401,6 +382,8 @@
       }
       const rest = body?.end();
       if (rest === undefined || body?.isCutOff) return fail(FOREIGN_HEAD);
+      // Node.js closes the connection at the head of a second answer.
+      if (outgoing.shouldKeepAlive && socket.destroyed) noteStutter();
       relay(rest);
       if (isFinished) return;
       isFinished = true;
@@ -437,8 +420,10 @@
 
 /** Whether an answer doesn't end with its connection. */
 function isFramed({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  const coding = headers["transfer-encoding"];
+  return coding === undefined
+    ? headers["content-length"] !== undefined
+    : ENDS_CHUNKED.test(coding);
 }
 
 /**
@@ -449,15 +434,26 @@
   outgoing: ClientRequest,
   answer: IncomingMessage | undefined,
 ): void {
-  const length = Number(answer?.headers["content-length"] ?? Number.NaN);
-  const isShortRefusal = answer?.headers[HEADERS.notRun] !== undefined &&
+  if (answer === undefined) return reset(outgoing);
+  const length = Number(answer.headers["content-length"] ?? Number.NaN);
+  const isShortRefusal = answer.headers[HEADERS.notRun] !== undefined &&
     length <= MAX_DRAINED_BYTES;
-  if (answer === undefined || !isShortRefusal) return void outgoing.destroy();
+  if (!isShortRefusal) return void outgoing.destroy();
   const timer = setTimeout(() => outgoing.destroy(), DRAIN_TIMEOUT_MS);
   answer.once("close", () => clearTimeout(timer));
   answer.resume();
 }
 
+/**
+ * Destroys a request that may not have arrived. After an orderly close the kernel
+ * would go on sending it until the server accepts it.
+ */
+function reset(outgoing: ClientRequest): void {
+  const { socket } = outgoing;
+  if (socket?.connecting === false) socket.resetAndDestroy();
+  outgoing.destroy();
+}
+
 /** The headers of another daemon's request, with the time that is left. */
 function forwardedHeaders(order: ForwardOrder, clock: Clock): string[] {
   const { rawHeaders, body } = order.message as ClientMessage;
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -1,13 +1,15 @@
-import type { Socket } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import test from "ava";
 import { createClock } from "@endivebend/clock";
 import type { AttemptOrder } from "@endivebend/request-path";
-import { createServerClient } from "./server_client.ts";
+import { createServerClient, type ServerMessage } from "./server_client.ts";
 import {
   type AttemptResult,
   runAttempt,
   startRawServer,
   testAttemptOrder,
+  testRoutedRequest,
 } from "./testing.ts";
 
 async function runAttemptAgainst(
@@ -52,6 +54,21 @@
   t.is(result.failure?.kind, "broken");
 });
 
+// Another coding than chunked has no end of its own (RFC 9112, section 6.3).
+for (const coding of ["gzip", "identity", "chunked, gzip"]) {
+  test(`an answer that is not in chunks is incomplete when its connection is reset: ${coding}`, async (t) => {
+    const result = await runAttemptAgainst((socket) => {
+      socket.write(
+        `${RESPONSE_HEAD}Transfer-Encoding: ${coding}\r\n\r\nhalf of it`,
+      );
+      socket.resetAndDestroy();
+    });
+    t.false(result.isComplete);
+    t.is(result.failure?.kind, "broken");
+    t.false((result.head?.message as ServerMessage).isFramed);
+  });
+}
+
 test("an answer without a length ends with its connection", async (t) => {
   const result = await runAttemptAgainst((socket) => {
     socket.end(`${RESPONSE_HEAD}Connection: close\r\n\r\nall of it`);
@@ -240,3 +257,41 @@
     server.close();
   });
 }
+
+// Guards against a request that arrives after it was sent to another server. The
+// body is longer than what the server's side takes and shorter than what the
+// client's does.
+test("an attempt that is given up while its server accepts nothing does not arrive later", async (t) => {
+  const body = Buffer.alloc(1_000_000);
+  const request = testRoutedRequest();
+  const message = { ...(request.message as object), body };
+  const server = createServer({ pauseOnConnect: true });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = createServerClient(createClock());
+  let sent = () => {};
+  const isSent = new Promise<void>((resolve) => sent = resolve);
+  const handle = client.start(
+    testAttemptOrder(`127.0.0.1:${port}`, {
+      request: { ...request, message },
+    }),
+    {
+      connected() {},
+      sent: () => sent(),
+      head() {},
+      data() {},
+      end() {},
+      failed() {},
+    },
+  );
+  const [socket] = await once(server, "connection") as [Socket];
+  await isSent;
+  await new Promise(setImmediate);
+  handle.abort();
+  socket.on("error", () => {});
+  socket.resume();
+  await once(socket, "close");
+  server.close();
+  t.true(socket.bytesRead < body.length, `${socket.bytesRead} bytes arrived`);
+});
--- a/packages/platform/src/stray_bytes_test.ts
+++ b/packages/platform/src/stray_bytes_test.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import test from "ava";
-import { createClock } from "@endivebend/clock";
+import { type Clock, createClock } from "@endivebend/clock";
 import type { AttemptOrder, ServerClient } from "@endivebend/request-path";
 import { createServerClient } from "./server_client.ts";
 import {
@@ -33,11 +33,12 @@
   readonly serve: (socket: Socket, id: string) => void;
   /** Comes between the end of an answer and the next request. */
   readonly between?: (socket: Socket) => Promise<void> | void;
+  readonly clock?: Clock;
 }
 
 /** Runs one attempt after the other. */
 async function runInTurn(
-  { ids, serve, between = () => {} }: Sequence,
+  { ids, serve, between = () => {}, clock = createClock() }: Sequence,
 ): Promise<{ readonly results: AttemptResult[]; readonly sockets: number }> {
   const sockets = new Set<Socket>();
   let last: Socket | undefined;
@@ -46,7 +47,7 @@
     last = socket;
     serve(socket, /attempt-id: (\S+)/i.exec(request)?.[1] ?? "");
   });
-  const client: ServerClient = createServerClient(createClock());
+  const client: ServerClient = createServerClient(clock);
   const results: AttemptResult[] = [];
   for (const id of ids) {
     results.push(await runAttempt(client, order(server.address, id)));
@@ -58,6 +59,31 @@
   return { results, sockets: sockets.size };
 }
 
+function refusal(id: string, status: string): string {
+  return `HTTP/1.1 ${status}\r\nAttempt-Id: ${id}\r\nNot-Run: 1\r\n` +
+    "Content-Length: 0\r\n\r\n";
+}
+
+// Guards against a request that runs and is refused as not run, or runs twice:
+// the server that refuses it answers twice, and another one with the address is
+// sent the request next.
+for (const status of ["421 Misdirected Request", "503 Service Unavailable"]) {
+  test(`a second copy of a refusal is not the answer to the same request when it is sent again: ${status}`, async (t) => {
+    const refused = new Set<Socket>();
+    const { results } = await runInTurn({
+      ids: ["first", "first"],
+      serve: (socket, id) => {
+        const isCopy = refused.has(socket);
+        if (isCopy || refused.size === 0) socket.write(refusal(id, status));
+        if (isCopy || refused.size > 0) socket.write(answer(id, "it has run"));
+        refused.add(socket);
+      },
+    });
+    t.deepEqual(results.map(({ head }) => head?.isNotRun), [true, false]);
+    t.is(results[1]?.body, "it has run");
+  });
+}
+
 // A server that sends an answer twice, at the times at which the second copy
 // can be taken for the answer of the next request on the connection.
 for (const copy of ["whole", "head only", "body only", "refusal"] as const) {
@@ -126,3 +152,81 @@
     t.is(results[2]?.body, "third");
   });
 }
+
+// Node.js drops the beginning of a head that it reads with the end of an answer.
+// The rest of the copy would stand before or in a later answer.
+for (const length of [1, 9, 20, 60]) {
+  test(`a connection is not used again after a second copy began in the segment of the answer: ${length} bytes`, async (t) => {
+    const copy = answer("first", "first");
+    let first: Socket | undefined;
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) => {
+        const rest = socket === first ? copy.slice(length) : "";
+        first ??= socket;
+        if (id === "first") {
+          socket.write(answer(id, id) + copy.slice(0, length));
+        } else {
+          socket.write(rest + answer(id, id));
+        }
+      },
+    });
+    t.deepEqual(results.map(({ body }) => body), ["first", "second"]);
+    t.is(sockets, 2);
+  });
+}
+
+// Guards against an answer that is lost because a copy comes in its place.
+for (
+  const [sign, bytes] of [
+    ["with its head", answer("first", "first")],
+    ["with other bytes", "rst"],
+    ["as the connection is idle", undefined],
+  ] as const
+) {
+  test(`a server that sent a second copy ${sign} gets new connections for calls that run once, for 5 s`, async (t) => {
+    let nowMs = 0;
+    let last = "";
+    const { results, sockets } = await runInTurn({
+      clock: { wallMs: () => nowMs, elapsedMs: () => nowMs },
+      ids: ["first", "second", "third", "fourth", "fifth", "sixth"],
+      serve: (socket, id) => {
+        last = id;
+        socket.write(answer(id, id) + (id === "first" ? bytes ?? "" : ""));
+      },
+      between: async (socket) => {
+        if (last === "first" && bytes === undefined) {
+          socket.write(answer("first", "first"));
+          await once(socket, "close");
+        }
+        if (last === "third") nowMs += 5_000;
+      },
+    });
+    t.true(results.every(({ isComplete }) => isComplete));
+    // The first three have one each, the others share the fourth.
+    t.is(sockets, 4);
+  });
+}
+
+// The end of a copy has no head that tells whose it is.
+for (
+  const [framing, fields] of [
+    ["without a length", "Connection: close\r\n"],
+    ["with a length", "Content-Length: 9\r\n"],
+  ] as const
+) {
+  test(`the end of a late copy is no part of a later answer ${framing}`, async (t) => {
+    const { results, sockets } = await runInTurn({
+      ids: ["first", "second"],
+      serve: (socket, id) => {
+        if (id === "first") return void socket.write(answer(id, id));
+        const head =
+          `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n`;
+        socket.end(`${head}${fields}\r\nsec${"rst"}ondly`);
+      },
+    });
+    t.is(sockets, 1);
+    const second = results[1]!;
+    t.true(!second.isComplete || second.body === "secondly", second.body);
+  });
+}
--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -32,20 +32,33 @@
 }
 
 /**
- * Requests of a slot that allow retries: as many as in these slots before it, or
- * twice the mean of the slots in the window before it.
+ * Requests of a slot that allow retries: as many as in these slots before it,
+ * twice the mean of the slots in the window before it, or later the mean of
+ * these slots after it.
  */
 const COMPARED_SLOTS = 4;
 const MAX_TIMES_MEAN = 2;
 /** Requests of a slot that allow retries in any case. */
 const MIN_CREDITED = 1;
 
+/**
+ * Retries keep pace with the requests of these slots. What a process has saved
+ * up over a window, and takes at once, would add to what the next process of its
+ * VM takes in the same window.
+ */
+const PACED_SLOTS = 4;
+/** Retries of the paced slots that are allowed in any case. */
+const MIN_PACED = 1;
+
 interface Slot {
   readonly index: number;
   requests: number;
   /** The requests that allow retries, up to {@link Slot.maxCredited}. */
   credited: number;
   readonly maxCredited: number;
+  /** Repeats that were taken, whether or not they have arrived. */
+  taken: number;
+  /** Repeats that have arrived. */
   repeats: number;
 }
 
@@ -57,25 +70,25 @@
 
 /** Counters of one service. */
 class ServiceCounts {
-  readonly #startIndex: number;
   readonly #windowSlots: number;
+  /** Repeats that may not have arrived yet. */
+  pendingRepeats = 0;
   #slots: Slot[] = [];
 
-  constructor(
-    options: { readonly startIndex: number; readonly windowSlots: number },
-  ) {
-    this.#startIndex = options.startIndex;
-    this.#windowSlots = options.windowSlots;
+  constructor({ windowMs }: Pick<RetryLimits, "windowMs">) {
+    this.#windowSlots = windowMs / SLOT_MS;
   }
 
   slotAt(index: number): Slot {
     const last = this.#slots.at(-1);
     if (last?.index === index) return last;
+    this.#creditSteady(index);
     const slot = {
       index,
       requests: 0,
       credited: 0,
       maxCredited: this.#maxCredited(index),
+      taken: 0,
       repeats: 0,
     };
     this.#slots.push(slot);
@@ -102,25 +115,42 @@
     return { requests, credited, repeats };
   }
 
+  takenSince(firstIndex: number): number {
+    return this.#slots
+      .filter(({ index }) => index >= firstIndex)
+      .reduce((sum, { taken }) => sum + taken, 0);
+  }
+
   /**
    * Requests that waited on their way, or while the process was paused, come at
-   * once. They were sent in earlier windows, whose retries are over. Nothing can
-   * have waited for a process that has just started.
+   * once. They were sent in earlier windows, whose retries are over. They may
+   * have waited for the start of the process as well.
    */
   #maxCredited(index: number): number {
-    if (index - this.#startIndex < COMPARED_SLOTS) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const mean = this.#creditedSince(index - this.#windowSlots) /
+    const mean = this.creditedSince(index - this.#windowSlots) /
       this.#windowSlots;
     return Math.max(
       MIN_CREDITED,
-      this.#creditedSince(index - COMPARED_SLOTS),
+      this.creditedSince(index - COMPARED_SLOTS),
       MAX_TIMES_MEAN * mean,
     );
   }
 
-  #creditedSince(firstIndex: number): number {
+  /** Credits requests once as many have followed them at the same rate. */
+  #creditSteady(nowIndex: number): void {
+    for (const slot of this.#slots) {
+      if (slot.index + COMPARED_SLOTS >= nowIndex) return;
+      const following = this.#slots
+        .filter(({ index }) =>
+          index > slot.index && index <= slot.index + COMPARED_SLOTS
+        )
+        .reduce((sum, { requests }) => sum + requests, 0);
+      const steady = Math.min(slot.requests, following / COMPARED_SLOTS);
+      slot.credited = Math.max(slot.credited, steady);
+    }
+  }
+
+  creditedSince(firstIndex: number): number {
     return this.#slots
       .filter(({ index }) => index >= firstIndex)
       .reduce((sum, { credited }) => sum + credited, 0);
@@ -136,12 +166,12 @@
  * ```ts
  * const budget = new RetryBudget(limits, { startedAtMs });
  * budget.recordRequest(service, nowMs);
- * if (budget.tryRetry(service, { nowMs, sharers: 9 })) sendAgain();
+ * if (budget.tryRetry(service, { nowMs, sharers: 9 })) await sendAgain();
+ * budget.settleRetry(service, nowMs);
  * ```
  */
 export class RetryBudget {
   readonly #limits: RetryLimits;
-  readonly #startIndex: number;
   readonly #slackFromMs: number;
   readonly #services = new Map<ServiceName, ServiceCounts>();
 
@@ -150,7 +180,6 @@
     { startedAtMs }: { readonly startedAtMs: number },
   ) {
     this.#limits = limits;
-    this.#startIndex = slotIndex(startedAtMs);
     this.#slackFromMs = startedAtMs + limits.windowMs + SLOT_MS;
   }
 
@@ -170,19 +199,42 @@
     );
   }
 
-  /** Takes one retry; false when the budget is used up. */
+  /**
+   * Takes one retry; false when the budget is used up. It counts in all windows
+   * until it is settled.
+   */
   tryRetry(service: ServiceName, at: RetryMoment): boolean {
-    const { windowMs, share } = this.#limits;
     const counts = this.#countsOf(service);
-    const firstIndex = slotIndex(at.nowMs - windowMs);
-    const { credited, repeats } = counts.sums(firstIndex);
-    const allowed = (credited * share + this.slackPart(at)) *
-      BUDGET_UTILIZATION;
-    if (repeats + 1 > allowed) return false;
-    counts.slotAt(slotIndex(at.nowMs)).repeats += 1;
+    const { credited, repeats } = counts.sums(
+      slotIndex(at.nowMs - this.#limits.windowMs),
+    );
+    if (repeats + counts.pendingRepeats + 1 > this.#allowed(credited, at)) {
+      return false;
+    }
+    const pacedFrom = slotIndex(at.nowMs) - PACED_SLOTS + 1;
+    const paced = this.#allowed(counts.creditedSince(pacedFrom), at);
+    const maxPaced = Math.max(MIN_PACED, Math.ceil(paced));
+    if (counts.takenSince(pacedFrom) + 1 > maxPaced) return false;
+    counts.pendingRepeats += 1;
+    counts.slotAt(slotIndex(at.nowMs)).taken += 1;
     return true;
   }
 
+  #allowed(credited: number, at: RetryMoment): number {
+    return (credited * this.#limits.share + this.slackPart(at)) *
+      BUDGET_UTILIZATION;
+  }
+
+  /**
+   * Records that a retry has arrived by now, or will not arrive. It counts in
+   * the windows from now on, as it may have waited on its way until now.
+   */
+  settleRetry(service: ServiceName, nowMs: number): void {
+    const counts = this.#countsOf(service);
+    counts.pendingRepeats -= 1;
+    counts.slotAt(slotIndex(nowMs)).repeats += 1;
+  }
+
   /** Retries that this daemon may add to those for its requests. */
   slackPart({ nowMs, sharers }: RetryMoment): number {
     if (sharers === undefined || nowMs < this.#slackFromMs) return 0;
@@ -192,10 +244,7 @@
   #countsOf(service: ServiceName): ServiceCounts {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const counts = new ServiceCounts({
-      startIndex: this.#startIndex,
-      windowSlots: this.#limits.windowMs / SLOT_MS,
-    });
+    const counts = new ServiceCounts(this.#limits);
     this.#services.set(service, counts);
     return counts;
   }
