--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -812,10 +812,11 @@
     });
   }
 
+  /** Starts the next attempt; a take-up's first event is still to come. */
   #startAgain(): void {
-    const isTakeUp = this.#takenUpVersion !== undefined &&
+    const needsCheck = this.#takenUpVersion !== undefined &&
       !this.#relay.hasBegun;
-    if (isTakeUp) this.#startAtVersion();
+    if (needsCheck) this.#startAtVersion();
     else this.#startAttempt();
   }
 
