--- a/packages/request-path/src/retry_budget.ts
+++ b/packages/request-path/src/retry_budget.ts
@@ -115,23 +115,17 @@
     return { requests, credited, repeats };
   }
 
-  takenSince(firstIndex: number): number {
-    return this.#slots
-      .filter(({ index }) => index >= firstIndex)
-      .reduce((sum, { taken }) => sum + taken, 0);
-  }
-
   /**
    * Requests that waited on their way, or while the process was paused, come at
    * once. They were sent in earlier windows, whose retries are over. They may
    * have waited for the start of the process as well.
    */
   #maxCredited(index: number): number {
-    const mean = this.creditedSince(index - this.#windowSlots) /
+    const mean = this.sumSince(index - this.#windowSlots, "credited") /
       this.#windowSlots;
     return Math.max(
       MIN_CREDITED,
-      this.creditedSince(index - COMPARED_SLOTS),
+      this.sumSince(index - COMPARED_SLOTS, "credited"),
       MAX_TIMES_MEAN * mean,
     );
   }
@@ -150,10 +144,11 @@
     }
   }
 
-  creditedSince(firstIndex: number): number {
+  /** Sums one counter over the slots from the index on. */
+  sumSince(firstIndex: number, counter: "credited" | "taken"): number {
     return this.#slots
       .filter(({ index }) => index >= firstIndex)
-      .reduce((sum, { credited }) => sum + credited, 0);
+      .reduce((sum, slot) => sum + slot[counter], 0);
   }
 }
 
@@ -212,9 +207,9 @@
       return false;
     }
     const pacedFrom = slotIndex(at.nowMs) - PACED_SLOTS + 1;
-    const paced = this.#allowed(counts.creditedSince(pacedFrom), at);
+    const paced = this.#allowed(counts.sumSince(pacedFrom, "credited"), at);
     const maxPaced = Math.max(MIN_PACED, Math.ceil(paced));
-    if (counts.takenSince(pacedFrom) + 1 > maxPaced) return false;
+    if (counts.sumSince(pacedFrom, "taken") + 1 > maxPaced) return false;
     counts.pendingRepeats += 1;
     counts.slotAt(slotIndex(at.nowMs)).taken += 1;
     return true;
