Show requests that begin on weights that were replaced too long ago

The simulated engines now count a run as begun with its first token, as the platform does, and not when its prompt is read; one that was given up before counts no more.

--- /dev/null
+++ b/packages/front/src/late_begins_fleet_test.ts
@@ -0,0 +1,104 @@
+import test from "ava";
+import { type Engine, type FleetOptions, TestFleet } from "./testing_fleet.ts";
+
+const DAEMONS = 4;
+const ENGINES = 6;
+const SEND_INTERVAL_MS = 20;
+const NAMED_AT_MS = 4_000;
+/** No request may begin on older weights this long after newer were named. */
+const VERSION_MS = 8_000;
+const BOUND_AT_MS = NAMED_AT_MS + VERSION_MS;
+/** Until then all engines have the older weights, later some have the newer. */
+const LOADED_AT_MS = BOUND_AT_MS - 1_000;
+const LOADED_ENGINES = 3;
+/** A moment at which requests are still sent to engines with older weights. */
+const TROUBLE_AT_MS = BOUND_AT_MS - 2_400;
+const END_MS = BOUND_AT_MS + 6_000;
+
+/** What lets requests that were sent in time begin late. */
+const TROUBLES: Readonly<
+  Record<string, (fleet: TestFleet, engines: readonly Engine[]) => void>
+> = {
+  "are full": (fleet, engines) => {
+    for (const engine of engines) fleet.holdRuns(engine, 3_000);
+  },
+  "free their slots just after the bound": (fleet, engines) => {
+    const heldMs = BOUND_AT_MS + 50 - fleet.time.nowMs;
+    for (const engine of engines) fleet.holdRuns(engine, heldMs);
+  },
+  "are frozen": (fleet, engines) => {
+    for (const engine of engines) {
+      fleet.holdArrivals(engine, 3_000);
+      fleet.holdRuns(engine, 3_000);
+    }
+  },
+  "are full and reached through other VMs": (fleet, engines) => {
+    fleet.cutOff([0, 2], "silent");
+    for (const engine of engines) fleet.holdRuns(engine, 3_000);
+  },
+};
+
+const CALLERS: Readonly<Record<string, Partial<FleetOptions>>> = {
+  "streams that may be sent twice": {},
+  "streams with one attempt": { maxAttempts: 1 },
+  "streams that run at most once": { kind: "stream" },
+};
+
+async function play(
+  trouble: (fleet: TestFleet, engines: readonly Engine[]) => void,
+  options: Partial<FleetOptions>,
+): Promise<TestFleet> {
+  const fleet = new TestFleet({
+    daemons: DAEMONS,
+    engines: ENGINES,
+    ...options,
+  });
+  const { time } = fleet;
+  const [...engines] = fleet.runningEngines();
+  time.after(NAMED_AT_MS, () => fleet.nameWeights(2));
+  time.after(LOADED_AT_MS, () => {
+    for (const engine of engines.slice(0, LOADED_ENGINES)) {
+      engine.weights = 2;
+      engine.beginsFromMs = 0;
+      engine.heldUntilMs = 0;
+      fleet.report(engine);
+    }
+  });
+  time.after(TROUBLE_AT_MS, () => trouble(fleet, engines));
+  let sent = 0;
+  const send = () => {
+    fleet.send(sent % DAEMONS, [`rules-${sent % 7}`, `parish-${sent % 61}`]);
+    sent += 1;
+    if (time.nowMs < BOUND_AT_MS) time.after(SEND_INTERVAL_MS, send);
+  };
+  time.after(2_000, send);
+  await time.advance(END_MS);
+  return fleet;
+}
+
+// Guards against a bound on the begin that is kept only when a request is sent,
+// by a guess of its wait.
+for (const [how, trouble] of Object.entries(TROUBLES)) {
+  for (const [callers, options] of Object.entries(CALLERS)) {
+    test(`no request begins on weights replaced too long ago as engines ${how}: ${callers}`, async (t) => {
+      const fleet = await play(trouble, options);
+      const late = fleet.begunRuns.filter(({ atMs, weights }) =>
+        weights === 1 && atMs > BOUND_AT_MS
+      );
+      t.deepEqual(late, []);
+      const waiting = fleet.outcomes.filter(({ sentAtMs }) =>
+        sentAtMs > TROUBLE_AT_MS && sentAtMs < TROUBLE_AT_MS + 900
+      );
+      t.true(waiting.length > 40);
+      const open = waiting.filter(({ hasEnded, isCut, refusal }) =>
+        !hasEnded && !isCut && refusal === undefined
+      );
+      t.deepEqual(open, [], "requests without an answer");
+      const untrue = waiting.filter(({ requestId, refusal }) =>
+        refusal?.isNotRun === true &&
+        fleet.begunRuns.some((run) => run.requestId === requestId)
+      );
+      t.deepEqual(untrue, [], "requests that ran and are said not to have run");
+    });
+  }
+}
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -341,7 +341,7 @@
   readonly expects: number | undefined;
 }
 
-/** A run that an engine has begun, after it has waited there. */
+/** A run that an engine has begun with its first token, after a wait there. */
 export interface BegunRun {
   readonly atMs: number;
   readonly vm: VmId;
@@ -382,6 +382,8 @@
   saysThatItLeaves: boolean;
   /** Attempts that are sent to it arrive then at the earliest. */
   heldUntilMs: number;
+  /** Requests that wait there begin then at the earliest. */
+  beginsFromMs: number;
   readonly attempts: Set<RunningAttempt>;
   /** The most attempts that it had at a time. */
   peakAttempts: number;
@@ -975,6 +977,7 @@
       asksForQuietMs: undefined,
       saysThatItLeaves: false,
       heldUntilMs: 0,
+      beginsFromMs: 0,
       attempts: new Set(),
       peakAttempts: 0,
       weights: 1,
@@ -1050,6 +1053,14 @@
     engine.heldUntilMs = this.time.nowMs + durationMs;
   }
 
+  /**
+   * Lets requests wait at the engine, as one does whose slots or memory are
+   * full. It also preempts runs for more urgent ones, or stands still.
+   */
+  holdRuns(engine: Engine, durationMs: number): void {
+    engine.beginsFromMs = this.time.nowMs + durationMs;
+  }
+
   /**
    * The engine ends and starts again after `downMs` under its id with the
    * software version, and writes its entry `reportMs` later.
@@ -1152,13 +1163,6 @@
     engine.attempts.add(attempt);
     engine.peakAttempts = Math.max(engine.peakAttempts, engine.attempts.size);
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
-    this.begunRuns.push({
-      atMs: prefillAtMs,
-      vm,
-      engine: id,
-      requestId,
-      weights: engine.weights,
-    });
     engine.prefilledAtMs = prefillAtMs +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
     const delayMs = engine.prefilledAtMs - this.time.nowMs;
@@ -1195,6 +1199,17 @@
   ): void {
     const { attempt, segments, body, order } = run;
     if (attempt.isOver) return;
+    const heldMs = engine.beginsFromMs - this.time.nowMs;
+    if (heldMs > 0) {
+      return void this.time.after(heldMs, () => this.#begin(engine, run));
+    }
+    this.begunRuns.push({
+      atMs: this.time.nowMs,
+      vm: attempt.vm,
+      engine: engine.listed.id,
+      requestId: attempt.requestId,
+      weights: engine.weights,
+    });
     const isDeadlyBody = this.deadlyBodies.has(body);
     if (isDeadlyBody) {
       this.time.after(CRASH_DELAY_MS, () => {
