Withdraw attempts that would begin on weights replaced too long ago

Cause: the bound was checked once, as a request was placed, with a guess of its wait from the prompt tokens that are queued. Nothing looked at the bound after the request was sent, and the first of two attempts stayed open past it.

Now an attempt of which no byte has come 400 ms before the bound is withdrawn: its connection is reset, its server is not blamed, and the request is placed anew within attempts and budget (repeats of cause "withdrawn"). One that has begun stays. What was sent may have run, so a request that can't be placed anew is not said not to have run, and one that runs at most once is not sent again. What was not sent yet goes elsewhere at no cost. The withdrawal waits for a turn of the event loop, as after a pause timers run before sockets are read.

The moment goes with the attempt (`beginByMs`): the client checks it again when the connection is ready, as orders do, so that a process that was paused sends nothing late. Daemons that forward get the time that is left in a header, check it as well, and withdraw by themselves 150 ms later, for the case that the link between the two is broken. The bound counts from the first name after the server's version, and also for names that come while an attempt waits.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -362,10 +362,11 @@
   }
 
   #createForwardedRuns(): ForwardedRuns {
-    const { clock, serverClient, log, metrics } = this.#ports;
+    const { clock, scheduler, serverClient, log, metrics } = this.#ports;
     return new ForwardedRuns({
       registry: this.#registry,
       clock,
+      scheduler,
       client: serverClient,
       paths: this.#paths,
       crashGuard: this.#quarantines.guard,
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1425,13 +1425,14 @@
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
     const { requestId, digest, work } = order.request;
-    const { deadlineMs, server } = order;
+    const { deadlineMs, beginByMs, server } = order;
     return this.#forwardedRuns?.open({
       requestId,
       digest,
       server,
       work,
       deadlineMs,
+      beginByMs,
       message: { ...order, forwarder: undefined },
     }, sink);
   }
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -88,9 +88,10 @@
   const id = singleHeader(request, FORWARD_HEADERS.server);
   const address = singleHeader(request, FORWARD_HEADERS.address);
   const timeLeftMs = Number(singleHeader(request, HEADERS.timeLeft));
+  const beginInHeader = singleHeader(request, FORWARD_HEADERS.beginIn);
   const isPeer = context.isPeer(request.socket.remoteAddress ?? "");
   const isComplete = id !== undefined && address !== undefined &&
-    Number.isFinite(timeLeftMs);
+    Number.isFinite(timeLeftMs) && Number.isFinite(Number(beginInHeader ?? 0));
   if (!isPeer || !isComplete) {
     context.failed(isPeer ? "incomplete request" : "not a daemon's address");
     request.resume();
@@ -127,6 +128,9 @@
     server: { id: brandId<BackendServerId>(id), address },
     work: parseWork(request),
     deadlineMs: receivedAtMs + timeLeftMs,
+    beginByMs: beginInHeader === undefined
+      ? undefined
+      : receivedAtMs + Number(beginInHeader),
     message,
   }, sink);
   response.on("drain", () => run.resume());
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -2,10 +2,11 @@
 import { createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import test, { type ExecutionContext } from "ava";
-import { createClock } from "@endivebend/clock";
+import { createClock, createScheduler } from "@endivebend/clock";
 import { ServerPaths } from "@endivebend/forwarding";
 import {
   type AttemptOrder,
+  BEGINS_TOO_LATE,
   CrashGuard,
   ForwardedRuns,
   type RoutedRequest,
@@ -52,6 +53,7 @@
   const runs = new ForwardedRuns({
     registry,
     clock,
+    scheduler: createScheduler(),
     client,
     paths: new ServerPaths({
       failureDomain: brandId("a"),
@@ -328,3 +330,26 @@
     t.true((await send({ request: repeatable })).isComplete);
   }
 });
+
+test("the VM that forwards sends nothing on once the time to begin is over", async (t) => {
+  const { order, requests, clock } = await start(t, () => {});
+  // The VM that the request comes from has decided before a pause.
+  const sentAtMs = clock.elapsedMs();
+  const past = { wallMs: clock.wallMs, elapsedMs: () => sentAtMs };
+  const { failure } = await runAttempt(createServerClient(past, { ip: IP }), {
+    ...order,
+    beginByMs: sentAtMs + 0.5,
+  });
+  t.like(failure, { kind: "unsent", reason: BEGINS_TOO_LATE });
+  t.is(failure?.at, undefined);
+  t.deepEqual(requests, []);
+});
+
+test("a forwarded request with time to begin reaches its server without the headers between VMs", async (t) => {
+  const { send, requests, clock } = await start(t, (socket) => {
+    socket.write(`${HEAD}Content-Length: 4\r\n\r\ndone`);
+  });
+  const beginByMs = clock.elapsedMs() + 60_000;
+  t.true((await send({ beginByMs })).isComplete);
+  t.notRegex(requests[0]!, /endivebend-/i);
+});
--- a/packages/platform/src/forward_wire.ts
+++ b/packages/platform/src/forward_wire.ts
@@ -10,6 +10,8 @@
   /** Id and address of the server that the request is for. */
   server: "endivebend-server",
   address: "endivebend-address",
+  /** Milliseconds in which the server must have begun, where it must. */
+  beginIn: "endivebend-begin-in-ms",
   /** `unsent` or `broken` in place of an answer; see `AttemptFailure`. */
   outcome: "endivebend-outcome",
   reason: "endivebend-reason",
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -24,6 +24,7 @@
   type AttemptHandle,
   type AttemptListener,
   type AttemptOrder,
+  BEGINS_TOO_LATE,
   type ForwardOrder,
   isRepeatable,
   type ListenState,
@@ -129,16 +130,29 @@
       const headers = requestHeaders(order, clock);
       const message = request.message as ClientMessage;
       const expected = { requestId: request.requestId, serverId: server.id };
+      const { beginByMs } = order;
+      const maySend = () => isInTime(beginByMs, clock);
       if (forwarder === undefined) {
         const { address } = server;
         const known = agentFor(address);
         const mayReuse = isRepeatable(request.route.kind) || !known.stutters;
         const agent = mayReuse ? known : unpooled;
-        const exchange = { address, agent, known, message, headers, expected };
-        return startExchange(exchange, listener);
+        return startExchange({
+          address,
+          agent,
+          known,
+          message,
+          headers,
+          expected,
+          maySend,
+        }, listener);
       }
       headers.push(FORWARD_HEADERS.server, server.id);
       headers.push(FORWARD_HEADERS.address, server.address);
+      if (beginByMs !== undefined) {
+        const beginInMs = Math.floor(beginByMs - steadyMs(clock));
+        headers.push(FORWARD_HEADERS.beginIn, String(beginInMs));
+      }
       const { address } = forwarder;
       return startExchange({
         address,
@@ -146,12 +160,13 @@
         message,
         headers,
         expected,
+        maySend,
         forwardedFrom: ip,
         isForwarded: true,
       }, listener);
     },
     forward(order, listener) {
-      const { requestId, server } = order;
+      const { requestId, server, beginByMs } = order;
       const known = agentFor(server.address);
       return startExchange({
         address: server.address,
@@ -160,6 +175,7 @@
         message: order.message as ClientMessage,
         headers: forwardedHeaders(order, clock),
         expected: { requestId, serverId: server.id },
+        maySend: () => isInTime(beginByMs, clock),
       }, listener);
     },
     checkListening,
@@ -169,6 +185,10 @@
   };
 }
 
+function isInTime(beginByMs: number | undefined, clock: Clock): boolean {
+  return beginByMs === undefined || steadyMs(clock) < beginByMs;
+}
+
 function checkListening(address: string): Promise<ListenState> {
   if (!isIpAndPort(address)) return Promise.resolve("unknown");
   const [host, port] = address.split(":");
@@ -207,6 +227,11 @@
   readonly message: ClientMessage;
   readonly headers: readonly string[];
   readonly expected: ExpectedAnswer;
+  /**
+   * Whether the request may still be sent, checked when its connection is ready.
+   * The process may have been paused since the attempt was decided.
+   */
+  readonly maySend: () => boolean;
   readonly isForwarded?: boolean;
   /** Own address from which to connect. */
   readonly forwardedFrom?: string | undefined;
@@ -243,7 +268,7 @@
   exchange: Exchange,
   listener: AttemptListener,
 ): AttemptHandle {
-  const { message, known, expected, isForwarded = false } = exchange;
+  const { message, known, expected, maySend, isForwarded = false } = exchange;
   if (known !== undefined) closeFormerConnections(known, expected.requestId);
   const outgoing = openRequest(exchange);
   if (outgoing instanceof Error) {
@@ -290,15 +315,18 @@
   outgoing.on("socket", (socket) => {
     noteRequest(socket, expected.requestId);
     noteReads(socket);
-    const markSent = () => {
+    const send = () => {
+      if (isFinished) return;
+      if (!maySend()) return fail(BEGINS_TOO_LATE);
       clearTimeout(connectTimer);
       wasSent = true;
       listener.sent();
+      outgoing.end(message.body);
     };
-    if (!socket.connecting) return markSent();
+    if (!socket.connecting) return send();
     socket.once("connect", () => {
       if (!isFinished) listener.connected();
-      markSent();
+      send();
     });
   });
   outgoing.on("error", ({ message, code }: NodeJS.ErrnoException) => {
@@ -390,7 +418,6 @@
       listener.end();
     });
   };
-  outgoing.end(message.body);
   return {
     abort() {
       if (isFinished) return;
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import test from "ava";
 import { createClock } from "@endivebend/clock";
-import type { AttemptOrder } from "@endivebend/request-path";
+import { type AttemptOrder, BEGINS_TOO_LATE } from "@endivebend/request-path";
 import { createServerClient, type ServerMessage } from "./server_client.ts";
 import {
   type AttemptResult,
@@ -295,3 +295,36 @@
   server.close();
   t.true(socket.bytesRead < body.length, `${socket.bytesRead} bytes arrived`);
 });
+
+test("an attempt is not sent when its connection is ready after the time to begin", async (t) => {
+  const requests: string[] = [];
+  const server = await startRawServer((socket, text) => {
+    requests.push(text);
+    socket.write(`${RESPONSE_HEAD}Content-Length: 0\r\n\r\n`);
+  });
+  let nowMs = 1_000;
+  const clock = { wallMs: () => nowMs, elapsedMs: () => nowMs };
+  const client = createServerClient(clock);
+  const order = testAttemptOrder(server.address, {
+    deadlineMs: 9_000,
+    beginByMs: 2_000,
+  });
+  let wasSent = false;
+  const failure = await new Promise((resolve) => {
+    client.start(order, {
+      // The process stands still while the connection is opened.
+      connected: () => nowMs = 2_000,
+      sent: () => wasSent = true,
+      head() {},
+      data() {},
+      end() {},
+      failed: resolve,
+    });
+  });
+  t.deepEqual(failure, { kind: "unsent", reason: BEGINS_TOO_LATE });
+  t.false(wasSent);
+  // A later attempt shows that nothing was sent before it.
+  await runAttempt(client, { ...order, beginByMs: undefined });
+  t.is(requests.length, 1);
+  server.close();
+});
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -7,8 +7,9 @@
  * @module
  */
 
-import { type Clock, steadyMs } from "@endivebend/clock";
+import { type Clock, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
+import { BEGINS_TOO_LATE } from "./begin_bound.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import type {
   AnswerHead,
@@ -23,6 +24,7 @@
 /** Dependencies of all forwarded requests. */
 export interface ForwardContext extends AnswerRecords {
   readonly clock: Clock;
+  readonly scheduler: Scheduler;
   readonly client: Pick<ServerClient, "forward" | "closeIdleConnections">;
   readonly paths: ServerPaths;
   readonly crashGuard: CrashGuard;
@@ -53,6 +55,11 @@
  * 178 MB, and callers of its own.
  */
 const MAX_FORWARDED = 192;
+/**
+ * The other VM withdraws a request that begins too late itself, unless its link
+ * to this one is broken; it takes up to 100 ms.
+ */
+const WITHDRAW_GRACE_MS = 150;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 
@@ -124,7 +131,8 @@
     server: KnownServer,
     run: { readonly order: ForwardOrder; readonly sink: ForwardSink },
   ): ForwardedRun {
-    const { client, clock, registry, crashGuard, paths } = this.#context;
+    const { client, clock, scheduler, registry, crashGuard, paths } =
+      this.#context;
     const { order, sink } = run;
     const { listed } = server;
     const suspects = crashGuard.suspectsOf(order);
@@ -140,9 +148,12 @@
     }
     this.#openCount += 1;
     let isOver = false;
+    let wasSent = false;
+    let cancelWithdrawal = () => {};
     const end = (outcome: string) => {
       if (isOver) return;
       isOver = true;
+      cancelWithdrawal();
       this.#openCount -= 1;
       this.#logEnd(order, { outcome, startedAtMs: answer.startedAtMs });
     };
@@ -162,10 +173,13 @@
     };
     const handle: AttemptHandle = client.forward(order, {
       connected: () => paths.recordConnected(listed),
-      sent() {},
+      sent() {
+        wasSent = true;
+      },
       head: (head) =>
         contain(() => {
           answer.headAtMs = nowMs();
+          cancelWithdrawal();
           recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
           sink.head(head);
         }),
@@ -185,11 +199,25 @@
       failed: (failure) =>
         contain(() => {
           end(failure.kind);
+          if (failure.reason === BEGINS_TOO_LATE) return sink.failed(failure);
           if (failure.kind === "unsent") this.#recordNoConnection(server);
           else this.#recordLoss(suspects, { server, answer });
           sink.failed(failure);
         }),
     });
+    if (order.beginByMs !== undefined) {
+      const withdrawAtMs = order.beginByMs + WITHDRAW_GRACE_MS;
+      cancelWithdrawal = scheduler.after(
+        withdrawAtMs - nowMs(),
+        () =>
+          contain(() => {
+            end("withdrawn");
+            handle.abort();
+            const kind = wasSent ? "broken" : "unsent";
+            sink.failed({ kind, reason: BEGINS_TOO_LATE });
+          }),
+      );
+    }
     return {
       resume: () => handle.resume(),
       abort: () => {
--- /dev/null
+++ b/packages/request-path/src/forwarded_run_test.ts
@@ -0,0 +1,80 @@
+import test from "ava";
+import { BEGINS_TOO_LATE } from "./begin_bound.ts";
+import { ForwardedRuns, type ForwardSink } from "./forwarded_run.ts";
+import type { AttemptFailure, ForwardOrder } from "./ports.ts";
+import {
+  answerHead,
+  listedServer,
+  routedRequest,
+  testContext,
+} from "./testing.ts";
+
+const BEGIN_BY_MS = 3_000;
+
+/** A request that another VM has forwarded, and which has to begin in time. */
+function start() {
+  const context = testContext();
+  const { registry, client, time } = context;
+  const paths = { ...context.paths, mayForward: () => true };
+  const runs = new ForwardedRuns({
+    ...context,
+    paths: Object.assign(Object.create(context.paths), paths),
+    isLeaving: () => false,
+  });
+  const { requestId, digest, work } = routedRequest("resumable_stream");
+  const { id, address } = listedServer("one");
+  const order: ForwardOrder = {
+    requestId,
+    digest,
+    work,
+    server: { id, address },
+    deadlineMs: 20_000,
+    beginByMs: BEGIN_BY_MS,
+    message: undefined,
+  };
+  const failures: AttemptFailure[] = [];
+  const sink: ForwardSink = {
+    head() {},
+    data: () => true,
+    end() {},
+    failed: (failure) => failures.push(failure),
+  };
+  runs.open(order, sink);
+  const forward = client.forwards[0]!;
+  return { forward, failures, time, registry, runs };
+}
+
+test("a forwarded request that has not begun is withdrawn though the other VM is silent", (t) => {
+  const { forward, failures, time, runs } = start();
+  forward.listener.sent();
+  time.advance(BEGIN_BY_MS - 1 - time.nowMs);
+  t.false(forward.isAborted);
+  time.advance(200);
+  t.true(forward.isAborted);
+  t.deepEqual(failures, [{ kind: "broken", reason: BEGINS_TOO_LATE }]);
+  t.is(runs.openCount, 0);
+});
+
+test("a forwarded request that was not sent in time has not run", (t) => {
+  const { failures, time } = start();
+  time.advance(BEGIN_BY_MS + 200 - time.nowMs);
+  t.deepEqual(failures, [{ kind: "unsent", reason: BEGINS_TOO_LATE }]);
+});
+
+test("a forwarded request that has begun goes on after the bound", (t) => {
+  const { forward, failures, time } = start();
+  forward.listener.sent();
+  forward.listener.head(answerHead());
+  time.advance(BEGIN_BY_MS + 1_000 - time.nowMs);
+  t.false(forward.isAborted);
+  t.deepEqual(failures, []);
+});
+
+test("a connection that was ready too late blames no server", (t) => {
+  const { forward, failures, registry } = start();
+  const silentAtMs = () => registry.get(listedServer("one").id)?.silentAtMs;
+  const before = silentAtMs();
+  forward.listener.failed({ kind: "unsent", reason: BEGINS_TOO_LATE });
+  t.is(silentAtMs(), before);
+  t.deepEqual(failures, [{ kind: "unsent", reason: BEGINS_TOO_LATE }]);
+});
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -18,6 +18,7 @@
 export { chooseServer } from "./choose_server.ts";
 export type { Candidate, Choice, ChoiceRequest } from "./choose_server.ts";
 export { ConfigurationView, pickDestination } from "./configuration.ts";
+export { beginByMs, BEGINS_TOO_LATE } from "./begin_bound.ts";
 export { CachedSegments, segmentKey } from "./cached_segments.ts";
 export type {
   CacheChange,
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -34,6 +34,11 @@
   };
   /** When the server must stop working, on the steady clock. */
   readonly deadlineMs: number;
+  /**
+   * The request is not sent from this time on, on the steady clock, as it would
+   * begin on weights that were replaced too long ago.
+   */
+  readonly beginByMs?: number | undefined;
   /** The id of the last event that the caller has received. */
   readonly resumeAfter: string | undefined;
   readonly cache: CachePlan;
@@ -56,6 +61,8 @@
   readonly work: ModelWork | undefined;
   /** When the server must stop working, on the steady clock. */
   readonly deadlineMs: number;
+  /** When the server must have begun; see {@link AttemptOrder.beginByMs}. */
+  readonly beginByMs?: number | undefined;
   /** The request as the other VM has sent it; opaque here. */
   readonly message: unknown;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -13,6 +13,7 @@
 import { type AnswerOrigin, originAt, versionToGoOn } from "./answer_origin.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { type Attempt, newAttempt } from "./attempt.ts";
+import { beginByMs, BEGINS_TOO_LATE, isTooLate } from "./begin_bound.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
 import {
@@ -49,9 +50,10 @@
 
 /**
  * Why a request is sent once more: its attempt broke, its server did not run
- * it, or its attempt is silent and stays open.
+ * it, its attempt is silent and stays open, or its attempt was withdrawn, as it
+ * would have begun on weights that were replaced too long ago.
  */
-export type RepeatCause = "broken" | "not_run" | "silent";
+export type RepeatCause = "broken" | "not_run" | "silent" | "withdrawn";
 
 /** Dependencies and state that all requests share. */
 export interface RequestContext extends PlacementContext {
@@ -428,6 +430,7 @@
         failureDomain: server.listed.failureDomain,
       },
       deadlineMs: this.#finalDeadlineMs(),
+      beginByMs: this.#beginByMs(attempt),
       resumeAfter: this.#relay.lastEventId ?? request.resumeAfter,
       cache,
       // An engine without a scope would share its cache with everyone.
@@ -691,6 +694,11 @@
 
   #onFailed(attempt: Attempt, failure: AttemptFailure): void {
     if (!this.#isOpen(attempt)) return;
+    if (failure.reason === BEGINS_TOO_LATE) {
+      return failure.kind === "unsent"
+        ? this.#handleUnsent(attempt, failure.reason)
+        : this.#withdraw(attempt);
+    }
     if (failure.at === "forwarder") {
       return this.#onForwarderFailed(attempt, failure);
     }
@@ -911,16 +919,66 @@
     shownBy: FaultSource = "connection",
   ): void {
     this.#endBroken(attempt, reason, shownBy);
+    const refusal = reason === "silent" ? "server_silent" : "server_failed";
+    this.#retryIfRepeatable({ reason: refusal, cause: "broken" }, attempt);
+  }
+
+  /** Goes on after an attempt that may have run, unless another one is open. */
+  #retryIfRepeatable(causes: RetryCauses, after: Attempt): void {
     if (this.#attempt !== undefined) return;
     const mayRetry = isRepeatable(this.#request.route.kind) &&
       this.#possiblyRunAttempts < this.#request.route.maxAttempts &&
       this.#relay.canResume && !this.#isTrial &&
       this.#context.crashGuard.mayRetry(this.#suspects);
-    const refusal = reason === "silent" ? "server_silent" : "server_failed";
-    if (mayRetry) {
-      return this.#retry({ reason: refusal, cause: "broken" }, attempt);
+    if (mayRetry) return this.#retry(causes, after);
+    this.#giveUp(causes.reason);
+  }
+
+  /** When the attempt must have begun; see `beginByMs`. */
+  #beginByMs({ expectedWeights }: Attempt): number | undefined {
+    const model = this.#request.work?.model;
+    if (model === undefined || expectedWeights === undefined) return undefined;
+    const { namedWeights, weightsBoundMs } = this.#context;
+    const named = namedWeights(model);
+    return beginByMs(expectedWeights, { named, weightsBoundMs });
+  }
+
+  #lateAttempts(): Attempt[] {
+    const nowMs = this.#nowMs();
+    return this.#openAttempts().filter((attempt) =>
+      isTooLate(attempt, { beginByMs: this.#beginByMs(attempt), nowMs })
+    );
+  }
+
+  /** Withdraws attempts that would begin too late. */
+  #withdrawLate(): void {
+    for (const attempt of this.#lateAttempts()) {
+      if (this.#isOpen(attempt)) this.#withdraw(attempt);
     }
-    this.#giveUp(refusal);
+  }
+
+  /**
+   * Takes the request back from a server that may begin it too late; whether it
+   * has begun is not known. The server is not to blame.
+   */
+  #withdraw(attempt: Attempt): void {
+    if (!attempt.wasSent) return this.#handleUnsent(attempt, BEGINS_TOO_LATE);
+    const nowMs = this.#nowMs();
+    const { server, forwarder, expectedWeights: weights } = attempt;
+    this.#logDecision("attempt_withdrawn", {
+      server: server.listed.id,
+      forwarder: forwarder?.vm,
+      reason: BEGINS_TOO_LATE,
+      weights,
+      replacedMs: this.#replacedMs(weights, nowMs),
+      afterMs: Math.round(nowMs - attempt.startedAtMs),
+    });
+    this.#context.metrics.count("withdrawn_attempts");
+    this.#abort(attempt);
+    this.#possiblyRunAttempts += 1;
+    this.#exclude(attempt);
+    const causes = { reason: "stale_weights", cause: "withdrawn" } as const;
+    this.#retryIfRepeatable(causes, attempt);
   }
 
   #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
@@ -1089,6 +1147,14 @@
     if (nowMs >= this.#finalDeadlineMs() + DEADLINE_GRACE_MS) {
       return this.#expire();
     }
+    if (this.#lateAttempts().length > 0) {
+      // After a pause of the process its timers run before its sockets are
+      // looked at, and an answer may have come meanwhile.
+      return void this.#context.scheduler.after(
+        0,
+        () => this.#contain(() => this.#withdrawLate()),
+      );
+    }
     if (this.#wait !== undefined && nowMs >= this.#wait.nextMs) {
       return this.#retry(this.#wait, this.#wait);
     }
