Count the time in relays towards the age of named weights

A daemon that missed a name, as it starts or is cut off from the store, learns when it was named from peers. The age that a message tells was taken as that at its arrival, though relays of a large fleet hold messages for up to 1.8 s (docs/platform.md); limits and departures already counted that time. The bound on replaced weights ended as much later there. A new test of two daemons was off by the message's whole 350 ms before and is exact now.

Ages are rounded down, so that they can't grow from hop to hop (40.4 ms became 40 in a new test).

--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -143,7 +143,7 @@
     for (const progress of message.weights) {
       this.#applyWeightsProgress(progress);
     }
-    this.#applyNamedWeights(message);
+    this.#applyNamedWeights(message, ageMs);
     this.#applyServerState(message, ageMs);
     this.#options.quarantines.applyReport(message, ageMs);
     return true;
@@ -227,7 +227,7 @@
     return current;
   }
 
-  #applyNamedWeights(message: GossipMessage): void {
+  #applyNamedWeights(message: GossipMessage, messageAgeMs: number): void {
     const { named } = this.#options;
     const nowMs = this.#options.nowMs();
     for (const [model, ages] of Object.entries(message.named)) {
@@ -235,7 +235,7 @@
         named.recordFirstSeen(
           brandId<ModelName>(model),
           brandId<NamedWeights["weights"]>(weights),
-          nowMs - ageMs,
+          nowMs - messageAgeMs - ageMs,
         );
       }
     }
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -162,6 +162,20 @@
   t.deepEqual(two.receivedSpent, [300]);
 });
 
+// Otherwise the bound on the use of replaced weights ends as much later as relays
+// hold messages, in daemons that have missed the name.
+test("the age of named weights includes the time that a relayed message took", (t) => {
+  const one = createDaemon("one");
+  const two = createDaemon("second");
+  one.named.name(MODEL, {
+    weights: brandId<WeightsVersion>(2),
+    firstSeenAtMs: 400,
+    isAgeKnown: true,
+  });
+  t.true(two.gossip.receive(one.gossip.composeMessage(), 350));
+  t.is(two.named.history(MODEL)[0]?.firstSeenAtMs, 50);
+});
+
 test("a message about older weights does not mark an engine as loading", (t) => {
   const { gossip, registry } = createDaemon("one");
   registry.recordWeights(ENGINE, {
--- a/packages/request-path/src/named_weights.ts
+++ b/packages/request-path/src/named_weights.ts
@@ -90,7 +90,8 @@
         )
         .map(({ weights, firstSeenAtMs }): [number, number] => [
           weights,
-          Math.round(nowMs - firstSeenAtMs),
+          // Rounded up, it would grow each time that a daemon passes it on.
+          Math.floor(nowMs - firstSeenAtMs),
         ]);
       if (shared.length > 0) ages[model] = shared;
     }
--- a/packages/request-path/src/named_weights_test.ts
+++ b/packages/request-path/src/named_weights_test.ts
@@ -40,3 +40,14 @@
   registry.recordFirstSeen(MODEL, version(2), 40);
   t.deepEqual(registry.ages(100), { [MODEL]: [[2, 100]] });
 });
+
+test("ages do not grow as daemons pass them on", (t) => {
+  let firstSeenAtMs = 40.4;
+  for (let hop = 0; hop < 20; hop++) {
+    const registry = new NamedWeightsRegistry();
+    registry.recordFirstSeen(MODEL, version(2), firstSeenAtMs);
+    const [[, ageMs]] = registry.ages(100)[MODEL] as [[number, number]];
+    firstSeenAtMs = 100 - ageMs;
+  }
+  t.true(firstSeenAtMs >= 40.4, `first seen at ${firstSeenAtMs} ms`);
+});
