--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -13,7 +13,7 @@
 import { type AnswerOrigin, originAt, versionToGoOn } from "./answer_origin.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { type Attempt, newAttempt } from "./attempt.ts";
-import { beginByMs, BEGINS_TOO_LATE, isTooLate } from "./begin_bound.ts";
+import { BEGINS_TOO_LATE } from "./begin_bound.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
 import { silenceTimeoutMs } from "./silence_timeout.ts";
 import {
@@ -35,6 +35,7 @@
 } from "./ports.ts";
 import type { ProcessCheck } from "./process_check.ts";
 import { recordAnswerHead } from "./record_answer.ts";
+import { RequestWeights } from "./request_weights.ts";
 import type { KnownServer, PrefixCacheId } from "./server_registry.ts";
 import {
   isRepeatable,
@@ -43,10 +44,8 @@
   type RoutedRequest,
   type SoftwareVersion,
   urgencyOf,
-  type WeightsVersion,
 } from "./types.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
-import { replacedForMs, summarizeWeights } from "./weights_belief.ts";
 
 /**
  * Why a request is sent once more: its attempt broke, its server did not run
@@ -103,8 +102,6 @@
 const MIN_ATTEMPT_TIME_MS = 50;
 /** Retry delay in a refusal while no server is known or free. */
 const DEFAULT_RETRY_MS = 600;
-/** An engine takes 390 ms to load weights. */
-const MIN_STALE_RETRY_MS = 400;
 /** Retries are spread by up to this share of the delay to avoid a herd. */
 const RETRY_JITTER = 0.5;
 
@@ -133,6 +130,7 @@
   readonly #caller: CallerSink;
   readonly #relay: AnswerRelay;
   readonly #suspects: RequestSuspects;
+  readonly #weights: RequestWeights;
   readonly #startedAtMs: number;
   readonly #excluded = new Set<BackendServerId>();
   readonly #excludedForwarders = new Set<VmId>();
@@ -175,6 +173,7 @@
     this.#startedAtMs = this.#nowMs();
     this.#relay = new AnswerRelay(request, caller, context.memory);
     this.#suspects = context.crashGuard.suspectsOf(request);
+    this.#weights = new RequestWeights(context, request);
   }
 
   start(): void {
@@ -350,7 +349,7 @@
       tokensToRead: cache.tokensToRead,
       softwareVersion: server.listed.softwareVersion,
       weights: cache.weights,
-      replacedMs: this.#replacedMs(cache.weights, nowMs),
+      replacedMs: this.#weights.replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
       candidates: choice.candidateCount,
       isProbe: isProbe || undefined,
@@ -371,18 +370,6 @@
     });
   }
 
-  /** For how long the weights have been replaced; undefined when current. */
-  #replacedMs(
-    weights: WeightsVersion | undefined,
-    nowMs: number,
-  ): number | undefined {
-    const model = this.#request.work?.model;
-    if (model === undefined || weights === undefined) return undefined;
-    const named = this.#context.namedWeights(model);
-    const replacedMs = replacedForMs(weights, { named, nowMs });
-    return replacedMs && Math.round(replacedMs);
-  }
-
   /** Gives up when the request, or a segment of its prompt, crashes engines. */
   #mayReachEngine(nowMs: number): boolean {
     if (this.#isTrial) return true;
@@ -408,7 +395,7 @@
       registry.recentPlacements.add(store, cache.parts, nowMs);
     }
     const { paths, metrics } = this.#context;
-    const replacedMs = this.#replacedMs(cache.weights, nowMs);
+    const replacedMs = this.#weights.replacedMs(cache.weights, nowMs);
     if (replacedMs !== undefined) {
       metrics.observeMs("replaced_weights_ms", replacedMs);
     }
@@ -430,7 +417,7 @@
         failureDomain: server.listed.failureDomain,
       },
       deadlineMs: this.#finalDeadlineMs(),
-      beginByMs: this.#beginByMs(attempt),
+      beginByMs: this.#weights.beginByMs(attempt.expectedWeights),
       resumeAfter: this.#relay.lastEventId ?? request.resumeAfter,
       cache,
       // An engine without a scope would share its cache with everyone.
@@ -934,19 +921,10 @@
     this.#giveUp(causes.reason);
   }
 
-  /** When the attempt must have begun; see `beginByMs`. */
-  #beginByMs({ expectedWeights }: Attempt): number | undefined {
-    const model = this.#request.work?.model;
-    if (model === undefined || expectedWeights === undefined) return undefined;
-    const { namedWeights, weightsBoundMs } = this.#context;
-    const named = namedWeights(model);
-    return beginByMs(expectedWeights, { named, weightsBoundMs });
-  }
-
   #lateAttempts(): Attempt[] {
     const nowMs = this.#nowMs();
     return this.#openAttempts().filter((attempt) =>
-      isTooLate(attempt, { beginByMs: this.#beginByMs(attempt), nowMs })
+      this.#weights.isTooLate(attempt, nowMs)
     );
   }
 
@@ -970,7 +948,7 @@
       forwarder: forwarder?.vm,
       reason: BEGINS_TOO_LATE,
       weights,
-      replacedMs: this.#replacedMs(weights, nowMs),
+      replacedMs: this.#weights.replacedMs(weights, nowMs),
       afterMs: Math.round(nowMs - attempt.startedAtMs),
     });
     this.#context.metrics.count("withdrawn_attempts");
@@ -1073,7 +1051,7 @@
   #giveUp(
     reason: RefusalReason,
     retryInMs = reason === "stale_weights"
-      ? this.#newWeightsInMs()
+      ? this.#weights.renewedInMs(this.#nowMs())
       : DEFAULT_RETRY_MS,
   ): void {
     if (this.#hasEnded) return;
@@ -1092,41 +1070,12 @@
       reason,
       isNotRun,
       retryAfterMs,
-      ...this.#refusalDetails(reason),
+      ...(reason === "stale_weights" && this.#weights.summary(this.#nowMs())),
     });
     this.#caller.refuse({ reason, isNotRun, retryAfterMs });
     this.#end("refused");
   }
 
-  /**
-   * Time until an engine is expected to have new weights: the first of those
-   * that load has, or else a probe may find one.
-   */
-  #newWeightsInMs(): number {
-    const { registry, weightsProbes } = this.#context;
-    const nowMs = this.#nowMs();
-    const loadedInMs = registry.usable(this.#request.service, nowMs)
-      .map(({ loadingUntilMs }) => loadingUntilMs - nowMs)
-      .filter((inMs) => inMs > 0);
-    return Math.max(
-      MIN_STALE_RETRY_MS,
-      loadedInMs.length > 0
-        ? Math.min(...loadedInMs)
-        : weightsProbes.nextInMs(nowMs),
-    );
-  }
-
-  /** What tells engines with old weights from a daemon that is mistaken. */
-  #refusalDetails(reason: RefusalReason): Readonly<Record<string, unknown>> {
-    const { work, service } = this.#request;
-    if (reason !== "stale_weights" || work === undefined) return {};
-    const { registry, namedWeights } = this.#context;
-    const nowMs = this.#nowMs();
-    const servers = registry.usable(service, nowMs);
-    const named = namedWeights(work.model);
-    return { ...summarizeWeights(servers, work.model, { named, nowMs }) };
-  }
-
   /** Any byte shows that the server is alive; only events are progress. */
   #recordReceived(attempt: Attempt): void {
     this.#context.registry.recordActivity(
