Play links that are refused, unanswered, reset or silent as real processes

The soak's only cut of a link was kept by the server, by the daemon that had taken the request: what went through another daemon was held as well, the server's status calls were answered, and there was no form but "accepted, then silent". Now a server listens at one address for each daemon, a file that the daemon's process loads before the bundle translates the listed address into it, and each link is cut by itself: new connections are refused, not answered (full listen queue), reset on accept, reset once bytes come, silent, or carry requests only; open ones are reset, silent or live on.

Rules: RECOVER as the users state it, BLAMED (the other daemons serve as before the cut), FORWARDED (no daemon is cut off by itself and requests go through others). REFUSED now holds for any answer that says Not-Run, not only for refusals of unsafe requests.

daemon_cut_from_server keeps its form and is stricter on the link, as status calls are silent too; requests that go through another daemon arrive, as they do on a network.

--- a/packages/platform-soak/src/backend_server.ts
+++ b/packages/platform-soak/src/backend_server.ts
@@ -4,13 +4,7 @@
  * @module
  */
 
-import { once } from "node:events";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import type { Socket } from "node:net";
 import {
   type AnswerPlan,
   planAnswer,
@@ -18,6 +12,7 @@
 } from "./answer_plan.ts";
 import { HttpReader, type Message } from "./http_reader.ts";
 import type { Ledger, Run } from "./ledger.ts";
+import { Link, type LinkCut } from "./links.ts";
 import { drawsFor } from "./random.ts";
 
 /** What a server is. */
@@ -28,6 +23,10 @@
   /** Version of its software. */
   readonly version: string;
   readonly seed: number;
+  /** Address that the platform lists. */
+  readonly host: string;
+  /** Addresses of the links, in the order of the daemons. */
+  readonly linkHosts: readonly string[];
 }
 
 const SLOTS = 128;
@@ -35,10 +34,14 @@
 const CUT_AFTER_BYTES = 50;
 const EVENT_INTERVAL_MS = 50;
 const RESET_DELAY_MS = 5;
+/** An answer that a cut link holds back is ended when the link is mended. */
+const HELD_END_INTERVAL_MS = 50;
 
 /** A connection from a daemon. */
 interface Connection {
   readonly socket: Socket;
+  /** Index of the daemon that has opened it. */
+  readonly daemon: number;
   readonly reader: HttpReader;
   /** A copy that is sent right before the next answer. */
   held: string;
@@ -61,39 +64,35 @@
   bornAtMs = Date.now();
   reportCount = 0;
   readonly #ledger: Ledger;
-  readonly #connections = new Set<Connection>();
   readonly #arrivalsById = new Map<string, number>();
-  #server: Server | undefined;
+  readonly #links: readonly Link[];
+  #isUp = false;
   #port = 0;
   #running = 0;
-  /** Daemons whose requests neither arrive nor are answered. */
-  readonly cutDaemons = new Set<number>();
 
   constructor(ledger: Ledger, options: ServerOptions, faults: ServerFaults) {
     this.#ledger = ledger;
     this.options = options;
     this.faults = faults;
+    this.#links = options.linkHosts.map((host, daemon) =>
+      new Link(host, (socket) => this.#accept(socket, daemon))
+    );
   }
 
   get isUp(): boolean {
-    return this.#server !== undefined;
+    return this.#isUp;
   }
 
   get address(): string {
-    return `127.0.0.1:${this.#port}`;
+    return `${this.options.host}:${this.#port}`;
   }
 
   /** Listens, after a crash at the same port. */
   async start(): Promise<void> {
     this.bornAtMs = Date.now();
     this.reportCount = 0;
-    const server = createServer({ noDelay: true }, (socket) => {
-      this.#accept(socket);
-    });
-    server.listen(this.#port, "127.0.0.1", 1_024);
-    await once(server, "listening");
-    this.#server = server;
-    this.#port = (server.address() as AddressInfo).port;
+    for (const link of this.#links) this.#port = await link.open(this.#port);
+    this.#isUp = true;
   }
 
   /** The next start is of another version of the software. */
@@ -103,25 +102,23 @@
 
   /** Resets all connections and accepts none, until it is started again. */
   crash(): void {
-    this.#server?.close();
-    this.#server = undefined;
-    for (const { socket } of this.#connections) socket.resetAndDestroy();
-    this.#connections.clear();
+    this.#isUp = false;
+    for (const link of this.#links) link.close();
     this.#running = 0;
   }
 
-  /** Delivers what came from a daemon while it was cut off. */
-  mend(daemon: number): void {
-    this.cutDaemons.delete(daemon);
-    for (const connection of this.#connections) this.#serveNext(connection);
+  /** Cuts the links of the daemons; resolves a function that mends them. */
+  cutLinks(daemons: Iterable<number>, cut: LinkCut): () => Promise<void> {
+    const links = [...daemons].flatMap((daemon) => this.#links[daemon] ?? []);
+    for (const link of links) link.cut(cut);
+    return async () => {
+      await Promise.all(links.map((link) => link.mend(cut)));
+    };
   }
 
-  #accept(socket: Socket): void {
+  #accept(socket: Socket, daemon: number): void {
     const reader = new HttpReader({ isAnswer: false });
-    const connection = { socket, reader, held: "", isBusy: false };
-    this.#connections.add(connection);
-    socket.on("error", () => {});
-    socket.on("close", () => this.#connections.delete(connection));
+    const connection = { socket, daemon, reader, held: "", isBusy: false };
     socket.on("data", (bytes) => {
       reader.append(bytes);
       this.#serveNext(connection);
@@ -130,9 +127,6 @@
 
   #serveNext(connection: Connection): void {
     if (connection.isBusy) return;
-    const sender = /attempt-id: (\S+)/i.exec(connection.reader.rest)?.[1];
-    const daemon = this.#ledger.requests.get(sender ?? "")?.daemon;
-    if (daemon !== undefined && this.cutDaemons.has(daemon)) return;
     const message = connection.reader.take();
     if (message !== undefined) this.#serve(connection, message);
   }
@@ -235,7 +229,7 @@
     this.#write(connection, text, plan);
     if (!plan.isFramed) {
       const delayMs = plan.copy === undefined ? 0 : plan.copyDelayMs + 30;
-      setTimeout(() => socket.end(), delayMs);
+      setTimeout(() => endWhenOpen(socket), delayMs);
     }
   }
 
@@ -336,13 +330,14 @@
     }, plan.copyDelayMs);
   }
 
-  #noteArrival({ id, plan }: Exchange, run: Run | undefined): void {
+  #noteArrival({ id, plan, connection }: Exchange, run: Run | undefined): void {
     const { id: server, service } = this.options;
     this.#ledger.arrivals.push({
       id,
       server,
       service,
       atMs: this.#ledger.nowMs(),
+      via: connection.daemon,
       leavingSinceMs: this.leavingSinceMs,
       copy: plan.copy,
       run,
@@ -350,6 +345,14 @@
   }
 }
 
+/** Ends a connection; one that is held back must not show its end. */
+function endWhenOpen(socket: Socket): void {
+  if (socket.writableCorked === 0) return void socket.end();
+  if (!socket.destroyed) {
+    setTimeout(() => endWhenOpen(socket), HELD_END_INTERVAL_MS);
+  }
+}
+
 function answerFields(id: string, proof: string): Record<string, string> {
   return { "Attempt-Id": id, "Response-Seal": proof };
 }
--- a/packages/platform-soak/src/callers.ts
+++ b/packages/platform-soak/src/callers.ts
@@ -139,6 +139,7 @@
       service: SERVICE_BY_KIND[kind],
       daemon,
       sentAtMs: ledger.nowMs(),
+      isFirstTry: wish.triesLeft === this.#options.retries,
       stream: kind === "stream" ? wish.name : undefined,
       lastEvent: wish.lastEvent,
       resumeAfter: wish.resumeAfter,
--- a/packages/platform-soak/src/daemon_process.ts
+++ b/packages/platform-soak/src/daemon_process.ts
@@ -10,6 +10,7 @@
 import { get } from "node:http";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
 import type { Ledger } from "./ledger.ts";
 
 /** Where a daemon stands and what it is told. */
@@ -20,14 +21,27 @@
   readonly domains: readonly string[];
   readonly seedIps: readonly string[];
   readonly storeAddress: string;
+  /** Address of the backend servers. */
+  readonly serverHost: string;
+  /** Address of this daemon's links to them. */
+  readonly linkHost: string;
   /** Directory of the settings and of the output. */
   readonly directory: string;
 }
 
 /** Ports that every daemon has at its own address. */
-const PORTS = { peers: 7_600, readiness: 8_605, front: 8_606, control: 8_608 };
+const PORTS = {
+  peers: 7_600,
+  readiness: 8_605,
+  front: 8_606,
+  control: 8_608,
+  metrics: 9_464,
+};
 const GRACE_MS = 8_000;
 const PROBE_TIMEOUT_MS = 1_000;
+const LINK_ADDRESSES = fileURLToPath(
+  new URL("./link_addresses.cjs", import.meta.url),
+);
 const running = new Set<ChildProcess>();
 
 /** Limits that the daemons are told; the verdict judges by them. */
@@ -92,7 +106,13 @@
   start(): void {
     const [program = "", ...args] = deployCommand();
     const child = spawn(program, args, {
-      env: { PATH: process.env["PATH"], ENDIVEBEND_CONFIG: this.#path("json") },
+      env: {
+        PATH: process.env["PATH"],
+        ENDIVEBEND_CONFIG: this.#path("json"),
+        NODE_OPTIONS: `--require=${LINK_ADDRESSES}`,
+        SOAK_SERVER_HOST: this.options.serverHost,
+        SOAK_LINK_HOST: this.options.linkHost,
+      },
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
@@ -181,6 +201,20 @@
     });
   }
 
+  /** A counter of the daemon; undefined if the daemon does not answer. */
+  async readCounter(name: string): Promise<number | undefined> {
+    const url = `http://${this.options.ip}:${PORTS.metrics}/metrics`;
+    const line = new RegExp(`^${name} (\\d+)`, "m");
+    try {
+      const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+      const text = await (await fetch(url, { signal })).text();
+      return Number(line.exec(text)?.[1] ?? 0);
+    } catch (caught) {
+      console.error(`  no counters of ${this.options.ip}: ${caught}`);
+      return undefined;
+    }
+  }
+
   #path(extension: string): string {
     return join(
       this.options.directory,
--- a/packages/platform-soak/src/faults.ts
+++ b/packages/platform-soak/src/faults.ts
@@ -7,7 +7,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SERVICE_BY_KIND } from "./callers.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
-import type { Fleet } from "./fleet.ts";
+import type { CutLinks, Fleet } from "./fleet.ts";
+import {
+  DAEMON_GROUPS,
+  type LinksFault,
+  SERVER_GROUPS,
+} from "./link_groups.ts";
 
 /** A fault and when it strikes; what it strikes is chosen by the numbers. */
 export interface PlannedFault {
@@ -19,6 +24,8 @@
   readonly daemon: number;
   /** Picks the server; taken modulo their number. */
   readonly server: number;
+  /** What `links_cut` cuts. */
+  readonly links?: LinksFault;
 }
 
 type Handler = (fleet: Fleet, fault: PlannedFault) => Promise<void>;
@@ -115,15 +122,46 @@
   daemon_cut_from_server(fleet, fault) {
     const { index } = daemonOf(fleet, fault).options;
     const server = fleet.servers[fault.server % fleet.servers.length]!;
+    const links = {
+      daemons: new Set([index]),
+      cut: { fresh: "silent", open: "silent" },
+      includes: (one) => one === server,
+    } satisfies CutLinks;
     return disturb(fleet, fault, {
       daemon: index,
       async work() {
-        server.cutDaemons.add(index);
+        fleet.cutLinks(links);
         await sleep(fault.forMs);
-        server.mend(index);
+        await fleet.mendLinks(links);
       },
     });
   },
+  async links_cut(fleet, fault) {
+    const { ledger } = fleet;
+    const { links: plan } = fault;
+    if (plan === undefined) throw new Error("links_cut needs its links");
+    const { cut, daemons: group, servers, flapMs = fault.forMs } = plan;
+    const daemons = DAEMON_GROUPS[group](fleet, fault.daemon);
+    const includes = SERVER_GROUPS[servers];
+    const entry = {
+      atMs: ledger.nowMs(),
+      untilMs: Number.MAX_VALUE,
+      daemons,
+      name: `${cut.fresh}, open ones ${cut.open}; ${group} from ${servers}` +
+        (plan.flapMs === undefined ? "" : `, on and off for ${flapMs} ms`),
+      isWhole: servers === "all" && group !== "all" &&
+        plan.flapMs === undefined,
+    };
+    ledger.linkCuts.push(entry);
+    while (ledger.nowMs() < entry.atMs + fault.forMs) {
+      const links = { daemons, cut, includes };
+      fleet.cutLinks(links);
+      await sleep(flapMs);
+      await fleet.mendLinks(links);
+      if (plan.flapMs !== undefined) await sleep(flapMs);
+    }
+    entry.untilMs = ledger.nowMs();
+  },
   server_crashed(fleet, fault) {
     const up = fleet.servers.filter(({ isUp }) => isUp);
     const server = up[fault.server % up.length];
--- a/packages/platform-soak/src/fleet.ts
+++ b/packages/platform-soak/src/fleet.ts
@@ -13,6 +13,7 @@
 import { HOST, SERVICE_BY_KIND } from "./callers.ts";
 import { BOUNDS, DaemonProcess } from "./daemon_process.ts";
 import type { Ledger } from "./ledger.ts";
+import type { LinkCut } from "./links.ts";
 
 /** What a fleet consists of. */
 export interface FleetShape {
@@ -30,6 +31,22 @@
 const STOP_TIMEOUT_MS = 5_000;
 /** Addresses are those of this process, so that plays may run side by side. */
 const NETWORK = `127.${60 + process.pid % 150}.${(process.pid >> 8) % 250}`;
+const SERVER_HOST = `${NETWORK}.254`;
+
+function daemonHost(index: number): string {
+  return `${NETWORK}.${index + 1}`;
+}
+
+function linkHost(index: number): string {
+  return `${NETWORK}.${index + 101}`;
+}
+
+/** Links that are cut at the same time and in the same form. */
+export interface CutLinks {
+  readonly daemons: ReadonlySet<number>;
+  readonly cut: LinkCut;
+  includes(server: BackendServer): boolean;
+}
 
 /** A running deployment. */
 export class Fleet {
@@ -43,6 +60,7 @@
   #store: StoreStandIn | undefined;
   #startedServers = 0;
   #isClosed = false;
+  readonly #cuts = new Map<CutLinks, (() => Promise<void>)[]>();
 
   constructor(
     ledger: Ledger,
@@ -69,7 +87,7 @@
     const domains = this.#domains();
     const ips = Array.from(
       { length: this.shape.daemons },
-      (_, index) => `${NETWORK}.${index + 1}`,
+      (_, index) => daemonHost(index),
     );
     for (const [index, ip] of ips.entries()) {
       const daemon = new DaemonProcess(this.ledger, {
@@ -79,6 +97,8 @@
         domains,
         seedIps: ips.slice(0, 3),
         storeAddress: store.address,
+        serverHost: SERVER_HOST,
+        linkHost: linkHost(index),
         directory: this.#directory,
       });
       this.daemons.push(daemon);
@@ -107,8 +127,18 @@
       domain: domains[this.#startedServers % domains.length]!,
       version,
       seed: this.#seed,
+      host: SERVER_HOST,
+      linkHosts: Array.from(
+        { length: this.shape.daemons },
+        (_, index) => linkHost(index),
+      ),
     }, faults);
     await server.start();
+    for (const [links, mends] of this.#cuts) {
+      if (links.includes(server)) {
+        mends.push(server.cutLinks(links.daemons, links.cut));
+      }
+    }
     this.servers.push(server);
     this.#report(server);
     return server;
@@ -133,6 +163,21 @@
     this.#report(server);
   }
 
+  /** Cuts links, also those to servers that are added meanwhile. */
+  cutLinks(links: CutLinks): void {
+    const servers = this.servers.filter((server) => links.includes(server));
+    this.#cuts.set(
+      links,
+      servers.map((server) => server.cutLinks(links.daemons, links.cut)),
+    );
+  }
+
+  async mendLinks(links: CutLinks): Promise<void> {
+    const mends = this.#cuts.get(links) ?? [];
+    this.#cuts.delete(links);
+    await Promise.all(mends.map((mend) => mend()));
+  }
+
   /** Starts a daemon that has ended, unless the play is over. */
   startAgain(daemon: DaemonProcess): void {
     if (!this.#isClosed && !daemon.isRunning) daemon.start();
@@ -158,6 +203,7 @@
   /** Ends all processes and servers. */
   async close(): Promise<void> {
     this.#isClosed = true;
+    for (const links of [...this.#cuts.keys()]) await this.mendLinks(links);
     for (const timer of this.#timers) clearInterval(timer);
     const killed = Promise.all(this.daemons.map((daemon) => daemon.kill()));
     await Promise.race([killed, sleep(STOP_TIMEOUT_MS)]);
--- a/packages/platform-soak/src/ledger.ts
+++ b/packages/platform-soak/src/ledger.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { BOUNDS } from "./daemon_process.ts";
+
 /** What the kind of a request's route allows. */
 export type RequestKind = "safe" | "unsafe" | "stream";
 
@@ -28,6 +30,8 @@
   /** Index of the daemon that it was sent to. */
   readonly daemon: number;
   readonly sentAtMs: number;
+  /** Whether its caller tries it for the first time. */
+  readonly isFirstTry: boolean;
   /** Names the stream over its take-ups. */
   readonly stream: string | undefined;
   /** Number of the stream's last event. */
@@ -47,6 +51,8 @@
   readonly server: string;
   readonly service: string;
   readonly atMs: number;
+  /** Index of the daemon that has sent it to the server. */
+  readonly via: number;
   /** Whether the server had said that it leaves, and since when. */
   readonly leavingSinceMs: number | undefined;
   /** How its answer was sent a second time, if it was. */
@@ -74,11 +80,26 @@
   readonly name: string;
 }
 
+/** Links that were cut for a while. */
+export interface LinkCutEntry {
+  readonly atMs: number;
+  readonly untilMs: number;
+  /** Indexes of the daemons. */
+  readonly daemons: ReadonlySet<number>;
+  /** What was cut, and how. */
+  readonly name: string;
+  /** Whether some daemons were cut off from all servers, without a break. */
+  readonly isWhole: boolean;
+}
+
 /** All that a play saw. */
 export class Ledger {
   readonly requests = new Map<string, SentRequest>();
   readonly arrivals: Arrival[] = [];
   readonly disturbances: Disturbance[] = [];
+  readonly linkCuts: LinkCutEntry[] = [];
+  /** Attempts through other daemons, as each daemon counts them. */
+  readonly forwardedAttempts = new Map<number, number>();
   /** Bytes that came on callers' connections without a request. */
   readonly strayBytes: { readonly atMs: number; readonly text: string }[] = [];
   /** Daemons that ended by themselves. */
@@ -95,3 +116,15 @@
     return Math.round((performance.now() - this.#startedAtMs) * 10) / 10;
   }
 }
+
+/** Whether nothing has struck a daemon within the contact time before. */
+export function isInTouch(
+  ledger: Ledger,
+  daemon: number,
+  atMs: number,
+): boolean {
+  return !ledger.disturbances.some((one) =>
+    (one.daemon === daemon || one.daemon === -1) && one.atMs <= atMs &&
+    one.untilMs + BOUNDS.contact_ms > atMs
+  );
+}
--- a/packages/platform-soak/src/main.ts
+++ b/packages/platform-soak/src/main.ts
@@ -9,6 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
+import { formatLinkCut } from "./link_cut_rules.ts";
 import { parseKnownPlays, playName } from "./known_plays.ts";
 import { type PlayResult, runPlay } from "./run_play.ts";
 import { planPlay, SCENARIO_NAMES } from "./scenarios.ts";
@@ -50,6 +51,7 @@
 
 function printVerdict(verdict: PlayResult): void {
   const { breaches, budgets, outcomes, joinedStreams, takeUps } = verdict;
+  const { linkCuts, forwardedAttempts } = verdict;
   const shown = Object.entries(outcomes).sort();
   console.log(
     `  ${shown.map(([name, count]) => `${name}: ${count}`).join(", ")}`,
@@ -60,6 +62,8 @@
       `touch: ${takeUps.wentOn} of ${takeUps.asked} go on, ` +
       `${takeUps.newBegun} of ${takeUps.newAsked} new streams begin`,
   );
+  for (const figures of linkCuts) console.log(`  ${formatLinkCut(figures)}`);
+  console.log(`  attempts through another daemon: ${forwardedAttempts}`);
   console.log(
     `  servers and callers stood still for ${verdict.longestStallMs} ms at most`,
   );
--- a/packages/platform-soak/src/run_play.ts
+++ b/packages/platform-soak/src/run_play.ts
@@ -73,6 +73,12 @@
     await sleep(durationMs);
     await callers.stop();
     await Promise.race([Promise.all(open), sleep(SETTLE_MS)]);
+    for (const daemon of daemons) {
+      const count = await daemon.readCounter("forwarded_attempts");
+      if (count !== undefined) {
+        ledger.forwardedAttempts.set(daemon.options.index, count);
+      }
+    }
     const longestStallMs = Math.round(stalls.max / NS_PER_MS);
     return { ...judge(ledger), longestStallMs };
   } finally {
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -8,6 +8,8 @@
 import type { FaultName, PlannedFault } from "./faults.ts";
 import type { FleetShape } from "./fleet.ts";
 import type { RequestKind } from "./ledger.ts";
+import { LINK_SCENARIOS } from "./link_scenarios.ts";
+import { drawFaults, fault } from "./planned_faults.ts";
 import { type Draws, drawsFor } from "./random.ts";
 
 /** A change of what the servers do wrong. */
@@ -36,7 +38,8 @@
   readonly servers: number | undefined;
 }
 
-type Scenario = (options: PlayOptions, draws: Draws) => Play;
+/** Plans a play. */
+export type Scenario = (options: PlayOptions, draws: Draws) => Play;
 
 /** Faults of daemons and servers that the drawn plays consist of. */
 const DRAWN_FAULTS: readonly FaultName[] = [
@@ -57,16 +60,6 @@
 ];
 /** Faults beside which every software version stays. */
 const STEADY_FAULTS = DRAWN_FAULTS.filter((name) => name !== "server_released");
-const RESTART_MS = 100;
-
-function fault(
-  name: FaultName,
-  atMs: number,
-  fields: Partial<PlannedFault> = {},
-): PlannedFault {
-  return { name, atMs, forMs: RESTART_MS, daemon: 0, server: 0, ...fields };
-}
-
 /** Servers that cut most answers off, while daemons are killed. */
 function cutAnswers(faultsFor: (daemons: number) => PlannedFault[]): Scenario {
   return ({ daemons = 8, servers = 6, ratePerS = 12 }) => ({
@@ -146,30 +139,8 @@
 
 const KILLS_AT_MS = [7_000, 12_000, 17_000];
 
-/** Faults from the seed, in series with gaps that let them overlap. */
-function drawFaults(
-  draws: Draws,
-  { names, durationMs, longestGapMs }: {
-    readonly names: readonly FaultName[];
-    readonly durationMs: number;
-    readonly longestGapMs: number;
-  },
-): PlannedFault[] {
-  const faults: PlannedFault[] = [];
-  let atMs = draws.int(500, 2_000);
-  while (atMs < durationMs) {
-    const forMs = draws.chance(0.3)
-      ? draws.int(1_000, 4_500)
-      : draws.int(20, 1_000);
-    const daemon = draws.int(0, 999);
-    const server = draws.int(0, 999);
-    faults.push({ atMs, name: draws.pick(names), forMs, daemon, server });
-    atMs += draws.int(20, longestGapMs);
-  }
-  return faults;
-}
-
 const SCENARIOS: Readonly<Record<string, Scenario>> = {
+  ...LINK_SCENARIOS,
   drawn(options, draws) {
     const { durationMs } = options;
     const faultsFrom = (atMs: number): FaultsFrom => ({
--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -5,7 +5,14 @@
  */
 
 import { BOUNDS } from "./daemon_process.ts";
-import type { Arrival, Ledger, Run, SentRequest } from "./ledger.ts";
+import {
+  type Arrival,
+  isInTouch,
+  type Ledger,
+  type Run,
+  type SentRequest,
+} from "./ledger.ts";
+import { judgeLinkCuts, type LinkCutFigures } from "./link_cut_rules.ts";
 import { findWorstBudget, type WorstBudget } from "./retry_count.ts";
 import { eventsOf } from "./stream_events.ts";
 
@@ -25,6 +32,9 @@
   /** Streams that hold events of two software versions. */
   readonly joinedStreams: number;
   readonly takeUps: TakeUps;
+  readonly linkCuts: readonly LinkCutFigures[];
+  /** Attempts that went through another daemon, as the daemons count them. */
+  readonly forwardedAttempts: number;
 }
 
 /** How many streams went on and began, at daemons in touch. */
@@ -54,6 +64,7 @@
   const budgets = findWorstBudget(requests, ledger.arrivals);
   const joined = findJoinedStreams(requests);
   const takeUps = countTakeUps(requests, ledger);
+  const links = judgeLinkCuts(ledger);
   const breaches: Breach[] = [
     ...ledger.strayBytes.map(({ atMs, text }) => ({
       rule: "MIXED",
@@ -69,6 +80,7 @@
         what: formatBudget(worst),
       }),
     ),
+    ...links.breaches,
     ...ledger.ownEnds.map(({ atMs, what }) => ({
       rule: "ENDED",
       atMs,
@@ -90,6 +102,9 @@
     outcomes: countOutcomes(requests),
     joinedStreams: joined.length,
     takeUps,
+    linkCuts: links.figures,
+    forwardedAttempts: [...ledger.forwardedAttempts.values()]
+      .reduce((sum, count) => sum + count, 0),
   };
 }
 
@@ -131,9 +146,9 @@
     report("TWICE", `${runs.length} runs`);
   }
   if (status === undefined) return breaches;
-  if (kind === "unsafe" && NOT_RUN_STATUSES.has(status) && runs.length > 0) {
-    report("REFUSED", "has run");
-  }
+  const saysNotRun = headers["not-run"] !== undefined ||
+    (kind === "unsafe" && NOT_RUN_STATUSES.has(status));
+  if (saysNotRun && runs.length > 0) report("REFUSED", "has run");
   const echoed = headers["attempt-id"];
   if (echoed !== undefined && echoed !== id) {
     report("MIXED", `the answer is that to ${echoed}`);
@@ -204,14 +219,6 @@
   return [{ rule: "DRAIN", atMs, what }];
 }
 
-/** Whether nothing has struck a daemon within the contact time before. */
-function isInTouch(ledger: Ledger, daemon: number, atMs: number): boolean {
-  return !ledger.disturbances.some((one) =>
-    (one.daemon === daemon || one.daemon === -1) && one.atMs <= atMs &&
-    one.untilMs + BOUNDS.contact_ms > atMs
-  );
-}
-
 /** Streams of two versions, in one answer or over a caller's take-ups. */
 function findJoinedStreams(requests: readonly SentRequest[]): Breach[] {
   const versions = new Map<string, Map<string, string>>();
