--- a/packages/front/src/testing_cuts.ts
+++ b/packages/front/src/testing_cuts.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { RequestKind } from "@endivebend/request-path";
 import type { ExecutionContext } from "ava";
 import { type Outcome, TestFleet } from "./testing_fleet.ts";
 import type { CutForm } from "./testing_links.ts";
@@ -21,6 +22,45 @@
 
 export const FORMS: readonly CutForm[] = ["silent", "reset", "old_alive"];
 
+/** Forms whose links accept new connections and carry nothing. */
+export const ACCEPTING_FORMS: readonly CutForm[] = [
+  "accepted_reset",
+  "accepted_reset_old_silent",
+  "accepted_reset_old_alive",
+  "late_reset",
+  "late_reset_old_silent",
+  "late_reset_old_alive",
+  "accepted_silent",
+  "accepted_silent_old_reset",
+  "accepted_silent_old_alive",
+];
+
+/** The users' bounds on first tries at VMs that are cut off. */
+const RULE_SHARE = 2 / 3;
+const RULE_FAILED = 10;
+const RULE_FAILED_SHARE = 1 / 50;
+
+/**
+ * Whether first tries at cut-off VMs are served often enough for the users, and
+ * what was counted.
+ */
+export function checkFirstTries(
+  atCut: readonly Outcome[],
+  atOthers: readonly Outcome[],
+): { readonly isKept: boolean; readonly counts: string } {
+  const shares = [servedShare(atCut), servedShare(atOthers)] as const;
+  const sent = atCut.length + atOthers.length;
+  const failed = Math.round(
+    (1 - shares[0]) * atCut.length + (1 - shares[1]) * atOthers.length,
+  );
+  const isKept = shares[0] >= RULE_SHARE * shares[1] ||
+    failed <= RULE_FAILED + RULE_FAILED_SHARE * sent;
+  const counts =
+    `served at cut-off VMs ${shares[0]}, at others ${shares[1]}; ` +
+    `${failed} of ${sent} failed`;
+  return { isKept, counts };
+}
+
 /** Share of the requests that were served whole. */
 export function servedShare(outcomes: readonly Outcome[]): number {
   const served = outcomes.filter(({ hasEnded, isCut }) => hasEnded && !isCut);
@@ -37,12 +77,15 @@
   cut: readonly number[],
   form: CutForm,
   options: {
-    readonly kind?: "resumable_stream" | "at_most_once";
+    readonly kind?: RequestKind;
+    /** Whether calls have no prompt. */
+    readonly isPlain?: boolean;
     readonly events?: Events;
   } = {},
 ) {
-  const { kind = "resumable_stream", events = () => [] } = options;
-  const fleet = new TestFleet({ daemons: DAEMONS, engines: 8, kind });
+  const { kind = "resumable_stream", isPlain = false } = options;
+  const { events = () => [] } = options;
+  const fleet = new TestFleet({ daemons: DAEMONS, engines: 8, kind, isPlain });
   const { time } = fleet;
   for (const [atMs, run] of events(fleet)) time.after(atMs, run);
   await time.advance(2_000);
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -57,7 +57,12 @@
   type GossipLinkOptions,
   GossipLinks,
 } from "./testing_gossip_links.ts";
-import { type CutForm, ServerLinks } from "./testing_links.ts";
+import {
+  type CutForm,
+  resetsOpen,
+  ServerLinks,
+  unansweredForMs,
+} from "./testing_links.ts";
 import {
   type LoadOptions,
   SimulatedRollout,
@@ -526,7 +531,7 @@
       await this.store.wait(2 * LINK_MS);
       return this.#engineAt(address);
     }
-    await this.store.wait(cut === "silent" ? ENGINE_CALL_TIMEOUT_MS : LINK_MS);
+    await this.store.wait(unansweredForMs(cut, ENGINE_CALL_TIMEOUT_MS));
     return undefined;
   }
 
@@ -801,7 +806,7 @@
     for (const daemon of daemons) {
       const vm = vmOf(daemon);
       this.links.cut(vm, form);
-      if (form !== "reset") continue;
+      if (!resetsOpen(form)) continue;
       for (const { attempts } of this.#engines.values()) {
         for (const attempt of attempts) {
           if (attempt.vm === vm) breakOff(attempt, "read ECONNRESET");
@@ -842,8 +847,10 @@
   async checkListening(vm: VmId, address: string): Promise<ListenState> {
     const cut = this.links.cutOf(vm, address);
     if (cut !== undefined) {
-      await this.store.wait(this.links.connectFailure(cut).afterMs);
-      return cut === "old_alive" ? "closed" : "unknown";
+      const connected = this.links.connectAnew(cut);
+      if (connected.kind !== "failed") return "listening";
+      await this.store.wait(connected.afterMs);
+      return connected.reason.endsWith("REFUSED") ? "closed" : "unknown";
     }
     const isUp = this.#engineAt(address)?.isUp === true;
     await this.store.wait(LINK_MS);
@@ -910,8 +917,18 @@
       });
     } else if (connected.kind === "dead") {
       this.time.after(LINK_MS, () => {
-        if (!attempt.isOver) listener.sent();
+        if (attempt.isOver) return;
+        if (connected.isNew) listener.connected();
+        listener.sent();
+      });
+    } else if (connected.kind === "broken") {
+      const { reason, afterMs } = connected;
+      this.time.after(LINK_MS, () => {
+        if (attempt.isOver) return;
+        listener.connected();
+        listener.sent();
       });
+      this.time.after(afterMs, () => breakOff(attempt, reason));
     } else {
       const { reason, afterMs } = connected;
       this.time.after(afterMs, () => {
--- a/packages/front/src/testing_links.ts
+++ b/packages/front/src/testing_links.ts
@@ -7,11 +7,41 @@
 import type { Scheduler } from "@endivebend/clock";
 import type { VmId } from "@endivebend/types";
 
-/**
- * What a cut does: connections hang; they are reset, and so are new ones; or
- * open ones live on while new ones are refused.
- */
-export type CutForm = "silent" | "reset" | "old_alive";
+/** What a new connection meets while its link is cut. */
+type NewConnection =
+  | "unanswered"
+  | "refused"
+  | "reset"
+  /** Accepted, and reset before anything is sent on it. */
+  | "accepted_reset"
+  /** Accepted, and reset once bytes come. */
+  | "accepted_reset_late"
+  /** Accepted, and nothing comes back. */
+  | "accepted_silent";
+
+/** What a cut does to new connections and to those that are open. */
+interface CutEffect {
+  readonly fresh: NewConnection;
+  readonly open: "silent" | "reset" | "alive";
+}
+
+const CUT_EFFECTS = {
+  silent: { fresh: "unanswered", open: "silent" },
+  reset: { fresh: "reset", open: "reset" },
+  old_alive: { fresh: "refused", open: "alive" },
+  accepted_reset: { fresh: "accepted_reset", open: "reset" },
+  accepted_reset_old_silent: { fresh: "accepted_reset", open: "silent" },
+  accepted_reset_old_alive: { fresh: "accepted_reset", open: "alive" },
+  late_reset: { fresh: "accepted_reset_late", open: "reset" },
+  late_reset_old_silent: { fresh: "accepted_reset_late", open: "silent" },
+  late_reset_old_alive: { fresh: "accepted_reset_late", open: "alive" },
+  accepted_silent: { fresh: "accepted_silent", open: "silent" },
+  accepted_silent_old_reset: { fresh: "accepted_silent", open: "reset" },
+  accepted_silent_old_alive: { fresh: "accepted_silent", open: "alive" },
+} as const satisfies Readonly<Record<string, CutEffect>>;
+
+/** The form of a cut. */
+export type CutForm = keyof typeof CUT_EFFECTS;
 
 /** How long an idle connection is kept. */
 const IDLE_MS = 3_400;
@@ -23,13 +53,57 @@
 export type ConnectResult =
   | { readonly kind: "connected"; readonly isNew: boolean }
   /** The connection takes bytes that never arrive. */
-  | { readonly kind: "dead" }
+  | { readonly kind: "dead"; readonly isNew: boolean }
+  /** The connection is accepted, and reset after this time. */
+  | {
+    readonly kind: "broken";
+    readonly afterMs: number;
+    readonly reason: string;
+  }
   | {
     readonly kind: "failed";
     readonly afterMs: number;
     readonly reason: string;
   };
 
+const NEW_CONNECTIONS: Readonly<Record<NewConnection, ConnectResult>> = {
+  unanswered: {
+    kind: "failed",
+    afterMs: CONNECT_TIMEOUT_MS,
+    reason: "The server did not accept the connection in time",
+  },
+  refused: {
+    kind: "failed",
+    afterMs: 2 * LINK_MS,
+    reason: "connect ECONNREFUSED",
+  },
+  reset: { kind: "failed", afterMs: 2 * LINK_MS, reason: "connect ECONNRESET" },
+  accepted_reset: {
+    kind: "broken",
+    afterMs: 2 * LINK_MS,
+    reason: "read ECONNRESET",
+  },
+  accepted_reset_late: {
+    kind: "broken",
+    afterMs: 4 * LINK_MS,
+    reason: "read ECONNRESET",
+  },
+  accepted_silent: { kind: "dead", isNew: true },
+};
+
+/** Whether the cut resets the connections that are open when it begins. */
+export function resetsOpen(form: CutForm): boolean {
+  return CUT_EFFECTS[form].open === "reset";
+}
+
+/** How long a call to a server over the cut link lasts without an answer. */
+export function unansweredForMs(form: CutForm, timeoutMs: number): number {
+  const { fresh } = CUT_EFFECTS[form];
+  const isSilent = fresh === "unanswered" || fresh === "accepted_silent";
+  const connected = NEW_CONNECTIONS[fresh];
+  return !isSilent && "afterMs" in connected ? connected.afterMs : timeoutMs;
+}
+
 type Time = Scheduler & { readonly nowMs: number };
 
 /** The links of all VMs to all engines. */
@@ -56,7 +130,7 @@
   /** Cuts a VM off from all engines. */
   cut(vm: VmId, form: CutForm): void {
     this.#cuts.set(vm, form);
-    if (form !== "reset") return;
+    if (!resetsOpen(form)) return;
     for (const link of this.#idleUntilMs.keys()) {
       if (link.startsWith(`${vm} `)) this.#idleUntilMs.delete(link);
     }
@@ -100,24 +174,15 @@
     const isKept = (idle.pop() ?? 0) > this.#time.nowMs;
     const cut = this.cutOf(vm, address);
     if (cut === undefined) return { kind: "connected", isNew: !isKept };
-    if (!isKept) return this.connectFailure(cut);
-    return cut === "silent"
-      ? { kind: "dead" }
+    if (!isKept) return this.connectAnew(cut);
+    return CUT_EFFECTS[cut].open === "silent"
+      ? { kind: "dead", isNew: false }
       : { kind: "connected", isNew: false };
   }
 
   /** What a new connection gets. */
-  connectFailure(cut: CutForm): ConnectResult & { readonly kind: "failed" } {
-    if (cut === "silent") {
-      const reason = "The server did not accept the connection in time";
-      return { kind: "failed", afterMs: CONNECT_TIMEOUT_MS, reason };
-    }
-    const code = cut === "reset" ? "ECONNRESET" : "ECONNREFUSED";
-    return {
-      kind: "failed",
-      afterMs: 2 * LINK_MS,
-      reason: `connect ${code}`,
-    };
+  connectAnew(cut: CutForm): ConnectResult {
+    return NEW_CONNECTIONS[CUT_EFFECTS[cut].fresh];
   }
 
   /** Keeps a connection whose answer is complete. */
@@ -134,7 +199,9 @@
 
   /** Delivers what an engine sends; a silent link holds it until it heals. */
   deliver(vm: VmId, address: string, deliver: () => void): void {
-    if (this.cutOf(vm, address) !== "silent") return deliver();
+    const cut = this.cutOf(vm, address);
+    const isHeld = cut !== undefined && CUT_EFFECTS[cut].open === "silent";
+    if (!isHeld) return deliver();
     this.#held.push({ vm, address, deliver });
   }
 }
