Play late begins where daemons hear of names late or streams go on

The same class elsewhere: streams that go on after a break and take-ups that wait (request-path begin_bound_test); daemons that read no names from the store, that start after the name, and names that follow each other within 3 s, where the bound counts from the first (front late_begins_fleet_test).

--- a/packages/front/src/late_begins_fleet_test.ts
+++ b/packages/front/src/late_begins_fleet_test.ts
@@ -46,7 +46,10 @@
 
 async function play(
   trouble: (fleet: TestFleet, engines: readonly Engine[]) => void,
-  options: Partial<FleetOptions>,
+  { options = {}, beforeName = () => {} }: {
+    readonly options?: Partial<FleetOptions>;
+    readonly beforeName?: (fleet: TestFleet) => void;
+  },
 ): Promise<TestFleet> {
   const fleet = new TestFleet({
     daemons: DAEMONS,
@@ -55,6 +58,7 @@
   });
   const { time } = fleet;
   const [...engines] = fleet.runningEngines();
+  time.after(NAMED_AT_MS - 500, () => beforeName(fleet));
   time.after(NAMED_AT_MS, () => fleet.nameWeights(2));
   time.after(LOADED_AT_MS, () => {
     for (const engine of engines.slice(0, LOADED_ENGINES)) {
@@ -81,7 +85,7 @@
 for (const [how, trouble] of Object.entries(TROUBLES)) {
   for (const [callers, options] of Object.entries(CALLERS)) {
     test(`no request begins on weights replaced too long ago as engines ${how}: ${callers}`, async (t) => {
-      const fleet = await play(trouble, options);
+      const fleet = await play(trouble, { options });
       const late = fleet.begunRuns.filter(({ atMs, weights }) =>
         weights === 1 && atMs > BOUND_AT_MS
       );
@@ -102,3 +106,35 @@
     });
   }
 }
+
+/** What lets daemons hear of a name late, or count from a later one. */
+const NAMES: Readonly<Record<string, (fleet: TestFleet) => void>> = {
+  "half of the daemons read no names": (fleet) =>
+    fleet.cutOffFromStore([1, 3], "silent"),
+  "a daemon starts after the name": (fleet) => {
+    fleet.killDaemon(1);
+    fleet.time.after(3_000, () => fleet.startDaemon(1));
+  },
+  "others are named soon after": (fleet) => {
+    for (const [afterMs, weights] of [[1_700, 3], [2_900, 4]] as const) {
+      fleet.time.after(afterMs, () => fleet.nameWeights(weights));
+    }
+  },
+};
+
+for (const [how, beforeName] of Object.entries(NAMES)) {
+  test(`no request begins on weights replaced too long ago as ${how}`, async (t) => {
+    const fleet = await play(TROUBLES["are full"]!, {
+      options: { maxAttempts: 1 },
+      beforeName,
+    });
+    const late = fleet.begunRuns.filter(({ atMs, weights }) =>
+      weights === 1 && atMs > BOUND_AT_MS
+    );
+    t.deepEqual(late, []);
+    const waited = fleet.steps.filter(({ step }) =>
+      step === "attempt_withdrawn"
+    );
+    t.true(new Set(waited.map(({ vm }) => vm)).size === DAEMONS);
+  });
+}
--- a/packages/request-path/src/begin_bound_test.ts
+++ b/packages/request-path/src/begin_bound_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { brandId } from "@endivebend/types";
+import { brandId, type RequestId } from "@endivebend/types";
 import { beginByMs, BEGINS_TOO_LATE, isTooLate } from "./begin_bound.ts";
 import { type RequestContext, RequestRun } from "./request_run.ts";
 import type { NamedWeights } from "./named_weights.ts";
@@ -10,7 +10,12 @@
   routedRequest,
   testContext,
 } from "./testing.ts";
-import type { RequestKind, Route, WeightsVersion } from "./types.ts";
+import type {
+  RequestKind,
+  Route,
+  RoutedRequest,
+  WeightsVersion,
+} from "./types.ts";
 
 const version = (value: number) => brandId<WeightsVersion>(value);
 
@@ -42,8 +47,9 @@
 /** A request at a server whose weights are too old from `BOUND_AT_MS` on. */
 function start(
   kind: RequestKind,
-  { context = {}, route = {} }: {
+  { context = {}, route = {}, fields = {} }: {
     readonly context?: Partial<RequestContext>;
+    readonly fields?: Partial<RoutedRequest>;
     readonly route?: Partial<Route>;
   } = {},
 ) {
@@ -63,6 +69,7 @@
   const request = routedRequest(kind, {
     deadlineMs: 20_000,
     timeoutAtMs: 20_000,
+    ...fields,
   });
   new RequestRun(run, {
     ...request,
@@ -238,3 +245,44 @@
   t.is(client.attempts.length, 2);
   t.deepEqual(causes, ["withdrawn"]);
 });
+
+test("an attempt that goes on with a stream is withdrawn until it has begun", (t) => {
+  const { first, caller, client, time, addServer, causes } = start(
+    "resumable_stream",
+    { route: { maxAttempts: 3, maxGapMs: 2_000 } },
+  );
+  first.listener.sent();
+  first.listener.head(answerHead());
+  let events = 0;
+  while (time.nowMs < BOUND_AT_MS - 1_700) {
+    events += 1;
+    first.listener.data(Buffer.from(`id: ${events}\ndata: x\n\n`));
+    time.advance(100);
+  }
+  first.listener.failed({ kind: "broken", reason: "reset" });
+  t.is(client.attempts.length, 2);
+  const resumed = client.last;
+  resumed.listener.sent();
+  addServer();
+  time.advance(BOUND_AT_MS - 500 - time.nowMs);
+  t.false(resumed.isAborted);
+  time.advance(300);
+  t.true(resumed.isAborted);
+  t.deepEqual(causes, ["broken", "withdrawn"]);
+  t.is(String(client.last.order.server.id), "new");
+  t.is(client.last.order.resumeAfter, String(events));
+  t.false(caller.isAborted);
+});
+
+test("a take-up that waits is withdrawn before the bound", (t) => {
+  const { first, client, time, addServer } = start("resumable_stream", {
+    fields: { resumeAfter: "4", takesUp: brandId<RequestId>("q-0") },
+    route: { targetMs: 9_000 },
+  });
+  first.listener.sent();
+  addServer();
+  time.advance(BOUND_AT_MS - 200 - time.nowMs);
+  t.true(first.isAborted);
+  t.is(String(client.last.order.server.id), "new");
+  t.is(client.last.order.resumeAfter, "4");
+});
