--- a/packages/request-path/src/begin_bound_test.ts
+++ b/packages/request-path/src/begin_bound_test.ts
@@ -161,6 +161,19 @@
   }
 });
 
+test("a withdrawn attempt that no other server can take takes no retry", (t) => {
+  const { first, caller, client, time, causes } = start("resumable_stream", {
+    route: { targetMs: 9_000 },
+  });
+  first.listener.sent();
+  time.advance(BOUND_AT_MS - 200 - time.nowMs);
+  t.true(first.isAborted);
+  t.is(client.attempts.length, 1);
+  t.deepEqual(causes, []);
+  t.is(caller.refusal?.reason, "stale_weights");
+  t.false(caller.refusal?.isNotRun);
+});
+
 test("an attempt that was not sent before the bound takes no retry, and its request has not run", (t) => {
   const { first, caller, client, time, addServer, causes } = start("stream");
   addServer();
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -791,7 +791,10 @@
     const mayStart = !this.#relay.hasBegun ||
       (server !== undefined && this.#isCurrent(server));
     if (mayStart) {
-      const mayRetry = this.#tryRetry(cause);
+      // Engines are full when attempts are withdrawn; a retry that finds no place
+      // would be missing elsewhere.
+      const isInVain = cause === "withdrawn" && !this.#hasPlace();
+      const mayRetry = !isInVain && this.#tryRetry(cause);
       return mayRetry ? this.#startAgain() : this.#giveUp(reason);
     }
     const { lastProgressMs } = after;
