Take a server as reached once it answers, not once its link accepts a connection

Cause: an accepted connection counted as proof of the link, in checks and at each attempt, so the VM never took itself as cut off. A handshake was taken for service.

Now a byte of an answer on a connection shows that the link worked when that was opened, and checks ask for a report. A request that is reset before any byte, or waits for 500 ms, leads to a question to its server, and to four others if that fails; so a VM with few callers notices too. Until one answers, requests that have not begun go through another VM. Servers that failed before the last answer no longer hide a cut. Requests that run at most once are still sent once.

--- a/packages/forwarding/src/reach_checks.ts
+++ b/packages/forwarding/src/reach_checks.ts
@@ -1,17 +1,25 @@
 /**
- * Opens connections to servers to find out which of them this VM reaches: when
- * several fail at about the same time, and again and again while it is cut off.
+ * Asks servers for an answer on new connections to find out which of them this
+ * VM reaches: when one answers nothing, when several fail at about the same
+ * time, and again and again while it is cut off.
  *
  * @module
  */
 
 import type { Scheduler } from "@endivebend/clock";
 import type { BackendServerId, ServiceName } from "@endivebend/types";
-import type { ReachableServer, ServerReach } from "./server_reach.ts";
+import type {
+  LinkFailure,
+  ReachableServer,
+  ServerReach,
+} from "./server_reach.ts";
 
 /** What a new connection shows of a server's process. */
 export type ListenState = "listening" | "closed" | "unknown";
 
+/** What has come of a question on a new connection. */
+export type LinkState = "answered" | LinkFailure;
+
 /** Dependencies of {@link ReachChecks}. */
 export interface ReachChecksOptions {
   readonly reach: ServerReach;
@@ -20,20 +28,29 @@
   usable(service: ServiceName): readonly ReachableServer[];
   /** Servers of all services. */
   listed(): readonly ReachableServer[];
-  checkListening(address: string): Promise<ListenState>;
+  /** Asks the server for any answer on a new connection. Never rejects. */
+  checkAnswering(server: ReachableServer): Promise<LinkState>;
+  /** Called with what each question showed. */
+  checked(server: ReachableServer, state: LinkState): void;
 }
 
 /** Two servers that fail within this time may have the same cause. */
 const SUSPICION_MS = 1_500;
 /** Pause between two rounds of checks of a service. */
 const ROUND_INTERVAL_MS = 400;
-/** Servers that are checked in a round; connections cost servers something. */
+/** Servers that are checked in a round; questions cost servers something. */
 const CHECKS_A_ROUND = 4;
-/** Connections that are opened at a time when a cut has healed. */
+/** Questions that are asked at a time when a cut has healed. */
 const CHECKS_AFTER_HEALING = 64;
 const MIN_SUSPECTS = 2;
 /** Servers that are asked before a VM takes its own links as being at fault. */
 const MAX_ASKED = 8;
+/**
+ * Time between checks that several suspects, or one server that answers nothing,
+ * lead to. Servers that are slow or fail by themselves lead to them all the
+ * while; a cut has to be noticed within 3,000 ms.
+ */
+const DOUBT_INTERVAL_MS = 1_500;
 
 /** Checks servers for one VM. */
 export class ReachChecks {
@@ -42,6 +59,10 @@
   readonly #roundAtMs = new Map<ServiceName, number>();
   readonly #checking = new Set<BackendServerId>();
   readonly #findingAnother = new Map<BackendServerId, Promise<boolean>>();
+  /** When a single server of the service may be asked again. */
+  readonly #nextDoubtMs = new Map<ServiceName, number>();
+  /** Since when checks run to tell a cut from servers that fail. */
+  readonly #inDoubtSinceMs = new Map<ServiceName, number>();
   #cancel = () => {};
 
   constructor(options: ReachChecksOptions) {
@@ -54,9 +75,11 @@
       () => this.start(),
     );
     const { reach } = this.#options;
-    for (const service of reach.cutOffServices()) this.#runRound(service);
+    for (const service of reach.cutOffServices()) {
+      void this.#runRound(service);
+    }
     for (const service of this.#roundAtMs.keys()) {
-      if (reach.isMostlyLost(service)) this.#runRound(service);
+      if (reach.isMostlyLost(service)) void this.#runRound(service);
     }
   }
 
@@ -77,12 +100,53 @@
     );
     if (suspects.length < Math.min(MIN_SUSPECTS, servers.length)) return;
     const roundAtMs = this.#roundAtMs.get(service) ?? Number.NEGATIVE_INFINITY;
-    if (nowMs() - roundAtMs >= ROUND_INTERVAL_MS) this.#runRound(service);
+    if (nowMs() - roundAtMs < DOUBT_INTERVAL_MS) return;
+    void this.#whileInDoubt(service, () => this.#runRound(service));
   }
 
   /**
-   * Whether another server, of whatever service, accepts a connection: if none
-   * does, the links of this VM may be at fault and not the server.
+   * Records that nothing has come from the server for a request that was sent
+   * at the time. Asks it, and others if it doesn't answer, unless the service
+   * has answered on a connection that was opened later.
+   *
+   * @example
+   * ```ts
+   * checks.noteUnanswered(server, attempt.startedAtMs);
+   * ```
+   */
+  noteUnanswered(server: ReachableServer, sentAtMs: number): void {
+    const { reach, nowMs } = this.#options;
+    const { service } = server;
+    const nextMs = this.#nextDoubtMs.get(service) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs() < nextMs || reach.cutOffSinceMs(service) !== undefined) return;
+    if (reach.isLost(server) || reach.answeredAtMs(service) > sentAtMs) return;
+    this.#nextDoubtMs.set(service, nowMs() + DOUBT_INTERVAL_MS);
+    void this.#whileInDoubt(service, async () => {
+      const state = await this.#check(server);
+      if (state !== "answered") await this.#runRound(service);
+    });
+  }
+
+  /** Asks one server of each other service when one was found cut off. */
+  checkOthers(service: ServiceName): void {
+    const { reach, listed, nowMs } = this.#options;
+    for (const other of new Set(listed().map(({ service }) => service))) {
+      const [server] = reach.leastRecentlyChecked(other, 1);
+      if (other === service || server === undefined) continue;
+      this.noteUnanswered(server, nowMs());
+    }
+  }
+
+  /** Whether checks run to tell a cut from servers that fail. */
+  isInDoubt(service: ServiceName): boolean {
+    const sinceMs = this.#inDoubtSinceMs.get(service);
+    return sinceMs !== undefined &&
+      this.#options.reach.answeredAtMs(service) < sinceMs;
+  }
+
+  /**
+   * Whether another server, of whatever service, answers: if none does, the
+   * links of this VM may be at fault and not the server.
    *
    * @example
    * ```ts
@@ -104,38 +168,70 @@
     const { reach, listed } = this.#options;
     const others = listed().filter((other) => other.id !== id);
     // Many servers may end together; one that was there lately likely still is.
-    const likeliest = reach.byLastConnection(others).slice(0, MAX_ASKED);
+    const likeliest = reach.byLastAnswer(others).slice(0, MAX_ASKED);
     for (const other of likeliest) {
-      if (await this.#check(other) === "listening") return true;
+      if (await this.#check(other) === "answered") return true;
     }
     return false;
   }
 
-  #runRound(service: ServiceName): void {
+  async #whileInDoubt(
+    service: ServiceName,
+    check: () => Promise<void>,
+  ): Promise<void> {
+    const sinceMs = this.#options.nowMs();
+    this.#inDoubtSinceMs.set(service, sinceMs);
+    await check();
+    if (this.#inDoubtSinceMs.get(service) === sinceMs) {
+      this.#inDoubtSinceMs.delete(service);
+    }
+  }
+
+  async #runRound(service: ServiceName): Promise<void> {
     const { reach, nowMs } = this.#options;
     this.#roundAtMs.set(service, nowMs());
     const servers = reach.leastRecentlyChecked(service, CHECKS_A_ROUND);
-    for (const server of servers) void this.#checkOnce(server);
+    await this.#checkAll(servers);
   }
 
-  async #checkOnce(server: ReachableServer): Promise<void> {
-    if (this.#checking.has(server.id)) return;
-    const { reach } = this.#options;
-    const wasCutOff = reach.cutOffSinceMs(server.service) !== undefined;
-    const state = await this.#check(server);
-    if (!wasCutOff || state !== "listening") return;
-    // The cut may have healed for some servers only.
-    const lost = reach.lost(server.service).slice(0, CHECKS_AFTER_HEALING);
-    for (const other of lost) void this.#checkOnce(other);
+  /** Records failures once all checks have ended; one may yet be answered. */
+  async #checkAll(servers: readonly ReachableServer[]): Promise<void> {
+    const { reach, nowMs } = this.#options;
+    const openedAtMs = nowMs();
+    const idle = servers.filter(({ id }) => !this.#checking.has(id));
+    const states = await Promise.all(idle.map(async (server) => {
+      const wasCutOff = reach.cutOffSinceMs(server.service) !== undefined;
+      const state = await this.#ask(server);
+      if (state === "answered" && wasCutOff) this.#checkLost(server.service);
+      return { server, state };
+    }));
+    for (const { server, state } of states) {
+      if (state !== "answered") reach.recordLoss(server, state, openedAtMs);
+    }
+  }
+
+  /** A cut may have healed for some servers only. */
+  #checkLost(service: ServiceName): void {
+    const lost = this.#options.reach.lost(service);
+    void this.#checkAll(lost.slice(0, CHECKS_AFTER_HEALING));
+  }
+
+  async #check(server: ReachableServer): Promise<LinkState> {
+    const { reach, nowMs } = this.#options;
+    const openedAtMs = nowMs();
+    const state = await this.#ask(server);
+    if (state !== "answered") reach.recordLoss(server, state, openedAtMs);
+    return state;
   }
 
-  async #check(server: ReachableServer): Promise<ListenState> {
-    const { reach, checkListening } = this.#options;
+  async #ask(server: ReachableServer): Promise<LinkState> {
+    const { reach, nowMs, checkAnswering, checked } = this.#options;
+    const openedAtMs = nowMs();
     this.#checking.add(server.id);
     try {
-      const state = await checkListening(server.address);
-      if (state === "listening") reach.recordConnected(server);
-      else reach.recordNoConnection(server);
+      const state = await checkAnswering(server);
+      if (state === "answered") reach.recordAnswer(server, openedAtMs);
+      checked(server, state);
       return state;
     } finally {
       this.#checking.delete(server.id);
--- a/packages/forwarding/src/server_paths.ts
+++ b/packages/forwarding/src/server_paths.ts
@@ -13,8 +13,21 @@
   type ForwarderCandidate,
   Forwarders,
 } from "./choose_forwarder.ts";
-import { type ListenState, ReachChecks } from "./reach_checks.ts";
-import { type ReachableServer, ServerReach } from "./server_reach.ts";
+import { type LinkState, ReachChecks } from "./reach_checks.ts";
+import {
+  type LinkFailure,
+  type LinkFailureCounts,
+  type ReachableServer,
+  ServerReach,
+} from "./server_reach.ts";
+
+/** Why a VM takes itself as cut off from a service. */
+export interface CutEvidence {
+  /** Servers that have failed lately, by how they did. */
+  readonly failures: LinkFailureCounts;
+  /** Other VMs that say that they reach the service. */
+  readonly peersReaching: number;
+}
 
 /** Dependencies of {@link ServerPaths}. */
 export interface ServerPathsOptions {
@@ -25,12 +38,19 @@
   usable(service: ServiceName): readonly ReachableServer[];
   /** Servers of all services. */
   listed(): readonly ReachableServer[];
-  checkListening(address: string): Promise<ListenState>;
+  /** Asks the server for any answer on a new connection. Never rejects. */
+  checkAnswering(server: ReachableServer): Promise<LinkState>;
+  /** Called with what each such question showed. */
+  checked(server: ReachableServer, state: LinkState): void;
   /** Other VMs that answer. */
   peers(): readonly ForwarderCandidate[];
   /** Called when this VM has lost its links to all servers of a service. */
-  cutOff(service: ServiceName, servers: readonly ReachableServer[]): void;
-  /** Called when a server of the service accepts connections again. */
+  cutOff(
+    service: ServiceName,
+    servers: readonly ReachableServer[],
+    evidence: CutEvidence,
+  ): void;
+  /** Called when a server of the service answers again. */
   restored(service: ServiceName): void;
 }
 
@@ -43,11 +63,11 @@
 
   constructor(options: ServerPathsOptions) {
     this.#options = options;
-    const { nowMs, usable, scheduler, checkListening } = options;
+    const { nowMs, usable, scheduler } = options;
     this.#reach = new ServerReach({
       nowMs,
       usable,
-      cutOff: (service) => options.cutOff(service, usable(service)),
+      cutOff: (service) => this.#noteCut(service),
       restored: (service) => options.restored(service),
     });
     this.#checks = new ReachChecks({
@@ -56,7 +76,8 @@
       nowMs,
       usable,
       listed: () => options.listed(),
-      checkListening,
+      checkAnswering: (server) => options.checkAnswering(server),
+      checked: (server, state) => options.checked(server, state),
     });
   }
 
@@ -81,10 +102,32 @@
     server: ReachableServer,
     excluded: ReadonlySet<VmId>,
   ): Forwarder | undefined {
+    const { service } = server;
     if (!this.#reach.needsForwarder(server)) return undefined;
-    const { failureDomain, peers, nowMs } = this.#options;
-    const candidates = peers().filter(({ vm, reaches }) =>
-      reaches.includes(server.service) && !excluded.has(vm)
+    return this.#chooseForwarder(service, excluded);
+  }
+
+  /**
+   * The same for a request that has not begun anywhere. While it is not known
+   * whether this VM is cut off, another one is the safer way.
+   */
+  forwarderForFirst(
+    server: ReachableServer,
+    excluded: ReadonlySet<VmId>,
+  ): Forwarder | undefined {
+    const { service } = server;
+    return this.#checks.isInDoubt(service)
+      ? this.#chooseForwarder(service, excluded)
+      : this.forwarderFor(server, excluded);
+  }
+
+  #chooseForwarder(
+    service: ServiceName,
+    excluded: ReadonlySet<VmId>,
+  ): Forwarder | undefined {
+    const { failureDomain, nowMs } = this.#options;
+    const candidates = this.#peersReaching(service).filter(({ vm }) =>
+      !excluded.has(vm)
     );
     const sound = candidates.filter(({ vm }) =>
       !this.#forwarders.isAvoided(vm, nowMs())
@@ -105,17 +148,35 @@
     this.#forwarders.recordFailure(vm, this.#options.nowMs());
   }
 
-  /** Records that the server has accepted a new connection. */
-  recordConnected(server: ReachableServer): void {
-    this.#reach.recordConnected(server);
+  /**
+   * Records that a byte of an answer has come from the server on a connection
+   * that was opened at the time.
+   */
+  recordAnswer(server: ReachableServer, openedAtMs: number): void {
+    this.#reach.recordAnswer(server, openedAtMs);
   }
 
-  /** Records that the server has not accepted a new connection. */
-  recordNoConnection(server: ReachableServer): void {
-    this.#reach.recordNoConnection(server);
+  /**
+   * Records that the server has not accepted a connection that was opened at the
+   * time.
+   */
+  recordNoConnection(
+    server: ReachableServer,
+    openedAtMs: number,
+    failure: LinkFailure = "no_connection",
+  ): void {
+    this.#reach.recordLoss(server, failure, openedAtMs);
     this.#checks.suspect(server);
   }
 
+  /**
+   * Records that nothing has come from the server for a request that was sent at
+   * the time; the connection may have been lost since.
+   */
+  noteUnanswered(server: ReachableServer, sentAtMs: number): void {
+    this.#checks.noteUnanswered(server, sentAtMs);
+  }
+
   /** Records that the server is silent or has broken off an answer. */
   suspect(server: ReachableServer): void {
     this.#checks.suspect(server);
@@ -123,8 +184,8 @@
 
   /**
    * Whether this VM has lost its links to all servers of the service. It is
-   * taken as cut off from the second server that accepts no connection until
-   * one accepts one, so that no server is blamed for a cut.
+   * taken as cut off from the second server that fails until one answers, so
+   * that no server is blamed for a cut.
    */
   isCutOff(service: ServiceName): boolean {
     return this.#reach.cutOffSinceMs(service) !== undefined;
@@ -135,8 +196,23 @@
     return !this.isCutOff(service) && !this.#reach.isMostlyLost(service);
   }
 
-  /** Whether another server, of whatever service, accepts a connection. */
+  /** Whether another server, of whatever service, answers. */
   reachesAnother(server: ReachableServer): Promise<boolean> {
     return this.#checks.reachesAnother(server);
   }
+
+  #noteCut(service: ServiceName): void {
+    const { usable, cutOff } = this.#options;
+    cutOff(service, usable(service), {
+      failures: this.#reach.failures(service),
+      peersReaching: this.#peersReaching(service).length,
+    });
+    this.#checks.checkOthers(service);
+  }
+
+  #peersReaching(service: ServiceName): ForwarderCandidate[] {
+    return this.#options.peers().filter(({ reaches }) =>
+      reaches.includes(service)
+    );
+  }
 }
--- a/packages/forwarding/src/server_reach.ts
+++ b/packages/forwarding/src/server_reach.ts
@@ -1,10 +1,12 @@
 /**
  * What new connections show of the links to backend servers. A server that
- * accepts no connection may be down; when several servers of a service accept
- * none and no other one does, this VM has lost its links to them.
+ * accepts no connection or answers nothing on one may be down; when several
+ * servers of a service do so and no other one answers, this VM has lost its
+ * links to them.
  *
- * Data on old connections shows nothing: they may live on while new ones are
- * refused.
+ * An accepted connection shows nothing: links, and queues of the system before
+ * a process, accept connections that carry no byte. Neither does data on old
+ * connections: they may live on while new ones fail.
  *
  * @module
  */
@@ -23,6 +25,20 @@
   readonly failureDomain: FailureDomainId;
 }
 
+/** How a new connection to a server has failed. */
+export type LinkFailure =
+  /** Nothing listens there, or a link refuses for it. */
+  | "refused"
+  /** The connection was not accepted in time. */
+  | "no_connection"
+  /** The connection was accepted and lost without a byte of an answer. */
+  | "reset"
+  /** The connection was accepted and nothing has come on it. */
+  | "silent";
+
+/** Servers that have failed lately, by how they did. */
+export type LinkFailureCounts = Readonly<Partial<Record<LinkFailure, number>>>;
+
 /** Dependencies of {@link ServerReach}. */
 export interface ServerReachOptions {
   nowMs(): number;
@@ -30,11 +46,11 @@
   usable(service: ServiceName): readonly ReachableServer[];
   /** Called when this VM has lost its links to all servers of a service. */
   cutOff(service: ServiceName): void;
-  /** Called when a server of the service accepts connections again. */
+  /** Called when a server of the service answers again. */
   restored(service: ServiceName): void;
 }
 
-/** Servers that must accept no connection, as one may be down by itself. */
+/** Servers that must fail, as one may be down by itself. */
 const MIN_LOST_SERVERS = 2;
 /** What a connection has shown holds for this long. */
 const EVIDENCE_TTL_MS = 2_500;
@@ -45,7 +61,9 @@
   /** When the current run of failed connections began. */
   lostSinceMs: number;
   lostAtMs: number;
-  connectedAtMs: number;
+  failure: LinkFailure | undefined;
+  /** When the newest connection on which the server has answered was opened. */
+  answeredAtMs: number;
 }
 
 /** Which servers this VM reaches. */
@@ -58,18 +76,29 @@
     this.#options = options;
   }
 
-  /** Records that the server has accepted a new connection. */
-  recordConnected({ id, service }: ReachableServer): void {
-    this.#of(id).connectedAtMs = this.#options.nowMs();
+  /**
+   * Records that a byte of an answer has come from the server on a connection
+   * that was opened at the time.
+   */
+  recordAnswer(
+    { id, service }: ReachableServer,
+    openedAtMs = this.#options.nowMs(),
+  ): void {
+    const evidence = this.#of(id);
+    evidence.answeredAtMs = Math.max(evidence.answeredAtMs, openedAtMs);
     this.#update(service);
   }
 
-  /** Records that the server has not accepted a new connection. */
-  recordNoConnection({ id, service }: ReachableServer): void {
+  /** Records that a connection that was opened at the time has failed. */
+  recordLoss(
+    { id, service }: ReachableServer,
+    failure: LinkFailure,
+    openedAtMs = this.#options.nowMs(),
+  ): void {
     const evidence = this.#of(id);
-    const nowMs = this.#options.nowMs();
-    if (!this.#isLost(id)) evidence.lostSinceMs = nowMs;
-    evidence.lostAtMs = nowMs;
+    if (!this.#isLost(id)) evidence.lostSinceMs = openedAtMs;
+    evidence.lostAtMs = Math.max(evidence.lostAtMs, openedAtMs);
+    evidence.failure = failure;
     this.#update(service);
   }
 
@@ -93,13 +122,21 @@
     return this.#isLost(id) && this.isMostlyLost(service);
   }
 
-  /** Whether at least half of the service's servers accept no connection. */
+  /** Whether new connections to at least half of the servers fail. */
   isMostlyLost(service: ServiceName): boolean {
     const usable = this.#options.usable(service);
     const lost = usable.filter(({ id }) => this.#isLost(id));
     return lost.length >= MIN_LOST_SERVERS && 2 * lost.length >= usable.length;
   }
 
+  /** When the newest connection was opened on which the service has answered. */
+  answeredAtMs(service: ServiceName): number {
+    return Math.max(
+      Number.NEGATIVE_INFINITY,
+      ...this.#options.usable(service).map(({ id }) => this.#answeredAtMs(id)),
+    );
+  }
+
   /** Servers to check next: those that were checked least recently first. */
   leastRecentlyChecked(
     service: ServiceName,
@@ -107,38 +144,57 @@
   ): ReachableServer[] {
     const checkedAtMs = ({ id }: ReachableServer) => {
       const evidence = this.#evidence.get(id);
-      return Math.max(evidence?.lostAtMs ?? 0, evidence?.connectedAtMs ?? 0);
+      return Math.max(evidence?.lostAtMs ?? 0, evidence?.answeredAtMs ?? 0);
     };
     return this.#options.usable(service)
       .toSorted((a, b) => checkedAtMs(a) - checkedAtMs(b))
       .slice(0, count);
   }
 
-  /** The same servers, those that last accepted a connection first. */
-  byLastConnection(servers: readonly ReachableServer[]): ReachableServer[] {
-    const connectedAtMs = ({ id }: ReachableServer) =>
-      this.#evidence.get(id)?.connectedAtMs ?? Number.NEGATIVE_INFINITY;
-    return servers.toSorted((a, b) =>
+  /** The same servers, those that last answered on a new connection first. */
+  byLastAnswer(servers: readonly ReachableServer[]): ReachableServer[] {
+    return servers.toSorted((a, b) => {
+      const [atMs, otherAtMs] = [
+        this.#answeredAtMs(a.id),
+        this.#answeredAtMs(b.id),
+      ];
       // Both may be minus infinity, whose difference is no number.
-      connectedAtMs(a) === connectedAtMs(b)
-        ? 0
-        : connectedAtMs(b) - connectedAtMs(a)
-    );
+      return atMs === otherAtMs ? 0 : otherAtMs - atMs;
+    });
   }
 
-  /** Servers of the service that accept no connection. */
+  /** Servers of the service to which new connections fail. */
   lost(service: ServiceName): ReachableServer[] {
     return this.#options.usable(service).filter(({ id }) => this.#isLost(id));
   }
 
+  /** How the servers of the service have failed lately. */
+  failures(service: ServiceName): LinkFailureCounts {
+    const counts: Partial<Record<LinkFailure, number>> = {};
+    for (const { id } of this.lost(service)) {
+      const failure = this.#evidence.get(id)?.failure;
+      if (failure === undefined) continue;
+      counts[failure] = (counts[failure] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  isLost({ id }: ReachableServer): boolean {
+    return this.#isLost(id);
+  }
+
   #isLost(id: BackendServerId): boolean {
     const evidence = this.#evidence.get(id);
     if (evidence === undefined) return false;
-    const { lostAtMs, connectedAtMs } = evidence;
-    return lostAtMs > connectedAtMs &&
+    const { lostAtMs, answeredAtMs } = evidence;
+    return lostAtMs > answeredAtMs &&
       this.#options.nowMs() - lostAtMs < EVIDENCE_TTL_MS;
   }
 
+  #answeredAtMs(id: BackendServerId): number {
+    return this.#evidence.get(id)?.answeredAtMs ?? Number.NEGATIVE_INFINITY;
+  }
+
   #update(service: ServiceName): void {
     const isCutOff = this.#isCutOff(service);
     const wasCutOff = this.#cutOffSinceMs.has(service);
@@ -152,18 +208,19 @@
     }
   }
 
+  /**
+   * Whether several servers have failed since one last answered. Those that
+   * failed before show nothing, as they may be down by themselves.
+   */
   #isCutOff(service: ServiceName): boolean {
     const usable = this.#options.usable(service);
-    const lost = usable.filter(({ id }) => this.#isLost(id));
-    const minLost = Math.min(MIN_LOST_SERVERS, usable.length);
-    if (lost.length === 0 || lost.length < minLost) return false;
-    const sinceMs = Math.min(
-      ...lost.map(({ id }) => this.#evidence.get(id)!.lostSinceMs),
-    );
-    return usable.every(({ id }) =>
-      (this.#evidence.get(id)?.connectedAtMs ?? Number.NEGATIVE_INFINITY) <
-        sinceMs
-    );
+    const answeredAtMs = this.answeredAtMs(service);
+    const wasReached = ({ id }: ReachableServer) =>
+      !this.#isLost(id) || this.#evidence.get(id)!.lostSinceMs > answeredAtMs;
+    const reached = usable.filter(wasReached);
+    const lost = reached.filter(({ id }) => this.#isLost(id));
+    return lost.length > 0 &&
+      lost.length >= Math.min(MIN_LOST_SERVERS, reached.length);
   }
 
   #of(id: BackendServerId): Evidence {
@@ -172,7 +229,8 @@
     const evidence = {
       lostSinceMs: Number.NEGATIVE_INFINITY,
       lostAtMs: Number.NEGATIVE_INFINITY,
-      connectedAtMs: Number.NEGATIVE_INFINITY,
+      failure: undefined,
+      answeredAtMs: Number.NEGATIVE_INFINITY,
     };
     this.#evidence.set(id, evidence);
     if (this.#evidence.size > MAX_SERVERS) {
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -325,10 +325,20 @@
         [...this.#registry.all()]
           .filter(({ removedAtMs }) => removedAtMs === undefined)
           .map(({ listed }) => listed),
-      checkListening: (address) => serverClient.checkListening(address),
+      checkAnswering: (server) => serverClient.checkAnswering(server),
+      checked: ({ id, service }, state) => {
+        metrics.count("link_checks", { state });
+        if (state === "answered") return;
+        this.#logDecision("link_check", { server: id, service, state });
+      },
       peers: () => this.#forwarders(),
-      cutOff: (service, servers) => {
-        log.stateChange("servers_lost", { service, servers: servers.length });
+      cutOff: (service, servers, { failures, peersReaching }) => {
+        log.stateChange("servers_lost", {
+          service,
+          servers: servers.length,
+          ...failures,
+          peersReaching,
+        });
         metrics.count("cuts", { service });
         for (const { id, address } of servers) {
           this.#registry.forgive(id);
--- a/packages/front/src/testing_cuts.ts
+++ b/packages/front/src/testing_cuts.ts
@@ -81,11 +81,14 @@
     /** Whether calls have no prompt. */
     readonly isPlain?: boolean;
     readonly events?: Events;
+    readonly engines?: number;
+    /** Whether the cut and its end are played; true by default. */
+    readonly isCut?: boolean;
   } = {},
 ) {
   const { kind = "resumable_stream", isPlain = false } = options;
-  const { events = () => [] } = options;
-  const fleet = new TestFleet({ daemons: DAEMONS, engines: 8, kind, isPlain });
+  const { events = () => [], engines = 8, isCut = true } = options;
+  const fleet = new TestFleet({ daemons: DAEMONS, engines, kind, isPlain });
   const { time } = fleet;
   for (const [atMs, run] of events(fleet)) time.after(atMs, run);
   await time.advance(2_000);
@@ -96,8 +99,10 @@
     time.after(isRush ? RUSH_INTERVAL_MS : SEND_INTERVAL_MS, send);
   };
   send();
-  time.after(CUT_AT_MS - time.nowMs, () => fleet.cutOff(cut, form));
-  time.after(CUT_AT_MS + CUT_MS - time.nowMs, () => fleet.heal(cut));
+  if (isCut) {
+    time.after(CUT_AT_MS - time.nowMs, () => fleet.cutOff(cut, form));
+    time.after(CUT_AT_MS + CUT_MS - time.nowMs, () => fleet.heal(cut));
+  }
   await time.advance(CUT_AT_MS + CUT_MS + 3_000 - time.nowMs);
   const during = fleet.outcomes.filter(({ sentAtMs }) =>
     sentAtMs >= CUT_AT_MS + CONTACT_MS && sentAtMs < CUT_AT_MS + CUT_MS
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -26,6 +26,7 @@
   ForwardedRuns,
   ForwardOrder,
   ForwardSink,
+  LinkState,
   ListedServer,
   ListenState,
   PromptSegment,
@@ -478,6 +479,10 @@
   readonly fallAtMs: number[] = [];
   readonly #rejectedAtMs = new Map<Engine, number[]>();
   readonly crashAtMs: number[] = [];
+  /** Draws whether an engine resets a request's connection without a byte. */
+  resetsRequest: (() => boolean) | undefined;
+  /** Questions by which daemons found out whether they reach engines. */
+  readonly linkChecks: { readonly atMs: number; readonly vm: VmId }[] = [];
   readonly steps: Record<string, unknown>[] = [];
   readonly links = new ServerLinks(this.time);
   readonly rollout: SimulatedRollout;
@@ -857,6 +862,15 @@
     return isUp ? "listening" : "closed";
   }
 
+  async checkAnswering(vm: VmId, address: string): Promise<LinkState> {
+    this.linkChecks.push({ atMs: this.time.nowMs, vm });
+    const cut = this.links.cutOf(vm, address);
+    if (cut !== undefined) return await this.links.check(cut);
+    const engine = this.#engineAt(address);
+    await this.store.wait(2 * LINK_MS);
+    return engine === undefined ? "refused" : "answered";
+  }
+
   /** Sends an attempt through another daemon. */
   startForwarded(order: AttemptOrder, listener: AttemptListener) {
     const address = order.forwarder?.address;
@@ -1166,6 +1180,9 @@
       listener.head({ ...this.#head(engine), ...refusal });
       return this.#noteRejection(engine);
     }
+    if (this.resetsRequest?.() === true) {
+      return breakOff(attempt, "read ECONNRESET");
+    }
     engine.attempts.add(attempt);
     engine.peakAttempts = Math.max(engine.peakAttempts, engine.attempts.size);
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
@@ -1588,6 +1605,7 @@
         closeIdleConnections: (address) =>
           world.links.closeIdle(this.vm, address),
         checkListening: (address) => world.checkListening(this.vm, address),
+        checkAnswering: ({ address }) => world.checkAnswering(this.vm, address),
       },
       cacheEventClient: {
         fetchEvents: async () => {
--- a/packages/front/src/testing_links.ts
+++ b/packages/front/src/testing_links.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Scheduler } from "@endivebend/clock";
+import type { LinkState } from "@endivebend/request-path";
 import type { VmId } from "@endivebend/types";
 
 /** What a new connection meets while its link is cut. */
@@ -47,6 +48,8 @@
 const IDLE_MS = 3_400;
 /** Time after which a connection attempt without an answer is given up. */
 const CONNECT_TIMEOUT_MS = 300;
+/** Time after which a question without an answer is given up. */
+const ANSWER_TIMEOUT_MS = 400;
 const LINK_MS = 1;
 
 /** What a VM gets that wants to send on a connection. */
@@ -91,6 +94,15 @@
   accepted_silent: { kind: "dead", isNew: true },
 };
 
+const LINK_STATES: Readonly<Record<NewConnection, LinkState>> = {
+  unanswered: "no_connection",
+  refused: "refused",
+  reset: "no_connection",
+  accepted_reset: "reset",
+  accepted_reset_late: "reset",
+  accepted_silent: "silent",
+};
+
 /** Whether the cut resets the connections that are open when it begins. */
 export function resetsOpen(form: CutForm): boolean {
   return CUT_EFFECTS[form].open === "reset";
@@ -112,8 +124,8 @@
   readonly #cuts = new Map<VmId, CutForm>();
   /** Engines that a cut VM reaches again. */
   readonly #healed = new Map<VmId, Set<string>>();
-  /** Engines that reach nobody. */
-  readonly #darkAddresses = new Set<string>();
+  /** Engines that fail at all VMs. */
+  readonly #darkAddresses = new Map<string, CutForm>();
   /** When idle connections end, by VM and address. */
   readonly #idleUntilMs = new Map<string, number[]>();
   /** What arrives once the link is back. */
@@ -147,9 +159,9 @@
     this.#releaseHeld();
   }
 
-  /** Cuts an engine off from all VMs, without a sign of it. */
-  darken(address: string): void {
-    this.#darkAddresses.add(address);
+  /** Cuts an engine off from all VMs, by default without a sign of it. */
+  darken(address: string, form: CutForm = "silent"): void {
+    this.#darkAddresses.set(address, form);
   }
 
   lighten(address: string): void {
@@ -164,7 +176,8 @@
   }
 
   cutOf(vm: VmId, address: string): CutForm | undefined {
-    if (this.#darkAddresses.has(address)) return "silent";
+    const dark = this.#darkAddresses.get(address);
+    if (dark !== undefined) return dark;
     return this.#healed.get(vm)?.has(address) ? undefined : this.#cuts.get(vm);
   }
 
@@ -185,6 +198,17 @@
     return NEW_CONNECTIONS[CUT_EFFECTS[cut].fresh];
   }
 
+  /** What a question on a new connection gets while the link is cut. */
+  check(cut: CutForm): Promise<LinkState> {
+    const { fresh } = CUT_EFFECTS[cut];
+    return new Promise((resolve) =>
+      this.#time.after(
+        unansweredForMs(cut, ANSWER_TIMEOUT_MS),
+        () => resolve(LINK_STATES[fresh]),
+      )
+    );
+  }
+
   /** Keeps a connection whose answer is complete. */
   keep(vm: VmId, address: string): void {
     const link = `${vm} ${address}`;
--- a/packages/platform/src/planned_stop_test.ts
+++ b/packages/platform/src/planned_stop_test.ts
@@ -17,6 +17,10 @@
   const ran: string[] = [];
   const steps: string[] = [];
   const server = await startRawServer((socket: Socket, text) => {
+    // Servers answer reports at once; they run nothing for it.
+    if (text.startsWith("GET /api/report")) {
+      return void socket.end("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
     const id = /attempt-id: (\S+)/i.exec(text)?.[1] ?? "";
     ran.push(id);
     steps.push(`${id} runs`);
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -26,6 +26,7 @@
   type AttemptOrder,
   type ForwardOrder,
   isRepeatable,
+  type LinkState,
   type ListenState,
   type ServerClient,
   type ServerLoad,
@@ -39,7 +40,7 @@
 import { AnswerBody } from "./answer_body.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { noteKeepAlive, noteReads, ServerAgent } from "./server_agent.ts";
-import { filterHeaders, HEADERS, SYSTEM_HEADERS } from "./wire_names.ts";
+import { filterHeaders, HEADERS, PATHS, SYSTEM_HEADERS } from "./wire_names.ts";
 
 /** A request as the client sent it. */
 export interface ClientMessage {
@@ -66,6 +67,12 @@
  * Failure domains are some 1 ms apart, and a server that is up accepts at once.
  */
 const CONNECT_TIMEOUT_MS = 300;
+/**
+ * A server answers a report at once, whatever waits there. The time is counted
+ * in turns, as a process that gets little of its processor reads late as well.
+ */
+const ANSWER_TURN_MS = 100;
+const MAX_ANSWER_TURNS = 4;
 /** Servers have a use for a few (RFC 9110, section 15.2). */
 const MAX_INFORMATIONAL_ANSWERS = 16;
 /** Bodies of this length, in bytes, are read so that a connection is reused. */
@@ -163,6 +170,7 @@
       }, listener);
     },
     checkListening,
+    checkAnswering,
     closeIdleConnections(address) {
       agents.get(address)?.closeIdle();
     },
@@ -192,6 +200,46 @@
   });
 }
 
+/**
+ * Asks for a report, which waits for no slot. Whatever comes back has come over
+ * the link, be it a refusal or malformed.
+ */
+function checkAnswering(
+  { id, address }: { readonly id: BackendServerId; readonly address: string },
+): Promise<LinkState> {
+  if (!isIpAndPort(address)) return Promise.resolve("no_connection");
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    let isAccepted = false;
+    let turns = 0;
+    const settle = (state: LinkState) => {
+      clearInterval(timer);
+      socket.destroy();
+      resolve(state);
+    };
+    const timer = setInterval(() => {
+      turns += 1;
+      if (turns < MAX_ANSWER_TURNS) return;
+      // After a pause of the process an answer may be there and not yet read.
+      setImmediate(() => settle(isAccepted ? "silent" : "no_connection"));
+    }, ANSWER_TURN_MS);
+    socket.on("connect", () => {
+      isAccepted = true;
+      socket.write(
+        `GET ${PATHS.report} HTTP/1.1\r\nHost: ${address}\r\n` +
+          `Expect-Instance: ${id}\r\nConnection: close\r\n\r\n`,
+      );
+    });
+    socket.once("data", () => settle("answered"));
+    socket.on("end", () => settle("reset"));
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+      const failure = code === "ECONNREFUSED" ? "refused" : "no_connection";
+      settle(isAccepted ? "reset" : failure);
+    });
+  });
+}
+
 /** The answer that a request expects. */
 interface ExpectedAnswer {
   readonly requestId: RequestId;
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 import { createClock } from "@endivebend/clock";
 import type { AttemptOrder } from "@endivebend/request-path";
+import { type BackendServerId, brandId } from "@endivebend/types";
 import { createServerClient, type ServerMessage } from "./server_client.ts";
 import {
   type AttemptResult,
@@ -164,6 +165,36 @@
   t.is(await client.checkListening(server.address), "closed");
 });
 
+const LINKS = {
+  answered: (socket: Socket) => socket.end("HTTP/1.1 404 Not Found\r\n\r\n"),
+  reset: (socket: Socket) => socket.resetAndDestroy(),
+  silent: () => {},
+  refused: () => {},
+} as const;
+for (const state of Object.keys(LINKS) as (keyof typeof LINKS)[]) {
+  test(`a question on a new connection tells that it was ${state}`, async (t) => {
+    const client = createServerClient(createClock());
+    const server = await startRawServer(LINKS[state]);
+    if (state === "refused") server.close();
+    const id = brandId<BackendServerId>("i-1");
+    t.is(await client.checkAnswering({ id, address: server.address }), state);
+    server.close();
+  });
+}
+
+test("a connection that is reset as soon as it is accepted is no answer", async (t) => {
+  const server = createServer((socket) => socket.resetAndDestroy());
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = createServerClient(createClock());
+  const id = brandId<BackendServerId>("i-1");
+  const address = `127.0.0.1:${port}`;
+  // The system may tell of the reset before it tells of the connection.
+  t.not(await client.checkAnswering({ id, address }), "answered");
+  server.close();
+});
+
 for (
   const [header, limitPerS] of [
     ["Server-Limit: 3.6\r\n", 3.6],
--- a/packages/request-path/src/attempt.ts
+++ b/packages/request-path/src/attempt.ts
@@ -24,6 +24,8 @@
   readonly startedAtMs: number;
   handle: AttemptHandle | undefined;
   wasSent: boolean;
+  /** When its own connection was opened; undefined on one that was kept. */
+  connectedAtMs: number | undefined;
   /** Whether it is known to have arrived, or to arrive no more. */
   isSettled: boolean;
   /** When the head of its answer came. */
@@ -59,6 +61,7 @@
     ...fields,
     handle: undefined,
     wasSent: false,
+    connectedAtMs: undefined,
     isSettled: false,
     headAtMs: undefined,
     pendingHead: undefined,
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -56,6 +56,9 @@
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 
+/** An answer that takes longer may wait for a slot, or its link may be lost. */
+const UNANSWERED_MS = 500;
+
 const NOTHING_RUNS: ForwardedRun = { resume() {}, abort() {} };
 
 /** Forwards requests of other VMs. */
@@ -131,6 +134,7 @@
     const nowMs = () => steadyMs(clock);
     const answer: ForwardedAnswer = {
       startedAtMs: nowMs(),
+      connectedAtMs: undefined,
       headAtMs: undefined,
       hasData: false,
       isKnownSound: false,
@@ -161,11 +165,16 @@
       }
     };
     const handle: AttemptHandle = client.forward(order, {
-      connected: () => paths.recordConnected(listed),
+      connected: () => {
+        answer.connectedAtMs = nowMs();
+      },
       sent() {},
       head: (head) =>
         contain(() => {
           answer.headAtMs = nowMs();
+          if (answer.connectedAtMs !== undefined) {
+            paths.recordAnswer(listed, answer.connectedAtMs);
+          }
           recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
           sink.head(head);
         }),
@@ -185,8 +194,9 @@
       failed: (failure) =>
         contain(() => {
           end(failure.kind);
-          if (failure.kind === "unsent") this.#recordNoConnection(server);
-          else this.#recordLoss(suspects, { server, answer });
+          if (failure.kind === "unsent") {
+            this.#recordNoConnection(server, answer.startedAtMs);
+          } else this.#recordLoss(suspects, { server, answer });
           sink.failed(failure);
         }),
     });
@@ -195,6 +205,10 @@
       abort: () => {
         if (isOver) return;
         end("gone");
+        const waitedMs = nowMs() - answer.startedAtMs;
+        if (answer.headAtMs === undefined && waitedMs > UNANSWERED_MS) {
+          paths.noteUnanswered(listed, answer.startedAtMs);
+        }
         handle.abort();
       },
     };
@@ -213,9 +227,9 @@
     });
   }
 
-  #recordNoConnection({ listed }: KnownServer): void {
+  #recordNoConnection({ listed }: KnownServer, openedAtMs: number): void {
     const { paths, registry, clock } = this.#context;
-    paths.recordNoConnection(listed);
+    paths.recordNoConnection(listed, openedAtMs);
     if (paths.isCutOff(listed.service)) return;
     registry.recordSilence(listed.id, steadyMs(clock));
   }
@@ -228,6 +242,9 @@
     const { paths, registry, clock } = this.#context;
     const { id, service } = lost.server.listed;
     paths.suspect(lost.server.listed);
+    if (headAtMs === undefined) {
+      paths.noteUnanswered(lost.server.listed, lost.answer.startedAtMs);
+    }
     if (!paths.isCutOff(service)) registry.recordFailure(id, steadyMs(clock));
     void this.#context.crashGuard.recordLoss(suspects, {
       server: lost.server.listed,
@@ -259,6 +276,8 @@
 
 interface ForwardedAnswer {
   readonly startedAtMs: number;
+  /** When its own connection was opened; undefined on one that was kept. */
+  connectedAtMs: number | undefined;
   headAtMs: number | undefined;
   hasData: boolean;
   isKnownSound: boolean;
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -5,7 +5,12 @@
  * @module
  */
 
-import type { Forwarder, ListenState } from "@endivebend/forwarding";
+import type {
+  Forwarder,
+  LinkState,
+  ListenState,
+  ReachableServer,
+} from "@endivebend/forwarding";
 import type {
   BackendServerId,
   FailureDomainId,
@@ -21,7 +26,7 @@
   WeightsVersion,
 } from "./types.ts";
 
-export type { Forwarder, ListenState } from "@endivebend/forwarding";
+export type { Forwarder, LinkState, ListenState } from "@endivebend/forwarding";
 
 /** One attempt to run a request at one backend server. */
 export interface AttemptOrder {
@@ -146,6 +151,13 @@
    * listens there, `unknown` when there was no answer in time. Never rejects.
    */
   checkListening(address: string): Promise<ListenState>;
+  /**
+   * Asks the server for any answer on a new connection, which takes no slot of
+   * it. Never rejects.
+   */
+  checkAnswering(
+    server: Pick<ReachableServer, "id" | "address">,
+  ): Promise<LinkState>;
   /** Closes idle connections to a server that may have become silent. */
   closeIdleConnections(address: string): void;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -91,6 +91,8 @@
 const REPLACE_INTERVAL_MS = 300;
 /** Stream events are about 40 ms apart, 100 ms while an engine prefills. */
 const STREAM_SILENCE_MS = 400;
+/** An answer that takes longer may wait for a slot, or its link may be lost. */
+const UNANSWERED_MS = 500;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 /** A server takes longer than this to end and to start again. */
@@ -336,10 +338,10 @@
     nowMs: number,
   ): Attempt {
     const { paths } = this.#context;
-    const forwarder = paths.forwarderFor(
-      server.listed,
-      this.#excludedForwarders,
-    );
+    const isFirst = !this.#relay.hasBegun && !isTakeUp(this.#request);
+    const forwarder = isFirst
+      ? paths.forwarderForFirst(server.listed, this.#excludedForwarders)
+      : paths.forwarderFor(server.listed, this.#excludedForwarders);
     this.#logDecision("place", {
       server: server.listed.id,
       scoreMs: Math.round(choice.scoreMs),
@@ -439,7 +441,7 @@
     }, {
       connected: () => {
         if (forwarder !== undefined) return;
-        paths.recordConnected(server.listed);
+        attempt.connectedAtMs = this.#nowMs();
         this.#checkNewConnection(server);
       },
       sent: () => {
@@ -465,6 +467,10 @@
     recordAnswerHead(this.#context, attempt.server, { head, nowMs });
     attempt.headAtMs = nowMs;
     attempt.lastProgressMs = nowMs;
+    if (attempt.connectedAtMs !== undefined) {
+      const { paths } = this.#context;
+      paths.recordAnswer(attempt.server.listed, attempt.connectedAtMs);
+    }
     if (attempt.isProbe) {
       const outcome = head.isMisdirected || head.isNotRun ? "refused" : "run";
       this.#context.metrics.count("weights_probes", { outcome });
@@ -700,7 +706,9 @@
       (!wasSent || forwarder !== undefined);
     if (isUnsent) {
       const { paths } = this.#context;
-      if (forwarder === undefined) paths.recordNoConnection(server.listed);
+      if (forwarder === undefined) {
+        paths.recordNoConnection(server.listed, attempt.startedAtMs);
+      }
       this.#recordSilence(attempt);
       return this.#handleUnsent(attempt, failure.reason);
     }
@@ -751,6 +759,10 @@
     // A VM that forwards sees for itself whether the engine has ended.
     if (forwarder !== undefined) return;
     this.#context.paths.suspect(server.listed);
+    if (headAtMs === undefined) {
+      const { paths } = this.#context;
+      paths.noteUnanswered(server.listed, attempt.startedAtMs);
+    }
     void this.#context.crashGuard.recordLoss(this.#suspects, {
       server: server.listed,
       headAtMs,
@@ -1094,6 +1106,7 @@
     }
     if (attempt === undefined || this.#isCallerBlocked) return;
     if (this.#isToBeCalledBack()) return this.#callBack();
+    this.#detectUnanswered(attempt, nowMs);
     this.#detectSilentStreams(attempt, nowMs);
     if (this.#isCutOff(attempt, nowMs)) this.#replaceSilent(attempt, "cut_off");
     const silentMs = nowMs - attempt.lastProgressMs;
@@ -1139,6 +1152,20 @@
       this.#context.paths.isCutOff(server.listed.service);
   }
 
+  /**
+   * Notes that nothing has come for the attempt for some time, unless it went
+   * on a connection that was kept and others of its server are answered.
+   */
+  #detectUnanswered(attempt: Attempt, nowMs: number): void {
+    const { server, forwarder, startedAtMs, connectedAtMs } = attempt;
+    const isAnswered = attempt.headAtMs !== undefined ||
+      (connectedAtMs === undefined && server.lastReceivedMs > startedAtMs);
+    const isWaiting = forwarder === undefined && attempt.wasSent &&
+      nowMs - startedAtMs > UNANSWERED_MS;
+    if (!isWaiting || isAnswered) return;
+    this.#context.paths.noteUnanswered(server.listed, startedAtMs);
+  }
+
   /** Records a server as silent when none of its streams has sent an event. */
   #detectSilentStreams(attempt: Attempt, nowMs: number): void {
     const { listed, lastReceivedMs, silentUntilMs } = attempt.server;
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -25,6 +25,7 @@
   AttemptOrder,
   CallerSink,
   ForwardOrder,
+  LinkState,
   ListenState,
   Refusal,
   ServerClient,
@@ -227,6 +228,11 @@
     return Promise.resolve<ListenState>(isClosed ? "closed" : "listening");
   }
 
+  checkAnswering({ address }: Pick<ListedServer, "address">) {
+    const isClosed = this.closedAddresses.has(address);
+    return Promise.resolve<LinkState>(isClosed ? "refused" : "answered");
+  }
+
   get last(): FakeAttempt {
     return this.attempts.at(-1)!;
   }
@@ -304,7 +310,8 @@
     usable: (service) =>
       registry.usable(service, time.nowMs).map(({ listed }) => listed),
     listed: () => [...registry.all()].map(({ listed }) => listed),
-    checkListening: (address) => client.checkListening(address),
+    checkAnswering: (server) => client.checkAnswering(server),
+    checked() {},
     peers: () => [],
     cutOff() {},
     restored() {},
