--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -63,6 +63,9 @@
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 
+/** An answer that takes longer may wait for a slot, or its link may be lost. */
+const UNANSWERED_MS = 500;
+
 const NOTHING_RUNS: ForwardedRun = { resume() {}, abort() {} };
 
 /** Forwards requests of other VMs. */
@@ -139,6 +142,7 @@
     const nowMs = () => steadyMs(clock);
     const answer: ForwardedAnswer = {
       startedAtMs: nowMs(),
+      connectedAtMs: undefined,
       headAtMs: undefined,
       hasData: false,
       isKnownSound: false,
@@ -172,7 +176,9 @@
       }
     };
     const handle: AttemptHandle = client.forward(order, {
-      connected: () => paths.recordConnected(listed),
+      connected: () => {
+        answer.connectedAtMs = nowMs();
+      },
       sent() {
         wasSent = true;
       },
@@ -180,6 +186,9 @@
         contain(() => {
           answer.headAtMs = nowMs();
           cancelWithdrawal();
+          if (answer.connectedAtMs !== undefined) {
+            paths.recordAnswer(listed, answer.connectedAtMs);
+          }
           recordAnswerHead(this.#context, server, { head, nowMs: nowMs() });
           sink.head(head);
         }),
@@ -200,8 +209,9 @@
         contain(() => {
           end(failure.kind);
           if (failure.reason === BEGINS_TOO_LATE) return sink.failed(failure);
-          if (failure.kind === "unsent") this.#recordNoConnection(server);
-          else this.#recordLoss(suspects, { server, answer });
+          if (failure.kind === "unsent") {
+            this.#recordNoConnection(server, answer.startedAtMs);
+          } else this.#recordLoss(suspects, { server, answer });
           sink.failed(failure);
         }),
     });
@@ -223,6 +233,10 @@
       abort: () => {
         if (isOver) return;
         end("gone");
+        const waitedMs = nowMs() - answer.startedAtMs;
+        if (answer.headAtMs === undefined && waitedMs > UNANSWERED_MS) {
+          paths.noteUnanswered(listed, answer.startedAtMs);
+        }
         handle.abort();
       },
     };
@@ -241,9 +255,9 @@
     });
   }
 
-  #recordNoConnection({ listed }: KnownServer): void {
+  #recordNoConnection({ listed }: KnownServer, openedAtMs: number): void {
     const { paths, registry, clock } = this.#context;
-    paths.recordNoConnection(listed);
+    paths.recordNoConnection(listed, openedAtMs);
     if (paths.isCutOff(listed.service)) return;
     registry.recordSilence(listed.id, steadyMs(clock));
   }
@@ -256,6 +270,9 @@
     const { paths, registry, clock } = this.#context;
     const { id, service } = lost.server.listed;
     paths.suspect(lost.server.listed);
+    if (headAtMs === undefined) {
+      paths.noteUnanswered(lost.server.listed, lost.answer.startedAtMs);
+    }
     if (!paths.isCutOff(service)) registry.recordFailure(id, steadyMs(clock));
     void this.#context.crashGuard.recordLoss(suspects, {
       server: lost.server.listed,
@@ -287,6 +304,8 @@
 
 interface ForwardedAnswer {
   readonly startedAtMs: number;
+  /** When its own connection was opened; undefined on one that was kept. */
+  connectedAtMs: number | undefined;
   headAtMs: number | undefined;
   hasData: boolean;
   isKnownSound: boolean;
