Play a daemon that is out of step as servers of another version join

One of 8 or 48 daemons is frozen or cut off from the others, the store or both for 2 to 6 s, which ends as servers of v2 join, in place of the old ones or under their ids. Callers lose their connections after one to four events and go to that daemon, or to one in touch, within 40 ms.

Two faults show; both need no trouble at the daemon itself. A daemon relies for up to a second on a list of servers that another daemon has outrun, and one that finds the servers it knows gone goes on through a peer, which sends to whatever process has the address now.

Simulated daemons now get answers of the store only while they are not frozen.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -737,6 +737,11 @@
     return outcome;
   }
 
+  /** The caller's connection is lost, and the daemon notices. */
+  hangUp({ daemon, requestId }: Outcome): void {
+    this.#daemons[daemon]?.hangUp(requestId);
+  }
+
   /** Sends to a daemon what another one has sent by gossip. */
   deliver(
     route: { readonly from: string; readonly to: string },
@@ -1339,6 +1344,7 @@
   #whenThawed: (() => void)[] | undefined;
   isAlive = true;
   #isTakenOut = false;
+  readonly #runs = new Map<RequestId, { callerGone(): void }>();
 
   constructor(world: TestFleet, index: number) {
     this.#world = world;
@@ -1407,6 +1413,16 @@
     else this.#whenThawed.push(task);
   }
 
+  /** Hands over what a call brought, once the process is not frozen. */
+  #whenRunning<Result>(call: Promise<Result>): Promise<Result> {
+    return new Promise((resolve, reject) => {
+      call.then(
+        (result) => this.#whileRunning(() => resolve(result)),
+        (caught) => this.#whileRunning(() => reject(caught)),
+      );
+    });
+  }
+
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
     const { requestId, digest, work } = order.request;
@@ -1470,8 +1486,17 @@
       ...takeUp,
       message: outcome.body,
     }, this.#sink(outcome));
-    if (opened.kind === "over_limit") outcome.isOverLimit = true;
-    else opened.run.start();
+    if (opened.kind === "over_limit") {
+      outcome.isOverLimit = true;
+      return;
+    }
+    this.#runs.set(outcome.requestId, opened.run);
+    opened.run.start();
+  }
+
+  /** The connection of the request's caller is lost. */
+  hangUp(requestId: RequestId): void {
+    this.#whileRunning(() => this.#runs.get(requestId)?.callerGone());
   }
 
   #sink(outcome: Outcome): CallerSink {
@@ -1623,7 +1648,9 @@
   }
 
   #callStore(): Promise<void> {
-    return this.storeAccess.call(() => this.#world.store.call());
+    return this.#whenRunning(
+      this.storeAccess.call(() => this.#world.store.call()),
+    );
   }
 
   #source(topic: string): RecordSource {
@@ -1633,9 +1660,11 @@
       get era() {
         return source.era;
       },
-      newest: () => access.call(() => source.newest()),
+      newest: () => this.#whenRunning(access.call(() => source.newest())),
       read: (from, waitMs) =>
-        access.call(() => source.read(from, waitMs), { holdMs: waitMs }),
+        this.#whenRunning(
+          access.call(() => source.read(from, waitMs), { holdMs: waitMs }),
+        ),
     };
   }
 
--- a/packages/front/src/testing_take_ups.ts
+++ b/packages/front/src/testing_take_ups.ts
@@ -14,6 +14,8 @@
 const LOOK_INTERVAL_MS = 20;
 /** Time after which a caller notices that its connection is gone. */
 const RECONNECT_MS = 100;
+/** Time within which a caller whose connection was reset has another one. */
+const MAX_HANG_UP_MS = 40;
 /** Time for which a caller waits for its stream. */
 const PATIENCE_MS = 6_000;
 const MAX_TRIES = 8;
@@ -26,6 +28,16 @@
   brokeAtMs: number | undefined;
   /** Whether two servers of its version took requests at each try since. */
   couldGoOn: boolean;
+  /** Events after which it may lose its connection; undefined for most. */
+  readonly hangsUpAfter: number | undefined;
+}
+
+/** Callers that lose their connections soon after their streams have begun. */
+export interface HangUps {
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** The daemons that they go to; their streams begin at others. */
+  readonly daemons: readonly number[];
 }
 
 /** Settings of the callers. */
@@ -36,6 +48,8 @@
   readonly sendIntervalMs?: number;
   /** Whether take-ups name the request that began their stream. */
   readonly areNamed?: boolean;
+  /** When connections are lost that no daemon's end closes; none by default. */
+  readonly hangUps?: HangUps;
 }
 
 /** Callers that take broken streams up. */
@@ -96,26 +110,25 @@
   }
 
   #begin(): void {
-    const { fleet } = this.#options;
+    const { fleet, draw, hangUps } = this.#options;
     const stream: CallerStream = {
       firstSentAtMs: fleet.time.nowMs,
       tries: [],
       brokeAtMs: undefined,
       couldGoOn: true,
+      hangsUpAfter: hangUps && draw(0, 2) > 0 ? draw(1, 4) : undefined,
     };
     this.streams.push(stream);
     this.#try(stream);
   }
 
   #try(stream: CallerStream): void {
-    const { fleet, daemons, draw, areNamed = true } = this.#options;
+    const { fleet, areNamed = true } = this.#options;
     const { time } = fleet;
     const isOver = stream.tries.length >= MAX_TRIES ||
       time.nowMs - stream.firstSentAtMs > PATIENCE_MS - 500;
     if (isOver) return;
-    const running = Array.from({ length: daemons }, (_, index) => index)
-      .filter((index) => fleet.isReady(index));
-    const daemon = running[draw(0, Math.max(0, running.length - 1))];
+    const daemon = this.#chooseDaemon(stream);
     if (daemon === undefined) {
       return void time.after(RECONNECT_MS, () => this.#try(stream));
     }
@@ -133,6 +146,28 @@
     this.#watch(stream, { outcome, startedAtMs });
   }
 
+  /** A daemon that runs, as the balancer chooses one. */
+  #chooseDaemon({ tries, hangsUpAfter }: CallerStream): number | undefined {
+    const { fleet, daemons, draw, hangUps } = this.#options;
+    const goTo = hangsUpAfter === undefined ? [] : hangUps?.daemons ?? [];
+    const last = tries.at(-1)?.daemon;
+    if (last !== undefined && goTo.length > 0) {
+      return goTo.includes(last) ? last : goTo[draw(0, goTo.length - 1)];
+    }
+    const running = Array.from({ length: daemons }, (_, index) => index)
+      .filter((index) => fleet.isReady(index) && !goTo.includes(index));
+    return running[draw(0, Math.max(0, running.length - 1))];
+  }
+
+  /** Whether the caller's connection is lost now. */
+  #losesConnection({ tries, hangsUpAfter }: CallerStream): boolean {
+    const { fleet, hangUps } = this.#options;
+    const { nowMs } = fleet.time;
+    return hangUps !== undefined && hangsUpAfter !== undefined &&
+      tries.length === 1 && tries[0]!.events.length >= hangsUpAfter &&
+      nowMs >= hangUps.fromMs && nowMs <= hangUps.untilMs;
+  }
+
   #firstOf({ tries }: CallerStream): RequestId | undefined {
     return tries.find(({ events }) => events.length > 0)?.requestId;
   }
@@ -155,11 +190,14 @@
     time.after(LOOK_INTERVAL_MS, () => {
       const { refusal, isCut, hasEnded, daemon } = outcome;
       if (hasEnded) return;
-      const isGone = isCut || !fleet.isRunning(daemon) ||
+      const isLost = this.#losesConnection(stream);
+      if (isLost) fleet.hangUp(outcome);
+      const isGone = isLost || isCut || !fleet.isRunning(daemon) ||
         fleet.startedAtMs(daemon) !== startedAtMs;
       if (refusal === undefined && !isGone) return this.#watch(stream, current);
       if (this.eventsOf(stream).length > 0) stream.brokeAtMs ??= time.nowMs;
-      const delayMs = refusal?.retryAfterMs ?? RECONNECT_MS;
+      const delayMs = refusal?.retryAfterMs ??
+        (isLost ? this.#options.draw(1, MAX_HANG_UP_MS) : RECONNECT_MS);
       time.after(delayMs, () => this.#try(stream));
     });
   }
