Send a forwarded take-up only to the process that its sender expects (ORDER)

A daemon that finds the servers it lists gone takes itself for cut off, as one that thaws amid a release does, and goes on with streams through a peer. It can't ask the servers which process they are then, and its peer didn't: a server that had started again under its id with v2 got take-ups of v1, placed by the old entry. The request between daemons now names the start of the process that it is for, and the daemon that forwards asks the server first.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -103,6 +103,7 @@
   readonly #paths: ServerPaths;
   readonly #quarantines: QuarantineKeeper;
   readonly #streamOrigins: StreamOriginKeeper;
+  readonly #processCheck: ProcessCheck;
   readonly #admission: AdmissionController;
   readonly #recordApplier: RecordApplier;
   readonly #tables: ReadonlyMap<string, RecordTable>;
@@ -171,6 +172,7 @@
     this.#paths = this.#createPaths();
     this.#quarantines = this.#createQuarantines();
     this.#streamOrigins = this.#createStreamOrigins();
+    this.#processCheck = this.#createProcessCheck();
     this.#admission = this.#createAdmission();
     this.#forwardedRuns = this.#createForwardedRuns();
     this.#recordApplier = this.#createRecordApplier();
@@ -265,13 +267,23 @@
     return `${ip}:${this.#settings.firstPeerPort}`;
   }
 
+  #createProcessCheck(): ProcessCheck {
+    const { clock, scheduler, engineOrders, log, metrics } = this.#ports;
+    return new ProcessCheck({
+      ask: (server) => engineOrders.report(server),
+      clock,
+      scheduler,
+      log,
+      metrics,
+    });
+  }
+
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
     const {
       clock,
       scheduler,
       serverClient,
-      engineOrders,
       log,
       metrics,
       memory,
@@ -293,13 +305,7 @@
         crashGuard: this.#quarantines.guard,
         streamOrigins: this.#streamOrigins,
         paths: this.#paths,
-        processCheck: new ProcessCheck({
-          ask: (server) => engineOrders.report(server),
-          clock,
-          scheduler,
-          log,
-          metrics,
-        }),
+        processCheck: this.#processCheck,
         log,
         metrics,
         memory,
@@ -369,6 +375,7 @@
       client: serverClient,
       paths: this.#paths,
       crashGuard: this.#quarantines.guard,
+      processCheck: this.#processCheck,
       log,
       metrics,
       isLeaving: () => this.#drainingSinceMs !== undefined,
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1426,13 +1426,14 @@
   /** Forwards a request of another daemon. */
   forward(order: AttemptOrder, sink: ForwardSink): ForwardedRun | undefined {
     const { requestId, digest, work } = order.request;
-    const { deadlineMs, server } = order;
+    const { deadlineMs, server, expectedStartMs } = order;
     return this.#forwardedRuns?.open({
       requestId,
       digest,
       server,
       work,
       deadlineMs,
+      expectedStartMs,
       message: { ...order, forwarder: undefined },
     }, sink);
   }
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -114,6 +114,7 @@
     body,
   };
   const team = singleHeader(request, HEADERS.team);
+  const expectedStart = singleHeader(request, FORWARD_HEADERS.expectedStart);
   const run = context.runs.open({
     requestId: brandId<RequestId>(
       singleHeader(request, HEADERS.requestId) ?? "",
@@ -127,6 +128,9 @@
     server: { id: brandId<BackendServerId>(id), address },
     work: parseWork(request),
     deadlineMs: receivedAtMs + timeLeftMs,
+    expectedStartMs: expectedStart === undefined
+      ? undefined
+      : Number(expectedStart),
     message,
   }, sink);
   response.on("drain", () => run.resume());
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -37,7 +37,7 @@
 async function start(
   t: ExecutionContext,
   serve: (socket: Socket, request: string) => void,
-  { isPeer = true, isListed = true } = {},
+  { isPeer = true, isListed = true, statedStartMs = 1 } = {},
 ) {
   const clock = createClock();
   const requests: string[] = [];
@@ -75,6 +75,13 @@
       nowMs: clock.elapsedMs,
       crashSeen() {},
     }),
+    processCheck: {
+      isFresh: () => false,
+      check: (known) => {
+        known.stated = { startedAtMs: statedStartMs, atMs: 0 };
+        return Promise.resolve(true);
+      },
+    },
     log: quiet,
     metrics: quiet,
     isLeaving: () => false,
@@ -259,6 +266,20 @@
   });
 });
 
+test("a request that goes on with a stream is sent on to the process that is expected, and to no other", async (t) => {
+  const answer = `${HEAD}Content-Length: 4\r\n\r\ndone`;
+  const same = await start(t, (socket) => socket.write(answer));
+  t.true((await same.send({ expectedStartMs: 1 })).isComplete);
+  const other = await start(t, (socket) => socket.write(answer), {
+    statedStartMs: 2,
+  });
+  t.like(await other.send({ expectedStartMs: 1 }), {
+    failure: { kind: "unsent", reason: "other_process" },
+  });
+  t.is(other.requests.length, 0);
+  t.true((await other.send()).isComplete);
+});
+
 test("a caller that leaves ends the request at the server", async (t) => {
   let closed: Promise<unknown> | undefined;
   const { order, runs, clock } = await start(t, (socket) => {
--- a/packages/platform/src/forward_wire.ts
+++ b/packages/platform/src/forward_wire.ts
@@ -10,6 +10,8 @@
   /** Id and address of the server that the request is for. */
   server: "endivebend-server",
   address: "endivebend-address",
+  /** Start of the only process that may get the request, in Unix ms. */
+  expectedStart: "endivebend-expected-start",
   /** `unsent` or `broken` in place of an answer; see `AttemptFailure`. */
   outcome: "endivebend-outcome",
   reason: "endivebend-reason",
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -139,6 +139,10 @@
       }
       headers.push(FORWARD_HEADERS.server, server.id);
       headers.push(FORWARD_HEADERS.address, server.address);
+      const { expectedStartMs } = order;
+      if (expectedStartMs !== undefined) {
+        headers.push(FORWARD_HEADERS.expectedStart, String(expectedStartMs));
+      }
       const { address } = forwarder;
       return startExchange({
         address,
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -137,6 +137,7 @@
     cacheScope: undefined,
     urgency: 2,
     forwarder: undefined,
+    expectedStartMs: undefined,
     ...fields,
   };
 }
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -10,6 +10,7 @@
 import { type Clock, steadyMs } from "@endivebend/clock";
 import type { ServerPaths } from "@endivebend/forwarding";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
+import type { ProcessCheck } from "./process_check.ts";
 import type {
   AnswerHead,
   AttemptFailure,
@@ -26,6 +27,7 @@
   readonly client: Pick<ServerClient, "forward" | "closeIdleConnections">;
   readonly paths: ServerPaths;
   readonly crashGuard: CrashGuard;
+  readonly processCheck: Pick<ProcessCheck, "isFresh" | "check">;
   /** Whether the daemon is draining before its end. */
   isLeaving(): boolean;
 }
@@ -82,25 +84,62 @@
    * ```
    */
   open(order: ForwardOrder, sink: ForwardSink): ForwardedRun {
-    const { registry, log, metrics } = this.#context;
-    const server = registry.get(order.server.id);
+    const server = this.#context.registry.get(order.server.id);
     const refusal = this.#findRefusal(order, server);
-    const { requestId } = order;
     if (server === undefined || refusal !== undefined) {
-      metrics.count("forwarded", { outcome: "refused" });
-      const reason = refusal?.reason ?? "unknown_server";
-      log.decision("forward_refused", { requestId, reason });
-      sink.failed({ kind: "unsent", ...refusal, reason });
+      this.#refuse({ order, sink }, refusal ?? { reason: "unknown_server" });
       return NOTHING_RUNS;
     }
-    log.decision("forward", { requestId, server: order.server.id });
-    return this.#send(server, { order, sink });
+    return order.expectedStartMs === undefined
+      ? this.#send(server, { order, sink })
+      : this.#sendOnceChecked(server, { order, sink });
+  }
+
+  #refuse({ order, sink }: Forwarding, refusal: ForwardRefusal): void {
+    const { log, metrics } = this.#context;
+    const { requestId } = order;
+    metrics.count("forwarded", { outcome: "refused" });
+    log.decision("forward_refused", { requestId, reason: refusal.reason });
+    sink.failed({ kind: "unsent", ...refusal });
+  }
+
+  /**
+   * Sends a request that goes on with a stream once the server has said which
+   * process it is: the other VM can't ask, and another process may have started
+   * under the same id.
+   */
+  #sendOnceChecked(server: KnownServer, forwarding: Forwarding): ForwardedRun {
+    const { processCheck, clock } = this.#context;
+    const { order } = forwarding;
+    let run: ForwardedRun | undefined;
+    let isGone = false;
+    const hasAnswered = processCheck.isFresh(server, steadyMs(clock))
+      ? Promise.resolve(true)
+      : processCheck.check(server);
+    void hasAnswered.then((isKnown) => {
+      if (isGone) return;
+      const startedAtMs = server.stated?.startedAtMs;
+      const isExpected = isKnown &&
+        (startedAtMs === undefined || startedAtMs === order.expectedStartMs);
+      const refusal = isExpected
+        ? this.#findRefusal(order, server)
+        : { reason: "other_process" };
+      if (refusal !== undefined) return this.#refuse(forwarding, refusal);
+      run = this.#send(server, forwarding);
+    });
+    return {
+      resume: () => run?.resume(),
+      abort: () => {
+        isGone = true;
+        run?.abort();
+      },
+    };
   }
 
   #findRefusal(
     { server: { address } }: ForwardOrder,
     server: KnownServer | undefined,
-  ): { readonly reason: string; readonly at?: "forwarder" } | undefined {
+  ): ForwardRefusal | undefined {
     const { registry, clock, paths, isLeaving } = this.#context;
     if (isLeaving()) return { reason: "forwarder_leaves", at: "forwarder" };
     if (this.#openCount >= MAX_FORWARDED) {
@@ -122,10 +161,13 @@
 
   #send(
     server: KnownServer,
-    run: { readonly order: ForwardOrder; readonly sink: ForwardSink },
+    { order, sink }: Forwarding,
   ): ForwardedRun {
-    const { client, clock, registry, crashGuard, paths } = this.#context;
-    const { order, sink } = run;
+    const { client, clock, registry, crashGuard, paths, log } = this.#context;
+    log.decision("forward", {
+      requestId: order.requestId,
+      server: order.server.id,
+    });
     const { listed } = server;
     const suspects = crashGuard.suspectsOf(order);
     const nowMs = () => steadyMs(clock);
@@ -257,6 +299,17 @@
   }
 }
 
+interface Forwarding {
+  readonly order: ForwardOrder;
+  readonly sink: ForwardSink;
+}
+
+/** Why nothing is sent on. */
+interface ForwardRefusal {
+  readonly reason: string;
+  readonly at?: "forwarder";
+}
+
 interface ForwardedAnswer {
   readonly startedAtMs: number;
   headAtMs: number | undefined;
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -43,6 +43,11 @@
   readonly urgency: number;
   /** The VM to send through; undefined to connect to the server itself. */
   readonly forwarder: Forwarder | undefined;
+  /**
+   * When the server's process has started by its entry, if the request goes on
+   * with a stream; a forwarder sends it to no other process.
+   */
+  readonly expectedStartMs: number | undefined;
 }
 
 /** A request of another VM that is forwarded to a server. */
@@ -56,6 +61,8 @@
   readonly work: ModelWork | undefined;
   /** When the server must stop working, on the steady clock. */
   readonly deadlineMs: number;
+  /** The start of the only process that may get it; undefined for any. */
+  readonly expectedStartMs: number | undefined;
   /** The request as the other VM has sent it; opaque here. */
   readonly message: unknown;
 }
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -436,6 +436,9 @@
         : undefined,
       urgency: urgencyOf(request),
       forwarder,
+      expectedStartMs: this.#versionToGoOn() === undefined
+        ? undefined
+        : server.listed.startedAtMs,
     }, {
       connected: () => {
         if (forwarder !== undefined) return;
