Take a stream up by a list that was read since its take-up came (ORDER)

A daemon answered which version began a stream by a list up to a second old, while another daemon had read of a new server, begun a stream there and lost its caller. A daemon out of step is behind for longer, and one that thaws took what had waited in its sockets as news: a read counted from its answer, and a peer's message from when it was handled.

A take-up whose stream is not known now waits, up to 600 ms, for a list that was read from the store, or is told by a peer, since it came. Reads count from their beginning, and messages as 100 ms old at least. While the store is away for all, each peer has to have said so since.

--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -119,7 +119,7 @@
     this.#options = options;
   }
 
-  /** When the store last answered a read, on the steady clock. */
+  /** When the last read that the store answered began, on the steady clock. */
   get readAtMs(): number {
     return this.#readAtMs;
   }
@@ -138,13 +138,14 @@
    */
   async refresh(): Promise<void> {
     const { source, table, clock } = this.#options;
+    const beganAtMs = steadyMs(clock);
     const from = this.#from();
     const result = from === undefined
       ? { kind: "gap" as const }
       : await source.read(from, 0);
     if (result.kind === "gap") await this.#list();
     else table.apply(result.records);
-    this.#readAtMs = steadyMs(clock);
+    this.#noteRead(beganAtMs);
   }
 
   async #run(): Promise<void> {
@@ -185,9 +186,10 @@
   }
 
   async #readOnce(): Promise<void> {
+    const beganAtMs = steadyMs(this.#options.clock);
     try {
       await this.#advance();
-      this.#readAtMs = steadyMs(this.#options.clock);
+      this.#noteRead(beganAtMs);
       this.#backoffMs = FIRST_BACKOFF_MS;
       if (!this.#isStoreLost) return;
       this.#isStoreLost = false;
@@ -201,6 +203,11 @@
     }
   }
 
+  /** The answer may have waited, as in a process that was paused. */
+  #noteRead(beganAtMs: number): void {
+    this.#readAtMs = Math.max(this.#readAtMs, beganAtMs);
+  }
+
   async #advance(): Promise<void> {
     const { source, table, waitMs } = this.#options;
     const from = this.#from();
--- a/packages/fleet/src/record_follower_test.ts
+++ b/packages/fleet/src/record_follower_test.ts
@@ -67,3 +67,33 @@
   await follower.refresh();
   t.deepEqual(applied, ["lost", "renewed"]);
 });
+
+// An answer may wait in a process that was paused, and tell of a time before.
+test("records were read when the read began, not when its answer came", async (t) => {
+  const store = new HeldStore();
+  let nowMs = 1_000;
+  const follower = new RecordFollower({
+    source: {
+      era: 1,
+      newest: () => store.newest(),
+      read: async (from, waitMs) => {
+        const result = await store.read(from, waitMs);
+        nowMs += 5_000;
+        return result;
+      },
+    },
+    clock: { wallMs: () => nowMs, elapsedMs: () => nowMs },
+    scheduler: { after: () => () => {} },
+    waitMs: 0,
+    minReadIntervalMs: 400,
+    table: new RecordTable(() => {}),
+    lost: t.fail,
+    regained: t.fail,
+  });
+  store.put("first");
+  await follower.refresh();
+  t.is(follower.readAtMs, 1_000);
+  await follower.refresh();
+  t.is(nowMs, 6_000);
+  t.is(follower.readAtMs, 1_000);
+});
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -54,6 +54,7 @@
 import { PauseGuard } from "./pause_guard.ts";
 import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
+import { SharedReads } from "./shared_reads.ts";
 import { StreamOriginKeeper } from "./stream_origin_keeper.ts";
 import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
 import { WeightsWatch } from "./weights_watch.ts";
@@ -88,6 +89,9 @@
  */
 const STORE_RECOVERY_MS = 3_000;
 
+/** A message may have waited for so long on its way, or to be read. */
+const MAX_MESSAGE_AGE_MS = 100;
+
 /** A listed daemon that runs has been heard by then. */
 const FIRST_MESSAGE_TIMEOUT_MS = 3_000;
 
@@ -109,6 +113,9 @@
   readonly #tables: ReadonlyMap<string, RecordTable>;
   readonly #operatorFollower: RecordFollower;
   readonly #serverFollower: RecordFollower;
+  readonly #listReads = new SharedReads(() =>
+    this.#serverFollower.refresh().then(() => true, () => false)
+  );
   readonly #quarantineFollower: RecordFollower;
   readonly #recordExchange: Pick<RecordExchange, "pull" | "close">;
   readonly #gossip: FleetGossip;
@@ -433,6 +440,7 @@
       peers: () => this.#reachablePeers(),
       fleetSize: () => this.#fleet.size,
       reachesStore: () => store.isReachable,
+      readList: () => this.#listReads.read(),
       listReadAtMs: () => this.#listReadAtMs(),
     });
   }
@@ -454,13 +462,16 @@
     const isAwayForAll = !this.#ports.store.isReachable &&
       this.#isRegistered && peers.length >= this.#mostPeers &&
       peers.every(({ message }) => message?.reachesStore === false);
-    if (isAwayForAll) return nowMs;
-    return topicReadAtMs({
-      topic: SERVER_TOPIC,
-      held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
-      ownReadAtMs: this.#serverFollower.readAtMs,
-      peers,
-    });
+    const ownReadAtMs = this.#serverFollower.readAtMs;
+    const toldAtMs = isAwayForAll
+      ? Math.min(nowMs, ...peers.map(({ heardAtMs }) => heardAtMs))
+      : topicReadAtMs({
+        topic: SERVER_TOPIC,
+        held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
+        ownReadAtMs,
+        peers,
+      });
+    return Math.max(ownReadAtMs, toldAtMs - MAX_MESSAGE_AGE_MS);
   }
 
   /** All daemons that may be alive, with their demand for the service. */
--- a/packages/front/src/origin_knowledge.ts
+++ b/packages/front/src/origin_knowledge.ts
@@ -36,7 +36,7 @@
   failed(reason: string): void;
 }
 
-/** Age up to which the list, or what the log says, counts as current. */
+/** Age up to which the list is current enough to record what it says. */
 const MAX_AGE_MS = 1_000;
 
 /** What is known of the versions that began streams. */
@@ -107,19 +107,18 @@
   }
 
   /**
-   * The only version that can have begun the service's live streams: the sole
-   * one, or the one that the service had settled on before this daemon started.
-   * While the list may lack servers, the log has to say so: whoever lists
-   * another version records that before it begins streams there.
+   * The only version that can have begun the service's streams until then: the
+   * sole one, or the one that the service had settled on before this daemon
+   * started. A list that was read before may lack servers at which other daemons
+   * have begun streams.
    */
-  onlyVersion(service: ServiceName): SoftwareVersion | undefined {
-    const version = this.#versionToRelyOn(service);
-    if (this.#isListCurrent()) return version;
-    const readAgeMs = this.#options.nowMs() - this.#readAtMs;
-    const state = this.#currentStateOf(service);
-    const isSettled = readAgeMs <= MAX_AGE_MS && state?.kind === "settled" &&
-      state.version === version;
-    return isSettled ? version : undefined;
+  onlyVersion(
+    service: ServiceName,
+    untilMs: number,
+  ): SoftwareVersion | undefined {
+    return this.watch.wasCurrentAt(untilMs)
+      ? this.#versionToRelyOn(service)
+      : undefined;
   }
 
   /** Whether streams of several versions may live. */
--- a/packages/front/src/stream_origin_keeper.ts
+++ b/packages/front/src/stream_origin_keeper.ts
@@ -45,6 +45,8 @@
   fleetSize(): number;
   /** Whether this daemon reaches the store. */
   reachesStore(): boolean;
+  /** Reads the list of servers from the store; false when that fails. */
+  readList(): Promise<boolean>;
   /** When the servers that this daemon knows were last all that are listed. */
   listReadAtMs(): number;
 }
@@ -142,37 +144,59 @@
     this.#lives.noteWait(service, deadlineMs - this.#nowMs());
     this.#lookAtList();
     const key = takesUp && keyOf(request, takesUp);
-    const found = this.#findNow(service, key);
-    if (found !== undefined) return found;
-    if (key === undefined) return { kind: "unknown" };
+    const known = key && this.#knowledge.find(key);
+    if (known !== undefined) return known;
     this.#options.metrics.count("take_up_look_ups");
-    return this.#lookUp(service, key);
+    return this.#lookUp({ service, key, askedAtMs: this.#nowMs() });
   }
 
-  #findNow(
-    service: ServiceName,
-    key: StreamKey | undefined,
-  ): StreamOrigin | undefined {
+  #findNow({ service, key, askedAtMs }: Question): StreamOrigin | undefined {
     const known = key && this.#knowledge.find(key);
     if (known !== undefined) return known;
-    const version = this.#knowledge.onlyVersion(service);
+    this.#lookAtList();
+    const version = this.#knowledge.onlyVersion(service, askedAtMs);
     return version === undefined ? undefined : { kind: "version", version };
   }
 
-  /** Reads the log until it tells, or as long as it may be about to tell. */
-  async #lookUp(service: ServiceName, key: StreamKey): Promise<StreamOrigin> {
-    const untilMs = this.#nowMs() + MAX_HOLD_MS;
+  /**
+   * Reads the list and the log until they tell, or as long as they may be about
+   * to tell. The stream may have begun elsewhere just before its take-up came, at
+   * a server that this daemon has not heard of.
+   */
+  async #lookUp(question: Question): Promise<StreamOrigin> {
+    const { service, key, askedAtMs } = question;
+    const { watch } = this.#knowledge;
     for (;;) {
-      const isRead = await this.#knowledge.read();
-      const found = this.#findNow(service, key);
+      const isMixed = this.#knowledge.isMixed(service);
+      if (!isMixed && !watch.wasCurrentAt(askedAtMs)) {
+        await this.#within(POLL_INTERVAL_MS, this.#options.readList());
+      }
+      const listed = this.#findNow(question);
+      if (listed !== undefined) return listed;
+      if (key !== undefined || this.#knowledge.isUnread) {
+        await this.#within(POLL_INTERVAL_MS, this.#knowledge.read());
+      }
+      const found = this.#findNow(question);
       if (found !== undefined) return found;
-      const mayFollow = isRead && this.#knowledge.isMixed(service) &&
-        this.#nowMs() < untilMs;
-      if (!mayFollow) return { kind: "unknown" };
+      const mayFollow = !watch.wasCurrentAt(askedAtMs) ||
+        (key !== undefined && this.#knowledge.isMixed(service));
+      const isOver = this.#nowMs() >= askedAtMs + MAX_HOLD_MS;
+      if (!mayFollow || isOver) return { kind: "unknown" };
       await this.#delay(POLL_INTERVAL_MS);
     }
   }
 
+  /** Waits for the read, but no longer than that. */
+  #within(durationMs: number, read: Promise<boolean>): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = this.#options.scheduler.after(durationMs, resolve);
+      void read.then(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
   #delay(durationMs: number): Promise<void> {
     return new Promise((resolve) =>
       this.#options.scheduler.after(durationMs, resolve)
@@ -219,6 +243,14 @@
   }
 }
 
+/** What began a stream that a request takes up. */
+interface Question {
+  readonly service: ServiceName;
+  /** Undefined when the request does not name the stream. */
+  readonly key: StreamKey | undefined;
+  readonly askedAtMs: number;
+}
+
 function keyOf(
   { service, team }: RoutedRequest,
   requestId: RequestId,
--- a/packages/stream-origins/src/version_watch.ts
+++ b/packages/stream-origins/src/version_watch.ts
@@ -30,6 +30,11 @@
     return this.#sinceMs;
   }
 
+  /** Whether the list of servers, as it is known, was current at the time. */
+  wasCurrentAt(atMs: number): boolean {
+    return this.#currentAtMs >= atMs;
+  }
+
   /** How long ago the list of servers, as it is known, was current. */
   ageMs(nowMs: number): number {
     return nowMs - this.#currentAtMs;
--- a/packages/stream-origins/src/version_watch_test.ts
+++ b/packages/stream-origins/src/version_watch_test.ts
@@ -81,3 +81,16 @@
   const time = { nowMs: 21_000, lifeMs: LIFE_MS };
   t.is(watch.soleVersion(SERVICE, time), undefined);
 });
+
+test("a list tells of the time until its read began, and after a pause of none", (t) => {
+  const watch = new VersionWatch();
+  list(watch, { fromMs: 0, untilMs: 5_000 }, V1);
+  t.true(watch.wasCurrentAt(5_000));
+  t.false(watch.wasCurrentAt(5_001));
+  watch.restart(5_001);
+  t.false(watch.wasCurrentAt(5_000));
+  watch.noteCurrent(5_001);
+  t.false(watch.wasCurrentAt(5_001), "it was read before the pause ended");
+  watch.noteCurrent(5_002);
+  t.true(watch.wasCurrentAt(5_002));
+});
