--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -54,6 +54,7 @@
 import { PauseGuard } from "./pause_guard.ts";
 import { QuarantineKeeper } from "./quarantine_keeper.ts";
 import { RecordApplier } from "./record_applier.ts";
+import { SharedReads } from "./shared_reads.ts";
 import { StreamOriginKeeper } from "./stream_origin_keeper.ts";
 import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
 import { WeightsWatch } from "./weights_watch.ts";
@@ -88,6 +89,9 @@
  */
 const STORE_RECOVERY_MS = 3_000;
 
+/** A message may have waited for so long on its way, or to be read. */
+const MAX_MESSAGE_AGE_MS = 100;
+
 /** A listed daemon that runs has been heard by then. */
 const FIRST_MESSAGE_TIMEOUT_MS = 3_000;
 
@@ -103,11 +107,15 @@
   readonly #paths: ServerPaths;
   readonly #quarantines: QuarantineKeeper;
   readonly #streamOrigins: StreamOriginKeeper;
+  readonly #processCheck: ProcessCheck;
   readonly #admission: AdmissionController;
   readonly #recordApplier: RecordApplier;
   readonly #tables: ReadonlyMap<string, RecordTable>;
   readonly #operatorFollower: RecordFollower;
   readonly #serverFollower: RecordFollower;
+  readonly #listReads = new SharedReads(() =>
+    this.#serverFollower.refresh().then(() => true, () => false)
+  );
   readonly #quarantineFollower: RecordFollower;
   readonly #recordExchange: Pick<RecordExchange, "pull" | "close">;
   readonly #gossip: FleetGossip;
@@ -171,6 +179,7 @@
     this.#paths = this.#createPaths();
     this.#quarantines = this.#createQuarantines();
     this.#streamOrigins = this.#createStreamOrigins();
+    this.#processCheck = this.#createProcessCheck();
     this.#admission = this.#createAdmission();
     this.#forwardedRuns = this.#createForwardedRuns();
     this.#recordApplier = this.#createRecordApplier();
@@ -265,13 +274,23 @@
     return `${ip}:${this.#settings.firstPeerPort}`;
   }
 
+  #createProcessCheck(): ProcessCheck {
+    const { clock, scheduler, engineOrders, log, metrics } = this.#ports;
+    return new ProcessCheck({
+      ask: (server) => engineOrders.report(server),
+      clock,
+      scheduler,
+      log,
+      metrics,
+    });
+  }
+
   #createAdmission(): AdmissionController {
     const { vm, failureDomain, weightsBoundMs, bounds } = this.#settings;
     const {
       clock,
       scheduler,
       serverClient,
-      engineOrders,
       log,
       metrics,
       memory,
@@ -293,13 +312,7 @@
         crashGuard: this.#quarantines.guard,
         streamOrigins: this.#streamOrigins,
         paths: this.#paths,
-        processCheck: new ProcessCheck({
-          ask: (server) => engineOrders.report(server),
-          clock,
-          scheduler,
-          log,
-          metrics,
-        }),
+        processCheck: this.#processCheck,
         log,
         metrics,
         memory,
@@ -380,6 +393,7 @@
       client: serverClient,
       paths: this.#paths,
       crashGuard: this.#quarantines.guard,
+      processCheck: this.#processCheck,
       log,
       metrics,
       isLeaving: () => this.#drainingSinceMs !== undefined,
@@ -437,6 +451,7 @@
       peers: () => this.#reachablePeers(),
       fleetSize: () => this.#fleet.size,
       reachesStore: () => store.isReachable,
+      readList: () => this.#listReads.read(),
       listReadAtMs: () => this.#listReadAtMs(),
     });
   }
@@ -458,13 +473,16 @@
     const isAwayForAll = !this.#ports.store.isReachable &&
       this.#isRegistered && peers.length >= this.#mostPeers &&
       peers.every(({ message }) => message?.reachesStore === false);
-    if (isAwayForAll) return nowMs;
-    return topicReadAtMs({
-      topic: SERVER_TOPIC,
-      held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
-      ownReadAtMs: this.#serverFollower.readAtMs,
-      peers,
-    });
+    const ownReadAtMs = this.#serverFollower.readAtMs;
+    const toldAtMs = isAwayForAll
+      ? Math.min(nowMs, ...peers.map(({ heardAtMs }) => heardAtMs))
+      : topicReadAtMs({
+        topic: SERVER_TOPIC,
+        held: this.#tables.get(SERVER_TOPIC)?.newest ?? BEFORE_FIRST,
+        ownReadAtMs,
+        peers,
+      });
+    return Math.max(ownReadAtMs, toldAtMs - MAX_MESSAGE_AGE_MS);
   }
 
   /** All daemons that may be alive, with their demand for the service. */
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -115,6 +115,7 @@
     body,
   };
   const team = singleHeader(request, HEADERS.team);
+  const expectedStart = singleHeader(request, FORWARD_HEADERS.expectedStart);
   const run = context.runs.open({
     requestId: brandId<RequestId>(
       singleHeader(request, HEADERS.requestId) ?? "",
@@ -131,6 +132,9 @@
     beginByMs: beginInHeader === undefined
       ? undefined
       : receivedAtMs + Number(beginInHeader),
+    expectedStartMs: expectedStart === undefined
+      ? undefined
+      : Number(expectedStart),
     message,
   }, sink);
   response.on("drain", () => run.resume());
--- a/packages/platform/src/forward_wire.ts
+++ b/packages/platform/src/forward_wire.ts
@@ -12,6 +12,8 @@
   address: "endivebend-address",
   /** Milliseconds in which the server must have begun, where it must. */
   beginIn: "endivebend-begin-in-ms",
+  /** Start of the only process that may get the request, in Unix ms. */
+  expectedStart: "endivebend-expected-start",
   /** `unsent` or `broken` in place of an answer; see `AttemptFailure`. */
   outcome: "endivebend-outcome",
   reason: "endivebend-reason",
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -160,6 +160,10 @@
         const beginInMs = Math.floor(beginByMs - steadyMs(clock));
         headers.push(FORWARD_HEADERS.beginIn, String(beginInMs));
       }
+      const { expectedStartMs } = order;
+      if (expectedStartMs !== undefined) {
+        headers.push(FORWARD_HEADERS.expectedStart, String(expectedStartMs));
+      }
       const { address } = forwarder;
       return startExchange({
         address,
--- a/packages/request-path/src/forwarded_run_test.ts
+++ b/packages/request-path/src/forwarded_run_test.ts
@@ -30,6 +30,7 @@
     server: { id, address },
     deadlineMs: 20_000,
     beginByMs: BEGIN_BY_MS,
+    expectedStartMs: undefined,
     message: undefined,
   };
   const failures: AttemptFailure[] = [];
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -396,7 +396,7 @@
       registry.recordPlacement(store, cache.parts, nowMs);
       registry.recentPlacements.add(store, cache.parts, nowMs);
     }
-    const { paths, metrics } = this.#context;
+    const { metrics } = this.#context;
     const replacedMs = this.#weights.replacedMs(cache.weights, nowMs);
     if (replacedMs !== undefined) {
       metrics.observeMs("replaced_weights_ms", replacedMs);
@@ -428,6 +428,9 @@
         : undefined,
       urgency: urgencyOf(request),
       forwarder,
+      expectedStartMs: this.#versionToGoOn() === undefined
+        ? undefined
+        : server.listed.startedAtMs,
     }, {
       connected: () => {
         if (forwarder !== undefined) return;
