Hold forwarded requests up at daemons that stand still in the test fleet

A daemon that was frozen took requests of others and sent them on, and ended them as soon as their daemon had given them up. A process that stands still does neither until it runs again. Its connections stay open, and end with it.

--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -854,7 +854,7 @@
 
   /** Sends an attempt through another daemon. */
   startForwarded(order: AttemptOrder, listener: AttemptListener) {
-    const address = order.forwarder?.address;
+    const daemon = this.#daemonsByAddress.get(order.forwarder?.address ?? "");
     let run: ForwardedRun | undefined;
     let isOver = false;
     const toOrigin = (deliver: () => void) =>
@@ -862,7 +862,6 @@
         if (!isOver) deliver();
       });
     this.time.after(LINK_MS, () => {
-      const daemon = this.#daemonsByAddress.get(address ?? "");
       if (isOver) return;
       if (daemon?.isAlive !== true) {
         const reason = "connect ECONNREFUSED";
@@ -876,20 +875,26 @@
           listener.failed({ kind: "broken", reason, at: "forwarder" });
         })
       );
-      run = daemon.forward(order, {
-        head: (head) => toOrigin(() => listener.head(head)),
-        data: (chunk) => {
-          toOrigin(() => listener.data(chunk));
-          return true;
-        },
-        end: () => toOrigin(() => listener.end()),
-        failed: (failure) => toOrigin(() => listener.failed(failure)),
+      daemon.whileRunning(() => {
+        if (isOver) return;
+        run = daemon.forward(order, {
+          head: (head) => toOrigin(() => listener.head(head)),
+          data: (chunk) => {
+            toOrigin(() => listener.data(chunk));
+            return true;
+          },
+          end: () => toOrigin(() => listener.end()),
+          failed: (failure) => toOrigin(() => listener.failed(failure)),
+        });
       });
     });
     return {
       abort: () => {
         isOver = true;
-        this.time.after(LINK_MS, () => run?.abort());
+        this.time.after(
+          LINK_MS,
+          () => daemon?.whileRunning(() => run?.abort()),
+        );
       },
       pause() {},
       resume() {},
@@ -1411,12 +1416,12 @@
     this.#time.after(durationMs, () => {
       const tasks = this.#whenThawed ?? [];
       this.#whenThawed = undefined;
-      for (const task of tasks) this.#whileRunning(task);
+      for (const task of tasks) this.whileRunning(task);
     });
   }
 
   /** Runs what happens to the process, once it is not frozen. */
-  #whileRunning(task: () => void): void {
+  whileRunning(task: () => void): void {
     if (!this.isAlive) return;
     if (this.#whenThawed === undefined) task();
     else this.#whenThawed.push(task);
@@ -1442,11 +1447,11 @@
   }
 
   receive(bytes: Buffer): void {
-    this.#whileRunning(() => this.#onDatagram(bytes));
+    this.whileRunning(() => this.#onDatagram(bytes));
   }
 
   serve(outcome: Outcome, serving: Serving): void {
-    this.#whileRunning(() => {
+    this.whileRunning(() => {
       // A caller that has given up has closed its connection.
       const waitedMs = this.#time.nowMs - outcome.sentAtMs;
       if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, serving);
@@ -1458,7 +1463,7 @@
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
       const serve = () => this.#serve(outcome, serving);
-      return void renewal.then(() => this.#whileRunning(serve));
+      return void renewal.then(() => this.whileRunning(serve));
     }
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
@@ -1658,7 +1663,7 @@
   #scheduler(): Scheduler {
     return {
       after: (delayMs, task) =>
-        this.#time.after(delayMs, () => this.#whileRunning(task)),
+        this.#time.after(delayMs, () => this.whileRunning(task)),
     };
   }
 
@@ -1666,7 +1671,7 @@
     const guard =
       <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
       (...args: Arguments) => {
-        this.#whileRunning(() => call(...args));
+        this.whileRunning(() => call(...args));
       };
     return {
       connected: guard(() => listener.connected()),
