Show requests that begin too late as daemons stand still

A daemon that is frozen as the bound comes withdraws nothing until it runs again, and a VM that forwards and is frozen does not see that the request was withdrawn. No fix within the design: nothing at the engine ends a request that has not begun. What remains is to send less to replaced weights late in the bound.

--- a/packages/front/src/late_begins_fleet_test.ts
+++ b/packages/front/src/late_begins_fleet_test.ts
@@ -14,6 +14,9 @@
 /** A moment at which requests are still sent to engines with older weights. */
 const TROUBLE_AT_MS = BOUND_AT_MS - 2_400;
 const END_MS = BOUND_AT_MS + 6_000;
+/** The pause of daemons that stand still at the bound. */
+const FROZEN_FROM_MS = BOUND_AT_MS - 800;
+const FROZEN_FOR_MS = 1_200;
 
 /** What lets requests that were sent in time begin late. */
 const TROUBLES: Readonly<
@@ -22,10 +25,7 @@
   "are full": (fleet, engines) => {
     for (const engine of engines) fleet.holdRuns(engine, 3_000);
   },
-  "free their slots just after the bound": (fleet, engines) => {
-    const heldMs = BOUND_AT_MS + 50 - fleet.time.nowMs;
-    for (const engine of engines) fleet.holdRuns(engine, heldMs);
-  },
+  "free their slots just after the bound": freeBehindBound,
   "are frozen": (fleet, engines) => {
     for (const engine of engines) {
       fleet.holdArrivals(engine, 3_000);
@@ -38,12 +38,35 @@
   },
 };
 
+/** Daemons that stand still, and those whose requests they hold. */
+const PAUSES: Readonly<
+  Record<
+    string,
+    { readonly frozen: readonly number[]; readonly senders: readonly number[] }
+  >
+> = {
+  "its daemon stands still": { frozen: [0], senders: [0] },
+  "the VM that forwards it stands still": { frozen: [1, 3], senders: [0, 2] },
+};
+
 const CALLERS: Readonly<Record<string, Partial<FleetOptions>>> = {
   "streams that may be sent twice": {},
   "streams with one attempt": { maxAttempts: 1 },
   "streams that run at most once": { kind: "stream" },
 };
 
+/** Lets requests wait at the engines until just after the bound. */
+function freeBehindBound(fleet: TestFleet, engines: readonly Engine[]): void {
+  const heldMs = BOUND_AT_MS + 50 - fleet.time.nowMs;
+  for (const engine of engines) fleet.holdRuns(engine, heldMs);
+}
+
+function lateBegins(fleet: TestFleet): TestFleet["begunRuns"] {
+  return fleet.begunRuns.filter(({ atMs, weights }) =>
+    weights === 1 && atMs > BOUND_AT_MS
+  );
+}
+
 async function play(
   trouble: (fleet: TestFleet, engines: readonly Engine[]) => void,
   options: Partial<FleetOptions>,
@@ -82,10 +105,7 @@
   for (const [callers, options] of Object.entries(CALLERS)) {
     test(`no request begins on weights replaced too long ago as engines ${how}: ${callers}`, async (t) => {
       const fleet = await play(trouble, options);
-      const late = fleet.begunRuns.filter(({ atMs, weights }) =>
-        weights === 1 && atMs > BOUND_AT_MS
-      );
-      t.deepEqual(late, []);
+      t.deepEqual(lateBegins(fleet), []);
       const waiting = fleet.outcomes.filter(({ sentAtMs }) =>
         sentAtMs > TROUBLE_AT_MS && sentAtMs < TROUBLE_AT_MS + 900
       );
@@ -102,3 +122,23 @@
     });
   }
 }
+
+// A daemon that stands still withdraws nothing until it runs again.
+for (const [how, { frozen, senders }] of Object.entries(PAUSES)) {
+  test(`no request begins on weights replaced too long ago as ${how}`, async (t) => {
+    const fleet = await play((fleet, engines) => {
+      const forwarded = senders.filter((daemon) => !frozen.includes(daemon));
+      fleet.cutOff(forwarded, "silent");
+      freeBehindBound(fleet, engines);
+      fleet.time.after(FROZEN_FROM_MS - fleet.time.nowMs, () => {
+        for (const daemon of frozen) fleet.freezeDaemon(daemon, FROZEN_FOR_MS);
+      });
+    }, {});
+    const sent = new Set(
+      fleet.outcomes.filter(({ daemon }) => senders.includes(daemon))
+        .map(({ requestId }) => requestId),
+    );
+    const late = lateBegins(fleet);
+    t.deepEqual(late.filter(({ requestId }) => sent.has(requestId)), []);
+  });
+}
