Show withdrawn attempts that take a retry which is not sent

A request that is withdrawn takes a repeat from the fleet's budget before it looks for a place. Where there is none, the repeat is not sent, but counts until a window after the caller's deadline, and other requests lack it. Requests are withdrawn together, when all servers may have replaced weights. A probe that is sent takes its repeat rightly, which a second test shows.

--- a/packages/request-path/src/begin_bound_test.ts
+++ b/packages/request-path/src/begin_bound_test.ts
@@ -11,6 +11,7 @@
   testContext,
 } from "./testing.ts";
 import type { RequestKind, Route, WeightsVersion } from "./types.ts";
+import { WeightsProbes } from "./weights_probes.ts";
 
 const version = (value: number) => brandId<WeightsVersion>(value);
 
@@ -154,6 +155,33 @@
   }
 });
 
+test("a withdrawn attempt takes no retry while no server may take the request", (t) => {
+  const weightsProbes = new WeightsProbes(() => 1_000);
+  // The next probe is due after the bound.
+  weightsProbes.take(listedServer("second").id, 1_000);
+  const { first, caller, client, time, causes } = start("resumable_stream", {
+    context: { weightsProbes },
+    route: { targetMs: 9_000 },
+  });
+  first.listener.sent();
+  time.advance(BOUND_AT_MS - 200 - time.nowMs);
+  t.true(first.isAborted);
+  t.is(client.attempts.length, 1);
+  t.deepEqual(causes, []);
+  t.false(caller.refusal?.isNotRun);
+});
+
+test("a withdrawn attempt takes a retry to probe a server", (t) => {
+  const { first, client, time, causes } = start("resumable_stream", {
+    route: { targetMs: 9_000 },
+  });
+  first.listener.sent();
+  time.advance(BOUND_AT_MS - 200 - time.nowMs);
+  t.is(client.attempts.length, 2);
+  t.is(client.last.order.cache.weights, version(2));
+  t.deepEqual(causes, ["withdrawn"]);
+});
+
 test("an attempt that was not sent before the bound takes no retry, and its request has not run", (t) => {
   const { first, caller, client, time, addServer, causes } = start("stream");
   addServer();
