Take no retry for a withdrawn request that has no place

Fault: the repeat of a withdrawn request was taken before a place was sought, and one that is not sent counts as one that may still arrive. As requests are withdrawn together, others could lack it and fail. Now a withdrawn request looks for a place, or for an engine to probe, first. Other causes stay as they are: in an outage hundreds look at once, and a refusal by the budget is cheaper.

--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -300,16 +300,20 @@
   }
 
   #placeProbe(nowMs: number): Placed | undefined {
-    const probe = placeProbe(this.#request, {
+    const probe = this.#findProbe(nowMs);
+    if (probe === undefined) return undefined;
+    this.#context.weightsProbes.take(probe.server.listed.id, nowMs);
+    return probe;
+  }
+
+  #findProbe(nowMs: number): Placed | undefined {
+    return placeProbe(this.#request, {
       ...this.#context,
       exclude: this.#excluded,
       hasBegun: this.#relay.hasBegun,
       softwareVersion: this.#versionToGoOn(),
       nowMs,
     });
-    if (probe === undefined) return undefined;
-    this.#context.weightsProbes.take(probe.server.listed.id, nowMs);
-    return probe;
   }
 
   #place(exclude: ReadonlySet<BackendServerId>, nowMs: number): Placement {
@@ -804,7 +808,9 @@
     const mayStart = !this.#relay.hasBegun ||
       (server !== undefined && this.#isCurrent(server));
     if (mayStart) {
-      const mayRetry = this.#tryRetry(cause);
+      // Many are withdrawn at once, and often there is no place for any.
+      const hasPlace = cause !== "withdrawn" || this.#hasPlaceOrProbe();
+      const mayRetry = hasPlace && this.#tryRetry(cause);
       return mayRetry ? this.#startAgain() : this.#giveUp(reason);
     }
     const { lastProgressMs } = after;
@@ -904,6 +910,15 @@
     return this.#place(this.#excluded, this.#nowMs()).kind === "placed";
   }
 
+  /** Whether an attempt can be sent now, be it as a probe. */
+  #hasPlaceOrProbe(): boolean {
+    const nowMs = this.#nowMs();
+    const placement = this.#place(this.#excluded, nowMs);
+    return placement.kind === "placed" ||
+      (placement.reason === "stale_weights" &&
+        this.#findProbe(nowMs) !== undefined);
+  }
+
   #endNotRun(attempt: Attempt, reason: string): void {
     const { listed } = attempt.server;
     this.#logDecision("attempt_unrun", { server: listed.id, reason });
