--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -880,7 +880,7 @@
 
   /** Sends an attempt through another daemon. */
   startForwarded(order: AttemptOrder, listener: AttemptListener) {
-    const address = order.forwarder?.address;
+    const daemon = this.#daemonsByAddress.get(order.forwarder?.address ?? "");
     let run: ForwardedRun | undefined;
     let isOver = false;
     const toOrigin = (deliver: () => void) =>
@@ -888,7 +888,6 @@
         if (!isOver) deliver();
       });
     this.time.after(LINK_MS, () => {
-      const daemon = this.#daemonsByAddress.get(address ?? "");
       if (isOver) return;
       if (daemon?.isAlive !== true) {
         const reason = "connect ECONNREFUSED";
@@ -902,20 +901,26 @@
           listener.failed({ kind: "broken", reason, at: "forwarder" });
         })
       );
-      run = daemon.forward(order, {
-        head: (head) => toOrigin(() => listener.head(head)),
-        data: (chunk) => {
-          toOrigin(() => listener.data(chunk));
-          return true;
-        },
-        end: () => toOrigin(() => listener.end()),
-        failed: (failure) => toOrigin(() => listener.failed(failure)),
+      daemon.whileRunning(() => {
+        if (isOver) return;
+        run = daemon.forward(order, {
+          head: (head) => toOrigin(() => listener.head(head)),
+          data: (chunk) => {
+            toOrigin(() => listener.data(chunk));
+            return true;
+          },
+          end: () => toOrigin(() => listener.end()),
+          failed: (failure) => toOrigin(() => listener.failed(failure)),
+        });
       });
     });
     return {
       abort: () => {
         isOver = true;
-        this.time.after(LINK_MS, () => run?.abort());
+        this.time.after(
+          LINK_MS,
+          () => daemon?.whileRunning(() => run?.abort()),
+        );
       },
       pause() {},
       resume() {},
@@ -1451,12 +1456,12 @@
     this.#time.after(durationMs, () => {
       const tasks = this.#whenThawed ?? [];
       this.#whenThawed = undefined;
-      for (const task of tasks) this.#whileRunning(task);
+      for (const task of tasks) this.whileRunning(task);
     });
   }
 
   /** Runs what happens to the process, once it is not frozen. */
-  #whileRunning(task: () => void): void {
+  whileRunning(task: () => void): void {
     if (!this.isAlive) return;
     if (this.#whenThawed === undefined) task();
     else this.#whenThawed.push(task);
@@ -1466,8 +1471,8 @@
   #whenRunning<Result>(call: Promise<Result>): Promise<Result> {
     return new Promise((resolve, reject) => {
       call.then(
-        (result) => this.#whileRunning(() => resolve(result)),
-        (caught) => this.#whileRunning(() => reject(caught)),
+        (result) => this.whileRunning(() => resolve(result)),
+        (caught) => this.whileRunning(() => reject(caught)),
       );
     });
   }
@@ -1493,11 +1498,11 @@
   }
 
   receive(bytes: Buffer): void {
-    this.#whileRunning(() => this.#onDatagram(bytes));
+    this.whileRunning(() => this.#onDatagram(bytes));
   }
 
   serve(outcome: Outcome, serving: Serving): void {
-    this.#whileRunning(() => {
+    this.whileRunning(() => {
       // A caller that has given up has closed its connection.
       const waitedMs = this.#time.nowMs - outcome.sentAtMs;
       if (waitedMs < CALLER_TIMEOUT_MS) this.#serve(outcome, serving);
@@ -1509,7 +1514,7 @@
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
       const serve = () => this.#serve(outcome, serving);
-      return void renewal.then(() => this.#whileRunning(serve));
+      return void renewal.then(() => this.whileRunning(serve));
     }
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
@@ -1547,7 +1552,7 @@
 
   /** The connection of the request's caller is lost. */
   hangUp(requestId: RequestId): void {
-    this.#whileRunning(() => this.#runs.get(requestId)?.callerGone());
+    this.whileRunning(() => this.#runs.get(requestId)?.callerGone());
   }
 
   #sink(outcome: Outcome): CallerSink {
@@ -1723,7 +1728,7 @@
   #scheduler(): Scheduler {
     return {
       after: (delayMs, task) =>
-        this.#time.after(delayMs, () => this.#whileRunning(task)),
+        this.#time.after(delayMs, () => this.whileRunning(task)),
     };
   }
 
@@ -1731,7 +1736,7 @@
     const guard =
       <Arguments extends unknown[]>(call: (...args: Arguments) => void) =>
       (...args: Arguments) => {
-        this.#whileRunning(() => call(...args));
+        this.whileRunning(() => call(...args));
       };
     return {
       connected: guard(() => listener.connected()),
