--- a/packages/platform-soak/src/link_cut_rules.ts
+++ b/packages/platform-soak/src/link_cut_rules.ts
@@ -26,6 +26,8 @@
   readonly untilMs: number;
   /** At daemons that were cut off, from the contact time on. */
   readonly cutOff: ServedCount;
+  /** Those of `cutOff` whose answer had come when the links were mended. */
+  readonly cutOffInTime: ServedCount;
   /** Those of `cutOff` that must not run twice. */
   readonly cutOffUnsafe: ServedCount;
   /** At the other daemons, from the contact time on. */
@@ -77,11 +79,12 @@
 
 /** One line for a cut. */
 export function formatLinkCut(figures: LinkCutFigures): string {
-  const { name, atMs, untilMs, cutOff, cutOffUnsafe } = figures;
+  const { name, atMs, untilMs, cutOff, cutOffInTime } = figures;
   const until = untilMs === Number.MAX_VALUE ? "the end" : Math.round(untilMs);
   return `links cut from ${Math.round(atMs)} to ${until} ms (${name}): ` +
-    `cut-off daemons serve ${formatCount(cutOff)} first tries, unsafe ` +
-    `${formatCount(cutOffUnsafe)}; the others ` +
+    `cut-off daemons serve ${formatCount(cutOff)} first tries ` +
+    `(${cutOffInTime.served} before the links were mended), unsafe ` +
+    `${formatCount(figures.cutOffUnsafe)}; the others ` +
     `${formatCount(figures.others)}, before the cut ` +
     `${formatCount(figures.othersBefore)}; ` +
     `${figures.forwardedArrivals} arrivals through another daemon`;
@@ -114,6 +117,9 @@
     atMs,
     untilMs,
     cutOff: count(cutOff),
+    cutOffInTime: count(
+      cutOff.filter(({ answer }) => (answer?.atMs ?? untilMs) < untilMs),
+    ),
     cutOffUnsafe: count(cutOff.filter(({ kind }) => kind === "unsafe")),
     others: count(during.filter(({ daemon }) => !daemons.has(daemon))),
     othersBefore: count(before),
--- a/packages/platform-soak/src/links.ts
+++ b/packages/platform-soak/src/links.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { type ChildProcess, spawn } from "node:child_process";
+import { spawn } from "node:child_process";
 import { once } from "node:events";
 import {
   type AddressInfo,
@@ -83,6 +83,34 @@
 /** Names of all forms of {@link FreshForm}. */
 export const FRESH_FORM_NAMES = Object.keys(FRESH_FORMS) as FreshForm[];
 
+/** A process that keeps listeners open and accepts nothing. */
+interface ListenerHolder {
+  end(): Promise<void>;
+}
+
+const listenersToHold: number[] = [];
+let nextHolder: Promise<ListenerHolder> | undefined;
+
+/** Starts one process for all listeners that are held at the same time. */
+function holdListener(fd: number): Promise<ListenerHolder> {
+  listenersToHold.push(fd);
+  nextHolder ??= Promise.resolve().then(() => {
+    nextHolder = undefined;
+    const listeners = listenersToHold.splice(0);
+    const child = spawn("sleep", [String(HOLDER_LIMIT_S)], {
+      stdio: ["ignore", "ignore", "ignore", ...listeners],
+    });
+    const exited = once(child, "exit");
+    return {
+      async end() {
+        child.kill("SIGKILL");
+        await exited;
+      },
+    };
+  });
+  return nextHolder;
+}
+
 /** The address at which a server takes the connections of one daemon. */
 export class Link {
   readonly #host: string;
@@ -93,7 +121,7 @@
   #server: Server | undefined;
   #cut: LinkCut | undefined;
   /** Holds the listener of a link whose connections are not answered. */
-  #holder: ChildProcess | undefined;
+  #holding: Promise<ListenerHolder> | undefined;
   #fillers: Socket[] = [];
 
   constructor(host: string, serve: SocketHandler) {
@@ -130,14 +158,11 @@
   /** Ends the given cut; delivers what was held back meanwhile. */
   async mend(cut: LinkCut): Promise<void> {
     if (this.#cut !== cut) return;
+    const holder = await this.#holding;
+    this.#holding = undefined;
     for (const filler of this.#fillers) filler.destroy();
     this.#fillers = [];
-    const holder = this.#holder;
-    this.#holder = undefined;
-    if (holder?.exitCode === null) {
-      holder.kill("SIGKILL");
-      await once(holder, "exit");
-    }
+    await holder?.end();
     this.#cut = undefined;
     for (const socket of this.#sockets) {
       while (socket.writableCorked > 0) socket.uncork();
@@ -163,13 +188,13 @@
       readonly _handle: { readonly fd: number; listen(queue: number): void };
     };
     handle.listen(SHORT_QUEUE);
-    this.#holder = spawn("sleep", [String(HOLDER_LIMIT_S)], {
-      stdio: ["ignore", "ignore", "ignore", handle.fd],
-    });
-    this.refuse();
-    this.#fillers = Array.from({ length: FILLERS }, () => {
-      const filler = connect(this.#port, this.#host);
-      return filler.on("error", () => {});
+    this.#holding = holdListener(handle.fd).then((holder) => {
+      this.refuse();
+      this.#fillers = Array.from({ length: FILLERS }, () => {
+        const filler = connect(this.#port, this.#host);
+        return filler.on("error", () => {});
+      });
+      return holder;
     });
   }
 
