--- a/packages/platform-soak/src/ledger.ts
+++ b/packages/platform-soak/src/ledger.ts
@@ -117,14 +117,20 @@
   }
 }
 
-/** Whether nothing has struck a daemon within the contact time before. */
+/**
+ * Whether nothing has struck a daemon within the contact time before, and
+ * until another moment, if that is given.
+ */
 export function isInTouch(
-  ledger: Ledger,
+  { disturbances }: Ledger,
   daemon: number,
-  atMs: number,
+  { fromMs, untilMs = fromMs }: {
+    readonly fromMs: number;
+    readonly untilMs?: number;
+  },
 ): boolean {
-  return !ledger.disturbances.some((one) =>
-    (one.daemon === daemon || one.daemon === -1) && one.atMs <= atMs &&
-    one.untilMs + BOUNDS.contact_ms > atMs
+  return !disturbances.some((one) =>
+    (one.daemon === daemon || one.daemon === -1) && one.atMs <= untilMs &&
+    one.untilMs + BOUNDS.contact_ms > fromMs
   );
 }
--- a/packages/platform-soak/src/link_cut_rules.ts
+++ b/packages/platform-soak/src/link_cut_rules.ts
@@ -98,7 +98,11 @@
   const { atMs, untilMs, daemons, name } = entry;
   const fromMs = atMs + BOUNDS.contact_ms;
   const first = [...ledger.requests.values()].filter((sent) =>
-    sent.isFirstTry && isInTouch(ledger, sent.daemon, sent.sentAtMs)
+    sent.isFirstTry &&
+    isInTouch(ledger, sent.daemon, {
+      fromMs: sent.sentAtMs,
+      untilMs: sent.answer?.atMs ?? sent.sentAtMs,
+    })
   );
   const during = first.filter(({ sentAtMs }) =>
     sentAtMs >= fromMs && sentAtMs < untilMs
--- a/packages/platform-soak/src/link_cut_rules_test.ts
+++ b/packages/platform-soak/src/link_cut_rules_test.ts
@@ -100,3 +100,15 @@
   t.deepEqual(judgeForwarded(12, new Set([0, 1])), []);
   t.deepEqual(judgeForwarded(13, new Set([0])), []);
 });
+
+test("a first try is not judged when its daemon is struck before its answer", (t) => {
+  const ledger = new Ledger();
+  ledger.linkCuts.push(CUT);
+  addTries(ledger, { daemon: 0, count: 100, served: 0 });
+  addTries(ledger, { daemon: 1, count: 100, served: 100 });
+  const breaches = () => judgeLinkCuts(ledger).breaches.length;
+  t.is(breaches(), 1);
+  const struck = { atMs: 13_001, untilMs: 13_002, daemon: 0, name: "kill" };
+  ledger.disturbances.push(struck);
+  t.is(breaches(), 0);
+});
--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -212,7 +212,7 @@
   if (leavingSinceMs === undefined) return [];
   const lateMs = Math.round(atMs - leavingSinceMs);
   const isLate = lateMs > BOUNDS.drain_ms && arrival.run !== undefined;
-  if (!isLate || !isInTouch(ledger, sent.daemon, atMs)) return [];
+  if (!isLate || !isInTouch(ledger, sent.daemon, { fromMs: atMs })) return [];
   const what =
     `${sent.kind} ${id} reaches ${server} ${lateMs} ms after it said ` +
     `that it leaves, taken by daemon ${sent.daemon}`;
@@ -256,7 +256,7 @@
   for (const sent of requests) {
     const { stream, answer, resumes, daemon, sentAtMs } = sent;
     if (stream === undefined || answer === undefined) continue;
-    if (!isInTouch(ledger, daemon, sentAtMs)) continue;
+    if (!isInTouch(ledger, daemon, { fromMs: sentAtMs })) continue;
     const isSuccess = answer.status !== undefined && answer.status < 300;
     const hasEvents = isSuccess && eventsOf(answer.body).events.length > 0;
     if (resumes === undefined) {
