--- a/packages/platform-soak/src/faults.ts
+++ b/packages/platform-soak/src/faults.ts
@@ -153,7 +153,8 @@
         plan.flapMs === undefined,
     };
     ledger.linkCuts.push(entry);
-    while (ledger.nowMs() < entry.atMs + fault.forMs) {
+    const turns = Math.max(1, Math.floor(fault.forMs / (2 * flapMs)));
+    for (let turn = 0; turn < turns; turn++) {
       const links = { daemons, cut, includes };
       fleet.cutLinks(links);
       await sleep(flapMs);
