--- a/packages/platform-soak/src/link_scenarios.ts
+++ b/packages/platform-soak/src/link_scenarios.ts
@@ -18,6 +18,9 @@
 /** Time of the play that is left after a cut. */
 const AFTER_CUT_MS = 2_000;
 const FLAP_MS = 500;
+/** Sound servers may fall silent for so long. */
+const PAUSE_MS = 1_000;
+const PAUSE_INTERVAL_MS = 2_500;
 const GROUPS: readonly DaemonGroupName[] = [
   "half",
   "one",
@@ -122,6 +125,21 @@
   );
 }
 
+/** The servers of a service fall silent for a second, again and again. */
+function pauses({ durationMs }: PlayOptions): readonly PlannedFault[] {
+  const faults: PlannedFault[] = [];
+  const endMs = durationMs - AFTER_CUT_MS;
+  for (let atMs = CUT_AT_MS + 3_500; atMs < endMs; atMs += PAUSE_INTERVAL_MS) {
+    const links: LinksFault = {
+      cut: { fresh: "silent", open: "silent" },
+      daemons: "all",
+      servers: "events_service",
+    };
+    faults.push(fault("links_cut", atMs, { forMs: PAUSE_MS, links }));
+  }
+  return faults;
+}
+
 /** Plays of links, by name. */
 export const LINK_SCENARIOS: Readonly<Record<string, Scenario>> = {
   links_refused: formPlay("refused"),
@@ -175,6 +193,16 @@
       }),
     ];
   }),
+  // Half of the daemons are cut off while a service's servers pause.
+  links_cut_and_pauses: linksPlay((_, options) => [
+    linksCut({
+      cut: { fresh: "refused", open: "reset" },
+      daemons: "half",
+      servers: "all",
+    }, options),
+    ...pauses(options),
+  ]),
+  servers_pause: linksPlay((_, options) => pauses(options)),
   servers_reset_one: ownFault("reset_on_accept", "one"),
   servers_reset_service: ownFault("reset_on_accept", "plain_service"),
   servers_reset_bytes_one: ownFault("reset_on_bytes", "one"),
