Play servers that are removed as daemons start (DRAIN)

Half of the daemons start again as engines' entries are removed. A daemon that has just started takes such an entry from a peer and never reads of its removal; others that have run on take its records for complete.

--- a/packages/front/src/drained_servers_test.ts
+++ b/packages/front/src/drained_servers_test.ts
@@ -1,7 +1,12 @@
 import test from "ava";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { type Arrival, type Engine, TestFleet } from "./testing_fleet.ts";
+import {
+  type Arrival,
+  type Engine,
+  type FleetOptions,
+  TestFleet,
+} from "./testing_fleet.ts";
 
 /** The users' bounds. */
 const DRAIN_MS = 2_000;
@@ -27,9 +32,11 @@
   readonly #killedAtMs = new Map<string, number>();
   #unstableUntilMs = 0;
 
-  constructor({ daemons = 8, engines = 6 } = {}) {
+  constructor(
+    { daemons = 8, engines = 6, ...options }: Partial<FleetOptions> = {},
+  ) {
     this.#daemons = daemons;
-    this.fleet = new TestFleet({ daemons, engines });
+    this.fleet = new TestFleet({ daemons, engines, ...options });
   }
 
   get #nowMs(): number {
@@ -189,6 +196,30 @@
   }
 }
 
+// Guards against a daemon that takes entries of a peer which has not read of their
+// removal yet, and reads on after it.
+for (const daemons of [8, 40]) {
+  test.serial(`engines whose entries are removed as daemons start get no late requests, ${daemons} daemons`, async (t) => {
+    for (const seed of [1, 2, 3, 4]) {
+      const random = xoroshiro128plus(seed);
+      const draw = (from: number, to: number) => uniformInt(random, from, to);
+      const drains = new Drains({ daemons, draw, startWithinMs: 600 });
+      const { fleet } = drains;
+      for (let daemon = 0; daemon < daemons / 2; daemon++) {
+        fleet.time.after(6_000, () => drains.restartDaemon(daemon));
+      }
+      for (const engine of fleet.runningEngines().slice(0, 4)) {
+        const atMs = 7_000 + draw(-200, 20);
+        fleet.time.after(atMs, () => drains.leave(engine, "removed"));
+      }
+      await drains.play(14_000);
+      const late = drains.lateAfterRecord();
+      t.log(`seed ${seed}: ${late.length} late requests`);
+      t.deepEqual(late.slice(0, 3), []);
+    }
+  });
+}
+
 for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
   test.serial(`engines that leave get no late requests, with outages, restores and restarts, seed ${seed}`, async (t) => {
     const random = xoroshiro128plus(seed);
