Order every engine before the deadline of its weights

Cause: the rollout chose its next engine by what is cheapest now, the fewest running requests, and knew no deadline. Two of six engines have an order at a time, and each order waits up to 5 s for running requests.

Change: an engine carries when requests may no longer begin on its weights, counted from the first version that was named after its own. From 700 ms before that it is ordered without waiting for others. Once an engine has accepted an order, it rejects what has not begun as not run, so nothing can begin late there. Before that the least busy engine still comes first.

--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -728,7 +728,10 @@
       orders: engineOrders,
       leaseMs: this.#settings.leaseMs,
       engines: () =>
-        findRolloutEngines(this.#registry, this.#namedWeights, this.#nowMs()),
+        findRolloutEngines(this.#registry, this.#namedWeights, {
+          nowMs: this.#nowMs(),
+          weightsBoundMs: this.#settings.weightsBoundMs,
+        }),
       candidates: () => this.#leaseCandidates(),
       rank: (members) => rankByRendezvous("weights-duty", members),
       // Without the list of daemons each would take itself for the first.
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -116,9 +116,10 @@
   const registry = new ServerRegistry();
   registry.upsert(listedEngine());
   const ids = (nowMs: number) =>
-    findRolloutEngines(registry, createNamedWeights(), nowMs).map(({ id }) =>
-      id
-    );
+    findRolloutEngines(registry, createNamedWeights(), {
+      nowMs,
+      weightsBoundMs: 8_000,
+    }).map(({ id }) => id);
   t.deepEqual(ids(0), [ENGINE]);
   registry.recordFailure(ENGINE, 0);
   t.deepEqual(ids(100), []);
@@ -127,6 +128,25 @@
   t.deepEqual(ids(10_000), []);
 });
 
+test("the rollout knows when requests may no longer begin on an engine's weights", (t) => {
+  const registry = new ServerRegistry();
+  registry.upsert(listedEngine());
+  const named = createNamedWeights();
+  named.name(MODEL, {
+    weights: brandId<WeightsVersion>(3),
+    firstSeenAtMs: 4_000,
+    isAgeKnown: true,
+  });
+  const context = { nowMs: 5_000, weightsBoundMs: 8_000 };
+  const [engine] = findRolloutEngines(registry, named, context);
+  t.like(engine, { namedWeights: 3, weightsDeadlineMs: 8_000 });
+  registry.upsert(
+    listedEngine({ weights: new Map([[MODEL, brandId<WeightsVersion>(3)]]) }),
+  );
+  const [current] = findRolloutEngines(registry, named, context);
+  t.is(current?.weightsDeadlineMs, undefined);
+});
+
 test("caches of engines and stores are watched, servers without models are not", (t) => {
   const registry = new ServerRegistry();
   registry.upsert(listedEngine());
--- a/packages/front/src/server_selection.ts
+++ b/packages/front/src/server_selection.ts
@@ -6,13 +6,19 @@
  */
 
 import type { RolloutEngine } from "@endivebend/orders";
-import type {
-  KnownServer,
-  NamedWeightsRegistry,
-  PrefixCacheId,
-  ServerRegistry,
-  WatchedCache,
+import {
+  firstNewer,
+  type KnownServer,
+  type NamedWeightsRegistry,
+  type PrefixCacheId,
+  type ServerRegistry,
+  type WatchedCache,
+  type WeightsVersion,
 } from "@endivebend/request-path";
+import { brandId } from "@endivebend/types";
+
+/** Older than any version; of an engine that has stated none. */
+const UNKNOWN_WEIGHTS = brandId<WeightsVersion>(0);
 
 /**
  * Returns the reachable engines with a model whose weights the operator has
@@ -21,13 +27,18 @@
  *
  * @example
  * ```ts
- * const engines = findRolloutEngines(registry, named, steadyMs(clock));
+ * const nowMs = steadyMs(clock);
+ * const engines = findRolloutEngines(registry, named, { nowMs, weightsBoundMs });
  * ```
  */
 export function findRolloutEngines(
   registry: ServerRegistry,
   named: NamedWeightsRegistry,
-  nowMs: number,
+  { nowMs, weightsBoundMs }: {
+    readonly nowMs: number;
+    /** Time after naming newer weights when requests may not start on older. */
+    readonly weightsBoundMs: number;
+  },
 ): RolloutEngine[] {
   return [...registry.all()]
     .filter((server) => isReachable(registry, server, nowMs))
@@ -35,12 +46,15 @@
       [...server.listed.weights.keys()].flatMap((model) => {
         const namedWeights = named.newest(model);
         if (namedWeights === undefined) return [];
+        const weights = server.weights.confirmedOf(model) ?? UNKNOWN_WEIGHTS;
+        const newer = firstNewer(named.history(model), weights);
         return [{
           id: server.listed.id,
           address: server.listed.address,
           model,
-          weights: server.weights.confirmedOf(model) ?? 0,
+          weights,
           namedWeights,
+          weightsDeadlineMs: newer && newer.firstSeenAtMs + weightsBoundMs,
           running: registry.workAt(server).running,
         }];
       })
--- a/packages/orders/src/testing_engines.ts
+++ b/packages/orders/src/testing_engines.ts
@@ -16,6 +16,7 @@
 import type {
   EngineReport,
   OrderAnswer,
+  RolloutEngine,
   RolloutOrderClient,
   WeightsOrder,
 } from "./weights_rollout.ts";
@@ -127,7 +128,7 @@
     return 1 + named.length;
   }
 
-  #known(engine: Engine) {
+  #known(engine: Engine): RolloutEngine {
     const { id, load, weights } = engine;
     return {
       id,
--- a/packages/orders/src/weights_handover_test.ts
+++ b/packages/orders/src/weights_handover_test.ts
@@ -155,6 +155,7 @@
         model: MODEL,
         weights: 1,
         namedWeights: 2,
+        weightsDeadlineMs: undefined,
         running: 0,
       }],
       candidates: () =>
--- a/packages/orders/src/weights_rollout.ts
+++ b/packages/orders/src/weights_rollout.ts
@@ -63,6 +63,11 @@
   readonly weights: number;
   /** The newest weights that the operator has named. */
   readonly namedWeights: number;
+  /**
+   * When requests may no longer begin on the engine's weights, in milliseconds
+   * on the steady clock; undefined while they have not been replaced.
+   */
+  readonly weightsDeadlineMs: number | undefined;
   /** Running requests, which have to end before the engine loads weights. */
   readonly running: number;
 }
@@ -75,6 +80,12 @@
 const MAX_IN_PROGRESS_SHARE = 1 / 3;
 const MIN_IN_PROGRESS_LIMIT = 2;
 
+/**
+ * Time before the deadline at which an engine no longer waits for others to
+ * load: enough for two attempts, 400 ms apart, to read its state and order it.
+ */
+const LAST_ORDER_LEAD_MS = 700;
+
 /** Share of the engines that are asked at once though they were silent. */
 const MAX_SILENT_SHARE = 1 / 8;
 
@@ -84,18 +95,23 @@
   readonly postponed: ReadonlySet<BackendServerId>;
   /** Engines that did not answer, or refused, the latest order or report. */
   readonly silent: ReadonlySet<BackendServerId>;
+  /** On the steady clock. */
+  readonly nowMs: number;
 }
 
 /** Used where nothing is known yet of earlier orders. */
 const UNKNOWN_CONTEXT: RolloutPlanContext = {
   postponed: new Set(),
   silent: new Set(),
+  nowMs: -Infinity,
 };
 
 /**
  * Engines to send an order next: those with older weights, the least busy
- * first. The others serve meanwhile. Engines that were silent are asked besides
- * them, a few at a time.
+ * first. The others serve meanwhile. Engines don't wait for others once the
+ * deadline of their weights is near: after an order is accepted, the requests
+ * that are queued there can't begin on older weights. Engines that were silent
+ * are asked besides them, a few at a time.
  *
  * @example
  * ```ts
@@ -105,7 +121,7 @@
 export function planRolloutOrders(
   engines: readonly RolloutEngine[],
   inProgress: ReadonlySet<BackendServerId>,
-  { postponed, silent }: RolloutPlanContext = UNKNOWN_CONTEXT,
+  { postponed, silent, nowMs }: RolloutPlanContext = UNKNOWN_CONTEXT,
 ): RolloutEngine[] {
   const answering = engines.filter(({ id }) => !silent.has(id));
   const maxInProgress = Math.max(
@@ -113,15 +129,21 @@
     Math.floor(answering.length * MAX_IN_PROGRESS_SHARE),
   );
   const maxSilent = Math.ceil(engines.length * MAX_SILENT_SHARE);
-  const pick = (group: readonly RolloutEngine[], limit: number) => {
-    const started = group.filter(({ id }) => inProgress.has(id)).length;
-    return group
+  const waitingOf = (group: readonly RolloutEngine[]) =>
+    group
       .filter(({ id, weights, namedWeights }) =>
         weights < namedWeights && !inProgress.has(id) && !postponed.has(id)
       )
-      .sort((a, b) => a.running - b.running)
-      .slice(0, Math.max(0, limit - started));
-  };
+      .sort((a, b) => a.running - b.running);
+  const freeOf = (group: readonly RolloutEngine[], limit: number) =>
+    limit - group.filter(({ id }) => inProgress.has(id)).length;
+  const free = freeOf(answering, maxInProgress);
   const silentEngines = engines.filter(({ id }) => silent.has(id));
-  return [...pick(answering, maxInProgress), ...pick(silentEngines, maxSilent)];
+  const freeSilent = freeOf(silentEngines, maxSilent);
+  return [
+    ...waitingOf(answering).filter(({ weightsDeadlineMs = Infinity }, index) =>
+      index < free || nowMs >= weightsDeadlineMs - LAST_ORDER_LEAD_MS
+    ),
+    ...waitingOf(silentEngines).slice(0, Math.max(0, freeSilent)),
+  ];
 }
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { delay, type Scheduler } from "@endivebend/clock";
+import { delay, type Scheduler, steadyMs } from "@endivebend/clock";
 import type { BackendServerId, ModelName } from "@endivebend/types";
 import { RolloutLease, type RolloutLeaseOptions } from "./rollout_lease.ts";
 import {
@@ -117,6 +117,7 @@
     return planRolloutOrders(this.#options.engines(), this.#inProgress, {
       postponed: new Set(this.#nextOrderAtMs.keys()),
       silent: this.#silent,
+      nowMs: steadyMs(this.#options.clock),
     });
   }
 
--- a/packages/orders/src/weights_rollout_test.ts
+++ b/packages/orders/src/weights_rollout_test.ts
@@ -30,6 +30,7 @@
     model: MODEL,
     weights: 1,
     namedWeights: 2,
+    weightsDeadlineMs: 20_000,
     running: 0,
     ...fields,
   };
@@ -48,13 +49,29 @@
   t.is(withOneInProgress.length, 1);
 });
 
+test("engines whose weights reach their deadline don't wait for others to load", (t) => {
+  const engines = [1, 2, 3, 4, 5].map((running) =>
+    engine(`e${running}`, {
+      running,
+      weightsDeadlineMs: running > 3 ? 10_000 : 14_000,
+    })
+  );
+  const context = { postponed: new Set<never>(), silent: new Set<never>() };
+  const inProgress = new Set([engines[0]!.id]);
+  const idsAt = (nowMs: number) =>
+    planRolloutOrders(engines, inProgress, { ...context, nowMs })
+      .map(({ id }) => String(id));
+  t.deepEqual(idsAt(9_000), ["e2"]);
+  t.deepEqual(idsAt(9_300), ["e2", "e4", "e5"]);
+});
+
 test("engines that answer nothing don't hold up the orders to others", (t) => {
   const engines = Array.from(
     { length: 8 },
     (_, index) => engine(`e${index}`, { running: index }),
   );
   const dark = new Set(engines.slice(0, 2).map(({ id }) => id));
-  const context = { postponed: dark, silent: dark };
+  const context = { postponed: dark, silent: dark, nowMs: 0 };
   const next = planRolloutOrders(engines, new Set(), context);
   t.deepEqual(next.map(({ id }) => String(id)), ["e2", "e3"]);
   // They are asked again, besides the engines that load.
--- a/packages/platform/src/rollout_order_client_test.ts
+++ b/packages/platform/src/rollout_order_client_test.ts
@@ -32,6 +32,7 @@
     model: brandId("m"),
     weights: 1,
     namedWeights: 2,
+    weightsDeadlineMs: undefined,
     running: 0,
   };
   const before = await client.report(engine);
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -70,5 +70,5 @@
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
 export * from "./types.ts";
-export { NamedWeightsRegistry } from "./named_weights.ts";
+export { firstNewer, NamedWeightsRegistry } from "./named_weights.ts";
 export type { NamedWeights, WeightsHistory } from "./named_weights.ts";
