Test that engines that come back are ordered before their deadline

A quarter of 8, 48 or 82 engines answers nothing until 2 s before the deadline of its weights; all engines are ordered before it. Passes, so the delay after a silence (1 s, a few engines at a time) starves none.

--- a/packages/orders/src/rollout_deadlines_test.ts
+++ b/packages/orders/src/rollout_deadlines_test.ts
@@ -7,6 +7,9 @@
 const AFTERWARDS_MS = 16_000;
 const GAPS_MS = [2_000, 3_000, 4_000, 5_000] as const;
 const SIZES = [6, 12, 24] as const;
+const SIZES_WITH_DARK_ENGINES = [8, 48, 82] as const;
+/** A call to a dark engine and the delay before the next take 1.7 s. */
+const DARK_FOR_MS = WEIGHTS_BOUND_MS - 2_000;
 /** Time until the runs of the least and the most busy engine have ended. */
 const RUNS_MS = [[1_000, 3_000], [3_000, 5_000]] as const;
 
@@ -94,3 +97,24 @@
     }
   });
 }
+
+for (const engines of SIZES_WITH_DARK_ENGINES) {
+  test(`engines that were dark for a while are ordered before the deadline of their weights, ${engines} engines`, async (t) => {
+    for (const runsMs of RUNS_MS) {
+      const darkUntilMs = FIRST_NAME_MS + DARK_FOR_MS;
+      const loads = loadsOf(engines, runsMs).map((load, index) =>
+        index % 4 === 3 ? { ...load, darkUntilMs } : load
+      );
+      const simulated = new SimulatedEngines({
+        loads,
+        namedAtMs: [FIRST_NAME_MS],
+        weightsBoundMs: WEIGHTS_BOUND_MS,
+      });
+      await simulated.play(FIRST_NAME_MS + AFTERWARDS_MS);
+      t.true(simulated.areCurrent);
+      const late = simulated.orders.filter(isLate)
+        .map(({ atMs, id }) => `${id} at ${atMs} ms`);
+      t.deepEqual(late, [], `runs of ${runsMs.join(" to ")} ms`);
+    }
+  });
+}
--- a/packages/orders/src/testing_engines.ts
+++ b/packages/orders/src/testing_engines.ts
@@ -26,6 +26,8 @@
 const HOLDER = brandId<VmId>("vm-1");
 const STEP_MS = 10;
 const LOAD_MS = 390;
+/** Time after which an engine that answers nothing is given up. */
+const CALL_TIMEOUT_MS = 700;
 /** Time in which an engine that has loaded gets as many requests as before. */
 const REFILL_MS = 1_000;
 
@@ -34,6 +36,8 @@
   readonly running: number;
   /** Time until the running requests have ended. */
   readonly runsMs: number;
+  /** Until when the engine answers nothing. */
+  readonly darkUntilMs?: number;
 }
 
 /** State of an engine at the time of an order. */
@@ -64,6 +68,10 @@
     this.load = load;
   }
 
+  isDark(nowMs: number): boolean {
+    return nowMs < (this.load.darkUntilMs ?? -Infinity);
+  }
+
   /** Share of its usual requests that it has. */
   filledShare(nowMs: number): number {
     return Math.min(1, (nowMs - this.loadedAtMs) / REFILL_MS);
@@ -164,24 +172,30 @@
 
   #orderClient(): RolloutOrderClient {
     return {
-      report: ({ id }) => Promise.resolve(this.#report(id)),
+      report: ({ id }) => this.#report(id),
       order: ({ id }, order) => Promise.resolve(this.#order(id, order)),
     };
   }
 
-  #report(id: BackendServerId): EngineReport | undefined {
+  #report(id: BackendServerId): Promise<EngineReport | undefined> {
     const engine = this.#engines.find((other) => other.id === id);
-    return engine && {
+    if (engine === undefined || engine.isDark(this.#nowMs)) {
+      return new Promise((resolve) => {
+        this.#after(CALL_TIMEOUT_MS, () => resolve(undefined));
+      });
+    }
+    return Promise.resolve({
       weights: new Map([[MODEL, engine.weights]]),
       isBusy: engine.isLoading,
       acceptedOrders: engine.acceptedOrders,
       startedAtMs: 0,
-    };
+    });
   }
 
   #order(id: BackendServerId, order: WeightsOrder): OrderAnswer {
     const engine = this.#engines.find((other) => other.id === id);
-    if (engine === undefined || !order.maySend()) return "unknown";
+    if (engine === undefined || engine.isDark(this.#nowMs)) return "unknown";
+    if (!order.maySend()) return "unknown";
     const engines = this.#engines.map(({ id, weights, isLoading }) => ({
       id,
       weights,
