--- a/packages/fleet/src/log_position.ts
+++ b/packages/fleet/src/log_position.ts
@@ -29,6 +29,11 @@
   return brandId<LogPosition>(era * OFFSETS_PER_ERA + offset);
 }
 
+/** The position that follows in the same era. */
+export function nextPosition(position: LogPosition): LogPosition {
+  return logPosition(eraOf(position), offsetOf(position) + 1);
+}
+
 /** How often the store had been restored before the record was written. */
 export function eraOf(position: LogPosition): number {
   return Math.floor(position / OFFSETS_PER_ERA);
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -49,6 +49,7 @@
 export type { LogPosition } from "./log_position.ts";
 export type {
   ContentOrder,
+  RecordChanges,
   RecordListener,
   RecordListing,
 } from "./record_table.ts";
--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -18,7 +18,7 @@
 import { brandId } from "@endivebend/types";
 import { BEFORE_FIRST, type LogPosition } from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
-import type { RecordTable } from "./record_table.ts";
+import type { RecordChanges, RecordTable } from "./record_table.ts";
 
 /** A record as it is sent between daemons; the value is in base64. */
 type WireRecord = readonly [
@@ -27,11 +27,20 @@
   value: string | null,
 ];
 
+/** Names `listedTo` of the answer; absent when only newer records are sent. */
+const LISTED_TO_HEADER = "endivebend-listed-to";
+
 /** A peer that does not answer must not delay the next pull for long. */
 const PULL_TIMEOUT_MS = 500;
 /** Largest answer of a peer, in bytes: the records of 1,000 servers are 1 MB. */
 const MAX_PULL_BYTES = 8_388_608;
 
+/** A peer's answer to a pull. */
+interface PeerAnswer {
+  readonly body: string;
+  readonly listedTo: string | string[] | undefined;
+}
+
 /** Address to serve on, and the tables of records by topic. */
 export interface RecordExchangeOptions {
   readonly ip: string;
@@ -71,9 +80,8 @@
     this.#pullsInProgress.add(topic);
     try {
       const since = all ? BEFORE_FIRST : table.newest;
-      const body = await this.#fetch(address, `/${topic}?since=${since}`);
-      const records = JSON.parse(body) as readonly WireRecord[];
-      table.apply(records.map(fromWire));
+      const answer = await this.#fetch(address, `/${topic}?since=${since}`);
+      table.applyChanges(readChanges(answer));
       return true;
     } catch (caught) {
       this.#options.failed(`pull from ${address}: ${String(caught)}`);
@@ -96,11 +104,12 @@
       response.writeHead(target === undefined ? 400 : 404).end();
       return;
     }
-    const records = table.since(target.since);
+    const { records, listedTo } = table.changesSince(target.since);
+    if (listedTo !== undefined) response.setHeader(LISTED_TO_HEADER, listedTo);
     response.end(JSON.stringify(records.map(toWire)));
   }
 
-  #fetch(address: string, path: string): Promise<string> {
+  #fetch(address: string, path: string): Promise<PeerAnswer> {
     return new Promise((resolve, reject) => {
       const [host, port] = address.split(":");
       const request = get(
@@ -117,7 +126,10 @@
           response.on("end", () => {
             clearTimeout(timer);
             if (response.statusCode === 200) {
-              resolve(String(received.take()));
+              resolve({
+                body: String(received.take()),
+                listedTo: response.headers[LISTED_TO_HEADER],
+              });
             } else {reject(
                 new Error(
                   `The peer answered with status ${response.statusCode}`,
@@ -154,6 +166,18 @@
   }
 }
 
+/** Throws when the body is no list of records. */
+function readChanges({ body, listedTo }: PeerAnswer): RecordChanges {
+  const records = JSON.parse(body) as readonly WireRecord[];
+  const position = Number(listedTo ?? Number.NaN);
+  return {
+    records: records.map(fromWire),
+    listedTo: Number.isSafeInteger(position)
+      ? brandId<LogPosition>(position)
+      : undefined,
+  };
+}
+
 function toWire({ key, position, value }: KeyedRecord): WireRecord {
   return [key, position, value === undefined ? null : value.toString("base64")];
 }
--- a/packages/fleet/src/record_exchange_test.ts
+++ b/packages/fleet/src/record_exchange_test.ts
@@ -36,6 +36,27 @@
   exchange.close();
 });
 
+test("a pull tells of removals that the peer has only seen in a listing", async (t) => {
+  const port = 20_000 + process.pid % 20_000;
+  const [theirs, own] = [new RecordTable(() => {}), new RecordTable(() => {})];
+  const value = Buffer.from("x");
+  own.apply([{ key: "gone", value, position: logPosition(1, 4) }]);
+  const kept = { key: "kept", value, position: logPosition(1, 2) };
+  theirs.apply([kept], {
+    keys: new Set(["kept"]),
+    isComplete: false,
+    upTo: logPosition(1, 6),
+  });
+  const peer = open("127.0.0.54", port, theirs);
+  const { exchange } = open("127.0.0.55", port, own);
+  while (!await exchange.pull("operator", `127.0.0.54:${port}`));
+  const left = own.since(-1).filter((record) => record.value !== undefined);
+  t.deepEqual(left.map(({ key }) => key), ["kept"]);
+  t.is(own.newest, logPosition(1, 5));
+  peer.exchange.close();
+  exchange.close();
+});
+
 // Guards against a target that `new URL` rejects, which ended the process.
 test("odd targets are refused, and the exchange goes on", async (t) => {
   const port = 20_000 + process.pid % 20_000;
--- a/packages/fleet/src/record_follower.ts
+++ b/packages/fleet/src/record_follower.ts
@@ -11,6 +11,7 @@
   eraOf,
   type LogPosition,
   logPosition,
+  nextPosition,
   offsetOf,
 } from "./log_position.ts";
 import type { RecordTable } from "./record_table.ts";
@@ -232,6 +233,7 @@
     const ignored = table.apply(records, {
       keys,
       isComplete,
+      upTo: next,
       ...(this.#options.isOwnTopic === true
         ? { removesFrom: logPosition(eraOf(next), 0) }
         : {}),
@@ -267,7 +269,7 @@
     const { newest } = this.#options.table;
     if (newest === BEFORE_FIRST) return this.#next;
     // Peers may have sent records that are newer than this daemon's last read.
-    const afterNewest = logPosition(eraOf(newest), offsetOf(newest) + 1);
+    const afterNewest = nextPosition(newest);
     return this.#next !== undefined && this.#next > afterNewest
       ? this.#next
       : afterNewest;
--- a/packages/fleet/src/record_table.ts
+++ b/packages/fleet/src/record_table.ts
@@ -5,7 +5,14 @@
  * @module
  */
 
-import { BEFORE_FIRST, eraOf, type LogPosition } from "./log_position.ts";
+import {
+  BEFORE_FIRST,
+  eraOf,
+  type LogPosition,
+  logPosition,
+  nextPosition,
+  offsetOf,
+} from "./log_position.ts";
 import type { KeyedRecord } from "./record_follower.ts";
 
 /** Removals that are kept for peers, the newest ones. */
@@ -26,12 +33,25 @@
 /** All records that the store has. */
 export interface RecordListing {
   readonly keys: ReadonlySet<string>;
-  /** Whether records of other keys are removed. */
+  /** Whether records of other keys are removed, whatever their era. */
   readonly isComplete: boolean;
+  /** Of the listing's era, it holds all records before this position. */
+  readonly upTo?: LogPosition;
   /** Records from before it stay all the same; none do when it is left out. */
   readonly removesFrom?: LogPosition;
 }
 
+/** What a peer lacks whose newest record is known. */
+export interface RecordChanges {
+  /** All records when a listing is given, or else those that are newer. */
+  readonly records: readonly KeyedRecord[];
+  /**
+   * The position before which no removal may be missing but those that the
+   * sender lacks: what is not among the records has been removed.
+   */
+  readonly listedTo: LogPosition | undefined;
+}
+
 /** Keyed records of one topic. */
 export class RecordTable {
   readonly #records = new Map<string, KeyedRecord>();
@@ -40,6 +60,8 @@
   readonly #onChange: RecordListener;
   readonly #isOlder: ContentOrder;
   #newest = BEFORE_FIRST;
+  /** Removals before it may be unknown here; a listing has none. */
+  #listedTo = BEFORE_FIRST;
   /** The latest era in which the store is complete again. */
   #settledEra = -1;
 
@@ -48,7 +70,10 @@
     this.#isOlder = isOlder;
   }
 
-  /** The position of the newest record; before the first when there is none. */
+  /**
+   * The position up to which records are known, removals included; before the
+   * first when there is none.
+   */
   get newest(): LogPosition {
     return this.#newest;
   }
@@ -59,9 +84,8 @@
    */
   apply(records: readonly KeyedRecord[], listing?: RecordListing): number {
     const newer = records.filter((record) => this.#store(record));
-    const removed = listing?.isComplete === true
-      ? this.#removeMissing(listing)
-      : [];
+    const removed = listing === undefined ? [] : this.#removeMissing(listing);
+    this.#noteListedTo(listing?.upTo ?? BEFORE_FIRST);
     this.#dropOldTombstones();
     const changes = [...newer, ...removed];
     if (changes.length > 0) this.#onChange(changes);
@@ -84,9 +108,41 @@
       .sort((a, b) => a.position - b.position);
   }
 
+  /** The records that a peer lacks which holds all up to the position. */
+  changesSince(position: number): RecordChanges {
+    const isListing = this.#listedTo > position + 1;
+    return {
+      records: this.since(isListing ? BEFORE_FIRST : position),
+      listedTo: isListing ? this.#listedTo : undefined,
+    };
+  }
+
+  /** Applies what a peer has sent. */
+  applyChanges({ records, listedTo }: RecordChanges): void {
+    if (listedTo === undefined) return void this.apply(records);
+    const keys = new Set(records.map(({ key }) => key));
+    this.apply(records, { keys, isComplete: false, upTo: listedTo });
+  }
+
+  #noteListedTo(position: LogPosition): void {
+    if (position <= this.#listedTo) return;
+    this.#listedTo = position;
+    if (offsetOf(position) === 0) return;
+    // The last records before it may be removals that it lacks.
+    const last = logPosition(eraOf(position), offsetOf(position) - 1);
+    if (last > this.#newest) this.#newest = last;
+  }
+
+  /** Whether the record has been removed since, as a listing showed. */
+  #wasRemoved({ value, position }: KeyedRecord): boolean {
+    return value !== undefined && this.#listedTo !== BEFORE_FIRST &&
+      eraOf(position) === eraOf(this.#listedTo) && position < this.#listedTo;
+  }
+
   #store(record: KeyedRecord): boolean {
     if (record.position > this.#newest) this.#newest = record.position;
     const known = this.#records.get(record.key);
+    if (known === undefined && this.#wasRemoved(record)) return false;
     if (known !== undefined && !this.#isNewer(record, known)) return false;
     this.#set(record, known);
     return true;
@@ -117,12 +173,16 @@
   }
 
   #removeMissing(
-    { keys, removesFrom = BEFORE_FIRST }: RecordListing,
+    { keys, isComplete, upTo, removesFrom = BEFORE_FIRST }: RecordListing,
   ): KeyedRecord[] {
+    const isListed = ({ position }: KeyedRecord) =>
+      upTo !== undefined && eraOf(position) === eraOf(upTo) && position < upTo;
     const removed: KeyedRecord[] = [];
     for (const record of this.#records.values()) {
       if (record.value === undefined || keys.has(record.key)) continue;
-      if (record.position < removesFrom) continue;
+      const isGone = isListed(record) ||
+        (isComplete && record.position >= removesFrom);
+      if (!isGone) continue;
       removed.push({
         ...record,
         value: undefined,
@@ -140,9 +200,10 @@
       .filter(({ value }) => value === undefined);
     if (tombstones.length <= MAX_TOMBSTONES) return;
     tombstones.sort((a, b) => b.position - a.position);
-    for (const { key } of tombstones.slice(MAX_TOMBSTONES)) {
+    for (const { key, position } of tombstones.slice(MAX_TOMBSTONES)) {
       this.#records.delete(key);
       this.#removed.delete(key);
+      this.#noteListedTo(nextPosition(position));
     }
   }
 }
--- a/packages/fleet/src/record_table_test.ts
+++ b/packages/fleet/src/record_table_test.ts
@@ -83,3 +83,59 @@
   table.apply([record("config", 2, "7", 1)]);
   t.is(heard.at(-1), "7");
 });
+
+/** A table that lists the store's records before the offset. */
+function listedTable(records: readonly KeyedRecord[], end: number) {
+  const { heard, table } = newTable();
+  const keys = new Set(records.map(({ key }) => key));
+  const upTo = logPosition(0, end);
+  return {
+    heard,
+    table,
+    list: () => table.apply(records, { keys, isComplete: false, upTo }),
+  };
+}
+
+// A listing has no removals, and what a peer holds may be older than it.
+for (const first of ["the listing", "the peer's records"]) {
+  test(`a record that was removed before a listing is not taken from a peer, ${first} first`, (t) => {
+    const { heard, table, list } = listedTable([record("a", 1, "x")], 4);
+    const pull = () => {
+      table.apply([record("a", 1, "x"), record("b", 2, "y")]);
+    };
+    if (first === "the listing") list();
+    pull();
+    if (first !== "the listing") list();
+    const last = heard.findLast(({ key }) => key === "b");
+    t.is(last?.value, undefined);
+    table.apply([record("b", 4, "back")]);
+    t.is(String(heard.at(-1)?.value), "back");
+  });
+}
+
+test("records of another era than the listing's stay while it may lack some", (t) => {
+  const { heard, table } = newTable();
+  table.apply([record("lost", 5, "x")]);
+  table.apply([record("a", 0, "x", 1)], {
+    keys: new Set(["a"]),
+    isComplete: false,
+    upTo: logPosition(1, 2),
+  });
+  t.deepEqual(heard.map(({ key }) => key), ["lost", "a"]);
+  t.is(table.newest, logPosition(1, 1));
+});
+
+test("a peer that lacks removals passes on all that is left", (t) => {
+  const { table: peer, list } = listedTable([record("a", 1, "x")], 4);
+  list();
+  t.is(Number(peer.newest), 3);
+  const { heard, table } = newTable();
+  table.apply([record("a", 1, "x"), record("b", 2, "y")]);
+  table.applyChanges(peer.changesSince(table.newest));
+  t.like(heard.at(-1), { key: "b", value: undefined });
+  t.is(Number(table.newest), 3);
+  peer.apply([record("a", 4)]);
+  const changes = peer.changesSince(table.newest);
+  t.is(changes.listedTo, undefined, "nothing is missing after the listing");
+  t.deepEqual(changes.records.map(({ key }) => key), ["a"]);
+});
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1721,7 +1721,9 @@
         const table = options.tables.get(topic);
         const theirs = this.#world.tablesAt(address)?.get(topic);
         if (table === undefined || theirs === undefined) return false;
-        table.apply(theirs.since(all ? BEFORE_FIRST : table.newest));
+        table.applyChanges(
+          theirs.changesSince(all ? BEFORE_FIRST : table.newest),
+        );
         return true;
       },
       close() {},
