End only the forwarded request whose sending throws

Found in the read-through of the merged work: a request that goes on with a stream is sent on once its server has said which process it is, in a promise that nothing catches. An error thrown while it is sent ended the process of the VM that forwards, and all its callers' requests; without that question it left the count of forwarded requests one too high.

Shown by two tests of forwarded_run_test that failed before (an unhandled rejection; a rejected start). Sending is contained as the events are now: the other VM is told that the request may have run.

--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -16,6 +16,7 @@
   AnswerHead,
   AttemptFailure,
   AttemptHandle,
+  AttemptListener,
   ForwardOrder,
   ServerClient,
 } from "./ports.ts";
@@ -68,7 +69,7 @@
 /** An answer that takes longer may wait for a slot, or its link may be lost. */
 const UNANSWERED_MS = 500;
 
-const NOTHING_RUNS: ForwardedRun = { resume() {}, abort() {} };
+const NOTHING_RUNS = { pause() {}, resume() {}, abort() {} };
 
 /** Forwards requests of other VMs. */
 export class ForwardedRuns {
@@ -196,6 +197,7 @@
     let isOver = false;
     let wasSent = false;
     let cancelWithdrawal = () => {};
+    let handle: AttemptHandle = NOTHING_RUNS;
     const end = (outcome: string) => {
       if (isOver) return;
       isOver = true;
@@ -203,7 +205,8 @@
       this.#openCount -= 1;
       this.#logEnd(order, { outcome, startedAtMs: answer.startedAtMs });
     };
-    // Ends this request, and no other, when handling one of its events throws.
+    // Ends this request, and no other, when sending it or handling one of its
+    // events throws.
     const contain = (handleEvent: () => void) => {
       try {
         handleEvent();
@@ -217,7 +220,7 @@
         sink.failed({ kind: "broken", reason, at: "forwarder" });
       }
     };
-    const handle: AttemptHandle = client.forward(order, {
+    const listener: AttemptListener = {
       connected: () => {
         answer.connectedAtMs = nowMs();
       },
@@ -256,7 +259,11 @@
           } else this.#recordLoss(suspects, { server, answer });
           sink.failed(failure);
         }),
+    };
+    contain(() => {
+      handle = client.forward(order, listener);
     });
+    if (isOver) return NOTHING_RUNS;
     if (order.beginByMs !== undefined) {
       const withdrawAtMs = order.beginByMs + WITHDRAW_GRACE_MS;
       cancelWithdrawal = scheduler.after(
--- a/packages/request-path/src/forwarded_run_test.ts
+++ b/packages/request-path/src/forwarded_run_test.ts
@@ -12,9 +12,13 @@
 const BEGIN_BY_MS = 3_000;
 
 /** A request that another VM has forwarded, and which has to begin in time. */
-function start() {
+function start({ expectedStartMs, forward }: {
+  readonly expectedStartMs?: number;
+  readonly forward?: () => never;
+} = {}) {
   const context = testContext();
   const { registry, client, time } = context;
+  if (forward !== undefined) Object.assign(client, { forward });
   const paths = { ...context.paths, mayForward: () => true };
   const runs = new ForwardedRuns({
     ...context,
@@ -30,7 +34,7 @@
     server: { id, address },
     deadlineMs: 20_000,
     beginByMs: BEGIN_BY_MS,
-    expectedStartMs: undefined,
+    expectedStartMs,
     message: undefined,
   };
   const failures: AttemptFailure[] = [];
@@ -41,8 +45,8 @@
     failed: (failure) => failures.push(failure),
   };
   runs.open(order, sink);
-  const forward = client.forwards[0]!;
-  return { forward, failures, time, registry, runs };
+  const attempt = client.forwards[0]!;
+  return { forward: attempt, failures, time, registry, runs };
 }
 
 test("a forwarded request that has not begun is withdrawn though the other VM is silent", (t) => {
@@ -79,3 +83,17 @@
   t.is(silentAtMs(), before);
   t.deepEqual(failures, [{ kind: "unsent", reason: BEGINS_TOO_LATE }]);
 });
+
+for (const expectedStartMs of [undefined, 1]) {
+  test(`an error while a request is sent on ends that request only, expected start ${expectedStartMs}`, async (t) => {
+    const { failures, runs } = start({
+      expectedStartMs,
+      forward: () => {
+        throw new TypeError("Invalid character in header content");
+      },
+    });
+    await new Promise(setImmediate);
+    t.like(failures, [{ kind: "broken", at: "forwarder" }]);
+    t.is(runs.openCount, 0);
+  });
+}
