--- a/packages/fleet/src/log_position.ts
+++ b/packages/fleet/src/log_position.ts
@@ -29,7 +29,14 @@
   return brandId<LogPosition>(era * OFFSETS_PER_ERA + offset);
 }
 
-/** The position that follows in the same era. */
+/**
+ * The position that follows in the same era.
+ *
+ * @example
+ * ```ts
+ * const from = nextPosition(table.newest);
+ * ```
+ */
 export function nextPosition(position: LogPosition): LogPosition {
   return logPosition(eraOf(position), offsetOf(position) + 1);
 }
--- a/packages/forwarding/src/server_paths.ts
+++ b/packages/forwarding/src/server_paths.ts
@@ -110,8 +110,13 @@
   /**
    * The same for a request that has not begun anywhere. While it is not known
    * whether this VM is cut off, another one is the safer way.
+   *
+   * @example
+   * ```ts
+   * const forwarder = paths.forwarderForNewRequest(server.listed, new Set());
+   * ```
    */
-  forwarderForFirst(
+  forwarderForNewRequest(
     server: ReachableServer,
     excluded: ReadonlySet<VmId>,
   ): Forwarder | undefined {
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -295,7 +295,7 @@
     if (placement.kind === "refused") {
       return this.#giveUp(placement.reason, placement.retryInMs);
     }
-    if (this.#hasLostItsWays(placement.server)) {
+    if (this.#hasNoForwarderLeft(placement.server)) {
       return this.#giveUp("overloaded");
     }
     const attempt = this.#open(placement, nowMs);
@@ -308,7 +308,7 @@
    * most once. On the own links it would likely be lost, and could not be said
    * not to have run.
    */
-  #hasLostItsWays({ listed }: KnownServer): boolean {
+  #hasNoForwarderLeft({ listed }: KnownServer): boolean {
     const { paths } = this.#context;
     return !isRepeatable(this.#request.route.kind) &&
       this.#excludedForwarders.size > 0 && paths.isCutOff(listed.service) &&
@@ -360,7 +360,7 @@
     const { paths } = this.#context;
     const isFirst = !this.#relay.hasBegun && !isTakeUp(this.#request);
     const forwarder = isFirst
-      ? paths.forwarderForFirst(server.listed, this.#excludedForwarders)
+      ? paths.forwarderForNewRequest(server.listed, this.#excludedForwarders)
       : paths.forwarderFor(server.listed, this.#excludedForwarders);
     this.#logDecision("place", {
       server: server.listed.id,
