Give a test's daemon ports of which none is handed out twice

Each port of a test's daemon was found free and let go before the next one was looked for, and the daemon takes three in a row from one of them, so two of its listeners could get the same port.

--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -201,12 +201,36 @@
   return `127.${1 + (pid >> 8) % 250}.${pid & 255}.${1 + addresses % 250}`;
 }
 
-async function freePort(host: string): Promise<number> {
-  const server = createServer().listen(0, host);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  return port;
+/** Ports of a daemon: held together, none is given out twice. */
+async function freePorts(host: string) {
+  const held: Server[] = [];
+  const hold = async (port: number): Promise<number> => {
+    const server = createServer().listen(port, host);
+    await once(server, "listening");
+    held.push(server);
+    return (server.address() as AddressInfo).port;
+  };
+  const holdThreeInRow = async (): Promise<number> => {
+    const first = await hold(0);
+    try {
+      await hold(first + 1);
+      await hold(first + 2);
+      return first;
+    } catch {
+      return await holdThreeInRow();
+    }
+  };
+  const ports = {
+    callers: await hold(0),
+    readiness: await hold(0),
+    metrics: await hold(0),
+    firstPeer: await holdThreeInRow(),
+  };
+  await Promise.all(held.map((server) => {
+    server.close();
+    return once(server, "close");
+  }));
+  return ports;
 }
 
 /** Settings of a daemon on free ports of a loopback address of its own. */
@@ -214,14 +238,15 @@
   store: StoreStandIn,
 ): Promise<PlatformSettings> {
   const host = ownAddress();
+  const ports = await freePorts(host);
   return {
     vm: brandId("vm-1"),
     ip: host,
     failureDomain: brandId("a"),
-    callers: { host, port: await freePort(host) },
-    readiness: { host, port: await freePort(host) },
-    metrics: { host, port: await freePort(host) },
-    firstPeerPort: await freePort(host),
+    callers: { host, port: ports.callers },
+    readiness: { host, port: ports.readiness },
+    metrics: { host, port: ports.metrics },
+    firstPeerPort: ports.firstPeer,
     seedIps: [],
     storeAddress: store.address,
     storeRates: { writesPerS: 400, keepMs: 300_000 },
