Keep the time without an answer in one place, and drop a parameter that nobody passes

UNANSWERED_MS stood in request_run.ts and forwarded_run.ts; both call the one in silence_timeout.ts now. No caller gave recordNoConnection a kind of failure. The comment on the soak's plays of links gave a wrong number of servers. Behaviour is unchanged; type check, linter, repository check and 277 tests of request-path, forwarding, platform-soak and forwarding_vms_test pass.

--- a/packages/forwarding/src/server_paths.ts
+++ b/packages/forwarding/src/server_paths.ts
@@ -15,7 +15,6 @@
 } from "./choose_forwarder.ts";
 import { type LinkState, ReachChecks } from "./reach_checks.ts";
 import {
-  type LinkFailure,
   type LinkFailureCounts,
   type ReachableServer,
   ServerReach,
@@ -165,12 +164,8 @@
    * Records that the server has not accepted a connection that was opened at the
    * time.
    */
-  recordNoConnection(
-    server: ReachableServer,
-    openedAtMs: number,
-    failure: LinkFailure = "no_connection",
-  ): void {
-    this.#reach.recordLoss(server, failure, openedAtMs);
+  recordNoConnection(server: ReachableServer, openedAtMs: number): void {
+    this.#reach.recordLoss(server, "no_connection", openedAtMs);
     this.#checks.suspect(server);
   }
 
--- a/packages/platform-soak/src/link_scenarios.ts
+++ b/packages/platform-soak/src/link_scenarios.ts
@@ -46,7 +46,7 @@
   "server_released",
 ];
 
-/** A fleet of eight daemons and nine servers' worth of load, without retries. */
+/** By default eight daemons and five servers of each service, without retries. */
 function linksPlay(
   faultsFor: (draws: Draws, options: PlayOptions) => readonly PlannedFault[],
 ): Scenario {
--- a/packages/request-path/src/forwarded_run.ts
+++ b/packages/request-path/src/forwarded_run.ts
@@ -22,6 +22,7 @@
 } from "./ports.ts";
 import { type AnswerRecords, recordAnswerHead } from "./record_answer.ts";
 import type { KnownServer } from "./server_registry.ts";
+import { UNANSWERED_MS } from "./silence_timeout.ts";
 
 /** Dependencies of all forwarded requests. */
 export interface ForwardContext extends AnswerRecords {
@@ -66,9 +67,6 @@
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 
-/** An answer that takes longer may wait for a slot, or its link may be lost. */
-const UNANSWERED_MS = 500;
-
 const NOTHING_RUNS = { pause() {}, resume() {}, abort() {} };
 
 /** Forwards requests of other VMs. */
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -15,7 +15,7 @@
 import { type Attempt, newAttempt } from "./attempt.ts";
 import { BEGINS_TOO_LATE } from "./begin_bound.ts";
 import type { CrashGuard, RequestSuspects } from "./crash_guard.ts";
-import { silenceTimeoutMs } from "./silence_timeout.ts";
+import { silenceTimeoutMs, UNANSWERED_MS } from "./silence_timeout.ts";
 import {
   type Placement,
   type PlacementContext,
@@ -92,8 +92,6 @@
 const REPLACE_INTERVAL_MS = 300;
 /** Stream events are about 40 ms apart, 100 ms while an engine prefills. */
 const STREAM_SILENCE_MS = 400;
-/** An answer that takes longer may wait for a slot, or its link may be lost. */
-const UNANSWERED_MS = 500;
 /** A connection is taken as alive if its server sent data this recently. */
 const CONNECTION_FRESH_MS = 1_000;
 /** A server takes longer than this to end and to start again. */
--- a/packages/request-path/src/silence_timeout.ts
+++ b/packages/request-path/src/silence_timeout.ts
@@ -8,6 +8,8 @@
 
 import { isRepeatable, isStream, type RoutedRequest } from "./types.ts";
 
+/** An answer that takes longer may wait for a slot, or its link may be lost. */
+export const UNANSWERED_MS = 500;
 /** Timeout for a server that has sent nothing at all since the attempt. */
 const SILENT_SERVER_MS = 700;
 /** Multiple of the target time after which a single request is hanging. */
