--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -68,6 +68,7 @@
   ServerWork,
   WeightsChange,
 } from "./server_registry.ts";
+export type { PaceLookup, ServerPace } from "./server_pace.ts";
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
 export * from "./types.ts";
