Learn the pace of servers and use it in placement and shedding

Waits were estimated with one constant for all engines. Placement, shedding and the bound on old weights now ask a ServerPace, which gives today's constants until a service states the fourth load figure or its servers differ clearly. Placement, shedding, pool and request tests pass unchanged (54). Not connected to attempts yet.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -637,16 +637,18 @@
   };
 }
 
-/** Parses `RUNNING,WAITING,SLOTS`. */
+/** Parses `RUNNING,WAITING,SLOTS` or `RUNNING,WAITING,SLOTS,PERCENT`. */
 function parseLoad(
   header: string | string[] | undefined,
 ): ServerLoad | undefined {
   if (typeof header !== "string") return undefined;
-  const [running, waiting, slots] = header.split(",").map(Number);
+  const [running, waiting, slots, percent] = header.split(",").map(Number);
   const isLoad = [running, waiting, slots].every(Number.isFinite);
-  return isLoad
-    ? { running: running!, waiting: waiting!, slots: slots! }
-    : undefined;
+  if (!isLoad) return undefined;
+  const load = { running: running!, waiting: waiting!, slots: slots! };
+  const isStated = percent !== undefined && percent > 0 &&
+    Number.isFinite(percent);
+  return isStated ? { ...load, slowdownPercent: percent } : load;
 }
 
 /** Parses a whole number. */
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -21,7 +21,7 @@
   team: "tenant",
   expectedServer: "expect-instance",
   serverId: "instance-id",
-  /** A server's load as `RUNNING,WAITING,SLOTS`. */
+  /** A server's load as `RUNNING,WAITING,SLOTS` or with `,PERCENT`. */
   load: "server-load",
   /** Requests a second that a server takes from all callers together. */
   limit: "server-limit",
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -10,6 +10,7 @@
 import { rendezvousWeight } from "@endivebend/routing";
 import type { BackendServerId } from "@endivebend/types";
 import { assignPools, poolOf, type PromptPool } from "./prompt_pools.ts";
+import { PLAIN_CALL_MS, PREFILL_TOKENS_PER_MS } from "./server_pace.ts";
 
 /** The properties of a request that the choice depends on. */
 export interface ChoiceRequest {
@@ -51,6 +52,18 @@
    * daemon may send one to each, to 1; 0 for a server without a limit.
    */
   readonly scarcity: number;
+  /** Its pace at this moment; undefined for the usual one. */
+  readonly pace?: CandidatePace;
+}
+
+/** What of a server's pace matters to one request. */
+export interface CandidatePace {
+  /** Prompt tokens that the server reads per millisecond. */
+  readonly tokensPerMs: number;
+  /** Time of a plain call of the request's route, without a wait. */
+  readonly callMs: number;
+  /** Requests beyond its places in a slow start, this one included. */
+  readonly startingExcess: number;
 }
 
 /** The chosen server with its score, for the log. */
@@ -63,8 +76,6 @@
   readonly candidateCount: number;
 }
 
-/** Prompt tokens an engine prefills per ms, from the users' data sheets. */
-export const PREFILL_TOKENS_PER_MS = 38.4;
 /** Weight of engine time taken from others, as in the product's routing. */
 const ENGINE_TIME_WEIGHT = 2;
 /** Fetching takes about 10 ms, and space in the engine's prefix cache. */
@@ -77,8 +88,6 @@
 const PRESUMED_CACHED_SHARE = 0.8;
 /** A running request slows each step of the others by 0.0138 ms of 4.73 ms. */
 const RUNNING_COST_MS = 0.5;
-/** Mean service time of a plain request, from the users' data sheets. */
-const PLAIN_CALL_MS = 86;
 /** A round trip to another failure domain takes about 2 ms. */
 const OTHER_DOMAIN_MS = 3;
 /** A server that fails every request costs the silence timeout and a retry. */
@@ -93,9 +102,20 @@
  * prompt is shed when it would wait for as long.
  */
 const SCARCITY_COST_MS = 1_500;
+/**
+ * Cost of each request beyond the places of a server that has just started: the
+ * queues of others are shorter unless prompts there are already late.
+ */
+const STARTING_COST_MS = 400;
 /** High enough that avoided servers are used only when no other is left. */
 const AVOIDED_COST_MS = 100_000;
 
+const USUAL_PACE: CandidatePace = {
+  tokensPerMs: PREFILL_TOKENS_PER_MS,
+  callMs: PLAIN_CALL_MS,
+  startingExcess: 0,
+};
+
 /**
  * Picks the candidate with the lowest expected cost; undefined when there is
  * none.
@@ -147,7 +167,7 @@
     best = {
       id: candidate.id,
       scoreMs,
-      waitMs: candidate.prefillTokens / PREFILL_TOKENS_PER_MS,
+      waitMs: candidate.prefillTokens / paceOf(candidate).tokensPerMs,
       cachedTokens,
       candidateCount: candidates.length,
     };
@@ -176,6 +196,7 @@
   option: { readonly candidate: Candidate; readonly cachedTokens: number },
 ): number {
   const { candidate, cachedTokens } = option;
+  const { tokensPerMs, callMs } = paceOf(candidate);
   const fetchedTokens = Math.max(0, request.fetchableTokens - cachedTokens);
   const fetchMs = fetchedTokens > 0 ? FETCH_COST_MS : 0;
   const availableTokens = cachedTokens + fetchedTokens;
@@ -183,27 +204,33 @@
     0,
     (request.promptTokens ?? 0) - availableTokens,
   );
-  const prefillMs = uncachedTokens / PREFILL_TOKENS_PER_MS;
-  const waitMs = candidate.prefillTokens / PREFILL_TOKENS_PER_MS;
+  const prefillMs = uncachedTokens / tokensPerMs;
+  const waitMs = candidate.prefillTokens / tokensPerMs;
   const excessRequests = Math.max(0, candidate.running + 1 - candidate.slots);
   return waitMs + prefillMs * (1 + ENGINE_TIME_WEIGHT) + fetchMs +
-    candidate.running * RUNNING_COST_MS + excessRequests * PLAIN_CALL_MS +
+    candidate.running * RUNNING_COST_MS + excessRequests * callMs +
     penaltyMs(candidate);
 }
 
 function plainScoreMs(request: ChoiceRequest, candidate: Candidate): number {
   const slots = Math.max(1, candidate.slots);
+  const { callMs } = paceOf(candidate);
   const excessRequests = Math.max(0, candidate.running + 1 - slots);
   const domainMs = candidate.failureDomain === request.failureDomain
     ? 0
     : OTHER_DOMAIN_MS;
-  return excessRequests * PLAIN_CALL_MS / slots + candidate.running * 2 +
-    domainMs +
+  return excessRequests * callMs / slots + candidate.running * 2 +
+    domainMs + callMs - PLAIN_CALL_MS +
     penaltyMs(candidate);
 }
 
+function paceOf({ pace = USUAL_PACE }: Candidate): CandidatePace {
+  return pace;
+}
+
 function penaltyMs(candidate: Candidate): number {
   return candidate.failureRate * FAILURE_COST_MS +
     (candidate.isAvoided ? AVOIDED_COST_MS : 0) +
-    (candidate.isLoading ? LOADING_COST_MS : 0) + candidate.staleWeightsCostMs;
+    (candidate.isLoading ? LOADING_COST_MS : 0) + candidate.staleWeightsCostMs +
+    paceOf(candidate).startingExcess * STARTING_COST_MS;
 }
--- a/packages/request-path/src/load_shedding.ts
+++ b/packages/request-path/src/load_shedding.ts
@@ -8,6 +8,8 @@
  * @module
  */
 
+import { QUEUE_TOKENS_PER_MS } from "./server_pace.ts";
+
 /** A prompt and the queue of the engine chosen for it. */
 export interface WaitingPrompt {
   /** Prompt tokens queued ahead of it. */
@@ -20,10 +22,10 @@
   readonly urgency: number;
   /** Whether part of its answer has reached the caller. */
   readonly hasBegun: boolean;
+  /** Tokens by which the queue shrinks per millisecond, where measured. */
+  readonly tokensPerMs?: number;
 }
 
-/** Prefill rate: 38.4 tokens per millisecond less attention and generation. */
-const TOKENS_PER_MS = 28;
 /** A shorter queue may already be empty by the next gossip message. */
 const MIN_QUEUE_TOKENS = 4_000;
 /** The most urgent prompts overtake others in the engine's queue. */
@@ -44,8 +46,9 @@
  */
 export function shedRetryMs(prompt: WaitingPrompt): number | undefined {
   const { tokensAhead, tokensToRead, targetMs, urgency, hasBegun } = prompt;
+  const { tokensPerMs = QUEUE_TOKENS_PER_MS } = prompt;
   if (hasBegun || tokensAhead < MIN_QUEUE_TOKENS) return undefined;
-  const startsInMs = (tokensAhead + tokensToRead) / TOKENS_PER_MS;
+  const startsInMs = (tokensAhead + tokensToRead) / tokensPerMs;
   const limitMs = targetMs * (urgency === 0 ? URGENT_FACTOR : 1);
   if (startsInMs <= limitMs) return undefined;
   return Math.max(MIN_RETRY_MS, startsInMs - limitMs);
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -11,12 +11,7 @@
   FailureDomainId,
   ModelName,
 } from "@endivebend/types";
-import {
-  type Candidate,
-  type Choice,
-  chooseServer,
-  PREFILL_TOKENS_PER_MS,
-} from "./choose_server.ts";
+import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
 import {
   type CachedTokens,
   type SegmentKey,
@@ -33,6 +28,12 @@
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
+import {
+  MAX_LOAD_FACTOR,
+  type PaceLookup,
+  type ServerPace,
+  usualPace,
+} from "./server_pace.ts";
 import {
   type CacheScope,
   type PromptSegment,
@@ -56,6 +57,8 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** The pace of servers; without it all have the usual one. */
+  readonly pace?: PaceLookup | undefined;
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -65,6 +68,7 @@
     readonly server: KnownServer;
     readonly choice: Choice;
     readonly cache: CachePlan;
+    readonly pace?: ServerPace;
     /** Set when the engine is believed to have weights that are too old. */
     readonly isProbe?: boolean;
   }
@@ -104,8 +108,6 @@
 const QUEUE_FACTOR = 2;
 /** Prefilling fewer tokens is as fast as saving them in a store. */
 const MIN_TOKENS_TO_SAVE = 512;
-/** Requests per slot of a full engine: as many waiting as running. */
-const MAX_LOAD_FACTOR = 2;
 
 /** Callers' ids may have thousands of characters. */
 const MAX_SCOPE_ID_LENGTH = 64;
@@ -138,6 +140,7 @@
   /** Time since weights newer than the server's were named; 0 for none. */
   readonly staleForMs: number;
   readonly isStaleAgeKnown: boolean;
+  readonly pace: ServerPace;
 }
 
 /**
@@ -176,6 +179,41 @@
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
+  return placeAt(request, available, context);
+}
+
+/**
+ * Chooses among servers that may all have the request. Where the choice would
+ * be shed, places of a slow start don't count: they refuse nothing.
+ */
+function placeAt(
+  request: RoutedRequest,
+  available: readonly ServerView[],
+  context: AttemptContext,
+): Placement {
+  const candidates = available.map((view) =>
+    candidateOf(view, request, context)
+  );
+  const placement = placeAtBest(request, { available, candidates, context });
+  const isStarting = candidates.some(({ pace }) =>
+    pace !== undefined && pace.startingExcess > 0
+  );
+  if (placement.kind === "placed" || !isStarting) return placement;
+  const started = candidates.map((candidate) => ({
+    ...candidate,
+    ...(candidate.pace && { pace: { ...candidate.pace, startingExcess: 0 } }),
+  }));
+  return placeAtBest(request, { available, candidates: started, context });
+}
+
+function placeAtBest(
+  request: RoutedRequest,
+  { available, candidates, context }: {
+    readonly available: readonly ServerView[];
+    readonly candidates: readonly Candidate[];
+    readonly context: AttemptContext;
+  },
+): Placement {
   const sharedTokens = sumTokens(sharedSegments(request));
   const choice = chooseServer({
     promptTokens: request.work?.promptTokens,
@@ -187,23 +225,25 @@
       tokensPerEvent: context.tokensPerEvent(request.service),
       maxGapMs: request.route.maxGapMs,
     }),
-  }, available.map((view) => candidateOf(view, context)));
+  }, candidates);
   const view = available.find(({ server }) => server.listed.id === choice?.id);
   if (choice === undefined || view === undefined) {
     return { kind: "refused", reason: "no_server" };
   }
   const cache = planCache(request, { view, all: available, context });
+  const { pace } = view;
   const retryInMs = request.work && shedRetryMs({
     tokensAhead: view.work.prefillTokens,
     tokensToRead: cache.tokensToRead,
     targetMs: request.route.targetMs,
     urgency: urgencyOf(request),
     hasBegun: context.hasBegun || request.resumeAfter !== undefined,
+    tokensPerMs: pace.queueTokensPerMs,
   });
   if (retryInMs !== undefined) {
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
-  return { kind: "placed", server: view.server, choice, cache };
+  return { kind: "placed", server: view.server, choice, cache, pace };
 }
 
 /**
@@ -290,6 +330,7 @@
     work: context.registry.workAt(server),
     staleForMs: newer === undefined ? 0 : nowMs - newer.firstSeenAtMs,
     isStaleAgeKnown: newer?.isAgeKnown ?? true,
+    pace: context.pace?.of(server, nowMs) ?? usualPace(server.listed),
   };
 }
 
@@ -434,9 +475,9 @@
   weightsBoundMs: number,
 ): ServerView[] {
   const limitMs = weightsBoundMs - START_SLACK_MS;
-  const timely = views.filter(({ work, staleForMs }) => {
+  const timely = views.filter(({ work, staleForMs, pace }) => {
     if (staleForMs === 0) return true;
-    const queueMs = work.prefillTokens / PREFILL_TOKENS_PER_MS;
+    const queueMs = work.prefillTokens / pace.tokensPerMs;
     return staleForMs + queueMs * QUEUE_FACTOR <= limitMs;
   });
   const current = timely.filter(({ isStaleAgeKnown }) => isStaleAgeKnown);
@@ -478,7 +519,8 @@
 }
 
 function candidateOf(
-  { server, kept, work, staleForMs }: ServerView,
+  { server, kept, work, staleForMs, pace }: ServerView,
+  { route }: RoutedRequest,
   { registry, allowances, nowMs }: AttemptContext,
 ): Candidate {
   return {
@@ -500,5 +542,14 @@
     scarcity: nowMs - server.limitAsOfMs < LIMIT_RECHECK_MS
       ? allowances.scarcity(server, nowMs)
       : 0,
+    pace: {
+      tokensPerMs: pace.tokensPerMs,
+      callMs: pace.callMs(route.name),
+      startingExcess: Math.max(
+        0,
+        work.running + 1 - pace.maxRunning,
+        server.ownWork.size + 1 - pace.maxOwnRunning,
+      ),
+    },
   };
 }
--- a/packages/request-path/src/ports.ts
+++ b/packages/request-path/src/ports.ts
@@ -84,6 +84,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes there at this moment, in percent of the usual time;
+   * undefined where servers don't state it.
+   */
+  readonly slowdownPercent?: number;
 }
 
 /** The head of an answer. */
