--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -9,13 +9,10 @@
 import { type BucketTolerance, SharedBucket } from "@endivebend/limits";
 import type { ServiceName, TeamId } from "@endivebend/types";
 import { type Admission, admit, type RequestHead } from "./admit.ts";
-import {
-  type RepeatCause,
-  type RequestContext,
-  RequestRun,
-} from "./request_run.ts";
 import { ConfigurationView } from "./configuration.ts";
 import type { CallerSink } from "./ports.ts";
+import type { RepeatCause, RequestContext } from "./request_context.ts";
+import { RequestRun } from "./request_run.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import type { Configuration, RoutedRequest, TeamRules } from "./types.ts";
 import { WeightsProbes } from "./weights_probes.ts";
--- a/packages/request-path/src/begin_bound_test.ts
+++ b/packages/request-path/src/begin_bound_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { brandId, type RequestId } from "@endivebend/types";
 import { beginByMs, BEGINS_TOO_LATE, isTooLate } from "./begin_bound.ts";
-import { type RequestContext, RequestRun } from "./request_run.ts";
+import type { RequestContext } from "./request_context.ts";
+import { RequestRun } from "./request_run.ts";
 import type { NamedWeights } from "./named_weights.ts";
 import {
   answerHead,
--- a/packages/request-path/src/charged_repeats_test.ts
+++ b/packages/request-path/src/charged_repeats_test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { brandId, type VmId } from "@endivebend/types";
 import { RequestRun } from "./mod.ts";
-import type { RepeatCause, RequestContext } from "./request_run.ts";
+import type { RepeatCause, RequestContext } from "./request_context.ts";
 import {
   answerHead,
   FakeCaller,
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -14,7 +14,7 @@
   OpenResult,
 } from "./admission_controller.ts";
 export { RequestRun } from "./request_run.ts";
-export type { RequestContext } from "./request_run.ts";
+export type { RequestContext } from "./request_context.ts";
 export { chooseServer } from "./choose_server.ts";
 export type { Candidate, Choice, ChoiceRequest } from "./choose_server.ts";
 export { ConfigurationView, pickDestination } from "./configuration.ts";
--- a/packages/request-path/src/resumed_versions_test.ts
+++ b/packages/request-path/src/resumed_versions_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { brandId, type VmId } from "@endivebend/types";
 import { RequestRun } from "./mod.ts";
-import type { RequestContext } from "./request_run.ts";
+import type { RequestContext } from "./request_context.ts";
 import {
   answerHead,
   type FakeAttempt,
--- a/packages/request-path/src/silent_attempts_test.ts
+++ b/packages/request-path/src/silent_attempts_test.ts
@@ -6,7 +6,7 @@
   routedRequest,
   testContext,
 } from "./testing.ts";
-import type { RequestContext } from "./request_run.ts";
+import type { RequestContext } from "./request_context.ts";
 import type { RequestKind } from "./types.ts";
 
 const DEADLINE_MS = 21_000;
--- a/packages/request-path/src/testing.ts
+++ b/packages/request-path/src/testing.ts
@@ -18,7 +18,7 @@
   type TeamId,
   type VmId,
 } from "@endivebend/types";
-import type { RequestContext } from "./request_run.ts";
+import type { RequestContext } from "./request_context.ts";
 import type {
   AnswerHead,
   AttemptListener,
