Use learned speeds without a figure only after clear differences

Equal engines whose observations are noisy could be taken as different by chance. The noise is known from 24 observations, and differences must hold for 2 s.

--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -153,7 +153,7 @@
   // daemon would have them prefilled wherever it finds a short queue.
   const preferred = usable.length > 0 ? usable : inPool;
   const owner = ownerOf(request.affinityKey, preferred);
-  const considered = request.spreadKey === undefined
+  const considered = request.spreadKey === undefined || preferred.length === 0
     ? candidates
     : sampleOf(request.spreadKey, { preferred, owner });
   let best: Choice | undefined;
--- a/packages/request-path/src/service_pace.ts
+++ b/packages/request-path/src/service_pace.ts
@@ -29,6 +29,10 @@
 
 /** Servers that must be known well before their speeds are compared. */
 const MIN_COMPARED = 4;
+/** Observations that tell the noise well enough. */
+const MIN_NOISE_COUNT = 24;
+/** Differences that are only noise pass sooner. */
+const CLEAR_FOR_MS = 2_000;
 /** About two observations. */
 const COMPARED_WEIGHT = 1.5;
 /** The 80th percentile of speeds that differ clearly, to the 20th. */
@@ -48,6 +52,9 @@
   #hasClearDifferences = false;
   #meanSlowdown = 1;
   #noise = 0;
+  #noiseCount = 0;
+  /** Since when speeds differ clearly; undefined while they don't. */
+  #clearSinceMs: number | undefined;
   readonly #callMs = new Map<RouteName, number>();
 
   constructor(nowMs: number) {
@@ -105,8 +112,9 @@
     if (weight < 1) return;
     const squared = (Math.log(speed) - estimate.logSpeed) ** 2;
     const variance = squared * weight / (weight + 1);
+    this.#noiseCount += 1;
     this.#noise += (variance - this.#noise) *
-      (this.#noise === 0 ? 1 : NOISE_WEIGHT);
+      Math.max(NOISE_WEIGHT, 1 / this.#noiseCount);
   }
 
   /** Renews what depends on all servers. */
@@ -118,16 +126,21 @@
     this.medianSpeed = measured.length === 0
       ? undefined
       : Math.exp(measured[Math.floor(measured.length / 2)]!);
-    if (!this.isInUse) {
-      this.#hasClearDifferences = this.#differ(estimates, nowMs);
-    }
+    if (this.isInUse) return;
+    this.#clearSinceMs = this.#differ(estimates, nowMs)
+      ? this.#clearSinceMs ?? nowMs
+      : undefined;
+    this.#hasClearDifferences = this.#clearSinceMs !== undefined &&
+      nowMs - this.#clearSinceMs >= CLEAR_FOR_MS;
   }
 
   #differ(estimates: readonly SpeedEstimate[], nowMs: number): boolean {
     const compared = estimates.filter((estimate) =>
       weightAt(estimate, nowMs) >= COMPARED_WEIGHT
     );
-    if (compared.length < MIN_COMPARED || this.#noise === 0) return false;
+    const isEnough = compared.length >= MIN_COMPARED &&
+      this.#noiseCount >= MIN_NOISE_COUNT;
+    if (!isEnough) return false;
     const speeds = compared.map(({ logSpeed }) => logSpeed)
       .toSorted((a, b) => a - b);
     const at = (share: number) =>
