--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -9,7 +9,7 @@
 } from "./mod.ts";
 import { withHeldMs, withKind } from "./gossip_message.ts";
 import { gossipMessage } from "./testing.ts";
-import { brandId } from "@endivebend/types";
+import { type BackendServerId, brandId } from "@endivebend/types";
 
 const SEED = Number(process.env.SEED ?? 20_261_204);
 
@@ -26,6 +26,7 @@
   kept: { e: [["part", 200]] },
   records: { operator: 4, servers: -1 },
   readAgesMs: { servers: 90 },
+  paces: { [brandId<BackendServerId>("e")]: 160 },
 });
 
 /** A datagram with the tag of a message and any content. */
@@ -63,6 +64,7 @@
     "an address with a port out of range": { address: "127.0.0.1:99999" },
     "work that is no pair": { work: { e: [1] } },
     "spending that is no number": { spent: { t: "many" } },
+    "a pace that is no number": { paces: { e: "fast" } },
     "an endless list of suspects": { suspects: Array(30_000).fill("e") },
   })
 ) {
@@ -110,6 +112,14 @@
   t.pass();
 });
 
+// Daemons of the old and the new build run side by side.
+test("a message with a field of a later build is read", (t) => {
+  const later = { ...FULL, futureField: [{ any: "thing" }] };
+  t.is(decode(later)?.paces?.[brandId<BackendServerId>("e")], 160);
+  const { paces: _, ...earlier } = FULL;
+  t.is(decode(earlier)?.vm, FULL.vm);
+});
+
 test("datagrams that are no message are ignored", (t) => {
   for (const text of ["{", '{"vm":1}', `"${"x".repeat(2_000_000)}"`]) {
     t.is(parseDatagram(datagramOf(text)), undefined);
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -72,6 +72,15 @@
     limitWindowMs: 10_000,
   });
   const receivedSpent: number[] = [];
+  const receivedPaces: string[] = [];
+  const told: Record<BackendServerId, number> = {};
+  const paces = {
+    pending: () => told,
+    recordPeer: (
+      id: BackendServerId,
+      { vm: peer, percent }: { readonly vm: VmId; readonly percent: number },
+    ) => void receivedPaces.push(`${peer} ${id} ${percent}`),
+  };
   let spent = 0;
   const gossip = new FleetGossip({
     vm,
@@ -98,6 +107,7 @@
     answerAgesMs: () => ({}),
     forwarding: () => ({ reaches: [], open: 0 }),
     logDecision() {},
+    paces,
     readAgesMs: () => ({}),
   });
   return {
@@ -105,6 +115,8 @@
     named,
     fleet,
     receivedSpent,
+    receivedPaces,
+    told,
     gossip,
     spend(units: number) {
       spent += units;
@@ -182,6 +194,17 @@
   t.deepEqual(two.receivedSpent, [300]);
 });
 
+test("a daemon tells its peers of paces, and only where it has any to tell", (t) => {
+  const one = createDaemon("one");
+  const two = createDaemon("second");
+  const silent = one.gossip.composeMessage();
+  t.false("paces" in silent);
+  t.true(two.gossip.receive(silent));
+  one.told[ENGINE] = 160;
+  t.true(two.gossip.receive(one.gossip.composeMessage()));
+  t.deepEqual(two.receivedPaces, [`one ${ENGINE} 160`]);
+});
+
 // Otherwise the bound on the use of replaced weights ends as much later as relays
 // hold messages, in daemons that have missed the name.
 test("the age of named weights includes the time that a relayed message took", (t) => {
--- a/packages/platform/src/server_client_test.ts
+++ b/packages/platform/src/server_client_test.ts
@@ -359,3 +359,24 @@
   t.is(requests.length, 1);
   server.close();
 });
+
+for (
+  const [header, expected] of Object.entries({
+    "3,1,24": { running: 3, waiting: 1, slots: 24 },
+    "3,1,24,250": { running: 3, waiting: 1, slots: 24, slowdownPercent: 250 },
+    "3,1,24,": { running: 3, waiting: 1, slots: 24 },
+    "3,1,24,-1": { running: 3, waiting: 1, slots: 24 },
+    "3,1,24,fast": { running: 3, waiting: 1, slots: 24 },
+    "3,1": undefined,
+  })
+) {
+  // A figure that can't be read must not cost the three that can.
+  test(`the load ${header} of an answer is read`, async (t) => {
+    const { head } = await runAttemptAgainst((socket) => {
+      socket.end(
+        `${RESPONSE_HEAD}Server-Load: ${header}\r\nContent-Length: 0\r\n\r\n`,
+      );
+    });
+    t.deepEqual(head?.load, expected);
+  });
+}
--- a/packages/request-path/src/server_pace.ts
+++ b/packages/request-path/src/server_pace.ts
@@ -263,7 +263,7 @@
     const call = sample.callAt(nowMs, { slots: server.listed.slots });
     if (call === undefined) return;
     service.noteFigure(server.load?.slowdownPercent);
-    const figure = (server.load?.slowdownPercent ?? 100) / 100;
+    const figure = service.slowdownOf(server, nowMs);
     const usualMs = service.noteCall(call.route, call.durationMs / figure);
     if (state.start !== undefined) {
       const isSlow = call.durationMs > 2 * sample.pace.callMs(call.route);
--- a/packages/request-path/src/service_pace.ts
+++ b/packages/request-path/src/service_pace.ts
@@ -40,6 +40,10 @@
 /** Variance between servers, to what the noise of observations explains. */
 const CLEAR_VARIANCE_RATIO = 4;
 
+/** A figure beyond these says nothing of a server that answers. */
+const MIN_SLOWDOWN = 0.2;
+const MAX_SLOWDOWN = 10;
+
 /** The pace of a service's servers in general. */
 export class ServicePace {
   /** When the first of its servers was seen. */
@@ -73,17 +77,18 @@
 
   /** The newest figure, relaxed to the mean with its age; 1 is usual. */
   slowdownOf({ load, loadAtMs }: KnownServer, nowMs: number): number {
-    const percent = load?.slowdownPercent;
-    if (percent === undefined) return this.#meanSlowdown;
+    if (load?.slowdownPercent === undefined) return this.#meanSlowdown;
     const ageMs = Math.max(0, nowMs - loadAtMs);
     const rest = Math.exp(-ageMs / SLOWDOWN_TAU_MS);
-    return this.#meanSlowdown + (percent / 100 - this.#meanSlowdown) * rest;
+    const stated = boundedSlowdown(load.slowdownPercent);
+    return this.#meanSlowdown + (stated - this.#meanSlowdown) * rest;
   }
 
   noteFigure(percent: number | undefined): void {
     if (percent === undefined) return;
     this.#statesFigure = true;
-    this.#meanSlowdown += (percent / 100 - this.#meanSlowdown) * FIGURE_WEIGHT;
+    const change = boundedSlowdown(percent) - this.#meanSlowdown;
+    this.#meanSlowdown += change * FIGURE_WEIGHT;
   }
 
   noteAnswer(durationMs: number): void {
@@ -157,3 +162,7 @@
       variance >= CLEAR_VARIANCE_RATIO * explained;
   }
 }
+
+function boundedSlowdown(percent: number): number {
+  return Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, percent / 100));
+}
