--- a/packages/request-path/src/server_pace.ts
+++ b/packages/request-path/src/server_pace.ts
@@ -370,8 +370,7 @@
       listed.add(id);
       const state = this.#states.get(id);
       if (state === undefined) continue;
-      dropOldPeers(state, nowMs);
-      this.#combine(state, nowMs);
+      if (dropOldPeers(state, nowMs)) this.#combine(state, nowMs);
       const known = estimates.get(service) ?? [];
       estimates.set(service, known);
       known.push(state.combined);
@@ -401,10 +400,13 @@
   };
 }
 
-function dropOldPeers({ peers }: ServerState, nowMs: number): void {
+/** Returns whether there were any. */
+function dropOldPeers({ peers }: ServerState, nowMs: number): boolean {
+  const { size } = peers;
   for (const [vm, { atMs }] of peers) {
     if (nowMs - atMs >= PEER_TTL_MS) peers.delete(vm);
   }
+  return peers.size < size;
 }
 
 /** What to tell of a server now; undefined when peers know it. */
