Admit prompts by the slots of their engines while slots are scarce

Cause: in a burst, engines get as many waiting requests as running ones, so every answer begins late, less urgent prompts hold the slots, engines that load weights look idle and reject what they get, and daemons flood an engine that has just become idle before they hear of each other.

Change: while half of a service's slots are taken, a daemon sends a request only to engines with slots left for its rank, takes its own part of the free slots, and leaves out engines that load weights or have just rejected a request. On for services whose most urgent stream route has a shorter target than another one.

--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -15,6 +15,8 @@
 import { RequestRun } from "./request_run.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import type { Configuration, RoutedRequest, TeamRules } from "./types.ts";
+import { SlotAdmission } from "./slot_admission.ts";
+import { rankOf } from "./slot_rules.ts";
 import { WeightsProbes } from "./weights_probes.ts";
 
 /** Limits from the deployment's settings. */
@@ -35,6 +37,8 @@
     | "maxOwnConnections"
     | "tokensPerEvent"
     | "cacheStores"
+    | "slots"
+    | "slotRank"
   >;
   readonly bounds: AdmissionBounds;
   /** Number of daemons in the fleet, including this one. */
@@ -85,6 +89,12 @@
       tokensPerEvent: (service) =>
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
+      slots: new SlotAdmission({
+        fleetSize: options.fleetSize,
+        random: Math.random,
+      }),
+      slotRank: ({ service, route: { urgency } }) =>
+        this.#view && rankOf(this.#view.slotRules, { service, urgency }),
       weightsProbes: new WeightsProbes(options.fleetSize),
       tryRetry: (request, cause) => this.#tryRetry(request, cause),
       settleRetry: ({ service }) =>
--- a/packages/request-path/src/attempt_sender.ts
+++ b/packages/request-path/src/attempt_sender.ts
@@ -92,6 +92,7 @@
     server.ownWork.set(request.requestId, {
       prefillTokens: cache.tokensToRead,
     });
+    this.#state.context.slots?.noteSent(server.listed.id, nowMs);
     registry.recordPlacement(server.listed.id, cache.parts, nowMs);
     registry.recentPlacements.add(server.listed.id, cache.parts, nowMs);
     if (cache.saveTo !== undefined) {
--- a/packages/request-path/src/configuration.ts
+++ b/packages/request-path/src/configuration.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ServiceName } from "@endivebend/types";
+import { findSlotRules, type SlotRules } from "./slot_rules.ts";
 import type { Configuration, Route, ServiceRules } from "./types.ts";
 
 /** A configuration with indexes for lookups. */
@@ -12,6 +13,7 @@
   readonly configuration: Configuration;
   /** The longest timeout of each service's streams that may be taken up. */
   readonly resumableTimeoutsMs: ReadonlyMap<ServiceName, number>;
+  readonly slotRules: SlotRules;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #services = new Map<ServiceName, ServiceRules>();
 
@@ -28,6 +30,7 @@
     for (const service of configuration.services) {
       this.#services.set(service.name, service);
     }
+    this.slotRules = findSlotRules(configuration);
     this.resumableTimeoutsMs = findResumableTimeouts(configuration.routes);
   }
 
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -31,7 +31,9 @@
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
-import { needsPools } from "./prompt_pools.ts";
+import { needsPools, poolOf } from "./prompt_pools.ts";
+import type { SlotAdmission } from "./slot_admission.ts";
+import type { SlotRank } from "./slot_rules.ts";
 import { shedRetryMs } from "./load_shedding.ts";
 import {
   type CacheScope,
@@ -56,6 +58,10 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** Divides scarce slots; without it, a full engine's queue is the bound. */
+  readonly slots?: Pick<SlotAdmission, "select" | "noteSent" | "noteRejected">;
+  /** Undefined where the service's slots are not divided. */
+  readonly slotRank?: (request: RoutedRequest) => SlotRank | undefined;
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -107,6 +113,10 @@
 /** Requests per slot of a full engine: as many waiting as running. */
 const MAX_LOAD_FACTOR = 2;
 
+/** Callers refused for want of a slot come back after this part of the target. */
+const SLOT_RETRY_SHARE = 0.4;
+const MIN_SLOT_RETRY_MS = 100;
+
 /** Callers' ids may have thousands of characters. */
 const MAX_SCOPE_ID_LENGTH = 64;
 
@@ -165,9 +175,14 @@
     hasCapacity(server, work, maxOwnConnections)
   );
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
-  const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
+  const admitted = admitToSlots(request, withRoom, context);
+  if (admitted.length === 0) {
+    const retryInMs = slotRetryMs(request);
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  const asking = admitted.filter(({ server }) => nowMs >= server.quietUntilMs);
   if (asking.length === 0) {
-    const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
+    const untilMs = admitted.map(({ server }) => server.quietUntilMs);
     const retryInMs = Math.min(...untilMs) - nowMs;
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
@@ -419,6 +434,28 @@
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
+/**
+ * The servers at which scarce slots are left to the request. What has begun, or
+ * goes on, is never refused for want of a slot.
+ */
+function admitToSlots(
+  request: RoutedRequest,
+  views: readonly ServerView[],
+  { slots, slotRank, hasBegun, nowMs }: AttemptContext,
+): readonly ServerView[] {
+  const rank = slotRank?.(request);
+  const isNew = !hasBegun && request.resumeAfter === undefined;
+  if (slots === undefined || rank === undefined || !isNew) return views;
+  const isShort = poolOf(request.work?.promptTokens ?? 0) === "short";
+  const urgency = urgencyOf(request);
+  return slots.select({ rank, urgency, isShort }, views, nowMs);
+}
+
+/** Slots become free all the time; a caller can still be in time by then. */
+function slotRetryMs({ route }: RoutedRequest): number {
+  return Math.max(MIN_SLOT_RETRY_MS, route.targetMs * SLOT_RETRY_SHARE);
+}
+
 /** The segments that other requests may share: all but the last. */
 function sharedSegments(request: RoutedRequest): readonly PromptSegment[] {
   return request.work?.prompt.slice(0, -1) ?? [];
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -225,6 +225,7 @@
     }
     this.#evidence.recordNewerWeights(attempt, head);
     if (head.isNotRun) {
+      this.#state.context.slots?.noteRejected(attempt.server.listed.id, nowMs);
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
     }
     const isSuccess = head.status >= 200 && head.status < 300;
