--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -51,6 +51,8 @@
    * daemon may send one to each, to 1; 0 for a server without a limit.
    */
   readonly scarcity: number;
+  /** Cost of its failure domain in the balance between domains. */
+  readonly balanceMs?: number;
 }
 
 /** The chosen server with its score, for the log. */
@@ -60,6 +62,8 @@
   /** Time that the prompts queued at the server take. */
   readonly waitMs: number;
   readonly cachedTokens: number;
+  /** Part of the score for its failure domain; absent where there is none. */
+  readonly balanceMs?: number;
   readonly candidateCount: number;
 }
 
@@ -136,9 +140,11 @@
     const limitedMs = ownPool === "short"
       ? candidate.scarcity * SCARCITY_COST_MS
       : 0;
+    const balanceMs = candidate.balanceMs ?? 0;
     const scoreMs = request.promptTokens === undefined
-      ? plainScoreMs(request, candidate)
-      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs + limitedMs;
+      ? plainScoreMs(request, candidate) + balanceMs
+      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs +
+        limitedMs + balanceMs;
     const weight = rendezvousWeight(request.affinityKey, candidate.id);
     const isBetter = best === undefined || scoreMs < best.scoreMs ||
       (scoreMs === best.scoreMs && weight > bestWeight);
@@ -149,6 +155,7 @@
       scoreMs,
       waitMs: candidate.prefillTokens / PREFILL_TOKENS_PER_MS,
       cachedTokens,
+      ...(balanceMs > 0 ? { balanceMs } : {}),
       candidateCount: candidates.length,
     };
   }
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -56,6 +56,10 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** Cost of sending requests to another domain; none without it. */
+  readonly balance?:
+    | { costMs(server: KnownServer, nowMs: number): number }
+    | undefined;
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -479,7 +483,7 @@
 
 function candidateOf(
   { server, kept, work, staleForMs }: ServerView,
-  { registry, allowances, nowMs }: AttemptContext,
+  { registry, allowances, balance, nowMs }: AttemptContext,
 ): Candidate {
   return {
     id: server.listed.id,
@@ -500,5 +504,6 @@
     scarcity: nowMs - server.limitAsOfMs < LIMIT_RECHECK_MS
       ? allowances.scarcity(server, nowMs)
       : 0,
+    balanceMs: balance?.costMs(server, nowMs) ?? 0,
   };
 }
