Balance the requests of a daemon between the failure domains

The daemon derives the sums of each domain from the work that gossip tells and gives placement the cost of other domains.

--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -32,6 +32,7 @@
   type ServiceName,
   type VmId,
 } from "@endivebend/types";
+import { createDomainBalance } from "./daemon_balance.ts";
 import { DaemonDrain } from "./daemon_drain.ts";
 import { createGossip, createGossipChannel } from "./daemon_gossip.ts";
 import { createServerPaths } from "./daemon_paths.ts";
@@ -199,6 +200,7 @@
           daemons: (service) => this.#sharersOf(service),
         }),
         failureDomain,
+        balance: createDomainBalance(this),
         namedWeights: (model) => this.namedWeights.history(model),
         weightsBoundMs,
         clock,
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -102,7 +102,7 @@
       reachesStore: this.#options.reachesStore(),
       duty: this.#options.rolloutLease(),
       spent: admission.spent(),
-      work: this.#ownWork(),
+      work: this.ownWork(),
       weights: this.#currentWeightsProgress(nowMs),
       named: named.ages(nowMs),
       suspects: registry.suspects(nowMs),
@@ -173,7 +173,8 @@
     });
   }
 
-  #ownWork(): Record<BackendServerId, [number, number]> {
+  /** What this daemon has at each server. */
+  ownWork(): Record<BackendServerId, [number, number]> {
     const work: Record<BackendServerId, [number, number]> = {};
     for (const { listed, ownWork: own } of this.#options.registry.all()) {
       if (own.size === 0) continue;
--- a/packages/request-path/src/attempt_sender.ts
+++ b/packages/request-path/src/attempt_sender.ts
@@ -66,6 +66,7 @@
       weights: cache.weights,
       replacedMs: this.#state.weights.replacedMs(cache.weights, nowMs),
       fetchFrom: cache.fetchFrom,
+      balanceMs: choice.balanceMs && Math.round(choice.balanceMs),
       candidates: choice.candidateCount,
       isProbe: isProbe || undefined,
       limitPerS: server.limit?.perS,
@@ -107,6 +108,9 @@
     this.#state.context.allowances.take(server, nowMs);
     if (server.limit !== undefined) metrics.count("limited_attempts");
     if (forwarder !== undefined) metrics.count("forwarded_attempts");
+    const { failureDomain } = this.#state.context;
+    const isOwnDomain = server.listed.failureDomain === failureDomain;
+    if (!isOwnDomain) metrics.count("other_domain_attempts");
     // An idle connection may be dead. A request sent on it would get no answer
     // and could not be retried; a new connection fails before anything is sent.
     const needsNewConnection = forwarder === undefined &&
--- a/packages/request-path/src/domain_balance_test.ts
+++ b/packages/request-path/src/domain_balance_test.ts
@@ -59,11 +59,22 @@
   { domains: 2, crossed: 0.75, late: 1, turns: 4 },
   { domains: 3, crossed: 0.5, late: 0.6, turns: 12 },
   { domains: 4, crossed: 0.5, late: 0.6, turns: 24 },
-] as const;
+  // Larger fleets hear of each other's work through relays after 800 ms, and
+  // daemons that place by it move together.
+  {
+    domains: 3,
+    gossipMs: 800,
+    utilization: 0.6,
+    crossed: 0.5,
+    late: 0.6,
+    turns: 14,
+  },
+];
 
-for (const { domains, crossed, late, turns } of SWINGS) {
-  test(`demand that swings between ${domains} domains crosses less and is answered sooner`, (t) => {
-    const load = { domains, utilization: 0.75, swing: 0.55 };
+for (const { crossed, late, turns, ...fields } of SWINGS) {
+  const { domains, gossipMs = 200 } = fields;
+  test(`demand that swings between ${domains} domains crosses less and is answered sooner, gossip every ${gossipMs} ms`, (t) => {
+    const load = { utilization: 0.75, swing: 0.55, ...fields };
     const worst = { off: "", on: "", late: -1 };
     for (const seed of SEEDS) {
       const off = replayDomains({ ...load, seed, hasBalance: false });
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -17,6 +17,13 @@
 export type { RequestContext } from "./request_context.ts";
 export { chooseServer } from "./choose_server.ts";
 export type { Candidate, Choice, ChoiceRequest } from "./choose_server.ts";
+export { DomainBalance } from "./domain_balance.ts";
+export type {
+  BalanceState,
+  DomainBalanceOptions,
+  DomainSums,
+  SenderWork,
+} from "./domain_balance.ts";
 export { ConfigurationView, pickDestination } from "./configuration.ts";
 export { beginByMs, BEGINS_TOO_LATE } from "./begin_bound.ts";
 export { CachedSegments, segmentKey } from "./cached_segments.ts";
--- a/packages/request-path/src/testing_domain_load.ts
+++ b/packages/request-path/src/testing_domain_load.ts
@@ -25,6 +25,8 @@
   readonly hasBalance: boolean;
   /** Mean demand as a share of what all engines read. */
   readonly utilization: number;
+  /** Milliseconds between two messages of a daemon. */
+  readonly gossipMs?: number;
   /** How far the demand of a domain swings around its mean, 0 to 1. */
   readonly swing: number;
   /** A domain that is cut off from the others, and when. */
@@ -58,7 +60,7 @@
 const SPEEDS = [0.6, 1, 1.6, 1, 1];
 const TOKENS_PER_MS = 52.4;
 const SLOTS = 24;
-const GOSSIP_MS = 200;
+const DEFAULT_GOSSIP_MS = 200;
 const HOP_MS = 0.9;
 const FETCH_MS = 10;
 const DECODE_MS = 230;
@@ -122,6 +124,7 @@
  */
 export function replayDomains(load: DomainLoad): DomainOutcome {
   const random = randomOf(load.seed);
+  const gossipMs = load.gossipMs ?? DEFAULT_GOSSIP_MS;
   const registry = new ServerRegistry();
   const engines = createEngines(registry, load.domains);
   const daemons: Daemon[] = [];
@@ -148,7 +151,7 @@
             .filter((other) => isCut(domain, other, nowMs - SILENCE_MS))
             .map(domainName),
         ),
-      gossipRoundMs: () => GOSSIP_MS,
+      gossipRoundMs: () => gossipMs,
       tokensPerMs: ({ listed }) =>
         engines.find(({ server }) => server.listed.id === listed.id)!.rate,
       changed: (_service, { surplusLevel }) => {
@@ -169,7 +172,7 @@
           : undefined,
         own: new Map(),
         told: {},
-        phaseMs: Math.floor(random() * GOSSIP_MS),
+        phaseMs: Math.floor(random() * gossipMs),
       };
       daemons.push(daemon);
     }
@@ -186,7 +189,7 @@
   for (let nowMs = 0; nowMs < DURATION_MS; nowMs++) {
     endRequests(running, nowMs);
     for (const daemon of daemons) {
-      if (nowMs % GOSSIP_MS !== daemon.phaseMs) continue;
+      if (nowMs % gossipMs !== daemon.phaseMs) continue;
       daemon.told = Object.fromEntries(
         [...daemon.own].map(([id, [count, tokens]]) => [id, [count, tokens]]),
       );
