Explain where a request would go now, without sending it

Log lines of single requests don't show which servers were left out and what the others would have cost. placeRequest tells a trace of its steps; explainRoute runs it for a query of host, path, team and prompt, POST /explain-route on the metrics port answers it with bounds on size, pieces, rate and connections, and endivebend explain-route asks. It takes no key and tells none.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -11,6 +11,7 @@
   KeyListCommand,
   KeyWithdrawCommand,
 } from "./commands/keys.ts";
+import { ExplainRouteCommand } from "./commands/explain_route.ts";
 import { ExplainCommand, StatusCommand } from "./commands/reports.ts";
 import { ServeCommand } from "./commands/serve.ts";
 import {
@@ -60,6 +61,7 @@
   EngineOrderCommand,
   StatusCommand,
   ExplainCommand,
+  ExplainRouteCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInCacheStoreCommand,
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -82,7 +82,7 @@
   t.is(overview.exitCode, EXIT_CODES.ok);
   const paths = [...overview.stdout.matchAll(/^ {2}endivebend (.+?) {2}/gm)]
     .map(([, path]) => path!.split(" "));
-  t.is(paths.length, 24);
+  t.is(paths.length, 25);
   const groups = new Set(
     paths.filter(({ length }) => length > 1)
       .map(([group]) => group!),
@@ -270,3 +270,87 @@
   const list = await run(["engine", "list"], listing.env);
   t.regex(list.stdout, /engine-1 .* load_model chime-llm v2/);
 });
+
+const EXPLANATION = {
+  kind: "routed",
+  route: "draft",
+  team: "st-mary",
+  urgency: 1,
+  cost: 940,
+  overLimitMs: 250,
+  isQuarantined: false,
+  services: [{
+    service: "llm",
+    share: 1,
+    outcome: { kind: "refused", reason: "overloaded", retryInMs: 400 },
+    candidates: [{
+      server: "e-1",
+      failureDomain: "a",
+      costMs: 120,
+      running: 3,
+      slots: 8,
+      prefillTokens: 4_000,
+      cachedTokens: 800,
+    }],
+    candidateCount: 3,
+    excluded: [{ server: "e-2", failureDomain: "b", by: "room" }],
+    excludedCount: 1,
+  }],
+};
+const ROUTE = ["explain-route", "bells.example", "/draft"];
+
+// Guards against a question that lacks an option, or that carries a key.
+test("explain-route asks for the request, without a key, and prints what was weighed", async (t) => {
+  const { calls, env, close } = await startDaemon(reply(200, EXPLANATION));
+  t.teardown(close);
+  const options = [
+    ...ROUTE,
+    "--status-address",
+    env.ENDIVEBEND_OPERATOR_ADDRESS,
+  ]
+    .concat(["--team", "st-mary", "--model", "peal-1"])
+    .concat(["--prompt", "5c:800,91:100", "--output-tokens", "40"]);
+  const { exitCode, stdout } = await run(options, env);
+  t.is(exitCode, EXIT_CODES.ok);
+  t.deepEqual(calls, [{
+    path: "/explain-route",
+    key: undefined,
+    body: {
+      host: "bells.example",
+      path: "/draft",
+      team: "st-mary",
+      model: "peal-1",
+      prompt: "5c:800,91:100",
+      outputTokens: 40,
+    },
+  }]);
+  t.regex(stdout, /refused: overloaded, again in 400 ms/);
+  t.regex(stdout, /over its limit for another 250 ms/);
+  t.regex(stdout, /e-1 +a +120 +3\/8 +4000 +800/);
+  t.regex(stdout, /and 2 more that cost more/);
+  t.regex(stdout, /e-2 in b has no room/);
+  const json = await run([...options, "--json"], env);
+  t.deepEqual(JSON.parse(json.stdout), EXPLANATION);
+});
+
+// Guards against the metrics of an earlier build that are taken for an answer.
+test("explain-route fails with a remedy where no daemon explains", async (t) => {
+  const metrics = await startDaemon((response) => response.end("calls 1\n"));
+  t.teardown(metrics.close);
+  const limited = await startDaemon(reply(429, { error: "Too many" }));
+  t.teardown(limited.close);
+  const at = (address: string) => [...ROUTE, "--status-address", address];
+  const cases = [
+    [at(metrics.env.ENDIVEBEND_OPERATOR_ADDRESS), EXIT_CODES.refused],
+    [at(limited.env.ENDIVEBEND_OPERATOR_ADDRESS), EXIT_CODES.refused],
+    [at("127.0.0.1:1"), EXIT_CODES.unreachable],
+    [at("nowhere"), EXIT_CODES.wrongUsage],
+    [[...at("127.0.0.1:1"), "--prompt-tokens", "x"], EXIT_CODES.wrongUsage],
+    [ROUTE, EXIT_CODES.wrongUsage],
+  ] as const;
+  for (const [input, expected] of cases) {
+    const { exitCode, stderr } = await run(input);
+    t.is(exitCode, expected, input.join(" "));
+    t.regex(stderr, /Remedy: /, input.join(" "));
+  }
+});
--- a/packages/cli/src/parameter_values.ts
+++ b/packages/cli/src/parameter_values.ts
@@ -1,5 +1,5 @@
 /**
- * `NAME=VALUE` pairs of the command line.
+ * `NAME=VALUE` pairs and numbers of the command line.
  *
  * @module
  */
@@ -32,3 +32,23 @@
   });
   return Object.fromEntries(entries);
 }
+
+/**
+ * Reads an option that is a whole number of 0 or more.
+ *
+ * @example
+ * ```ts
+ * readCount("--prompt-tokens", "800"); // 800
+ * ```
+ */
+export function readCount(
+  option: string,
+  text: string | undefined,
+): number | undefined {
+  if (text === undefined) return undefined;
+  if (/^\d{1,9}$/.test(text)) return Number(text);
+  throw failUsage(
+    `The value of ${option} is "${text}"`,
+    "Write it as a whole number",
+  );
+}
--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -156,7 +156,10 @@
       whenCurrent: () => this.pauseGuard.whenCurrent(),
     });
     this.forwardListener = this.#listenForPeers();
-    this.statusServer = ports.serveStatus(() => this.#isReady());
+    this.statusServer = ports.serveStatus({
+      isReady: () => this.#isReady(),
+      explain: (query) => this.admission.explain(query),
+    });
   }
 
   nowMs(): number {
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -24,6 +24,8 @@
   Configuration,
   ForwardedRuns,
   ListedServer,
+  RouteExplanation,
+  RouteQuery,
   ServerClient,
   WeightsVersion,
 } from "@endivebend/request-path";
@@ -146,7 +148,18 @@
   close(): void;
 }
 
-/** Reports to the load balancer whether the daemon accepts callers. */
+/** What the status server tells of the daemon. */
+export interface StatusSources {
+  /** Whether callers may be sent to this daemon. */
+  isReady(): boolean;
+  /** Where a request would go now and why. */
+  explain(query: RouteQuery): RouteExplanation;
+}
+
+/**
+ * Reports to the load balancer whether the daemon accepts callers, and to
+ * operators where requests go.
+ */
 export interface StatusServer {
   close(): void;
 }
@@ -172,5 +185,5 @@
   ): Pick<RecordExchange, "pull" | "close">;
   listen(context: ListenerContext): CallerListener;
   listenForPeers(context: ForwardListenerContext): ForwardListener;
-  serveStatus(isReady: () => boolean): StatusServer;
+  serveStatus(sources: StatusSources): StatusServer;
 }
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -62,6 +62,12 @@
         memory,
       }),
     listenForPeers: (context) => serveForwarding({ ...context, clock, memory }),
-    serveStatus: (isReady) => serveStatus(settings, { isReady, metrics }),
+    serveStatus: (sources) =>
+      serveStatus(settings, {
+        ...sources,
+        metrics,
+        nowMs: () => steadyMs(clock),
+        failed: (reason) => log.decision("explain_failed", { reason }),
+      }),
   });
 }
--- a/packages/platform/src/daemon_test.ts
+++ b/packages/platform/src/daemon_test.ts
@@ -109,6 +109,49 @@
   engine.close();
 });
 
+// Guards against an explanation that reaches a server, or that names a key.
+test("the daemon explains where a request would go, and sends nothing", async (t) => {
+  const store = await startStore();
+  const requestTexts: string[] = [];
+  const engine = await startRawServer((_socket, text) => {
+    requestTexts.push(text);
+  });
+  const settings = await settingsFor(store);
+  const daemon = createDaemon(settings);
+  daemon.start();
+  store.put("keyed.op", "config", CONFIGURATION);
+  putServer(store, engine.address);
+  await waitReady(settings);
+  const ask = async (path: string) => {
+    const { host, port } = settings.metrics;
+    const answer = await fetch(`http://${host}:${port}/explain-route`, {
+      method: "POST",
+      body: JSON.stringify({ host: "bells.example", path, team: "st-mary" }),
+    });
+    return { status: answer.status, text: await answer.text() };
+  };
+
+  const { status, text } = await ask("/book/1");
+  t.is(status, 200);
+  const explanation = JSON.parse(text);
+  t.is(explanation.team, "st-mary");
+  t.like(explanation.services[0], {
+    share: 1,
+    outcome: { kind: "placed", server: "i-1" },
+    candidateCount: 1,
+  });
+  t.false(text.includes("good"), "the team's key is not told");
+  t.deepEqual(JSON.parse((await ask("/elsewhere/")).text), {
+    kind: "denied",
+    reason: "unknown_route",
+  });
+  t.deepEqual(requestTexts, []);
+
+  await new Promise<void>((resolve) => daemon.stop(resolve));
+  store.close();
+  engine.close();
+});
+
 test("the connection of a stream that ends while draining is closed", async (t) => {
   const store = await startStore();
   const engine = await startRawServer((socket: Socket) => {
--- a/packages/platform/src/wire_names.ts
+++ b/packages/platform/src/wire_names.ts
@@ -84,6 +84,8 @@
   report: "/api/report",
   order: "/api/order",
   cacheEvents: "/api/kv-events",
+  /** The router's own, for operators. */
+  explainRoute: "/explain-route",
 } as const;
 
 /**
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -10,6 +10,11 @@
 import type { ServiceName, TeamId } from "@endivebend/types";
 import { type Admission, admit, type RequestHead } from "./admit.ts";
 import { ConfigurationView } from "./configuration.ts";
+import {
+  explainRoute,
+  type RouteExplanation,
+  type RouteQuery,
+} from "./explain_route.ts";
 import type { CallerSink } from "./ports.ts";
 import type { RepeatCause, RequestContext } from "./request_context.ts";
 import { RequestRun } from "./request_run.ts";
@@ -148,6 +153,18 @@
     return { kind: "running", run };
   }
 
+  /** Tells where a request would go now and why, and does nothing with it. */
+  explain(query: RouteQuery): RouteExplanation {
+    const nowMs = this.#nowMs();
+    const context = {
+      ...this.#context,
+      view: this.#view,
+      overLimitMs: ({ id }: TeamRules, cost: number) =>
+        this.#buckets.get(id)?.waitMs(cost, nowMs) ?? 0,
+    };
+    return explainRoute(query, { context, nowMs });
+  }
+
   /** Ends all requests with their last answers, as the daemon ends. */
   stopRuns(): void {
     for (const run of [...this.#runs]) run.stop();
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -67,6 +67,9 @@
   readonly candidateCount: number;
 }
 
+/** Told of the expected cost of each candidate. */
+export type ScoreListener = (candidate: Candidate, scoreMs: number) => void;
+
 /** Prompt tokens an engine prefills per ms, from the users' data sheets. */
 export const PREFILL_TOKENS_PER_MS = 38.4;
 /** Weight of engine time taken from others, as in the product's routing. */
@@ -112,6 +115,7 @@
 export function chooseServer(
   request: ChoiceRequest,
   candidates: readonly Candidate[],
+  { scored }: { readonly scored?: ScoreListener | undefined } = {},
 ): Choice | undefined {
   const pools = request.usesPools
     ? assignPools(candidates.map(({ id }) => id))
@@ -145,6 +149,7 @@
       ? plainScoreMs(request, candidate) + balanceMs
       : modelScoreMs(request, { candidate, cachedTokens }) + poolMs +
         limitedMs + balanceMs;
+    scored?.(candidate, scoreMs);
     const weight = rendezvousWeight(request.affinityKey, candidate.id);
     const isBetter = best === undefined || scoreMs < best.scoreMs ||
       (scoreMs === best.scoreMs && weight > bestWeight);
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -17,6 +17,14 @@
 export type { RequestContext } from "./request_context.ts";
 export { chooseServer } from "./choose_server.ts";
 export type { Candidate, Choice, ChoiceRequest } from "./choose_server.ts";
+export { explainRoute } from "./explain_route.ts";
+export type {
+  ExplainContext,
+  ExplainedCandidate,
+  ExplainedService,
+  RouteExplanation,
+  RouteQuery,
+} from "./explain_route.ts";
 export { DomainBalance } from "./domain_balance.ts";
 export type {
   BalanceState,
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -16,6 +16,7 @@
   type Choice,
   chooseServer,
   PREFILL_TOKENS_PER_MS,
+  type ScoreListener,
 } from "./choose_server.ts";
 import {
   type CachedTokens,
@@ -119,6 +120,22 @@
 /** Another daemon may have a server for the caller by then. */
 const MAX_LIMITED_RETRY_MS = 2_000;
 
+/** What leaves servers out of a placement, in the order of the steps. */
+export type PlacementStep =
+  | "listed"
+  | "version"
+  | "weights"
+  | "room"
+  | "quiet"
+  | "limit";
+
+/** Told of the steps of a placement, to explain it. */
+export interface PlacementTrace {
+  /** The servers that a step has left. */
+  left(step: PlacementStep, servers: readonly KnownServer[]): void;
+  readonly scored: ScoreListener;
+}
+
 type AttemptContext = PlacementContext & {
   readonly exclude: ReadonlySet<BackendServerId>;
   /** Whether part of the answer has reached the caller. */
@@ -129,6 +146,7 @@
    * no server may go on with it.
    */
   readonly softwareVersion?: SoftwareVersion | undefined;
+  readonly trace?: PlacementTrace | undefined;
   readonly nowMs: number;
 };
 
@@ -156,42 +174,54 @@
   request: RoutedRequest,
   context: AttemptContext,
 ): Placement {
-  const { registry, exclude, nowMs } = context;
-  const views = registry.usable(request.service, nowMs)
-    .filter(({ listed }) => !exclude.has(listed.id))
+  const { registry, exclude, nowMs, trace } = context;
+  const usable = registry.usable(request.service, nowMs);
+  trace?.left("listed", usable);
+  const views = usable.filter(({ listed }) => !exclude.has(listed.id))
     .filter((server) => isOfVersion(server, context))
     .map((server) => describeServer(request, { server, context }));
+  traceLeft("version", views, trace);
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
+  traceLeft("weights", current, trace);
   if (current.length === 0) return { kind: "refused", reason: "stale_weights" };
   const maxOwnConnections = context.maxOwnConnections(request.service);
   const withRoom = current.filter(({ server, work }) =>
     hasCapacity(server, work, maxOwnConnections)
   );
+  traceLeft("room", withRoom, trace);
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
   const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
+  traceLeft("quiet", asking, trace);
   if (asking.length === 0) {
     const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
     const retryInMs = Math.min(...untilMs) - nowMs;
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
   const available = excludeLimited(asking, context);
+  traceLeft("limit", available, trace);
   if (available.length === 0) {
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
   const sharedTokens = sumTokens(sharedSegments(request));
-  const choice = chooseServer({
-    promptTokens: request.work?.promptTokens,
-    sharedTokens,
-    fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
-    affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
-    failureDomain: context.failureDomain,
-    usesPools: needsPools({
-      tokensPerEvent: context.tokensPerEvent(request.service),
-      maxGapMs: request.route.maxGapMs,
-    }),
-  }, available.map((view) => candidateOf(view, context)));
+  const choice = chooseServer(
+    {
+      promptTokens: request.work?.promptTokens,
+      sharedTokens,
+      fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
+      affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
+      failureDomain: context.failureDomain,
+      usesPools: needsPools({
+        tokensPerEvent: context.tokensPerEvent(request.service),
+        maxGapMs: request.route.maxGapMs,
+      }),
+    },
+    available.map((view) => candidateOf(view, context)),
+    {
+      scored: trace?.scored,
+    },
+  );
   const view = available.find(({ server }) => server.listed.id === choice?.id);
   if (choice === undefined || view === undefined) {
     return { kind: "refused", reason: "no_server" };
@@ -266,6 +296,14 @@
   };
 }
 
+function traceLeft(
+  step: PlacementStep,
+  views: readonly ServerView[],
+  trace: PlacementTrace | undefined,
+): void {
+  trace?.left(step, views.map(({ server }) => server));
+}
+
 function isOfVersion(
   server: KnownServer,
   { hasBegun, softwareVersion }: AttemptContext,
