Leave plain calls and small sums out of the balance between domains

A plain server with 6 slots reaches the load at which domains are told apart with a few calls, and 80 ms are as much as some calls wait. Plain calls already prefer their domain.

--- a/packages/request-path/src/domain_balance.ts
+++ b/packages/request-path/src/domain_balance.ts
@@ -75,6 +75,8 @@
 /** Below this share of a domain's capacity, costs as of today suffice. */
 const START_LOAD = 0.5;
 const END_LOAD = 0.3;
+/** Sums of fewer requests differ by chance. */
+const MIN_RUNNING = 8;
 /** Shorter differences are chance, and over before daemons agree on them. */
 const START_AFTER_MS = 2_000;
 /** Share of a domain's capacity from which its demand is a surplus. */
@@ -150,9 +152,11 @@
   const loads = heard.map((sums) => loadOf(sums.demand, sums));
   const highest = Math.max(...loads);
   const lowest = Math.min(...loads);
+  const most = Math.max(...heard.map(({ demand }) => demand.running));
   return before.isOn
     ? highest >= END_LOAD && highest >= END_FACTOR * lowest
-    : highest >= START_LOAD && highest >= START_FACTOR * lowest;
+    : most >= MIN_RUNNING && highest >= START_LOAD &&
+      highest >= START_FACTOR * lowest;
 }
 
 /** The level that the share asks for, unless it is near the present one. */
--- a/packages/request-path/src/domain_balance_test.ts
+++ b/packages/request-path/src/domain_balance_test.ts
@@ -139,6 +139,16 @@
   t.false(settle([sumsOf(A, 1.6), sumsOf(B, 0.2, { slots: 0 })]).isOn);
 });
 
+test("the difference between a few requests doesn't start the balance", (t) => {
+  const few = (running: number) => ({ demand: { running, prefillTokens: 0 } });
+  const small = { slots: 6, tokensPerMs: 200 };
+  const sums = [
+    sumsOf(A, 0, { ...small, ...few(5) }),
+    sumsOf(B, 0, { ...small, ...few(1) }),
+  ];
+  t.false(settle(sums).isOn);
+});
+
 test("a short difference doesn't start the balance", (t) => {
   const sums = [sumsOf(A, 1.6), sumsOf(B, 0.3)];
   let state = decideBalance(NO_BALANCE, { own: A, sums, nowMs: 0 });
@@ -257,7 +267,7 @@
   t.true(balance.costMs(away, 4_300) > 50);
 });
 
-test("a placement adds the cost of the domain, and logs it", (t) => {
+test("a placement of a prompt adds the cost of the domain, and tells it", (t) => {
   const registry = twoDomains();
   const request = routedRequest("resumable_stream", {
     service: SERVICE,
@@ -276,6 +286,15 @@
   const without = place(undefined);
   t.deepEqual(place({ costMs: () => 0 }), without);
   if (without.kind !== "placed") return t.fail();
+  const plain = placeRequest({ ...request, work: undefined }, {
+    ...context,
+    registry,
+    balance: { costMs: () => 50 },
+    exclude: new Set(),
+    hasBegun: false,
+    nowMs: 1,
+  });
+  t.is(plain.kind === "placed" && plain.choice.balanceMs, undefined);
   const with50 = place({ costMs: () => 50 });
   if (with50.kind !== "placed") return t.fail();
   t.is(with50.choice.scoreMs, without.choice.scoreMs + 50);
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -217,7 +217,7 @@
         maxGapMs: request.route.maxGapMs,
       }),
     },
-    available.map((view) => candidateOf(view, context)),
+    available.map((view) => candidateOf(view, { request, context })),
     {
       scored: trace?.scored,
     },
@@ -521,8 +521,14 @@
 
 function candidateOf(
   { server, kept, work, staleForMs }: ServerView,
-  { registry, allowances, balance, nowMs }: AttemptContext,
+  { request, context }: {
+    readonly request: RoutedRequest;
+    readonly context: AttemptContext;
+  },
 ): Candidate {
+  const { registry, allowances, nowMs } = context;
+  // Plain calls stay in their domain by themselves, and have few bytes.
+  const balance = request.work && context.balance;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
--- a/packages/request-path/src/testing_domain_load.ts
+++ b/packages/request-path/src/testing_domain_load.ts
@@ -12,10 +12,9 @@
   type FailureDomainId,
   type ServiceName,
 } from "@endivebend/types";
-import { chooseServer } from "./choose_server.ts";
+import { type Candidate, chooseServer } from "./choose_server.ts";
 import { DomainBalance, type SenderWork } from "./domain_balance.ts";
-import type { KnownServer } from "./server_registry.ts";
-import { ServerRegistry } from "./server_registry.ts";
+import { type KnownServer, ServerRegistry } from "./server_registry.ts";
 import { listedServer } from "./testing.ts";
 
 /** The load of a replay. */
@@ -73,13 +72,20 @@
   { share: 0.47, shared: 6_300, own: 2_890, targetMs: 515 },
   { share: 0.53, shared: 198, own: 628, targetMs: 307 },
 ];
+/** Prompts whose shared segments are the same. */
 const GROUPS = 24;
+const TOKENS_PER_REQUEST = KINDS.reduce(
+  (sum, { share, own }) => sum + share * own,
+  0,
+);
 
 interface Engine {
   readonly server: KnownServer;
   readonly domain: number;
   readonly rate: number;
   readonly cached: Set<string>;
+  /** What daemons of each domain told of their work here. */
+  readonly told: { running: number; prefillTokens: number }[];
   freeAtMs: number;
 }
 
@@ -91,12 +97,14 @@
   tokens: number;
 }
 
+type Work = [running: number, prefillTokens: number];
+
 interface Daemon {
   readonly domain: number;
-  readonly balance: DomainBalance | undefined;
-  readonly own: Map<BackendServerId, [number, number]>;
-  told: Record<BackendServerId, [number, number]>;
   readonly phaseMs: number;
+  readonly own: Map<BackendServerId, Work>;
+  told: Record<BackendServerId, Work>;
+  balance: DomainBalance | undefined;
 }
 
 /** Numbers from 0 to 1, the same for the same seed (mulberry32). */
@@ -123,116 +131,242 @@
  * ```
  */
 export function replayDomains(load: DomainLoad): DomainOutcome {
-  const random = randomOf(load.seed);
-  const gossipMs = load.gossipMs ?? DEFAULT_GOSSIP_MS;
-  const registry = new ServerRegistry();
-  const engines = createEngines(registry, load.domains);
-  const daemons: Daemon[] = [];
-  const isCut = (a: number, b: number, nowMs: number) =>
-    load.cut !== undefined && a !== b &&
-    (a === load.cut.domain || b === load.cut.domain) &&
-    nowMs >= load.cut.fromMs && nowMs < load.cut.untilMs;
-  const outcome = {
-    crossed: 0,
-    late: 0,
-    levelChanges: 0,
-    starts: 0,
-    crossedCutAtMs: [] as number[],
-  };
-  const levels = new Map<number, number>();
-  const balanceOf = (domain: number, daemon: () => Daemon, isFirst: boolean) =>
-    new DomainBalance({
+  return new DomainReplay(load).run();
+}
+
+class DomainReplay {
+  readonly #load: DomainLoad;
+  readonly #random: () => number;
+  readonly #gossipMs: number;
+  readonly #registry = new ServerRegistry();
+  readonly #engines: readonly Engine[];
+  readonly #engineById: ReadonlyMap<BackendServerId, Engine>;
+  readonly #daemons: readonly Daemon[];
+  readonly #running: Running[] = [];
+  readonly #waitsMs: number[] = [];
+  readonly #flows = new FlowCounter();
+  readonly #levels = new Map<number, number>();
+  readonly #crossedCutAtMs: number[] = [];
+  #crossed = 0;
+  #late = 0;
+  #levelChanges = 0;
+  #starts = 0;
+
+  constructor(load: DomainLoad) {
+    this.#load = load;
+    this.#random = randomOf(load.seed);
+    this.#gossipMs = load.gossipMs ?? DEFAULT_GOSSIP_MS;
+    this.#engines = createEngines(this.#registry, load.domains);
+    this.#engineById = new Map(
+      this.#engines.map((engine) => [engine.server.listed.id, engine]),
+    );
+    this.#daemons = Array.from(
+      { length: load.domains * DAEMONS_PER_DOMAIN },
+      (_, index) => this.#createDaemon(index),
+    );
+  }
+
+  run(): DomainOutcome {
+    const { domains } = this.#load;
+    for (let nowMs = 0; nowMs < DURATION_MS; nowMs++) {
+      endRequests(this.#running, nowMs);
+      this.#gossip(nowMs);
+      for (let domain = 0; domain < domains; domain++) {
+        this.#arrive(domain, nowMs);
+      }
+    }
+    const waitsMs = this.#waitsMs.toSorted((a, b) => a - b);
+    return {
+      requests: waitsMs.length,
+      crossed: this.#crossed,
+      late: this.#late,
+      p95Ms: Math.round(waitsMs[Math.floor(waitsMs.length * 0.95)]!),
+      reversals: this.#flows.reversals(),
+      levelChanges: this.#levelChanges,
+      starts: this.#starts,
+      crossedCutAtMs: this.#crossedCutAtMs,
+    };
+  }
+
+  #createDaemon(index: number): Daemon {
+    const domain = Math.floor(index / DAEMONS_PER_DOMAIN);
+    const daemon: Daemon = {
+      domain,
+      phaseMs: Math.floor(this.#random() * this.#gossipMs),
+      own: new Map(),
+      told: {},
+      balance: undefined,
+    };
+    const isFirst = index % DAEMONS_PER_DOMAIN === 0;
+    if (this.#load.hasBalance) {
+      daemon.balance = this.#createBalance(daemon, isFirst);
+    }
+    return daemon;
+  }
+
+  #createBalance(daemon: Daemon, isFirst: boolean): DomainBalance {
+    const { domain } = daemon;
+    return new DomainBalance({
       failureDomain: domainName(domain),
-      registry,
-      senders: (nowMs) => sendersFor(daemon(), { daemons, nowMs, isCut }),
+      registry: this.#registry,
+      senders: (nowMs) => this.#sendersFor(daemon, nowMs),
       silentDomains: (nowMs) =>
         new Set(
-          Array.from({ length: load.domains }, (_, other) => other)
-            .filter((other) => isCut(domain, other, nowMs - SILENCE_MS))
+          Array.from({ length: this.#load.domains }, (_, other) => other)
+            .filter((other) => this.#isCut(domain, other, nowMs - SILENCE_MS))
             .map(domainName),
         ),
-      gossipRoundMs: () => gossipMs,
-      tokensPerMs: ({ listed }) =>
-        engines.find(({ server }) => server.listed.id === listed.id)!.rate,
+      gossipRoundMs: () => this.#gossipMs,
+      tokensPerMs: ({ listed }) => this.#engineById.get(listed.id)!.rate,
       changed: (_service, { surplusLevel }) => {
-        if (!isFirst) return;
-        const before = levels.get(domain) ?? 0;
-        if (before === surplusLevel) return;
-        levels.set(domain, surplusLevel);
-        outcome.levelChanges += 1;
-        if (before === 0) outcome.starts += 1;
+        if (isFirst) this.#noteLevel(domain, surplusLevel);
       },
     });
-  for (let domain = 0; domain < load.domains; domain++) {
-    for (let index = 0; index < DAEMONS_PER_DOMAIN; index++) {
-      const daemon: Daemon = {
-        domain,
-        balance: load.hasBalance
-          ? balanceOf(domain, () => daemon, index === 0)
-          : undefined,
-        own: new Map(),
-        told: {},
-        phaseMs: Math.floor(random() * gossipMs),
-      };
-      daemons.push(daemon);
-    }
   }
-  const running: Running[] = [];
-  const waits: number[] = [];
-  const flows = new FlowCounter();
-  const tokensPerRequest = KINDS.reduce(
-    (sum, { share, own }) => sum + share * own,
-    0,
-  );
-  const rate = engines.reduce((sum, engine) => sum + engine.rate, 0);
-  const perMs = load.utilization * rate / tokensPerRequest / load.domains;
-  for (let nowMs = 0; nowMs < DURATION_MS; nowMs++) {
-    endRequests(running, nowMs);
-    for (const daemon of daemons) {
-      if (nowMs % gossipMs !== daemon.phaseMs) continue;
+
+  #noteLevel(domain: number, level: number): void {
+    const before = this.#levels.get(domain) ?? 0;
+    if (before === level) return;
+    this.#levels.set(domain, level);
+    this.#levelChanges += 1;
+    if (before === 0) this.#starts += 1;
+  }
+
+  #isCut(one: number, other: number, nowMs: number): boolean {
+    const { cut } = this.#load;
+    return cut !== undefined && one !== other &&
+      (one === cut.domain || other === cut.domain) &&
+      nowMs >= cut.fromMs && nowMs < cut.untilMs;
+  }
+
+  #sendersFor(self: Daemon, nowMs: number): SenderWork[] {
+    return this.#daemons.flatMap((daemon) => {
+      if (this.#isCut(self.domain, daemon.domain, nowMs)) return [];
+      const work = daemon === self
+        ? Object.fromEntries(daemon.own)
+        : daemon.told;
+      return [{ failureDomain: domainName(daemon.domain), work }];
+    });
+  }
+
+  #gossip(nowMs: number): void {
+    for (const daemon of this.#daemons) {
+      if (nowMs % this.#gossipMs !== daemon.phaseMs) continue;
+      const before = daemon.told;
       daemon.told = Object.fromEntries(
         [...daemon.own].map(([id, [count, tokens]]) => [id, [count, tokens]]),
       );
+      this.#addTold(daemon.domain, before, -1);
+      this.#addTold(daemon.domain, daemon.told, 1);
     }
-    for (let domain = 0; domain < load.domains; domain++) {
-      const phase = 2 * Math.PI * (nowMs / PERIOD_MS + domain / load.domains);
-      const expected = perMs * (1 + load.swing * Math.sin(phase));
-      let arrivals = poisson(expected, random);
-      while (arrivals-- > 0) {
-        const daemon = daemons[
-          domain * DAEMONS_PER_DOMAIN +
-          Math.floor(random() * DAEMONS_PER_DOMAIN)
-        ]!;
-        const placed = place(daemon, {
-          engines,
-          daemons,
-          random,
-          nowMs,
-          isCut,
-        });
-        running.push(placed.run);
-        waits.push(placed.waitMs);
-        if (placed.waitMs > placed.targetMs) outcome.late += 1;
-        const to = placed.run.engine.domain;
-        if (to === domain) continue;
-        outcome.crossed += 1;
-        flows.add(domain, to, nowMs);
-        const { cut } = load;
-        if (cut && (cut.domain === to || cut.domain === domain)) {
-          const slot = Math.floor(nowMs / 100);
-          outcome.crossedCutAtMs[slot] = (outcome.crossedCutAtMs[slot] ?? 0) +
-            1;
-        }
-      }
+  }
+
+  #addTold(domain: number, work: Daemon["told"], sign: 1 | -1): void {
+    for (const id in work) {
+      const told = this.#engineById.get(id as BackendServerId)!.told[domain]!;
+      const [running, prefillTokens] = work[id as BackendServerId]!;
+      told.running += sign * running;
+      told.prefillTokens += sign * prefillTokens;
     }
   }
-  waits.sort((a, b) => a - b);
-  return {
-    ...outcome,
-    requests: waits.length,
-    p95Ms: Math.round(waits[Math.floor(waits.length * 0.95)]!),
-    reversals: flows.reversals(),
-  };
+
+  #arrive(domain: number, nowMs: number): void {
+    const { utilization, swing, domains } = this.#load;
+    const rate = this.#engines.reduce((sum, engine) => sum + engine.rate, 0);
+    const perMs = utilization * rate / TOKENS_PER_REQUEST / domains;
+    const phase = 2 * Math.PI * (nowMs / PERIOD_MS + domain / domains);
+    const expected = perMs * (1 + swing * Math.sin(phase));
+    let arrivals = poisson(expected, this.#random);
+    while (arrivals-- > 0) {
+      const index = Math.floor(this.#random() * DAEMONS_PER_DOMAIN);
+      this.#serve(this.#daemons[domain * DAEMONS_PER_DOMAIN + index]!, nowMs);
+    }
+  }
+
+  #serve(daemon: Daemon, nowMs: number): void {
+    const kind = this.#random() < KINDS[0]!.share ? KINDS[0]! : KINDS[1]!;
+    const group = `${kind.shared}/${Math.floor(this.#random() * GROUPS)}`;
+    const canFetch = this.#engines.some(({ cached }) => cached.has(group));
+    const choice = chooseServer(
+      {
+        promptTokens: kind.shared + kind.own,
+        sharedTokens: kind.shared,
+        fetchableTokens: canFetch ? kind.shared : 0,
+        affinityKey: group,
+        failureDomain: domainName(daemon.domain),
+        usesPools: false,
+      },
+      this.#engines.map((engine) => ({
+        ...this.#candidateOf(engine, daemon, nowMs),
+        cachedTokens: engine.cached.has(group) ? kind.shared : 0,
+      })),
+    )!;
+    const engine = this.#engineById.get(choice.id)!;
+    const isCached = engine.cached.has(group);
+    engine.cached.add(group);
+    const tokens = kind.own + (isCached || canFetch ? 0 : kind.shared);
+    const readMs = tokens / engine.rate +
+      (!isCached && canFetch ? FETCH_MS : 0);
+    engine.freeAtMs = Math.max(engine.freeAtMs, nowMs) + readMs;
+    this.#record({ daemon, engine, tokens, targetMs: kind.targetMs }, nowMs);
+  }
+
+  #candidateOf(engine: Engine, daemon: Daemon, nowMs: number): Candidate {
+    const { server, told } = engine;
+    const { id, failureDomain } = server.listed;
+    const own = daemon.own.get(id);
+    const ownTold = daemon.told[id];
+    let running = (own?.[0] ?? 0) - (ownTold?.[0] ?? 0);
+    let prefillTokens = (own?.[1] ?? 0) - (ownTold?.[1] ?? 0);
+    for (let domain = 0; domain < told.length; domain++) {
+      if (this.#isCut(daemon.domain, domain, nowMs)) continue;
+      running += told[domain]!.running;
+      prefillTokens += told[domain]!.prefillTokens;
+    }
+    const knownAtMs = nowMs - SILENCE_MS;
+    return {
+      id,
+      failureDomain,
+      running,
+      slots: SLOTS,
+      prefillTokens,
+      cachedTokens: 0,
+      failureRate: 0,
+      isAvoided: this.#isCut(daemon.domain, engine.domain, knownAtMs),
+      isLoading: false,
+      staleWeightsCostMs: 0,
+      scarcity: 0,
+      balanceMs: daemon.balance?.costMs(server, nowMs) ?? 0,
+    };
+  }
+
+  #record(
+    { daemon, engine, tokens, targetMs }: {
+      readonly daemon: Daemon;
+      readonly engine: Engine;
+      readonly tokens: number;
+      readonly targetMs: number;
+    },
+    nowMs: number,
+  ): void {
+    const { id } = engine.server.listed;
+    const firstAtMs = engine.freeAtMs;
+    const [running, prefillTokens] = daemon.own.get(id) ?? [0, 0];
+    daemon.own.set(id, [running + 1, prefillTokens + tokens]);
+    const endMs = firstAtMs + DECODE_MS;
+    this.#running.push({ daemon, engine, tokens, firstAtMs, endMs });
+    const isHome = engine.domain === daemon.domain;
+    const waitMs = firstAtMs - nowMs + (isHome ? 0 : 2 * HOP_MS);
+    this.#waitsMs.push(waitMs);
+    if (waitMs > targetMs) this.#late += 1;
+    if (isHome) return;
+    this.#crossed += 1;
+    this.#flows.add(daemon.domain, engine.domain, nowMs);
+    const cutDomain = this.#load.cut?.domain;
+    if (cutDomain !== daemon.domain && cutDomain !== engine.domain) return;
+    const slot = Math.floor(nowMs / 100);
+    this.#crossedCutAtMs[slot] = (this.#crossedCutAtMs[slot] ?? 0) + 1;
+  }
 }
 
 function createEngines(registry: ServerRegistry, domains: number): Engine[] {
@@ -250,6 +384,10 @@
         domain,
         rate: speed * TOKENS_PER_MS,
         cached: new Set(),
+        told: Array.from({ length: domains }, () => ({
+          running: 0,
+          prefillTokens: 0,
+        })),
         freeAtMs: 0,
       });
     });
@@ -257,94 +395,6 @@
   return engines;
 }
 
-function sendersFor(
-  self: Daemon,
-  { daemons, nowMs, isCut }: {
-    readonly daemons: readonly Daemon[];
-    readonly nowMs: number;
-    readonly isCut: (a: number, b: number, nowMs: number) => boolean;
-  },
-): SenderWork[] {
-  return daemons.flatMap((daemon) => {
-    if (isCut(self.domain, daemon.domain, nowMs)) return [];
-    const work = daemon === self ? Object.fromEntries(daemon.own) : daemon.told;
-    return [{ failureDomain: domainName(daemon.domain), work }];
-  });
-}
-
-function place(
-  daemon: Daemon,
-  world: {
-    readonly engines: readonly Engine[];
-    readonly daemons: readonly Daemon[];
-    readonly random: () => number;
-    readonly nowMs: number;
-    readonly isCut: (a: number, b: number, nowMs: number) => boolean;
-  },
-) {
-  const { engines, daemons, random, nowMs, isCut } = world;
-  const kind = random() < KINDS[0]!.share ? KINDS[0]! : KINDS[1]!;
-  const group = `${kind.shared}/${Math.floor(random() * GROUPS)}`;
-  const fetchable = engines.some(({ cached }) => cached.has(group));
-  const candidates = engines.map(({ server, cached }) => {
-    let running = 0;
-    let prefillTokens = 0;
-    const { id } = server.listed;
-    for (const other of daemons) {
-      if (isCut(daemon.domain, other.domain, nowMs)) continue;
-      const work = other === daemon ? other.own.get(id) : other.told[id];
-      if (work === undefined) continue;
-      running += work[0];
-      prefillTokens += work[1];
-    }
-    return {
-      id,
-      failureDomain: server.listed.failureDomain,
-      running,
-      slots: SLOTS,
-      prefillTokens,
-      cachedTokens: cached.has(group) ? kind.shared : 0,
-      failureRate: 0,
-      isAvoided: isCut(daemon.domain, domainIndex(server), nowMs - SILENCE_MS),
-      isLoading: false,
-      staleWeightsCostMs: 0,
-      scarcity: 0,
-      balanceMs: daemon.balance?.costMs(server, nowMs) ?? 0,
-    };
-  });
-  const choice = chooseServer({
-    promptTokens: kind.shared + kind.own,
-    sharedTokens: kind.shared,
-    fetchableTokens: fetchable ? kind.shared : 0,
-    affinityKey: group,
-    failureDomain: domainName(daemon.domain),
-    usesPools: false,
-  }, candidates)!;
-  const engine = engines.find(({ server }) => server.listed.id === choice.id)!;
-  const isCached = engine.cached.has(group);
-  engine.cached.add(group);
-  const tokens = kind.own + (isCached || fetchable ? 0 : kind.shared);
-  const fetchMs = !isCached && fetchable ? FETCH_MS : 0;
-  const startMs = Math.max(engine.freeAtMs, nowMs);
-  engine.freeAtMs = startMs + tokens / engine.rate + fetchMs;
-  const hopMs = engine.domain === daemon.domain ? 0 : 2 * HOP_MS;
-  const own = daemon.own.get(choice.id) ?? [0, 0];
-  daemon.own.set(choice.id, [own[0] + 1, own[1] + tokens]);
-  const run: Running = {
-    daemon,
-    engine,
-    tokens,
-    firstAtMs: engine.freeAtMs,
-    endMs: engine.freeAtMs + DECODE_MS,
-  };
-  const waitMs = engine.freeAtMs - nowMs + hopMs;
-  return { run, waitMs, targetMs: kind.targetMs };
-}
-
-function domainIndex({ listed }: KnownServer): number {
-  return Number(listed.failureDomain.split("-")[1]);
-}
-
 function endRequests(running: Running[], nowMs: number): void {
   for (let index = running.length - 1; index >= 0; index--) {
     const run = running[index]!;
