--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -32,6 +32,7 @@
   type ServiceName,
   type VmId,
 } from "@endivebend/types";
+import { createDomainBalance } from "./daemon_balance.ts";
 import { DaemonDrain } from "./daemon_drain.ts";
 import { createGossip, createGossipChannel } from "./daemon_gossip.ts";
 import { createServerPaths } from "./daemon_paths.ts";
@@ -155,7 +156,10 @@
       whenCurrent: () => this.pauseGuard.whenCurrent(),
     });
     this.forwardListener = this.#listenForPeers();
-    this.statusServer = ports.serveStatus(() => this.#isReady());
+    this.statusServer = ports.serveStatus({
+      isReady: () => this.#isReady(),
+      explain: (query) => this.admission.explain(query),
+    });
   }
 
   nowMs(): number {
@@ -199,6 +203,7 @@
           daemons: (service) => this.#sharersOf(service),
         }),
         failureDomain,
+        balance: createDomainBalance(this),
         namedWeights: (model) => this.namedWeights.history(model),
         weightsBoundMs,
         clock,
