Draw the rounding of a daemon's part of free slots once a gossip interval

Cause: drawn anew for each request, each daemon of 77 got a place after a few requests, and an idle engine of 12 slots was sent 77 requests. Change: the draw holds for a gossip interval. Result: slot_admission_test, at most 3 times the slots from 8, 22 and 77 daemons; 9 tests passed.

--- a/packages/request-path/src/slot_admission.ts
+++ b/packages/request-path/src/slot_admission.ts
@@ -69,6 +69,9 @@
   sentAtMs: number[];
   /** Until when the engine is expected to reject requests. */
   closedUntilMs: number;
+  /** Rounds the daemon's part of the free slots up or down, until then. */
+  rounding: number;
+  roundingUntilMs: number;
 }
 
 /**
@@ -148,15 +151,20 @@
 
   /**
    * Whether this daemon's part of the free slots allows one more request. The
-   * parts of a large fleet are fractions, which are rounded up at random.
+   * parts of a large fleet are fractions, which are rounded at random, once in
+   * the time in which peers hear of a request.
    */
   #mayTake({ server }: SlotServer, free: number, nowMs: number): boolean {
     if (free <= 0) return false;
     const { fleetSize, random } = this.#options;
-    const sent = this.#states.get(server.listed.id)?.sentAtMs ?? [];
-    const recent = sent.filter((atMs) => atMs > nowMs - GOSSIP_MS).length;
+    const state = this.#stateOf(server.listed.id);
+    if (nowMs >= state.roundingUntilMs) {
+      state.rounding = random();
+      state.roundingUntilMs = nowMs + GOSSIP_MS;
+    }
+    const recent = state.sentAtMs.filter((atMs) => atMs > nowMs - GOSSIP_MS);
     const part = OWN_PART_FACTOR * free / Math.max(1, fleetSize());
-    return recent + random() < part;
+    return recent.length + state.rounding < part;
   }
 
   /** Draws engines with odds by their free slots. */
@@ -178,7 +186,12 @@
   #stateOf(id: BackendServerId): SlotState {
     const known = this.#states.get(id);
     if (known !== undefined) return known;
-    const state: SlotState = { sentAtMs: [], closedUntilMs: 0 };
+    const state: SlotState = {
+      sentAtMs: [],
+      closedUntilMs: 0,
+      rounding: 0,
+      roundingUntilMs: Number.NEGATIVE_INFINITY,
+    };
     this.#states.set(id, state);
     if (this.#states.size > MAX_ENTRIES) {
       const [oldest] = this.#states.keys();
