--- a/packages/cli/src/commands/explain_route.ts
+++ b/packages/cli/src/commands/explain_route.ts
@@ -68,6 +68,7 @@
   version: "has another software version",
   weights: "has weights that are too old",
   room: "has no room",
+  slots: "no slot left for the request",
   quiet: "asked for quiet",
   limit: "has a limit that is used up",
 };
