--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -57,6 +57,8 @@
    * daemon may send one to each, to 1; 0 for a server without a limit.
    */
   readonly scarcity: number;
+  /** Cost of its failure domain in the balance between domains. */
+  readonly balanceMs?: number;
   /** Its pace at this moment; undefined for the usual one. */
   readonly pace?: CandidatePace;
 }
@@ -78,9 +80,14 @@
   /** Time that the prompts queued at the server take. */
   readonly waitMs: number;
   readonly cachedTokens: number;
+  /** Part of the score for its failure domain; absent where there is none. */
+  readonly balanceMs?: number;
   readonly candidateCount: number;
 }
 
+/** Told of the expected cost of each candidate. */
+export type ScoreListener = (candidate: Candidate, scoreMs: number) => void;
+
 /** Weight of engine time taken from others, as in the product's routing. */
 const ENGINE_TIME_WEIGHT = 2;
 /** Fetching takes about 10 ms, and space in the engine's prefix cache. */
@@ -140,6 +147,7 @@
 export function chooseServer(
   request: ChoiceRequest,
   candidates: readonly Candidate[],
+  { scored }: { readonly scored?: ScoreListener | undefined } = {},
 ): Choice | undefined {
   const pools = request.usesPools
     ? assignPools(candidates.map(({ id }) => id))
@@ -169,9 +177,12 @@
     const limitedMs = ownPool === "short"
       ? candidate.scarcity * SCARCITY_COST_MS
       : 0;
+    const balanceMs = candidate.balanceMs ?? 0;
     const scoreMs = request.promptTokens === undefined
-      ? plainScoreMs(request, candidate)
-      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs + limitedMs;
+      ? plainScoreMs(request, candidate) + balanceMs
+      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs +
+        limitedMs + balanceMs;
+    scored?.(candidate, scoreMs);
     const weight = rendezvousWeight(request.affinityKey, candidate.id);
     const isBetter = best === undefined || scoreMs < best.scoreMs ||
       (scoreMs === best.scoreMs && weight > bestWeight);
@@ -182,6 +193,7 @@
       scoreMs,
       waitMs: candidate.prefillTokens / paceOf(candidate).tokensPerMs,
       cachedTokens,
+      ...(balanceMs > 0 ? { balanceMs } : {}),
       candidateCount: candidates.length,
     };
   }
@@ -251,15 +263,27 @@
     readonly owner: BackendServerId | undefined;
   },
 ): readonly Candidate[] {
-  const ready = preferred.filter(({ isLoading }) => !isLoading);
-  const sample = (ready.length > 0 ? ready : preferred)
+  const loaded = preferred.filter(({ isLoading }) => !isLoading);
+  const ready = loaded.length > 0 ? loaded : preferred;
+  const domainCostMs = ({ balanceMs = 0 }: Candidate) => balanceMs;
+  const leastMs = Math.min(...ready.map(domainCostMs));
+  const isNear = (candidate: Candidate) => domainCostMs(candidate) === leastMs;
+  // A domain that should be spared is asked, but not instead of the others.
+  const sample = [
+    ...firstOf(key, ready.filter(isNear)),
+    ...firstOf(key, ready.filter((candidate) => !isNear(candidate))),
+  ];
+  return preferred.filter((candidate) =>
+    candidate.id === owner || sample.includes(candidate)
+  );
+}
+
+function firstOf(key: string, candidates: readonly Candidate[]): Candidate[] {
+  return candidates
     .map((candidate) => ({ candidate, order: sampleOrder(key, candidate) }))
     .toSorted((a, b) => a.order - b.order)
     .slice(0, CONSIDERED)
     .map(({ candidate }) => candidate);
-  return preferred.filter((candidate) =>
-    candidate.id === owner || sample.includes(candidate)
-  );
 }
 
 /** Lower for a faster server, at random: its odds to be first are its speed. */
--- a/packages/request-path/src/pace_placement_test.ts
+++ b/packages/request-path/src/pace_placement_test.ts
@@ -171,6 +171,28 @@
   t.true(used.size > 25, `${used.size}`);
 });
 
+// A sample of all domains would often have no server of the own one.
+test("requests stay where the balance between domains wants them", (t) => {
+  const ids = Array.from({ length: 40 }, (_, index) => `e${index}`);
+  const { place, queue } = service(
+    Object.fromEntries(ids.map((id) => [id, {}])),
+    {
+      balance: {
+        costMs: ({ listed }) => Number(listed.id.slice(1)) < 10 ? 0 : 60,
+      },
+    },
+  );
+  for (let count = 0; count < 50; count++) {
+    const id = place(prompt(`q-${count}`));
+    t.true(Number(id.slice(1)) < 10, id);
+  }
+  for (let index = 0; index < 10; index++) queue(`e${index}`, 12_000);
+  for (let count = 0; count < 50; count++) {
+    const id = place(prompt(`q-${count}`));
+    t.true(Number(id.slice(1)) >= 10, id);
+  }
+});
+
 test("a request is not shed because the few servers it asks are full", (t) => {
   const { queue, place } = largeService();
   for (let index = 1; index < 40; index++) queue(`e${index}`, 40_000);
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -11,7 +11,12 @@
   FailureDomainId,
   ModelName,
 } from "@endivebend/types";
-import { type Candidate, type Choice, chooseServer } from "./choose_server.ts";
+import {
+  type Candidate,
+  type Choice,
+  chooseServer,
+  type ScoreListener,
+} from "./choose_server.ts";
 import {
   type CachedTokens,
   type SegmentKey,
@@ -26,7 +31,9 @@
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
-import { needsPools } from "./prompt_pools.ts";
+import { needsPools, poolOf } from "./prompt_pools.ts";
+import type { SlotAdmission } from "./slot_admission.ts";
+import type { SlotRank } from "./slot_rules.ts";
 import { shedRetryMs } from "./load_shedding.ts";
 import {
   MAX_LOAD_FACTOR,
@@ -59,6 +66,14 @@
   readonly cacheStores: () => readonly string[];
   /** The pace of servers; without it all have the usual one. */
   readonly pace?: PaceLookup | undefined;
+  /** Divides scarce slots; without it, a full engine's queue is the bound. */
+  readonly slots?: Pick<SlotAdmission, "select" | "noteSent" | "noteRejected">;
+  /** Undefined where the service's slots are not divided. */
+  readonly slotRank?: (request: RoutedRequest) => SlotRank | undefined;
+  /** Cost of sending requests to another domain; none without it. */
+  readonly balance?:
+    | { costMs(server: KnownServer, nowMs: number): number }
+    | undefined;
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -109,6 +124,10 @@
 /** Prefilling fewer tokens is as fast as saving them in a store. */
 const MIN_TOKENS_TO_SAVE = 512;
 
+/** Callers refused for want of a slot come back after this part of the target. */
+const SLOT_RETRY_SHARE = 0.4;
+const MIN_SLOT_RETRY_MS = 100;
+
 /** Callers' ids may have thousands of characters. */
 const MAX_SCOPE_ID_LENGTH = 64;
 
@@ -117,6 +136,23 @@
 /** Another daemon may have a server for the caller by then. */
 const MAX_LIMITED_RETRY_MS = 2_000;
 
+/** What leaves servers out of a placement, in the order of the steps. */
+export type PlacementStep =
+  | "listed"
+  | "version"
+  | "weights"
+  | "room"
+  | "slots"
+  | "quiet"
+  | "limit";
+
+/** Told of the steps of a placement, to explain it. */
+export interface PlacementTrace {
+  /** The servers that a step has left. */
+  left(step: PlacementStep, servers: readonly KnownServer[]): void;
+  readonly scored: ScoreListener;
+}
+
 type AttemptContext = PlacementContext & {
   readonly exclude: ReadonlySet<BackendServerId>;
   /** Whether part of the answer has reached the caller. */
@@ -127,6 +163,7 @@
    * no server may go on with it.
    */
   readonly softwareVersion?: SoftwareVersion | undefined;
+  readonly trace?: PlacementTrace | undefined;
   readonly nowMs: number;
 };
 
@@ -155,26 +192,38 @@
   request: RoutedRequest,
   context: AttemptContext,
 ): Placement {
-  const { registry, exclude, nowMs } = context;
-  const views = registry.usable(request.service, nowMs)
-    .filter(({ listed }) => !exclude.has(listed.id))
+  const { registry, exclude, nowMs, trace } = context;
+  const usable = registry.usable(request.service, nowMs);
+  trace?.left("listed", usable);
+  const views = usable.filter(({ listed }) => !exclude.has(listed.id))
     .filter((server) => isOfVersion(server, context))
     .map((server) => describeServer(request, { server, context }));
+  traceLeft("version", views, trace);
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
+  traceLeft("weights", current, trace);
   if (current.length === 0) return { kind: "refused", reason: "stale_weights" };
   const maxOwnConnections = context.maxOwnConnections(request.service);
   const withRoom = current.filter(({ server, work }) =>
     hasCapacity(server, work, maxOwnConnections)
   );
+  traceLeft("room", withRoom, trace);
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
-  const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
+  const admitted = admitToSlots(request, withRoom, context);
+  traceLeft("slots", admitted, trace);
+  if (admitted.length === 0) {
+    const retryInMs = slotRetryMs(request);
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  const asking = admitted.filter(({ server }) => nowMs >= server.quietUntilMs);
+  traceLeft("quiet", asking, trace);
   if (asking.length === 0) {
-    const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
+    const untilMs = admitted.map(({ server }) => server.quietUntilMs);
     const retryInMs = Math.min(...untilMs) - nowMs;
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
   const available = excludeLimited(asking, context);
+  traceLeft("limit", available, trace);
   if (available.length === 0) {
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
@@ -193,7 +242,7 @@
   context: AttemptContext,
 ): Placement {
   const candidates = available.map((view) =>
-    candidateOf(view, request, context)
+    candidateOf(view, { request, context })
   );
   const isInUse = context.pace?.isInUse(request.service) ?? false;
   const spreadKey = isInUse ? request.requestId : undefined;
@@ -221,18 +270,24 @@
   },
 ): Placement {
   const sharedTokens = sumTokens(sharedSegments(request));
-  const choice = chooseServer({
-    promptTokens: request.work?.promptTokens,
-    sharedTokens,
-    fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
-    affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
-    failureDomain: context.failureDomain,
-    usesPools: needsPools({
-      tokensPerEvent: context.tokensPerEvent(request.service),
-      maxGapMs: request.route.maxGapMs,
-    }),
-    spreadKey,
-  }, candidates);
+  const choice = chooseServer(
+    {
+      promptTokens: request.work?.promptTokens,
+      sharedTokens,
+      fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
+      affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
+      failureDomain: context.failureDomain,
+      usesPools: needsPools({
+        tokensPerEvent: context.tokensPerEvent(request.service),
+        maxGapMs: request.route.maxGapMs,
+      }),
+      spreadKey,
+    },
+    candidates,
+    {
+      scored: context.trace?.scored,
+    },
+  );
   const view = available.find(({ server }) => server.listed.id === choice?.id);
   if (choice === undefined || view === undefined) {
     return { kind: "refused", reason: "no_server" };
@@ -309,6 +364,14 @@
   };
 }
 
+function traceLeft(
+  step: PlacementStep,
+  views: readonly ServerView[],
+  trace: PlacementTrace | undefined,
+): void {
+  trace?.left(step, views.map(({ server }) => server));
+}
+
 function isOfVersion(
   server: KnownServer,
   { hasBegun, softwareVersion }: AttemptContext,
@@ -467,6 +530,28 @@
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
+/**
+ * The servers at which scarce slots are left to the request. What has begun, or
+ * goes on, is never refused for want of a slot.
+ */
+function admitToSlots(
+  request: RoutedRequest,
+  views: readonly ServerView[],
+  { slots, slotRank, hasBegun, nowMs }: AttemptContext,
+): readonly ServerView[] {
+  const rank = slotRank?.(request);
+  const isNew = !hasBegun && request.resumeAfter === undefined;
+  if (slots === undefined || rank === undefined || !isNew) return views;
+  const isShort = poolOf(request.work?.promptTokens ?? 0) === "short";
+  const urgency = urgencyOf(request);
+  return slots.select({ rank, urgency, isShort }, views, nowMs);
+}
+
+/** Slots become free all the time; a caller can still be in time by then. */
+function slotRetryMs({ route }: RoutedRequest): number {
+  return Math.max(MIN_SLOT_RETRY_MS, route.targetMs * SLOT_RETRY_SHARE);
+}
+
 /** The segments that other requests may share: all but the last. */
 function sharedSegments(request: RoutedRequest): readonly PromptSegment[] {
   return request.work?.prompt.slice(0, -1) ?? [];
@@ -527,9 +612,14 @@
 
 function candidateOf(
   { server, kept, work, staleForMs, pace }: ServerView,
-  { route }: RoutedRequest,
-  { registry, allowances, nowMs }: AttemptContext,
+  { request, context }: {
+    readonly request: RoutedRequest;
+    readonly context: AttemptContext;
+  },
 ): Candidate {
+  const { registry, allowances, nowMs } = context;
+  // Plain calls stay in their domain by themselves, and have few bytes.
+  const balance = request.work && context.balance;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
@@ -551,12 +641,13 @@
       : 0,
     pace: {
       tokensPerMs: pace.tokensPerMs,
-      callMs: pace.callMs(route.name),
+      callMs: pace.callMs(request.route.name),
       startingExcess: Math.max(
         0,
         work.running + 1 - pace.maxRunning,
         server.ownWork.size + 1 - pace.maxOwnRunning,
       ),
     },
+    balanceMs: balance?.costMs(server, nowMs) ?? 0,
   };
 }
--- a/packages/request-path/src/server_pace.ts
+++ b/packages/request-path/src/server_pace.ts
@@ -136,10 +136,12 @@
     slowdown: 1,
     maxRunning: Math.max(1, slots) * MAX_LOAD_FACTOR,
     maxOwnRunning: Number.POSITIVE_INFINITY,
-    callMs: () => PLAIN_CALL_MS,
+    callMs: usualCallMs,
   };
 }
 
+const usualCallMs = () => PLAIN_CALL_MS;
+
 /** Learns the pace of servers from attempts and from peers. */
 export class ServerPaces implements PaceTracker {
   readonly #options: ServerPacesOptions;
