--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -83,6 +83,13 @@
   ServerWork,
   WeightsChange,
 } from "./server_registry.ts";
+export { ServerPaces } from "./server_pace.ts";
+export type {
+  PaceLookup,
+  PaceTracker,
+  ServerPace,
+  ServerPacesOptions,
+} from "./server_pace.ts";
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
 export * from "./types.ts";
