--- a/packages/front/src/daemon_balance.ts
+++ b/packages/front/src/daemon_balance.ts
@@ -9,6 +9,7 @@
   type BalanceState,
   DomainBalance,
   type DomainSums,
+  PREFILL_TOKENS_PER_MS,
   type SenderWork,
 } from "@endivebend/request-path";
 import type { FailureDomainId, ServiceName } from "@endivebend/types";
@@ -26,6 +27,8 @@
     readonly metrics: Pick<DaemonParts["ports"]["metrics"], "count">;
   };
   readonly gossip: Pick<DaemonParts["gossip"], "ownWork">;
+  /** Without it all servers have the usual pace. */
+  readonly paces?: Pick<DaemonParts["paces"], "of">;
   readonly fleet: Pick<
     DaemonParts["fleet"],
     "reachable" | "overdueDomains" | "gossipRoundMs"
@@ -47,6 +50,8 @@
     senders: (nowMs) => sendersOf(parts, nowMs),
     silentDomains: (nowMs) => silentDomains(parts, nowMs),
     gossipRoundMs: () => parts.fleet.gossipRoundMs,
+    tokensPerMs: (server, nowMs) =>
+      parts.paces?.of(server, nowMs).tokensPerMs ?? PREFILL_TOKENS_PER_MS,
     changed: (service, state, sums) => log(parts, { service, state, sums }),
   });
 }
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -83,7 +83,7 @@
   ServerWork,
   WeightsChange,
 } from "./server_registry.ts";
-export { ServerPaces } from "./server_pace.ts";
+export { PREFILL_TOKENS_PER_MS, ServerPaces } from "./server_pace.ts";
 export type {
   PaceLookup,
   PaceTracker,
