--- a/packages/request-path/src/domain_balance.ts
+++ b/packages/request-path/src/domain_balance.ts
@@ -15,7 +15,7 @@
   FailureDomainId,
   ServiceName,
 } from "@endivebend/types";
-import { PREFILL_TOKENS_PER_MS } from "./choose_server.ts";
+import { PREFILL_TOKENS_PER_MS } from "./server_pace.ts";
 import type { KnownServer, ServerRegistry } from "./server_registry.ts";
 
 /** Work of requests and the capacity for it, of one service in one domain. */
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -15,7 +15,6 @@
   type Candidate,
   type Choice,
   chooseServer,
-  PREFILL_TOKENS_PER_MS,
   type ScoreListener,
 } from "./choose_server.ts";
 import {
@@ -36,6 +35,12 @@
 import type { SlotAdmission } from "./slot_admission.ts";
 import type { SlotRank } from "./slot_rules.ts";
 import { shedRetryMs } from "./load_shedding.ts";
+import {
+  MAX_LOAD_FACTOR,
+  type PaceLookup,
+  type ServerPace,
+  usualPace,
+} from "./server_pace.ts";
 import {
   type CacheScope,
   type PromptSegment,
@@ -59,6 +64,8 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** The pace of servers; without it all have the usual one. */
+  readonly pace?: PaceLookup | undefined;
   /** Divides scarce slots; without it, a full engine's queue is the bound. */
   readonly slots?: Pick<SlotAdmission, "select" | "noteSent" | "noteRejected">;
   /** Undefined where the service's slots are not divided. */
@@ -76,6 +83,7 @@
     readonly server: KnownServer;
     readonly choice: Choice;
     readonly cache: CachePlan;
+    readonly pace?: ServerPace;
     /** Set when the engine is believed to have weights that are too old. */
     readonly isProbe?: boolean;
   }
@@ -115,8 +123,6 @@
 const QUEUE_FACTOR = 2;
 /** Prefilling fewer tokens is as fast as saving them in a store. */
 const MIN_TOKENS_TO_SAVE = 512;
-/** Requests per slot of a full engine: as many waiting as running. */
-const MAX_LOAD_FACTOR = 2;
 
 /** Callers refused for want of a slot come back after this part of the target. */
 const SLOT_RETRY_SHARE = 0.4;
@@ -171,6 +177,7 @@
   /** Time since weights newer than the server's were named; 0 for none. */
   readonly staleForMs: number;
   readonly isStaleAgeKnown: boolean;
+  readonly pace: ServerPace;
 }
 
 /**
@@ -221,6 +228,47 @@
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
+  return placeAt(request, available, context);
+}
+
+/**
+ * Chooses among servers that may all have the request. Where the choice would
+ * be shed, all servers are asked and places of a slow start don't count: a few
+ * may be full while others are free, and a slow start refuses nothing.
+ */
+function placeAt(
+  request: RoutedRequest,
+  available: readonly ServerView[],
+  context: AttemptContext,
+): Placement {
+  const candidates = available.map((view) =>
+    candidateOf(view, { request, context })
+  );
+  const isInUse = context.pace?.isInUse(request.service) ?? false;
+  const spreadKey = isInUse ? request.requestId : undefined;
+  const views = { available, context };
+  const placement = placeAtBest(request, { ...views, candidates, spreadKey });
+  if (placement.kind === "placed" || !isInUse) return placement;
+  const started = candidates.map((candidate) => ({
+    ...candidate,
+    ...(candidate.pace && { pace: { ...candidate.pace, startingExcess: 0 } }),
+  }));
+  return placeAtBest(request, {
+    ...views,
+    candidates: started,
+    spreadKey: undefined,
+  });
+}
+
+function placeAtBest(
+  request: RoutedRequest,
+  { available, candidates, context, spreadKey }: {
+    readonly available: readonly ServerView[];
+    readonly candidates: readonly Candidate[];
+    readonly context: AttemptContext;
+    readonly spreadKey: string | undefined;
+  },
+): Placement {
   const sharedTokens = sumTokens(sharedSegments(request));
   const choice = chooseServer(
     {
@@ -233,10 +281,11 @@
         tokensPerEvent: context.tokensPerEvent(request.service),
         maxGapMs: request.route.maxGapMs,
       }),
+      spreadKey,
     },
-    available.map((view) => candidateOf(view, { request, context })),
+    candidates,
     {
-      scored: trace?.scored,
+      scored: context.trace?.scored,
     },
   );
   const view = available.find(({ server }) => server.listed.id === choice?.id);
@@ -244,17 +293,19 @@
     return { kind: "refused", reason: "no_server" };
   }
   const cache = planCache(request, { view, all: available, context });
+  const { pace } = view;
   const retryInMs = request.work && shedRetryMs({
     tokensAhead: view.work.prefillTokens,
     tokensToRead: cache.tokensToRead,
     targetMs: request.route.targetMs,
     urgency: urgencyOf(request),
     hasBegun: context.hasBegun || request.resumeAfter !== undefined,
+    tokensPerMs: pace.queueTokensPerMs,
   });
   if (retryInMs !== undefined) {
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
-  return { kind: "placed", server: view.server, choice, cache };
+  return { kind: "placed", server: view.server, choice, cache, pace };
 }
 
 /**
@@ -349,6 +400,7 @@
     work: context.registry.workAt(server),
     staleForMs: newer === undefined ? 0 : nowMs - newer.firstSeenAtMs,
     isStaleAgeKnown: newer?.isAgeKnown ?? true,
+    pace: context.pace?.of(server, nowMs) ?? usualPace(server.listed),
   };
 }
 
@@ -515,9 +567,9 @@
   weightsBoundMs: number,
 ): ServerView[] {
   const limitMs = weightsBoundMs - START_SLACK_MS;
-  const timely = views.filter(({ work, staleForMs }) => {
+  const timely = views.filter(({ work, staleForMs, pace }) => {
     if (staleForMs === 0) return true;
-    const queueMs = work.prefillTokens / PREFILL_TOKENS_PER_MS;
+    const queueMs = work.prefillTokens / pace.tokensPerMs;
     return staleForMs + queueMs * QUEUE_FACTOR <= limitMs;
   });
   const current = timely.filter(({ isStaleAgeKnown }) => isStaleAgeKnown);
@@ -559,7 +611,7 @@
 }
 
 function candidateOf(
-  { server, kept, work, staleForMs }: ServerView,
+  { server, kept, work, staleForMs, pace }: ServerView,
   { request, context }: {
     readonly request: RoutedRequest;
     readonly context: AttemptContext;
@@ -587,6 +639,15 @@
     scarcity: nowMs - server.limitAsOfMs < LIMIT_RECHECK_MS
       ? allowances.scarcity(server, nowMs)
       : 0,
+    pace: {
+      tokensPerMs: pace.tokensPerMs,
+      callMs: pace.callMs(request.route.name),
+      startingExcess: Math.max(
+        0,
+        work.running + 1 - pace.maxRunning,
+        server.ownWork.size + 1 - pace.maxOwnRunning,
+      ),
+    },
     balanceMs: balance?.costMs(server, nowMs) ?? 0,
   };
 }
