--- a/packages/request-path/src/slot_rules.ts
+++ b/packages/request-path/src/slot_rules.ts
@@ -1,7 +1,8 @@
 /**
- * Finds the services whose slots are divided by urgency: those of which the
- * most urgent stream route has a shorter target than another one. Requests that
- * wait for a slot then cost the urgent route more.
+ * Finds the services whose slots are divided by urgency: those of which another
+ * stream route is at least two levels less urgent than the most urgent one and
+ * has a longer target. Requests that wait for a slot then cost the urgent route
+ * more. One level orders requests in an engine's queue, as before.
  *
  * @module
  */
@@ -12,6 +13,9 @@
 /** Whether a route is the most urgent one of its service. */
 export type SlotRank = "first" | "other";
 
+/** Levels between routes of which one gives way to the other. */
+const MIN_URGENCY_GAP = 2;
+
 /** The services whose slots are divided, with the urgency of the first rank. */
 export type SlotRules = ReadonlyMap<ServiceName, number>;
 
@@ -40,7 +44,7 @@
         .map(({ targetMs }) => targetMs),
     );
     const isDivided = ofService.some(({ urgency, targetMs }) =>
-      urgency > first && targetMs > firstTargetMs
+      urgency >= first + MIN_URGENCY_GAP && targetMs > firstTargetMs
     );
     if (isDivided) rules.set(service, first);
   }
--- a/packages/request-path/src/slot_rules_test.ts
+++ b/packages/request-path/src/slot_rules_test.ts
@@ -31,6 +31,17 @@
   t.is(rankOf(undivided, { service, urgency: 0 }), undefined);
 });
 
+// Guards against refusing long prompts that are worth much for short ones, where
+// the operator only ranks the short ones before them: a deployment with such
+// routes served 3 in 100 requests less.
+test("one level of urgency doesn't divide slots", (t) => {
+  const rules = findSlotRules(configurationOf([
+    { kind: "stream", urgency: 0, targetMs: 407 },
+    { kind: "stream", urgency: 1, targetMs: 607 },
+  ]));
+  t.is(rules.size, 0);
+});
+
 test("plain routes don't divide slots", (t) => {
   const rules = findSlotRules(configurationOf([
     { kind: "at_most_once", urgency: 0, targetMs: 100 },
