Decide on version rollouts: plan, evidence, exposure credit

A service that moves to a new software version has to expose few requests to it until its answers show that it is sound.

--- /dev/null
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -0,0 +1,188 @@
+/**
+ * Counts the answers of a new version and of the others at one daemon, by
+ * route. A version that is only slower shows while its answers are still open:
+ * one that takes several times as long as the others' counts as soon as it is
+ * late.
+ *
+ * @module
+ */
+
+import type { RouteName } from "@endivebend/request-path";
+import type { BackendServerId } from "@endivebend/types";
+import type { RouteCounts, VersionCounts } from "./version_order.ts";
+
+/** Time to a first event without prompt tokens to read. */
+const BASE_MS = 50;
+/** Prompt tokens that an engine reads in a millisecond. */
+const TOKENS_PER_MS = 38.4;
+/** A slow answer takes this many times as long as those of other versions. */
+const SLOW_FACTOR = 3;
+/** The same once the others have not answered of late, as load changes. */
+const STALE_SLOW_FACTOR = 6;
+/** Short calls vary by as much on any version. */
+const MIN_SLOW_MS = 30;
+/** Sums of paces are told in hundredths. */
+const PACE_UNITS = 100;
+
+/** The mean time of the other versions' answers, as a multiple of expected. */
+export interface OtherPace {
+  readonly mean: number;
+  /** Whether they still answer on the route. */
+  readonly isFresh: boolean;
+}
+
+/** An attempt whose answer is watched. */
+export interface WatchedAttempt {
+  readonly route: RouteName;
+  readonly server: BackendServerId;
+  readonly isNew: boolean;
+  /** Prompt tokens that its server has to read first. */
+  readonly tokensToRead: number;
+  readonly sentAtMs: number;
+}
+
+interface OpenAttempt extends WatchedAttempt {
+  hasBegun: boolean;
+  isCounted: boolean;
+}
+
+type Counts = [...RouteCounts];
+
+const NEW = { answers: 0, failed: 1, slow: 2 } as const;
+const OTHER = { answers: 3, failed: 4, slow: 5 } as const;
+const OTHER_PACE = 6;
+
+/** The watch of one daemon for one order. */
+export class AnswerWatch {
+  readonly #paceOf: (route: RouteName, nowMs: number) => OtherPace | undefined;
+  readonly #open = new Map<object, OpenAttempt>();
+  readonly #routes = new Map<RouteName, Counts>();
+  readonly #lost = new Map<BackendServerId, Record<RouteName, number>>();
+  #bad = 0;
+
+  constructor(
+    paceOf: (route: RouteName, nowMs: number) => OtherPace | undefined,
+  ) {
+    this.#paceOf = paceOf;
+  }
+
+  /** Bad answers of the new version so far. */
+  get bad(): number {
+    return this.#bad;
+  }
+
+  /** An attempt was sent; `key` is the same object in all its calls. */
+  sent(key: object, attempt: WatchedAttempt): void {
+    this.#open.set(key, { ...attempt, hasBegun: false, isCounted: false });
+    this.#countsOf(attempt.route);
+  }
+
+  /** The first event of an attempt's answer came. */
+  began(key: object, nowMs: number): void {
+    const attempt = this.#open.get(key);
+    if (attempt === undefined || attempt.hasBegun) return;
+    attempt.hasBegun = true;
+    const takenMs = nowMs - attempt.sentAtMs;
+    if (!attempt.isNew) {
+      const pace = takenMs / expectedMs(attempt);
+      this.#countsOf(attempt.route)[OTHER_PACE] += Math.round(
+        pace * PACE_UNITS,
+      );
+    }
+    if (takenMs >= this.#slowFromMs(attempt, nowMs)) {
+      this.#count(attempt, "slow");
+    }
+  }
+
+  /** An answer is complete. */
+  answered(key: object, nowMs: number): void {
+    this.began(key, nowMs);
+    this.#end(key, undefined);
+  }
+
+  /** The server's answer is a failure. */
+  failed(key: object): void {
+    this.#end(key, "failed");
+  }
+
+  /** The connection of an attempt was lost; its server may have ended. */
+  lost(key: object): void {
+    const attempt = this.#open.get(key);
+    if (attempt === undefined) return;
+    if (!attempt.isNew || attempt.isCounted) return this.#end(key, "failed");
+    this.#open.delete(key);
+    this.#bad += 1;
+    const { server, route } = attempt;
+    const lost = this.#lost.get(server) ?? {} as Record<RouteName, number>;
+    lost[route] = (lost[route] ?? 0) + 1;
+    this.#lost.set(server, lost);
+  }
+
+  /** Nothing is known of the attempt's end, as its caller has left. */
+  dropped(key: object): void {
+    this.#open.delete(key);
+  }
+
+  /** Counts open attempts at the new version that are late by now. */
+  check(nowMs: number): void {
+    for (const attempt of this.#open.values()) {
+      if (!attempt.isNew || attempt.hasBegun || attempt.isCounted) continue;
+      if (nowMs - attempt.sentAtMs < this.#slowFromMs(attempt, nowMs)) continue;
+      this.#count(attempt, "slow");
+    }
+  }
+
+  /** The counters, as they are told to peers. */
+  counts(): Pick<VersionCounts, "routes" | "lost"> {
+    const routes = Object.fromEntries(
+      [...this.#routes].map(([route, counts]) => [route, [...counts]]),
+    ) as unknown as VersionCounts["routes"];
+    if (this.#lost.size === 0) return { routes };
+    const lost = Object.fromEntries(
+      [...this.#lost].map(([server, byRoute]) => [server, { ...byRoute }]),
+    ) as VersionCounts["lost"] & object;
+    return { routes, lost };
+  }
+
+  #end(key: object, fault: "failed" | undefined): void {
+    const attempt = this.#open.get(key);
+    if (attempt === undefined) return;
+    this.#open.delete(key);
+    if (!attempt.isCounted) this.#count(attempt, fault);
+  }
+
+  #count(attempt: OpenAttempt, fault: "failed" | "slow" | undefined): void {
+    if (attempt.isCounted) return;
+    attempt.isCounted = true;
+    const counts = this.#countsOf(attempt.route);
+    const side = attempt.isNew ? NEW : OTHER;
+    counts[side.answers] += 1;
+    if (fault === undefined) return;
+    counts[side[fault]] += 1;
+    if (attempt.isNew) this.#bad += 1;
+  }
+
+  #slowFromMs(attempt: OpenAttempt, nowMs: number): number {
+    const pace = this.#paceOf(attempt.route, nowMs);
+    if (pace === undefined) return Number.POSITIVE_INFINITY;
+    const usualMs = pace.mean * expectedMs(attempt);
+    const factor = pace.isFresh ? SLOW_FACTOR : STALE_SLOW_FACTOR;
+    return Math.max(usualMs * factor, usualMs + MIN_SLOW_MS);
+  }
+
+  #countsOf(route: RouteName): Counts {
+    const known = this.#routes.get(route);
+    if (known !== undefined) return known;
+    const counts: Counts = [0, 0, 0, 0, 0, 0, 0];
+    this.#routes.set(route, counts);
+    return counts;
+  }
+}
+
+/**
+ * The time to the first event that the number of tokens to read explains: a new
+ * server has nothing in its prefix cache and reads more.
+ */
+function expectedMs({ tokensToRead }: WatchedAttempt): number {
+  return BASE_MS + tokensToRead / TOKENS_PER_MS;
+}
--- /dev/null
+++ b/packages/version-rollouts/src/answer_watch_test.ts
@@ -0,0 +1,90 @@
+import type { RouteName } from "@endivebend/request-path";
+import { type BackendServerId, brandId } from "@endivebend/types";
+import test from "ava";
+import { AnswerWatch, type OtherPace } from "./answer_watch.ts";
+
+const ROUTE = brandId<RouteName>("a");
+const USUAL: OtherPace = { mean: 2, isFresh: true };
+
+function attempt(isNew: boolean, tokensToRead = 0) {
+  const server = brandId<BackendServerId>("i-1");
+  return { route: ROUTE, server, isNew, tokensToRead, sentAtMs: 0 };
+}
+
+function countsOf(watch: AnswerWatch) {
+  return watch.counts().routes[ROUTE];
+}
+
+test("an answer counts once, as the first of what shows it bad", (t) => {
+  const watch = new AnswerWatch(() => USUAL);
+  const [slow, failed, good] = [{}, {}, {}];
+  watch.sent(slow, attempt(true));
+  watch.sent(failed, attempt(true));
+  watch.sent(good, attempt(true));
+  watch.began(slow, 400);
+  watch.failed(slow);
+  watch.began(failed, 90);
+  watch.failed(failed);
+  watch.answered(good, 120);
+  t.deepEqual(countsOf(watch), [3, 1, 1, 0, 0, 0, 0]);
+});
+
+test("an answer that is still open counts as soon as it is late", (t) => {
+  // Guards against a slower version that everything moves to before it answers.
+  const watch = new AnswerWatch(() => USUAL);
+  watch.sent({}, attempt(true));
+  watch.check(299);
+  t.deepEqual(countsOf(watch), [0, 0, 0, 0, 0, 0, 0]);
+  watch.check(300);
+  watch.check(400);
+  t.deepEqual(countsOf(watch), [1, 0, 1, 0, 0, 0, 0]);
+});
+
+test("a server that has to read more may take longer", (t) => {
+  // Guards against a fault that is only an empty prefix cache.
+  const watch = new AnswerWatch(() => USUAL);
+  const key = {};
+  watch.sent(key, attempt(true, 9_190));
+  watch.answered(key, 1_000);
+  t.deepEqual(countsOf(watch), [1, 0, 0, 0, 0, 0, 0]);
+});
+
+test("the others' times count as a multiple of what is expected", (t) => {
+  const watch = new AnswerWatch(() => undefined);
+  const key = {};
+  watch.sent(key, attempt(false));
+  watch.answered(key, 100);
+  t.deepEqual(countsOf(watch), [0, 0, 0, 1, 0, 0, 200]);
+});
+
+test("short calls vary by some milliseconds on any version", (t) => {
+  const watch = new AnswerWatch(() => ({ mean: 0.1, isFresh: true }));
+  const key = {};
+  watch.sent(key, attempt(true));
+  watch.answered(key, 30);
+  t.deepEqual(countsOf(watch), [1, 0, 0, 0, 0, 0, 0]);
+});
+
+test("without a present pace only much slower answers count", (t) => {
+  const watch = new AnswerWatch(() => ({ mean: 2, isFresh: false }));
+  const [first, second] = [{}, {}];
+  watch.sent(first, attempt(true));
+  watch.sent(second, attempt(true));
+  watch.answered(first, 500);
+  watch.answered(second, 700);
+  t.deepEqual(countsOf(watch), [2, 0, 1, 0, 0, 0, 0]);
+});
+
+test("a lost connection to a new server is told with the server", (t) => {
+  const watch = new AnswerWatch(() => USUAL);
+  const [fresh, old, left] = [{}, {}, {}];
+  watch.sent(fresh, attempt(true));
+  watch.sent(old, attempt(false));
+  watch.sent(left, attempt(true));
+  watch.lost(fresh);
+  watch.lost(old);
+  watch.dropped(left);
+  t.deepEqual(countsOf(watch), [0, 0, 0, 1, 1, 0, 0]);
+  t.deepEqual(JSON.stringify(watch.counts().lost), '{"i-1":{"a":1}}');
+  t.is(watch.bad, 1);
+});
--- /dev/null
+++ b/packages/version-rollouts/src/fleet_evidence.ts
@@ -0,0 +1,232 @@
+/**
+ * Sums what all daemons have counted of a new version, and decides whether it is
+ * bad: some of its answers are failures or several times slower, on all routes
+ * or on one only, while the other versions fail a few requests too.
+ *
+ * @module
+ */
+
+import type { RouteName } from "@endivebend/request-path";
+import type { BackendServerId } from "@endivebend/types";
+import type { OtherPace } from "./answer_watch.ts";
+import type { RouteCounts, VersionCounts } from "./version_order.ts";
+
+/** A server that crashes loses all its requests at once; so many count. */
+const MAX_LOST_PER_WINDOW = 3;
+const LOST_WINDOW_MS = 500;
+/** Paces lose half of their weight in this time. */
+const PACE_HALF_LIFE_MS = 1_500;
+/** Fewer answers of late than these show no pace of the present. */
+const MIN_FRESH_ANSWERS = 1;
+/** Fewer answers than these show no pace at all. */
+const MIN_PACED_ANSWERS = 5;
+const PACE_UNITS = 100;
+
+/** A few failures are usual on any route. */
+const MIN_USUAL_SHARE = 0.02;
+/** More of them would hide every fault of the new version. */
+const MAX_USUAL_SHARE = 0.5;
+/** Answers that are added to the others', as few of them say little. */
+const PRIOR_ANSWERS = 20;
+/** Standard deviations by which bad answers have to exceed the expected. */
+const DEVIATIONS = 3;
+/** Bad answers beyond these deviations; a handful of answers has no spread. */
+const MIN_EXCESS = 2;
+
+/** Sums of one route over the fleet. */
+export interface RouteSums {
+  readonly answers: number;
+  readonly bad: number;
+  readonly otherAnswers: number;
+  readonly otherBad: number;
+}
+
+/** Why a version is bad. */
+export interface VersionFault {
+  /** Undefined when all routes together show it. */
+  readonly route: RouteName | undefined;
+  readonly answers: number;
+  readonly bad: number;
+  /** Bad answers that would be usual. */
+  readonly expected: number;
+}
+
+interface RecentPace {
+  answers: number;
+  sum: number;
+  atMs: number;
+  /** Answers since the order, without loss of weight. */
+  allAnswers: number;
+  /** The newest mean of sufficiently many answers. */
+  mean: number | undefined;
+}
+
+type Sums = [number, number, number, number, number, number, number];
+
+/** The evidence about one order, as one daemon knows it. */
+export class FleetEvidence {
+  readonly #byProcess = new Map<string, VersionCounts>();
+  readonly #routes = new Map<RouteName, Sums>();
+  readonly #lost = new Map<RouteName, number>();
+  readonly #lostWindows = new Map<
+    BackendServerId,
+    { index: number; counted: number }
+  >();
+  readonly #paces = new Map<RouteName, RecentPace>();
+  #requests = 0;
+  #exposed = 0;
+
+  /** Requests of the service since the order, and those at the new version. */
+  get exposure(): { readonly requests: number; readonly exposed: number } {
+    return { requests: this.#requests, exposed: this.#exposed };
+  }
+
+  /** Applies the counters of a process; they replace its earlier ones. */
+  apply(process: string, counts: VersionCounts, nowMs: number): void {
+    const previous = this.#byProcess.get(process);
+    if (previous !== undefined && counts.requests < previous.requests) return;
+    this.#byProcess.set(process, counts);
+    this.#requests += counts.requests - (previous?.requests ?? 0);
+    this.#exposed += counts.exposed - (previous?.exposed ?? 0);
+    for (const [name, routeCounts] of Object.entries(counts.routes)) {
+      const route = name as RouteName;
+      this.#addRoute(route, routeCounts, previous?.routes[route], nowMs);
+    }
+    for (const [id, byRoute] of Object.entries(counts.lost ?? {})) {
+      const server = id as BackendServerId;
+      const before = previous?.lost?.[server];
+      for (const [name, lost] of Object.entries(byRoute)) {
+        const route = name as RouteName;
+        const added = lost - (before?.[route] ?? 0);
+        if (added > 0) this.#addLost({ server, route, added }, nowMs);
+      }
+    }
+  }
+
+  /** The sums by route. */
+  routes(): Map<RouteName, RouteSums> {
+    const sums = new Map<RouteName, RouteSums>();
+    for (const [route, counts] of this.#routes) {
+      const lost = this.#lost.get(route) ?? 0;
+      sums.set(route, {
+        answers: counts[0] + lost,
+        bad: counts[1] + counts[2] + lost,
+        otherAnswers: counts[3],
+        otherBad: counts[4] + counts[5],
+      });
+    }
+    return sums;
+  }
+
+  /** The present pace of the other versions on a route. */
+  paceOf(route: RouteName, nowMs: number): OtherPace | undefined {
+    const pace = this.#paces.get(route);
+    if (pace?.mean === undefined) return undefined;
+    const weight = decay(nowMs - pace.atMs);
+    const isFresh = pace.answers * weight >= MIN_FRESH_ANSWERS;
+    return { mean: pace.mean, isFresh };
+  }
+
+  #addRoute(
+    route: RouteName,
+    counts: RouteCounts,
+    previous: RouteCounts | undefined,
+    nowMs: number,
+  ): void {
+    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0, 0];
+    this.#routes.set(route, sums);
+    const added = counts.map((count, index) =>
+      count - (previous?.[index] ?? 0)
+    );
+    added.forEach((count, index) => {
+      sums[index]! += count;
+    });
+    const answers = added[3]!;
+    if (answers > 0) this.#addPace(route, { answers, sum: added[6]! }, nowMs);
+  }
+
+  #addPace(
+    route: RouteName,
+    added: { readonly answers: number; readonly sum: number },
+    nowMs: number,
+  ): void {
+    const pace = this.#paces.get(route) ??
+      { answers: 0, sum: 0, atMs: nowMs, allAnswers: 0, mean: undefined };
+    this.#paces.set(route, pace);
+    const weight = decay(nowMs - pace.atMs);
+    pace.answers = pace.answers * weight + added.answers;
+    pace.sum = pace.sum * weight + added.sum / PACE_UNITS;
+    pace.allAnswers += added.answers;
+    pace.atMs = nowMs;
+    if (pace.allAnswers < MIN_PACED_ANSWERS) return;
+    pace.mean = pace.sum / pace.answers;
+  }
+
+  #addLost(
+    lost: {
+      readonly server: BackendServerId;
+      readonly route: RouteName;
+      readonly added: number;
+    },
+    nowMs: number,
+  ): void {
+    const { server, route, added } = lost;
+    const index = Math.floor(nowMs / LOST_WINDOW_MS);
+    const known = this.#lostWindows.get(server);
+    const window = known?.index === index ? known : { index, counted: 0 };
+    this.#lostWindows.set(server, window);
+    const counted = Math.min(added, MAX_LOST_PER_WINDOW - window.counted);
+    window.counted += counted;
+    this.#lost.set(route, (this.#lost.get(route) ?? 0) + counted);
+  }
+}
+
+function decay(ageMs: number): number {
+  return 2 ** (-Math.max(0, ageMs) / PACE_HALF_LIFE_MS);
+}
+
+/**
+ * Finds out whether the new version is bad, on one route or over all.
+ *
+ * @example
+ * ```ts
+ * const fault = findFault(evidence.routes());
+ * ```
+ */
+export function findFault(
+  routes: ReadonlyMap<RouteName, RouteSums>,
+): VersionFault | undefined {
+  const total = { answers: 0, bad: 0, expected: 0, variance: 0 };
+  for (const [route, sums] of routes) {
+    const usual = usualShare(sums);
+    const expected = sums.answers * usual;
+    const variance = expected * (1 - usual);
+    const { answers, bad } = sums;
+    if (exceeds({ bad, expected, variance })) {
+      return { route, answers, bad, expected };
+    }
+    total.answers += answers;
+    total.bad += bad;
+    total.expected += expected;
+    total.variance += variance;
+  }
+  if (!exceeds(total)) return undefined;
+  const { answers, bad, expected } = total;
+  return { route: undefined, answers, bad, expected };
+}
+
+function usualShare({ otherAnswers, otherBad }: RouteSums): number {
+  const share = (otherBad + PRIOR_ANSWERS * MIN_USUAL_SHARE) /
+    (otherAnswers + PRIOR_ANSWERS);
+  return Math.min(MAX_USUAL_SHARE, Math.max(MIN_USUAL_SHARE, share));
+}
+
+function exceeds(
+  { bad, expected, variance }: {
+    readonly bad: number;
+    readonly expected: number;
+    readonly variance: number;
+  },
+): boolean {
+  return bad > expected + DEVIATIONS * Math.sqrt(variance) + MIN_EXCESS;
+}
--- /dev/null
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -0,0 +1,180 @@
+/**
+ * Plans an order: which share of the requests goes to which new servers, and
+ * when the order ends. A bad version may get a tenth of the requests between the
+ * order and its time limit, so everything goes to the new version for a short
+ * time only, yet long enough that work leaves the old servers, which stop at
+ * once when the order has succeeded.
+ *
+ * @module
+ */
+
+import type { RouteName } from "@endivebend/request-path";
+import type { BackendServerId } from "@endivebend/types";
+import type { RouteSums } from "./fleet_evidence.ts";
+import type { FinalPhase } from "./version_order.ts";
+
+/** A phase of an order before all requests move. */
+interface Step {
+  /** Share of the order's duration from which it may begin. */
+  readonly from: number;
+  /** Share of the requests, as a multiple of the bound on exposure. */
+  readonly multiple: number;
+}
+
+/** They use 0.36 of the bound on exposure by the time when all requests move. */
+const STEPS: readonly Step[] = [
+  { from: 0, multiple: 0.3 },
+  { from: 0.45, multiple: 1 },
+  { from: 0.52, multiple: 2.5 },
+];
+/** Leaves 3.8 s of 12 s for work to leave the old servers. */
+const ALL_FROM = 0.58;
+/** Where requests are few, the first step may take this multiple instead. */
+const MAX_FIRST_MULTIPLE = 0.8;
+/** A step waits for its answers up to this share of the duration. */
+const LAST_START = 0.68;
+/** Answers on each route before the share grows. */
+const MIN_ROUTE_ANSWERS = 20;
+/** Routes have different rates, and answers come after their requests. */
+const ANSWERS_MARGIN = 1.3;
+/** The rate of requests is known by then. */
+const MIN_RATE_MS = 800;
+/** A route with fewer other answers has too few requests to be waited for. */
+const MIN_OTHER_ANSWERS = 40;
+/** Share of the old servers' number that new servers must have to take all. */
+const MIN_NEW_SERVERS = 0.5;
+
+/** Time that a write of the status may take, with one that is repeated. */
+const WRITE_MARGIN_MS = 1_200;
+/** Time for which all requests go to the new version at least. */
+const MIN_ALL_MS = 600;
+/** Work that is given up at the old servers rather than the whole order. */
+const MAX_GIVEN_UP = 3;
+/** Share of the daemons that may have ended without notice. */
+const MAX_SILENT_SHARE = 0.15;
+
+/** Input of the plan. */
+export interface SharePlanInput {
+  /** Time since the order. */
+  readonly elapsedMs: number;
+  readonly durationMs: number;
+  readonly exposeShare: number;
+  /** Servers of other versions. */
+  readonly oldServers: number;
+  /** Usable servers of the new version, in an order that all holders share. */
+  readonly newServers: readonly BackendServerId[];
+  readonly routes: ReadonlyMap<RouteName, RouteSums>;
+  /** Requests of the service since the order. */
+  readonly requests: number;
+  /** Whether all requests were moved before; that is not taken back. */
+  readonly hasMovedAll: boolean;
+}
+
+/** The share of the requests and the new servers that take it. */
+export interface SharePlan {
+  readonly share: number;
+  /** All when empty. */
+  readonly servers: readonly BackendServerId[];
+}
+
+/**
+ * Plans the share of an order whose version is not known as bad.
+ *
+ * @example
+ * ```ts
+ * const { share, servers } = planShare({ elapsedMs: 2_000, ...rest });
+ * ```
+ */
+export function planShare(input: SharePlanInput): SharePlan {
+  const { elapsedMs, durationMs, exposeShare, newServers, oldServers } = input;
+  if (newServers.length === 0) return { share: 0, servers: [] };
+  if (oldServers === 0 || input.hasMovedAll) return { share: 1, servers: [] };
+  const progress = elapsedMs / durationMs;
+  const hasAnswers = input.requests === 0 || countAnswers(input.routes) > 0;
+  const isWaitOver = progress >= LAST_START && hasAnswers;
+  const mayGrow = isWaitOver || isShown(input);
+  const hasServers = newServers.length >= oldServers * MIN_NEW_SERVERS;
+  if (progress >= ALL_FROM && mayGrow && hasServers) {
+    return { share: 1, servers: [] };
+  }
+  const due = STEPS.findLast(({ from }) => progress >= from) ?? STEPS[0]!;
+  const isFirst = !mayGrow || due === STEPS[0];
+  const multiple = isFirst ? firstMultiple(input) : due.multiple;
+  const share = Math.min(1, multiple * exposeShare);
+  // Each of them then meets the usual load of an old server.
+  const count = Math.max(1, Math.round(share * oldServers));
+  return { share, servers: newServers.slice(0, count) };
+}
+
+/** The multiple that brings each route its answers before the share grows. */
+function firstMultiple(input: SharePlanInput): number {
+  const { elapsedMs, durationMs, exposeShare, routes, requests } = input;
+  const least = STEPS[0]!.multiple;
+  if (elapsedMs < MIN_RATE_MS || requests === 0) return least;
+  const untilMs = STEPS[1]!.from * durationMs;
+  const expected = requests / elapsedMs * untilMs;
+  const needed = MIN_ROUTE_ANSWERS * routes.size * ANSWERS_MARGIN;
+  const multiple = needed / expected / exposeShare;
+  return Math.min(MAX_FIRST_MULTIPLE, Math.max(least, multiple));
+}
+
+/** Whether every route with sufficient requests has its answers. */
+function isShown({ routes }: SharePlanInput): boolean {
+  return countAnswers(routes) > 0 && lackingRoutes(routes).size === 0;
+}
+
+function countAnswers(routes: SharePlanInput["routes"]): number {
+  let answers = 0;
+  for (const sums of routes.values()) answers += sums.answers;
+  return answers;
+}
+
+/** Routes on which the new version has not answered sufficiently yet. */
+export function lackingRoutes(
+  routes: ReadonlyMap<RouteName, RouteSums>,
+): Set<RouteName> {
+  const lacking = new Set<RouteName>();
+  for (const [route, { answers, otherAnswers }] of routes) {
+    const hasRequests = otherAnswers >= MIN_OTHER_ANSWERS;
+    if (hasRequests && answers < MIN_ROUTE_ANSWERS) lacking.add(route);
+  }
+  return lacking;
+}
+
+/** Input of the decision how an order ends. */
+export interface EndPlanInput {
+  readonly elapsedMs: number;
+  readonly durationMs: number;
+  /** Since when all requests go to the new version; undefined before. */
+  readonly movedAllForMs: number | undefined;
+  readonly isBad: boolean;
+  /** Requests of all daemons at the old servers. */
+  readonly oldWork: number;
+  /** Daemons that are heard and do not apply the plan yet. */
+  readonly lagging: number;
+  /** Daemons that were heard since the order and are silent now. */
+  readonly silent: number;
+  /** All daemons that were heard since the order, this one included. */
+  readonly daemons: number;
+}
+
+/**
+ * Decides whether an order goes on or ends, and how.
+ *
+ * @example
+ * ```ts
+ * const phase = planEnd({ elapsedMs, durationMs, isBad: false, ...rest });
+ * ```
+ */
+export function planEnd(input: EndPlanInput): "running" | FinalPhase {
+  const { elapsedMs, durationMs, movedAllForMs = 0, isBad } = input;
+  if (isBad) return "rolled_back";
+  const isLast = elapsedMs >= durationMs - WRITE_MARGIN_MS;
+  const hasLeft = input.oldWork === 0 && input.lagging === 0 &&
+    input.silent === 0;
+  if (movedAllForMs >= MIN_ALL_MS && hasLeft) return "succeeded";
+  if (!isLast) return "running";
+  const mayGiveUp = input.oldWork <= MAX_GIVEN_UP && input.lagging === 0 &&
+    input.silent <= input.daemons * MAX_SILENT_SHARE;
+  return movedAllForMs >= MIN_ALL_MS && mayGiveUp ? "succeeded" : "rolled_back";
+}
