Roll versions out: orders, gossip, choice of the version, status writes

A service was moved to a new software version by listing its servers, and a bad version got as many requests as the old one.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -75,6 +75,7 @@
   | "readAgesMs"
   | "forwarding"
   | "demandPerS"
+  | "rollouts"
 >;
 
 /** Another daemon. */
@@ -424,7 +425,7 @@
 function heldStateOf(message: GossipMessage): HeldState {
   const { incarnation, failureDomain, sequence, reachesStore } = message;
   const { duty, spent, work, records, readAgesMs } = message;
-  const { forwarding, demandPerS } = message;
+  const { forwarding, demandPerS, rollouts } = message;
   return {
     incarnation,
     failureDomain,
@@ -437,6 +438,7 @@
     readAgesMs,
     ...(forwarding === undefined ? {} : { forwarding }),
     ...(demandPerS === undefined ? {} : { demandPerS }),
+    ...(rollouts === undefined ? {} : { rollouts }),
   };
 }
 
--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -15,6 +15,7 @@
   VmId,
 } from "@endivebend/types";
 import type { AnswerAges, CrashReport } from "@endivebend/quarantine";
+import type { RolloutNews, VersionCounts } from "@endivebend/version-rollouts";
 import type { BundleRequest } from "./bundle_request.ts";
 import {
   isBundleRequest,
@@ -120,6 +121,10 @@
   readonly crashes?: readonly CrashReport[];
   /** Milliseconds since the sender relayed answers to suspected prompts. */
   readonly answeredAgesMs?: AnswerAges;
+  /** Orders to move services to other software versions. */
+  readonly rollouts?: readonly RolloutNews[];
+  /** What the sender has counted of the answers since these orders. */
+  readonly versionCounts?: readonly VersionCounts[];
 }
 
 /** A message that a relay passes on, and the time since it was received. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -67,6 +67,24 @@
     isObject(value) && fields.every(([name, check]) => check(value[name]));
 }
 
+const ROLLOUT_PHASES: ReadonlySet<unknown> = new Set([
+  "running",
+  "stopped",
+  "succeeded",
+  "rolled_back",
+]);
+
+/** The counters of one route; see `RouteCounts`. */
+const isRouteCounts = isTuple(
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+);
+
 const MESSAGE_CHECKS: Readonly<Record<keyof GossipMessage, Check>> = {
   vm: isName,
   incarnation: isName,
@@ -114,6 +132,30 @@
     suspects: isListOf(isTuple(isName, isCount)),
   }))),
   answeredAgesMs: isOptional(isMapOf(isCount)),
+  rollouts: isOptional(isListOf(hasFields({
+    service: isName,
+    to: isName,
+    order: isCount,
+    durationMs: isCount,
+    ageMs: isCount,
+    phase: (value) => ROLLOUT_PHASES.has(value),
+    applied: isCount,
+    barred: isOptional(isListOf(isName)),
+    plan: isOptional(hasFields({
+      epoch: isCount,
+      share: isCount,
+      servers: isListOf(isName),
+      validMs: isCount,
+    })),
+  }))),
+  versionCounts: isOptional(isListOf(hasFields({
+    service: isName,
+    order: isCount,
+    routes: isMapOf(isRouteCounts),
+    lost: isOptional(isMapOf(isMapOf(isCount))),
+    requests: isCount,
+    exposed: isNumber,
+  }))),
 };
 
 const isGossip = hasFields(MESSAGE_CHECKS);
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -35,6 +35,7 @@
 } from "@endivebend/types";
 
 import type { QuarantineKeeper } from "./quarantine_keeper.ts";
+import type { VersionRollouts } from "./version_rollouts.ts";
 
 /** The daemon's identity and the state that it shares by gossip. */
 export interface FleetGossipOptions {
@@ -52,6 +53,10 @@
     QuarantineKeeper,
     "composeReport" | "applyReport"
   >;
+  readonly versionRollouts: Pick<
+    VersionRollouts,
+    "composeReport" | "applyReport"
+  >;
   nowMs(): number;
   logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
   reachesStore(): boolean;
@@ -120,6 +125,7 @@
         })),
         demandPerS: this.#demandOfLimitedServices(),
         ...this.#options.quarantines.composeReport(),
+        ...this.#options.versionRollouts.composeReport(),
       }),
     };
   }
@@ -146,6 +152,7 @@
     this.#applyNamedWeights(message, ageMs);
     this.#applyServerState(message, ageMs);
     this.#options.quarantines.applyReport(message, ageMs);
+    this.#options.versionRollouts.applyReport(message, ageMs);
     return true;
   }
 
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -20,7 +20,7 @@
   topicReadAtMs,
 } from "@endivebend/fleet";
 import { type ForwarderCandidate, ServerPaths } from "@endivebend/forwarding";
-import { WeightsRolloutTask } from "@endivebend/orders";
+import { VersionRolloutTask, WeightsRolloutTask } from "@endivebend/orders";
 import {
   AdmissionController,
   CacheWatch,
@@ -57,6 +57,7 @@
 import { SharedReads } from "./shared_reads.ts";
 import { StreamOriginKeeper } from "./stream_origin_keeper.ts";
 import { operatorRecordOrder, serverRecordOrder } from "./record_order.ts";
+import { VersionRollouts } from "./version_rollouts.ts";
 import { WeightsWatch } from "./weights_watch.ts";
 
 /** Topic of the operator's records, also when daemons pass them on. */
@@ -121,6 +122,8 @@
   readonly #gossip: FleetGossip;
   readonly #gossipChannel: GossipChannel;
   readonly #weightsRollout: WeightsRolloutTask;
+  readonly #versionRollouts: VersionRollouts;
+  readonly #versionRolloutTask: VersionRolloutTask;
   readonly #cacheWatch: CacheWatch;
   readonly #pauseGuard: PauseGuard;
   readonly #listener: CallerListener;
@@ -180,6 +183,7 @@
     this.#quarantines = this.#createQuarantines();
     this.#streamOrigins = this.#createStreamOrigins();
     this.#processCheck = this.#createProcessCheck();
+    this.#versionRollouts = this.#createVersionRollouts();
     this.#admission = this.#createAdmission();
     this.#forwardedRuns = this.#createForwardedRuns();
     this.#recordApplier = this.#createRecordApplier();
@@ -207,6 +211,7 @@
     this.#gossip = this.#createGossip();
     this.#gossipChannel = this.#createGossipChannel();
     this.#weightsRollout = this.#createWeightsRollout();
+    this.#versionRolloutTask = this.#createVersionRolloutTask();
     this.#cacheWatch = this.#createCacheWatch();
     this.#pauseGuard = this.#createPauseGuard();
     this.#listener = ports.listen({
@@ -237,6 +242,7 @@
     this.#quarantines.start();
     this.#streamOrigins.start();
     this.#weightsRollout.start();
+    this.#versionRolloutTask.start();
     this.#cacheWatch.start();
     this.#pauseGuard.start();
     this.#paths.start();
@@ -252,6 +258,7 @@
       open: this.#listener.openRequestCount,
     });
     this.#weightsRollout.stop();
+    this.#versionRolloutTask.stop();
     this.#cacheWatch.stop();
     this.#quarantines.stop();
     this.#continueDrain(onEnd);
@@ -304,6 +311,7 @@
           daemons: (service) => this.#sharersOf(service),
         }),
         failureDomain,
+        versions: this.#versionRollouts,
         namedWeights: (model) => this.#namedWeights.history(model),
         weightsBoundMs,
         clock,
@@ -506,6 +514,8 @@
       registry: this.#registry,
       named: this.#namedWeights,
       nowMs: () => this.#nowMs(),
+      rolloutOrdered: (rollout, at) =>
+        this.#versionRollouts.ordered(rollout, at),
       serverListed: (server) => this.#streamOrigins.noteListed(server),
       wasStoreAway: () => this.#wasStoreAway(),
       applyLimits: (limits) => this.#listener.applyLimits(limits),
@@ -619,6 +629,7 @@
       named: this.#namedWeights,
       tables: this.#tables,
       quarantines: this.#quarantines,
+      versionRollouts: this.#versionRollouts,
       nowMs: () => this.#nowMs(),
       logDecision: this.#logDecision,
       reachesStore: () => this.#ports.store.isReachable,
@@ -740,6 +751,34 @@
     if (all && !isDone) this.#unmergedTopics.add(topic);
   }
 
+  #createVersionRollouts(): VersionRollouts {
+    return new VersionRollouts({
+      bounds: this.#settings.rolloutBounds,
+      process: `${this.#settings.vm}/${this.#incarnation}`,
+      registry: this.#registry,
+      fleet: this.#fleet,
+      scheduler: this.#ports.scheduler,
+      metrics: this.#ports.metrics,
+      nowMs: () => this.#nowMs(),
+      epoch: () => this.#weightsRollout.epoch,
+      announce: () => this.#gossipChannel.announce(),
+      logDecision: this.#logDecision,
+    });
+  }
+
+  #createVersionRolloutTask(): VersionRolloutTask {
+    const { clock, scheduler, rolloutStatusLog } = this.#ports;
+    return new VersionRolloutTask({
+      clock,
+      scheduler,
+      log: rolloutStatusLog,
+      rollouts: this.#versionRollouts,
+      epoch: () => this.#weightsRollout.epoch,
+      isLeaseFresh: () => this.#weightsRollout.isLeaseFresh,
+      logDecision: this.#logDecision,
+    });
+  }
+
   #createWeightsRollout(): WeightsRolloutTask {
     const {
       clock,
@@ -765,7 +804,8 @@
       rank: (members) => rankByRendezvous("weights-duty", members),
       // Without the list of daemons each would take itself for the first.
       reachesStore: () => this.#isRegistered && store.isReachable,
-      reachesEngines: () => this.#reachesEngines(),
+      reachesEngines: () =>
+        this.#reachesEngines() && this.#versionRollouts.mayHold(),
       onWeightsChange: (progress) => {
         this.#gossip.announceWeightsProgress(progress);
         this.#gossipChannel.announce();
@@ -923,6 +963,7 @@
     });
     this.#statusServer.close();
     this.#pauseGuard.stop();
+    this.#versionRollouts.stop();
     this.#paths.stop();
     this.#streamOrigins.stop();
     this.#forwardListener.close();
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -91,6 +91,7 @@
       composeReport: () => ({ crashes: [], answeredAgesMs: {} }),
       applyReport() {},
     },
+    versionRollouts: { composeReport: () => ({}), applyReport() {} },
     nowMs: () => 1_000,
     reachesStore: () => true,
     rolloutLease: () => ({ epoch: 0, logEnd: 0 }),
@@ -237,6 +238,7 @@
     nowMs: () => 0,
     applyLimits: () => t.fail("An older configuration changed the limits"),
     serverListed() {},
+    rolloutOrdered() {},
     wasStoreAway: () => false,
     logDecision: (step) => steps.push(step),
   });
@@ -278,6 +280,7 @@
     nowMs: () => 0,
     applyLimits() {},
     serverListed() {},
+    rolloutOrdered() {},
     wasStoreAway: () => false,
     logDecision: (step) => steps.push(step),
   });
--- a/packages/front/src/ports.ts
+++ b/packages/front/src/ports.ts
@@ -15,7 +15,11 @@
   RecordSource,
   UdpTransportOptions,
 } from "@endivebend/fleet";
-import type { RolloutLeaseLog, RolloutOrderClient } from "@endivebend/orders";
+import type {
+  RolloutLeaseLog,
+  RolloutOrderClient,
+  RolloutStatusLog,
+} from "@endivebend/orders";
 import type {
   AdmissionBounds,
   AdmissionController,
@@ -25,10 +29,17 @@
   ForwardedRuns,
   ListedServer,
   ServerClient,
+  SoftwareVersion,
   WeightsVersion,
 } from "@endivebend/request-path";
 import type { RateLimitedLog, TextMetrics } from "@endivebend/telemetry";
-import type { FailureDomainId, ModelName, VmId } from "@endivebend/types";
+import type {
+  FailureDomainId,
+  ModelName,
+  ServiceName,
+  VmId,
+} from "@endivebend/types";
+import type { RolloutBounds } from "@endivebend/version-rollouts";
 
 /** Settings that the daemon's decisions depend on. */
 export interface FrontSettings {
@@ -49,6 +60,8 @@
   /** Time after which no request may start on older weights. */
   readonly weightsBoundMs: number;
   readonly bounds: AdmissionBounds;
+  /** Bounds of version rollouts; without them both versions serve. */
+  readonly rolloutBounds?: RolloutBounds;
 }
 
 /** A decoded operator record. */
@@ -59,6 +72,13 @@
     readonly model: ModelName;
     readonly weights: WeightsVersion;
   }
+  /** An order to move a service to a software version. */
+  | {
+    readonly kind: "rollout";
+    readonly service: ServiceName;
+    readonly to: SoftwareVersion;
+    readonly durationMs: number;
+  }
   | { readonly kind: "malformed" }
   /** A valid record that this daemon does not use. */
   | { readonly kind: "other" };
@@ -161,6 +181,7 @@
   readonly memory: MemoryBudget;
   readonly store: RecordStore;
   readonly rolloutLeaseLog: RolloutLeaseLog;
+  readonly rolloutStatusLog: RolloutStatusLog;
   readonly streamOriginLog: StreamOriginLog;
   readonly engineOrders: RolloutOrderClient;
   readonly serverClient: ServerClient;
--- a/packages/front/src/record_applier.ts
+++ b/packages/front/src/record_applier.ts
@@ -24,6 +24,11 @@
   readonly registry: ServerRegistry;
   readonly named: NamedWeightsRegistry;
   nowMs(): number;
+  /** Called for each order to move a service to a software version. */
+  rolloutOrdered(
+    rollout: OperatorRecord & { readonly kind: "rollout" },
+    at: { readonly position: number; readonly isAgeKnown: boolean },
+  ): void;
   /** Called for each entry of a server that is applied. */
   serverListed(server: ListedServer): void;
   /** Whether the store is away, or was until some seconds ago. */
@@ -98,6 +103,11 @@
       this.#applyConfiguration(parsed.configuration, record);
     } else if (parsed.kind === "weights") {
       this.#applyNamedWeights(parsed, record);
+    } else if (parsed.kind === "rollout") {
+      this.#options.rolloutOrdered(parsed, {
+        position: record.position,
+        isAgeKnown: this.#hasOperatorRecords,
+      });
     }
   }
 
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -70,6 +70,12 @@
   type SimulatedWeights,
 } from "./testing_rollout.ts";
 import { StoreAccess, type StoreCutForm } from "./testing_store_access.ts";
+import {
+  type AnswerFault,
+  readRollout,
+  SimulatedStatuses,
+} from "./testing_version_rollouts.ts";
+import type { RolloutBounds } from "@endivebend/version-rollouts";
 
 export const MODEL = brandId<ModelName>("m");
 const SERVICE = brandId<ServiceName>("engines");
@@ -447,6 +453,10 @@
   /** Time within which all daemons start; they start at once by default. */
   readonly startWithinMs?: number;
   readonly gossipLinks?: GossipLinkOptions;
+  /** Bounds of version rollouts; there are none by default. */
+  readonly rolloutBounds?: RolloutBounds;
+  /** Routes of the paths with these prefixes, besides that of all others. */
+  readonly routes?: readonly string[];
 }
 
 const WHOLE_GOSSIP_LINKS: GossipLinkOptions = {
@@ -472,6 +482,11 @@
   readonly outcomes: Outcome[] = [];
   /** Draws whether an engine breaks an answer off; set while engines do. */
   breaksAnswer: (() => boolean) | undefined;
+  /** What is wrong with an engine's answer to a request on a route. */
+  answerFault: (engine: Engine, route: string) => AnswerFault | undefined =
+    () => undefined;
+  /** The status records of version rollouts. */
+  readonly statuses = new SimulatedStatuses(this.time);
   /** Called for each request that an engine has as it ends. */
   onLoss: (engine: Engine, requestId: RequestId) => void = () => {};
   readonly originCalls: OriginCall[] = [];
@@ -618,6 +633,8 @@
       const configuration = this.readConfiguration(record);
       return { kind: "configuration", configuration };
     }
+    const rollout = readRollout(record);
+    if (rollout !== undefined) return rollout;
     const { weights } = JSON.parse(String(record.value)) as {
       readonly weights: number;
     };
@@ -643,13 +660,14 @@
 
   readConfiguration({ value }: KeyedRecord): Configuration {
     const kind = this.#options.kind ?? "resumable_stream";
+    const prefixes = [...this.#options.routes ?? [], "/"];
     const { revision } = JSON.parse(String(value)) as { revision: number };
     return {
       revision,
-      routes: [{
-        name: brandId<RouteName>("draft"),
+      routes: prefixes.map((pathPrefix) => ({
+        name: brandId<RouteName>(pathPrefix === "/" ? "draft" : pathPrefix),
         host: "bells.example",
-        pathPrefix: "/",
+        pathPrefix,
         kind,
         timeoutMs: CALLER_TIMEOUT_MS,
         targetMs: 800,
@@ -658,7 +676,7 @@
         urgency: 1,
         allowsAnonymous: true,
         destinations: [{ service: SERVICE, weight: 1 }],
-      }],
+      })),
       services: [{
         name: SERVICE,
         maxConnections: this.#options.maxConnections ?? 600,
@@ -676,6 +694,10 @@
     };
   }
 
+  get rolloutBounds(): RolloutBounds | undefined {
+    return this.#options.rolloutBounds;
+  }
+
   get teamSlack(): number {
     return this.#options.teamSlack ?? 0;
   }
@@ -710,7 +732,8 @@
   send(
     daemon: number,
     segments: readonly string[],
-    { body, events, takesUp, resumeAfter }: {
+    { body, events, takesUp, resumeAfter, path }: {
+      readonly path?: string;
       readonly body?: string;
       /** The stream that the request goes on with, as its caller names it. */
       readonly takesUp?: RequestId | undefined;
@@ -737,7 +760,7 @@
     };
     this.outcomes.push(outcome);
     if (events !== undefined) this.#eventsByRequest.set(requestId, events);
-    const serving = { events, takeUp: { takesUp, resumeAfter } };
+    const serving = { events, path, takeUp: { takesUp, resumeAfter } };
     const heldMs = this.#requestsHeldUntilMs - this.time.nowMs;
     if (heldMs <= 0) this.#daemons[daemon]?.serve(outcome, serving);
     else {
@@ -1210,7 +1233,18 @@
     const prefillAtMs = Math.max(engine.prefilledAtMs, this.time.nowMs);
     engine.prefilledAtMs = prefillAtMs +
       order.cache.tokensToRead / PREFILL_TOKENS_PER_MS;
-    const delayMs = engine.prefilledAtMs - this.time.nowMs;
+    const fault = this.answerFault(engine, order.request.route.name);
+    const slowMs = fault?.kind === "slow" ? fault.byMs : 0;
+    if (fault?.kind === "failure") {
+      return void this.time.after(fault.afterMs, () => {
+        engine.attempts.delete(attempt);
+        if (attempt.isOver) return;
+        const failure = { status: 500, hasProof: false };
+        listener.head({ ...this.#head(engine), ...failure });
+        listener.end();
+      });
+    }
+    const delayMs = engine.prefilledAtMs - this.time.nowMs + slowMs;
     this.time.after(
       delayMs,
       () => this.#begin(engine, { attempt, segments, body, order }),
@@ -1373,6 +1407,7 @@
 
 /** How a daemon serves a request. */
 interface Serving {
+  readonly path: string | undefined;
   /** Events of the answer. */
   readonly events: number | undefined;
   readonly takeUp: Pick<RoutedRequest, "takesUp" | "resumeAfter">;
@@ -1428,6 +1463,7 @@
         },
         repeats: { windowMs: 10_000, share: 0.2, slack: 56 },
       },
+      ...(world.rolloutBounds && { rolloutBounds: world.rolloutBounds }),
     }, this.#ports());
     this.#daemon.start();
   }
@@ -1511,7 +1547,7 @@
   }
 
   #serve(outcome: Outcome, serving: Serving): void {
-    const { events = RUN_EVENTS, takeUp } = serving;
+    const { events = RUN_EVENTS, path = "/", takeUp } = serving;
     const renewal = this.#context?.whenCurrent();
     if (renewal !== undefined) {
       const serve = () => this.#serve(outcome, serving);
@@ -1520,7 +1556,7 @@
     const admission = this.#context?.admission;
     const admitted = admission?.admit({
       host: "bells.example",
-      path: "/",
+      path,
       key: KEY,
       tokens: undefined,
     });
@@ -1639,6 +1675,7 @@
           read: () => Promise.reject(new Error("No rollout is played")),
           append: () => Promise.reject(new Error("No rollout is played")),
         },
+      rolloutStatusLog: world.statuses.log(() => this.#callStore()),
       streamOriginLog: this.#streamOriginLog(),
       engineOrders: world.rollout.orders(this.vm),
       serverClient: {
--- a/packages/orders/src/mod.ts
+++ b/packages/orders/src/mod.ts
@@ -36,5 +36,16 @@
   RolloutOrderClient,
   WeightsOrder,
 } from "./weights_rollout.ts";
+export { VersionRolloutTask } from "./version_rollout_task.ts";
+export type {
+  OpenRollouts,
+  VersionRolloutOptions,
+} from "./version_rollout_task.ts";
+export type {
+  RolloutStatus,
+  RolloutStatusLog,
+  RolloutStatusState,
+  StatusAppendResult,
+} from "./rollout_status.ts";
 export { WeightsRolloutTask } from "./weights_rollout_task.ts";
 export type { WeightsRolloutOptions } from "./weights_rollout_task.ts";
--- a/packages/orders/src/rollout_lease.ts
+++ b/packages/orders/src/rollout_lease.ts
@@ -23,6 +23,8 @@
 const ENGINES_LOST_MS = 1_500;
 /** Then it leaves the next claim to others for this long. */
 const RELEASED_MS = 6_000;
+/** Time for a call to come to the store while the lease holds. */
+const FRESH_MARGIN_MS = 300;
 /** Delay before a renewal that the store did not take is tried again. */
 const RETRY_INTERVAL_MS = 300;
 
@@ -91,6 +93,17 @@
     return this.#held?.epoch ?? 0;
   }
 
+  /**
+   * Whether the latest record is so recent that no other daemon can claim the
+   * lease before a call that is made now has come to the store.
+   */
+  get isFresh(): boolean {
+    const held = this.#held;
+    return held !== undefined &&
+      this.#options.clock.elapsedMs() - held.permittedAtElapsedMs <
+        LEASE_SILENCE_MS - FRESH_MARGIN_MS;
+  }
+
   /** The newest known end of the lease's log, for peers; 0 when unknown. */
   get logEnd(): number {
     return this.#end ?? 0;
--- a/packages/orders/src/weights_rollout_task.ts
+++ b/packages/orders/src/weights_rollout_task.ts
@@ -63,6 +63,11 @@
     return this.#lease.epoch;
   }
 
+  /** Whether this daemon holds the lease, and no other one can by now. */
+  get isLeaseFresh(): boolean {
+    return this.#lease.isFresh;
+  }
+
   /** The newest known end of the lease's log, for peers; 0 when unknown. */
   get leaseLogEnd(): number {
     return this.#lease.logEnd;
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -11,6 +11,7 @@
 import { createDecisionLog, TextMetrics } from "@endivebend/telemetry";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { createRolloutOrderClient } from "./rollout_order_client.ts";
+import { createRolloutStatusLog } from "./rollout_status_log.ts";
 import { serveForwarding } from "./forward_listener.ts";
 import { IngressListener } from "./ingress_listener.ts";
 import { createCacheEventClient } from "./cache_event_client.ts";
@@ -47,6 +48,7 @@
     memory,
     store: createRecordStore(store),
     rolloutLeaseLog: createRolloutLeaseLog(store),
+    rolloutStatusLog: createRolloutStatusLog(store),
     streamOriginLog: createStreamOriginLog(store, settings.storeRates),
     engineOrders: createRolloutOrderClient(memory),
     serverClient: createServerClient(clock, { ip: settings.ip }),
--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -17,6 +17,7 @@
   WeightsVersion,
 } from "@endivebend/request-path";
 import { isIpAndPort } from "@endivebend/http-syntax";
+import type { RolloutStatus } from "@endivebend/orders";
 import {
   type BackendServerId,
   brandId,
@@ -231,6 +232,47 @@
   };
 }
 
+/** An order to move a service to a software version. */
+export interface NamedRollout {
+  readonly service: ServiceName;
+  readonly to: SoftwareVersion;
+  readonly durationMs: number;
+}
+
+/**
+ * Decodes the operator's order to move a service to a software version; returns
+ * undefined when a field is missing or of another type.
+ */
+export function decodeRollout(value: Buffer): NamedRollout | undefined {
+  const fields = parseObject(value);
+  const { service, to, duration_s: durationS } = fields ?? {};
+  const isValid = isName(service) && service !== "" && isName(to) &&
+    to !== "" && typeof durationS === "number" && Number.isFinite(durationS) &&
+    durationS > 0;
+  if (!isValid) return undefined;
+  return {
+    service: brandId<ServiceName>(service),
+    to: brandId<SoftwareVersion>(to),
+    durationMs: durationS * 1_000,
+  };
+}
+
+/** What the status record of a rollout states; undefined for other records. */
+export function decodeRolloutStatus(
+  value: Buffer,
+): RolloutStatus | undefined {
+  const fields = parseObject(value);
+  const { service, to, phase } = fields ?? {};
+  const isValid = isName(service) && isName(to) &&
+    (phase === "running" || phase === "succeeded" || phase === "rolled_back");
+  if (!isValid) return undefined;
+  return {
+    service: brandId<ServiceName>(service),
+    to: brandId<SoftwareVersion>(to),
+    phase,
+  };
+}
+
 function parseObject(value: Buffer): Fields | undefined {
   try {
     return asObject(JSON.parse(value.toString("utf8")));
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -121,6 +121,22 @@
         slack: requireNumber(bounds, "retry_budget_slack"),
       },
     },
+    ...parseRolloutBounds(bounds),
+  };
+}
+
+/** Absent where the deployment does not roll versions out. */
+function parseRolloutBounds(
+  bounds: Fields,
+): Pick<PlatformSettings, "rolloutBounds"> {
+  const names = ["expose_share", "expose_slack", "rollback_ms"];
+  if (names.some((name) => bounds[name] === undefined)) return {};
+  return {
+    rolloutBounds: {
+      exposeShare: requireNumber(bounds, "expose_share"),
+      exposeSlack: requireNumber(bounds, "expose_slack"),
+      rollbackMs: requireNumber(bounds, "rollback_ms"),
+    },
   };
 }
 
--- a/packages/platform/src/store_client.ts
+++ b/packages/platform/src/store_client.ts
@@ -134,12 +134,17 @@
 
   /**
    * Appends a record under a key; the store retains the newest of each key.
-   * Without a value the key is removed.
+   * Without a value the key is removed. With `at`, as in {@link append}.
    */
-  appendKeyed(topic: string, key: string, value: Buffer = Buffer.alloc(0)) {
+  appendKeyed(
+    topic: string,
+    key: string,
+    value: Buffer = Buffer.alloc(0),
+    condition: { readonly at?: number } = {},
+  ) {
     const name = Buffer.from(key);
     const record = Buffer.concat([Buffer.from([name.length]), name, value]);
-    return this.append(topic, record);
+    return this.append(topic, record, condition);
   }
 
   /**
--- a/packages/platform/src/store_records.ts
+++ b/packages/platform/src/store_records.ts
@@ -10,6 +10,7 @@
 import {
   decodeConfiguration,
   decodeNamedWeights,
+  decodeRollout,
   decodeServer,
 } from "./decode.ts";
 import type { StoreClient } from "./store_client.ts";
@@ -26,6 +27,7 @@
 
 const CONFIGURATION_KEY = "config";
 const WEIGHTS_PREFIX = "version/";
+const ROLLOUT_PREFIX = "rollout/";
 
 /** Adapts the store's client to the interface of the front daemon. */
 export function createRecordStore(client: StoreClient): RecordStore {
@@ -65,6 +67,12 @@
       ? { kind: "malformed" }
       : { kind: "configuration", configuration };
   }
+  if (key.startsWith(ROLLOUT_PREFIX)) {
+    const rollout = decodeRollout(value);
+    return rollout === undefined
+      ? { kind: "malformed" }
+      : { kind: "rollout", ...rollout };
+  }
   if (!key.startsWith(WEIGHTS_PREFIX)) return { kind: "other" };
   const namedWeights = decodeNamedWeights(value);
   return namedWeights === undefined
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -71,5 +71,6 @@
 export { shedRetryMs } from "./load_shedding.ts";
 export type { WaitingPrompt } from "./load_shedding.ts";
 export * from "./types.ts";
+export type { VersionChoice, VersionNeed } from "./version_choice.ts";
 export { firstNewer, NamedWeightsRegistry } from "./named_weights.ts";
 export type { NamedWeights, WeightsHistory } from "./named_weights.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -30,6 +30,7 @@
   ServerWork,
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
+import type { VersionChoice } from "./version_choice.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
@@ -44,6 +45,8 @@
 
 /** What a placement depends on besides the request. */
 export interface PlacementContext {
+  /** Absent where both versions serve alike. */
+  readonly versions?: VersionChoice | undefined;
   readonly registry: ServerRegistry;
   readonly allowances: ServerAllowances;
   readonly failureDomain: FailureDomainId;
@@ -151,11 +154,23 @@
 export function placeRequest(
   request: RoutedRequest,
   context: AttemptContext,
+): Placement {
+  const placement = placeAtVersion(request, context);
+  if (placement.kind === "placed") return placement;
+  const at = { goesOn: goesOn(context) };
+  return context.versions?.fallsBack(request, placement.reason, at) === true
+    ? placeAtVersion(request, context)
+    : placement;
+}
+
+function placeAtVersion(
+  request: RoutedRequest,
+  context: AttemptContext,
 ): Placement {
   const { registry, exclude, nowMs } = context;
   const views = registry.usable(request.service, nowMs)
     .filter(({ listed }) => !exclude.has(listed.id))
-    .filter((server) => isOfVersion(server, context))
+    .filter((server) => mayRunAt(server, request, context))
     .map((server) => describeServer(request, { server, context }));
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
@@ -228,7 +243,7 @@
   const candidates = registry.usable(service, nowMs).filter((server) => {
     const believed = registry.weightsOf(server, work.model);
     const mayProbe = believed !== undefined && believed < newest &&
-      !exclude.has(server.listed.id) && isOfVersion(server, context) &&
+      !exclude.has(server.listed.id) && mayRunAt(server, request, context) &&
       nowMs >= server.loadingUntilMs &&
       !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
     return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
@@ -262,6 +277,22 @@
   };
 }
 
+/** Whether the request goes on with a stream that a version has begun. */
+function goesOn({ hasBegun, softwareVersion }: AttemptContext): boolean {
+  return hasBegun || softwareVersion !== undefined;
+}
+
+function mayRunAt(
+  server: KnownServer,
+  request: RoutedRequest,
+  context: AttemptContext,
+): boolean {
+  if (!isOfVersion(server, context)) return false;
+  const { versions } = context;
+  return versions === undefined ||
+    versions.allows(server, request, { goesOn: goesOn(context) });
+}
+
 function isOfVersion(
   server: KnownServer,
   { hasBegun, softwareVersion }: AttemptContext,
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -427,6 +427,8 @@
       !isRepeatable(request.route.kind) &&
       nowMs - server.lastReceivedMs > CONNECTION_FRESH_MS;
     if (needsNewConnection) client.closeIdleConnections(server.listed.address);
+    const { tokensToRead } = cache;
+    this.#context.versions?.sent(attempt, { request, server, tokensToRead });
     attempt.handle = client.start({
       request,
       server: {
@@ -491,6 +493,8 @@
       return this.#handleNotRun(attempt, `not_run_${head.status}`);
     }
     const isSuccess = head.status >= 200 && head.status < 300;
+    const isFailure = head.status >= 500 || (isSuccess && !head.hasProof);
+    if (isFailure) this.#context.versions?.failed(attempt);
     if (isSuccess && !head.hasProof) {
       return this.#handleBroken(attempt, "no_proof", "answer");
     }
@@ -642,6 +646,7 @@
     this.#recordReceived(attempt);
     if (relayed.isProgress) {
       attempt.hasEvents = true;
+      this.#context.versions?.began(attempt);
       this.#recordOrigin(attempt);
       this.#dropReplacement("not_needed");
       this.#recordProgress(attempt);
@@ -694,6 +699,7 @@
         lacksEvents ? "no_events" : "cut_event",
       );
     }
+    this.#context.versions?.answered(attempt);
     this.#dropReplacement("not_needed");
     this.#recordSound(attempt, { isComplete: true });
     this.#context.registry.recordSuccess(attempt.server.listed.id);
@@ -1004,6 +1010,7 @@
 
   #endBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
     const { id } = attempt.server.listed;
+    this.#judgeVersion(attempt, shownBy);
     if (shownBy === "connection") this.#blame(attempt, reason);
     if (shownBy === "answer") {
       this.#context.registry.recordFailure(id, this.#nowMs());
@@ -1078,6 +1085,16 @@
     if (!isForwarders) this.#excluded.add(server.listed.id);
   }
 
+  /** A lost connection tells of the version unless a link may be at fault. */
+  #judgeVersion(attempt: Attempt, shownBy: FaultSource): void {
+    const { paths, versions } = this.#context;
+    const mayBeLink = attempt.forwarder !== undefined ||
+      paths.isCutOff(attempt.server.listed.service);
+    if (shownBy === "answer") versions?.failed(attempt);
+    else if (mayBeLink) versions?.dropped(attempt);
+    else versions?.lost(attempt);
+  }
+
   /** Counts a lost connection against whoever may have caused it. */
   #blame(attempt: Attempt, reason: string): void {
     const { paths, registry } = this.#context;
@@ -1272,6 +1289,7 @@
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
     if (!attempt.wasSent) this.#settle(attempt);
+    this.#context.versions?.dropped(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#attempt;
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -43,7 +43,7 @@
 const MAX_LOAD_FACTOR = 1.3;
 /** Requests beyond that; a server with few of them is not loaded. */
 const MAX_LOAD_EXCESS = 2;
-/** A holder writes the plan down this often; two may be lost. */
+/** Gossip tells the plan each 200 ms in a small fleet. */
 const MIN_VALID_MS = 1_500;
 
 /** The servers of the service, as they are listed now. */
@@ -59,7 +59,7 @@
   readonly id: BackendServerId;
   readonly isNew: boolean;
   /** Requests of all daemons at the server. */
-  readonly load: number;
+  load(): number;
 }
 
 /** When a request asks, and what for. */
@@ -86,7 +86,6 @@
 
 /** The state of one order at one daemon. */
 export class ServiceRollout {
-  readonly order: VersionOrder;
   readonly evidence = new FleetEvidence();
   readonly watch: AnswerWatch;
   readonly #bounds: RolloutBounds;
@@ -97,6 +96,7 @@
   readonly #fallenBack = new WeakSet<object>();
   /** Requests that use old servers although all are to leave them. */
   readonly #stranded = new WeakSet<object>();
+  #order: VersionOrder;
   #phase: RolloutPhase = "running";
   #phaseSinceMs = 0;
   #orderedAtMs: number;
@@ -114,7 +114,7 @@
     readonly creditStart: number;
     readonly orderedAtMs: number;
   }) {
-    this.order = order;
+    this.#order = order;
     this.#bounds = options.bounds;
     this.#process = options.process;
     this.#orderedAtMs = options.orderedAtMs;
@@ -126,6 +126,10 @@
     });
   }
 
+  get order(): VersionOrder {
+    return this.#order;
+  }
+
   get phase(): RolloutPhase {
     return this.#phase;
   }
@@ -161,6 +165,11 @@
     return this.#plan !== undefined && nowMs < this.#plan.untilMs;
   }
 
+  /** The same order's record stands elsewhere, as the store was restored. */
+  reposition(position: number): void {
+    this.#order = { ...this.#order, position };
+  }
+
   /** Another daemon knows that the order is older. */
   noteAge(ageMs: number, nowMs: number): void {
     this.#orderedAtMs = Math.min(this.#orderedAtMs, nowMs - ageMs);
@@ -350,9 +359,8 @@
     const { servers, nowMs } = moment;
     const plan = this.#plan;
     if (plan === undefined || this.applied(nowMs) >= 1) return true;
-    const mayTakeMore =
-      load < servers.oldLoad * MAX_LOAD_FACTOR + MAX_LOAD_EXCESS;
-    return mayTakeMore &&
-      (plan.servers.length === 0 || plan.servers.includes(id));
+    const isPlanned = plan.servers.length === 0 || plan.servers.includes(id);
+    return isPlanned &&
+      load() < servers.oldLoad * MAX_LOAD_FACTOR + MAX_LOAD_EXCESS;
   }
 }
--- a/packages/version-rollouts/src/version_order.ts
+++ b/packages/version-rollouts/src/version_order.ts
@@ -58,6 +58,8 @@
   readonly phase: RolloutPhase;
   /** The share that the sender applies. */
   readonly applied: number;
+  /** Versions of earlier orders that did not succeed; they get no requests. */
+  readonly barred?: readonly SoftwareVersion[];
   /** Present in the messages of the holder. */
   readonly plan?: RolloutPlan;
 }
