Count lost and slow answers of a new version by server, with a bound

A new server that crashes or pauses spoils all its requests at once, which looked like a bad version: three of four answers ended an order.

--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -82,7 +82,6 @@
   isCount,
   isCount,
   isCount,
-  isCount,
 );
 
 const MESSAGE_CHECKS: Readonly<Record<keyof GossipMessage, Check>> = {
@@ -152,7 +151,7 @@
     service: isName,
     order: isCount,
     routes: isMapOf(isRouteCounts),
-    lost: isOptional(isMapOf(isMapOf(isCount))),
+    doubtful: isOptional(isMapOf(isMapOf(isCount))),
     requests: isCount,
     exposed: isNumber,
   }))),
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -48,16 +48,17 @@
 
 type Counts = [...RouteCounts];
 
-const NEW = { answers: 0, failed: 1, slow: 2 } as const;
-const OTHER = { answers: 3, failed: 4, slow: 5 } as const;
-const OTHER_PACE = 6;
+const ANSWERS = 0;
+const FAILED = 1;
+const OTHER = { answers: 2, failed: 3, slow: 4 } as const;
+const OTHER_PACE = 5;
 
 /** The watch of one daemon for one order. */
 export class AnswerWatch {
   readonly #paceOf: (route: RouteName, nowMs: number) => OtherPace | undefined;
   readonly #open = new Map<object, OpenAttempt>();
   readonly #routes = new Map<RouteName, Counts>();
-  readonly #lost = new Map<BackendServerId, Record<RouteName, number>>();
+  readonly #doubtful = new Map<BackendServerId, Record<RouteName, number>>();
   #bad = 0;
 
   constructor(
@@ -107,15 +108,8 @@
 
   /** The connection of an attempt was lost; its server may have ended. */
   lost(key: object): void {
-    const attempt = this.#open.get(key);
-    if (attempt === undefined) return;
-    if (!attempt.isNew || attempt.isCounted) return this.#end(key, "failed");
-    this.#open.delete(key);
-    this.#bad += 1;
-    const { server, route } = attempt;
-    const lost = this.#lost.get(server) ?? {} as Record<RouteName, number>;
-    lost[route] = (lost[route] ?? 0) + 1;
-    this.#lost.set(server, lost);
+    const isNew = this.#open.get(key)?.isNew;
+    this.#end(key, isNew ? "slow" : "failed");
   }
 
   /** Nothing is known of the attempt's end, as its caller has left. */
@@ -133,18 +127,18 @@
   }
 
   /** The counters, as they are told to peers. */
-  counts(): Pick<VersionCounts, "routes" | "lost"> {
+  counts(): Pick<VersionCounts, "routes" | "doubtful"> {
     const routes = Object.fromEntries(
       [...this.#routes].map(([route, counts]) => [route, [...counts]]),
     ) as unknown as VersionCounts["routes"];
-    if (this.#lost.size === 0) return { routes };
-    const lost = Object.fromEntries(
-      [...this.#lost].map(([server, byRoute]) => [server, { ...byRoute }]),
-    ) as VersionCounts["lost"] & object;
-    return { routes, lost };
+    if (this.#doubtful.size === 0) return { routes };
+    const doubtful = Object.fromEntries(
+      [...this.#doubtful].map(([server, byRoute]) => [server, { ...byRoute }]),
+    ) as VersionCounts["doubtful"] & object;
+    return { routes, doubtful };
   }
 
-  #end(key: object, fault: "failed" | undefined): void {
+  #end(key: object, fault: "failed" | "slow" | undefined): void {
     const attempt = this.#open.get(key);
     if (attempt === undefined) return;
     this.#open.delete(key);
@@ -155,11 +149,22 @@
     if (attempt.isCounted) return;
     attempt.isCounted = true;
     const counts = this.#countsOf(attempt.route);
-    const side = attempt.isNew ? NEW : OTHER;
-    counts[side.answers] += 1;
-    if (fault === undefined) return;
-    counts[side[fault]] += 1;
-    if (attempt.isNew) this.#bad += 1;
+    if (!attempt.isNew) {
+      counts[OTHER.answers] += 1;
+      if (fault !== undefined) counts[OTHER[fault]] += 1;
+      return;
+    }
+    if (fault !== undefined) this.#bad += 1;
+    if (fault === "slow") return this.#countDoubtful(attempt);
+    counts[ANSWERS] += 1;
+    if (fault === "failed") counts[FAILED] += 1;
+  }
+
+  #countDoubtful({ server, route }: OpenAttempt): void {
+    const byRoute = this.#doubtful.get(server) ??
+      {} as Record<RouteName, number>;
+    byRoute[route] = (byRoute[route] ?? 0) + 1;
+    this.#doubtful.set(server, byRoute);
   }
 
   #slowFromMs(attempt: OpenAttempt, nowMs: number): number {
@@ -173,7 +178,7 @@
   #countsOf(route: RouteName): Counts {
     const known = this.#routes.get(route);
     if (known !== undefined) return known;
-    const counts: Counts = [0, 0, 0, 0, 0, 0, 0];
+    const counts: Counts = [0, 0, 0, 0, 0, 0];
     this.#routes.set(route, counts);
     return counts;
   }
--- a/packages/version-rollouts/src/fleet_evidence.ts
+++ b/packages/version-rollouts/src/fleet_evidence.ts
@@ -11,9 +11,9 @@
 import type { OtherPace } from "./answer_watch.ts";
 import type { RouteCounts, VersionCounts } from "./version_order.ts";
 
-/** A server that crashes loses all its requests at once; so many count. */
-const MAX_LOST_PER_WINDOW = 3;
-const LOST_WINDOW_MS = 500;
+/** A server that crashes or pauses spoils all its requests; so many count. */
+const MAX_DOUBTFUL_PER_WINDOW = 3;
+const DOUBTFUL_WINDOW_MS = 500;
 /** Paces lose half of their weight in this time. */
 const PACE_HALF_LIFE_MS = 1_500;
 /** Fewer answers of late than these show no pace of the present. */
@@ -30,8 +30,8 @@
 const PRIOR_ANSWERS = 20;
 /** Standard deviations by which bad answers have to exceed the expected. */
 const DEVIATIONS = 3;
-/** Bad answers beyond these deviations; a handful of answers has no spread. */
-const MIN_EXCESS = 2;
+/** Bad answers beyond these deviations; one server in trouble has as many. */
+const MIN_EXCESS = 3;
 
 /** Sums of one route over the fleet. */
 export interface RouteSums {
@@ -61,14 +61,14 @@
   mean: number | undefined;
 }
 
-type Sums = [number, number, number, number, number, number, number];
+type Sums = [...RouteCounts];
 
 /** The evidence about one order, as one daemon knows it. */
 export class FleetEvidence {
   readonly #byProcess = new Map<string, VersionCounts>();
   readonly #routes = new Map<RouteName, Sums>();
-  readonly #lost = new Map<RouteName, number>();
-  readonly #lostWindows = new Map<
+  readonly #doubtful = new Map<RouteName, number>();
+  readonly #windows = new Map<
     BackendServerId,
     { index: number; counted: number }
   >();
@@ -92,13 +92,13 @@
       const route = name as RouteName;
       this.#addRoute(route, routeCounts, previous?.routes[route], nowMs);
     }
-    for (const [id, byRoute] of Object.entries(counts.lost ?? {})) {
+    for (const [id, byRoute] of Object.entries(counts.doubtful ?? {})) {
       const server = id as BackendServerId;
-      const before = previous?.lost?.[server];
-      for (const [name, lost] of Object.entries(byRoute)) {
+      const before = previous?.doubtful?.[server];
+      for (const [name, count] of Object.entries(byRoute)) {
         const route = name as RouteName;
-        const added = lost - (before?.[route] ?? 0);
-        if (added > 0) this.#addLost({ server, route, added }, nowMs);
+        const added = count - (before?.[route] ?? 0);
+        if (added > 0) this.#addDoubtful({ server, route, added }, nowMs);
       }
     }
   }
@@ -107,12 +107,12 @@
   routes(): Map<RouteName, RouteSums> {
     const sums = new Map<RouteName, RouteSums>();
     for (const [route, counts] of this.#routes) {
-      const lost = this.#lost.get(route) ?? 0;
+      const doubtful = this.#doubtful.get(route) ?? 0;
       sums.set(route, {
-        answers: counts[0] + lost,
-        bad: counts[1] + counts[2] + lost,
-        otherAnswers: counts[3],
-        otherBad: counts[4] + counts[5],
+        answers: counts[0] + doubtful,
+        bad: counts[1] + doubtful,
+        otherAnswers: counts[2],
+        otherBad: counts[3] + counts[4],
       });
     }
     return sums;
@@ -133,7 +133,7 @@
     previous: RouteCounts | undefined,
     nowMs: number,
   ): void {
-    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0, 0];
+    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0];
     this.#routes.set(route, sums);
     const added = counts.map((count, index) =>
       count - (previous?.[index] ?? 0)
@@ -141,8 +141,8 @@
     added.forEach((count, index) => {
       sums[index]! += count;
     });
-    const answers = added[3]!;
-    if (answers > 0) this.#addPace(route, { answers, sum: added[6]! }, nowMs);
+    const answers = added[2]!;
+    if (answers > 0) this.#addPace(route, { answers, sum: added[5]! }, nowMs);
   }
 
   #addPace(
@@ -162,22 +162,22 @@
     pace.mean = pace.sum / pace.answers;
   }
 
-  #addLost(
-    lost: {
+  #addDoubtful(
+    doubtful: {
       readonly server: BackendServerId;
       readonly route: RouteName;
       readonly added: number;
     },
     nowMs: number,
   ): void {
-    const { server, route, added } = lost;
-    const index = Math.floor(nowMs / LOST_WINDOW_MS);
-    const known = this.#lostWindows.get(server);
+    const { server, route, added } = doubtful;
+    const index = Math.floor(nowMs / DOUBTFUL_WINDOW_MS);
+    const known = this.#windows.get(server);
     const window = known?.index === index ? known : { index, counted: 0 };
-    this.#lostWindows.set(server, window);
-    const counted = Math.min(added, MAX_LOST_PER_WINDOW - window.counted);
+    this.#windows.set(server, window);
+    const counted = Math.min(added, MAX_DOUBTFUL_PER_WINDOW - window.counted);
     window.counted += counted;
-    this.#lost.set(route, (this.#lost.get(route) ?? 0) + counted);
+    this.#doubtful.set(route, (this.#doubtful.get(route) ?? 0) + counted);
   }
 }
 
--- a/packages/version-rollouts/src/version_order.ts
+++ b/packages/version-rollouts/src/version_order.ts
@@ -65,13 +65,13 @@
 }
 
 /**
- * Answers, failures and slow answers of the new version, the same of the other
- * versions, and the sum of the others' times, in hundredths of what is expected.
+ * Answers and failures of the new version; answers, failures and slow answers of
+ * the other versions, and the sum of their times, in hundredths of what is
+ * expected.
  */
 export type RouteCounts = readonly [
   answers: number,
   failed: number,
-  slow: number,
   otherAnswers: number,
   otherFailed: number,
   otherSlow: number,
@@ -83,8 +83,11 @@
   readonly service: ServiceName;
   readonly order: number;
   readonly routes: Readonly<Record<RouteName, RouteCounts>>;
-  /** Connections to new servers that were lost, by server and route. */
-  readonly lost?: Readonly<
+  /**
+   * Lost connections and slow answers of new servers, by server and route; the
+   * server's own trouble may explain them. They are not among the answers.
+   */
+  readonly doubtful?: Readonly<
     Record<BackendServerId, Readonly<Record<RouteName, number>>>
   >;
   /** Requests of the service, and those sent to the new version. */
