Keep a rollout going when its holder is lost late

A plan that moves all requests ended 1,500 ms after its holder was lost, and the next one comes after 2 to 4 s: the daemons went back and the order was rolled back. Such a plan now holds for 0.6 of the rollback time, the last write needs 700 ms instead of 1,200, one silent daemon is borne, and a holder that hears few daemons waits another second before it releases the lease.

--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -68,6 +68,8 @@
 const SILENT_BEFORE_MS = 5_000;
 /** A holder that hears fewer daemons leaves the lease to another one. */
 const MIN_HEARD_SHARE = 0.5;
+/** A cut that ends soon costs less than another holder. */
+const LONELY_MS = 1_000;
 
 /** Stands for the version of a server whose entry names none. */
 const UNKNOWN_VERSION = "" as SoftwareVersion;
@@ -91,6 +93,8 @@
   readonly #options: VersionRolloutsOptions;
   readonly #held = new Map<ServiceName, HeldRollout>();
   readonly #attempts = new WeakMap<object, ServiceRollout>();
+  /** When enough of the fleet was last heard. */
+  #heardFleetAtMs = Number.NEGATIVE_INFINITY;
   #cancelTick = () => {};
 
   constructor(options: VersionRolloutsOptions) {
@@ -143,9 +147,12 @@
 
   /** Whether this daemon hears enough of the fleet to drive its orders. */
   mayHold(): boolean {
-    const { fleet, nowMs } = this.#options;
-    return this.open().length === 0 ||
-      fleet.reachableShare(nowMs()) >= MIN_HEARD_SHARE;
+    const { fleet } = this.#options;
+    const nowMs = this.#options.nowMs();
+    const isHeard = this.open().length === 0 ||
+      fleet.reachableShare(nowMs) >= MIN_HEARD_SHARE;
+    if (isHeard) this.#heardFleetAtMs = nowMs;
+    return nowMs - this.#heardFleetAtMs < LONELY_MS;
   }
 
   open(): readonly VersionOrder[] {
@@ -393,10 +400,14 @@
       newServers: rankByRendezvous(`${service}/${position}`, newIds),
       routes: rollout.evidence.routes(),
       requests: rollout.evidence.exposure.requests,
-      hasMovedAll: rollout.movedAllForMs(nowMs) !== undefined,
+      share: rollout.applied(nowMs),
     });
     const before = rollout.applied(nowMs);
-    const validMs = planValidMs(fleet.gossipRoundMs);
+    const validMs = planValidMs({
+      share: plan.share,
+      gossipRoundMs: fleet.gossipRoundMs,
+      rollbackMs: bounds?.rollbackMs ?? 0,
+    });
     rollout.setPlan({ ...plan, epoch, validMs }, nowMs);
     if (plan.share === before) return;
     this.#options.logDecision("rollout_plan", {
--- a/packages/version-rollouts/src/rollout_plan.ts
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -30,7 +30,7 @@
 /** Leaves 3.8 s of 12 s for work to leave the old servers. */
 const ALL_FROM = 0.58;
 /** Where requests are few, the first step may take this multiple instead. */
-const MAX_FIRST_MULTIPLE = 0.8;
+const MAX_FIRST_MULTIPLE = 0.6;
 /** A step waits for its answers up to this share of the duration. */
 const LAST_START = 0.68;
 /** Answers on each route before the share grows. */
@@ -44,13 +44,13 @@
 /** Share of the old servers' number that new servers must have to take all. */
 const MIN_NEW_SERVERS = 0.5;
 
-/** Time that a write of the status may take, with one that is repeated. */
-const WRITE_MARGIN_MS = 1_200;
+/** Time that the last write of the status may take. */
+const WRITE_MARGIN_MS = 700;
 /** Time for which all requests go to the new version at least. */
 const MIN_ALL_MS = 600;
 /** Work that is given up at the old servers rather than the whole order. */
 const MAX_GIVEN_UP = 3;
-/** Share of the daemons that may have ended without notice. */
+/** Share of the daemons that may have ended without notice, and one at least. */
 const MAX_SILENT_SHARE = 0.15;
 
 /** Input of the plan. */
@@ -66,8 +66,8 @@
   readonly routes: ReadonlyMap<RouteName, RouteSums>;
   /** Requests of the service since the order. */
   readonly requests: number;
-  /** Whether all requests were moved before; that is not taken back. */
-  readonly hasMovedAll: boolean;
+  /** The present share. */
+  readonly share: number;
 }
 
 /** The share of the requests and the new servers that take it. */
@@ -88,7 +88,7 @@
 export function planShare(input: SharePlanInput): SharePlan {
   const { elapsedMs, durationMs, exposeShare, newServers, oldServers } = input;
   if (newServers.length === 0) return { share: 0, servers: [] };
-  if (oldServers === 0 || input.hasMovedAll) return { share: 1, servers: [] };
+  if (oldServers === 0 || input.share >= 1) return { share: 1, servers: [] };
   const progress = elapsedMs / durationMs;
   const hasAnswers = input.requests === 0 || countAnswers(input.routes) > 0;
   const isWaitOver = progress >= LAST_START && hasAnswers;
@@ -100,7 +100,10 @@
   const due = STEPS.findLast(({ from }) => progress >= from) ?? STEPS[0]!;
   const isFirst = !mayGrow || due === STEPS[0];
   const multiple = isFirst ? firstMultiple(input) : due.multiple;
-  const share = Math.min(1, multiple * exposeShare);
+  // Requests vary, and each change of the plan is announced.
+  const share = isFirst && input.share < STEPS[1]!.multiple * exposeShare
+    ? Math.max(input.share, multiple * exposeShare)
+    : Math.min(1, multiple * exposeShare);
   // Each of them then meets the usual load of an old server.
   const count = Math.max(1, Math.round(share * oldServers));
   return { share, servers: newServers.slice(0, count) };
@@ -114,8 +117,8 @@
   const untilMs = STEPS[1]!.from * durationMs;
   const expected = requests / elapsedMs * untilMs;
   const needed = MIN_ROUTE_ANSWERS * routes.size * ANSWERS_MARGIN;
-  const multiple = needed / expected / exposeShare;
-  return Math.min(MAX_FIRST_MULTIPLE, Math.max(least, multiple));
+  const isEnough = needed <= expected * least * exposeShare;
+  return isEnough ? least : MAX_FIRST_MULTIPLE;
 }
 
 /** Whether every route with sufficient requests has its answers. */
@@ -174,7 +177,8 @@
     input.silent === 0;
   if (movedAllForMs >= MIN_ALL_MS && hasLeft) return "succeeded";
   if (!isLast) return "running";
+  const maxSilent = Math.max(1, input.daemons * MAX_SILENT_SHARE);
   const mayGiveUp = input.oldWork <= MAX_GIVEN_UP && input.lagging === 0 &&
-    input.silent <= input.daemons * MAX_SILENT_SHARE;
+    input.silent <= maxSilent;
   return movedAllForMs >= MIN_ALL_MS && mayGiveUp ? "succeeded" : "rolled_back";
 }
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -28,9 +28,9 @@
 } from "./version_order.ts";
 
 /** Part of the bound on exposure that is used before all requests move. */
-const MAX_EXPOSE_PART = 0.9;
+const MAX_EXPOSE_PART = 0.75;
 /** The next request of a route that lacks answers adds this much credit. */
-const LACKING_WEIGHT = 2;
+const LACKING_WEIGHT = 1.5;
 /** And one of another route, while some lack answers. */
 const OTHER_WEIGHT = 0.5;
 /** The entries of servers that have ended are gone by then. */
@@ -43,6 +43,8 @@
 const MAX_LOAD_FACTOR = 1.3;
 /** Requests beyond that; a server with few of them is not loaded. */
 const MAX_LOAD_EXCESS = 2;
+/** Part of the rollback time for which a plan of all requests holds. */
+const ALL_VALID_PART = 0.6;
 /** Gossip tells the plan each 200 ms in a small fleet. */
 const MIN_VALID_MS = 1_500;
 
@@ -79,9 +81,26 @@
 
 type HeldPlan = RolloutPlan & { readonly untilMs: number };
 
-/** How long a plan holds, given the time that gossip takes to reach all. */
-export function planValidMs(gossipRoundMs: number): number {
-  return Math.max(MIN_VALID_MS, 2 * gossipRoundMs + 700);
+/**
+ * How long a plan holds, given the time that gossip takes to reach all. Once all
+ * requests have moved it holds until another daemon has the lease of a holder
+ * that was lost: to go back to the old servers and leave them again takes longer
+ * than the order has. Daemons that hear others stop a bad version all the same.
+ *
+ * @example
+ * ```ts
+ * const validMs = planValidMs({ share: 0.03, gossipRoundMs: 800, rollbackMs });
+ * ```
+ */
+export function planValidMs(
+  { share, gossipRoundMs, rollbackMs }: {
+    readonly share: number;
+    readonly gossipRoundMs: number;
+    readonly rollbackMs: number;
+  },
+): number {
+  const validMs = Math.max(MIN_VALID_MS, 2 * gossipRoundMs + 700);
+  return share < 1 ? validMs : Math.max(validMs, ALL_VALID_PART * rollbackMs);
 }
 
 /** The state of one order at one daemon. */
