--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -26,6 +26,25 @@
   kept: { e: [["part", 200]] },
   records: { operator: 4, servers: -1 },
   readAgesMs: { servers: 90 },
+  rollouts: [{
+    service: brandId("s"),
+    to: "v2" as never,
+    order: 7,
+    durationMs: 12_000,
+    ageMs: 900,
+    phase: "running",
+    applied: 0.03,
+    barred: ["v1" as never],
+    plan: { epoch: 3, share: 0.03, servers: [brandId("e")], validMs: 900 },
+  }],
+  versionCounts: [{
+    service: brandId("s"),
+    order: 7,
+    routes: { r: [3, 1, 90, 2, 1, 9_000] } as never,
+    doubtful: { e: { r: 1 } } as never,
+    requests: 100,
+    exposed: 3,
+  }],
 });
 
 /** A datagram with the tag of a message and any content. */
--- a/packages/platform/src/cache_event_client.ts
+++ b/packages/platform/src/cache_event_client.ts
@@ -13,11 +13,12 @@
   type CacheScope,
   type PromptSegmentId,
   segmentKey,
+  type WatchedCache,
 } from "@endivebend/request-path";
 import { brandId } from "@endivebend/types";
 import { callEngine } from "./engine_call.ts";
 import { boundedName } from "./prompt_header.ts";
-import { PATHS } from "./wire_names.ts";
+import { HEADERS, PATHS } from "./wire_names.ts";
 
 /**
  * How long the server may hold a call without events. Shorter waits would cost
@@ -43,7 +44,7 @@
         address: server.address,
         method: "GET",
         path: `${PATHS.cacheEvents}?since=${after}`,
-        headers: { "wait-ms": LONG_POLL_MS },
+        headers: { "wait-ms": LONG_POLL_MS, ...expectedServer(server) },
         timeoutMs: CALL_TIMEOUT_MS,
         memory,
       });
@@ -52,6 +53,14 @@
   };
 }
 
+/**
+ * Names the server that is asked, as another one may have its address by now. A
+ * cache store has no id beside its address.
+ */
+function expectedServer({ id, address }: WatchedCache): Record<string, string> {
+  return id === address ? {} : { [HEADERS.expectedServer]: id };
+}
+
 /**
  * Parses an answer with cache events; returns undefined when it is not JSON or
  * lacks `next` or `events`.
