Bear few slow servers and few requests in the evidence on versions

The first new servers of a deployment may all be slow ones, whose answers looked like a slower version: 23 slow of 150 against 150 of 3,000. Slow answers need 8 in 100 beyond the others' share; failures don't.

--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -151,7 +151,7 @@
     service: isName,
     order: isCount,
     routes: isMapOf(isRouteCounts),
-    doubtful: isOptional(isMapOf(isMapOf(isCount))),
+    doubtful: isOptional(isMapOf(isMapOf(isTuple(isCount, isCount)))),
     requests: isCount,
     exposed: isNumber,
   }))),
--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -308,7 +308,7 @@
       // An order that was given before the start may have ended.
       heardAtMs: isAgeKnown ? nowMs : Number.NEGATIVE_INFINITY,
       toldBad: 0,
-      servers: { hasOld: true, hasNew: true, oldLoad: 0 },
+      servers: { hasOld: true, hasNew: true, oldLoad: 0, daemons: 1 },
       serversAtMs: Number.NEGATIVE_INFINITY,
     };
     this.#held.set(order.service, held);
@@ -396,6 +396,7 @@
       elapsedMs: rollout.ageMs(nowMs),
       durationMs,
       exposeShare: bounds?.exposeShare ?? 0,
+      exposeSlack: bounds?.exposeSlack ?? 0,
       oldServers: this.#servers(held, false).length,
       newServers: rankByRendezvous(`${service}/${position}`, newIds),
       routes: rollout.evidence.routes(),
@@ -469,6 +470,7 @@
       held.servers = {
         hasOld: old > 0,
         hasNew: this.#servers(held, true).length > 0,
+        daemons: this.#options.fleet.size,
         oldLoad: old === 0 ? 0 : this.#oldWork(held) / old,
       };
     }
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -9,7 +9,11 @@
 
 import type { RouteName } from "@endivebend/request-path";
 import type { BackendServerId } from "@endivebend/types";
-import type { RouteCounts, VersionCounts } from "./version_order.ts";
+import type {
+  DoubtfulCounts,
+  RouteCounts,
+  VersionCounts,
+} from "./version_order.ts";
 
 /** Time to a first event without prompt tokens to read. */
 const BASE_MS = 50;
@@ -46,6 +50,9 @@
   isCounted: boolean;
 }
 
+/** What makes an answer bad. */
+type Fault = "failed" | "lost" | "slow";
+
 type Counts = [...RouteCounts];
 
 const ANSWERS = 0;
@@ -58,7 +65,10 @@
   readonly #paceOf: (route: RouteName, nowMs: number) => OtherPace | undefined;
   readonly #open = new Map<object, OpenAttempt>();
   readonly #routes = new Map<RouteName, Counts>();
-  readonly #doubtful = new Map<BackendServerId, Record<RouteName, number>>();
+  readonly #doubtful = new Map<
+    BackendServerId,
+    Record<RouteName, DoubtfulCounts>
+  >();
   #bad = 0;
 
   constructor(
@@ -109,7 +119,7 @@
   /** The connection of an attempt was lost; its server may have ended. */
   lost(key: object): void {
     const isNew = this.#open.get(key)?.isNew;
-    this.#end(key, isNew ? "slow" : "failed");
+    this.#end(key, isNew ? "lost" : "failed");
   }
 
   /** Nothing is known of the attempt's end, as its caller has left. */
@@ -138,32 +148,39 @@
     return { routes, doubtful };
   }
 
-  #end(key: object, fault: "failed" | "slow" | undefined): void {
+  #end(key: object, fault: Fault | undefined): void {
     const attempt = this.#open.get(key);
     if (attempt === undefined) return;
     this.#open.delete(key);
     if (!attempt.isCounted) this.#count(attempt, fault);
   }
 
-  #count(attempt: OpenAttempt, fault: "failed" | "slow" | undefined): void {
+  #count(attempt: OpenAttempt, fault: Fault | undefined): void {
     if (attempt.isCounted) return;
     attempt.isCounted = true;
     const counts = this.#countsOf(attempt.route);
     if (!attempt.isNew) {
       counts[OTHER.answers] += 1;
-      if (fault !== undefined) counts[OTHER[fault]] += 1;
+      if (fault === "slow") counts[OTHER.slow] += 1;
+      else if (fault !== undefined) counts[OTHER.failed] += 1;
       return;
     }
     if (fault !== undefined) this.#bad += 1;
-    if (fault === "slow") return this.#countDoubtful(attempt);
+    if (fault === "slow" || fault === "lost") {
+      return this.#countDoubtful(attempt, fault);
+    }
     counts[ANSWERS] += 1;
     if (fault === "failed") counts[FAILED] += 1;
   }
 
-  #countDoubtful({ server, route }: OpenAttempt): void {
+  #countDoubtful(
+    { server, route }: OpenAttempt,
+    fault: "lost" | "slow",
+  ): void {
     const byRoute = this.#doubtful.get(server) ??
-      {} as Record<RouteName, number>;
-    byRoute[route] = (byRoute[route] ?? 0) + 1;
+      {} as Record<RouteName, DoubtfulCounts>;
+    const [lost, slow] = byRoute[route] ?? [0, 0];
+    byRoute[route] = fault === "lost" ? [lost + 1, slow] : [lost, slow + 1];
     this.#doubtful.set(server, byRoute);
   }
 
--- a/packages/version-rollouts/src/exposure_credit.ts
+++ b/packages/version-rollouts/src/exposure_credit.ts
@@ -18,6 +18,8 @@
   readonly weight: number;
   /** Bound on the share of all requests since the order, while below 1. */
   readonly maxShare: number;
+  /** Requests beyond that bound; a part of one in a large fleet. */
+  readonly slack?: number;
 }
 
 /** The credit of one daemon for one order. */
@@ -55,7 +57,7 @@
    * const goesToNew = credit.offer({ share: 0.03, weight: 1, maxShare: 0.09 });
    * ```
    */
-  offer({ share, weight, maxShare }: CreditOffer): boolean {
+  offer({ share, weight, maxShare, slack = 0 }: CreditOffer): boolean {
     this.#requests += 1;
     if (share >= 1) {
       this.#exposed += 1;
@@ -63,7 +65,7 @@
     }
     if (share <= 0) return false;
     this.#credit = Math.min(MAX_CREDIT, this.#credit + share * weight);
-    const bound = this.#start + maxShare * this.#requests;
+    const bound = this.#start + slack + maxShare * this.#requests;
     if (this.#credit < 1 || this.#exposed + 1 > bound) return false;
     this.#credit -= 1;
     this.#exposed += 1;
--- a/packages/version-rollouts/src/fleet_evidence.ts
+++ b/packages/version-rollouts/src/fleet_evidence.ts
@@ -33,16 +33,26 @@
 /** Bad answers beyond these deviations; one server in trouble has as many. */
 const MIN_EXCESS = 3;
 
+/**
+ * Slow answers beyond the others' share. Servers differ in speed, and the first
+ * few new ones may all be slow ones.
+ */
+const SLOW_MARGIN = 0.08;
+
 /** Sums of one route over the fleet. */
 export interface RouteSums {
   readonly answers: number;
-  readonly bad: number;
+  /** Failures and lost connections. */
+  readonly failed: number;
+  readonly slow: number;
   readonly otherAnswers: number;
-  readonly otherBad: number;
+  readonly otherFailed: number;
+  readonly otherSlow: number;
 }
 
 /** Why a version is bad. */
 export interface VersionFault {
+  readonly kind: "failed" | "slow";
   /** Undefined when all routes together show it. */
   readonly route: RouteName | undefined;
   readonly answers: number;
@@ -67,7 +77,10 @@
 export class FleetEvidence {
   readonly #byProcess = new Map<string, VersionCounts>();
   readonly #routes = new Map<RouteName, Sums>();
-  readonly #doubtful = new Map<RouteName, number>();
+  readonly #doubtful = new Map<
+    RouteName,
+    { readonly lost: number; readonly slow: number }
+  >();
   readonly #windows = new Map<
     BackendServerId,
     { index: number; counted: number }
@@ -95,10 +108,11 @@
     for (const [id, byRoute] of Object.entries(counts.doubtful ?? {})) {
       const server = id as BackendServerId;
       const before = previous?.doubtful?.[server];
-      for (const [name, count] of Object.entries(byRoute)) {
+      for (const [name, [lost, slow]] of Object.entries(byRoute)) {
         const route = name as RouteName;
-        const added = count - (before?.[route] ?? 0);
-        if (added > 0) this.#addDoubtful({ server, route, added }, nowMs);
+        const [lostBefore, slowBefore] = before?.[route] ?? [0, 0];
+        const added = { lost: lost - lostBefore, slow: slow - slowBefore };
+        this.#addDoubtful({ server, route }, added, nowMs);
       }
     }
   }
@@ -107,12 +121,14 @@
   routes(): Map<RouteName, RouteSums> {
     const sums = new Map<RouteName, RouteSums>();
     for (const [route, counts] of this.#routes) {
-      const doubtful = this.#doubtful.get(route) ?? 0;
+      const { lost, slow } = this.#doubtful.get(route) ?? { lost: 0, slow: 0 };
       sums.set(route, {
-        answers: counts[0] + doubtful,
-        bad: counts[1] + doubtful,
+        answers: counts[0] + lost + slow,
+        failed: counts[1] + lost,
+        slow,
         otherAnswers: counts[2],
-        otherBad: counts[3] + counts[4],
+        otherFailed: counts[3],
+        otherSlow: counts[4],
       });
     }
     return sums;
@@ -163,21 +179,32 @@
   }
 
   #addDoubtful(
-    doubtful: {
+    { server, route }: {
       readonly server: BackendServerId;
       readonly route: RouteName;
-      readonly added: number;
     },
+    added: { readonly lost: number; readonly slow: number },
     nowMs: number,
   ): void {
-    const { server, route, added } = doubtful;
+    const known = this.#doubtful.get(route) ?? { lost: 0, slow: 0 };
+    const lost = this.#take(server, added.lost, nowMs);
+    const slow = this.#take(server, added.slow, nowMs);
+    this.#doubtful.set(route, {
+      lost: known.lost + lost,
+      slow: known.slow + slow,
+    });
+  }
+
+  /** How many of a server's doubtful answers count now. */
+  #take(server: BackendServerId, added: number, nowMs: number): number {
     const index = Math.floor(nowMs / DOUBTFUL_WINDOW_MS);
     const known = this.#windows.get(server);
     const window = known?.index === index ? known : { index, counted: 0 };
     this.#windows.set(server, window);
-    const counted = Math.min(added, MAX_DOUBTFUL_PER_WINDOW - window.counted);
+    const left = MAX_DOUBTFUL_PER_WINDOW - window.counted;
+    const counted = Math.max(0, Math.min(added, left));
     window.counted += counted;
-    this.#doubtful.set(route, (this.#doubtful.get(route) ?? 0) + counted);
+    return counted;
   }
 }
 
@@ -185,6 +212,29 @@
   return 2 ** (-Math.max(0, ageMs) / PACE_HALF_LIFE_MS);
 }
 
+/** What counts as bad, and what is usual of it beside the others' share. */
+interface FaultTest {
+  readonly kind: VersionFault["kind"];
+  badOf(sums: RouteSums): number;
+  otherBadOf(sums: RouteSums): number;
+  readonly margin: number;
+}
+
+const TESTS: readonly FaultTest[] = [
+  {
+    kind: "failed",
+    badOf: ({ failed }) => failed,
+    otherBadOf: ({ otherFailed }) => otherFailed,
+    margin: 0,
+  },
+  {
+    kind: "slow",
+    badOf: ({ failed, slow }) => failed + slow,
+    otherBadOf: ({ otherFailed, otherSlow }) => otherFailed + otherSlow,
+    margin: SLOW_MARGIN,
+  },
+];
+
 /**
  * Finds out whether the new version is bad, on one route or over all.
  *
@@ -196,14 +246,27 @@
 export function findFault(
   routes: ReadonlyMap<RouteName, RouteSums>,
 ): VersionFault | undefined {
+  for (const test of TESTS) {
+    const fault = findFaultOf(test, routes);
+    if (fault !== undefined) return fault;
+  }
+  return undefined;
+}
+
+function findFaultOf(
+  test: FaultTest,
+  routes: ReadonlyMap<RouteName, RouteSums>,
+): VersionFault | undefined {
+  const { kind } = test;
   const total = { answers: 0, bad: 0, expected: 0, variance: 0 };
   for (const [route, sums] of routes) {
-    const usual = usualShare(sums);
-    const expected = sums.answers * usual;
+    const { answers } = sums;
+    const bad = test.badOf(sums);
+    const usual = usualShare(test, sums);
+    const expected = answers * usual;
     const variance = expected * (1 - usual);
-    const { answers, bad } = sums;
     if (exceeds({ bad, expected, variance })) {
-      return { route, answers, bad, expected };
+      return { kind, route, answers, bad, expected };
     }
     total.answers += answers;
     total.bad += bad;
@@ -212,13 +275,14 @@
   }
   if (!exceeds(total)) return undefined;
   const { answers, bad, expected } = total;
-  return { route: undefined, answers, bad, expected };
+  return { kind, route: undefined, answers, bad, expected };
 }
 
-function usualShare({ otherAnswers, otherBad }: RouteSums): number {
-  const share = (otherBad + PRIOR_ANSWERS * MIN_USUAL_SHARE) /
-    (otherAnswers + PRIOR_ANSWERS);
-  return Math.min(MAX_USUAL_SHARE, Math.max(MIN_USUAL_SHARE, share));
+function usualShare(test: FaultTest, sums: RouteSums): number {
+  const share = (test.otherBadOf(sums) + PRIOR_ANSWERS * MIN_USUAL_SHARE) /
+    (sums.otherAnswers + PRIOR_ANSWERS);
+  const bounded = Math.max(MIN_USUAL_SHARE, share) + test.margin;
+  return Math.min(MAX_USUAL_SHARE, bounded);
 }
 
 function exceeds(
--- a/packages/version-rollouts/src/mod.ts
+++ b/packages/version-rollouts/src/mod.ts
@@ -25,6 +25,7 @@
   ServiceServers,
 } from "./service_rollout.ts";
 export type {
+  DoubtfulCounts,
   FinalPhase,
   RolloutBounds,
   RolloutNews,
--- a/packages/version-rollouts/src/rollout_plan.ts
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -31,6 +31,10 @@
 const ALL_FROM = 0.58;
 /** Where requests are few, the first step may take this multiple instead. */
 const MAX_FIRST_MULTIPLE = 0.6;
+/** Where they are very few, it may use this part of the slack instead. */
+const FIRST_SLACK_PART = 0.4;
+/** Half of the requests stay, so that the versions can be compared. */
+const MAX_FIRST_SHARE = 0.5;
 /** A step waits for its answers up to this share of the duration. */
 const LAST_START = 0.68;
 /** Answers on each route before the share grows. */
@@ -59,6 +63,7 @@
   readonly elapsedMs: number;
   readonly durationMs: number;
   readonly exposeShare: number;
+  readonly exposeSlack: number;
   /** Servers of other versions. */
   readonly oldServers: number;
   /** Usable servers of the new version, in an order that all holders share. */
@@ -90,7 +95,8 @@
   if (newServers.length === 0) return { share: 0, servers: [] };
   if (oldServers === 0 || input.share >= 1) return { share: 1, servers: [] };
   const progress = elapsedMs / durationMs;
-  const hasAnswers = input.requests === 0 || countAnswers(input.routes) > 0;
+  const isHarmless = input.requests <= input.exposeSlack * FIRST_SLACK_PART;
+  const hasAnswers = isHarmless || countAnswers(input.routes) > 0;
   const isWaitOver = progress >= LAST_START && hasAnswers;
   const mayGrow = isWaitOver || isShown(input);
   const hasServers = newServers.length >= oldServers * MIN_NEW_SERVERS;
@@ -99,26 +105,27 @@
   }
   const due = STEPS.findLast(({ from }) => progress >= from) ?? STEPS[0]!;
   const isFirst = !mayGrow || due === STEPS[0];
-  const multiple = isFirst ? firstMultiple(input) : due.multiple;
-  // Requests vary, and each change of the plan is announced.
-  const share = isFirst && input.share < STEPS[1]!.multiple * exposeShare
-    ? Math.max(input.share, multiple * exposeShare)
-    : Math.min(1, multiple * exposeShare);
+  const share = isFirst
+    ? firstShare(input)
+    : Math.min(1, due.multiple * exposeShare);
   // Each of them then meets the usual load of an old server.
   const count = Math.max(1, Math.round(share * oldServers));
   return { share, servers: newServers.slice(0, count) };
 }
 
-/** The multiple that brings each route its answers before the share grows. */
-function firstMultiple(input: SharePlanInput): number {
+/** The share that brings each route its answers before the share grows. */
+function firstShare(input: SharePlanInput): number {
   const { elapsedMs, durationMs, exposeShare, routes, requests } = input;
-  const least = STEPS[0]!.multiple;
+  const least = STEPS[0]!.multiple * exposeShare;
+  const most = MAX_FIRST_MULTIPLE * exposeShare;
+  // Requests vary, and each change of the plan is announced.
+  if (input.share > least) return Math.min(input.share, MAX_FIRST_SHARE);
   if (elapsedMs < MIN_RATE_MS || requests === 0) return least;
-  const untilMs = STEPS[1]!.from * durationMs;
-  const expected = requests / elapsedMs * untilMs;
+  const expected = requests / elapsedMs * STEPS[1]!.from * durationMs;
   const needed = MIN_ROUTE_ANSWERS * routes.size * ANSWERS_MARGIN;
-  const isEnough = needed <= expected * least * exposeShare;
-  return isEnough ? least : MAX_FIRST_MULTIPLE;
+  if (needed <= expected * least) return least;
+  const ofSlack = input.exposeSlack * FIRST_SLACK_PART / expected;
+  return Math.min(MAX_FIRST_SHARE, Math.max(most, ofSlack));
 }
 
 /** Whether every route with sufficient requests has its answers. */
@@ -144,6 +151,11 @@
   return lacking;
 }
 
+/** The part of the slack that each daemon's credit may use. */
+export function slackOf(exposeSlack: number, daemons: number): number {
+  return exposeSlack * FIRST_SLACK_PART / Math.max(1, daemons);
+}
+
 /** Input of the decision how an order ends. */
 export interface EndPlanInput {
   readonly elapsedMs: number;
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -16,7 +16,7 @@
   FleetEvidence,
   type VersionFault,
 } from "./fleet_evidence.ts";
-import { lackingRoutes } from "./rollout_plan.ts";
+import { lackingRoutes, slackOf } from "./rollout_plan.ts";
 import type {
   FinalPhase,
   RolloutBounds,
@@ -52,6 +52,8 @@
 export interface ServiceServers {
   readonly hasOld: boolean;
   readonly hasNew: boolean;
+  /** Daemons of the fleet. */
+  readonly daemons: number;
   /** Requests at an old server, on average. */
   readonly oldLoad: number;
 }
@@ -349,7 +351,7 @@
   /** Without servers of one version the other serves. */
   #sideOf(request: RolloutRequest, { servers, nowMs }: ChoiceMoment): Side {
     const share = this.applied(nowMs);
-    if (!this.#sides.has(request)) this.#offer(request, share);
+    if (!this.#sides.has(request)) this.#offer(request, share, servers.daemons);
     if (!servers.hasNew || this.#stranded.has(request)) return "old";
     if (this.#fallenBack.has(request) && servers.hasOld) {
       // A repeat does not go back to servers that are to be left.
@@ -359,11 +361,12 @@
     return share > 0 ? this.#sides.get(request)! : "old";
   }
 
-  #offer(request: RolloutRequest, share: number): void {
+  #offer(request: RolloutRequest, share: number, daemons: number): void {
     const isNew = this.#credit.offer({
       share,
       weight: this.#weightOf(request.route.name),
       maxShare: MAX_EXPOSE_PART * this.#bounds.exposeShare,
+      slack: slackOf(this.#bounds.exposeSlack, daemons),
     });
     this.#sides.set(request, isNew ? "new" : "old");
   }
--- a/packages/version-rollouts/src/version_order.ts
+++ b/packages/version-rollouts/src/version_order.ts
@@ -78,6 +78,9 @@
   otherPace: number,
 ];
 
+/** Answers of one new server on one route that its own trouble may explain. */
+export type DoubtfulCounts = readonly [lost: number, slow: number];
+
 /** What a daemon's process has counted since an order; counters only rise. */
 export interface VersionCounts {
   readonly service: ServiceName;
@@ -88,7 +91,7 @@
    * server's own trouble may explain them. They are not among the answers.
    */
   readonly doubtful?: Readonly<
-    Record<BackendServerId, Readonly<Record<RouteName, number>>>
+    Record<BackendServerId, Readonly<Record<RouteName, DoubtfulCounts>>>
   >;
   /** Requests of the service, and those sent to the new version. */
   readonly requests: number;
