Play version rollouts with real processes

The plays rollout_good and rollout_bad put the operator's order, stop the old servers at once when the status says so, and count what reaches a bad version.

--- a/packages/platform-soak/src/daemon_process.ts
+++ b/packages/platform-soak/src/daemon_process.ts
@@ -63,6 +63,9 @@
   lease_ms: 3_000,
   version_ms: 8_000,
   version_all_ms: 11_000,
+  expose_share: 0.1,
+  expose_slack: 50,
+  rollback_ms: 5_000,
 } as const;
 
 // Ends what is still running when the soak itself ends early.
--- a/packages/platform-soak/src/faults.ts
+++ b/packages/platform-soak/src/faults.ts
@@ -5,6 +5,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
+import { NO_FAULTS, type ServerFaults } from "./answer_plan.ts";
 import { SERVICE_BY_KIND } from "./callers.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
 import type { CutLinks, Fleet } from "./fleet.ts";
@@ -197,11 +198,32 @@
     const leaving = old[fault.server % Math.max(1, old.length)];
     if (leaving !== undefined) await fleet.removeServer(leaving, fault.forMs);
   },
+  version_rollout(fleet, fault) {
+    return rollOut(fleet, fault, NO_FAULTS);
+  },
+  // Half of the plain answers and streams of the new version break off.
+  bad_version_rollout(fleet, fault) {
+    const faults = { ...NO_FAULTS, cutShare: 0.5, breakOffShare: 0.5 };
+    return rollOut(fleet, fault, faults);
+  },
 } satisfies Readonly<Record<string, Handler>>;
 
 /** Names of all faults. */
 export type FaultName = keyof typeof HANDLERS;
 
+/** Orders the next version of the service of streams. */
+function rollOut(
+  fleet: Fleet,
+  { forMs: durationMs }: PlannedFault,
+  faults: ServerFaults,
+): Promise<void> {
+  const service = SERVICE_BY_KIND.stream;
+  const versions = fleet.serving(service).map(({ options }) => options.version);
+  const newest = versions.sort().at(-1) ?? "v0";
+  const to = `v${Number(newest.slice(1)) + 1}`;
+  return fleet.rollOut(service, to, { durationMs, faults });
+}
+
 function leavingServer(fleet: Fleet, fault: PlannedFault) {
   return fleet.servers[fault.server % fleet.servers.length]!;
 }
--- a/packages/platform-soak/src/fleet.ts
+++ b/packages/platform-soak/src/fleet.ts
@@ -12,7 +12,7 @@
 import { BackendServer } from "./backend_server.ts";
 import { HOST, SERVICE_BY_KIND } from "./callers.ts";
 import { BOUNDS, DaemonProcess } from "./daemon_process.ts";
-import type { Ledger } from "./ledger.ts";
+import type { Ledger, RolloutEntry } from "./ledger.ts";
 import type { LinkCut } from "./links.ts";
 
 /** What a fleet consists of. */
@@ -29,6 +29,12 @@
 const PROBE_INTERVAL_MS = 1_000;
 const READY_TIMEOUT_MS = 60_000;
 const STOP_TIMEOUT_MS = 5_000;
+/** Interval at which the status of a rollout is looked at. */
+const STATUS_INTERVAL_MS = 5;
+/** Time after the time limit in which a status is still waited for. */
+const ROLLOUT_SETTLE_MS = 2_000;
+/** Time after which servers of a version that was rolled back drain. */
+const ROLLBACK_DRAIN_MS = 3_000;
 /** Addresses are those of this process, so that plays may run side by side. */
 const NETWORK = `127.${60 + process.pid % 150}.${(process.pid >> 8) % 250}`;
 const SERVER_HOST = `${NETWORK}.254`;
@@ -163,6 +169,60 @@
     this.#report(server);
   }
 
+  /**
+   * Orders a version beside the present one, and stops the servers that the
+   * status lets go.
+   */
+  async rollOut(
+    service: string,
+    to: string,
+    { durationMs, faults }: {
+      readonly durationMs: number;
+      readonly faults: ServerFaults;
+    },
+  ): Promise<void> {
+    const old = this.serving(service);
+    const added: BackendServer[] = [];
+    for (const _ of old) added.push(await this.addServer(service, to, faults));
+    const key = `rollout/${service}`;
+    const entry: RolloutEntry = {
+      service,
+      to,
+      orderedAtMs: this.ledger.nowMs(),
+      durationMs,
+      isBad: faults !== NO_FAULTS,
+      newServers: new Set(added.map(({ options }) => options.id)),
+      phases: [],
+    };
+    this.ledger.rollouts.push(entry);
+    const duration_s = durationMs / 1_000;
+    this.#store?.put("keyed.op", key, { service, to, duration_s });
+    const untilMs = entry.orderedAtMs + durationMs + ROLLOUT_SETTLE_MS;
+    while (!this.#isClosed && this.ledger.nowMs() < untilMs) {
+      const text = this.#store?.valueOf("keyed.status", key) ?? "{}";
+      const { phase } = JSON.parse(text) as { readonly phase?: string };
+      if (phase !== undefined && entry.phases.at(-1)?.phase !== phase) {
+        entry.phases.push({ phase, atMs: this.ledger.nowMs() });
+      }
+      if (phase === "succeeded") return this.#stopAtOnce(old);
+      if (phase === "rolled_back") {
+        await sleep(ROLLBACK_DRAIN_MS);
+        await Promise.all(added.map((server) => this.removeServer(server, 0)));
+        return;
+      }
+      await sleep(STATUS_INTERVAL_MS);
+    }
+  }
+
+  /** Ends servers without notice. */
+  #stopAtOnce(servers: readonly BackendServer[]): void {
+    for (const server of servers) {
+      this.servers.splice(this.servers.indexOf(server), 1);
+      this.#store?.remove("keyed.servers", server.options.id);
+      server.crash();
+    }
+  }
+
   /** Cuts links, also those to servers that are added meanwhile. */
   cutLinks(links: CutLinks): void {
     const servers = this.servers.filter((server) => links.includes(server));
--- a/packages/platform-soak/src/ledger.ts
+++ b/packages/platform-soak/src/ledger.ts
@@ -92,12 +92,27 @@
   readonly isWhole: boolean;
 }
 
+/** An order to move a service to another software version. */
+export interface RolloutEntry {
+  readonly service: string;
+  readonly to: string;
+  readonly orderedAtMs: number;
+  readonly durationMs: number;
+  /** Whether the new servers answer badly. */
+  readonly isBad: boolean;
+  /** Ids of the new servers. */
+  readonly newServers: ReadonlySet<string>;
+  /** The statuses, when each was first seen. */
+  readonly phases: { readonly phase: string; readonly atMs: number }[];
+}
+
 /** All that a play saw. */
 export class Ledger {
   readonly requests = new Map<string, SentRequest>();
   readonly arrivals: Arrival[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly linkCuts: LinkCutEntry[] = [];
+  readonly rollouts: RolloutEntry[] = [];
   /** Attempts through other daemons, as each daemon counts them. */
   readonly forwardedAttempts = new Map<number, number>();
   /** Bytes that came on callers' connections without a request. */
--- a/packages/platform-soak/src/main.ts
+++ b/packages/platform-soak/src/main.ts
@@ -12,6 +12,7 @@
 import { formatLinkCut } from "./link_cut_rules.ts";
 import { parseKnownPlays, playName } from "./known_plays.ts";
 import { type PlayResult, runPlay } from "./run_play.ts";
+import { formatRollout } from "./rollout_rules.ts";
 import { planPlay, SCENARIO_NAMES } from "./scenarios.ts";
 import { formatBudget } from "./verdict.ts";
 
@@ -64,6 +65,9 @@
   );
   for (const figures of linkCuts) console.log(`  ${formatLinkCut(figures)}`);
   console.log(`  attempts through another daemon: ${forwardedAttempts}`);
+  for (const figures of verdict.rollouts) {
+    console.log(`  ${formatRollout(figures)}`);
+  }
   console.log(
     `  servers and callers stood still for ${verdict.longestStallMs} ms at most`,
   );
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -137,6 +137,42 @@
   );
 }
 
+const ROLLOUT_AT_MS = 3_000;
+const ROLLOUT_DURATION_MS = 12_000;
+
+/** One order to a good or a bad version, among other faults. */
+function rollout(
+  name: "version_rollout" | "bad_version_rollout",
+  faultsFor: (draws: Draws) => PlannedFault[] = () => [],
+): Scenario {
+  return (options, draws) => ({
+    shape: {
+      daemons: options.daemons ?? 6,
+      servers: options.servers ?? 6,
+      domains: 2,
+      attempts: 2,
+    },
+    ratePerS: options.ratePerS ?? 20,
+    kinds: ["stream", "stream", "safe"],
+    retries: 2,
+    serverFaults: [],
+    faults: [
+      fault(name, ROLLOUT_AT_MS, { forMs: ROLLOUT_DURATION_MS }),
+      ...faultsFor(draws),
+    ],
+  });
+}
+
+/** Kills and pauses of daemons during an order. */
+function rolloutTroubles(draws: Draws): PlannedFault[] {
+  return [3_500, 5_500, 7_500, 9_500].map((atMs) =>
+    fault(draws.pick(["daemon_killed", "daemon_frozen"]), atMs, {
+      forMs: draws.int(300, 2_500),
+      daemon: draws.int(0, 999),
+    })
+  );
+}
+
 const KILLS_AT_MS = [7_000, 12_000, 17_000];
 
 const SCENARIOS: Readonly<Record<string, Scenario>> = {
@@ -222,6 +258,10 @@
       fault("all_killed", atMs, { forMs: draws.int(200, 1_500) })
     ),
   ]),
+  rollout_good: rollout("version_rollout"),
+  rollout_bad: rollout("bad_version_rollout"),
+  rollout_good_troubled: rollout("version_rollout", rolloutTroubles),
+  rollout_bad_troubled: rollout("bad_version_rollout", rolloutTroubles),
   cut_answers_quiet: cutAnswers(() => []),
   cut_answers_half_killed: cutAnswers(() =>
     KILLS_AT_MS.map((atMs) => fault("half_killed", atMs))
--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -14,6 +14,7 @@
 } from "./ledger.ts";
 import { judgeLinkCuts, type LinkCutFigures } from "./link_cut_rules.ts";
 import { findWorstBudget, type WorstBudget } from "./retry_count.ts";
+import { judgeRollouts, type RolloutFigures } from "./rollout_rules.ts";
 import { eventsOf } from "./stream_events.ts";
 
 /** A broken rule, once. */
@@ -33,6 +34,7 @@
   readonly joinedStreams: number;
   readonly takeUps: TakeUps;
   readonly linkCuts: readonly LinkCutFigures[];
+  readonly rollouts: readonly RolloutFigures[];
   /** Attempts that went through another daemon, as the daemons count them. */
   readonly forwardedAttempts: number;
 }
@@ -65,6 +67,7 @@
   const joined = findJoinedStreams(requests);
   const takeUps = countTakeUps(requests, ledger);
   const links = judgeLinkCuts(ledger);
+  const rollouts = judgeRollouts(ledger);
   const breaches: Breach[] = [
     ...ledger.strayBytes.map(({ atMs, text }) => ({
       rule: "MIXED",
@@ -81,6 +84,7 @@
       }),
     ),
     ...links.breaches,
+    ...rollouts.breaches,
     ...ledger.ownEnds.map(({ atMs, what }) => ({
       rule: "ENDED",
       atMs,
@@ -103,6 +107,7 @@
     joinedStreams: joined.length,
     takeUps,
     linkCuts: links.figures,
+    rollouts: rollouts.figures,
     forwardedAttempts: [...ledger.forwardedAttempts.values()]
       .reduce((sum, count) => sum + count, 0),
   };
--- a/packages/platform/src/testing_store.ts
+++ b/packages/platform/src/testing_store.ts
@@ -28,6 +28,8 @@
   callCount(): number;
   /** Appends a record with the value as JSON. */
   put(topic: string, key: string, value: unknown): void;
+  /** The newest value of a key; undefined when there is none. */
+  valueOf(topic: string, key: string): string | undefined;
   /** Appends a record with the value as it is. */
   putText(topic: string, key: string, value: string): void;
   /**
@@ -159,6 +161,11 @@
     },
     put: (topic, key, value) =>
       append(topic, encodeKeyedRecord(key, Buffer.from(JSON.stringify(value)))),
+    valueOf(topic, key) {
+      const newest = recordsOf(topic).map(parseKeyedRecord)
+        .findLast((record) => record.key === key);
+      return newest?.value.toString();
+    },
     putText: (topic, key, value) =>
       append(topic, encodeKeyedRecord(key, Buffer.from(value))),
     remove: (topic, key) =>
