Judge slower answers of a version that all requests have moved to

Six times the last pace of the old versions let a version pass that is four times slower from then on; four times is told, and servers of three speeds that stall at times still pass.

--- a/packages/front/src/testing_rollout_play.ts
+++ b/packages/front/src/testing_rollout_play.ts
@@ -18,6 +18,7 @@
 export const DURATION_MS = 12_000;
 /** The order comes when the daemons know each other. */
 export const ORDER_AT_MS = 4_000;
+/** Two hundred requests a second. */
 const SEND_INTERVAL_MS = 5;
 const ROUTES = ["/talk", "/count"];
 const PATHS = ["/", "/", "/talk", "/count"];
@@ -38,10 +39,17 @@
   #serial = 0;
   #send = true;
   readonly #daemons: number;
+  readonly #intervalMs: number;
 
   constructor(
-    { daemons = 6, engines = 8, ...options }: Partial<FleetOptions> = {},
+    {
+      daemons = 6,
+      engines = 8,
+      intervalMs = SEND_INTERVAL_MS,
+      ...options
+    }: Partial<FleetOptions> & { readonly intervalMs?: number } = {},
   ) {
+    this.#intervalMs = intervalMs;
     this.#daemons = daemons;
     this.fleet = new TestFleet({
       daemons,
@@ -109,7 +117,7 @@
     const untilMs = fleet.time.nowMs + durationMs;
     while (fleet.time.nowMs < untilMs) {
       if (this.#send) this.#sendOne();
-      await fleet.time.advance(SEND_INTERVAL_MS);
+      await fleet.time.advance(this.#intervalMs);
     }
   }
 
--- a/packages/front/src/version_rollouts_fleet_test.ts
+++ b/packages/front/src/version_rollouts_fleet_test.ts
@@ -94,3 +94,32 @@
   await play.playOrder();
   checkSucceeded(t, play);
 });
+
+test("servers of three speeds that stall at times don't undo a good version", async (t) => {
+  // Work takes 2.5 times as long for a share of 0.15 of the time.
+  const play = new RolloutPlay();
+  const speeds = [0.6, 1, 1.6];
+  play.fleet.answerFault = ({ listed }) => {
+    const index = Number(listed.id.replace("e-", ""));
+    const phase = (play.fleet.time.nowMs + index * 1_337) % 4_000;
+    const stall = phase < 600 ? 2.5 : 1;
+    return { kind: "slow", byMs: 150 / speeds[index % 3]! * stall };
+  };
+  await play.playOrder();
+  checkSucceeded(t, play);
+  t.deepEqual(play.lost(), []);
+});
+
+test("a service with few requests moves to a good version", async (t) => {
+  const play = new RolloutPlay({ intervalMs: 400 });
+  await play.playOrder();
+  checkSucceeded(t, play);
+  t.deepEqual(play.lost(), []);
+});
+
+test("a bad version of a service with few requests gets no more than the slack", async (t) => {
+  const play = new RolloutPlay({ intervalMs: 100 });
+  play.spoil("v2", 0.5, () => FAILURE);
+  await play.playOrder();
+  checkRolledBack(t, play);
+});
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -22,7 +22,7 @@
 /** A slow answer takes this many times as long as those of other versions. */
 const SLOW_FACTOR = 3;
 /** The same once the others have not answered of late, as load changes. */
-const STALE_SLOW_FACTOR = 6;
+const STALE_SLOW_FACTOR = 4;
 /** Short calls vary by as much on any version. */
 const MIN_SLOW_MS = 30;
 /** Sums of paces are told in hundredths. */
--- a/packages/version-rollouts/src/answer_watch_test.ts
+++ b/packages/version-rollouts/src/answer_watch_test.ts
@@ -77,8 +77,8 @@
   const [first, second] = [{}, {}];
   watch.sent(first, attempt(true));
   watch.sent(second, attempt(true));
-  watch.answered(first, 500);
-  watch.answered(second, 700);
+  watch.answered(first, 390);
+  watch.answered(second, 410);
   t.is(slowOf(watch), 1);
   t.deepEqual(countsOf(watch), [1, 0, 0, 0, 0, 0]);
 });
