--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -157,6 +157,8 @@
 class FakeStore {
   isDown = false;
   era = 1;
+  /** Time until a call is answered. */
+  callMs = 4;
   readonly #time: VirtualTime;
   readonly #topics = new Map<string, StoredRecord[]>();
   /** The first offset of each topic that is not deleted. */
@@ -307,7 +309,7 @@
 
   /** Resolves when the store has answered a call. */
   async call(): Promise<void> {
-    await this.wait(4);
+    await this.wait(this.callMs);
     if (this.isDown) throw new Error("The store is down");
   }
 
--- a/packages/front/src/version_rollouts_troubles_test.ts
+++ b/packages/front/src/version_rollouts_troubles_test.ts
@@ -161,3 +161,61 @@
   t.log({ phases: play.phases, endedAfterMs: play.endedAfterMs });
   t.true(["succeeded", "rolled_back"].includes(play.phases.at(-1) ?? ""));
 });
+
+test("a store that takes hundreds of milliseconds does not undo a good version", async (t) => {
+  const play = new RolloutPlay();
+  await play.playOrder(async () => {
+    play.fleet.store.callMs = 600;
+    await play.run(DURATION_MS);
+    play.fleet.store.callMs = 4;
+  });
+  checkSucceeded(t, play);
+  t.deepEqual(play.lost(), []);
+});
+
+test("an order goes on after a restore of the store that lost its status", async (t) => {
+  const play = new RolloutPlay();
+  await play.playOrder(async () => {
+    await play.run(3_000);
+    play.fleet.statuses.written.length = 0;
+    play.fleet.store.restore({ copyAgeMs: 500, awayMs: 800, rewriteMs: 300 });
+  });
+  t.log({ phases: play.phases, endedAfterMs: play.endedAfterMs });
+  checkSucceeded(t, play);
+});
+
+test("daemons that start when an order has ended do as its status says", async (t) => {
+  const play = new RolloutPlay();
+  await play.playOrder();
+  checkSucceeded(t, play);
+  for (let daemon = 0; daemon < 6; daemon++) play.fleet.killDaemon(daemon);
+  for (let daemon = 0; daemon < 6; daemon++) play.fleet.startDaemon(daemon);
+  // Servers of another version that no order names serve as the others do.
+  const other = play.fleet.startEngine("v3");
+  await play.run(4_000);
+  const before = play.fleet.arrivals.length;
+  for (let index = 0; index < 200; index++) {
+    play.fleet.send(index % 6, []);
+    await play.fleet.time.advance(5);
+  }
+  const { id } = other.listed;
+  const arrived = play.fleet.arrivals.slice(before);
+  t.true(arrived.some(({ engine }) => engine === id));
+  t.true(arrived.some(({ engine }) => engine !== id));
+});
+
+test("a daemon that starts late sends nothing to a version that was rolled back", async (t) => {
+  const play = new RolloutPlay();
+  play.spoil("v2", 0.5, () => FAILURE);
+  await play.run(ORDER_AT_MS);
+  play.order("v2");
+  while (play.phases.at(-1) !== "rolled_back") await play.run(100);
+  play.fleet.killDaemon(0);
+  const before = play.fleet.arrivals.length;
+  play.fleet.startDaemon(0);
+  await play.run(2_000);
+  const ids = play.newIds;
+  const late = play.fleet.arrivals.slice(before)
+    .filter(({ engine, vm }) => ids.has(engine) && String(vm) === "vm-0");
+  t.deepEqual(late, []);
+});
