Count answers of versions when they begin, not when they end

Streams end seconds after they begin: slow ones were counted before good ones, and old streams that ended after all requests had moved lowered the pace that the new version is measured by.

--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -82,6 +82,7 @@
   isCount,
   isCount,
   isCount,
+  isCount,
 );
 
 const MESSAGE_CHECKS: Readonly<Record<keyof GossipMessage, Check>> = {
--- a/packages/front/src/testing_fleet.ts
+++ b/packages/front/src/testing_fleet.ts
@@ -1246,6 +1246,12 @@
         listener.end();
       });
     }
+    if (fault?.kind === "broken") {
+      this.time.after(fault.afterMs, () => {
+        engine.attempts.delete(attempt);
+        breakOff(attempt, "read ECONNRESET");
+      });
+    }
     const delayMs = engine.prefilledAtMs - this.time.nowMs + slowMs;
     this.time.after(
       delayMs,
--- a/packages/front/src/testing_rollout_play.ts
+++ b/packages/front/src/testing_rollout_play.ts
@@ -20,6 +20,7 @@
 export const ORDER_AT_MS = 4_000;
 /** Two hundred requests a second. */
 const SEND_INTERVAL_MS = 5;
+const EVENTS = 6;
 const ROUTES = ["/talk", "/count"];
 const PATHS = ["/", "/", "/talk", "/count"];
 const BAD_AFTER_MS = 20;
@@ -40,16 +41,23 @@
   #send = true;
   readonly #daemons: number;
   readonly #intervalMs: number;
+  readonly #events: number;
 
   constructor(
     {
       daemons = 6,
       engines = 8,
       intervalMs = SEND_INTERVAL_MS,
+      events = EVENTS,
       ...options
-    }: Partial<FleetOptions> & { readonly intervalMs?: number } = {},
+    }: Partial<FleetOptions> & {
+      readonly intervalMs?: number;
+      /** Events of each answer, 30 ms apart. */
+      readonly events?: number;
+    } = {},
   ) {
     this.#intervalMs = intervalMs;
+    this.#events = events;
     this.#daemons = daemons;
     this.fleet = new TestFleet({
       daemons,
@@ -184,7 +192,7 @@
       daemon = (daemon + 1) % this.#daemons;
     }
     const path = PATHS[Math.floor(index / this.#daemons) % PATHS.length]!;
-    fleet.send(daemon, [], { path, events: 6 });
+    fleet.send(daemon, [], { path, events: this.#events });
   }
 
   #stopAll(to: string, areNew: boolean): void {
--- a/packages/front/src/testing_version_rollouts.ts
+++ b/packages/front/src/testing_version_rollouts.ts
@@ -19,6 +19,7 @@
 /** What is wrong with an answer. */
 export type AnswerFault =
   | { readonly kind: "failure"; readonly afterMs: number }
+  | { readonly kind: "broken"; readonly afterMs: number }
   | { readonly kind: "slow"; readonly byMs: number };
 
 /** The operator's order; undefined for records of other keys. */
--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -380,7 +380,11 @@
     const { rollout } = held;
     const { service, to } = rollout.order;
     const nowMs = this.#options.nowMs();
-    const oldIds = this.#servers(held, false).map(({ listed }) => listed.id);
+    // A daemon that has started since does not know which servers stop.
+    const wasSeen = !rollout.isAgeGuessed || rollout.hasPlan(nowMs);
+    const oldIds = wasSeen
+      ? this.#servers(held, false).map(({ listed }) => listed.id)
+      : [];
     if (!rollout.finish(phase, { oldIds, nowMs })) return;
     const ageMs = Math.round(rollout.ageMs(nowMs));
     const { exposure } = rollout.evidence;
--- a/packages/front/src/version_rollouts_fleet_test.ts
+++ b/packages/front/src/version_rollouts_fleet_test.ts
@@ -123,3 +123,19 @@
   await play.playOrder();
   checkRolledBack(t, play);
 });
+
+test("a service of streams that last two seconds moves to a good version", async (t) => {
+  // Guards against old streams that are cut off, or that make the new version
+  // look slow as they end.
+  const play = new RolloutPlay({ events: 66 });
+  await play.playOrder();
+  checkSucceeded(t, play);
+  t.deepEqual(play.lost(), []);
+});
+
+test("a version that breaks off streams of two seconds is rolled back", async (t) => {
+  const play = new RolloutPlay({ events: 66 });
+  play.spoil("v2", 0.4, () => ({ kind: "broken", afterMs: 700 }));
+  await play.playOrder();
+  checkRolledBack(t, play);
+});
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -47,7 +47,10 @@
 
 interface OpenAttempt extends WatchedAttempt {
   hasBegun: boolean;
+  /** Whether it is among the answers. */
   isCounted: boolean;
+  /** Whether it is among the bad ones. */
+  isBad: boolean;
 }
 
 /** What makes an answer bad. */
@@ -58,7 +61,8 @@
 const ANSWERS = 0;
 const FAILED = 1;
 const OTHER = { answers: 2, failed: 3, slow: 4 } as const;
-const OTHER_PACE = 5;
+const OTHER_BEGUN = 5;
+const OTHER_PACE = 6;
 
 /** The watch of one daemon for one order. */
 export class AnswerWatch {
@@ -84,7 +88,12 @@
 
   /** An attempt was sent; `key` is the same object in all its calls. */
   sent(key: object, attempt: WatchedAttempt): void {
-    this.#open.set(key, { ...attempt, hasBegun: false, isCounted: false });
+    this.#open.set(key, {
+      ...attempt,
+      hasBegun: false,
+      isCounted: false,
+      isBad: false,
+    });
     this.#countsOf(attempt.route);
   }
 
@@ -96,13 +105,15 @@
     const takenMs = nowMs - attempt.sentAtMs;
     if (!attempt.isNew) {
       const pace = takenMs / expectedMs(attempt);
-      this.#countsOf(attempt.route)[OTHER_PACE] += Math.round(
-        pace * PACE_UNITS,
-      );
+      const counts = this.#countsOf(attempt.route);
+      counts[OTHER_BEGUN] += 1;
+      counts[OTHER_PACE] += Math.round(pace * PACE_UNITS);
     }
     if (takenMs >= this.#slowFromMs(attempt, nowMs)) {
       this.#count(attempt, "slow");
     }
+    // Streams end seconds later, and slow ones are counted before.
+    this.#count(attempt, undefined);
   }
 
   /** An answer is complete. */
@@ -130,7 +141,7 @@
   /** Counts open attempts at the new version that are late by now. */
   check(nowMs: number): void {
     for (const attempt of this.#open.values()) {
-      if (!attempt.isNew || attempt.hasBegun || attempt.isCounted) continue;
+      if (!attempt.isNew || attempt.hasBegun || attempt.isBad) continue;
       if (nowMs - attempt.sentAtMs < this.#slowFromMs(attempt, nowMs)) continue;
       this.#count(attempt, "slow");
     }
@@ -152,30 +163,28 @@
     const attempt = this.#open.get(key);
     if (attempt === undefined) return;
     this.#open.delete(key);
-    if (!attempt.isCounted) this.#count(attempt, fault);
+    this.#count(attempt, fault);
   }
 
   #count(attempt: OpenAttempt, fault: Fault | undefined): void {
-    if (attempt.isCounted) return;
-    attempt.isCounted = true;
+    if (attempt.isBad) return;
+    attempt.isBad = fault !== undefined;
+    const isDoubtful = attempt.isNew && (fault === "slow" || fault === "lost");
     const counts = this.#countsOf(attempt.route);
-    if (!attempt.isNew) {
-      counts[OTHER.answers] += 1;
-      if (fault === "slow") counts[OTHER.slow] += 1;
-      else if (fault !== undefined) counts[OTHER.failed] += 1;
-      return;
+    if (!attempt.isCounted && !isDoubtful) {
+      counts[attempt.isNew ? ANSWERS : OTHER.answers] += 1;
     }
-    if (fault !== undefined) this.#bad += 1;
-    if (fault === "slow" || fault === "lost") {
-      return this.#countDoubtful(attempt, fault);
-    }
-    counts[ANSWERS] += 1;
-    if (fault === "failed") counts[FAILED] += 1;
+    attempt.isCounted = true;
+    if (fault === undefined) return;
+    if (attempt.isNew) this.#bad += 1;
+    if (isDoubtful) this.#countDoubtful(attempt, fault);
+    else if (attempt.isNew) counts[FAILED] += 1;
+    else counts[fault === "slow" ? OTHER.slow : OTHER.failed] += 1;
   }
 
   #countDoubtful(
     { server, route }: OpenAttempt,
-    fault: "lost" | "slow",
+    fault: Fault,
   ): void {
     const byRoute = this.#doubtful.get(server) ??
       {} as Record<RouteName, DoubtfulCounts>;
@@ -195,7 +204,7 @@
   #countsOf(route: RouteName): Counts {
     const known = this.#routes.get(route);
     if (known !== undefined) return known;
-    const counts: Counts = [0, 0, 0, 0, 0, 0];
+    const counts: Counts = [0, 0, 0, 0, 0, 0, 0];
     this.#routes.set(route, counts);
     return counts;
   }
--- a/packages/version-rollouts/src/fleet_evidence.ts
+++ b/packages/version-rollouts/src/fleet_evidence.ts
@@ -149,7 +149,7 @@
     previous: RouteCounts | undefined,
     nowMs: number,
   ): void {
-    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0];
+    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0, 0];
     this.#routes.set(route, sums);
     const added = counts.map((count, index) =>
       count - (previous?.[index] ?? 0)
@@ -157,8 +157,8 @@
     added.forEach((count, index) => {
       sums[index]! += count;
     });
-    const answers = added[2]!;
-    if (answers > 0) this.#addPace(route, { answers, sum: added[5]! }, nowMs);
+    const answers = added[5]!;
+    if (answers > 0) this.#addPace(route, { answers, sum: added[6]! }, nowMs);
   }
 
   #addPace(
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -185,6 +185,11 @@
     return nowMs < this.#plan.untilMs ? this.#plan.share : 0;
   }
 
+  /** Whether the order is from before the start, and nobody has told its age. */
+  get isAgeGuessed(): boolean {
+    return this.#isAgeGuessed;
+  }
+
   /** For how long all new requests have gone to the new version. */
   movedAllForMs(nowMs: number): number | undefined {
     if (this.#movedAllSinceMs === undefined) return undefined;
--- a/packages/version-rollouts/src/version_order.ts
+++ b/packages/version-rollouts/src/version_order.ts
@@ -68,8 +68,8 @@
 
 /**
  * Answers and failures of the new version; answers, failures and slow answers of
- * the other versions, and the sum of their times, in hundredths of what is
- * expected.
+ * the other versions, how many of theirs have begun, and the sum of the times
+ * until then, in hundredths of what is expected.
  */
 export type RouteCounts = readonly [
   answers: number,
@@ -77,6 +77,7 @@
   otherAnswers: number,
   otherFailed: number,
   otherSlow: number,
+  otherBegun: number,
   otherPace: number,
 ];
 
