Let any daemon write that a stopped order was rolled back

In plays with real processes a holder that stood still wrote it 543 ms too late, answers that waited for a paused daemon looked slow and ended a good order, and all requests moved on a few answers that broke off later.

--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -83,6 +83,7 @@
   isCount,
   isCount,
   isCount,
+  isCount,
 );
 
 const MESSAGE_CHECKS: Readonly<Record<keyof GossipMessage, Check>> = {
--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -58,6 +58,8 @@
 
 /** Interval at which each daemon judges the versions. */
 const JUDGE_INTERVAL_MS = 100;
+/** A timer that comes so much later shows that the process stood still. */
+const PAUSE_MS = 150;
 /** Loads and lists of servers are looked up again after this time. */
 const SERVERS_TTL_MS = 20;
 /** Peers are told of an order that has ended for this long. */
@@ -66,6 +68,12 @@
 const UNHEARD_MS = 1_500;
 /** Daemons that fell silent so long before an order have nothing to do with it. */
 const SILENT_BEFORE_MS = 5_000;
+/** A holder writes within this time that a version was stopped. */
+const UNWRITTEN_MS = 700;
+/** The others then write it one after another. */
+const UNWRITTEN_SPREAD_MS = 2_500;
+/** So long before the time limit an order without a holder is rolled back. */
+const UNHELD_MARGIN_MS = 700;
 /** A holder that hears fewer daemons leaves the lease to another one. */
 const MIN_HEARD_SHARE = 0.5;
 /** A cut that ends soon costs less than another holder. */
@@ -97,6 +105,8 @@
   readonly #attempts = new WeakMap<object, ServiceRollout>();
   /** When enough of the fleet was last heard. */
   #heardFleetAtMs = Number.NEGATIVE_INFINITY;
+  /** When versions were last judged, or an answer came. */
+  #judgedAtMs = Number.NEGATIVE_INFINITY;
   #cancelTick = () => {};
 
   constructor(options: VersionRolloutsOptions) {
@@ -173,6 +183,22 @@
       nowMs - held.heardAtMs >= UNHEARD_MS;
   }
 
+  mayRollBack(order: VersionOrder): boolean {
+    const held = this.#heldOf(order);
+    if (held === undefined) return false;
+    const { rollout } = held;
+    const nowMs = this.#options.nowMs();
+    const { process } = this.#options;
+    const spread = evenly(`${process}/rollback/${order.position}`);
+    if (rollout.phase === "stopped") {
+      const sinceMs = nowMs - rollout.phaseSinceMs;
+      return sinceMs >= UNWRITTEN_MS + spread * UNWRITTEN_SPREAD_MS;
+    }
+    const dueMs = order.durationMs - UNHELD_MARGIN_MS * (1 - spread / 2);
+    return !rollout.isAgeGuessed && !rollout.hasPlan(nowMs) &&
+      rollout.ageMs(nowMs) >= dueMs;
+  }
+
   applyStatus(order: VersionOrder, { to, phase }: RolloutStatus): boolean {
     const held = this.#heldOf(order);
     if (held === undefined) return true;
@@ -257,10 +283,12 @@
   }
 
   began(key: object): void {
+    this.#noticePause();
     this.#attempts.get(key)?.watch.began(key, this.#options.nowMs());
   }
 
   answered(key: object): void {
+    this.#noticePause();
     this.#attempts.get(key)?.watch.answered(key, this.#options.nowMs());
   }
 
@@ -347,8 +375,18 @@
     this.#finish(held, news.phase);
   }
 
+  /** After a pause of this process, answers that waited for it look late. */
+  #noticePause(): void {
+    const nowMs = this.#options.nowMs();
+    const isPaused = nowMs - this.#judgedAtMs > JUDGE_INTERVAL_MS + PAUSE_MS;
+    this.#judgedAtMs = nowMs;
+    if (!isPaused) return;
+    for (const { rollout } of this.#held.values()) rollout.watch.notePause();
+  }
+
   #tick(): void {
     const { scheduler } = this.#options;
+    this.#noticePause();
     this.#cancelTick = scheduler.after(JUDGE_INTERVAL_MS, () => this.#tick());
     for (const held of this.#held.values()) {
       if (!held.rollout.isFinal) this.#judge(held);
--- a/packages/orders/src/version_rollout_task.ts
+++ b/packages/orders/src/version_rollout_task.ts
@@ -18,6 +18,11 @@
   plan(order: VersionOrder, epoch: number): "running" | FinalPhase;
   /** Whether nothing was heard of the order for too long. */
   wantsStatus(order: VersionOrder): boolean;
+  /**
+   * Whether any daemon may write that the order was rolled back: its version was
+   * found bad, or its time ends, and no holder has written it.
+   */
+  mayRollBack(order: VersionOrder): boolean;
   /** Applies a status; true when it is the final one of this order. */
   applyStatus(order: VersionOrder, status: RolloutStatus): boolean;
 }
@@ -78,6 +83,9 @@
   #advance(order: VersionOrder): void {
     const { rollouts, isLeaseFresh } = this.#options;
     const epoch = this.#options.epoch();
+    if (epoch === 0 && rollouts.mayRollBack(order)) {
+      return this.#call(order, () => this.#rollBack(order));
+    }
     if (epoch === 0) {
       if (rollouts.wantsStatus(order)) {
         this.#call(order, () => this.#look(order));
@@ -135,6 +143,13 @@
     if (isWritten) this.#confirmed.set(order.position, epoch);
   }
 
+  /** Needs no lease: what has stopped does not go on under another holder. */
+  async #rollBack(order: VersionOrder): Promise<void> {
+    this.#nextCallAtMs.set(order.position, this.#nowMs() + LOOK_INTERVAL_MS);
+    if (await this.#read(order)) return;
+    await this.#append(order, "rolled_back", { needsLease: false });
+  }
+
   async #finish(order: VersionOrder, phase: FinalPhase): Promise<void> {
     const mayHaveEnded = this.#end === undefined;
     if (mayHaveEnded && await this.#read(order)) return;
@@ -144,12 +159,13 @@
   async #append(
     order: VersionOrder,
     phase: RolloutStatus["phase"],
+    { needsLease = true }: { readonly needsLease?: boolean } = {},
   ): Promise<boolean> {
     const { service, to } = order;
     const { log, rollouts, isLeaseFresh } = this.#options;
     const end = this.#end;
     // The calls before may have taken long.
-    if (end === undefined || !isLeaseFresh()) return false;
+    if (end === undefined || (needsLease && !isLeaseFresh())) return false;
     // Until the answer comes it is unknown where the records end.
     this.#end = undefined;
     const status = { service, to, phase };
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -60,9 +60,10 @@
 
 const ANSWERS = 0;
 const FAILED = 1;
-const OTHER = { answers: 2, failed: 3, slow: 4 } as const;
-const OTHER_BEGUN = 5;
-const OTHER_PACE = 6;
+const ENDED = 2;
+const OTHER = { answers: 3, failed: 4, slow: 5 } as const;
+const OTHER_BEGUN = 6;
+const OTHER_PACE = 7;
 
 /** The watch of one daemon for one order. */
 export class AnswerWatch {
@@ -138,6 +139,11 @@
     this.#open.delete(key);
   }
 
+  /** Forgets open attempts: after a pause of the process all look late. */
+  notePause(): void {
+    this.#open.clear();
+  }
+
   /** Counts open attempts at the new version that are late by now. */
   check(nowMs: number): void {
     for (const attempt of this.#open.values()) {
@@ -164,6 +170,7 @@
     if (attempt === undefined) return;
     this.#open.delete(key);
     this.#count(attempt, fault);
+    if (attempt.isNew) this.#countsOf(attempt.route)[ENDED] += 1;
   }
 
   #count(attempt: OpenAttempt, fault: Fault | undefined): void {
@@ -204,7 +211,7 @@
   #countsOf(route: RouteName): Counts {
     const known = this.#routes.get(route);
     if (known !== undefined) return known;
-    const counts: Counts = [0, 0, 0, 0, 0, 0, 0];
+    const counts: Counts = [0, 0, 0, 0, 0, 0, 0, 0];
     this.#routes.set(route, counts);
     return counts;
   }
--- a/packages/version-rollouts/src/fleet_evidence.ts
+++ b/packages/version-rollouts/src/fleet_evidence.ts
@@ -45,6 +45,8 @@
   /** Failures and lost connections. */
   readonly failed: number;
   readonly slow: number;
+  /** Answers that have ended, well or not; others may still break off. */
+  readonly ended: number;
   readonly otherAnswers: number;
   readonly otherFailed: number;
   readonly otherSlow: number;
@@ -126,9 +128,10 @@
         answers: counts[0] + lost + slow,
         failed: counts[1] + lost,
         slow,
-        otherAnswers: counts[2],
-        otherFailed: counts[3],
-        otherSlow: counts[4],
+        ended: counts[2],
+        otherAnswers: counts[3],
+        otherFailed: counts[4],
+        otherSlow: counts[5],
       });
     }
     return sums;
@@ -149,7 +152,7 @@
     previous: RouteCounts | undefined,
     nowMs: number,
   ): void {
-    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0, 0];
+    const sums = this.#routes.get(route) ?? [0, 0, 0, 0, 0, 0, 0, 0];
     this.#routes.set(route, sums);
     const added = counts.map((count, index) =>
       count - (previous?.[index] ?? 0)
@@ -157,8 +160,8 @@
     added.forEach((count, index) => {
       sums[index]! += count;
     });
-    const answers = added[5]!;
-    if (answers > 0) this.#addPace(route, { answers, sum: added[6]! }, nowMs);
+    const answers = added[6]!;
+    if (answers > 0) this.#addPace(route, { answers, sum: added[7]! }, nowMs);
   }
 
   #addPace(
--- a/packages/version-rollouts/src/rollout_plan.ts
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -43,6 +43,8 @@
 const ANSWERS_MARGIN = 1.3;
 /** The rate of requests is known by then. */
 const MIN_RATE_MS = 800;
+/** Answers on all routes together without which all requests never move. */
+const MIN_LATE_ANSWERS = 10;
 /** A route with fewer other answers has too few requests to be waited for. */
 const MIN_OTHER_ANSWERS = 40;
 /** Share of the old servers' number that new servers must have to take all. */
@@ -96,7 +98,8 @@
   if (oldServers === 0 || input.share >= 1) return { share: 1, servers: [] };
   const progress = elapsedMs / durationMs;
   const isHarmless = input.requests <= input.exposeSlack * FIRST_SLACK_PART;
-  const hasAnswers = isHarmless || countAnswers(input.routes) > 0;
+  const hasAnswers = isHarmless ||
+    countEnded(input.routes) >= MIN_LATE_ANSWERS;
   const isWaitOver = progress >= LAST_START && hasAnswers;
   const mayGrow = isWaitOver || isShown(input);
   const hasServers = newServers.length >= oldServers * MIN_NEW_SERVERS;
@@ -130,13 +133,13 @@
 
 /** Whether every route with sufficient requests has its answers. */
 function isShown({ routes }: SharePlanInput): boolean {
-  return countAnswers(routes) > 0 && lackingRoutes(routes).size === 0;
+  return countEnded(routes) > 0 && lackingRoutes(routes).size === 0;
 }
 
-function countAnswers(routes: SharePlanInput["routes"]): number {
-  let answers = 0;
-  for (const sums of routes.values()) answers += sums.answers;
-  return answers;
+function countEnded(routes: SharePlanInput["routes"]): number {
+  let count = 0;
+  for (const { ended } of routes.values()) count += ended;
+  return count;
 }
 
 /** Routes on which the new version has not answered sufficiently yet. */
@@ -144,9 +147,9 @@
   routes: ReadonlyMap<RouteName, RouteSums>,
 ): Set<RouteName> {
   const lacking = new Set<RouteName>();
-  for (const [route, { answers, otherAnswers }] of routes) {
+  for (const [route, { ended, otherAnswers }] of routes) {
     const hasRequests = otherAnswers >= MIN_OTHER_ANSWERS;
-    if (hasRequests && answers < MIN_ROUTE_ANSWERS) lacking.add(route);
+    if (hasRequests && ended < MIN_ROUTE_ANSWERS) lacking.add(route);
   }
   return lacking;
 }
--- a/packages/version-rollouts/src/version_order.ts
+++ b/packages/version-rollouts/src/version_order.ts
@@ -67,13 +67,14 @@
 }
 
 /**
- * Answers and failures of the new version; answers, failures and slow answers of
+ * Answers that have begun, failures and ended answers of the new version; answers, failures and slow answers of
  * the other versions, how many of theirs have begun, and the sum of the times
  * until then, in hundredths of what is expected.
  */
 export type RouteCounts = readonly [
   answers: number,
   failed: number,
+  ended: number,
   otherAnswers: number,
   otherFailed: number,
   otherSlow: number,
