--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -62,6 +62,8 @@
 const PAUSE_MS = 150;
 /** Loads and lists of servers are looked up again after this time. */
 const SERVERS_TTL_MS = 20;
+/** Interval of log lines about what an order waits for. */
+const AWAITED_LOG_INTERVAL_MS = 500;
 /** Peers are told of an order that has ended for this long. */
 const TELL_END_MS = 30_000;
 /** A daemon that hears nothing of an order for so long reads its status. */
@@ -94,6 +96,7 @@
   /** When something was last heard of it that a holder says. */
   heardAtMs: number;
   toldBad: number;
+  awaitedLogAtMs: number;
   servers: ServiceServers;
   serversAtMs: number;
 }
@@ -219,16 +222,33 @@
     const nowMs = this.#options.nowMs();
     if (rollout.phase === "running") this.#planShare(held, epoch);
     const { durationMs } = rollout.order;
+    const movedAllForMs = rollout.movedAllForMs(nowMs);
+    const awaited = {
+      oldWork: this.#oldWork(held),
+      ...this.#fleetAt(rollout),
+    };
+    if (movedAllForMs !== undefined) this.#logAwaited(held, awaited);
     return planEnd({
       elapsedMs: rollout.ageMs(nowMs),
       durationMs,
-      movedAllForMs: rollout.movedAllForMs(nowMs),
+      movedAllForMs,
       isBad: rollout.phase !== "running",
-      oldWork: this.#oldWork(held),
-      ...this.#fleetAt(rollout),
+      ...awaited,
     });
   }
 
+  /** Logs what keeps an order from its end, in intervals. */
+  #logAwaited(
+    held: HeldRollout,
+    awaited: Readonly<Record<string, number>>,
+  ): void {
+    const nowMs = this.#options.nowMs();
+    if (nowMs < held.awaitedLogAtMs) return;
+    held.awaitedLogAtMs = nowMs + AWAITED_LOG_INTERVAL_MS;
+    const { service, to } = held.rollout.order;
+    this.#options.logDecision("rollout_awaits", { service, to, ...awaited });
+  }
+
   allows(
     server: KnownServer,
     request: RoutedRequest,
@@ -343,6 +363,7 @@
       // An order that was given before the start may have ended.
       heardAtMs: isAgeKnown ? nowMs : Number.NEGATIVE_INFINITY,
       toldBad: 0,
+      awaitedLogAtMs: Number.NEGATIVE_INFINITY,
       servers: { hasOld: true, hasNew: true, oldLoad: 0, daemons: 1 },
       serversAtMs: Number.NEGATIVE_INFINITY,
     };
@@ -452,6 +473,7 @@
       routes: rollout.evidence.routes(),
       requests: rollout.evidence.exposure.requests,
       share: rollout.applied(nowMs),
+      longestMs: rollout.watch.longestMs,
     });
     const before = rollout.applied(nowMs);
     const validMs = planValidMs({
--- a/packages/version-rollouts/src/answer_watch.ts
+++ b/packages/version-rollouts/src/answer_watch.ts
@@ -43,6 +43,8 @@
   /** Prompt tokens that its server has to read first. */
   readonly tokensToRead: number;
   readonly sentAtMs: number;
+  /** Whether it does not count as slow, whatever time it takes. */
+  readonly isSpared?: boolean;
 }
 
 interface OpenAttempt extends WatchedAttempt {
@@ -75,6 +77,7 @@
     Record<RouteName, DoubtfulCounts>
   >();
   #bad = 0;
+  #longestMs = 0;
 
   constructor(
     paceOf: (route: RouteName, nowMs: number) => OtherPace | undefined,
@@ -87,6 +90,11 @@
     return this.#bad;
   }
 
+  /** The longest complete answer of the other versions. */
+  get longestMs(): number {
+    return this.#longestMs;
+  }
+
   /** An attempt was sent; `key` is the same object in all its calls. */
   sent(key: object, attempt: WatchedAttempt): void {
     this.#open.set(key, {
@@ -120,6 +128,10 @@
   /** An answer is complete. */
   answered(key: object, nowMs: number): void {
     this.began(key, nowMs);
+    const attempt = this.#open.get(key);
+    if (attempt !== undefined && !attempt.isNew) {
+      this.#longestMs = Math.max(this.#longestMs, nowMs - attempt.sentAtMs);
+    }
     this.#end(key, undefined);
   }
 
@@ -202,7 +214,7 @@
 
   #slowFromMs(attempt: OpenAttempt, nowMs: number): number {
     const pace = this.#paceOf(attempt.route, nowMs);
-    if (pace === undefined) return Number.POSITIVE_INFINITY;
+    if (pace === undefined || attempt.isSpared) return Number.POSITIVE_INFINITY;
     const usualMs = pace.mean * expectedMs(attempt);
     const factor = pace.isFresh ? SLOW_FACTOR : STALE_SLOW_FACTOR;
     return Math.max(usualMs * factor, usualMs + MIN_SLOW_MS);
--- a/packages/version-rollouts/src/rollout_plan.ts
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -15,20 +15,26 @@
 
 /** A phase of an order before all requests move. */
 interface Step {
-  /** Share of the order's duration from which it may begin. */
-  readonly from: number;
+  /** How long before all requests move, as a share of the order's duration. */
+  readonly before: number;
   /** Share of the requests, as a multiple of the bound on exposure. */
   readonly multiple: number;
 }
 
 /** They use 0.36 of the bound on exposure by the time when all requests move. */
 const STEPS: readonly Step[] = [
-  { from: 0, multiple: 0.3 },
-  { from: 0.45, multiple: 1 },
-  { from: 0.52, multiple: 2.5 },
+  { before: 1, multiple: 0.3 },
+  { before: 0.13, multiple: 1 },
+  { before: 0.06, multiple: 2.5 },
 ];
-/** Leaves 3.8 s of 12 s for work to leave the old servers. */
-const ALL_FROM = 0.58;
+/** Latest time from which all requests move; leaves 4.3 s of 12 s after it. */
+const LAST_ALL_FROM = 0.58;
+/** Earliest, where answers last long. */
+const FIRST_ALL_FROM = 0.45;
+/** Answers last this much longer at times than those that were seen. */
+const DRAIN_FACTOR = 1.2;
+/** Time for the plan to reach all daemons, and their work to be told. */
+const GOSSIP_MARGIN_MS = 600;
 /** Where requests are few, the first step may take this multiple instead. */
 const MAX_FIRST_MULTIPLE = 0.6;
 /** Where they are very few, it may use this part of the slack instead. */
@@ -36,7 +42,7 @@
 /** Half of the requests stay, so that the versions can be compared. */
 const MAX_FIRST_SHARE = 0.5;
 /** A step waits for its answers up to this share of the duration. */
-const LAST_START = 0.68;
+const LAST_START = 0.62;
 /** Answers on each route before the share grows. */
 const MIN_ROUTE_ANSWERS = 20;
 /** Routes have different rates, and answers come after their requests. */
@@ -75,6 +81,8 @@
   readonly requests: number;
   /** The present share. */
   readonly share: number;
+  /** The longest time that an old server has worked on a request. */
+  readonly longestMs: number;
 }
 
 /** The share of the requests and the new servers that take it. */
@@ -103,10 +111,12 @@
   const isWaitOver = progress >= LAST_START && hasAnswers;
   const mayGrow = isWaitOver || isShown(input);
   const hasServers = newServers.length >= oldServers * MIN_NEW_SERVERS;
-  if (progress >= ALL_FROM && mayGrow && hasServers) {
+  const allFrom = allFromOf(input);
+  if (progress >= allFrom && mayGrow && hasServers) {
     return { share: 1, servers: [] };
   }
-  const due = STEPS.findLast(({ from }) => progress >= from) ?? STEPS[0]!;
+  const due = STEPS.findLast(({ before }) => progress >= allFrom - before) ??
+    STEPS[0]!;
   const isFirst = !mayGrow || due === STEPS[0];
   const share = isFirst
     ? firstShare(input)
@@ -116,6 +126,13 @@
   return { share, servers: newServers.slice(0, count) };
 }
 
+/** From which share of the duration all requests may move. */
+function allFromOf({ durationMs, longestMs }: SharePlanInput): number {
+  const leaveMs = longestMs * DRAIN_FACTOR + WRITE_MARGIN_MS + GOSSIP_MARGIN_MS;
+  const latest = 1 - leaveMs / durationMs;
+  return Math.max(FIRST_ALL_FROM, Math.min(LAST_ALL_FROM, latest));
+}
+
 /** The share that brings each route its answers before the share grows. */
 function firstShare(input: SharePlanInput): number {
   const { elapsedMs, durationMs, exposeShare, routes, requests } = input;
@@ -124,7 +141,7 @@
   // Requests vary, and each change of the plan is announced.
   if (input.share > least) return Math.min(input.share, MAX_FIRST_SHARE);
   if (elapsedMs < MIN_RATE_MS || requests === 0) return least;
-  const expected = requests / elapsedMs * STEPS[1]!.from * durationMs;
+  const expected = requests / elapsedMs * FIRST_ALL_FROM * durationMs;
   const needed = MIN_ROUTE_ANSWERS * routes.size * ANSWERS_MARGIN;
   if (needed <= expected * least) return least;
   const ofSlack = input.exposeSlack * FIRST_SLACK_PART / expected;
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -33,6 +33,8 @@
 const LACKING_WEIGHT = 1.5;
 /** And one of another route, while some lack answers. */
 const OTHER_WEIGHT = 0.5;
+/** Every daemon opens connections to all new servers at the same time then. */
+const MOVE_GRACE_MS = 400;
 /** The entries of servers that have ended are gone by then. */
 const OLD_GONE_MS = 10_000;
 /** Then a version that was found bad serves if there is no other. */
@@ -310,7 +312,15 @@
     if (isNew && counted !== "new") this.#credit.noteExtra();
     if (!isNew && counted === "new") this.#credit.giveBack();
     if (isNew) this.#fallenBack.add(request);
-    const watched = { route, server, isNew, tokensToRead, sentAtMs: nowMs };
+    const movedForMs = this.movedAllForMs(nowMs) ?? Number.POSITIVE_INFINITY;
+    const watched = {
+      route,
+      server,
+      isNew,
+      tokensToRead,
+      sentAtMs: nowMs,
+      isSpared: movedForMs < MOVE_GRACE_MS,
+    };
     this.watch.sent(key, watched);
   }
 
