--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -10,11 +10,18 @@
 import type { ServiceName, TeamId } from "@endivebend/types";
 import { type Admission, admit, type RequestHead } from "./admit.ts";
 import { ConfigurationView } from "./configuration.ts";
+import {
+  explainRoute,
+  type RouteExplanation,
+  type RouteQuery,
+} from "./explain_route.ts";
 import type { CallerSink } from "./ports.ts";
 import type { RepeatCause, RequestContext } from "./request_context.ts";
 import { RequestRun } from "./request_run.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import type { Configuration, RoutedRequest, TeamRules } from "./types.ts";
+import { SlotAdmission } from "./slot_admission.ts";
+import { rankOf } from "./slot_rules.ts";
 import { WeightsProbes } from "./weights_probes.ts";
 
 /** Limits from the deployment's settings. */
@@ -35,6 +42,8 @@
     | "maxOwnConnections"
     | "tokensPerEvent"
     | "cacheStores"
+    | "slots"
+    | "slotRank"
   >;
   readonly bounds: AdmissionBounds;
   /** Number of daemons in the fleet, including this one. */
@@ -85,6 +94,12 @@
       tokensPerEvent: (service) =>
         this.#view?.service(service)?.tokensPerEvent ?? 1,
       cacheStores: () => this.#view?.configuration.cacheStores ?? [],
+      slots: new SlotAdmission({
+        fleetSize: options.fleetSize,
+        random: Math.random,
+      }),
+      slotRank: ({ service, route: { urgency } }) =>
+        this.#view && rankOf(this.#view.slotRules, { service, urgency }),
       weightsProbes: new WeightsProbes(options.fleetSize),
       tryRetry: (request, cause) => this.#tryRetry(request, cause),
       settleRetry: ({ service }) =>
@@ -148,6 +163,18 @@
     return { kind: "running", run };
   }
 
+  /** Tells where a request would go now and why, and does nothing with it. */
+  explain(query: RouteQuery): RouteExplanation {
+    const nowMs = this.#nowMs();
+    const context = {
+      ...this.#context,
+      view: this.#view,
+      overLimitMs: ({ id }: TeamRules, cost: number) =>
+        this.#buckets.get(id)?.waitMs(cost, nowMs) ?? 0,
+    };
+    return explainRoute(query, { context, nowMs });
+  }
+
   /** Ends all requests with their last answers, as the daemon ends. */
   stopRuns(): void {
     for (const run of [...this.#runs]) run.stop();
--- a/packages/request-path/src/choose_server.ts
+++ b/packages/request-path/src/choose_server.ts
@@ -51,6 +51,8 @@
    * daemon may send one to each, to 1; 0 for a server without a limit.
    */
   readonly scarcity: number;
+  /** Cost of its failure domain in the balance between domains. */
+  readonly balanceMs?: number;
 }
 
 /** The chosen server with its score, for the log. */
@@ -60,9 +62,14 @@
   /** Time that the prompts queued at the server take. */
   readonly waitMs: number;
   readonly cachedTokens: number;
+  /** Part of the score for its failure domain; absent where there is none. */
+  readonly balanceMs?: number;
   readonly candidateCount: number;
 }
 
+/** Told of the expected cost of each candidate. */
+export type ScoreListener = (candidate: Candidate, scoreMs: number) => void;
+
 /** Prompt tokens an engine prefills per ms, from the users' data sheets. */
 export const PREFILL_TOKENS_PER_MS = 38.4;
 /** Weight of engine time taken from others, as in the product's routing. */
@@ -108,6 +115,7 @@
 export function chooseServer(
   request: ChoiceRequest,
   candidates: readonly Candidate[],
+  { scored }: { readonly scored?: ScoreListener | undefined } = {},
 ): Choice | undefined {
   const pools = request.usesPools
     ? assignPools(candidates.map(({ id }) => id))
@@ -136,9 +144,12 @@
     const limitedMs = ownPool === "short"
       ? candidate.scarcity * SCARCITY_COST_MS
       : 0;
+    const balanceMs = candidate.balanceMs ?? 0;
     const scoreMs = request.promptTokens === undefined
-      ? plainScoreMs(request, candidate)
-      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs + limitedMs;
+      ? plainScoreMs(request, candidate) + balanceMs
+      : modelScoreMs(request, { candidate, cachedTokens }) + poolMs +
+        limitedMs + balanceMs;
+    scored?.(candidate, scoreMs);
     const weight = rendezvousWeight(request.affinityKey, candidate.id);
     const isBetter = best === undefined || scoreMs < best.scoreMs ||
       (scoreMs === best.scoreMs && weight > bestWeight);
@@ -149,6 +160,7 @@
       scoreMs,
       waitMs: candidate.prefillTokens / PREFILL_TOKENS_PER_MS,
       cachedTokens,
+      ...(balanceMs > 0 ? { balanceMs } : {}),
       candidateCount: candidates.length,
     };
   }
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -16,6 +16,7 @@
   type Choice,
   chooseServer,
   PREFILL_TOKENS_PER_MS,
+  type ScoreListener,
 } from "./choose_server.ts";
 import {
   type CachedTokens,
@@ -32,7 +33,9 @@
 import { hasOtherProcess } from "./process_check.ts";
 import type { VersionChoice } from "./version_choice.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
-import { needsPools } from "./prompt_pools.ts";
+import { needsPools, poolOf } from "./prompt_pools.ts";
+import type { SlotAdmission } from "./slot_admission.ts";
+import type { SlotRank } from "./slot_rules.ts";
 import { shedRetryMs } from "./load_shedding.ts";
 import {
   type CacheScope,
@@ -59,6 +62,14 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** Divides scarce slots; without it, a full engine's queue is the bound. */
+  readonly slots?: Pick<SlotAdmission, "select" | "noteSent" | "noteRejected">;
+  /** Undefined where the service's slots are not divided. */
+  readonly slotRank?: (request: RoutedRequest) => SlotRank | undefined;
+  /** Cost of sending requests to another domain; none without it. */
+  readonly balance?:
+    | { costMs(server: KnownServer, nowMs: number): number }
+    | undefined;
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -110,6 +121,10 @@
 /** Requests per slot of a full engine: as many waiting as running. */
 const MAX_LOAD_FACTOR = 2;
 
+/** Callers refused for want of a slot come back after this part of the target. */
+const SLOT_RETRY_SHARE = 0.4;
+const MIN_SLOT_RETRY_MS = 100;
+
 /** Callers' ids may have thousands of characters. */
 const MAX_SCOPE_ID_LENGTH = 64;
 
@@ -118,6 +133,23 @@
 /** Another daemon may have a server for the caller by then. */
 const MAX_LIMITED_RETRY_MS = 2_000;
 
+/** What leaves servers out of a placement, in the order of the steps. */
+export type PlacementStep =
+  | "listed"
+  | "version"
+  | "weights"
+  | "room"
+  | "slots"
+  | "quiet"
+  | "limit";
+
+/** Told of the steps of a placement, to explain it. */
+export interface PlacementTrace {
+  /** The servers that a step has left. */
+  left(step: PlacementStep, servers: readonly KnownServer[]): void;
+  readonly scored: ScoreListener;
+}
+
 type AttemptContext = PlacementContext & {
   readonly exclude: ReadonlySet<BackendServerId>;
   /** Whether part of the answer has reached the caller. */
@@ -128,6 +160,7 @@
    * no server may go on with it.
    */
   readonly softwareVersion?: SoftwareVersion | undefined;
+  readonly trace?: PlacementTrace | undefined;
   readonly nowMs: number;
 };
 
@@ -167,42 +200,60 @@
   request: RoutedRequest,
   context: AttemptContext,
 ): Placement {
-  const { registry, exclude, nowMs } = context;
-  const views = registry.usable(request.service, nowMs)
-    .filter(({ listed }) => !exclude.has(listed.id))
+  const { registry, exclude, nowMs, trace } = context;
+  const usable = registry.usable(request.service, nowMs);
+  trace?.left("listed", usable);
+  const views = usable.filter(({ listed }) => !exclude.has(listed.id))
     .filter((server) => mayRunAt(server, request, context))
     .map((server) => describeServer(request, { server, context }));
+  traceLeft("version", views, trace);
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
   const current = excludeStale(views, context.weightsBoundMs);
+  traceLeft("weights", current, trace);
   if (current.length === 0) return { kind: "refused", reason: "stale_weights" };
   const maxOwnConnections = context.maxOwnConnections(request.service);
   const withRoom = current.filter(({ server, work }) =>
     hasCapacity(server, work, maxOwnConnections)
   );
+  traceLeft("room", withRoom, trace);
   if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
-  const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
+  const admitted = admitToSlots(request, withRoom, context);
+  traceLeft("slots", admitted, trace);
+  if (admitted.length === 0) {
+    const retryInMs = slotRetryMs(request);
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  const asking = admitted.filter(({ server }) => nowMs >= server.quietUntilMs);
+  traceLeft("quiet", asking, trace);
   if (asking.length === 0) {
-    const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
+    const untilMs = admitted.map(({ server }) => server.quietUntilMs);
     const retryInMs = Math.min(...untilMs) - nowMs;
     return { kind: "refused", reason: "overloaded", retryInMs };
   }
   const available = excludeLimited(asking, context);
+  traceLeft("limit", available, trace);
   if (available.length === 0) {
     const retryInMs = untilAllowedMs(asking, context);
     return { kind: "refused", reason: "limited", retryInMs };
   }
   const sharedTokens = sumTokens(sharedSegments(request));
-  const choice = chooseServer({
-    promptTokens: request.work?.promptTokens,
-    sharedTokens,
-    fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
-    affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
-    failureDomain: context.failureDomain,
-    usesPools: needsPools({
-      tokensPerEvent: context.tokensPerEvent(request.service),
-      maxGapMs: request.route.maxGapMs,
-    }),
-  }, available.map((view) => candidateOf(view, context)));
+  const choice = chooseServer(
+    {
+      promptTokens: request.work?.promptTokens,
+      sharedTokens,
+      fetchableTokens: Math.max(0, ...available.map(({ kept }) => kept.read)),
+      affinityKey: sharedSegments(request).at(-1)?.id ?? request.requestId,
+      failureDomain: context.failureDomain,
+      usesPools: needsPools({
+        tokensPerEvent: context.tokensPerEvent(request.service),
+        maxGapMs: request.route.maxGapMs,
+      }),
+    },
+    available.map((view) => candidateOf(view, { request, context })),
+    {
+      scored: trace?.scored,
+    },
+  );
   const view = available.find(({ server }) => server.listed.id === choice?.id);
   if (choice === undefined || view === undefined) {
     return { kind: "refused", reason: "no_server" };
@@ -293,6 +344,14 @@
     versions.allows(server, request, { goesOn: goesOn(context) });
 }
 
+function traceLeft(
+  step: PlacementStep,
+  views: readonly ServerView[],
+  trace: PlacementTrace | undefined,
+): void {
+  trace?.left(step, views.map(({ server }) => server));
+}
+
 function isOfVersion(
   server: KnownServer,
   { hasBegun, softwareVersion }: AttemptContext,
@@ -450,6 +509,28 @@
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
+/**
+ * The servers at which scarce slots are left to the request. What has begun, or
+ * goes on, is never refused for want of a slot.
+ */
+function admitToSlots(
+  request: RoutedRequest,
+  views: readonly ServerView[],
+  { slots, slotRank, hasBegun, nowMs }: AttemptContext,
+): readonly ServerView[] {
+  const rank = slotRank?.(request);
+  const isNew = !hasBegun && request.resumeAfter === undefined;
+  if (slots === undefined || rank === undefined || !isNew) return views;
+  const isShort = poolOf(request.work?.promptTokens ?? 0) === "short";
+  const urgency = urgencyOf(request);
+  return slots.select({ rank, urgency, isShort }, views, nowMs);
+}
+
+/** Slots become free all the time; a caller can still be in time by then. */
+function slotRetryMs({ route }: RoutedRequest): number {
+  return Math.max(MIN_SLOT_RETRY_MS, route.targetMs * SLOT_RETRY_SHARE);
+}
+
 /** The segments that other requests may share: all but the last. */
 function sharedSegments(request: RoutedRequest): readonly PromptSegment[] {
   return request.work?.prompt.slice(0, -1) ?? [];
@@ -510,8 +591,14 @@
 
 function candidateOf(
   { server, kept, work, staleForMs }: ServerView,
-  { registry, allowances, nowMs }: AttemptContext,
+  { request, context }: {
+    readonly request: RoutedRequest;
+    readonly context: AttemptContext;
+  },
 ): Candidate {
+  const { registry, allowances, nowMs } = context;
+  // Plain calls stay in their domain by themselves, and have few bytes.
+  const balance = request.work && context.balance;
   return {
     id: server.listed.id,
     failureDomain: server.listed.failureDomain,
@@ -531,5 +618,6 @@
     scarcity: nowMs - server.limitAsOfMs < LIMIT_RECHECK_MS
       ? allowances.scarcity(server, nowMs)
       : 0,
+    balanceMs: balance?.costMs(server, nowMs) ?? 0,
   };
 }
--- a/packages/version-rollouts/src/rollout_plan.ts
+++ b/packages/version-rollouts/src/rollout_plan.ts
@@ -58,8 +58,12 @@
 
 /** Time that the last write of the status may take. */
 const WRITE_MARGIN_MS = 700;
-/** Time for which all requests go to the new version at least. */
+/** Time for which all requests go to the new version, as it may fail by load. */
+const USUAL_ALL_MS = 1_200;
+/** The least of it, where another holder has taken over late. */
 const MIN_ALL_MS = 600;
+/** Share of the duration from which the least is enough. */
+const LATE = 0.85;
 /** Work that is given up at the old servers rather than the whole order. */
 const MAX_GIVEN_UP = 3;
 /** Share of the daemons that may have ended without notice, and one at least. */
@@ -207,7 +211,8 @@
   const isLast = elapsedMs >= durationMs - WRITE_MARGIN_MS;
   const hasLeft = input.oldWork === 0 && input.lagging === 0 &&
     input.silent === 0;
-  if (movedAllForMs >= MIN_ALL_MS && hasLeft) return "succeeded";
+  const allMs = elapsedMs < durationMs * LATE ? USUAL_ALL_MS : MIN_ALL_MS;
+  if (movedAllForMs >= allMs && hasLeft) return "succeeded";
   if (!isLast) return "running";
   const maxSilent = Math.max(1, input.daemons * MAX_SILENT_SHARE);
   const mayGiveUp = input.oldWork <= MAX_GIVEN_UP && input.lagging === 0 &&
--- a/packages/version-rollouts/src/rollout_plan_test.ts
+++ b/packages/version-rollouts/src/rollout_plan_test.ts
@@ -153,6 +153,13 @@
   t.is(planEnd({ ...ENDING, movedAllForMs: undefined }), "running");
 });
 
+test("a version meets all requests for a second before an order succeeds", (t) => {
+  // Guards against one that slows down as everything moves to it.
+  t.is(planEnd({ ...ENDING, movedAllForMs: 1_100 }), "running");
+  const late = { ...ENDING, elapsedMs: 10_500 };
+  t.is(planEnd({ ...late, movedAllForMs: 700 }), "succeeded");
+});
+
 test("a bad version is rolled back at any time", (t) => {
   t.is(planEnd({ ...ENDING, isBad: true }), "rolled_back");
 });
