--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -27,6 +27,26 @@
   records: { operator: 4, servers: -1 },
   readAgesMs: { servers: 90 },
   paces: { [brandId<BackendServerId>("e")]: 160 },
+  rollouts: [{
+    service: brandId("s"),
+    to: "v2" as never,
+    order: 7,
+    durationMs: 12_000,
+    ageMs: 900,
+    isAgeGuessed: true,
+    phase: "running",
+    applied: 0.03,
+    barred: ["v1" as never],
+    plan: { epoch: 3, share: 0.03, servers: [brandId("e")], validMs: 900 },
+  }],
+  versionCounts: [{
+    service: brandId("s"),
+    order: 7,
+    routes: { r: [3, 1, 3, 90, 2, 1, 95, 9_000] } as never,
+    doubtful: { e: { r: [1, 0] } } as never,
+    requests: 100,
+    exposed: 3,
+  }],
 });
 
 /** A datagram with the tag of a message and any content. */
--- a/packages/front/src/daemon_gossip.ts
+++ b/packages/front/src/daemon_gossip.ts
@@ -32,6 +32,7 @@
     tables: parts.tables,
     quarantines: parts.quarantines,
     paces: parts.paces,
+    versionRollouts: parts.versionRollouts,
     nowMs: () => parts.nowMs(),
     logDecision: parts.logDecision,
     reachesStore: () => parts.ports.store.isReachable,
--- a/packages/request-path/src/attempt_sender.ts
+++ b/packages/request-path/src/attempt_sender.ts
@@ -122,6 +122,12 @@
       !isRepeatable(request.route.kind) &&
       nowMs - server.lastReceivedMs > CONNECTION_FRESH_MS;
     if (needsNewConnection) client.closeIdleConnections(server.listed.address);
+    const { tokensToRead } = cache;
+    this.#state.context.versions?.sent(attempt, {
+      request,
+      server,
+      tokensToRead,
+    });
     attempt.handle = client.start({
       request,
       server: {
