--- a/packages/front/src/daemon_drain.ts
+++ b/packages/front/src/daemon_drain.ts
@@ -41,6 +41,7 @@
       open: this.#parts.listener.openRequestCount,
     });
     this.#parts.weightsRollout.stop();
+    this.#parts.versionRolloutTask.stop();
     this.#parts.cacheWatch.stop();
     this.#parts.quarantines.stop();
     this.#continueDrain(onEnd);
@@ -71,6 +72,7 @@
     });
     this.#parts.statusServer.close();
     this.#parts.pauseGuard.stop();
+    this.#parts.versionRollouts.stop();
     this.#parts.paths.stop();
     this.#parts.streamOrigins.stop();
     this.#parts.forwardListener.close();
--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -13,7 +13,10 @@
   type RecordTable,
 } from "@endivebend/fleet";
 import type { ServerPaths } from "@endivebend/forwarding";
-import { WeightsRolloutTask } from "@endivebend/orders";
+import {
+  type VersionRolloutTask,
+  WeightsRolloutTask,
+} from "@endivebend/orders";
 import {
   AdmissionController,
   CacheWatch,
@@ -45,6 +48,10 @@
   type RecordFollowers,
 } from "./daemon_records.ts";
 import { DaemonRegistration } from "./daemon_registration.ts";
+import {
+  createVersionRollouts,
+  createVersionRolloutTask,
+} from "./daemon_rollouts.ts";
 import type { FleetGossip } from "./fleet_gossip.ts";
 import { leaseCandidates, reachesEngines } from "./lease_candidates.ts";
 import { PauseGuard } from "./pause_guard.ts";
@@ -62,6 +69,7 @@
 import { SharedReads } from "./shared_reads.ts";
 import { StoreContact } from "./store_contact.ts";
 import { StreamOriginKeeper } from "./stream_origin_keeper.ts";
+import type { VersionRollouts } from "./version_rollouts.ts";
 import { WeightsWatch } from "./weights_watch.ts";
 
 /** The components of a daemon. */
@@ -93,6 +101,8 @@
   readonly gossip: FleetGossip;
   readonly gossipChannel: GossipChannel;
   readonly weightsRollout: WeightsRolloutTask;
+  readonly versionRollouts: VersionRollouts;
+  readonly versionRolloutTask: VersionRolloutTask;
   readonly cacheWatch: CacheWatch;
   readonly pauseGuard: PauseGuard;
   readonly listener: CallerListener;
@@ -149,6 +159,7 @@
       log: ports.log,
       metrics: ports.metrics,
     });
+    this.versionRollouts = createVersionRollouts(this);
     this.admission = this.#createAdmission();
     this.forwardedRuns = this.#createForwardedRuns();
     this.recordApplier = createRecordApplier(this);
@@ -159,6 +170,7 @@
     this.gossip = createGossip(this);
     this.gossipChannel = createGossipChannel(this);
     this.weightsRollout = this.#createWeightsRollout();
+    this.versionRolloutTask = createVersionRolloutTask(this);
     this.cacheWatch = this.#createCacheWatch();
     this.pauseGuard = this.#createPauseGuard();
     this.listener = ports.listen({
@@ -216,6 +228,7 @@
         }),
         pace: this.paces,
         failureDomain,
+        versions: this.versionRollouts,
         balance: createDomainBalance(this),
         namedWeights: (model) => this.namedWeights.history(model),
         weightsBoundMs,
@@ -356,7 +369,8 @@
       rank: (members) => rankByRendezvous("weights-duty", members),
       // Without the list of daemons each would take itself for the first.
       reachesStore: () => this.registration.isRegistered && store.isReachable,
-      reachesEngines: () => reachesEngines(this),
+      reachesEngines: () =>
+        reachesEngines(this) && this.versionRollouts.mayHold(),
       onWeightsChange: (progress) => {
         this.gossip.announceWeightsProgress(progress);
         this.gossipChannel.announce();
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -28,6 +28,7 @@
     this.#parts.quarantines.start();
     this.#parts.streamOrigins.start();
     this.#parts.weightsRollout.start();
+    this.#parts.versionRolloutTask.start();
     this.#parts.cacheWatch.start();
     this.#parts.pauseGuard.start();
     this.#parts.paths.start();
--- a/packages/request-path/src/attempt_evidence.ts
+++ b/packages/request-path/src/attempt_evidence.ts
@@ -126,6 +126,9 @@
     { isComplete }: { readonly isComplete: boolean },
   ): void {
     const { headAtMs: beganAtMs } = attempt;
+    const { versions } = this.#state.context;
+    if (isComplete) versions?.answered(attempt);
+    else versions?.began(attempt);
     if (attempt.isKnownSound || beganAtMs === undefined) return;
     attempt.isKnownSound = this.#state.context.crashGuard.recordProgress(
       this.#state.suspects,
@@ -165,6 +168,7 @@
   /** Records an attempt that may have run and has no complete answer. */
   recordBroken(attempt: Attempt, reason: string, shownBy: FaultSource): void {
     const { id } = attempt.server.listed;
+    this.#judgeVersion(attempt, shownBy);
     if (shownBy === "connection") this.#blame(attempt, reason);
     if (shownBy === "answer") {
       this.#state.context.registry.recordFailure(id, this.#state.nowMs());
@@ -183,6 +187,16 @@
     });
   }
 
+  /** A lost connection tells of the version unless a link may be at fault. */
+  #judgeVersion(attempt: Attempt, shownBy: FaultSource): void {
+    const { paths, versions } = this.#state.context;
+    const mayBeLink = attempt.forwarder !== undefined ||
+      paths.isCutOff(attempt.server.listed.service);
+    if (shownBy === "answer") versions?.failed(attempt);
+    else if (mayBeLink) versions?.dropped(attempt);
+    else versions?.lost(attempt);
+  }
+
   /** Records that the request is taken back; the server is not to blame. */
   recordWithdrawn(attempt: Attempt, reason: string): void {
     const nowMs = this.#state.nowMs();
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -30,6 +30,7 @@
   ServerWork,
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
+import type { VersionChoice } from "./version_choice.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools, poolOf } from "./prompt_pools.ts";
 import type { SlotAdmission } from "./slot_admission.ts";
@@ -52,6 +53,8 @@
 
 /** What a placement depends on besides the request. */
 export interface PlacementContext {
+  /** Absent where both versions serve alike. */
+  readonly versions?: VersionChoice | undefined;
   readonly registry: ServerRegistry;
   readonly allowances: ServerAllowances;
   readonly failureDomain: FailureDomainId;
@@ -191,12 +194,24 @@
 export function placeRequest(
   request: RoutedRequest,
   context: AttemptContext,
+): Placement {
+  const placement = placeAtVersion(request, context);
+  if (placement.kind === "placed") return placement;
+  const at = { goesOn: goesOn(context) };
+  return context.versions?.fallsBack(request, placement.reason, at) === true
+    ? placeAtVersion(request, context)
+    : placement;
+}
+
+function placeAtVersion(
+  request: RoutedRequest,
+  context: AttemptContext,
 ): Placement {
   const { registry, exclude, nowMs, trace } = context;
   const usable = registry.usable(request.service, nowMs);
   trace?.left("listed", usable);
   const views = usable.filter(({ listed }) => !exclude.has(listed.id))
-    .filter((server) => isOfVersion(server, context))
+    .filter((server) => mayRunAt(server, request, context))
     .map((server) => describeServer(request, { server, context }));
   traceLeft("version", views, trace);
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
@@ -330,7 +345,7 @@
   const candidates = registry.usable(service, nowMs).filter((server) => {
     const believed = registry.weightsOf(server, work.model);
     const mayProbe = believed !== undefined && believed < newest &&
-      !exclude.has(server.listed.id) && isOfVersion(server, context) &&
+      !exclude.has(server.listed.id) && mayRunAt(server, request, context) &&
       nowMs >= server.loadingUntilMs &&
       !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
     return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
@@ -364,6 +379,22 @@
   };
 }
 
+/** Whether the request goes on with a stream that a version has begun. */
+function goesOn({ hasBegun, softwareVersion }: AttemptContext): boolean {
+  return hasBegun || softwareVersion !== undefined;
+}
+
+function mayRunAt(
+  server: KnownServer,
+  request: RoutedRequest,
+  context: AttemptContext,
+): boolean {
+  if (!isOfVersion(server, context)) return false;
+  const { versions } = context;
+  return versions === undefined ||
+    versions.allows(server, request, { goesOn: goesOn(context) });
+}
+
 function traceLeft(
   step: PlacementStep,
   views: readonly ServerView[],
--- a/packages/request-path/src/request_run.ts
+++ b/packages/request-path/src/request_run.ts
@@ -230,6 +230,8 @@
     }
     const isSuccess = head.status >= 200 && head.status < 300;
     if (!isSuccess) attempt.pace?.spoil();
+    const isFailure = head.status >= 500 || (isSuccess && !head.hasProof);
+    if (isFailure) this.#state.context.versions?.failed(attempt);
     if (isSuccess && !head.hasProof) {
       return this.#handleBroken(attempt, "no_proof", "answer");
     }
@@ -612,6 +614,7 @@
   /** Ends one attempt; its replacement, if there is one, takes its place. */
   #release(attempt: Attempt): void {
     if (!attempt.wasSent) this.#repeats.settle(attempt);
+    this.#state.context.versions?.dropped(attempt);
     attempt.leaveForwarder();
     attempt.server.ownWork.delete(this.#request.requestId);
     const isFirst = attempt === this.#state.attempt;
