--- a/packages/platform-soak/src/daemon_process.ts
+++ b/packages/platform-soak/src/daemon_process.ts
@@ -71,7 +71,7 @@
 });
 
 /** The command of the deploy file, as words. */
-function deployCommand(): string[] {
+export function deployCommand(): string[] {
   const text = readFileSync("deploy/system.toml", "utf8");
   const command = /^run = "(.+)"$/m.exec(text)?.[1];
   if (command === undefined) {
