Break off an answer without a length that ends before its upload was written

A server that answers an upload at once, without a length, and closes its connection with the rest of the upload unread has cut its answer off; the reset that says so comes after the end of the connection. Such an answer is complete only when the request has been handed over whole. cut_uploads_test.ts failed 3 of 9 tests before (an orderly close with a reset 0, 5 and 300 ms later, uploads of 4 MB) and passes 3 of 3 runs now; it also holds the 502 for a status 000, for a reset without an answer, and for resets 0, 5 and 300 ms into an upload. 67 tests of server_client, odd_answers and forward_listener pass.

--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -456,6 +456,11 @@
       if (!response.complete || wasReset) {
         return fail("The answer was cut off before its end");
       }
+      // Nothing but the end of the connection proves such an answer whole, and a
+      // server may close its connection with the rest of the upload unread.
+      if (!isFramed(response) && !outgoing.writableFinished) {
+        return fail("The answer ended before the request was written");
+      }
       const trailerFault = findFieldFault(response.rawTrailers);
       if (trailerFault !== undefined) {
         return fail(`The answer's trailer has ${trailerFault}`);
