Bound connections, unfinished requests and answers that nobody reads

Clients could take all descriptors with idle connections, hold 64 KiB each in heads and trailers that never end, and have answers kept for them without limit. Each listener now has a bound of connections and of unfinished requests, derived from the memory and descriptors in the settings; the longest unused or unfinished connection is closed beyond it, a request that has come whole never. A body that stops for idle_timeout_ms gets 408. What waits for callers that don't read is counted, and the oldest such answers are reset when memory is short. Without max_fds in the settings descriptors bound nothing.

--- a/packages/byte-buffers/src/memory_budget.ts
+++ b/packages/byte-buffers/src/memory_budget.ts
@@ -41,6 +41,11 @@
     this.#limitBytes = limitBytes;
   }
 
+  /** Bytes that may be held at most. */
+  get limitBytes(): number {
+    return this.#limitBytes;
+  }
+
   /** Bytes that are held now. */
   get usedBytes(): number {
     return this.#usedBytes;
--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -173,6 +173,7 @@
       maxBytes: 4_194_304,
       memory: testMemory(),
       isOver: new Promise((resolve) => response.once("close", resolve)),
+      idleTimeoutMs: 15_000,
     }).then((body) => response.end(String(body.length)));
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -20,6 +20,7 @@
 import { StoreClient } from "./store_client.ts";
 import { createRecordStore } from "./store_records.ts";
 import { createStreamOriginLog } from "./stream_origin_log.ts";
+import { UnreadAnswers } from "./unread_answers.ts";
 
 /**
  * Creates the daemon with its adapters and opens its listeners. It gets ready
@@ -33,7 +34,9 @@
 export function createDaemon(settings: PlatformSettings): FrontDaemon {
   const clock = createClock();
   const memory = new MemoryBudget(settings.messageBytes);
+  const unread = new UnreadAnswers(memory);
   const metrics = new TextMetrics();
+  const { processLimits } = settings;
   const log = createDecisionLog({
     fields: { vm: settings.vm, domain: settings.failureDomain },
     nowMs: () => steadyMs(clock),
@@ -60,8 +63,19 @@
         clock,
         log,
         memory,
+        metrics,
+        unread,
+        processLimits,
+      }),
+    listenForPeers: (context) =>
+      serveForwarding({
+        ...context,
+        clock,
+        memory,
+        metrics,
+        unread,
+        processLimits,
       }),
-    listenForPeers: (context) => serveForwarding({ ...context, clock, memory }),
     serveStatus: (isReady) => serveStatus(settings, { isReady, metrics }),
   });
 }
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -21,27 +21,39 @@
   AttemptFailure,
   ForwardSink,
 } from "@endivebend/request-path";
+import type { TextMetrics } from "@endivebend/telemetry";
 import {
   type BackendServerId,
   brandId,
   type RequestId,
   type TeamId,
 } from "@endivebend/types";
+import {
+  connectionBounds,
+  limitConnections,
+  type ProcessLimits,
+} from "./connection_limit.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { parseWork, readBody, singleHeader } from "./incoming_request.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { ClientMessage, ServerMessage } from "./server_client.ts";
+import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 import { filterHeaders, HEADERS } from "./wire_names.ts";
 
 /** Bound on what a daemon sends on for a client, whose body is bounded too. */
 const MAX_BODY_BYTES = 16_777_216;
 const MAX_HEADER_BYTES = 98_304;
+/** A daemon has the whole body before it sends it. */
+const BODY_IDLE_TIMEOUT_MS = 5_000;
 
 /** What the listener needs. */
 export interface ForwardingContext extends ForwardListenerContext {
   readonly clock: Clock;
   /** What the daemon may hold of messages. */
   readonly memory: MemoryBudget;
+  readonly metrics: Pick<TextMetrics, "count">;
+  readonly unread: UnreadAnswers;
+  readonly processLimits: ProcessLimits;
 }
 
 /**
@@ -64,6 +76,11 @@
     },
   );
   server.requestTimeout = 0;
+  limitConnections(
+    server,
+    connectionBounds("daemons", context.processLimits),
+    (reason) => context.metrics.count("closed_connections", { reason }),
+  );
   server.on("error", ({ message }) => context.failed(message));
   server.listen(context.port, context.ip);
   return {
@@ -102,10 +119,23 @@
     maxBytes: MAX_BODY_BYTES,
     memory: context.memory,
     isOver: new Promise((resolve) => response.once("close", resolve)),
+    idleTimeoutMs: BODY_IDLE_TIMEOUT_MS,
   });
   if (body === "gone") return;
-  const sink = new PeerSink(response);
-  if (body === "too_large" || body === "no_memory") {
+  const nowMs = () => steadyMs(context.clock);
+  const { unread } = context;
+  const slow: UnreadAnswer = {
+    get writableLength() {
+      return response.writableLength;
+    },
+    cutOff() {
+      context.metrics.count("unread_answers", { reader: "daemon" });
+      response.socket?.resetAndDestroy();
+      response.destroy();
+    },
+  };
+  const sink = new PeerSink(response, () => unread.note(slow, nowMs()));
+  if (typeof body === "string") {
     return sink.failed({ kind: "unsent", reason: body, at: "forwarder" });
   }
   const message: ClientMessage = {
@@ -137,17 +167,25 @@
       : Number(expectedStart),
     message,
   }, sink);
-  response.on("drain", () => run.resume());
-  response.once("close", () => run.abort());
+  response.on("drain", () => {
+    unread.forget(slow);
+    run.resume();
+  });
+  response.once("close", () => {
+    unread.forget(slow);
+    run.abort();
+  });
   if (request.socket.destroyed) run.abort();
 }
 
 /** Writes an answer to the daemon that the request came from. */
 class PeerSink implements ForwardSink {
   readonly #response: ServerResponse;
+  readonly #noteUnread: () => void;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, noteUnread: () => void) {
     this.#response = response;
+    this.#noteUnread = noteUnread;
   }
 
   head({ message }: AnswerHead): void {
@@ -160,7 +198,9 @@
   }
 
   data(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
+    const isRead = this.#response.write(chunk);
+    if (!isRead) this.#noteUnread();
+    return isRead;
   }
 
   end(): void {
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -23,6 +23,7 @@
   testMemory,
   testRoutedRequest,
 } from "./testing.ts";
+import { UnreadAnswers } from "./unread_answers.ts";
 
 const IP = "127.0.0.1";
 
@@ -99,6 +100,9 @@
     failed: (reason) => failures.push(reason),
     clock,
     memory: testMemory(),
+    metrics: quiet,
+    unread: new UnreadAnswers(testMemory()),
+    processLimits: { memoryBytes: 186_646_528, maxDescriptors: 4_100 },
   });
   const order = testAttemptOrder(server.address, {
     deadlineMs: clock.elapsedMs() + 5_000,
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -24,15 +24,20 @@
   /** Holds the body's memory until `isOver` resolves. */
   readonly memory: MemoryBudget;
   readonly isOver: Promise<unknown>;
+  /**
+   * A body of which nothing comes for as long, and at most for twice as long,
+   * is given up.
+   */
+  readonly idleTimeoutMs: number;
 }
 
 /** Why a request has no body. */
-export type MissingBody = "gone" | "too_large" | "no_memory";
+export type MissingBody = "gone" | "too_large" | "no_memory" | "stalled";
 
 /** Reads the body, or tells why there is none. Never rejects. */
 export function readBody(
   request: IncomingMessage,
-  { maxBytes, memory, isOver }: BodyLimits,
+  { maxBytes, memory, isOver, idleTimeoutMs }: BodyLimits,
 ): Promise<Buffer | MissingBody> {
   return new Promise((resolve) => {
     const body = new ByteCollector({
@@ -41,19 +46,41 @@
       use: "request",
     });
     let isGivenUp = false;
+    let isProgressing = false;
+    // One timer for all chunks: setting one for each of them would cost more
+    // than the chunk.
+    const timer = setInterval(() => {
+      if (isProgressing) {
+        isProgressing = false;
+        return;
+      }
+      // After a pause of the process its timers run before its sockets are
+      // looked at, and more of the body may have come.
+      setImmediate(() => {
+        if (!isProgressing && !request.readableEnded) giveUp("stalled");
+      });
+    }, idleTimeoutMs);
     const giveUp = (reason: MissingBody) => {
+      clearInterval(timer);
       isGivenUp = true;
       body.clear();
       resolve(reason);
     };
     request.on("data", (chunk: Buffer) => {
+      isProgressing = true;
       if (isGivenUp || body.append(chunk)) return;
       const isTooLarge = body.length + chunk.length > maxBytes;
       giveUp(isTooLarge ? "too_large" : "no_memory");
     });
     paceReading(request);
-    request.on("end", () => resolve(body.bytes));
-    request.on("close", () => resolve("gone"));
+    request.on("end", () => {
+      clearInterval(timer);
+      resolve(body.bytes);
+    });
+    request.on("close", () => {
+      clearInterval(timer);
+      resolve("gone");
+    });
     void isOver.then(() => giveUp("gone"));
   });
 }
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -26,7 +26,13 @@
   type Refusal,
   type RoutedRequest,
 } from "@endivebend/request-path";
+import type { TextMetrics } from "@endivebend/telemetry";
 import { brandId, type RequestId } from "@endivebend/types";
+import {
+  connectionBounds,
+  limitConnections,
+  type ProcessLimits,
+} from "./connection_limit.ts";
 import { ConnectionTurns } from "./connection_turns.ts";
 import {
   parseTokens,
@@ -41,6 +47,7 @@
 } from "./server_client.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { Endpoint } from "./settings.ts";
+import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
 /** Settings and collaborators of {@link IngressListener}. */
@@ -50,6 +57,9 @@
   readonly log: DecisionLog;
   /** What the daemon may hold of messages. */
   readonly memory: MemoryBudget;
+  readonly metrics: Pick<TextMetrics, "count">;
+  readonly unread: UnreadAnswers;
+  readonly processLimits: ProcessLimits;
 }
 
 /**
@@ -108,6 +118,11 @@
         this.#failRequest(request, { response, caught })
       );
     });
+    limitConnections(
+      this.#server,
+      connectionBounds("callers", options.processLimits),
+      (reason) => options.metrics.count("closed_connections", { reason }),
+    );
     this.#server.on("connection", (socket) => this.#turns.add(socket));
     this.#server.on(
       "clientError",
@@ -159,6 +174,7 @@
       maxBytes: this.#limits().maxBodyBytes,
       memory: this.#options.memory,
       isOver,
+      idleTimeoutMs: this.#limits().idleTimeoutMs,
     });
     if (!await this.#turns.take(request.socket, response)) return drop();
     if (this.#options.isLeaving()) response.setHeader("Connection", "close");
@@ -166,6 +182,11 @@
     const body = await reading;
     if (body === "gone") return;
     if (body === "too_large") return sendLocalReply(response, { status: 413 });
+    if (body === "stalled") {
+      // The rest of the body may still come; it is no request.
+      response.setHeader("Connection", "close");
+      return sendLocalReply(response, { status: 408 });
+    }
     if (body === "no_memory") {
       return this.#refuseUnread(request, response);
     }
@@ -273,7 +294,21 @@
       const retryAfterMs = STOPPING_RETRY_MS;
       return sendLocalReply(response, { status: 503, retryAfterMs });
     }
-    const sink = new ResponseSink(response, isStream(routedRequest.route.kind));
+    const slow: UnreadAnswer = {
+      get writableLength() {
+        return response.writableLength;
+      },
+      cutOff: () => {
+        this.#options.log.decision("cut_off", { requestId, reason: "unread" });
+        this.#options.metrics.count("unread_answers", { reader: "client" });
+        sink.abortAnswer();
+      },
+    };
+    const { unread } = this.#options;
+    const sink = new ResponseSink(response, {
+      isStream: isStream(routedRequest.route.kind),
+      noteUnread: () => unread.note(slow, this.#nowMs()),
+    });
     const opened = this.#options.admission.open(routedRequest, sink);
     if (opened.kind === "over_limit") {
       this.#options.log.decision("over_limit", {
@@ -286,8 +321,12 @@
       return sendLocalReply(response, { status: 429, retryAfterMs });
     }
     const { run } = opened;
-    response.on("drain", () => run.callerReady());
+    response.on("drain", () => {
+      unread.forget(slow);
+      run.callerReady();
+    });
     response.once("close", () => {
+      unread.forget(slow);
       if (!response.writableFinished) run.callerGone();
     });
     if (request.socket.destroyed) return run.callerGone();
@@ -354,10 +393,16 @@
 class ResponseSink implements CallerSink {
   readonly #response: ServerResponse;
   readonly #isStream: boolean;
+  readonly #noteUnread: () => void;
 
-  constructor(response: ServerResponse, isStream: boolean) {
+  constructor(response: ServerResponse, { isStream, noteUnread }: {
+    readonly isStream: boolean;
+    /** Called when the client does not read as fast as the answer comes. */
+    noteUnread(): void;
+  }) {
     this.#response = response;
     this.#isStream = isStream;
+    this.#noteUnread = noteUnread;
   }
 
   head(head: { readonly message: unknown }): void {
@@ -377,7 +422,9 @@
   }
 
   data(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
+    const isRead = this.#response.write(chunk);
+    if (!isRead) this.#noteUnread();
+    return isRead;
   }
 
   end(): void {
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -7,6 +7,7 @@
 import { readFileSync } from "node:fs";
 import type { FrontSettings } from "@endivebend/front";
 import { brandId, type FailureDomainId, type VmId } from "@endivebend/types";
+import type { ProcessLimits } from "./connection_limit.ts";
 
 /** The settings of one daemon. */
 export interface PlatformSettings extends FrontSettings {
@@ -21,6 +22,7 @@
   readonly storeRates: StoreRates;
   /** What the daemon may hold of requests, answers and reports, in bytes. */
   readonly messageBytes: number;
+  readonly processLimits: ProcessLimits;
 }
 
 /** What the store takes and keeps. */
@@ -85,6 +87,7 @@
   const bounds = requireTable(root, "bounds");
   const provider = requireTable(root, "provider");
   const limits = requireTable(root, "limits");
+  const memoryBytes = requireNumber(limits, "memory_mb") * BYTES_PER_MB;
   const ports = root["port_range"];
   const seeds = Array.isArray(root["seeds"]) ? root["seeds"] : [];
   return {
@@ -104,8 +107,11 @@
       writesPerS: numberOr(provider["writes_per_s"], DEFAULT_WRITES_PER_S),
       keepMs: numberOr(provider["keep_s"], DEFAULT_KEEP_S) * 1_000,
     },
-    messageBytes: requireNumber(limits, "memory_mb") * BYTES_PER_MB *
-      MESSAGE_MEMORY_SHARE,
+    messageBytes: memoryBytes * MESSAGE_MEMORY_SHARE,
+    processLimits: {
+      memoryBytes,
+      maxDescriptors: numberOr(limits["max_fds"], Number.POSITIVE_INFINITY),
+    },
     graceMs: requireNumber(bounds, "grace_s") * 1_000,
     leaseMs: requireNumber(bounds, "lease_ms"),
     weightsBoundMs: requireNumber(bounds, "version_ms"),
--- a/packages/platform/src/status_server.ts
+++ b/packages/platform/src/status_server.ts
@@ -8,12 +8,16 @@
 import { createServer } from "node:http";
 import type { StatusServer } from "@endivebend/front";
 import type { TextMetrics } from "@endivebend/telemetry";
+import { connectionBounds, limitConnections } from "./connection_limit.ts";
 import type { PlatformSettings } from "./settings.ts";
 import { PATHS } from "./wire_names.ts";
 
+/** Probes and collectors send their heads at once. */
+const HEADERS_TIMEOUT_MS = 3_000;
+
 /** Starts one HTTP server for readiness and one for metrics. */
 export function serveStatus(
-  settings: Pick<PlatformSettings, "readiness" | "metrics">,
+  settings: Pick<PlatformSettings, "readiness" | "metrics" | "processLimits">,
   sources: { isReady(): boolean; readonly metrics: TextMetrics },
 ): StatusServer {
   const readiness = createServer((request, response) => {
@@ -23,6 +27,15 @@
   const metrics = createServer((_request, response) => {
     response.end(sources.metrics.text());
   }).listen(settings.metrics.port, settings.metrics.host);
+  const bounds = connectionBounds("status", settings.processLimits);
+  for (const server of [readiness, metrics]) {
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    limitConnections(
+      server,
+      bounds,
+      (reason) => sources.metrics.count("closed_connections", { reason }),
+    );
+  }
   return {
     close() {
       readiness.close();
--- a/packages/platform/src/testing.ts
+++ b/packages/platform/src/testing.ts
@@ -251,6 +251,7 @@
     storeAddress: store.address,
     storeRates: { writesPerS: 400, keepMs: 300_000 },
     messageBytes: 23_330_816,
+    processLimits: { memoryBytes: 186_646_528, maxDescriptors: 4_100 },
     graceMs: 4_000,
     leaseMs: 3_000,
     weightsBoundMs: 8_000,
