Apply the statuses of all orders that a read returns

A read for one order renewed the end of the records that the writes of all orders are conditional on, but looked only at its own order's status. An order whose final write got no answer then wrote another final status without having seen the first one. Each read now applies the status of every open order.

version_rollout_task_test.ts: failed with [succeeded, rolled_back], passes; tsc and lint pass.

--- a/packages/orders/src/version_rollout_task.ts
+++ b/packages/orders/src/version_rollout_task.ts
@@ -127,13 +127,22 @@
     await this.#read(order);
   }
 
-  /** Reads the statuses; true when the order has ended. */
+  /**
+   * Reads the statuses; true when the order has ended. The end that is read is
+   * that of all orders, so that the statuses of all are applied.
+   */
   async #read(order: VersionOrder): Promise<boolean> {
     const { rollouts, log } = this.#options;
     const { end, statuses } = await log.read();
     this.#end = end;
-    const status = statuses.find(({ service }) => service === order.service);
-    return status !== undefined && rollouts.applyStatus(order, status);
+    const apply = (to: VersionOrder) => {
+      const status = statuses.find(({ service }) => service === to.service);
+      return status !== undefined && rollouts.applyStatus(to, status);
+    };
+    for (const other of rollouts.open()) {
+      if (other.position !== order.position) apply(other);
+    }
+    return apply(order);
   }
 
   /** Writes the status as running, which lets writes of a former holder fail. */
