Wait for work at versions of replaced orders before success

Servers of a version whose order was replaced serve begun streams and stop when the later order has succeeded. Their work was left out of what the order waits for, so that streams were cut off there. The end of an order now waits for the work at all servers of other versions.

version_rollouts_troubles_test.ts: the new test failed with 8 streams left and passes; the two tests of replaced and repeated orders pass, as do tsc and lint.

--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -224,7 +224,7 @@
     const { durationMs } = rollout.order;
     const movedAllForMs = rollout.movedAllForMs(nowMs);
     const awaited = {
-      oldWork: this.#oldWork(held),
+      oldWork: this.#workToLeave(held),
       ...this.#fleetAt(rollout),
     };
     if (movedAllForMs !== undefined) this.#logAwaited(held, awaited);
@@ -527,6 +527,14 @@
     );
   }
 
+  /** Work at all servers that stop at success, also those of barred versions. */
+  #workToLeave({ rollout }: HeldRollout): number {
+    const { registry, nowMs } = this.#options;
+    return registry.usable(rollout.order.service, nowMs())
+      .filter((server) => !isNew(server, rollout))
+      .reduce((sum, server) => sum + registry.workAt(server).running, 0);
+  }
+
   #servers({ rollout, barred }: HeldRollout, areNew: boolean): KnownServer[] {
     const { registry, nowMs } = this.#options;
     return registry.usable(rollout.order.service, nowMs()).filter((server) =>
--- a/packages/front/src/version_rollouts_troubles_test.ts
+++ b/packages/front/src/version_rollouts_troubles_test.ts
@@ -70,6 +70,33 @@
   t.is(late.filter(({ engine }) => firstIds.has(engine)).length, 0);
 });
 
+// Guards against a status that ends streams which the version of a replaced
+// order has begun: its servers stop too once the later order has succeeded.
+test("a later order succeeds once no work is left at the version it replaces", async (t) => {
+  const play = new RolloutPlay({
+    daemons: 3,
+    engines: 4,
+    events: 90,
+    intervalMs: 20,
+  });
+  await play.run(ORDER_AT_MS);
+  play.order("v2");
+  await play.run(7_100);
+  play.order("v1", 0);
+  const { statuses } = play.fleet;
+  const { onWrite } = statuses;
+  const left: number[] = [];
+  statuses.onWrite = (status) => {
+    if (status.phase === "succeeded") {
+      left.push(...play.newer.map(({ attempts }) => attempts.size));
+    }
+    onWrite(status);
+  };
+  await play.run(6_000);
+  t.is(play.phases.at(-1), "succeeded");
+  t.deepEqual(left, [0, 0, 0, 0]);
+});
+
 test("an order to a version that was rolled back before starts anew", async (t) => {
   const play = new RolloutPlay();
   play.spoil("v2", 0.5, () => FAILURE);
