Reject rollout orders whose time is not finite in milliseconds

A duration of 1e306 s became infinite in milliseconds and null in gossip, so that peers rejected every message of the daemons that knew the order. Such an order counts as malformed.

decode_test.ts: the new test failed without the change; 6 tests pass, as do tsc and lint.

--- a/packages/platform/src/decode.ts
+++ b/packages/platform/src/decode.ts
@@ -246,9 +246,10 @@
 export function decodeRollout(value: Buffer): NamedRollout | undefined {
   const fields = parseObject(value);
   const { service, to, duration_s: durationS } = fields ?? {};
+  // Daemons tell the time in milliseconds, and reject a message without it.
   const isValid = isName(service) && service !== "" && isName(to) &&
-    to !== "" && typeof durationS === "number" && Number.isFinite(durationS) &&
-    durationS > 0;
+    to !== "" && typeof durationS === "number" &&
+    Number.isFinite(durationS * 1_000) && durationS > 0;
   if (!isValid) return undefined;
   return {
     service: brandId<ServiceName>(service),
--- a/packages/platform/src/decode_test.ts
+++ b/packages/platform/src/decode_test.ts
@@ -2,6 +2,7 @@
 import {
   decodeConfiguration,
   decodeNamedWeights,
+  decodeRollout,
   decodeServer,
 } from "./decode.ts";
 
@@ -93,3 +94,11 @@
   t.is(decodeConfiguration(Buffer.from("{")), undefined);
   t.is(decodeNamedWeights(bytes({ model: "m", version: "new" })), undefined);
 });
+
+// Guards against a time that is no number in gossip: peers reject all of a
+// daemon's messages while it tells of such an order.
+test("an order whose time is not finite in milliseconds is malformed", (t) => {
+  const order = { service: "chime", to: "v2", duration_s: 12 };
+  t.is(decodeRollout(bytes(order))?.durationMs, 12_000);
+  t.is(decodeRollout(bytes({ ...order, duration_s: 1e306 })), undefined);
+});
