Keep explained requests out of the credit of a rollout

Explaining a route asked the rollout for a version and so counted a request and added credit, although nothing is sent. Requests that are only explained now use no credit and count nowhere; while the share is below one they are shown the old version.

service_rollout_test.ts: the new test failed without the change; it passes with explain_route_test.ts and the placement tests (38 passed), tsc and lint.

--- a/packages/front/src/version_rollouts.ts
+++ b/packages/front/src/version_rollouts.ts
@@ -252,14 +252,14 @@
   allows(
     server: KnownServer,
     request: RoutedRequest,
-    { goesOn }: VersionNeed,
+    need: VersionNeed,
   ): boolean {
     const held = this.#held.get(request.service);
     if (held === undefined) return true;
     const bar = held.barred.get(versionOf(server));
     if (bar !== undefined) {
-      if (goesOn) return !bar.isBad;
-      const { servers } = this.#moment(held, goesOn);
+      if (need.goesOn) return !bar.isBad;
+      const { servers } = this.#moment(held, need);
       return !servers.hasOld && !servers.hasNew;
     }
     const choice = {
@@ -267,17 +267,17 @@
       isNew: isNew(server, held.rollout),
       load: () => this.#options.registry.workAt(server).running,
     };
-    return held.rollout.allows(request, choice, this.#moment(held, goesOn));
+    return held.rollout.allows(request, choice, this.#moment(held, need));
   }
 
   fallsBack(
     request: RoutedRequest,
     reason: string,
-    { goesOn }: VersionNeed,
+    need: VersionNeed,
   ): boolean {
     const held = this.#held.get(request.service);
     return held !== undefined &&
-      held.rollout.fallsBack(request, reason, this.#moment(held, goesOn));
+      held.rollout.fallsBack(request, reason, this.#moment(held, need));
   }
 
   sent(
@@ -542,7 +542,7 @@
     );
   }
 
-  #moment(held: HeldRollout, goesOn: boolean): ChoiceMoment {
+  #moment(held: HeldRollout, need: VersionNeed): ChoiceMoment {
     const nowMs = this.#options.nowMs();
     if (nowMs - held.serversAtMs >= SERVERS_TTL_MS) {
       const old = this.#servers(held, false).length;
@@ -554,7 +554,7 @@
         oldLoad: old === 0 ? 0 : this.#oldWork(held) / old,
       };
     }
-    return { servers: held.servers, goesOn, nowMs };
+    return { servers: held.servers, ...need, nowMs };
   }
 }
 
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -30,7 +30,7 @@
   ServerWork,
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
-import type { VersionChoice } from "./version_choice.ts";
+import type { VersionChoice, VersionNeed } from "./version_choice.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools, poolOf } from "./prompt_pools.ts";
 import type { SlotAdmission } from "./slot_admission.ts";
@@ -197,8 +197,8 @@
 ): Placement {
   const placement = placeAtVersion(request, context);
   if (placement.kind === "placed") return placement;
-  const at = { goesOn: goesOn(context) };
-  return context.versions?.fallsBack(request, placement.reason, at) === true
+  const need = versionNeedOf(context);
+  return context.versions?.fallsBack(request, placement.reason, need) === true
     ? placeAtVersion(request, context)
     : placement;
 }
@@ -379,9 +379,12 @@
   };
 }
 
-/** Whether the request goes on with a stream that a version has begun. */
-function goesOn({ hasBegun, softwareVersion }: AttemptContext): boolean {
-  return hasBegun || softwareVersion !== undefined;
+/** A request goes on if a version has begun its stream; a trace sends nothing. */
+function versionNeedOf(
+  { hasBegun, softwareVersion, trace }: AttemptContext,
+): VersionNeed {
+  const goesOn = hasBegun || softwareVersion !== undefined;
+  return { goesOn, ...(trace === undefined ? {} : { isTrial: true }) };
 }
 
 function mayRunAt(
@@ -392,7 +395,7 @@
   if (!isOfVersion(server, context)) return false;
   const { versions } = context;
   return versions === undefined ||
-    versions.allows(server, request, { goesOn: goesOn(context) });
+    versions.allows(server, request, versionNeedOf(context));
 }
 
 function traceLeft(
--- a/packages/request-path/src/version_choice.ts
+++ b/packages/request-path/src/version_choice.ts
@@ -11,6 +11,8 @@
 /** Whether a request goes on with a stream that a version has begun. */
 export interface VersionNeed {
   readonly goesOn: boolean;
+  /** Whether a place is only looked up; nothing is sent and counted. */
+  readonly isTrial?: boolean;
 }
 
 /** Chooses between versions, and is told of every attempt; `key` names it. */
--- a/packages/version-rollouts/src/service_rollout.ts
+++ b/packages/version-rollouts/src/service_rollout.ts
@@ -78,6 +78,8 @@
   readonly servers: ServiceServers;
   /** Whether the request goes on with a stream of a known version. */
   readonly goesOn: boolean;
+  /** Whether the choice is only explained; it uses no credit. */
+  readonly isTrial?: boolean;
   readonly nowMs: number;
 }
 
@@ -387,16 +389,21 @@
   }
 
   /** Without servers of one version the other serves. */
-  #sideOf(request: RolloutRequest, { servers, nowMs }: ChoiceMoment): Side {
+  #sideOf(
+    request: RolloutRequest,
+    { servers, nowMs, isTrial = false }: ChoiceMoment,
+  ): Side {
     const share = this.applied(nowMs);
-    if (!this.#sides.has(request)) this.#offer(request, share, servers.daemons);
+    if (!this.#sides.has(request) && !isTrial) {
+      this.#offer(request, share, servers.daemons);
+    }
     if (!servers.hasNew || this.#stranded.has(request)) return "old";
     if (this.#fallenBack.has(request) && servers.hasOld) {
       // A repeat does not go back to servers that are to be left.
       return share >= 1 ? "new" : "old";
     }
     if (share >= 1) return "new";
-    return share > 0 ? this.#sides.get(request)! : "old";
+    return share > 0 ? this.#sides.get(request) ?? "old" : "old";
   }
 
   #offer(request: RolloutRequest, share: number, daemons: number): void {
--- a/packages/version-rollouts/src/service_rollout_test.ts
+++ b/packages/version-rollouts/src/service_rollout_test.ts
@@ -182,3 +182,20 @@
   });
   t.is(rollout.news(2_000, 4).plan, undefined);
 });
+
+// Guards against credit that explained requests add: real ones would use it and
+// get the new version more often than the share allows.
+test("requests that are only explained are not counted and add no credit", (t) => {
+  const rollout = startRollout(0);
+  rollout.setPlan(plan({ share: 0.125 }), 0);
+  for (let count = 0; count < 100; count++) {
+    t.is(allowed(rollout, moment(10, { isTrial: true })), "old");
+  }
+  t.like(rollout.counts(), { requests: 0, exposed: 0 });
+  for (let count = 0; count < 7; count++) {
+    t.is(allowed(rollout, moment(10)), "old");
+  }
+  t.is(allowed(rollout, moment(10)), "new");
+  rollout.setPlan(plan({ share: 1, servers: [] }), 20);
+  t.is(allowed(rollout, moment(30, { isTrial: true })), "new");
+});
