Write the end of an order without a holder once

A daemon that rolled back an order to a version that an earlier order had named took its own status for the earlier one and wrote it again every second. A written status now shows first that the earlier one is replaced.

--- a/packages/orders/src/version_rollout_task.ts
+++ b/packages/orders/src/version_rollout_task.ts
@@ -185,6 +185,8 @@
     });
     if (result.kind !== "appended") return false;
     this.#end = result.end;
+    // Without it the written status would pass for that of an earlier order.
+    rollouts.applyStatus(order, { ...status, phase: "running" });
     rollouts.applyStatus(order, status);
     return true;
   }
--- a/packages/orders/src/version_rollout_task_test.ts
+++ b/packages/orders/src/version_rollout_task_test.ts
@@ -30,14 +30,24 @@
   #nowMs = 0;
   #due: { readonly atMs: number; readonly callback: () => void }[] = [];
 
-  constructor(orders: readonly VersionOrder[]) {
+  constructor(
+    orders: readonly VersionOrder[],
+    { isHolder = true, earlier = [] }: {
+      readonly isHolder?: boolean;
+      /** Statuses of earlier orders. */
+      readonly earlier?: readonly RolloutStatus[];
+    } = {},
+  ) {
+    this.written.push(...earlier);
+    const mayShowEarlier = new Set(earlier.map(({ service }) => service));
     const rollouts: OpenRollouts = {
       open: () => orders.filter(({ service }) => !this.#ended.has(service)),
       plan: ({ service }) => this.plans.get(service) ?? "running",
       wantsStatus: () => false,
-      mayRollBack: () => false,
+      mayRollBack: () => !isHolder,
       applyStatus: ({ service }, { phase }) => {
-        if (phase === "running") return false;
+        if (phase === "running") mayShowEarlier.delete(service);
+        if (phase === "running" || mayShowEarlier.has(service)) return false;
         this.#ended.add(service);
         return true;
       },
@@ -52,7 +62,7 @@
       },
       log: this.#log(),
       rollouts,
-      epoch: () => 1,
+      epoch: () => isHolder ? 1 : 0,
       isLeaseFresh: () => true,
       logDecision: () => {},
     }).start();
@@ -114,3 +124,14 @@
   t.deepEqual(play.finalOf("a"), ["succeeded"]);
   t.deepEqual(play.finalOf("b"), ["succeeded"]);
 });
+
+// Guards against a daemon that takes the status it has written for that of an
+// earlier order to the same version, and writes it again every second.
+test("a daemon rolls an order without a holder back once", async (t) => {
+  const order = orderOf("a", 2);
+  const { service, to } = order;
+  const earlier = [{ service, to, phase: "rolled_back" }] as const;
+  const play = new TaskPlay([order], { isHolder: false, earlier });
+  await play.run(5_000);
+  t.deepEqual(play.finalOf("a"), ["rolled_back", "rolled_back"]);
+});
