Refuse by urgency and team while a model service is short of servers

A burst of long prompts made each daemon refuse by the queue of one engine: urgent prompts were refused more often than others, and teams played no part. Placement now asks for the shares of the service, from the work of the whole fleet and, by the gossip field teamWork, of each team. Callers over their rate are told times that take those refused before them into account.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -76,6 +76,16 @@
   readonly open: number;
 }
 
+/** Open requests of one team and urgency at the sender. */
+export type TeamWorkEntry = readonly [
+  /** Empty for requests without a team. */
+  team: string,
+  urgency: number,
+  requests: number,
+  /** Prompt tokens to prefill, in hundreds. */
+  tokenHundreds: number,
+];
+
 /** The state of the sender; each message replaces its earlier ones. */
 export interface GossipMessage {
   readonly vm: VmId;
@@ -120,6 +130,10 @@
   readonly crashes?: readonly CrashReport[];
   /** Milliseconds since the sender relayed answers to suspected prompts. */
   readonly answeredAgesMs?: AnswerAges;
+  /** Work by service, while the sender sees a shortage or one that is near. */
+  readonly teamWork?: Readonly<
+    Record<ServiceName, readonly TeamWorkEntry[]>
+  >;
 }
 
 /** A message that a relay passes on, and the time since it was received. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -114,6 +114,9 @@
     suspects: isListOf(isTuple(isName, isCount)),
   }))),
   answeredAgesMs: isOptional(isMapOf(isCount)),
+  teamWork: isOptional(
+    isMapOf(isListOf(isTuple(isName, isCount, isCount, isCount))),
+  ),
 };
 
 const isGossip = hasFields(MESSAGE_CHECKS);
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -28,6 +28,7 @@
   RelayedMessage,
   RolloutLeaseState,
   SeenServerLimit,
+  TeamWorkEntry,
   WeightsProgress,
   WorkAtServer,
 } from "./gossip_message.ts";
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -119,6 +119,7 @@
           ...starts,
         })),
         demandPerS: this.#demandOfLimitedServices(),
+        teamWork: admission.teamWork(),
         ...this.#options.quarantines.composeReport(),
       }),
     };
--- a/packages/front/src/front_daemon.ts
+++ b/packages/front/src/front_daemon.ts
@@ -322,6 +322,7 @@
       limitSharers: () =>
         this.#isRegistered ? this.#fleet.sharerCount(this.#nowMs()) : undefined,
       reachableShare: () => this.#fleet.reachableShare(this.#nowMs()),
+      peerTeamWork: (service, nowMs) => this.#fleet.teamWork(service, nowMs),
     });
   }
 
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -15,6 +15,8 @@
   RequestRun,
 } from "./request_run.ts";
 import { ConfigurationView } from "./configuration.ts";
+import { RefusedUnits } from "./refused_units.ts";
+import { ShareKeeper, type TeamWorkEntry } from "./share_keeper.ts";
 import type { CallerSink } from "./ports.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import type { Configuration, RoutedRequest, TeamRules } from "./types.ts";
@@ -38,6 +40,7 @@
     | "maxOwnConnections"
     | "tokensPerEvent"
     | "cacheStores"
+    | "shares"
   >;
   readonly bounds: AdmissionBounds;
   /** Number of daemons in the fleet, including this one. */
@@ -49,6 +52,11 @@
   limitSharers(): number | undefined;
   /** Share of the fleet that this daemon receives gossip from, 0 to 1. */
   reachableShare(): number;
+  /** What other daemons have lately told of their open requests. */
+  peerTeamWork?(
+    service: ServiceName,
+    nowMs: number,
+  ): readonly TeamWorkEntry[];
 }
 
 /** The outcome of opening a request. */
@@ -64,14 +72,14 @@
 const CONNECTION_UTILIZATION = 0.8;
 /** Lower bound, so that a daemon of a large fleet can still reach a server. */
 const MIN_CONNECTIONS = 4;
-/** Shorter waits would bring all refused requests back at once, in vain. */
-const MIN_RETRY_AFTER_MS = 200;
 
 /** Admits requests and starts them. */
 export class AdmissionController {
   readonly #options: AdmissionOptions;
   readonly #context: RequestContext;
   readonly #buckets = new Map<TeamId, SharedBucket>();
+  readonly #refused = new Map<TeamId, RefusedUnits>();
+  readonly #shares: ShareKeeper;
   readonly #spent = new Map<TeamId, number>();
   readonly #retryBudget: RetryBudget;
   readonly #runs = new Set<RequestRun>();
@@ -82,8 +90,14 @@
     this.#retryBudget = new RetryBudget(options.bounds.repeats, {
       startedAtMs: steadyMs(options.context.clock),
     });
+    this.#shares = new ShareKeeper({
+      ...options.context,
+      peerTeamWork: (service, nowMs) =>
+        options.peerTeamWork?.(service, nowMs) ?? [],
+    });
     this.#context = {
       ...options.context,
+      shares: this.#shares,
       maxOwnConnections: (service) => this.#maxOwnConnections(service),
       tokensPerEvent: (service) =>
         this.#view?.service(service)?.tokensPerEvent ?? 1,
@@ -94,6 +108,7 @@
         this.#retryBudget.settleRetry(service, this.#nowMs()),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
+        this.#shares.ended(request);
         if (!hasRun) this.#refund(request);
       },
     };
@@ -108,6 +123,11 @@
     return Object.fromEntries(this.#spent);
   }
 
+  /** Work of each team, for peers, while a service is short of servers. */
+  teamWork(): Readonly<Record<ServiceName, readonly TeamWorkEntry[]>> {
+    return this.#shares.teamWork(this.#nowMs());
+  }
+
   /** Requests a second that callers have lately sent for each service. */
   demandPerS(): ReadonlyMap<ServiceName, number> {
     return this.#retryBudget.requestsPerS(this.#nowMs());
@@ -118,6 +138,7 @@
     const current = this.#view?.configuration.revision ?? -1;
     if (configuration.revision <= current) return false;
     this.#view = new ConfigurationView(configuration);
+    this.#shares.configure(configuration);
     const { tolerance } = this.#options.bounds;
     for (const team of configuration.teams) {
       this.#buckets.get(team.id)?.setTerms(team, tolerance);
@@ -136,18 +157,19 @@
     const bucket = request.team && this.#bucketOf(request.team, nowMs);
     bucket?.setShare(this.#options.reachableShare(), nowMs);
     if (request.team && bucket && !bucket.take(request.cost, nowMs)) {
-      const waitMs = bucket.waitMs(request.cost, nowMs);
       this.#context.metrics.count("over_limit", { team: request.team.id });
+      const waitMs = bucket.waitMs(request.cost, nowMs);
       return {
         kind: "over_limit",
         team: request.team.id,
-        retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs)),
+        retryAfterMs: this.#overLimitRetryMs(request, { waitMs, nowMs }),
       };
     }
     if (request.team) this.#addSpent(request.team.id, request.cost);
     this.#retryBudget.recordRequest(request.service, nowMs);
     const run = new RequestRun(this.#context, request, caller);
     this.#runs.add(run);
+    this.#shares.opened(request);
     return { kind: "running", run };
   }
 
@@ -184,6 +206,24 @@
     return bucket;
   }
 
+  /** The other daemons' callers wait for the same bucket. */
+  #overLimitRetryMs(
+    { requestId, team, cost, deadlineMs, timeoutAtMs }: RoutedRequest,
+    { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
+  ): number {
+    if (team === undefined) return waitMs;
+    const refused = this.#refused.get(team.id) ?? new RefusedUnits();
+    this.#refused.set(team.id, refused);
+    return refused.retryAfterMs({
+      requestId,
+      units: cost,
+      waitMs,
+      unitsPerMs: team.ratePerS / 1_000 / this.#options.fleetSize(),
+      timeLeftMs: Math.min(deadlineMs, timeoutAtMs) - nowMs,
+      nowMs,
+    });
+  }
+
   #addSpent(team: TeamId, units: number): void {
     this.#spent.set(team, (this.#spent.get(team) ?? 0) + units);
   }
--- /dev/null
+++ b/packages/request-path/src/fair_shares.ts
@@ -0,0 +1,374 @@
+/**
+ * Decides which prompts are refused while the callers of a service ask for more
+ * than its servers can take, as in a burst of long prompts beside short urgent
+ * ones, or when one team sends ten times its usual. Without it, the engine with
+ * the longest queue decides, and urgent prompts are refused more often than
+ * others.
+ *
+ * @module
+ */
+
+import { rendezvousWeight } from "@endivebend/routing";
+import type { RequestId, TeamId } from "@endivebend/types";
+
+/** What the servers of a service have and can take, over the whole fleet. */
+export interface ServiceRoom {
+  /** Prompt tokens that the servers prefill in a millisecond. */
+  readonly tokensPerMs: number;
+  /** Requests that the servers run at the same time. */
+  readonly places: number;
+  /** Requests at the servers, waiting ones included. */
+  readonly requests: number;
+  /** Requests beyond the places of their server. */
+  readonly waiting: number;
+  readonly prefillTokens: number;
+  /** The longest time that one server needs for its prompt tokens. */
+  readonly longestQueueMs: number;
+}
+
+/** Open requests of one team and urgency. */
+export interface TeamWork {
+  /** Empty for requests without a team. */
+  readonly team: TeamId | "";
+  readonly urgency: number;
+  readonly requests: number;
+  readonly prefillTokens: number;
+}
+
+/** What the configuration says about the shares of a service. */
+export interface ShareRules {
+  /** Urgencies of the service's routes, the most urgent first. */
+  readonly urgencies: readonly number[];
+  readonly smallestTargetMs: number;
+  /** Teams without an entry have a weight of 1. */
+  readonly weights: ReadonlyMap<TeamId | "", number>;
+}
+
+/** A request during a shortage. */
+export interface ShareRequest {
+  readonly requestId: RequestId;
+  readonly team: TeamId | "";
+  readonly urgency: number;
+  readonly targetMs: number;
+  /** Time until its caller stops waiting. */
+  readonly timeLeftMs: number;
+  /** Its tokens that the chosen server neither has cached nor can fetch. */
+  readonly tokensToRead: number;
+  /** The same of a usual request of its urgency. */
+  readonly usualTokens: number;
+  /** Time that the chosen server needs for the prompts that it has. */
+  readonly queueMs: number;
+  /** Time that it needs for the tokens to read. */
+  readonly readMs: number;
+  /** Whether every server has as many requests as it may have. */
+  readonly isFull: boolean;
+  readonly nowMs: number;
+}
+
+/** Why a request is refused during a shortage. */
+export type ShareCause =
+  /** All servers are full. */
+  | "full"
+  /** It can't begin while its caller waits. */
+  | "late"
+  /** Its team has more than its part of the work. */
+  | "team"
+  /** It would be admitted if it were of the usual size. */
+  | "size"
+  /** The wait is too long for its urgency. */
+  | "urgency";
+
+/** The refusal of a request, with what it was decided on. */
+export interface ShareRefusal {
+  readonly cause: ShareCause;
+  readonly retryInMs: number;
+  /** The wait that counts for the request. */
+  readonly aheadMs: number;
+  /** The wait up to which every such request is admitted. */
+  readonly limitMs: number;
+  /** Position of its urgency among those of the routes, 0 first. */
+  readonly level: number;
+}
+
+/** A shortage begins when the backlog exceeds this part of the target time. */
+const BEGIN_PART = 0.3;
+/** Less than one short prompt for each engine: the backlog is gone. */
+const END_PART = 0.05;
+/**
+ * How long a request keeps its place, from 42 tokens at 4.7 to 7 ms each; it
+ * turns requests that wait for a place into time.
+ */
+const PLACE_HOLD_MS = 250;
+/** A place held for {@link PLACE_HOLD_MS} at an engine with a dozen places. */
+const TOKENS_PER_PLACE = 1_000;
+/** Part of the target time up to which a level of urgency is admitted. */
+const LEVEL_PARTS = [1, 0.6, 0.45, 0.35] as const;
+const LAST_LEVEL_PART = 0.25;
+/** Teams above their part are refused from here on, as a part of the limit. */
+const TEAM_PART = 0.5;
+/** All of those are refused, and teams below their part from here on. */
+const ALL_PART = 0.75;
+/**
+ * Part of less urgent work that counts as ahead: an engine finishes the prompt
+ * that it is prefilling, and running requests keep their places.
+ */
+const OVERTAKEN_PART = 0.25;
+/** With less of the work known, teams are not told apart. */
+const MIN_KNOWN_PART = 0.5;
+/** Prompts of more than this multiple of the usual size have shorter limits. */
+const LARGE_FACTOR = 2;
+/** Bound on that, so that prompts without cached segments are still served. */
+const MIN_SIZE_SCALE = 0.5;
+/** The excess drains at half of the rate; new requests take the other half. */
+const DRAIN_FACTOR = 2;
+/** Retrying sooner costs a connection and gains nothing. */
+const MIN_RETRY_MS = 250;
+/** Callers honour no delay beyond this part of the time they have left. */
+const MAX_RETRY_PART = 1 / 3;
+/** `RequestRun` adds up to half of the delay. */
+const LATER_JITTER = 1.5;
+/** Part of the longest delay over which returning callers are spread. */
+const URGENT_SPREAD = 0.25;
+const SPREAD = 0.75;
+/** The choice by hash is made anew after this time. */
+const DRAW_MS = 100;
+const UINT32 = 0x1_0000_0000;
+
+/**
+ * Milliseconds of work that the servers have before a new request: prompt
+ * tokens, or requests that wait for places.
+ *
+ * @example
+ * ```ts
+ * if (backlogMs(room) > 400) log.decision("long_queues", {});
+ * ```
+ */
+export function backlogMs(room: ServiceRoom): number {
+  if (room.places === 0) return 0;
+  const prefillMs = room.prefillTokens / Math.max(1, room.tokensPerMs);
+  return Math.max(prefillMs, room.waiting * PLACE_HOLD_MS / room.places);
+}
+
+/**
+ * Whether there is a shortage, by whether there was one. `part` below 1 tells
+ * whether one is near.
+ *
+ * @example
+ * ```ts
+ * isShort = hasShortage(room, { rules, wasShort: isShort });
+ * ```
+ */
+export function hasShortage(
+  room: ServiceRoom,
+  { rules, wasShort, part = 1 }: {
+    readonly rules: ShareRules;
+    readonly wasShort: boolean;
+    readonly part?: number;
+  },
+): boolean {
+  const limitPart = wasShort ? END_PART : BEGIN_PART * part;
+  return backlogMs(room) > limitPart * rules.smallestTargetMs;
+}
+
+/**
+ * Whether requests may be refused at all: half of the places are taken, or
+ * something is queued.
+ */
+export function mayRefuse(room: ServiceRoom, rules: ShareRules): boolean {
+  return room.requests >= room.places / 2 || room.waiting > 0 ||
+    room.longestQueueMs > rules.smallestTargetMs;
+}
+
+/**
+ * Part of the queued work that a request of the urgency overtakes, from 0 to 1,
+ * as far as the work is known.
+ *
+ * @example
+ * ```ts
+ * const tokensAhead = queuedTokens * (1 - overtakenPart(work, { urgency, room }));
+ * ```
+ */
+export function overtakenPart(
+  work: readonly TeamWork[],
+  { urgency, room }: { readonly urgency: number; readonly room: ServiceRoom },
+): number {
+  if (!isMostlyKnown(work, room)) return 0;
+  const lower = work.filter((entry) => entry.urgency > urgency);
+  return (1 - OVERTAKEN_PART) * sumUnits(lower) / sumUnits(work);
+}
+
+/**
+ * Decides whether the request is refused; undefined when it is admitted. To be
+ * asked only during a shortage, see {@link hasShortage} and {@link mayRefuse}.
+ *
+ * @example
+ * ```ts
+ * const refusal = decideShare(request, { room, rules, work });
+ * if (refusal !== undefined) refuse({ retryAfterMs: refusal.retryInMs });
+ * ```
+ */
+export function decideShare(
+  request: ShareRequest,
+  at: {
+    readonly room: ServiceRoom;
+    readonly rules: ShareRules;
+    /** Work of own requests and of those that peers have told of lately. */
+    readonly work: readonly TeamWork[];
+  },
+): ShareRefusal | undefined {
+  const { urgency, targetMs } = request;
+  const { room, rules, work } = at;
+  const ahead = 1 - overtakenPart(work, { urgency, room });
+  const aheadMs = backlogMs(room) * ahead;
+  const level = rules.urgencies.filter((other) => other < urgency).length;
+  const fullLimitMs = targetMs * (LEVEL_PARTS[level] ?? LAST_LEVEL_PART);
+  const limitMs = fullLimitMs * sizeScale(request);
+  const isOver = isMostlyKnown(work, room) &&
+    isOverPart(request, {
+      work: work.filter((entry) => entry.urgency <= urgency),
+      weights: rules.weights,
+      keptPart: limitMs * TEAM_PART / Math.max(1, aheadMs),
+    });
+  const draw = drawOf(request);
+  const isRefusedAt = (waitMs: number) =>
+    draw < refusedShare(aheadMs, { limitMs: waitMs, isOver });
+  const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
+  const startsInMs = request.queueMs * ahead + request.readMs;
+  const cause = findCause({
+    full: request.isFull,
+    late: startsInMs > request.timeLeftMs,
+    team: isOver && isRefusedAt(limitMs),
+    size: isRefusedAt(limitMs) && !isRefusedAt(fullLimitMs),
+    urgency: isRefusedAt(limitMs),
+  });
+  if (cause === undefined) return undefined;
+  const retryInMs = retryMs(request, { excessMs: aheadMs - fromMs, level });
+  return { cause, retryInMs, aheadMs, limitMs: fromMs, level };
+}
+
+function findCause(
+  causes: Readonly<Record<ShareCause, boolean>>,
+): ShareCause | undefined {
+  const names = Object.keys(causes) as ShareCause[];
+  return names.find((name) => causes[name]);
+}
+
+/** The share of requests that is refused at a wait, from 0 to 1. */
+function refusedShare(
+  aheadMs: number,
+  { limitMs, isOver }: { readonly limitMs: number; readonly isOver: boolean },
+): number {
+  const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
+  const toMs = limitMs * (isOver ? ALL_PART : 1);
+  return Math.min(1, Math.max(0, (aheadMs - fromMs) / (toMs - fromMs)));
+}
+
+/**
+ * Whether the team has more than its max-min fair part of the work: what teams
+ * below their part leave unused is divided among the others by weight.
+ */
+function isOverPart(
+  { team }: ShareRequest,
+  { work, weights, keptPart }: {
+    readonly work: readonly TeamWork[];
+    readonly weights: ReadonlyMap<TeamId | "", number>;
+    /** The part of the work that the limit leaves room for. */
+    readonly keptPart: number;
+  },
+): boolean {
+  if (keptPart >= 1) return false;
+  const units = new Map<TeamId | "", number>();
+  for (const entry of work) {
+    units.set(entry.team, (units.get(entry.team) ?? 0) + unitsOf(entry));
+  }
+  const weightOf = (id: TeamId | "") => weights.get(id) ?? 1;
+  const perWeight = fairUnitsPerWeight(
+    [...units].map(([id, used]) => ({ used, weight: weightOf(id) })),
+    keptPart * sumUnits(work),
+  );
+  return (units.get(team) ?? 0) > perWeight * weightOf(team);
+}
+
+/**
+ * The units for each unit of weight at which the parts of all teams, each at
+ * most what the team uses, add up to the capacity.
+ *
+ * @example
+ * ```ts
+ * // One team uses less than its part; the other may use the rest.
+ * fairUnitsPerWeight([{ used: 2, weight: 1 }, { used: 20, weight: 1 }], 10); // 8
+ * ```
+ */
+export function fairUnitsPerWeight(
+  teams: readonly { readonly used: number; readonly weight: number }[],
+  capacity: number,
+): number {
+  const byUse = [...teams].sort((a, b) =>
+    a.used / a.weight - b.used / b.weight
+  );
+  let left = capacity;
+  let weightLeft = byUse.reduce((sum, { weight }) => sum + weight, 0);
+  for (const { used, weight } of byUse) {
+    const perWeight = left / weightLeft;
+    if (used > perWeight * weight) return perWeight;
+    left -= used;
+    weightLeft -= weight;
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+/** The time after which the caller should come back. */
+function retryMs(
+  { requestId, timeLeftMs }: ShareRequest,
+  { excessMs, level }: { readonly excessMs: number; readonly level: number },
+): number {
+  const longestMs = Math.max(
+    MIN_RETRY_MS,
+    timeLeftMs * MAX_RETRY_PART / LATER_JITTER,
+  );
+  const drainedMs = Math.min(
+    longestMs,
+    Math.max(MIN_RETRY_MS, excessMs * DRAIN_FACTOR),
+  );
+  const spread = level === 0 ? URGENT_SPREAD : SPREAD;
+  const spreadMs = (longestMs - drainedMs) * spread;
+  return drainedMs + spreadMs * hashPart("retry", requestId);
+}
+
+/** A number from 0 to below 1, another one for each request and time. */
+function drawOf({ requestId, nowMs }: ShareRequest): number {
+  return hashPart(`draw-${Math.floor(nowMs / DRAW_MS)}`, requestId);
+}
+
+/**
+ * A hash of the text, from 0 to below 1.
+ *
+ * @example
+ * ```ts
+ * const delayMs = 250 + 500 * hashPart("retry", requestId);
+ * ```
+ */
+export function hashPart(key: string, text: string): number {
+  return rendezvousWeight(key, text) / UINT32;
+}
+
+function sizeScale({ tokensToRead, usualTokens }: ShareRequest): number {
+  const largeTokens = LARGE_FACTOR * usualTokens;
+  if (tokensToRead <= largeTokens) return 1;
+  return Math.max(MIN_SIZE_SCALE, largeTokens / tokensToRead);
+}
+
+function isMostlyKnown(work: readonly TeamWork[], room: ServiceRoom): boolean {
+  const units = sumUnits(work);
+  const allUnits = room.prefillTokens + room.requests * TOKENS_PER_PLACE;
+  return units > 0 && units >= MIN_KNOWN_PART * allUnits;
+}
+
+function sumUnits(work: readonly TeamWork[]): number {
+  return work.reduce((sum, entry) => sum + unitsOf(entry), 0);
+}
+
+/** Work in prompt tokens; a place counts as the tokens prefilled meanwhile. */
+function unitsOf({ requests, prefillTokens }: TeamWork): number {
+  return prefillTokens + requests * TOKENS_PER_PLACE;
+}
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -33,6 +33,8 @@
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools } from "./prompt_pools.ts";
 import { shedRetryMs } from "./load_shedding.ts";
+import type { ShareRefusal } from "./fair_shares.ts";
+import type { ShareMoment } from "./share_keeper.ts";
 import {
   type CacheScope,
   type PromptSegment,
@@ -56,6 +58,14 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
+  /** Who is refused during a shortage; without it, by the queue alone. */
+  readonly shares?: {
+    refusal(
+      request: RoutedRequest,
+      at: ShareMoment,
+    ): ShareRefusal | undefined;
+    overtakes(request: RoutedRequest, nowMs: number): number;
+  };
 }
 
 /** The server chosen for an attempt, or why there is none. */
@@ -164,7 +174,11 @@
   const withRoom = current.filter(({ server, work }) =>
     hasCapacity(server, work, maxOwnConnections)
   );
-  if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
+  const isAdmitted = context.hasBegun || exclude.size > 0;
+  if (withRoom.length === 0) {
+    const moment = { server: undefined, tokensToRead: 0, isAdmitted, nowMs };
+    return refusedBy(context.shares?.refusal(request, moment));
+  }
   const asking = withRoom.filter(({ server }) => nowMs >= server.quietUntilMs);
   if (asking.length === 0) {
     const untilMs = withRoom.map(({ server }) => server.quietUntilMs);
@@ -193,8 +207,13 @@
     return { kind: "refused", reason: "no_server" };
   }
   const cache = planCache(request, { view, all: available, context });
+  const { tokensToRead } = cache;
+  const moment = { server: view.server, tokensToRead, isAdmitted, nowMs };
+  const refusal = context.shares?.refusal(request, moment);
+  if (refusal !== undefined) return refusedBy(refusal);
+  const overtaken = context.shares?.overtakes(request, nowMs) ?? 0;
   const retryInMs = request.work && shedRetryMs({
-    tokensAhead: view.work.prefillTokens,
+    tokensAhead: view.work.prefillTokens * (1 - overtaken),
     tokensToRead: cache.tokensToRead,
     targetMs: request.route.targetMs,
     urgency: urgencyOf(request),
@@ -206,6 +225,14 @@
   return { kind: "placed", server: view.server, choice, cache };
 }
 
+function refusedBy(refusal: ShareRefusal | undefined): Placement {
+  return {
+    kind: "refused",
+    reason: "overloaded",
+    ...(refusal === undefined ? {} : { retryInMs: refusal.retryInMs }),
+  };
+}
+
 /**
  * Places a request at an engine that is believed to have weights that are too
  * old, with the newest expected: where the belief is right, the engine refuses
