Decide the queue of the chosen engine with the shares during a shortage

With the rule for single queues beside the shares, teams below their part were refused at an engine with a long queue. Urgent requests now wait for the work of their urgency only, and a limit never falls below three usual prompts for each engine, so that engines don't run idle.

--- a/packages/request-path/src/fair_shares.ts
+++ b/packages/request-path/src/fair_shares.ts
@@ -13,6 +13,7 @@
 
 /** What the servers of a service have and can take, over the whole fleet. */
 export interface ServiceRoom {
+  readonly servers: number;
   /** Prompt tokens that the servers prefill in a millisecond. */
   readonly tokensPerMs: number;
   /** Requests that the servers run at the same time. */
@@ -56,6 +57,8 @@
   readonly tokensToRead: number;
   /** The same of a usual request of its urgency. */
   readonly usualTokens: number;
+  /** Time in which a usual server prefills these. */
+  readonly usualReadMs: number;
   /** Time that the chosen server needs for the prompts that it has. */
   readonly queueMs: number;
   /** Time that it needs for the tokens to read. */
@@ -71,6 +74,8 @@
   | "full"
   /** It can't begin while its caller waits. */
   | "late"
+  /** The queue of the best server is too long for its target. */
+  | "queue"
   /** Its team has more than its part of the work. */
   | "team"
   /** It would be admitted if it were of the usual size. */
@@ -91,9 +96,9 @@
 }
 
 /** A shortage begins when the backlog exceeds this part of the target time. */
-const BEGIN_PART = 0.3;
-/** Less than one short prompt for each engine: the backlog is gone. */
-const END_PART = 0.05;
+const BEGIN_PART = 0.5;
+/** What is left then is the prompts that engines are prefilling. */
+const END_PART = 0.25;
 /**
  * How long a request keeps its place, from 42 tokens at 4.7 to 7 ms each; it
  * turns requests that wait for a place into time.
@@ -102,12 +107,17 @@
 /** A place held for {@link PLACE_HOLD_MS} at an engine with a dozen places. */
 const TOKENS_PER_PLACE = 1_000;
 /** Part of the target time up to which a level of urgency is admitted. */
-const LEVEL_PARTS = [1, 0.6, 0.45, 0.35] as const;
-const LAST_LEVEL_PART = 0.25;
+const LEVEL_PARTS = [1, 0.9, 0.75, 0.6] as const;
+const LAST_LEVEL_PART = 0.5;
+/**
+ * With fewer usual prompts queued at each engine, some engines would be idle:
+ * daemons know the queues of 200 ms ago, and queues differ.
+ */
+const MIN_QUEUED_PROMPTS = 3;
 /** Teams above their part are refused from here on, as a part of the limit. */
-const TEAM_PART = 0.5;
+const TEAM_PART = 0.7;
 /** All of those are refused, and teams below their part from here on. */
-const ALL_PART = 0.75;
+const ALL_PART = 0.85;
 /**
  * Part of less urgent work that counts as ahead: an engine finishes the prompt
  * that it is prefilling, and running requests keep their places.
@@ -115,6 +125,12 @@
 const OVERTAKEN_PART = 0.25;
 /** With less of the work known, teams are not told apart. */
 const MIN_KNOWN_PART = 0.5;
+/** The most urgent prompts overtake others in the engine's queue. */
+const URGENT_QUEUE_PART = 1.5;
+/** Teams below their part may begin this late, as a part of the target. */
+const QUEUE_PART = 1.25;
+/** A shorter queue may already be empty by the next gossip message. */
+const MIN_QUEUE_MS = 140;
 /** Prompts of more than this multiple of the usual size have shorter limits. */
 const LARGE_FACTOR = 2;
 /** Bound on that, so that prompts without cached segments are still served. */
@@ -127,7 +143,9 @@
 const MAX_RETRY_PART = 1 / 3;
 /** `RequestRun` adds up to half of the delay. */
 const LATER_JITTER = 1.5;
-/** Part of the longest delay over which returning callers are spread. */
+/** The earliest return, as a part of the longest delay; the rest is spread. */
+const MAX_DRAIN_PART = 0.5;
+/** Part of the rest over which returning callers are spread. */
 const URGENT_SPREAD = 0.25;
 const SPREAD = 0.75;
 /** The choice by hash is made anew after this time. */
@@ -144,9 +162,15 @@
  * ```
  */
 export function backlogMs(room: ServiceRoom): number {
-  if (room.places === 0) return 0;
-  const prefillMs = room.prefillTokens / Math.max(1, room.tokensPerMs);
-  return Math.max(prefillMs, room.waiting * PLACE_HOLD_MS / room.places);
+  return Math.max(prefillMs(room), placeWaitMs(room));
+}
+
+function prefillMs({ prefillTokens, tokensPerMs }: ServiceRoom): number {
+  return prefillTokens / Math.max(1, tokensPerMs);
+}
+
+function placeWaitMs({ waiting, places }: ServiceRoom): number {
+  return waiting * PLACE_HOLD_MS / Math.max(1, places);
 }
 
 /**
@@ -182,13 +206,8 @@
 /**
  * Part of the queued work that a request of the urgency overtakes, from 0 to 1,
  * as far as the work is known.
- *
- * @example
- * ```ts
- * const tokensAhead = queuedTokens * (1 - overtakenPart(work, { urgency, room }));
- * ```
  */
-export function overtakenPart(
+function overtakenPart(
   work: readonly TeamWork[],
   { urgency, room }: { readonly urgency: number; readonly room: ServiceRoom },
 ): number {
@@ -197,6 +216,21 @@
   return (1 - OVERTAKEN_PART) * sumUnits(lower) / sumUnits(work);
 }
 
+/** The backlog that a request of the urgency does not overtake. */
+function aheadMs(
+  work: readonly TeamWork[],
+  { urgency, room }: { readonly urgency: number; readonly room: ServiceRoom },
+): number {
+  if (!isMostlyKnown(work, room)) return backlogMs(room);
+  const ahead = work.filter((entry) => entry.urgency <= urgency);
+  const partOf = (count: "requests" | "prefillTokens") =>
+    sumOf(ahead, count) / Math.max(1, sumOf(work, count));
+  return Math.max(
+    prefillMs(room) * partOf("prefillTokens"),
+    placeWaitMs(room) * partOf("requests"),
+  );
+}
+
 /**
  * Decides whether the request is refused; undefined when it is admitted. To be
  * asked only during a shortage, see {@link hasShortage} and {@link mayRefuse}.
@@ -218,32 +252,42 @@
 ): ShareRefusal | undefined {
   const { urgency, targetMs } = request;
   const { room, rules, work } = at;
-  const ahead = 1 - overtakenPart(work, { urgency, room });
-  const aheadMs = backlogMs(room) * ahead;
+  const waitMs = aheadMs(work, { urgency, room });
   const level = rules.urgencies.filter((other) => other < urgency).length;
-  const fullLimitMs = targetMs * (LEVEL_PARTS[level] ?? LAST_LEVEL_PART);
+  const fullLimitMs = Math.max(
+    targetMs * (LEVEL_PARTS[level] ?? LAST_LEVEL_PART),
+    MIN_QUEUED_PROMPTS * request.usualReadMs,
+  );
   const limitMs = fullLimitMs * sizeScale(request);
   const isOver = isMostlyKnown(work, room) &&
     isOverPart(request, {
       work: work.filter((entry) => entry.urgency <= urgency),
       weights: rules.weights,
-      keptPart: limitMs * TEAM_PART / Math.max(1, aheadMs),
+      keptPart: fullLimitMs * TEAM_PART / Math.max(1, waitMs),
     });
   const draw = drawOf(request);
-  const isRefusedAt = (waitMs: number) =>
-    draw < refusedShare(aheadMs, { limitMs: waitMs, isOver });
+  const isRefusedAt = (mostMs: number) =>
+    draw < refusedShare(waitMs, { limitMs: mostMs, isOver });
   const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
-  const startsInMs = request.queueMs * ahead + request.readMs;
+  const overtaken = overtakenPart(work, { urgency, room });
+  const queueMs = request.queueMs * (1 - overtaken);
+  const startsInMs = queueMs + request.readMs;
+  const queuePart = level === 0 ? URGENT_QUEUE_PART : QUEUE_PART;
+  const startLimitMs = targetMs * (isOver ? 1 : queuePart);
   const cause = findCause({
     full: request.isFull,
     late: startsInMs > request.timeLeftMs,
+    queue: queueMs > MIN_QUEUE_MS && startsInMs > startLimitMs,
     team: isOver && isRefusedAt(limitMs),
     size: isRefusedAt(limitMs) && !isRefusedAt(fullLimitMs),
     urgency: isRefusedAt(limitMs),
   });
   if (cause === undefined) return undefined;
-  const retryInMs = retryMs(request, { excessMs: aheadMs - fromMs, level });
-  return { cause, retryInMs, aheadMs, limitMs: fromMs, level };
+  const excessMs = cause === "queue"
+    ? startsInMs - startLimitMs
+    : waitMs - fromMs;
+  const retryInMs = retryMs(request, { excessMs, level });
+  return { cause, retryInMs, aheadMs: waitMs, limitMs: fromMs, level };
 }
 
 function findCause(
@@ -255,12 +299,12 @@
 
 /** The share of requests that is refused at a wait, from 0 to 1. */
 function refusedShare(
-  aheadMs: number,
+  waitMs: number,
   { limitMs, isOver }: { readonly limitMs: number; readonly isOver: boolean },
 ): number {
   const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
   const toMs = limitMs * (isOver ? ALL_PART : 1);
-  return Math.min(1, Math.max(0, (aheadMs - fromMs) / (toMs - fromMs)));
+  return Math.min(1, Math.max(0, (waitMs - fromMs) / (toMs - fromMs)));
 }
 
 /**
@@ -327,7 +371,7 @@
     timeLeftMs * MAX_RETRY_PART / LATER_JITTER,
   );
   const drainedMs = Math.min(
-    longestMs,
+    Math.max(MIN_RETRY_MS, longestMs * MAX_DRAIN_PART),
     Math.max(MIN_RETRY_MS, excessMs * DRAIN_FACTOR),
   );
   const spread = level === 0 ? URGENT_SPREAD : SPREAD;
@@ -364,6 +408,13 @@
   return units > 0 && units >= MIN_KNOWN_PART * allUnits;
 }
 
+function sumOf(
+  work: readonly TeamWork[],
+  count: "requests" | "prefillTokens",
+): number {
+  return work.reduce((sum, entry) => sum + entry[count], 0);
+}
+
 function sumUnits(work: readonly TeamWork[]): number {
   return work.reduce((sum, entry) => sum + unitsOf(entry), 0);
 }
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -61,7 +61,6 @@
   fairUnitsPerWeight,
   hasShortage,
   mayRefuse,
-  overtakenPart,
 } from "./fair_shares.ts";
 export type {
   ServiceRoom,
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -64,7 +64,8 @@
       request: RoutedRequest,
       at: ShareMoment,
     ): ShareRefusal | undefined;
-    overtakes(request: RoutedRequest, nowMs: number): number;
+    /** Whether the queue of the chosen engine has been considered. */
+    decides(request: RoutedRequest): boolean;
   };
 }
 
@@ -211,9 +212,9 @@
   const moment = { server: view.server, tokensToRead, isAdmitted, nowMs };
   const refusal = context.shares?.refusal(request, moment);
   if (refusal !== undefined) return refusedBy(refusal);
-  const overtaken = context.shares?.overtakes(request, nowMs) ?? 0;
-  const retryInMs = request.work && shedRetryMs({
-    tokensAhead: view.work.prefillTokens * (1 - overtaken),
+  const isDecided = context.shares?.decides(request) ?? false;
+  const retryInMs = isDecided ? undefined : request.work && shedRetryMs({
+    tokensAhead: view.work.prefillTokens,
     tokensToRead: cache.tokensToRead,
     targetMs: request.route.targetMs,
     urgency: urgencyOf(request),
--- a/packages/request-path/src/share_keeper.ts
+++ b/packages/request-path/src/share_keeper.ts
@@ -11,7 +11,6 @@
   decideShare,
   hasShortage,
   mayRefuse,
-  overtakenPart,
   type ServiceRoom,
   type ShareRefusal,
   type ShareRules,
@@ -125,6 +124,7 @@
       timeLeftMs: Math.min(request.deadlineMs, request.timeoutAtMs) - nowMs,
       tokensToRead: at.tokensToRead,
       usualTokens,
+      usualReadMs: usualTokens * room.servers / Math.max(1, room.tokensPerMs),
       queueMs: (queued?.prefillTokens ?? 0) / perMs,
       readMs: server === undefined ? 0 : at.tokensToRead / perMs,
       isFull: server === undefined,
@@ -134,16 +134,9 @@
     return refusal;
   }
 
-  /**
-   * Part of the queued work that the request overtakes during a shortage, from
-   * 0 to 1.
-   */
-  overtakes(request: RoutedRequest, nowMs: number): number {
-    if (!this.#states.get(request.service)?.isShort) return 0;
-    return overtakenPart(this.#work(request.service, nowMs), {
-      urgency: urgencyOf(request),
-      room: this.#room(request.service, nowMs),
-    });
+  /** Whether there is a shortage, in which {@link refusal} decides alone. */
+  decides({ service }: RoutedRequest): boolean {
+    return this.#states.get(service)?.isShort ?? false;
   }
 
   /** Work of this daemon's requests, while there is a shortage or one is near. */
@@ -180,6 +173,7 @@
   #room(service: ServiceName, nowMs: number): ServiceRoom {
     const { registry } = this.#options;
     const room = {
+      servers: 0,
       tokensPerMs: 0,
       places: 0,
       requests: 0,
@@ -193,6 +187,7 @@
       const stated = registry.freshLoad(server, nowMs);
       const perMs = this.#tokensPerMs(server, nowMs);
       const { slots } = server.listed;
+      room.servers += 1;
       room.tokensPerMs += perMs;
       room.places += slots;
       room.requests += work.running;
