--- a/packages/request-path/src/testing_share_model.ts
+++ b/packages/request-path/src/testing_share_model.ts
@@ -51,8 +51,10 @@
   readonly untilMs: number;
   /** Multiple of the usual rate. */
   factor(at: { kind: LoadKind; team: TeamId; atMs: number }): number;
-  /** Whether no gossip goes from or to the daemon. */
-  isCutOff?(daemon: number, atMs: number): boolean;
+  /** Whether gossip between the daemons is lost. */
+  isCut?(from: number, to: number, atMs: number): boolean;
+  /** Whether the daemon has ended; its callers go to another one. */
+  isDown?(daemon: number, atMs: number): boolean;
   /** Called for each metric that a daemon counts. */
   counted?(
     name: string,
@@ -91,14 +93,16 @@
   memory: number;
   isPrefilling: boolean;
 }
+interface Told {
+  readonly atMs: number;
+  readonly work: ReadonlyMap<BackendServerId, ServerWork>;
+  readonly teamWork: Record<string, readonly TeamWorkEntry[]>;
+}
 interface Daemon {
   readonly context: PlacementContext;
   readonly keeper: ShareKeeper;
-  told: {
-    readonly atMs: number;
-    readonly work: ReadonlyMap<BackendServerId, ServerWork>;
-    readonly teamWork: Record<string, readonly TeamWorkEntry[]>;
-  };
+  /** The newest message of each other daemon. */
+  readonly heard: Map<number, Told>;
 }
 
 /** A generator of numbers from 0 to below 1 (mulberry32). */
@@ -142,23 +146,22 @@
     { length: plan.daemons },
     (_, index) => newDaemon(index),
   );
-  const isCut = (index: number) => plan.isCutOff?.(index, nowMs) ?? false;
+  const isDown = (index: number) => plan.isDown?.(index, nowMs) ?? false;
 
   function newDaemon(index: number): Daemon {
     const registry = new ServerRegistry();
     for (const { id } of engines) {
       registry.upsert(listedServer(id, { slots: plan.slots }));
     }
+    const heard = new Map<number, Told>();
     const peers = (maxAgeMs: number) =>
-      daemons.filter(({ told }, other) =>
-        other !== index && nowMs - told.atMs <= maxAgeMs
-      );
+      [...heard.values()].filter(({ atMs }) => nowMs - atMs <= maxAgeMs);
     registry.setPeerWorkLookup((id) => {
       let running = 0;
       let prefillTokens = 0;
-      for (const { told } of peers(MAX_GOSSIP_AGE_MS)) {
-        running += told.work.get(id)?.running ?? 0;
-        prefillTokens += told.work.get(id)?.prefillTokens ?? 0;
+      for (const { work } of peers(MAX_GOSSIP_AGE_MS)) {
+        running += work.get(id)?.running ?? 0;
+        prefillTokens += work.get(id)?.prefillTokens ?? 0;
       }
       return { running, prefillTokens };
     });
@@ -171,14 +174,14 @@
       },
       peerTeamWork: (service) =>
         peers(MAX_TEAM_WORK_AGE_MS)
-          .flatMap(({ told }) => told.teamWork[service] ?? []),
+          .flatMap(({ teamWork }) => teamWork[service] ?? []),
     });
     const teams = plan.teams.map(({ rules }) => rules);
     keeper.configure({ routes, teams } as unknown as Configuration);
     const self = brandId<VmId>(`vm-${index}`);
     return {
       keeper,
-      told: { atMs: -1e9, work: new Map(), teamWork: {} },
+      heard,
       context: {
         registry,
         allowances: new ServerAllowances({ registry, self, daemons: () => [] }),
@@ -196,21 +199,22 @@
   function gossip(index: number): void {
     const daemon = daemons[index]!;
     after(GOSSIP_MS, () => gossip(index));
-    if (isCut(index)) return;
+    if (isDown(index)) return;
     const work = new Map<BackendServerId, ServerWork>();
     for (const { listed, ownWork } of daemon.context.registry.all()) {
       let prefillTokens = 0;
       for (const own of ownWork.values()) prefillTokens += own.prefillTokens;
       work.set(listed.id, { running: ownWork.size, prefillTokens });
     }
-    daemon.told = {
-      atMs: nowMs,
-      work,
-      teamWork: daemon.keeper.teamWork(nowMs),
-    };
+    const teamWork = daemon.keeper.teamWork(nowMs);
+    daemons.forEach(({ heard }, to) => {
+      const isLost = to === index || plan.isCut?.(index, to, nowMs);
+      if (!isLost) heard.set(index, { atMs: nowMs, work, teamWork });
+    });
   }
 
   function arrive(played: PlayedRequest, daemon: number, id: number): void {
+    if (isDown(daemon)) return arrive(played, (daemon + 1) % plan.daemons, id);
     const { kind } = played;
     const deadlineMs = played.atMs + kind.timeLimitMs;
     const team = plan.teams.find(({ rules }) => rules.id === played.team)!;
