Divide the rate of a short service by the demand of teams

Daemons now tell the tokens that arrive by team and urgency, and the rate is divided by these; the wait is that of the chosen engine where it is shorter than the mean.

--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -76,7 +76,7 @@
   readonly open: number;
 }
 
-/** Open requests of one team and urgency at the sender. */
+/** Open and arriving requests of one team and urgency at the sender. */
 export type TeamWorkEntry = readonly [
   /** Empty for requests without a team. */
   team: string,
@@ -84,6 +84,8 @@
   requests: number,
   /** Prompt tokens to prefill, in hundreds. */
   tokenHundreds: number,
+  /** Tokens of requests that arrive in a second, in hundreds. */
+  demandHundredsPerS: number,
 ];
 
 /** The state of the sender; each message replaces its earlier ones. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -115,7 +115,7 @@
   }))),
   answeredAgesMs: isOptional(isMapOf(isCount)),
   teamWork: isOptional(
-    isMapOf(isListOf(isTuple(isName, isCount, isCount, isCount))),
+    isMapOf(isListOf(isTuple(isName, isCount, isCount, isCount, isCount))),
   ),
 };
 
--- a/packages/request-path/src/fair_shares.ts
+++ b/packages/request-path/src/fair_shares.ts
@@ -34,6 +34,8 @@
   readonly urgency: number;
   readonly requests: number;
   readonly prefillTokens: number;
+  /** Tokens of arriving requests in a millisecond, whether or not admitted. */
+  readonly demandPerMs: number;
 }
 
 /** What the configuration says about the shares of a service. */
@@ -114,16 +116,22 @@
  * daemons know the queues of 200 ms ago, and queues differ.
  */
 const MIN_QUEUED_PROMPTS = 3;
-/** Teams above their part are refused from here on, as a part of the limit. */
-const TEAM_PART = 0.7;
-/** All of those are refused, and teams below their part from here on. */
-const ALL_PART = 0.85;
+/**
+ * The wait that admission aims at, as a part of the limit: shorter queues leave
+ * engines idle, as daemons know the queues of some 400 ms ago.
+ */
+const WAIT_PART = 0.6;
+/** Bounds on the correction: the rate may be off, and the wait is an estimate. */
+const MIN_FACTOR = 0.2;
+const MAX_FACTOR = 4;
+/** Requests of every team are refused from here on, as a part of the limit. */
+const REFUSED_PART = 0.85;
 /**
  * Part of less urgent work that counts as ahead: an engine finishes the prompt
  * that it is prefilling, and running requests keep their places.
  */
 const OVERTAKEN_PART = 0.25;
-/** With less of the work known, teams are not told apart. */
+/** With less of the work known, levels of urgency are not told apart. */
 const MIN_KNOWN_PART = 0.5;
 /** The most urgent prompts overtake others in the engine's queue. */
 const URGENT_QUEUE_PART = 1.5;
@@ -216,6 +224,24 @@
   return (1 - OVERTAKEN_PART) * sumUnits(lower) / sumUnits(work);
 }
 
+/**
+ * The wait that counts for the request: what it does not overtake of the mean
+ * backlog, or of the chosen server's queue where that is shorter. While servers
+ * have short queues, the work must not be kept from them for the mean's sake.
+ */
+function waitOf(
+  { urgency, queueMs, isFull }: ShareRequest,
+  { room, work }: {
+    readonly room: ServiceRoom;
+    readonly work: readonly TeamWork[];
+  },
+): number {
+  const meanMs = aheadMs(work, { urgency, room });
+  if (isFull) return meanMs;
+  const part = meanMs / Math.max(1, backlogMs(room));
+  return Math.min(meanMs, queueMs * part);
+}
+
 /** The backlog that a request of the urgency does not overtake. */
 function aheadMs(
   work: readonly TeamWork[],
@@ -252,23 +278,23 @@
 ): ShareRefusal | undefined {
   const { urgency, targetMs } = request;
   const { room, rules, work } = at;
-  const waitMs = aheadMs(work, { urgency, room });
+  const waitMs = waitOf(request, { room, work });
   const level = rules.urgencies.filter((other) => other < urgency).length;
   const fullLimitMs = Math.max(
     targetMs * (LEVEL_PARTS[level] ?? LAST_LEVEL_PART),
     MIN_QUEUED_PROMPTS * request.usualReadMs,
   );
   const limitMs = fullLimitMs * sizeScale(request);
-  const isOver = isMostlyKnown(work, room) &&
-    isOverPart(request, {
-      work: work.filter((entry) => entry.urgency <= urgency),
-      weights: rules.weights,
-      keptPart: fullLimitMs * TEAM_PART / Math.max(1, waitMs),
-    });
+  const admitted = admittedPart(request, {
+    work: work.filter((entry) => entry.urgency <= urgency),
+    weights: rules.weights,
+    tokensPerMs: room.tokensPerMs * rateFactor(waitMs, fullLimitMs),
+  });
+  const isOver = admitted < 1;
   const draw = drawOf(request);
   const isRefusedAt = (mostMs: number) =>
-    draw < refusedShare(waitMs, { limitMs: mostMs, isOver });
-  const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
+    draw >= 1 - refusedPart(waitMs, mostMs);
+  const fromMs = limitMs * REFUSED_PART;
   const overtaken = overtakenPart(work, { urgency, room });
   const queueMs = request.queueMs * (1 - overtaken);
   const startsInMs = queueMs + request.readMs;
@@ -278,14 +304,12 @@
     full: request.isFull,
     late: startsInMs > request.timeLeftMs,
     queue: queueMs > MIN_QUEUE_MS && startsInMs > startLimitMs,
-    team: isOver && isRefusedAt(limitMs),
+    team: draw >= admitted,
     size: isRefusedAt(limitMs) && !isRefusedAt(fullLimitMs),
     urgency: isRefusedAt(limitMs),
   });
   if (cause === undefined) return undefined;
-  const excessMs = cause === "queue"
-    ? startsInMs - startLimitMs
-    : waitMs - fromMs;
+  const excessMs = Math.max(waitMs - fromMs, startsInMs - startLimitMs);
   const retryInMs = retryMs(request, { excessMs, level });
   return { cause, retryInMs, aheadMs: waitMs, limitMs: fromMs, level };
 }
@@ -297,40 +321,48 @@
   return names.find((name) => causes[name]);
 }
 
-/** The share of requests that is refused at a wait, from 0 to 1. */
-function refusedShare(
-  waitMs: number,
-  { limitMs, isOver }: { readonly limitMs: number; readonly isOver: boolean },
-): number {
-  const fromMs = limitMs * (isOver ? TEAM_PART : ALL_PART);
-  const toMs = limitMs * (isOver ? ALL_PART : 1);
-  return Math.min(1, Math.max(0, (waitMs - fromMs) / (toMs - fromMs)));
+/** The part of requests that is refused at a wait, from 0 to 1. */
+function refusedPart(waitMs: number, limitMs: number): number {
+  const fromMs = limitMs * REFUSED_PART;
+  return Math.min(1, Math.max(0, (waitMs - fromMs) / (limitMs - fromMs)));
+}
+
+/** Above 1 while the wait is shorter than it should be, below 1 afterwards. */
+function rateFactor(waitMs: number, limitMs: number): number {
+  const factor = limitMs * WAIT_PART / Math.max(1, waitMs);
+  return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
 }
 
 /**
- * Whether the team has more than its max-min fair part of the work: what teams
- * below their part leave unused is divided among the others by weight.
+ * The part of its team's requests of its urgency that can be admitted, from 0 to
+ * 1: the rate is divided among teams by weight, what a team doesn't use is left
+ * to the others, and a team's more urgent requests come first.
  */
-function isOverPart(
-  { team }: ShareRequest,
-  { work, weights, keptPart }: {
+function admittedPart(
+  { team, urgency }: ShareRequest,
+  { work, weights, tokensPerMs }: {
     readonly work: readonly TeamWork[];
     readonly weights: ReadonlyMap<TeamId | "", number>;
-    /** The part of the work that the limit leaves room for. */
-    readonly keptPart: number;
+    readonly tokensPerMs: number;
   },
-): boolean {
-  if (keptPart >= 1) return false;
-  const units = new Map<TeamId | "", number>();
+): number {
+  const demands = new Map<TeamId | "", number>();
+  let moreUrgent = 0;
   for (const entry of work) {
-    units.set(entry.team, (units.get(entry.team) ?? 0) + unitsOf(entry));
+    const { demandPerMs } = entry;
+    demands.set(entry.team, (demands.get(entry.team) ?? 0) + demandPerMs);
+    const isFirst = entry.team === team && entry.urgency < urgency;
+    if (isFirst) moreUrgent += demandPerMs;
   }
   const weightOf = (id: TeamId | "") => weights.get(id) ?? 1;
   const perWeight = fairUnitsPerWeight(
-    [...units].map(([id, used]) => ({ used, weight: weightOf(id) })),
-    keptPart * sumUnits(work),
+    [...demands].map(([id, used]) => ({ used, weight: weightOf(id) })),
+    tokensPerMs,
   );
-  return (units.get(team) ?? 0) > perWeight * weightOf(team);
+  const demand = demands.get(team) ?? 0;
+  const allowed = perWeight * weightOf(team);
+  if (allowed >= demand) return 1;
+  return Math.max(0, allowed - moreUrgent) / (demand - moreUrgent);
 }
 
 /**
--- a/packages/request-path/src/share_keeper.ts
+++ b/packages/request-path/src/share_keeper.ts
@@ -37,12 +37,14 @@
   readonly nowMs: number;
 }
 
-/** Team, urgency, requests, and prompt tokens in hundreds, for gossip. */
+/** Open and arriving requests of one team and urgency, for gossip. */
 export type TeamWorkEntry = readonly [
   team: string,
   urgency: number,
   requests: number,
   tokenHundreds: number,
+  /** Hundreds of tokens of arriving requests in a second. */
+  demandHundredsPerS: number,
 ];
 
 /** Collaborators of {@link ShareKeeper}. */
@@ -56,6 +58,14 @@
   tokensPerMs?(server: KnownServer, nowMs: number): number;
 }
 
+/** Tokens of requests that have arrived; they fade with time. */
+interface Demand {
+  readonly team: TeamId | "";
+  readonly urgency: number;
+  tokens: number;
+  asOfMs: number;
+}
+
 interface ServiceState {
   isShort: boolean;
   /** Requests refused in the current shortage, by cause. */
@@ -63,6 +73,8 @@
   sinceMs: number;
   /** Moving average of the tokens to read, by urgency. */
   readonly usualTokens: Map<number, number>;
+  /** Arriving requests, by urgency and team. */
+  readonly demands: Map<string, Demand>;
 }
 
 /** Prefill rate: 38.4 tokens per millisecond less attention and generation. */
@@ -72,6 +84,10 @@
 /** Weight of the newest request in the moving average of sizes. */
 const SIZE_WEIGHT = 0.05;
 const HUNDRED = 100;
+/** Time in which a request's part of the demand fades to a third. */
+const DEMAND_MS = 1_000;
+/** Demand that is forgotten. */
+const MIN_DEMAND_TOKENS = 10;
 
 /** Answers the questions of placements about fair shares. */
 export class ShareKeeper {
@@ -112,6 +128,12 @@
     const state = this.#measure(request.service, { room, rules, nowMs });
     const urgency = urgencyOf(request);
     const usualTokens = learnSize(state, urgency, at);
+    recordDemand(state, {
+      team: request.team?.id ?? "",
+      urgency,
+      tokens: server === undefined ? usualTokens : at.tokensToRead,
+      nowMs,
+    });
     if (!state.isShort || !mayRefuse(room, rules)) return undefined;
     const perMs = server === undefined ? 1 : this.#tokensPerMs(server, nowMs);
     const queued = server && this.#options.registry.workAt(server);
@@ -151,14 +173,15 @@
         part: NEAR_PART,
       });
       if (!isShort && !isNear) continue;
-      const entries = this.#ownWork(service);
+      const entries = this.#ownWork(service, nowMs);
       if (entries.length === 0) continue;
       told[service] = entries.map(
-        ({ team, urgency, requests, prefillTokens }) => [
+        ({ team, urgency, requests, prefillTokens, demandPerMs }) => [
           team,
           urgency,
           requests,
           Math.round(prefillTokens / HUNDRED),
+          Math.round(demandPerMs * 1_000 / HUNDRED),
         ],
       );
     }
@@ -201,8 +224,14 @@
     return room;
   }
 
-  #ownWork(service: ServiceName): TeamWork[] {
+  #ownWork(service: ServiceName, nowMs: number): TeamWork[] {
     const sums = new Map<string, TeamWork>();
+    for (const [key, demand] of this.#stateOf(service).demands) {
+      const { team, urgency } = demand;
+      const demandPerMs = fadedTokens(demand, nowMs) / DEMAND_MS;
+      const work = { requests: 0, prefillTokens: 0, demandPerMs };
+      sums.set(key, { team, urgency, ...work });
+    }
     for (const server of this.#options.registry.all()) {
       if (server.listed.service !== service) continue;
       for (const [requestId, { prefillTokens }] of server.ownWork) {
@@ -217,6 +246,7 @@
           urgency,
           requests: (sum?.requests ?? 0) + 1,
           prefillTokens: (sum?.prefillTokens ?? 0) + prefillTokens,
+          demandPerMs: sum?.demandPerMs ?? 0,
         });
       }
     }
@@ -225,14 +255,15 @@
 
   #work(service: ServiceName, nowMs: number): TeamWork[] {
     const peers = this.#options.peerTeamWork(service, nowMs).map(
-      ([team, urgency, requests, hundreds]): TeamWork => ({
+      ([team, urgency, requests, hundreds, demand]): TeamWork => ({
         team: team as TeamId | "",
         urgency,
         requests,
         prefillTokens: hundreds * HUNDRED,
+        demandPerMs: demand * HUNDRED / 1_000,
       }),
     );
-    return [...this.#ownWork(service), ...peers];
+    return [...this.#ownWork(service, nowMs), ...peers];
   }
 
   /** Notes the begin or the end of a shortage. */
@@ -275,6 +306,7 @@
       refused: {},
       sinceMs: 0,
       usualTokens: new Map(),
+      demands: new Map(),
     };
     this.#states.set(service, state);
     return state;
@@ -307,6 +339,28 @@
   }
 }
 
+function fadedTokens({ tokens, asOfMs }: Demand, nowMs: number): number {
+  return tokens * Math.exp((asOfMs - nowMs) / DEMAND_MS);
+}
+
+function recordDemand(
+  { demands }: ServiceState,
+  { team, urgency, tokens, nowMs }: {
+    readonly team: TeamId | "";
+    readonly urgency: number;
+    readonly tokens: number;
+    readonly nowMs: number;
+  },
+): void {
+  for (const [key, demand] of demands) {
+    if (fadedTokens(demand, nowMs) < MIN_DEMAND_TOKENS) demands.delete(key);
+  }
+  const key = `${urgency}/${team}`;
+  const known = demands.get(key);
+  const before = known === undefined ? 0 : fadedTokens(known, nowMs);
+  demands.set(key, { team, urgency, tokens: before + tokens, asOfMs: nowMs });
+}
+
 /** The usual size before the request, which then counts towards it. */
 function learnSize(
   { usualTokens }: ServiceState,
