--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -73,6 +73,7 @@
   });
   const receivedSpent: number[] = [];
   let spent = 0;
+  let teamWork: ReturnType<AdmissionController["teamWork"]> = {};
   const gossip = new FleetGossip({
     vm,
     incarnation: brandId<IncarnationId>(`${name}-first`),
@@ -82,6 +83,7 @@
     registry,
     admission: {
       spent: () => ({ [TEAM]: spent }),
+      teamWork: () => teamWork,
       recordPeerSpending: (_team: TeamId, units: number) =>
         receivedSpent.push(units),
     } as unknown as AdmissionController,
@@ -106,6 +108,9 @@
     fleet,
     receivedSpent,
     gossip,
+    setTeamWork(work: typeof teamWork) {
+      teamWork = work;
+    },
     spend(units: number) {
       spent += units;
     },
@@ -182,6 +187,21 @@
   t.deepEqual(two.receivedSpent, [300]);
 });
 
+test("a daemon knows a peer's team work until the peer tells of none", (t) => {
+  const one = createDaemon("one");
+  const two = createDaemon("second");
+  const service = brandId<ServiceName>("engines");
+  const entry = ["st-mary", 2, 3, 91, 40] as const;
+  one.setTeamWork({ [service]: [entry] });
+  t.true(two.gossip.receive(one.gossip.composeMessage()));
+  t.deepEqual(two.fleet.teamWork(service, 1_000), [entry]);
+  one.setTeamWork({});
+  const message = one.gossip.composeMessage();
+  t.false("teamWork" in message, "bytes are charged for");
+  t.true(two.gossip.receive(message));
+  t.deepEqual(two.fleet.teamWork(service, 1_000), []);
+});
+
 // Otherwise the bound on the use of replaced weights ends as much later as relays
 // hold messages, in daemons that have missed the name.
 test("the age of named weights includes the time that a relayed message took", (t) => {
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -90,8 +90,11 @@
     this.#retryBudget = new RetryBudget(options.bounds.repeats, {
       startedAtMs: steadyMs(options.context.clock),
     });
+    const { registry, log, metrics } = options.context;
     this.#shares = new ShareKeeper({
-      ...options.context,
+      registry,
+      log,
+      metrics,
       peerTeamWork: (service, nowMs) =>
         options.peerTeamWork?.(service, nowMs) ?? [],
     });
--- a/packages/request-path/src/over_limit_test.ts
+++ b/packages/request-path/src/admission_controller_test.ts
@@ -5,14 +5,16 @@
   type ServiceName,
   type TeamId,
 } from "@endivebend/types";
-import { AdmissionController } from "./mod.ts";
+import { AdmissionController, type Configuration } from "./mod.ts";
 import {
   FakeCaller,
+  MODEL,
   route,
   routedRequest,
   team,
   testContext,
 } from "./testing.ts";
+import type { PromptSegmentId } from "./types.ts";
 
 const LIMITED = team({
   id: brandId<TeamId>("limited"),
@@ -22,6 +24,31 @@
 });
 const KIND = "repeatable";
 
+const SHORT = route("stream", { urgency: 0, targetMs: 400 });
+const LONG = route("stream", { urgency: 2, targetMs: 1_200 });
+
+/** Long prompts have less urgency than short ones, at the same engines. */
+function configuration(): Configuration {
+  return {
+    revision: 1,
+    routes: [SHORT, LONG],
+    services: [{
+      name: brandId<ServiceName>("engines"),
+      maxConnections: 1_000,
+      tokensPerEvent: 4,
+    }],
+    cacheStores: [],
+    teams: [LIMITED],
+    teamByKey: new Map(),
+    callerLimits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
 /** A controller of one daemon in a fleet of four. */
 function controller() {
   const { time, ...context } = testContext();
@@ -47,7 +74,7 @@
       }),
       new FakeCaller(),
     );
-  return { admission, open };
+  return { admission, open, time };
 }
 
 // All callers of a team over its rate were told the time at which its bucket
@@ -70,26 +97,46 @@
 
 test("a daemon tells nothing of team work without a shortage", (t) => {
   const { admission } = controller();
-  admission.configure({
-    revision: 1,
-    routes: [
-      route("stream", { urgency: 0 }),
-      route("stream", { urgency: 2 }),
-    ],
-    services: [{
-      name: brandId<ServiceName>("engines"),
-      maxConnections: 100,
-      tokensPerEvent: 4,
-    }],
-    cacheStores: [],
-    teams: [LIMITED],
-    teamByKey: new Map(),
-    callerLimits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-  });
+  admission.configure(configuration());
   t.deepEqual(admission.teamWork(), {});
 });
+
+test("a daemon refuses long prompts at once when its engines are short, and runs urgent ones", (t) => {
+  const { admission, time } = controller();
+  admission.configure(configuration());
+  const start = (id: string, isLong: boolean) => {
+    const request = routedRequest("stream", {
+      requestId: brandId<RequestId>(id),
+      route: isLong ? LONG : SHORT,
+      work: {
+        model: MODEL,
+        promptTokens: isLong ? 9_000 : 600,
+        maxOutputTokens: 40,
+        prompt: [{
+          id: brandId<PromptSegmentId>(id),
+          tokens: isLong ? 9_000 : 600,
+        }],
+      },
+      deadlineMs: time.nowMs + 5_000,
+      timeoutAtMs: time.nowMs + 5_000,
+    });
+    const caller = new FakeCaller();
+    const opened = admission.open(request, caller);
+    if (opened.kind === "running") opened.run.start();
+    return caller;
+  };
+  const callers = Array.from(
+    { length: 16 },
+    (_, at) => start(`long-${at}`, true),
+  );
+  const refusals = callers.flatMap(({ refusal }) => refusal ?? []);
+  t.true(refusals.length >= 5 && refusals.length <= 12);
+  for (const { reason, isNotRun, retryAfterMs = 0 } of refusals) {
+    t.is(reason, "overloaded");
+    t.true(isNotRun);
+    t.true(retryAfterMs >= 250 && retryAfterMs <= 5_000 / 3);
+  }
+  t.is(start("short", false).refusal, undefined);
+  const told = Object.values(admission.teamWork()).flat();
+  t.is(told.length, 2, "one entry for each urgency");
+});
