Take the engines' rate of the server choice for the shares

With 28 tokens per millisecond, which the rule for single queues takes with a reserve, the usual load counted as more than the rate, and single prompts were refused seconds after a burst in a large fleet. The rate of choose_server, 38.4, is that of the data sheets.

--- a/packages/request-path/src/share_keeper.ts
+++ b/packages/request-path/src/share_keeper.ts
@@ -6,6 +6,7 @@
  */
 
 import type { RequestId, ServiceName, TeamId } from "@endivebend/types";
+import { PREFILL_TOKENS_PER_MS } from "./choose_server.ts";
 import {
   backlogMs,
   decideShare,
@@ -77,8 +78,6 @@
   readonly demands: Map<string, Demand>;
 }
 
-/** Prefill rate: 38.4 tokens per millisecond less attention and generation. */
-const TOKENS_PER_MS = 28;
 /** Peers are told of work from this part of the backlog of a shortage on. */
 const NEAR_PART = 0.5;
 /** Weight of the newest request in the moving average of sizes. */
@@ -190,7 +189,8 @@
   }
 
   #tokensPerMs(server: KnownServer, nowMs: number): number {
-    return this.#options.tokensPerMs?.(server, nowMs) ?? TOKENS_PER_MS;
+    return this.#options.tokensPerMs?.(server, nowMs) ??
+      PREFILL_TOKENS_PER_MS;
   }
 
   /** Servers that are avoided count neither as places nor as work. */
