Share only services whose slots are divided

Shares were on for any two levels of urgency. They and the later times that callers of a team over its rate are told are now on only where routes are two or more levels apart and the most urgent has the shorter target, in a configuration with teams; other deployments are served as before.

The tests of the share keeper, shares, refused units and slots pass.

--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -78,6 +78,8 @@
 const CONNECTION_UTILIZATION = 0.8;
 /** Lower bound, so that a daemon of a large fleet can still reach a server. */
 const MIN_CONNECTIONS = 4;
+/** Shorter waits would bring all refused requests back at once, in vain. */
+const MIN_RETRY_AFTER_MS = 200;
 
 /** Admits requests and starts them. */
 export class AdmissionController {
@@ -238,10 +240,13 @@
 
   /** The other daemons' callers wait for the same bucket. */
   #overLimitRetryMs(
-    { requestId, team, cost, deadlineMs, timeoutAtMs }: RoutedRequest,
+    request: RoutedRequest,
     { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
   ): number {
-    if (team === undefined) return waitMs;
+    const { requestId, team, cost, deadlineMs, timeoutAtMs } = request;
+    if (team === undefined || !this.#shares.isShared(request)) {
+      return Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs));
+    }
     const refused = this.#refused.get(team.id) ?? new RefusedUnits();
     this.#refused.set(team.id, refused);
     return refused.retryAfterMs({
--- a/packages/request-path/src/admission_controller_test.ts
+++ b/packages/request-path/src/admission_controller_test.ts
@@ -28,10 +28,10 @@
 const LONG = route("stream", { urgency: 2, targetMs: 1_200 });
 
 /** Long prompts have less urgency than short ones, at the same engines. */
-function configuration(): Configuration {
+function configuration(routes = [SHORT, LONG]): Configuration {
   return {
     revision: 1,
-    routes: [SHORT, LONG],
+    routes,
     services: [{
       name: brandId<ServiceName>("engines"),
       maxConnections: 1_000,
@@ -80,7 +80,8 @@
 // All callers of a team over its rate were told the time at which its bucket
 // serves one of them.
 test("callers over a team's rate are told times that its bucket can serve", (t) => {
-  const { open } = controller();
+  const { admission, open } = controller();
+  admission.configure(configuration());
   const opened = Array.from({ length: 12 }, (_, index) => open(index));
   t.is(opened.filter(({ kind }) => kind === "running").length, 5);
   const delays = opened.flatMap((result) =>
@@ -95,6 +96,18 @@
   }
 });
 
+// Guards against changing the answers of deployments that ask for no shares.
+test("without shares, callers over a team's rate are told when its bucket serves one", (t) => {
+  const { admission, open } = controller();
+  const lessUrgent = route("stream", { urgency: 1, targetMs: 1_200 });
+  admission.configure(configuration([SHORT, lessUrgent]));
+  const delays = Array.from({ length: 12 }, (_, index) => open(index))
+    .flatMap((result) =>
+      result.kind === "over_limit" ? [result.retryAfterMs] : []
+    );
+  t.deepEqual(delays, Array(7).fill(200));
+});
+
 test("a daemon tells nothing of team work without a shortage", (t) => {
   const { admission } = controller();
   admission.configure(configuration());
--- a/packages/request-path/src/share_keeper.ts
+++ b/packages/request-path/src/share_keeper.ts
@@ -103,8 +103,13 @@
     this.#rules = findShareRules(configuration);
   }
 
+  /** Whether the service is shared by urgency and team in a shortage. */
+  isShared({ service }: RoutedRequest): boolean {
+    return this.#rules.has(service);
+  }
+
   opened(request: RoutedRequest): void {
-    if (!this.#rules.has(request.service)) return;
+    if (!this.isShared(request)) return;
     this.#open.set(request.requestId, request);
   }
 
--- a/packages/request-path/src/share_keeper_test.ts
+++ b/packages/request-path/src/share_keeper_test.ts
@@ -100,11 +100,17 @@
   return routedRequest("stream", { route: LESS, team: OWN, ...fields });
 }
 
-test("only services whose stream routes differ in urgency are shared", (t) => {
+// Guards against changing how deployments are served that rank routes by one
+// level, or whose urgent prompts can wait for longer than the others.
+test("only services whose stream routes differ by two levels of urgency are shared", (t) => {
   const plain = route("at_most_once", { urgency: 3 });
+  const oneLevel = route("stream", { urgency: 1, targetMs: 1_200 });
+  const shorter = route("stream", { urgency: 2, targetMs: 300 });
   const find = (routes: readonly Route[], teams = [OWN]) =>
     findShareRules({ routes, teams }).get(SERVICE);
   t.is(find([LESS, plain]), undefined);
+  t.is(find([URGENT, oneLevel]), undefined);
+  t.is(find([URGENT, shorter]), undefined);
   t.is(find([URGENT, LESS], []), undefined);
   t.like(find([LESS, plain, URGENT]), {
     urgencies: [0, 2],
--- a/packages/request-path/src/share_rules.ts
+++ b/packages/request-path/src/share_rules.ts
@@ -7,11 +7,12 @@
 
 import type { ServiceName, TeamId } from "@endivebend/types";
 import type { ShareRules } from "./fair_shares.ts";
+import { findSlotRules } from "./slot_rules.ts";
 import { type Configuration, isStream, type TeamRules } from "./types.ts";
 
 /**
- * The rules of each model service that has routes of different urgencies, if
- * the configuration has teams.
+ * The rules of each model service whose slots are divided between routes of
+ * different urgencies, if the configuration has teams.
  *
  * @example
  * ```ts
@@ -24,19 +25,13 @@
   const found = new Map<ServiceName, ShareRules>();
   if (teams.length === 0) return found;
   const streams = routes.filter(({ kind }) => isStream(kind));
-  const services = new Set(
-    streams.flatMap(({ destinations }) =>
-      destinations.map(({ service }) => service)
-    ),
-  );
   const weights = weighTeams(teams);
-  for (const service of services) {
+  for (const service of findSlotRules({ routes }).keys()) {
     const own = streams.filter(({ destinations }) =>
       destinations.some((destination) => destination.service === service)
     );
     const urgencies = [...new Set(own.map(({ urgency }) => urgency))]
       .sort((a, b) => a - b);
-    if (urgencies.length < 2) continue;
     const smallestTargetMs = Math.min(...own.map(({ targetMs }) => targetMs));
     found.set(service, { urgencies, smallestTargetMs, weights });
   }
--- a/packages/request-path/src/slot_rules.ts
+++ b/packages/request-path/src/slot_rules.ts
@@ -27,7 +27,9 @@
  * const rules = findSlotRules(configuration);
  * ```
  */
-export function findSlotRules({ routes }: Configuration): SlotRules {
+export function findSlotRules(
+  { routes }: Pick<Configuration, "routes">,
+): SlotRules {
   const byService = new Map<ServiceName, Route[]>();
   for (const route of routes) {
     if (!isStream(route.kind)) continue;
