--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -86,6 +86,7 @@
   | "forwarding"
   | "demandPerS"
   | "teamWork"
+  | "rollouts"
 >;
 
 /** Another daemon. */
@@ -445,7 +446,7 @@
 function heldStateOf(message: GossipMessage): HeldState {
   const { incarnation, failureDomain, sequence, reachesStore } = message;
   const { duty, spent, work, records, readAgesMs } = message;
-  const { forwarding, demandPerS, teamWork } = message;
+  const { forwarding, demandPerS, teamWork, rollouts } = message;
   return {
     incarnation,
     failureDomain,
@@ -459,6 +460,7 @@
     ...(forwarding === undefined ? {} : { forwarding }),
     ...(demandPerS === undefined ? {} : { demandPerS }),
     ...(teamWork === undefined ? {} : { teamWork }),
+    ...(rollouts === undefined ? {} : { rollouts }),
   };
 }
 
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -67,6 +67,25 @@
     isObject(value) && fields.every(([name, check]) => check(value[name]));
 }
 
+const ROLLOUT_PHASES: ReadonlySet<unknown> = new Set([
+  "running",
+  "stopped",
+  "succeeded",
+  "rolled_back",
+]);
+
+/** The counters of one route; see `RouteCounts`. */
+const isRouteCounts = isTuple(
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+  isCount,
+);
+
 const MESSAGE_CHECKS: Readonly<Record<keyof GossipMessage, Check>> = {
   vm: isName,
   incarnation: isName,
@@ -118,6 +137,31 @@
     isMapOf(isListOf(isTuple(isName, isCount, isCount, isCount, isCount))),
   ),
   paces: isOptional(isMapOf(isCount)),
+  rollouts: isOptional(isListOf(hasFields({
+    service: isName,
+    to: isName,
+    order: isCount,
+    durationMs: isCount,
+    ageMs: isCount,
+    isAgeGuessed: isOptional(isFlag),
+    phase: (value) => ROLLOUT_PHASES.has(value),
+    applied: isCount,
+    barred: isOptional(isListOf(isName)),
+    plan: isOptional(hasFields({
+      epoch: isCount,
+      share: isCount,
+      servers: isListOf(isName),
+      validMs: isCount,
+    })),
+  }))),
+  versionCounts: isOptional(isListOf(hasFields({
+    service: isName,
+    order: isCount,
+    routes: isMapOf(isRouteCounts),
+    doubtful: isOptional(isMapOf(isMapOf(isTuple(isCount, isCount)))),
+    requests: isCount,
+    exposed: isNumber,
+  }))),
 };
 
 const isGossip = hasFields(MESSAGE_CHECKS);
--- a/packages/front/src/daemon_records.ts
+++ b/packages/front/src/daemon_records.ts
@@ -198,6 +198,7 @@
     registry: parts.registry,
     named: parts.namedWeights,
     nowMs: () => parts.nowMs(),
+    rolloutOrdered: (rollout, at) => parts.versionRollouts.ordered(rollout, at),
     serverListed: (server) => parts.streamOrigins.noteListed(server),
     wasStoreAway: () => parts.storeContact.wasAway(),
     applyLimits: (limits) => parts.listener.applyLimits(limits),
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -36,6 +36,7 @@
 } from "@endivebend/types";
 
 import type { QuarantineKeeper } from "./quarantine_keeper.ts";
+import type { VersionRollouts } from "./version_rollouts.ts";
 
 /** The daemon's identity and the state that it shares by gossip. */
 export interface FleetGossipOptions {
@@ -55,6 +56,10 @@
   >;
   /** What peers tell each other of the pace of servers. */
   readonly paces?: Pick<ServerPaces, "pending" | "recordPeer">;
+  readonly versionRollouts: Pick<
+    VersionRollouts,
+    "composeReport" | "applyReport"
+  >;
   nowMs(): number;
   logDecision(step: string, fields: Readonly<Record<string, unknown>>): void;
   reachesStore(): boolean;
@@ -131,6 +136,7 @@
           roundMs: Math.max(MIN_TOLD_MS, this.#options.fleet.gossipRoundMs),
         }) ?? {},
         ...this.#options.quarantines.composeReport(),
+        ...this.#options.versionRollouts.composeReport(),
       }),
     };
   }
@@ -158,6 +164,7 @@
     this.#applyServerState(message, ageMs);
     this.#applyPaces(message, nowMs());
     this.#options.quarantines.applyReport(message, ageMs);
+    this.#options.versionRollouts.applyReport(message, ageMs);
     return true;
   }
 
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -11,6 +11,7 @@
 import { createDecisionLog, TextMetrics } from "@endivebend/telemetry";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { createRolloutOrderClient } from "./rollout_order_client.ts";
+import { createRolloutStatusLog } from "./rollout_status_log.ts";
 import { serveForwarding } from "./forward_listener.ts";
 import { IngressListener } from "./ingress_listener.ts";
 import { createCacheEventClient } from "./cache_event_client.ts";
@@ -20,6 +21,7 @@
 import { StoreClient } from "./store_client.ts";
 import { createRecordStore } from "./store_records.ts";
 import { createStreamOriginLog } from "./stream_origin_log.ts";
+import { UnreadAnswers } from "./unread_answers.ts";
 
 /**
  * Creates the daemon with its adapters and opens its listeners. It gets ready
@@ -33,7 +35,9 @@
 export function createDaemon(settings: PlatformSettings): FrontDaemon {
   const clock = createClock();
   const memory = new MemoryBudget(settings.messageBytes);
+  const unread = new UnreadAnswers(memory);
   const metrics = new TextMetrics();
+  const { processLimits } = settings;
   const log = createDecisionLog({
     fields: { vm: settings.vm, domain: settings.failureDomain },
     nowMs: () => steadyMs(clock),
@@ -47,6 +51,7 @@
     memory,
     store: createRecordStore(store),
     rolloutLeaseLog: createRolloutLeaseLog(store),
+    rolloutStatusLog: createRolloutStatusLog(store),
     streamOriginLog: createStreamOriginLog(store, settings.storeRates),
     engineOrders: createRolloutOrderClient(memory),
     serverClient: createServerClient(clock, { ip: settings.ip }),
@@ -60,8 +65,19 @@
         clock,
         log,
         memory,
+        metrics,
+        unread,
+        processLimits,
+      }),
+    listenForPeers: (context) =>
+      serveForwarding({
+        ...context,
+        clock,
+        memory,
+        metrics,
+        unread,
+        processLimits,
       }),
-    listenForPeers: (context) => serveForwarding({ ...context, clock, memory }),
     serveStatus: (sources) =>
       serveStatus(settings, {
         ...sources,
--- a/packages/platform/src/status_server.ts
+++ b/packages/platform/src/status_server.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { StatusServer, StatusSources } from "@endivebend/front";
 import type { TextMetrics } from "@endivebend/telemetry";
+import { connectionBounds, limitConnections } from "./connection_limit.ts";
 import { MAX_QUERY_BYTES, parseExplainQuery } from "./explain_query.ts";
 import type { PlatformSettings } from "./settings.ts";
 import { PATHS } from "./wire_names.ts";
@@ -19,14 +20,12 @@
 /** An explanation looks at all servers of a service, as a request does. */
 const MAX_EXPLANATIONS_PER_S = 10;
 const SECOND_MS = 1_000;
-/** Connections that send nothing are closed after this time. */
+/** Probes, collectors and operators send what they ask at once. */
 const QUERY_TIMEOUT_MS = 3_000;
-/** Scrapes and operators need a few. */
-const MAX_CONNECTIONS = 64;
 
 /** Starts one HTTP server for readiness and one for metrics. */
 export function serveStatus(
-  settings: Pick<PlatformSettings, "readiness" | "metrics">,
+  settings: Pick<PlatformSettings, "readiness" | "metrics" | "processLimits">,
   sources: StatusSources & {
     readonly metrics: TextMetrics;
     nowMs(): number;
@@ -50,7 +49,15 @@
     if (!rate.take(sources.nowMs())) return answer(response, 429, TOO_MANY);
     readQuery(request, (text) => explain(text, { response, sources }));
   }).listen(settings.metrics.port, settings.metrics.host);
-  metrics.maxConnections = MAX_CONNECTIONS;
+  const bounds = connectionBounds("status", settings.processLimits);
+  for (const server of [readiness, metrics]) {
+    server.headersTimeout = QUERY_TIMEOUT_MS;
+    limitConnections(
+      server,
+      bounds,
+      (reason) => sources.metrics.count("closed_connections", { reason }),
+    );
+  }
   return {
     close() {
       readiness.close();
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -30,6 +30,7 @@
   ServerWork,
 } from "./server_registry.ts";
 import { hasOtherProcess } from "./process_check.ts";
+import type { VersionChoice, VersionNeed } from "./version_choice.ts";
 import type { WeightsProbes } from "./weights_probes.ts";
 import { needsPools, poolOf } from "./prompt_pools.ts";
 import type { SlotAdmission } from "./slot_admission.ts";
@@ -54,6 +55,8 @@
 
 /** What a placement depends on besides the request. */
 export interface PlacementContext {
+  /** Absent where both versions serve alike. */
+  readonly versions?: VersionChoice | undefined;
   readonly registry: ServerRegistry;
   readonly allowances: ServerAllowances;
   readonly failureDomain: FailureDomainId;
@@ -209,12 +212,24 @@
 export function placeRequest(
   request: RoutedRequest,
   context: AttemptContext,
+): Placement {
+  const placement = placeAtVersion(request, context);
+  if (placement.kind === "placed") return placement;
+  const need = versionNeedOf(context);
+  return context.versions?.fallsBack(request, placement.reason, need) === true
+    ? placeAtVersion(request, context)
+    : placement;
+}
+
+function placeAtVersion(
+  request: RoutedRequest,
+  context: AttemptContext,
 ): Placement {
   const { registry, exclude, nowMs, trace } = context;
   const usable = registry.usable(request.service, nowMs);
   trace?.left("listed", usable);
   const views = usable.filter(({ listed }) => !exclude.has(listed.id))
-    .filter((server) => isOfVersion(server, context))
+    .filter((server) => mayRunAt(server, request, context))
     .map((server) => describeServer(request, { server, context }));
   traceLeft("version", views, trace);
   if (views.length === 0) return { kind: "refused", reason: "no_server" };
@@ -394,7 +409,7 @@
   const candidates = registry.usable(service, nowMs).filter((server) => {
     const believed = registry.weightsOf(server, work.model);
     const mayProbe = believed !== undefined && believed < newest &&
-      !exclude.has(server.listed.id) && isOfVersion(server, context) &&
+      !exclude.has(server.listed.id) && mayRunAt(server, request, context) &&
       nowMs >= server.loadingUntilMs &&
       !registry.isAvoided(server, nowMs) && nowMs >= server.quietUntilMs;
     return mayProbe && allowances.waitMs(server, nowMs) === 0 &&
@@ -428,6 +443,25 @@
   };
 }
 
+/** A request goes on if a version has begun its stream; a trace sends nothing. */
+function versionNeedOf(
+  { hasBegun, softwareVersion, trace }: AttemptContext,
+): VersionNeed {
+  const goesOn = hasBegun || softwareVersion !== undefined;
+  return { goesOn, ...(trace === undefined ? {} : { isTrial: true }) };
+}
+
+function mayRunAt(
+  server: KnownServer,
+  request: RoutedRequest,
+  context: AttemptContext,
+): boolean {
+  if (!isOfVersion(server, context)) return false;
+  const { versions } = context;
+  return versions === undefined ||
+    versions.allows(server, request, versionNeedOf(context));
+}
+
 function traceLeft(
   step: PlacementStep,
   views: readonly ServerView[],
