--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -250,6 +250,7 @@
           ? this.fleet.sharerCount(this.nowMs())
           : undefined,
       reachableShare: () => this.fleet.reachableShare(this.nowMs()),
+      peerTeamWork: (service, nowMs) => this.fleet.teamWork(service, nowMs),
     });
   }
 
