Revert the fair shares under shortage

Cause: with the shares, version_rollouts_large_fleet_test exposes a bad version to 321 requests of 290 allowed (318 in a second run); without their hook 254, on the merges before them 234 to 245. Change: the merge is reverted; slot admission still divides by urgency.

--- a/packages/fleet/src/fleet_state.ts
+++ b/packages/fleet/src/fleet_state.ts
@@ -9,7 +9,6 @@
   BackendServerId,
   FailureDomainId,
   IncarnationId,
-  ServiceName,
   TeamId,
   VmId,
 } from "@endivebend/types";
@@ -18,11 +17,7 @@
   type PeerAddresses,
   RELAYED_ROUND_MS,
 } from "./gossip_channel.ts";
-import type {
-  GossipMessage,
-  RelayedMessage,
-  TeamWorkEntry,
-} from "./gossip_message.ts";
+import type { GossipMessage, RelayedMessage } from "./gossip_message.ts";
 import { LimitSharers } from "./limit_sharers.ts";
 import {
   planRelays,
@@ -40,11 +35,6 @@
 const MIN_WORK_TTL_MS = 1_000;
 /** In a large fleet, work counts until the next message can be expected. */
 const WORK_TTL_ROUNDS = 1.5;
-/**
- * Teams' work is used as parts of a sum, so that it may be older: it outlasts a
- * lost datagram of a large fleet.
- */
-const TEAM_WORK_TTL_MS = 1_500;
 /**
  * An unreachable daemon keeps its share of the limits for this long; network
  * partitions at the users' sites last up to 12 s.
@@ -85,7 +75,6 @@
   | "readAgesMs"
   | "forwarding"
   | "demandPerS"
-  | "teamWork"
   | "rollouts"
 >;
 
@@ -353,16 +342,6 @@
     return { running, prefillTokens };
   }
 
-  /** Work of each team at a service that other daemons have lately told of. */
-  teamWork(service: ServiceName, nowMs: number): TeamWorkEntry[] {
-    const entries: TeamWorkEntry[] = [];
-    for (const { message, heardAtMs } of this.#members.values()) {
-      if (nowMs - heardAtMs > TEAM_WORK_TTL_MS) continue;
-      entries.push(...message?.teamWork?.[service] ?? []);
-    }
-    return entries;
-  }
-
   /** False for daemons without a message, whose failure domain is unknown. */
   #isSameDomain({ message }: FleetMember): boolean {
     return message?.failureDomain === this.#failureDomain;
@@ -446,7 +425,7 @@
 function heldStateOf(message: GossipMessage): HeldState {
   const { incarnation, failureDomain, sequence, reachesStore } = message;
   const { duty, spent, work, records, readAgesMs } = message;
-  const { forwarding, demandPerS, teamWork, rollouts } = message;
+  const { forwarding, demandPerS, rollouts } = message;
   return {
     incarnation,
     failureDomain,
@@ -459,7 +438,6 @@
     readAgesMs,
     ...(forwarding === undefined ? {} : { forwarding }),
     ...(demandPerS === undefined ? {} : { demandPerS }),
-    ...(teamWork === undefined ? {} : { teamWork }),
     ...(rollouts === undefined ? {} : { rollouts }),
   };
 }
--- a/packages/fleet/src/fleet_state_test.ts
+++ b/packages/fleet/src/fleet_state_test.ts
@@ -4,7 +4,6 @@
   brandId,
   type FailureDomainId,
   type IncarnationId,
-  type ServiceName,
   type VmId,
 } from "@endivebend/types";
 import { FleetState } from "./mod.ts";
@@ -154,20 +153,3 @@
   fleet.applyMessage(ofDomain(1, 2), 1_500, 800);
   t.deepEqual(fleet.overdueDomains(1_500, 1_400), []);
 });
-
-// A daemon that is killed, frozen or cut off would hold its teams' parts.
-test("team work of a silent daemon counts for a second and a half", (t) => {
-  const fleet = newState();
-  const engines = brandId<ServiceName>("engines");
-  const entry = ["st-mary", 2, 3, 91, 40] as const;
-  const teamWork = { [engines]: [entry] };
-  fleet.applyMessage(
-    message({ failureDomain: brandId<FailureDomainId>("b"), teamWork }),
-    0,
-  );
-  t.deepEqual(fleet.teamWork(engines, 1_400), [entry]);
-  t.deepEqual(fleet.teamWork(brandId<ServiceName>("plain"), 1_400), []);
-  t.deepEqual(fleet.teamWork(engines, 1_600), []);
-  fleet.applyMessage(message({ sequence: 2 }), 1_700);
-  t.deepEqual(fleet.teamWork(engines, 1_700), [], "no shortage any more");
-});
--- a/packages/fleet/src/gossip_message.ts
+++ b/packages/fleet/src/gossip_message.ts
@@ -77,18 +77,6 @@
   readonly open: number;
 }
 
-/** Open and arriving requests of one team and urgency at the sender. */
-export type TeamWorkEntry = readonly [
-  /** Empty for requests without a team. */
-  team: string,
-  urgency: number,
-  requests: number,
-  /** Prompt tokens to prefill, in hundreds. */
-  tokenHundreds: number,
-  /** Tokens of requests that arrive in a second, in hundreds. */
-  demandHundredsPerS: number,
-];
-
 /** The state of the sender; each message replaces its earlier ones. */
 export interface GossipMessage {
   readonly vm: VmId;
@@ -133,10 +121,6 @@
   readonly crashes?: readonly CrashReport[];
   /** Milliseconds since the sender relayed answers to suspected prompts. */
   readonly answeredAgesMs?: AnswerAges;
-  /** Work by service, while the sender sees a shortage or one that is near. */
-  readonly teamWork?: Readonly<
-    Record<ServiceName, readonly TeamWorkEntry[]>
-  >;
   /** Speeds that the sender has measured, in percent of the usual one. */
   readonly paces?: Readonly<Record<BackendServerId, number>>;
   /** Orders to move services to other software versions. */
--- a/packages/fleet/src/gossip_schema.ts
+++ b/packages/fleet/src/gossip_schema.ts
@@ -133,9 +133,6 @@
     suspects: isListOf(isTuple(isName, isCount)),
   }))),
   answeredAgesMs: isOptional(isMapOf(isCount)),
-  teamWork: isOptional(
-    isMapOf(isListOf(isTuple(isName, isCount, isCount, isCount, isCount))),
-  ),
   paces: isOptional(isMapOf(isCount)),
   rollouts: isOptional(isListOf(hasFields({
     service: isName,
--- a/packages/fleet/src/gossip_schema_test.ts
+++ b/packages/fleet/src/gossip_schema_test.ts
@@ -26,7 +26,6 @@
   kept: { e: [["part", 200]] },
   records: { operator: 4, servers: -1 },
   readAgesMs: { servers: 90 },
-  teamWork: { engines: [["st-mary", 2, 3, 91, 40], ["", 0, 1, 0, 6]] } as never,
   paces: { [brandId<BackendServerId>("e")]: 160 },
   rollouts: [{
     service: brandId("s"),
@@ -85,8 +84,6 @@
     "an address with a port out of range": { address: "127.0.0.1:99999" },
     "work that is no pair": { work: { e: [1] } },
     "spending that is no number": { spent: { t: "many" } },
-    "team work that is no list": { teamWork: { engines: 4 } },
-    "team work without tokens": { teamWork: { engines: [["t", 2, 3]] } },
     "a pace that is no number": { paces: { e: "fast" } },
     "an endless list of suspects": { suspects: Array(30_000).fill("e") },
   })
@@ -96,14 +93,6 @@
   });
 }
 
-// Daemons of an old and a new build run side by side.
-test("a message with fields of a later build is accepted", (t) => {
-  const later = { ...FULL, laterField: { engines: [1, null] } };
-  t.deepEqual(decode(later), later as GossipMessage);
-  const { teamWork: _, ...earlier } = FULL;
-  t.deepEqual(decode(earlier), earlier as GossipMessage);
-});
-
 /** Replaces the value at a path through the message. */
 function replaceAt(target: unknown, path: readonly number[], value: unknown) {
   const copy = structuredClone(target) as Record<string, unknown>;
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -28,7 +28,6 @@
   RelayedMessage,
   RolloutLeaseState,
   SeenServerLimit,
-  TeamWorkEntry,
   WeightsProgress,
   WorkAtServer,
 } from "./gossip_message.ts";
--- a/packages/front/src/daemon_parts.ts
+++ b/packages/front/src/daemon_parts.ts
@@ -250,7 +250,6 @@
           ? this.fleet.sharerCount(this.nowMs())
           : undefined,
       reachableShare: () => this.fleet.reachableShare(this.nowMs()),
-      peerTeamWork: (service, nowMs) => this.fleet.teamWork(service, nowMs),
     });
   }
 
--- a/packages/front/src/fleet_gossip.ts
+++ b/packages/front/src/fleet_gossip.ts
@@ -130,7 +130,6 @@
           ...starts,
         })),
         demandPerS: this.#demandOfLimitedServices(),
-        teamWork: admission.teamWork(),
         paces: this.#options.paces?.pending({
           nowMs,
           roundMs: Math.max(MIN_TOLD_MS, this.#options.fleet.gossipRoundMs),
--- a/packages/front/src/front_test.ts
+++ b/packages/front/src/front_test.ts
@@ -82,7 +82,6 @@
     ) => void receivedPaces.push(`${peer} ${id} ${percent}`),
   };
   let spent = 0;
-  let teamWork: ReturnType<AdmissionController["teamWork"]> = {};
   const gossip = new FleetGossip({
     vm,
     incarnation: brandId<IncarnationId>(`${name}-first`),
@@ -92,7 +91,6 @@
     registry,
     admission: {
       spent: () => ({ [TEAM]: spent }),
-      teamWork: () => teamWork,
       recordPeerSpending: (_team: TeamId, units: number) =>
         receivedSpent.push(units),
     } as unknown as AdmissionController,
@@ -121,9 +119,6 @@
     receivedPaces,
     told,
     gossip,
-    setTeamWork(work: typeof teamWork) {
-      teamWork = work;
-    },
     spend(units: number) {
       spent += units;
     },
@@ -200,21 +195,6 @@
   t.deepEqual(two.receivedSpent, [300]);
 });
 
-test("a daemon knows a peer's team work until the peer tells of none", (t) => {
-  const one = createDaemon("one");
-  const two = createDaemon("second");
-  const service = brandId<ServiceName>("engines");
-  const entry = ["st-mary", 2, 3, 91, 40] as const;
-  one.setTeamWork({ [service]: [entry] });
-  t.true(two.gossip.receive(one.gossip.composeMessage()));
-  t.deepEqual(two.fleet.teamWork(service, 1_000), [entry]);
-  one.setTeamWork({});
-  const message = one.gossip.composeMessage();
-  t.false("teamWork" in message, "bytes are charged for");
-  t.true(two.gossip.receive(message));
-  t.deepEqual(two.fleet.teamWork(service, 1_000), []);
-});
-
 test("a daemon tells its peers of paces, and only where it has any to tell", (t) => {
   const one = createDaemon("one");
   const two = createDaemon("second");
--- a/packages/request-path/src/admission_controller.ts
+++ b/packages/request-path/src/admission_controller.ts
@@ -15,8 +15,6 @@
   type RouteExplanation,
   type RouteQuery,
 } from "./explain_route.ts";
-import { RefusedUnits } from "./refused_units.ts";
-import { ShareKeeper, type TeamWorkEntry } from "./share_keeper.ts";
 import type { CallerSink } from "./ports.ts";
 import type { RepeatCause, RequestContext } from "./request_context.ts";
 import { RequestRun } from "./request_run.ts";
@@ -44,7 +42,6 @@
     | "maxOwnConnections"
     | "tokensPerEvent"
     | "cacheStores"
-    | "shares"
     | "slots"
     | "slotRank"
   >;
@@ -58,11 +55,6 @@
   limitSharers(): number | undefined;
   /** Share of the fleet that this daemon receives gossip from, 0 to 1. */
   reachableShare(): number;
-  /** What other daemons have lately told of their open requests. */
-  peerTeamWork?(
-    service: ServiceName,
-    nowMs: number,
-  ): readonly TeamWorkEntry[];
 }
 
 /** The outcome of opening a request. */
@@ -86,8 +78,6 @@
   readonly #options: AdmissionOptions;
   readonly #context: RequestContext;
   readonly #buckets = new Map<TeamId, SharedBucket>();
-  readonly #refused = new Map<TeamId, RefusedUnits>();
-  readonly #shares: ShareKeeper;
   readonly #spent = new Map<TeamId, number>();
   readonly #retryBudget: RetryBudget;
   readonly #runs = new Set<RequestRun>();
@@ -98,20 +88,8 @@
     this.#retryBudget = new RetryBudget(options.bounds.repeats, {
       startedAtMs: steadyMs(options.context.clock),
     });
-    const { registry, log, metrics, pace } = options.context;
-    this.#shares = new ShareKeeper({
-      registry,
-      log,
-      metrics,
-      peerTeamWork: (service, nowMs) =>
-        options.peerTeamWork?.(service, nowMs) ?? [],
-      ...(pace && {
-        tokensPerMs: (server, nowMs) => pace.of(server, nowMs).queueTokensPerMs,
-      }),
-    });
     this.#context = {
       ...options.context,
-      shares: this.#shares,
       maxOwnConnections: (service) => this.#maxOwnConnections(service),
       tokensPerEvent: (service) =>
         this.#view?.service(service)?.tokensPerEvent ?? 1,
@@ -128,7 +106,6 @@
         this.#retryBudget.settleRetry(service, this.#nowMs()),
       ended: (request, { run, hasRun }) => {
         this.#runs.delete(run);
-        this.#shares.ended(request);
         if (!hasRun) this.#refund(request);
       },
     };
@@ -143,11 +120,6 @@
     return Object.fromEntries(this.#spent);
   }
 
-  /** Work of each team, for peers, while a service is short of servers. */
-  teamWork(): Readonly<Record<ServiceName, readonly TeamWorkEntry[]>> {
-    return this.#shares.teamWork(this.#nowMs());
-  }
-
   /** Requests a second that callers have lately sent for each service. */
   demandPerS(): ReadonlyMap<ServiceName, number> {
     return this.#retryBudget.requestsPerS(this.#nowMs());
@@ -158,7 +130,6 @@
     const current = this.#view?.configuration.revision ?? -1;
     if (configuration.revision <= current) return false;
     this.#view = new ConfigurationView(configuration);
-    this.#shares.configure(configuration);
     const { tolerance } = this.#options.bounds;
     for (const team of configuration.teams) {
       this.#buckets.get(team.id)?.setTerms(team, tolerance);
@@ -177,19 +148,18 @@
     const bucket = request.team && this.#bucketOf(request.team, nowMs);
     bucket?.setShare(this.#options.reachableShare(), nowMs);
     if (request.team && bucket && !bucket.take(request.cost, nowMs)) {
-      this.#context.metrics.count("over_limit", { team: request.team.id });
       const waitMs = bucket.waitMs(request.cost, nowMs);
+      this.#context.metrics.count("over_limit", { team: request.team.id });
       return {
         kind: "over_limit",
         team: request.team.id,
-        retryAfterMs: this.#overLimitRetryMs(request, { waitMs, nowMs }),
+        retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs)),
       };
     }
     if (request.team) this.#addSpent(request.team.id, request.cost);
     this.#retryBudget.recordRequest(request.service, nowMs);
     const run = new RequestRun(this.#context, request, caller);
     this.#runs.add(run);
-    this.#shares.opened(request);
     return { kind: "running", run };
   }
 
@@ -238,27 +208,6 @@
     return bucket;
   }
 
-  /** The other daemons' callers wait for the same bucket. */
-  #overLimitRetryMs(
-    request: RoutedRequest,
-    { waitMs, nowMs }: { readonly waitMs: number; readonly nowMs: number },
-  ): number {
-    const { requestId, team, cost, deadlineMs, timeoutAtMs } = request;
-    if (team === undefined || !this.#shares.isShared(request)) {
-      return Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs));
-    }
-    const refused = this.#refused.get(team.id) ?? new RefusedUnits();
-    this.#refused.set(team.id, refused);
-    return refused.retryAfterMs({
-      requestId,
-      units: cost,
-      waitMs,
-      unitsPerMs: team.ratePerS / 1_000 / this.#options.fleetSize(),
-      timeLeftMs: Math.min(deadlineMs, timeoutAtMs) - nowMs,
-      nowMs,
-    });
-  }
-
   #addSpent(team: TeamId, units: number): void {
     this.#spent.set(team, (this.#spent.get(team) ?? 0) + units);
   }
--- a/packages/request-path/src/mod.ts
+++ b/packages/request-path/src/mod.ts
@@ -70,30 +70,6 @@
 export type { RetryLimits } from "./retry_budget.ts";
 export { planAllowances } from "./plan_allowances.ts";
 export type { LimitedServer, Sharer } from "./plan_allowances.ts";
-export {
-  backlogMs,
-  decideShare,
-  fairUnitsPerWeight,
-  hasShortage,
-  mayRefuse,
-} from "./fair_shares.ts";
-export type {
-  ServiceRoom,
-  ShareCause,
-  ShareRefusal,
-  ShareRequest,
-  ShareRules,
-  TeamWork,
-} from "./fair_shares.ts";
-export { RefusedUnits } from "./refused_units.ts";
-export type { OverLimitRequest } from "./refused_units.ts";
-export { ShareKeeper } from "./share_keeper.ts";
-export type {
-  ShareKeeperOptions,
-  ShareMoment,
-  TeamWorkEntry,
-} from "./share_keeper.ts";
-export { findShareRules } from "./share_rules.ts";
 export { ServerAllowances } from "./server_allowances.ts";
 export type { ServerAllowancesOptions } from "./server_allowances.ts";
 export { ServerEndCheck } from "./server_end_check.ts";
--- a/packages/request-path/src/placement.ts
+++ b/packages/request-path/src/placement.ts
@@ -36,8 +36,6 @@
 import type { SlotAdmission } from "./slot_admission.ts";
 import type { SlotRank } from "./slot_rules.ts";
 import { shedRetryMs } from "./load_shedding.ts";
-import type { ShareRefusal } from "./fair_shares.ts";
-import type { ShareMoment } from "./share_keeper.ts";
 import {
   MAX_LOAD_FACTOR,
   type PaceLookup,
@@ -69,15 +67,6 @@
   readonly tokensPerEvent: (service: RoutedRequest["service"]) => number;
   /** Addresses of the configured cache stores. */
   readonly cacheStores: () => readonly string[];
-  /** Who is refused during a shortage; without it, by the queue alone. */
-  readonly shares?: {
-    refusal(
-      request: RoutedRequest,
-      at: ShareMoment,
-    ): ShareRefusal | undefined;
-    /** Whether the queue of the chosen engine has been considered. */
-    decides(request: RoutedRequest): boolean;
-  };
   /** The pace of servers; without it all have the usual one. */
   readonly pace?: PaceLookup | undefined;
   /** Divides scarce slots; without it, a full engine's queue is the bound. */
@@ -111,13 +100,6 @@
     readonly retryInMs?: number;
   };
 
-/** The best server, and whether its queue is too long. */
-interface BestPlacement {
-  readonly placed: Placement & { readonly kind: "placed" };
-  /** Milliseconds until its queue is short enough; undefined if it is now. */
-  readonly shedRetryMs: number | undefined;
-}
-
 /** How an attempt uses the prefix caches of engines and stores. */
 export interface CachePlan {
   /** Weights that the engine must have; cached segments depend on them. */
@@ -241,9 +223,7 @@
     hasCapacity(server, work, maxOwnConnections)
   );
   traceLeft("room", withRoom, trace);
-  if (withRoom.length === 0) {
-    return refusedBy(askShares(request, { server: undefined, context }));
-  }
+  if (withRoom.length === 0) return { kind: "refused", reason: "overloaded" };
   const admitted = admitToSlots(request, withRoom, context);
   traceLeft("slots", admitted, trace);
   if (admitted.length === 0) {
@@ -282,55 +262,17 @@
   const isInUse = context.pace?.isInUse(request.service) ?? false;
   const spreadKey = isInUse ? request.requestId : undefined;
   const views = { available, context };
-  const best = placeAtBest(request, { ...views, candidates, spreadKey });
-  if (!isInUse || (best && best.shedRetryMs === undefined)) {
-    return admitByShares(request, best, context);
-  }
+  const placement = placeAtBest(request, { ...views, candidates, spreadKey });
+  if (placement.kind === "placed" || !isInUse) return placement;
   const started = candidates.map((candidate) => ({
     ...candidate,
     ...(candidate.pace && { pace: { ...candidate.pace, startingExcess: 0 } }),
   }));
-  const startedBest = placeAtBest(request, {
+  return placeAtBest(request, {
     ...views,
     candidates: started,
     spreadKey: undefined,
   });
-  return admitByShares(request, startedBest, context);
-}
-
-/**
- * Asks the shares once for each placement, as they count arrivals. The queue of
- * the engine alone decides only while the shares don't.
- */
-function admitByShares(
-  request: RoutedRequest,
-  best: BestPlacement | undefined,
-  context: AttemptContext,
-): Placement {
-  if (best === undefined) return { kind: "refused", reason: "no_server" };
-  const { placed, shedRetryMs: retryInMs } = best;
-  const { server, cache: { tokensToRead } } = placed;
-  const refusal = askShares(request, { server, tokensToRead, context });
-  if (refusal !== undefined) return refusedBy(refusal);
-  const isDecided = context.trace === undefined &&
-    (context.shares?.decides(request) ?? false);
-  if (isDecided || retryInMs === undefined) return placed;
-  return { kind: "refused", reason: "overloaded", retryInMs };
-}
-
-/** An explanation doesn't ask, as an answer counts the request as arrived. */
-function askShares(
-  request: RoutedRequest,
-  { server, tokensToRead = 0, context }: {
-    readonly server: KnownServer | undefined;
-    readonly tokensToRead?: number;
-    readonly context: AttemptContext;
-  },
-): ShareRefusal | undefined {
-  const { shares, trace, hasBegun, exclude, nowMs } = context;
-  if (trace !== undefined) return undefined;
-  const isAdmitted = hasBegun || exclude.size > 0;
-  return shares?.refusal(request, { server, tokensToRead, isAdmitted, nowMs });
 }
 
 function placeAtBest(
@@ -341,7 +283,7 @@
     readonly context: AttemptContext;
     readonly spreadKey: string | undefined;
   },
-): BestPlacement | undefined {
+): Placement {
   const sharedTokens = sumTokens(sharedSegments(request));
   const choice = chooseServer(
     {
@@ -362,9 +304,11 @@
     },
   );
   const view = available.find(({ server }) => server.listed.id === choice?.id);
-  if (choice === undefined || view === undefined) return undefined;
+  if (choice === undefined || view === undefined) {
+    return { kind: "refused", reason: "no_server" };
+  }
   const cache = planCache(request, { view, all: available, context });
-  const { server, pace } = view;
+  const { pace } = view;
   const retryInMs = request.work && shedRetryMs({
     tokensAhead: view.work.prefillTokens,
     tokensToRead: cache.tokensToRead,
@@ -373,18 +317,10 @@
     hasBegun: context.hasBegun || request.resumeAfter !== undefined,
     tokensPerMs: pace.queueTokensPerMs,
   });
-  return {
-    placed: { kind: "placed", server, choice, cache, pace },
-    shedRetryMs: retryInMs,
-  };
-}
-
-function refusedBy(refusal: ShareRefusal | undefined): Placement {
-  return {
-    kind: "refused",
-    reason: "overloaded",
-    ...(refusal === undefined ? {} : { retryInMs: refusal.retryInMs }),
-  };
+  if (retryInMs !== undefined) {
+    return { kind: "refused", reason: "overloaded", retryInMs };
+  }
+  return { kind: "placed", server: view.server, choice, cache, pace };
 }
 
 /**
--- a/packages/request-path/src/slot_rules.ts
+++ b/packages/request-path/src/slot_rules.ts
@@ -27,9 +27,7 @@
  * const rules = findSlotRules(configuration);
  * ```
  */
-export function findSlotRules(
-  { routes }: Pick<Configuration, "routes">,
-): SlotRules {
+export function findSlotRules({ routes }: Configuration): SlotRules {
   const byService = new Map<ServiceName, Route[]>();
   for (const route of routes) {
     if (!isStream(route.kind)) continue;
