Read an engine's recent sends in one place, and set the status port's head timeout once

The filter of recent sends stood three times in the admission by slots, and the merge of two parts left the head timeout of the metrics port set twice.

--- a/packages/platform/src/status_server.ts
+++ b/packages/platform/src/status_server.ts
@@ -39,7 +39,6 @@
   }).listen(settings.readiness.port, settings.readiness.host);
   const rate = new ExplainRate();
   const metrics = createServer({
-    headersTimeout: QUERY_TIMEOUT_MS,
     requestTimeout: QUERY_TIMEOUT_MS,
     connectionsCheckingInterval: QUERY_TIMEOUT_MS,
   }, (request, response) => {
--- a/packages/request-path/src/slot_admission.ts
+++ b/packages/request-path/src/slot_admission.ts
@@ -95,8 +95,7 @@
   /** Records that a request is sent to the engine. */
   noteSent(id: BackendServerId, nowMs: number): void {
     const state = this.#stateOf(id);
-    state.sentAtMs = state.sentAtMs.filter((atMs) => atMs > nowMs - GOSSIP_MS);
-    state.sentAtMs.push(nowMs);
+    state.sentAtMs = [...this.#sentSince(id, nowMs - GOSSIP_MS), nowMs];
   }
 
   /** Records that the engine has rejected a request without running it. */
@@ -144,9 +143,8 @@
     if (load === undefined || nowMs - loadAtMs > STATED_LOAD_MS) {
       return work.running;
     }
-    const sent = this.#states.get(listed.id)?.sentAtMs ?? [];
-    const sentSince = sent.filter((atMs) => atMs > loadAtMs).length;
-    return load.running + load.waiting + sentSince;
+    const sent = this.#sentSince(listed.id, loadAtMs);
+    return load.running + load.waiting + sent.length;
   }
 
   /**
@@ -162,7 +160,7 @@
       state.rounding = random();
       state.roundingUntilMs = nowMs + GOSSIP_MS;
     }
-    const recent = state.sentAtMs.filter((atMs) => atMs > nowMs - GOSSIP_MS);
+    const recent = this.#sentSince(server.listed.id, nowMs - GOSSIP_MS);
     const part = OWN_PART_FACTOR * free / Math.max(1, fleetSize());
     return recent.length + state.rounding < part;
   }
@@ -183,6 +181,11 @@
       .map(({ entry }) => entry);
   }
 
+  #sentSince(id: BackendServerId, sinceMs: number): number[] {
+    const sent = this.#states.get(id)?.sentAtMs ?? [];
+    return sent.filter((atMs) => atMs > sinceMs);
+  }
+
   #stateOf(id: BackendServerId): SlotState {
     const known = this.#states.get(id);
     if (known !== undefined) return known;
