--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,58 +1,54 @@
 /**
- * A crowd of clients at each of two machines. Their requests are sound, small
- * and within the manifest's limits; only their `Attempt-Id` is long.
+ * The two servers of a service are restarted in place under their ids, one a
+ * second after the other, as planned work. One of three machines of the system
+ * stands still meanwhile.
  */
 
-import { spawn } from "node:child_process";
-import { readFileSync } from "node:fs";
-import { fileURLToPath } from "node:url";
-import { NETWORK, startDaemon } from "../stand_ins_2/daemon.mjs";
+import { startAppServer } from "../stand_ins_2/app_server.mjs";
+import { BOUNDS, NETWORK, startDaemon } from "../stand_ins_2/daemon.mjs";
 import {
   HAS_TROUBLE,
   manifest,
+  nowMs,
   record,
   run,
   send,
   sleep,
 } from "../stand_ins_2/play.mjs";
-import { startRawServer } from "../stand_ins_2/raw_server.mjs";
 import { startStore } from "../stand_ins_2/store.mjs";
 
-const DAEMONS = 2;
-/** As the engines of Tollhaven's site. */
-const SERVERS = 6;
-const SLOTS = 128;
-const MAX_CONNECTIONS = 630;
-const WORK_MS = 60;
-const CLIENTS = 300;
-const LONG_ID = 15_000;
-const USUAL_ID = 16;
-const RESTART_MS = 500;
-const WATCHED_MS = 100_000;
-/** The rule: so many own ends, on so many machines. */
-const MAX_ENDS = 3;
-const MIN_MACHINES = 2;
-const CROWD = fileURLToPath(
-  new URL("../stand_ins_2/crowd.mjs", import.meta.url),
-);
+const DAEMONS = 3;
+const REQUEST_INTERVAL_MS = 100;
+const WORK_MS = 2_200;
+/** A server that leaves serves for drain_ms and a little longer. */
+const SERVES_ON_MS = BOUNDS.drain_ms + 400;
+const STARTS_AGAIN_AFTER_MS = 300;
+const SECOND_AFTER_MS = 1_000;
+const FROZEN_FROM_MS = 1_100;
+const FROZEN_FOR_MS = 3_500;
+/** What was struck is calm again for much longer than contact_ms by then. */
+const STEADY_AFTER_MS = 10_000;
+const WATCHED_MS = 10_000;
 
 await run(async () => {
   const store = await startStore(`${NETWORK}.250`);
-  const config = manifest({ version: 1, type: "safe", keys: ["key"] });
-  config.services[0].max_conns = MAX_CONNECTIONS;
-  store.put("keyed.op", "config", config);
-  let runs = 0;
-  for (let index = 1; index <= SERVERS; index++) {
-    await startRawServer({
+  const first = manifest({ version: 1, type: "safe", keys: ["key"] });
+  store.put("keyed.op", "config", first);
+  const startServer = (service, index) =>
+    startAppServer({
       ip: `${NETWORK}.${200 + index}`,
       id: `i-${index}`,
-      service: "belfry",
+      service,
       store,
-      slots: SLOTS,
-      workMs: WORK_MS,
-      ran: () => runs += 1,
+      workMs: () => WORK_MS,
+      ran: () => {},
     });
-  }
+  await startServer("belfry", 1);
+  await startServer("belfry", 2);
+  const restarted = [
+    await startServer("archive", 3),
+    await startServer("archive", 4),
+  ];
   const ips = Array.from(
     { length: DAEMONS },
     (_, index) => `${NETWORK}.${index + 1}`,
@@ -67,66 +63,87 @@
   );
   await Promise.all(daemons.map((daemon) => daemon.whenReady()));
   record("all daemons are ready");
-  const ends = new Map(daemons.map((daemon) => [daemon, 0]));
-  let isOver = false;
-  const watch = async (daemon) => {
-    for (;;) {
-      const why = await daemon.exited;
-      if (isOver) return;
-      ends.set(daemon, ends.get(daemon) + 1);
-      record(`${daemon.name} has ended by itself: ${why}`);
-      await sleep(RESTART_MS);
-      if (isOver) return;
-      daemon.start();
-    }
+  const [route] = first.routes;
+  store.put("keyed.op", "config", {
+    ...first,
+    version: 2,
+    routes: [
+      route,
+      { ...route, name: "r2", path_prefix: "/archive/", service: "archive" },
+    ],
+    services: [...first.services, { name: "archive", max_conns: 200 }],
+  });
+  record("version 2 adds a route to a service of its own");
+  await sleep(BOUNDS.config_ms + 1_000);
+
+  const sent = [];
+  const ask = (daemon, path) => {
+    const id = `${path.split("/")[1]}-${sent.length}`;
+    const entry = { id, path, daemon: daemon.name, atMs: nowMs() };
+    sent.push(entry);
+    const options = { id, path, host: "bells.example", key: "key" };
+    void send(daemon, { ...options, timeMs: 8_000 }).then((status) => {
+      entry.status = status;
+    });
   };
-  for (const daemon of daemons) void watch(daemon);
-  const idLength = HAS_TROUBLE ? LONG_ID : USUAL_ID;
-  const crowds = daemons.map((daemon) =>
-    spawn(process.execPath, [
-      CROWD,
-      daemon.ip,
-      daemon.port,
-      CLIENTS,
-      idLength,
-    ], { stdio: "ignore" })
-  );
-  const endCrowds = () => {
-    for (const crowd of crowds) crowd.kill("SIGKILL");
+  const timer = setInterval(() => {
+    for (const daemon of daemons) {
+      ask(daemon, "/toll/1");
+      ask(daemon, "/archive/1");
+    }
+  }, REQUEST_INTERVAL_MS);
+  await sleep(3_000);
+
+  const restart = async (server) => {
+    server.leave();
+    record(`${server.id} reports that it leaves`);
+    await sleep(SERVES_ON_MS);
+    await server.exit();
+    record(`${server.id} has ended`);
+    await sleep(STARTS_AGAIN_AFTER_MS);
+    await server.startAgain();
+    record(`${server.id} has started again under its id`);
   };
-  process.on("exit", endCrowds);
-  record(`${CLIENTS} clients a machine, ids of ${idLength} bytes`);
-  const isBroken = () =>
-    [...ends.values()].filter((count) => count >= MAX_ENDS).length >=
-      MIN_MACHINES;
-  for (let second = 1; second * 1_000 <= WATCHED_MS && !isBroken(); second++) {
-    await sleep(1_000);
-    if (second % 5 !== 0) continue;
-    const status = await send(daemons[1], {
-      id: `ordinary-${second}`,
-      path: "/toll/1",
-      host: "bells.example",
-      key: "key",
-      timeMs: 3_000,
-    });
-    const residentMb = daemons.map(({ child }) => {
-      try {
-        const text = readFileSync(`/proc/${child.pid}/status`, "utf8");
-        return Math.round(/VmRSS:\s+(\d+)/.exec(text)[1] / 1_024);
-      } catch {
-        return "-";
-      }
-    });
-    record(
-      `${runs} requests have run; resident MB: ${residentMb.join(", ")}; an ` +
-        `ordinary request: ${status}`,
-    );
+  const restarts = [
+    restart(restarted[0]),
+    sleep(SECOND_AFTER_MS).then(() => restart(restarted[1])),
+  ];
+  await sleep(FROZEN_FROM_MS);
+  if (HAS_TROUBLE) {
+    daemons[0].signal("SIGSTOP");
+    record(`${daemons[0].name} stands still`);
   }
-  isOver = true;
-  endCrowds();
-  for (const [daemon, count] of ends) {
-    record(`${daemon.name} has ended by itself ${count} times`);
+  await sleep(FROZEN_FOR_MS);
+  if (HAS_TROUBLE) {
+    daemons[0].signal("SIGCONT");
+    record(`${daemons[0].name} goes on`);
+  }
+  await Promise.all(restarts);
+  await sleep(STEADY_AFTER_MS);
+  const steadyFromMs = nowMs();
+  record("steady state: all servers are ready, all machines are in touch");
+  await sleep(WATCHED_MS);
+  clearInterval(timer);
+  const steadyUntilMs = nowMs();
+  await sleep(9_000);
+
+  const shareOf = (path) => {
+    const judged = sent.filter((entry) =>
+      entry.path === path && entry.atMs >= steadyFromMs &&
+      entry.atMs < steadyUntilMs
+    );
+    const counts = {};
+    for (const { status } of judged) {
+      counts[status] = (counts[status] ?? 0) + 1;
+    }
+    record(`${path}: ${JSON.stringify(counts)} of ${judged.length}`);
+    return { count: judged.length, share: (counts[200] ?? 0) / judged.length };
+  };
+  for (const { id, daemon, status, atMs } of sent) {
+    record(`${id} sent to ${daemon}: ${status}`, atMs);
   }
-  if (runs === 0) throw new Error("nothing has run");
-  return isBroken();
+  const firstRoute = shareOf("/toll/1");
+  const laterRoute = shareOf("/archive/1");
+  if (firstRoute.share < 0.5) throw new Error("the first route is not served");
+  return laterRoute.count >= 20 && laterRoute.share < firstRoute.share / 4;
 });
