Show with processes that clients outside the limits take more memory than set

Callers of a small machine whose daemon takes more memory than the machine has lose all their requests, as the platform ends the process.

The crowds are small and the settings name 112 MB and 400 descriptors, which are the bounds.

The existing cases and their bounds are unchanged; the bound of memory is a field of each case now.

--- a/packages/platform-soak/src/client_crowd.ts
+++ b/packages/platform-soak/src/client_crowd.ts
@@ -1,6 +1,6 @@
 /**
  * Clients that keep to no limit: each opens a connection, sends what it is told
- * and stays, without reading.
+ * and stays, mostly without reading.
  *
  * @module
  */
@@ -15,6 +15,8 @@
   /** Address that the clients connect from, if it matters. */
   readonly from?: string;
   readonly clients: number;
+  /** Whether the clients read what comes, and drop it. */
+  readonly reads?: boolean;
   /** What the client with the number sends; shared buffers cost nothing. */
   readonly sends: (number: number) => readonly (Buffer | string)[];
 }
@@ -27,7 +29,9 @@
   readonly #open = new Set<Socket>();
   readonly #connecting = new Set<Socket>();
 
-  constructor({ host, port, from, clients, sends }: CrowdOptions) {
+  constructor(
+    { host, port, from, clients, reads = false, sends }: CrowdOptions,
+  ) {
     this.#sockets = Array.from({ length: clients }, (_, number) => {
       const socket = connect({
         host,
@@ -38,6 +42,7 @@
       this.#connecting.add(socket);
       socket.once("connect", () => this.#connecting.delete(socket));
       socket.on("error", () => {});
+      if (reads) socket.resume();
       socket.once("close", () => {
         this.#open.delete(socket);
         this.#connecting.delete(socket);
@@ -67,6 +72,11 @@
   close(): void {
     for (const socket of this.#sockets) socket.destroy();
   }
+
+  /** Closes all connections with a reset, as clients do that give up. */
+  reset(): void {
+    for (const socket of this.#open) socket.resetAndDestroy();
+  }
 }
 
 /** Encodes a body as chunks, without the last chunk that would end it. */
--- a/packages/platform-soak/src/client_crowds_process_test.ts
+++ b/packages/platform-soak/src/client_crowds_process_test.ts
@@ -10,6 +10,8 @@
 import test, { type ExecutionContext } from "ava";
 import { chunked, ClientCrowd, type CrowdOptions } from "./client_crowd.ts";
 import {
+  exchange,
+  LARGEST_BODY_BYTES,
   LONE_HOST,
   LONE_PATHS,
   LONE_PORTS,
@@ -23,10 +25,14 @@
 const MAX_FDS = 4_100;
 /** Lowered, so that a crowd of this size is over the limit. */
 const FEW_FDS = 400;
+/** Lowered, so that a small crowd is over the limit. */
+const LITTLE_MEMORY_MB = 112;
 const MANY_CLIENTS = 600;
 const SENT_LIMIT_MS = 20_000;
 const IDLE_LIMIT_MS = 20_000;
 const SERVED_LIMIT_MS = 30_000;
+/** The grace period after SIGTERM, and as much again. */
+const STOP_LIMIT_MS = 16_000;
 const TEST_TIMEOUT_MS = 120_000;
 /** Over the limit of 16,384 bytes, within that of the parser. */
 const HEAD_BYTES = 60_000;
@@ -36,7 +42,7 @@
   execFileSync("node", ["scripts/build_platform.mjs"]);
 });
 
-type Clients = Pick<CrowdOptions, "clients" | "sends">;
+type Clients = Pick<CrowdOptions, "clients" | "reads" | "sends">;
 
 interface Case extends Clients {
   readonly what: string;
@@ -44,6 +50,9 @@
   /** Whether the clients connect from the address of another daemon. */
   readonly isFromPeer?: boolean;
   readonly maxFds?: number;
+  readonly memoryMb?: number;
+  /** How often the crowd resets its connections and comes again. */
+  readonly resets?: number;
 }
 
 const FIELDS = `Host: ${LONE_HOST}\r\nAuthorization: Token good\r\n` +
@@ -78,6 +87,13 @@
 const KIB_16 = chunked({ bodyBytes: 200_000, chunkBytes: 16_384 });
 const SMALL = chunked({ bodyBytes: 200_000, chunkBytes: 16 });
 const NOTHING = Buffer.alloc(0);
+const MB_40 = Buffer.alloc(40_000_000, "x");
+/** Announced; 40 MB of it are sent. */
+const FAR_OVER_LIMIT_BYTES = 900_000_000;
+const MB_40_CHUNKED = chunked({ bodyBytes: 40_000_000, chunkBytes: 65_536 });
+const LONG_ID = "z".repeat(15_000);
+/** A request's prompt, whose parts nobody else has, just within the limit. */
+const LONG_PROMPT_PARTS = 1_500;
 const LONG_HEAD = Buffer.from(
   `X-Y: ${"z".repeat(994)}\r\n`.repeat(HEAD_BYTES / 1_000),
 );
@@ -95,6 +111,45 @@
   );
 }
 
+/** A head that announces a body far over the limit. */
+function announceFarOver(id: string): string {
+  return head(
+    LONE_PATHS.prompt,
+    `Attempt-Id: ${id}\r\nContent-Length: ${FAR_OVER_LIMIT_BYTES}\r\n`,
+  );
+}
+
+/** Requests without a body, sent one behind the other. */
+function pipeline(
+  count: number,
+  headOf: (id: string) => string,
+): CrowdOptions["sends"] {
+  return (number) =>
+    Array.from({ length: count }, (_, index) => headOf(`${number}-${index}`));
+}
+
+function headWithLongId(path: string): (id: string) => string {
+  return (id) =>
+    head(path, `Attempt-Id: ${id}${LONG_ID}\r\nContent-Length: 0\r\n`);
+}
+
+function headWithLongPrompt(id: string): string {
+  const parts = Array.from(
+    { length: LONG_PROMPT_PARTS },
+    (_, index) => `${id}${index.toString(16)}:1`,
+  );
+  return head(
+    LONE_PATHS.later,
+    `Attempt-Id: ${id}\r\nContent-Length: 0\r\nModel: chimes\r\n` +
+      `Token-Usage: 1500,1\r\nPrompt-Prefix: ${parts.join(",")}\r\n`,
+  );
+}
+
+/** Sends the next of the kinds from each client. */
+function mix(kinds: readonly CrowdOptions["sends"][]): CrowdOptions["sends"] {
+  return (number) => kinds[number % kinds.length]!(number);
+}
+
 const CASES: readonly Case[] = [
   {
     what: "20 bodies of 60,000 bytes in chunks of 1 byte that stop",
@@ -273,11 +328,157 @@
       "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED_REQUESTS),
     ],
   },
+  {
+    what: "60 bodies announced as 900 MB and sent on",
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40, announceFarOver),
+  },
+  {
+    what: "60 bodies in chunks of 64 KiB that go on beyond the limit",
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED),
+  },
+  {
+    what: "60 bodies on a path without a route that go on",
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(
+      MB_40_CHUNKED,
+      (id) => head("/nowhere/", `Attempt-Id: ${id}\r\n${CHUNKED_FIELD}`),
+    ),
+  },
+  {
+    what: "60 bodies with an unknown key that go on",
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(
+      MB_40_CHUNKED,
+      (id) =>
+        `POST ${LONE_PATHS.prompt}1 HTTP/1.1\r\nHost: ${LONE_HOST}\r\n` +
+        `Attempt-Id: ${id}\r\nAuthorization: Token bad\r\n` +
+        `${CHUNKED_FIELD}\r\n`,
+    ),
+  },
+  {
+    what: "40 bodies of 4,000,000 bytes that are reset, 10 times",
+    clients: 40,
+    memoryMb: LITTLE_MEMORY_MB,
+    resets: 10,
+    sends: sendAll(KIB_64),
+  },
+  {
+    what: "100 clients that don't read answers of 8 MiB, with little memory",
+    clients: 100,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: ask(LONE_PATHS.long),
+  },
+  {
+    what: "30 clients that don't read answers of 8 MiB and reset, 10 times",
+    clients: 30,
+    memoryMb: LITTLE_MEMORY_MB,
+    resets: 10,
+    sends: ask(LONE_PATHS.long),
+  },
+  {
+    what: "100 clients with 30 request ids of 15,000 bytes each",
+    clients: 100,
+    reads: true,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: pipeline(30, headWithLongId(LONE_PATHS.later)),
+  },
+  {
+    what: "100 clients with 30 heads of 15,000 bytes that wait for an answer",
+    clients: 100,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: pipeline(30, headWithLongId(LONE_PATHS.unread)),
+  },
+  {
+    what: "400 heads of 60,000 bytes that wait for an answer",
+    clients: 400,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(
+      NOTHING,
+      (id) =>
+        head(
+          LONE_PATHS.unread,
+          `Attempt-Id: ${id}\r\nContent-Length: 0\r\n${LONG_HEAD}`,
+        ),
+    ),
+  },
+  {
+    what: "40 clients with 30 prompts of 1,500 parts each",
+    clients: 40,
+    reads: true,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: pipeline(30, headWithLongPrompt),
+  },
+  {
+    what: "60 bodies at the readiness port that go on",
+    port: LONE_PORTS.readiness,
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED),
+  },
+  {
+    what: "60 bodies at the port of metrics that go on",
+    port: LONE_PORTS.metrics,
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED),
+  },
+  {
+    what: "60 bodies at the port of records that go on",
+    port: LONE_PORTS.records,
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED),
+  },
+  {
+    what: "600 connections to the port of records that send nothing",
+    port: LONE_PORTS.records,
+    clients: MANY_CLIENTS,
+    sends: () => [],
+    maxFds: FEW_FDS,
+  },
+  {
+    what: "60 bodies from no daemon's address that go on",
+    port: LONE_PORTS.forwarding,
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED, forwardHead),
+  },
+  {
+    what: "60 forwarded bodies that go on beyond the limit",
+    port: LONE_PORTS.forwarding,
+    isFromPeer: true,
+    clients: 60,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: sendAll(MB_40_CHUNKED, forwardHead),
+  },
+  {
+    what: "120 clients of six kinds at once",
+    clients: 120,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: mix([
+      sendAll(MB_40, announceFarOver),
+      sendAll(MB_40_CHUNKED),
+      sendAll(KIB_64),
+      sendAll(ONE_BYTE),
+      ask(LONE_PATHS.long),
+      pipeline(30, headWithLongId(LONE_PATHS.unread)),
+    ]),
+  },
 ];
 
 async function checkBounds(
   t: ExecutionContext,
-  { fleet, maxFds }: { readonly fleet: LoneFleet; readonly maxFds: number },
+  { fleet, maxFds, memoryMb }: {
+    readonly fleet: LoneFleet;
+    readonly maxFds: number;
+    readonly memoryMb: number;
+  },
 ): Promise<void> {
   const { daemon } = fleet;
   const isServing = await fleet.isServing(SERVED_LIMIT_MS);
@@ -287,32 +488,98 @@
   t.log({ isAlive, isServing, peakMb, descriptors });
   t.true(isAlive, "the process ended");
   t.true(isServing, "no ordinary request was answered");
-  t.true(peakMb <= MEMORY_MB, `${peakMb} MB of ${MEMORY_MB}`);
+  t.true(peakMb <= memoryMb, `${peakMb} MB of ${memoryMb}`);
   t.true(descriptors <= maxFds, `${descriptors} descriptors of ${maxFds}`);
 }
 
-for (const { what, clients, sends, port, isFromPeer, maxFds } of CASES) {
+/** Waits until the crowd has sent all, or the daemon reads no more. */
+async function load(crowd: ClientCrowd, fleet: LoneFleet): Promise<void> {
+  await Promise.race([
+    crowd.whenSent(SENT_LIMIT_MS),
+    fleet.whenIdle(SENT_LIMIT_MS),
+  ]);
+}
+
+for (const { what, port, isFromPeer, maxFds, ...rest } of CASES) {
+  const { memoryMb = MEMORY_MB, resets = 0, ...clients } = rest;
   test.serial(`a daemon lives and serves through ${what}`, async (t) => {
     t.timeout(TEST_TIMEOUT_MS);
     const fds = maxFds ?? MAX_FDS;
-    const limits = { memoryMb: MEMORY_MB, maxFds: fds };
+    const limits = { memoryMb, maxFds: fds };
     const fleet = await startLoneFleet(limits, { daemons: isFromPeer ? 2 : 1 });
-    const crowd = new ClientCrowd({
-      host: fleet.daemon.ip,
-      port: port ?? LONE_PORTS.callers,
-      ...(isFromPeer && { from: fleet.peerIp }),
-      clients,
-      sends,
-    });
+    const open = () =>
+      new ClientCrowd({
+        host: fleet.daemon.ip,
+        port: port ?? LONE_PORTS.callers,
+        ...(isFromPeer && { from: fleet.peerIp }),
+        ...clients,
+      });
+    let crowd = open();
     t.teardown(async () => {
       crowd.close();
       await fleet.close();
     });
-    await Promise.race([
-      crowd.whenSent(SENT_LIMIT_MS),
-      fleet.whenIdle(SENT_LIMIT_MS),
-    ]);
+    for (let reset = 0; reset < resets; reset++) {
+      await load(crowd, fleet);
+      crowd.reset();
+      crowd = open();
+    }
+    await load(crowd, fleet);
     await fleet.whenIdle(IDLE_LIMIT_MS);
-    await checkBounds(t, { fleet, maxFds: fds });
+    await checkBounds(t, { fleet, maxFds: fds, memoryMb });
+  });
+}
+
+test.serial("a daemon stops amid clients that don't end", async (t) => {
+  t.timeout(TEST_TIMEOUT_MS);
+  const fleet = await startLoneFleet({
+    memoryMb: LITTLE_MEMORY_MB,
+    maxFds: MAX_FDS,
+  });
+  const crowd = new ClientCrowd({
+    host: fleet.daemon.ip,
+    port: LONE_PORTS.callers,
+    clients: 60,
+    sends: mix([
+      sendAll(MB_40, announceFarOver),
+      sendAll(KIB_64),
+      sendAll(ONE_BYTE),
+      ask(LONE_PATHS.long),
+      ask(LONE_PATHS.unread),
+    ]),
+  });
+  t.teardown(async () => {
+    crowd.close();
+    await fleet.close();
+  });
+  await load(crowd, fleet);
+  const { peakBytes } = fleet.daemon;
+  const peakMb = Math.round(peakBytes / BYTES_PER_MB);
+  t.true(await fleet.daemon.stop(STOP_LIMIT_MS), "the process has not ended");
+  t.true(peakMb <= LITTLE_MEMORY_MB, `${peakMb} MB of ${LITTLE_MEMORY_MB}`);
+});
+
+for (const chunkBytes of [1, 65_536]) {
+  const what = `of the largest size in chunks of ${chunkBytes} bytes`;
+  test.serial(`a single body ${what} is served`, async (t) => {
+    t.timeout(TEST_TIMEOUT_MS);
+    const fleet = await startLoneFleet({
+      memoryMb: LITTLE_MEMORY_MB,
+      maxFds: MAX_FDS,
+    });
+    t.teardown(() => fleet.close());
+    const text = await exchange({
+      host: fleet.daemon.ip,
+      port: LONE_PORTS.callers,
+      sends: [
+        head(
+          LONE_PATHS.prompt,
+          `Attempt-Id: largest\r\nConnection: close\r\n${CHUNKED_FIELD}`,
+        ),
+        chunked({ bodyBytes: LARGEST_BODY_BYTES, chunkBytes }),
+        "0\r\n\r\n",
+      ],
+    });
+    t.regex(text, /^HTTP\/1\.1 200 [^]*ok$/);
   });
 }
--- a/packages/platform-soak/src/lone_daemon.ts
+++ b/packages/platform-soak/src/lone_daemon.ts
@@ -33,6 +33,7 @@
   callers: 8_606,
   readiness: 8_605,
   metrics: 9_464,
+  records: 7_601,
   forwarding: 7_602,
 } as const;
 const FIRST_PEER_PORT = 7_600;
@@ -46,6 +47,8 @@
 const BYTES_PER_KIB = 1_024;
 /** Length of answers that clients leave unread. */
 export const LONG_ANSWER_BYTES = 8_388_608;
+/** The longest body that the configuration allows. */
+export const LARGEST_BODY_BYTES = 4_194_304;
 const EVENT = `data: ${"x".repeat(4_000)}\n\n`;
 /** Longer than the crowds stay, so that nothing ends by itself meanwhile. */
 const ROUTE_TIMEOUT_MS = 60_000;
@@ -62,9 +65,12 @@
   events: "/events/",
   /** Answers with 4 MB in chunks of 1 byte. */
   tiny: "/tiny/",
+  /** Answers after some time, so that requests wait. */
+  later: "/later/",
   /** Accepts connections and reads nothing. */
   unread: "/unread/",
 } as const;
+const LATER_MS = 100;
 
 const CONFIGURATION = {
   version: 1,
@@ -72,6 +78,7 @@
     { path: LONE_PATHS.prompt, type: "unsafe", service: "prompt" },
     { path: LONE_PATHS.long, type: "safe", service: "prompt" },
     { path: LONE_PATHS.tiny, type: "safe", service: "prompt" },
+    { path: LONE_PATHS.later, type: "safe", service: "prompt" },
     { path: LONE_PATHS.events, type: "stream", service: "prompt" },
     { path: LONE_PATHS.unread, type: "unsafe", service: "unread" },
   ].map(({ path, type, service }) => ({
@@ -84,7 +91,12 @@
     service,
   })),
   services: ["prompt", "unread"].map((name) => ({ name, max_conns: 1_000 })),
-  limits: { idle_timeout_ms: 15_000, header_timeout_ms: 3_000 },
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: LARGEST_BODY_BYTES,
+    idle_timeout_ms: 15_000,
+    header_timeout_ms: 3_000,
+  },
   tenants: [{
     name: "st-mary",
     api_keys: ["good"],
@@ -140,6 +152,16 @@
     return Number(fields[11] ?? 0) + Number(fields[12] ?? 0);
   }
 
+  /** SIGTERM; false if the process does not end by itself in time. */
+  async stop(limitMs: number): Promise<boolean> {
+    if (!this.isAlive) return true;
+    const exited = once(this.#child, "exit");
+    this.#child.kill("SIGTERM");
+    const deadline = sleep(limitMs, undefined, { ref: false });
+    await Promise.race([exited, deadline]);
+    return !this.isAlive;
+  }
+
   async kill(): Promise<void> {
     if (!this.isAlive) return;
     const exited = once(this.#child, "exit");
@@ -241,14 +263,19 @@
     const framing = kind === "tiny"
       ? "Transfer-Encoding: chunked"
       : `Content-Length: ${body.length}`;
-    socket.write(`${fields}${framing}\r\n\r\n`);
-    socket.write(body);
+    const answer = () => {
+      socket.write(`${fields}${framing}\r\n\r\n`);
+      socket.write(body);
+    };
+    if (kind === "later") setTimeout(answer, LATER_MS);
+    else answer();
   });
 }
 
 /** Shared by all answers, so that the test itself stays small. */
 const BODIES: Readonly<Record<string, Buffer>> = {
   prompt: Buffer.from("ok"),
+  later: Buffer.from("ok"),
   long: Buffer.alloc(LONG_ANSWER_BYTES, "x"),
   tiny: Buffer.concat([
     chunked({ bodyBytes: 4_000_000, chunkBytes: 1 }),
@@ -334,7 +361,9 @@
     const text = await exchange({
       host: ip,
       port: LONE_PORTS.readiness,
-      text: "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+      sends: [
+        "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+      ],
     });
     if (text.startsWith("HTTP/1.1 200")) return;
     await sleep(POLL_MS);
@@ -364,10 +393,12 @@
     const text = await exchange({
       host: daemon.ip,
       port: LONE_PORTS.callers,
-      text: `POST ${LONE_PATHS.prompt}1 HTTP/1.1\r\nHost: ${LONE_HOST}\r\n` +
+      sends: [
+        `POST ${LONE_PATHS.prompt}1 HTTP/1.1\r\nHost: ${LONE_HOST}\r\n` +
         `Attempt-Id: ordinary-${number}\r\nAuthorization: Token good\r\n` +
         "Deadline-Ms: 5000\r\nConnection: close\r\n" +
         "Content-Length: 2\r\n\r\n{}",
+      ],
     });
     if (text.startsWith("HTTP/1.1 200") && text.endsWith("ok")) return true;
     await sleep(POLL_MS);
@@ -377,12 +408,12 @@
 
 const EXCHANGE_TIMEOUT_MS = 6_000;
 
-/** Sends the text and resolves what came until the connection was closed. */
-function exchange(
-  { host, port, text }: {
+/** Sends the bytes and resolves what came until the connection was closed. */
+export function exchange(
+  { host, port, sends }: {
     readonly host: string;
     readonly port: number;
-    readonly text: string;
+    readonly sends: readonly (Buffer | string)[];
   },
 ): Promise<string> {
   return new Promise((resolve) => {
@@ -392,6 +423,6 @@
     socket.on("data", (chunk) => received += chunk);
     socket.on("error", () => {});
     socket.on("close", () => resolve(received));
-    socket.write(text);
+    for (const bytes of sends) socket.write(bytes);
   });
 }
