Keep long request ids as digests with the connections that carried them

Cause: each connection to a server keeps the ids of its last 32 requests to recognize late copies of their answers, whatever their length: 200 connections with 32 ids are 96 MB, all of the old space.

The process test with long ids stays red: its heads that wait take 146 MB, which is another cause.

--- a/packages/platform/src/answer_body.ts
+++ b/packages/platform/src/answer_body.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { RequestId } from "@endivebend/types";
+import { brandId, type RequestId } from "@endivebend/types";
+import { type BoundedRequestId, boundRequestId } from "./bounded_names.ts";
 import { HEADERS } from "./wire_names.ts";
 
 /** Whose head has been found in the body. */
@@ -18,7 +19,7 @@
 export interface AnswerIdentity {
   readonly requestId: RequestId;
   /** Requests that the connection has carried before. */
-  readonly earlier: readonly RequestId[];
+  readonly earlier: readonly BoundedRequestId[];
   /** Whether the answer has a length of its own, or chunks. */
   readonly isFramed: boolean;
 }
@@ -131,7 +132,9 @@
     const id = fields.get(HEADERS.requestId);
     const { requestId, earlier } = this.#identity;
     if (id === requestId) return "own";
-    if (earlier.some((other) => other === id)) return "earlier";
+    if (id !== undefined && earlier.includes(boundRequestId(brandId(id)))) {
+      return "earlier";
+    }
     // Refusals may lack an id.
     const isRefusal = id === undefined && fields.has(HEADERS.notRun);
     return isRefusal ? "earlier" : undefined;
--- a/packages/platform/src/answer_body_test.ts
+++ b/packages/platform/src/answer_body_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { brandId, type RequestId } from "@endivebend/types";
 import { AnswerBody } from "./answer_body.ts";
+import { boundRequestId } from "./bounded_names.ts";
 
 const seed = Number(process.env["ANSWER_BODY_SEED"] ?? 1);
 const numRuns = Number(process.env["ANSWER_BODY_RUNS"] ?? 2_000);
@@ -11,6 +12,9 @@
     "Response-Seal: s\r\n\r\n";
 }
 
+/** Kept as a digest. */
+const LONG_ID = "z".repeat(15_000);
+
 interface Passed {
   readonly body: AnswerBody;
   readonly text: string;
@@ -21,7 +25,9 @@
 function pass(parts: readonly string[], isFramed = false): Passed {
   const body = new AnswerBody({
     requestId: brandId<RequestId>("own"),
-    earlier: ["before", "last"].map((id) => brandId<RequestId>(id)),
+    earlier: ["before", "last", LONG_ID].map((id) =>
+      boundRequestId(brandId<RequestId>(id))
+    ),
     isFramed,
   });
   let text = "";
@@ -143,3 +149,15 @@
   t.is(text, [...parts, "end\n"].join(""));
   t.true(isKnown);
 });
+
+// Guards against long ids that are kept as digests and then not found.
+test("the head of an answer to an earlier request with a long id ends the body", (t) => {
+  const { body, text } = pass(["the body", headOf(LONG_ID), "another body"]);
+  t.is(body.found, "earlier");
+  t.is(text, "the body");
+});
+
+test("a long id that is not that of an earlier request ends no body", (t) => {
+  const other = headOf(`${LONG_ID}-`);
+  t.is(pass(["the body", other]).text, `the body${other}`);
+});
--- a/packages/platform/src/cache_event_client.ts
+++ b/packages/platform/src/cache_event_client.ts
@@ -17,7 +17,7 @@
 } from "@endivebend/request-path";
 import { brandId } from "@endivebend/types";
 import { callEngine } from "./engine_call.ts";
-import { boundedName } from "./prompt_header.ts";
+import { boundedName } from "./bounded_names.ts";
 import { HEADERS, PATHS } from "./wire_names.ts";
 
 /**
--- a/packages/platform/src/explain_query.ts
+++ b/packages/platform/src/explain_query.ts
@@ -7,7 +7,8 @@
 
 import type { PromptSegment, RouteQuery } from "@endivebend/request-path";
 import { brandId, type ModelName, type TeamId } from "@endivebend/types";
-import { boundedName, parsePrompt } from "./prompt_header.ts";
+import { boundedName } from "./bounded_names.ts";
+import { parsePrompt } from "./prompt_header.ts";
 
 /** A prompt of some hundred segments is shorter. */
 export const MAX_QUERY_BYTES = 16_384;
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -12,7 +12,8 @@
 } from "@endivebend/byte-buffers";
 import type { ModelWork } from "@endivebend/request-path";
 import { brandId, type ModelName } from "@endivebend/types";
-import { boundedName, parsePrompt } from "./prompt_header.ts";
+import { boundedName } from "./bounded_names.ts";
+import { parsePrompt } from "./prompt_header.ts";
 import { HEADERS } from "./wire_names.ts";
 
 /** Engines hold some 100,000 tokens; counts of more digits are none. */
--- a/packages/platform/src/prompt_header.ts
+++ b/packages/platform/src/prompt_header.ts
@@ -4,16 +4,9 @@
  * @module
  */
 
-import { createHash } from "node:crypto";
 import type { PromptSegment, PromptSegmentId } from "@endivebend/request-path";
 import { brandId } from "@endivebend/types";
-
-/**
- * Callers choose the names of segments and models. Daemons tell them to each
- * other, in messages that are refused whole for a name of over 256 bytes with
- * its scope, and store them under keys of at most 255 bytes.
- */
-const MAX_NAME_LENGTH = 96;
+import { boundedName } from "./bounded_names.ts";
 
 /** Engines hold some 100,000 tokens; counts of more digits are none. */
 const TOKEN_COUNT = /^\s*\d{1,9}(?:\.\d*)?\s*$/;
@@ -37,9 +30,3 @@
     };
   });
 }
-
-/** The name itself, or its digest when it is long. */
-export function boundedName(name: string): string {
-  if (name.length <= MAX_NAME_LENGTH) return name;
-  return createHash("sha256").update(name).digest("hex");
-}
--- a/packages/platform/src/server_client.ts
+++ b/packages/platform/src/server_client.ts
@@ -44,6 +44,7 @@
   type RequestId,
 } from "@endivebend/types";
 import { AnswerBody } from "./answer_body.ts";
+import { type BoundedRequestId, boundRequestId } from "./bounded_names.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { noteKeepAlive, noteReads, ServerAgent } from "./server_agent.ts";
 import { filterHeaders, HEADERS, PATHS, SYSTEM_HEADERS } from "./wire_names.ts";
@@ -96,13 +97,16 @@
 const ENDS_CHUNKED = /(?:^|,)[ \t]*chunked[ \t]*$/i;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
-/** The last requests that a socket has carried, the newest last. */
-const requestsBySocket = new WeakMap<Socket, RequestId[]>();
+/**
+ * The last requests that a socket has carried, the newest last. Clients choose
+ * the ids, which are kept for as long as the connection.
+ */
+const requestsBySocket = new WeakMap<Socket, BoundedRequestId[]>();
 
 function noteRequest(socket: Socket, request: RequestId): void {
   const requests = requestsBySocket.get(socket) ?? [];
   requestsBySocket.set(socket, requests);
-  requests.push(request);
+  requests.push(boundRequestId(request));
   if (requests.length > MAX_NOTED_REQUESTS) requests.shift();
 }
 
@@ -111,8 +115,9 @@
  * late copy of what its server answered then has the request's id.
  */
 function closeFormerConnections(agent: ServerAgent, request: RequestId): void {
+  const id = boundRequestId(request);
   const isFormer = agent.idleSockets().some((socket) =>
-    requestsBySocket.get(socket)?.includes(request)
+    requestsBySocket.get(socket)?.includes(id)
   );
   if (isFormer) agent.closeIdle();
 }
