Refuse bodies that can't be served at their heads and close the connection

Clients that sent a body far over the limit got 413 on a connection that stayed open, and the daemon read the rest of 900 MB; one that announced such a length and sent nothing was answered after the idle timeout of 15 s only, as were requests without a route or with an unknown key whose bodies did not end.

Cause: the length was compared with what had come, admission was asked after the body only, and a refusal neither said that the connection ends nor ended it. The 403 for no daemon's address destroyed the connection with unread bytes, which resets it, and the client lost the answer.

An announced length over the limit is refused before any byte of it, and a request that no route or key allows before the rest of its body.

--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -35,6 +35,7 @@
 } from "./connection_limit.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
 import { parseWork, readBody, singleHeader } from "./incoming_request.ts";
+import { closeAfter, discardBody, isLingering } from "./lingering_close.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { ClientMessage, ServerMessage } from "./server_client.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
@@ -101,6 +102,7 @@
   response.sendDate = false;
   request.on("error", () => {});
   response.on("error", () => {});
+  if (isLingering(request.socket)) return discardBody(request);
   const receivedAtMs = steadyMs(context.clock);
   const id = singleHeader(request, FORWARD_HEADERS.server);
   const address = singleHeader(request, FORWARD_HEADERS.address);
@@ -111,8 +113,8 @@
     Number.isFinite(timeLeftMs) && Number.isFinite(Number(beginInHeader ?? 0));
   if (!isPeer || !isComplete) {
     context.failed(isPeer ? "incomplete request" : "not a daemon's address");
-    request.resume();
-    response.writeHead(403, { "Content-Length": 0, Connection: "close" }).end();
+    closeAfter(request, response);
+    response.writeHead(403, { "Content-Length": 0 }).end();
     return;
   }
   const body = await readBody(request, {
@@ -136,6 +138,7 @@
   };
   const sink = new PeerSink(response, () => unread.note(slow, nowMs()));
   if (typeof body === "string") {
+    closeAfter(request, response);
     return sink.failed({ kind: "unsent", reason: body, at: "forwarder" });
   }
   const message: ClientMessage = {
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -13,6 +13,7 @@
 import type { ModelWork } from "@endivebend/request-path";
 import { brandId, type ModelName } from "@endivebend/types";
 import { boundedName } from "./bounded_names.ts";
+import { discardBody } from "./lingering_close.ts";
 import { parsePrompt } from "./prompt_header.ts";
 import { HEADERS } from "./wire_names.ts";
 
@@ -35,11 +36,18 @@
 /** Why a request has no body. */
 export type MissingBody = "gone" | "too_large" | "no_memory" | "stalled";
 
-/** Reads the body, or tells why there is none. Never rejects. */
+/**
+ * Reads the body, or tells why there is none; of a body that is announced as too
+ * long nothing is awaited. Never rejects.
+ */
 export function readBody(
   request: IncomingMessage,
   { maxBytes, memory, isOver, idleTimeoutMs }: BodyLimits,
 ): Promise<Buffer | MissingBody> {
+  if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+    discardBody(request);
+    return Promise.resolve("too_large");
+  }
   return new Promise((resolve) => {
     const body = new ByteCollector({
       maxBytes,
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -35,11 +35,13 @@
 } from "./connection_limit.ts";
 import { ConnectionTurns } from "./connection_turns.ts";
 import {
+  type MissingBody,
   parseTokens,
   parseWork,
   readBody,
   singleHeader,
 } from "./incoming_request.ts";
+import { closeAfter, discardBody, isLingering } from "./lingering_close.ts";
 import {
   answerHeaders,
   type ClientMessage,
@@ -92,6 +94,15 @@
   no_service: 503,
 };
 
+/** Replies to requests whose bodies are not read to their ends. */
+const REPLY_BY_MISSING_BODY: Readonly<
+  Record<Exclude<MissingBody, "gone">, LocalReply>
+> = {
+  too_large: { status: 413 },
+  stalled: { status: 408 },
+  no_memory: { status: 503, retryAfterMs: NO_MEMORY_RETRY_MS },
+};
+
 /** Statuses for requests that the parser of Node.js rejects. */
 const STATUS_BY_PARSER_ERROR: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -165,6 +176,7 @@
     });
     request.on("error", () => {});
     response.on("error", () => {});
+    if (isLingering(request.socket)) return discardBody(request);
     let drop = () => {};
     const isOver = new Promise<void>((resolve) => drop = resolve);
     response.once("close", drop);
@@ -179,16 +191,13 @@
     if (!await this.#turns.take(request.socket, response)) return drop();
     if (this.#options.isLeaving()) response.setHeader("Connection", "close");
     const arrivedAtMs = this.#nowMs();
+    if (!request.complete && await this.#isDeniedAtHead(request, response)) {
+      return;
+    }
     const body = await reading;
     if (body === "gone") return;
-    if (body === "too_large") return sendLocalReply(response, { status: 413 });
-    if (body === "stalled") {
-      // The rest of the body may still come; it is no request.
-      response.setHeader("Connection", "close");
-      return sendLocalReply(response, { status: 408 });
-    }
-    if (body === "no_memory") {
-      return this.#refuseUnread(request, response);
+    if (typeof body === "string") {
+      return this.#refuseUnread(request, { response, reason: body });
     }
     if (hasInvalidHeaderName(request)) {
       // What follows on the connection may be no request.
@@ -203,16 +212,33 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
-  /**
-   * Refuses a request whose body there is no memory for; it has not run. The rest
-   * of the body is dropped: closing the connection would reset it.
-   */
-  #refuseUnread(request: IncomingMessage, response: ServerResponse): void {
+  /** Denies a request whose body is not needed to know that it may not run. */
+  async #isDeniedAtHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<boolean> {
+    await this.#options.whenCurrent();
+    const admission = this.#admit(request);
+    if (admission.kind !== "denied") return false;
+    closeAfter(request, response);
+    this.#deny(request, { response, reason: admission.reason });
+    return true;
+  }
+
+  /** Refuses a request whose body is not read to its end; it has not run. */
+  #refuseUnread(
+    request: IncomingMessage,
+    { response, reason }: {
+      readonly response: ServerResponse;
+      readonly reason: Exclude<MissingBody, "gone">;
+    },
+  ): void {
     this.#options.log.decision("refuse", {
       requestId: singleHeader(request, HEADERS.requestId),
-      reason: "no_memory",
+      reason,
     });
-    sendLocalReply(response, { status: 503, retryAfterMs: NO_MEMORY_RETRY_MS });
+    closeAfter(request, response);
+    sendLocalReply(response, REPLY_BY_MISSING_BODY[reason]);
   }
 
   /** Ends one request whose handling raised an error, before it was sent on. */
@@ -448,15 +474,14 @@
   }
 }
 
-/** Sends a response that the router makes itself, such as a refusal. */
-function sendLocalReply(
-  response: ServerResponse,
-  answer: {
-    readonly status: number;
-    readonly retryAfterMs?: number | undefined;
-    readonly reason?: string;
-  },
-): void {
+/** A response that the router makes itself, such as a refusal. */
+interface LocalReply {
+  readonly status: number;
+  readonly retryAfterMs?: number | undefined;
+  readonly reason?: string;
+}
+
+function sendLocalReply(response: ServerResponse, answer: LocalReply): void {
   if (response.destroyed || response.headersSent) return;
   const body = JSON.stringify({ error: answer.reason ?? answer.status });
   const headers: string[] = [
--- /dev/null
+++ b/packages/platform/src/refused_bodies_test.ts
@@ -0,0 +1,152 @@
+import { connect, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { createDaemon } from "./daemon.ts";
+import {
+  CONFIGURATION,
+  putServer,
+  settingsFor,
+  startRawServer,
+  waitReady,
+} from "./testing.ts";
+import { startStore } from "./testing_store.ts";
+
+const MAX_BODY_BYTES = 100_000;
+const CHUNK = `10000\r\n${"x".repeat(65_536)}\r\n`;
+/** More than a lingering connection takes, with what sockets hold. */
+const FAR_OVER_LIMIT_BYTES = 200_000_000;
+const RETRY_MS = 20;
+
+async function startDaemon(t: ExecutionContext) {
+  const store = await startStore();
+  const ran: string[] = [];
+  const server = await startRawServer((socket: Socket, text) => {
+    const id = /attempt-id: (\S+)/i.exec(text)?.[1] ?? "";
+    ran.push(id);
+    socket.write(
+      `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n` +
+        "Content-Length: 2\r\n\r\nok",
+    );
+  });
+  const settings = await settingsFor(store);
+  const daemon = createDaemon(settings);
+  daemon.start();
+  store.put("keyed.op", "config", {
+    ...CONFIGURATION,
+    limits: {
+      max_body_bytes: MAX_BODY_BYTES,
+      idle_timeout_ms: 15_000,
+      header_timeout_ms: 3_000,
+    },
+  });
+  putServer(store, server.address);
+  await waitReady(settings);
+  t.teardown(async () => {
+    await new Promise<void>((resolve) => daemon.stop(resolve));
+    store.close();
+    server.close();
+  });
+  return { ran, open: () => openClient(settings.callers) };
+}
+
+function openClient({ host, port }: { host: string; port: number }) {
+  const socket = connect(port, host);
+  let text = "";
+  socket.on("data", (chunk) => text += chunk);
+  socket.on("error", () => {});
+  const closed = new Promise<string>((resolve) =>
+    socket.once("close", () => resolve(text))
+  );
+  return { socket, closed, received: () => text };
+}
+
+function head(
+  id: string,
+  { path = "/book/", key = "good", fields }: {
+    readonly path?: string;
+    readonly key?: string;
+    readonly fields: string;
+  },
+): string {
+  return `POST ${path}1 HTTP/1.1\r\nHost: bells.example\r\n` +
+    `Attempt-Id: ${id}\r\nAuthorization: Token ${key}\r\n${fields}\r\n\r\n`;
+}
+
+const CHUNKED = { fields: "Transfer-Encoding: chunked" };
+
+// Guards against clients that announce more than is read and never send it.
+test("a body that is announced as too long is refused before it comes", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const { socket, closed } = open();
+  const fields = `Content-Length: ${MAX_BODY_BYTES + 1}`;
+  socket.write(head("long", { fields }));
+  const text = await closed;
+  t.regex(text, /^HTTP\/1\.1 413 /);
+  t.regex(text, /connection: close/i);
+  t.deepEqual(ran, []);
+});
+
+// Guards against requests that hold a connection though they can't run.
+for (
+  const [what, status, part] of [
+    ["without a route", 404, { path: "/nowhere/" }],
+    ["with an unknown key", 401, { key: "bad" }],
+  ] as const
+) {
+  test(`a request ${what} is refused before its body comes`, async (t) => {
+    const { ran, open } = await startDaemon(t);
+    const { socket, closed } = open();
+    socket.write(head("denied", { ...part, ...CHUNKED }) + CHUNK);
+    t.regex(await closed, new RegExp(`^HTTP/1\\.1 ${status} `));
+    t.deepEqual(ran, []);
+  });
+}
+
+test("a client that sends a little too much can read the refusal", async (t) => {
+  const { open } = await startDaemon(t);
+  const { socket, closed } = open();
+  socket.write(head("long", CHUNKED) + CHUNK.repeat(6) + "0\r\n\r\n");
+  t.regex(await closed, /^HTTP\/1\.1 413 /);
+});
+
+// Guards against a daemon that reads refused bodies to their ends.
+test("a client that sends on after the refusal is cut off", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const { socket, closed } = open();
+  socket.write(head("endless", CHUNKED));
+  let sentBytes = 0;
+  while (!socket.destroyed && sentBytes < FAR_OVER_LIMIT_BYTES) {
+    sentBytes += CHUNK.length;
+    if (!socket.write(CHUNK)) {
+      const drained = new Promise((resolve) => socket.once("drain", resolve));
+      await Promise.race([drained, closed]);
+    }
+  }
+  await closed;
+  t.true(sentBytes < FAR_OVER_LIMIT_BYTES, `${sentBytes} bytes sent`);
+  t.deepEqual(ran, []);
+});
+
+test("a refusal comes after the answers to the requests before it", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const { socket, closed } = open();
+  socket.write(
+    head("first", { fields: "Content-Length: 0" }) +
+      head("long", { fields: "Content-Length: 900000000" }),
+  );
+  const text = await closed;
+  t.regex(text, /^HTTP\/1\.1 200 [^]*okHTTP\/1\.1 413 /);
+  t.deepEqual(ran, ["first"]);
+});
+
+test("nothing that follows a refused request on its connection runs", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const { socket, closed, received } = open();
+  const body = "x".repeat(MAX_BODY_BYTES + 1);
+  socket.write(head("long", { fields: `Content-Length: ${body.length}` }));
+  while (received() === "") {
+    await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+  }
+  socket.write(body + head("next", { fields: "Content-Length: 0" }));
+  t.notRegex(await closed, / 200 /);
+  t.deepEqual(ran, []);
+});
