Count the heads of requests in the message budget and refuse long ones

Callers lost their requests with the process of a small machine while 100 clients had 30 requests with heads of 15,000 bytes each on the way, or 400 had heads of 60,000 bytes: 125 to 149 MB resident where the settings name 112.

Cause: no bound held for heads. The parser takes 64 KiB whatever the configuration's max_header_bytes is, a connection may have 32 requests that wait, and each head stays, with copies, until its request is over. Large requests that stop could also take all memory that requests may have, and then a request of a few bytes was refused until the idle timeout.

Header lines or a target over max_header_bytes get 431. Each head takes three times its length from the message budget; without room the request is refused as not run, and a connection on which requests wait is closed. Heads up to 1,024 bytes and bodies up to 2,048 may use 0.95 of the budget, large requests 0.75 as before: a small request of each connection the listener accepts fits into the rest.

--- a/packages/byte-buffers/src/byte_collector.ts
+++ b/packages/byte-buffers/src/byte_collector.ts
@@ -18,8 +18,8 @@
   readonly maxBytes: number;
   /** What it takes its memory from; unlimited when there is none. */
   readonly budget?: MemoryBudget;
-  /** What it holds; answers by default. */
-  readonly use?: MemoryUse;
+  /** What it holds, also by its capacity; answers by default. */
+  readonly use?: MemoryUse | ((capacityBytes: number) => MemoryUse);
 }
 
 /** Collects chunks; costs what their bytes cost, however short they are. */
@@ -86,7 +86,8 @@
       Math.min(doubled, this.#options.maxBytes),
     );
     const addedBytes = capacity - this.#buffer.length;
-    if (budget?.tryTake(use, addedBytes) === false) return false;
+    const capacityUse = typeof use === "function" ? use(capacity) : use;
+    if (budget?.tryTake(capacityUse, addedBytes) === false) return false;
     const grown = Buffer.allocUnsafeSlow(capacity);
     this.#buffer.copy(grown, 0, 0, this.#length);
     noteDiscarded(this.#buffer.length);
--- a/packages/byte-buffers/src/memory_budget.ts
+++ b/packages/byte-buffers/src/memory_budget.ts
@@ -9,8 +9,13 @@
 export type MemoryUse =
   /** Failures and reports, which callers can do without. */
   | "failure"
-  /** Bodies of new requests. */
+  /** Heads and bodies of new requests. */
   | "request"
+  /**
+   * Short heads and bodies. Large ones, which may be few and stay for long, leave
+   * room for one of each connection.
+   */
+  | "small_request"
   /** Answers that callers wait for. */
   | "answer";
 
@@ -21,6 +26,7 @@
 const MAX_SHARE: Readonly<Record<MemoryUse, number>> = {
   failure: 0.5,
   request: 0.75,
+  small_request: 0.95,
   answer: 1,
 };
 
--- a/packages/byte-buffers/src/memory_budget_test.ts
+++ b/packages/byte-buffers/src/memory_budget_test.ts
@@ -1,15 +1,15 @@
 import test from "ava";
 import { ByteCollector, MemoryBudget, type MemoryUse } from "./mod.ts";
 
-test("failures give way first, then new requests, answers last", (t) => {
+test("failures give way first, then new requests, small ones after large ones, answers last", (t) => {
   const budget = new MemoryBudget(100);
-  const uses: MemoryUse[] = ["failure", "request", "answer"];
+  const uses: MemoryUse[] = ["failure", "request", "small_request", "answer"];
   const takenBytes = uses.map((use) => {
     let bytes = 0;
     while (budget.tryTake(use, 1)) bytes += 1;
     return bytes;
   });
-  t.deepEqual(takenBytes, [50, 25, 25]);
+  t.deepEqual(takenBytes, [50, 25, 20, 5]);
   t.is(budget.usedBytes, 100);
   budget.release(60);
   t.true(budget.tryTake("failure", 10));
--- a/packages/platform/src/connection_turns.ts
+++ b/packages/platform/src/connection_turns.ts
@@ -45,6 +45,11 @@
     });
   }
 
+  /** Whether a request of the connection runs or is being read. */
+  isBusy(socket: Socket): boolean {
+    return this.#connections.get(socket)?.current !== undefined;
+  }
+
   /**
    * Resolves when the earlier responses of the connection have been sent: true
    * if the request may run, false if its connection has closed. A connection on
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -34,6 +34,7 @@
   type ProcessLimits,
 } from "./connection_limit.ts";
 import { FORWARD_HEADERS, isForwardHeader } from "./forward_wire.ts";
+import { takeHead } from "./head_memory.ts";
 import { parseWork, readBody, singleHeader } from "./incoming_request.ts";
 import { closeAfter, discardBody, isLingering } from "./lingering_close.ts";
 import { digestRequest } from "./request_digest.ts";
@@ -117,12 +118,18 @@
     response.writeHead(403, { "Content-Length": 0 }).end();
     return;
   }
-  const body = await readBody(request, {
-    maxBytes: MAX_BODY_BYTES,
-    memory: context.memory,
-    isOver: new Promise((resolve) => response.once("close", resolve)),
-    idleTimeoutMs: BODY_IDLE_TIMEOUT_MS,
-  });
+  const { memory } = context;
+  const isOver = new Promise((resolve) => response.once("close", resolve));
+  const hasHead = takeHead(request, { memory, isOver, isWaiting: false });
+  if (!hasHead) discardBody(request);
+  const body = hasHead
+    ? await readBody(request, {
+      maxBytes: MAX_BODY_BYTES,
+      memory,
+      isOver,
+      idleTimeoutMs: BODY_IDLE_TIMEOUT_MS,
+    })
+    : "no_memory";
   if (body === "gone") return;
   const nowMs = () => steadyMs(context.clock);
   const { unread } = context;
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -20,6 +20,9 @@
 /** Engines hold some 100,000 tokens; counts of more digits are none. */
 const TOKEN_COUNTS = /^\s*(\d{1,9})(?:\.\d*)?\s*,\s*(\d{1,9})(?:\.\d*)?\s*$/;
 
+/** With a small head, one of each connection has room in the memory budget. */
+const SMALL_BODY_BYTES = 2_048;
+
 /** Limits on a request's body. */
 export interface BodyLimits {
   readonly maxBytes: number;
@@ -34,7 +37,12 @@
 }
 
 /** Why a request has no body. */
-export type MissingBody = "gone" | "too_large" | "no_memory" | "stalled";
+export type MissingBody =
+  | "gone"
+  | "head_too_long"
+  | "too_large"
+  | "no_memory"
+  | "stalled";
 
 /**
  * Reads the body, or tells why there is none; of a body that is announced as too
@@ -52,7 +60,8 @@
     const body = new ByteCollector({
       maxBytes,
       budget: memory,
-      use: "request",
+      use: (capacityBytes) =>
+        capacityBytes <= SMALL_BODY_BYTES ? "small_request" : "request",
     });
     let isGivenUp = false;
     let isProgressing = false;
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -47,6 +47,7 @@
   type ClientMessage,
   type ServerMessage,
 } from "./server_client.ts";
+import { isHeadTooLong, takeHead } from "./head_memory.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { Endpoint } from "./settings.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
@@ -98,6 +99,7 @@
 const REPLY_BY_MISSING_BODY: Readonly<
   Record<Exclude<MissingBody, "gone">, LocalReply>
 > = {
+  head_too_long: { status: 431 },
   too_large: { status: 413 },
   stalled: { status: 408 },
   no_memory: { status: 503, retryAfterMs: NO_MEMORY_RETRY_MS },
@@ -180,14 +182,12 @@
     let drop = () => {};
     const isOver = new Promise<void>((resolve) => drop = resolve);
     response.once("close", drop);
-    // The body is read also while the request waits for earlier ones: unread
-    // chunks cost up to 300 bytes each.
-    const reading = readBody(request, {
-      maxBytes: this.#limits().maxBodyBytes,
-      memory: this.#options.memory,
-      isOver,
-      idleTimeoutMs: this.#limits().idleTimeoutMs,
-    });
+    const isWaiting = this.#turns.isBusy(request.socket);
+    const reading = this.#read(request, { isOver, isWaiting });
+    // Without an answer, which would have to wait as well.
+    if (reading === "no_memory" && isWaiting) {
+      return void request.socket.destroy();
+    }
     if (!await this.#turns.take(request.socket, response)) return drop();
     if (this.#options.isLeaving()) response.setHeader("Connection", "close");
     const arrivedAtMs = this.#nowMs();
@@ -212,6 +212,36 @@
     this.#run({ request, response, body, admission, arrivedAtMs });
   }
 
+  /**
+   * Takes the head and begins to read the body, also while the request waits for
+   * earlier ones: unread chunks cost up to 300 bytes each.
+   */
+  #read(
+    request: IncomingMessage,
+    context: {
+      readonly isOver: Promise<void>;
+      readonly isWaiting: boolean;
+    },
+  ): Promise<Buffer | MissingBody> | MissingBody {
+    const { maxHeaderBytes, maxBodyBytes, idleTimeoutMs } = this.#limits();
+    const { memory } = this.#options;
+    if (isHeadTooLong(request, maxHeaderBytes)) {
+      discardBody(request);
+      return "head_too_long";
+    }
+    if (!takeHead(request, { ...context, memory })) {
+      discardBody(request);
+      return "no_memory";
+    }
+    const { isOver } = context;
+    return readBody(request, {
+      maxBytes: maxBodyBytes,
+      memory,
+      isOver,
+      idleTimeoutMs,
+    });
+  }
+
   /** Denies a request whose body is not needed to know that it may not run. */
   async #isDeniedAtHead(
     request: IncomingMessage,
