Bound the connections to the port of records

A daemon with 400 descriptors had 630 while 600 connections to the port at which daemons fetch records sent nothing; beyond the process's limit it would accept no callers and open no connection to servers.

Cause: the listeners for callers, forwarding and status are bounded, this one was not. It gets 0.05 of the descriptors and one connection for each MB, and beyond that the one that has been unused for the longest is closed, as at the other ports: a daemon keeps one connection to each of those that it asks.

--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -47,6 +47,8 @@
   readonly port: number;
   readonly tables: ReadonlyMap<string, RecordTable>;
   failed(reason: string): void;
+  /** Called with the server before it listens, for example to bound it. */
+  prepareServer?(server: Server): void;
 }
 
 /** A running exchange. */
@@ -62,6 +64,7 @@
       this.#handleRequest(request, response)
     );
     this.#server.on("error", ({ message }) => options.failed(message));
+    options.prepareServer?.(this.#server);
     this.#server.listen(options.port, options.ip);
   }
 
--- a/packages/platform/src/connection_limit.ts
+++ b/packages/platform/src/connection_limit.ts
@@ -25,22 +25,25 @@
 }
 
 /** Listeners differ in how much of the process they may take. */
-export type ListenerKind = "callers" | "daemons" | "status";
+export type ListenerKind = "callers" | "daemons" | "records" | "status";
 
 const BYTES_PER_MB = 1_048_576;
 /**
  * Share of the descriptors. Each request of a caller may take another for its
- * server; 0.35 are left for servers, the store and the process itself.
+ * server; 0.3 are left for servers, the store and the process itself.
  */
 const DESCRIPTOR_SHARE: Readonly<Record<ListenerKind, number>> = {
   callers: 0.45,
   daemons: 0.15,
+  // A daemon keeps one connection to each of those that it asks.
+  records: 0.05,
   status: 0.02,
 };
 /** A head without end holds 64 KiB: four of them are a quarter of a MB. */
 const CONNECTIONS_PER_MB: Readonly<Record<ListenerKind, number>> = {
   callers: 4,
   daemons: 2,
+  records: 1,
   status: 0.5,
 };
 /** Trailers hold 64 KiB: an eighth of the memory, as for messages. */
--- a/packages/platform/src/connection_limit_test.ts
+++ b/packages/platform/src/connection_limit_test.ts
@@ -97,6 +97,8 @@
   const daemons = connectionBounds("daemons", limits);
   t.deepEqual(callers, { maxConnections: 712, maxUnfinished: 356 });
   t.is(daemons.maxConnections, 331);
+  const records = connectionBounds("records", limits);
+  t.is(records.maxConnections, 110);
   const few = connectionBounds("callers", { ...limits, maxDescriptors: 400 });
   t.is(few.maxConnections, 180);
 });
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -9,6 +9,7 @@
 import { createUdpTransport, RecordExchange } from "@endivebend/fleet";
 import { FrontDaemon } from "@endivebend/front";
 import { createDecisionLog, TextMetrics } from "@endivebend/telemetry";
+import { connectionBounds, limitConnections } from "./connection_limit.ts";
 import { createRolloutLeaseLog } from "./rollout_lease_log.ts";
 import { createRolloutOrderClient } from "./rollout_order_client.ts";
 import { createRolloutStatusLog } from "./rollout_status_log.ts";
@@ -62,7 +63,16 @@
     serverClient: createServerClient(clock, { ip: settings.ip }),
     cacheEventClient: createCacheEventClient(memory),
     createGossipTransport: createUdpTransport,
-    createRecordExchange: (options) => new RecordExchange(options),
+    createRecordExchange: (options) =>
+      new RecordExchange({
+        ...options,
+        prepareServer: (server) =>
+          limitConnections(
+            server,
+            connectionBounds("records", processLimits),
+            (reason) => metrics.count("closed_connections", { reason }),
+          ),
+      }),
     listen: (context) =>
       new IngressListener({
         ...context,
