End connections whose bodies nobody reads at the ports of readiness, metrics and records

A daemon spent its processor time on bodies without end at these ports: 200 MB were sent and read, and the tests stopped there.

Cause: the answer is sent at once, and Node.js then reads the rest of the request's body to use the connection again. Probes, collectors and daemons send no bodies, so a request with one closes its connection; at the ports of readiness and metrics the daemon lingers, so that the answer can be read.

--- a/packages/fleet/src/record_exchange.ts
+++ b/packages/fleet/src/record_exchange.ts
@@ -101,6 +101,11 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    // Node.js reads on to the end of a body unless the connection is closed.
+    if (hasBody(request)) {
+      response.writeHead(400, { Connection: "close" }).end();
+      return;
+    }
     const target = parseTarget(request.url ?? "/");
     const table = this.#options.tables.get(target?.topic ?? "");
     if (target === undefined || table === undefined) {
@@ -156,6 +161,12 @@
   }
 }
 
+/** Daemons that ask for records send none. */
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
 /** The parts of `/TOPIC?since=POSITION`; undefined when it is no path. */
 function parseTarget(
   target: string,
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -103,6 +103,12 @@
   });
 }
 
+/** Whether the request announces a body, also one of unknown length. */
+export function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
 /** The header's value; undefined when it is absent or came several times. */
 export function singleHeader(
   request: IncomingMessage,
--- a/packages/platform/src/refused_bodies_test.ts
+++ b/packages/platform/src/refused_bodies_test.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { createDaemon } from "./daemon.ts";
+import type { Endpoint } from "./settings.ts";
 import {
   CONFIGURATION,
   putServer,
@@ -45,10 +46,14 @@
     store.close();
     server.close();
   });
-  return { ran, open: () => openClient(settings.callers) };
+  return {
+    ran,
+    settings,
+    open: (endpoint: Endpoint = settings.callers) => openClient(endpoint),
+  };
 }
 
-function openClient({ host, port }: { host: string; port: number }) {
+function openClient({ host, port }: Endpoint) {
   const socket = connect(port, host);
   let text = "";
   socket.on("data", (chunk) => text += chunk);
@@ -71,6 +76,8 @@
     `Attempt-Id: ${id}\r\nAuthorization: Token ${key}\r\n${fields}\r\n\r\n`;
 }
 
+type Client = ReturnType<typeof openClient>;
+
 const CHUNKED = { fields: "Transfer-Encoding: chunked" };
 
 // Guards against clients that announce more than is read and never send it.
@@ -108,11 +115,8 @@
   t.regex(await closed, /^HTTP\/1\.1 413 /);
 });
 
-// Guards against a daemon that reads refused bodies to their ends.
-test("a client that sends on after the refusal is cut off", async (t) => {
-  const { ran, open } = await startDaemon(t);
-  const { socket, closed } = open();
-  socket.write(head("endless", CHUNKED));
+/** Sends chunks until it is cut off; returns the number of bytes. */
+async function sendOn({ socket, closed }: Client): Promise<number> {
   let sentBytes = 0;
   while (!socket.destroyed && sentBytes < FAR_OVER_LIMIT_BYTES) {
     sentBytes += CHUNK.length;
@@ -121,11 +125,37 @@
       await Promise.race([drained, closed]);
     }
   }
+  socket.destroy();
   await closed;
+  return sentBytes;
+}
+
+// Guards against a daemon that reads refused bodies to their ends.
+test("a client that sends on after the refusal is cut off", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const client = open();
+  client.socket.write(head("endless", CHUNKED));
+  const sentBytes = await sendOn(client);
   t.true(sentBytes < FAR_OVER_LIMIT_BYTES, `${sentBytes} bytes sent`);
   t.deepEqual(ran, []);
 });
 
+// Guards against ports that answer at once and read on.
+for (const port of ["readiness", "metrics", "records"] as const) {
+  test(`a body without end at the port of ${port} is cut off`, async (t) => {
+    const { settings, open } = await startDaemon(t);
+    const endpoints = {
+      readiness: settings.readiness,
+      metrics: settings.metrics,
+      records: { host: settings.ip, port: settings.firstPeerPort + 1 },
+    };
+    const client = open(endpoints[port]);
+    client.socket.write(head("endless", { path: "/operator", ...CHUNKED }));
+    const sentBytes = await sendOn(client);
+    t.true(sentBytes < FAR_OVER_LIMIT_BYTES, `${sentBytes} bytes sent`);
+  });
+}
+
 test("a refusal comes after the answers to the requests before it", async (t) => {
   const { ran, open } = await startDaemon(t);
   const { socket, closed } = open();
--- a/packages/platform/src/status_server.ts
+++ b/packages/platform/src/status_server.ts
@@ -14,6 +14,8 @@
 import type { TextMetrics } from "@endivebend/telemetry";
 import { connectionBounds, limitConnections } from "./connection_limit.ts";
 import { MAX_QUERY_BYTES, parseExplainQuery } from "./explain_query.ts";
+import { hasBody } from "./incoming_request.ts";
+import { closeAfter, discardBody, isLingering } from "./lingering_close.ts";
 import type { PlatformSettings } from "./settings.ts";
 import { PATHS } from "./wire_names.ts";
 
@@ -34,6 +36,9 @@
   },
 ): StatusServer {
   const readiness = createServer((request, response) => {
+    if (isLingering(request.socket)) return discardBody(request);
+    // Probes have no body; Node.js would read one to its end.
+    if (hasBody(request)) closeAfter(request, response);
     const isReadinessPath = request.url === PATHS.ready;
     response.writeHead(isReadinessPath && sources.isReady() ? 200 : 503).end();
   }).listen(settings.readiness.port, settings.readiness.host);
@@ -42,10 +47,17 @@
     requestTimeout: QUERY_TIMEOUT_MS,
     connectionsCheckingInterval: QUERY_TIMEOUT_MS,
   }, (request, response) => {
+    if (isLingering(request.socket)) return discardBody(request);
     const isQuestion = request.method === "POST" &&
       request.url === PATHS.explainRoute;
-    if (!isQuestion) return void response.end(sources.metrics.text());
-    if (!rate.take(sources.nowMs())) return answer(response, 429, TOO_MANY);
+    if (!isQuestion) {
+      if (hasBody(request)) closeAfter(request, response);
+      return void response.end(sources.metrics.text());
+    }
+    if (!rate.take(sources.nowMs())) {
+      closeAfter(request, response);
+      return answer(response, 429, TOO_MANY);
+    }
     readQuery(request, (text) => explain(text, { response, sources }));
   }).listen(settings.metrics.port, settings.metrics.host);
   const bounds = connectionBounds("status", settings.processLimits);
