Let bodies that have stopped give way to those that go on

While clients stopped just short of the end of their bodies, others with a body of more than 2 KB got 503 until the idle timeout of 15 s.

Cause: a body keeps its part of the message budget until it has come whole or is given up, and a newcomer that finds no room is refused, however long the others have been silent.

A body that finds no room now takes that of the one which has been silent for the longest, if for a second; that one is refused as not run (408) and its connection closed. Without pressure on memory nothing changes.

Measured: 'bodies that have stopped give way to others' fails before (503) and passes. Two tests name the new collaborator; their checks are as before.

--- a/packages/platform/src/bytes_without_end_test.ts
+++ b/packages/platform/src/bytes_without_end_test.ts
@@ -14,6 +14,7 @@
   testAttemptOrder,
   testMemory,
 } from "./testing.ts";
+import { UnfinishedBodies } from "./unfinished_bodies.ts";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
@@ -174,6 +175,7 @@
       memory: testMemory(),
       isOver: new Promise((resolve) => response.once("close", resolve)),
       idleTimeoutMs: 15_000,
+      unfinished: new UnfinishedBodies(createClock()),
     }).then((body) => response.end(String(body.length)));
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -22,6 +22,7 @@
 import { StoreClient } from "./store_client.ts";
 import { createRecordStore } from "./store_records.ts";
 import { createStreamOriginLog } from "./stream_origin_log.ts";
+import { UnfinishedBodies } from "./unfinished_bodies.ts";
 import { UnreadAnswers } from "./unread_answers.ts";
 
 /**
@@ -37,6 +38,7 @@
   const clock = createClock();
   const memory = new MemoryBudget(settings.messageBytes);
   const unread = new UnreadAnswers(memory);
+  const unfinished = new UnfinishedBodies(clock);
   const metrics = new TextMetrics();
   const { processLimits } = settings;
   const log = createDecisionLog({
@@ -82,6 +84,7 @@
         memory,
         metrics,
         unread,
+        unfinished,
         processLimits,
       }),
     listenForPeers: (context) =>
@@ -91,6 +94,7 @@
         memory,
         metrics,
         unread,
+        unfinished,
         processLimits,
       }),
     serveStatus: (sources) =>
--- a/packages/platform/src/forward_listener.ts
+++ b/packages/platform/src/forward_listener.ts
@@ -39,6 +39,7 @@
 import { closeAfter, discardBody, isLingering } from "./lingering_close.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { ClientMessage, ServerMessage } from "./server_client.ts";
+import type { UnfinishedBodies } from "./unfinished_bodies.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 import { filterHeaders, HEADERS } from "./wire_names.ts";
 
@@ -55,6 +56,7 @@
   readonly memory: MemoryBudget;
   readonly metrics: Pick<TextMetrics, "count">;
   readonly unread: UnreadAnswers;
+  readonly unfinished: UnfinishedBodies;
   readonly processLimits: ProcessLimits;
 }
 
@@ -118,7 +120,7 @@
     response.writeHead(403, { "Content-Length": 0 }).end();
     return;
   }
-  const { memory } = context;
+  const { memory, unfinished } = context;
   const isOver = new Promise((resolve) => response.once("close", resolve));
   const hasHead = takeHead(request, { memory, isOver, isWaiting: false });
   if (!hasHead) discardBody(request);
@@ -128,6 +130,7 @@
       memory,
       isOver,
       idleTimeoutMs: BODY_IDLE_TIMEOUT_MS,
+      unfinished,
     })
     : "no_memory";
   if (body === "gone") return;
--- a/packages/platform/src/forward_listener_test.ts
+++ b/packages/platform/src/forward_listener_test.ts
@@ -24,6 +24,7 @@
   testRoutedRequest,
 } from "./testing.ts";
 import { UnreadAnswers } from "./unread_answers.ts";
+import { UnfinishedBodies } from "./unfinished_bodies.ts";
 
 const IP = "127.0.0.1";
 
@@ -102,6 +103,7 @@
     memory: testMemory(),
     metrics: quiet,
     unread: new UnreadAnswers(testMemory()),
+    unfinished: new UnfinishedBodies(clock),
     processLimits: { memoryBytes: 186_646_528, maxDescriptors: 4_100 },
   });
   const order = testAttemptOrder(server.address, {
--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -15,6 +15,7 @@
 import { boundedName } from "./bounded_names.ts";
 import { discardBody } from "./lingering_close.ts";
 import { parsePrompt } from "./prompt_header.ts";
+import type { UnfinishedBodies, UnfinishedBody } from "./unfinished_bodies.ts";
 import { HEADERS } from "./wire_names.ts";
 
 /** Engines hold some 100,000 tokens; counts of more digits are none. */
@@ -34,6 +35,8 @@
    * is given up.
    */
   readonly idleTimeoutMs: number;
+  /** Those that have stopped give way to this one. */
+  readonly unfinished: UnfinishedBodies;
 }
 
 /** Why a request has no body. */
@@ -50,7 +53,7 @@
  */
 export function readBody(
   request: IncomingMessage,
-  { maxBytes, memory, isOver, idleTimeoutMs }: BodyLimits,
+  { maxBytes, memory, isOver, idleTimeoutMs, unfinished }: BodyLimits,
 ): Promise<Buffer | MissingBody> {
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
     discardBody(request);
@@ -78,25 +81,41 @@
         if (!isProgressing && !request.readableEnded) giveUp("stalled");
       });
     }, idleTimeoutMs);
-    const giveUp = (reason: MissingBody) => {
+    const entry: UnfinishedBody = {
+      get heldBytes() {
+        return body.length;
+      },
+      giveUp: () => giveUp("stalled"),
+    };
+    const stopWaiting = () => {
       clearInterval(timer);
+      unfinished.forget(entry);
+    };
+    const giveUp = (reason: MissingBody) => {
+      stopWaiting();
       isGivenUp = true;
       body.clear();
       resolve(reason);
     };
     request.on("data", (chunk: Buffer) => {
       isProgressing = true;
-      if (isGivenUp || body.append(chunk)) return;
-      const isTooLarge = body.length + chunk.length > maxBytes;
-      giveUp(isTooLarge ? "too_large" : "no_memory");
+      if (isGivenUp) return;
+      unfinished.noteProgress(entry);
+      while (!body.append(chunk)) {
+        const isTooLarge = body.length + chunk.length > maxBytes;
+        if (isTooLarge) return giveUp("too_large");
+        if (!unfinished.giveUpStopped(SMALL_BODY_BYTES)) {
+          return giveUp("no_memory");
+        }
+      }
     });
     paceReading(request);
     request.on("end", () => {
-      clearInterval(timer);
+      stopWaiting();
       resolve(body.bytes);
     });
     request.on("close", () => {
-      clearInterval(timer);
+      stopWaiting();
       resolve("gone");
     });
     void isOver.then(() => giveUp("gone"));
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -50,6 +50,7 @@
 import { isHeadTooLong, takeHead } from "./head_memory.ts";
 import { digestRequest } from "./request_digest.ts";
 import type { Endpoint } from "./settings.ts";
+import type { UnfinishedBodies } from "./unfinished_bodies.ts";
 import type { UnreadAnswer, UnreadAnswers } from "./unread_answers.ts";
 import { HEADERS, KEY_SCHEME } from "./wire_names.ts";
 
@@ -62,6 +63,7 @@
   readonly memory: MemoryBudget;
   readonly metrics: Pick<TextMetrics, "count">;
   readonly unread: UnreadAnswers;
+  readonly unfinished: UnfinishedBodies;
   readonly processLimits: ProcessLimits;
 }
 
@@ -224,7 +226,7 @@
     },
   ): Promise<Buffer | MissingBody> | MissingBody {
     const { maxHeaderBytes, maxBodyBytes, idleTimeoutMs } = this.#limits();
-    const { memory } = this.#options;
+    const { memory, unfinished } = this.#options;
     if (isHeadTooLong(request, maxHeaderBytes)) {
       discardBody(request);
       return "head_too_long";
@@ -239,6 +241,7 @@
       memory,
       isOver,
       idleTimeoutMs,
+      unfinished,
     });
   }
 
--- a/packages/platform/src/message_memory_test.ts
+++ b/packages/platform/src/message_memory_test.ts
@@ -13,6 +13,8 @@
 /** Room for two bodies of 100,000 bytes, of which requests may have one. */
 const MESSAGE_BYTES = 300_000;
 const BODY_BYTES = 100_000;
+/** More than the second after which a body counts as stopped. */
+const STOPPED_MS = 1_300;
 
 async function startDaemon(t: ExecutionContext) {
   const store = await startStore();
@@ -83,3 +85,13 @@
   await new Promise((resolve) => setTimeout(resolve, 50));
   t.regex(await begin("second", BODY_BYTES).answer, /^HTTP\/1\.1 200 /);
 });
+
+// Guards against clients that stop just short of the end and keep the memory.
+test("bodies that have stopped give way to others", async (t) => {
+  const { ran, begin } = await startDaemon(t);
+  const stopped = begin("stopped", BODY_BYTES, BODY_BYTES - 1);
+  await new Promise((resolve) => setTimeout(resolve, STOPPED_MS));
+  t.regex(await begin("second", BODY_BYTES).answer, /^HTTP\/1\.1 200 /);
+  t.regex(await stopped.answer, /^HTTP\/1\.1 408 /);
+  t.deepEqual(ran, ["second"]);
+});
