Bound the segments of a prompt that a daemon tells apart and gossips

A header of 16 KiB, which the limits allow, lists thousands of segments, no two alike. With 50 such callers a daemon used all of a processor and others waited up to 454 ms for a readiness answer.

Cause: each segment is looked up for each server, and the placements of 650 ms were a list that was searched from its start for each entry.

Placements are kept in a map, once for each segment, the newest 256.

The bundle of a domain in which all daemons get such prompts may still be too long for a datagram; that was not tried.

--- a/packages/platform/src/prompt_header_test.ts
+++ b/packages/platform/src/prompt_header_test.ts
@@ -51,3 +51,16 @@
   t.deepEqual(parsePrompt(""), []);
   t.like(parsePrompt("a:x, b"), [{ id: "a", tokens: 0 }, { id: "b" }]);
 });
+
+// Guards against headers with thousands of segments, each of which is looked up.
+test("segments beyond the limit count with the last one", (t) => {
+  const header = Array.from({ length: 3_000 }, (_, index) => `s${index}:2`);
+  const prompt = parsePrompt(header.join(","));
+  t.is(prompt.length, 256);
+  t.deepEqual(
+    [prompt[254], prompt[255]],
+    [{ id: "s254", tokens: 2 }, { id: "s2999", tokens: 5_490 }] as never,
+  );
+  const sum = prompt.reduce((tokens, segment) => tokens + segment.tokens, 0);
+  t.is(sum, 6_000);
+});
--- a/packages/request-path/src/recent_placements.ts
+++ b/packages/request-path/src/recent_placements.ts
@@ -12,6 +12,12 @@
 /** Long enough for three gossip messages in a small fleet. */
 const MIN_GOSSIP_MS = 650;
 
+/**
+ * Segments that are gossiped at a time, the newest. Callers choose how many a
+ * prompt has, and a message must fit into a datagram of 64 KiB.
+ */
+const MAX_PENDING = 256;
+
 interface PlacedSegment {
   readonly cacheId: PrefixCacheId;
   readonly part: SegmentKey;
@@ -20,7 +26,8 @@
 
 /** Recent placements, oldest first. */
 export class RecentPlacements {
-  #placed: PlacedSegment[] = [];
+  /** By cache and segment. */
+  readonly #placed = new Map<string, PlacedSegment>();
   #gossipRoundMs: () => number = () => 0;
 
   /** Sets the time until gossip has been sent to every daemon. */
@@ -34,18 +41,23 @@
     nowMs: number,
   ): void {
     const untilMs = nowMs + Math.max(MIN_GOSSIP_MS, this.#gossipRoundMs());
-    for (const segment of segments) {
-      this.#placed.push({ cacheId, part: segment, untilMs });
+    for (const part of segments) {
+      const key = `${cacheId} ${part}`;
+      this.#placed.delete(key);
+      this.#placed.set(key, { cacheId, part, untilMs });
+    }
+    for (const key of this.#placed.keys()) {
+      if (this.#placed.size <= MAX_PENDING) return;
+      this.#placed.delete(key);
     }
   }
 
   /** Segments by cache that still have to be gossiped. */
   pending(nowMs: number): Record<PrefixCacheId, SegmentKey[]> {
-    this.#placed = this.#placed.filter(({ untilMs }) => untilMs > nowMs);
     const segmentsByCache: Record<PrefixCacheId, SegmentKey[]> = {};
-    for (const { cacheId, part: segment } of this.#placed) {
-      const segments = segmentsByCache[cacheId] ??= [];
-      if (!segments.includes(segment)) segments.push(segment);
+    for (const [key, { cacheId, part, untilMs }] of this.#placed) {
+      if (untilMs <= nowMs) this.#placed.delete(key);
+      else (segmentsByCache[cacheId] ??= []).push(part);
     }
     return segmentsByCache;
   }
