--- a/packages/platform-soak/src/daemon_process.ts
+++ b/packages/platform-soak/src/daemon_process.ts
@@ -12,6 +12,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import type { Ledger } from "./ledger.ts";
+import { readPeakBytes } from "./process_memory.ts";
 
 /** Where a daemon stands and what it is told. */
 export interface DaemonOptions {
@@ -25,6 +26,7 @@
   readonly serverHost: string;
   /** Address of this daemon's links to them. */
   readonly linkHost: string;
+  readonly memoryMb: number;
   /** Directory of the settings and of the output. */
   readonly directory: string;
 }
@@ -39,6 +41,7 @@
 };
 const GRACE_MS = 8_000;
 const PROBE_TIMEOUT_MS = 1_000;
+const BYTES_PER_MB = 1_048_576;
 const LINK_ADDRESSES = fileURLToPath(
   new URL("./link_addresses.cjs", import.meta.url),
 );
@@ -106,6 +109,15 @@
     return this.#child !== undefined && running.has(this.#child);
   }
 
+  /** Notes in the ledger if the process has taken more than its settings name. */
+  checkMemory(): void {
+    const peakMb = Math.round(readPeakBytes(this.#child?.pid) / BYTES_PER_MB);
+    const { index, memoryMb } = this.options;
+    if (!this.isRunning || !(peakMb > memoryMb)) return;
+    const what = `daemon ${index}: ${peakMb} MB of ${memoryMb}`;
+    this.#ledger.overMemory.push({ atMs: this.#ledger.nowMs(), what });
+  }
+
   start(): void {
     const [program = "", ...args] = deployCommand();
     const child = spawn(program, args, {
@@ -246,7 +258,12 @@
     seeds: options.seedIps.map((seedIp) => `${seedIp}:${PORTS.control}`),
     bootstrap: true,
     in_tolerance: false,
-    limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4_100 },
+    limits: {
+      cpu_share: 0.675,
+      cores: 1,
+      memory_mb: options.memoryMb,
+      max_fds: 4_100,
+    },
     data_dir: null,
     discovery: "platform",
     entry: "vip",
--- a/packages/platform-soak/src/faults.ts
+++ b/packages/platform-soak/src/faults.ts
@@ -6,8 +6,10 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { NO_FAULTS, type ServerFaults } from "./answer_plan.ts";
+import { ClientCrowd } from "./client_crowd.ts";
 import { SERVICE_BY_KIND } from "./callers.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
+import { DRAWN_CROWDS } from "./drawn_crowds.ts";
 import type { CutLinks, Fleet } from "./fleet.ts";
 import {
   DAEMON_GROUPS,
@@ -29,6 +31,9 @@
   readonly links?: LinksFault;
 }
 
+/** Clients of a crowd. */
+const CROWD_SIZE = 60;
+
 type Handler = (fleet: Fleet, fault: PlannedFault) => Promise<void>;
 
 function daemonOf(fleet: Fleet, fault: PlannedFault): DaemonProcess {
@@ -164,6 +169,16 @@
     }
     entry.untilMs = ledger.nowMs();
   },
+  // Clients outside the limits open connections, send and stay.
+  async client_crowd(fleet, fault) {
+    const daemon = daemonOf(fleet, fault);
+    const sends = DRAWN_CROWDS[fault.server % DRAWN_CROWDS.length]!;
+    const { address } = daemon;
+    const crowd = new ClientCrowd({ ...address, clients: CROWD_SIZE, sends });
+    await sleep(fault.forMs);
+    daemon.checkMemory();
+    crowd.reset();
+  },
   server_crashed(fleet, fault) {
     const up = fleet.servers.filter(({ isUp }) => isUp);
     const server = up[fault.server % up.length];
--- a/packages/platform-soak/src/fleet.ts
+++ b/packages/platform-soak/src/fleet.ts
@@ -23,8 +23,11 @@
   readonly domains: number;
   /** Most servers that one request of a safe or unsafe route is sent to. */
   readonly attempts: number;
+  /** Memory that the settings of each daemon name, 350 MB by default. */
+  readonly memoryMb?: number;
 }
 
+const DEFAULT_MEMORY_MB = 350;
 const HEARTBEAT_MS = 1_200;
 const PROBE_INTERVAL_MS = 1_000;
 const READY_TIMEOUT_MS = 60_000;
@@ -105,6 +108,7 @@
         storeAddress: store.address,
         serverHost: SERVER_HOST,
         linkHost: linkHost(index),
+        memoryMb: this.shape.memoryMb ?? DEFAULT_MEMORY_MB,
         directory: this.#directory,
       });
       this.daemons.push(daemon);
--- a/packages/platform-soak/src/ledger.ts
+++ b/packages/platform-soak/src/ledger.ts
@@ -119,6 +119,8 @@
   readonly strayBytes: { readonly atMs: number; readonly text: string }[] = [];
   /** Daemons that ended by themselves. */
   readonly ownEnds: { readonly atMs: number; readonly what: string }[] = [];
+  /** Daemons that have taken more memory than their settings name. */
+  readonly overMemory: { readonly atMs: number; readonly what: string }[] = [];
   #startedAtMs = performance.now();
 
   /** The play begins now. */
--- a/packages/platform-soak/src/lone_daemon.ts
+++ b/packages/platform-soak/src/lone_daemon.ts
@@ -21,6 +21,7 @@
 import { startStore, type StoreStandIn } from "@endivebend/platform";
 import { chunked } from "./client_crowd.ts";
 import { BOUNDS, deployCommand } from "./daemon_process.ts";
+import { readPeakBytes } from "./process_memory.ts";
 
 /** Limits that the settings of a daemon name. */
 export interface LoneLimits {
@@ -44,7 +45,6 @@
 /** Processor time of a poll below which a process counts as idle. */
 const IDLE_TICKS = 3;
 const IDLE_POLLS = 5;
-const BYTES_PER_KIB = 1_024;
 /** Length of answers that clients leave unread. */
 export const LONG_ANSWER_BYTES = 8_388_608;
 /** The longest body that the configuration allows. */
@@ -130,8 +130,7 @@
 
   /** The largest resident memory that the process has had. */
   get peakBytes(): number {
-    const kib = /^VmHWM:\s+(\d+) kB$/m.exec(this.#read("status"))?.[1];
-    return Number(kib ?? Number.NaN) * BYTES_PER_KIB;
+    return readPeakBytes(this.#child.pid);
   }
 
   /** The most descriptors that any poll has seen. */
--- a/packages/platform-soak/src/scenarios.ts
+++ b/packages/platform-soak/src/scenarios.ts
@@ -60,6 +60,10 @@
 ];
 /** Faults beside which every software version stays. */
 const STEADY_FAULTS = DRAWN_FAULTS.filter((name) => name !== "server_released");
+/** Half of the faults of a play with crowds. */
+const CROWDS = STEADY_FAULTS.map(() => "client_crowd" as const);
+const SMALLEST_MACHINE_MB = 178;
+
 /** Servers that cut most answers off, while daemons are killed. */
 function cutAnswers(faultsFor: (daemons: number) => PlannedFault[]): Scenario {
   return ({ daemons = 8, servers = 6, ratePerS = 12 }) => ({
@@ -208,6 +212,25 @@
       }),
     };
   },
+  // Clients outside the limits, while daemons are stopped, killed and frozen.
+  client_crowds: (options, draws) => ({
+    shape: {
+      daemons: options.daemons ?? draws.int(3, 6),
+      servers: options.servers ?? draws.int(2, 4),
+      domains: draws.int(1, 2),
+      attempts: 2,
+      memoryMb: SMALLEST_MACHINE_MB,
+    },
+    ratePerS: options.ratePerS ?? 8,
+    kinds: ["safe", "unsafe", "stream"],
+    retries: 2,
+    serverFaults: [],
+    faults: drawFaults(draws, {
+      names: [...CROWDS, ...STEADY_FAULTS],
+      durationMs: options.durationMs,
+      longestGapMs: 800,
+    }),
+  }),
   second_copies: secondCopies({}),
   second_copies_without_length: secondCopies({
     unframedShare: 0.3,
--- a/packages/platform-soak/src/verdict.ts
+++ b/packages/platform-soak/src/verdict.ts
@@ -90,6 +90,7 @@
       atMs,
       what: `${what} ended by itself`,
     })),
+    ...ledger.overMemory.map((excess) => ({ rule: "MEMORY", ...excess })),
   ];
   if (joined.length > MAX_JOINED_STREAMS) breaches.push(...joined);
   const { asked, wentOn, newAsked, newBegun } = takeUps;
