Tell clients that ask first that their body is too long

A client that sends Expect: 100-continue was invited to send a body whose announced length is over the limit, and refused after it.

Cause: Node.js answers 100 by itself before the request is looked at. Such a request now gets 413 at once; others are invited as before.

Connections that are closed as their waiting requests find no memory count in closed_connections, with the reason memory.

--- a/packages/platform/src/incoming_request.ts
+++ b/packages/platform/src/incoming_request.ts
@@ -55,7 +55,7 @@
   request: IncomingMessage,
   { maxBytes, memory, isOver, idleTimeoutMs, unfinished }: BodyLimits,
 ): Promise<Buffer | MissingBody> {
-  if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+  if (isTooLarge(request, maxBytes)) {
     discardBody(request);
     return Promise.resolve("too_large");
   }
@@ -122,6 +122,14 @@
   });
 }
 
+/** Whether the request announces a body of more bytes. */
+export function isTooLarge(
+  { headers }: IncomingMessage,
+  maxBytes: number,
+): boolean {
+  return Number(headers["content-length"] ?? 0) > maxBytes;
+}
+
 /** Whether the request announces a body, also one of unknown length. */
 export function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
--- a/packages/platform/src/ingress_listener.ts
+++ b/packages/platform/src/ingress_listener.ts
@@ -35,6 +35,7 @@
 } from "./connection_limit.ts";
 import { ConnectionTurns } from "./connection_turns.ts";
 import {
+  isTooLarge,
   type MissingBody,
   parseTokens,
   parseWork,
@@ -143,6 +144,12 @@
       "clientError",
       (error, socket) => this.#refuseMalformed(error, socket as Socket),
     );
+    this.#server.on("checkContinue", (request, response) => {
+      // The client of a body that is refused at its head need not send it.
+      const { maxBodyBytes } = this.#limits();
+      if (!isTooLarge(request, maxBodyBytes)) response.writeContinue();
+      this.#server.emit("request", request, response);
+    });
     this.applyLimits(DEFAULT_LIMITS);
     // Node.js must not end requests: each has a time limit of its own.
     this.#server.requestTimeout = 0;
@@ -188,6 +195,7 @@
     const reading = this.#read(request, { isOver, isWaiting });
     // Without an answer, which would have to wait as well.
     if (reading === "no_memory" && isWaiting) {
+      this.#options.metrics.count("closed_connections", { reason: "memory" });
       return void request.socket.destroy();
     }
     if (!await this.#turns.take(request.socket, response)) return drop();
--- a/packages/platform/src/refused_bodies_test.ts
+++ b/packages/platform/src/refused_bodies_test.ts
@@ -92,6 +92,22 @@
   t.deepEqual(ran, []);
 });
 
+test("a client that asks first sends a body within the limit only", async (t) => {
+  const { ran, open } = await startDaemon(t);
+  const expect = "Expect: 100-continue\r\nConnection: close\r\n";
+  const long = open();
+  const fields = `${expect}Content-Length: ${MAX_BODY_BYTES + 1}`;
+  long.socket.write(head("long", { fields }));
+  t.regex(await long.closed, /^HTTP\/1\.1 413 /);
+  const short = open();
+  short.socket.once("data", () => short.socket.write("{}"));
+  short.socket.write(
+    head("short", { fields: `${expect}Content-Length: 2` }),
+  );
+  t.regex(await short.closed, /^HTTP\/1\.1 100 [^]*HTTP\/1\.1 200 /);
+  t.deepEqual(ran, ["short"]);
+});
+
 // Guards against requests that hold a connection though they can't run.
 for (
   const [what, status, part] of [
