--- a/packages/platform-soak/src/client_crowds_process_test.ts
+++ b/packages/platform-soak/src/client_crowds_process_test.ts
@@ -7,6 +7,7 @@
  */
 
 import { execFileSync } from "node:child_process";
+import { createSocket } from "node:dgram";
 import test, { type ExecutionContext } from "ava";
 import { chunked, ClientCrowd, type CrowdOptions } from "./client_crowd.ts";
 import {
@@ -37,6 +38,8 @@
 /** Over the limit of 16,384 bytes, within that of the parser. */
 const HEAD_BYTES = 60_000;
 const PIPELINED_REQUESTS = 1_000;
+const DATAGRAMS = 20_000;
+const DATAGRAM_BYTES = 60_000;
 
 test.before(() => {
   execFileSync("node", ["scripts/build_platform.mjs"]);
@@ -530,6 +533,29 @@
   });
 }
 
+test.serial("a daemon lives and serves through 20,000 datagrams of 60,000 bytes", async (t) => {
+  t.timeout(TEST_TIMEOUT_MS);
+  const limits = { memoryMb: LITTLE_MEMORY_MB, maxFds: MAX_FDS };
+  const fleet = await startLoneFleet(limits);
+  const socket = createSocket("udp4");
+  t.teardown(async () => {
+    socket.close();
+    await fleet.close();
+  });
+  const datagram = Buffer.alloc(DATAGRAM_BYTES, "x");
+  for (let sent = 0; sent < DATAGRAMS; sent++) {
+    await new Promise<unknown>((resolve) =>
+      socket.send(datagram, LONE_PORTS.gossip, fleet.daemon.ip, resolve)
+    );
+  }
+  await fleet.whenIdle(IDLE_LIMIT_MS);
+  await checkBounds(t, {
+    fleet,
+    maxFds: MAX_FDS,
+    memoryMb: LITTLE_MEMORY_MB,
+  });
+});
+
 test.serial("a daemon stops amid clients that don't end", async (t) => {
   t.timeout(TEST_TIMEOUT_MS);
   const fleet = await startLoneFleet({
--- a/packages/platform-soak/src/lone_daemon.ts
+++ b/packages/platform-soak/src/lone_daemon.ts
@@ -34,10 +34,10 @@
   callers: 8_606,
   readiness: 8_605,
   metrics: 9_464,
+  gossip: 7_600,
   records: 7_601,
   forwarding: 7_602,
 } as const;
-const FIRST_PEER_PORT = 7_600;
 const NETWORK = `127.${60 + process.pid % 150}.${(process.pid >> 8) % 250}`;
 const SERVER_HOST = `${NETWORK}.254`;
 const POLL_MS = 100;
@@ -341,7 +341,7 @@
       front: `${ip}:${LONE_PORTS.callers}`,
       readiness: `${ip}:${LONE_PORTS.readiness}`,
     },
-    port_range: [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
+    port_range: [LONE_PORTS.gossip, LONE_PORTS.gossip + 15],
     seeds: ips.map((seedIp) => `${seedIp}:1`),
     limits: {
       cpu_share: 0.5,
