--- a/packages/byte-buffers/src/byte_collector.ts
+++ b/packages/byte-buffers/src/byte_collector.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { noteDiscarded } from "./buffer_reclaimer.ts";
+import { noteDiscarded } from "./memory_reclaimer.ts";
 import type { MemoryBudget, MemoryUse } from "./memory_budget.ts";
 
 /** Capacity after the first chunk, in bytes; most messages are shorter. */
--- a/packages/byte-buffers/src/buffer_reclaimer_test.ts
+++ b/packages/byte-buffers/src/memory_reclaimer_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { BufferReclaimer } from "./mod.ts";
+import { MemoryReclaimer } from "./mod.ts";
 
 const BYTES_PER_MIB = 1_048_576;
 const CHUNK_BYTES = 65_536;
@@ -17,12 +17,12 @@
 
   discard(bytes: number): void {
     this.youngGarbageBytes += bytes;
-    this.peakBytes = Math.max(this.peakBytes, this.bufferBytes());
+    this.peakBytes = Math.max(this.peakBytes, this.heldBytes());
   }
 
   discardOld(bytes: number): void {
     this.oldGarbageBytes += bytes;
-    this.peakBytes = Math.max(this.peakBytes, this.bufferBytes());
+    this.peakBytes = Math.max(this.peakBytes, this.heldBytes());
   }
 
   collectYoung(): void {
@@ -36,7 +36,7 @@
     this.oldGarbageBytes = 0;
   }
 
-  bufferBytes(): number {
+  heldBytes(): number {
     return this.usedBytes + this.youngGarbageBytes + this.oldGarbageBytes;
   }
 }
@@ -44,7 +44,7 @@
 // Guards against 64 MiB of garbage, which V8 allows.
 test("short-lived buffers take no more than 4 MiB before they are collected", (t) => {
   const collector = new FakeCollector();
-  const reclaimer = new BufferReclaimer(collector);
+  const reclaimer = new MemoryReclaimer(collector);
   for (let bytes = 0; bytes < 100 * BYTES_PER_MIB; bytes += CHUNK_BYTES) {
     collector.discard(CHUNK_BYTES);
     reclaimer.noteDiscarded(CHUNK_BYTES);
@@ -55,7 +55,7 @@
 
 test("buffers that outlived minor collections are collected as well", (t) => {
   const collector = new FakeCollector();
-  const reclaimer = new BufferReclaimer(collector);
+  const reclaimer = new MemoryReclaimer(collector);
   for (let bytes = 0; bytes < 100 * BYTES_PER_MIB; bytes += CHUNK_BYTES) {
     collector.discardOld(CHUNK_BYTES);
     reclaimer.noteDiscarded(CHUNK_BYTES);
@@ -65,7 +65,7 @@
 
 test("buffers in use bring no full collection again and again", (t) => {
   const collector = new FakeCollector();
-  const reclaimer = new BufferReclaimer(collector);
+  const reclaimer = new MemoryReclaimer(collector);
   collector.usedBytes = 30 * BYTES_PER_MIB;
   for (let bytes = 0; bytes < 100 * BYTES_PER_MIB; bytes += CHUNK_BYTES) {
     collector.discard(CHUNK_BYTES);
@@ -76,7 +76,7 @@
 
 test("few discarded bytes bring no collection", (t) => {
   const collector = new FakeCollector();
-  const reclaimer = new BufferReclaimer(collector);
+  const reclaimer = new MemoryReclaimer(collector);
   reclaimer.noteDiscarded(4 * BYTES_PER_MIB - 1);
   t.deepEqual(collector.calls, { young: 0, all: 0 });
 });
--- a/packages/byte-buffers/src/mod.ts
+++ b/packages/byte-buffers/src/mod.ts
@@ -5,11 +5,11 @@
  */
 
 export {
-  BufferReclaimer,
-  canReclaimBuffers,
+  canReclaim,
+  MemoryReclaimer,
   noteDiscarded,
-} from "./buffer_reclaimer.ts";
-export type { BufferCollector } from "./buffer_reclaimer.ts";
+} from "./memory_reclaimer.ts";
+export type { MemoryCollector } from "./memory_reclaimer.ts";
 export { ByteCollector } from "./byte_collector.ts";
 export type { ByteCollectorOptions } from "./byte_collector.ts";
 export { ChunkBatch } from "./chunk_batch.ts";
--- a/packages/byte-buffers/src/read_pace.ts
+++ b/packages/byte-buffers/src/read_pace.ts
@@ -6,7 +6,7 @@
 
 import type { Socket } from "node:net";
 import type { Readable } from "node:stream";
-import { noteDiscarded } from "./buffer_reclaimer.ts";
+import { noteDiscarded } from "./memory_reclaimer.ts";
 import { holdReading, releaseReading } from "./read_hold.ts";
 
 /** Handling as many takes some ms on the slowest machine. */
--- a/packages/platform-soak/src/client_crowds_process_test.ts
+++ b/packages/platform-soak/src/client_crowds_process_test.ts
@@ -94,6 +94,7 @@
 /** Announced; 40 MB of it are sent. */
 const FAR_OVER_LIMIT_BYTES = 900_000_000;
 const MB_40_CHUNKED = chunked({ bodyBytes: 40_000_000, chunkBytes: 65_536 });
+const SHORT_LINES = "X-Y: z\r\n".repeat(60);
 const LONG_ID = "z".repeat(15_000);
 /** A request's prompt, whose parts nobody else has, just within the limit. */
 const LONG_PROMPT_PARTS = 1_500;
@@ -136,6 +137,11 @@
     head(path, `Attempt-Id: ${id}${LONG_ID}\r\nContent-Length: 0\r\n`);
 }
 
+function shortHead(path: string, lines = ""): (id: string) => string {
+  return (id) =>
+    head(path, `Attempt-Id: ${id}\r\nContent-Length: 0\r\n${lines}`);
+}
+
 function headWithLongPrompt(id: string): string {
   const parts = Array.from(
     { length: LONG_PROMPT_PARTS },
@@ -397,6 +403,23 @@
     memoryMb: LITTLE_MEMORY_MB,
     sends: pipeline(30, headWithLongId(LONE_PATHS.unread)),
   },
+  {
+    what: "400 clients with 31 short requests that wait for an answer",
+    clients: 400,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: pipeline(31, shortHead(LONE_PATHS.unread)),
+  },
+  {
+    what: "400 clients with 31 requests of 60 header lines that wait",
+    clients: 400,
+    memoryMb: LITTLE_MEMORY_MB,
+    sends: pipeline(31, shortHead(LONE_PATHS.unread, SHORT_LINES)),
+  },
+  {
+    what: "700 clients with 31 short requests that wait for an answer",
+    clients: 700,
+    sends: pipeline(31, shortHead(LONE_PATHS.unread)),
+  },
   {
     what: "400 heads of 60,000 bytes that wait for an answer",
     clients: 400,
--- a/packages/platform/src/daemon.ts
+++ b/packages/platform/src/daemon.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { canReclaimBuffers, MemoryBudget } from "@endivebend/byte-buffers";
+import { canReclaim, MemoryBudget } from "@endivebend/byte-buffers";
 import { createClock, createScheduler, steadyMs } from "@endivebend/clock";
 import { createUdpTransport, RecordExchange } from "@endivebend/fleet";
 import { FrontDaemon } from "@endivebend/front";
@@ -45,8 +45,8 @@
     fields: { vm: settings.vm, domain: settings.failureDomain },
     nowMs: () => steadyMs(clock),
   });
-  if (!canReclaimBuffers) {
-    log.stateChange("buffers_not_reclaimed", {
+  if (!canReclaim) {
+    log.stateChange("memory_not_reclaimed", {
       reason: "Node.js was started without --expose-gc; add it to the command",
     });
   }
