Let bodies that never end give way as well where memory is short

Clients that send a byte now and then keep their part of the message budget for as long as they like, and others with a body of more than 2 KB get 503.

Cause: only a body that has been silent for a second gave way to others, and the idle timeout starts anew with each byte.

Where no body is silent, the one that has been read for the longest gives way, if for 15 s, the time limit of requests that name none.

No process test plays it.

--- a/packages/platform/src/unfinished_bodies.ts
+++ b/packages/platform/src/unfinished_bodies.ts
@@ -10,6 +10,8 @@
 
 /** As for answers that their clients don't read. */
 const STOPPED_MS = 1_000;
+/** The time limit of requests that name none; few clients wait for longer. */
+const MAX_READING_MS = 15_000;
 
 /** A body that is being read. */
 export interface UnfinishedBody {
@@ -19,6 +21,11 @@
   giveUp(): void;
 }
 
+interface Progress {
+  readonly beganAtMs: number;
+  wentOnAtMs: number;
+}
+
 /**
  * The bodies that a daemon reads, with the time at which each went on.
  *
@@ -30,7 +37,7 @@
  */
 export class UnfinishedBodies {
   readonly #clock: Clock;
-  readonly #wentOnAtMs = new Map<UnfinishedBody, number>();
+  readonly #progress = new Map<UnfinishedBody, Progress>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -38,31 +45,47 @@
 
   /** Notes that a part of the body has come. */
   noteProgress(body: UnfinishedBody): void {
-    this.#wentOnAtMs.set(body, steadyMs(this.#clock));
+    const nowMs = steadyMs(this.#clock);
+    const known = this.#progress.get(body);
+    if (known !== undefined) known.wentOnAtMs = nowMs;
+    else this.#progress.set(body, { beganAtMs: nowMs, wentOnAtMs: nowMs });
   }
 
   /** Forgets a body that has come whole or was given up. */
   forget(body: UnfinishedBody): void {
-    this.#wentOnAtMs.delete(body);
+    this.#progress.delete(body);
   }
 
   /**
-   * Gives up the body that has been silent for the longest, of those that have
-   * been silent for a second and hold as many bytes. Returns whether there was
-   * one.
+   * Gives up the body that has been silent for the longest, if for a second, or
+   * else the one that has been read for the longest, if for 15 s: a body may go
+   * on by a byte now and then and never end. Bodies that hold fewer bytes are
+   * left out. Returns whether one was given up.
    */
   giveUpStopped(minHeldBytes: number): boolean {
-    const stoppedBeforeMs = steadyMs(this.#clock) - STOPPED_MS;
-    let longest: UnfinishedBody | undefined;
-    let longestAtMs = stoppedBeforeMs;
-    for (const [body, atMs] of this.#wentOnAtMs) {
-      if (atMs > longestAtMs || body.heldBytes < minHeldBytes) continue;
-      longest = body;
-      longestAtMs = atMs;
-    }
-    if (longest === undefined) return false;
-    this.forget(longest);
-    longest.giveUp();
+    const nowMs = steadyMs(this.#clock);
+    const large = [...this.#progress]
+      .filter(([body]) => body.heldBytes >= minHeldBytes);
+    const body = earliestBefore(nowMs - STOPPED_MS, large, "wentOnAtMs") ??
+      earliestBefore(nowMs - MAX_READING_MS, large, "beganAtMs");
+    if (body === undefined) return false;
+    this.forget(body);
+    body.giveUp();
     return true;
   }
 }
+
+function earliestBefore(
+  limitMs: number,
+  bodies: readonly (readonly [UnfinishedBody, Progress])[],
+  moment: keyof Progress,
+): UnfinishedBody | undefined {
+  let earliest: UnfinishedBody | undefined;
+  let earliestMs = limitMs;
+  for (const [body, { [moment]: atMs }] of bodies) {
+    if (atMs > earliestMs) continue;
+    earliest = body;
+    earliestMs = atMs;
+  }
+  return earliest;
+}
